Agree the modules and the interfaces between them

Cause: the repository was empty; eight parts are to be built side by side. Conclusion: the parts can start against these types.

--- /dev/null
+++ b/api/result/header.go
@@ -0,0 +1,27 @@
+package result
+
+// Headers between callers, entry VMs and targets.
+const (
+	// HeaderAccount and HeaderService tell what a request is for.
+	HeaderAccount = "Yucca-Account"
+	HeaderService = "Yucca-Service"
+	// HeaderDeadline is the time left, in milliseconds, at the moment of sending.
+	HeaderDeadline = "Yucca-Deadline-Ms"
+	// HeaderKey is the idempotency key of a non-idempotent request.
+	HeaderKey = "Idempotency-Key"
+	// HeaderResult is the numbered result and HeaderOutcome one of ran,
+	// not-run, unknown. Both are on every answer of an entry VM.
+	HeaderResult  = "Yucca-Result"
+	HeaderOutcome = "Yucca-Outcome"
+	// HeaderPlace names the place that served, HeaderTarget the target.
+	HeaderPlace  = "Yucca-Place"
+	HeaderTarget = "Yucca-Target"
+	// HeaderRetryAfter tells, in milliseconds, when to come back.
+	HeaderRetryAfter = "Yucca-Retry-After-Ms"
+	// HeaderShed is set by a target that refused a request before running it.
+	HeaderShed = "Yucca-Shed"
+	// HeaderLeaving is set by a target that takes no new work.
+	HeaderLeaving = "Yucca-Leaving"
+	// HeaderLoad is a target's own load report: requests in service.
+	HeaderLoad = "Yucca-Load"
+)
