Add a small HTTP server on nbhttp

Cause: node, stand-ins and administration all need an nbhttp engine with a body limit and the address that port 0 gave. Conclusion: one place for the engine's settings.

--- /dev/null
+++ b/httpserver/server.go
@@ -0,0 +1,88 @@
+// Package httpserver starts an HTTP server on nbio's nbhttp engine. nbhttp
+// hands a request to its handler once the body is whole, so the body limit here
+// bounds the memory of one request.
+package httpserver
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/lesismal/llib/std/crypto/tls"
+	"github.com/lesismal/nbio/logging"
+	"github.com/lesismal/nbio/nbhttp"
+	"github.com/pkg/errors"
+)
+
+// headerAllowanceBytes is what a request's head may add to its body in the
+// read buffer of a connection.
+const headerAllowanceBytes = 64 << 10
+
+// Options configure one server.
+type Options struct {
+	// Address is ip:port; port 0 takes a free one.
+	Address string
+	Handler http.Handler
+	// MaxBodyBytes bounds the body of one request.
+	MaxBodyBytes int
+	// TLS is nil for plain HTTP.
+	TLS *tls.Config
+}
+
+// Server is a running HTTP server.
+type Server struct {
+	engine  *nbhttp.Engine
+	address net.Addr
+}
+
+// Start listens and serves until Stop. It returns an error if the address
+// cannot be bound.
+func Start(o Options) (*Server, error) {
+	s := &Server{}
+	config := nbhttp.Config{
+		Network:         "tcp",
+		Handler:         o.Handler,
+		MaxHTTPBodySize: o.MaxBodyBytes,
+		ReadLimit:       o.MaxBodyBytes + headerAllowanceBytes,
+		Listen:          s.listen,
+	}
+	if o.TLS != nil {
+		config.TLSConfig = o.TLS
+		config.AddrsTLS = []string{o.Address}
+	} else {
+		config.Addrs = []string{o.Address}
+	}
+	s.engine = nbhttp.NewEngine(config)
+	if err := s.engine.Start(); err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", o.Address)
+	}
+	return s, nil
+}
+
+// listen keeps the address that the system chose for port 0.
+func (s *Server) listen(network, address string) (net.Listener, error) {
+	l, err := net.Listen(network, address)
+	if err != nil {
+		return nil, err
+	}
+	s.address = l.Addr()
+	return l, nil
+}
+
+// Address returns the ip:port in use.
+func (s *Server) Address() string { return s.address.String() }
+
+// Stop closes the listener and all connections. Work in hand must have ended
+// before, since its answers are lost.
+func (s *Server) Stop(ctx context.Context) error {
+	return s.engine.Shutdown(ctx)
+}
+
+var quietOnce sync.Once
+
+// QuietLibraryLogs keeps nbio's own start and stop lines out of the program's
+// log; errors stay.
+func QuietLibraryLogs() {
+	quietOnce.Do(func() { logging.SetLevel(logging.LevelError) })
+}
