Name the header that carries a request's token

Cause: callers, targets and the checker need one name for it. Change: HeaderToken beside the other headers. Measured: api builds. Conclusion: an addition only; nothing else changes.

--- a/api/result/header.go
+++ b/api/result/header.go
@@ -9,6 +9,10 @@
 	HeaderDeadline = "Yucca-Deadline-Ms"
 	// HeaderKey is the idempotency key of a non-idempotent request.
 	HeaderKey = "Idempotency-Key"
+	// HeaderToken is an optional identifier of a request, unique for the
+	// caller. A target repeats it in its answer, so that a caller can tell that
+	// an answer is its own.
+	HeaderToken = "Yucca-Token"
 	// HeaderResult is the numbered result and HeaderOutcome one of ran,
 	// not-run, unknown. Both are on every answer of an entry VM.
 	HeaderResult  = "Yucca-Result"
