store: service in memory, faults around it, and the election

Cause: control, config and spread need a service to run against, and an election whose holder can prove that it holds. Change: memkv, faultkv and lease with tests in synctest bubbles.

--- /dev/null
+++ b/store/faultkv/counts.go
@@ -0,0 +1,27 @@
+package faultkv
+
+// Counts holds how many calls of each kind were made. A watch counts as one
+// call however long it waits.
+type Counts [kindCount]uint64
+
+// Of returns the count of one kind.
+func (c Counts) Of(kind Kind) uint64 {
+	return c[kind]
+}
+
+// Total returns the sum over all kinds.
+func (c Counts) Total() uint64 {
+	var total uint64
+	for _, n := range c {
+		total += n
+	}
+	return total
+}
+
+// Sub returns the calls made since an earlier reading.
+func (c Counts) Sub(earlier Counts) Counts {
+	for i := range c {
+		c[i] -= earlier[i]
+	}
+	return c
+}
--- /dev/null
+++ b/store/lease/election_test.go
@@ -0,0 +1,239 @@
+package lease_test
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/store"
+	"github.com/yuccaroute/yuccaroute/store/faultkv"
+	"github.com/yuccaroute/yuccaroute/store/lease"
+	"github.com/yuccaroute/yuccaroute/store/memkv"
+)
+
+const (
+	key = "decider/daehan"
+	ttl = 9 * time.Second
+)
+
+// candidate is one election with its own connection to a shared service.
+type candidate struct {
+	*lease.Election
+	link  *faultkv.Store
+	clock *skewedClock
+	lost  atomic.Int32
+	stop  context.CancelFunc
+	done  sync.WaitGroup
+}
+
+// skewedClock runs at a rate other than true time.
+type skewedClock struct {
+	start time.Time
+	rate  float64
+}
+
+func (c *skewedClock) Now() time.Time {
+	passed := float64(time.Since(c.start)) * c.rate
+	return c.start.Add(time.Duration(passed))
+}
+
+func start(t *testing.T, kv store.KV, value string, rate float64) *candidate {
+	t.Helper()
+	c := &candidate{
+		link:  faultkv.New(kv, nil),
+		clock: &skewedClock{start: time.Now(), rate: rate},
+	}
+	e, err := lease.New(lease.Options{
+		KV: c.link, Key: key, Value: []byte(value), TTL: ttl, Clock: c.clock,
+		OnLost: func(uint64) { c.lost.Add(1) },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Election = e
+	ctx, cancel := context.WithCancel(context.Background())
+	c.stop = cancel
+	c.done.Go(func() { _ = e.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		c.done.Wait()
+		c.link.WaitLate()
+	})
+	return c
+}
+
+func mustHold(t *testing.T, c *candidate) uint64 {
+	t.Helper()
+	epoch, ok := c.Held()
+	if !ok {
+		t.Fatal("does not hold the key")
+	}
+	return epoch
+}
+
+func mustNotHold(t *testing.T, c *candidate) {
+	t.Helper()
+	if epoch, ok := c.Held(); ok {
+		t.Fatalf("still holds the key with epoch %d", epoch)
+	}
+}
+
+// settle lets the time pass and all goroutines finish what it set off.
+func settle(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+func TestIdleHolderCallsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := start(t, memkv.New(memkv.Options{}), "a", 1)
+		settle(time.Second)
+		before := a.link.Counts()
+		settle(time.Minute)
+		mustHold(t, a)
+		calls := a.link.Counts().Sub(before)
+		if calls.Total() != 20 || calls.Of(faultkv.KindKeepAlive) != 20 {
+			t.Errorf("calls in an idle minute: %v, want 20 keep-alives only", calls)
+		}
+	})
+}
+
+// Story: two nodes want to decide for one account. The holder is cut off from
+// the service. The service lets the lease lapse and the other node wins. The
+// first must not believe in its lease at any time at which the other does.
+func TestHolderCutOffStopsBeforeNextWins(t *testing.T) {
+	for _, rate := range []float64{0.95, 1, 1.05} {
+		synctest.Test(t, func(t *testing.T) {
+			kv := memkv.New(memkv.Options{})
+			a := start(t, kv, "a", rate)
+			settle(time.Second)
+			b := start(t, kv, "b", 1)
+			settle(time.Second)
+			first := mustHold(t, a)
+			a.link.SetOutage(true)
+			for range 200 {
+				settle(ttl / 100)
+				_, aHolds := a.Held()
+				_, bHolds := b.Held()
+				if aHolds && bHolds {
+					t.Fatalf("both hold the key, clock rate %v", rate)
+				}
+			}
+			second := mustHold(t, b)
+			if second <= first {
+				t.Errorf("epoch went from %d to %d", first, second)
+			}
+			if a.lost.Load() != 1 {
+				t.Errorf("OnLost calls: %d, want 1", a.lost.Load())
+			}
+		})
+	}
+}
+
+// Story: the service is slow, and a keep-alive is answered 2 s late. Counting
+// the lease from the answer would make the holder trust it 2 s too long: the
+// service counts from when it saw the call.
+func TestLeaseCountsFromBeforeTheCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := memkv.New(memkv.Options{})
+		a := start(t, kv, "a", 1)
+		settle(time.Second)
+		a.link.SetChooser(func(faultkv.Call) faultkv.Decision {
+			return faultkv.Decision{DelayAfter: 2 * time.Second}
+		})
+		// Sent and seen at 3 s, answered at 5 s.
+		settle(4500 * time.Millisecond)
+		mustHold(t, a)
+		a.link.SetOutage(true)
+		b := start(t, kv, "b", 1)
+		for range 200 {
+			settle(ttl / 100)
+			_, aHolds := a.Held()
+			_, bHolds := b.Held()
+			if aHolds && bHolds {
+				t.Fatal("both hold the key")
+			}
+		}
+		mustHold(t, b)
+	})
+}
+
+// Story: the write that takes the key is applied but its answer is lost, or
+// arrives only after the caller has read that the key is still free. The
+// candidate must come to know that it holds the key, with that write's
+// revision, and must hold it once.
+func TestLostAnswerOfWinningWrite(t *testing.T) {
+	cases := map[string]faultkv.Decision{
+		"applied":      {Fault: faultkv.LoseAnswer},
+		"applied late": {Fault: faultkv.ApplyLate, LateBy: time.Second},
+		"dropped":      {Fault: faultkv.Drop},
+	}
+	for name, decision := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				kv := memkv.New(memkv.Options{})
+				a := start(t, kv, "a", 1)
+				a.link.SetChooser(faultkv.Script(map[faultkv.Kind][]faultkv.Decision{
+					faultkv.KindSwap: {decision},
+				}))
+				settle(ttl)
+				epoch := mustHold(t, a)
+				holder, err := lease.Lookup(t.Context(), kv, key)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if holder.Epoch != epoch || string(holder.Value) != "a" {
+					t.Errorf("service shows %+v, election holds epoch %d", holder, epoch)
+				}
+				settle(time.Minute)
+				if again := mustHold(t, a); again != epoch {
+					t.Errorf("epoch changed from %d to %d", epoch, again)
+				}
+			})
+		})
+	}
+}
+
+// Story: a candidate gives up after its write was lost on the way, and another
+// wins and resigns. The first one's write arrives then. It is bound to a lease
+// that was revoked, so it must not take the key for a candidate that is gone.
+func TestLateWriteOfResignedCandidate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := memkv.New(memkv.Options{})
+		a := start(t, kv, "a", 1)
+		a.link.SetChooser(func(call faultkv.Call) faultkv.Decision {
+			if call.Kind == faultkv.KindSwap {
+				return faultkv.Decision{Fault: faultkv.ApplyLate, LateBy: time.Minute}
+			}
+			return faultkv.Decision{}
+		})
+		settle(time.Second)
+		if err := a.Resign(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		a.link.WaitLate()
+		if _, err := lease.Lookup(t.Context(), kv, key); err != store.ErrNotFound {
+			t.Errorf("late write took the key: %v", err)
+		}
+	})
+}
+
+func TestResignFreesTheKeyAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := memkv.New(memkv.Options{})
+		a := start(t, kv, "a", 1)
+		settle(time.Second)
+		b := start(t, kv, "b", 1)
+		settle(time.Second)
+		mustNotHold(t, b)
+		if err := a.Resign(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		mustNotHold(t, a)
+		synctest.Wait()
+		mustHold(t, b)
+	})
+}
--- /dev/null
+++ b/store/lease/record.go
@@ -0,0 +1,59 @@
+package lease
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/yuccaroute/yuccaroute/store"
+)
+
+// Record is what the key holds.
+type Record struct {
+	// Token is random for each lease. The holder knows its own write by it.
+	Token string `json:"token"`
+	// Value is Options.Value of the holder.
+	Value []byte `json:"value"`
+}
+
+// Holder is a key's holder as read from the service.
+type Holder struct {
+	Value []byte
+	// Epoch is the revision of the write that took the key.
+	Epoch uint64
+}
+
+// Decode reads the holder from an entry of the key.
+func Decode(entry store.Entry) (Holder, error) {
+	record, err := decodeRecord(entry.Value)
+	if err != nil {
+		return Holder{}, err
+	}
+	return Holder{Value: record.Value, Epoch: uint64(entry.Revision)}, nil
+}
+
+// Lookup reads who holds the key: store.ErrNotFound when nobody does.
+func Lookup(ctx context.Context, kv store.KV, key string) (Holder, error) {
+	entry, err := kv.Get(ctx, key)
+	if err != nil {
+		return Holder{}, err
+	}
+	return Decode(entry)
+}
+
+func newToken() string {
+	return uuid.NewString()
+}
+
+func encodeRecord(record Record) ([]byte, error) {
+	text, err := json.Marshal(record)
+	return text, errors.Wrap(err, "lease: encode record")
+}
+
+func decodeRecord(text []byte) (Record, error) {
+	var record Record
+	err := json.Unmarshal(text, &record)
+	return record, errors.Wrap(err, "lease: decode record")
+}
--- a/store/store.go
+++ b/store/store.go
@@ -64,6 +64,10 @@
 // ErrLeaseGone tells that the lease lapsed or was never granted.
 var ErrLeaseGone = errors.New("store: lease gone")
 
+// ErrTooLarge tells that the value is larger than MaxValueBytes: the write did
+// not happen.
+var ErrTooLarge = errors.New("store: value too large")
+
 // ConflictError tells that a compare-and-swap did not happen because the key
 // was at another revision.
 type ConflictError struct {
