--- /dev/null
+++ b/client/do.go
@@ -0,0 +1,128 @@
+package client
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccaroute/yuccaroute/api/result"
+)
+
+// exchange is the course of one request over its attempts.
+type exchange struct {
+	client   *Client
+	request  *Request
+	tried    map[string]bool
+	attempts int
+}
+
+// Do sends a request and returns how it ended. The error is nil exactly when
+// Answer.Outcome is Ran, which means that Answer.Body is the target's whole
+// answer, whatever its status. Otherwise the error is an *OutcomeError and
+// Answer.Outcome tells whether the request may have run.
+func (c *Client) Do(ctx context.Context, r Request) (Answer, error) {
+	if r.Method == "" {
+		r.Method = http.MethodGet
+	}
+	ctx, cancel := context.WithTimeout(ctx, orDefault(r.Deadline, c.options.Timeout))
+	defer cancel()
+	c.budget.fresh()
+	e := &exchange{client: c, request: &r, tried: make(map[string]bool)}
+	last := e.run(ctx)
+	last.answer.Attempts = e.attempts
+	if last.answer.Outcome == result.Ran {
+		return last.answer, nil
+	}
+	return last.answer, &OutcomeError{Outcome: last.answer.Outcome, Code: last.answer.Code, Cause: last.cause}
+}
+
+func (e *exchange) run(ctx context.Context) attempt {
+	var last attempt
+	// ranMaybe is set once an attempt of an idempotent request may have run;
+	// a later refusal must not turn that into "not run".
+	ranMaybe := false
+	for {
+		entry, err := e.choose(ctx)
+		if err != nil {
+			if e.attempts == 0 {
+				return failedAttempt(Entry{}, result.NotRun, result.NoEntryVM, err)
+			}
+			break
+		}
+		last = e.send(ctx, entry)
+		if last.answer.Outcome == result.Ran {
+			return last
+		}
+		ranMaybe = ranMaybe || last.answer.Outcome == result.Unknown
+		if !e.again(ctx, &last) {
+			break
+		}
+	}
+	if ranMaybe && last.answer.Outcome == result.NotRun {
+		last.answer.Outcome = result.Unknown
+		last.answer.Code = result.ConnectionLost
+	}
+	return last
+}
+
+func (e *exchange) send(ctx context.Context, entry Entry) attempt {
+	e.attempts++
+	e.tried[entry.Address] = true
+	ctx, cancel := e.attemptContext(ctx)
+	defer cancel()
+	a := e.client.attempt(ctx, entry, e.request)
+	e.note(entry, &a)
+	return a
+}
+
+// attemptContext leaves half of the time for another entry VM when a request
+// may be sent again after it was lost: an entry VM that was paused accepts
+// connections and never answers.
+func (e *exchange) attemptContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok || !e.request.Idempotent || e.attempts >= e.client.options.MaxAttempts {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Until(deadline)/2)
+}
+
+// note remembers what the attempt tells about the entry VM.
+func (e *exchange) note(entry Entry, a *attempt) {
+	if errors.Is(a.cause, context.Canceled) {
+		return
+	}
+	switch {
+	case a.answer.RetryAfter > 0:
+		e.client.holds.ask(entry.Address, e.request.Service, a.answer.RetryAfter)
+	case a.answer.Code == result.NodeLeaving, a.answer.Status == 0 && a.cause != nil:
+		e.client.holds.fail(entry.Address)
+		e.client.entries.refresh()
+	case a.answer.Outcome == result.Ran:
+		e.client.holds.free(entry.Address)
+	}
+}
+
+// again reports whether the request may be sent once more.
+func (e *exchange) again(ctx context.Context, a *attempt) bool {
+	if ctx.Err() != nil || e.attempts >= e.client.options.MaxAttempts {
+		return false
+	}
+	if a.refused {
+		return true
+	}
+	if !e.mayRepeat(a) {
+		return false
+	}
+	return e.client.budget.take()
+}
+
+// mayRepeat is the rule that keeps non-idempotent work at most once: a second
+// entry VM gets it only if the first certainly did not let it run.
+func (e *exchange) mayRepeat(a *attempt) bool {
+	if a.answer.Outcome == result.NotRun {
+		return result.InfoOf(a.answer.Code).Retry
+	}
+	return e.request.Idempotent
+}
