--- /dev/null
+++ b/steering/step/stepper_test.go
@@ -0,0 +1,224 @@
+package step
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/api/plan"
+)
+
+var epochStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// move is one observed increase of a flow's effective shares.
+type move struct {
+	at   time.Time
+	flow int
+	ppm  uint32
+}
+
+func increases(before, after []plan.Share) uint32 {
+	sum := uint32(0)
+	for _, p := range join(before, after) {
+		sum += p.rise()
+	}
+	return sum
+}
+
+func sumOf(shares []plan.Share) uint32 {
+	sum := uint32(0)
+	for _, s := range shares {
+		sum += s.PPM
+	}
+	return sum
+}
+
+// drawShares draws a list over up to five places that adds up to plan.Whole,
+// or an empty one.
+func drawShares(t *rapid.T) []plan.Share {
+	weights := rapid.SliceOfN(rapid.Uint32Range(0, 9), 5, 5).Draw(t, "weights")
+	total := uint32(0)
+	for _, w := range weights {
+		total += w
+	}
+	if total == 0 {
+		return nil
+	}
+	var shares []plan.Share
+	left := uint32(plan.Whole)
+	for i, w := range weights {
+		if w == 0 {
+			continue
+		}
+		shares = append(shares, plan.Share{Place: model.PlaceName(fmt.Sprint("p", i)), PPM: plan.Whole / total * w})
+		left -= plan.Whole / total * w
+	}
+	shares[0].PPM += left
+	return shares
+}
+
+// A dealer's traffic lands on cold caches in a region that took more than the
+// cap allows, and orders time out. It happens when plans come faster than the
+// window turns, go back and forth, or many are skipped by a node that was
+// paused: each looks small by itself. Whatever the order, the increases in
+// every window, wherever it begins, must stay under the cap for any weights.
+func TestIncreasesStayUnderCapInEveryWindow(t *testing.T) {
+	rapid.Check(t, checkCap)
+}
+
+func checkCap(t *rapid.T) {
+	const flows = 3
+	now := epochStart
+	share := rapid.Float64Range(0.01, 0.9).Draw(t, "cap")
+	window := time.Duration(rapid.IntRange(1, 100).Draw(t, "window")) * time.Second
+	limits := model.MoveLimits{Share: share, Window: window}
+	stepper := New(limits, func() time.Time { return now })
+	weights := drawWeights(t, flows)
+	last := make([][]plan.Share, flows)
+	var moves []move
+	sequence := uint64(0)
+	steps := rapid.IntRange(1, 60).Draw(t, "steps")
+	target := &plan.Plan{}
+	for range steps {
+		now = now.Add(drawPause(t, window))
+		if rapid.Bool().Draw(t, "new plan") {
+			sequence++
+			target = &plan.Plan{Sequence: sequence, Flows: drawFlows(t, flows)}
+		}
+		effective, _ := stepper.Advance(target)
+		for i := range effective.Flows {
+			f := &effective.Flows[i]
+			at := int(f.Caller[0] - 'a')
+			if len(f.Shares) > 0 && sumOf(f.Shares) != plan.Whole {
+				t.Fatalf("shares add up to %d", sumOf(f.Shares))
+			}
+			if last[at] != nil {
+				moves = append(moves, move{now, at, increases(last[at], f.Shares)})
+			}
+			if len(f.Shares) > 0 {
+				last[at] = f.Shares
+			}
+		}
+	}
+	requireUnder(t, moves, weights, limits)
+}
+
+func drawWeights(t *rapid.T, n int) []float64 {
+	weights := make([]float64, n)
+	sum := 0.0
+	for i := range weights {
+		weights[i] = rapid.Float64Range(0, 1).Draw(t, "weight")
+		sum += weights[i]
+	}
+	for i := range weights {
+		weights[i] /= max(sum, 1e-9)
+	}
+	return weights
+}
+
+// drawPause is mostly a small part of a window and sometimes several.
+func drawPause(t *rapid.T, window time.Duration) time.Duration {
+	if rapid.IntRange(0, 9).Draw(t, "paused") == 0 {
+		return window * time.Duration(rapid.IntRange(0, 5).Draw(t, "windows"))
+	}
+	thousandths := rapid.SampledFrom([]int{0, 7, 9, 12, 50, 300}).Draw(t, "pause")
+	return window * time.Duration(thousandths) / 1000
+}
+
+// drawFlows leaves a flow out now and then.
+func drawFlows(t *rapid.T, n int) []plan.Flow {
+	var flows []plan.Flow
+	for i := range n {
+		if rapid.IntRange(0, 7).Draw(t, "left out") == 0 {
+			continue
+		}
+		caller := model.RegionName(string(rune('a' + i)))
+		flows = append(flows, plan.Flow{Service: "s", Caller: caller, Shares: drawShares(t)})
+	}
+	return flows
+}
+
+// requireUnder checks the window that ends at each move.
+func requireUnder(t *rapid.T, moves []move, weights []float64, limits model.MoveLimits) {
+	for _, end := range moves {
+		sum := 0.0
+		for _, m := range moves {
+			age := end.at.Sub(m.at)
+			if age >= 0 && age <= limits.Window {
+				sum += weights[m.flow] * float64(m.ppm)
+			}
+		}
+		if sum > limits.Share*plan.Whole+1e-6 {
+			t.Fatalf("moved %.0f ppm in the window that ends at %v, cap %.0f", sum, end.at, limits.Share*plan.Whole)
+		}
+	}
+}
+
+func onePlan(sequence uint64, shares ...plan.Share) *plan.Plan {
+	return &plan.Plan{Sequence: sequence, Flows: []plan.Flow{{Service: "s", Caller: "a", Shares: shares}}}
+}
+
+// Operators lengthen the window in the middle of a failover. What moved under
+// the old one must count against the new one, or the change itself lets a
+// second cap's worth through at once.
+func TestLongerWindowCountsOldMoves(t *testing.T) {
+	now := epochStart
+	s := New(model.MoveLimits{Share: 0.1, Window: time.Minute}, func() time.Time { return now })
+	s.Advance(onePlan(1, plan.Share{Place: "a", PPM: plan.Whole}))
+	goal := onePlan(2, plan.Share{Place: "b", PPM: plan.Whole})
+	s.Advance(goal)
+	now = now.Add(2 * time.Minute)
+	s.Advance(goal)
+	now = now.Add(2 * time.Minute)
+	s.SetLimits(model.MoveLimits{Share: 0.25, Window: 10 * time.Minute})
+	effective, held := s.Advance(goal)
+	if got := effective.Flows[0].Shares[0].PPM; got != 750_000 || !held {
+		t.Fatalf("share left in a is %d ppm, held %v, want 750000 and held", got, held)
+	}
+}
+
+// A large move must end: one cap's worth a window, no starvation by merged
+// history entries.
+func TestMoveEndsWithinExpectedWindows(t *testing.T) {
+	now := epochStart
+	s := New(model.MoveLimits{Share: 0.1, Window: time.Minute}, func() time.Time { return now })
+	s.Advance(onePlan(1, plan.Share{Place: "a", PPM: plan.Whole}))
+	goal := onePlan(2, plan.Share{Place: "b", PPM: plan.Whole})
+	halves := 0
+	for held := true; held; halves++ {
+		_, held = s.Advance(goal)
+		now = now.Add(500 * time.Millisecond)
+		if halves > 1200 {
+			t.Fatal("the move of one whole flow under a cap of a tenth takes over 600 s")
+		}
+	}
+	if halves < 1080 {
+		t.Fatalf("the move took %d half seconds, less than nine full windows", halves)
+	}
+}
+
+// A region fails, no place can serve for a moment, and then another region
+// takes all of the flow at once: the gap must not make the node forget where
+// its traffic was.
+func TestGapWithoutPlacesIsNoFreeMove(t *testing.T) {
+	s := New(model.MoveLimits{Share: 0.1, Window: time.Minute}, func() time.Time { return epochStart })
+	s.Advance(onePlan(1, plan.Share{Place: "a", PPM: plan.Whole}))
+	s.Advance(onePlan(2))
+	effective, held := s.Advance(onePlan(3, plan.Share{Place: "b", PPM: plan.Whole}))
+	if got := increases([]plan.Share{{Place: "a", PPM: plan.Whole}}, effective.Flows[0].Shares); got != 100_000 || !held {
+		t.Fatalf("moved %d ppm after a gap, held %v, want 100000 and held", got, held)
+	}
+}
+
+// A late copy of an old plan must not turn the node back.
+func TestOlderPlanIsIgnored(t *testing.T) {
+	s := New(model.MoveLimits{Share: 1, Window: time.Minute}, func() time.Time { return epochStart })
+	s.Advance(onePlan(2, plan.Share{Place: "b", PPM: plan.Whole}))
+	effective, _ := s.Advance(onePlan(1, plan.Share{Place: "a", PPM: plan.Whole}))
+	if effective.Sequence != 2 {
+		t.Fatalf("sequence %d in force after a late plan, want 2", effective.Sequence)
+	}
+}
