Read a node's settings from INI

Cause: a node learns its addresses and failure domain from its settings, and an operator should see every fault of the file in one run.

--- /dev/null
+++ b/config/settings/schema.go
@@ -0,0 +1,106 @@
+package settings
+
+import (
+	"math"
+
+	"github.com/yuccaroute/yuccaroute/config/inifile"
+)
+
+const (
+	sectionNode     = "node"
+	sectionListen   = "listen"
+	sectionPlatform = "platform"
+	sectionLimits   = "limits"
+	sectionLog      = "log"
+	sectionTLS      = "tls"
+	sectionAdmin    = "admin"
+)
+
+const (
+	keyVM                = "vm"
+	keyRegion            = "region"
+	keyFailureDomain     = "failure_domain"
+	keyCallers           = "callers"
+	keyAdmin             = "admin"
+	keyPeers             = "peers"
+	keyStore             = "store"
+	keyVMList            = "vm_list"
+	keyStorePath         = "store_path_prefix"
+	keyVMListPath        = "vm_list_path_prefix"
+	keyCallTimeout       = "call_timeout_ms"
+	keyWatchTimeout      = "watch_timeout_ms"
+	keyReads             = "reads_per_second"
+	keyWrites            = "writes_per_second"
+	keyVMListInterval    = "vm_list_interval_ms"
+	keyWatchers          = "watchers_per_failure_domain"
+	keyBuffered          = "buffered_bytes"
+	keyQueued            = "queued_requests"
+	keyCallerConnections = "caller_connections"
+	keyLeaveTime         = "leave_time_ms"
+	keyLevel             = "level"
+	keyFormat            = "format"
+	keyCertificate       = "certificate_file"
+	keyKey               = "key_file"
+	keyAuthority         = "authority_file"
+	keyPlain             = "plain_allowed"
+	keyIdentities        = "identities_file"
+	keyOpen              = "open"
+)
+
+const (
+	maxTimeoutMS = 600_000
+	maxRate      = 100_000
+)
+
+var (
+	timeout   = inifile.Number{Min: 1, Max: maxTimeoutMS}
+	callRate  = inifile.Number{Min: 0.1, Max: maxRate}
+	someCount = inifile.Whole{Min: 1, Max: math.MaxInt32}
+	someBytes = inifile.Whole{Min: 1 << 16, Max: 1 << 40}
+	listening = inifile.Address{AnyPort: true}
+)
+
+var schema = inifile.Schema{
+	{Kind: sectionNode, Keys: []inifile.KeySpec{
+		{Name: keyVM, Value: inifile.NameKind, Required: true},
+		{Name: keyRegion, Value: inifile.NameKind, Required: true},
+		{Name: keyFailureDomain, Value: inifile.NameKind, Required: true},
+	}},
+	{Kind: sectionListen, Keys: []inifile.KeySpec{
+		{Name: keyCallers, Value: listening, Required: true},
+		{Name: keyAdmin, Value: listening, Required: true},
+		{Name: keyPeers, Value: listening, Required: true},
+	}},
+	{Kind: sectionPlatform, Keys: []inifile.KeySpec{
+		{Name: keyStore, Value: inifile.Address{}, Required: true},
+		{Name: keyVMList, Value: inifile.Address{}, Required: true},
+		{Name: keyStorePath, Value: inifile.PathKind, Default: "/v1"},
+		{Name: keyVMListPath, Value: inifile.PathKind, Default: "/v1"},
+		{Name: keyCallTimeout, Value: timeout, Default: "2000"},
+		{Name: keyWatchTimeout, Value: timeout, Default: "30000"},
+		{Name: keyReads, Value: callRate, Default: "50"},
+		{Name: keyWrites, Value: callRate, Default: "20"},
+		{Name: keyVMListInterval, Value: timeout, Default: "1000"},
+		{Name: keyWatchers, Value: inifile.Whole{Min: 1, Max: 16}, Default: "2"},
+	}},
+	{Kind: sectionLimits, Keys: []inifile.KeySpec{
+		{Name: keyBuffered, Value: someBytes, Default: "268435456"},
+		{Name: keyQueued, Value: someCount, Default: "4096"},
+		{Name: keyCallerConnections, Value: someCount, Default: "20000"},
+		{Name: keyLeaveTime, Value: timeout, Default: "30000"},
+	}},
+	{Kind: sectionLog, Keys: []inifile.KeySpec{
+		{Name: keyLevel, Value: inifile.Choice{"debug", "info", "warn", "error"}, Default: "info"},
+		{Name: keyFormat, Value: inifile.Choice{"text", "json"}, Default: "text"},
+	}},
+	{Kind: sectionTLS, Keys: []inifile.KeySpec{
+		{Name: keyCertificate, Value: inifile.FileKind},
+		{Name: keyKey, Value: inifile.FileKind},
+		{Name: keyAuthority, Value: inifile.FileKind},
+		{Name: keyPlain, Value: inifile.YesNo, Default: "no"},
+	}},
+	{Kind: sectionAdmin, Keys: []inifile.KeySpec{
+		{Name: keyIdentities, Value: inifile.FileKind},
+		{Name: keyOpen, Value: inifile.YesNo, Default: "no"},
+	}},
+}
--- /dev/null
+++ b/config/settings/settings.go
@@ -0,0 +1,94 @@
+package settings
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/model"
+)
+
+// Settings is one node's settings. It is immutable once loaded.
+type Settings struct {
+	Node     Node
+	Listen   Listen
+	Platform Platform
+	Limits   Limits
+	Log      Log
+	TLS      TLS
+	Admin    Admin
+}
+
+// Node tells who the process is.
+type Node struct {
+	// VM is the identifier of the machine in the platform's list.
+	VM     string
+	Region model.RegionName
+	// FailureDomain is the place the VM stands in.
+	FailureDomain model.PlaceName
+}
+
+// Listen holds the addresses the process listens on.
+type Listen struct {
+	// Callers serves look-ups and requests, Admin the administration API and
+	// metrics, Peers the other nodes.
+	Callers, Admin, Peers netip.AddrPort
+}
+
+// Platform tells how to reach the key-value service and the VM list.
+type Platform struct {
+	Store  netip.AddrPort
+	VMList netip.AddrPort
+	// StorePathPrefix and VMListPathPrefix stand before every path of the
+	// service.
+	StorePathPrefix, VMListPathPrefix string
+	// CallTimeout bounds one call; WatchTimeout bounds one waiting watch.
+	CallTimeout, WatchTimeout time.Duration
+	// ReadsPerSecond and WritesPerSecond bound this node's calls.
+	ReadsPerSecond, WritesPerSecond float64
+	// VMListInterval is the time between two readings of the list.
+	VMListInterval time.Duration
+	// Watchers is how many nodes of a failure domain watch the store.
+	Watchers int
+}
+
+// Limits bounds what one process holds.
+type Limits struct {
+	// BufferedBytes bounds the bodies held in memory, in sum.
+	BufferedBytes int64
+	// QueuedRequests bounds requests that wait, in sum.
+	QueuedRequests int
+	// CallerConnections bounds open connections of callers.
+	CallerConnections int
+	// LeaveTime bounds a planned stop of the process.
+	LeaveTime time.Duration
+}
+
+// Log tells what is logged and how.
+type Log struct {
+	// Level is one of debug, info, warn, error.
+	Level string
+	// Format is text or json.
+	Format string
+}
+
+// TLS holds the files of keys and certificates. They are read again when they
+// change.
+type TLS struct {
+	CertificateFile, KeyFile string
+	// AuthorityFile holds the certificates that peers must be signed by.
+	AuthorityFile string
+	// PlainAllowed permits the administration API and the peers without TLS on
+	// addresses that are not loopback.
+	PlainAllowed bool
+}
+
+// Enabled reports whether keys are given.
+func (t TLS) Enabled() bool { return t.CertificateFile != "" }
+
+// Admin tells where the identities of operators are.
+type Admin struct {
+	// IdentitiesFile holds hashed tokens; "" reads them from the store.
+	IdentitiesFile string
+	// Open permits calls without a token. It is accepted on loopback only.
+	Open bool
+}
