End floors of a process that was not scheduled for long

Cause: a timer that drops floors after a pause may run after the admission does. Change: Set.Alive, checked by Allowed itself; nil keeps the old meaning. Conclusion: users of Set must decide by Allowed, not by reading Grants.

--- a/api/grant/set.go
+++ b/api/grant/set.go
@@ -19,10 +19,15 @@
 	// it end earlier than the holder does.
 	SurplusExpires time.Time
 	Grants         []Grant
+	// Alive, when set, must hold for anything in the set to be in force.
+	Alive *Liveness
 }
 
 // Allowed returns what the set permits for a key at a time.
 func (s *Set) Allowed(key Key, now time.Time) Amount {
+	if s.Alive != nil && !s.Alive.Live(now) {
+		return 0
+	}
 	for i := range s.Grants {
 		g := &s.Grants[i]
 		if g.Key != key {
