--- /dev/null
+++ b/bench/check/moves.go
@@ -0,0 +1,205 @@
+package check
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/model"
+)
+
+const (
+	// binsPerWindow cuts the move window; bins up to a whole window apart are
+	// compared, so that a sudden move inside a bin shows in full between the
+	// bins around it.
+	binsPerWindow = 2
+	// minBinRequests is the fewest requests of a caller region in a bin that
+	// is compared.
+	minBinRequests = 100
+	// falseAlarm bounds the chance that a check of a system that keeps its cap
+	// reports any violation.
+	falseAlarm = 1e-6
+)
+
+// binFlow counts one service's requests of one caller region in one bin, by
+// when they were sent.
+type binFlow struct {
+	offered int
+	// placed counts those that ran, by the place where they ran first.
+	placed map[model.PlaceName]int
+}
+
+func (b *binFlow) share(p model.PlaceName) float64 {
+	if b.offered == 0 {
+		return 0
+	}
+	return float64(b.placed[p]) / float64(b.offered)
+}
+
+// unplaced is the share that ran nowhere.
+func (b *binFlow) unplaced() float64 {
+	if b.offered == 0 {
+		return 0
+	}
+	left := b.offered
+	for _, n := range b.placed {
+		left -= n
+	}
+	return float64(left) / float64(b.offered)
+}
+
+// bin holds all flows of one caller region.
+type bin map[model.ServiceName]*binFlow
+
+func (b bin) offered() int {
+	sum := 0
+	for _, f := range b {
+		sum += f.offered
+	}
+	return sum
+}
+
+// callerBins are the bins of one caller region in order of time.
+type callerBins struct {
+	caller model.RegionName
+	bins   map[int]bin
+}
+
+// checkMoves compares, for each caller region, the shares of its traffic that
+// went to each place in two bins at most one window apart. The difference of
+// two averages over bins a lag d apart is the average of the moves over d, so
+// it is under the cap when every move over a window is, plus an allowance for
+// chance; see allowance.
+func checkMoves(in *Input, requests map[string]*request, r *Report) {
+	for _, account := range in.Accounts {
+		if account.Moves.Window <= 0 {
+			continue
+		}
+		for _, c := range binsOf(account, requests) {
+			checkCaller(account, c, r)
+		}
+	}
+}
+
+func binsOf(account *model.Account, requests map[string]*request) []*callerBins {
+	width := account.Moves.Window / binsPerWindow
+	byCaller := make(map[model.RegionName]*callerBins)
+	for _, q := range requests {
+		if len(q.told) == 0 || q.told[0].Account != account.Name {
+			continue
+		}
+		addToBin(byCaller, q, width)
+	}
+	var all []*callerBins
+	for _, c := range byCaller {
+		all = append(all, c)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].caller < all[j].caller })
+	return all
+}
+
+func addToBin(byCaller map[model.RegionName]*callerBins, q *request, width time.Duration) {
+	told := q.told[0]
+	c := byCaller[told.Caller]
+	if c == nil {
+		c = &callerBins{caller: told.Caller, bins: make(map[int]bin)}
+		byCaller[told.Caller] = c
+	}
+	n := int(told.Sent.UnixNano() / int64(width))
+	if c.bins[n] == nil {
+		c.bins[n] = make(bin)
+	}
+	f := c.bins[n][told.Service]
+	if f == nil {
+		f = &binFlow{placed: make(map[model.PlaceName]int)}
+		c.bins[n][told.Service] = f
+	}
+	f.offered++
+	if first := q.first(); first != nil {
+		f.placed[first.Place]++
+	}
+}
+
+func checkCaller(account *model.Account, c *callerBins, r *Report) {
+	order := make([]int, 0, len(c.bins))
+	for n := range c.bins {
+		order = append(order, n)
+	}
+	sort.Ints(order)
+	peaks := make(map[model.ServiceName]map[model.PlaceName]float64)
+	comparisons := len(order) * binsPerWindow
+	for _, n := range order {
+		rememberPeaks(peaks, c.bins[n])
+		for lag := 1; lag <= binsPerWindow; lag++ {
+			later, ok := c.bins[n+lag]
+			if ok {
+				comparePair(account, c, c.bins[n], later, peaks, comparisons, r)
+			}
+		}
+	}
+}
+
+func rememberPeaks(peaks map[model.ServiceName]map[model.PlaceName]float64, b bin) {
+	for service, f := range b {
+		if peaks[service] == nil {
+			peaks[service] = make(map[model.PlaceName]float64)
+		}
+		for place := range f.placed {
+			peaks[service][place] = max(peaks[service][place], f.share(place))
+		}
+	}
+}
+
+func comparePair(account *model.Account, c *callerBins, earlier, later bin,
+	peaks map[model.ServiceName]map[model.PlaceName]float64, comparisons int, r *Report) {
+	total := later.offered()
+	if total < minBinRequests || earlier.offered() < minBinRequests {
+		return
+	}
+	moved, spreadEarlier, spreadLater := 0.0, 0.0, 0.0
+	for service, to := range later {
+		from := earlier[service]
+		if from == nil {
+			continue
+		}
+		weight := float64(to.offered) / float64(total)
+		moved += weight * movedShare(account, from, to, peaks[service])
+		spreadEarlier += weight * weight / float64(from.offered)
+		spreadLater += weight * weight / float64(to.offered)
+	}
+	subsets := len(later) * len(account.Places)
+	allowed := account.Moves.Share + allowance(subsets, comparisons, spreadEarlier) +
+		allowance(subsets, comparisons, spreadLater)
+	r.checked(MovedOver)
+	r.LargestMove = max(r.LargestMove, moved)
+	if moved > allowed {
+		r.violated(MovedOver, "%s: callers of %s: %.3f moved within %v, cap %.3f, with allowance %.3f",
+			account.Name, c.caller, moved, account.Moves.Window, account.Moves.Share, allowed)
+	}
+}
+
+// movedShare is the share of a flow that appeared in places where it was not
+// before. Requests that were refused and run again where they ran at some
+// earlier time did not move: a place came back.
+func movedShare(account *model.Account, from, to *binFlow, peak map[model.PlaceName]float64) float64 {
+	gained, returned := 0.0, 0.0
+	for i := range account.Places {
+		place := account.Places[i].Name
+		gain := max(0, to.share(place)-from.share(place))
+		gained += gain
+		returned += min(gain, max(0, peak[place]-from.share(place)))
+	}
+	return gained - min(returned, max(0, from.unplaced()-to.unplaced()))
+}
+
+// allowance is how far measured shares may lie above the true ones by chance.
+// The sum over any set of (service, place) pairs of the weighted shares is a
+// sum of independent bounded terms whose squared ranges add up to spread, so
+// by Hoeffding's inequality it exceeds its mean by t with a chance of at most
+// exp(-2 t^2 / spread). The bound holds for all 2^pairs sets and all
+// comparisons at once when the chance for each is falseAlarm divided by their
+// number.
+func allowance(pairs, comparisons int, spread float64) float64 {
+	logCases := float64(pairs)*math.Ln2 + math.Log(float64(2*max(1, comparisons))/falseAlarm)
+	return math.Sqrt(logCases * spread / 2)
+}
