Name the headers of an exchange between entry VM and target

Cause: a stray answer on a connection could be taken for the awaited one, and a target's unusual status cannot be sent on by the HTTP library. Change: HeaderExchange and HeaderTargetStatus beside the other headers. Measured: api builds. Conclusion: additions only.

--- a/api/result/header.go
+++ b/api/result/header.go
@@ -26,6 +26,11 @@
 	HeaderShed = "Yucca-Shed"
 	// HeaderLeaving is set by a target that takes no new work.
 	HeaderLeaving = "Yucca-Leaving"
+	// HeaderExchange numbers an exchange between an entry VM and a target; a
+	// target that repeats it lets a stray answer be told from the awaited one.
+	HeaderExchange = "Yucca-Exchange"
+	// HeaderTargetStatus is the target's status when HTTP has no name for it.
+	HeaderTargetStatus = "Yucca-Target-Status"
 	// HeaderLoad is a target's own load report: requests in service.
 	HeaderLoad = "Yucca-Load"
 )
