--- a/lookup/entries.go
+++ b/lookup/entries.go
@@ -20,15 +20,13 @@
 	places []placeEntries
 }
 
+// placeEntries holds the seeds apart from the VMs: a look-up reads every seed
+// of a region but only a few VMs.
 type placeEntries struct {
 	name model.PlaceName
-	vms  []rankedVM
-}
-
-// rankedVM is an entry VM with its rendezvous seed, a hash of its identifier.
-type rankedVM struct {
-	seed uint64
-	vm   EntryVM
+	// seeds[i] is the rendezvous seed of vms[i], a hash of its identifier.
+	seeds []uint64
+	vms   []EntryVM
 }
 
 // newEntries groups the live entry VMs of a list. A VM that is leaving is
@@ -61,10 +59,8 @@
 		e.names = append(e.names, vm.Region)
 	}
 	place := region.place(vm.Place)
-	place.vms = append(place.vms, rankedVM{
-		seed: xxhash.Sum64String(vm.ID),
-		vm:   EntryVM{ID: vm.ID, Address: vm.Address.String(), Place: vm.Place, Region: vm.Region},
-	})
+	place.seeds = append(place.seeds, xxhash.Sum64String(vm.ID))
+	place.vms = append(place.vms, EntryVM{ID: vm.ID, Address: vm.Address.String(), Place: vm.Place, Region: vm.Region})
 }
 
 func (r *regionEntries) place(name model.PlaceName) *placeEntries {
--- a/lookup/rank.go
+++ b/lookup/rank.go
@@ -19,13 +19,13 @@
 	maxOtherRegions = 2
 	maxPerOther     = 2
 	// maxPlaces of one region take part; further places are not offered.
-	maxPlaces = 32
+	maxPlaces = 16
 )
 
 // choice is a VM with its score for one caller.
 type choice struct {
 	score uint64
-	vm    *rankedVM
+	vm    *EntryVM
 }
 
 // placeChoice is the best VMs of one place, best first.
@@ -59,18 +59,19 @@
 
 func (p *placeEntries) choose(caller uint64, into *placeChoice) {
 	into.count = 0
-	for i := range p.vms {
-		into.offer(choice{score(caller, p.vms[i].seed), &p.vms[i]})
+	for i, seed := range p.seeds {
+		value := score(caller, seed)
+		if into.count == maxPerPlace && value <= into.best[maxPerPlace-1].score {
+			continue
+		}
+		into.offer(choice{value, &p.vms[i]})
 	}
 }
 
-// offer keeps the highest scores, best first.
+// offer enters a choice that is among the highest, best first.
 func (p *placeChoice) offer(c choice) {
 	at := p.count
 	if at == maxPerPlace {
-		if c.score <= p.best[at-1].score {
-			return
-		}
 		at--
 	} else {
 		p.count++
@@ -100,7 +101,7 @@
 			if turn >= places[i].count {
 				continue
 			}
-			to = append(to, places[i].best[turn].vm.vm)
+			to = append(to, *places[i].best[turn].vm)
 			limit--
 		}
 	}
