Use the paths that the example templates declare

Cause: a path that no route matches reads as non-idempotent, so availability checks would not have been retried. Change: /gangs and /sheets in the stand-in callers' kinds. Measured: go test passes. Conclusion: kinds and routes agree; the class in a record is the route's.

--- a/standin/caller/tenants.go
+++ b/standin/caller/tenants.go
@@ -58,7 +58,7 @@
 // and bookings.
 func Termindienst(rate Rate) Load {
 	return Load{Service: "termindienst", Rate: rate, Deadline: askDeadline, Kinds: []Kind{
-		ask("/availability/pitztal", askShareOfTotal/2.0), ask("/rosters/gang-7", askShareOfTotal/2.0),
+		ask("/gangs/pitztal", askShareOfTotal/2.0), ask("/rosters/gang-7", askShareOfTotal/2.0),
 		order("/bookings", orderShare),
 	}}
 }
@@ -66,7 +66,7 @@
 // Herdenakte is the load of flock registers and wool-class sheets.
 func Herdenakte(rate Rate) Load {
 	return Load{Service: "herdenakte", Rate: rate, Deadline: uploadDeadline, Kinds: []Kind{
-		upload("/registers"), upload("/wool-sheets"),
+		upload("/registers"), upload("/sheets"),
 	}}
 }
 
