Keep templates and accounts in the store as one log a template

Cause: operators race each other, answers of the store get lost, writes arrive late, and a restored store shows older heads. Change: package changelog (one compare-and-swap on a head that lists hashes of immutable documents, recent changes and audit by identifier, guard against a store that went back) and package source (watch heads, emit accounts). Conclusion: node wiring can use changelog.New and source.New.

--- /dev/null
+++ b/config/changelog/changelog_test.go
@@ -0,0 +1,277 @@
+package changelog_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccaroute/yuccaroute/config"
+	"github.com/yuccaroute/yuccaroute/config/changelog"
+	"github.com/yuccaroute/yuccaroute/config/examples"
+	"github.com/yuccaroute/yuccaroute/store"
+	"github.com/yuccaroute/yuccaroute/store/faultkv"
+	"github.com/yuccaroute/yuccaroute/store/memkv"
+)
+
+func templateChange(id string, text []byte, ifSequence uint64) changelog.Change {
+	return changelog.Change{
+		ID: id, Who: "ana", Template: "dealer", Kind: changelog.KindTemplate, Name: "dealer",
+		Text: text, IfSequence: ifSequence,
+	}
+}
+
+func accountChange(id string, text []byte, ifSequence uint64) changelog.Change {
+	return changelog.Change{
+		ID: id, Who: "ben", Template: "dealer", Kind: changelog.KindAccount, Name: "daehan",
+		Text: text, IfSequence: ifSequence,
+	}
+}
+
+func withWeight(latency string) []byte {
+	text := strings.Replace(string(examples.Text("daehan")), "latency_weight = 0.8", "latency_weight = "+latency, 1)
+	headroom := map[string]string{"0.7": "0.3", "0.6": "0.4"}[latency]
+	return []byte(strings.Replace(text, "headroom_weight = 0.2", "headroom_weight = "+headroom, 1))
+}
+
+func mustApply(t *testing.T, log *changelog.Log, c changelog.Change) changelog.Result {
+	t.Helper()
+	result, err := log.Apply(t.Context(), c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return result
+}
+
+// seed puts the example template and account in force, at sequences 1 and 2.
+func seed(t *testing.T, log *changelog.Log) {
+	t.Helper()
+	mustApply(t, log, templateChange("seed-template", examples.Text("dealer"), 0))
+	mustApply(t, log, accountChange("seed-account", examples.Text("daehan"), 0))
+}
+
+func TestReadHistoryRollBack(t *testing.T) {
+	log := changelog.New(memkv.New(memkv.Options{}), changelog.Options{})
+	seed(t, log)
+	mustApply(t, log, accountChange("change-07", withWeight("0.7"), 2))
+	mustApply(t, log, accountChange("change-06", withWeight("0.6"), 3))
+	back := accountChange("back-to-2", nil, 4)
+	if _, err := log.RollBack(t.Context(), back, 2); err != nil {
+		t.Fatal(err)
+	}
+	cut, err := log.Read(t.Context(), "dealer")
+	if err != nil {
+		t.Fatal(err)
+	}
+	account := cut.Account("daehan")
+	if account.Sequence != 5 || string(account.Text) != string(examples.Text("daehan")) {
+		t.Errorf("got sequence %d", account.Sequence)
+	}
+	history, err := log.History(t.Context(), "dealer", changelog.Filter{Kind: changelog.KindAccount, Limit: 3})
+	if err != nil || len(history) != 3 || history[0].ID != "back-to-2" || history[2].ID != "change-07" {
+		t.Errorf("got %+v, %v", history, err)
+	}
+	names, err := log.Templates(t.Context())
+	if err != nil || len(names) != 1 || names[0] != "dealer" {
+		t.Errorf("got %v, %v", names, err)
+	}
+}
+
+func TestConflictTellsWhatChangedAndByWhom(t *testing.T) {
+	log := changelog.New(memkv.New(memkv.Options{}), changelog.Options{})
+	seed(t, log)
+	mustApply(t, log, accountChange("change-07", withWeight("0.7"), 2))
+	_, err := log.Apply(t.Context(), accountChange("change-06", withWeight("0.6"), 2))
+	var conflict *changelog.ConflictError
+	if !errors.As(err, &conflict) {
+		t.Fatalf("got %v", err)
+	}
+	if conflict.Current != 3 || len(conflict.Changes) != 1 || conflict.Changes[0].Who != "ben" {
+		t.Errorf("got %+v", conflict)
+	}
+}
+
+// TestRaceOfTemplateAndAccount: one operator shortens the longest drain in the
+// template while another plans a longer one in an account. Each is valid with
+// what both of them read. Whichever comes second must be refused.
+func TestRaceOfTemplateAndAccount(t *testing.T) {
+	log := changelog.New(memkv.New(memkv.Options{}), changelog.Options{})
+	seed(t, log)
+	narrowed := strings.Replace(string(examples.Text("dealer")), "[excess]", "[drains]\nlongest_seconds = 600\n\n[excess]", 1)
+	drained := string(examples.Text("daehan")) + "\n[drain n]\nplace = kr-seoul-a\nstart = 2026-01-01T00:00:00Z\nend = 2026-01-01T01:00:00Z\nuntil = 2026-01-01T02:00:00Z\n"
+	mustApply(t, log, accountChange("plan-drain", []byte(drained), 2))
+	_, err := log.Apply(t.Context(), templateChange("narrow-drains", []byte(narrowed), 1))
+	var problems config.Problems
+	if !errors.As(err, &problems) || !strings.Contains(err.Error(), "account daehan") {
+		t.Errorf("got %v", err)
+	}
+}
+
+// swaps returns a chooser that gives the swaps of head keys these faults in
+// order.
+func swaps(faults ...faultkv.Decision) faultkv.Chooser {
+	next := 0
+	return func(c faultkv.Call) faultkv.Decision {
+		if c.Kind != faultkv.KindSwap || !strings.HasPrefix(c.Key, changelog.HeadPrefix) || next == len(faults) {
+			return faultkv.Decision{}
+		}
+		next++
+		return faults[next-1]
+	}
+}
+
+// TestLostAnswer: the store makes a change and its answer is lost. The
+// operator must be told that the change is in force, and a repeat under the
+// same identifier must not make it again.
+func TestLostAnswer(t *testing.T) {
+	kv := faultkv.New(memkv.New(memkv.Options{}), nil)
+	log := changelog.New(kv, changelog.Options{})
+	seed(t, log)
+	kv.SetChooser(swaps(faultkv.Decision{Fault: faultkv.LoseAnswer}))
+	result := mustApply(t, log, accountChange("change-07", withWeight("0.7"), 2))
+	if result.Record.Sequence != 3 || result.Repeated {
+		t.Errorf("got %+v", result)
+	}
+	result = mustApply(t, log, accountChange("change-07", withWeight("0.7"), 2))
+	if result.Record.Sequence != 3 || !result.Repeated {
+		t.Errorf("repeat: got %+v", result)
+	}
+	_, err := log.Apply(t.Context(), accountChange("change-07", withWeight("0.6"), 3))
+	var reused *changelog.ReusedError
+	if !errors.As(err, &reused) {
+		t.Errorf("reuse: got %v", err)
+	}
+}
+
+// TestLateWriteCannotUndo: a swap is delayed for a minute. Meanwhile the
+// operator repeats the change, and another one changes the account again. When
+// the late swap arrives it must change nothing.
+func TestLateWriteCannotUndo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := faultkv.New(memkv.New(memkv.Options{}), nil)
+		log := changelog.New(kv, changelog.Options{})
+		seed(t, log)
+		kv.SetChooser(swaps(faultkv.Decision{Fault: faultkv.ApplyLate, LateBy: time.Minute}))
+		mustApply(t, log, accountChange("change-07", withWeight("0.7"), 2))
+		mustApply(t, log, accountChange("change-06", withWeight("0.6"), 3))
+		kv.WaitLate()
+		cut, err := log.Read(t.Context(), "dealer")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if cut.Sequence != 4 || string(cut.Account("daehan").Text) != string(withWeight("0.6")) {
+			t.Errorf("the late write took effect: sequence %d", cut.Sequence)
+		}
+	})
+}
+
+// TestUnknownIsSaid: the store loses a swap and then goes out. Nobody can tell
+// whether the change is in force, so the answer is "unknown" with its
+// identifier; after the outage the identifier tells.
+func TestUnknownIsSaid(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := faultkv.New(memkv.New(memkv.Options{}), nil)
+		log := changelog.New(kv, changelog.Options{})
+		seed(t, log)
+		choose := swaps(faultkv.Decision{Fault: faultkv.LoseAnswer})
+		out := false
+		kv.SetChooser(func(c faultkv.Call) faultkv.Decision {
+			if out {
+				return faultkv.Decision{Fault: faultkv.Refuse}
+			}
+			d := choose(c)
+			out = d.Fault == faultkv.LoseAnswer
+			return d
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		_, err := log.Apply(ctx, accountChange("change-07", withWeight("0.7"), 2))
+		var unknown *changelog.UnknownError
+		if !errors.As(err, &unknown) || unknown.ID != "change-07" {
+			t.Fatalf("got %v", err)
+		}
+		kv.SetChooser(nil)
+		record, err := log.Outcome(t.Context(), "dealer", "change-07")
+		if err != nil || record.Sequence != 3 {
+			t.Errorf("got %+v, %v", record, err)
+		}
+	})
+}
+
+// TestOutageRefuses: while the store is out a change is refused as not run.
+func TestOutageRefuses(t *testing.T) {
+	kv := faultkv.New(memkv.New(memkv.Options{}), nil)
+	log := changelog.New(kv, changelog.Options{})
+	seed(t, log)
+	kv.SetOutage(true)
+	_, err := log.Apply(t.Context(), accountChange("change-07", withWeight("0.7"), 2))
+	if !errors.Is(err, store.ErrUnavailable) {
+		t.Errorf("got %v", err)
+	}
+}
+
+// TestRepeatLongAfter: an operator's tool repeats a change a day later, when
+// the head no longer lists it. It must be found among the audit records and
+// not undo what came after.
+func TestRepeatLongAfter(t *testing.T) {
+	log := changelog.New(memkv.New(memkv.Options{}), changelog.Options{})
+	seed(t, log)
+	first := accountChange("first-change", withWeight("0.7"), changelog.AnySequence)
+	mustApply(t, log, first)
+	for i := range 50 {
+		text := withWeight([]string{"0.6", "0.7"}[i%2])
+		mustApply(t, log, accountChange(fmt.Sprintf("later-%04d", i), text, changelog.AnySequence))
+	}
+	result := mustApply(t, log, first)
+	if !result.Repeated || result.Record.Sequence != 3 {
+		t.Errorf("got %+v", result)
+	}
+	history, err := log.History(t.Context(), "dealer", changelog.Filter{})
+	if err != nil || len(history) != 53 {
+		t.Errorf("history has %d records, %v", len(history), err)
+	}
+}
+
+// TestStoreWentBack: the store is restored from a copy that lacks the last
+// change. A node that has seen it must not take the older head, nor change it.
+func TestStoreWentBack(t *testing.T) {
+	kv := memkv.New(memkv.Options{})
+	log := changelog.New(kv, changelog.Options{})
+	seed(t, log)
+	old, err := kv.Get(t.Context(), "config/head/dealer")
+	if err != nil {
+		t.Fatal(err)
+	}
+	mustApply(t, log, accountChange("change-07", withWeight("0.7"), 2))
+	now, _ := kv.Get(t.Context(), "config/head/dealer")
+	if _, err := kv.Swap(t.Context(), "config/head/dealer", old.Value, now.Revision, 0); err != nil {
+		t.Fatal(err)
+	}
+	var back *changelog.WentBackError
+	if _, err := log.Read(t.Context(), "dealer"); !errors.As(err, &back) {
+		t.Errorf("read: got %v", err)
+	}
+	if _, err := log.Apply(t.Context(), accountChange("change-06", withWeight("0.6"), 2)); !errors.As(err, &back) {
+		t.Errorf("change: got %v", err)
+	}
+}
+
+func TestAccountBelongsToOneTemplate(t *testing.T) {
+	log := changelog.New(memkv.New(memkv.Options{}), changelog.Options{})
+	seed(t, log)
+	other := strings.Replace(string(examples.Text("dealer")), "name = dealer", "name = other", 1)
+	c := templateChange("other-template", []byte(other), 0)
+	c.Template, c.Name = "other", "other"
+	mustApply(t, log, c)
+	moved := strings.Replace(string(examples.Text("daehan")), "template = dealer", "template = other", 1)
+	a := accountChange("move-account", []byte(moved), 0)
+	a.Template = "other"
+	var owned *changelog.OwnedError
+	if _, err := log.Apply(t.Context(), a); !errors.As(err, &owned) || owned.Owner != "dealer" {
+		t.Errorf("got %v", err)
+	}
+}
--- /dev/null
+++ b/config/source/source.go
@@ -0,0 +1,196 @@
+package source
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/yuccaroute/yuccaroute/config"
+	"github.com/yuccaroute/yuccaroute/config/changelog"
+	"github.com/yuccaroute/yuccaroute/store"
+)
+
+// KeyPrefix is the prefix of the keys of the emitted items.
+const KeyPrefix = "account/"
+
+// Key returns the key of an account's item.
+func Key(account string) string { return KeyPrefix + account }
+
+// Emit takes an item. A nil body tells that the account was deleted.
+type Emit = func(key string, epoch, sequence uint64, body []byte)
+
+// Source emits accounts. Run it from one goroutine at a time.
+type Source struct {
+	kv     store.KV
+	log    *changelog.Log
+	logger logrus.FieldLogger
+	// emitted holds the version last emitted for each item of this run.
+	emitted map[string]changelog.Version
+}
+
+// New returns a source that reads documents through log and watches kv.
+func New(kv store.KV, log *changelog.Log, logger logrus.FieldLogger) *Source {
+	if logger == nil {
+		logger = logrus.StandardLogger()
+	}
+	return &Source{kv: kv, log: log, logger: logger}
+}
+
+// Run emits every account and then every change until the context ends or the
+// store cannot be read. Emitting an item again is harmless, as receivers order
+// items by their versions; run it again after a pause.
+func (s *Source) Run(ctx context.Context, emit Emit) error {
+	s.emitted = map[string]changelog.Version{}
+	for {
+		at, err := s.list(ctx, emit)
+		if err != nil {
+			return err
+		}
+		if err := s.watch(ctx, at, emit); err != nil {
+			return err
+		}
+	}
+}
+
+// list reads all heads.
+func (s *Source) list(ctx context.Context, emit Emit) (store.Revision, error) {
+	seen := s.log.Guard().All()
+	listing, err := s.kv.List(ctx, changelog.HeadPrefix)
+	if err != nil {
+		return 0, errors.Wrap(err, "config: list heads")
+	}
+	for i := range listing.Entries {
+		entry := &listing.Entries[i]
+		template := changelog.TemplateOf(entry.Key)
+		if err := s.head(ctx, template, seen[template], entry.Value, emit); err != nil {
+			return 0, err
+		}
+		delete(seen, template)
+	}
+	for template, sighting := range seen {
+		s.logger.Errorf("config: the store has lost template %s, seen at %s; the accounts in force stay", template, sighting.Version)
+	}
+	return listing.At, nil
+}
+
+// watch follows changes of heads. It returns nil when the heads must be listed
+// again.
+func (s *Source) watch(ctx context.Context, after store.Revision, emit Emit) error {
+	for {
+		batch, err := s.kv.Watch(ctx, changelog.HeadPrefix, after)
+		if err != nil {
+			return errors.Wrap(err, "config: watch heads")
+		}
+		if batch.Reset || batch.At < after {
+			return nil
+		}
+		for _, event := range newest(batch.Events) {
+			if err := s.event(ctx, event, emit); err != nil {
+				return err
+			}
+		}
+		after = batch.At
+	}
+}
+
+// newest keeps the last event of each key: a head includes all that the
+// earlier ones did.
+func newest(events []store.Event) []store.Event {
+	last := map[string]int{}
+	for i := range events {
+		last[events[i].Entry.Key] = i
+	}
+	var out []store.Event
+	for i := range events {
+		if last[events[i].Entry.Key] == i {
+			out = append(out, events[i])
+		}
+	}
+	return out
+}
+
+func (s *Source) event(ctx context.Context, event store.Event, emit Emit) error {
+	template := changelog.TemplateOf(event.Entry.Key)
+	if event.Deleted {
+		s.logger.Errorf("config: the head of template %s was deleted; the accounts in force stay", template)
+		return nil
+	}
+	// An event is older than what a read through the log may have seen since,
+	// so it is compared with nothing; receivers drop what is older.
+	return s.head(ctx, template, changelog.Sighting{}, event.Entry.Value, emit)
+}
+
+// head emits what changed in one head.
+func (s *Source) head(ctx context.Context, template string, before changelog.Sighting, value []byte, emit Emit) error {
+	head, err := changelog.DecodeHead(value)
+	if err != nil {
+		s.logger.Errorf("config: template %s: %v; the accounts in force stay", template, err)
+		return nil
+	}
+	if err := s.log.Guard().Admit(template, before, head.Sighting()); err != nil {
+		s.logger.Errorf("config: %v; the accounts in force stay", err)
+		return nil
+	}
+	for name, sequence := range head.Gone {
+		s.gone(name, changelog.Version{Epoch: head.Epoch, Sequence: sequence}, emit)
+	}
+	return s.accounts(ctx, template, head, emit)
+}
+
+func (s *Source) gone(account string, version changelog.Version, emit Emit) {
+	key := Key(account)
+	if !s.emitted[key].Less(version) {
+		return
+	}
+	emit(key, version.Epoch, version.Sequence, nil)
+	s.emitted[key] = version
+}
+
+func (s *Source) accounts(ctx context.Context, template string, head *changelog.Head, emit Emit) error {
+	var parsed *config.Template
+	for _, name := range head.AccountNames() {
+		version := head.ItemVersion(name)
+		key := Key(name)
+		if !s.emitted[key].Less(version) {
+			continue
+		}
+		if parsed == nil {
+			var err error
+			if parsed, err = s.log.ParsedTemplate(ctx, head, template); err != nil {
+				return err
+			}
+		}
+		body, err := s.body(ctx, head, parsed, name, version)
+		if isProblems(err) {
+			s.logger.Errorf("config: account %s at %s does not pass the checks of this version of the program: %v; the account in force stays", name, version, err)
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		emit(key, version.Epoch, version.Sequence, body)
+		s.emitted[key] = version
+	}
+	return nil
+}
+
+// body encodes an account. It depends on the head's content alone, so that all
+// watchers emit the same bytes for a version.
+func (s *Source) body(ctx context.Context, head *changelog.Head, template *config.Template, name string, version changelog.Version) ([]byte, error) {
+	document, err := s.log.ParsedAccount(ctx, head, name)
+	if err != nil {
+		return nil, err
+	}
+	resolved, err := config.Resolve(template, document)
+	if err != nil {
+		return nil, err
+	}
+	resolved.Account.Revision = version.Sequence
+	return config.Encode(resolved.Account)
+}
+
+func isProblems(err error) bool {
+	var problems config.Problems
+	return errors.As(err, &problems)
+}
