store: HTTP adapter, platform stand-in, contract check

Cause: nodes need the platform's service and VM list over HTTP, with the three outcomes of a write told apart. Measured: go test -race ./store/... ./standin/platform/... green.

--- /dev/null
+++ b/standin/platform/contract_test.go
@@ -0,0 +1,52 @@
+package platform_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/standin/platform"
+	"github.com/yuccaroute/yuccaroute/store"
+	"github.com/yuccaroute/yuccaroute/store/httpkv"
+	"github.com/yuccaroute/yuccaroute/store/memkv"
+	"github.com/yuccaroute/yuccaroute/store/storetest"
+)
+
+// fast is above any rate that these tests reach.
+const fast = 1e6
+
+func start(t *testing.T, options platform.Options) *platform.Server {
+	t.Helper()
+	options.Address = "127.0.0.1:0"
+	s := platform.New(options)
+	if err := s.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = s.Stop() })
+	return s
+}
+
+func connect(t *testing.T, s *platform.Server) *httpkv.Client {
+	t.Helper()
+	c, err := httpkv.New(httpkv.Options{
+		Address:        s.Addr(),
+		CallsPerSecond: fast,
+		Burst:          100,
+		BackoffFirst:   time.Millisecond,
+		BackoffMax:     time.Millisecond,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c
+}
+
+func TestContractOverHTTP(t *testing.T) {
+	storetest.Run(t, func(t *testing.T) store.KV {
+		s := start(t, platform.Options{Store: memkv.Options{
+			WatchWait:     50 * time.Millisecond,
+			HistoryEvents: storetest.HistoryEvents,
+		}})
+		return connect(t, s)
+	})
+}
--- a/store/faultkv/store.go
+++ b/store/faultkv/store.go
@@ -55,6 +55,13 @@
 	s.out = make(chan struct{})
 }
 
+// Out reports whether there is an outage.
+func (s *Store) Out() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isOut
+}
+
 // Counts returns the calls made so far, refused ones included.
 func (s *Store) Counts() Counts {
 	s.mu.Lock()
--- /dev/null
+++ b/store/httpkv/outcome_test.go
@@ -0,0 +1,162 @@
+package httpkv_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccaroute/yuccaroute/store"
+	"github.com/yuccaroute/yuccaroute/store/httpkv"
+)
+
+// rawServer reads whole requests from plain connections and answers the n-th
+// one with the n-th text; an empty text closes the connection, and so does a
+// text that promises more bytes than it has.
+type rawServer struct {
+	net.Listener
+	arrivals atomic.Int32
+	answers  []string
+}
+
+// cutMark ends a text after which the connection is closed.
+const cutMark = "..."
+
+const grantedText = "HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n{\"lease\":1}"
+
+func serve(t *testing.T, answers ...string) *rawServer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &rawServer{Listener: l, answers: answers}
+	go s.run()
+	t.Cleanup(func() { l.Close() })
+	return s
+}
+
+func (s *rawServer) run() {
+	for {
+		conn, err := s.Accept()
+		if err != nil {
+			return
+		}
+		go s.talk(conn)
+	}
+}
+
+func (s *rawServer) talk(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		n := int(s.arrivals.Add(1))
+		if n > len(s.answers) || s.answers[n-1] == "" {
+			return
+		}
+		_, _ = io.WriteString(conn, s.answers[n-1])
+		if strings.HasSuffix(s.answers[n-1], cutMark) {
+			return
+		}
+	}
+}
+
+func client(t *testing.T, address string) *httpkv.Client {
+	t.Helper()
+	c, err := httpkv.New(httpkv.Options{Address: address, BackoffFirst: time.Nanosecond, BackoffMax: time.Nanosecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c
+}
+
+func mustBe(t *testing.T, err, want error) {
+	t.Helper()
+	if !errors.Is(err, want) {
+		t.Errorf("got %v, want %v", err, want)
+	}
+}
+
+// Story: the service takes a write and dies before it answers. If the library
+// sent the write again by itself, on a connection that was in use before or on
+// a new one, the second copy would find the first one's result, and the caller
+// would be told of a conflict with its own write.
+func TestRequestArrivesOnce(t *testing.T) {
+	cases := map[string]struct {
+		answers  []string
+		arrivals int32
+	}{
+		"new connection":    {answers: nil, arrivals: 1},
+		"reused connection": {answers: []string{grantedText, ""}, arrivals: 2},
+		"redirect":          {answers: []string{"HTTP/1.1 307 Temporary Redirect\r\nLocation: /again\r\nContent-Length: 0\r\n\r\n"}, arrivals: 1},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, test.answers...)
+			c := client(t, s.Addr().String())
+			for range len(test.answers) - 1 {
+				if _, err := c.Grant(t.Context(), time.Second); err != nil {
+					t.Fatal(err)
+				}
+			}
+			_, err := c.Swap(t.Context(), "a", []byte("x"), 0, 0)
+			mustBe(t, err, store.ErrUnknown)
+			if n := s.arrivals.Load(); n != test.arrivals {
+				t.Errorf("requests arrived: %d, want %d", n, test.arrivals)
+			}
+		})
+	}
+}
+
+// Story: something between a node and the service answers in its place. None
+// of these answers comes from the service, so a write may have happened.
+func TestAnswersOfOthersAreNotBelieved(t *testing.T) {
+	texts := map[string]string{
+		"error page":        "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nbusy",
+		"empty object":      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+		"unknown code":      "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 12\r\n\r\n{\"code\":\"x\"}",
+		"code and status":   "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 22\r\n\r\n{\"code\":\"unavailable\"}",
+		"cut in the middle": "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{\"revision\":1}" + cutMark,
+	}
+	for name, text := range texts {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, text)
+			c := client(t, s.Addr().String())
+			_, err := c.Swap(t.Context(), "a", []byte("x"), 0, 0)
+			mustBe(t, err, store.ErrUnknown)
+		})
+	}
+}
+
+func TestNothingSentIsUnavailable(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	l.Close()
+	c := client(t, address)
+	_, err = c.Swap(t.Context(), "a", []byte("x"), 0, 0)
+	mustBe(t, err, store.ErrUnavailable)
+}
+
+func TestLostAnswerOfReadIsUnavailable(t *testing.T) {
+	s := serve(t)
+	_, err := client(t, s.Addr().String()).Get(t.Context(), "a")
+	mustBe(t, err, store.ErrUnavailable)
+	if n := s.arrivals.Load(); n != 1 {
+		t.Errorf("requests arrived: %d, want 1", n)
+	}
+}
--- /dev/null
+++ b/store/httpkv/pacer.go
@@ -0,0 +1,93 @@
+package httpkv
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// pacer keeps calls below the client's rate and, after failures, at a random
+// distance from each other. Without the random distance all nodes would call
+// at the same moment when the service returns, and take it down again.
+type pacer struct {
+	limiter *rate.Limiter
+	first   time.Duration
+	longest time.Duration
+
+	mu sync.Mutex
+	// resume is when calls may be sent again.
+	resume   time.Time
+	failures int
+	// round grows with each backoff. Calls that were under way together and
+	// fail together carry the same round and count as one failure.
+	round uint64
+}
+
+func newPacer(o Options) *pacer {
+	return &pacer{
+		limiter: rate.NewLimiter(rate.Limit(o.CallsPerSecond), o.Burst),
+		first:   o.BackoffFirst,
+		longest: o.BackoffMax,
+	}
+}
+
+// wait returns when a call may be sent, with the round to report it under, or
+// an error when the context ends first.
+func (p *pacer) wait(ctx context.Context) (round uint64, err error) {
+	for {
+		round, pause := p.pause()
+		if pause <= 0 {
+			return round, p.limiter.Wait(ctx)
+		}
+		if err := sleep(ctx, pause); err != nil {
+			return 0, err
+		}
+	}
+}
+
+func (p *pacer) pause() (round uint64, pause time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.round, time.Until(p.resume)
+}
+
+func (p *pacer) succeeded() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failures = 0
+	p.resume = time.Time{}
+}
+
+func (p *pacer) failed(round uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if round != p.round {
+		return
+	}
+	p.round++
+	p.failures++
+	p.resume = time.Now().Add(rand.N(p.bound()) + 1)
+}
+
+// bound returns the longest pause after the failures so far.
+func (p *pacer) bound() time.Duration {
+	bound := p.first
+	for i := 1; i < p.failures && bound < p.longest; i++ {
+		bound *= 2
+	}
+	return min(bound, p.longest)
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
