Carry a request to a target with its true outcome

Cause: the whole path needs a proxy that admits by grant, chooses a target and never passes off a broken answer as whole.

--- /dev/null
+++ b/proxy/attempt.go
@@ -0,0 +1,179 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/api/result"
+	"github.com/yuccaroute/yuccaroute/proxy/forward"
+)
+
+// blameFactor is how many times its typical latency a target must have had
+// before an answer that did not come counts as its failure; a caller's short
+// deadline is not.
+const blameFactor = 3
+
+// attempt is how one sending of a request ended. The zero value is no attempt.
+type attempt struct {
+	permission permission
+	answer     *forward.Answer
+	code       result.Code
+	made       bool
+}
+
+// final reports whether the request must not be sent again.
+func (a attempt) final(class model.Class) bool {
+	if a.answer != nil {
+		return class != model.Idempotent || !retryable(a.answer.Status)
+	}
+	if a.code == result.DeadlineBeforeSend || a.code == result.NodeLeaving || a.code == result.CallerGone {
+		return true
+	}
+	return class != model.Idempotent && !isNotRun(a.code)
+}
+
+// better returns what to tell the caller of two attempts: a whole answer goes
+// before everything, the later one first; then "unknown" before "not run",
+// because a request that may have run once must not be called not run. The
+// memory of an answer that is not told is freed.
+func (q *request) better(earlier, later attempt) attempt {
+	switch {
+	case !earlier.made:
+		return later
+	case later.answer != nil:
+		q.dropAnswer(earlier.answer)
+		return later
+	case earlier.answer != nil:
+		return earlier
+	case isNotRun(earlier.code):
+		return later
+	default:
+		return earlier
+	}
+}
+
+// dropAnswer frees the memory of an answer.
+func (q *request) dropAnswer(a *forward.Answer) {
+	if a != nil {
+		q.account.bytes.Give(int64(len(a.Body)))
+	}
+}
+
+func (a attempt) ending() ending {
+	if a.answer == nil {
+		return refused(refuse(a.code))
+	}
+	return ending{
+		answer: a.answer,
+		place:  a.permission.place.key.Place,
+		target: a.permission.target.id,
+	}
+}
+
+// attempt sends a request to one target, once.
+func (p *Proxy) attempt(ctx context.Context, q *request, permission permission) attempt {
+	a := attempt{permission: permission, made: true}
+	conn, err := p.connect(ctx, permission.target)
+	if err != nil {
+		permission.cancel()
+		a.code = p.connectFailed(ctx, permission)
+		return a
+	}
+	permission.place.counts.sent.Add(1)
+	out := q.out
+	out.Host = permission.target.address.String()
+	sent := time.Now()
+	answer, err := conn.Exchange(ctx, &out)
+	permission.target.pool.Put(conn)
+	permission.release()
+	took := time.Since(sent)
+	if err != nil {
+		a.code = p.exchangeFailed(ctx, permission, err, took)
+		return a
+	}
+	p.learn(permission, answer, took)
+	if answer.Shed {
+		q.dropAnswer(answer)
+		a.code = result.TargetShed
+		return a
+	}
+	a.answer = answer
+	return a
+}
+
+func (p *Proxy) connect(ctx context.Context, t *target) (*forward.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.options.ConnectTimeout)
+	defer cancel()
+	return t.pool.Get(ctx)
+}
+
+// connectFailed tells why no connection was there. Nothing was sent.
+func (p *Proxy) connectFailed(ctx context.Context, permission permission) result.Code {
+	if ctx.Err() != nil {
+		return endedCode(ctx)
+	}
+	p.failed(permission)
+	return result.ConnectFailed
+}
+
+func (p *Proxy) exchangeFailed(ctx context.Context, permission permission, err error, took time.Duration) result.Code {
+	code := result.Internal
+	var failure *forward.Error
+	if errors.As(err, &failure) {
+		code = failure.Code
+	}
+	if p.blames(permission.target, code, took) {
+		p.failed(permission)
+	}
+	if code == result.DeadlineBeforeSend {
+		return endedCode(ctx)
+	}
+	return code
+}
+
+// blames reports whether a failure is the target's.
+func (p *Proxy) blames(t *target, code result.Code, took time.Duration) bool {
+	switch code {
+	case result.ConnectionLost, result.AnswerTruncated, result.ConnectFailed:
+		return true
+	case result.DeadlineAfterSend:
+		return took >= blameFactor*t.state.Latency()
+	default:
+		return false
+	}
+}
+
+func (p *Proxy) failed(permission permission) {
+	permission.place.counts.failed.Add(1)
+	if permission.set.set.Failed(permission.index, p.now()) {
+		p.log.Warnf("proxy: target %s of %s in %s ejected, its requests fail",
+			permission.target.id, permission.place.key.Service, permission.place.key.Place)
+	}
+}
+
+// learn takes from an answer what it tells of the target.
+func (p *Proxy) learn(permission permission, answer *forward.Answer, took time.Duration) {
+	state := permission.target.state
+	now := p.now()
+	if answer.Leaving {
+		state.ToldLeaving()
+	}
+	if load, err := strconv.Atoi(answer.Header.Get(result.HeaderLoad)); err == nil && load >= 0 {
+		state.Reported(load, now)
+	}
+	if answer.Shed {
+		state.Shed(now)
+		return
+	}
+	if answer.Status >= http.StatusInternalServerError {
+		p.failed(permission)
+		return
+	}
+	state.Served(took)
+	state.Health.Succeeded(now)
+	permission.place.counts.answered(took)
+}
--- /dev/null
+++ b/proxy/forward/head.go
@@ -0,0 +1,85 @@
+package forward
+
+import (
+	"bytes"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/result"
+)
+
+// hopByHop holds the fields that concern one connection only, and those that
+// this package writes itself.
+var hopByHop = map[string]bool{
+	"Connection":          true,
+	"Proxy-Connection":    true,
+	"Keep-Alive":          true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+	"Expect":              true,
+	"Content-Length":      true,
+	"Host":                true,
+	result.HeaderDeadline: true,
+	result.HeaderExchange: true,
+}
+
+var headBuffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+// writeHead renders the request line and the fields.
+func writeHead(b *bytes.Buffer, r *Request, exchange string, left time.Duration) {
+	b.WriteString(r.Method)
+	b.WriteByte(' ')
+	b.WriteString(r.URI)
+	b.WriteString(" HTTP/1.1\r\n")
+	writeField(b, "Host", r.Host)
+	if r.Length > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		writeField(b, "Content-Length", strconv.FormatInt(r.Length, 10))
+	}
+	writeField(b, result.HeaderDeadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	writeField(b, result.HeaderExchange, exchange)
+	// Writing to a bytes.Buffer does not fail.
+	_ = r.Header.WriteSubset(b, excluded(r.Header))
+	b.WriteString("\r\n")
+}
+
+func writeField(b *bytes.Buffer, name, value string) {
+	b.WriteString(name)
+	b.WriteString(": ")
+	b.WriteString(value)
+	b.WriteString("\r\n")
+}
+
+// excluded returns the fields not to forward: the fixed ones and those that
+// the sender named in its Connection field.
+func excluded(h http.Header) map[string]bool {
+	named := h["Connection"]
+	if len(named) == 0 {
+		return hopByHop
+	}
+	all := make(map[string]bool, len(hopByHop)+len(named))
+	for name := range hopByHop {
+		all[name] = true
+	}
+	for _, line := range named {
+		for name := range strings.SplitSeq(line, ",") {
+			all[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return all
+}
+
+// CopyHeader adds the fields of a target's answer that concern the caller.
+func CopyHeader(to, from http.Header) {
+	skip := excluded(from)
+	for name, values := range from {
+		if !skip[name] {
+			to[name] = values
+		}
+	}
+}
--- /dev/null
+++ b/proxy/forward/receive.go
@@ -0,0 +1,155 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+
+	"github.com/yuccaroute/yuccaroute/api/result"
+)
+
+const (
+	// maxInterim bounds the informational answers before the final one.
+	maxInterim = 8
+	// stepBytes is how much memory an answer of unknown length reserves at once.
+	stepBytes = 64 << 10
+)
+
+var (
+	errUsed     = errors.New("the connection's last exchange did not end cleanly")
+	errForeign  = errors.New("the answer belongs to another exchange")
+	errInterim  = errors.New("too many informational answers")
+	errSwitched = errors.New("the target switched protocols")
+	errNoLength = errors.New("the answer's end is not marked")
+	errMemory   = errors.New("no memory left for the answer")
+)
+
+// receive reads the answer. By now the request may have run, so whatever goes
+// wrong the outcome is unknown.
+func (c *Conn) receive(ctx context.Context, r *Request, exchange string) (*Answer, error) {
+	resp, err := c.readHead(r)
+	if err != nil {
+		return nil, newError(headCode(ctx, err), err)
+	}
+	defer resp.Body.Close()
+	if err := check(resp, r, exchange); err != nil {
+		return nil, newError(result.AnswerTruncated, err)
+	}
+	body, err := readBody(resp, r)
+	if err != nil {
+		return nil, newError(bodyCode(ctx, err), err)
+	}
+	c.clean = !resp.Close && c.reader.Buffered() == 0
+	return &Answer{
+		Status:  resp.StatusCode,
+		Header:  resp.Header,
+		Body:    body,
+		NoBody:  !hasBody(resp, r),
+		Shed:    resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(result.HeaderShed) != "",
+		Leaving: resp.Header.Get(result.HeaderLeaving) != "",
+	}, nil
+}
+
+func (c *Conn) readHead(r *Request) (*http.Response, error) {
+	asked := &http.Request{Method: r.Method}
+	for range maxInterim {
+		resp, err := http.ReadResponse(c.reader, asked)
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errSwitched
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+	return nil, errInterim
+}
+
+// check refuses what cannot be told to be this request's whole answer.
+func check(resp *http.Response, r *Request, exchange string) error {
+	// A target that repeats the exchange number lets an answer that came too
+	// late, or twice, be told from the one that is waited for.
+	if got := resp.Header.Get(result.HeaderExchange); got != "" && got != exchange {
+		return errForeign
+	}
+	// A body that ends with the connection looks the same whether it is whole
+	// or cut.
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && hasBody(resp, r) {
+		return errNoLength
+	}
+	return nil
+}
+
+func hasBody(resp *http.Response, r *Request) bool {
+	if r.Method == http.MethodHead {
+		return false
+	}
+	return resp.StatusCode != http.StatusNoContent && resp.StatusCode != http.StatusNotModified
+}
+
+func readBody(resp *http.Response, r *Request) ([]byte, error) {
+	if !hasBody(resp, r) {
+		return nil, nil
+	}
+	if resp.ContentLength > r.MaxAnswerBytes {
+		return nil, errOverLimit
+	}
+	if resp.ContentLength >= 0 {
+		return readKnown(resp, r)
+	}
+	return readChunked(resp, r)
+}
+
+func readKnown(resp *http.Response, r *Request) ([]byte, error) {
+	if !take(r, resp.ContentLength) {
+		return nil, errMemory
+	}
+	body := make([]byte, resp.ContentLength)
+	if _, err := io.ReadFull(resp.Body, body); err != nil {
+		give(r, resp.ContentLength)
+		return nil, err
+	}
+	return body, nil
+}
+
+func readChunked(resp *http.Response, r *Request) ([]byte, error) {
+	var body bytes.Buffer
+	reserved := int64(0)
+	for {
+		if !take(r, stepBytes) {
+			give(r, reserved)
+			return nil, errMemory
+		}
+		reserved += stepBytes
+		_, err := io.CopyN(&body, resp.Body, stepBytes)
+		if int64(body.Len()) > r.MaxAnswerBytes {
+			err = errOverLimit
+		}
+		if errors.Is(err, io.EOF) {
+			give(r, reserved-int64(body.Len()))
+			return body.Bytes(), nil
+		}
+		if err != nil {
+			give(r, reserved)
+			return nil, err
+		}
+	}
+}
+
+func take(r *Request, n int64) bool { return r.Memory == nil || r.Memory.Take(n) }
+
+func give(r *Request, n int64) {
+	if r.Memory != nil {
+		r.Memory.Give(n)
+	}
+}
+
+func isTimeout(err error) bool {
+	var nerr net.Error
+	return errors.As(err, &nerr) && nerr.Timeout()
+}
--- /dev/null
+++ b/proxy/forward/request.go
@@ -0,0 +1,34 @@
+package forward
+
+import (
+	"net/http"
+	"time"
+)
+
+// Request is what is sent to a target. It is only read, so that the same one
+// may be sent again by the caller.
+type Request struct {
+	Method string
+	// URI is the request target as it goes on the wire, path and query.
+	URI  string
+	Host string
+	// Header is sent without the hop-by-hop fields, Content-Length and Host.
+	Header http.Header
+	// Body holds the body in pieces, Length is their sum in bytes.
+	Body   [][]byte
+	Length int64
+	// Deadline is when the caller gives up.
+	Deadline time.Time
+	// MaxAnswerBytes bounds the body of the answer.
+	MaxAnswerBytes int64
+	// Memory bounds the bytes of answers in sum; nil does not bound them.
+	Memory Memory
+}
+
+// Memory is a bound on buffered bytes.
+type Memory interface {
+	// Take reserves bytes, or returns false at once if there are too few.
+	Take(bytes int64) bool
+	// Give returns reserved bytes.
+	Give(bytes int64)
+}
--- /dev/null
+++ b/proxy/options.go
@@ -0,0 +1,91 @@
+package proxy
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/yuccaroute/yuccaroute/api/grant"
+	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/proxy/keys"
+)
+
+// Defaults of Options.
+const (
+	DefaultBufferedBytes  = 256 << 20
+	DefaultMaxInFlight    = 4096
+	DefaultConnectTimeout = time.Second
+)
+
+// ErrNoNode tells that Options.Node is empty.
+var ErrNoNode = errors.New("proxy: the node has no name")
+
+// KeyRecorder records idempotency keys. Errors of Record: keys.ErrDuplicate,
+// keys.ErrUnavailable, keys.ErrUnknown.
+type KeyRecorder interface {
+	// Record returns the right to run the work of a key.
+	Record(ctx context.Context, key keys.Key) (keys.Claim, error)
+	// Release frees the key of a request that certainly did not run.
+	Release(ctx context.Context, claim keys.Claim)
+}
+
+// Options configure a Proxy.
+type Options struct {
+	Node   grant.NodeID
+	Region model.RegionName
+	Place  model.PlaceName
+	// Logger and Scope may be nil.
+	Logger *logrus.Logger
+	Scope  tally.Scope
+	// CallerRegion tells the region of a caller's address. Callers it does not
+	// know, or all if it is nil, count as of the node's own region.
+	CallerRegion func(model.AccountName, netip.Addr) (model.RegionName, bool)
+	// Keys may be nil; requests with an idempotency key are then treated as
+	// during a store outage.
+	Keys KeyRecorder
+	// MaxBufferedBytes bounds the bodies held in memory in sum, 0 takes
+	// DefaultBufferedBytes.
+	MaxBufferedBytes int64
+	// MaxInFlight bounds the requests in hand, 0 takes DefaultMaxInFlight.
+	MaxInFlight int64
+	// ConnectTimeout bounds opening a connection to a target.
+	ConnectTimeout time.Duration
+	// Nodes returns how many entry nodes are live; nil reads as one.
+	Nodes func() int
+	// Dial opens connections to targets; nil takes TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+}
+
+func (o *Options) setDefaults() {
+	if o.MaxBufferedBytes <= 0 {
+		o.MaxBufferedBytes = DefaultBufferedBytes
+	}
+	if o.MaxInFlight <= 0 {
+		o.MaxInFlight = DefaultMaxInFlight
+	}
+	if o.ConnectTimeout <= 0 {
+		o.ConnectTimeout = DefaultConnectTimeout
+	}
+	if o.Nodes == nil {
+		o.Nodes = func() int { return 1 }
+	}
+	if o.Logger == nil {
+		o.Logger = logrus.New()
+	}
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	if o.Dial == nil {
+		o.Dial = dialTCP
+	}
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
--- /dev/null
+++ b/proxy/permit.go
@@ -0,0 +1,58 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/result"
+	"github.com/yuccaroute/yuccaroute/proxy/queue"
+)
+
+// permit gets the permission to send a request to a place, waiting for it as
+// far as the deadline and the account permit.
+func (p *Proxy) permit(ctx context.Context, q *request, place *placeState) (permission, *refusal) {
+	if place.line.Waiting() == 0 {
+		got, short, wait := place.acquire(q.class, 0)
+		if short == shortNone {
+			return got, nil
+		}
+		if short == shortGrant && !q.excessWaits() {
+			return permission{}, refuseUntil(result.NoCapacity, wait)
+		}
+	}
+	if place.targets.Load().set.Usable(p.now()) == 0 {
+		return permission{}, refuse(result.NoTarget)
+	}
+	// The line forms for want of slots. Without this check it would let
+	// requests wait for the grant too, though the account wants them refused.
+	if wait := place.bucket.Wait(time.Now()); wait > 0 && !q.excessWaits() {
+		return permission{}, refuseUntil(result.NoCapacity, wait)
+	}
+	return p.wait(ctx, q, place)
+}
+
+// wait queues a request until shortly before it would be answered too late.
+func (p *Proxy) wait(ctx context.Context, q *request, place *placeState) (permission, *refusal) {
+	leaveBy := q.deadline.Add(-place.typicalLatency())
+	got, err := place.line.Acquire(ctx, q.class, leaveBy)
+	if err == nil {
+		return got, nil
+	}
+	if errors.Is(err, queue.ErrLate) {
+		return permission{}, refuseUntil(result.QueueFull, place.line.Expected(q.class))
+	}
+	return permission{}, refuse(endedCode(ctx))
+}
+
+// endedCode names why a context ended before anything was sent.
+func endedCode(ctx context.Context) result.Code {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errStopping):
+		return result.NodeLeaving
+	case errors.Is(cause, context.Canceled):
+		return result.CallerGone
+	default:
+		return result.DeadlineBeforeSend
+	}
+}
--- /dev/null
+++ b/proxy/place_state.go
@@ -0,0 +1,215 @@
+package proxy
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/grant"
+	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/membership"
+	"github.com/yuccaroute/yuccaroute/proxy/admission"
+	"github.com/yuccaroute/yuccaroute/proxy/balance"
+	"github.com/yuccaroute/yuccaroute/proxy/pool"
+	"github.com/yuccaroute/yuccaroute/proxy/queue"
+)
+
+// askAgain is when a line without a free slot asks its targets again: a target
+// that shed work is open again after a time, which wakes nobody.
+const askAgain = 10 * time.Millisecond
+
+// placeState is one service in one place, over all snapshots.
+type placeState struct {
+	proxy  *Proxy
+	key    grant.Key
+	bucket *admission.Bucket
+	line   *queue.Line[permission]
+	// bulk counts bulk requests at targets.
+	bulk    atomic.Int32
+	targets atomic.Pointer[targetSet]
+	counts  placeCounts
+
+	// The rest is guarded by the proxy's lock.
+	service   *model.Service
+	roundTrip time.Duration
+	warming   sync.WaitGroup
+}
+
+func newPlaceState(p *Proxy, key grant.Key) *placeState {
+	s := &placeState{
+		proxy:  p,
+		key:    key,
+		bucket: admission.NewBucket(time.Now()),
+	}
+	s.line = queue.NewLine[permission](s)
+	s.counts.init()
+	s.targets.Store(newTargetSet(nil))
+	return s
+}
+
+func (s *placeState) setService(service *model.Service, roundTrip time.Duration, now int64) {
+	s.service = service
+	s.roundTrip = roundTrip
+	s.adapt(s.proxy.options.Nodes())
+}
+
+// setTargets replaces the targets; what is known of those that stay is kept.
+func (s *placeState) setTargets(list membership.List, key grant.Key, now int64) {
+	old := s.targets.Load()
+	var members []*target
+	for i := range list.VMs {
+		vm := &list.VMs[i]
+		if !serves(vm, key) {
+			continue
+		}
+		t := old.find(vm.ID, vm.Address)
+		if t == nil {
+			t = s.newTarget(vm, now)
+		}
+		t.state.SetListedLeaving(vm.State == membership.StateLeaving)
+		members = append(members, t)
+	}
+	next := newTargetSet(members)
+	s.targets.Store(next)
+	for _, t := range old.members {
+		if next.find(t.id, t.address) == nil {
+			t.pool.Close()
+		}
+	}
+	s.line.Wake()
+}
+
+func serves(vm *membership.VM, key grant.Key) bool {
+	return vm.Role == membership.RoleTarget && vm.Account == key.Account &&
+		vm.Service == key.Service && vm.Place == key.Place
+}
+
+func (s *placeState) newTarget(vm *membership.VM, now int64) *target {
+	nodes := s.proxy.options.Nodes()
+	limit := slotLimit(s.service.SlotsPerTarget, nodes, s.roundTrip, balance.FirstLatency)
+	connections := connectionLimit(s.service.ConnectionsPerTarget, nodes)
+	t := &target{
+		id:      vm.ID,
+		address: vm.Address,
+		state:   balance.NewTarget(now, min(limit, connections)),
+		pool:    pool.New(vm.Address.String(), s.proxy.options.Dial, connections, limit),
+	}
+	s.warm(t, min(limit, warmedConnections))
+	return t
+}
+
+// warm opens connections before the first request needs them: one costs about
+// a millisecond and, to another region, two round trips.
+func (s *placeState) warm(t *target, n int) {
+	s.warming.Go(func() {
+		ctx, cancel := context.WithTimeout(s.proxy.base, s.proxy.options.ConnectTimeout)
+		defer cancel()
+		t.pool.Warm(ctx, n)
+	})
+}
+
+// adapt fits the bounds of the targets to the latency measured and the number
+// of nodes.
+func (s *placeState) adapt(nodes int) {
+	connections := connectionLimit(s.service.ConnectionsPerTarget, nodes)
+	for _, t := range s.targets.Load().members {
+		limit := slotLimit(s.service.SlotsPerTarget, nodes, s.roundTrip, t.state.Latency())
+		t.state.SetLimit(min(limit, connections))
+		t.pool.SetLimit(connections, limit)
+	}
+}
+
+func (s *placeState) close() {
+	s.warming.Wait()
+	for _, t := range s.targets.Load().members {
+		t.pool.Close()
+	}
+}
+
+// Acquire implements queue.Source.
+func (s *placeState) Acquire(class model.Class) (permission, bool, time.Duration) {
+	p, short, wait := s.acquire(class, 0)
+	return p, short == shortNone, wait
+}
+
+// acquire takes a slot at a target that is not marked, and one request of the
+// grant. Without either it tells what is short and when to ask again.
+func (s *placeState) acquire(class model.Class, skip balance.Skip) (permission, shortage, time.Duration) {
+	now := s.proxy.now()
+	ts := s.targets.Load()
+	if class == model.Bulk && !s.bulkFits(ts, now) {
+		return permission{}, shortSlot, askAgain
+	}
+	index := ts.set.Acquire(now, rand.Uint64(), skip)
+	if index < 0 {
+		return permission{}, shortSlot, askAgain
+	}
+	ok, wait := s.takeToken(class)
+	if !ok {
+		ts.set.Targets[index].Release()
+		return permission{}, shortGrant, wait
+	}
+	if class == model.Bulk {
+		s.bulk.Add(1)
+	}
+	return permission{place: s, target: ts.members[index], index: index, set: ts, class: class}, shortNone, 0
+}
+
+// bulkFits reports whether a bulk request leaves a slot to the other classes:
+// an upload can hold its slot for minutes.
+func (s *placeState) bulkFits(ts *targetSet, now int64) bool {
+	slots, free := ts.set.Free(now)
+	if slots <= 1 {
+		return free > 0
+	}
+	return free >= 2 && int(s.bulk.Load()) < slots/2
+}
+
+func (s *placeState) takeToken(class model.Class) (bool, time.Duration) {
+	now := time.Now()
+	if class != model.Bulk {
+		return s.bucket.Take(now)
+	}
+	return s.bucket.TakeLow(now)
+}
+
+func (s *placeState) returnToken() { s.bucket.Return(time.Now()) }
+
+// Release implements queue.Source.
+func (s *placeState) Release(p permission) { p.cancel() }
+
+// Pace implements queue.Source: the lower of what the grant and what the slots
+// permit.
+func (s *placeState) Pace() float64 {
+	rate := s.bucket.RPS(time.Now())
+	return min(rate, s.slotPace())
+}
+
+func (s *placeState) slotPace() float64 {
+	now := s.proxy.now()
+	pace := 0.0
+	for _, t := range s.targets.Load().set.Targets {
+		if t.Usable(now) {
+			pace += float64(t.Limit()) / t.Latency().Seconds()
+		}
+	}
+	return pace
+}
+
+// typicalLatency returns the mean latency of the targets in use, 0 without one.
+func (s *placeState) typicalLatency() time.Duration {
+	now := s.proxy.now()
+	sum, n := time.Duration(0), 0
+	for _, t := range s.targets.Load().set.Targets {
+		if t.Usable(now) {
+			sum += t.Latency()
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / time.Duration(n)
+}
--- /dev/null
+++ b/proxy/queue/line.go
@@ -0,0 +1,204 @@
+// Package queue holds requests that wait for a slot at a target or for the
+// node's grant. A wait is bounded by the deadline of the request: one that
+// cannot be served in time is refused when it comes, not when it is too late.
+package queue
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccaroute/yuccaroute/api/model"
+)
+
+// ErrLate tells that the request could not be served before its deadline.
+var ErrLate = errors.New("queue: the deadline cannot be met")
+
+// Source is where the requests of a line get what they wait for.
+type Source[T any] interface {
+	// Acquire takes a permission for one request of the class. If there is
+	// none it returns false and when to ask again; 0 means that Wake will be
+	// called.
+	Acquire(class model.Class) (permission T, ok bool, wait time.Duration)
+	// Release gives an unused permission back.
+	Release(permission T)
+	// Pace returns how many requests a second the line serves at present.
+	Pace() float64
+}
+
+// Line is the queue of one service in one place. Work that a person waits for
+// goes before bulk work; within each the first to come is the first served.
+type Line[T any] struct {
+	source  Source[T]
+	waiting atomic.Int32
+
+	mu    sync.Mutex
+	fast  []*waiter[T]
+	bulk  []*waiter[T]
+	timer *time.Timer
+}
+
+type waiter[T any] struct {
+	class model.Class
+	// ready has room for one, so that handing over never blocks.
+	ready chan T
+}
+
+// NewLine returns an empty line.
+func NewLine[T any](source Source[T]) *Line[T] {
+	return &Line[T]{source: source}
+}
+
+// Waiting returns how many requests wait.
+func (l *Line[T]) Waiting() int { return int(l.waiting.Load()) }
+
+// TryAcquire takes a permission if nobody waits and one is free. It returns
+// how long the source asks to wait otherwise.
+func (l *Line[T]) TryAcquire(class model.Class) (permission T, ok bool, wait time.Duration) {
+	if l.waiting.Load() > 0 {
+		return permission, false, 0
+	}
+	return l.source.Acquire(class)
+}
+
+// Acquire waits for a permission until leaveBy. It returns ErrLate at once if
+// the requests ahead will take longer than that, and the context's error if
+// that ends first.
+func (l *Line[T]) Acquire(ctx context.Context, class model.Class, leaveBy time.Time) (T, error) {
+	permission, ok, _ := l.TryAcquire(class)
+	if ok {
+		return permission, nil
+	}
+	w, err := l.join(class, leaveBy)
+	if err != nil {
+		return permission, err
+	}
+	late := time.NewTimer(time.Until(leaveBy))
+	defer late.Stop()
+	select {
+	case permission = <-w.ready:
+		return permission, nil
+	case <-late.C:
+		return l.leave(w, ErrLate)
+	case <-ctx.Done():
+		return l.leave(w, ctx.Err())
+	}
+}
+
+// Expected returns how long a request of the class would wait now.
+func (l *Line[T]) Expected(class model.Class) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.expected(class)
+}
+
+// Wake serves waiting requests as far as the source permits. It is called
+// whenever a permission becomes free.
+func (l *Line[T]) Wake() {
+	if l.waiting.Load() == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.serve()
+}
+
+func (l *Line[T]) join(class model.Class, leaveBy time.Time) (*waiter[T], error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if time.Now().Add(l.expected(class)).After(leaveBy) {
+		return nil, ErrLate
+	}
+	w := &waiter[T]{class: class, ready: make(chan T, 1)}
+	l.waiting.Add(1)
+	if class == model.Bulk {
+		l.bulk = append(l.bulk, w)
+	} else {
+		l.fast = append(l.fast, w)
+	}
+	// A permission that became free before the request was counted as waiting
+	// woke nobody; ask once more.
+	l.serve()
+	return w, nil
+}
+
+// leave takes the waiter out. If it was served in the same moment the
+// permission goes to the next one.
+func (l *Line[T]) leave(w *waiter[T], cause error) (none T, err error) {
+	l.mu.Lock()
+	l.remove(w)
+	l.mu.Unlock()
+	select {
+	case permission := <-w.ready:
+		l.source.Release(permission)
+		l.Wake()
+	default:
+	}
+	return none, cause
+}
+
+func (l *Line[T]) remove(w *waiter[T]) {
+	list := &l.fast
+	if w.class == model.Bulk {
+		list = &l.bulk
+	}
+	for i, other := range *list {
+		if other == w {
+			*list = append((*list)[:i], (*list)[i+1:]...)
+			l.waiting.Add(-1)
+			return
+		}
+	}
+}
+
+func (l *Line[T]) expected(class model.Class) time.Duration {
+	ahead := len(l.fast)
+	if class == model.Bulk {
+		ahead += len(l.bulk)
+	}
+	if ahead == 0 {
+		return 0
+	}
+	pace := l.source.Pace()
+	if pace <= 0 {
+		return time.Hour
+	}
+	return time.Duration(float64(ahead) / pace * float64(time.Second))
+}
+
+// serve is called with the lock held.
+func (l *Line[T]) serve() {
+	if l.serveList(&l.fast) {
+		l.serveList(&l.bulk)
+	}
+}
+
+// serveList returns whether the list was served whole.
+func (l *Line[T]) serveList(list *[]*waiter[T]) bool {
+	for len(*list) > 0 {
+		w := (*list)[0]
+		permission, ok, wait := l.source.Acquire(w.class)
+		if !ok {
+			l.askAgain(wait)
+			return false
+		}
+		(*list)[0] = nil
+		*list = (*list)[1:]
+		l.waiting.Add(-1)
+		w.ready <- permission
+	}
+	return true
+}
+
+func (l *Line[T]) askAgain(wait time.Duration) {
+	if wait <= 0 {
+		return
+	}
+	if l.timer != nil {
+		l.timer.Stop()
+	}
+	l.timer = time.AfterFunc(wait, l.Wake)
+}
--- /dev/null
+++ b/proxy/request.go
@@ -0,0 +1,170 @@
+package proxy
+
+import (
+	"net/http"
+	"net/netip"
+	"path"
+	"strconv"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/api/result"
+	"github.com/yuccaroute/yuccaroute/proxy/forward"
+	"github.com/yuccaroute/yuccaroute/proxy/keys"
+)
+
+// Bounds of what callers may ask.
+const (
+	defaultDeadline     = 30 * time.Second
+	maxDeadline         = time.Hour
+	maxMethodBytes      = 32
+	defaultRequestBytes = 1 << 20
+	defaultAnswerBytes  = 16 << 20
+)
+
+// request is one caller's request after it was read and checked.
+type request struct {
+	account  *accountView
+	service  *serviceView
+	class    model.Class
+	caller   model.RegionName
+	flow     *flowView
+	arrived  time.Time
+	deadline time.Time
+	key      string
+	out      forward.Request
+}
+
+// parse checks a request and finds what it is for. It does not read the body.
+func (p *Proxy) parse(r *http.Request, arrived time.Time) (*request, *refusal) {
+	q := &request{arrived: arrived}
+	if !validMethod(r.Method) || r.URL == nil {
+		return q, refuse(result.BadRequest)
+	}
+	if refused := q.findService(p.current.Load(), r.Header); refused != nil {
+		return q, refused
+	}
+	q.class = classOf(q.service.service, r)
+	q.caller = p.callerRegion(q.account.account.Name, r.RemoteAddr)
+	q.flow = q.service.flows[q.caller]
+	if q.flow != nil {
+		q.flow.offered.Add(1)
+	}
+	if refused := q.findDeadline(r.Header); refused != nil {
+		return q, refused
+	}
+	if refused := q.findKey(r.Header); refused != nil {
+		return q, refused
+	}
+	if q.flow == nil {
+		q.service.state.offeredBy(q.caller).Add(1)
+		return q, refuse(result.NoPlan)
+	}
+	return q, nil
+}
+
+func (q *request) findService(s *snapshot, h http.Header) *refusal {
+	account, ok := single(h, result.HeaderAccount)
+	if !ok || account == "" {
+		return refuse(result.BadRequest)
+	}
+	service, ok := single(h, result.HeaderService)
+	if !ok || service == "" {
+		return refuse(result.BadRequest)
+	}
+	q.account = s.accounts[model.AccountName(account)]
+	if q.account == nil {
+		return refuse(result.UnknownAccount)
+	}
+	q.service = q.account.services[model.ServiceName(service)]
+	if q.service == nil {
+		return refuse(result.UnknownService)
+	}
+	return nil
+}
+
+func (q *request) findDeadline(h http.Header) *refusal {
+	text, ok := single(h, result.HeaderDeadline)
+	if !ok {
+		return refuse(result.BadDeadline)
+	}
+	left := q.service.service.Deadline
+	if left <= 0 {
+		left = defaultDeadline
+	}
+	if text != "" {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || ms <= 0 {
+			return refuse(result.BadDeadline)
+		}
+		left = time.Duration(min(ms, maxDeadline.Milliseconds())) * time.Millisecond
+	}
+	q.deadline = q.arrived.Add(left)
+	return nil
+}
+
+func (q *request) findKey(h http.Header) *refusal {
+	key, ok := single(h, result.HeaderKey)
+	if !ok || (key != "" && !keys.Valid(key)) {
+		return refuse(result.BadRequest)
+	}
+	if q.class == model.NonIdempotent {
+		q.key = key
+	}
+	return nil
+}
+
+// single returns a field that may be there at most once. Two values would let
+// the entry VM and the target each believe another one.
+func single(h http.Header, name string) (string, bool) {
+	values := h[name]
+	if len(values) == 0 {
+		return "", true
+	}
+	return values[0], len(values) == 1
+}
+
+func validMethod(method string) bool {
+	if method == "" || len(method) > maxMethodBytes || method == http.MethodConnect {
+		return false
+	}
+	for i := range len(method) {
+		c := method[i]
+		if (c < 'A' || c > 'Z') && c != '-' {
+			return false
+		}
+	}
+	return true
+}
+
+// classOf returns the class of a request. A path that a target may read in
+// another way than the routes do ("/stock/../orders", "/%6frders") counts as
+// non-idempotent: it could be an order under the name of a look-up, and would
+// be sent again.
+func classOf(service *model.Service, r *http.Request) model.Class {
+	if !plainPath(r.URL.Path) || r.URL.RawPath != "" {
+		return model.NonIdempotent
+	}
+	return service.ClassOf(r.Method, r.URL.Path)
+}
+
+func plainPath(p string) bool {
+	clean := path.Clean(p)
+	return p == clean || p == clean+"/"
+}
+
+// callerRegion returns the region of the caller's address.
+func (p *Proxy) callerRegion(account model.AccountName, remote string) model.RegionName {
+	if p.options.CallerRegion == nil {
+		return p.options.Region
+	}
+	address, err := netip.ParseAddrPort(remote)
+	if err != nil {
+		return p.options.Region
+	}
+	region, ok := p.options.CallerRegion(account, address.Addr())
+	if !ok {
+		return p.options.Region
+	}
+	return region
+}
--- /dev/null
+++ b/proxy/serve.go
@@ -0,0 +1,98 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/result"
+)
+
+// ServeHTTP implements http.Handler. Every request ends in exactly one
+// numbered result.
+func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	if !p.gate.Enter() {
+		writeRefusal(w, refuse(result.NodeLeaving))
+		return
+	}
+	defer p.gate.Leave()
+	q, refused := p.parse(r, arrived)
+	if refused != nil {
+		p.finish(w, q, refused)
+		return
+	}
+	p.admit(w, r, q)
+}
+
+// admit holds a place among the requests in hand and the body's memory while
+// the request is served.
+func (p *Proxy) admit(w http.ResponseWriter, r *http.Request, q *request) {
+	if !q.account.inFlight.Take(1) {
+		p.finish(w, q, refuse(result.QueueFull))
+		return
+	}
+	defer q.account.inFlight.Give(1)
+	if refused := q.loadBody(r); refused != nil {
+		p.finish(w, q, refused)
+		return
+	}
+	defer q.dropBody()
+	q.prepare(r)
+	ctx, cancel := p.requestContext(w, r, q.deadline)
+	defer cancel()
+	end := p.run(ctx, q)
+	if end.answer == nil {
+		p.finish(w, q, end.refusal)
+		return
+	}
+	p.deliver(w, q, end)
+}
+
+// requestContext ends with the deadline, when the caller goes away and when
+// the proxy is closed.
+func (p *Proxy) requestContext(w http.ResponseWriter, r *http.Request, deadline time.Time) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(r.Context())
+	ctx, cancelDeadline := context.WithDeadline(ctx, deadline)
+	stopBase := context.AfterFunc(p.base, func() { cancel(errStopping) })
+	stopWatch := watchCaller(w, func() { cancel(context.Canceled) })
+	return ctx, func() {
+		stopWatch()
+		stopBase()
+		cancelDeadline()
+		cancel(nil)
+	}
+}
+
+// prepare fills what is sent to the target.
+func (q *request) prepare(r *http.Request) {
+	q.out.Method = r.Method
+	q.out.URI = r.URL.RequestURI()
+	q.out.Header = r.Header
+	q.out.Deadline = q.deadline
+	q.out.MaxAnswerBytes = q.service.service.MaxAnswerBytes
+	if q.out.MaxAnswerBytes <= 0 {
+		q.out.MaxAnswerBytes = defaultAnswerBytes
+	}
+	q.out.Memory = q.account.bytes
+}
+
+// finish answers without a target's answer and counts the result.
+func (p *Proxy) finish(w http.ResponseWriter, q *request, refused *refusal) {
+	writeRefusal(w, refused)
+	p.record(q, refused.code)
+}
+
+// deliver passes a target's whole answer on.
+func (p *Proxy) deliver(w http.ResponseWriter, q *request, end ending) {
+	writeAnswer(w, end)
+	q.dropAnswer(end.answer)
+	p.record(q, result.OK)
+}
+
+func (p *Proxy) record(q *request, code result.Code) {
+	if q.service == nil {
+		return
+	}
+	q.service.state.metrics[q.class].record(code, time.Since(q.arrived))
+}
