Decide the shares of an account by small exchanges under all limits

Cause: one pure function has to weigh latency against headroom and keep every capacity, the move cap, drains, cold places and stale pictures. Change: Decide starts from the previous plan and exchanges parts of a flow between two places while that pays; each exchange is checked against place, region and link capacity, the flow's move budget and the receiver's step. A scripted closed loop in steering/scenario runs it beside three baselines.

--- /dev/null
+++ b/steering/cell.go
@@ -0,0 +1,143 @@
+package steering
+
+import (
+	"sort"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/model"
+)
+
+// cell is one service in one place.
+type cell struct {
+	// state is nil when nothing was ever measured.
+	state *PlaceState
+	// configured is the capacity by the configuration, usable that of the
+	// targets that take work, requests/s.
+	configured, usable float64
+	load               float64
+	// latencyMS is the service time that the costs use.
+	latencyMS float64
+	// raised is what the cell was raised by within the step interval, and
+	// raisedLately what of it may prove too much, requests/s.
+	raised, raisedLately float64
+	// back is what a slow cell still has to give back, requests/s.
+	back float64
+	// holdDown is the time for which work does not return.
+	holdDown time.Duration
+}
+
+// cellKey names a cell in the input.
+type cellKey struct {
+	service model.ServiceName
+	place   model.PlaceName
+}
+
+func (s *solver) addCells() {
+	states := make(map[cellKey]*PlaceState, len(s.in.Places))
+	for i := range s.in.Places {
+		state := &s.in.Places[i]
+		states[cellKey{state.Service, state.Place}] = state
+	}
+	index := s.placeIndex()
+	s.cells = make([][]cell, len(s.account.Services))
+	all := make([]cell, len(s.account.Services)*len(s.places))
+	for i := range s.account.Services {
+		service := &s.account.Services[i]
+		row := all[i*len(s.places) : (i+1)*len(s.places)]
+		for _, c := range service.Capacity {
+			if p, ok := index[c.Place]; ok {
+				row[p].configured = c.RPS
+			}
+		}
+		for p := range row {
+			row[p].state = states[cellKey{service.Name, s.places[p].name}]
+			row[p].usable = row[p].usableCapacity()
+			if s.places[p].drain.ended {
+				row[p].usable = 0
+			}
+		}
+		setLatencies(row)
+		s.cells[i] = row
+	}
+}
+
+// usableCapacity scales the capacity by the targets that take work. A failed
+// cell has none; a cell nobody measured keeps what is configured.
+func (c *cell) usableCapacity() float64 {
+	if c.failed() {
+		return 0
+	}
+	if c.state == nil || c.state.Known <= 0 {
+		return c.configured
+	}
+	return c.configured * min(1, float64(c.state.Usable)/float64(c.state.Known))
+}
+
+// failed reports a cell that all work must leave. An old state counts as well:
+// a place last seen failing is not taken for healthy because reports stopped.
+func (c *cell) failed() bool {
+	if c.state == nil {
+		return false
+	}
+	if c.state.Known > 0 && c.state.Usable == 0 {
+		return true
+	}
+	return c.measured() && c.state.FailureShare >= failedShare
+}
+
+// failing reports a cell that takes no more work.
+func (c *cell) failing() bool {
+	return c.measured() && c.state.FailureShare >= failingShare
+}
+
+// failure returns the part of the cell that fails, 0 to 1.
+func (c *cell) failure() float64 {
+	if c.state == nil {
+		return 0
+	}
+	missing := 0.0
+	if c.state.Known > 0 {
+		missing = 1 - float64(c.state.Usable)/float64(c.state.Known)
+	}
+	return max(missing, c.state.FailureShare)
+}
+
+func (c *cell) measured() bool {
+	return c.state != nil && c.state.SentRPS >= leastSentRPS
+}
+
+func (c *cell) stale() bool {
+	return c.state != nil && c.state.Age >= FreezeAge
+}
+
+// slowness returns P99 relative to its warm value, 0 when one is unknown.
+func (c *cell) slowness() float64 {
+	if !c.measured() || c.state.P99 <= 0 || c.state.WarmP99 <= 0 {
+		return 0
+	}
+	return float64(c.state.P99) / float64(c.state.WarmP99)
+}
+
+// setLatencies gives each cell its median service time, and the middle of
+// the others' to one that has none. A value far off is brought near the
+// middle: one wrong report must not decide alone.
+func setLatencies(row []cell) {
+	const farOff = 4
+	var known []float64
+	for i := range row {
+		if row[i].measured() && row[i].state.P50 > 0 {
+			known = append(known, milliseconds(row[i].state.P50))
+		}
+	}
+	if len(known) == 0 {
+		return
+	}
+	sort.Float64s(known)
+	middle := known[len(known)/2]
+	for i := range row {
+		row[i].latencyMS = middle
+		if row[i].measured() && row[i].state.P50 > 0 {
+			row[i].latencyMS = min(max(milliseconds(row[i].state.P50), middle/farOff), middle*farOff)
+		}
+	}
+}
--- /dev/null
+++ b/steering/moved.go
@@ -0,0 +1,48 @@
+package steering
+
+import "github.com/yuccaroute/yuccaroute/api/plan"
+
+// readMoves takes account of what was moved lately: the budget of each flow,
+// the steps of each cell and the hold-down after failures.
+func (s *solver) readMoves() {
+	episodes := make(map[cellKey]*episode)
+	for i := range s.in.Moved {
+		m := &s.in.Moved[i]
+		s.chargeMove(m)
+		s.chargeCell(m, episodes)
+	}
+	for key, e := range episodes {
+		service := s.serviceIndex(key.service)
+		place, ok := s.placeIndex()[key.place]
+		if ok && service >= 0 {
+			s.cells[service][place].holdDown = e.holdDown()
+		}
+	}
+	for i := range s.flows {
+		s.setBudget(&s.flows[i])
+	}
+	s.shutEarly()
+	s.setBack()
+}
+
+// chargeMove counts an increase against its flow, or against every flow when
+// it is only known by its size.
+func (s *solver) chargeMove(m *Move) {
+	if m.Delta <= 0 || m.Age > s.account.Moves.Window {
+		return
+	}
+	for i := range s.flows {
+		f := &s.flows[i]
+		same := m.Service == s.account.Services[f.service].Name && m.Caller == f.caller
+		if same || m.Service == "" {
+			f.moved += int64(m.Delta)
+		}
+	}
+}
+
+func (s *solver) setBudget(f *flow) {
+	f.budget = max(s.capPPM-f.moved, 0)
+	if f.fresh {
+		f.budget = plan.Whole
+	}
+}
--- /dev/null
+++ b/steering/scenario/loop_test.go
@@ -0,0 +1,389 @@
+// Package scenario runs steering in a small closed loop: a scripted load, a
+// latency that depends on the load and on cold caches, measurements that lag,
+// and nodes that step towards the plan. It has no network and no processes.
+package scenario
+
+import (
+	"math"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/api/plan"
+	"github.com/yuccaroute/yuccaroute/steering"
+	"github.com/yuccaroute/yuccaroute/steering/step"
+)
+
+// policy is the one under test or a baseline.
+type policy struct {
+	name   string
+	decide func(steering.Input) steering.Decision
+	// capped tells that nodes step under the move cap.
+	capped bool
+}
+
+// script changes the world at each second.
+type script struct {
+	name    string
+	seconds int
+	// at runs at the begin of each second.
+	at func(w *world, second int)
+	// drains are put into the account.
+	drains func(start time.Time, a *model.Account) []model.Drain
+	// faultAt is the second from which on recovery is counted, 0 for none.
+	faultAt int
+}
+
+type cellName struct {
+	service model.ServiceName
+	place   model.PlaceName
+}
+
+type flowName struct {
+	service model.ServiceName
+	caller  model.RegionName
+}
+
+// truth is the true state of one service in one place.
+type truth struct {
+	// usable is the part of the targets that work, 0 to 1; failing is the part
+	// of the requests that fail, which probes do not see.
+	usable, failing float64
+	// sent is the rate of the last second; warm is the rate the caches hold.
+	sent, warm float64
+	latencyMS  float64
+	p99MS      float64
+	baseline   float64
+	risenFor   int
+}
+
+// world is the model of everything outside steering.
+type world struct {
+	tenant   *tenant
+	account  *model.Account
+	start    time.Time
+	now      time.Time
+	demand   map[flowName]float64
+	cells    map[cellName]*truth
+	reported []report // newest last
+	// silent stops reports.
+	silent bool
+	// lag is how old a report is when it arrives, in seconds.
+	lag   int
+	moved []steering.Move
+	made  []time.Time
+}
+
+type report struct {
+	at     time.Time
+	demand []steering.Demand
+	places []steering.PlaceState
+}
+
+func newWorld(t *tenant) *world {
+	w := &world{
+		tenant:  t,
+		account: t.account(),
+		start:   time.Date(2026, 3, 1, 4, 0, 0, 0, time.UTC),
+		demand:  make(map[flowName]float64),
+		cells:   make(map[cellName]*truth),
+		lag:     3,
+	}
+	w.now = w.start
+	for _, s := range w.account.Services {
+		for _, p := range w.account.Places {
+			w.cells[cellName{s.Name, p.Name}] = &truth{usable: 1, baseline: t.serviceLatencyMS * 2}
+		}
+	}
+	w.load(0.45)
+	return w
+}
+
+// load sets every flow to a part of its own region's capacity.
+func (w *world) load(part float64) {
+	for _, s := range w.account.Services {
+		for _, r := range w.account.Regions {
+			w.demand[flowName{s.Name, r.Name}] = part * 2 * w.tenant.capacity[s.Name]
+		}
+	}
+}
+
+// setPlace sets the part of the targets that work in a place.
+func (w *world) setPlace(place model.PlaceName, usable float64) {
+	for name, c := range w.cells {
+		if name.place == place {
+			c.usable = usable
+		}
+	}
+}
+
+// coldFactor is how much slower a request is that misses the caches.
+const coldFactor = 4
+
+// serve puts a second of load on a cell.
+func (c *truth) serve(capacity, baseMS float64) {
+	utilisation := 0.99
+	if capacity > 0 {
+		utilisation = min(0.99, c.sent/capacity)
+	}
+	c.latencyMS = baseMS * (1 + math.Pow(utilisation, 6)/(1-utilisation)/4)
+	cold := c.coldPart()
+	c.p99MS = 2 * c.latencyMS
+	if cold > 0.01 {
+		c.p99MS = 2 * c.latencyMS * (1 + (coldFactor-1)*min(1, cold*4))
+	}
+	// Caches hold a tenth more of what they miss after each second.
+	c.warm += (c.sent - c.warm) * 0.1
+	c.risenFor++
+	if cold < 0.02 && c.sent > 1 {
+		c.baseline += (c.p99MS - c.baseline) * 0.05
+	}
+}
+
+func (c *truth) coldPart() float64 {
+	if c.sent <= 0 {
+		return 0
+	}
+	return max(0, c.sent-c.warm) / c.sent
+}
+
+// observe makes the report of this second, from what nodes see.
+func (w *world) observe() {
+	if w.silent {
+		return
+	}
+	r := report{at: w.now}
+	for _, s := range w.account.Services {
+		for _, region := range w.account.Regions {
+			f := flowName{s.Name, region.Name}
+			r.demand = append(r.demand, steering.Demand{Service: f.service, Caller: f.caller, RPS: w.demand[f]})
+		}
+		for _, p := range w.account.Places {
+			r.places = append(r.places, w.stateOf(cellName{s.Name, p.Name}))
+		}
+	}
+	w.reported = append(w.reported, r)
+}
+
+func (w *world) stateOf(name cellName) steering.PlaceState {
+	const known = 20
+	c := w.cells[name]
+	state := steering.PlaceState{
+		Service: name.service,
+		Place:   name.place,
+		SentRPS: c.sent,
+		Usable:  int(math.Round(c.usable * known)),
+		Known:   known,
+	}
+	if c.sent > 0 {
+		state.P50 = fromMS(c.latencyMS)
+		state.P99 = fromMS(c.p99MS)
+		state.WarmP99 = fromMS(c.baseline)
+		state.FailureShare = c.failing
+	}
+	return state
+}
+
+func fromMS(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// input is what the decider knows now.
+func (w *world) input(previous *plan.Plan, sequence uint64) steering.Input {
+	in := steering.Input{Account: w.account, Now: w.now, Previous: previous, Epoch: 1, Sequence: sequence}
+	for i, m := range w.moved {
+		m.Age = w.now.Sub(w.made[i])
+		if m.Age <= steering.MoveMemory*w.account.Moves.Window {
+			in.Moved = append(in.Moved, m)
+		}
+	}
+	newest := w.newest()
+	if newest == nil {
+		return in
+	}
+	age := w.now.Sub(newest.at)
+	in.Demand = append(in.Demand, newest.demand...)
+	in.Places = append(in.Places, newest.places...)
+	for i := range in.Demand {
+		in.Demand[i].Age = age
+	}
+	for i := range in.Places {
+		in.Places[i].Age = age
+	}
+	return in
+}
+
+// newest returns the last report that has arrived by now.
+func (w *world) newest() *report {
+	for i := len(w.reported) - 1; i >= 0; i-- {
+		if w.now.Sub(w.reported[i].at) >= time.Duration(w.lag)*time.Second {
+			return &w.reported[i]
+		}
+	}
+	return nil
+}
+
+func (w *world) record(moves []steering.Move) {
+	for _, m := range moves {
+		w.moved = append(w.moved, m)
+		w.made = append(w.made, w.now)
+	}
+}
+
+// run plays a script with a policy.
+func run(t *tenant, sc script, p policy) result {
+	w := newWorld(t)
+	if sc.drains != nil {
+		w.account.Drains = sc.drains(w.start, w.account)
+	}
+	nodes := newNodes(w, p.capped)
+	out := newResult(sc, p)
+	var previous *plan.Plan
+	for second := range sc.seconds {
+		if sc.at != nil {
+			sc.at(w, second)
+		}
+		d := p.decide(w.input(previous, uint64(second+1)))
+		w.record(d.Moves)
+		previous = d.Plan
+		out.checkPlan(w, d)
+		w.serveSecond(nodes, d, out, second)
+		w.observe()
+		w.now = w.now.Add(time.Second)
+	}
+	out.finish()
+	return *out
+}
+
+// nodes holds one node in each region; a node takes the callers of its own.
+type nodes struct {
+	steppers []*step.Stepper
+	last     []*plan.Plan
+}
+
+func newNodes(w *world, capped bool) *nodes {
+	n := &nodes{}
+	limits := w.account.Moves
+	if !capped {
+		limits.Share = 1
+		limits.Window = 0
+	}
+	for range w.account.Regions {
+		n.steppers = append(n.steppers, step.New(limits, func() time.Time { return w.now }))
+		n.last = append(n.last, nil)
+	}
+	return n
+}
+
+// stream is one flow's traffic to one place in a second.
+type stream struct {
+	flow   flowName
+	place  model.PlaceName
+	region model.RegionName
+	rps    float64
+}
+
+// serveSecond sends a second of traffic by the nodes' effective shares.
+func (w *world) serveSecond(n *nodes, d steering.Decision, out *result, second int) {
+	for _, c := range w.cells {
+		c.sent = 0
+	}
+	var streams []stream
+	moved := 0.0
+	for i, region := range w.account.Regions {
+		effective, _ := n.steppers[i].Advance(d.Plan)
+		for _, f := range effective.Flows {
+			if f.Caller != region.Name {
+				continue
+			}
+			demand := w.demand[flowName{f.Service, f.Caller}]
+			moved += demand * increases(n.last[i], &f)
+			for _, share := range f.Shares {
+				rps := demand * float64(share.PPM) / plan.Whole
+				streams = append(streams, stream{flowName{f.Service, f.Caller}, share.Place, w.account.RegionOf(share.Place), rps})
+			}
+		}
+		n.last[i] = effective
+	}
+	served := w.admit(streams, d.Limits, out)
+	for name, c := range w.cells {
+		c.serve(w.tenant.capacity[name.service]*c.usable, w.tenant.serviceLatencyMS)
+	}
+	out.note(w, served, moved, second)
+}
+
+func increases(before *plan.Plan, after *plan.Flow) float64 {
+	if before == nil {
+		return 0
+	}
+	old := before.Flow(after.Service, after.Caller)
+	if old == nil {
+		return 0
+	}
+	sum := 0.0
+	for _, s := range after.Shares {
+		was := uint32(0)
+		for _, o := range old.Shares {
+			if o.Place == s.Place {
+				was = o.PPM
+			}
+		}
+		if s.PPM > was {
+			sum += float64(s.PPM - was)
+		}
+	}
+	return sum / plan.Whole
+}
+
+// admit lets through what the grants permit. They are worth what is usable in
+// a place by the last decision and, for a region and a link, by the
+// configuration; a dead place serves nothing.
+func (w *world) admit(streams []stream, limits []steering.Limit, out *result) []stream {
+	usable := make(map[cellName]float64)
+	for _, l := range limits {
+		usable[cellName{l.Service, l.Place}] = l.UsableRPS
+	}
+	cells, regions, links := w.sums(streams)
+	var served []stream
+	for _, s := range streams {
+		name := cellName{s.flow.service, s.place}
+		factor := min(1, ratio(usable[name], cells[name]))
+		region := w.account.Region(s.region)
+		factor = min(factor, ratio(region.CapacityRPS, regions[s.region]))
+		if s.region != s.flow.caller {
+			factor = min(factor, ratio(region.LinkInRPS, links[s.region]))
+		}
+		c := w.cells[name]
+		if c.usable == 0 {
+			factor = 0
+		}
+		out.refused += s.rps * (1 - factor)
+		out.failed += s.rps * factor * c.failing
+		s.rps *= factor
+		c.sent += s.rps
+		served = append(served, s)
+	}
+	return served
+}
+
+func (w *world) sums(streams []stream) (cells map[cellName]float64, regions, links map[model.RegionName]float64) {
+	cells = make(map[cellName]float64)
+	regions = make(map[model.RegionName]float64)
+	links = make(map[model.RegionName]float64)
+	for _, s := range streams {
+		cells[cellName{s.flow.service, s.place}] += s.rps
+		regions[s.region] += s.rps
+		if s.region != s.flow.caller {
+			links[s.region] += s.rps
+		}
+	}
+	return cells, regions, links
+}
+
+func ratio(limit, load float64) float64 {
+	if load <= limit {
+		return 1
+	}
+	return limit / load
+}
+
+func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, 60_000_000, 3) }
--- /dev/null
+++ b/steering/solver.go
@@ -0,0 +1,146 @@
+package steering
+
+import (
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/api/plan"
+)
+
+// solver holds one decision in the making. Places, regions and services are
+// indexed by their order in the account.
+type solver struct {
+	in      *Input
+	account *model.Account
+	places  []placeInfo
+	regions []regionLoad
+	// cells[service][place]
+	cells [][]cell
+	flows []flow
+	// delayScale is the cost unit of latency in ms: the longest round trip
+	// between two regions of the account.
+	delayScale float64
+	target     float64
+	capPPM     int64
+	totalRPS   float64
+}
+
+// placeInfo is a place of the account, or one the previous plan names and the
+// account no longer has; that one has no region (-1) and no capacity.
+type placeInfo struct {
+	name   model.PlaceName
+	region int
+	drain  drainState
+}
+
+// regionLoad is what a region and the link into it carry, requests/s.
+type regionLoad struct {
+	name                   model.RegionName
+	capacity, linkCapacity float64
+	load, linkLoad         float64
+}
+
+func newSolver(in *Input) *solver {
+	s := &solver{in: in, account: in.Account}
+	s.target = max(1-in.Account.Policy.Headroom, 0.05)
+	s.capPPM = int64(min(max(in.Account.Moves.Share, 0), 1) * plan.Whole)
+	s.addRegions()
+	s.addPlaces()
+	s.addCells()
+	s.addFlows()
+	s.readMoves()
+	s.sumLoads()
+	return s
+}
+
+func (s *solver) addRegions() {
+	s.delayScale = 1
+	for i := range s.account.Regions {
+		r := &s.account.Regions[i]
+		s.regions = append(s.regions, regionLoad{name: r.Name, capacity: r.CapacityRPS, linkCapacity: r.LinkInRPS})
+		for _, d := range r.Delays {
+			s.delayScale = max(s.delayScale, 2*milliseconds(d.OneWay))
+		}
+	}
+}
+
+func (s *solver) addPlaces() {
+	for i := range s.account.Places {
+		p := &s.account.Places[i]
+		s.places = append(s.places, placeInfo{name: p.Name, region: s.regionIndex(p.Region)})
+	}
+	known := s.placeIndex()
+	if s.in.Previous != nil {
+		s.addRemoved(known)
+	}
+	for i := range s.places {
+		s.places[i].drain = drainOf(s.account.Drains, s.places[i].name, s.in.Now)
+	}
+}
+
+// addRemoved adds the places that only the previous plan knows.
+func (s *solver) addRemoved(known map[model.PlaceName]int) {
+	for i := range s.in.Previous.Flows {
+		for _, share := range s.in.Previous.Flows[i].Shares {
+			if _, ok := known[share.Place]; ok {
+				continue
+			}
+			known[share.Place] = len(s.places)
+			s.places = append(s.places, placeInfo{name: share.Place, region: -1})
+		}
+	}
+}
+
+func (s *solver) placeIndex() map[model.PlaceName]int {
+	index := make(map[model.PlaceName]int, len(s.places))
+	for i := range s.places {
+		index[s.places[i].name] = i
+	}
+	return index
+}
+
+func (s *solver) regionIndex(name model.RegionName) int {
+	for i := range s.regions {
+		if s.regions[i].name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+func (s *solver) serviceIndex(name model.ServiceName) int {
+	for i := range s.account.Services {
+		if s.account.Services[i].Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// sumLoads adds up what the previous shares ask for at the present demand.
+func (s *solver) sumLoads() {
+	for i := range s.flows {
+		f := &s.flows[i]
+		for p, share := range f.shares {
+			if share > 0 {
+				s.addLoad(f, p, f.rps(share))
+			}
+		}
+	}
+}
+
+func (s *solver) addLoad(f *flow, place int, rps float64) {
+	s.cells[f.service][place].load += rps
+	region := s.places[place].region
+	if region < 0 {
+		return
+	}
+	s.regions[region].load += rps
+	if region != f.region {
+		s.regions[region].linkLoad += rps
+	}
+}
+
+func milliseconds(d time.Duration) float64 {
+	return float64(d) / float64(time.Millisecond)
+}
--- /dev/null
+++ b/steering/tuning.go
@@ -0,0 +1,79 @@
+package steering
+
+import (
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/plan"
+)
+
+// MoveMemory is how many windows of the move cap the moves must be remembered
+// for: the hold-down after repeated failures needs more than one.
+const MoveMemory = 16
+
+const (
+	// quantum is the least change that is weighed, parts per million.
+	quantum = plan.Whole / 100
+	// deadBand is the gain in cost below which nothing moves. Without it two
+	// places of like cost would swap traffic at every measurement.
+	deadBand = 0.02
+	// optionalPart is the part of the cap that moves for gain may use. The
+	// rest is kept for failures and drains that may come at any moment.
+	optionalPart = 0.5
+	// leastEvenness is the least weight of even use, so that the failure
+	// domains of a region are used alike when only latency is weighed.
+	leastEvenness = 0.2
+	// fullPressure is the cost of a place at its capacity above the cost at
+	// its target: far more than any latency, so that headroom is used up only
+	// where all places have used theirs.
+	fullPressure = 4.0
+	// forcedCost is the cost of work in a place that it must leave.
+	forcedCost = 1000.0
+)
+
+const (
+	// freshAge is the age up to which a measurement is taken as it is.
+	freshAge = 5 * time.Second
+	// FreezeAge is the age from which on a measurement permits no increase.
+	FreezeAge = 30 * time.Second
+	// staleMargin is what a demand is widened by at FreezeAge.
+	staleMargin = 0.25
+)
+
+const (
+	// stepInterval is how long the effect of an increase needs to be seen in
+	// the measurements: a report interval, its way, and enough requests.
+	stepInterval = 10 * time.Second
+	// stepPart is the part of a place's capacity it takes more of in a step.
+	stepPart = 0.1
+	// slowHold and slowBack are the ratios of P99 to its warm value from which
+	// on a place takes no more, and gives back.
+	slowHold = 1.5
+	slowBack = 3.0
+	// backPart is the part of what was raised lately that a place gives back.
+	backPart = 0.5
+	// unknownShare is the most a place nothing is known of gets of a flow.
+	unknownShare = plan.Whole / 100
+)
+
+const (
+	// failedShare is the failure share from which on all work leaves.
+	failedShare = 0.5
+	// failingShare is the failure share from which on a place takes no more.
+	failingShare = 0.05
+	// leastSentRPS is the rate from which on a failure share or latency is
+	// taken for a measurement.
+	leastSentRPS = 0.5
+	// holdDown is the time for which work does not return to a place that
+	// failed; it doubles with each return that failed, up to holdDownMost.
+	holdDown     = 30 * time.Second
+	holdDownMost = 16 * holdDown
+)
+
+const (
+	// drainSlack is the part a drain is begun earlier by, for other moves
+	// that use up the cap.
+	drainSlack = 0.25
+	// defaultOneWay is the delay assumed between regions that have none
+	// configured.
+	defaultOneWay = 100 * time.Millisecond
+)
