--- a/client/cache.go
+++ b/client/cache.go
@@ -39,6 +39,7 @@
 	mu        sync.Mutex
 	pending   *pendingLookup
 	notBefore time.Time
+	closed    bool
 	running   sync.WaitGroup
 }
 
@@ -54,7 +55,13 @@
 
 func (c *entryCache) held() *heldEntries { return c.current.Load() }
 
-func (c *entryCache) wait() { c.running.Wait() }
+// close ends look-ups and returns when none runs.
+func (c *entryCache) close() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.running.Wait()
+}
 
 // get returns the entry VMs. While it holds some it never waits: an answer
 // past its lifetime is used until a node gives a newer one, as entry VMs go on
@@ -93,7 +100,7 @@
 	if c.pending != nil {
 		return c.pending
 	}
-	if c.ctx.Err() != nil || time.Now().Before(c.notBefore) {
+	if c.closed || time.Now().Before(c.notBefore) {
 		return nil
 	}
 	p := &pendingLookup{done: make(chan struct{})}
--- a/client/client.go
+++ b/client/client.go
@@ -58,7 +58,7 @@
 func (c *Client) Close() {
 	c.closeOnce.Do(func() {
 		c.stop()
-		c.entries.wait()
+		c.entries.close()
 		if t, ok := c.transport.(*http.Transport); ok {
 			t.CloseIdleConnections()
 		}
