--- a/membership/sort.go
+++ b/membership/sort.go
@@ -5,9 +5,10 @@
 	"strings"
 )
 
-// Normalize sorts the VMs by ID and keeps one row of each. When the rows of
-// one VM differ, a leaving one wins: a VM never goes back from leaving to
-// live, so the other row is the older one.
+// Normalize sorts the VMs by ID and keeps one row of each. When a VM is listed
+// twice with different states the leaving one wins: taking a live VM for a
+// leaving one costs a target for one reading, the reverse sends work to a VM
+// that is about to end.
 func Normalize(vms []VM) []VM {
 	sorted := slices.Clone(vms)
 	slices.SortStableFunc(sorted, func(a, b VM) int {
--- /dev/null
+++ b/membership/view/options.go
@@ -0,0 +1,51 @@
+package view
+
+import "time"
+
+// Defaults of Options.
+const (
+	DefaultInterval    = 2 * time.Second
+	DefaultReturnHold  = 2 * time.Second
+	DefaultMaxHold     = time.Minute
+	DefaultStableAfter = 10 * time.Minute
+	DefaultKeepGone    = time.Hour
+	DefaultMaxGone     = 4096
+)
+
+// olderLimit is how many readings in a row may show a lower sequence before
+// the platform is taken to have started counting anew.
+const olderLimit = 5
+
+// jitterShare of the interval is random, so that nodes do not read together.
+const jitterShare = 0.2
+
+// Options sets how the list is read and smoothed.
+type Options struct {
+	// Interval is the time between two readings.
+	Interval time.Duration
+	// ReturnHold is how long a VM that was gone must be listed again before it
+	// is shown. It doubles with each return up to MaxHold, and starts over
+	// when the VM was listed for StableAfter.
+	ReturnHold  time.Duration
+	MaxHold     time.Duration
+	StableAfter time.Duration
+	// KeepGone and MaxGone bound what is remembered of VMs that are gone.
+	KeepGone time.Duration
+	MaxGone  int
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.Interval, DefaultInterval)
+	setDefault(&o.ReturnHold, DefaultReturnHold)
+	setDefault(&o.MaxHold, DefaultMaxHold)
+	setDefault(&o.StableAfter, DefaultStableAfter)
+	setDefault(&o.KeepGone, DefaultKeepGone)
+	setDefault(&o.MaxGone, DefaultMaxGone)
+	return o
+}
+
+func setDefault[T int | time.Duration](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
--- /dev/null
+++ b/membership/view/snapshot.go
@@ -0,0 +1,40 @@
+package view
+
+import (
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/membership"
+)
+
+// Snapshot is what is known of the VMs after one reading. It never changes.
+type Snapshot struct {
+	// List is what may be used: no VM twice, no address twice, no VM that
+	// only just returned.
+	List membership.List
+	// Version grows by one with each change of List or Gone.
+	Version uint64
+	// ReadAt is when the last good answer of the platform came.
+	ReadAt time.Time
+	// Gone are the VMs that were listed once and are not now, by ID.
+	Gone []Gone
+}
+
+// Gone is a VM that the platform listed and lists no longer.
+type Gone struct {
+	VM membership.VM
+	// Since is when the first answer without the VM came, Confirmed when the
+	// last one did.
+	Since     time.Time
+	Confirmed time.Time
+}
+
+// Absent is for how long answers have shown the VM as gone. It stands still
+// while the platform does not answer: the VM may have returned unseen.
+func (g Gone) Absent() time.Duration {
+	return g.Confirmed.Sub(g.Since)
+}
+
+// Age is how old the picture is.
+func (s *Snapshot) Age(now time.Time) time.Duration {
+	return now.Sub(s.ReadAt)
+}
--- /dev/null
+++ b/membership/view/tracker.go
@@ -0,0 +1,175 @@
+package view
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/membership"
+)
+
+// tracker folds readings into snapshots. It makes no calls and reads no clock.
+type tracker struct {
+	options  Options
+	records  map[string]*record
+	sequence uint64
+	older    int
+	order    uint64
+	last     *Snapshot
+}
+
+func newTracker(options Options) *tracker {
+	return &tracker{
+		options: options,
+		records: map[string]*record{},
+		last:    &Snapshot{},
+	}
+}
+
+// fold returns the snapshot after a reading, or nil if the reading is older
+// than the last one.
+func (t *tracker) fold(list membership.List, now time.Time) *Snapshot {
+	if t.isOlder(list.Sequence) {
+		return nil
+	}
+	t.order++
+	rows := membership.Normalize(list.VMs)
+	t.noteListed(rows, now)
+	t.noteGone(rows, now)
+	t.forget(now)
+	next := &Snapshot{
+		List:    membership.List{VMs: t.shown(now), Sequence: list.Sequence},
+		ReadAt:  now,
+		Gone:    t.gone(now),
+		Version: t.last.Version,
+	}
+	if changed(t.last, next) {
+		next.Version++
+	}
+	t.last = next
+	return next
+}
+
+// isOlder tells a reading from a part of the platform that is behind. If it
+// were believed, VMs that ended would be back, and new ones would be gone. A
+// platform that counts anew after a restart is believed after some readings.
+func (t *tracker) isOlder(sequence uint64) bool {
+	if sequence >= t.sequence {
+		t.older = 0
+		t.sequence = sequence
+		return false
+	}
+	t.older++
+	if t.older < olderLimit {
+		return true
+	}
+	t.older = 0
+	t.sequence = sequence
+	return false
+}
+
+func (t *tracker) noteListed(rows []membership.VM, now time.Time) {
+	for _, vm := range rows {
+		r := t.records[vm.ID]
+		switch {
+		case r == nil:
+			r = &record{listed: true, since: now, shownFrom: now, order: t.order}
+			t.records[vm.ID] = r
+		case !r.listed:
+			r.enter(now, t.order, t.options)
+		default:
+			r.settle(now, t.options)
+		}
+		r.vm = vm
+	}
+}
+
+func (t *tracker) noteGone(rows []membership.VM, now time.Time) {
+	listed := byID(rows)
+	for id, r := range t.records {
+		if _, ok := listed[id]; !ok && r.listed {
+			r.leave(now)
+		}
+	}
+}
+
+// forget drops VMs gone for long, and the longest gone above the bound.
+func (t *tracker) forget(now time.Time) {
+	var gone []*record
+	for id, r := range t.records {
+		switch {
+		case r.listed:
+		case now.Sub(r.since) > t.options.KeepGone:
+			delete(t.records, id)
+		default:
+			gone = append(gone, r)
+		}
+	}
+	excess := len(gone) - t.options.MaxGone
+	if excess <= 0 {
+		return
+	}
+	slices.SortFunc(gone, func(a, b *record) int {
+		return cmp.Or(a.since.Compare(b.since), strings.Compare(a.vm.ID, b.vm.ID))
+	})
+	for _, r := range gone[:excess] {
+		delete(t.records, r.vm.ID)
+	}
+}
+
+// shown returns the VMs that may be used, sorted by ID.
+func (t *tracker) shown(now time.Time) []membership.VM {
+	owners := t.owners()
+	var vms []membership.VM
+	for _, r := range t.records {
+		if r.listed && !now.Before(r.shownFrom) && owners[endpointOf(r.vm)] == r {
+			vms = append(vms, r.vm)
+		}
+	}
+	slices.SortFunc(vms, func(a, b membership.VM) int { return strings.Compare(a.ID, b.ID) })
+	return vms
+}
+
+// owners returns the VM that has each address. A new VM gets the address of
+// one that ended, while the list may still show the old one: the one listed
+// last is there now.
+func (t *tracker) owners() map[endpoint]*record {
+	owners := map[endpoint]*record{}
+	for _, r := range t.records {
+		if !r.listed {
+			continue
+		}
+		at := endpointOf(r.vm)
+		if owner := owners[at]; owner == nil || r.isLater(owner) {
+			owners[at] = r
+		}
+	}
+	return owners
+}
+
+// isLater orders two VMs of one address. Those that came in one reading are
+// ordered by state and ID, so that all nodes choose the same one.
+func (r *record) isLater(other *record) bool {
+	return cmp.Or(
+		cmp.Compare(r.order, other.order),
+		cmp.Compare(other.vm.State, r.vm.State),
+		strings.Compare(r.vm.ID, other.vm.ID),
+	) > 0
+}
+
+func (t *tracker) gone(now time.Time) []Gone {
+	var gone []Gone
+	for _, r := range t.records {
+		if !r.listed {
+			gone = append(gone, Gone{VM: r.vm, Since: r.since, Confirmed: now})
+		}
+	}
+	slices.SortFunc(gone, func(a, b Gone) int { return strings.Compare(a.VM.ID, b.VM.ID) })
+	return gone
+}
+
+func changed(before, after *Snapshot) bool {
+	return !slices.Equal(before.List.VMs, after.List.VMs) ||
+		!slices.EqualFunc(before.Gone, after.Gone, func(a, b Gone) bool { return a.VM.ID == b.VM.ID })
+}
