Add the stand-in target

Cause: tests and the demonstration need a target that sheds, drains, starts cold, misleads and keeps a ledger of what ran.

--- /dev/null
+++ b/standin/target/options.go
@@ -0,0 +1,49 @@
+package target
+
+import "time"
+
+// Defaults of Options.
+const (
+	DefaultSlots       = 3
+	DefaultServiceTime = 5 * time.Millisecond
+	DefaultBodyBytes   = 8 << 20
+)
+
+// Options configure a Target.
+type Options struct {
+	// Name is the VM's identifier in the list.
+	Name string
+	// Slots is how many requests run at once, Queue how many more wait; others
+	// are shed.
+	Slots int
+	Queue int
+	// ServiceTime is how long a request runs. Spread varies it by up to that
+	// part, 0 to 1, in a sequence fixed by Seed.
+	ServiceTime time.Duration
+	Spread      float64
+	Seed        uint64
+	// ColdRequests is how many requests run slowly at first, ColdFactor by how
+	// much the first of them does.
+	ColdRequests int
+	ColdFactor   float64
+	// ConnectionCost is the time the first request of a connection takes more,
+	// ProbeCost the time /health and /load take a slot for.
+	ConnectionCost time.Duration
+	ProbeCost      time.Duration
+	// LoadLag is how old a load report may be.
+	LoadLag time.Duration
+	// MaxBodyBytes bounds request bodies.
+	MaxBodyBytes int
+}
+
+func (o *Options) setDefaults() {
+	if o.Slots <= 0 {
+		o.Slots = DefaultSlots
+	}
+	if o.ServiceTime <= 0 {
+		o.ServiceTime = DefaultServiceTime
+	}
+	if o.MaxBodyBytes <= 0 {
+		o.MaxBodyBytes = DefaultBodyBytes
+	}
+}
