--- /dev/null
+++ b/control/decider/planner.go
@@ -0,0 +1,48 @@
+package decider
+
+import (
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/api/observe"
+	"github.com/yuccaroute/yuccaroute/api/plan"
+	"github.com/yuccaroute/yuccaroute/control/ledger"
+)
+
+// Observed is the last report of one node and its age.
+type Observed struct {
+	Report observe.Report
+	Age    time.Duration
+}
+
+// Situation is what a plan is made from.
+type Situation struct {
+	Account  *model.Account
+	Reports  []Observed
+	Previous *plan.Plan
+	// Moves are those made lately, by whichever decider.
+	Moves []ledger.Move
+	Now   time.Time
+	// Since is when this decider took over: a report that is missing may not
+	// have had the time to arrive before it.
+	Since time.Time
+}
+
+// Planned is the result of a Planner.
+type Planned struct {
+	// Flows is the next plan; it is equal to the previous one when nothing is
+	// to change.
+	Flows []plan.Flow
+	// Moves are the changes of shares that the plan makes.
+	Moves []ledger.Move
+	// Explanation tells why, for operators.
+	Explanation any
+}
+
+// Planner makes plans. It must be deterministic and do no I/O.
+type Planner interface {
+	Plan(Situation) Planned
+}
+
+// moveMemory is for how many windows of the move cap moves are remembered.
+const moveMemory = 16
--- /dev/null
+++ b/control/decider/renew.go
@@ -0,0 +1,111 @@
+package decider
+
+import (
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/api/observe"
+	"github.com/yuccaroute/yuccaroute/api/peerpb"
+	"github.com/yuccaroute/yuccaroute/api/result"
+	"github.com/yuccaroute/yuccaroute/control/ledger"
+)
+
+// leastInterval is the shortest time between two reports of a node.
+const leastInterval = time.Second
+
+// Renew answers a report received at now. The caller must have found the lease
+// held after it received the report.
+func (c *Core) Renew(request *peerpb.RenewRequest, now time.Time) *peerpb.RenewResponse {
+	if c.lost || request.AppliedEpoch > c.Epoch() {
+		// The node has heard a newer decider: this one was replaced without
+		// noticing.
+		c.lost = true
+		return &peerpb.RenewResponse{Code: uint32(result.NotLeader)}
+	}
+	node := nodeOf(request.Node)
+	if node.ID.VM == "" {
+		return &peerpb.RenewResponse{Code: uint32(result.BadRequest)}
+	}
+	c.ledger.Hear(node, now)
+	c.ledger.Acknowledge(node.ID, request.AppliedEpoch, request.AppliedSequence)
+	if request.Stopped {
+		c.ledger.Release(node.ID)
+		return &peerpb.RenewResponse{Epoch: c.Epoch()}
+	}
+	c.ledger.SetLeaving(node.ID, request.Leaving)
+	c.report(reportOf(request, node), now)
+	return c.answer(request, node, now)
+}
+
+func (c *Core) answer(request *peerpb.RenewRequest, node ledger.Node, now time.Time) *peerpb.RenewResponse {
+	issued, ok := c.ledger.Issue(node.ID, now)
+	if !ok {
+		return &peerpb.RenewResponse{Code: uint32(result.NotLeader)}
+	}
+	response := &peerpb.RenewResponse{
+		Epoch:        issued.Epoch,
+		Sequence:     issued.Sequence,
+		SurplusTtlMs: uint32(issued.TTL.Milliseconds()),
+		NextMs:       uint32(c.interval().Milliseconds()),
+	}
+	if request.AppliedEpoch == issued.Epoch && request.AppliedSequence >= issued.First {
+		response.Unchanged = true
+		return response
+	}
+	keys := c.ledger.Keys()
+	for k, a := range issued.Amounts {
+		if a == (ledger.Amounts{}) {
+			continue
+		}
+		response.Grants = append(response.Grants, &peerpb.Grant{
+			Service: string(keys[k].Service),
+			Place:   string(keys[k].Place),
+			Floor:   uint64(a.Floor),
+			Surplus: uint64(a.Surplus),
+		})
+	}
+	return response
+}
+
+func (c *Core) interval() time.Duration {
+	perSecond := max(c.options.ReportsPerSecond, 1)
+	return max(leastInterval, time.Duration(len(c.reports))*time.Second/time.Duration(perSecond))
+}
+
+func nodeOf(ref *peerpb.NodeRef) ledger.Node {
+	return ledger.Node{
+		ID:      nodeID(ref.GetVm(), ref.GetIncarnation()),
+		Region:  model.RegionName(ref.GetRegion()),
+		Address: ref.GetPeerAddress(),
+	}
+}
+
+func reportOf(request *peerpb.RenewRequest, node ledger.Node) observe.Report {
+	report := observe.Report{
+		Node:     node.ID,
+		Region:   node.Region,
+		Account:  model.AccountName(request.Account),
+		Interval: time.Duration(request.IntervalMs) * time.Millisecond,
+	}
+	for _, f := range request.Flows {
+		report.Flows = append(report.Flows, observe.FlowDemand{
+			Service:    model.ServiceName(f.Service),
+			Caller:     model.RegionName(f.Caller),
+			OfferedRPS: float64(f.OfferedRps),
+		})
+	}
+	for _, p := range request.Places {
+		report.Places = append(report.Places, observe.PlaceLoad{
+			Service:      model.ServiceName(p.Service),
+			Place:        model.PlaceName(p.Place),
+			SentRPS:      float64(p.SentRps),
+			RefusedRPS:   float64(p.RefusedRps),
+			P50:          time.Duration(p.P50Us) * time.Microsecond,
+			P99:          time.Duration(p.P99Us) * time.Microsecond,
+			FailureShare: float64(p.FailureShare),
+			Targets:      int(p.Targets),
+			Known:        int(p.Known),
+		})
+	}
+	return report
+}
--- /dev/null
+++ b/control/decider/reported.go
@@ -0,0 +1,147 @@
+package decider
+
+import (
+	"math"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/grant"
+	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/api/observe"
+	"github.com/yuccaroute/yuccaroute/control/allocate"
+	"github.com/yuccaroute/yuccaroute/control/ledger"
+)
+
+// smoothing is the time over which demand is averaged: an average over fewer
+// requests moves by chance and would cause writes.
+const smoothing = 10 * time.Second
+
+// reported is what one node reported.
+type reported struct {
+	report observe.Report
+	at     time.Time
+	// flows is the smoothed demand.
+	flows map[flowKey]float64
+}
+
+type flowKey struct {
+	service model.ServiceName
+	caller  model.RegionName
+}
+
+func (c *Core) report(r observe.Report, now time.Time) {
+	old := c.reports[r.Node]
+	if old == nil {
+		old = &reported{flows: make(map[flowKey]float64)}
+		c.reports[r.Node] = old
+	}
+	weight := 1 - math.Exp(-now.Sub(old.at).Seconds()/smoothing.Seconds())
+	if old.at.IsZero() {
+		weight = 1
+	}
+	old.report = r
+	old.at = now
+	next := make(map[flowKey]float64, len(r.Flows))
+	for _, f := range r.Flows {
+		// A value that is no rate would spoil every later average.
+		if !(f.OfferedRPS >= 0) || math.IsInf(f.OfferedRPS, 1) {
+			continue
+		}
+		key := flowKey{f.Service, f.Caller}
+		next[key] = old.flows[key] + weight*(f.OfferedRPS-old.flows[key])
+	}
+	old.flows = next
+}
+
+// forget drops the reports of nodes that the ledger no longer knows.
+func (c *Core) forget(now time.Time) {
+	for id, r := range c.reports {
+		if c.ledger.RegionOf(id) == "" && now.Sub(r.at) > c.options.Ledger.RemovalTime {
+			delete(c.reports, id)
+		}
+	}
+}
+
+func (c *Core) observed(now time.Time) []Observed {
+	observed := make([]Observed, 0, len(c.reports))
+	for _, state := range c.ledger.States(now) {
+		r := c.reports[state.Node.ID]
+		if r == nil {
+			continue
+		}
+		observed = append(observed, Observed{Report: r.report, Age: now.Sub(r.at)})
+	}
+	return observed
+}
+
+// allocate asks the ledger for what each node should have.
+func (c *Core) allocate(now time.Time) {
+	states := c.ledger.States(now)
+	keys := c.ledger.Keys()
+	nodes := make([]allocate.Node, len(states))
+	for i, s := range states {
+		r := c.reports[s.Node.ID]
+		nodes[i] = allocate.Node{
+			Region:  s.Node.Region,
+			Demand:  c.demand(r, keys),
+			Have:    s.Wanted,
+			InForce: s.InForce,
+			Silent:  c.silent(r, now),
+			Leaving: s.Leaving,
+		}
+	}
+	wishes := allocate.Split(c.ledger.Limits(), keys, nodes, c.options.Allocate)
+	for i, s := range states {
+		c.ledger.Want(s.Node.ID, wishes[i])
+	}
+}
+
+// silent reports whether a node cannot be told anything. Until a node could
+// have reported to a new decider, it is taken for reachable, so that a change
+// of decider alone moves no grant.
+func (c *Core) silent(r *reported, now time.Time) bool {
+	last := c.since
+	if r != nil {
+		last = r.at
+	}
+	return now.Sub(last) > c.options.Ledger.SurplusTTL
+}
+
+// demand is what a node would send for each key if it followed the plan.
+func (c *Core) demand(r *reported, keys []ledger.Key) []float64 {
+	demand := make([]float64, len(keys))
+	if r == nil || c.previous == nil {
+		return demand
+	}
+	index := c.keyIndex(keys)
+	for i := range c.previous.Flows {
+		f := &c.previous.Flows[i]
+		offered := r.flows[flowKey{f.Service, f.Caller}]
+		if offered <= 0 {
+			continue
+		}
+		for _, s := range f.Shares {
+			if k, ok := index[ledger.Key{Service: f.Service, Place: s.Place}]; ok {
+				demand[k] += offered * float64(s.PPM) / wholePPM
+			}
+		}
+	}
+	return demand
+}
+
+const wholePPM = 1e6
+
+func (c *Core) keyIndex(keys []ledger.Key) map[ledger.Key]int {
+	if len(c.index) == len(keys) {
+		return c.index
+	}
+	c.index = make(map[ledger.Key]int, len(keys))
+	for k, key := range keys {
+		c.index[key] = k
+	}
+	return c.index
+}
+
+// nodeID builds the identity that a message names.
+func nodeID(vm string, incarnation uint64) grant.NodeID {
+	return grant.NodeID{VM: vm, Incarnation: incarnation}
+}
--- /dev/null
+++ b/control/decider/runner.go
@@ -0,0 +1,235 @@
+package decider
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/api/peerpb"
+	"github.com/yuccaroute/yuccaroute/api/plan"
+	"github.com/yuccaroute/yuccaroute/api/result"
+	"github.com/yuccaroute/yuccaroute/control/ledger"
+	"github.com/yuccaroute/yuccaroute/store"
+)
+
+// Lease tells whether the account's lease is held, and its epoch.
+type Lease interface {
+	Held() (epoch uint64, ok bool)
+}
+
+// LedgerKey returns the store key of an account's ledger.
+func LedgerKey(account model.AccountName) string { return "ledger/" + string(account) }
+
+// RunnerOptions configures a Runner.
+type RunnerOptions struct {
+	Options
+	Account model.AccountName
+	KV      store.KV
+	Lease   Lease
+	// Configured returns the account in force on this node, nil for none.
+	Configured func() *model.Account
+	// Listed returns the last reading of the VM list and its sequence; ok is
+	// false while there is none.
+	Listed func() (list []ledger.Listed, sequence uint64, ok bool)
+	// Publish sends a plan to all nodes. It must not wait for them.
+	Publish func(*plan.Plan)
+	Clock   func() time.Time
+	Logger  logrus.FieldLogger
+	// CallTimeout bounds a call to the store.
+	CallTimeout time.Duration
+}
+
+// DefaultCallTimeout bounds a call to the store.
+const DefaultCallTimeout = 2 * time.Second
+
+// Runner does the I/O of a Core: it takes over when the lease is won, writes
+// the ledger and publishes plans. It makes at most one write a step.
+type Runner struct {
+	options RunnerOptions
+
+	// mu guards core; it is not held over I/O.
+	mu        sync.Mutex
+	core      *Core
+	published *plan.Plan
+	writes    uint64
+}
+
+// NewRunner returns a runner that decides nothing yet.
+func NewRunner(options RunnerOptions) *Runner {
+	return &Runner{options: options}
+}
+
+// Step does the work due now. It must be called by one goroutine, each second.
+// An error means that the term is over and the lease is to be given up.
+func (r *Runner) Step(ctx context.Context) error {
+	epoch, held := r.options.Lease.Held()
+	account := r.options.Configured()
+	if !held || account == nil {
+		r.end()
+		return nil
+	}
+	if !r.deciding(epoch) {
+		if err := r.begin(ctx, epoch, account); err != nil {
+			return err
+		}
+	}
+	if err := r.commit(ctx, account); err != nil {
+		r.end()
+		return err
+	}
+	r.publish()
+	return nil
+}
+
+func (r *Runner) deciding(epoch uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core != nil && r.core.Epoch() == epoch
+}
+
+func (r *Runner) end() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.core != nil {
+		r.options.Logger.WithField("account", r.options.Account).Info("control: no longer deciding")
+	}
+	r.core = nil
+	r.published = nil
+}
+
+// begin reads the ledger and takes over.
+func (r *Runner) begin(ctx context.Context, epoch uint64, account *model.Account) error {
+	r.end()
+	entry, err := r.read(ctx)
+	if err != nil {
+		// The store is out: the lease ends by itself unless it comes back.
+		return nil
+	}
+	now := r.options.Clock()
+	core, err := Begin(r.options.Options, account, epoch, entry, now)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.core = core
+	r.mu.Unlock()
+	r.options.Logger.WithFields(logrus.Fields{"account": account.Name, "epoch": epoch}).Info("control: deciding")
+	return nil
+}
+
+func (r *Runner) read(ctx context.Context) (store.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.options.CallTimeout)
+	defer cancel()
+	entry, err := r.options.KV.Get(ctx, LedgerKey(r.options.Account))
+	if errors.Is(err, store.ErrNotFound) {
+		return store.Entry{}, nil
+	}
+	return entry, err
+}
+
+// commit makes the step's decisions and the write they need.
+func (r *Runner) commit(ctx context.Context, account *model.Account) error {
+	write, due := r.propose(account)
+	if !due {
+		return nil
+	}
+	callCtx, cancel := context.WithTimeout(ctx, r.options.CallTimeout)
+	revision, err := r.options.KV.Swap(callCtx, LedgerKey(r.options.Account), write.Value, write.Expected, 0)
+	cancel()
+	r.mu.Lock()
+	r.writes++
+	err = r.core.Settle(revision, err)
+	r.mu.Unlock()
+	if errors.Is(err, ErrResolve) {
+		return r.resolve(ctx)
+	}
+	return err
+}
+
+func (r *Runner) propose(account *model.Account) (Write, bool) {
+	list, sequence, ok := r.options.Listed()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.core == nil {
+		return Write{}, false
+	}
+	now := r.options.Clock()
+	if ok {
+		r.core.Observe(list, sequence, now)
+	}
+	return r.core.Step(account, now)
+}
+
+func (r *Runner) resolve(ctx context.Context) error {
+	entry, err := r.read(ctx)
+	if err != nil {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.Resolve(entry)
+}
+
+func (r *Runner) publish() {
+	r.mu.Lock()
+	var p *plan.Plan
+	if r.core != nil {
+		p = r.core.Publish()
+	}
+	fresh := p != nil && p != r.published
+	r.published = p
+	r.mu.Unlock()
+	if fresh {
+		r.options.Publish(p)
+	}
+}
+
+// Renew answers a report. The lease is checked after the report was received,
+// so that nothing given in the answer can outlive the wait of the next
+// decider, however long the answer then takes.
+func (r *Runner) Renew(request *peerpb.RenewRequest) *peerpb.RenewResponse {
+	epoch, held := r.options.Lease.Held()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !held || r.core == nil || r.core.Epoch() != epoch {
+		return &peerpb.RenewResponse{Code: uint32(result.NotLeader)}
+	}
+	return r.core.Renew(request, r.options.Clock())
+}
+
+// Status is what operators see of a decider.
+type Status struct {
+	Deciding    bool
+	Epoch       uint64
+	Nodes       int
+	LedgerBytes int
+	Writes      uint64
+	// Over names a limit that more is out than; empty when there is none.
+	Over string
+	// Explanation is that of the last plan.
+	Explanation any
+}
+
+// Status returns the present state.
+func (r *Runner) Status() Status {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := Status{Writes: r.writes}
+	if r.core == nil {
+		return s
+	}
+	l := r.core.Ledger()
+	s.Deciding = true
+	s.Epoch = r.core.Epoch()
+	s.Nodes = l.Nodes()
+	s.LedgerBytes = l.Bytes()
+	s.Explanation = r.core.Planned().Explanation
+	if err := l.Outstanding(r.options.Clock()).Check(l.Limits()); err != nil {
+		s.Over = err.Error()
+	}
+	return s
+}
--- /dev/null
+++ b/control/holder/report.go
@@ -0,0 +1,134 @@
+package holder
+
+import (
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/grant"
+	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/api/peerpb"
+	"github.com/yuccaroute/yuccaroute/api/result"
+)
+
+// Sent is a request under way: what was acknowledged in it and when it left.
+type Sent struct {
+	At              time.Time
+	Epoch, Sequence uint64
+}
+
+// Request notes that a report is about to be sent at now. The surplus in its
+// answer counts from now: the decider counts from receiving the report, which
+// is later, so it never takes a surplus for ended that the node still uses.
+func (c *Core) Request(now time.Time) Sent {
+	return Sent{At: now, Epoch: c.acknowledgedEpoch, Sequence: c.acknowledgedSequence}
+}
+
+// Outcome tells what became of an answer.
+type Outcome uint8
+
+// The outcomes of an answer.
+const (
+	// Applied: the set is in force.
+	Applied Outcome = iota
+	// Refused: the answer was none, or of a decider that does not hold the
+	// lease.
+	Refused
+	// Late: the answer came after the request was given up, or after a pause
+	// that voided it.
+	Late
+	// Stale: the answer is older than what is in force.
+	Stale
+)
+
+// Answer takes in the answer to a request. With Applied, Set returns the new
+// set, and the next request acknowledges it; it must be put in force before
+// that.
+func (c *Core) Answer(sent Sent, response *peerpb.RenewResponse, now time.Time) Outcome {
+	if response.Code != uint32(result.OK) || c.stopping {
+		return Refused
+	}
+	if c.late(sent, now) {
+		return Late
+	}
+	if c.stale(response) {
+		return Stale
+	}
+	if response.Unchanged && (sent.Epoch != c.epoch || sent.Sequence != c.sequence) {
+		return Stale
+	}
+	c.apply(sent, response, now)
+	return Applied
+}
+
+// late reports whether the answer may rest on a state that is gone: the
+// decider may have removed the node since it sent the answer.
+func (c *Core) late(sent Sent, now time.Time) bool {
+	if c.options.Params.Faults.KeepFloorsAfterPause {
+		return false
+	}
+	if now.Sub(sent.At) >= c.options.RequestTimeout || !sent.At.After(c.voided) {
+		return true
+	}
+	return c.paused(now)
+}
+
+// stale reports whether the answer is not newer than what is in force. A
+// decider that was paused and lost its lease sends an older epoch; the newer
+// one has accounted for this node on the ground that it acknowledged a set.
+func (c *Core) stale(response *peerpb.RenewResponse) bool {
+	if c.options.Params.Faults.NoTokenCheck {
+		return false
+	}
+	if response.Epoch < c.seen {
+		return true
+	}
+	return response.Epoch == c.epoch && response.Sequence <= c.sequence
+}
+
+func (c *Core) apply(sent Sent, response *peerpb.RenewResponse, now time.Time) {
+	if !response.Unchanged {
+		c.grants = c.grantsOf(response.Grants)
+	}
+	c.epoch = response.Epoch
+	c.sequence = response.Sequence
+	c.seen = max(c.seen, response.Epoch)
+	from := sent.At
+	if c.options.Params.Faults.ExpiryFromReceipt {
+		from = now
+	}
+	c.surplusExpires = from.Add(time.Duration(response.SurplusTtlMs) * time.Millisecond)
+	c.borrowed = nil
+	c.expireLoans(now)
+	c.acknowledge()
+	c.rebuild()
+}
+
+// acknowledge marks the set in force as acknowledged if its floors cover the
+// loans. Otherwise the borrowers have more in force than the set says, and the
+// decider must go on counting the larger floor of an earlier set.
+func (c *Core) acknowledge() {
+	if !c.coversLoans() && !c.options.Params.Faults.AcknowledgeLent {
+		return
+	}
+	c.acknowledgedEpoch = c.epoch
+	c.acknowledgedSequence = c.sequence
+}
+
+func (c *Core) grantsOf(wire []*peerpb.Grant) []grant.Grant {
+	grants := make([]grant.Grant, 0, len(wire))
+	for _, g := range wire {
+		grants = append(grants, grant.Grant{
+			Key:     c.keyOf(g),
+			Floor:   grant.Amount(g.Floor),
+			Surplus: grant.Amount(g.Surplus),
+		})
+	}
+	return grants
+}
+
+func (c *Core) keyOf(g *peerpb.Grant) grant.Key {
+	return grant.Key{
+		Account: c.options.Account,
+		Service: model.ServiceName(g.Service),
+		Place:   model.PlaceName(g.Place),
+	}
+}
--- /dev/null
+++ b/control/holder/runner.go
@@ -0,0 +1,197 @@
+package holder
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc"
+
+	"github.com/yuccaroute/yuccaroute/api/grant"
+	"github.com/yuccaroute/yuccaroute/api/observe"
+	"github.com/yuccaroute/yuccaroute/api/peerpb"
+)
+
+// RunnerOptions configures a Runner.
+type RunnerOptions struct {
+	Options
+	Ref *peerpb.NodeRef
+	// Dial returns a connection to another node; it keeps it for later calls.
+	Dial func(address string) (grpc.ClientConnInterface, error)
+	// Decider returns where the decider of the account was last seen.
+	Decider func() (*peerpb.NodeRef, bool)
+	// Lenders returns the other nodes of the region, in the order to ask.
+	Lenders func() []*peerpb.NodeRef
+	// Apply puts a set in force before it returns.
+	Apply  func(*grant.Set)
+	Clock  func() time.Time
+	Logger logrus.FieldLogger
+}
+
+// Runner does the I/O of a Core.
+type Runner struct {
+	options RunnerOptions
+
+	// mu guards the rest. It is held over Apply, so that sets are put in force
+	// in their order, but not over calls to other nodes.
+	mu       sync.Mutex
+	core     *Core
+	busy     bool
+	due      time.Time
+	transfer uint64
+	heard    time.Time
+	refused  uint64
+	last     observe.Report
+}
+
+// NewRunner returns a runner without grants.
+func NewRunner(options RunnerOptions) *Runner {
+	return &Runner{options: options, core: New(options.Options)}
+}
+
+// Tick notes that the process runs; call it at least once a second.
+func (r *Runner) Tick() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.core.Tick(r.options.Clock()) {
+		r.options.Apply(r.core.Set())
+	}
+}
+
+// jitterShare spreads the reports of many nodes over the interval.
+const jitterShare = 0.1
+
+// Due reports whether a report is due, and if so notes it as under way: a node
+// has one request under way at a time.
+func (r *Runner) Due() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.busy || r.options.Clock().Before(r.due) {
+		return false
+	}
+	r.busy = true
+	return true
+}
+
+// Report sends a report and takes in the answer. Call it after Due.
+func (r *Runner) Report(ctx context.Context, report observe.Report, leaving bool) {
+	defer r.done()
+	ctx, cancel := context.WithTimeout(ctx, r.options.RequestTimeout)
+	defer cancel()
+	request, sent := r.request(report, leaving)
+	response, err := r.renew(ctx, request)
+	if err == nil && r.answer(sent, response) {
+		return
+	}
+	r.borrow(ctx, report)
+}
+
+func (r *Runner) done() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.busy = false
+}
+
+func (r *Runner) request(report observe.Report, leaving bool) (*peerpb.RenewRequest, Sent) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.last = report
+	now := r.options.Clock()
+	r.due = now.Add(jitter(time.Second))
+	sent := r.core.Request(now)
+	request := requestOf(report)
+	request.Node = r.options.Ref
+	request.Account = string(r.options.Account)
+	request.AppliedEpoch = sent.Epoch
+	request.AppliedSequence = sent.Sequence
+	request.Leaving = leaving
+	request.Stopped = r.core.Stopped(now)
+	return request, sent
+}
+
+func jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 - jitterShare*rand.Float64()))
+}
+
+func (r *Runner) renew(ctx context.Context, request *peerpb.RenewRequest) (*peerpb.RenewResponse, error) {
+	decider, ok := r.options.Decider()
+	if !ok {
+		return nil, errNoDecider
+	}
+	conn, err := r.options.Dial(decider.PeerAddress)
+	if err != nil {
+		return nil, err
+	}
+	return peerpb.NewControlClient(conn).Renew(ctx, request)
+}
+
+func (r *Runner) answer(sent Sent, response *peerpb.RenewResponse) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.options.Clock()
+	outcome := r.core.Answer(sent, response, now)
+	if outcome != Applied {
+		r.refused++
+		return false
+	}
+	r.heard = now
+	r.transfer = 0
+	r.options.Apply(r.core.Set())
+	if response.NextMs > 0 {
+		r.due = sent.At.Add(jitter(time.Duration(response.NextMs) * time.Millisecond))
+	}
+	return true
+}
+
+// Stop closes the admission and tells the decider, so that what the node had
+// can be given to others at once. It waits for loans to end as long as ctx
+// lasts.
+func (r *Runner) Stop(ctx context.Context) {
+	r.mu.Lock()
+	if r.core.Stop() {
+		r.options.Apply(r.core.Set())
+	}
+	r.mu.Unlock()
+	for !r.stopped() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Second):
+		}
+	}
+	request, _ := r.request(observe.Report{}, true)
+	if _, err := r.renew(ctx, request); err != nil {
+		r.options.Logger.WithError(err).Info("control: could not hand back the grants, they are freed after the removal time")
+	}
+}
+
+func (r *Runner) stopped() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.Stopped(r.options.Clock())
+}
+
+// Status is what operators see of a holder.
+type Status struct {
+	Set *grant.Set
+	// Heard is when a decider last answered, zero for never.
+	Heard time.Time
+	// Refused counts reports without an answer that was taken.
+	Refused        uint64
+	Lent, Borrowed int
+}
+
+// Status returns the present state.
+func (r *Runner) Status() Status {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return Status{
+		Set:      r.core.Set(),
+		Heard:    r.heard,
+		Refused:  r.refused,
+		Lent:     len(r.core.lent),
+		Borrowed: len(r.core.borrowed),
+	}
+}
--- /dev/null
+++ b/control/ledger/ledger_test.go
@@ -0,0 +1,305 @@
+package ledger
+
+import (
+	"testing"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/grant"
+	"github.com/yuccaroute/yuccaroute/api/model"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// twoRegions is an account with one service in two places behind links.
+func twoRegions(rps float64) *model.Account {
+	return &model.Account{
+		Name:     "test",
+		Revision: 1,
+		Regions: []model.Region{
+			{Name: "east", CapacityRPS: rps, LinkInRPS: rps / 2},
+			{Name: "west", CapacityRPS: rps, LinkInRPS: rps / 2},
+		},
+		Places: []model.Place{{Name: "e1", Region: "east"}, {Name: "w1", Region: "west"}},
+		Services: []model.Service{{
+			Name:     "desk",
+			Capacity: []model.PlaceCapacity{{Place: "e1", RPS: rps}, {Place: "w1", RPS: rps}},
+		}},
+		Moves: model.MoveLimits{Share: 0.1, Window: time.Minute},
+	}
+}
+
+func node(vm string) Node {
+	return Node{ID: grant.NodeID{VM: vm, Incarnation: 1}, Region: "east", Address: vm + ":1", Listed: 1}
+}
+
+// begun returns a ledger whose first write has been made.
+func begun(t *testing.T, nodes ...Node) *Ledger {
+	t.Helper()
+	l := New(DefaultParams(), 1, LimitsOf(twoRegions(100)))
+	l.Rewrite(start)
+	l.Written()
+	for _, n := range nodes {
+		l.Hear(n, start)
+	}
+	return l
+}
+
+func want(l *Ledger, n Node, floor, surplus float64) {
+	w := make([]Amounts, len(l.Keys()))
+	w[0] = Amounts{Floor: AmountOf(floor), Surplus: AmountOf(surplus)}
+	l.Want(n.ID, w)
+}
+
+func commit(l *Ledger, now time.Time) bool {
+	if l.Propose(now) == nil {
+		return false
+	}
+	l.Written()
+	return true
+}
+
+func issued(t *testing.T, l *Ledger, n Node, now time.Time) (Amounts, uint64) {
+	t.Helper()
+	set, ok := l.Issue(n.ID, now)
+	if !ok {
+		t.Fatal("no set issued")
+	}
+	return set.Amounts[0], set.Sequence
+}
+
+// A raise whose write has no answer must not reach the node: if the write
+// never happened, the next decider would not count it.
+func TestRaiseWaitsForItsWrite(t *testing.T) {
+	a := node("a")
+	l := begun(t, a)
+	want(l, a, 40, 0)
+	if l.Propose(start) == nil {
+		t.Fatal("a raise needs a write")
+	}
+	if got, _ := issued(t, l, a, start); got.Floor != 0 {
+		t.Fatalf("sent %v before the write", got)
+	}
+	l.Written()
+	if got, _ := issued(t, l, a, start); got.Floor != AmountOf(40) {
+		t.Fatalf("sent %v after the write", got)
+	}
+}
+
+// While a write that lowers a node is not settled, the old amount must not be
+// sent again either: the write may take effect, and the next decider then
+// counts only the lower one.
+func TestUnsettledLowerIsNotRaisedAgain(t *testing.T) {
+	a, b := node("a"), node("b")
+	l := begun(t, a, b)
+	want(l, a, 40, 0)
+	commit(l, start)
+	issued(t, l, a, start)
+	want(l, a, 10, 0)
+	_, sequence := issued(t, l, a, start)
+	l.Acknowledge(a.ID, 1, sequence)
+	want(l, b, 90, 0)
+	if l.Propose(start) == nil {
+		t.Fatal("a raise needs a write")
+	}
+	want(l, a, 40, 0)
+	if got, _ := issued(t, l, a, start); got.Floor != AmountOf(10) {
+		t.Fatalf("sent %v while a lower amount was being written", got)
+	}
+}
+
+// A lowered floor is free only when the node acknowledged the lower one: the
+// message may be lost and the node go on with the old floor for days.
+func TestLoweredFloorIsCountedUntilAcknowledged(t *testing.T) {
+	a, b := node("a"), node("b")
+	l := begun(t, a, b)
+	want(l, a, 100, 0)
+	commit(l, start)
+	issued(t, l, a, start)
+	want(l, a, 20, 0)
+	_, sequence := issued(t, l, a, start)
+	want(l, b, 80, 0)
+	later := start.Add(time.Hour)
+	l.Hear(a, later)
+	l.Hear(b, later)
+	commit(l, later)
+	if got, _ := issued(t, l, b, later); got.Floor != 0 {
+		t.Fatalf("gave %v away before the acknowledgement", got)
+	}
+	l.Acknowledge(a.ID, 1, sequence)
+	commit(l, later)
+	if got, _ := issued(t, l, b, later); got.Floor != AmountOf(80) {
+		t.Fatalf("gave %v after the acknowledgement", got)
+	}
+}
+
+// A surplus is free once it has run out with the margin, without any word of
+// its holder, but not earlier.
+func TestSurplusIsFreeAfterItsTimeAndMargin(t *testing.T) {
+	a, b := node("a"), node("b")
+	l := begun(t, a, b)
+	want(l, a, 0, 100)
+	commit(l, start)
+	issued(t, l, a, start)
+	want(l, a, 0, 0)
+	want(l, b, 0, 100)
+	ends := start.Add(l.params.Wait(l.params.SurplusTTL))
+	commit(l, ends.Add(-time.Nanosecond))
+	if got, _ := issued(t, l, b, ends.Add(-time.Nanosecond)); got.Surplus != 0 {
+		t.Fatalf("gave %v away early", got)
+	}
+	commit(l, ends)
+	if got, _ := issued(t, l, b, ends); got.Surplus != AmountOf(100) {
+		t.Fatalf("gave %v after the surplus ended", got)
+	}
+}
+
+// A failure domain is gone and its nodes with it: the VM list still shows
+// them, then does not. Their floors must stay counted for the removal time
+// after the list dropped them, and be free then.
+func TestFloorsOfEndedNodes(t *testing.T) {
+	a, b := node("a"), node("b")
+	l := begun(t, a, b)
+	want(l, a, 100, 0)
+	commit(l, start)
+	issued(t, l, a, start)
+	dropped := start.Add(time.Hour)
+	l.Observe([]Listed{{VM: "b", Address: "b:1"}}, 2, dropped)
+	want(l, b, 100, 0)
+	free := dropped.Add(l.params.Wait(l.params.RemovalTime))
+	l.Hear(b, free)
+	commit(l, free.Add(-time.Nanosecond))
+	if got, _ := issued(t, l, b, free); got.Floor != 0 {
+		t.Fatalf("gave %v away early", got)
+	}
+	commit(l, free)
+	if got, _ := issued(t, l, b, free); got.Floor != AmountOf(100) {
+		t.Fatalf("gave %v after the removal time", got)
+	}
+}
+
+// A process restarts on its VM, which the list goes on to show. The floor of
+// its first life must come back in the end, and only after the removal time.
+func TestFloorOfAnEarlierLifeOfTheVM(t *testing.T) {
+	a := node("a")
+	second := a
+	second.ID.Incarnation = 2
+	l := begun(t, a)
+	want(l, a, 100, 0)
+	commit(l, start)
+	issued(t, l, a, start)
+	restarted := start.Add(time.Second)
+	free := restarted.Add(l.params.Wait(l.params.RemovalTime))
+	for now := restarted; now.Before(free); now = now.Add(time.Second) {
+		l.Hear(second, now)
+		l.Observe([]Listed{{VM: "a", Address: "a:1"}}, 1, now)
+		want(l, second, 100, 0)
+		commit(l, now)
+		if got, _ := issued(t, l, second, now); got.Floor != 0 {
+			t.Fatalf("gave %v after %s", got, now.Sub(restarted))
+		}
+	}
+	commit(l, free)
+	if got, _ := issued(t, l, second, free); got.Floor != AmountOf(100) {
+		t.Fatalf("gave %v after the removal time", got)
+	}
+}
+
+// A decider whose VM list lags behind its predecessor's does not know a new
+// node yet, which is no sign that it ended.
+func TestOlderListProvesNothing(t *testing.T) {
+	a := node("a")
+	a.Listed = 7
+	l := begun(t, a)
+	want(l, a, 100, 0)
+	commit(l, start)
+	issued(t, l, a, start)
+	later := start.Add(time.Hour)
+	l.Observe(nil, 6, start)
+	l.Propose(later)
+	if l.Nodes() != 1 {
+		t.Fatal("removed by a list older than the one that showed the node")
+	}
+}
+
+// An operator lowers a capacity below what is out. Nothing may be raised until
+// acknowledgements bring the sum under it.
+func TestNoRaiseOverALoweredCapacity(t *testing.T) {
+	a, b := node("a"), node("b")
+	l := begun(t, a, b)
+	want(l, a, 80, 0)
+	commit(l, start)
+	issued(t, l, a, start)
+	lowered := twoRegions(50)
+	lowered.Revision = 2
+	l.SetLimits(LimitsOf(lowered))
+	want(l, a, 20, 0)
+	want(l, b, 30, 0)
+	commit(l, start)
+	if got, _ := issued(t, l, b, start); got.Floor != 0 {
+		t.Fatalf("raised to %v while more than the capacity is out", got)
+	}
+	_, sequence := issued(t, l, a, start)
+	l.Acknowledge(a.ID, 1, sequence)
+	commit(l, start)
+	if got, _ := issued(t, l, b, start); got.Floor != AmountOf(30) {
+		t.Fatalf("gave %v once there was room", got)
+	}
+	if l.SetLimits(LimitsOf(twoRegions(100))) {
+		t.Fatal("took an older configuration")
+	}
+}
+
+// A decider dies. The next one must count what the last one gave: floors for
+// good, surplus for its whole time from the takeover, moves with their age.
+func TestTakeoverKeepsWhatWasGiven(t *testing.T) {
+	a, b := node("a"), node("b")
+	l := begun(t, a)
+	want(l, a, 50, 50)
+	l.SetPlan(Plan{Body: []byte("{}"), Sequence: 3}, []Move{{Service: "desk", Caller: "east", Place: "w1", Delta: 100}},
+		time.Minute, time.Hour, start.Add(-time.Minute))
+	value := l.Propose(start)
+	l.Written()
+	issued(t, l, a, start)
+
+	next, err := Load(value, DefaultParams(), 2, LimitsOf(twoRegions(100)), start)
+	if err != nil {
+		t.Fatal(err)
+	}
+	next.Rewrite(start)
+	next.Written()
+	next.Hear(b, start)
+	want(next, a, 50, 0)
+	want(next, b, 0, 50)
+	commit(next, start)
+	if got, _ := issued(t, next, b, start); got != (Amounts{}) {
+		t.Fatalf("gave %v at once after the takeover", got)
+	}
+	ends := start.Add(next.params.Wait(next.params.SurplusTTL))
+	commit(next, ends)
+	if got, _ := issued(t, next, b, ends); got.Surplus != AmountOf(50) {
+		t.Fatalf("gave %v after the last surplus ended", got)
+	}
+	moves := next.Moves()
+	if len(moves) != 1 || moves[0].Delta != 100 || moves[0].At.Before(start.Add(-time.Minute)) {
+		t.Fatalf("moves after the takeover: %+v", moves)
+	}
+	if _, err := Load(value, DefaultParams(), 1, LimitsOf(twoRegions(100)), start); err == nil {
+		t.Fatal("took over from an epoch that is not older")
+	}
+}
+
+// More is wanted for a region, and for the link into it, than they carry.
+func TestRegionAndLinkBoundTheSum(t *testing.T) {
+	a, far := node("a"), node("far")
+	far.Region = "west"
+	l := begun(t, a, far)
+	want(l, a, 80, 0)
+	want(l, far, 80, 0)
+	commit(l, start)
+	if err := l.Allowed().Check(l.Limits()); err != nil {
+		t.Fatal(err)
+	}
+	if got, _ := issued(t, l, far, start); got.Floor != AmountOf(20) {
+		t.Fatalf("gave %v to a node outside the region", got)
+	}
+}
--- /dev/null
+++ b/control/ledger/limits.go
@@ -0,0 +1,135 @@
+package ledger
+
+import (
+	"math"
+	"sort"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccaroute/yuccaroute/api/grant"
+	"github.com/yuccaroute/yuccaroute/api/model"
+)
+
+// Limits are the capacities of one account at one configuration revision.
+type Limits struct {
+	Revision uint64
+	keys     []Key
+	capacity map[Key]grant.Amount
+	places   map[model.PlaceName]model.RegionName
+	regions  map[model.RegionName]RegionLimit
+}
+
+// RegionLimit bounds the work in a region and the work that enters it from
+// nodes in other regions.
+type RegionLimit struct {
+	Capacity, LinkIn grant.Amount
+}
+
+// LimitsOf reads the capacities of an account.
+func LimitsOf(account *model.Account) *Limits {
+	l := &Limits{
+		Revision: account.Revision,
+		capacity: make(map[Key]grant.Amount),
+		places:   make(map[model.PlaceName]model.RegionName),
+		regions:  make(map[model.RegionName]RegionLimit),
+	}
+	for _, r := range account.Regions {
+		l.regions[r.Name] = RegionLimit{Capacity: AmountOf(r.CapacityRPS), LinkIn: AmountOf(r.LinkInRPS)}
+	}
+	for _, p := range account.Places {
+		l.places[p.Name] = p.Region
+	}
+	for i := range account.Services {
+		l.addService(&account.Services[i])
+	}
+	sort.Slice(l.keys, func(i, j int) bool { return keyLess(l.keys[i], l.keys[j]) })
+	return l
+}
+
+func (l *Limits) addService(s *model.Service) {
+	for _, c := range s.Capacity {
+		key := Key{Service: s.Name, Place: c.Place}
+		if _, seen := l.capacity[key]; seen {
+			continue
+		}
+		l.capacity[key] = AmountOf(c.RPS)
+		l.keys = append(l.keys, key)
+	}
+}
+
+// Keys returns the services and places that have a capacity, sorted.
+func (l *Limits) Keys() []Key { return l.keys }
+
+// Capacity returns the capacity of a key, 0 for one that is not configured.
+func (l *Limits) Capacity(key Key) grant.Amount { return l.capacity[key] }
+
+// RegionOf returns the region of a place, "" for an unknown one.
+func (l *Limits) RegionOf(place model.PlaceName) model.RegionName { return l.places[place] }
+
+// Region returns the limits of a region, 0 for one that is not configured.
+func (l *Limits) Region(name model.RegionName) RegionLimit { return l.regions[name] }
+
+// AmountOf converts requests per second, rounding down; what is not a
+// positive number is 0.
+func AmountOf(rps float64) grant.Amount {
+	if !(rps > 0) {
+		return 0
+	}
+	if rps > math.MaxUint32 {
+		rps = math.MaxUint32
+	}
+	return grant.Amount(rps * float64(grant.PerRequest))
+}
+
+func keyLess(a, b Key) bool {
+	if a.Service != b.Service {
+		return a.Service < b.Service
+	}
+	return a.Place < b.Place
+}
+
+// Use sums amounts against limits.
+type Use struct {
+	Keys    map[Key]grant.Amount
+	Regions map[model.RegionName]grant.Amount
+	Links   map[model.RegionName]grant.Amount
+}
+
+// NewUse returns an empty sum.
+func NewUse() *Use {
+	return &Use{
+		Keys:    make(map[Key]grant.Amount),
+		Regions: make(map[model.RegionName]grant.Amount),
+		Links:   make(map[model.RegionName]grant.Amount),
+	}
+}
+
+// Add counts an amount of a node in region from for a key.
+func (u *Use) Add(l *Limits, from model.RegionName, key Key, a grant.Amount) {
+	to := l.RegionOf(key.Place)
+	u.Keys[key] += a
+	u.Regions[to] += a
+	if from != to {
+		u.Links[to] += a
+	}
+}
+
+// Check returns an error that names the first limit that is passed.
+func (u *Use) Check(l *Limits) error {
+	for key, a := range u.Keys {
+		if a > l.Capacity(key) {
+			return errors.Errorf("ledger: %s in %s: %d out of %d", key.Service, key.Place, a, l.Capacity(key))
+		}
+	}
+	for name, a := range u.Regions {
+		if a > l.Region(name).Capacity {
+			return errors.Errorf("ledger: region %s: %d out of %d", name, a, l.Region(name).Capacity)
+		}
+	}
+	for name, a := range u.Links {
+		if a > l.Region(name).LinkIn {
+			return errors.Errorf("ledger: link into %s: %d out of %d", name, a, l.Region(name).LinkIn)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/control/ledger/moves.go
@@ -0,0 +1,114 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/api/peerpb"
+)
+
+// Move is one change of one share that a plan made.
+type Move struct {
+	At      time.Time
+	Service model.ServiceName
+	Caller  model.RegionName
+	Place   model.PlaceName
+	// Delta is the change of the share, parts per million.
+	Delta int32
+	// Cause is the planner's number for why.
+	Cause uint8
+	// first is when the first of several merged moves was made.
+	first time.Time
+}
+
+// mergeParts is into how many parts a window is divided: like moves within
+// one part are kept as one, which bounds the size of the record.
+const mergeParts = 16
+
+// Moves returns the moves kept, oldest first.
+func (l *Ledger) Moves() []Move { return append([]Move(nil), l.moves...) }
+
+// Plan returns the last plan committed or proposed.
+func (l *Ledger) Plan() Plan { return l.plan }
+
+// SetPlan puts a plan and the moves it makes into the next write. The plan may
+// be given out when Unsaved is false. Moves are kept for the memory; a window
+// is that of the account's move cap.
+func (l *Ledger) SetPlan(plan Plan, moves []Move, window, memory time.Duration, now time.Time) {
+	l.plan = plan
+	l.newPlan = true
+	l.forgetMoves(now.Add(-l.params.Wait(memory)))
+	for _, m := range moves {
+		m.At = now
+		m.first = now
+		l.addMove(m, window/mergeParts)
+	}
+}
+
+func (l *Ledger) forgetMoves(before time.Time) {
+	kept := l.moves[:0]
+	for _, m := range l.moves {
+		if !m.At.Before(before) {
+			kept = append(kept, m)
+		}
+	}
+	l.moves = kept
+}
+
+// addMove merges a move into a like one that is recent. The merged move counts
+// as made at the later time, so that none is forgotten early.
+func (l *Ledger) addMove(m Move, within time.Duration) {
+	for i := range l.moves {
+		old := &l.moves[i]
+		if old.like(m) && m.At.Sub(old.first) < within {
+			old.Delta += m.Delta
+			old.At = m.At
+			return
+		}
+	}
+	l.moves = append(l.moves, m)
+}
+
+func (m *Move) like(n Move) bool {
+	return m.Service == n.Service && m.Caller == n.Caller && m.Place == n.Place &&
+		m.Cause == n.Cause && (m.Delta < 0) == (n.Delta < 0)
+}
+
+// Unsaved reports whether a plan is not in the store yet.
+func (l *Ledger) Unsaved() bool { return l.newPlan }
+
+func (l *Ledger) encodeMoves(now time.Time) []*peerpb.LedgerMove {
+	moves := make([]*peerpb.LedgerMove, 0, len(l.moves))
+	for _, m := range l.moves {
+		moves = append(moves, &peerpb.LedgerMove{
+			AgeMs:   uint32(max(now.Sub(m.At).Milliseconds(), 0)),
+			Service: string(m.Service),
+			Caller:  string(m.Caller),
+			Place:   string(m.Place),
+			Delta:   m.Delta,
+			Cause:   uint32(m.Cause),
+		})
+	}
+	return moves
+}
+
+// loadMoves takes over what the last decider moved. A move is at least as old
+// as it was when the record was written; how long ago that was is not known,
+// so it counts as no older. The age is shortened by the margin for clock rates.
+func (l *Ledger) loadMoves(stored []*peerpb.LedgerMove, now time.Time) {
+	if l.params.Faults.ForgetMoves {
+		return
+	}
+	for _, m := range stored {
+		age := time.Duration(float64(m.AgeMs)*(1-l.params.ClockMargin)) * time.Millisecond
+		l.moves = append(l.moves, Move{
+			At:      now.Add(-age),
+			first:   now.Add(-age),
+			Service: model.ServiceName(m.Service),
+			Caller:  model.RegionName(m.Caller),
+			Place:   model.PlaceName(m.Place),
+			Delta:   m.Delta,
+			Cause:   uint8(m.Cause),
+		})
+	}
+}
--- /dev/null
+++ b/control/ledger/record.go
@@ -0,0 +1,154 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/yuccaroute/yuccaroute/api/grant"
+	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/api/peerpb"
+)
+
+// ErrSuperseded tells that the stored ledger is of a newer epoch than the
+// reader's: another decider has taken over.
+var ErrSuperseded = errors.New("ledger: a newer decider has written")
+
+// Stamp names one write of a ledger.
+type Stamp struct {
+	Epoch, Write uint64
+}
+
+// StampOf reads the stamp of a stored ledger, by which the writer of a write
+// with a lost answer finds out whether it took effect.
+func StampOf(value []byte) (Stamp, error) {
+	record, err := parse(value)
+	if err != nil {
+		return Stamp{}, err
+	}
+	return Stamp{Epoch: record.Epoch, Write: record.Write}, nil
+}
+
+// Stamp returns the stamp of the last write proposed.
+func (l *Ledger) Stamp() Stamp { return Stamp{Epoch: l.epoch, Write: l.write} }
+
+func parse(value []byte) (*peerpb.LedgerRecord, error) {
+	record := &peerpb.LedgerRecord{}
+	if err := proto.Unmarshal(value, record); err != nil {
+		return nil, errors.Wrap(err, "ledger: stored record")
+	}
+	return record, nil
+}
+
+func (l *Ledger) encode(next map[grant.NodeID][]Amounts, gone map[grant.NodeID]bool, now time.Time) []byte {
+	record := &peerpb.LedgerRecord{
+		Epoch:          l.epoch,
+		Write:          l.write,
+		ConfigRevision: l.revision,
+		Plan:           l.plan.Body,
+		PlanSequence:   l.plan.Sequence,
+	}
+	for _, key := range l.keys {
+		record.Keys = append(record.Keys, &peerpb.LedgerKey{Service: string(key.Service), Place: string(key.Place)})
+	}
+	regions := make(map[model.RegionName]uint32)
+	for _, h := range l.order {
+		if gone[h.node.ID] {
+			continue
+		}
+		record.Nodes = append(record.Nodes, encodeNode(h.node, next[h.node.ID], regions, record))
+	}
+	record.Moves = l.encodeMoves(now)
+	value, err := proto.Marshal(record)
+	if err != nil {
+		// Only invalid UTF-8 in a name can cause this, and names are checked
+		// where they enter.
+		return nil
+	}
+	return value
+}
+
+func encodeNode(node Node, amounts []Amounts, regions map[model.RegionName]uint32, record *peerpb.LedgerRecord) *peerpb.LedgerNode {
+	region, ok := regions[node.Region]
+	if !ok {
+		region = uint32(len(record.Regions))
+		regions[node.Region] = region
+		record.Regions = append(record.Regions, string(node.Region))
+	}
+	n := &peerpb.LedgerNode{
+		Vm:          node.ID.VM,
+		Incarnation: node.ID.Incarnation,
+		Address:     node.Address,
+		Region:      region,
+		Listed:      node.Listed,
+	}
+	var floors, surpluses grant.Amount
+	for _, a := range amounts {
+		floors += a.Floor
+		surpluses += a.Surplus
+	}
+	for _, a := range amounts {
+		if floors > 0 {
+			n.Floors = append(n.Floors, uint64(a.Floor))
+		}
+		if surpluses > 0 {
+			n.Surpluses = append(n.Surpluses, uint64(a.Surplus))
+		}
+	}
+	return n
+}
+
+// Load is the takeover of a stored ledger by a new decider at now. Every
+// surplus counts as in force for one full time to live from now, because the
+// last decider may have given it until the moment its lease ended.
+func Load(value []byte, params Params, epoch uint64, limits *Limits, now time.Time) (*Ledger, error) {
+	record, err := parse(value)
+	if err != nil {
+		return nil, err
+	}
+	if record.Epoch >= epoch {
+		return nil, ErrSuperseded
+	}
+	l := New(params, epoch, &Limits{})
+	l.revision = record.ConfigRevision
+	for _, key := range record.Keys {
+		l.addKey(Key{Service: model.ServiceName(key.Service), Place: model.PlaceName(key.Place)})
+	}
+	l.SetLimits(limits)
+	for _, n := range record.Nodes {
+		if int(n.Region) >= len(record.Regions) {
+			return nil, errors.Errorf("ledger: node %s has no region", n.Vm)
+		}
+		l.loadNode(n, model.RegionName(record.Regions[n.Region]), now)
+	}
+	l.loadMoves(record.Moves, now)
+	l.plan = Plan{Body: record.Plan, Sequence: record.PlanSequence}
+	return l, nil
+}
+
+func (l *Ledger) loadNode(n *peerpb.LedgerNode, region model.RegionName, now time.Time) {
+	h := l.add(Node{
+		ID:      grant.NodeID{VM: n.Vm, Incarnation: n.Incarnation},
+		Region:  region,
+		Address: n.Address,
+		Listed:  n.Listed,
+	})
+	for k := range h.reserved {
+		if k < len(n.Floors) {
+			h.reserved[k].Floor = grant.Amount(n.Floors[k])
+		}
+		if k < len(n.Surpluses) {
+			h.reserved[k].Surplus = grant.Amount(n.Surpluses[k])
+		}
+	}
+	copy(h.older, h.reserved)
+	copy(h.allowed, h.reserved)
+	copy(h.wanted, h.reserved)
+	h.olderUntil = now.Add(l.params.surplusWait())
+	if l.params.Faults.ForgetSurplus {
+		h.olderUntil = now
+	}
+	// The node may have been heard by the last decider until just now.
+	h.heard = now
+}
--- /dev/null
+++ b/control/ledger/remove.go
@@ -0,0 +1,96 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/grant"
+)
+
+// Listed is one entry VM as the VM list shows it.
+type Listed struct {
+	VM, Address string
+}
+
+// Observe takes in a reading of the VM list. Sequence must be above 0. Only a
+// list at least as new as one that showed a node can tell that it is gone: a
+// decider whose list lags behind its predecessor's would take a new VM for an
+// ended one.
+func (l *Ledger) Observe(list []Listed, sequence uint64, now time.Time) {
+	shown := make(map[Listed]bool, len(list))
+	for _, v := range list {
+		shown[v] = true
+	}
+	for _, h := range l.order {
+		if shown[Listed{VM: h.node.ID.VM, Address: h.node.Address}] {
+			h.node.Listed = max(h.node.Listed, sequence)
+			h.unlisted = time.Time{}
+			continue
+		}
+		if sequence < h.node.Listed || !h.unlisted.IsZero() {
+			continue
+		}
+		h.unlisted = now
+	}
+}
+
+// removable returns the nodes whose floors may be given to others.
+func (l *Ledger) removable(now time.Time) map[grant.NodeID]bool {
+	var gone map[grant.NodeID]bool
+	for _, h := range l.order {
+		if !l.ended(h, now) {
+			continue
+		}
+		if gone == nil {
+			gone = make(map[grant.NodeID]bool)
+		}
+		gone[h.node.ID] = true
+	}
+	return gone
+}
+
+// ended reports whether a node has certainly ended or holds nothing. Silence
+// alone proves nothing: a node that is cut off goes on with its floors.
+func (l *Ledger) ended(h *holding, now time.Time) bool {
+	if l.params.Faults.FreeSilentFloors {
+		return !now.Before(h.latestUntil) && !now.Before(h.olderUntil)
+	}
+	wait := l.params.Wait(l.params.RemovalTime)
+	if now.Sub(h.heard) < wait {
+		return false
+	}
+	if l.holdsNothing(h, now) {
+		return true
+	}
+	if !h.unlisted.IsZero() && now.Sub(h.unlisted) >= wait {
+		return true
+	}
+	return l.succeeded(h, now, wait)
+}
+
+func (l *Ledger) holdsNothing(h *holding, now time.Time) bool {
+	for k := range l.keys {
+		if h.inForce(k, now) != (Amounts{}) {
+			return false
+		}
+	}
+	return true
+}
+
+// succeeded reports whether another life of the same VM at the same address
+// has been heard for the removal time while this one was silent. The VM list
+// goes on to show the VM, so it can never tell that the first life ended, and
+// its floors would be lost for good. Both lives share the network of the VM,
+// so the silent one has ended or is not scheduled, and a process that was not
+// scheduled for so long drops its floors by itself.
+func (l *Ledger) succeeded(h *holding, now time.Time, wait time.Duration) bool {
+	for _, o := range l.order {
+		if o == h || o.node.ID.VM != h.node.ID.VM || o.node.Address != h.node.Address {
+			continue
+		}
+		recent := now.Sub(o.heard) < l.params.SurplusTTL
+		if recent && o.first.After(h.heard) && now.Sub(o.first) >= wait {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/control/server.go
@@ -0,0 +1,37 @@
+package control
+
+import (
+	"context"
+
+	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/api/peerpb"
+	"github.com/yuccaroute/yuccaroute/api/result"
+)
+
+// server answers other nodes.
+type server struct {
+	peerpb.UnimplementedControlServer
+	system *System
+}
+
+// Renew implements the Control service.
+func (s *server) Renew(_ context.Context, request *peerpb.RenewRequest) (*peerpb.RenewResponse, error) {
+	a := s.system.account(model.AccountName(request.Account))
+	if a == nil {
+		return &peerpb.RenewResponse{Code: uint32(result.UnknownAccount)}, nil
+	}
+	response := a.decider.Renew(request)
+	if response.Code == uint32(result.NotLeader) {
+		response.Decider, _, _ = s.system.options.DeciderOf(a.name)
+	}
+	return response, nil
+}
+
+// Lend implements the Control service.
+func (s *server) Lend(_ context.Context, request *peerpb.LendRequest) (*peerpb.LendResponse, error) {
+	a := s.system.account(model.AccountName(request.Account))
+	if a == nil {
+		return &peerpb.LendResponse{Code: uint32(result.UnknownAccount)}, nil
+	}
+	return a.holder.Lend(request), nil
+}
--- /dev/null
+++ b/control/system.go
@@ -0,0 +1,186 @@
+// Package control is a node's share of the control work: it holds the grants
+// of this node for every client account, and decides for the accounts whose
+// lease this node holds.
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/api/observe"
+	"github.com/yuccaroute/yuccaroute/api/peerpb"
+	"github.com/yuccaroute/yuccaroute/control/decider"
+	"github.com/yuccaroute/yuccaroute/control/holder"
+)
+
+// System is the control part of one node.
+type System struct {
+	options Options
+	refBody []byte
+
+	mu       sync.Mutex
+	accounts map[model.AccountName]*account
+	running  sync.WaitGroup
+}
+
+// New returns a control part that is not running.
+func New(options Options) (*System, error) {
+	options = options.withDefaults()
+	if err := options.check(); err != nil {
+		return nil, err
+	}
+	body, err := encodeRef(options.Ref)
+	if err != nil {
+		return nil, err
+	}
+	return &System{
+		options:  options,
+		refBody:  body,
+		accounts: make(map[model.AccountName]*account),
+	}, nil
+}
+
+// Register adds the Control service to a gRPC server.
+func (s *System) Register(registrar grpc.ServiceRegistrar) {
+	peerpb.RegisterControlServer(registrar, &server{system: s})
+}
+
+// period is the time between two rounds of work.
+const period = time.Second
+
+// Run does the control work until the context ends.
+func (s *System) Run(ctx context.Context) error {
+	defer s.running.Wait()
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	last := s.options.Clock()
+	for {
+		now := s.options.Clock()
+		s.round(ctx, now.Sub(last))
+		last = now
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// round starts the work of all accounts. An account whose last step still
+// waits for the store is left out, so that none delays another.
+func (s *System) round(ctx context.Context, interval time.Duration) {
+	reports := s.reports(interval)
+	for _, a := range s.refresh() {
+		a.holder.Tick()
+		s.report(ctx, a, reports[a.name])
+		s.decide(ctx, a)
+	}
+}
+
+func (s *System) reports(interval time.Duration) map[model.AccountName]observe.Report {
+	reports := make(map[model.AccountName]observe.Report)
+	for _, r := range s.options.Reports(interval) {
+		reports[r.Account] = r
+	}
+	return reports
+}
+
+// refresh takes the accounts in force into use. An account that is gone from
+// the configuration keeps its control work, so that its grants are accounted
+// for; with no configuration it makes no decisions.
+func (s *System) refresh() []*account {
+	configured := s.options.Accounts()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range configured {
+		a := s.accounts[c.Name]
+		if a == nil {
+			a = newAccount(s, c.Name)
+			s.accounts[c.Name] = a
+		}
+		a.configured.Store(c)
+	}
+	all := make([]*account, 0, len(s.accounts))
+	for _, a := range s.accounts {
+		all = append(all, a)
+	}
+	return all
+}
+
+func (s *System) report(ctx context.Context, a *account, report observe.Report) {
+	if !a.holder.Due() {
+		return
+	}
+	s.running.Go(func() { a.holder.Report(ctx, report, s.options.Leaving()) })
+}
+
+func (s *System) decide(ctx context.Context, a *account) {
+	if !a.stepping.CompareAndSwap(false, true) {
+		return
+	}
+	s.running.Go(func() {
+		defer a.stepping.Store(false)
+		a.step(ctx)
+	})
+}
+
+func (s *System) account(name model.AccountName) *account {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.accounts[name]
+}
+
+// Explain returns why the last plan of an account is what it is; ok is false
+// when this node does not decide for it.
+func (s *System) Explain(name model.AccountName) (explanation any, ok bool) {
+	a := s.account(name)
+	if a == nil {
+		return nil, false
+	}
+	status := a.decider.Status()
+	return status.Explanation, status.Deciding
+}
+
+// AccountStatus is what operators see of the control work of one account.
+type AccountStatus struct {
+	Account model.AccountName
+	Decider decider.Status
+	Holder  holder.Status
+}
+
+// Status returns the state of all accounts.
+func (s *System) Status() []AccountStatus {
+	s.mu.Lock()
+	accounts := make([]*account, 0, len(s.accounts))
+	for _, a := range s.accounts {
+		accounts = append(accounts, a)
+	}
+	s.mu.Unlock()
+	var all []AccountStatus
+	for _, a := range accounts {
+		all = append(all, AccountStatus{Account: a.name, Decider: a.decider.Status(), Holder: a.holder.Status()})
+	}
+	sortStatus(all)
+	return all
+}
+
+// Stop gives back the leases and the grants of this node, so that others go on
+// at once; call it after the node takes no new requests. Run must still be
+// running, and no decision is started after it.
+func (s *System) Stop(ctx context.Context) {
+	s.mu.Lock()
+	accounts := make([]*account, 0, len(s.accounts))
+	for _, a := range s.accounts {
+		accounts = append(accounts, a)
+	}
+	s.mu.Unlock()
+	var stops sync.WaitGroup
+	for _, a := range accounts {
+		stops.Go(func() { a.stop(ctx) })
+	}
+	stops.Wait()
+}
