settings: default paths of the platform as its adapters use them

Cause: the defaults of the two path settings were not the paths that the adapters httpkv and httplist use, so a node with default settings got 404. Change: the defaults, and vm_list_path in place of vm_list_path_prefix, as the list has one path. Measured: settings tests pass. Conclusion: a settings file may leave both out.

--- a/config/settings/load.go
+++ b/config/settings/load.go
@@ -92,7 +92,7 @@
 		Store:            address(v, sectionPlatform, keyStore),
 		VMList:           address(v, sectionPlatform, keyVMList),
 		StorePathPrefix:  v.Text(sectionPlatform, "", keyStorePath),
-		VMListPathPrefix: v.Text(sectionPlatform, "", keyVMListPath),
+		VMListPath: v.Text(sectionPlatform, "", keyVMListPath),
 		CallTimeout:      v.Duration(sectionPlatform, "", keyCallTimeout, time.Millisecond),
 		WatchTimeout:     v.Duration(sectionPlatform, "", keyWatchTimeout, time.Millisecond),
 		ReadsPerSecond:   v.Number(sectionPlatform, "", keyReads),
--- a/config/settings/schema.go
+++ b/config/settings/schema.go
@@ -26,7 +26,7 @@
 	keyStore             = "store"
 	keyVMList            = "vm_list"
 	keyStorePath         = "store_path_prefix"
-	keyVMListPath        = "vm_list_path_prefix"
+	keyVMListPath        = "vm_list_path"
 	keyCallTimeout       = "call_timeout_ms"
 	keyWatchTimeout      = "watch_timeout_ms"
 	keyReads             = "reads_per_second"
@@ -74,8 +74,8 @@
 	{Kind: sectionPlatform, Keys: []inifile.KeySpec{
 		{Name: keyStore, Value: inifile.Address{}, Required: true},
 		{Name: keyVMList, Value: inifile.Address{}, Required: true},
-		{Name: keyStorePath, Value: inifile.PathKind, Default: "/v1"},
-		{Name: keyVMListPath, Value: inifile.PathKind, Default: "/v1"},
+		{Name: keyStorePath, Value: inifile.PathKind, Default: "/kv/v1"},
+		{Name: keyVMListPath, Value: inifile.PathKind, Default: "/vms/v1"},
 		{Name: keyCallTimeout, Value: timeout, Default: "2000"},
 		{Name: keyWatchTimeout, Value: timeout, Default: "30000"},
 		{Name: keyReads, Value: callRate, Default: "50"},
--- a/config/settings/settings.go
+++ b/config/settings/settings.go
@@ -38,9 +38,9 @@
 type Platform struct {
 	Store  netip.AddrPort
 	VMList netip.AddrPort
-	// StorePathPrefix and VMListPathPrefix stand before every path of the
-	// service.
-	StorePathPrefix, VMListPathPrefix string
+	// StorePathPrefix stands before every path of the key-value service;
+	// VMListPath answers the list of VMs.
+	StorePathPrefix, VMListPath string
 	// CallTimeout bounds one call; WatchTimeout bounds one waiting watch.
 	CallTimeout, WatchTimeout time.Duration
 	// ReadsPerSecond and WritesPerSecond bound this node's calls.
