Let a refusal hold back its own request only

Cause: every refusal that may be repeated carries Yucca-Retry-After-Ms, so one refused request kept all others of the caller from that entry VM. Change: the time holds for the refused request; only an entry VM that does not answer or is leaving is passed over by all. Measured: go test -race passes; TestRetryAfterIsHonoured now also checks that nothing is sent before the time. Conclusion: callers go on using an entry VM that refuses now and then.

--- a/client/choose.go
+++ b/client/choose.go
@@ -15,8 +15,9 @@
 type choice struct {
 	entry Entry
 	tried bool
-	// failed and asked are what is left of its holds.
-	failed, asked time.Duration
+	// back is how long the entry VM asked this request to stay away, held how
+	// long it is passed over for all.
+	back, held time.Duration
 }
 
 // before reports whether a is to be used before b, where a comes later in the
@@ -25,10 +26,10 @@
 	if a.tried != b.tried {
 		return !a.tried
 	}
-	if a.asked != b.asked {
-		return a.asked < b.asked
+	if a.back != b.back {
+		return a.back < b.back
 	}
-	return a.failed < b.failed
+	return a.held < b.held
 }
 
 // choose returns the entry VM to use next, after waiting until it may be used.
@@ -39,11 +40,11 @@
 		return Entry{}, err
 	}
 	best := e.best(entries)
-	wait := best.asked
-	if best.tried {
-		wait = max(wait, e.client.jitter.between(minRepeatPause, maxRepeatPause))
+	if !best.tried {
+		return best.entry, ctx.Err()
 	}
-	return best.entry, pause(ctx, wait)
+	wait := e.client.jitter.between(minRepeatPause, maxRepeatPause)
+	return best.entry, pause(ctx, max(wait, best.back))
 }
 
 func (e *exchange) best(entries []Entry) choice {
@@ -58,8 +59,12 @@
 }
 
 func (e *exchange) consider(entry Entry) choice {
-	failed, asked := e.client.holds.left(entry.Address, e.request.Service)
-	return choice{entry: entry, tried: e.tried[entry.Address], failed: failed, asked: asked}
+	again, tried := e.tried[entry.Address]
+	c := choice{entry: entry, tried: tried, held: e.client.holds.left(entry.Address)}
+	if tried {
+		c.back = max(0, time.Until(again))
+	}
+	return c
 }
 
 func pause(ctx context.Context, wait time.Duration) error {
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -226,7 +226,7 @@
 		f := &fakeVMs{}
 		f.lookup = func(int) (string, error) { return `{"lifetime_ms":60000,"entry_vms":[{"address":"a:1"}]}`, nil }
 		f.serve = func(_ string, n int) (*http.Response, error) {
-			if n > 1 {
+			if n > 2 {
 				return answerOf(result.OK, "", 0), nil
 			}
 			refusal := answerOf(result.NoCapacity, "", 0)
@@ -235,15 +235,18 @@
 		}
 		client := fakeClient(t, f)
 		defer client.Close()
+		start := time.Now()
 		if answer, _ := client.Do(context.Background(), Request{Deadline: time.Second}); answer.Outcome != result.NotRun {
 			t.Errorf("outcome %v, want not-run", answer.Outcome)
 		}
-		start := time.Now()
+		if waited := time.Since(start); waited != 0 || len(f.sent) != 1 {
+			t.Errorf("waited %v, sent %d; want 0 and 1", waited, len(f.sent))
+		}
 		if _, err := client.Do(context.Background(), Request{Deadline: 10 * time.Second}); err != nil {
 			t.Error(err)
 		}
-		if waited := time.Since(start); waited < 5*time.Second || len(f.sent) != 2 {
-			t.Errorf("waited %v, sent %d; want 5 s and 2", waited, len(f.sent))
+		if waited := time.Since(start); waited < 5*time.Second || len(f.sent) != 3 {
+			t.Errorf("waited %v, sent %d; want 5 s and 3", waited, len(f.sent))
 		}
 	})
 }
--- a/client/do.go
+++ b/client/do.go
@@ -14,7 +14,8 @@
 type exchange struct {
 	client   *Client
 	request  *Request
-	tried    map[string]bool
+	// tried holds the entry VMs used, and when each may be used again.
+	tried    map[string]time.Time
 	attempts int
 }
 
@@ -29,7 +30,7 @@
 	ctx, cancel := context.WithTimeout(ctx, orDefault(r.Deadline, c.options.Timeout))
 	defer cancel()
 	c.budget.fresh()
-	e := &exchange{client: c, request: &r, tried: make(map[string]bool)}
+	e := &exchange{client: c, request: &r, tried: make(map[string]time.Time)}
 	last := e.run(ctx)
 	last.answer.Attempts = e.attempts
 	if last.answer.Outcome == result.Ran {
@@ -69,7 +70,7 @@
 
 func (e *exchange) send(ctx context.Context, entry Entry) attempt {
 	e.attempts++
-	e.tried[entry.Address] = true
+	e.tried[entry.Address] = time.Time{}
 	ctx, cancel := e.attemptContext(ctx)
 	defer cancel()
 	a := e.client.attempt(ctx, entry, e.request)
@@ -93,14 +94,14 @@
 	if errors.Is(a.cause, context.Canceled) {
 		return
 	}
+	e.tried[entry.Address] = time.Now().Add(a.answer.RetryAfter)
+	silent := a.answer.Status == 0 && a.cause != nil
 	switch {
-	case a.answer.RetryAfter > 0:
-		e.client.holds.ask(entry.Address, e.request.Service, a.answer.RetryAfter)
-	case a.answer.Code == result.NodeLeaving, a.answer.Status == 0 && a.cause != nil:
-		e.client.holds.fail(entry.Address)
+	case silent, a.answer.Code == result.NodeLeaving:
+		e.client.holds.add(entry.Address)
 		e.client.entries.refresh()
 	case a.answer.Outcome == result.Ran:
-		e.client.holds.free(entry.Address)
+		e.client.holds.remove(entry.Address)
 	}
 }
 
