--- a/client/do.go
+++ b/client/do.go
@@ -12,8 +12,8 @@
 
 // exchange is the course of one request over its attempts.
 type exchange struct {
-	client   *Client
-	request  *Request
+	client  *Client
+	request *Request
 	// tried holds the entry VMs used, and when each may be used again.
 	tried    map[string]time.Time
 	attempts int
