--- a/standin/platform/contract_test.go
+++ b/standin/platform/contract_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/yuccaroute/yuccaroute/httpserver"
 	"github.com/yuccaroute/yuccaroute/standin/platform"
 	"github.com/yuccaroute/yuccaroute/store"
 	"github.com/yuccaroute/yuccaroute/store/httpkv"
@@ -16,6 +17,7 @@
 
 func start(t *testing.T, options platform.Options) *platform.Server {
 	t.Helper()
+	httpserver.QuietLibraryLogs()
 	options.Address = "127.0.0.1:0"
 	s := platform.New(options)
 	if err := s.Start(); err != nil {
