--- a/config/changelog/changelog_test.go
+++ b/config/changelog/changelog_test.go
@@ -275,3 +275,29 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+// TestLostThenOvertaken: a swap is lost on its way, and before the operator's
+// node reads the head again somebody else changes the account. The lost swap
+// can never take effect then, so the operator must be told "not made, and this
+// is who was first", not "unknown".
+func TestLostThenOvertaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		inner := memkv.New(memkv.Options{})
+		other := changelog.New(inner, changelog.Options{})
+		seed(t, other)
+		lost := swaps(faultkv.Decision{Fault: faultkv.Drop})
+		kv := faultkv.New(inner, func(c faultkv.Call) faultkv.Decision {
+			decision := lost(c)
+			if decision.Fault == faultkv.Drop {
+				mustApply(t, other, accountChange("change-06", withWeight("0.6"), 2))
+			}
+			return decision
+		})
+		log := changelog.New(kv, changelog.Options{})
+		_, err := log.Apply(t.Context(), accountChange("change-07", withWeight("0.7"), 2))
+		var conflict *changelog.ConflictError
+		if !errors.As(err, &conflict) || conflict.Changes[0].ID != "change-06" {
+			t.Errorf("got %v", err)
+		}
+	})
+}
--- a/config/settings/load.go
+++ b/config/settings/load.go
@@ -89,16 +89,16 @@
 
 func platform(v *inifile.View) Platform {
 	return Platform{
-		Store:            address(v, sectionPlatform, keyStore),
-		VMList:           address(v, sectionPlatform, keyVMList),
-		StorePathPrefix:  v.Text(sectionPlatform, "", keyStorePath),
-		VMListPath: v.Text(sectionPlatform, "", keyVMListPath),
-		CallTimeout:      v.Duration(sectionPlatform, "", keyCallTimeout, time.Millisecond),
-		WatchTimeout:     v.Duration(sectionPlatform, "", keyWatchTimeout, time.Millisecond),
-		ReadsPerSecond:   v.Number(sectionPlatform, "", keyReads),
-		WritesPerSecond:  v.Number(sectionPlatform, "", keyWrites),
-		VMListInterval:   v.Duration(sectionPlatform, "", keyVMListInterval, time.Millisecond),
-		Watchers:         int(v.Whole(sectionPlatform, "", keyWatchers)),
+		Store:           address(v, sectionPlatform, keyStore),
+		VMList:          address(v, sectionPlatform, keyVMList),
+		StorePathPrefix: v.Text(sectionPlatform, "", keyStorePath),
+		VMListPath:      v.Text(sectionPlatform, "", keyVMListPath),
+		CallTimeout:     v.Duration(sectionPlatform, "", keyCallTimeout, time.Millisecond),
+		WatchTimeout:    v.Duration(sectionPlatform, "", keyWatchTimeout, time.Millisecond),
+		ReadsPerSecond:  v.Number(sectionPlatform, "", keyReads),
+		WritesPerSecond: v.Number(sectionPlatform, "", keyWrites),
+		VMListInterval:  v.Duration(sectionPlatform, "", keyVMListInterval, time.Millisecond),
+		Watchers:        int(v.Whole(sectionPlatform, "", keyWatchers)),
 	}
 }
 
