spread: carry items from watchers through relays to every node

Cause: an accepted change must be in force on every node within seconds and never go back, whatever relays, watchers and the store do.

--- /dev/null
+++ b/spread/convert.go
@@ -0,0 +1,76 @@
+package spread
+
+import (
+	"unicode/utf8"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccaroute/yuccaroute/api/peerpb"
+	"github.com/yuccaroute/yuccaroute/spread/item"
+)
+
+// Limits of an item.
+const (
+	MaxKeyBytes  = 1 << 10
+	MaxBodyBytes = 1 << 20
+)
+
+// chunkBytes is how many bytes of items go into one message before the next
+// is begun.
+const chunkBytes = 256 << 10
+
+// itemOverheadBytes is the size of an item on the wire without key and body.
+const itemOverheadBytes = 40
+
+// check refuses an item that can't be sent to others.
+func check(key string, body []byte) error {
+	if key == "" || len(key) > MaxKeyBytes || !utf8.ValidString(key) {
+		return errors.Errorf("spread: key %q is empty, too long or not UTF-8", key)
+	}
+	if len(body) > MaxBodyBytes {
+		return errors.Errorf("spread: item %s has %d bytes, at most %d are permitted", key, len(body), MaxBodyBytes)
+	}
+	return nil
+}
+
+func toProto(it item.Item) *peerpb.Item {
+	return &peerpb.Item{Version: versionOf(it), Body: it.Body, Deleted: it.Deleted}
+}
+
+func versionOf(it item.Item) *peerpb.Version {
+	return &peerpb.Version{Key: it.Key, Epoch: it.Epoch, Sequence: it.Sequence, Sum: it.Sum}
+}
+
+// fromProto rebuilds an item; its sum is computed anew, not believed.
+func fromProto(p *peerpb.Item) (item.Item, error) {
+	v := p.GetVersion()
+	if err := check(v.GetKey(), p.GetBody()); err != nil {
+		return item.Item{}, err
+	}
+	body := p.GetBody()
+	if p.GetDeleted() {
+		body = nil
+	} else if body == nil {
+		body = []byte{}
+	}
+	return item.New(v.GetKey(), v.GetEpoch(), v.GetSequence(), body), nil
+}
+
+// chunks divides items into messages of bounded size.
+func chunks(items []item.Item) [][]*peerpb.Item {
+	var out [][]*peerpb.Item
+	var part []*peerpb.Item
+	size := 0
+	for _, it := range items {
+		if size >= chunkBytes {
+			out = append(out, part)
+			part, size = nil, 0
+		}
+		part = append(part, toProto(it))
+		size += len(it.Key) + len(it.Body) + itemOverheadBytes
+	}
+	if len(part) > 0 {
+		out = append(out, part)
+	}
+	return out
+}
--- /dev/null
+++ b/spread/network_test.go
@@ -0,0 +1,238 @@
+package spread
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/yuccaroute/yuccaroute/api/peerpb"
+)
+
+const (
+	linkDelay = time.Millisecond
+	// blockPoll is how often a message looks whether its link is still cut.
+	blockPoll = 50 * time.Millisecond
+)
+
+// network carries calls between nodes in memory, with a delay, and counts
+// their messages.
+type network struct {
+	mu    sync.Mutex
+	nodes map[string]peerpb.SpreadServer
+	// lives holds for each address a context that ends with the process.
+	lives map[string]context.Context
+	// blocked tells that a message gets no further for now: its receiver
+	// hangs, or the link is cut. Nothing shows an error.
+	blocked func(from, to string) bool
+	// delay returns the extra delay of Updates.
+	delay    func(from, to string) time.Duration
+	messages map[string]int
+	bytes    int
+}
+
+func newNetwork() *network {
+	return &network{
+		nodes:    map[string]peerpb.SpreadServer{},
+		lives:    map[string]context.Context{},
+		blocked:  func(string, string) bool { return false },
+		delay:    func(string, string) time.Duration { return 0 },
+		messages: map[string]int{},
+	}
+}
+
+// endpoint registers a node's server.
+type endpoint struct {
+	net     *network
+	address string
+}
+
+func (e endpoint) RegisterService(_ *grpc.ServiceDesc, impl any) {
+	e.net.mu.Lock()
+	defer e.net.mu.Unlock()
+	e.net.nodes[e.address] = impl.(peerpb.SpreadServer)
+}
+
+func (n *network) setBlocked(f func(from, to string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.blocked = f
+}
+
+func (n *network) setDelay(f func(from, to string) time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.delay = f
+}
+
+func (n *network) server(address string) (peerpb.SpreadServer, context.Context, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	life, ok := n.lives[address]
+	if !ok || life.Err() != nil {
+		return nil, nil, status.Error(codes.Unavailable, "connection refused")
+	}
+	return n.nodes[address], life, nil
+}
+
+// carry takes one message over the link.
+func (n *network) carry(ctx context.Context, kind, from, to string, m proto.Message) error {
+	for {
+		n.mu.Lock()
+		blocked := n.blocked(from, to)
+		n.mu.Unlock()
+		if !blocked {
+			break
+		}
+		if !sleep(ctx, blockPoll) {
+			return status.FromContextError(ctx.Err()).Err()
+		}
+	}
+	n.mu.Lock()
+	n.messages[kind]++
+	n.bytes += proto.Size(m)
+	n.mu.Unlock()
+	if !sleep(ctx, linkDelay) {
+		return status.FromContextError(ctx.Err()).Err()
+	}
+	return nil
+}
+
+// counted returns the messages since the last call.
+func (n *network) counted() map[string]int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := n.messages
+	n.messages = map[string]int{}
+	return out
+}
+
+// link is a connection from one node to another.
+type link struct {
+	net      *network
+	from, to string
+}
+
+func (l link) Invoke(ctx context.Context, method string, args, reply any, _ ...grpc.CallOption) error {
+	server, life, err := l.net.server(l.to)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := either(ctx, life)
+	defer cancel()
+	if err := l.net.carry(ctx, "request", l.from, l.to, args.(proto.Message)); err != nil {
+		return err
+	}
+	var res proto.Message
+	switch method {
+	case peerpb.Spread_Compare_FullMethodName:
+		res, err = server.Compare(ctx, proto.Clone(args.(proto.Message)).(*peerpb.CompareRequest))
+	case peerpb.Spread_Survey_FullMethodName:
+		res, err = server.Survey(ctx, args.(*peerpb.SurveyRequest))
+	}
+	if err != nil {
+		return err
+	}
+	if err := l.net.carry(ctx, "answer", l.to, l.from, res); err != nil {
+		return err
+	}
+	proto.Merge(reply.(proto.Message), res)
+	return nil
+}
+
+func (l link) NewStream(ctx context.Context, _ *grpc.StreamDesc, _ string, _ ...grpc.CallOption) (grpc.ClientStream, error) {
+	server, life, err := l.net.server(l.to)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := either(ctx, life)
+	return &clientStream{link: l, ctx: ctx, cancel: cancel, server: server, updates: make(chan *peerpb.Update)}, nil
+}
+
+// either returns a context that ends with the first of two.
+func either(a, b context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(a)
+	stop := context.AfterFunc(b, cancel)
+	return ctx, func() { stop(); cancel() }
+}
+
+// clientStream is the subscriber's end, serverStream the relay's.
+type clientStream struct {
+	link    link
+	ctx     context.Context
+	cancel  context.CancelFunc
+	server  peerpb.SpreadServer
+	updates chan *peerpb.Update
+	ended   error
+}
+
+type serverStream struct{ *clientStream }
+
+func (s *clientStream) SendMsg(m any) error {
+	req := m.(*peerpb.SubscribeRequest)
+	go func() {
+		defer s.cancel()
+		defer close(s.updates)
+		if s.ended = s.link.net.carry(s.ctx, "subscribe", s.link.from, s.link.to, req); s.ended != nil {
+			return
+		}
+		stream := &grpc.GenericServerStream[peerpb.SubscribeRequest, peerpb.Update]{ServerStream: serverStream{s}}
+		s.ended = s.server.Subscribe(req, stream)
+	}()
+	return nil
+}
+
+func (s serverStream) SendMsg(m any) error {
+	u := proto.Clone(m.(proto.Message)).(*peerpb.Update)
+	l := s.link
+	kind := "heartbeat"
+	if len(u.Items) > 0 {
+		kind = "update"
+	}
+	if err := l.net.carry(s.ctx, kind, l.to, l.from, u); err != nil {
+		return err
+	}
+	l.net.mu.Lock()
+	delay := l.net.delay(l.to, l.from)
+	l.net.mu.Unlock()
+	if !sleep(s.ctx, delay) {
+		return s.ctx.Err()
+	}
+	select {
+	case s.updates <- u:
+		return nil
+	case <-s.ctx.Done():
+		return s.ctx.Err()
+	}
+}
+
+func (s *clientStream) RecvMsg(m any) error {
+	select {
+	case u, ok := <-s.updates:
+		if !ok {
+			if s.ended == nil {
+				return io.EOF
+			}
+			return s.ended
+		}
+		proto.Merge(m.(proto.Message), u)
+		return nil
+	case <-s.ctx.Done():
+		return status.FromContextError(s.ctx.Err()).Err()
+	}
+}
+
+func (s *clientStream) Header() (metadata.MD, error) { return nil, nil }
+func (s *clientStream) Trailer() metadata.MD         { return nil }
+func (s *clientStream) CloseSend() error             { return nil }
+func (s *clientStream) Context() context.Context     { return s.ctx }
+func (s serverStream) SetHeader(metadata.MD) error   { return nil }
+func (s serverStream) SendHeader(metadata.MD) error  { return nil }
+func (s serverStream) SetTrailer(metadata.MD)        {}
+func (s serverStream) RecvMsg(any) error             { return io.EOF }
--- /dev/null
+++ b/spread/options.go
@@ -0,0 +1,61 @@
+package spread
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc"
+
+	"github.com/yuccaroute/yuccaroute/api/peerpb"
+	"github.com/yuccaroute/yuccaroute/membership"
+)
+
+// Default durations.
+const (
+	DefaultHeartbeat    = 2 * time.Second
+	DefaultCompareEvery = 6 * time.Second
+)
+
+// Options configures a Service. Ref, Members and Dial are required.
+type Options struct {
+	// Ref names this life of the node.
+	Ref *peerpb.NodeRef
+	// Members returns the VM list as last read. It is called once a heartbeat
+	// and must not block.
+	Members func() membership.List
+	// Dial returns the connection to a peer's address. Connections are shared
+	// and owned by the dialer; see package transport for a pool.
+	Dial func(address string) (grpc.ClientConnInterface, error)
+	// Source watches the store; nil on a node that can't reach it.
+	Source Source
+	// Seed makes the jitter repeatable; nodes must differ.
+	Seed uint64
+	// Logger defaults to logrus' standard logger.
+	Logger logrus.FieldLogger
+	// Heartbeat is the time between empty Updates on an idle stream, jittered
+	// by a fifth. A stream silent for 2.5 heartbeats is given up.
+	Heartbeat time.Duration
+	// CompareEvery is the mean time between comparisons with a random peer.
+	CompareEvery time.Duration
+}
+
+// withDefaults checks the options and fills in what was left out.
+func (o Options) withDefaults() (Options, error) {
+	if o.Ref == nil || o.Ref.Vm == "" {
+		return o, errors.New("spread: options lack the node's own name")
+	}
+	if o.Members == nil || o.Dial == nil {
+		return o, errors.New("spread: options lack Members or Dial")
+	}
+	if o.Logger == nil {
+		o.Logger = logrus.StandardLogger()
+	}
+	if o.Heartbeat <= 0 {
+		o.Heartbeat = DefaultHeartbeat
+	}
+	if o.CompareEvery <= 0 {
+		o.CompareEvery = DefaultCompareEvery
+	}
+	return o, nil
+}
--- /dev/null
+++ b/spread/push.go
@@ -0,0 +1,121 @@
+package spread
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/peerpb"
+	"github.com/yuccaroute/yuccaroute/spread/topology"
+)
+
+// Pause between attempts to push while no watcher answers.
+const (
+	pushPauseMin = 200 * time.Millisecond
+	pushPauseMax = 5 * time.Second
+)
+
+// pushQueue holds the keys published here that no watcher took yet. Each is
+// held once, so the queue is bounded by the number of keys.
+type pushQueue struct {
+	mu    sync.Mutex
+	keys  map[string]struct{}
+	ready chan struct{}
+}
+
+func newPushQueue() *pushQueue {
+	return &pushQueue{keys: map[string]struct{}{}, ready: make(chan struct{}, 1)}
+}
+
+func (q *pushQueue) add(keys ...string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, key := range keys {
+		q.keys[key] = struct{}{}
+	}
+	select {
+	case q.ready <- struct{}{}:
+	default:
+	}
+}
+
+func (q *pushQueue) take() []string {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	out := make([]string, 0, len(q.keys))
+	for key := range q.keys {
+		out = append(out, key)
+	}
+	clear(q.keys)
+	return out
+}
+
+// runPush brings what was published here to a watcher, from which it reaches
+// all others. It does so on a watcher too: the others may not know it as one.
+func (s *Service) runPush(ctx context.Context) {
+	pause := pushPauseMin
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.pushes.ready:
+		}
+		keys := s.pushes.take()
+		if len(keys) == 0 || s.push(ctx, keys) {
+			pause = pushPauseMin
+			continue
+		}
+		s.pushes.add(keys...)
+		if !sleep(ctx, s.jitter(pause, jitterShare)) {
+			return
+		}
+		pause = min(2*pause, pushPauseMax)
+	}
+}
+
+// push offers the items to the watchers in turn until one took them all.
+func (s *Service) push(ctx context.Context, keys []string) bool {
+	watchers := s.plan.Load().Watchers
+	if len(watchers) == 0 {
+		return true
+	}
+	for _, m := range s.lastGoodFirst(watchers) {
+		if err := s.pushTo(ctx, m, keys); err != nil {
+			s.log.Debugf("spread: %s did not take %d items: %v", m.VM, len(keys), err)
+			continue
+		}
+		s.pushedTo = m.VM
+		return true
+	}
+	return false
+}
+
+func (s *Service) pushTo(ctx context.Context, m topology.Member, keys []string) error {
+	client, err := s.client(m)
+	if err != nil {
+		return err
+	}
+	for _, part := range chunks(s.itemsOf(keys)) {
+		if _, err := s.exchange(ctx, client, &peerpb.CompareRequest{Items: part}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// lastGoodFirst puts the watcher that answered last first, so that one which
+// hangs costs its timeout once and not with every item.
+func (s *Service) lastGoodFirst(watchers []topology.Member) []topology.Member {
+	out := make([]topology.Member, 0, len(watchers))
+	for _, m := range watchers {
+		if m.VM == s.pushedTo {
+			out = append(out, m)
+		}
+	}
+	for _, m := range watchers {
+		if m.VM != s.pushedTo {
+			out = append(out, m)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/spread/status.go
@@ -0,0 +1,104 @@
+package spread
+
+import (
+	"sort"
+	"time"
+)
+
+// Status is what the node knows at one moment.
+type Status struct {
+	VM     string
+	Role   string
+	Ready  bool
+	Items  int
+	Digest uint64
+	// Upstreams names the nodes it receives from now.
+	Upstreams []string
+	// Fed tells whether its source or an upstream leads to the store.
+	Fed bool
+	// Subscribers names the nodes that receive from it.
+	Subscribers []string
+	// Watching tells that it watches the store; SourceError is why not.
+	Watching    bool
+	SourceError string
+	// Behind lists keys of which the store offered an older state.
+	Behind []Behind
+	// Unsent is how many published items no watcher has taken yet.
+	Unsent int
+	// Peers are the nodes heard so far; one not listed was not heard.
+	Peers []PeerStatus
+}
+
+// PeerStatus is what was known of a peer when it was last heard.
+type PeerStatus struct {
+	VM          string
+	Incarnation uint64
+	// Equal tells that all items were the same HeardAge ago. It says nothing
+	// about now.
+	Equal    bool
+	HeardAge time.Duration
+	// EqualAge is the time since it was last equal, -1 if it never was.
+	EqualAge time.Duration
+}
+
+// Status returns what the node knows.
+func (s *Service) Status() Status {
+	snap := s.Snapshot()
+	out := Status{
+		VM:     s.options.Ref.Vm,
+		Role:   s.plan.Load().Role.String(),
+		Ready:  s.Ready(),
+		Items:  snap.Len(),
+		Digest: snap.Digest(),
+		Fed:    s.fed(),
+		Unsent: s.pushes.len(),
+		Peers:  s.heard.list(),
+	}
+	for _, f := range s.follows {
+		if vm, _ := f.state(); vm != "" {
+			out.Upstreams = append(out.Upstreams, vm)
+		}
+	}
+	for _, ref := range s.server.list() {
+		out.Subscribers = append(out.Subscribers, ref.Vm)
+	}
+	sort.Strings(out.Subscribers)
+	s.source.report(&out)
+	return out
+}
+
+func (r *sourceRunner) report(out *Status) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out.Watching = r.running
+	if r.failure != nil {
+		out.SourceError = r.failure.Error()
+	}
+	for _, b := range r.behind {
+		out.Behind = append(out.Behind, b)
+	}
+	sort.Slice(out.Behind, func(i, j int) bool { return out.Behind[i].Key < out.Behind[j].Key })
+}
+
+func (q *pushQueue) len() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.keys)
+}
+
+// list returns the peers heard, sorted by VM.
+func (t *heardTable) list() []PeerStatus {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]PeerStatus, 0, len(t.peers))
+	for vm, p := range t.peers {
+		status := PeerStatus{VM: vm, Incarnation: p.incarnation, Equal: p.equal, HeardAge: now.Sub(p.heardAt), EqualAge: -1}
+		if !p.equalAt.IsZero() {
+			status.EqualAge = now.Sub(p.equalAt)
+		}
+		out = append(out, status)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].VM < out[j].VM })
+	return out
+}
--- a/spread/topology/fleet.go
+++ b/spread/topology/fleet.go
@@ -1,6 +1,7 @@
 package topology
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 )
@@ -47,19 +48,23 @@
 
 // rank sorts by rendezvous score for the task, best first.
 func rank(task string, ms []Member) {
-	slices.SortFunc(ms, func(a, b Member) int {
-		sa, sb := score(task, a.VM), score(task, b.VM)
-		if sa != sb {
-			if sa > sb {
-				return -1
-			}
-			return 1
-		}
-		if a.VM < b.VM {
-			return -1
+	type scored struct {
+		score  uint64
+		member Member
+	}
+	list := make([]scored, len(ms))
+	for i, m := range ms {
+		list[i] = scored{score(task, m.VM), m}
+	}
+	slices.SortFunc(list, func(a, b scored) int {
+		if a.score != b.score {
+			return cmp.Compare(b.score, a.score)
 		}
-		return 1
+		return cmp.Compare(a.member.VM, b.member.VM)
 	})
+	for i := range list {
+		ms[i] = list[i].member
+	}
 }
 
 // chooseWatchers takes the best VM of each place, then the best of those. Two
