--- a/config/changelog/log.go
+++ b/config/changelog/log.go
@@ -40,6 +40,7 @@
 	guard   *Guard
 	now     func() time.Time
 	objects *objects
+	memory  memory
 	tries   int
 
 	mu     sync.Mutex
@@ -103,6 +104,9 @@
 	if err := l.guard.Admit(template, before, at.Sighting()); err != nil {
 		return headAt{}, err
 	}
+	if at.revision != 0 {
+		l.Remember(template, at.Head)
+	}
 	return at, nil
 }
 
--- /dev/null
+++ b/config/inifile/edit.go
@@ -0,0 +1,34 @@
+package inifile
+
+import "strings"
+
+// WithSection returns the text with one section replaced, or added at the end,
+// and leaves all else as it was written. No keys remove the section.
+// Comments right before the section's header stay.
+func WithSection(text []byte, title string, keys []Key) []byte {
+	var out []string
+	inside := false
+	for line := range strings.Lines(string(text)) {
+		if name, isHeader := headerOf(line); isHeader {
+			inside = name == title
+		}
+		if !inside {
+			out = append(out, line)
+		}
+	}
+	kept := strings.TrimRight(strings.Join(out, ""), "\n") + "\n"
+	if len(keys) == 0 {
+		return []byte(kept)
+	}
+	added := Document{Sections: []Section{{Kind: title, Keys: keys}}}
+	return []byte(kept + "\n" + string(Format(&added)))
+}
+
+func headerOf(line string) (string, bool) {
+	line = strings.TrimSpace(line)
+	if !strings.HasPrefix(line, "[") {
+		return "", false
+	}
+	name, _, _ := strings.Cut(line[1:], "]")
+	return strings.TrimSpace(name), true
+}
--- a/config/source/source.go
+++ b/config/source/source.go
@@ -132,6 +132,7 @@
 		s.logger.Errorf("config: %v; the accounts in force stay", err)
 		return nil
 	}
+	s.log.Remember(template, head)
 	for name, sequence := range head.Gone {
 		s.gone(name, changelog.Version{Epoch: head.Epoch, Sequence: sequence}, emit)
 	}
