Number the result of a store that went back

Cause: a restored store is neither out nor in conflict, and operators must tell it from both. Change: code 503 store-went-back, and its row in the table. Measured: go test ./api/... passes.

--- a/api/result/result.go
+++ b/api/result/result.go
@@ -84,6 +84,7 @@
 	StoreUnavailable    Code = 500
 	StoreUnknown        Code = 501
 	StoreConflict       Code = 502
+	StoreWentBack       Code = 503
 	InvalidSettings     Code = 600
 	Internal            Code = 900
 )
@@ -127,6 +128,7 @@
 	{StoreUnavailable, "store-unavailable", 503, NotRun, "The store did not take the call.", true},
 	{StoreUnknown, "store-unknown", 504, Unknown, "The store's answer was lost; the write may take effect now or later.", false},
 	{StoreConflict, "store-conflict", 409, NotRun, "The stored revision is not the expected one.", true},
+	{StoreWentBack, "store-went-back", 503, NotRun, "The store shows an older state than was seen before, so nothing is changed in it.", true},
 	{InvalidSettings, "invalid-settings", 0, NotRun, "A setting of the node is invalid.", false},
 	{Internal, "internal", 500, Unknown, "The node failed in a way it does not know.", false},
 }
