--- a/store/httpkv/call.go
+++ b/store/httpkv/call.go
@@ -90,10 +90,10 @@
 	return decode(op, response.StatusCode, text, answer)
 }
 
-// newRequest makes a request that net/http never sends twice: it repeats only
-// requests with an idempotent method or an Idempotency-Key, or, if nothing was
-// written, requests whose body it can rewind. This one is a POST, and its body
-// is hidden behind a type that it can't rewind.
+// newRequest makes a request that net/http never sends twice. It repeats only a
+// GET, HEAD, OPTIONS or TRACE, a request with an Idempotency-Key, and, if it
+// believes that nothing was written, one whose body it can rewind. This one is
+// a POST, and its body is hidden behind a type that it can't rewind.
 func newRequest(ctx context.Context, url string, body []byte) (*http.Request, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, io.NopCloser(bytes.NewReader(body)))
 	if err != nil {
--- a/store/lease/campaign.go
+++ b/store/lease/campaign.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -12,7 +11,7 @@
 // session is one lease at the service, and the record to be written under it.
 type session struct {
 	id     store.LeaseID
-	sent   time.Time
+	sent   instant
 	record []byte
 	token  string
 	term   *term
@@ -31,14 +30,12 @@
 		return nil, false
 	}
 	epoch, err := e.take(ctx, s)
-	if err == nil {
-		s.term = newTerm(epoch, e.options.Clock, e.safeFor(), s.sent)
-	}
-	if err != nil || !s.term.valid() {
+	if err != nil {
 		e.release(ctx, s.id)
 		e.pause(ctx)
 		return nil, false
 	}
+	s.term = newTerm(epoch, e.watch, e.safeFor(), s.sent)
 	return s, true
 }
 
@@ -87,7 +84,7 @@
 	if err != nil {
 		return nil, err
 	}
-	sent := e.options.Clock.Now()
+	sent := e.watch.now()
 	ctx, cancel := context.WithTimeout(ctx, e.callTimeout())
 	defer cancel()
 	id, err := e.options.KV.Grant(ctx, e.options.TTL)
@@ -151,5 +148,5 @@
 
 // fresh reports whether the lease just made may still be trusted.
 func (e *Election) fresh(s *session) bool {
-	return elapsed(s.sent, e.options.Clock.Now()) < e.safeFor()
+	return elapsed(s.sent, e.watch.now()) < e.safeFor()
 }
--- a/store/lease/clock.go
+++ b/store/lease/clock.go
@@ -15,12 +15,34 @@
 	return time.Now()
 }
 
-// elapsed returns the larger of what the monotonic and the wall clock say.
-// The monotonic clock may stand still while a VM is suspended, the wall clock
-// may be set back; a holder that believed the smaller one would think its
-// lease valid after the service had let it lapse.
-func elapsed(since, now time.Time) time.Duration {
-	monotonic := now.Sub(since)
-	wall := now.Round(0).Sub(since.Round(0))
-	return max(monotonic, wall)
+// instant is one moment on both clocks of a machine.
+type instant struct {
+	monotonic time.Duration
+	wall      time.Time
+}
+
+// stopwatch reads a Clock as instants.
+type stopwatch struct {
+	clock Clock
+	start time.Time
+}
+
+func newStopwatch(clock Clock) stopwatch {
+	return stopwatch{clock: clock, start: clock.Now()}
+}
+
+func (s stopwatch) now() instant {
+	now := s.clock.Now()
+	return instant{
+		monotonic: now.Sub(s.start),
+		wall:      now.Round(0),
+	}
+}
+
+// elapsed returns the larger of what the two clocks say. The monotonic clock
+// may stand still while a VM is suspended, the wall clock may be set back; a
+// holder that believed the smaller one would trust its lease after the
+// service had let it lapse.
+func elapsed(since, now instant) time.Duration {
+	return max(now.monotonic-since.monotonic, now.wall.Sub(since.wall))
 }
--- /dev/null
+++ b/store/lease/clock_test.go
@@ -0,0 +1,22 @@
+package lease
+
+import (
+	"testing"
+	"time"
+)
+
+// Story: a VM is suspended for a minute and resumed. Its monotonic clock did
+// not count that minute, the wall clock was corrected. Or an operator sets the
+// wall clock back. In both cases the lease has been running all the time.
+func TestElapsedTakesTheClockThatRan(t *testing.T) {
+	wall := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	since := instant{monotonic: time.Hour, wall: wall}
+	suspended := instant{monotonic: time.Hour, wall: wall.Add(time.Minute)}
+	if got := elapsed(since, suspended); got != time.Minute {
+		t.Errorf("after a suspension: %s, want 1m", got)
+	}
+	setBack := instant{monotonic: time.Hour + time.Minute, wall: wall.Add(-time.Hour)}
+	if got := elapsed(since, setBack); got != time.Minute {
+		t.Errorf("after the wall clock was set back: %s, want 1m", got)
+	}
+}
--- a/store/lease/election.go
+++ b/store/lease/election.go
@@ -19,6 +19,7 @@
 // Election campaigns for one key and holds it.
 type Election struct {
 	options Options
+	watch   stopwatch
 	current atomic.Pointer[term]
 
 	running    atomic.Bool
@@ -35,6 +36,7 @@
 	}
 	return &Election{
 		options:  options,
+		watch:    newStopwatch(options.Clock),
 		resigned: make(chan struct{}),
 		finished: make(chan struct{}),
 	}, nil
--- a/store/lease/hold.go
+++ b/store/lease/hold.go
@@ -34,7 +34,7 @@
 }
 
 func (e *Election) keepAlive(ctx context.Context, s *session) error {
-	sent := e.options.Clock.Now()
+	sent := e.watch.now()
 	ctx, cancel := context.WithTimeout(ctx, min(e.callTimeout(), s.term.remaining()))
 	defer cancel()
 	if err := e.options.KV.KeepAlive(ctx, s.id); err != nil {
