Run the whole path: daemon, tool and demo

Cause: the parts were built against interfaces; nothing ran from end to end. Change: module node wires them into one daemon, module demo runs both example accounts against stand-ins and checks the promises, cmd holds the programs. A grant set of the same sequence now replaces the one in force, since loans change a set within one sequence.

--- /dev/null
+++ b/cmd/internal/program/stop.go
@@ -0,0 +1,50 @@
+package program
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+// Stops are the two signals of a stop.
+type Stops struct {
+	// Planned ends at the first SIGTERM or SIGINT: begin a planned stop.
+	Planned context.Context
+	// Forced ends at the second: stop now, with outcomes still told truthfully.
+	Forced context.Context
+	cancel func()
+}
+
+// OnSignals watches for the signals until Close.
+func OnSignals(parent context.Context) *Stops {
+	planned, cancelPlanned := context.WithCancel(parent)
+	forced, cancelForced := context.WithCancel(parent)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		select {
+		case <-signals:
+			cancelPlanned()
+		case <-forced.Done():
+			return
+		}
+		select {
+		case <-signals:
+			cancelForced()
+		case <-forced.Done():
+		}
+	}()
+	return &Stops{
+		Planned: planned,
+		Forced:  forced,
+		cancel: func() {
+			signal.Stop(signals)
+			cancelPlanned()
+			cancelForced()
+		},
+	}
+}
+
+// Close ends the watching.
+func (s *Stops) Close() { s.cancel() }
--- a/control/account.go
+++ b/control/account.go
@@ -168,8 +168,4 @@
 	a.system.options.Publish(planKey(a.name), p.Epoch, p.Sequence, body)
 }
 
-func deciderKey(name model.AccountName) string { return "decider/" + string(name) }
-
-func planKey(name model.AccountName) string { return "plan/" + string(name) }
-
 func encodeRef(ref *peerpb.NodeRef) ([]byte, error) { return proto.Marshal(ref) }
--- /dev/null
+++ b/demo/events.go
@@ -0,0 +1,82 @@
+package demo
+
+import (
+	"context"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/bench/check"
+	"github.com/yuccaroute/yuccaroute/membership"
+)
+
+// emptyPoll is how often a leaving target is asked whether it is empty.
+const emptyPoll = 5 * time.Millisecond
+
+// Drained tells how long one planned stop took, from its start to empty.
+type Drained struct {
+	VM   string
+	Took time.Duration
+}
+
+// drainTarget begins the planned stop of a target and measures it.
+func (r *run) drainTarget(ctx context.Context, t *runningTarget) {
+	began := time.Now()
+	t.vm.State = membership.StateLeaving
+	r.world.Platform.SetVMs(t.vm)
+	t.target.Leave()
+	r.addLeaving(check.Leaving{Target: t.vm.ID, At: began})
+	r.events.Go(func() {
+		for t.target.Load() > 0 {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(emptyPoll):
+			}
+		}
+		r.addDrained(Drained{VM: t.vm.ID, Took: time.Since(began)})
+	})
+}
+
+// returnTarget ends a planned stop.
+func (r *run) returnTarget(t *runningTarget) {
+	r.endLeaving(t.vm.ID, time.Now())
+	t.target.Return()
+	t.vm.State = membership.StateLive
+	r.world.Platform.SetVMs(t.vm)
+}
+
+// stopEntry stops an entry VM as planned, measures it and removes it from the
+// list when it is empty.
+func (r *run) stopEntry(ctx context.Context, t *Tenant, index int) {
+	n := t.Nodes[index]
+	vm := n.VM()
+	vm.State = membership.StateLeaving
+	r.world.Platform.SetVMs(vm)
+	r.events.Go(func() {
+		began := time.Now()
+		if err := n.Leave(ctx); err != nil {
+			return
+		}
+		r.addDrained(Drained{VM: vm.ID, Took: time.Since(began)})
+		r.world.Platform.RemoveVMs(vm.ID)
+	})
+}
+
+// loseFailureDomain ends all targets and entry VMs of a place at once. The VM
+// list shows it after its lag.
+func (r *run) loseFailureDomain(t *Tenant, place model.PlaceName) {
+	var lost []string
+	for _, n := range t.Nodes {
+		if n.VM().Place == place {
+			lost = append(lost, n.VM().ID)
+			n.Kill()
+		}
+	}
+	for _, target := range t.Targets {
+		if target.vm.Place == place {
+			lost = append(lost, target.vm.ID)
+			target.target.Stop()
+		}
+	}
+	r.world.Platform.RemoveVMs(lost...)
+}
--- /dev/null
+++ b/demo/scenario.go
@@ -0,0 +1,142 @@
+package demo
+
+import (
+	"context"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/standin/caller"
+	"github.com/yuccaroute/yuccaroute/standin/platform"
+)
+
+// Scenario is one named run.
+type Scenario struct {
+	Name string
+	// Summary is one line for the list of scenarios.
+	Summary string
+	// Peak multiplies the base load in the second half; 0 reads as 1.
+	Peak   float64
+	Events []Event
+}
+
+// Event is something that happens during a run.
+type Event struct {
+	// At is when, as a part of the run's duration, 0 to 1.
+	At float64
+	// What is the line that the progress shows.
+	What string
+	Do   func(ctx context.Context, r *run)
+}
+
+// Scenarios returns all named runs.
+func Scenarios() []Scenario {
+	return []Scenario{
+		{Name: "steady", Summary: "both tenants at their usual load"},
+		{Name: "dawn-rush", Summary: "the load doubles within an eighth of the run", Peak: 2},
+		drainScenario(),
+		entryStopScenario(),
+		failureDomainScenario(),
+		storeOutageScenario(),
+	}
+}
+
+// ScenarioByName returns the named scenario.
+func ScenarioByName(name string) (Scenario, bool) {
+	for _, s := range Scenarios() {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return Scenario{}, false
+}
+
+func drainScenario() Scenario {
+	return Scenario{
+		Name:    "drain",
+		Summary: "one target of each tenant's main service is stopped as planned and returns",
+		Events: []Event{
+			{At: 0.25, What: "a target of each tenant begins to leave", Do: func(ctx context.Context, r *run) {
+				for _, t := range r.world.Tenants {
+					r.drainTarget(ctx, t.Targets[0])
+				}
+			}},
+			{At: 0.75, What: "the targets return", Do: func(_ context.Context, r *run) {
+				for _, t := range r.world.Tenants {
+					r.returnTarget(t.Targets[0])
+				}
+			}},
+		},
+	}
+}
+
+func entryStopScenario() Scenario {
+	return Scenario{
+		Name:    "entry-stop",
+		Summary: "one entry VM of each tenant is stopped as planned",
+		Events: []Event{
+			{At: 0.3, What: "an entry VM of each tenant begins to leave", Do: func(ctx context.Context, r *run) {
+				for _, t := range r.world.Tenants {
+					r.stopEntry(ctx, t, 0)
+				}
+			}},
+		},
+	}
+}
+
+func failureDomainScenario() Scenario {
+	return Scenario{
+		Name:    "failure-domain",
+		Summary: "one failure domain of each tenant is lost, targets and entry VM at once",
+		Events: []Event{
+			{At: 0.3, What: "the first failure domain of each tenant is lost", Do: func(_ context.Context, r *run) {
+				for _, t := range r.world.Tenants {
+					r.loseFailureDomain(t, t.Account.Places[0].Name)
+				}
+			}},
+		},
+	}
+}
+
+func storeOutageScenario() Scenario {
+	return Scenario{
+		Name:    "store-outage",
+		Summary: "the key-value service is out for most of the run",
+		Events: []Event{
+			{At: 0.2, What: "the key-value service is out", Do: func(_ context.Context, r *run) {
+				r.world.Platform.SetFault(platform.Fault{Outage: true})
+			}},
+			{At: 0.8, What: "the key-value service is back", Do: func(_ context.Context, r *run) {
+				r.world.Platform.SetFault(platform.Fault{})
+			}},
+		},
+	}
+}
+
+// Base loads of the services, requests/s in sum over all caller blocks.
+const (
+	lookupRPS = 500
+	uploadRPS = 25
+)
+
+// rushRise is the part of the run within which the load climbs to its peak.
+const rushRise = 0.125
+
+// rate returns the load of a service over the run.
+func (s *Scenario) rate(base float64, duration time.Duration) caller.Rate {
+	if s.Peak == 0 {
+		return caller.Steady(base)
+	}
+	half := duration / 2
+	rise := time.Duration(rushRise * float64(duration))
+	return caller.Rush(base, base*s.Peak, half, rise)
+}
+
+// loadsOf returns the loads on an account's services.
+func (s *Scenario) loadsOf(account model.AccountName, duration time.Duration) []caller.Load {
+	asks := s.rate(lookupRPS, duration)
+	uploads := s.rate(uploadRPS, duration)
+	if account == "daehan" {
+		return []caller.Load{caller.DealerDesk(asks), caller.WarehouseDocs(uploads)}
+	}
+	return []caller.Load{caller.Termindienst(asks), caller.Herdenakte(uploads)}
+}
--- /dev/null
+++ b/demo/world.go
@@ -0,0 +1,192 @@
+// Package demo runs the whole system in one process against stand-ins: the
+// platform, the targets of both example accounts, entry nodes and callers. An
+// independent checker compares what callers were told with what targets ran.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/config"
+	"github.com/yuccaroute/yuccaroute/config/changelog"
+	"github.com/yuccaroute/yuccaroute/config/examples"
+	"github.com/yuccaroute/yuccaroute/config/settings"
+	"github.com/yuccaroute/yuccaroute/httpserver"
+	"github.com/yuccaroute/yuccaroute/membership"
+	"github.com/yuccaroute/yuccaroute/node"
+	"github.com/yuccaroute/yuccaroute/standin/platform"
+)
+
+// World is everything that runs.
+type World struct {
+	Platform *platform.Server
+	Tenants  []*Tenant
+	log      *logrus.Logger
+}
+
+// Tenant is one client account with its places, targets and entry nodes.
+type Tenant struct {
+	Account *model.Account
+	Targets []*runningTarget
+	Nodes   []*node.Node
+}
+
+// listLag is how long a change stays hidden in the VM list.
+const listLag = time.Second
+
+// nodesPerPlace is how many entry VMs each failure domain has.
+const nodesPerPlace = 1
+
+var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
+
+// NewWorld starts the platform, commits both example accounts and starts
+// targets and nodes. Close it also after an error.
+func NewWorld(ctx context.Context, seed uint64, logs io.Writer) (*World, error) {
+	httpserver.QuietLibraryLogs()
+	log := logrus.New()
+	log.SetOutput(logs)
+	w := &World{log: log}
+	w.Platform = platform.New(platform.Options{Address: "127.0.0.1:0", ListLag: listLag})
+	if err := w.Platform.Start(); err != nil {
+		return w, err
+	}
+	for i, pair := range examples.Pairs() {
+		tenant, err := w.addTenant(ctx, pair, seed+uint64(i)<<16)
+		if err != nil {
+			return w, errors.Wrapf(err, "demo: account %s", pair.Account)
+		}
+		w.Tenants = append(w.Tenants, tenant)
+	}
+	w.listAll()
+	for _, t := range w.Tenants {
+		for _, n := range t.Nodes {
+			n.Start()
+		}
+	}
+	return w, nil
+}
+
+func (w *World) addTenant(ctx context.Context, pair examples.Pair, seed uint64) (*Tenant, error) {
+	account, err := w.commit(ctx, pair)
+	if err != nil {
+		return nil, err
+	}
+	t := &Tenant{Account: account}
+	if t.Targets, err = startTargets(account, seed); err != nil {
+		return nil, err
+	}
+	for _, place := range account.Places {
+		for number := range nodesPerPlace {
+			n, err := w.newNode(place, number)
+			if err != nil {
+				return nil, err
+			}
+			t.Nodes = append(t.Nodes, n)
+		}
+	}
+	return t, nil
+}
+
+// commit writes the template and the account to the store as an operator does.
+func (w *World) commit(ctx context.Context, pair examples.Pair) (*model.Account, error) {
+	changes := changelog.New(w.Platform.KV(), changelog.Options{})
+	documents := []changelog.Change{
+		{Kind: changelog.KindTemplate, Name: pair.Template, Text: examples.Text(pair.Template)},
+		{Kind: changelog.KindAccount, Name: pair.Account, Text: examples.Text(pair.Account)},
+	}
+	for _, change := range documents {
+		change.ID = "demo-" + string(change.Kind) + "-" + change.Name
+		change.Who = "demo"
+		change.Template = pair.Template
+		if _, err := changes.Apply(ctx, change); err != nil {
+			return nil, err
+		}
+	}
+	template, err := config.ParseTemplate(pair.Template, examples.Text(pair.Template))
+	if err != nil {
+		return nil, err
+	}
+	account, err := config.ParseAccount(pair.Account, examples.Text(pair.Account))
+	if err != nil {
+		return nil, err
+	}
+	resolved, err := config.Resolve(template, account)
+	if err != nil {
+		return nil, err
+	}
+	return resolved.Account, nil
+}
+
+func (w *World) newNode(place model.Place, number int) (*node.Node, error) {
+	platformAddress := netip.MustParseAddrPort(w.Platform.Addr())
+	s := settings.Defaults(
+		settings.Node{VM: fmt.Sprintf("entry-%s-%d", place.Name, number+1), Region: place.Region, FailureDomain: place.Name},
+		settings.Listen{Callers: anyPort, Admin: anyPort, Peers: anyPort},
+		platformAddress, platformAddress,
+	)
+	return node.New(node.Options{Settings: s, Logger: w.log})
+}
+
+// listAll puts every VM into the platform's list.
+func (w *World) listAll() {
+	var vms []membership.VM
+	for _, t := range w.Tenants {
+		for _, target := range t.Targets {
+			vms = append(vms, target.vm)
+		}
+		for _, n := range t.Nodes {
+			vms = append(vms, n.VM())
+		}
+	}
+	w.Platform.SetVMs(vms...)
+}
+
+// WaitReady returns when every node serves, or with the context's error.
+func (w *World) WaitReady(ctx context.Context) error {
+	for _, t := range w.Tenants {
+		for _, n := range t.Nodes {
+			if err := n.WaitServing(ctx, t.Account.Name); err != nil {
+				return errors.Wrap(err, "demo: a node does not serve")
+			}
+		}
+	}
+	return nil
+}
+
+// Close stops everything.
+func (w *World) Close() {
+	for _, t := range w.Tenants {
+		for _, n := range t.Nodes {
+			n.Close()
+		}
+		for _, target := range t.Targets {
+			target.target.Stop()
+		}
+	}
+	if err := w.Platform.Stop(); err != nil {
+		w.log.WithError(err).Warn("demo: cannot stop the platform")
+	}
+}
+
+func (w *World) countTargets() int {
+	count := 0
+	for _, t := range w.Tenants {
+		count += len(t.Targets)
+	}
+	return count
+}
+
+func (w *World) countNodes() int {
+	count := 0
+	for _, t := range w.Tenants {
+		count += len(t.Nodes)
+	}
+	return count
+}
--- /dev/null
+++ b/node/http.go
@@ -0,0 +1,90 @@
+package node
+
+import (
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/goccy/go-json"
+
+	"github.com/yuccaroute/yuccaroute/httpserver"
+	"github.com/yuccaroute/yuccaroute/lookup"
+)
+
+const (
+	// metricsInterval is how often counters reach the scrape page.
+	metricsInterval = time.Second
+	// maxAdminBytes bounds a body of the administration API, a little above
+	// the largest document.
+	maxAdminBytes = 1 << 20
+)
+
+// Paths of the administration listener besides the API.
+const (
+	pathMetrics = "/metrics"
+	pathHealth  = "/healthz"
+	pathStatus  = "/status"
+)
+
+func (n *Node) listenCallers() error {
+	mux := http.NewServeMux()
+	mux.Handle(lookup.Path, n.lookup)
+	mux.Handle("/", n.proxy)
+	server, err := httpserver.Start(httpserver.Options{
+		Address:      n.options.Settings.Listen.Callers.String(),
+		Handler:      mux,
+		MaxBodyBytes: maxCallerBody(n.options.Settings.Limits.BufferedBytes),
+	})
+	if err != nil {
+		return err
+	}
+	n.callers = server
+	return nil
+}
+
+// callerBodyShare is the largest part of the node's buffer one request takes,
+// so that a few large uploads cannot refuse everybody else.
+const callerBodyShare = 8
+
+func maxCallerBody(buffered int64) int {
+	return int(max(buffered/callerBodyShare, maxAdminBytes))
+}
+
+func (n *Node) listenAdmin() error {
+	mux := http.NewServeMux()
+	mux.Handle(pathMetrics, n.metrics.page)
+	mux.HandleFunc(pathHealth, n.serveHealth)
+	mux.HandleFunc(pathStatus, n.serveStatus)
+	server, err := httpserver.Start(httpserver.Options{
+		Address:      n.options.Settings.Listen.Admin.String(),
+		Handler:      mux,
+		MaxBodyBytes: maxAdminBytes,
+	})
+	if err != nil {
+		return err
+	}
+	n.admin = server
+	return nil
+}
+
+// serveHealth answers 200 while the node takes requests and knows what is in
+// force, 503 otherwise.
+func (n *Node) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	if n.leaving.Load() || !n.spread.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (n *Node) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(n.Status()); err != nil {
+		n.log.WithError(err).Warn("node: cannot write the status")
+	}
+}
+
+// mustAddress parses the address of a listener, which net made itself.
+func mustAddress(address string) netip.AddrPort {
+	return netip.MustParseAddrPort(address)
+}
--- /dev/null
+++ b/node/platform.go
@@ -0,0 +1,56 @@
+package node
+
+import (
+	"github.com/yuccaroute/yuccaroute/membership/httplist"
+	"github.com/yuccaroute/yuccaroute/membership/view"
+	"github.com/yuccaroute/yuccaroute/store/httpkv"
+)
+
+// storeBurst is how many calls may go to the store at once before the rate
+// bounds them, in seconds of the rate.
+const storeBurst = 2
+
+// openPlatform makes the adapters to the platform's services. They connect
+// when first used: a node starts while the platform is out.
+func (n *Node) openPlatform() error {
+	if err := n.openStore(); err != nil {
+		return err
+	}
+	lister := n.options.Lister
+	if lister == nil {
+		adapter := httplist.New(httplist.Options{
+			Address: n.options.Settings.Platform.VMList.String(),
+			Path:    n.options.Settings.Platform.VMListPath,
+			Timeout: n.options.Settings.Platform.CallTimeout,
+		})
+		n.closers = append(n.closers, adapter.Close)
+		lister = adapter
+	}
+	n.view = view.New(lister, view.Options{
+		Interval: n.options.Settings.Platform.VMListInterval,
+	})
+	return nil
+}
+
+func (n *Node) openStore() error {
+	if n.options.Store != nil {
+		n.store = n.options.Store
+		return nil
+	}
+	p := n.options.Settings.Platform
+	rate := p.ReadsPerSecond + p.WritesPerSecond
+	client, err := httpkv.New(httpkv.Options{
+		Address:        p.Store.String(),
+		PathPrefix:     p.StorePathPrefix,
+		Timeout:        p.CallTimeout,
+		WatchTimeout:   p.WatchTimeout,
+		CallsPerSecond: rate,
+		Burst:          int(storeBurst*rate) + 1,
+	})
+	if err != nil {
+		return err
+	}
+	n.store = client
+	n.closers = append(n.closers, client.Close)
+	return nil
+}
--- /dev/null
+++ b/node/run.go
@@ -0,0 +1,86 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// handBackTime bounds the return of leases and grants at a planned stop; what
+// is not handed back by then lapses or is removed later.
+const handBackTime = 2 * time.Second
+
+// leaveNotice is how long a leaving node goes on serving after it left the
+// look-up answers: callers may use a cached answer for its lifetime.
+const leaveNotice = 3 * time.Second
+
+// Start begins all work. It returns at once.
+func (n *Node) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	n.running.Go(func() {
+		if err := n.grpc.Serve(n.peerTCP); err != nil {
+			n.log.WithError(err).Error("node: the listener for peers failed")
+		}
+	})
+	n.running.Go(func() { _ = n.view.Run(ctx) })
+	n.running.Go(func() { n.spread.Run(ctx) })
+	n.running.Go(func() { n.runControl(ctx) })
+	n.log.WithField("callers", n.callers.Address()).WithField("peers", n.ref.PeerAddress).
+		WithField("admin", n.admin.Address()).Info("node: started")
+}
+
+// runControl waits until the node knows what is in force, since a decider that
+// does not would plan by an older configuration.
+func (n *Node) runControl(ctx context.Context) {
+	if err := n.spread.WaitReady(ctx); err != nil {
+		return
+	}
+	n.log.Info("node: ready")
+	if err := n.control.Run(ctx); err != nil {
+		n.log.WithError(err).Error("node: the control work failed")
+	}
+}
+
+// Leave is the planned stop. The node leaves the look-up answers, serves
+// callers that still hold a cached one, then refuses new requests as not run
+// and waits until those in hand have ended or the context ends. It hands back
+// its leases and grants at the end.
+func (n *Node) Leave(ctx context.Context) error {
+	began := time.Now()
+	n.leaving.Store(true)
+	n.lookup.SetLeaving(true)
+	n.log.Info("node: leaving")
+	select {
+	case <-ctx.Done():
+	case <-time.After(leaveNotice):
+	}
+	err := n.proxy.Drain(ctx)
+	handBack, cancel := context.WithTimeout(context.WithoutCancel(ctx), handBackTime)
+	defer cancel()
+	n.control.Stop(handBack)
+	n.log.WithField("took", time.Since(began)).Info("node: empty")
+	return errors.Wrap(err, "node: requests in hand at the end of the planned stop")
+}
+
+// Kill ends the node as a crash does: nothing is handed back, and requests in
+// hand are lost. It is for demonstrations and tests.
+func (n *Node) Kill() { n.Close() }
+
+// Close ends all work at once; requests in hand get their true outcome. Call
+// Leave first for a planned stop.
+func (n *Node) Close() {
+	if n.closed.Swap(true) {
+		return
+	}
+	n.proxy.Close()
+	n.cancel()
+	n.grpc.Stop()
+	stop, cancel := context.WithTimeout(context.Background(), handBackTime)
+	defer cancel()
+	_ = n.callers.Stop(stop)
+	_ = n.admin.Stop(stop)
+	n.running.Wait()
+	n.close()
+}
--- a/proxy/account_state.go
+++ b/proxy/account_state.go
@@ -112,9 +112,11 @@
 	return s.effective != before
 }
 
-// setGrants returns when every bucket enforces the set.
+// setGrants returns when every bucket enforces the set. A set of the same
+// sequence replaces the one in force, since a loan or its end changes the set
+// within one sequence.
 func (s *accountState) setGrants(set *grant.Set, now time.Time) {
-	if !set.Newer(s.grants) {
+	if s.grants != nil && s.grants.Newer(set) {
 		return
 	}
 	s.grants = set
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -100,7 +100,7 @@
 }
 
 // SetGrants puts a set in force and then returns: no request is admitted on an
-// older set afterwards. A set that is not newer is ignored.
+// older set afterwards. A set that is older than the one in force is ignored.
 func (p *Proxy) SetGrants(set *grant.Set) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
