Order the handover of a connection between goroutines

Change: httpserver raises an atomic counter before a connection is watched and loads it before its data is handled.

--- a/httpserver/server.go
+++ b/httpserver/server.go
@@ -8,8 +8,10 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 
 	"github.com/lesismal/llib/std/crypto/tls"
+	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
@@ -34,6 +36,8 @@
 type Server struct {
 	engine  *nbhttp.Engine
 	address net.Addr
+	// opened counts connections; see orderHandover.
+	opened atomic.Uint64
 }
 
 // Start listens and serves until Stop. It returns an error if the address
@@ -54,12 +58,29 @@
 		config.Addrs = []string{o.Address}
 	}
 	s.engine = nbhttp.NewEngine(config)
+	s.orderHandover()
 	if err := s.engine.Start(); err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", o.Address)
 	}
 	return s, nil
 }
 
+// orderHandover makes everything written while a connection was accepted
+// visible to the goroutine that reads from it.
+//
+// Guard against a data race of the library: it hands a connection from the
+// accepting goroutine to the reading one through epoll only, which the memory
+// model does not count as order. The reader could see a half-written caller's
+// address. The counter is raised before the connection is watched and read
+// before its data is handled, which is such an order.
+func (s *Server) orderHandover() {
+	s.engine.Engine.OnOpen(func(*nbio.Conn) { s.opened.Add(1) })
+	s.engine.Engine.OnData(func(c *nbio.Conn, data []byte) {
+		_ = s.opened.Load()
+		c.DataHandler()(c, data)
+	})
+}
+
 // listen keeps the address that the system chose for port 0.
 func (s *Server) listen(network, address string) (net.Listener, error) {
 	l, err := net.Listen(network, address)
