--- /dev/null
+++ b/admin/wire/doc.go
@@ -0,0 +1,3 @@
+// Package wire holds the messages of the administration API, which its server
+// and its client share.
+package wire
--- a/config/changelog/apply.go
+++ b/config/changelog/apply.go
@@ -177,6 +177,7 @@
 	switch {
 	case err == nil:
 		a.log.guard.Learn(template, next.Sighting())
+		a.log.Remember(template, next)
 		return Result{Record: next.Recent[0], Version: next.Version}, true, nil
 	case errors.Is(err, store.ErrUnknown):
 		a.pending, a.pendingAt = true, head.revision
--- a/config/changelog/preview.go
+++ b/config/changelog/preview.go
@@ -92,16 +92,24 @@
 // Resolved returns an account in force with the origin of its values. Errors:
 // ErrNotFound, store.ErrUnavailable, WentBackError.
 func (l *Log) Resolved(ctx context.Context, template, account string) (*config.Resolved, error) {
+	resolved, _, err := l.ResolvedAt(ctx, template, account)
+	return resolved, err
+}
+
+// ResolvedAt is Resolved together with the sequence of the account's own last
+// change at the same cut.
+func (l *Log) ResolvedAt(ctx context.Context, template, account string) (*config.Resolved, uint64, error) {
 	head, err := l.Head(ctx, template)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	if head.Accounts[account].Hash == "" {
-		return nil, ErrNotFound
+		return nil, 0, ErrNotFound
 	}
 	parsed, err := l.ParsedTemplate(ctx, head, template)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
-	return l.resolved(ctx, head, parsed, account)
+	resolved, err := l.resolved(ctx, head, parsed, account)
+	return resolved, head.Accounts[account].Sequence, err
 }
