--- a/steering/cell.go
+++ b/steering/cell.go
@@ -22,8 +22,14 @@
 	raised, raisedLately float64
 	// back is what a slow cell still has to give back, requests/s.
 	back float64
-	// holdDown is the time for which work does not return.
+	// backs counts the times it gave back lately; lastBack is the age of the
+	// newest, 0 without one.
+	backs    int
+	lastBack time.Duration
+	// holdDown is the time for which work does not return, failures the number
+	// of times it left because of a failure.
 	holdDown time.Duration
+	failures int
 }
 
 // cellKey names a cell in the input.
--- a/steering/cold.go
+++ b/steering/cold.go
@@ -19,7 +19,9 @@
 		if s.places[p].name != m.Place {
 			continue
 		}
-		s.chargeStep(&s.cells[service][p], m, service)
+		c := &s.cells[service][p]
+		s.chargeStep(c, m, service)
+		c.chargeBack(m)
 		if m.Cause == KindFailure && m.Delta < 0 || m.Delta > 0 {
 			noteEpisode(episodes, cellKey{m.Service, m.Place}, m)
 		}
@@ -37,6 +39,20 @@
 	}
 }
 
+// chargeBack counts the times the cell gave back lately. The parts of one time
+// are made at once or, when the cap holds some back, within the watch time.
+func (c *cell) chargeBack(m *Move) {
+	if m.Cause != KindSlow || m.Delta >= 0 || m.Age > backMemory {
+		return
+	}
+	if c.backs == 0 || c.lastBack-m.Age >= watchTime || m.Age-c.lastBack >= watchTime {
+		c.backs++
+	}
+	if c.backs == 1 || m.Age < c.lastBack {
+		c.lastBack = m.Age
+	}
+}
+
 func (s *solver) demandOf(service int, m *Move) float64 {
 	for i := range s.flows {
 		f := &s.flows[i]
@@ -48,13 +64,14 @@
 }
 
 // setBack lets cells that are far slower than when warm give back a part of
-// what they were raised by lately, once in a step interval: what was given
-// back shows in the measurements as late as an increase does.
+// what they were raised by lately, once in a watch time: what was given back
+// shows in the measurements as late as an increase does, and a place that
+// warms up would be emptied meanwhile.
 func (s *solver) setBack() {
 	for i := range s.cells {
 		for p := range s.cells[i] {
 			c := &s.cells[i][p]
-			if c.slowness() >= slowBack && c.raisedLately > 0 && c.raised == 0 {
+			if c.slowness() >= slowBack && c.raisedLately > 0 && !c.resting() {
 				c.back = c.raisedLately * backPart
 			}
 		}
@@ -76,10 +93,10 @@
 	e.moves = append(e.moves, *m)
 }
 
-// holdDown returns for how long work still does not return: the time doubles
-// with every failure that followed a return, so that a place that comes and
-// goes is used less and less.
-func (e *episode) holdDown() time.Duration {
+// holdDown returns for how long work still does not return, and how often it
+// left: the time doubles with every failure that followed a return, so that a
+// place that comes and goes is used less and less.
+func (e *episode) holdDown() (time.Duration, int) {
 	sortOldestFirst(e.moves)
 	failures := 0
 	away := false
@@ -97,11 +114,8 @@
 		last = m.Age
 	}
 	if last < 0 {
-		return 0
-	}
-	hold := holdDownMost
-	if failures < 5 {
-		hold = holdDown << (failures - 1)
+		return 0, 0
 	}
-	return max(hold-last, 0)
+	hold := holdDown << min(failures-1, holdDownDoublings)
+	return max(hold-last, 0), failures
 }
--- a/steering/input.go
+++ b/steering/input.go
@@ -29,7 +29,7 @@
 	Service model.ServiceName
 	Caller  model.RegionName
 	RPS     float64
-	// Age is how old the newest report in the sum is.
+	// Age is how old the reports in the sum are, in the mean of the rates.
 	Age time.Duration
 	// Margin is the part, 0 or more, by which the true demand may be larger,
 	// for example for nodes that were not heard. Age widens it further.
@@ -43,7 +43,7 @@
 	// P50 and P99 are target latencies; 0 is unknown.
 	P50, P99 time.Duration
 	// WarmP99 is P99 as it was when the place had not taken more for a while;
-	// 0 is unknown. Package steering/warm keeps it.
+	// 0 is unknown. Package steering/picture keeps it.
 	WarmP99 time.Duration
 	// FailureShare is the part of the requests sent that failed, 0 to 1.
 	FailureShare float64
--- /dev/null
+++ b/steering/main_test.go
@@ -0,0 +1,16 @@
+package steering
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the property tests; -rapid.seed takes another.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "20260101"); err != nil {
+		panic(err)
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
--- a/steering/moved.go
+++ b/steering/moved.go
@@ -15,7 +15,8 @@
 		service := s.serviceIndex(key.service)
 		place, ok := s.placeIndex()[key.place]
 		if ok && service >= 0 {
-			s.cells[service][place].holdDown = e.holdDown()
+			c := &s.cells[service][place]
+			c.holdDown, c.failures = e.holdDown()
 		}
 	}
 	for i := range s.flows {
--- /dev/null
+++ b/steering/picture/book.go
@@ -0,0 +1,129 @@
+// Package picture turns the reports of all nodes into what Decide needs: the
+// demand of each flow and the state of each service in each place, each with
+// an age. It keeps smoothed rates and what each place's latency was when warm.
+package picture
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/api/observe"
+	"github.com/yuccaroute/yuccaroute/steering"
+)
+
+const (
+	// smoothing is the time over which rates are averaged: a rate over one
+	// report interval moves by chance.
+	smoothing = 4 * time.Second
+	// warming is the time over which the warm latency is averaged.
+	warming = 60 * time.Second
+	// quiet is how long after an increase a latency counts as warm.
+	quiet = 30 * time.Second
+)
+
+// Report is the last report of one node and its age.
+type Report struct {
+	observe.Report
+	Age time.Duration
+}
+
+// Book is the picture of one account. It is not safe for use by several
+// goroutines.
+type Book struct {
+	read  time.Time
+	flows map[flowKey]float64
+	warm  map[cellKey]time.Duration
+}
+
+type flowKey struct {
+	service model.ServiceName
+	caller  model.RegionName
+}
+
+type cellKey struct {
+	service model.ServiceName
+	place   model.PlaceName
+}
+
+// NewBook returns an empty picture.
+func NewBook() *Book {
+	return &Book{flows: make(map[flowKey]float64), warm: make(map[cellKey]time.Duration)}
+}
+
+// Read takes in the last reports of all nodes and the moves made lately, and
+// returns the picture at now, sorted.
+func (b *Book) Read(reports []Report, moved []steering.Move, now time.Time) ([]steering.Demand, []steering.PlaceState) {
+	since := now.Sub(b.read)
+	if b.read.IsZero() {
+		since = math.MaxInt64
+	}
+	b.read = now
+	demand := b.demand(reports, since)
+	places := b.places(reports, moved, since)
+	return demand, places
+}
+
+// demand sums the rates over the nodes. A node that is silent counts with its
+// last report, because its callers are still there; the age is the mean over
+// the sum.
+func (b *Book) demand(reports []Report, since time.Duration) []steering.Demand {
+	sums := make(map[flowKey]*steering.Demand)
+	ages := make(map[flowKey]*mean)
+	for i := range reports {
+		for _, f := range reports[i].Flows {
+			if !valid(f.OfferedRPS) {
+				continue
+			}
+			key := flowKey{f.Service, f.Caller}
+			if sums[key] == nil {
+				sums[key] = &steering.Demand{Service: f.Service, Caller: f.Caller}
+				ages[key] = &mean{}
+			}
+			sums[key].RPS += f.OfferedRPS
+			ages[key].add(float64(reports[i].Age), f.OfferedRPS)
+		}
+	}
+	b.forgetFlows(sums)
+	demand := make([]steering.Demand, 0, len(sums))
+	for key, d := range sums {
+		d.RPS = b.smooth(key, d.RPS, since)
+		d.Age = time.Duration(ages[key].value())
+		demand = append(demand, *d)
+	}
+	sort.Slice(demand, func(i, j int) bool {
+		if demand[i].Service != demand[j].Service {
+			return demand[i].Service < demand[j].Service
+		}
+		return demand[i].Caller < demand[j].Caller
+	})
+	return demand
+}
+
+func (b *Book) forgetFlows(known map[flowKey]*steering.Demand) {
+	for key := range b.flows {
+		if known[key] == nil {
+			delete(b.flows, key)
+		}
+	}
+}
+
+func (b *Book) smooth(key flowKey, rps float64, since time.Duration) float64 {
+	old, ok := b.flows[key]
+	if ok {
+		rps = old + (rps-old)*weightOf(since, smoothing)
+	}
+	b.flows[key] = rps
+	return rps
+}
+
+// weightOf is the part a new value has in an average over a time.
+func weightOf(since, over time.Duration) float64 {
+	return 1 - math.Exp(-float64(since)/float64(over))
+}
+
+// valid refuses what is no rate: it would spoil every later average.
+func valid(rps float64) bool {
+	return rps >= 0 && !math.IsInf(rps, 1)
+}
--- /dev/null
+++ b/steering/picture/places.go
@@ -0,0 +1,126 @@
+package picture
+
+import (
+	"sort"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/steering"
+)
+
+// sums is what the nodes measured of one service in one place.
+type sums struct {
+	sent          float64
+	usable, known int
+	p50, p99      mean
+	failures, age mean
+}
+
+// places sums the measurements of the nodes. Targets are summed over the
+// nodes as well: one node that sees all of them gone, or all of them well,
+// weighs no more than its part.
+func (b *Book) places(reports []Report, moved []steering.Move, since time.Duration) []steering.PlaceState {
+	cells := make(map[cellKey]*sums)
+	for _, r := range current(reports) {
+		addReport(cells, &r)
+	}
+	risen := lastRises(moved)
+	states := make([]steering.PlaceState, 0, len(cells))
+	for key, c := range cells {
+		state := c.state(key)
+		state.WarmP99 = b.warmOf(key, &state, risen, since)
+		states = append(states, state)
+	}
+	sort.Slice(states, func(i, j int) bool {
+		if states[i].Service != states[j].Service {
+			return states[i].Service < states[j].Service
+		}
+		return states[i].Place < states[j].Place
+	})
+	return states
+}
+
+// current leaves out reports too old to tell of a place, unless there are no
+// others: then their age tells that the picture is stale.
+func current(reports []Report) []Report {
+	var fresh []Report
+	for i := range reports {
+		if reports[i].Age < steering.FreezeAge {
+			fresh = append(fresh, reports[i])
+		}
+	}
+	if len(fresh) == 0 {
+		return reports
+	}
+	return fresh
+}
+
+func addReport(cells map[cellKey]*sums, r *Report) {
+	for i := range r.Places {
+		p := &r.Places[i]
+		if !valid(p.SentRPS) {
+			continue
+		}
+		key := cellKey{p.Service, p.Place}
+		c := cells[key]
+		if c == nil {
+			c = &sums{}
+			cells[key] = c
+		}
+		c.sent += p.SentRPS
+		c.usable += min(max(p.Targets, 0), max(p.Known, 0))
+		c.known += max(p.Known, 0)
+		c.age.add(float64(r.Age), 1)
+		c.failures.add(min(max(p.FailureShare, 0), 1), p.SentRPS)
+		if p.P50 > 0 {
+			c.p50.add(float64(p.P50), p.SentRPS)
+		}
+		if p.P99 > 0 {
+			c.p99.add(float64(p.P99), p.SentRPS)
+		}
+	}
+}
+
+func (c *sums) state(key cellKey) steering.PlaceState {
+	return steering.PlaceState{
+		Service:      key.service,
+		Place:        key.place,
+		P50:          time.Duration(c.p50.value()),
+		P99:          time.Duration(c.p99.value()),
+		FailureShare: c.failures.value(),
+		SentRPS:      c.sent,
+		Usable:       c.usable,
+		Known:        c.known,
+		Age:          time.Duration(c.age.value()),
+	}
+}
+
+// lastRises returns for each cell the age of its newest increase.
+func lastRises(moved []steering.Move) map[cellKey]time.Duration {
+	risen := make(map[cellKey]time.Duration)
+	for i := range moved {
+		m := &moved[i]
+		key := cellKey{m.Service, m.Place}
+		if age, ok := risen[key]; m.Delta > 0 && (!ok || m.Age < age) {
+			risen[key] = m.Age
+		}
+	}
+	return risen
+}
+
+// warmOf keeps the latency a place has when it took no more for a while. A
+// place that stays slow for other reasons becomes its own measure with time,
+// so that it is not held for ever.
+func (b *Book) warmOf(key cellKey, state *steering.PlaceState, risen map[cellKey]time.Duration, since time.Duration) time.Duration {
+	age, rose := risen[key]
+	if state.P99 <= 0 || state.Age >= steering.FreezeAge || rose && age < quiet {
+		return b.warm[key]
+	}
+	old, ok := b.warm[key]
+	if !ok {
+		b.warm[key] = state.P99
+		return state.P99
+	}
+	weight := weightOf(since, warming)
+	b.warm[key] = old + time.Duration(weight*float64(state.P99-old))
+	return b.warm[key]
+}
--- a/steering/reason.go
+++ b/steering/reason.go
@@ -9,7 +9,8 @@
 // Kind names a cause of a share or of a move.
 type Kind uint8
 
-// The kinds. For each, Value and Limit of a Reason are given.
+// The kinds. For each, Value and Limit of a Reason are given. The numbers are
+// stored with moves: new kinds go to the end.
 const (
 	// KindNone is no cause.
 	KindNone Kind = iota
--- a/steering/reasons.go
+++ b/steering/reasons.go
@@ -94,7 +94,7 @@
 		r := &s.regions[s.places[place].region]
 		return s.reason(f, place, kind, r.linkLoad, r.linkCapacity, 0)
 	case KindCold:
-		return s.reason(f, place, kind, c.raised, c.usable*stepPart, 0)
+		return s.reason(f, place, kind, c.raised, c.step(), 0)
 	case KindSlow:
 		warm := milliseconds(c.state.WarmP99)
 		return s.reason(f, place, kind, milliseconds(c.state.P99), warm*slowHold, 0)
--- a/steering/room.go
+++ b/steering/room.go
@@ -35,7 +35,7 @@
 		return KindHoldDown
 	case c.stale():
 		return KindStale
-	case c.slowness() >= slowHold:
+	case c.slowness() >= slowHold || c.resting():
 		return KindSlow
 	case c.state == nil && f.shares[place] >= unknownShare:
 		return KindUnknown
@@ -77,5 +77,18 @@
 // stepRoom is what a cell may be raised by now. What came within the step
 // interval does not show in the measurements yet.
 func (c *cell) stepRoom() float64 {
-	return c.usable*stepPart - c.raised
+	return c.step() - c.raised
+}
+
+// step is the most a cell takes more of within the step interval. It halves
+// with each time the cell gave back or failed: the same step would be too much
+// again and the share would swing, or as much work would be lost as before.
+func (c *cell) step() float64 {
+	return c.usable * stepPart / float64(int(1)<<min(c.backs+c.failures, stepHalvings))
+}
+
+// resting reports a cell that gave back and has not had the time to show the
+// effect.
+func (c *cell) resting() bool {
+	return c.backs > 0 && c.lastBack < watchTime
 }
--- a/steering/tuning.go
+++ b/steering/tuning.go
@@ -51,6 +51,10 @@
 	slowBack = 3.0
 	// backPart is the part of what was raised lately that a place gives back.
 	backPart = 0.5
+	// stepHalvings is how often a step is halved at most.
+	stepHalvings = 3
+	// backMemory is how long a place that gave back takes smaller steps.
+	backMemory = 15 * time.Minute
 	// unknownShare is the most a place nothing is known of gets of a flow.
 	unknownShare = plan.Whole / 100
 )
@@ -64,9 +68,9 @@
 	// taken for a measurement.
 	leastSentRPS = 0.5
 	// holdDown is the time for which work does not return to a place that
-	// failed; it doubles with each return that failed, up to holdDownMost.
-	holdDown     = 30 * time.Second
-	holdDownMost = 16 * holdDown
+	// failed; it doubles with each return that failed.
+	holdDown          = 30 * time.Second
+	holdDownDoublings = 4
 )
 
 const (
