Admit bodies by their head and tell callers of bad input

Cause: nbhttp keeps a body in memory until it is whole, closes on malformed input without a word, and buffers answers without a bound for slow readers. Change: proxy/ingress, a server on nbhttp with its own connection type: bodies reserve memory when the head is there, answers count until taken, handlers learn that their caller has gone.

--- a/proxy/body.go
+++ b/proxy/body.go
@@ -6,6 +6,7 @@
 
 	"github.com/lesismal/nbio/nbhttp"
 
+	"github.com/yuccaroute/yuccaroute/api/model"
 	"github.com/yuccaroute/yuccaroute/api/result"
 )
 
@@ -13,10 +14,7 @@
 // HTTP server hands a request over once its body is whole, so nothing is read
 // from the caller here in production.
 func (q *request) loadBody(r *http.Request) *refusal {
-	limit := q.service.service.MaxRequestBytes
-	if limit <= 0 {
-		limit = defaultRequestBytes
-	}
+	limit := requestLimit(q.service.service)
 	if r.ContentLength > limit {
 		return refuse(result.RequestTooLarge)
 	}
@@ -31,15 +29,25 @@
 	if length > limit {
 		return refuse(result.RequestTooLarge)
 	}
-	if !q.account.bytes.Take(length) {
-		return refuse(result.BufferFull)
+	if !q.from.BodyReserved() {
+		if !q.account.bytes.Take(length) {
+			return refuse(result.BufferFull)
+		}
+		q.reserved = length
 	}
 	q.out.Body = pieces
 	q.out.Length = length
 	return nil
 }
 
-func (q *request) dropBody() { q.account.bytes.Give(q.out.Length) }
+func (q *request) dropBody() { q.account.bytes.Give(q.reserved) }
+
+func requestLimit(service *model.Service) int64 {
+	if service.MaxRequestBytes <= 0 {
+		return defaultRequestBytes
+	}
+	return service.MaxRequestBytes
+}
 
 // piecesOf returns the body without consuming it, so that an idempotent
 // request can be sent again.
--- /dev/null
+++ b/proxy/caller.go
@@ -0,0 +1,35 @@
+package proxy
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/proxy/ingress"
+)
+
+// caller is what the server towards callers adds to a ResponseWriter.
+type caller interface {
+	// WatchClose calls gone once the caller has closed the connection, until
+	// stop is called.
+	WatchClose(gone func()) (stop func())
+	// Began returns when the request's first line was there.
+	Began() time.Time
+	// BodyReserved reports whether the body's memory is accounted for.
+	BodyReserved() bool
+}
+
+var _ caller = (*ingress.Writer)(nil)
+
+// plainCaller stands in for servers that add nothing.
+type plainCaller struct{ began time.Time }
+
+func (plainCaller) WatchClose(func()) func() { return func() {} }
+func (c plainCaller) Began() time.Time       { return c.began }
+func (plainCaller) BodyReserved() bool       { return false }
+
+func callerOf(w http.ResponseWriter) caller {
+	if c, ok := w.(caller); ok {
+		return c
+	}
+	return plainCaller{began: time.Now()}
+}
--- /dev/null
+++ b/proxy/ingress/connection.go
@@ -0,0 +1,194 @@
+package ingress
+
+import (
+	"sync"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/nbhttp"
+
+	"github.com/yuccaroute/yuccaroute/api/result"
+)
+
+// connection is one caller's connection.
+type connection struct {
+	*nbio.Conn
+	server *Server
+	parser *nbhttp.Parser
+	// reading guards the processor: the engine reads on one goroutine and
+	// cleans up after a close on another.
+	reading   sync.Mutex
+	processor *processor
+	// timed tells that a read deadline for the message under way is set.
+	timed bool
+
+	mu sync.Mutex
+	// handed and taken count answer bytes given to the engine and taken by the
+	// system; idle is closed when they are equal while somebody waits.
+	handed, taken int64
+	idle          chan struct{}
+	closed        bool
+	watchers      map[int]func()
+	nextWatcher   int
+	// bodies are reserved for requests handed over, in their order.
+	bodies []body
+}
+
+func newConnection(s *Server, nbc *nbio.Conn) *connection {
+	c := &connection{Conn: nbc, server: s}
+	c.processor = &processor{Processor: nbhttp.NewServerProcessor(), conn: c}
+	c.parser = nbhttp.NewParser(c, s.engine, c.processor, false, nbc.Execute)
+	return c
+}
+
+// Write counts answer bytes. nbio keeps in memory what the system does not
+// take at once.
+func (c *connection) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	c.handed += int64(len(b))
+	c.mu.Unlock()
+	return c.Conn.Write(b)
+}
+
+// onData parses what came. It runs on the engine's reading goroutine.
+func (c *connection) onData(data []byte) {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	p := c.processor
+	if p.refused {
+		// The rest of a refused request is read and dropped: to close with
+		// unread bytes would reset the connection and could take the refusal
+		// with it.
+		return
+	}
+	p.count(len(data))
+	if err := c.parser.Parse(data); err != nil {
+		p.refuse(result.BadRequest)
+	}
+	if p.headTooLong() {
+		p.refuse(result.BadRequest)
+	}
+	if p.bodyTooLong() {
+		p.refuse(result.RequestTooLarge)
+	}
+	c.boundTime()
+}
+
+// clean frees what the parser holds after the connection has closed.
+func (c *connection) clean(err error) {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	c.parser.CloseAndClean(err)
+}
+
+// boundTime sets a deadline for a message that has begun and is not whole yet.
+func (c *connection) boundTime() {
+	p := c.processor
+	if p.refused || !p.underWay() {
+		c.timed = false
+		return
+	}
+	if c.timed {
+		return
+	}
+	c.timed = true
+	_ = c.SetReadDeadline(time.Now().Add(p.timeLeft()))
+}
+
+// gone tells the watchers that the caller has closed the connection.
+func (c *connection) gone() {
+	c.mu.Lock()
+	c.closed = true
+	watchers := c.watchers
+	c.watchers = nil
+	c.wakeIdle()
+	c.mu.Unlock()
+	for _, tell := range watchers {
+		tell()
+	}
+}
+
+// watch calls tell when the connection has closed, at once if it has already.
+func (c *connection) watch(tell func()) (stop func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		go tell()
+		return func() {}
+	}
+	if c.watchers == nil {
+		c.watchers = make(map[int]func())
+	}
+	id := c.nextWatcher
+	c.nextWatcher++
+	c.watchers[id] = tell
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.watchers, id)
+	}
+}
+
+func (c *connection) wrote(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.taken += int64(n)
+	if c.taken >= c.handed {
+		c.wakeIdle()
+	}
+}
+
+// wakeIdle is called with the lock held.
+func (c *connection) wakeIdle() {
+	if c.idle != nil {
+		close(c.idle)
+		c.idle = nil
+	}
+}
+
+// waitTaken returns when the system has taken all answer bytes or the
+// connection has closed; a caller that does not read for AnswerTime is closed.
+func (c *connection) waitTaken() {
+	c.mu.Lock()
+	if c.closed || c.taken >= c.handed {
+		c.mu.Unlock()
+		return
+	}
+	if c.idle == nil {
+		c.idle = make(chan struct{})
+	}
+	idle := c.idle
+	c.mu.Unlock()
+	_ = c.SetWriteDeadline(time.Now().Add(c.server.options.AnswerTime))
+	<-idle
+	_ = c.SetWriteDeadline(time.Time{})
+}
+
+func (c *connection) putBody(b body) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.bodies = append(c.bodies, b)
+}
+
+// takeBody returns the reservation of the request handed over next.
+func (c *connection) takeBody() body {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.bodies) == 0 {
+		return body{}
+	}
+	b := c.bodies[0]
+	c.bodies = c.bodies[1:]
+	return b
+}
+
+// dropBodies frees the reservations of requests that no handler will see.
+func (c *connection) dropBodies() {
+	c.mu.Lock()
+	bodies := c.bodies
+	c.bodies = nil
+	c.mu.Unlock()
+	for _, b := range bodies {
+		b.release()
+	}
+}
--- /dev/null
+++ b/proxy/ingress/processor.go
@@ -0,0 +1,219 @@
+package ingress
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/lesismal/nbio/nbhttp"
+	"github.com/pkg/errors"
+
+	"github.com/yuccaroute/yuccaroute/api/result"
+)
+
+// lingerTime is how long a refused caller may go on sending.
+const lingerTime = 500 * time.Millisecond
+
+// framing is how many times the body the chunks may be on the wire.
+const framing = 2
+
+// errProtocol tells that the request is not HTTP/1.
+var errProtocol = errors.New("ingress: not HTTP/1")
+
+// processor follows the parser through one request after the other. It runs on
+// the connection's reading goroutine.
+type processor struct {
+	nbhttp.Processor
+	conn *connection
+	// size counts the bytes since the last whole request.
+	size int
+	// header holds the fields of the request under way.
+	header   http.Header
+	inBody   bool
+	chunked  bool
+	reserved body
+	// bodyBytes counts the body's bytes that were handed over.
+	bodyBytes int64
+	// refused tells that the caller got its last answer on this connection.
+	refused bool
+}
+
+func (p *processor) count(n int) { p.size += n }
+
+// headTooLong reports whether a head that is not whole yet is over its bound.
+func (p *processor) headTooLong() bool {
+	return !p.inBody && p.size > p.conn.server.options.MaxHeadBytes
+}
+
+// underWay reports whether a request has begun and is not whole.
+func (p *processor) underWay() bool { return p.size > 0 }
+
+// timeLeft bounds what the request under way still needs.
+func (p *processor) timeLeft() time.Duration {
+	if !p.inBody {
+		return p.conn.server.options.HeadTime
+	}
+	if t := p.reserved.reservation.Time; t > 0 {
+		return t
+	}
+	return p.conn.server.options.BodyTime
+}
+
+// OnMethod implements nbhttp.Processor: a new request begins.
+func (p *processor) OnMethod(parser *nbhttp.Parser, method string) {
+	p.header = make(http.Header)
+	p.reserved = body{began: time.Now()}
+	p.bodyBytes = 0
+	p.Processor.OnMethod(parser, method)
+}
+
+// OnProto implements nbhttp.Processor.
+func (p *processor) OnProto(parser *nbhttp.Parser, proto string) error {
+	if !strings.HasPrefix(proto, "HTTP/1.") {
+		return errProtocol
+	}
+	return p.Processor.OnProto(parser, proto)
+}
+
+// OnHeader implements nbhttp.Processor.
+func (p *processor) OnHeader(parser *nbhttp.Parser, key, value string) {
+	p.header[key] = append(p.header[key], value)
+	p.Processor.OnHeader(parser, key, value)
+}
+
+// OnContentLength implements nbhttp.Processor: the head is whole. The body is
+// admitted or refused here, before its bytes take memory.
+func (p *processor) OnContentLength(parser *nbhttp.Parser, length int) {
+	p.Processor.OnContentLength(parser, length)
+	p.inBody = true
+	p.chunked = len(p.header["Transfer-Encoding"]) > 0
+	if length <= 0 && !p.chunked {
+		return
+	}
+	if length > p.conn.server.options.MaxBodyBytes {
+		p.refuse(result.RequestTooLarge)
+		return
+	}
+	p.reserve(int64(length))
+}
+
+// reserve asks for the memory; a length below 0 is not known.
+func (p *processor) reserve(length int64) {
+	bodies := p.conn.server.options.Bodies
+	if bodies == nil {
+		p.invite()
+		return
+	}
+	reservation, code := bodies.ReserveBody(p.header, length)
+	if code != result.OK {
+		p.refuse(code)
+		return
+	}
+	p.reserved.reservation = reservation
+	p.invite()
+}
+
+// invite answers callers that wait to be asked for the body; nbhttp does not.
+func (p *processor) invite() {
+	if !strings.EqualFold(p.header.Get("Expect"), "100-continue") {
+		return
+	}
+	c := p.conn
+	c.Execute(func() { _, _ = c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")) })
+}
+
+// OnBody implements nbhttp.Processor.
+func (p *processor) OnBody(parser *nbhttp.Parser, data []byte) error {
+	if p.refused {
+		return nil
+	}
+	p.bodyBytes += int64(len(data))
+	if p.bodyBytes > p.bodyLimit() {
+		p.refuse(result.RequestTooLarge)
+		return nil
+	}
+	return p.Processor.OnBody(parser, data)
+}
+
+func (p *processor) bodyLimit() int64 {
+	if limit := p.reserved.reservation.Limit; limit > 0 {
+		return limit
+	}
+	return int64(p.conn.server.options.MaxBodyBytes)
+}
+
+// bodyTooLong reports whether a body of unknown length is over its bound. The
+// parser holds a chunk until it is whole, so that its bytes are bounded here.
+func (p *processor) bodyTooLong() bool {
+	head := int64(p.conn.server.options.MaxHeadBytes)
+	return p.inBody && p.chunked && int64(p.size) > head+framing*p.bodyLimit()
+}
+
+// OnComplete implements nbhttp.Processor: the request is handed over, unless
+// it was refused.
+func (p *processor) OnComplete(parser *nbhttp.Parser) {
+	if p.refused {
+		p.Processor.Clean(parser)
+		return
+	}
+	// Deadlines for reading end here: they must not run on while the request
+	// is served and close the connection under its answer.
+	_ = p.conn.SetReadDeadline(time.Time{})
+	p.conn.putBody(p.reserved)
+	p.reserved = body{}
+	p.inBody = false
+	p.size = 0
+	p.header = nil
+	p.Processor.OnComplete(parser)
+}
+
+// Close implements nbhttp.Processor: it frees what a request that never became
+// whole had reserved.
+func (p *processor) Close(parser *nbhttp.Parser, err error) {
+	p.drop()
+	p.conn.dropBodies()
+	p.Processor.Close(parser, err)
+}
+
+// drop frees what the request under way has reserved. That is done when the
+// connection closes: until then the parser holds the bytes that came.
+func (p *processor) drop() {
+	p.reserved.release()
+	p.reserved = body{}
+}
+
+// refuse gives the numbered result as the connection's last answer. It goes
+// through the connection's order of work: an earlier request of the caller
+// that is still served must be answered first.
+func (p *processor) refuse(code result.Code) {
+	if p.refused {
+		return
+	}
+	p.refused = true
+	c := p.conn
+	c.Execute(func() {
+		_, _ = c.Write(refusalText(code))
+		_ = c.SetReadDeadline(time.Now().Add(lingerTime))
+	})
+}
+
+// refusalText renders a refusal that is not an answer to a parsed request.
+func refusalText(code result.Code) []byte {
+	info := result.InfoOf(code)
+	text := info.Name + ": " + info.Meaning + "\n"
+	var b strings.Builder
+	b.WriteString("HTTP/1.1 " + strconv.Itoa(info.HTTP) + " " + http.StatusText(info.HTTP) + "\r\n")
+	b.WriteString(result.HeaderResult + ": " + strconv.Itoa(int(info.Code)) + "\r\n")
+	b.WriteString(result.HeaderOutcome + ": " + info.Outcome.String() + "\r\n")
+	if info.Retry {
+		b.WriteString(result.HeaderRetryAfter + ": " + strconv.Itoa(refusalRetryMillis) + "\r\n")
+	}
+	b.WriteString("Content-Type: text/plain; charset=utf-8\r\nConnection: close\r\nContent-Length: " + strconv.Itoa(len(text)) + "\r\n\r\n")
+	b.WriteString(text)
+	return []byte(b.String())
+}
+
+// refusalRetryMillis is when a caller may come back to a node whose memory was
+// full.
+const refusalRetryMillis = 200
--- /dev/null
+++ b/proxy/ingress/server.go
@@ -0,0 +1,178 @@
+package ingress
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
+	"github.com/lesismal/nbio/nbhttp"
+	"github.com/pkg/errors"
+)
+
+// Pauses of the server's own loops.
+const (
+	acceptPause = 10 * time.Millisecond
+	stopPoll    = 5 * time.Millisecond
+)
+
+var quietOnce sync.Once
+
+// Server serves callers until Stop.
+type Server struct {
+	options  Options
+	engine   *nbhttp.Engine
+	listener net.Listener
+	open     atomic.Int64
+	// busy counts requests handed over whose answers are not wholly given.
+	busy atomic.Int64
+	// handovers orders the making of a connection before its use on the
+	// engine's goroutines. The engine itself hands it over through the kernel
+	// only, which Go's memory model does not know.
+	handovers atomic.Int64
+	accept    sync.WaitGroup
+	stop      sync.Once
+}
+
+// Start listens and serves. It returns an error if the address cannot be
+// bound.
+func Start(o Options) (*Server, error) {
+	o.setDefaults()
+	quietOnce.Do(func() { logging.SetLevel(logging.LevelError) })
+	s := &Server{options: o}
+	s.engine = nbhttp.NewEngine(nbhttp.Config{
+		Name:            "callers",
+		Handler:         http.HandlerFunc(s.serve),
+		MaxHTTPBodySize: o.MaxBodyBytes,
+		ReadLimit:       o.MaxBodyBytes + o.MaxHeadBytes,
+		KeepaliveTime:   o.IdleTime,
+	})
+	s.engine.Engine.OnClose(s.closed)
+	s.engine.OnWrittenSize(s.written)
+	if err := s.engine.Start(); err != nil {
+		return nil, errors.Wrap(err, "ingress: start")
+	}
+	l, err := net.Listen("tcp", o.Address)
+	if err != nil {
+		s.engine.Stop()
+		return nil, errors.Wrapf(err, "ingress: listen on %s", o.Address)
+	}
+	s.listener = l
+	s.accept.Go(s.acceptLoop)
+	return s, nil
+}
+
+// Address returns the ip:port in use.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Busy returns the requests in hand whose answers are not wholly given.
+func (s *Server) Busy() int { return int(s.busy.Load()) }
+
+// Stop takes no new connections, waits until every answer in hand is given or
+// the context ends, and closes all connections.
+func (s *Server) Stop(ctx context.Context) error {
+	_ = s.listener.Close()
+	s.accept.Wait()
+	err := s.waitIdle(ctx)
+	s.stop.Do(s.engine.Stop)
+	return err
+}
+
+func (s *Server) waitIdle(ctx context.Context) error {
+	tick := time.NewTicker(stopPoll)
+	defer tick.Stop()
+	for s.busy.Load() > 0 {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func (s *Server) acceptLoop() {
+	for {
+		c, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			// Out of file descriptors, most likely: some become free again.
+			time.Sleep(acceptPause)
+			continue
+		}
+		s.take(c)
+	}
+}
+
+// take hands a new connection to the engine.
+func (s *Server) take(c net.Conn) {
+	if s.open.Add(1) > int64(s.options.MaxConnections) {
+		s.open.Add(-1)
+		_ = c.Close()
+		return
+	}
+	nbc, err := nbio.NBConn(c)
+	if err != nil {
+		s.open.Add(-1)
+		_ = c.Close()
+		return
+	}
+	conn := newConnection(s, nbc)
+	nbc.SetSession(conn)
+	nbc.OnData(s.data)
+	s.handovers.Add(1)
+	if _, err := s.engine.AddConn(nbc); err != nil {
+		return
+	}
+	_ = nbc.SetReadDeadline(time.Now().Add(s.options.IdleTime))
+}
+
+// closed is called by the engine for every connection that has ended. The
+// handler under way learns it at once; the parser is cleaned after it, in the
+// order of the connection's work.
+func (s *Server) closed(c *nbio.Conn, err error) {
+	conn := s.connectionOf(c)
+	if conn == nil {
+		return
+	}
+	s.open.Add(-1)
+	conn.gone()
+	c.MustExecute(func() { conn.clean(err) })
+}
+
+// data is called by the engine for the bytes that came.
+func (s *Server) data(c *nbio.Conn, data []byte) {
+	if conn := s.connectionOf(c); conn != nil {
+		conn.onData(data)
+	}
+}
+
+// written is called by the engine for the bytes that the system has taken.
+func (s *Server) written(c *nbio.Conn, _ []byte, n int) {
+	if conn := s.connectionOf(c); conn != nil {
+		conn.wrote(n)
+	}
+}
+
+func (s *Server) connectionOf(c *nbio.Conn) *connection {
+	s.handovers.Load()
+	conn, _ := c.Session().(*connection)
+	return conn
+}
+
+// serve calls the handler with what the connection adds.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	response := w.(*nbhttp.Response)
+	conn := response.Parser.Processor.(*processor).conn
+	body := conn.takeBody()
+	defer body.release()
+	s.busy.Add(1)
+	defer s.busy.Add(-1)
+	s.options.Handler.ServeHTTP(&Writer{Response: response, conn: conn, began: body.began}, r)
+}
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -27,17 +27,20 @@
 	account  *accountView
 	service  *serviceView
 	class    model.Class
-	caller   model.RegionName
+	region   model.RegionName
 	flow     *flowView
+	from     caller
 	arrived  time.Time
 	deadline time.Time
 	key      string
 	out      forward.Request
+	// reserved is what the request itself took of the account's memory.
+	reserved int64
 }
 
 // parse checks a request and finds what it is for. It does not read the body.
-func (p *Proxy) parse(r *http.Request, arrived time.Time) (*request, *refusal) {
-	q := &request{arrived: arrived}
+func (p *Proxy) parse(r *http.Request, from caller) (*request, *refusal) {
+	q := &request{from: from, arrived: from.Began()}
 	if !validMethod(r.Method) || r.URL == nil {
 		return q, refuse(result.BadRequest)
 	}
@@ -45,8 +48,8 @@
 		return q, refused
 	}
 	q.class = classOf(q.service.service, r)
-	q.caller = p.callerRegion(q.account.account.Name, r.RemoteAddr)
-	q.flow = q.service.flows[q.caller]
+	q.region = p.callerRegion(q.account.account.Name, r.RemoteAddr)
+	q.flow = q.service.flows[q.region]
 	if q.flow != nil {
 		q.flow.offered.Add(1)
 	}
@@ -57,7 +60,7 @@
 		return q, refused
 	}
 	if q.flow == nil {
-		q.service.state.offeredBy(q.caller).Add(1)
+		q.service.state.offeredBy(q.region).Add(1)
 		return q, refuse(result.NoPlan)
 	}
 	return q, nil
@@ -84,25 +87,33 @@
 }
 
 func (q *request) findDeadline(h http.Header) *refusal {
-	text, ok := single(h, result.HeaderDeadline)
+	left, ok := deadlineOf(h, q.service.service)
 	if !ok {
 		return refuse(result.BadDeadline)
 	}
-	left := q.service.service.Deadline
-	if left <= 0 {
-		left = defaultDeadline
-	}
-	if text != "" {
-		ms, err := strconv.ParseInt(text, 10, 64)
-		if err != nil || ms <= 0 {
-			return refuse(result.BadDeadline)
-		}
-		left = time.Duration(min(ms, maxDeadline.Milliseconds())) * time.Millisecond
-	}
 	q.deadline = q.arrived.Add(left)
 	return nil
 }
 
+// deadlineOf returns the time a caller gives a request, or the service's.
+func deadlineOf(h http.Header, service *model.Service) (time.Duration, bool) {
+	text, ok := single(h, result.HeaderDeadline)
+	if !ok {
+		return 0, false
+	}
+	if text == "" && service.Deadline > 0 {
+		return service.Deadline, true
+	}
+	if text == "" {
+		return defaultDeadline, true
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms <= 0 {
+		return 0, false
+	}
+	return time.Duration(min(ms, maxDeadline.Milliseconds())) * time.Millisecond, true
+}
+
 func (q *request) findKey(h http.Header) *refusal {
 	key, ok := single(h, result.HeaderKey)
 	if !ok || (key != "" && !keys.Valid(key)) {
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -11,13 +11,13 @@
 // ServeHTTP implements http.Handler. Every request ends in exactly one
 // numbered result.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	arrived := time.Now()
+	from := callerOf(w)
 	if !p.gate.Enter() {
 		writeRefusal(w, refuse(result.NodeLeaving))
 		return
 	}
 	defer p.gate.Leave()
-	q, refused := p.parse(r, arrived)
+	q, refused := p.parse(r, from)
 	if refused != nil {
 		p.finish(w, q, refused)
 		return
@@ -39,7 +39,7 @@
 	}
 	defer q.dropBody()
 	q.prepare(r)
-	ctx, cancel := p.requestContext(w, r, q.deadline)
+	ctx, cancel := p.requestContext(q.from, r, q.deadline)
 	defer cancel()
 	end := p.run(ctx, q)
 	if end.answer == nil {
@@ -51,11 +51,11 @@
 
 // requestContext ends with the deadline, when the caller goes away and when
 // the proxy is closed.
-func (p *Proxy) requestContext(w http.ResponseWriter, r *http.Request, deadline time.Time) (context.Context, func()) {
+func (p *Proxy) requestContext(from caller, r *http.Request, deadline time.Time) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(r.Context())
 	ctx, cancelDeadline := context.WithDeadline(ctx, deadline)
 	stopBase := context.AfterFunc(p.base, func() { cancel(errStopping) })
-	stopWatch := watchCaller(w, func() { cancel(context.Canceled) })
+	stopWatch := from.WatchClose(func() { cancel(context.Canceled) })
 	return ctx, func() {
 		stopWatch()
 		stopBase()
