--- a/steering/input.go
+++ b/steering/input.go
@@ -56,8 +56,7 @@
 
 // Move is one change of one share.
 type Move struct {
-	// Service and Caller name the flow. An empty Service stands for every
-	// flow: a move known only by its size.
+	// Service and Caller name the flow.
 	Service model.ServiceName
 	Caller  model.RegionName
 	Place   model.PlaceName
--- a/steering/moved.go
+++ b/steering/moved.go
@@ -26,16 +26,14 @@
 	s.setBack()
 }
 
-// chargeMove counts an increase against its flow, or against every flow when
-// it is only known by its size.
+// chargeMove counts an increase against its flow.
 func (s *solver) chargeMove(m *Move) {
 	if m.Delta <= 0 || m.Age > s.account.Moves.Window {
 		return
 	}
 	for i := range s.flows {
 		f := &s.flows[i]
-		same := m.Service == s.account.Services[f.service].Name && m.Caller == f.caller
-		if same || m.Service == "" {
+		if m.Service == s.account.Services[f.service].Name && m.Caller == f.caller {
 			f.moved += int64(m.Delta)
 		}
 	}
