Record idempotency keys in the store

Cause: a caller repeats an order through another entry VM, which knows nothing of the first sending; the VMs keep nothing. Change: proxy/keys creates one record for each key by compare-and-swap, under a lease shared by many keys and within a bound of writes; lost answers are resolved by the claim's own identifier. Conclusion: at most one right a key for 24 h while the store keeps its leases.

--- a/proxy/claim.go
+++ b/proxy/claim.go
@@ -27,33 +27,50 @@
 	if errors.Is(err, keys.ErrDuplicate) {
 		return claim, refuse(result.DuplicateKey)
 	}
-	if ctx.Err() != nil {
-		return claim, refuse(endedCode(ctx))
-	}
-	if q.account.account.OutageOrders == model.OutageServe {
-		return keys.Claim{}, nil
+	if ctx.Err() == nil && q.account.account.OutageOrders == model.OutageServe {
+		return p.claimLocally(claim)
 	}
+	return claim, p.unrecorded(ctx, q, claim, err)
+}
+
+// unrecorded refuses a request whose key is not known to be recorded.
+func (p *Proxy) unrecorded(ctx context.Context, q *request, claim keys.Claim, err error) *refusal {
+	code := result.KeyRecordFailed
 	if errors.Is(err, keys.ErrUnknown) {
-		return claim, refuse(result.KeyOutcomeUnknown)
+		code = result.KeyOutcomeUnknown
+		p.releaseKey(ctx, claim)
+	}
+	if ctx.Err() != nil {
+		return refuse(endedCode(ctx))
 	}
-	return claim, refuse(result.KeyRecordFailed)
+	return refuse(code)
 }
 
-func (p *Proxy) recordKey(ctx context.Context, q *request) (keys.Claim, error) {
-	if p.options.Keys == nil {
-		return keys.Claim{}, keys.ErrUnavailable
+// claimLocally serves a request during an outage of the store. A repeat through
+// the same node is still refused.
+func (p *Proxy) claimLocally(claim keys.Claim) (keys.Claim, *refusal) {
+	if p.options.Keys != nil && !p.options.Keys.ClaimLocally(claim.Key) {
+		return keys.Claim{}, refuse(result.DuplicateKey)
 	}
-	return p.options.Keys.Record(ctx, keys.Key{
+	return claim, nil
+}
+
+func (p *Proxy) recordKey(ctx context.Context, q *request) (keys.Claim, error) {
+	key := keys.Key{
 		Account: q.account.account.Name,
 		Service: q.service.service.Name,
 		Text:    q.key,
-	})
+	}
+	if p.options.Keys == nil {
+		return keys.Claim{Key: key}, keys.ErrUnavailable
+	}
+	return p.options.Keys.Record(ctx, key)
 }
 
 // releaseKey frees the key of a request that certainly did not run, so that
 // the caller may send it again. It outlives the request's own deadline.
-func (p *Proxy) releaseKey(ctx context.Context, q *request, claim keys.Claim) {
-	if claim.Revision == 0 || p.options.Keys == nil {
+func (p *Proxy) releaseKey(ctx context.Context, claim keys.Claim) {
+	if claim.Key.Text == "" || p.options.Keys == nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTime)
--- /dev/null
+++ b/proxy/keys/options.go
@@ -0,0 +1,46 @@
+package keys
+
+import (
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/grant"
+	"github.com/yuccaroute/yuccaroute/store"
+)
+
+// Defaults of Options.
+const (
+	DefaultKeep            = 24 * time.Hour
+	DefaultWritesPerSecond = 20
+	DefaultTimeout         = 500 * time.Millisecond
+	DefaultRemembered      = 1 << 14
+)
+
+// Options configure a Recorder. Zero values take the defaults.
+type Options struct {
+	Store store.KV
+	Node  grant.NodeID
+	// Keep is how long a key is recorded at least.
+	Keep time.Duration
+	// WritesPerSecond bounds the node's writes; above it keys are treated as
+	// during an outage. The platform serves several hundred for all nodes.
+	WritesPerSecond float64
+	// Timeout bounds one call of the store.
+	Timeout time.Duration
+	// Remembered is how many keys the node itself remembers.
+	Remembered int
+}
+
+func (o *Options) setDefaults() {
+	if o.Keep <= 0 {
+		o.Keep = DefaultKeep
+	}
+	if o.WritesPerSecond <= 0 {
+		o.WritesPerSecond = DefaultWritesPerSecond
+	}
+	if o.Timeout <= 0 {
+		o.Timeout = DefaultTimeout
+	}
+	if o.Remembered <= 0 {
+		o.Remembered = DefaultRemembered
+	}
+}
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -30,6 +30,9 @@
 type KeyRecorder interface {
 	// Record returns the right to run the work of a key.
 	Record(ctx context.Context, key keys.Key) (keys.Claim, error)
+	// ClaimLocally returns the right to run the work of a key without a
+	// record, to one of the requests through this node.
+	ClaimLocally(key keys.Key) bool
 	// Release frees the key of a request that certainly did not run.
 	Release(ctx context.Context, claim keys.Claim)
 }
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -33,7 +33,7 @@
 	}
 	end := p.sendUntilDone(ctx, q, permission)
 	if end.answer == nil && isNotRun(end.refusal.code) {
-		p.releaseKey(ctx, q, claim)
+		p.releaseKey(ctx, claim)
 	}
 	return end
 }
