Test the request path behind a fault-injecting proxy

Cause: the promises about requests must hold while paths break. Change: ten cases with toxiproxy between callers, entry VMs and targets, in one process so that the race detector sees the request path; the independent checker gives the verdict.

--- /dev/null
+++ b/integration/farm_test.go
@@ -0,0 +1,181 @@
+package integration
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/api/result"
+	"github.com/yuccaroute/yuccaroute/bench/check"
+	"github.com/yuccaroute/yuccaroute/client"
+	"github.com/yuccaroute/yuccaroute/standin/caller"
+)
+
+// The account that all tests use: the farmers' booking platform, with its
+// bookings at most once.
+const (
+	account = model.AccountName("alpenvlies")
+	service = model.ServiceName("termindienst")
+)
+
+// farm is a whole system under test with faults on its paths. Entries and
+// targets are in the order of their paths.
+type farm struct {
+	t *testing.T
+	// entryPaths stand before the entry VMs, targetPaths before the targets,
+	// platformPath before the platform; nil where there is none.
+	entryPaths   []*faultProxy
+	targetPaths  []*faultProxy
+	platformPath *faultProxy
+	// entries and targets are the processes; empty when they run within the
+	// test.
+	entries []*process
+	targets []*process
+	// ledger returns what ran at all targets, those that were killed included.
+	ledger func() []check.Ran
+}
+
+// step is something that happens to the farm once so many requests have ended.
+type step struct {
+	after int
+	do    func(*farm)
+}
+
+// load is what is sent while the steps happen.
+type load struct {
+	seed     uint64
+	requests int
+	rps      float64
+	deadline time.Duration
+	// uploads sends bulk bodies to the same service beside the usual mix.
+	kinds []caller.Kind
+}
+
+// outcome is what a run showed.
+type outcome struct {
+	report *check.Report
+	counts map[result.Outcome]int
+	codes  map[result.Code]int
+}
+
+// kinds is the farmers' mix: availability checks, bookings, and some large
+// bodies, so that cuts fall within requests.
+func kinds() []caller.Kind {
+	mixed := caller.Termindienst(nil).Kinds
+	return append(mixed, caller.Kind{
+		Method: "POST", Path: "/bookings", Class: model.NonIdempotent, Weight: 10,
+		MinBody: 10 << 10, MaxBody: 60 << 10,
+	})
+}
+
+// run sends the load, lets the steps happen and checks.
+func (f *farm) run(l load, steps ...step) outcome {
+	f.t.Helper()
+	var recorder check.Recorder
+	happen := f.follow(steps)
+	var ended atomic.Int64
+	if l.kinds == nil {
+		l.kinds = kinds()
+	}
+	callers, err := caller.New(caller.Options{
+		Account: account, Nodes: f.nodes(), Blocks: caller.AlpenvliesBlocks(), SourcesPerBlock: 2,
+		Client: client.Options{MaxConnections: 128},
+		Loads:  []caller.Load{{Service: service, Rate: caller.Steady(l.rps), Kinds: l.kinds, Deadline: l.deadline}},
+		Seed:   l.seed, Name: f.t.Name(), MaxRequests: l.requests, MaxInFlight: 1000, RepeatUnknown: true,
+		Told: func(told check.Told) {
+			recorder.AddTold(told)
+			happen(int(ended.Add(1)))
+		},
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	callers.Run(context.Background())
+	callers.Close()
+	happen(stepsDone)
+	return f.judge(recorder.Told())
+}
+
+// stepsDone waits for the steps that have begun.
+const stepsDone = -1
+
+// follow returns a function that is told the number of ended requests and lets
+// the steps happen one after the other, beside the load.
+func (f *farm) follow(steps []step) func(ended int) {
+	reached := make(chan int, 1)
+	var followers sync.WaitGroup
+	followers.Go(func() {
+		next := 0
+		for ended := range reached {
+			for next < len(steps) && ended >= steps[next].after {
+				steps[next].do(f)
+				next++
+			}
+		}
+	})
+	var once sync.Once
+	return func(ended int) {
+		if ended == stepsDone {
+			once.Do(func() { close(reached) })
+			followers.Wait()
+			return
+		}
+		select {
+		case reached <- ended:
+		default:
+		}
+	}
+}
+
+func (f *farm) nodes() []string {
+	var nodes []string
+	for _, p := range f.entryPaths {
+		nodes = append(nodes, p.address().String())
+	}
+	return nodes
+}
+
+// judge lets all faults end, reads the ledgers and checks.
+func (f *farm) judge(told []check.Told) outcome {
+	f.calm()
+	o := outcome{
+		report: check.Check(check.Input{Told: told, Ran: f.ledger()}),
+		counts: make(map[result.Outcome]int),
+		codes:  make(map[result.Code]int),
+	}
+	for i := range told {
+		o.counts[told[i].Outcome]++
+		o.codes[told[i].Code]++
+	}
+	return o
+}
+
+// calm takes all faults off, so that nothing is on its way any more when the
+// ledgers are read: a request held back by a fault could still run.
+func (f *farm) calm() {
+	for _, p := range append(append([]*faultProxy{}, f.targetPaths...), f.entryPaths...) {
+		p.clear()
+	}
+}
+
+// want checks that no promise was broken and that the faults showed: a fault
+// that changes nothing proves nothing.
+func (o *outcome) want(t *testing.T, least map[result.Outcome]int) {
+	t.Helper()
+	t.Logf("ran %d, not run %d, unknown %d; codes %v",
+		o.counts[result.Ran], o.counts[result.NotRun], o.counts[result.Unknown], o.codes)
+	if n := o.report.Violations(); n != 0 {
+		t.Errorf("%d violations:\n%s", n, o.report)
+	}
+	for which, n := range least {
+		if o.counts[which] < n {
+			t.Errorf("%d requests %v, want at least %d", o.counts[which], which, n)
+		}
+	}
+}
+
+func mustAddrPort(text string) netip.AddrPort { return netip.MustParseAddrPort(text) }
--- /dev/null
+++ b/integration/path_test.go
@@ -0,0 +1,160 @@
+package integration
+
+import (
+	"cmp"
+	"testing"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/result"
+)
+
+// usualDeadline is far above what a healthy request takes.
+const usualDeadline = time.Second
+
+// TestRequestPathUnderFaults breaks the paths of the request, one way a case.
+// The stories are the farmers': each case tells what they would see if the
+// request path got it wrong.
+func TestRequestPathUnderFaults(t *testing.T) {
+	cases := []struct {
+		name  string
+		story string
+		// deadline is 0 for the usual second.
+		deadline time.Duration
+		steps    []step
+		least    map[result.Outcome]int
+	}{
+		{
+			"cut before the request",
+			"A target's port is closed. A farmer is told that the booking failed; it must not have been made.",
+			0,
+			[]step{{200, cutTarget(0)}, {600, restoreTarget(0)}},
+			map[result.Outcome]int{result.Ran: 1000},
+		},
+		{
+			"cut within the request",
+			"A connection breaks while a booking is on its way to the target. It may have been read whole or not; sent again elsewhere it could be made twice.",
+			0,
+			roll(100, 1300, cutAfter(towards, 5000, 1)),
+			map[result.Outcome]int{result.Ran: 500, result.Unknown: 3},
+		},
+		{
+			"cut after the request",
+			"The target has made the booking and the connection breaks before a byte of its answer. A second try makes it twice.",
+			0,
+			roll(100, 1300, cutAfter(back, 0, 1)),
+			map[result.Outcome]int{result.Ran: 500, result.Unknown: 3},
+		},
+		{
+			"cut within the answer",
+			"The list of free gangs breaks off in its head or body. Shown as whole it reads as if no other gang were free.",
+			0,
+			roll(100, 1300, cutAfter(back, 240, 1)),
+			map[result.Outcome]int{result.Ran: 500, result.Unknown: 3},
+		},
+		{
+			"answer after the deadline",
+			"An answer is held back past its deadline and delivered while the next request is under way on the same path. A farmer must not get a neighbour's dates.",
+			100 * time.Millisecond,
+			roll(100, 1300, delay(back, 160, 40, 1)),
+			map[result.Outcome]int{result.Ran: 500, result.Unknown: 3},
+		},
+		{
+			"answers in reverse order",
+			"Two farmers ask at once and the second answer overtakes the first. Each must get their own.",
+			0,
+			roll(100, 1300, delay(back, 60, 60, 1), slices(back, 40)),
+			map[result.Outcome]int{result.Ran: 1000},
+		},
+		{
+			"half-open target",
+			"One target after the other accepts connections and says nothing. Bookings sent there are unknown, and availability checks go elsewhere.",
+			100 * time.Millisecond,
+			roll(100, 1300, swallow(back, 1)),
+			map[result.Outcome]int{result.Ran: 500, result.Unknown: 3},
+		},
+		{
+			"reset connections",
+			"The connections to one target after the other are reset while requests are in hand.",
+			0,
+			roll(100, 1300, resetAfter(back, 1, 1)),
+			map[result.Outcome]int{result.Ran: 500, result.Unknown: 3},
+		},
+		{
+			"caller's path breaks",
+			"The line between farmer and entry VM breaks before, within and after the request, first to one entry VM and then to the other.",
+			0,
+			[]step{
+				{100, onEntry(0, cutAfter(back, 600, 0.7))}, {400, onEntry(0, cutAfter(towards, 6000, 0.7))},
+				{700, calmEntries}, {750, onEntry(1, resetAfter(back, 5, 0.5))}, {1000, calmEntries},
+			},
+			map[result.Outcome]int{result.Ran: 500, result.Unknown: 3},
+		},
+		{
+			"all at once, twice",
+			"Everything above happens together, ends and happens again.",
+			0,
+			[]step{{100, everything}, {500, calmAll}, {700, everything}, {1100, calmAll}},
+			map[result.Outcome]int{result.Ran: 300, result.Unknown: 1},
+		},
+	}
+	for i, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newLocalFarm(t)
+			o := f.run(load{seed: uint64(i + 1), requests: 1500, rps: 800, deadline: cmp.Or(c.deadline, usualDeadline)}, c.steps...)
+			o.want(t, c.least)
+			if t.Failed() {
+				t.Log(c.story)
+			}
+		})
+	}
+}
+
+// rollEvery is after how many requests roll goes on to the next target.
+const rollEvery = 100
+
+// roll puts faults on the path to one target after the other. A fault that
+// stays on a path soon shows no more, as the target is passed over.
+func roll(from, to int, faults ...toxic) []step {
+	var steps []step
+	for after := from; after < to; after += rollEvery {
+		i := after / rollEvery
+		steps = append(steps, step{after, func(f *farm) {
+			calmTargets(f)
+			f.targetPaths[i%len(f.targetPaths)].add(faults...)
+		}})
+	}
+	return append(steps, step{to, calmTargets})
+}
+
+func onEntry(i int, faults ...toxic) func(*farm) {
+	return func(f *farm) { f.entryPaths[i].add(faults...) }
+}
+
+func cutTarget(i int) func(*farm)     { return func(f *farm) { f.targetPaths[i].cut() } }
+func restoreTarget(i int) func(*farm) { return func(f *farm) { f.targetPaths[i].restore() } }
+
+func calmTargets(f *farm) {
+	for _, p := range f.targetPaths {
+		p.clear()
+	}
+}
+
+func calmEntries(f *farm) {
+	for _, p := range f.entryPaths {
+		p.clear()
+	}
+}
+
+func calmAll(f *farm) {
+	calmTargets(f)
+	calmEntries(f)
+}
+
+func everything(f *farm) {
+	f.targetPaths[0].add(cutAfter(towards, 5000, 0.5), delay(back, 300, 300, 0.5))
+	f.targetPaths[1].add(cutAfter(back, 240, 0.5), slices(back, 40))
+	f.targetPaths[2].add(resetAfter(back, 20, 0.5))
+	f.targetPaths[3].add(swallow(back, 0.5))
+	f.entryPaths[0].add(cutAfter(back, 2000, 0.3))
+	f.entryPaths[1].add(delay(back, 50, 50, 0.5))
+}
