bench: measure the decider of an account by nodes and by sites

Cause: control at the target's size is the part of the design most in doubt. Change: two scenarios drive the real decider, planner and ledger with the messages of a fleet in simulated time and count messages, bytes and writes.

--- /dev/null
+++ b/bench/scenario/decider.go
@@ -0,0 +1,114 @@
+package scenario
+
+import (
+	"context"
+	"runtime"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccaroute/yuccaroute/bench/report"
+)
+
+// What the decider scenarios hold constant.
+const (
+	// todayPlaces is how many places an account of today has.
+	todayPlaces = 6
+	// deciderWarmup is left out of the figures: the plan settles in it.
+	deciderWarmup = 60 * time.Second
+	// deciderTime is the simulated time that is measured.
+	deciderTime = 30 * time.Second
+	// ledgerStep is how often a decider decides.
+	ledgerStep = time.Second
+)
+
+// deciderByNodes measures the decider of one account of today's size.
+func deciderByNodes() Scenario {
+	return Scenario{
+		Name:     "decider-nodes",
+		SizeName: "nodes",
+		Summary:  "one account with 6 places and 2 services, by nodes; simulated time",
+		MaxSize:  2 * targetNodes,
+		Run: func(ctx context.Context, p Params) ([]report.Metric, error) {
+			return runDecider(ctx, int(p.Size), todayPlaces, p.Seed)
+		},
+	}
+}
+
+// deciderBySites measures the decider of one account that uses all sites.
+func deciderBySites() Scenario {
+	return Scenario{
+		Name:     "decider-sites",
+		SizeName: "sites",
+		Summary:  "one account with 2 services and 550 nodes, by sites; simulated time",
+		MaxSize:  targetSites,
+		Run: func(ctx context.Context, p Params) ([]report.Metric, error) {
+			return runDecider(ctx, targetNodes, int(p.Size), p.Seed)
+		},
+	}
+}
+
+// runDecider drives the real decider, its planner and its ledger with the
+// messages of a fleet, in simulated time. Processor time is real.
+func runDecider(ctx context.Context, nodes, sites int, seed uint64) ([]report.Metric, error) {
+	before := liveHeap()
+	d, err := newDeciderWorld(nodes, sites, seed)
+	if err != nil {
+		return nil, err
+	}
+	if err := d.run(ctx, deciderWarmup); err != nil {
+		return nil, err
+	}
+	d.counts = deciderCounts{}
+	started := time.Now()
+	if err := d.run(ctx, deciderTime); err != nil {
+		return nil, err
+	}
+	elapsed := time.Since(started)
+	kept := liveHeap() - before
+	runtime.KeepAlive(d)
+	return d.metrics(elapsed, kept), nil
+}
+
+// deciderCounts is what happened in the measured time.
+type deciderCounts struct {
+	reports, requestBytes, answerBytes uint64
+	writes, writeBytes                 uint64
+	plans, planBytes                   uint64
+	renewTime, stepTime                time.Duration
+}
+
+func (d *deciderWorld) metrics(elapsed time.Duration, kept uint64) []report.Metric {
+	c := d.counts
+	seconds := deciderTime.Seconds()
+	each := float64(max(c.reports, 1))
+	return []report.Metric{
+		{Name: "reports", Unit: "1/s", Value: float64(c.reports) / seconds},
+		{Name: "request", Unit: "B", Value: float64(c.requestBytes) / each},
+		{Name: "answer", Unit: "B", Value: float64(c.answerBytes) / each},
+		{Name: "renew", Unit: "us", Value: float64(c.renewTime.Microseconds()) / each},
+		{Name: "step", Unit: "ms", Value: c.stepTime.Seconds() * 1000 / seconds},
+		{Name: "processor share", Unit: "%", Value: 100 * elapsed.Seconds() / seconds},
+		{Name: "ledger", Unit: "B", Value: float64(d.ledgerBytes)},
+		{Name: "ledger writes", Unit: "1/s", Value: float64(c.writes) / seconds},
+		{Name: "store bytes", Unit: "B/s", Value: float64(c.writeBytes) / seconds},
+		{Name: "plans", Unit: "1/s", Value: float64(c.plans) / seconds},
+		{Name: "plan", Unit: "B", Value: float64(d.planBytes)},
+		{Name: "kept", Unit: "B", Value: float64(kept)},
+	}
+}
+
+// run lets simulated time pass.
+func (d *deciderWorld) run(ctx context.Context, duration time.Duration) error {
+	end := d.now.Add(duration)
+	for d.now.Before(end) {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err := d.step(); err != nil {
+			return errors.Wrap(err, "decider")
+		}
+		d.second()
+	}
+	return nil
+}
--- a/bench/scenario/scenario.go
+++ b/bench/scenario/scenario.go
@@ -48,7 +48,7 @@
 
 // All returns the scenarios, sorted by name.
 func All() []Scenario {
-	return []Scenario{blocksScenario(), lookupHTTP(), lookupLibrary()}
+	return []Scenario{blocksScenario(), deciderByNodes(), deciderBySites(), lookupHTTP(), lookupLibrary()}
 }
 
 // Find returns the named scenario.
