Let a stand-in target keep its ledger in a file

Cause: the ledger of a target that is killed was lost, so that an order that ran there and again elsewhere could not be told. Conclusion: tests with killed targets can check at-most-once.

--- a/cmd/yuccaroute/standin.go
+++ b/cmd/yuccaroute/standin.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -48,7 +49,7 @@
 
 func newStandinTarget() *cobra.Command {
 	var options target.Options
-	var address string
+	var address, journal string
 	cmd := &cobra.Command{
 		Use:     "target",
 		Short:   "One target with slots, a ledger and faults on request",
@@ -56,6 +57,14 @@
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			httpserver.QuietLibraryLogs()
+			if journal != "" {
+				file, err := os.OpenFile(journal, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+				if err != nil {
+					return program.Exit(program.ExitUsage, err)
+				}
+				defer file.Close()
+				options.Journal = file
+			}
 			t := target.New(options)
 			if err := t.Start(address); err != nil {
 				return program.Exit(program.ExitUsage, err)
@@ -68,6 +77,7 @@
 	}
 	flags := cmd.Flags()
 	flags.StringVar(&address, "address", "127.0.0.1:0", "ip:port to listen on")
+	flags.StringVar(&journal, "journal", "", "file that gets a line for each run, for targets that are killed")
 	flags.StringVar(&options.Name, "name", "target", "identifier in the VM list")
 	flags.IntVar(&options.Slots, "slots", target.DefaultSlots, "requests that run at once")
 	flags.IntVar(&options.Queue, "queue", target.DefaultSlots, "requests that wait; others are shed")
--- a/standin/target/ledger.go
+++ b/standin/target/ledger.go
@@ -1,8 +1,11 @@
 package target
 
 import (
+	"io"
 	"sync"
 	"time"
+
+	"github.com/goccy/go-json"
 )
 
 // Run is one line of the ledger: a token and when it first ran.
@@ -18,9 +21,13 @@
 	mu   sync.Mutex
 	at   map[string]int
 	runs []Run
+	// journal, unless nil, gets a line for each run before the run begins.
+	journal io.Writer
 }
 
-func newLedger() *ledger { return &ledger{at: make(map[string]int)} }
+func newLedger(journal io.Writer) *ledger {
+	return &ledger{at: make(map[string]int), journal: journal}
+}
 
 func (l *ledger) record(token string) {
 	if token == "" {
@@ -28,6 +35,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.write(Run{Token: token, At: time.Now(), Count: 1})
 	if i, ok := l.at[token]; ok {
 		l.runs[i].Count++
 		return
@@ -36,6 +44,18 @@
 	l.runs = append(l.runs, Run{Token: token, At: time.Now(), Count: 1})
 }
 
+// write appends a run to the journal in one call of the system, so that it
+// outlives the process whenever that is killed.
+func (l *ledger) write(run Run) {
+	if l.journal == nil {
+		return
+	}
+	line, err := json.Marshal(&run)
+	if err == nil {
+		_, _ = l.journal.Write(append(line, '\n'))
+	}
+}
+
 func (l *ledger) copy() []Run {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/standin/target/options.go
+++ b/standin/target/options.go
@@ -1,6 +1,9 @@
 package target
 
-import "time"
+import (
+	"io"
+	"time"
+)
 
 // Defaults of Options.
 const (
@@ -34,6 +37,10 @@
 	LoadLag time.Duration
 	// MaxBodyBytes bounds request bodies.
 	MaxBodyBytes int
+	// Journal, unless nil, gets each run as a line of JSON before it begins, so
+	// that the ledger of a target that is killed is not lost. A token that runs
+	// twice has two lines.
+	Journal io.Writer
 }
 
 func (o *Options) setDefaults() {
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -43,7 +43,7 @@
 	t := &Target{
 		options: o,
 		slots:   newSlots(o.Slots, o.Queue),
-		ledger:  newLedger(),
+		ledger:  newLedger(o.Journal),
 		report:  loadReport{lag: o.LoadLag},
 		random:  rand.New(rand.NewPCG(o.Seed, o.Seed)),
 	}
