Read early refusals of long uploads and prove the exchange's hard cases

Cause: a target that refuses an upload at its head stops reading; the sender saw only its own broken write and had to say unknown.

--- a/proxy/forward/conn.go
+++ b/proxy/forward/conn.go
@@ -15,6 +15,8 @@
 const (
 	readBufferBytes = 8 << 10
 	maxHeaderBytes  = 64 << 10
+	// longBodyBytes is what the system's buffers surely take at once.
+	longBodyBytes = 32 << 10
 )
 
 // exchanges numbers the exchanges of the process.
@@ -75,8 +77,10 @@
 }
 
 func (c *Conn) run(ctx context.Context, r *Request, left time.Duration) (*Answer, error) {
-	id := exchanges.Add(1)
-	exchange := strconv.FormatUint(id, 16)
+	exchange := strconv.FormatUint(exchanges.Add(1), 16)
+	if r.Length > longBodyBytes {
+		return c.runLong(ctx, r, exchange, left)
+	}
 	written, werr := c.send(r, exchange, left)
 	if werr != nil && written == 0 {
 		// The system took no byte, so none can reach a target.
@@ -88,13 +92,10 @@
 	// After a write that broke half-way the target may still have answered,
 	// for example that it refuses the body.
 	answer, err := c.receive(ctx, r, exchange)
-	if err != nil {
-		return nil, err
-	}
 	if werr != nil {
 		c.clean = false
 	}
-	return answer, nil
+	return answer, err
 }
 
 // send writes the request and returns how many bytes the system took.
--- /dev/null
+++ b/proxy/forward/conn_test.go
@@ -0,0 +1,292 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/result"
+)
+
+// A target answers one request twice, whole or in part, at once or later. The
+// second answer must never reach the next caller: the connection is given up.
+func TestStrayAnswerEndsTheConnection(t *testing.T) {
+	cases := map[string]string{
+		"two answers in one read":       answerWith("one") + answerWith("two"),
+		"half an answer more":           answerWith("one") + "HTTP/1.1 2",
+		"one byte more than the length": answerWith("one") + "\n",
+	}
+	for name, text := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := NewConn(open(t, func(p *peer) {
+				p.next()
+				p.say(text)
+				p.next()
+			}))
+			defer c.Close()
+			a, err := c.Exchange(background, get("/stock"))
+			if err != nil || string(a.Body) != "one" {
+				t.Fatalf("%v %v", a, err)
+			}
+			if c.Reusable() || c.Quiet() {
+				t.Fatal("the connection counts as clean")
+			}
+		})
+	}
+}
+
+// As before, but the second answer comes only after the first was read.
+func TestLateStrayAnswerIsSeenBeforeReuse(t *testing.T) {
+	more, sent := make(chan struct{}), make(chan struct{})
+	c := NewConn(open(t, func(p *peer) {
+		p.next()
+		p.say(answerWith("one"))
+		<-more
+		p.say(answerWith("two"))
+		close(sent)
+		p.next()
+	}))
+	defer c.Close()
+	if _, err := c.Exchange(background, get("/stock")); err != nil || !c.Reusable() || !c.Quiet() {
+		t.Fatalf("error %v", err)
+	}
+	close(more)
+	<-sent
+	waitNotQuiet(c)
+	if c.Quiet() {
+		t.Fatal("the connection counts as quiet")
+	}
+}
+
+// waitNotQuiet gives the bytes time to cross the loopback device.
+func waitNotQuiet(c *Conn) {
+	for i := 0; i < 1_000_000 && c.Quiet(); i++ {
+	}
+}
+
+// A target sends fields without an end. The answer must not fill the memory.
+func TestEndlessHeadIsCut(t *testing.T) {
+	c := NewConn(open(t, func(p *peer) {
+		p.next()
+		p.say("HTTP/1.1 200 OK\r\n")
+		for range 1 << 10 {
+			if _, err := p.Write([]byte("A: " + strings.Repeat("a", 4<<10) + "\r\n")); err != nil {
+				return
+			}
+		}
+		p.next()
+	}))
+	defer c.Close()
+	_, err := c.Exchange(background, get("/stock"))
+	wantError(t, err, result.AnswerTooLarge)
+}
+
+// The target repeats the number of an earlier exchange: its answer is a late
+// one and must not be taken for the awaited one.
+func TestAnswerOfAnotherExchangeIsRefused(t *testing.T) {
+	c := NewConn(open(t, func(p *peer) {
+		first := p.next().Header.Get(result.HeaderExchange)
+		p.say("HTTP/1.1 200 OK\r\nYucca-Exchange: " + first + "\r\nContent-Length: 3\r\n\r\none")
+		p.next()
+		p.say("HTTP/1.1 200 OK\r\nYucca-Exchange: " + first + "\r\nContent-Length: 3\r\n\r\none")
+	}))
+	defer c.Close()
+	if _, err := c.Exchange(background, get("/stock")); err != nil {
+		t.Fatal(err)
+	}
+	_, err := c.Exchange(background, get("/stock"))
+	wantError(t, err, result.AnswerTruncated)
+	if c.Reusable() {
+		t.Fatal("the connection counts as clean")
+	}
+}
+
+// The caller's deadline passes while the target works; the answer comes later.
+// It must not be read by the next exchange.
+func TestDeadlineAfterSending(t *testing.T) {
+	c := NewConn(open(t, func(p *peer) { p.next(); p.next() }))
+	defer c.Close()
+	r := post("order")
+	r.Deadline = time.Now().Add(30 * time.Millisecond)
+	_, err := c.Exchange(background, r)
+	wantError(t, err, result.DeadlineAfterSend)
+	if c.Reusable() {
+		t.Fatal("the connection counts as clean")
+	}
+	_, err = c.Exchange(background, get("/stock"))
+	wantError(t, err, result.ConnectFailed)
+}
+
+// The caller goes while the target works. The target must see the connection
+// close, or it works on for nobody.
+func TestCancellationReachesTheTarget(t *testing.T) {
+	ctx, cancel := context.WithCancel(background)
+	saw := make(chan bool, 1)
+	c := NewConn(open(t, func(p *peer) {
+		p.next()
+		cancel()
+		saw <- p.next() == nil
+	}))
+	_, err := c.Exchange(ctx, post("order"))
+	wantError(t, err, result.CallerGone)
+	c.Close()
+	if !<-saw {
+		t.Fatal("the target got another request")
+	}
+}
+
+// brokenConn takes some bytes of a request and then fails.
+type brokenConn struct {
+	net.Conn
+	takes int
+}
+
+func (b *brokenConn) Write(p []byte) (int, error) {
+	n := min(b.takes, len(p))
+	b.takes -= n
+	if n < len(p) {
+		return n, errors.New("broken")
+	}
+	return n, nil
+}
+
+// The connection breaks while the request is written. Only if the system took
+// not one byte is it certain that the order did not run.
+func TestBrokenWrite(t *testing.T) {
+	for _, c := range []struct {
+		takes int
+		want  result.Code
+	}{{0, result.ConnectFailed}, {1, result.ConnectionLost}, {60, result.ConnectionLost}} {
+		for _, body := range []string{"order", strings.Repeat("a", 1<<20)} {
+			conn := open(t, func(*peer) {})
+			_, err := NewConn(&brokenConn{Conn: conn, takes: c.takes}).Exchange(background, post(body))
+			wantError(t, err, c.want)
+		}
+	}
+}
+
+func TestPassedDeadlineIsNotSent(t *testing.T) {
+	c := NewConn(open(t, func(p *peer) { p.next() }))
+	defer c.Close()
+	r := post("order")
+	r.Deadline = time.Now().Add(-time.Second)
+	_, err := c.Exchange(background, r)
+	wantError(t, err, result.DeadlineBeforeSend)
+	if !err.(*Error).NotRun() {
+		t.Fatal("not told that it did not run")
+	}
+}
+
+// Informational answers come before the final one and are not it.
+func TestInformationalAnswersAreSkipped(t *testing.T) {
+	c := NewConn(open(t, func(p *peer) {
+		p.next()
+		p.say("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n" + answerWith("one"))
+		p.next()
+		p.say(answerWith("two"))
+	}))
+	defer c.Close()
+	for _, want := range []string{"one", "two"} {
+		a, err := c.Exchange(background, get("/stock"))
+		if err != nil || string(a.Body) != want {
+			t.Fatalf("%v %v, want %s", a, err, want)
+		}
+	}
+}
+
+// A target refuses an upload at its head and stops reading. The refusal must be
+// seen at once, or an upload that could go elsewhere ends in "unknown".
+func TestEarlyAnswerToALongUpload(t *testing.T) {
+	shed := "HTTP/1.1 503 Busy\r\nYucca-Shed: 1\r\nContent-Length: 0\r\n\r\n"
+	seen := make(chan struct{})
+	c := NewConn(open(t, func(p *peer) {
+		if _, err := http.ReadRequest(p.reader); err == nil {
+			p.say(shed)
+		}
+		<-seen
+	}))
+	defer c.Close()
+	a, err := c.Exchange(background, post(strings.Repeat("a", 32<<20)))
+	close(seen)
+	if err != nil || !a.Shed {
+		t.Fatalf("%v %v", a, err)
+	}
+	if c.Reusable() {
+		t.Fatal("the connection counts as clean")
+	}
+}
+
+func TestLongUploadIsSentWhole(t *testing.T) {
+	c := NewConn(open(t, func(p *peer) {
+		for r := p.next(); r != nil; r = p.next() {
+			p.say(answerWith("one"))
+		}
+	}))
+	defer c.Close()
+	for range 2 {
+		a, err := c.Exchange(background, post(strings.Repeat("a", 4<<20)))
+		if err != nil || string(a.Body) != "one" || !c.Reusable() {
+			t.Fatalf("%v %v", a, err)
+		}
+	}
+}
+
+// Fields that concern one connection, and fields a caller uses to pass as the
+// entry VM, do not reach the target.
+func TestHopByHopFieldsAreNotForwarded(t *testing.T) {
+	seen := make(chan *http.Request, 1)
+	c := NewConn(open(t, func(p *peer) {
+		seen <- p.next()
+		p.say(answerWith("one"))
+	}))
+	defer c.Close()
+	r := post("order")
+	r.Header = http.Header{
+		"Connection":          {"X-Private, close"},
+		"X-Private":           {"1"},
+		"X-Kept":              {"1"},
+		"Transfer-Encoding":   {"chunked"},
+		"Content-Length":      {"99"},
+		"Host":                {"elsewhere"},
+		result.HeaderExchange: {"9"},
+	}
+	if _, err := c.Exchange(background, r); err != nil {
+		t.Fatal(err)
+	}
+	got := <-seen
+	if got.Header.Get("X-Private") != "" || got.Header.Get("X-Kept") != "1" || got.ContentLength != 5 ||
+		got.Host != "target" || got.Header.Get(result.HeaderExchange) == "9" {
+		t.Fatalf("%+v", got)
+	}
+}
+
+// fullMemory has no bytes left.
+type fullMemory struct{ taken int64 }
+
+func (m *fullMemory) Take(n int64) bool { return false }
+func (m *fullMemory) Give(n int64)      { m.taken -= n }
+
+func TestAnswerWithoutMemoryIsNotBuffered(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+	} {
+		c := NewConn(open(t, func(p *peer) {
+			p.next()
+			p.say(text)
+		}))
+		r := get("/stock")
+		memory := &fullMemory{}
+		r.Memory = memory
+		_, err := c.Exchange(background, r)
+		wantError(t, err, result.AnswerTooLarge)
+		if memory.taken != 0 {
+			t.Fatalf("%d bytes given back that were not taken", -memory.taken)
+		}
+		c.Close()
+	}
+}
