--- a/steering/cell.go
+++ b/steering/cell.go
@@ -44,14 +44,13 @@
 		state := &s.in.Places[i]
 		states[cellKey{state.Service, state.Place}] = state
 	}
-	index := s.placeIndex()
 	s.cells = make([][]cell, len(s.account.Services))
 	all := make([]cell, len(s.account.Services)*len(s.places))
 	for i := range s.account.Services {
 		service := &s.account.Services[i]
 		row := all[i*len(s.places) : (i+1)*len(s.places)]
 		for _, c := range service.Capacity {
-			if p, ok := index[c.Place]; ok {
+			if p, ok := s.index[c.Place]; ok {
 				row[p].configured = c.RPS
 			}
 		}
--- a/steering/cold.go
+++ b/steering/cold.go
@@ -15,16 +15,15 @@
 	if service < 0 {
 		return
 	}
-	for p := range s.places {
-		if s.places[p].name != m.Place {
-			continue
-		}
-		c := &s.cells[service][p]
-		s.chargeStep(c, m, service)
-		c.chargeBack(m)
-		if m.Cause == KindFailure && m.Delta < 0 || m.Delta > 0 {
-			noteEpisode(episodes, cellKey{m.Service, m.Place}, m)
-		}
+	place, ok := s.index[m.Place]
+	if !ok {
+		return
+	}
+	c := &s.cells[service][place]
+	s.chargeStep(c, m, service)
+	c.chargeBack(m)
+	if m.Cause == KindFailure && m.Delta < 0 || m.Delta > 0 {
+		noteEpisode(episodes, cellKey{m.Service, m.Place}, m)
 	}
 }
 
--- /dev/null
+++ b/steering/decide_bench_test.go
@@ -0,0 +1,65 @@
+package steering
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// benchRegions is the number of regions of the accounts measured.
+const benchRegions = 6
+
+// BenchmarkDecide measures a decision that moves nothing, the usual case.
+func BenchmarkDecide(b *testing.B) {
+	eachSize(b, func(b *testing.B, in Input) { measure(b, in) })
+}
+
+// BenchmarkDecideFailure measures the first decision after a place failed:
+// every flow that used it moves a whole cap.
+func BenchmarkDecideFailure(b *testing.B) {
+	eachSize(b, func(b *testing.B, in Input) {
+		in.Account.Moves.Share = 0.5
+		for i := range in.Places {
+			if in.Places[i].Place == in.Account.Places[0].Name {
+				in.Places[i].Usable = 0
+			}
+		}
+		measure(b, in)
+	})
+}
+
+func eachSize(b *testing.B, run func(*testing.B, Input)) {
+	for _, places := range []int{6, 20, 60, 160} {
+		for _, services := range []int{1, 2, 4} {
+			b.Run(fmt.Sprintf("places=%d/services=%d", places, services), func(b *testing.B) {
+				run(b, settled(places, services))
+			})
+		}
+	}
+}
+
+// settled is an account in its steady state, with moves to remember.
+func settled(places, services int) Input {
+	a := accountOf(benchRegions, (places+benchRegions-1)/benchRegions, services)
+	a.Places = a.Places[:places]
+	in := inputOf(a, 0.5)
+	in.Previous = Decide(in).Plan
+	for i := range 64 {
+		in.Moved = append(in.Moved, Move{
+			Service: a.Services[i%services].Name,
+			Caller:  a.Regions[i%benchRegions].Name,
+			Place:   a.Places[i%places].Name,
+			Delta:   100,
+			Cause:   KindLatency,
+			Age:     time.Hour,
+		})
+	}
+	return in
+}
+
+func measure(b *testing.B, in Input) {
+	b.ReportAllocs()
+	for b.Loop() {
+		Decide(in)
+	}
+}
--- a/steering/explain/text.go
+++ b/steering/explain/text.go
@@ -45,6 +45,8 @@
 		return fmt.Sprintf("%s fails: %.0f %% of it, it takes no more from %.0f %% on", r.Place, 100*r.Value, 100*r.Limit)
 	case steering.KindHoldDown:
 		return fmt.Sprintf("%s failed lately: work may return in %s", r.Place, seconds(r.Wait))
+	case steering.KindBusy:
+		return fmt.Sprintf("%s, its region or the link into it is %.0f %% busy, the target is %.0f %%", r.Place, 100*r.Value, 100*r.Limit)
 	case steering.KindRemoved:
 		return fmt.Sprintf("the configuration has no capacity for the service in %s", r.Place)
 	default:
--- a/steering/flow.go
+++ b/steering/flow.go
@@ -49,7 +49,6 @@
 // addFlows adds a flow for each service and caller region.
 func (s *solver) addFlows() {
 	callers := callerRegions(s.account)
-	index := s.placeIndex()
 	count := len(s.account.Services) * len(callers)
 	shares := make([]uint32, 2*count*len(s.places))
 	causes := make([]Kind, count*len(s.places))
@@ -65,7 +64,7 @@
 			f := flow{service: i, caller: caller, region: s.regionIndex(caller), delayMS: delays}
 			f.before, f.shares = take(), take()
 			f.causes, causes = causes[:len(s.places)], causes[len(s.places):]
-			s.readPrevious(&f, index)
+			s.readPrevious(&f)
 			s.flows = append(s.flows, f)
 		}
 	}
@@ -126,7 +125,7 @@
 	return 0, false
 }
 
-func (s *solver) readPrevious(f *flow, index map[model.PlaceName]int) {
+func (s *solver) readPrevious(f *flow) {
 	f.fresh = true
 	if s.in.Previous == nil {
 		return
@@ -137,7 +136,7 @@
 	}
 	f.fresh = false
 	for _, share := range old.Shares {
-		f.before[index[share.Place]] += share.PPM
+		f.before[s.index[share.Place]] += share.PPM
 	}
 	copy(f.shares, f.before)
 }
--- /dev/null
+++ b/steering/forecast/forecast_test.go
@@ -0,0 +1,73 @@
+package forecast
+
+import (
+	"testing"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/api/plan"
+	"github.com/yuccaroute/yuccaroute/steering"
+)
+
+func account(capacityA float64) *model.Account {
+	return &model.Account{
+		Name:     "daehan",
+		Moves:    model.MoveLimits{Share: 0.1, Window: time.Minute},
+		Policy:   model.Policy{LatencyWeight: 0.8, HeadroomWeight: 0.2, Headroom: 0.2},
+		Regions:  []model.Region{{Name: "seoul", CapacityRPS: 4000, LinkInRPS: 4000}},
+		Places:   []model.Place{{Name: "a", Region: "seoul"}, {Name: "b", Region: "seoul"}},
+		Services: []model.Service{{Name: "desk", Capacity: []model.PlaceCapacity{{Place: "a", RPS: capacityA}, {Place: "b", RPS: 1000}}}},
+	}
+}
+
+func input() steering.Input {
+	in := steering.Input{
+		Account: account(1000),
+		Now:     time.Date(2026, 3, 1, 4, 0, 0, 0, time.UTC),
+		Demand:  []steering.Demand{{Service: "desk", Caller: "seoul", RPS: 900, Age: time.Hour}},
+	}
+	for _, place := range []model.PlaceName{"a", "b"} {
+		in.Places = append(in.Places, steering.PlaceState{Service: "desk", Place: place, Usable: 4, Known: 4, Age: time.Hour})
+	}
+	in.Previous = &plan.Plan{Flows: []plan.Flow{{Service: "desk", Caller: "seoul", Shares: []plan.Share{{Place: "a", PPM: 500_000}, {Place: "b", PPM: 500_000}}}}}
+	return in
+}
+
+// An operator takes a place out of service at noon and learns of the refusals
+// from the callers. The forecast says beforehand that half of the traffic
+// moves, that the cap needs five windows for it, and that it fits.
+func TestForecastOfARemovedPlace(t *testing.T) {
+	changed := account(1000)
+	changed.Places = changed.Places[1:]
+	changed.Services[0].Capacity = changed.Services[0].Capacity[1:]
+	f := Run(input(), changed)
+	takes := time.Duration(f.TakesMS) * time.Millisecond
+	if !f.Settled || !f.CapacityHolds || takes < 4*time.Minute || takes > 6*time.Minute {
+		t.Fatalf("settled %v after %v, over %v", f.Settled, takes, f.Over)
+	}
+	if len(f.Changes) != 2 || f.Changes[0].After != 100 || f.Changes[1].After != 0 {
+		t.Fatalf("changes %+v", f.Changes)
+	}
+	if f.MovedPercent < 49.9 || f.MovedPercent > 50.1 {
+		t.Fatalf("moved %.2f %%", f.MovedPercent)
+	}
+}
+
+// A change that leaves less capacity than there is demand must not look fine.
+func TestForecastTellsOfMissingCapacity(t *testing.T) {
+	changed := account(1000)
+	changed.Services[0].Capacity[0].RPS = 100
+	changed.Services[0].Capacity[1].RPS = 500
+	f := Run(input(), changed)
+	if f.CapacityHolds || len(f.Over) != 1 || f.Over[0].CarriedRPS > 600.001 {
+		t.Fatalf("holds %v, over %+v", f.CapacityHolds, f.Over)
+	}
+}
+
+// A change of nothing moves nothing and takes no time.
+func TestForecastOfNoChange(t *testing.T) {
+	f := Run(input(), account(1000))
+	if !f.Settled || f.TakesMS != 0 || len(f.Changes) != 0 || !f.CapacityHolds {
+		t.Fatalf("%+v", f)
+	}
+}
--- a/steering/moved.go
+++ b/steering/moved.go
@@ -13,7 +13,7 @@
 	}
 	for key, e := range episodes {
 		service := s.serviceIndex(key.service)
-		place, ok := s.placeIndex()[key.place]
+		place, ok := s.index[key.place]
 		if ok && service >= 0 {
 			c := &s.cells[service][place]
 			c.holdDown, c.failures = e.holdDown()
--- /dev/null
+++ b/steering/picture/book_test.go
@@ -0,0 +1,76 @@
+package picture
+
+import (
+	"testing"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/observe"
+	"github.com/yuccaroute/yuccaroute/steering"
+)
+
+var start = time.Date(2026, 3, 1, 4, 0, 0, 0, time.UTC)
+
+func reportOf(age time.Duration, rps float64, load observe.PlaceLoad) Report {
+	load.Service, load.Place = "desk", "a"
+	return Report{Age: age, Report: observe.Report{
+		Flows:  []observe.FlowDemand{{Service: "desk", Caller: "seoul", OfferedRPS: rps}},
+		Places: []observe.PlaceLoad{load},
+	}}
+}
+
+// A node falls silent. Its callers are still there: its last rate stays in the
+// sum, the sum's age grows with its part, and what it said of targets long ago
+// no longer counts.
+func TestSilentNodeKeepsItsDemand(t *testing.T) {
+	reports := []Report{
+		reportOf(0, 300, observe.PlaceLoad{SentRPS: 300, Targets: 4, Known: 4}),
+		reportOf(40*time.Second, 100, observe.PlaceLoad{SentRPS: 100, Targets: 0, Known: 4}),
+	}
+	demand, places := NewBook().Read(reports, nil, start)
+	if demand[0].RPS != 400 || demand[0].Age != 10*time.Second {
+		t.Fatalf("demand %+v", demand[0])
+	}
+	if places[0].Usable != 4 || places[0].Known != 4 || places[0].Age != 0 {
+		t.Fatalf("place %+v", places[0])
+	}
+}
+
+// One node's link to a place is down: it sees all targets gone. The place must
+// not count as failed for the others.
+func TestOneNodeWeighsItsPart(t *testing.T) {
+	well := observe.PlaceLoad{SentRPS: 90, Targets: 4, Known: 4, P99: 20 * time.Millisecond}
+	cut := observe.PlaceLoad{SentRPS: 10, Targets: 0, Known: 4, FailureShare: 1}
+	_, places := NewBook().Read([]Report{reportOf(0, 1, well), reportOf(0, 1, well), reportOf(0, 1, well), reportOf(0, 1, cut)}, nil, start)
+	if p := places[0]; p.Usable != 12 || p.Known != 16 || p.FailureShare > 0.04 || p.P99 != 20*time.Millisecond {
+		t.Fatalf("place %+v", p)
+	}
+}
+
+// The latency right after an increase is that of cold caches. Taken for the
+// warm one, it would hide that the place is slow.
+func TestWarmLatencyLeavesOutIncreases(t *testing.T) {
+	b := NewBook()
+	load := observe.PlaceLoad{SentRPS: 100, Targets: 4, Known: 4, P99: 20 * time.Millisecond}
+	b.Read([]Report{reportOf(0, 100, load)}, nil, start)
+	load.P99 = 90 * time.Millisecond
+	rise := []steering.Move{{Service: "desk", Caller: "seoul", Place: "a", Delta: 1000, Age: 5 * time.Second}}
+	_, places := b.Read([]Report{reportOf(0, 100, load)}, rise, start.Add(10*time.Second))
+	if places[0].WarmP99 != 20*time.Millisecond || places[0].P99 != 90*time.Millisecond {
+		t.Fatalf("place %+v", places[0])
+	}
+	rise[0].Age = time.Hour
+	_, places = b.Read([]Report{reportOf(0, 100, load)}, rise, start.Add(10*time.Minute))
+	if places[0].WarmP99 < 85*time.Millisecond {
+		t.Fatalf("a place that stays slow keeps the old measure: %+v", places[0])
+	}
+}
+
+// A rate that is no number must not spoil the sum for ever.
+func TestInvalidRatesAreLeftOut(t *testing.T) {
+	nan := 0.0
+	nan /= nan
+	demand, _ := NewBook().Read([]Report{reportOf(0, 100, observe.PlaceLoad{SentRPS: nan}), reportOf(0, nan, observe.PlaceLoad{SentRPS: -1})}, nil, start)
+	if len(demand) != 1 || demand[0].RPS != 100 {
+		t.Fatalf("demand %+v", demand)
+	}
+}
--- a/steering/picture/places.go
+++ b/steering/picture/places.go
@@ -112,7 +112,7 @@
 // so that it is not held for ever.
 func (b *Book) warmOf(key cellKey, state *steering.PlaceState, risen map[cellKey]time.Duration, since time.Duration) time.Duration {
 	age, rose := risen[key]
-	if state.P99 <= 0 || state.Age >= steering.FreezeAge || rose && age < quiet {
+	if state.P99 <= 0 || state.Age >= steering.FreezeAge || (rose && age < quiet) {
 		return b.warm[key]
 	}
 	old, ok := b.warm[key]
--- a/steering/property_test.go
+++ b/steering/property_test.go
@@ -178,7 +178,7 @@
 		}
 	}
 	for key, rps := range raised {
-		c := &s.cells[s.serviceIndex(key.service)][s.placeIndex()[key.place]]
+		c := &s.cells[s.serviceIndex(key.service)][s.index[key.place]]
 		if rps > max(0, c.stepRoom())+1e-3 {
 			t.Fatalf("%s raised by %f in a step of %f", key.place, rps, c.stepRoom())
 		}
--- a/steering/reason.go
+++ b/steering/reason.go
@@ -54,13 +54,16 @@
 	KindHoldDown
 	// KindRemoved: the configuration has no such place for the service.
 	KindRemoved
+	// KindBusy: the place, its region or the link into it is so busy that
+	// another place costs less. Utilisation and target.
+	KindBusy
 	kindCount
 )
 
 var kindNames = [kindCount]string{
 	"none", "latency", "headroom", "capacity", "region", "link", "move-cap",
 	"cold", "slow", "drain", "drain-late", "stale", "unknown", "failure",
-	"hold-down", "removed",
+	"hold-down", "removed", "busy",
 }
 
 // String returns the name used in the administration API and in metrics.
--- a/steering/reasons.go
+++ b/steering/reasons.go
@@ -7,8 +7,9 @@
 )
 
 // reasons tells, for each flow, why its shares are not others: for each place
-// with a share why it is used, for each cheaper place what keeps more work
-// from it, for each place with work that must leave what holds it.
+// with a share why it is used, for each place that is cheaper or would answer
+// sooner than the dearest in use what keeps more work from it, for each place
+// with work that must leave what holds it.
 func (s *solver) reasons() []Reason {
 	var reasons []Reason
 	for i := range s.flows {
@@ -35,13 +36,10 @@
 		part := float64(f.moved+f.spent) / plan.Whole
 		reasons = append(reasons, s.reason(f, -1, KindMoveCap, part, float64(s.capPPM)/plan.Whole, 0))
 	}
-	price := s.cost(f, used, 0)
-	extra := f.rps(quantum)
 	for p := range s.places {
-		if p == used || s.cost(f, p, extra) >= price-deadBand {
-			continue
+		if p != used {
+			reasons = s.keptOut(reasons, f, used, p)
 		}
-		reasons = s.keptOut(reasons, f, used, p)
 	}
 	return reasons
 }
@@ -72,12 +70,34 @@
 	return reasons
 }
 
-func (s *solver) keptOut(reasons []Reason, f *flow, from, place int) []Reason {
-	r := s.roomFor(f, from, place)
-	if r.kind == KindNone || r.rps >= f.rps(quantum) {
+// keptOut tells what keeps more of a flow from a place that is better than the
+// dearest one in use.
+func (s *solver) keptOut(reasons []Reason, f *flow, used, place int) []Reason {
+	extra := f.rps(quantum)
+	cheaper := s.cost(f, place, extra) < s.cost(f, used, 0)-deadBand
+	sooner := s.latencyMS(f, place) < s.latencyMS(f, used)
+	if !cheaper && !sooner || s.cells[f.service][place].configured <= 0 || s.places[place].region < 0 {
+		return reasons
+	}
+	r := s.roomFor(f, used, place)
+	if r.kind != KindNone && r.rps < extra {
+		return append(reasons, s.numbers(f, place, r.kind))
+	}
+	if cheaper {
 		return reasons
 	}
-	return append(reasons, s.numbers(f, place, r.kind))
+	return append(reasons, s.reason(f, place, KindBusy, s.utilisation(f, place), s.target, 0))
+}
+
+// utilisation is the highest of the place, its region and the link.
+func (s *solver) utilisation(f *flow, place int) float64 {
+	c := &s.cells[f.service][place]
+	r := &s.regions[s.places[place].region]
+	highest := max(c.load/c.usable, r.load/r.capacity)
+	if s.places[place].region != f.region {
+		highest = max(highest, r.linkLoad/r.linkCapacity)
+	}
+	return highest
 }
 
 // numbers fills in the values that belong to a kind.
--- a/steering/solver.go
+++ b/steering/solver.go
@@ -13,6 +13,8 @@
 	in      *Input
 	account *model.Account
 	places  []placeInfo
+	// index finds a place by its name.
+	index   map[model.PlaceName]int
 	regions []regionLoad
 	// cells[service][place]
 	cells [][]cell
@@ -65,13 +67,13 @@
 }
 
 func (s *solver) addPlaces() {
+	s.index = make(map[model.PlaceName]int, len(s.account.Places))
 	for i := range s.account.Places {
 		p := &s.account.Places[i]
-		s.places = append(s.places, placeInfo{name: p.Name, region: s.regionIndex(p.Region)})
+		s.addPlace(p.Name, s.regionIndex(p.Region))
 	}
-	known := s.placeIndex()
 	if s.in.Previous != nil {
-		s.addRemoved(known)
+		s.addRemoved()
 	}
 	for i := range s.places {
 		s.places[i].drain = drainOf(s.account.Drains, s.places[i].name, s.in.Now)
@@ -79,24 +81,19 @@
 }
 
 // addRemoved adds the places that only the previous plan knows.
-func (s *solver) addRemoved(known map[model.PlaceName]int) {
+func (s *solver) addRemoved() {
 	for i := range s.in.Previous.Flows {
 		for _, share := range s.in.Previous.Flows[i].Shares {
-			if _, ok := known[share.Place]; ok {
-				continue
+			if _, ok := s.index[share.Place]; !ok {
+				s.addPlace(share.Place, -1)
 			}
-			known[share.Place] = len(s.places)
-			s.places = append(s.places, placeInfo{name: share.Place, region: -1})
 		}
 	}
 }
 
-func (s *solver) placeIndex() map[model.PlaceName]int {
-	index := make(map[model.PlaceName]int, len(s.places))
-	for i := range s.places {
-		index[s.places[i].name] = i
-	}
-	return index
+func (s *solver) addPlace(name model.PlaceName, region int) {
+	s.index[name] = len(s.places)
+	s.places = append(s.places, placeInfo{name: name, region: region})
 }
 
 func (s *solver) regionIndex(name model.RegionName) int {
