--- a/control/decider/core.go
+++ b/control/decider/core.go
@@ -229,6 +229,16 @@
 // the one before, nil if there is none of this term.
 func (c *Core) Publish() *plan.Plan { return c.ready }
 
+// Published notes that the plan of Publish has been given out by now. It must
+// be called after that and before the next Step. While a newer plan waits for
+// its write it does nothing: the moves of that plan have not begun.
+func (c *Core) Published(now time.Time) {
+	if c.ready == nil || c.ready != c.previous {
+		return
+	}
+	c.ledger.Published(now)
+}
+
 func sameFlows(a, b []plan.Flow) bool {
 	if len(a) != len(b) {
 		return false
--- a/control/decider/runner.go
+++ b/control/decider/runner.go
@@ -175,17 +175,31 @@
 }
 
 func (r *Runner) publish() {
+	p := r.fresh()
+	if p == nil {
+		return
+	}
+	r.options.Publish(p)
 	r.mu.Lock()
-	var p *plan.Plan
+	defer r.mu.Unlock()
 	if r.core != nil {
-		p = r.core.Publish()
+		r.core.Published(r.options.Clock())
 	}
-	fresh := p != nil && p != r.published
-	r.published = p
-	r.mu.Unlock()
-	if fresh {
-		r.options.Publish(p)
+}
+
+// fresh returns a plan that has not been published yet, or nil.
+func (r *Runner) fresh() *plan.Plan {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.core == nil {
+		return nil
 	}
+	p := r.core.Publish()
+	if p == r.published {
+		return nil
+	}
+	r.published = p
+	return p
 }
 
 // Renew answers a report. The lease is checked after the report was received,
--- a/control/internal/fault/fault.go
+++ b/control/internal/fault/fault.go
@@ -18,6 +18,9 @@
 	SurplusEndsEarly bool
 	// ForgetMoves drops the moves made lately when a decider takes over.
 	ForgetMoves bool
+	// MovesCountFromDecision counts a move from when it was decided, not from
+	// when its plan could first be given out.
+	MovesCountFromDecision bool
 	// ForgetSurplus takes every surplus for ended when a decider takes over.
 	ForgetSurplus bool
 	// SendBeforeWrite lets raises be sent before the ledger is written.
--- a/control/ledger/moves.go
+++ b/control/ledger/moves.go
@@ -19,6 +19,8 @@
 	Cause uint8
 	// first is when the first of several merged moves was made.
 	first time.Time
+	// unpublished tells that the plan may not have been given out yet.
+	unpublished bool
 }
 
 // mergeParts is into how many parts a window is divided: like moves within
@@ -41,6 +43,7 @@
 	for _, m := range moves {
 		m.At = now
 		m.first = now
+		m.unpublished = true
 		l.addMove(m, window/mergeParts)
 	}
 }
@@ -63,6 +66,7 @@
 		if old.like(m) && m.At.Sub(old.first) < within {
 			old.Delta += m.Delta
 			old.At = m.At
+			old.unpublished = true
 			return
 		}
 	}
@@ -74,6 +78,20 @@
 		m.Cause == n.Cause && (m.Delta < 0) == (n.Delta < 0)
 }
 
+// Published notes that the plan has been given out by now. Its moves count
+// from here, however long the write and the way to the nodes took: counted
+// from the decision they would leave the window early, and the next moves
+// would meet them in it.
+func (l *Ledger) Published(now time.Time) {
+	for i := range l.moves {
+		m := &l.moves[i]
+		if m.unpublished && !l.params.Faults.MovesCountFromDecision {
+			m.At = now
+		}
+		m.unpublished = false
+	}
+}
+
 // Unsaved reports whether a plan is not in the store yet.
 func (l *Ledger) Unsaved() bool { return l.newPlan }
 
@@ -81,7 +99,7 @@
 	moves := make([]*peerpb.LedgerMove, 0, len(l.moves))
 	for _, m := range l.moves {
 		moves = append(moves, &peerpb.LedgerMove{
-			AgeMs:   uint32(max(now.Sub(m.At).Milliseconds(), 0)),
+			AgeMs:   m.age(now),
 			Service: string(m.Service),
 			Caller:  string(m.Caller),
 			Place:   string(m.Place),
@@ -92,9 +110,19 @@
 	return moves
 }
 
+// age is 0 only for a move whose plan may not have been given out.
+func (m *Move) age(now time.Time) uint32 {
+	if m.unpublished {
+		return 0
+	}
+	return uint32(max(now.Sub(m.At).Milliseconds(), 1))
+}
+
 // loadMoves takes over what the last decider moved. A move is at least as old
 // as it was when the record was written; how long ago that was is not known,
-// so it counts as no older. The age is shortened by the margin for clock rates.
+// so it counts as no older. The age is shortened by the margin for clock
+// rates. A plan that the last decider wrote and did not give out is given out
+// by this one, and its moves count from then.
 func (l *Ledger) loadMoves(stored []*peerpb.LedgerMove, now time.Time) {
 	if l.params.Faults.ForgetMoves {
 		return
@@ -102,13 +130,14 @@
 	for _, m := range stored {
 		age := time.Duration(float64(m.AgeMs)*(1-l.params.ClockMargin)) * time.Millisecond
 		l.moves = append(l.moves, Move{
-			At:      now.Add(-age),
-			first:   now.Add(-age),
-			Service: model.ServiceName(m.Service),
-			Caller:  model.RegionName(m.Caller),
-			Place:   model.PlaceName(m.Place),
-			Delta:   m.Delta,
-			Cause:   uint8(m.Cause),
+			At:          now.Add(-age),
+			first:       now.Add(-age),
+			unpublished: m.AgeMs == 0 && !l.params.Faults.MovesCountFromDecision,
+			Service:     model.ServiceName(m.Service),
+			Caller:      model.RegionName(m.Caller),
+			Place:       model.PlaceName(m.Place),
+			Delta:       m.Delta,
+			Cause:       uint8(m.Cause),
 		})
 	}
 }
