store: observe calls; stand-in restarts, backs up and restores

Cause: operators could not see unknown outcomes, and a restart, a rate above the service's and a restored copy had no test.

--- a/standin/platform/control.go
+++ b/standin/platform/control.go
@@ -9,10 +9,13 @@
 	"github.com/yuccaroute/yuccaroute/store/faultkv"
 )
 
-// Paths of the control API, for tests only. Fault and VMs take a POST.
+// Paths of the control API, for tests only. All but the counters take a POST;
+// backup and restore take an empty body.
 const (
 	PathFault    = "/control/fault"
 	PathVMs      = "/control/vms"
+	PathBackup   = "/control/backup"
+	PathRestore  = "/control/restore"
 	PathCounters = "/control/counters"
 )
 
@@ -60,6 +63,8 @@
 func (s *Server) routeControl(mux *http.ServeMux) {
 	mux.HandleFunc("POST "+PathFault, serveControl(s.SetFault))
 	mux.HandleFunc("POST "+PathVMs, serveControl(s.ChangeVMs))
+	mux.HandleFunc("POST "+PathBackup, serveCommand(s.Backup))
+	mux.HandleFunc("POST "+PathRestore, serveCommand(s.Restore))
 	mux.HandleFunc("GET "+PathCounters, func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, http.StatusOK, s.Counters())
 	})
@@ -82,6 +87,13 @@
 	}
 }
 
+func serveCommand(do func()) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		do()
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
 // SetFault replaces the faults.
 func (s *Server) SetFault(f Fault) {
 	s.faults.SetChooser(f.chooser())
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,7 +28,9 @@
 // again as a service that came back.
 type Server struct {
 	options Options
+	kv      *memkv.Store
 	faults  *faultkv.Store
+	backup  atomic.Pointer[memkv.Snapshot]
 	list    *vmList
 	rates   *rates
 	waiting gauge
@@ -39,9 +42,11 @@
 // New returns a platform that does not listen yet.
 func New(options Options) *Server {
 	options = options.withDefaults()
+	kv := memkv.New(options.Store)
 	return &Server{
 		options: options,
-		faults:  faultkv.New(memkv.New(options.Store), nil),
+		kv:      kv,
+		faults:  faultkv.New(kv, nil),
 		list:    newVMList(options.ListLag),
 		rates:   newRates(options),
 	}
--- /dev/null
+++ b/store/faultkv/store_test.go
@@ -0,0 +1,85 @@
+package faultkv_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccaroute/yuccaroute/store"
+	"github.com/yuccaroute/yuccaroute/store/faultkv"
+	"github.com/yuccaroute/yuccaroute/store/memkv"
+)
+
+// TestFaultsOfAWrite looks at what the caller is told and what the service
+// has, at once and after a minute.
+func TestFaultsOfAWrite(t *testing.T) {
+	cases := map[string]struct {
+		decision     faultkv.Decision
+		told         error
+		atOnce, late bool
+	}{
+		"none":        {faultkv.Decision{}, nil, true, true},
+		"refuse":      {faultkv.Decision{Fault: faultkv.Refuse}, store.ErrUnavailable, false, false},
+		"drop":        {faultkv.Decision{Fault: faultkv.Drop}, store.ErrUnknown, false, false},
+		"lose answer": {faultkv.Decision{Fault: faultkv.LoseAnswer}, store.ErrUnknown, true, true},
+		"apply late":  {faultkv.Decision{Fault: faultkv.ApplyLate, LateBy: time.Minute}, store.ErrUnknown, false, true},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				inner := memkv.New(memkv.Options{})
+				kv := faultkv.New(inner, faultkv.Script(map[faultkv.Kind][]faultkv.Decision{
+					faultkv.KindSwap: {test.decision},
+				}))
+				_, err := kv.Swap(t.Context(), "a", []byte("x"), 0, 0)
+				if !errors.Is(err, test.told) {
+					t.Errorf("told %v, want %v", err, test.told)
+				}
+				mustExist(t, inner, test.atOnce)
+				kv.WaitLate()
+				mustExist(t, inner, test.late)
+				if n := kv.Counts().Of(faultkv.KindSwap); n != 1 {
+					t.Errorf("counted %d calls, want 1", n)
+				}
+			})
+		})
+	}
+}
+
+func mustExist(t *testing.T, kv store.KV, want bool) {
+	t.Helper()
+	_, err := kv.Get(t.Context(), "a")
+	if exists := err == nil; exists != want {
+		t.Errorf("key exists: %v, want %v", exists, want)
+	}
+}
+
+// Story: a service goes out while a watch waits. The watcher must learn it
+// then, and not after the watch's whole waiting time.
+func TestOutageEndsWaitingWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := faultkv.New(memkv.New(memkv.Options{}), nil)
+		began := time.Now()
+		go func() {
+			time.Sleep(time.Second)
+			kv.SetOutage(true)
+		}()
+		_, err := kv.Watch(context.Background(), "a", 0)
+		if !errors.Is(err, store.ErrUnavailable) {
+			t.Errorf("told %v, want unavailable", err)
+		}
+		if waited := time.Since(began); waited != time.Second {
+			t.Errorf("waited %s, want 1s", waited)
+		}
+		kv.SetOutage(false)
+		if _, err := kv.List(t.Context(), ""); err != nil {
+			t.Errorf("after the outage: %v", err)
+		}
+		if n := kv.Counts().Total(); n != 2 {
+			t.Errorf("counted %d calls, want 2", n)
+		}
+	})
+}
--- a/store/httpkv/call.go
+++ b/store/httpkv/call.go
@@ -45,12 +45,16 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, op.timeout)
 	defer cancel()
+	began := time.Now()
 	round, err := c.pacer.wait(callCtx)
+	sent := time.Now()
 	if err != nil {
-		return notSent(err)
+		err = notSent(err)
+	} else {
+		err = c.exchange(callCtx, op, body, answer)
+		c.report(ctx, round, err)
 	}
-	err = c.exchange(callCtx, op, body, answer)
-	c.report(ctx, round, err)
+	c.observe(op, err, began, sent)
 	return err
 }
 
--- a/store/httpkv/options.go
+++ b/store/httpkv/options.go
@@ -12,7 +12,7 @@
 // Defaults of Options.
 const (
 	DefaultTimeout        = 3 * time.Second
-	DefaultWatchTimeout   = 60 * time.Second
+	DefaultWatchTimeout   = 40 * time.Second
 	DefaultCallsPerSecond = 20
 	DefaultBurst          = 20
 	DefaultBackoffFirst   = 100 * time.Millisecond
@@ -33,8 +33,9 @@
 	PathPrefix string
 	// TLS is nil for plain HTTP.
 	TLS *tls.Config
-	// Timeout bounds one call but a watch, WatchTimeout a watch; the latter
-	// must be longer than the waiting time of the service.
+	// Timeout bounds one call but a watch, WatchTimeout a watch. The latter
+	// must be longer than the waiting time of the service, but not by much: it
+	// is also how long a watcher waits on a service that vanished.
 	Timeout      time.Duration
 	WatchTimeout time.Duration
 	// CallsPerSecond and Burst bound all calls of this client. The sum over
@@ -45,6 +46,8 @@
 	// BackoffFirst, doubled at each further failure up to BackoffMax.
 	BackoffFirst time.Duration
 	BackoffMax   time.Duration
+	// Observe, if set, is called after each call, from the caller's goroutine.
+	Observe func(Observation)
 }
 
 func (o Options) withDefaults() Options {
--- a/store/memkv/history.go
+++ b/store/memkv/history.go
@@ -61,3 +61,10 @@
 func size(ev store.Event) int {
 	return len(ev.Entry.Key) + len(ev.Entry.Value)
 }
+
+// clear forgets all changes up to the revision given.
+func (h *history) clear(at store.Revision) {
+	h.events = nil
+	h.bytes = 0
+	h.forgotten = at
+}
--- /dev/null
+++ b/store/memkv/snapshot_test.go
@@ -0,0 +1,48 @@
+package memkv_test
+
+import (
+	"testing"
+	"testing/synctest"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccaroute/yuccaroute/store"
+	"github.com/yuccaroute/yuccaroute/store/memkv"
+)
+
+// Story: the service is restored from an older copy while a node watches. The
+// node waits for revisions above the newest it saw; it would miss everything
+// written until the service has counted up to there again.
+func TestRestoreResetsWaitingWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := memkv.New(memkv.Options{})
+		first, err := kv.Swap(t.Context(), "a", []byte("1"), 0, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		backup := kv.Snapshot()
+		second, err := kv.Swap(t.Context(), "a", []byte("2"), first, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		result := make(chan store.Batch, 1)
+		go func() {
+			batch, _ := kv.Watch(t.Context(), "a", second)
+			result <- batch
+		}()
+		synctest.Wait()
+		kv.Restore(backup)
+		if batch := <-result; !batch.Reset || batch.At != first {
+			t.Errorf("batch %+v, want a reset at %d", batch, first)
+		}
+		entry, err := kv.Get(t.Context(), "a")
+		if err != nil || string(entry.Value) != "1" {
+			t.Errorf("after the restore: %+v, %v", entry, err)
+		}
+		var conflict *store.ConflictError
+		_, err = kv.Swap(t.Context(), "a", []byte("3"), second, 0)
+		if !errors.As(err, &conflict) || conflict.Current != first {
+			t.Errorf("write on a lost revision: %v", err)
+		}
+	})
+}
