Record idempotency keys from the node; end stand-in targets once

Cause: keyed orders were all refused as 131 since the node had no recorder; the demo's failure-domain run panicked, as a lost target was stopped a second time. Change: node gives the proxy the store's recorder; a target is ended once.

--- a/demo/events.go
+++ b/demo/events.go
@@ -75,7 +75,7 @@
 	for _, target := range t.Targets {
 		if target.vm.Place == place {
 			lost = append(lost, target.vm.ID)
-			target.target.Stop()
+			target.end()
 		}
 	}
 	r.world.Platform.RemoveVMs(lost...)
--- a/demo/run.go
+++ b/demo/run.go
@@ -50,10 +50,10 @@
 // Run plays a scenario and returns what it showed.
 func Run(ctx context.Context, options Options) (*Report, error) {
 	world, err := NewWorld(ctx, options.Seed, options.Logs)
-	defer world.Close()
 	if err != nil {
 		return nil, err
 	}
+	defer world.Close()
 	r := &run{
 		options: options,
 		world:   world,
--- a/demo/targets.go
+++ b/demo/targets.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 
 	"github.com/yuccaroute/yuccaroute/api/model"
 	"github.com/yuccaroute/yuccaroute/bench/check"
@@ -13,8 +14,12 @@
 type runningTarget struct {
 	vm     membership.VM
 	target *target.Target
+	stop   sync.Once
 }
 
+// end stops the target once, however often it is asked to.
+func (r *runningTarget) end() { r.stop.Do(r.target.Stop) }
+
 // startTargets starts all targets of an account.
 func startTargets(account *model.Account, seed uint64) ([]*runningTarget, error) {
 	var all []*runningTarget
--- a/demo/world.go
+++ b/demo/world.go
@@ -47,20 +47,31 @@
 var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
 
 // NewWorld starts the platform, commits both example accounts and starts
-// targets and nodes. Close it also after an error.
+// targets and nodes. After an error everything is stopped again.
 func NewWorld(ctx context.Context, seed uint64, logs io.Writer) (*World, error) {
 	httpserver.QuietLibraryLogs()
 	log := logrus.New()
 	log.SetOutput(logs)
-	w := &World{log: log}
-	w.Platform = platform.New(platform.Options{Address: "127.0.0.1:0", ListLag: listLag})
+	w := &World{
+		Platform: platform.New(platform.Options{Address: "127.0.0.1:0", ListLag: listLag}),
+		log:      log,
+	}
 	if err := w.Platform.Start(); err != nil {
-		return w, err
+		return nil, err
 	}
+	if err := w.fill(ctx, seed); err != nil {
+		w.Close()
+		return nil, err
+	}
+	return w, nil
+}
+
+// fill adds the tenants, lists all VMs and starts the nodes.
+func (w *World) fill(ctx context.Context, seed uint64) error {
 	for i, pair := range examples.Pairs() {
 		tenant, err := w.addTenant(ctx, pair, seed+uint64(i)<<16)
 		if err != nil {
-			return w, errors.Wrapf(err, "demo: account %s", pair.Account)
+			return errors.Wrapf(err, "demo: account %s", pair.Account)
 		}
 		w.Tenants = append(w.Tenants, tenant)
 	}
@@ -70,7 +81,7 @@
 			n.Start()
 		}
 	}
-	return w, nil
+	return nil
 }
 
 func (w *World) addTenant(ctx context.Context, pair examples.Pair, seed uint64) (*Tenant, error) {
@@ -167,7 +178,7 @@
 			n.Close()
 		}
 		for _, target := range t.Targets {
-			target.target.Stop()
+			target.end()
 		}
 	}
 	if err := w.Platform.Stop(); err != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/yuccaroute/yuccaroute/membership"
 	"github.com/yuccaroute/yuccaroute/membership/view"
 	"github.com/yuccaroute/yuccaroute/proxy"
+	"github.com/yuccaroute/yuccaroute/proxy/keys"
 	"github.com/yuccaroute/yuccaroute/spread"
 	"github.com/yuccaroute/yuccaroute/spread/transport"
 	"github.com/yuccaroute/yuccaroute/store"
@@ -123,6 +124,12 @@
 		Logger: n.log,
 		Scope:  n.metrics.scope,
 	})
+	recorder := keys.New(keys.Options{
+		Store:           n.store,
+		Node:            n.id,
+		WritesPerSecond: s.Platform.WritesPerSecond,
+		Timeout:         s.Platform.CallTimeout,
+	})
 	p, err := proxy.New(proxy.Options{
 		Node:             n.id,
 		Region:           s.Node.Region,
@@ -130,6 +137,7 @@
 		Logger:           n.log,
 		Scope:            n.metrics.scope,
 		CallerRegion:     n.lookup.CallerRegion,
+		Keys:             recorder,
 		MaxBufferedBytes: s.Limits.BufferedBytes,
 		MaxInFlight:      int64(s.Limits.QueuedRequests),
 		Nodes:            n.liveNodes,
