view: an unchanged list costs next to nothing

Cause: each reading sorted and compared all VMs again, 4.5 ms and 3.4 MB for 3000 of them every 2 s on each node. Change: rows equal to the last ones are not folded again, unless a VM that returned waits to be shown; returns are forgotten when a VM leaves.

--- a/membership/view/record.go
+++ b/membership/view/record.go
@@ -31,8 +31,12 @@
 	order uint64
 }
 
-// leave notes that an answer did not list the VM.
-func (r *record) leave(now time.Time) {
+// leave notes that an answer did not list the VM. Its returns are forgotten if
+// it was listed for long before.
+func (r *record) leave(now time.Time, o Options) {
+	if now.Sub(r.since) >= o.StableAfter {
+		r.returns = 0
+	}
 	r.listed = false
 	r.since = now
 }
@@ -48,13 +52,6 @@
 	r.order = order
 }
 
-// settle forgets the returns of a VM that was listed long enough.
-func (r *record) settle(now time.Time, o Options) {
-	if now.Sub(r.since) >= o.StableAfter {
-		r.returns = 0
-	}
-}
-
 func (o Options) hold(returns int) time.Duration {
 	hold := o.ReturnHold
 	for i := 1; i < returns && hold < o.MaxHold; i++ {
--- a/membership/view/tracker.go
+++ b/membership/view/tracker.go
@@ -17,6 +17,10 @@
 	older    int
 	order    uint64
 	last     *Snapshot
+	// rows are those of the last reading, as it gave them.
+	rows []membership.VM
+	// waiting is set while a VM that returned is not shown yet.
+	waiting bool
 }
 
 func newTracker(options Options) *tracker {
@@ -33,13 +37,17 @@
 	if t.isOlder(list.Sequence) {
 		return nil
 	}
-	t.order++
-	rows := membership.Normalize(list.VMs)
-	t.noteListed(rows, now)
-	t.noteGone(rows, now)
+	shown := t.last.List.VMs
+	same := slices.Equal(list.VMs, t.rows)
+	if !same {
+		t.note(list.VMs, now)
+	}
+	if !same || t.waiting {
+		shown = t.shown(now)
+	}
 	t.forget(now)
 	next := &Snapshot{
-		List:    membership.List{VMs: t.shown(now), Sequence: list.Sequence},
+		List:    membership.List{VMs: shown, Sequence: list.Sequence},
 		ReadAt:  now,
 		Gone:    t.gone(now),
 		Version: t.last.Version,
@@ -69,6 +77,15 @@
 	return false
 }
 
+// note takes over rows that differ from those of the last reading.
+func (t *tracker) note(vms []membership.VM, now time.Time) {
+	t.order++
+	t.rows = vms
+	rows := membership.Normalize(vms)
+	t.noteListed(rows, now)
+	t.noteGone(rows, now)
+}
+
 func (t *tracker) noteListed(rows []membership.VM, now time.Time) {
 	for _, vm := range rows {
 		r := t.records[vm.ID]
@@ -78,8 +95,6 @@
 			t.records[vm.ID] = r
 		case !r.listed:
 			r.enter(now, t.order, t.options)
-		default:
-			r.settle(now, t.options)
 		}
 		r.vm = vm
 	}
@@ -89,7 +104,7 @@
 	listed := byID(rows)
 	for id, r := range t.records {
 		if _, ok := listed[id]; !ok && r.listed {
-			r.leave(now)
+			r.leave(now, t.options)
 		}
 	}
 }
@@ -121,11 +136,17 @@
 // shown returns the VMs that may be used, sorted by ID.
 func (t *tracker) shown(now time.Time) []membership.VM {
 	owners := t.owners()
+	t.waiting = false
 	var vms []membership.VM
 	for _, r := range t.records {
-		if r.listed && !now.Before(r.shownFrom) && owners[endpointOf(r.vm)] == r {
-			vms = append(vms, r.vm)
+		if !r.listed || owners[endpointOf(r.vm)] != r {
+			continue
+		}
+		if now.Before(r.shownFrom) {
+			t.waiting = true
+			continue
 		}
+		vms = append(vms, r.vm)
 	}
 	slices.SortFunc(vms, func(a, b membership.VM) int { return strings.Compare(a.ID, b.ID) })
 	return vms
--- /dev/null
+++ b/membership/view/tracker_bench_test.go
@@ -0,0 +1,23 @@
+package view
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/membership"
+)
+
+// BenchmarkFold folds the same list of 3000 VMs again, as each interval does.
+func BenchmarkFold(b *testing.B) {
+	var vms []membership.VM
+	for i := range 3000 {
+		vms = append(vms, target(fmt.Sprintf("vm-%04d", i), uint16(i)))
+	}
+	tr := newTracker(Options{}.withDefaults())
+	now := time.Now()
+	for b.Loop() {
+		now = now.Add(DefaultInterval)
+		tr.fold(membership.List{VMs: vms, Sequence: 1}, now)
+	}
+}
