httpkv: a keep-alive does not queue behind other calls

Cause: with 200 calls waiting at 10 a second a keep-alive came 20 s late, and a healthy holder lost its lease. Change: keep-alives are sent at once and charged to the calls that wait. Conclusion: the rate of the client still holds over time.

--- a/store/httpkv/call.go
+++ b/store/httpkv/call.go
@@ -20,6 +20,7 @@
 type operation struct {
 	path    string
 	writes  bool
+	urgent  bool
 	timeout time.Duration
 }
 
@@ -46,7 +47,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, op.timeout)
 	defer cancel()
 	began := time.Now()
-	round, err := c.pacer.wait(callCtx)
+	round, err := c.pacer.wait(callCtx, op.urgent)
 	sent := time.Now()
 	if err != nil {
 		err = notSent(err)
--- a/store/httpkv/kv.go
+++ b/store/httpkv/kv.go
@@ -79,7 +79,9 @@
 
 // KeepAlive implements store.KV.
 func (c *Client) KeepAlive(ctx context.Context, lease store.LeaseID) error {
-	return c.call(ctx, c.write(wire.PathKeepAlive), wire.LeaseRequest{Lease: lease}, &wire.Done{})
+	op := c.write(wire.PathKeepAlive)
+	op.urgent = true
+	return c.call(ctx, op, wire.LeaseRequest{Lease: lease}, &wire.Done{})
 }
 
 // Revoke implements store.KV.
--- a/store/httpkv/pacer.go
+++ b/store/httpkv/pacer.go
@@ -36,11 +36,11 @@
 
 // wait returns when a call may be sent, with the round to report it under, or
 // an error when the context ends first.
-func (p *pacer) wait(ctx context.Context) (round uint64, err error) {
+func (p *pacer) wait(ctx context.Context, urgent bool) (round uint64, err error) {
 	for {
 		round, pause := p.pause()
 		if pause <= 0 {
-			return round, p.limiter.Wait(ctx)
+			return round, p.takeTurn(ctx, urgent)
 		}
 		if err := sleep(ctx, pause); err != nil {
 			return 0, err
@@ -48,6 +48,17 @@
 	}
 }
 
+// takeTurn keeps the rate. An urgent call goes at once and is charged to those
+// that wait: behind many of them, at a change of many accounts say, the
+// keep-alive of a lease would come too late and a healthy holder would lose it.
+func (p *pacer) takeTurn(ctx context.Context, urgent bool) error {
+	if !urgent {
+		return p.limiter.Wait(ctx)
+	}
+	p.limiter.Reserve()
+	return ctx.Err()
+}
+
 func (p *pacer) pause() (round uint64, pause time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/store/httpkv/pacer_test.go
+++ b/store/httpkv/pacer_test.go
@@ -87,7 +87,7 @@
 // callUntilServed calls until the service is back at the time given.
 func callUntilServed(ctx context.Context, p *pacer, seen *arrivals, back time.Duration) {
 	for {
-		round, err := p.wait(ctx)
+		round, err := p.wait(ctx, false)
 		if err != nil {
 			return
 		}
@@ -107,7 +107,7 @@
 		defer cancel()
 		calls := 0
 		for calls < 1000 {
-			if _, err := p.wait(ctx); err != nil {
+			if _, err := p.wait(ctx, false); err != nil {
 				break
 			}
 			calls++
@@ -123,7 +123,7 @@
 func TestCallsFailingTogetherCountOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPacer(Options{}.withDefaults())
-		round, err := p.wait(t.Context())
+		round, err := p.wait(t.Context(), false)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -135,3 +135,33 @@
 		}
 	})
 }
+
+// Story: an operator changes many accounts at once through a node that holds
+// a lease. Its keep-alive waits behind all these writes, and the node loses
+// the lease although node and service are well.
+func TestKeepAliveDoesNotQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPacer(Options{CallsPerSecond: 10, Burst: 1}.withDefaults())
+		for range 200 {
+			go func() { _, _ = p.wait(t.Context(), false) }()
+		}
+		synctest.Wait()
+		began := time.Now()
+		if _, err := p.wait(t.Context(), true); err != nil {
+			t.Fatal(err)
+		}
+		if waited := time.Since(began); waited != 0 {
+			t.Errorf("waited %s behind other calls", waited)
+		}
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		began = time.Now()
+		for range 10 {
+			_, _ = p.wait(t.Context(), true)
+		}
+		_, _ = p.wait(t.Context(), false)
+		if waited := time.Since(began); waited < 900*time.Millisecond {
+			t.Errorf("ten urgent calls cost the next one %s of waiting, want 1s", waited)
+		}
+	})
+}
