Give up silent targets early for look-ups and prove the request rules

Cause: a target that takes requests and never answers cost every look-up its whole deadline; a slot freed while the proxy closes could take one more order. Change: idempotent attempts leave time for another target when a retry is in hand; nothing is sent once the proxy is closed. Tests for retries, grants, keys, drain, callers that go and bad fields.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -77,6 +77,13 @@
 // attempt sends a request to one target, once.
 func (p *Proxy) attempt(ctx context.Context, q *request, permission permission) attempt {
 	a := attempt{permission: permission, made: true}
+	if p.base.Err() != nil {
+		// The slots of requests that end with the proxy are free for a moment;
+		// nothing new may be sent on them.
+		permission.cancel()
+		a.code = result.NodeLeaving
+		return a
+	}
 	conn, err := p.connect(ctx, permission.target)
 	if err != nil {
 		permission.cancel()
@@ -86,6 +93,7 @@
 	permission.place.counts.sent.Add(1)
 	out := q.out
 	out.Host = permission.target.address.String()
+	out.Deadline = q.attemptDeadline(permission.place)
 	sent := time.Now()
 	answer, err := conn.Exchange(ctx, &out)
 	permission.target.pool.Put(conn)
--- /dev/null
+++ b/proxy/caller_test.go
@@ -0,0 +1,180 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/yuccaroute/yuccaroute/api/result"
+	"github.com/yuccaroute/yuccaroute/proxy/ingress"
+)
+
+const requestHead = "Yucca-Account: " + testAccount + "\r\nYucca-Service: " + testService + "\r\n"
+
+func serveCallers(t *testing.T, p *Proxy) *ingress.Server {
+	t.Helper()
+	s, err := ingress.Start(ingress.Options{Address: "127.0.0.1:0", Handler: p, Bodies: p})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = s.Stop(context.Background()) })
+	return s
+}
+
+func dialCaller(t *testing.T, s *ingress.Server) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c, bufio.NewReader(c)
+}
+
+// A farmer's phone loses its connection while the target works on the order.
+// The target sees the cancellation and the slot is free again, although the
+// deadline is far away.
+func TestCallerThatGoesFreesItsSlot(t *testing.T) {
+	got, ended := make(chan struct{}), make(chan struct{})
+	target := newScripted(t, func(c *scriptedConn) {
+		if c.next() == nil {
+			return
+		}
+		close(got)
+		c.next()
+		close(ended)
+	})
+	p := newTestProxy(t, nil, target.address())
+	conn, _ := dialCaller(t, serveCallers(t, p))
+	_, _ = io.WriteString(conn, "POST /orders HTTP/1.1\r\n"+requestHead+"Yucca-Deadline-Ms: 600000\r\nContent-Length: 1\r\n\r\nx")
+	<-got
+	conn.Close()
+	<-ended
+	until(func() bool { return p.InFlight() == 0 })
+	for _, m := range onlyPlace(p).targets.Load().members {
+		if n := m.state.Outstanding(); n != 0 {
+			t.Fatalf("%d slots taken", n)
+		}
+	}
+}
+
+func onlyPlace(p *Proxy) *placeState {
+	return p.current.Load().accounts[testAccount].services[testService].places[testPlace]
+}
+
+// The whole way over real connections: answers of all kinds reach the caller
+// byte for byte, in the order of its requests.
+func TestAnswersOverOneCallerConnection(t *testing.T) {
+	target := newScripted(t, func(c *scriptedConn) {
+		for r := c.next(); r != nil; r = c.next() {
+			switch r.URL.Path {
+			case "/stock/empty":
+				c.say("HTTP/1.1 204 No Content\r\n\r\n")
+			case "/stock/chunked":
+				c.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n3\r\ndef\r\n0\r\n\r\n")
+			case "/stock/strange":
+				c.say("HTTP/1.1 599 Strange\r\nContent-Length: 2\r\n\r\nno")
+			case "/stock/head":
+				c.say("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n")
+			default:
+				c.say(okAnswer)
+			}
+		}
+	})
+	p := newTestProxy(t, nil, target.address())
+	conn, reader := dialCaller(t, serveCallers(t, p))
+	for _, c := range []struct {
+		method, path string
+		status       int
+		body         string
+	}{
+		{"GET", "/stock/empty", 204, ""},
+		{"GET", "/stock/chunked", 200, "abcdef"},
+		{"POST", "/stock/strange", 500, "no"},
+		{"HEAD", "/stock/head", 200, ""},
+		{"GET", "/stock/plain", 200, "ok"},
+	} {
+		_, _ = io.WriteString(conn, c.method+" "+c.path+" HTTP/1.1\r\nHost: x\r\n"+requestHead+"\r\n")
+		resp, err := http.ReadResponse(reader, &http.Request{Method: c.method})
+		if err != nil {
+			t.Fatalf("%s: %v", c.path, err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		if err != nil || resp.StatusCode != c.status || string(body) != c.body {
+			t.Fatalf("%s: %d %q %v", c.path, resp.StatusCode, body, err)
+		}
+		if resp.Header.Get(result.HeaderOutcome) != "ran" {
+			t.Fatalf("%s: %v", c.path, resp.Header)
+		}
+	}
+}
+
+// Uploads over the account's memory are refused before they come, those over
+// the service's limit too, and the target sees neither.
+func TestUploadsAreBounded(t *testing.T) {
+	target := newScripted(t, answering(okAnswer))
+	p := newTestProxy(t, nil, target.address())
+	s := serveCallers(t, p)
+	conn, reader := dialCaller(t, s)
+	_, _ = io.WriteString(conn, "POST /orders HTTP/1.1\r\n"+requestHead+"Content-Length: 1048577\r\n\r\n")
+	wantCallerResult(t, reader, "103")
+	share := p.current.Load().accounts[testAccount].bytes
+	if !share.Take(200 << 20) {
+		t.Fatal("the memory is smaller than expected")
+	}
+	for share.Take(1 << 20) {
+	}
+	conn, reader = dialCaller(t, s)
+	_, _ = io.WriteString(conn, "POST /orders HTTP/1.1\r\n"+requestHead+"Content-Length: 1000000\r\n\r\n")
+	wantCallerResult(t, reader, "113")
+	if n := target.requests.Load(); n != 0 {
+		t.Fatalf("%d refused requests reached the target", n)
+	}
+}
+
+func wantCallerResult(t *testing.T, reader *bufio.Reader, want string) {
+	t.Helper()
+	resp, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := resp.Header.Get(result.HeaderResult); got != want {
+		t.Fatalf("result %s, want %s", got, want)
+	}
+}
+
+func TestMalformedFieldsGetANumber(t *testing.T) {
+	p := newTestProxy(t, nil)
+	for _, c := range []struct {
+		fields []string
+		want   result.Code
+	}{
+		{[]string{result.HeaderDeadline, "0"}, result.BadDeadline},
+		{[]string{result.HeaderDeadline, "-5"}, result.BadDeadline},
+		{[]string{result.HeaderDeadline, "soon"}, result.BadDeadline},
+		{[]string{result.HeaderDeadline, "99999999999999999999"}, result.BadDeadline},
+		{[]string{result.HeaderKey, strings.Repeat("k", 129)}, result.BadRequest},
+		{[]string{result.HeaderKey, "a b"}, result.BadRequest},
+		{[]string{result.HeaderAccount, "nobody"}, result.UnknownAccount},
+		{[]string{result.HeaderAccount, ""}, result.BadRequest},
+		{[]string{result.HeaderService, "nothing"}, result.UnknownService},
+	} {
+		wantResult(t, call(p, http.MethodPost, "/orders", "x", c.fields...), c.want)
+	}
+}
+
+// A path that the target may read as an order must not count as a look-up.
+func TestDisguisedPathsAreNotIdempotent(t *testing.T) {
+	for _, path := range []string{"/stock/../orders", "/stock/./x", "/stock//x", "/stock/%2e%2e/orders", "/stock%2Forders"} {
+		cut := newScripted(t, cutAfterRequest)
+		p := newTestProxy(t, nil, cut.address(), cut.address())
+		call(p, http.MethodGet, path, "")
+		if n := cut.requests.Load(); n != 1 {
+			t.Fatalf("%s was sent %d times", path, n)
+		}
+	}
+}
--- /dev/null
+++ b/proxy/drain_test.go
@@ -0,0 +1,84 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/yuccaroute/yuccaroute/api/result"
+)
+
+// An entry VM is stopped as planned while an upload is under way. The upload
+// ends with its whole answer, new requests are refused as not run, and Drain
+// returns only then.
+func TestDrainEndsWorkInHand(t *testing.T) {
+	release := make(chan struct{})
+	target := newScripted(t, func(c *scriptedConn) {
+		c.next()
+		<-release
+		c.say(okAnswer)
+	})
+	p := newTestProxy(t, nil, target.address())
+	answer := make(chan *httptest.ResponseRecorder)
+	go func() { answer <- call(p, http.MethodPost, "/orders", "scan") }()
+	until(func() bool { return target.requests.Load() == 1 })
+	expired, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := p.Drain(expired); err == nil || p.InFlight() != 1 {
+		t.Fatalf("drained with %d requests in hand, error %v", p.InFlight(), err)
+	}
+	wantResult(t, call(p, http.MethodPost, "/orders", "x"), result.NodeLeaving)
+	close(release)
+	wantResult(t, <-answer, result.OK)
+	if err := p.Drain(context.Background()); err != nil || p.InFlight() != 0 {
+		t.Fatalf("%d requests in hand, error %v", p.InFlight(), err)
+	}
+	if n := target.requests.Load(); n != 1 {
+		t.Fatalf("the target got %d requests", n)
+	}
+}
+
+// A second stop signal ends the node before its work. What was sent is told as
+// unknown, what still waits as not run.
+func TestCloseTellsTheTruth(t *testing.T) {
+	target := newScripted(t, func(c *scriptedConn) {
+		c.next()
+		c.next()
+	})
+	p := newTestProxy(t, nil, target.address())
+	answers := make(chan *httptest.ResponseRecorder, 8)
+	for range cap(answers) {
+		go func() { answers <- call(p, http.MethodPost, "/orders", "x") }()
+	}
+	until(func() bool { return target.requests.Load() == 3 && p.InFlight() == cap(answers) })
+	p.Close()
+	unknown, notRun := 0, 0
+	for range cap(answers) {
+		switch w := <-answers; w.Header().Get(result.HeaderOutcome) {
+		case "unknown":
+			unknown++
+		case "not-run":
+			notRun++
+		default:
+			t.Fatalf("headers %v", w.Header())
+		}
+	}
+	if sent := int(target.requests.Load()); unknown != sent || notRun != cap(answers)-sent {
+		t.Fatalf("%d sent, %d told unknown, %d told not run", sent, unknown, notRun)
+	}
+}
+
+// A slot becomes free while the proxy ends its requests. The next request in
+// line must not be sent on it.
+func TestNothingIsSentAfterClose(t *testing.T) {
+	for range 50 {
+		target := newScripted(t, answering(okAnswer))
+		p := newTestProxy(t, nil, target.address())
+		p.endBase(errStopping)
+		wantResult(t, callWithinGrant(p, http.MethodPost, "/orders", "x"), result.NodeLeaving)
+		if n := target.requests.Load(); n != 0 {
+			t.Fatalf("%d requests sent", n)
+		}
+	}
+}
--- a/proxy/harness_test.go
+++ b/proxy/harness_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http/httptest"
 	"net/netip"
+	"runtime"
 	"strconv"
 	"strings"
 	"testing"
@@ -132,3 +133,22 @@
 			w.Header().Get(result.HeaderOutcome), want, info.Name, info.Outcome, w.Body.String())
 	}
 }
+
+// callWithinGrant repeats a call that the grant refuses. Buckets are empty when
+// a test begins, and bulk work waits until they are half full.
+func callWithinGrant(p *Proxy, method, path, body string, headers ...string) *httptest.ResponseRecorder {
+	for {
+		w := call(p, method, path, body, headers...)
+		if w.Header().Get(result.HeaderResult) != strconv.Itoa(int(result.NoCapacity)) {
+			return w
+		}
+	}
+}
+
+// until returns when the condition holds; a test whose condition never does is
+// ended by the test's own time limit.
+func until(condition func() bool) {
+	for !condition() {
+		runtime.Gosched()
+	}
+}
--- a/proxy/ingress/connection.go
+++ b/proxy/ingress/connection.go
@@ -108,6 +108,12 @@
 	}
 }
 
+func (c *connection) hasClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
 // watch calls tell when the connection has closed, at once if it has already.
 func (c *connection) watch(tell func()) (stop func()) {
 	c.mu.Lock()
--- a/proxy/ingress/writer.go
+++ b/proxy/ingress/writer.go
@@ -16,6 +16,10 @@
 // Flush gives the answer and returns when the system has taken its last byte.
 // Until then the answer's memory is in use and the request is not ended.
 func (w *Writer) Flush() {
+	if w.conn.hasClosed() {
+		// The engine would log an error for what is the caller's right.
+		return
+	}
 	w.Response.Flush()
 	w.conn.waitTaken()
 }
--- /dev/null
+++ b/proxy/keys_test.go
@@ -0,0 +1,102 @@
+package proxy
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/api/result"
+	"github.com/yuccaroute/yuccaroute/proxy/keys"
+	"github.com/yuccaroute/yuccaroute/store/faultkv"
+	"github.com/yuccaroute/yuccaroute/store/memkv"
+)
+
+func withKeys(kv *faultkv.Store, orders model.OutageOrders) func(*Options, *model.Account) {
+	return func(o *Options, m *model.Account) {
+		o.Keys = keys.New(keys.Options{Store: kv, Node: o.Node, WritesPerSecond: 1e6})
+		m.OutageOrders = orders
+	}
+}
+
+func orderWithKey(p *Proxy, key string) string {
+	w := call(p, http.MethodPost, "/orders", "two pallets", result.HeaderKey, key)
+	return w.Header().Get(result.HeaderResult) + " " + w.Header().Get(result.HeaderOutcome)
+}
+
+// A dealer's answer is lost with its entry VM, and the dealer's client sends the
+// order again through another one. It must not run a second time.
+func TestRepeatThroughAnotherNodeIsRefused(t *testing.T) {
+	target := newScripted(t, answering(okAnswer))
+	kv := faultkv.New(memkv.New(memkv.Options{}), nil)
+	a := newTestProxy(t, withKeys(kv, model.OutageRefuse), target.address())
+	b := newTestProxy(t, withKeys(kv, model.OutageRefuse), target.address())
+	got := []string{orderWithKey(a, "o-1"), orderWithKey(b, "o-1"), orderWithKey(a, "o-1"), orderWithKey(b, "o-2")}
+	want := []string{"0 ran", "130 unknown", "130 unknown", "0 ran"}
+	for i := range want {
+		if got[i] != want[i] {
+			t.Fatalf("results %q, want %q", got, want)
+		}
+	}
+	if n := target.requests.Load(); n != 2 {
+		t.Fatalf("%d orders ran, want 2", n)
+	}
+}
+
+// A target sheds an order with a key. The order did not run, so the dealer may
+// send it again with the same key.
+func TestKeyOfAShedOrderMayBeUsedAgain(t *testing.T) {
+	shedding := newScripted(t, answering(shedAnswer))
+	good := newScripted(t, answering(okAnswer))
+	kv := faultkv.New(memkv.New(memkv.Options{}), nil)
+	a := newTestProxy(t, withKeys(kv, model.OutageRefuse), shedding.address())
+	b := newTestProxy(t, withKeys(kv, model.OutageRefuse), good.address())
+	if got := orderWithKey(a, "o-1"); got != "117 not-run" {
+		t.Fatalf("result %s", got)
+	}
+	if got := orderWithKey(b, "o-1"); got != "0 ran" {
+		t.Fatalf("result %s", got)
+	}
+}
+
+// The store is out. One account wants its orders refused, another one served;
+// look-ups and orders without a key are served for both.
+func TestStoreOutageFollowsTheAccount(t *testing.T) {
+	target := newScripted(t, answering(okAnswer))
+	kv := faultkv.New(memkv.New(memkv.Options{}), nil)
+	kv.SetOutage(true)
+	refusing := newTestProxy(t, withKeys(kv, model.OutageRefuse), target.address())
+	serving := newTestProxy(t, withKeys(kv, model.OutageServe), target.address())
+	if got := orderWithKey(refusing, "o-1"); got != "131 not-run" {
+		t.Fatalf("result %s", got)
+	}
+	if n := target.requests.Load(); n != 0 {
+		t.Fatal("a refused order ran")
+	}
+	for _, want := range []string{"0 ran", "130 unknown"} {
+		if got := orderWithKey(serving, "o-1"); got != want {
+			t.Fatalf("result %s, want %s", got, want)
+		}
+	}
+	wantResult(t, call(refusing, http.MethodPost, "/orders", "x"), result.OK)
+	wantResult(t, call(refusing, http.MethodGet, "/stock", ""), result.OK)
+}
+
+// The store takes the write but every answer is lost, so that it is not known
+// whether the key is recorded. The order is not sent.
+func TestUnknownRecordIsNotSent(t *testing.T) {
+	target := newScripted(t, answering(okAnswer))
+	lost := func(c faultkv.Call) faultkv.Decision {
+		if c.Kind == faultkv.KindSwap || c.Kind == faultkv.KindGet {
+			return faultkv.Decision{Fault: faultkv.Drop}
+		}
+		return faultkv.Decision{}
+	}
+	kv := faultkv.New(memkv.New(memkv.Options{}), lost)
+	p := newTestProxy(t, withKeys(kv, model.OutageRefuse), target.address())
+	if got := orderWithKey(p, "o-1"); got != "132 not-run" {
+		t.Fatalf("result %s", got)
+	}
+	if n := target.requests.Load(); n != 0 {
+		t.Fatal("a refused order ran")
+	}
+}
--- /dev/null
+++ b/proxy/limits_test.go
@@ -0,0 +1,124 @@
+package proxy
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/grant"
+	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/api/plan"
+	"github.com/yuccaroute/yuccaroute/api/result"
+)
+
+// A decider takes a node's grant away and gives it to another node as soon as
+// SetGrants has returned here. Not one request may be sent on the old grant
+// after that, or the sum passes the capacity.
+func TestNothingIsSentOnAnOldGrant(t *testing.T) {
+	target := newScripted(t, answering(okAnswer))
+	p := newTestProxy(t, nil, target.address())
+	wantResult(t, callWithinGrant(p, http.MethodPost, "/orders", "x"), result.OK)
+	p.SetGrants(testGrants(2, 0))
+	before := target.requests.Load()
+	for range 50 {
+		wantResult(t, call(p, http.MethodGet, "/stock", ""), result.NoCapacity)
+	}
+	if n := target.requests.Load() - before; n != 0 {
+		t.Fatalf("%d requests sent without a grant", n)
+	}
+	p.SetGrants(testGrants(1, ampleRate))
+	wantResult(t, call(p, http.MethodGet, "/stock", ""), result.NoCapacity)
+}
+
+// A surplus has expired, as it has for a process that resumes after a pause.
+// Only the floor counts, without another set having come.
+func TestExpiredSurplusIsNotUsed(t *testing.T) {
+	target := newScripted(t, answering(okAnswer))
+	p := newTestProxy(t, nil, target.address())
+	set := testGrants(2, 0)
+	set.Grants[0].Surplus = ampleRate
+	set.SurplusExpires = time.Now().Add(-time.Millisecond)
+	p.SetGrants(set)
+	wantResult(t, call(p, http.MethodGet, "/stock", ""), result.NoCapacity)
+}
+
+// The account wants traffic above a grant to wait. It does while its deadline
+// can be met, and is refused at once when it cannot.
+func TestExcessWaitsWithinTheDeadline(t *testing.T) {
+	target := newScripted(t, answering(okAnswer))
+	waits := func(_ *Options, m *model.Account) { m.Excess = model.ExcessWait }
+	p := newTestProxy(t, waits, target.address())
+	p.SetGrants(testGrants(2, 100*grant.PerRequest))
+	for range 10 {
+		wantResult(t, call(p, http.MethodGet, "/stock", ""), result.OK)
+	}
+	p.SetGrants(testGrants(3, 0))
+	began := target.requests.Load()
+	w := call(p, http.MethodGet, "/stock", "", result.HeaderDeadline, "40")
+	wantResult(t, w, result.QueueFull)
+	if target.requests.Load() != began {
+		t.Fatal("sent without a grant")
+	}
+}
+
+// All targets of a service leave or are missing, and the plan names only this
+// place. The request is refused; another place would be a move without a cap.
+func TestNoSpillToAPlaceThePlanDoesNotName(t *testing.T) {
+	other := newScripted(t, answering(okAnswer))
+	withPlace := func(_ *Options, m *model.Account) {
+		m.Places = append(m.Places, model.Place{Name: "kr-busan-a", Region: testRegion})
+	}
+	p := newTestProxy(t, withPlace)
+	list := listOf(other.address())
+	list.VMs[0].Place = "kr-busan-a"
+	p.SetTargets(list)
+	set := testGrants(2, ampleRate)
+	set.Grants = append(set.Grants, grant.Grant{
+		Key: grant.Key{Account: testAccount, Service: testService, Place: "kr-busan-a"}, Floor: ampleRate})
+	p.SetGrants(set)
+	wantResult(t, call(p, http.MethodGet, "/stock", ""), result.NoTarget)
+	if n := other.requests.Load(); n != 0 {
+		t.Fatalf("%d requests went to the other place", n)
+	}
+}
+
+// A plan is replaced while requests run: every request follows one plan or the
+// other, and an older plan that arrives late does not return.
+func TestOlderPlanDoesNotReturn(t *testing.T) {
+	target := newScripted(t, answering(okAnswer))
+	p := newTestProxy(t, nil, target.address())
+	empty := testPlan()
+	empty.Sequence = 3
+	empty.Flows = []plan.Flow{}
+	p.SetPlan(empty)
+	p.SetPlan(testPlan())
+	wantResult(t, call(p, http.MethodGet, "/stock", ""), result.NoPlan)
+}
+
+// Uploads hold all but one slot for a long time. An order must not wait for
+// them.
+func TestBulkLeavesASlotToOrders(t *testing.T) {
+	release := make(chan struct{})
+	target := newScripted(t, func(c *scriptedConn) {
+		for r := c.next(); r != nil; r = c.next() {
+			if r.URL.Path == "/docs" {
+				<-release
+			}
+			c.say(okAnswer)
+		}
+	})
+	p := newTestProxy(t, nil, target.address())
+	var uploads sync.WaitGroup
+	for range 6 {
+		uploads.Go(func() {
+			callWithinGrant(p, http.MethodPost, "/docs", "scan", result.HeaderDeadline, "60000")
+		})
+	}
+	until(func() bool { return target.requests.Load() > 0 && onlyPlace(p).line.Waiting() > 0 })
+	for range 10 {
+		wantResult(t, call(p, http.MethodPost, "/orders", "x", result.HeaderDeadline, "1000"), result.OK)
+	}
+	close(release)
+	uploads.Wait()
+}
--- a/proxy/retry/budget.go
+++ b/proxy/retry/budget.go
@@ -41,3 +41,10 @@
 	b.saved--
 	return true
 }
+
+// Has reports whether there is a retry in hand.
+func (b *Budget) Has() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.saved >= 1
+}
