bench: whole nodes in one process, by nodes and by accounts

Cause: messages, memory and store calls of real nodes have to be measured. Change: scenarios fleet and fleet-accounts run idle nodes on an in-memory platform and count processor time, heap, loopback bytes, store calls, waiting watches, and the time until a change is in force on all nodes.

--- /dev/null
+++ b/bench/scenario/fleet_config.go
@@ -0,0 +1,107 @@
+package scenario
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/bench/report"
+	"github.com/yuccaroute/yuccaroute/config/changelog"
+	"github.com/yuccaroute/yuccaroute/config/examples"
+	"github.com/yuccaroute/yuccaroute/node"
+)
+
+const (
+	// changes is how many changes of one account are timed.
+	changes = 10
+	// changePoll is how often the nodes are asked for the revision in force.
+	changePoll = 2 * time.Millisecond
+	// changeTimeout bounds the wait for one change.
+	changeTimeout = 30 * time.Second
+)
+
+// commitAll writes the example templates and as many accounts as asked for,
+// copies of the two examples in turn.
+func (w *fleetWorld) commitAll(ctx context.Context, accounts int) error {
+	w.log = changelog.New(w.store, changelog.Options{})
+	pairs := examples.Pairs()
+	for _, pair := range pairs {
+		if _, err := w.apply(ctx, changelog.KindTemplate, pair.Template, pair.Template, examples.Text(pair.Template)); err != nil {
+			return err
+		}
+	}
+	for i := range accounts {
+		pair := pairs[i%len(pairs)]
+		name := pair.Account
+		if i >= len(pairs) {
+			name = fmt.Sprintf("%s-%d", pair.Account, i/len(pairs))
+		}
+		if _, err := w.apply(ctx, changelog.KindAccount, pair.Template, name, accountText(pair, name)); err != nil {
+			return err
+		}
+		w.accounts = append(w.accounts, model.AccountName(name))
+	}
+	return nil
+}
+
+func accountText(pair examples.Pair, name string) []byte {
+	return bytes.Replace(examples.Text(pair.Account), []byte("name = "+pair.Account), []byte("name = "+name), 1)
+}
+
+func (w *fleetWorld) apply(ctx context.Context, kind changelog.Kind, template, name string, text []byte) (changelog.Result, error) {
+	w.changeNumber++
+	return w.log.Apply(ctx, changelog.Change{
+		ID: "bench-" + strconv.Itoa(w.changeNumber), Who: "bench",
+		Kind: kind, Template: template, Name: name, Text: text,
+	})
+}
+
+// measureChanges commits changes one after the other and times each until
+// every node has it in force.
+func (w *fleetWorld) measureChanges(ctx context.Context) ([]report.Metric, error) {
+	pair := examples.Pairs()[0]
+	var longest, sum time.Duration
+	for i := range changes {
+		text := bytes.ReplaceAll(examples.Text(pair.Account), []byte("capacity_rps = 3600"), fmt.Appendf(nil, "capacity_rps = %d", 3700+i))
+		started := time.Now()
+		result, err := w.apply(ctx, changelog.KindAccount, pair.Template, pair.Account, text)
+		if err != nil {
+			return nil, err
+		}
+		if err := w.waitRevision(ctx, model.AccountName(pair.Account), result.Version.Sequence); err != nil {
+			return nil, err
+		}
+		took := time.Since(started)
+		longest = max(longest, took)
+		sum += took
+	}
+	return []report.Metric{
+		{Name: "change in force, mean", Unit: "ms", Value: sum.Seconds() * 1000 / changes},
+		{Name: "change in force, longest", Unit: "ms", Value: longest.Seconds() * 1000},
+	}, nil
+}
+
+func (w *fleetWorld) waitRevision(ctx context.Context, account model.AccountName, revision uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	for _, n := range w.nodes {
+		for inForce(n.Status().Accounts, account) < revision {
+			if err := pause(ctx, changePoll); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func inForce(accounts []node.AccountRevision, name model.AccountName) uint64 {
+	for _, a := range accounts {
+		if a.Account == name {
+			return a.Revision
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/bench/scenario/fleet_world.go
@@ -0,0 +1,101 @@
+package scenario
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/config/changelog"
+	"github.com/yuccaroute/yuccaroute/config/settings"
+	"github.com/yuccaroute/yuccaroute/httpserver"
+	"github.com/yuccaroute/yuccaroute/membership"
+	"github.com/yuccaroute/yuccaroute/node"
+	"github.com/yuccaroute/yuccaroute/store"
+	"github.com/yuccaroute/yuccaroute/store/faultkv"
+	"github.com/yuccaroute/yuccaroute/store/memkv"
+)
+
+// fleetWorld is whole nodes around an in-memory platform.
+type fleetWorld struct {
+	store    *faultkv.Store
+	watches  *watchGauge
+	list     atomic.Pointer[membership.List]
+	accounts []model.AccountName
+	log      *changelog.Log
+	// changeNumber makes the identifiers of changes differ.
+	changeNumber int
+	nodes        []*node.Node
+}
+
+// List implements membership.Lister.
+func (w *fleetWorld) List(context.Context) (membership.List, error) { return *w.list.Load(), nil }
+
+// newFleetWorld commits the example accounts and starts the nodes. Close it
+// also after an error.
+func newFleetWorld(ctx context.Context, nodes, accounts int) (*fleetWorld, error) {
+	httpserver.QuietLibraryLogs()
+	w := &fleetWorld{store: faultkv.New(memkv.New(memkv.Options{}), nil)}
+	w.watches = &watchGauge{KV: w.store}
+	w.list.Store(&membership.List{})
+	if err := w.commitAll(ctx, accounts); err != nil {
+		return w, errors.Wrap(err, "fleet: commit the configuration")
+	}
+	var list membership.List
+	for _, vm := range fleet(nodes).VMs {
+		n, err := w.newNode(vm)
+		if err != nil {
+			return w, errors.Wrapf(err, "fleet: node %s", vm.ID)
+		}
+		w.nodes = append(w.nodes, n)
+		list.VMs = append(list.VMs, n.VM())
+	}
+	list.Sequence = 1
+	w.list.Store(&list)
+	for _, n := range w.nodes {
+		n.Start()
+	}
+	return w, nil
+}
+
+func (w *fleetWorld) newNode(vm membership.VM) (*node.Node, error) {
+	port := netip.MustParseAddrPort("127.0.0.1:0")
+	s := settings.Defaults(
+		settings.Node{VM: vm.ID, Region: vm.Region, FailureDomain: vm.Place},
+		settings.Listen{Callers: port, Admin: port, Peers: port},
+		port, port,
+	)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return node.New(node.Options{Settings: s, Logger: log, Store: w.watches, Lister: w})
+}
+
+func (w *fleetWorld) close() {
+	done := make(chan struct{}, len(w.nodes))
+	for _, n := range w.nodes {
+		go func() {
+			n.Close()
+			done <- struct{}{}
+		}()
+	}
+	for range w.nodes {
+		<-done
+	}
+}
+
+// watchGauge counts the watches that wait at the store.
+type watchGauge struct {
+	store.KV
+	waiting atomic.Int64
+}
+
+// Watch implements store.KV.
+func (g *watchGauge) Watch(ctx context.Context, prefix string, after store.Revision) (store.Batch, error) {
+	g.waiting.Add(1)
+	defer g.waiting.Add(-1)
+	return g.KV.Watch(ctx, prefix, after)
+}
--- a/bench/scenario/scenario.go
+++ b/bench/scenario/scenario.go
@@ -48,7 +48,7 @@
 
 // All returns the scenarios, sorted by name.
 func All() []Scenario {
-	return []Scenario{blocksScenario(), deciderByNodes(), deciderBySites(), lookupHTTP(), lookupLibrary()}
+	return []Scenario{blocksScenario(), deciderByNodes(), deciderBySites(), deciderByUse(), fleetScenario(), fleetByAccounts(), lookupHTTP(), lookupLibrary()}
 }
 
 // Find returns the named scenario.
