Serve the administration API, explanations and forecasts on every node

Cause: the API, the callers' server with its body limits, and the decider's explanation existed but no node served them; only the decider knows why a plan is what it is, while an operator may ask any node. Change: the node mounts the API; a peer service Insight lets any node ask the decider; callers are served through proxy/ingress. Conclusion: operators can use any node.

--- a/api/peerpb/generated_test.go
+++ b/api/peerpb/generated_test.go
@@ -19,6 +19,7 @@
 	generated := map[string]protoreflect.FileDescriptor{
 		"spread.proto":  File_spread_proto,
 		"control.proto": File_control_proto,
+		"insight.proto": File_insight_proto,
 	}
 	for name, have := range generated {
 		files, err := compiler.Compile(context.Background(), name)
--- a/demo/world.go
+++ b/demo/world.go
@@ -142,6 +142,7 @@
 		settings.Listen{Callers: anyPort, Admin: anyPort, Peers: anyPort},
 		platformAddress, platformAddress,
 	)
+	s.Admin.Open = true
 	return node.New(node.Options{Settings: s, Logger: w.log})
 }
 
--- a/node/accounts.go
+++ b/node/accounts.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/yuccaroute/yuccaroute/api/model"
 )
@@ -14,11 +15,15 @@
 type accountSet struct {
 	mu      sync.Mutex
 	byName  map[model.AccountName]*model.Account
+	sinceOf map[model.AccountName]time.Time
 	current atomic.Pointer[[]*model.Account]
 }
 
 func newAccountSet() *accountSet {
-	s := &accountSet{byName: make(map[model.AccountName]*model.Account)}
+	s := &accountSet{
+		byName:  make(map[model.AccountName]*model.Account),
+		sinceOf: make(map[model.AccountName]time.Time),
+	}
 	s.publish()
 	return s
 }
@@ -28,6 +33,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.byName[a.Name] = a
+	s.sinceOf[a.Name] = time.Now()
 	s.publish()
 }
 
@@ -35,9 +41,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.byName, name)
+	delete(s.sinceOf, name)
 	s.publish()
 }
 
+// since returns when the state of an account that is in force was put there.
+func (s *accountSet) since(name model.AccountName) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sinceOf[name]
+}
+
 func (s *accountSet) publish() {
 	names := slices.Sorted(maps.Keys(s.byName))
 	all := make([]*model.Account, 0, len(names))
--- a/node/http.go
+++ b/node/http.go
@@ -7,8 +7,10 @@
 
 	"github.com/goccy/go-json"
 
+	"github.com/yuccaroute/yuccaroute/admin"
 	"github.com/yuccaroute/yuccaroute/httpserver"
 	"github.com/yuccaroute/yuccaroute/lookup"
+	"github.com/yuccaroute/yuccaroute/proxy/ingress"
 )
 
 const (
@@ -30,10 +32,13 @@
 	mux := http.NewServeMux()
 	mux.Handle(lookup.Path, n.lookup)
 	mux.Handle("/", n.proxy)
-	server, err := httpserver.Start(httpserver.Options{
-		Address:      n.options.Settings.Listen.Callers.String(),
-		Handler:      mux,
-		MaxBodyBytes: maxCallerBody(n.options.Settings.Limits.BufferedBytes),
+	limits := n.options.Settings.Limits
+	server, err := ingress.Start(ingress.Options{
+		Address:        n.options.Settings.Listen.Callers.String(),
+		Handler:        mux,
+		Bodies:         n.proxy,
+		MaxBodyBytes:   maxCallerBody(limits.BufferedBytes),
+		MaxConnections: limits.CallerConnections,
 	})
 	if err != nil {
 		return err
@@ -52,6 +57,7 @@
 
 func (n *Node) listenAdmin() error {
 	mux := http.NewServeMux()
+	mux.Handle(admin.PathPrefix, n.newAPI())
 	mux.Handle(pathMetrics, n.metrics.page)
 	mux.HandleFunc(pathHealth, n.serveHealth)
 	mux.HandleFunc(pathStatus, n.serveStatus)
--- a/node/node.go
+++ b/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/yuccaroute/yuccaroute/membership"
 	"github.com/yuccaroute/yuccaroute/membership/view"
 	"github.com/yuccaroute/yuccaroute/proxy"
+	"github.com/yuccaroute/yuccaroute/proxy/ingress"
 	"github.com/yuccaroute/yuccaroute/proxy/keys"
 	"github.com/yuccaroute/yuccaroute/spread"
 	"github.com/yuccaroute/yuccaroute/spread/transport"
@@ -45,10 +46,11 @@
 	proxy    *proxy.Proxy
 	spread   *spread.Service
 	control  *control.System
+	planner  *planner
 	peers    *transport.Pool
 	metrics  *metrics
 
-	callers *httpserver.Server
+	callers *ingress.Server
 	admin   *httpserver.Server
 	grpc    *grpc.Server
 	peerTCP net.Listener
@@ -72,6 +74,7 @@
 		id:       options.id(),
 		log:      options.Logger,
 		accounts: newAccountSet(),
+		planner:  newPlanner(),
 		metrics:  newMetrics(options.Settings.Node.VM),
 	}
 	steps := []func() error{
@@ -182,7 +185,7 @@
 		Publish:     n.publish,
 		DeciderOf:   n.deciderOf,
 		Leaving:     n.leaving.Load,
-		Planner:     planner{},
+		Planner:     n.planner,
 		Logger:      n.log,
 	})
 	if err != nil {
@@ -190,6 +193,7 @@
 	}
 	n.control = system
 	system.Register(n.grpc)
+	peerpb.RegisterInsightServer(n.grpc, &insightServer{node: n})
 	return nil
 }
 
--- a/node/planner.go
+++ b/node/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sync"
 	"time"
 
 	"github.com/yuccaroute/yuccaroute/api/model"
@@ -11,21 +12,31 @@
 	"github.com/yuccaroute/yuccaroute/steering"
 )
 
-// planner lets package steering make the decider's plans.
-type planner struct{}
+// planner lets package steering make the decider's plans, and keeps what the
+// last one was made from, for operators' forecasts.
+type planner struct {
+	mu     sync.Mutex
+	inputs map[model.AccountName]steering.Input
+}
+
+var _ decider.Planner = (*planner)(nil)
 
-var _ decider.Planner = planner{}
+func newPlanner() *planner {
+	return &planner{inputs: make(map[model.AccountName]steering.Input)}
+}
 
 // Plan implements decider.Planner.
-func (planner) Plan(s decider.Situation) decider.Planned {
-	d := steering.Decide(steering.Input{
+func (p *planner) Plan(s decider.Situation) decider.Planned {
+	input := steering.Input{
 		Account:  s.Account,
 		Now:      s.Now,
 		Previous: s.Previous,
 		Moved:    steeringMoves(s.Moves, s.Now),
 		Demand:   sumDemand(s.Reports),
 		Places:   sumPlaces(s.Reports),
-	})
+	}
+	p.keep(input)
+	d := steering.Decide(input)
 	return decider.Planned{
 		Flows:       d.Plan.Flows,
 		Moves:       ledgerMoves(d.Moves, s.Now),
@@ -33,6 +44,20 @@
 	}
 }
 
+func (p *planner) keep(input steering.Input) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.inputs[input.Account.Name] = input
+}
+
+// last returns what the last plan of an account was made from.
+func (p *planner) last(account model.AccountName) (steering.Input, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	input, ok := p.inputs[account]
+	return input, ok
+}
+
 func steeringMoves(moves []ledger.Move, now time.Time) []steering.Move {
 	out := make([]steering.Move, 0, len(moves))
 	for _, m := range moves {
