Test real processes under faults

Cause: entry VMs and targets die, stand still and leave, and the store is out. Change: eight cases with yuccarouted, stand-in targets and the platform as processes behind the fault proxy; limits and the cap on moves are checked.

--- a/integration/farm_test.go
+++ b/integration/farm_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -12,6 +11,7 @@
 	"github.com/yuccaroute/yuccaroute/api/result"
 	"github.com/yuccaroute/yuccaroute/bench/check"
 	"github.com/yuccaroute/yuccaroute/client"
+	"github.com/yuccaroute/yuccaroute/membership"
 	"github.com/yuccaroute/yuccaroute/standin/caller"
 )
 
@@ -31,10 +31,21 @@
 	entryPaths   []*faultProxy
 	targetPaths  []*faultProxy
 	platformPath *faultProxy
-	// entries and targets are the processes; empty when they run within the
-	// test.
-	entries []*process
-	targets []*process
+	// entries, targets and platform are the processes; empty when all runs
+	// within the test.
+	entries  []*process
+	targets  []*process
+	platform *process
+	// account has the limits to check, and entryRegions the regions of the
+	// entry VMs; empty where the test sets no limits.
+	account      *model.Account
+	entryRegions map[string]model.RegionName
+	leaving      []check.Leaving
+	// vms are the rows of the platform's list, targets first, and journals the
+	// files of the targets' ledgers.
+	platformAddress string
+	vms             []membership.VM
+	journals        []string
 	// ledger returns what ran at all targets, those that were killed included.
 	ledger func() []check.Ran
 }
@@ -72,6 +83,10 @@
 	})
 }
 
+// blocks are the callers' addresses. The fault proxy hides them from the entry
+// VMs, so that all callers count as of one region.
+func blocks() []model.CallerBlock { return caller.AlpenvliesBlocks()[:1] }
+
 // run sends the load, lets the steps happen and checks.
 func (f *farm) run(l load, steps ...step) outcome {
 	f.t.Helper()
@@ -82,7 +97,7 @@
 		l.kinds = kinds()
 	}
 	callers, err := caller.New(caller.Options{
-		Account: account, Nodes: f.nodes(), Blocks: caller.AlpenvliesBlocks(), SourcesPerBlock: 2,
+		Account: account, Nodes: f.nodes(), Blocks: blocks(), SourcesPerBlock: 4,
 		Client: client.Options{MaxConnections: 128},
 		Loads:  []caller.Load{{Service: service, Rate: caller.Steady(l.rps), Kinds: l.kinds, Deadline: l.deadline}},
 		Seed:   l.seed, Name: f.t.Name(), MaxRequests: l.requests, MaxInFlight: 1000, RepeatUnknown: true,
@@ -142,8 +157,12 @@
 // judge lets all faults end, reads the ledgers and checks.
 func (f *farm) judge(told []check.Told) outcome {
 	f.calm()
+	in := check.Input{Told: told, Ran: f.settledLedger(), EntryRegions: f.entryRegions, Leaving: f.leaving, Bunching: clusterBunching}
+	if f.account != nil {
+		in.Accounts = []*model.Account{f.account}
+	}
 	o := outcome{
-		report: check.Check(check.Input{Told: told, Ran: f.ledger()}),
+		report: check.Check(in),
 		counts: make(map[result.Outcome]int),
 		codes:  make(map[result.Code]int),
 	}
@@ -154,12 +173,37 @@
 	return o
 }
 
-// calm takes all faults off, so that nothing is on its way any more when the
-// ledgers are read: a request held back by a fault could still run.
+// calm takes all faults off.
 func (f *farm) calm() {
 	for _, p := range append(append([]*faultProxy{}, f.targetPaths...), f.entryPaths...) {
 		p.clear()
 	}
+	if f.platformPath != nil {
+		f.platformPath.clear()
+	}
+	for _, p := range append(append([]*process{}, f.targets...), f.entries...) {
+		p.resume()
+	}
+}
+
+// quietRounds is how often in a row the ledger must be the same.
+const quietRounds = 20
+
+// settledLedger returns the ledger once nothing runs any more: a request that
+// a fault held back could still run after its caller was told the outcome.
+func (f *farm) settledLedger() []check.Ran {
+	tick := time.NewTicker(pollEvery)
+	defer tick.Stop()
+	ran := f.ledger()
+	for quiet := 0; quiet < quietRounds; quiet++ {
+		<-tick.C
+		now := f.ledger()
+		if len(now) != len(ran) {
+			quiet = 0
+		}
+		ran = now
+	}
+	return ran
 }
 
 // want checks that no promise was broken and that the faults showed: a fault
@@ -177,5 +221,3 @@
 		}
 	}
 }
-
-func mustAddrPort(text string) netip.AddrPort { return netip.MustParseAddrPort(text) }
--- a/integration/main_test.go
+++ b/integration/main_test.go
@@ -1,16 +1,40 @@
 package integration
 
 import (
+	"fmt"
 	"io"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"testing"
 
 	"github.com/sirupsen/logrus"
 )
 
-// TestMain keeps the fault proxy's own lines, one for each connection, out of
-// the tests' output.
+// The programs under test, built once.
+var daemonProgram, toolProgram string
+
+// TestMain builds the programs and keeps the fault proxy's own lines, one for
+// each connection, out of the tests' output.
 func TestMain(m *testing.M) {
 	logrus.SetOutput(io.Discard)
-	os.Exit(m.Run())
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "yuccaroute-integration")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	build := exec.Command("go", "build", "-o", dir, "./yuccaroute", "./yuccarouted")
+	build.Dir = filepath.Join("..", "cmd")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build the programs: %v\n%s", err, out)
+		return 1
+	}
+	daemonProgram = filepath.Join(dir, "yuccarouted")
+	toolProgram = filepath.Join(dir, "yuccaroute")
+	return m.Run()
 }
