Rely on targets that came back only after half a minute

Cause: while a flapping place is up, work the cap had not yet taken away stayed and met the next failure; each return was one more. Change: the picture counts targets that came back as unsteady for 30 s; they serve what is still sent to them but draw no work and hold none.

--- a/steering/cell.go
+++ b/steering/cell.go
@@ -11,10 +11,10 @@
 type cell struct {
 	// state is nil when nothing was ever measured.
 	state *PlaceState
-	// configured is the capacity by the configuration, usable that of the
-	// targets that take work, requests/s.
-	configured, usable float64
-	load               float64
+	// configured is the capacity by the configuration, permitted that of the
+	// targets that take work, usable that of those relied on, requests/s.
+	configured, permitted, usable float64
+	load                          float64
 	// latencyMS is the service time that the costs use.
 	latencyMS float64
 	// raised is what the cell was raised by within the step interval, and
@@ -56,37 +56,43 @@
 		}
 		for p := range row {
 			row[p].state = states[cellKey{service.Name, s.places[p].name}]
-			row[p].usable = row[p].usableCapacity()
-			if s.places[p].drain.ended {
-				row[p].usable = 0
-			}
+			row[p].setCapacity(s.places[p].drain.ended)
 		}
 		setLatencies(row)
 		s.cells[i] = row
 	}
 }
 
-// usableCapacity scales the capacity by the targets that take work. A failed
-// cell has none; a cell nobody measured keeps what is configured.
-func (c *cell) usableCapacity() float64 {
-	if c.failed() {
-		return 0
+// setCapacity scales the capacity by the targets. A cell whose requests fail,
+// or whose targets are gone, has none; one nobody measured keeps what is
+// configured.
+func (c *cell) setCapacity(ended bool) {
+	if ended || c.broken() {
+		return
 	}
+	c.permitted = c.configured * c.partOf(0)
+	c.usable = c.permitted
+	if c.state != nil {
+		c.usable = c.configured * c.partOf(c.state.Unsteady)
+	}
+}
+
+// partOf returns the part of the targets that take work, without some.
+func (c *cell) partOf(without int) float64 {
 	if c.state == nil || c.state.Known <= 0 {
-		return c.configured
+		return 1
 	}
-	return c.configured * min(1, float64(c.state.Usable)/float64(c.state.Known))
+	return min(1, float64(max(c.state.Usable-without, 0))/float64(c.state.Known))
 }
 
 // failed reports a cell that all work must leave. An old state counts as well:
 // a place last seen failing is not taken for healthy because reports stopped.
 func (c *cell) failed() bool {
-	if c.state == nil {
-		return false
-	}
-	if c.state.Known > 0 && c.state.Usable == 0 {
-		return true
-	}
+	return c.broken() || c.state != nil && c.partOf(c.state.Unsteady) == 0
+}
+
+// broken reports a cell whose requests fail, whatever its targets say.
+func (c *cell) broken() bool {
 	return c.measured() && c.state.FailureShare >= failedShare
 }
 
@@ -100,11 +106,7 @@
 	if c.state == nil {
 		return 0
 	}
-	missing := 0.0
-	if c.state.Known > 0 {
-		missing = 1 - float64(c.state.Usable)/float64(c.state.Known)
-	}
-	return max(missing, c.state.FailureShare)
+	return max(1-c.partOf(c.state.Unsteady), c.state.FailureShare)
 }
 
 func (c *cell) measured() bool {
--- a/steering/decide_test.go
+++ b/steering/decide_test.go
@@ -257,6 +257,19 @@
 	}
 }
 
+// The targets of a place are just back. They serve what the cap has left there,
+// but that goes on leaving, and nothing is added.
+func TestUnsteadyTargetsServeButHoldNothing(t *testing.T) {
+	in := inputOf(accountOf(2, 2, 1), 0.3)
+	in.Previous = Decide(in).Plan
+	s := stateOf(&in, in.Account.Places[0].Name)
+	s.Unsteady = s.Usable
+	d := Decide(in)
+	if d.MovedPPM == 0 || d.Limits[0].UsableRPS != 1000 || d.Limits[0].DesiredRPS < 200 {
+		t.Fatalf("moved %d ppm, limit %+v", d.MovedPPM, d.Limits[0])
+	}
+}
+
 // The health of a place reads well and its latency too, while most of what is
 // sent there fails. The nodes' own traffic decides.
 func TestLyingHealthIsNotBelieved(t *testing.T) {
--- a/steering/input.go
+++ b/steering/input.go
@@ -51,7 +51,10 @@
 	SentRPS float64
 	// Usable of Known targets take work. Known is 0 when no target is known.
 	Usable, Known int
-	Age           time.Duration
+	// Unsteady of the usable targets came back too lately to be relied on:
+	// they serve what is still sent to them, but draw no work and hold none.
+	Unsteady int
+	Age      time.Duration
 }
 
 // Move is one change of one share.
--- a/steering/limits.go
+++ b/steering/limits.go
@@ -15,8 +15,8 @@
 			limits = append(limits, Limit{
 				Service:    s.account.Services[i].Name,
 				Place:      s.places[p].name,
-				DesiredRPS: min(local[i][p]+remote[i][p], c.usable),
-				UsableRPS:  c.usable,
+				DesiredRPS: min(local[i][p]+remote[i][p], c.permitted),
+				UsableRPS:  c.permitted,
 			})
 		}
 	}
@@ -40,7 +40,7 @@
 	}
 	for i := range s.cells {
 		for p := range s.cells[i] {
-			factor := cut(local[i][p]+remote[i][p], s.cells[i][p].usable)
+			factor := cut(local[i][p]+remote[i][p], s.cells[i][p].permitted)
 			local[i][p] *= factor
 			remote[i][p] *= factor
 		}
--- a/steering/picture/book.go
+++ b/steering/picture/book.go
@@ -35,6 +35,8 @@
 	read  time.Time
 	flows map[flowKey]float64
 	warm  map[cellKey]time.Duration
+	// usable is how far the targets of each place are relied on.
+	usable map[cellKey]*belief
 }
 
 type flowKey struct {
@@ -49,7 +51,11 @@
 
 // NewBook returns an empty picture.
 func NewBook() *Book {
-	return &Book{flows: make(map[flowKey]float64), warm: make(map[cellKey]time.Duration)}
+	return &Book{
+		flows:  make(map[flowKey]float64),
+		warm:   make(map[cellKey]time.Duration),
+		usable: make(map[cellKey]*belief),
+	}
 }
 
 // Read takes in the last reports of all nodes and the moves made lately, and
--- a/steering/picture/book_test.go
+++ b/steering/picture/book_test.go
@@ -74,3 +74,28 @@
 		t.Fatalf("demand %+v", demand)
 	}
 }
+
+// The targets of a place go and come every 20 s. Work that the cap could not
+// take away in one failure must not wait there for the next one: the place
+// counts as failed until its targets have stayed for half a minute.
+func TestComingTargetsAreBelievedLate(t *testing.T) {
+	b := NewBook()
+	usable := func(second, targets int) int {
+		load := observe.PlaceLoad{SentRPS: 100, Targets: targets, Known: 4}
+		_, places := b.Read([]Report{reportOf(0, 100, load)}, nil, start.Add(time.Duration(second)*time.Second))
+		return places[0].Usable - places[0].Unsteady
+	}
+	if usable(0, 4) != 4 {
+		t.Fatal("the first reading does not count")
+	}
+	for second := 40; second < 200; second++ {
+		targets := 4 * (second / 20 % 2)
+		if got := usable(second, targets); got != 0 {
+			t.Fatalf("second %d: %d targets relied on", second, got)
+		}
+	}
+	usable(205, 3)
+	if usable(208, 4) != 0 || usable(209, 4) != 3 {
+		t.Fatal("targets that stayed half a minute are not relied on")
+	}
+}
--- a/steering/picture/places.go
+++ b/steering/picture/places.go
@@ -27,6 +27,7 @@
 	states := make([]steering.PlaceState, 0, len(cells))
 	for key, c := range cells {
 		state := c.state(key)
+		state.Unsteady = state.Usable - b.relied(key, &state)
 		state.WarmP99 = b.warmOf(key, &state, risen, since)
 		states = append(states, state)
 	}
@@ -94,6 +95,19 @@
 	}
 }
 
+// relied returns the number of usable targets that is relied on.
+func (b *Book) relied(key cellKey, state *steering.PlaceState) int {
+	if state.Known == 0 {
+		return 0
+	}
+	part := float64(state.Usable) / float64(state.Known)
+	if b.usable[key] == nil {
+		b.usable[key] = newBelief(part, b.read)
+	}
+	const rounding = 1e-9
+	return int(b.usable[key].see(part, b.read)*float64(state.Known) + rounding)
+}
+
 // lastRises returns for each cell the age of its newest increase.
 func lastRises(moved []steering.Move) map[cellKey]time.Duration {
 	risen := make(map[cellKey]time.Duration)
