Widen a demand that grows by what it grows until a decision shows

Cause: a plan for the demand measured is late by a report, a decision and a step, which costs headroom in a rush. Change: the picture tells growth by the distance of a fast and a slow average and gives it as the margin; growth that chance may show has none.

--- a/steering/picture/book.go
+++ b/steering/picture/book.go
@@ -17,6 +17,12 @@
 	// smoothing is the time over which rates are averaged: a rate over one
 	// report interval moves by chance.
 	smoothing = 4 * time.Second
+	// trend is the time over which the rate is averaged that growth is told by.
+	trend = 20 * time.Second
+	// leastGrowth is the growth that chance alone may show.
+	leastGrowth = 0.05
+	// mostGrowth bounds what a step of the demand adds.
+	mostGrowth = 0.5
 	// warming is the time over which the warm latency is averaged.
 	warming = 60 * time.Second
 	// quiet is how long after an increase a latency counts as warm.
@@ -33,7 +39,7 @@
 // goroutines.
 type Book struct {
 	read  time.Time
-	flows map[flowKey]float64
+	flows map[flowKey]*rate
 	warm  map[cellKey]time.Duration
 	// usable is how far the targets of each place are relied on.
 	usable map[cellKey]*belief
@@ -52,7 +58,7 @@
 // NewBook returns an empty picture.
 func NewBook() *Book {
 	return &Book{
-		flows:  make(map[flowKey]float64),
+		flows:  make(map[flowKey]*rate),
 		warm:   make(map[cellKey]time.Duration),
 		usable: make(map[cellKey]*belief),
 	}
@@ -94,7 +100,7 @@
 	b.forgetFlows(sums)
 	demand := make([]steering.Demand, 0, len(sums))
 	for key, d := range sums {
-		d.RPS = b.smooth(key, d.RPS, since)
+		d.RPS, d.Margin = b.rateOf(key).add(d.RPS, since)
 		d.Age = time.Duration(ages[key].value())
 		demand = append(demand, *d)
 	}
@@ -115,13 +121,11 @@
 	}
 }
 
-func (b *Book) smooth(key flowKey, rps float64, since time.Duration) float64 {
-	old, ok := b.flows[key]
-	if ok {
-		rps = old + (rps-old)*weightOf(since, smoothing)
+func (b *Book) rateOf(key flowKey) *rate {
+	if b.flows[key] == nil {
+		b.flows[key] = &rate{}
 	}
-	b.flows[key] = rps
-	return rps
+	return b.flows[key]
 }
 
 // weightOf is the part a new value has in an average over a time.
--- a/steering/picture/book_test.go
+++ b/steering/picture/book_test.go
@@ -99,3 +99,27 @@
 		t.Fatal("targets that stayed half a minute are not relied on")
 	}
 }
+
+// At dawn demand grows by the second, and a plan for what was measured is late
+// by a report, a decision and a step. The margin covers that time; noise and
+// a demand that falls have none.
+func TestGrowthWidensTheDemand(t *testing.T) {
+	var r rate
+	smooth, growth := 0.0, 0.0
+	for second := range 100 {
+		smooth, growth = r.add(500+10*float64(second), time.Second)
+	}
+	if ahead := smooth * (1 + growth); ahead < 1490 || ahead > 1600 {
+		t.Fatalf("expects %.0f requests/s, was 1490 and grows by 10 a second", ahead)
+	}
+	for second := range 300 {
+		noise := float64((second*7)%11-5) / 5 * 0.1
+		_, growth = r.add(1000*(1+noise), time.Second)
+		if second > 100 && growth > 0 {
+			t.Fatalf("noise of a tenth has a margin of %.3f", growth)
+		}
+	}
+	if _, growth = r.add(10, time.Second); growth != 0 {
+		t.Fatalf("falling demand has a margin of %.3f", growth)
+	}
+}
