--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/yuccaroute/yuccaroute/api/model"
@@ -170,9 +169,6 @@
 	if answer.Leaving {
 		state.ToldLeaving()
 	}
-	if load, err := strconv.Atoi(answer.Header.Get(result.HeaderLoad)); err == nil && load >= 0 {
-		state.Reported(load, now)
-	}
 	if answer.Shed {
 		state.Shed(now)
 		return
--- a/proxy/balance/set.go
+++ b/proxy/balance/set.go
@@ -1,5 +1,5 @@
 // Package balance chooses the target of a request among those of one service
-// in one place. This node's own traffic is the truth; reports are hints.
+// in one place, by what this node's own traffic shows.
 package balance
 
 import "sync"
--- a/proxy/balance/target.go
+++ b/proxy/balance/target.go
@@ -13,8 +13,6 @@
 	latencyWeight = 0.2
 	// FirstLatency is assumed of a target that has not answered yet.
 	FirstLatency = 10 * time.Millisecond
-	// ReportLife is how long a load report is believed at all.
-	ReportLife = time.Second
 	// ShedPause is how long a target that refused work gets none.
 	ShedPause = 20 * time.Millisecond
 )
@@ -33,9 +31,6 @@
 	shedUntil atomic.Int64
 	// latency is the moving average of served requests, float64 bits of ns.
 	latency atomic.Uint64
-	// load and loadAt are the target's last report and when it came.
-	load   atomic.Int32
-	loadAt atomic.Int64
 }
 
 // NewTarget returns a target that begins its ramp now and takes at most limit
@@ -44,7 +39,6 @@
 	t := &Target{Health: eject.NewHealth(now)}
 	t.limit.Store(int32(limit))
 	t.latency.Store(math.Float64bits(float64(FirstLatency)))
-	t.loadAt.Store(now - int64(ReportLife))
 	return t
 }
 
@@ -103,12 +97,6 @@
 	return time.Duration(math.Float64frombits(t.latency.Load()))
 }
 
-// Reported stores the target's own load report.
-func (t *Target) Reported(load int, now int64) {
-	t.load.Store(int32(load))
-	t.loadAt.Store(now)
-}
-
 // Usable reports whether the target may get new work.
 func (t *Target) Usable(now int64) bool {
 	return !t.Leaving() && !t.Health.Ejected(now)
