--- a/steering/scenario/loop_test.go
+++ b/steering/scenario/loop_test.go
@@ -69,6 +69,8 @@
 	reported []report // newest last
 	// silent stops reports.
 	silent bool
+	// paused is the index of a node that applies no plan, -1 for none.
+	paused int
 	// lag is how old a report is when it arrives, in seconds.
 	lag   int
 	moved []steering.Move
@@ -90,6 +92,7 @@
 		demand:  make(map[flowName]float64),
 		cells:   make(map[cellName]*truth),
 		lag:     3,
+		paused:  -1,
 		book:    picture.NewBook(),
 	}
 	w.now = w.start
@@ -219,6 +222,15 @@
 	}
 }
 
+// takeover lets another decider take over: it counts every move as made now
+// and knows no measurement but the newest.
+func (w *world) takeover() {
+	for i := range w.made {
+		w.made[i] = w.now
+	}
+	w.book = picture.NewBook()
+}
+
 // run plays a script with a policy.
 func run(t *tenant, sc script, p policy) result {
 	w := newWorld(t)
@@ -280,7 +292,10 @@
 	var streams []stream
 	moved := 0.0
 	for i, region := range w.account.Regions {
-		effective, _ := n.steppers[i].Advance(d.Plan)
+		effective := n.last[i]
+		if w.paused != i || effective == nil {
+			effective, _ = n.steppers[i].Advance(d.Plan)
+		}
 		for _, f := range effective.Flows {
 			if f.Caller != region.Name {
 				continue
--- a/steering/scenario/scripts_test.go
+++ b/steering/scenario/scripts_test.go
@@ -33,6 +33,30 @@
 			lie(w)
 		}
 	}},
+	{name: "leader-lost", seconds: 1500, faultAt: 120, at: func(w *world, s int) {
+		lose(w, s, w.account.Places[:2])
+		if s == 180 || s == 200 {
+			w.takeover()
+		}
+	}},
+	{name: "node-paused", seconds: 900, faultAt: 120, at: func(w *world, s int) {
+		lose(w, s, w.account.Places[:1])
+		w.paused = -1
+		if s >= 140 && s < 260 {
+			w.paused = 0
+		}
+	}},
+	{name: "lost-in-drain", seconds: 1200, faultAt: 250, drains: drainFirst, at: func(w *world, s int) {
+		if s == 250 {
+			w.setPlace(w.account.Places[2].Name, 0)
+		}
+	}},
+	{name: "rush-and-loss", seconds: 1200, faultAt: 200, at: func(w *world, s int) {
+		dawn(w, s)
+		if s == 200 {
+			w.setPlace(w.account.Places[5].Name, 0)
+		}
+	}},
 	{name: "stale", seconds: 600, faultAt: 120, at: func(w *world, s int) {
 		w.silent = s >= 120
 		if s == 180 {
