--- a/steering/scenario/result_test.go
+++ b/steering/scenario/result_test.go
@@ -31,6 +31,9 @@
 	lastBad    int
 	window     int
 	cap        float64
+	// plans counts the plans that differ from the one before: each is a write
+	// to the store and a message to every node.
+	plans int
 }
 
 func newResult(sc script, p policy) *result {
@@ -39,6 +42,9 @@
 
 // checkPlan compares what the decision asks with the capacities.
 func (r *result) checkPlan(w *world, d steering.Decision) {
+	if d.Changed {
+		r.plans++
+	}
 	sums := make(map[model.RegionName]float64)
 	for _, l := range d.Limits {
 		service := w.account.Service(l.Service)
@@ -123,6 +129,6 @@
 func (r *result) p(q float64) float64 { return float64(r.latency.ValueAtQuantile(q)) / 1000 }
 
 func (r *result) String() string {
-	return fmt.Sprintf("%-14s %-8s p50 %6.1f p99 %6.1f ms  headroom %5.1f %%  moved %5.1f %%  peak %.2f  refused %6.3f %% failed %6.3f %%  recovery %4d s",
-		r.script.name, r.policy, r.p(50), r.p(99), 100*r.headroom, 100*r.movedMost, r.peak, 100*r.refused/r.offered, 100*r.failed/r.offered, r.recovered)
+	return fmt.Sprintf("%-14s %-8s p50 %6.1f p99 %6.1f ms  headroom %5.1f %%  moved %5.1f %%  peak %.2f  refused %6.3f %% failed %6.3f %%  recovery %4d s  plans %3d",
+		r.script.name, r.policy, r.p(50), r.p(99), 100*r.headroom, 100*r.movedMost, r.peak, 100*r.refused/r.offered, 100*r.failed/r.offered, r.recovered, r.plans)
 }
