--- a/steering/planner/planner.go
+++ b/steering/planner/planner.go
@@ -9,7 +9,6 @@
 	"github.com/yuccaroute/yuccaroute/control/decider"
 	"github.com/yuccaroute/yuccaroute/control/ledger"
 	"github.com/yuccaroute/yuccaroute/steering"
-	"github.com/yuccaroute/yuccaroute/steering/explain"
 	"github.com/yuccaroute/yuccaroute/steering/picture"
 )
 
@@ -33,6 +32,8 @@
 	mu      sync.Mutex
 	picture *picture.Book
 	read    time.Time
+	// last is what the last plan was made from.
+	last steering.Input
 }
 
 var _ decider.Planner = (*Planner)(nil)
@@ -42,14 +43,14 @@
 	return &Planner{books: make(map[model.AccountName]*book)}
 }
 
-// Plan implements decider.Planner.
+// Plan implements decider.Planner. The Explanation is a steering.Decision.
 func (p *Planner) Plan(s decider.Situation) decider.Planned {
 	in := p.input(&s)
 	d := steering.Decide(in)
 	return decider.Planned{
 		Flows:       d.Plan.Flows,
 		Moves:       ledgerMoves(d.Moves),
-		Explanation: explain.Of(&d),
+		Explanation: d,
 	}
 }
 
@@ -74,9 +75,24 @@
 		// empty; unknown demand moves nothing.
 		in.Demand = nil
 	}
+	b.last = in
 	return in
 }
 
+// Last returns what the last plan of an account was made from, for forecasts;
+// ok is false when this node has made none lately.
+func (p *Planner) Last(account model.AccountName) (in steering.Input, ok bool) {
+	p.mu.Lock()
+	b := p.books[account]
+	p.mu.Unlock()
+	if b == nil {
+		return steering.Input{}, false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.last, b.last.Account != nil
+}
+
 // book returns the picture of an account. One that was not read for long is
 // of an earlier term and begun anew.
 func (p *Planner) book(name model.AccountName, now time.Time) *book {
--- a/steering/planner/planner_test.go
+++ b/steering/planner/planner_test.go
@@ -9,7 +9,7 @@
 	"github.com/yuccaroute/yuccaroute/api/plan"
 	"github.com/yuccaroute/yuccaroute/control/decider"
 	"github.com/yuccaroute/yuccaroute/control/ledger"
-	"github.com/yuccaroute/yuccaroute/steering/explain"
+	"github.com/yuccaroute/yuccaroute/steering"
 )
 
 var start = time.Date(2026, 3, 1, 4, 0, 0, 0, time.UTC)
@@ -51,7 +51,13 @@
 	if len(planned.Moves) != 2 || planned.Moves[1].Delta != 30_000 {
 		t.Fatalf("moves %+v, want 30000 ppm", planned.Moves)
 	}
-	if _, ok := planned.Explanation.(*explain.Report); !ok {
+	if _, ok := planned.Explanation.(steering.Decision); !ok {
 		t.Fatalf("explanation is a %T", planned.Explanation)
 	}
+	if last, ok := p.Last("daehan"); !ok || len(last.Demand) != 1 || last.Now != s.Now {
+		t.Fatalf("last input %+v", last)
+	}
+	if _, ok := p.Last("alpenvlies"); ok {
+		t.Fatal("an input of an account nobody planned")
+	}
 }
--- a/steering/scenario/loop_test.go
+++ b/steering/scenario/loop_test.go
@@ -222,6 +222,19 @@
 	}
 }
 
+// stopDrained stops the targets of a place when its drain ends, and starts
+// them when it is over.
+func (w *world) stopDrained() {
+	for _, d := range w.account.Drains {
+		if w.now.Equal(d.End) {
+			w.setPlace(d.Place, 0)
+		}
+		if w.now.Equal(d.Until) {
+			w.setPlace(d.Place, 1)
+		}
+	}
+}
+
 // takeover lets another decider take over: it counts every move as made now
 // and knows no measurement but the newest.
 func (w *world) takeover() {
@@ -244,6 +257,7 @@
 		if sc.at != nil {
 			sc.at(w, second)
 		}
+		w.stopDrained()
 		d := p.decide(w.input(previous, uint64(second+1)))
 		w.record(d.Moves)
 		previous = d.Plan
