Send callers on from a node that has just started

Change: the node refuses callers with no-plan until it is ready; the client goes on to another entry VM after no-plan and node-leaving at no cost to its budget, and passes the first one over for a while.

--- a/client/do.go
+++ b/client/do.go
@@ -97,7 +97,7 @@
 	e.tried[entry.Address] = time.Now().Add(a.answer.RetryAfter)
 	silent := a.answer.Status == 0 && a.cause != nil
 	switch {
-	case silent, a.answer.Code == result.NodeLeaving:
+	case silent, cannotServe(a.answer.Code):
 		e.client.holds.add(entry.Address)
 		e.client.entries.refresh()
 	case a.answer.Outcome == result.Ran:
@@ -110,7 +110,7 @@
 	if ctx.Err() != nil || e.attempts >= e.client.options.MaxAttempts {
 		return false
 	}
-	if a.refused {
+	if a.refused || cannotServe(a.answer.Code) {
 		return true
 	}
 	if !e.mayRepeat(a) {
@@ -119,6 +119,13 @@
 	return e.client.budget.take()
 }
 
+// cannotServe reports whether an entry VM refuses whatever it is sent, as it
+// is leaving or has just started. Another one is tried at no cost to the retry
+// budget: the targets have no less room for the request.
+func cannotServe(code result.Code) bool {
+	return code == result.NodeLeaving || code == result.NoPlan
+}
+
 // mayRepeat is the rule that keeps non-idempotent work at most once: a second
 // entry VM gets it only if the first certainly did not let it run.
 func (e *exchange) mayRepeat(a *attempt) bool {
--- a/node/http.go
+++ b/node/http.go
@@ -35,7 +35,7 @@
 	limits := n.options.Settings.Limits
 	server, err := ingress.Start(ingress.Options{
 		Address:        n.options.Settings.Listen.Callers.String(),
-		Handler:        mux,
+		Handler:        n.whenReady(mux),
 		Bodies:         n.proxy,
 		MaxBodyBytes:   maxCallerBody(limits.BufferedBytes),
 		MaxConnections: limits.CallerConnections,
--- /dev/null
+++ b/node/ready.go
@@ -0,0 +1,41 @@
+package node
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/yuccaroute/yuccaroute/api/result"
+)
+
+// startRetryAfterMs is when a caller may come back to a node that has just
+// started; learning what is in force takes about a second.
+const startRetryAfterMs = 1000
+
+// whenReady refuses callers until the node knows what is in force.
+//
+// Guard against final refusals by a node that knows nothing yet: the VM list
+// shows a restarted VM at once, and callers' cached answers name it too. It
+// would answer that there is no such account, which callers take for final;
+// this refusal sends them to another entry VM.
+func (n *Node) whenReady(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.spread.Ready() {
+			next.ServeHTTP(w, r)
+			return
+		}
+		refuseNotReady(w)
+	})
+}
+
+func refuseNotReady(w http.ResponseWriter) {
+	info := result.InfoOf(result.NoPlan)
+	body := info.Name + ": the node has just started\n"
+	h := w.Header()
+	h.Set(result.HeaderResult, strconv.Itoa(int(info.Code)))
+	h.Set(result.HeaderOutcome, info.Outcome.String())
+	h.Set(result.HeaderRetryAfter, strconv.Itoa(startRetryAfterMs))
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(info.HTTP)
+	_, _ = w.Write([]byte(body))
+}
