Operate accounts and run experiments from the command line

Cause: the tool had a demonstration and a settings check only; operators had to speak HTTP to the administration API. Change: verbs for templates, accounts, drains, identities, outcomes and experiments; nodes are asked in turn, and a change is repeated only under its identifier. An exported file names the sequence it was made from, so that apply finds a change made meanwhile. Logic is in cmd/internal; commands stay thin.

--- /dev/null
+++ b/cmd/internal/measure/doc.go
@@ -0,0 +1,3 @@
+// Package measure does what the bench verbs offer over the bench module:
+// saving, loading and comparing results, and checking bounds.
+package measure
--- a/cmd/yuccaroute/main.go
+++ b/cmd/yuccaroute/main.go
@@ -20,18 +20,41 @@
 	os.Exit(program.CodeOf(err))
 }
 
+// Groups of verbs in the help.
+const (
+	groupOperate = "operate"
+	groupObserve = "observe"
+	groupMeasure = "measure"
+)
+
 func newRoot() *cobra.Command {
 	root := &cobra.Command{
-		Use:           "yuccaroute",
-		Short:         "Operate, demonstrate and measure yuccaroute",
+		Use:   "yuccaroute",
+		Short: "Operate, demonstrate and measure yuccaroute",
+		Long: "Operate, demonstrate and measure yuccaroute.\n\nExit codes: 0 done; 1 ran, with a negative result (a refused change, a\n" +
+			"difference, a bound exceeded); 2 wrong usage, nothing done; 3 no node\n" +
+			"answered, or none that reaches the store; 4 not known whether a change took\neffect.",
+		Example:       "  yuccaroute demo\n  yuccaroute --node 10.0.0.1:7001 export daehan > daehan.ini\n  yuccaroute --node 10.0.0.1:7001 apply -f daehan.ini --dry-run",
 		Version:       program.Version(),
 		SilenceErrors: true,
 		SilenceUsage:  true,
 	}
-	root.AddCommand(
-		newDemo(),
-		newStandin(),
-		newCheckConfig(),
+	c := &connection{}
+	c.register(root.PersistentFlags())
+	root.AddGroup(
+		&cobra.Group{ID: groupOperate, Title: "Change and roll back:"},
+		&cobra.Group{ID: groupObserve, Title: "See:"},
+		&cobra.Group{ID: groupMeasure, Title: "Demonstrate and measure:"},
 	)
+	addAll(root, groupOperate, newApply(c), newDiff(c), newExport(c), newTemplate(c), newAccount(c), newOutcome(c), newIdentity(c))
+	addAll(root, groupObserve, newWhoami(c), newLive(c))
+	addAll(root, groupMeasure, newDemo(), newBench(), newStandin(), newCheckConfig())
 	return root
 }
+
+func addAll(root *cobra.Command, group string, commands ...*cobra.Command) {
+	for _, cmd := range commands {
+		cmd.GroupID = group
+		root.AddCommand(cmd)
+	}
+}
--- /dev/null
+++ b/cmd/yuccaroute/operate_test.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/yuccaroute/yuccaroute/admin/wire"
+	"github.com/yuccaroute/yuccaroute/cmd/internal/operator"
+	"github.com/yuccaroute/yuccaroute/cmd/internal/program"
+)
+
+const (
+	fewerLink = "link_in_rps = 1700"
+	usualLink = "link_in_rps = 1800"
+)
+
+// An operator lowers a limit of a running account, sees it in force on all
+// nodes, asks why traffic goes where it goes, and puts the old state back. A
+// colleague who edits the state from before is told who changed what, and
+// nothing of theirs is lost. Then a place is drained and undrained.
+func TestOperateAccount(t *testing.T) {
+	nodes := startSystem(t)
+	o := toolFor(t, nodes...)
+	exported := o.must(program.ExitOK, "export", "daehan").out
+	file := writeFile(t, "daehan.ini", exported)
+	wantText(t, o.must(program.ExitOK, "apply", "-f", file).out, "no difference")
+	o.must(program.ExitOK, "diff", "-f", file)
+
+	changed := writeFile(t, "changed.ini", strings.ReplaceAll(exported, usualLink, fewerLink))
+	wantText(t, o.must(program.ExitFailed, "diff", "-f", changed).out, "-"+usualLink, "+"+fewerLink)
+	wantText(t, o.must(program.ExitOK, "apply", "-f", changed, "--dry-run").out, "1800", "1700")
+	o.must(program.ExitOK, "account", "apply", "-f", changed, "--note", "smaller link", "--wait", "60s")
+	var status wire.Spreading
+	o.read(&status, "account", "status", "daehan", "--wait", "60s")
+	if !status.Everywhere || status.InForce != len(nodes) {
+		t.Errorf("in force on %d of %d nodes, everywhere is %v", status.InForce, len(nodes), status.Everywhere)
+	}
+	wantText(t, o.must(program.ExitOK, "account", "values", "daehan").out, "1700", "template")
+	wantText(t, o.must(program.ExitOK, "account", "explain", "daehan").out, "dealer-desk")
+	wantText(t, o.must(program.ExitOK, "live").out, "daehan", "alpenvlies")
+
+	var history wire.History
+	o.read(&history, "account", "history", "daehan")
+	mine := history.Changes[0]
+	if mine.Note != "smaller link" || len(history.Changes) != 2 {
+		t.Fatalf("history: %+v", history)
+	}
+	wantText(t, o.must(program.ExitOK, "outcome", mine.ID).out, wire.OutcomeInForce)
+	o.must(program.ExitUnknown, "outcome", operator.NewChangeID(operator.Object{Kind: operator.KindAccount, Name: "daehan"}))
+
+	stale := writeFile(t, "stale.ini", exported+"\n; a colleague's remark\n")
+	conflict := o.must(program.ExitFailed, "apply", "-f", stale)
+	wantText(t, conflict.notes, "smaller link", "anonymous", mine.ID, "-"+fewerLink)
+	wantText(t, o.must(program.ExitOK, "export", "daehan").out, fewerLink)
+
+	before := history.Changes[1].Sequence
+	o.must(program.ExitOK, "account", "rollback", "daehan", "--to", strconv.FormatUint(before, 10), "--wait", "60s")
+	wantText(t, o.must(program.ExitOK, "export", "daehan").out, usualLink)
+
+	drainOnce(t, o)
+}
+
+func drainOnce(t *testing.T, o *tool) {
+	o.must(program.ExitOK, "account", "drain", "daehan", "kr-busan-a", "--start", "+1h", "--end", "+10m", "--until", "+2h", "--name", "racks")
+	var drains wire.DrainList
+	o.read(&drains, "account", "drains", "daehan")
+	if len(drains.Drains) != 1 || drains.Drains[0].Place != "kr-busan-a" || drains.Drains[0].Name != "racks" {
+		t.Fatalf("drains: %+v", drains)
+	}
+	o.must(program.ExitOK, "account", "undrain", "daehan", "racks")
+	var none wire.DrainList
+	o.read(&none, "account", "drains", "daehan")
+	if len(none.Drains) != 0 {
+		t.Errorf("a cancelled drain is still planned: %+v", none)
+	}
+	o.must(program.ExitFailed, "account", "undrain", "daehan", "racks")
+}
