Leave a place where a fifth fails, and none when all fail alike

Cause: a place that failed 30 % of its requests was kept for ever, and a release that failed everywhere shut all places of the service. Change: work leaves from a failure share of 0.2, while the place still serves what is sent; both thresholds hold only against the place that fails least. Both new tests fail without their guards.

--- a/steering/cell.go
+++ b/steering/cell.go
@@ -15,6 +15,8 @@
 	// targets that take work, usable that of those relied on, requests/s.
 	configured, permitted, usable float64
 	load                          float64
+	// worse tells that more requests fail than in other places.
+	worse bool
 	// latencyMS is the service time that the costs use.
 	latencyMS float64
 	// raised is what the cell was raised by within the step interval, and
@@ -56,6 +58,9 @@
 		}
 		for p := range row {
 			row[p].state = states[cellKey{service.Name, s.places[p].name}]
+		}
+		compareFailures(row)
+		for p := range row {
 			row[p].setCapacity(s.places[p].drain.ended)
 		}
 		setLatencies(row)
@@ -91,12 +96,18 @@
 	return c.broken() || c.state != nil && c.partOf(c.state.Unsteady) == 0
 }
 
-// broken reports a cell whose requests fail, whatever its targets say.
+// broken reports a cell most of whose requests fail, whatever its targets say.
 func (c *cell) broken() bool {
-	return c.measured() && c.state.FailureShare >= failedShare
+	return c.worse && c.state.FailureShare >= failedShare
+}
+
+// poor reports a cell that work leaves, though it still serves what is sent.
+func (c *cell) poor() bool {
+	return c.worse && c.state.FailureShare >= poorShare
 }
 
-// failing reports a cell that takes no more work.
+// failing reports a cell that takes no more work. Other places do not matter:
+// when all fail, because all have just taken work over, none is raised.
 func (c *cell) failing() bool {
 	return c.measured() && c.state.FailureShare >= failingShare
 }
--- a/steering/decide_test.go
+++ b/steering/decide_test.go
@@ -278,8 +278,42 @@
 	s := stateOf(&in, in.Account.Places[0].Name)
 	s.FailureShare = 0.8
 	s.P50 = time.Millisecond
+	for _, idle := range []bool{false, true} {
+		for i := 1; i < len(in.Places) && idle; i++ {
+			// Nothing was sent elsewhere yet, so that nothing failed there.
+			in.Places[i].SentRPS, in.Places[i].FailureShare = 0, 1
+		}
+		d := Decide(in)
+		if d.MovedPPM == 0 || d.Limits[0].UsableRPS != 0 {
+			t.Fatalf("idle %v: moved %d ppm, limit %+v", idle, d.MovedPPM, d.Limits[0])
+		}
+	}
+}
+
+// A release that fails most requests goes out everywhere. Taken for a failure of
+// the places, it would shut all of them and refuse the requests that still
+// succeed, and move the rest in circles.
+func TestFailureEverywhereShutsNothing(t *testing.T) {
+	in := inputOf(accountOf(2, 2, 1), 0.3)
+	in.Previous = Decide(in).Plan
+	for i := range in.Places {
+		in.Places[i].FailureShare = 0.6 + 0.1*float64(i%2)
+	}
+	d := Decide(in)
+	if len(d.Moves) > 0 || d.Limits[0].UsableRPS != 1000 {
+		t.Fatalf("moves %v, limit %+v", d.Moves, d.Limits[0])
+	}
+}
+
+// A third of the requests to one place fails, in the others none. Callers lose
+// orders for as long as work stays; it leaves, and what is still there is
+// served, since most of it succeeds.
+func TestPoorPlaceIsLeftButServes(t *testing.T) {
+	in := inputOf(accountOf(2, 2, 1), 0.3)
+	in.Previous = Decide(in).Plan
+	stateOf(&in, in.Account.Places[0].Name).FailureShare = 0.3
 	d := Decide(in)
-	if d.MovedPPM == 0 || d.Limits[0].UsableRPS != 0 {
+	if d.MovedPPM == 0 || d.Limits[0].UsableRPS != 1000 {
 		t.Fatalf("moved %d ppm, limit %+v", d.MovedPPM, d.Limits[0])
 	}
 }
--- a/steering/forced.go
+++ b/steering/forced.go
@@ -8,7 +8,7 @@
 	switch {
 	case c.configured <= 0 || s.places[place].region < 0:
 		return KindRemoved, held
-	case c.failed():
+	case c.failed() || c.poor():
 		return KindFailure, held
 	case s.places[place].drain.shut:
 		return KindDrain, held
--- a/steering/scenario/scenario_test.go
+++ b/steering/scenario/scenario_test.go
@@ -24,6 +24,7 @@
 	"drain":         {0, 0, 0.15},
 	"flapping":      {0.0065, 130, 0.15},
 	"lying":         {0.0135, 680, 0.15},
+	"poor":          {0.0045, 720, 0.15},
 	"leader-lost":   {0.04, 360, 0.28},
 	"node-paused":   {0.03, 260, 0.15},
 	"lost-in-drain": {0.0125, 180, 0.1},
--- a/steering/tuning.go
+++ b/steering/tuning.go
@@ -60,8 +60,14 @@
 )
 
 const (
-	// failedShare is the failure share from which on all work leaves.
+	// failedShare is the failure share from which on all work leaves and
+	// nothing more is sent.
 	failedShare = 0.5
+	// poorShare is the failure share from which on work leaves.
+	poorShare = 0.2
+	// worseFactor is by how much more of the requests must fail in a place
+	// than elsewhere, for the place to be the cause.
+	worseFactor = 2.0
 	// failingShare is the failure share from which on a place takes no more.
 	failingShare = 0.05
 	// leastSentRPS is the rate from which on a failure share or latency is
