Check the move cap over several nodes, step without cost in force

Cause: the argument for the sum over nodes was tested on one node only, and a node compared all shares each second while its plan was in force. Change: a property test with three nodes, their own mixes and pauses; Advance returns at once while the plan is in force.

--- a/steering/step/stepper.go
+++ b/steering/step/stepper.go
@@ -59,17 +59,19 @@
 	if target != nil && target.Newer(s.target) {
 		s.target = target
 	}
-	if s.target == nil {
-		return nil, false
+	if s.effective == s.target {
+		// The usual call: the plan is in force, or there is none yet.
+		return s.effective, false
 	}
 	moved := s.moveAll()
-	reached := s.reached()
-	if reached {
+	if s.reached() {
 		s.effective = s.target
-	} else if moved || s.effective == nil || s.effective.Sequence != s.target.Sequence || s.effective.Epoch != s.target.Epoch {
+		return s.effective, false
+	}
+	if moved || s.effective == nil || s.target.Newer(s.effective) {
 		s.effective = s.assemble()
 	}
-	return s.effective, !reached
+	return s.effective, true
 }
 
 // moveAll advances every flow of the target and reports whether one changed.
--- a/steering/step/stepper_test.go
+++ b/steering/step/stepper_test.go
@@ -222,3 +222,65 @@
 		t.Fatalf("sequence %d in force after a late plan, want 2", effective.Sequence)
 	}
 }
+
+// Each of several nodes has its own mix of flows, its own pauses and its own
+// part of the traffic. What all of them move together, weighted by what each
+// carries of each flow, stays under the cap.
+func TestSumOverNodesStaysUnderCap(t *testing.T) {
+	rapid.Check(t, checkNodes)
+}
+
+func checkNodes(t *rapid.T) {
+	const nodes, flows = 3, 2
+	now := epochStart
+	limits := model.MoveLimits{Share: rapid.Float64Range(0.05, 0.5).Draw(t, "cap"), Window: time.Minute}
+	weights := drawWeights(t, nodes*flows)
+	steppers := make([]*Stepper, nodes)
+	last := make([]*plan.Plan, nodes)
+	for i := range steppers {
+		steppers[i] = New(limits, func() time.Time { return now })
+	}
+	var moves []move
+	for sequence := range uint64(rapid.IntRange(1, 40).Draw(t, "plans")) {
+		now = now.Add(drawPause(t, limits.Window))
+		target := &plan.Plan{Sequence: sequence + 1, Flows: []plan.Flow{
+			{Service: "s", Caller: "a", Shares: drawShares(t)}, {Service: "s", Caller: "b", Shares: drawShares(t)},
+		}}
+		for n := range steppers {
+			if last[n] != nil && rapid.IntRange(0, 2).Draw(t, "paused") == 0 {
+				continue
+			}
+			effective, _ := steppers[n].Advance(target)
+			for f := range effective.Flows {
+				if last[n] != nil && len(last[n].Flows[f].Shares) > 0 {
+					moves = append(moves, move{now, n*flows + f, increases(last[n].Flows[f].Shares, effective.Flows[f].Shares)})
+				}
+			}
+			last[n] = effective
+		}
+	}
+	requireUnder(t, moves, weights, limits)
+}
+
+// A node looks at its plan every second; while the plan is in force, that must
+// cost nothing.
+func TestAdvanceInForceDoesNotAllocate(t *testing.T) {
+	s := New(model.MoveLimits{Share: 0.1, Window: time.Minute}, func() time.Time { return epochStart })
+	target := onePlan(1, plan.Share{Place: "a", PPM: plan.Whole})
+	s.Advance(target)
+	if n := testing.AllocsPerRun(100, func() { s.Advance(target) }); n != 0 {
+		t.Fatalf("%v allocations", n)
+	}
+}
+
+// Operators see which plan a node follows. A node whose cap is used up follows
+// the newer plan all the same, and must not show the older one.
+func TestHeldNodeShowsThePlanItFollows(t *testing.T) {
+	s := New(model.MoveLimits{Share: 0.1, Window: time.Minute}, func() time.Time { return epochStart })
+	s.Advance(onePlan(1, plan.Share{Place: "a", PPM: plan.Whole}))
+	s.Advance(onePlan(2, plan.Share{Place: "b", PPM: plan.Whole}))
+	effective, held := s.Advance(onePlan(3, plan.Share{Place: "c", PPM: plan.Whole}))
+	if effective.Sequence != 3 || !held {
+		t.Fatalf("shows plan %d, held %v", effective.Sequence, held)
+	}
+}
