--- a/cmd/internal/operator/change.go
+++ b/cmd/internal/operator/change.go
@@ -40,18 +40,18 @@
 func (n *Nodes) Do(ctx context.Context, change Change) (*wire.ChangeAnswer, error) {
 	a := &attempt{nodes: n, change: change}
 	for range rounds {
-		for _, node := range n.list {
+		for _, i := range n.order() {
 			if ctx.Err() != nil {
 				return nil, a.givenUp(ctx.Err())
 			}
-			answer, err := call(ctx, n, node, change.Send)
+			answer, err := call(ctx, n, i, change.Send)
 			if err == nil {
 				return answer, nil
 			}
 			if a.settled(err) {
 				return nil, err
 			}
-			n.passed(node.Address, err)
+			n.passed(n.list[i].Address, err)
 		}
 		if a.unknown == nil {
 			return nil, n.unavailable(a.last)
--- a/cmd/internal/operator/errors.go
+++ b/cmd/internal/operator/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/url"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -20,7 +21,7 @@
 
 // Error implements error.
 func (e *UnavailableError) Error() string {
-	return fmt.Sprintf("no node answered (%s): %v", strings.Join(e.Nodes, ", "), e.Cause)
+	return fmt.Sprintf("no node answered (%s): %v", strings.Join(e.Nodes, ", "), Reason(e.Cause))
 }
 
 // Unwrap gives the cause.
@@ -110,3 +111,22 @@
 
 // IsNotFound tells that a node answered that there is no such object.
 func IsNotFound(err error) bool { return codeOf(err) == result.NotFound }
+
+// Brief returns an error without the lists that a node's answer carries.
+func Brief(err error) error {
+	var answer *wire.Error
+	if !errors.As(err, &answer) || len(answer.Problems) == 0 && answer.Conflict == nil {
+		return err
+	}
+	line, _, _ := strings.Cut(err.Error(), "\n")
+	return errors.New(line)
+}
+
+// Reason returns why a call failed, without the request's address.
+func Reason(err error) error {
+	var request *url.Error
+	if errors.As(err, &request) {
+		return request.Err
+	}
+	return err
+}
--- a/cmd/internal/operator/identities.go
+++ b/cmd/internal/operator/identities.go
@@ -70,8 +70,8 @@
 		match = client.At(d.Revision)
 	}
 	var last error
-	for _, node := range n.list {
-		answer, err := call(ctx, n, node, func(ctx context.Context, api *client.Client) (*wire.IdentitiesDocument, error) {
+	for _, i := range n.order() {
+		answer, err := call(ctx, n, i, func(ctx context.Context, api *client.Client) (*wire.IdentitiesDocument, error) {
 			return api.PutIdentities(ctx, match, d.Text)
 		})
 		if err == nil {
@@ -83,7 +83,7 @@
 		if ctx.Err() != nil || !anotherMayAnswer(err) {
 			return nil, err
 		}
-		n.passed(node.Address, err)
+		n.passed(n.list[i].Address, err)
 		last = err
 	}
 	return nil, n.unavailable(last)
--- a/cmd/internal/operator/nodes.go
+++ b/cmd/internal/operator/nodes.go
@@ -17,10 +17,14 @@
 	API     *client.Client
 }
 
-// Nodes are asked in their order: the next one when one does not answer.
+// Nodes are asked in their order: the next one when one does not answer. They
+// are used by one goroutine.
 type Nodes struct {
 	list    []Node
 	timeout time.Duration
+	// first is the node that answered last. It is asked first, so that a node
+	// that is down costs its time once.
+	first int
 	// passed is told of each node that was passed over.
 	passed func(address string, cause error)
 }
@@ -46,25 +50,38 @@
 func Read[T any](ctx context.Context, n *Nodes, ask func(context.Context, *client.Client) (T, error)) (T, error) {
 	var last error
 	var none T
-	for _, node := range n.list {
-		answer, err := call(ctx, n, node, ask)
+	for _, i := range n.order() {
+		answer, err := call(ctx, n, i, ask)
 		if err == nil {
 			return answer, nil
 		}
 		if ctx.Err() != nil || !anotherMayAnswer(err) {
 			return none, err
 		}
-		n.passed(node.Address, err)
+		n.passed(n.list[i].Address, err)
 		last = err
 	}
 	return none, n.unavailable(last)
 }
 
+// order returns the indices of the nodes, the one that answered last first.
+func (n *Nodes) order() []int {
+	order := make([]int, len(n.list))
+	for i := range order {
+		order[i] = (n.first + i) % len(n.list)
+	}
+	return order
+}
+
 // call asks one node within the time of one call.
-func call[T any](ctx context.Context, n *Nodes, node Node, ask func(context.Context, *client.Client) (T, error)) (T, error) {
+func call[T any](ctx context.Context, n *Nodes, node int, ask func(context.Context, *client.Client) (T, error)) (T, error) {
 	bounded, cancel := context.WithTimeout(ctx, n.timeout)
 	defer cancel()
-	return ask(bounded, node.API)
+	answer, err := ask(bounded, n.list[node].API)
+	if err == nil {
+		n.first = node
+	}
+	return answer, err
 }
 
 // unavailable keeps an answer of a node, which tells more than that no node
--- a/cmd/internal/render/changes.go
+++ b/cmd/internal/render/changes.go
@@ -113,18 +113,34 @@
 		p.linef("no forecast: %s", a.ForecastMissing)
 		return
 	}
-	p.linef("forecast from measurements %s old: %.1f %% of the traffic moves within %s",
-		milliseconds(f.PictureAgeMS), f.MovedPercent, milliseconds(f.DurationMS))
-	if len(f.Moves) > 0 {
-		t := p.table("service", "callers in", "place", "share now %", "share then %")
-		for _, m := range f.Moves {
-			t.AppendRow(table.Row{m.Service, m.Caller, m.Place, percent(m.FromPercent), percent(m.ToPercent)})
-		}
-		t.Render()
-	}
+	p.moves(f)
 	if f.CapacityHolds {
 		p.linef("capacity holds during and after the moves")
 		return
 	}
 	p.linef("CAPACITY DOES NOT HOLD: %s", strings.Join(f.Reasons, "; "))
 }
+
+// moves writes which shares change. Without measurements the shares now are
+// not known and the node reports them as 0.
+func (p *Printer) moves(f *wire.Forecast) {
+	measured := f.PictureAgeMS >= 0
+	if measured {
+		p.linef("forecast from measurements %s old: %.1f %% of the traffic moves within %s",
+			milliseconds(f.PictureAgeMS), f.MovedPercent, milliseconds(f.DurationMS))
+	} else {
+		p.linef("forecast without demand: nothing is measured yet, and the shares now are not known")
+	}
+	if len(f.Moves) == 0 {
+		return
+	}
+	t := p.table("service", "callers in", "place", "share now %", "share then %")
+	for _, m := range f.Moves {
+		from := percent(m.FromPercent)
+		if !measured {
+			from = "?"
+		}
+		t.AppendRow(table.Row{m.Service, m.Caller, m.Place, from, percent(m.ToPercent)})
+	}
+	t.Render()
+}
--- a/cmd/yuccaroute/connection.go
+++ b/cmd/yuccaroute/connection.go
@@ -11,6 +11,7 @@
 	"github.com/spf13/pflag"
 
 	"github.com/yuccaroute/yuccaroute/cmd/internal/connect"
+	"github.com/yuccaroute/yuccaroute/cmd/internal/operator"
 	"github.com/yuccaroute/yuccaroute/cmd/internal/program"
 	"github.com/yuccaroute/yuccaroute/cmd/internal/render"
 )
@@ -64,7 +65,7 @@
 	}
 	options := c.options
 	options.Passed = func(address string, cause error) {
-		fmt.Fprintf(cmd.ErrOrStderr(), "node %s: %v\n", address, cause)
+		fmt.Fprintf(cmd.ErrOrStderr(), "node %s gave no result: %v\n", address, operator.Reason(cause))
 	}
 	nodes, err := connect.Open(options)
 	if err != nil {
--- a/cmd/yuccaroute/session.go
+++ b/cmd/yuccaroute/session.go
@@ -43,7 +43,7 @@
 		return err
 	}
 	s.advise(err)
-	return program.Exit(operator.ExitCode(err), err)
+	return program.Exit(operator.ExitCode(err), operator.Brief(err))
 }
 
 func (s *session) advise(err error) {
