Measure the way of a request and take the waits out of it

Cause: a benchmark with 512 callers had look-ups cut off as unknown after 50 ms on a slow single target, and requests waiting for two shared locks.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -73,8 +73,8 @@
 	}
 }
 
-// attempt sends a request to one target, once.
-func (p *Proxy) attempt(ctx context.Context, q *request, permission permission) attempt {
+// attempt sends a request to one target, once, and gives up at the deadline.
+func (p *Proxy) attempt(ctx context.Context, q *request, permission permission, deadline time.Time) attempt {
 	a := attempt{permission: permission, made: true}
 	if p.base.Err() != nil {
 		// The slots of requests that end with the proxy are free for a moment;
@@ -83,7 +83,7 @@
 		a.code = result.NodeLeaving
 		return a
 	}
-	conn, err := p.connect(ctx, permission.target)
+	conn, err := permission.target.pool.Get(ctx)
 	if err != nil {
 		permission.cancel()
 		a.code = p.connectFailed(ctx, permission)
@@ -92,7 +92,7 @@
 	permission.place.counts.sent.Add(1)
 	out := q.out
 	out.Host = permission.target.address.String()
-	out.Deadline = q.attemptDeadline(permission.place)
+	out.Deadline = deadline
 	sent := time.Now()
 	answer, err := conn.Exchange(ctx, &out)
 	permission.target.pool.Put(conn)
@@ -112,16 +112,10 @@
 	return a
 }
 
-func (p *Proxy) connect(ctx context.Context, t *target) (*forward.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, p.options.ConnectTimeout)
-	defer cancel()
-	return t.pool.Get(ctx)
-}
-
 // connectFailed tells why no connection was there. Nothing was sent.
 func (p *Proxy) connectFailed(ctx context.Context, permission permission) result.Code {
 	if ctx.Err() != nil {
-		return endedCode(ctx)
+		return p.endedCode(ctx)
 	}
 	p.failed(permission)
 	return result.ConnectFailed
@@ -137,7 +131,7 @@
 		p.failed(permission)
 	}
 	if code == result.DeadlineBeforeSend {
-		return endedCode(ctx)
+		return p.endedCode(ctx)
 	}
 	return code
 }
--- a/proxy/caller.go
+++ b/proxy/caller.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -9,9 +10,8 @@
 
 // caller is what the server towards callers adds to a ResponseWriter.
 type caller interface {
-	// WatchClose calls gone once the caller has closed the connection, until
-	// stop is called.
-	WatchClose(gone func()) (stop func())
+	// WatchClose calls gone once the caller has gone, until stop is called.
+	WatchClose(r *http.Request, gone func()) (stop func())
 	// Began returns when the request's first line was there.
 	Began() time.Time
 	// BodyReserved reports whether the body's memory is accounted for.
@@ -23,9 +23,17 @@
 // plainCaller stands in for servers that add nothing.
 type plainCaller struct{ began time.Time }
 
-func (plainCaller) WatchClose(func()) func() { return func() {} }
-func (c plainCaller) Began() time.Time       { return c.began }
-func (plainCaller) BodyReserved() bool       { return false }
+// WatchClose implements caller by the request's context.
+func (plainCaller) WatchClose(r *http.Request, gone func()) (stop func()) {
+	ended := context.AfterFunc(r.Context(), gone)
+	return func() { ended() }
+}
+
+// Began implements caller.
+func (c plainCaller) Began() time.Time { return c.began }
+
+// BodyReserved implements caller.
+func (plainCaller) BodyReserved() bool { return false }
 
 func callerOf(w http.ResponseWriter) caller {
 	if c, ok := w.(caller); ok {
--- a/proxy/claim.go
+++ b/proxy/claim.go
@@ -41,7 +41,7 @@
 		p.releaseKey(ctx, claim)
 	}
 	if ctx.Err() != nil {
-		return refuse(endedCode(ctx))
+		return refuse(p.endedCode(ctx))
 	}
 	return refuse(code)
 }
--- a/proxy/drain/gate.go
+++ b/proxy/drain/gate.go
@@ -5,57 +5,42 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 )
 
+// closed marks a gate that lets nothing in; the bits below it count.
+const closed = int64(1) << 62
+
 // Gate lets requests in until it is closed. The zero value is open.
 type Gate struct {
-	mu      sync.Mutex
-	open    int
-	closed  bool
+	state   atomic.Int64
+	closing sync.Once
+	ending  sync.Once
 	emptied chan struct{}
 }
 
 // Enter counts a request in; it returns false once the gate is closed. The
 // check and the count are one step: a request is either refused or waited for.
 func (g *Gate) Enter() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.closed {
-		return false
+	if g.state.Add(1)&closed == 0 {
+		return true
 	}
-	g.open++
-	return true
+	g.Leave()
+	return false
 }
 
 // Leave counts a request out.
-func (g *Gate) Leave() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.open--
-	if g.closed && g.open == 0 {
-		close(g.emptied)
-	}
-}
+func (g *Gate) Leave() { g.signal(g.state.Add(-1)) }
 
 // Open returns the number of requests in hand.
-func (g *Gate) Open() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.open
-}
+func (g *Gate) Open() int { return int(g.state.Load() &^ closed) }
 
 // Close refuses new requests from now on.
 func (g *Gate) Close() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.closed {
-		return
-	}
-	g.closed = true
-	g.emptied = make(chan struct{})
-	if g.open == 0 {
-		close(g.emptied)
-	}
+	g.closing.Do(func() {
+		g.emptied = make(chan struct{})
+		g.signal(g.state.Add(closed))
+	})
 }
 
 // Wait closes the gate and returns when the last request has left, or with the
@@ -69,3 +54,10 @@
 		return ctx.Err()
 	}
 }
+
+// signal tells the waiters when the gate is closed and nothing is left.
+func (g *Gate) signal(state int64) {
+	if state == closed {
+		g.ending.Do(func() { close(g.emptied) })
+	}
+}
--- a/proxy/drain_test.go
+++ b/proxy/drain_test.go
@@ -75,7 +75,7 @@
 	for range 50 {
 		target := newScripted(t, answering(okAnswer))
 		p := newTestProxy(t, nil, target.address())
-		p.endBase(errStopping)
+		p.endBase()
 		wantResult(t, callWithinGrant(p, http.MethodPost, "/orders", "x"), result.NodeLeaving)
 		if n := target.requests.Load(); n != 0 {
 			t.Fatalf("%d requests sent", n)
--- a/proxy/forward/codes.go
+++ b/proxy/forward/codes.go
@@ -17,7 +17,7 @@
 
 // sentCode names a failure after at least one byte was taken.
 func sentCode(ctx context.Context, err error) result.Code {
-	if errors.Is(context.Cause(ctx), context.Canceled) {
+	if errors.Is(ctx.Err(), context.Canceled) {
 		return result.CallerGone
 	}
 	if isTimeout(err) || ctx.Err() != nil {
--- a/proxy/harness_test.go
+++ b/proxy/harness_test.go
@@ -79,7 +79,7 @@
 }
 
 // newTestProxy returns a proxy with everything in force for the targets.
-func newTestProxy(t *testing.T, change func(*Options, *model.Account), addresses ...string) *Proxy {
+func newTestProxy(t testing.TB, change func(*Options, *model.Account), addresses ...string) *Proxy {
 	t.Helper()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
--- a/proxy/ingress/connection.go
+++ b/proxy/ingress/connection.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"net/http"
 	"sync"
 	"time"
 
@@ -36,7 +37,7 @@
 
 func newConnection(s *Server, nbc *nbio.Conn) *connection {
 	c := &connection{Conn: nbc, server: s}
-	c.processor = &processor{Processor: nbhttp.NewServerProcessor(), conn: c}
+	c.processor = &processor{Processor: nbhttp.NewServerProcessor(), conn: c, header: make(http.Header)}
 	c.parser = nbhttp.NewParser(c, s.engine, c.processor, false, nbc.Execute)
 	return c
 }
--- a/proxy/ingress/options.go
+++ b/proxy/ingress/options.go
@@ -22,7 +22,9 @@
 // come.
 type Bodies interface {
 	// ReserveBody reserves memory for a body of length bytes, -1 if that is
-	// not known. A code other than result.OK refuses the request.
+	// not known. The header holds the fields whose names begin with "Yucca-",
+	// Expect and Transfer-Encoding; it must not be kept. A code other than
+	// result.OK refuses the request.
 	ReserveBody(h http.Header, length int64) (Reservation, result.Code)
 }
 
--- a/proxy/ingress/processor.go
+++ b/proxy/ingress/processor.go
@@ -28,7 +28,7 @@
 	conn *connection
 	// size counts the bytes since the last whole request.
 	size int
-	// header holds the fields of the request under way.
+	// header holds the fields of the request under way that decide on its body.
 	header   http.Header
 	inBody   bool
 	chunked  bool
@@ -62,7 +62,7 @@
 
 // OnMethod implements nbhttp.Processor: a new request begins.
 func (p *processor) OnMethod(parser *nbhttp.Parser, method string) {
-	p.header = make(http.Header)
+	clear(p.header)
 	p.reserved = body{began: time.Now()}
 	p.bodyBytes = 0
 	p.Processor.OnMethod(parser, method)
@@ -78,10 +78,17 @@
 
 // OnHeader implements nbhttp.Processor.
 func (p *processor) OnHeader(parser *nbhttp.Parser, key, value string) {
-	p.header[key] = append(p.header[key], value)
+	if decides(key) {
+		p.header[key] = append(p.header[key], value)
+	}
 	p.Processor.OnHeader(parser, key, value)
 }
 
+// decides reports whether a field matters to whether the body may come.
+func decides(key string) bool {
+	return strings.HasPrefix(key, "Yucca-") || key == "Expect" || key == "Transfer-Encoding"
+}
+
 // OnContentLength implements nbhttp.Processor: the head is whole. The body is
 // admitted or refused here, before its bytes take memory.
 func (p *processor) OnContentLength(parser *nbhttp.Parser, length int) {
@@ -164,7 +171,6 @@
 	p.reserved = body{}
 	p.inBody = false
 	p.size = 0
-	p.header = nil
 	p.Processor.OnComplete(parser)
 }
 
--- a/proxy/ingress/server_test.go
+++ b/proxy/ingress/server_test.go
@@ -154,7 +154,7 @@
 func TestHandlerLearnsThatItsCallerHasGone(t *testing.T) {
 	entered, gone := make(chan struct{}), make(chan struct{})
 	handler := func(w http.ResponseWriter, r *http.Request) {
-		stop := w.(*Writer).WatchClose(func() { close(gone) })
+		stop := w.(*Writer).WatchClose(r, func() { close(gone) })
 		defer stop()
 		close(entered)
 		<-gone
--- a/proxy/ingress/writer.go
+++ b/proxy/ingress/writer.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
@@ -26,7 +27,9 @@
 
 // WatchClose calls gone once the caller has closed the connection, until stop
 // is called.
-func (w *Writer) WatchClose(gone func()) (stop func()) { return w.conn.watch(gone) }
+func (w *Writer) WatchClose(_ *http.Request, gone func()) (stop func()) {
+	return w.conn.watch(gone)
+}
 
 // BodyReserved reports that the memory of the request's body is accounted for
 // by Options.Bodies.
--- a/proxy/keys/recorder.go
+++ b/proxy/keys/recorder.go
@@ -47,7 +47,12 @@
 // Record returns the right to run the work of a key. Errors: ErrDuplicate,
 // ErrUnavailable, ErrUnknown (the claim then has its ID, for Release). Requests
 // with the same key at the same time share one call of the store.
+//
+// Its calls are prompt: while the store is out, a request with a key is refused
+// or served at once, as the account chose, and does not wait for the store's
+// timeout first.
 func (r *Recorder) Record(ctx context.Context, key Key) (Claim, error) {
+	ctx = store.Prompt(ctx)
 	memo, first := r.memory.begin(key)
 	if !first {
 		return Claim{Key: key}, waitFor(ctx, memo)
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -88,6 +88,13 @@
 	}
 }
 
+// dial opens a connection within the connect timeout.
+func (o *Options) dial(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, o.ConnectTimeout)
+	defer cancel()
+	return o.Dial(ctx, address)
+}
+
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
 	var d net.Dialer
 	return d.DialContext(ctx, "tcp", address)
--- a/proxy/patience.go
+++ b/proxy/patience.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/proxy/balance"
 )
 
 const (
@@ -14,18 +15,36 @@
 	minPatience = 50 * time.Millisecond
 )
 
-// attemptDeadline returns when an attempt is given up. Idempotent work leaves
-// time for another target: one that takes requests and never answers would
-// otherwise cost every caller its whole deadline. The retry budget bounds what
-// this adds; without a retry in hand the attempt has all the time there is.
-func (q *request) attemptDeadline(place *placeState) time.Time {
-	if q.class != model.Idempotent || q.service.service.RetryBudget <= 0 || !q.service.state.budget.Has() {
-		return q.deadline
+// patience is how long one attempt may take.
+type patience struct {
+	deadline time.Time
+	// reserved tells that a retry was taken from the budget in advance.
+	reserved bool
+}
+
+// patienceFor returns how long an attempt may take. Idempotent work leaves time
+// for another target: one that takes requests and never answers would
+// otherwise cost every caller its whole deadline. It does so only if there is
+// another target and a retry is reserved for it. Without that, a place that is
+// merely slow would have its requests cut off and nothing done instead.
+func (q *request) patienceFor(place *placeState, skip balance.Skip) patience {
+	whole := patience{deadline: q.deadline}
+	if q.class != model.Idempotent || !place.hasOther(skip) || !q.takeRetry() {
+		return whole
 	}
 	left := time.Until(q.deadline)
-	patience := max(patienceFactor*place.typicalLatency(), minPatience)
-	if patience >= left/2 {
-		patience = left / 2
+	wait := max(patienceFactor*place.typicalLatency(), minPatience)
+	return patience{deadline: time.Now().Add(min(wait, left/2)), reserved: true}
+}
+
+// takeRetry takes one retry from the service's budget.
+func (q *request) takeRetry() bool {
+	return q.service.service.RetryBudget > 0 && q.service.state.budget.Take()
+}
+
+// unused gives a reserved retry back.
+func (q *request) unused(wait patience) {
+	if wait.reserved {
+		q.service.state.budget.Give()
 	}
-	return time.Now().Add(patience)
 }
--- a/proxy/permit.go
+++ b/proxy/permit.go
@@ -42,15 +42,15 @@
 	if errors.Is(err, queue.ErrLate) {
 		return permission{}, refuseUntil(result.QueueFull, place.line.Expected(q.class))
 	}
-	return permission{}, refuse(endedCode(ctx))
+	return permission{}, refuse(p.endedCode(ctx))
 }
 
-// endedCode names why a context ended before anything was sent.
-func endedCode(ctx context.Context) result.Code {
-	switch cause := context.Cause(ctx); {
-	case errors.Is(cause, errStopping):
+// endedCode names why a request's context ended before anything was sent.
+func (p *Proxy) endedCode(ctx context.Context) result.Code {
+	switch {
+	case p.base.Err() != nil:
 		return result.NodeLeaving
-	case errors.Is(cause, context.Canceled):
+	case errors.Is(ctx.Err(), context.Canceled):
 		return result.CallerGone
 	default:
 		return result.DeadlineBeforeSend
--- a/proxy/place_state.go
+++ b/proxy/place_state.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"context"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -94,7 +93,7 @@
 		id:      vm.ID,
 		address: vm.Address,
 		state:   balance.NewTarget(now, min(limit, connections)),
-		pool:    pool.New(vm.Address.String(), s.proxy.options.Dial, connections, limit),
+		pool:    pool.New(vm.Address.String(), s.proxy.options.dial, connections, limit),
 	}
 	s.warm(t, min(limit, warmedConnections))
 	return t
@@ -104,9 +103,7 @@
 // a millisecond and, to another region, two round trips.
 func (s *placeState) warm(t *target, n int) {
 	s.warming.Go(func() {
-		ctx, cancel := context.WithTimeout(s.proxy.base, s.proxy.options.ConnectTimeout)
-		defer cancel()
-		t.pool.Warm(ctx, n)
+		t.pool.Warm(s.proxy.base, n)
 	})
 }
 
@@ -157,6 +154,18 @@
 	return permission{place: s, target: ts.members[index], index: index, set: ts, class: class}, shortNone, 0
 }
 
+// hasOther reports whether there is a target that may get new work and is not
+// marked.
+func (s *placeState) hasOther(skip balance.Skip) bool {
+	now := s.proxy.now()
+	for i, t := range s.targets.Load().set.Targets {
+		if !skip.Has(i) && t.Usable(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // bulkFits reports whether a bulk request leaves a slot to the other classes:
 // an upload can hold its slot for minutes.
 func (s *placeState) bulkFits(ts *targetSet, now int64) bool {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -45,8 +45,9 @@
 
 	// base ends when the proxy is closed; it ends requests in hand.
 	base     context.Context
-	endBase  context.CancelCauseFunc
+	endBase  context.CancelFunc
 	loopDone chan struct{}
+	bases    *bases
 }
 
 var _ http.Handler = (*Proxy)(nil)
@@ -57,7 +58,7 @@
 		return nil, ErrNoNode
 	}
 	o.setDefaults()
-	base, end := context.WithCancelCause(context.Background())
+	base, end := context.WithCancel(context.Background())
 	p := &Proxy{
 		options:  o,
 		log:      o.Logger.WithField("part", "proxy"),
@@ -68,6 +69,7 @@
 		base:     base,
 		endBase:  end,
 		loopDone: make(chan struct{}),
+		bases:    newBases(base),
 	}
 	p.current.Store(&snapshot{})
 	go p.maintain()
@@ -134,7 +136,7 @@
 // connections to targets. Call Drain first.
 func (p *Proxy) Close() {
 	p.gate.Close()
-	p.endBase(errStopping)
+	p.endBase()
 	<-p.loopDone
 	_ = p.gate.Wait(context.Background())
 	p.mu.Lock()
--- a/proxy/refusal.go
+++ b/proxy/refusal.go
@@ -3,14 +3,9 @@
 import (
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/yuccaroute/yuccaroute/api/result"
 )
 
-// errStopping is why requests in hand end when the proxy is closed.
-var errStopping = errors.New("proxy: the node is stopping")
-
 // defaultRetryAfter is told when nothing better is known.
 const defaultRetryAfter = 200 * time.Millisecond
 
--- a/proxy/retry/budget.go
+++ b/proxy/retry/budget.go
@@ -42,9 +42,9 @@
 	return true
 }
 
-// Has reports whether there is a retry in hand.
-func (b *Budget) Has() bool {
+// Give returns a retry that was taken and not made.
+func (b *Budget) Give() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.saved >= 1
+	b.saved = min(maxSaved, b.saved+1)
 }
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -45,33 +45,40 @@
 	var skip balance.Skip
 	for n := 1; ; n++ {
 		skip = skip.With(permission.index)
-		last := p.attempt(ctx, q, permission)
+		wait := q.patienceFor(permission.place, skip)
+		last := p.attempt(ctx, q, permission, wait.deadline)
 		best = q.better(best, last)
 		if last.final(q.class) || n == maxAttempts {
+			q.unused(wait)
+			return best.ending()
+		}
+		if !wait.reserved && !q.takeRetry() {
 			return best.ending()
 		}
 		next, ok := p.permitAgain(ctx, q, permission.place, skip, n)
 		if !ok {
+			q.unused(patience{reserved: true})
 			return best.ending()
 		}
 		permission = next
 	}
 }
 
-// permitAgain decides whether a request is sent once more, and where: another
-// target of the same place, within the budget and the time left.
+// permitAgain finds another target of the same place for a request that is sent
+// once more, within the time left.
 func (p *Proxy) permitAgain(ctx context.Context, q *request, place *placeState, skip balance.Skip, n int) (permission, bool) {
-	if q.service.service.RetryBudget <= 0 || !q.service.state.budget.Take() {
-		return permission{}, false
-	}
 	wait := retry.Backoff(n)
-	if time.Until(q.deadline) < wait+place.typicalLatency() {
-		return permission{}, false
-	}
-	if !sleep(ctx, wait) {
+	if time.Until(q.deadline) < wait+place.typicalLatency() || !sleep(ctx, wait) {
 		return permission{}, false
 	}
 	next, short, _ := place.acquire(q.class, skip)
+	if short == shortSlot && q.class == model.Idempotent {
+		var refused *refusal
+		next, refused = p.wait(ctx, q, place)
+		if refused == nil {
+			short = shortNone
+		}
+	}
 	if short != shortNone {
 		return permission{}, false
 	}
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -52,15 +52,11 @@
 // requestContext ends with the deadline, when the caller goes away and when
 // the proxy is closed.
 func (p *Proxy) requestContext(from caller, r *http.Request, deadline time.Time) (context.Context, func()) {
-	ctx, cancel := context.WithCancelCause(r.Context())
-	ctx, cancelDeadline := context.WithDeadline(ctx, deadline)
-	stopBase := context.AfterFunc(p.base, func() { cancel(errStopping) })
-	stopWatch := from.WatchClose(func() { cancel(context.Canceled) })
+	ctx, cancel := context.WithDeadline(p.bases.one(), deadline)
+	stopWatch := from.WatchClose(r, cancel)
 	return ctx, func() {
 		stopWatch()
-		stopBase()
-		cancelDeadline()
-		cancel(nil)
+		cancel()
 	}
 }
 
