Refuse keyed requests at once while the store is out

Cause: the record of an idempotency key waited in the client's pacing after failures, for up to the call's timeout of 2 s. Ruled out first: floors below the load carried (a change that raised them made no difference and was reverted) and CPU (12.5 s against 11.7 s of user time in a steady run). Change: calls marked prompt are sent or refused at once; while the service is failing one at a time finds out whether it is back.

--- a/store/httpkv/call.go
+++ b/store/httpkv/call.go
@@ -47,18 +47,29 @@
 	callCtx, cancel := context.WithTimeout(ctx, op.timeout)
 	defer cancel()
 	began := time.Now()
-	round, err := c.pacer.wait(callCtx, op.urgent)
+	round, err := c.turn(callCtx, op)
 	sent := time.Now()
 	if err != nil {
 		err = notSent(err)
 	} else {
 		err = c.exchange(callCtx, op, body, answer)
 		c.report(ctx, round, err)
+		if store.IsPrompt(ctx) {
+			c.pacer.endProbe()
+		}
 	}
 	c.observe(op, err, began, sent)
 	return err
 }
 
+// turn returns when the call may be sent, or an error when it must not be.
+func (c *Client) turn(ctx context.Context, op operation) (round uint64, err error) {
+	if store.IsPrompt(ctx) {
+		return c.pacer.admit()
+	}
+	return c.pacer.wait(ctx, op.urgent)
+}
+
 // report tells the pacer how the call went. A call that its caller gave up
 // says nothing about the service.
 func (c *Client) report(ctx context.Context, round uint64, err error) {
--- a/store/httpkv/pacer.go
+++ b/store/httpkv/pacer.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
 )
 
@@ -21,6 +22,9 @@
 	// resume is when calls may be sent again.
 	resume   time.Time
 	failures int
+	// probing is true while a prompt call finds out whether a service that
+	// failed answers again.
+	probing bool
 	// round grows with each backoff. Calls that were under way together and
 	// fail together carry the same round and count as one failure.
 	round uint64
@@ -59,6 +63,29 @@
 	return ctx.Err()
 }
 
+// errHeldBack tells why a prompt call was not sent.
+var errHeldBack = errors.New("httpkv: the service failed lately or the rate is used up")
+
+// admit returns at once: with the round for a call that may be sent now, or
+// with an error. While the service is failing it lets one call at a time
+// through: if it hangs, requests must not all wait for their timeout behind it.
+func (p *pacer) admit() (round uint64, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if time.Until(p.resume) > 0 || p.probing || !p.limiter.Allow() {
+		return 0, errHeldBack
+	}
+	p.probing = p.failures > 0
+	return p.round, nil
+}
+
+// endProbe lets the next prompt call through, however the last one ended.
+func (p *pacer) endProbe() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.probing = false
+}
+
 func (p *pacer) pause() (round uint64, pause time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
