--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -50,21 +50,24 @@
 )
 
 // newCluster starts the platform's stand-in, targets and entry VMs as
-// processes, each behind a fault proxy, puts the account in force and waits
-// until every entry VM serves.
-func newCluster(t *testing.T) *farm {
+// processes, each behind a fault proxy, puts the account, as changed, in force
+// and waits until every entry VM serves.
+func newCluster(t *testing.T, change func(account []byte) []byte) *farm {
 	t.Helper()
 	f := &farm{t: t}
 	f.startPlatform()
 	f.startTargets()
 	f.startEntries()
-	f.putInForce()
+	f.putInForce(change(readFile(t, "testdata/account.ini")))
 	f.listVMs(f.vms...)
 	f.waitServing()
 	f.ledger = f.readJournals
 	return f
 }
 
+// asWritten changes nothing.
+func asWritten(account []byte) []byte { return account }
+
 // freeAddress returns an address that nobody listens on now.
 func freeAddress(t *testing.T) string {
 	t.Helper()
@@ -147,7 +150,7 @@
 `
 
 // putInForce writes template and account as an operator's change does.
-func (f *farm) putInForce() {
+func (f *farm) putInForce(accountText []byte) {
 	f.t.Helper()
 	kv, err := httpkv.New(httpkv.Options{Address: f.platformAddress})
 	if err != nil {
@@ -155,7 +158,7 @@
 	}
 	defer kv.Close()
 	log := changelog.New(kv, changelog.Options{})
-	templateText, accountText := readFile(f.t, "testdata/template.ini"), readFile(f.t, "testdata/account.ini")
+	templateText := readFile(f.t, "testdata/template.ini")
 	resolved, err := config.ResolveText("template.ini", templateText, "account.ini", accountText)
 	if err != nil {
 		f.t.Fatal(err)
--- a/integration/farm_test.go
+++ b/integration/farm_test.go
@@ -60,10 +60,8 @@
 type load struct {
 	seed     uint64
 	requests int
-	rps      float64
+	rate     caller.Rate
 	deadline time.Duration
-	// uploads sends bulk bodies to the same service beside the usual mix.
-	kinds []caller.Kind
 }
 
 // outcome is what a run showed.
@@ -93,13 +91,10 @@
 	var recorder check.Recorder
 	happen := f.follow(steps)
 	var ended atomic.Int64
-	if l.kinds == nil {
-		l.kinds = kinds()
-	}
 	callers, err := caller.New(caller.Options{
 		Account: account, Nodes: f.nodes(), Blocks: blocks(), SourcesPerBlock: 4,
 		Client: client.Options{MaxConnections: 128},
-		Loads:  []caller.Load{{Service: service, Rate: caller.Steady(l.rps), Kinds: l.kinds, Deadline: l.deadline}},
+		Loads:  []caller.Load{{Service: service, Rate: l.rate, Kinds: kinds(), Deadline: l.deadline}},
 		Seed:   l.seed, Name: f.t.Name(), MaxRequests: l.requests, MaxInFlight: 1000, RepeatUnknown: true,
 		Told: func(told check.Told) {
 			recorder.AddTold(told)
--- a/integration/path_test.go
+++ b/integration/path_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/yuccaroute/yuccaroute/api/result"
+	"github.com/yuccaroute/yuccaroute/standin/caller"
 )
 
 // usualDeadline is far above what a healthy request takes.
@@ -100,7 +101,7 @@
 	for i, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			f := newLocalFarm(t)
-			o := f.run(load{seed: uint64(i + 1), requests: 1500, rps: 800, deadline: cmp.Or(c.deadline, usualDeadline)}, c.steps...)
+			o := f.run(load{seed: uint64(i + 1), requests: 1500, rate: caller.Steady(800), deadline: cmp.Or(c.deadline, usualDeadline)}, c.steps...)
 			o.want(t, c.least)
 			if t.Failed() {
 				t.Log(c.story)
--- a/integration/processes_test.go
+++ b/integration/processes_test.go
@@ -7,6 +7,7 @@
 	"github.com/yuccaroute/yuccaroute/api/result"
 	"github.com/yuccaroute/yuccaroute/bench/check"
 	"github.com/yuccaroute/yuccaroute/membership"
+	"github.com/yuccaroute/yuccaroute/standin/caller"
 	"github.com/yuccaroute/yuccaroute/standin/platform"
 )
 
@@ -72,8 +73,8 @@
 	// on; how much is lost is measured, see docs/design/0013-proof.md.
 	for i, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			f := newCluster(t)
-			o := f.run(load{seed: uint64(100 + i), requests: 2000, rps: 400, deadline: time.Second}, c.steps...)
+			f := newCluster(t, asWritten)
+			o := f.run(load{seed: uint64(100 + i), requests: 2000, rate: caller.Steady(400), deadline: time.Second}, c.steps...)
 			o.want(t, c.least)
 			if t.Failed() {
 				t.Log(c.story)
