--- a/bench/scenario/blocks.go
+++ b/bench/scenario/blocks.go
@@ -47,7 +47,9 @@
 	w.current.Store(blocks.Build(w.sample.Blocks, nil))
 	kept := liveHeap() - before
 	quiet := w.read(ctx, p.Duration, nil)
+	pauses := newPauseMeter()
 	swapped := w.read(ctx, p.Duration, w.swapUntil)
+	longestPause := pauses.longest()
 	return []report.Metric{
 		{Name: "kept", Unit: "B", Value: float64(kept)},
 		{Name: "look-up", Unit: "ns", Value: quiet.nanosPerLookup},
@@ -55,6 +57,7 @@
 		{Name: "rate swapping", Unit: "1/s", Value: swapped.rate},
 		{Name: "longest gap quiet", Unit: "us", Value: float64(quiet.longestGap.Microseconds())},
 		{Name: "longest gap swapping", Unit: "us", Value: float64(swapped.longestGap.Microseconds())},
+		{Name: "longest collector pause swapping", Unit: "us", Value: float64(longestPause.Microseconds())},
 		{Name: "swap", Unit: "ms", Value: swapped.swap.perSwap().Seconds() * 1000},
 		{Name: "swap garbage", Unit: "B", Value: swapped.swap.garbagePerSwap()},
 	}, ctx.Err()
--- a/bench/scenario/fleet.go
+++ b/bench/scenario/fleet.go
@@ -114,23 +114,15 @@
 func fleetMetrics(a, b fleetReading, nodes int, kept uint64) []report.Metric {
 	seconds := b.at.Sub(a.at).Seconds()
 	each := seconds * float64(nodes)
-	calls := b.calls.Sub(a.calls)
-	var reads, writes uint64
-	for _, kind := range faultkv.Kinds() {
-		if kind.Writes() {
-			writes += calls.Of(kind)
-		} else {
-			reads += calls.Of(kind)
-		}
-	}
+	reads, writes := readsAndWrites(b.calls.Sub(a.calls))
 	return []report.Metric{
 		{Name: "processor", Unit: "% of a core/node", Value: 100 * (b.processor - a.processor).Seconds() / each},
 		{Name: "heap", Unit: "B/node", Value: float64(kept) / float64(nodes)},
 		{Name: "goroutines", Unit: "1/node", Value: float64(b.routines) / float64(nodes)},
 		{Name: "peer bytes", Unit: "B/s/node", Value: float64(b.loopback.bytes-a.loopback.bytes) / each},
 		{Name: "peer packets", Unit: "1/s/node", Value: float64(b.loopback.packets-a.loopback.packets) / each},
-		{Name: "store reads", Unit: "1/s", Value: float64(reads) / seconds},
-		{Name: "store writes", Unit: "1/s", Value: float64(writes) / seconds},
+		{Name: "store reads", Unit: "1/s", Value: reads / seconds},
+		{Name: "store writes", Unit: "1/s", Value: writes / seconds},
 		{Name: "waiting watches", Unit: "calls", Value: float64(b.waiting)},
 	}
 }
--- a/bench/scenario/fleet_config.go
+++ b/bench/scenario/fleet_config.go
@@ -62,7 +62,7 @@
 	w.changeNumber++
 	return w.log.Apply(ctx, changelog.Change{
 		ID: fmt.Sprintf("bench-%08d", w.changeNumber), Who: "bench",
-		Kind: kind, Template: template, Name: name, Text: text,
+		Kind: kind, Template: template, Name: name, Text: text, IfSequence: changelog.AnySequence,
 	})
 }
 
@@ -71,6 +71,7 @@
 func (w *fleetWorld) measureChanges(ctx context.Context) ([]report.Metric, error) {
 	pair := examples.Pairs()[0]
 	var longest, sum time.Duration
+	before := w.store.Counts()
 	for i := range changes {
 		text := bytes.ReplaceAll(examples.Text(pair.Account), []byte("capacity_rps = 3600"), fmt.Appendf(nil, "capacity_rps = %d", 3700+i))
 		started := time.Now()
@@ -85,7 +86,10 @@
 		longest = max(longest, took)
 		sum += took
 	}
+	reads, writes := readsAndWrites(w.store.Counts().Sub(before))
 	return []report.Metric{
+		{Name: "reads a change", Unit: "calls", Value: reads / changes},
+		{Name: "writes a change", Unit: "calls", Value: writes / changes},
 		{Name: "change in force, mean", Unit: "ms", Value: sum.Seconds() * 1000 / changes},
 		{Name: "change in force, longest", Unit: "ms", Value: longest.Seconds() * 1000},
 	}, nil
--- a/bench/scenario/scenario.go
+++ b/bench/scenario/scenario.go
@@ -57,6 +57,7 @@
 		fleetScenario(),
 		fleetByAccounts(),
 		fleetByBlocks(),
+		fleetFailure(),
 		lookupHTTP(),
 		lookupLibrary(),
 		membersByVMs(),
