spread: return to a first choice seldom, survey all nodes, test each guard

Cause: removing guards one by one showed tests that passed without them (penalty growth, survey margin, half-open streams, pushes past a hung watcher), and a rule for lagging relays that nothing needed. Change: penalties grow fourfold and hold back returns only, a node with no upstream tries every heartbeat; a survey asks every node nobody answered for; the strike rule is gone, as comparison with the witness and the digest check leave a lagging relay without it; a relay stands in after two heartbeats.

--- a/spread/faults_test.go
+++ b/spread/faults_test.go
@@ -1,6 +1,8 @@
 package spread
 
 import (
+	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -57,6 +59,27 @@
 	})
 }
 
+// The watcher that a decider pushes to first hangs. The first plan waits for
+// the timeout; those after it must not.
+func TestPublishPastAHungWatcher(t *testing.T) {
+	inFleet(t, func(f *testFleet) {
+		leaf := f.byRole(topology.Leaf)
+		hung := leaf.plan.Load().Watchers[0].Address
+		f.net.setBlocked(func(from, to string) bool { return from == leaf.member.Address && to == hung })
+		for sequence := uint64(1); sequence < 10; sequence++ {
+			want := item.New("plan/daehan", 7, sequence, []byte("plan"))
+			if err := leaf.Publish(want.Key, want.Epoch, want.Sequence, want.Body); err != nil {
+				f.t.Fatal(err)
+			}
+			if sequence == 1 {
+				f.after(inForce)
+			}
+			f.after(time.Second)
+			f.mustHave(want)
+		}
+	})
+}
+
 // A relay's process is killed while changes arrive. Its subscribers see the
 // stream break and take the next in their order.
 func TestRelayDies(t *testing.T) {
@@ -78,6 +101,7 @@
 		})
 		f.store.put(account(2))
 		f.after(inForce)
+		f.mustFollowOthers(hung)
 		delete(f.nodes, hung.member.VM)
 		f.mustHave(account(2))
 		f.nodes[hung.member.VM] = hung
@@ -87,33 +111,55 @@
 	})
 }
 
-// A relay gets its own items a minute late but sends heartbeats on time, with
-// a digest equal to that of its subscribers, as they are late together.
-// Comparison with another relay shows it, and they leave it.
+// All that a relay is sent reaches it a minute late, as its VM is short of
+// processor time, but its own heartbeats are on time and their digest is equal
+// to that of its subscribers: they are late together. Only a node fed by
+// another way shows it, and they must leave.
 func TestRelayLags(t *testing.T) {
 	inFleet(t, func(f *testFleet) {
 		lags := f.byRole(topology.Relay)
-		f.net.setDelay(func(from, to string) time.Duration {
-			if from == lags.member.Address {
-				return time.Minute
-			}
-			return 0
-		})
+		f.becomeLate(lags)
+		delete(f.nodes, lags.member.VM)
 		late := 0
 		for sequence := uint64(2); sequence < 22; sequence++ {
 			f.store.put(account(sequence))
 			f.after(inForce)
-			delete(f.nodes, lags.member.VM)
 			late += len(f.lacking(account(sequence)))
-			f.nodes[lags.member.VM] = lags
 		}
+		f.nodes[lags.member.VM] = lags
 		if late > 0 {
 			f.t.Errorf("%d times a node had a change later than %s", late, inForce)
 		}
-		if n := len(lags.server.list()); n > 0 {
-			f.t.Errorf("%d nodes still follow the relay that lags", n)
+		f.mustFollowOthers(lags)
+	})
+}
+
+// becomeLate makes messages to a node later and later, up to a minute, so that
+// no gap between two of them shows it.
+func (f *testFleet) becomeLate(n *testNode) {
+	var late time.Duration
+	f.net.setDelay(func(from, to string) time.Duration {
+		if to == n.member.Address {
+			return late
 		}
+		return 0
 	})
+	for range 120 {
+		f.after(time.Second)
+		f.net.mu.Lock()
+		late += time.Second / 2
+		f.net.mu.Unlock()
+	}
+}
+
+// mustFollowOthers fails if a node receives from the one given.
+func (f *testFleet) mustFollowOthers(bad *testNode) {
+	f.t.Helper()
+	for vm, n := range f.nodes {
+		if slices.Contains(n.Status().Upstreams, bad.member.VM) {
+			f.t.Errorf("%s still follows %s", vm, bad.member.VM)
+		}
+	}
 }
 
 // Both watchers of a region go with their racks, and the list still names
@@ -129,6 +175,95 @@
 	})
 }
 
+// As above, with no other region to turn to: a relay must watch the store in
+// their place, and stop when a watcher is back.
+func TestAllWatchersDie(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 1, 2, 5)
+		defer f.stop()
+		f.after(settle)
+		first := f.inRegion("r0", topology.Watcher)
+		f.kill(first)
+		f.kill(f.inRegion("r0", topology.Watcher))
+		f.store.put(account(2))
+		f.after(inForce)
+		f.mustHave(account(2))
+		f.start(first.member)
+		f.after(2 * time.Minute)
+		if n := f.store.watchers(); n != 1 {
+			f.t.Errorf("%d nodes watch the store", n)
+		}
+	})
+}
+
+// A relay can reach neither watchers nor other relays, but its subscribers.
+// Its digest is equal to theirs for ever; they must leave it.
+func TestRelayCutOff(t *testing.T) {
+	inFleet(t, func(f *testFleet) {
+		// The store can't be its way out.
+		f.store.setOut(true)
+		relay := f.byRole(topology.Relay)
+		below := map[string]bool{}
+		for _, ref := range relay.server.list() {
+			below[ref.PeerAddress] = true
+		}
+		f.net.setBlocked(func(from, to string) bool {
+			cut := relay.member.Address
+			return from == cut && !below[to] || to == cut && !below[from]
+		})
+		f.after(4 * inForce)
+		f.mustFollowOthers(relay)
+	})
+}
+
+// returnsAnHour bounds how often a node tries an upstream that fails each time:
+// the penalties add up to 2, 10, 42, 170 and 470 s, then 300 s each, all less
+// jitter, and a return waits for the next look, a minute apart.
+const returnsAnHour = 16
+
+// A relay hangs and recovers every ten seconds for an hour. Its
+// subscribers must not move to and fro with it.
+func TestRelayFlaps(t *testing.T) {
+	inFleet(t, func(f *testFleet) {
+		relay := f.byRole(topology.Relay)
+		below := len(relay.server.list())
+		f.net.counted()
+		for range 180 {
+			f.net.setBlocked(func(from, to string) bool {
+				return from == relay.member.Address || to == relay.member.Address
+			})
+			f.after(10 * time.Second)
+			f.net.setBlocked(func(string, string) bool { return false })
+			f.after(10 * time.Second)
+		}
+		moves := f.net.counted()["subscribe "+relay.member.Address]
+		if limit := returnsAnHour * below; moves > limit {
+			f.t.Errorf("%d subscriptions for %d subscribers, at most %d expected", moves, below, limit)
+		}
+	})
+}
+
+// A relay is gone without a trace and the list names it for ten more minutes.
+// Its former subscribers must not give up a stream that works to try it.
+func TestDeadRelayStaysListed(t *testing.T) {
+	inFleet(t, func(f *testFleet) {
+		relay := f.byRole(topology.Relay)
+		f.net.setBlocked(func(from, to string) bool {
+			return from == relay.member.Address || to == relay.member.Address
+		})
+		// By then all that started with a later choice are back at their first.
+		f.after(2 * time.Minute)
+		f.net.counted()
+		f.after(10 * time.Minute)
+		f.mustFollowOthers(relay)
+		for kind, n := range f.net.counted() {
+			if strings.HasPrefix(kind, "subscribe") {
+				f.t.Errorf("%d times %s while nothing changed", n, kind)
+			}
+		}
+	})
+}
+
 func (f *testFleet) inRegion(region string, role topology.Role) *testNode {
 	for _, n := range f.nodes {
 		if n.member.Region == region && n.plan.Load().Role == role {
@@ -151,6 +286,7 @@
 		f.store.setOut(true)
 		f.after(time.Second)
 		f.net.setBlocked(func(from, to string) bool { return cut[from] != cut[to] })
+		f.net.counted()
 		writer := f.inRegion("r1", topology.Leaf)
 		for sequence := uint64(2); sequence <= 121; sequence++ {
 			want := account(sequence)
@@ -165,7 +301,12 @@
 				f.t.Fatalf("%s has %d", n.member.VM, got.Sequence)
 			}
 		}
-		f.net.counted()
+		// Each watcher of the region tries one other after a pause, and each
+		// attempt takes as long as silence is put up with.
+		attempts := f.net.counted()["attempt"]
+		if limit := 60 * 60 / 6 * topology.WatchersPerRegion; attempts > limit {
+			f.t.Errorf("%d attempts to subscribe within the hour, at most %d expected", attempts, limit)
+		}
 		f.after(inForce)
 		idle := f.net.counted()
 		f.net.setBlocked(func(string, string) bool { return false })
--- a/spread/network_test.go
+++ b/spread/network_test.go
@@ -19,6 +19,8 @@
 	linkDelay = time.Millisecond
 	// blockPoll is how often a message looks whether its link is still cut.
 	blockPoll = 50 * time.Millisecond
+	// onTheWay is how many Updates of one stream may be on their way.
+	onTheWay = 100
 )
 
 // network carries calls between nodes in memory, with a delay, and counts
@@ -31,7 +33,7 @@
 	// blocked tells that a message gets no further for now: its receiver
 	// hangs, or the link is cut. Nothing shows an error.
 	blocked func(from, to string) bool
-	// delay returns the extra delay of Updates.
+	// delay returns the extra delay of messages; those behind are not held up.
 	delay    func(from, to string) time.Duration
 	messages map[string]int
 	bytes    int
@@ -98,13 +100,35 @@
 	n.messages[kind]++
 	n.bytes += proto.Size(m)
 	n.mu.Unlock()
-	if !sleep(ctx, linkDelay) {
+	return nil
+}
+
+func (n *network) count(kind string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.messages[kind]++
+}
+
+// travel returns how long a message is on its way.
+func (n *network) travel(from, to string) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return linkDelay + n.delay(from, to)
+}
+
+// carryNow takes a message over the link and waits until it is there.
+func (n *network) carryNow(ctx context.Context, kind, from, to string, m proto.Message) error {
+	if err := n.carry(ctx, kind, from, to, m); err != nil {
+		return err
+	}
+	if !sleep(ctx, n.travel(from, to)) {
 		return status.FromContextError(ctx.Err()).Err()
 	}
 	return nil
 }
 
-// counted returns the messages since the last call.
+// counted returns the messages since the last call; those that subscribe are
+// counted by the address they go to.
 func (n *network) counted() map[string]int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -126,20 +150,22 @@
 	}
 	ctx, cancel := either(ctx, life)
 	defer cancel()
-	if err := l.net.carry(ctx, "request", l.from, l.to, args.(proto.Message)); err != nil {
+	if err := l.net.carryNow(ctx, "request", l.from, l.to, args.(proto.Message)); err != nil {
 		return err
 	}
 	var res proto.Message
+	kind := "answer"
 	switch method {
 	case peerpb.Spread_Compare_FullMethodName:
 		res, err = server.Compare(ctx, proto.Clone(args.(proto.Message)).(*peerpb.CompareRequest))
 	case peerpb.Spread_Survey_FullMethodName:
+		kind = "survey"
 		res, err = server.Survey(ctx, args.(*peerpb.SurveyRequest))
 	}
 	if err != nil {
 		return err
 	}
-	if err := l.net.carry(ctx, "answer", l.to, l.from, res); err != nil {
+	if err := l.net.carryNow(ctx, kind, l.to, l.from, res); err != nil {
 		return err
 	}
 	proto.Merge(reply.(proto.Message), res)
@@ -151,8 +177,9 @@
 	if err != nil {
 		return nil, err
 	}
+	l.net.count("attempt")
 	ctx, cancel := either(ctx, life)
-	return &clientStream{link: l, ctx: ctx, cancel: cancel, server: server, updates: make(chan *peerpb.Update)}, nil
+	return &clientStream{link: l, ctx: ctx, cancel: cancel, server: server, updates: make(chan arrival, onTheWay)}, nil
 }
 
 // either returns a context that ends with the first of two.
@@ -168,7 +195,7 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	server  peerpb.SpreadServer
-	updates chan *peerpb.Update
+	updates chan arrival
 	ended   error
 }
 
@@ -177,9 +204,8 @@
 func (s *clientStream) SendMsg(m any) error {
 	req := m.(*peerpb.SubscribeRequest)
 	go func() {
-		defer s.cancel()
 		defer close(s.updates)
-		if s.ended = s.link.net.carry(s.ctx, "subscribe", s.link.from, s.link.to, req); s.ended != nil {
+		if s.ended = s.link.net.carryNow(s.ctx, "subscribe "+s.link.to, s.link.from, s.link.to, req); s.ended != nil {
 			return
 		}
 		stream := &grpc.GenericServerStream[peerpb.SubscribeRequest, peerpb.Update]{ServerStream: serverStream{s}}
@@ -198,30 +224,34 @@
 	if err := l.net.carry(s.ctx, kind, l.to, l.from, u); err != nil {
 		return err
 	}
-	l.net.mu.Lock()
-	delay := l.net.delay(l.to, l.from)
-	l.net.mu.Unlock()
-	if !sleep(s.ctx, delay) {
-		return s.ctx.Err()
-	}
 	select {
-	case s.updates <- u:
+	case s.updates <- arrival{u, time.Now().Add(l.net.travel(l.to, l.from))}:
 		return nil
 	case <-s.ctx.Done():
 		return s.ctx.Err()
 	}
 }
 
+// arrival is an Update on its way.
+type arrival struct {
+	update *peerpb.Update
+	at     time.Time
+}
+
 func (s *clientStream) RecvMsg(m any) error {
 	select {
-	case u, ok := <-s.updates:
+	case a, ok := <-s.updates:
 		if !ok {
+			s.cancel()
 			if s.ended == nil {
 				return io.EOF
 			}
 			return s.ended
 		}
-		proto.Merge(m.(proto.Message), u)
+		if !sleep(s.ctx, time.Until(a.at)) {
+			return s.ctx.Err()
+		}
+		proto.Merge(m.(proto.Message), a.update)
 		return nil
 	case <-s.ctx.Done():
 		return status.FromContextError(s.ctx.Err()).Err()
--- a/spread/reader.go
+++ b/spread/reader.go
@@ -73,9 +73,6 @@
 	if now.Sub(r.fedAt) > r.heartbeats(silentHeartbeats) && f.selector.other(f.current, now) {
 		return errCutOff
 	}
-	if f.lagging {
-		return errLags
-	}
 	return nil
 }
 
--- a/spread/selector.go
+++ b/spread/selector.go
@@ -9,7 +9,11 @@
 // Times of the choice of an upstream, in heartbeats.
 const (
 	firstPenaltyHeartbeats = 1
-	maxPenaltyHeartbeats   = 30
+	penaltyGrowth          = 4
+	maxPenaltyHeartbeats   = 150
+	// retryHeartbeats is how long to wait when every candidate has failed. It
+	// is short, so that a region that was cut off is back within seconds.
+	retryHeartbeats = 1
 	// forgiveHeartbeats is how long an upstream must have served before its
 	// earlier failures are forgotten. Without it a relay that fails every few
 	// seconds would be tried again at once each time and its subscribers would
@@ -19,8 +23,9 @@
 
 // penalty is the record of an upstream that failed.
 type penalty struct {
-	failures int
-	until    time.Time
+	// heartbeats is the length of the last penalty.
+	heartbeats int
+	until      time.Time
 }
 
 // selector chooses among upstreams in order, leaving out for a growing time
@@ -47,19 +52,20 @@
 	}
 }
 
-// next returns the first candidate without penalty, or how long until there
-// is one. Ok is false and wait 0 when there are no candidates.
+// next returns the first candidate without penalty. If all have one, it
+// returns that whose penalty ends first, and how long to wait before it is
+// tried. Ok is false when there are no candidates.
 func (s *selector) next(now time.Time) (m topology.Member, wait time.Duration, ok bool) {
-	for _, m := range s.order {
-		left := s.penalties[m.VM].until.Sub(now)
+	for _, c := range s.order {
+		left := s.penalties[c.VM].until.Sub(now)
 		if left <= 0 {
-			return m, 0, true
+			return c, 0, true
 		}
-		if wait == 0 || left < wait {
-			wait = left
+		if !ok || left < wait {
+			m, wait, ok = c, left, true
 		}
 	}
-	return topology.Member{}, wait, false
+	return m, min(wait, s.jitter(retryHeartbeats*s.heartbeat)), ok
 }
 
 // other reports whether a candidate besides vm has no penalty.
@@ -89,15 +95,15 @@
 	return s.penalties[vm].until.After(now)
 }
 
-// fail records a failure; the time without a new attempt doubles with each.
+// fail records a failure; the time without a new attempt grows with each.
 func (s *selector) fail(vm string, now time.Time) {
 	p := s.penalties[vm]
-	heartbeats := maxPenaltyHeartbeats
-	if p.failures < 5 {
-		heartbeats = min(firstPenaltyHeartbeats<<p.failures, maxPenaltyHeartbeats)
+	if p.heartbeats == 0 {
+		p.heartbeats = firstPenaltyHeartbeats
+	} else {
+		p.heartbeats = min(penaltyGrowth*p.heartbeats, maxPenaltyHeartbeats)
 	}
-	p.failures++
-	p.until = now.Add(s.jitter(time.Duration(heartbeats) * s.heartbeat))
+	p.until = now.Add(s.jitter(time.Duration(p.heartbeats) * s.heartbeat))
 	s.penalties[vm] = p
 }
 
--- a/spread/sourcerunner.go
+++ b/spread/sourcerunner.go
@@ -17,7 +17,7 @@
 	sourcePauseMax = 10 * time.Second
 	// standInHeartbeats is how long a relay may receive from nobody before it
 	// watches the store itself.
-	standInHeartbeats = 6
+	standInHeartbeats = 2
 )
 
 // Behind tells that the store offered an older state than the one in force: it
--- a/spread/state_test.go
+++ b/spread/state_test.go
@@ -1,10 +1,16 @@
 package spread
 
 import (
+	"context"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/yuccaroute/yuccaroute/api/peerpb"
 	"github.com/yuccaroute/yuccaroute/spread/item"
 	"github.com/yuccaroute/yuccaroute/spread/topology"
 )
@@ -162,19 +168,34 @@
 	}
 }
 
-// An operator asks which nodes have a change while one hangs and one is dead.
-// Both must be listed as not reached, all others with what they have.
+// An operator asks which nodes have a change just as a relay in each region
+// begins to hang and one node is dead. These must be listed as not reached;
+// the watchers above those relays must not wait for them until it is too late
+// to answer for the rest.
 func TestSurveyNamesTheUnreachable(t *testing.T) {
-	inFleet(t, func(f *testFleet) {
-		hung, dead := f.byRole(topology.Relay), f.byRole(topology.Leaf)
-		f.kill(dead)
-		f.net.setBlocked(func(from, to string) bool { return to == hung.member.Address })
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 3, 2, 20)
+		defer f.stop()
+		f.after(settle)
+		f.kill(f.byRole(topology.Leaf))
 		f.store.put(account(2))
 		f.after(inForce)
+		hung := map[string]bool{}
+		for _, region := range []string{"r0", "r1", "r2"} {
+			hung[f.inRegion(region, topology.Relay).member.Address] = true
+		}
+		f.net.setBlocked(func(from, to string) bool { return hung[to] })
+		f.net.counted()
 		got := f.inRegion("r2", topology.Leaf).Survey(f.t.Context(), "account/daehan")
-		if len(got.Unreachable) != 2 || len(got.Rows) != len(f.nodes)-1 {
+		if len(got.Unreachable) != 4 || len(got.Rows) != len(f.nodes)-3 {
 			f.t.Fatalf("%d rows, unreachable %v", len(got.Rows), got.Unreachable)
 		}
+		// Each node answers once. A watcher that answered too late would make
+		// all below it be asked again.
+		answers := f.net.counted()["survey"]
+		if answers > len(f.nodes) {
+			f.t.Errorf("%d answers for %d nodes", answers, len(f.nodes))
+		}
 		for _, row := range got.Rows {
 			if row.Sequence != 2 {
 				f.t.Errorf("%s has %d", row.VM, row.Sequence)
@@ -183,6 +204,55 @@
 	})
 }
 
+// A failure domain of 70 VMs hangs and an operator asks which nodes have a
+// change. The first VMs asked take no answer; the others must still be asked.
+func TestSurveyPastManyThatHang(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 1, 2, 70)
+		defer f.stop()
+		f.after(settle)
+		hung := map[string]bool{}
+		for _, n := range f.nodes {
+			hung[n.member.Address] = n.member.Place == "r0-p0"
+		}
+		asks := f.nodes["r0-p1-vm100"]
+		f.net.setBlocked(func(from, to string) bool { return hung[to] || hung[from] })
+		// Nobody below the watchers is found through them.
+		asks.plan.Store(&topology.Plan{Peers: asks.plan.Load().Peers})
+		got := asks.Survey(f.t.Context(), "account/daehan")
+		if len(got.Unreachable) != 70 || len(got.Rows) != 70 {
+			f.t.Fatalf("%d rows, %d unreachable", len(got.Rows), len(got.Unreachable))
+		}
+	})
+}
+
+// A VM subscribes again while its old stream is half-open. The old one must
+// end, or the relay would go on sending into it.
+func TestOldStreamOfARestartedVMEnds(t *testing.T) {
+	inFleet(t, func(f *testFleet) {
+		relay := f.byRole(topology.Relay)
+		l := link{net: f.net, from: "127.9.9.9:1", to: relay.member.Address}
+		client := peerpb.NewSpreadClient(l)
+		ctx, cancel := context.WithCancel(f.t.Context())
+		defer cancel()
+		old, err := client.Subscribe(ctx, &peerpb.SubscribeRequest{Node: ref("a")})
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		f.after(time.Second)
+		if _, err := client.Subscribe(ctx, &peerpb.SubscribeRequest{Node: ref("a")}); err != nil {
+			f.t.Fatal(err)
+		}
+		f.after(time.Second)
+		if _, err := old.Recv(); err != nil {
+			f.t.Fatal(err)
+		}
+		if _, err := old.Recv(); status.Code(err) != codes.Aborted {
+			f.t.Errorf("old stream goes on: %v", err)
+		}
+	})
+}
+
 // A restarted VM subscribes again while its old stream is half-open. It takes
 // over its place; otherwise a few restarts would use up the relay's bound.
 func TestRestartTakesOverItsPlace(t *testing.T) {
--- a/spread/subscription.go
+++ b/spread/subscription.go
@@ -39,8 +39,6 @@
 	current string
 	// fed tells that the upstream said it leads to the store.
 	fed bool
-	// lagging asks the reader to leave the upstream.
-	lagging bool
 }
 
 func newSubscription(s *Service, index int) *subscription {
@@ -58,26 +56,22 @@
 		changed := f.service.planChanged()
 		m, wait, ok := f.choose()
 		if !ok {
-			f.waitForUpstream(ctx, changed, wait)
+			f.waitForPlan(ctx, changed)
 			continue
 		}
+		if wait > 0 && !sleep(ctx, wait) {
+			return
+		}
 		started := time.Now()
 		err := f.follow(ctx, m)
 		f.ended(m.VM, time.Since(started), err)
 	}
 }
 
-// waitForUpstream returns when the plan changed or a penalty ended.
-func (f *subscription) waitForUpstream(ctx context.Context, changed <-chan struct{}, wait time.Duration) {
-	if wait == 0 {
-		wait = f.service.jitter(f.service.options.Heartbeat, jitterShare)
-	}
-	t := time.NewTimer(wait)
-	defer t.Stop()
+func (f *subscription) waitForPlan(ctx context.Context, changed <-chan struct{}) {
 	select {
 	case <-ctx.Done():
 	case <-changed:
-	case <-t.C:
 	}
 }
 
@@ -98,13 +92,12 @@
 	defer f.mu.Unlock()
 	f.current = ""
 	f.fed = false
-	f.lagging = false
 	f.selector.served(vm, after)
 	if errors.Is(err, errMoved) {
 		return
 	}
 	f.selector.fail(vm, time.Now())
-	f.service.log.Debugf("spread: left upstream %s: %v", vm, err)
+	f.service.log.Debugf("spread: left upstream %s after %s: %v", vm, after.Round(time.Millisecond), err)
 }
 
 // follow reads one stream until it ends or should be left.
@@ -145,13 +138,6 @@
 	return err
 }
 
-// leaveLagging makes the reader leave its upstream if there is another.
-func (f *subscription) leaveLagging() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.lagging = f.current != "" && f.selector.other(f.current, time.Now())
-}
-
 func (f *subscription) isCurrent(vm string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/spread/survey.go
+++ b/spread/survey.go
@@ -16,9 +16,8 @@
 	// surveyMargin is the part of its time that each level leaves to the one
 	// above, so that a level with a node that hangs still answers for the rest.
 	surveyMargin = 4
-	// surveyDirect bounds the nodes that are asked directly because no other
-	// answered for them.
-	surveyDirect = 32
+	// surveyAtOnce bounds the nodes that one node asks at a time.
+	surveyAtOnce = 64
 )
 
 // SurveyRow tells which state of a key a node had when it answered.
@@ -54,8 +53,7 @@
 	first, done := shorter(ctx, 2)
 	s.ask(first, plan.Watchers, key, surveyDepth, rows)
 	done()
-	missing := rows.missing(plan.Peers)
-	s.ask(ctx, missing[:min(surveyDirect, len(missing))], key, 0, rows)
+	s.ask(ctx, rows.missing(plan.Peers), key, 0, rows)
 	return rows.survey(key, plan.Peers)
 }
 
@@ -89,25 +87,37 @@
 	return out
 }
 
-// ask adds the answers of the members, all asked at once.
+// ask adds the answers of the members, many of them asked at once.
 func (s *Service) ask(ctx context.Context, members []topology.Member, key string, depth uint32, rows *rowSet) {
 	var wg sync.WaitGroup
+	turns := make(chan struct{}, surveyAtOnce)
 	for _, m := range members {
+		turns <- struct{}{}
 		wg.Go(func() {
-			client, err := s.client(m)
-			if err != nil {
-				return
-			}
-			res, err := client.Survey(ctx, &peerpb.SurveyRequest{Key: key, Depth: depth})
-			if err != nil {
-				return
-			}
-			rows.add(res.GetRows()...)
+			defer func() { <-turns }()
+			s.askOne(ctx, m, &peerpb.SurveyRequest{Key: key, Depth: depth}, rows)
 		})
 	}
 	wg.Wait()
 }
 
+// askOne gives a node that asks no others one heartbeat, so that a few that
+// hang leave time for the rest.
+func (s *Service) askOne(ctx context.Context, m topology.Member, req *peerpb.SurveyRequest, rows *rowSet) {
+	if req.Depth == 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, s.options.Heartbeat)
+		defer cancel()
+	}
+	client, err := s.client(m)
+	if err != nil {
+		return
+	}
+	if res, err := client.Survey(ctx, req); err == nil {
+		rows.add(res.GetRows()...)
+	}
+}
+
 // row is the node's own row.
 func (s *Service) row(key string) *peerpb.SurveyRow {
 	it, ok := s.Snapshot().Get(key)
--- a/spread/witness.go
+++ b/spread/witness.go
@@ -6,40 +6,25 @@
 	"github.com/yuccaroute/yuccaroute/spread/topology"
 )
 
-const (
-	// randomEvery is how often, in comparisons, the peer is a random one
-	// instead of the node's witness.
-	randomEvery = 5
-	// lagStrikes is after how many comparisons in a row, each of which brought
-	// items the upstream had not sent, the upstream is left.
-	lagStrikes = 3
-)
+// randomEvery is how often, in comparisons, the peer is a random one instead
+// of the node's witness.
+const randomEvery = 5
 
 // runCompare compares periodically with the witness: the node that would be
 // the upstream if the present one failed. A relay that lags, or whose own
 // upstream does, sends heartbeats with a digest that is equal to its
 // subscriber's, as both are out of date; only a node fed by another way shows
-// it. Now and then the peer is random, which joins parts of the fleet that no
+// it. What it brings makes the digests differ, and the upstream is then asked
+// or left. Now and then the peer is random, which joins parts of the fleet that no
 // longer share an upstream.
 func (s *Service) runCompare(ctx context.Context) {
-	strikes := 0
 	for round := 1; sleep(ctx, s.jitter(s.options.CompareEvery, jitterShare)); round++ {
 		m, ok := s.witness(round%randomEvery == 0)
 		if !ok {
 			continue
 		}
-		c, err := s.compareWith(ctx, m)
-		if err != nil {
+		if _, err := s.compareWith(ctx, m); err != nil {
 			s.log.Debugf("%v", err)
-			continue
-		}
-		if c.pulled == 0 {
-			strikes = 0
-			continue
-		}
-		if strikes++; strikes >= lagStrikes {
-			strikes = 0
-			s.follows[0].leaveLagging()
 		}
 	}
 }
