--- a/proxy/caller_test.go
+++ b/proxy/caller_test.go
@@ -138,13 +138,18 @@
 
 func wantCallerResult(t *testing.T, reader *bufio.Reader, want string) {
 	t.Helper()
+	if got := resultOf(reader); got != want {
+		t.Fatalf("result %s, want %s", got, want)
+	}
+}
+
+// resultOf reads an answer and returns its number, or the error.
+func resultOf(reader *bufio.Reader) string {
 	resp, err := http.ReadResponse(reader, nil)
 	if err != nil {
-		t.Fatal(err)
-	}
-	if got := resp.Header.Get(result.HeaderResult); got != want {
-		t.Fatalf("result %s, want %s", got, want)
+		return err.Error()
 	}
+	return resp.Header.Get(result.HeaderResult)
 }
 
 func TestMalformedFieldsGetANumber(t *testing.T) {
--- a/proxy/ingress/server_test.go
+++ b/proxy/ingress/server_test.go
@@ -54,7 +54,7 @@
 	return s
 }
 
-func dial(t *testing.T, s *Server) (net.Conn, *bufio.Reader) {
+func dialServer(t testing.TB, s *Server) (net.Conn, *bufio.Reader) {
 	t.Helper()
 	c, err := net.Dial("tcp", s.Address())
 	if err != nil {
@@ -64,7 +64,7 @@
 	return c, bufio.NewReader(c)
 }
 
-func readAnswer(t *testing.T, r *bufio.Reader) (*http.Response, string) {
+func readAnswer(t testing.TB, r *bufio.Reader) (*http.Response, string) {
 	t.Helper()
 	resp, err := http.ReadResponse(r, nil)
 	if err != nil {
@@ -117,7 +117,7 @@
 			bodies := &bounded{limit: 1000}
 			bodies.free.Store(800)
 			s := startServer(t, Options{Handler: http.HandlerFunc(handler), Bodies: bodies})
-			conn, r := dial(t, s)
+			conn, r := dialServer(t, s)
 			_, _ = io.WriteString(conn, c.text)
 			resp, _ := readAnswer(t, r)
 			wantCode(t, resp, c.want)
@@ -137,7 +137,7 @@
 		echo(w, r)
 	}
 	s := startServer(t, Options{Handler: http.HandlerFunc(handler)})
-	conn, r := dial(t, s)
+	conn, r := dialServer(t, s)
 	_, _ = io.WriteString(conn, "POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nfirst")
 	<-entered
 	_, _ = io.WriteString(conn, "NO\x00SENSE\r\n\r\n")
@@ -160,7 +160,7 @@
 		<-gone
 	}
 	s := startServer(t, Options{Handler: http.HandlerFunc(handler)})
-	conn, _ := dial(t, s)
+	conn, _ := dialServer(t, s)
 	_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\n\r\n")
 	<-entered
 	conn.Close()
@@ -180,7 +180,7 @@
 		close(flushed)
 	}
 	s := startServer(t, Options{Handler: http.HandlerFunc(handler)})
-	conn, r := dial(t, s)
+	conn, r := dialServer(t, s)
 	_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\n\r\n")
 	resp, err := http.ReadResponse(r, nil)
 	if err != nil {
@@ -213,7 +213,7 @@
 		close(flushed)
 	}
 	s := startServer(t, Options{Handler: http.HandlerFunc(handler), AnswerTime: 50 * time.Millisecond})
-	conn, _ := dial(t, s)
+	conn, _ := dialServer(t, s)
 	_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\n\r\n")
 	<-flushed
 }
@@ -226,7 +226,7 @@
 	bodies.free.Store(memory)
 	s := startServer(t, Options{Handler: http.HandlerFunc(echo), Bodies: bodies})
 	for i := range 40 {
-		conn, r := dial(t, s)
+		conn, r := dialServer(t, s)
 		switch i % 4 {
 		case 0:
 			_, _ = io.WriteString(conn, "POST / HTTP/1.1\r\nContent-Length: 1000000\r\n\r\nhalf")
@@ -253,7 +253,7 @@
 
 func TestContinueInvitesTheBody(t *testing.T) {
 	s := startServer(t, Options{Handler: http.HandlerFunc(echo)})
-	conn, r := dial(t, s)
+	conn, r := dialServer(t, s)
 	_, _ = io.WriteString(conn, "POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n")
 	resp, err := http.ReadResponse(r, nil)
 	if err != nil || resp.StatusCode != http.StatusContinue {
--- /dev/null
+++ b/proxy/memory_test.go
@@ -0,0 +1,76 @@
+package proxy
+
+import (
+	"io"
+	"runtime"
+	"sync"
+	"testing"
+
+	"github.com/yuccaroute/yuccaroute/api/model"
+)
+
+const (
+	testMemory  = 20 << 20
+	uploadBytes = 1 << 20
+	uploads     = 100
+	uploadText  = "POST /orders HTTP/1.1\r\n" + requestHead + "Content-Length: 1048576\r\n\r\n"
+)
+
+// A hundred warehouses upload at once while the target stands still. The node
+// takes as many bodies as its memory allows and refuses the others at their
+// heads; the memory in use stays near the bound instead of growing with the
+// number of callers.
+func TestMemoryUnderManyUploads(t *testing.T) {
+	release := make(chan struct{})
+	target := newScripted(t, func(c *scriptedConn) {
+		for c.next() != nil {
+			<-release
+			c.say(okAnswer)
+		}
+	})
+	small := func(o *Options, m *model.Account) {
+		o.MaxBufferedBytes = testMemory
+		m.Services[0].Deadline = maxDeadline
+	}
+	p := newTestProxy(t, small, target.address())
+	s := serveCallers(t, p)
+	before := liveBytes()
+	body := make([]byte, uploadBytes)
+	var done sync.WaitGroup
+	results := make(chan string, uploads)
+	for range uploads {
+		conn, reader := dialCaller(t, s)
+		done.Go(func() {
+			_, _ = io.WriteString(conn, uploadText)
+			_, _ = conn.Write(body)
+			results <- resultOf(reader)
+		})
+	}
+	refused := 0
+	for int64(uploads-refused)*uploadBytes > testMemory {
+		if got := <-results; got != "113" {
+			t.Fatalf("result %s", got)
+		}
+		refused++
+	}
+	until(func() bool { return p.InFlight() == uploads-refused-len(results) })
+	held := liveBytes() - before
+	taken := uploads - refused - len(results)
+	t.Logf("%d uploads of 1 MiB taken, %d refused, %.1f MiB of heap in use", taken, uploads-taken, float64(held)/(1<<20))
+	if taken < 10 || held > 2*testMemory {
+		t.Errorf("%d uploads taken, %d bytes of heap in use", taken, held)
+	}
+	close(release)
+	done.Wait()
+	if used := p.bytes.Used(); used != 0 {
+		t.Errorf("%d bytes still reserved", used)
+	}
+}
+
+func liveBytes() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
