--- a/config/inifile/document.go
+++ b/config/inifile/document.go
@@ -114,12 +114,12 @@
 		r.outside(in)
 		return
 	}
-	kind, name, _ := strings.Cut(in.Name(), " ")
-	name = strings.TrimSpace(name)
-	lines := r.lines.next(in.Name())
+	header := normalTitle(in.Name())
+	kind, name, _ := strings.Cut(header, " ")
+	lines := r.lines.next(header)
 	if r.doc.Find(kind, name) != nil {
 		r.problems = append(r.problems, Problem{
-			File: r.doc.File, Section: in.Name(), Line: lines.line,
+			File: r.doc.File, Section: header, Line: lines.line,
 			Message: "the section stands twice",
 		})
 		return
--- a/config/inifile/edit.go
+++ b/config/inifile/edit.go
@@ -24,11 +24,20 @@
 	return []byte(kept + "\n" + string(Format(&added)))
 }
 
+// headerOf returns the title of a line that is a section's header.
 func headerOf(line string) (string, bool) {
 	line = strings.TrimSpace(line)
 	if !strings.HasPrefix(line, "[") {
 		return "", false
 	}
-	name, _, _ := strings.Cut(line[1:], "]")
-	return strings.TrimSpace(name), true
+	// The INI library takes the last bracket of the line as the closing one.
+	end := strings.LastIndexByte(line, ']')
+	if end < 0 {
+		return "", false
+	}
+	return normalTitle(line[1:end]), true
 }
+
+// normalTitle writes a title with one space between its words, as people may
+// write more.
+func normalTitle(text string) string { return strings.Join(strings.Fields(text), " ") }
--- a/config/inifile/lines.go
+++ b/config/inifile/lines.go
@@ -23,9 +23,8 @@
 	scanner.Buffer(nil, MaxDocumentBytes+1)
 	for n := 1; scanner.Scan(); n++ {
 		line := strings.TrimSpace(scanner.Text())
-		if strings.HasPrefix(line, "[") {
-			name, _, _ := strings.Cut(line[1:], "]")
-			index = append(index, sectionLines{title: strings.TrimSpace(name), line: n, keys: map[string]int{}})
+		if title, isHeader := headerOf(line); isHeader {
+			index = append(index, sectionLines{title: title, line: n, keys: map[string]int{}})
 			continue
 		}
 		key, _, found := strings.Cut(line, "=")
