spread: tell how old the last reading of the store is

Cause: watchers follow each other, so during an outage of the store each said that it leads to it, and a node would claim that its items are of now. Change: heartbeats carry the latest reading of the store with the reader's count; Status has StoreAge. A node that was paused and reaches nobody goes on after five rounds. Conclusion: node's fedAge should take StoreAge; it still counts Fed as age 0.

--- a/spread/reader.go
+++ b/spread/reader.go
@@ -47,6 +47,7 @@
 	if err := s.applyAll(u.GetItems(), s.server.waiterOf(r.upstream.VM)); err != nil {
 		s.log.Warnf("spread: %s sent an item that can't be taken: %v", r.upstream.VM, err)
 	}
+	s.noteUpdate(u)
 	if err := r.attend(u); err != nil {
 		return err
 	}
--- a/spread/ready.go
+++ b/spread/ready.go
@@ -14,6 +14,9 @@
 	readyElsewhere = 1
 	// readyTries bounds the peers tried in each group for one round.
 	readyTries = 6
+	// alonePauses is after how many rounds without any answer a node that was
+	// ready before its pause goes on.
+	alonePauses = 5
 )
 
 // readiness is whether a node has learned what others hold.
@@ -65,14 +68,22 @@
 // either read the store itself or compared with ready peers: two of its
 // failure domain and one elsewhere, or as many as there are and answer, but at
 // least one. It then holds each state that any of these held at that time. A
-// state that reached none of them is not known to it.
+// state that reached none of them is not known to it. A node that was paused
+// and reaches neither peers nor store is ready again after some rounds, with
+// what it had.
 func (s *Service) Ready() bool { return s.ready.is() }
 
 // runReady compares with peers until the node is ready, and again after a
 // pause.
 func (s *Service) runReady(ctx context.Context) {
 	for {
-		for !s.learn(ctx) {
+		for round := 0; !s.learn(ctx); round++ {
+			// A node that was paused and finds no peer and no store goes on with
+			// what it had: nothing newer can be known, and refusing its callers
+			// for as long as it is cut off would serve nobody.
+			if s.ready.ever() && round == alonePauses {
+				break
+			}
 			if !sleep(ctx, s.jitter(s.options.Heartbeat/2, jitterShare)) {
 				return
 			}
@@ -132,13 +143,6 @@
 	return s.rand.Perm(n)
 }
 
-// Syncer is a Source that knows when it has read everything once. Of others
-// the first item counts as such.
-type Syncer interface {
-	// Synced reports whether the last Run has emitted all there was.
-	Synced() bool
-}
-
 // synced reports whether the node has read the store by itself.
 func (r *sourceRunner) synced() bool {
 	if syncer, ok := r.service.options.Source.(Syncer); ok {
--- a/spread/service.go
+++ b/spread/service.go
@@ -28,6 +28,9 @@
 	ready   *readiness
 	// pushedTo is the watcher that took the last push; runPush owns it.
 	pushedTo string
+	reads    *storeReads
+	readerID uint64
+	started  time.Time
 	dispatch *dispatcher
 	follows  [subscriptions]*subscription
 
@@ -57,6 +60,9 @@
 		pushes:   newPushQueue(),
 		heard:    newHeardTable(),
 		replaced: make(chan struct{}),
+		reads:    newStoreReads(),
+		readerID: readerIDOf(options.Ref),
+		started:  time.Now(),
 		rand:     rand.New(rand.NewPCG(options.Seed, options.Seed^0x9e3779b97f4a7c15)),
 	}
 	s.server = newServer(s)
--- a/spread/sourcerunner.go
+++ b/spread/sourcerunner.go
@@ -38,7 +38,9 @@
 	running bool
 	emitted bool
 	failure error
-	behind  map[string]Behind
+	// readAt is when the source last read the store, as far as is known.
+	readAt time.Time
+	behind map[string]Behind
 }
 
 func newSourceRunner(s *Service) *sourceRunner {
@@ -141,6 +143,9 @@
 func (r *sourceRunner) set(running bool, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.running && r.emitted {
+		r.readAt = time.Now()
+	}
 	r.running = running
 	r.emitted = false
 	r.failure = err
@@ -184,6 +189,21 @@
 	}
 }
 
+// lastRead returns when the source last read the store. Of a source that does
+// not tell, a run that has read something counts as reading until it fails.
+func (r *sourceRunner) lastRead() (time.Time, bool) {
+	if reader, ok := r.service.options.Source.(LastReader); ok {
+		at := reader.LastRead()
+		return at, !at.IsZero()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.running && r.emitted {
+		return time.Now(), true
+	}
+	return r.readAt, !r.readAt.IsZero()
+}
+
 // healthy reports whether the source has read the store in its present run.
 func (r *sourceRunner) healthy() bool {
 	r.mu.Lock()
--- a/spread/status.go
+++ b/spread/status.go
@@ -14,8 +14,13 @@
 	Digest uint64
 	// Upstreams names the nodes it receives from now.
 	Upstreams []string
-	// Fed tells whether its source or an upstream leads to the store.
+	// Fed tells whether its source reads the store or an upstream leads to a
+	// watcher. It does not tell whether that watcher reaches the store.
 	Fed bool
+	// StoreAge is the time since the latest reading of the store by a watcher
+	// that this node knows of, -1 when it knows of none. What was accepted
+	// after that may be missing here.
+	StoreAge time.Duration
 	// Subscribers names the nodes that receive from it.
 	Subscribers []string
 	// Watching tells that it watches the store; SourceError is why not.
@@ -43,16 +48,18 @@
 
 // Status returns what the node knows.
 func (s *Service) Status() Status {
+	s.noteOwnRead()
 	snap := s.Snapshot()
 	out := Status{
-		VM:     s.options.Ref.Vm,
-		Role:   s.plan.Load().Role.String(),
-		Ready:  s.Ready(),
-		Items:  snap.Len(),
-		Digest: snap.Digest(),
-		Fed:    s.fed(),
-		Unsent: s.pushes.len(),
-		Peers:  s.heard.list(),
+		VM:       s.options.Ref.Vm,
+		Role:     s.plan.Load().Role.String(),
+		Ready:    s.Ready(),
+		Items:    snap.Len(),
+		Digest:   snap.Digest(),
+		Fed:      s.fed(),
+		StoreAge: s.reads.age(),
+		Unsent:   s.pushes.len(),
+		Peers:    s.heard.list(),
 	}
 	for _, f := range s.follows {
 		if vm, _ := f.state(); vm != "" {
