Plot a demonstration over time

Cause: the tables of a run hide when traffic moved and how long it was slow. Change: a run keeps its figures by the second in which requests were due; the verb report plots them with the events of the scenario.

--- a/cmd/yuccaroute/demo.go
+++ b/cmd/yuccaroute/demo.go
@@ -17,10 +17,39 @@
 // defaultDemoDuration is long enough for every scenario to show its effect.
 const defaultDemoDuration = 30 * time.Second
 
+// demoFlags are those of the verbs that run a demonstration.
+type demoFlags struct {
+	scenario, logs string
+	duration       time.Duration
+	seed           uint64
+}
+
+func (f *demoFlags) register(cmd *cobra.Command, scenario string) {
+	flags := cmd.Flags()
+	flags.StringVar(&f.scenario, "scenario", scenario, "which run")
+	flags.DurationVar(&f.duration, "duration", defaultDemoDuration, "how long callers send")
+	flags.Uint64Var(&f.seed, "seed", 1, "seed of the load and of the stand-ins")
+	flags.StringVar(&f.logs, "logs", "", "file for the nodes' logs; none by default")
+	var names []cobra.Completion
+	for _, s := range demo.Scenarios() {
+		names = append(names, cobra.CompletionWithDesc(s.Name, s.Summary))
+	}
+	_ = cmd.RegisterFlagCompletionFunc("scenario", cobra.FixedCompletions(names, cobra.ShellCompDirectiveNoFileComp))
+}
+
+func (f *demoFlags) options() (demo.Options, error) {
+	s, ok := demo.ScenarioByName(f.scenario)
+	if !ok {
+		return demo.Options{}, errors.Errorf("no scenario %q; there are:\n%s", f.scenario, scenarioList())
+	}
+	if f.duration <= 0 {
+		return demo.Options{}, errors.Errorf("--duration %s is not positive", f.duration)
+	}
+	return demo.Options{Scenario: s, Duration: f.duration, Seed: f.seed}, nil
+}
+
 func newDemo() *cobra.Command {
-	var scenario, logs string
-	var duration time.Duration
-	var seed uint64
+	var run demoFlags
 	cmd := &cobra.Command{
 		Use:   "demo",
 		Short: "Run both example accounts against stand-ins in this process",
@@ -30,20 +59,18 @@
 		Example: "  yuccaroute demo\n  yuccaroute demo --scenario drain --duration 20s",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			s, ok := demo.ScenarioByName(scenario)
-			if !ok {
-				return errors.Errorf("no scenario %q; there are:\n%s", scenario, scenarioList())
+			options, err := run.options()
+			if err != nil {
+				return err
 			}
-			if duration <= 0 {
-				return errors.Errorf("--duration %s is not positive", duration)
+			report, err := runDemo(cmd, options, run.logs)
+			if err != nil {
+				return err
 			}
-			return runDemo(cmd, demo.Options{Scenario: s, Duration: duration, Seed: seed}, logs)
+			return verdict(report)
 		},
 	}
-	cmd.Flags().StringVar(&scenario, "scenario", "steady", "which run")
-	cmd.Flags().DurationVar(&duration, "duration", defaultDemoDuration, "how long callers send")
-	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of the load and of the stand-ins")
-	cmd.Flags().StringVar(&logs, "logs", "", "file for the nodes' logs; none by default")
+	run.register(cmd, "steady")
 	return cmd
 }
 
@@ -55,12 +82,13 @@
 	return b.String()
 }
 
-func runDemo(cmd *cobra.Command, options demo.Options, logs string) error {
+// runDemo plays a scenario and writes its tables.
+func runDemo(cmd *cobra.Command, options demo.Options, logs string) (*demo.Report, error) {
 	options.Logs = io.Discard
 	if logs != "" {
 		file, err := os.Create(logs)
 		if err != nil {
-			return program.Exit(program.ExitUsage, errors.Wrap(err, "open the log file"))
+			return nil, program.Exit(program.ExitUsage, errors.Wrap(err, "open the log file"))
 		}
 		defer file.Close()
 		options.Logs = file
@@ -71,9 +99,14 @@
 	defer stops.Close()
 	report, err := demo.Run(stops.Planned, options)
 	if err != nil {
-		return program.Exit(program.ExitFailed, err)
+		return nil, program.Exit(program.ExitFailed, err)
 	}
 	report.Write(cmd.OutOrStdout())
+	return report, nil
+}
+
+// verdict fails when a promise was broken.
+func verdict(report *demo.Report) error {
 	if n := report.Violations(); n > 0 {
 		return program.Exit(program.ExitFailed, errors.Errorf("%d violations of promises", n))
 	}
--- a/cmd/yuccaroute/main.go
+++ b/cmd/yuccaroute/main.go
@@ -48,7 +48,7 @@
 	)
 	addAll(root, groupOperate, newApply(c), newDiff(c), newExport(c), newTemplate(c), newAccount(c), newOutcome(c), newIdentity(c))
 	addAll(root, groupObserve, newWhoami(c), newLive(c))
-	addAll(root, groupMeasure, newDemo(), newBench(), newStandin(), newCheckConfig())
+	addAll(root, groupMeasure, newDemo(), newReport(), newBench(), newStandin(), newCheckConfig())
 	return root
 }
 
--- a/demo/report.go
+++ b/demo/report.go
@@ -26,6 +26,7 @@
 	// Skipped counts requests that were due and not sent, as too many were in
 	// progress.
 	Skipped int64
+	Series  *Series
 }
 
 // ServiceReport is one service as its callers saw it.
@@ -77,6 +78,7 @@
 		Scenario: r.options.Scenario.Name,
 		Took:     took,
 		Drained:  r.drained,
+		Series:   r.series(told),
 		Check: check.Check(check.Input{
 			Told:         told,
 			Ran:          ran,
