Try a place that failed with little first, and average what is measured

Cause: a place that fails while its health reads well was tried with half a step each time; one bad second or one failure among three requests made a place look bad; a flow without requests in a second counted as unknown demand.

--- a/steering/picture/book.go
+++ b/steering/picture/book.go
@@ -40,6 +40,7 @@
 type Book struct {
 	read  time.Time
 	flows map[flowKey]*rate
+	cells map[cellKey]*cellRate
 	warm  map[cellKey]time.Duration
 	// usable is how far the targets of each place are relied on.
 	usable map[cellKey]*belief
@@ -59,51 +60,53 @@
 func NewBook() *Book {
 	return &Book{
 		flows:  make(map[flowKey]*rate),
+		cells:  make(map[cellKey]*cellRate),
 		warm:   make(map[cellKey]time.Duration),
 		usable: make(map[cellKey]*belief),
 	}
 }
 
 // Read takes in the last reports of all nodes and the moves made lately, and
-// returns the picture at now, sorted.
-func (b *Book) Read(reports []Report, moved []steering.Move, now time.Time) ([]steering.Demand, []steering.PlaceState) {
+// returns the picture of the account at now, sorted.
+func (b *Book) Read(account *model.Account, reports []Report, moved []steering.Move, now time.Time) ([]steering.Demand, []steering.PlaceState) {
 	since := now.Sub(b.read)
 	if b.read.IsZero() {
 		since = math.MaxInt64
 	}
 	b.read = now
-	demand := b.demand(reports, since)
+	demand := b.demand(account, reports, since)
 	places := b.places(reports, moved, since)
 	return demand, places
 }
 
 // demand sums the rates over the nodes. A node that is silent counts with its
 // last report, because its callers are still there; the age is the mean over
-// the sum.
-func (b *Book) demand(reports []Report, since time.Duration) []steering.Demand {
-	sums := make(map[flowKey]*steering.Demand)
-	ages := make(map[flowKey]*mean)
+// the sum. A flow that a report leaves out had no request: what is missing is
+// a report, not its zeros. Taken for unknown, a flow with few requests would
+// count as a large part of the capacity in every quiet second.
+func (b *Book) demand(account *model.Account, reports []Report, since time.Duration) []steering.Demand {
+	if len(reports) == 0 {
+		return nil
+	}
+	sums := emptySums(account)
 	for i := range reports {
 		for _, f := range reports[i].Flows {
-			if !valid(f.OfferedRPS) {
-				continue
-			}
-			key := flowKey{f.Service, f.Caller}
-			if sums[key] == nil {
-				sums[key] = &steering.Demand{Service: f.Service, Caller: f.Caller}
-				ages[key] = &mean{}
+			if valid(f.OfferedRPS) {
+				sums.add(flowKey{f.Service, f.Caller}, f.OfferedRPS, reports[i].Age)
 			}
-			sums[key].RPS += f.OfferedRPS
-			ages[key].add(float64(reports[i].Age), f.OfferedRPS)
 		}
 	}
-	b.forgetFlows(sums)
+	quiet := meanAge(reports)
 	demand := make([]steering.Demand, 0, len(sums))
-	for key, d := range sums {
-		d.RPS, d.Margin = b.rateOf(key).add(d.RPS, since)
-		d.Age = time.Duration(ages[key].value())
-		demand = append(demand, *d)
+	for key, sum := range sums {
+		d := steering.Demand{Service: key.service, Caller: key.caller, Age: quiet}
+		if sum.rps > 0 {
+			d.Age = time.Duration(sum.age.value())
+		}
+		d.RPS, d.Margin = b.rateOf(key).add(sum.rps, since)
+		demand = append(demand, d)
 	}
+	b.forgetFlows(sums)
 	sort.Slice(demand, func(i, j int) bool {
 		if demand[i].Service != demand[j].Service {
 			return demand[i].Service < demand[j].Service
@@ -113,7 +116,43 @@
 	return demand
 }
 
-func (b *Book) forgetFlows(known map[flowKey]*steering.Demand) {
+// flowSums holds what the nodes report of each flow.
+type flowSums map[flowKey]*flowSum
+
+type flowSum struct {
+	rps float64
+	age mean
+}
+
+func emptySums(account *model.Account) flowSums {
+	sums := make(flowSums)
+	for i := range account.Services {
+		for j := range account.Regions {
+			sums[flowKey{account.Services[i].Name, account.Regions[j].Name}] = &flowSum{}
+		}
+	}
+	return sums
+}
+
+func (s flowSums) add(key flowKey, rps float64, age time.Duration) {
+	sum := s[key]
+	if sum == nil {
+		sum = &flowSum{}
+		s[key] = sum
+	}
+	sum.rps += rps
+	sum.age.add(float64(age), rps)
+}
+
+func meanAge(reports []Report) time.Duration {
+	var m mean
+	for i := range reports {
+		m.add(float64(reports[i].Age), 1)
+	}
+	return time.Duration(m.value())
+}
+
+func (b *Book) forgetFlows(known flowSums) {
 	for key := range b.flows {
 		if known[key] == nil {
 			delete(b.flows, key)
--- a/steering/picture/places.go
+++ b/steering/picture/places.go
@@ -27,6 +27,7 @@
 	states := make([]steering.PlaceState, 0, len(cells))
 	for key, c := range cells {
 		state := c.state(key)
+		b.cellOf(key).smooth(&state, since)
 		state.Unsteady = state.Usable - b.relied(key, &state)
 		state.WarmP99 = b.warmOf(key, &state, risen, since)
 		states = append(states, state)
@@ -95,6 +96,13 @@
 	}
 }
 
+func (b *Book) cellOf(key cellKey) *cellRate {
+	if b.cells[key] == nil {
+		b.cells[key] = &cellRate{}
+	}
+	return b.cells[key]
+}
+
 // relied returns the number of usable targets that is relied on.
 func (b *Book) relied(key cellKey, state *steering.PlaceState) int {
 	if state.Known == 0 {
--- a/steering/planner/planner.go
+++ b/steering/planner/planner.go
@@ -68,7 +68,7 @@
 	b := p.book(s.Account.Name, s.Now)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	in.Demand, in.Places = b.picture.Read(reports, in.Moved, s.Now)
+	in.Demand, in.Places = b.picture.Read(s.Account, reports, in.Moved, s.Now)
 	if s.Now.Sub(s.Since) < settling {
 		// The first reports after a change of decider are a part of the
 		// demand only. Taken for all of it, they would make full places look
--- a/steering/room.go
+++ b/steering/room.go
@@ -84,7 +84,26 @@
 // with each time the cell gave back or failed: the same step would be too much
 // again and the share would swing, or as much work would be lost as before.
 func (c *cell) step() float64 {
-	return c.usable * stepPart / float64(int(1)<<min(c.backs+c.failures, stepHalvings))
+	return c.usable * stepPart / float64(int(1)<<(c.backHalvings()+c.failureHalvings()))
+}
+
+func (c *cell) backHalvings() int {
+	return min(c.backs, stepHalvings)
+}
+
+// failureHalvings grows by two with each further failure: what a place takes
+// that fails again is lost, while a slow one still answers. A place that failed
+// and carries nothing but what came within the step interval is tried with the
+// least step first.
+func (c *cell) failureHalvings() int {
+	switch {
+	case c.failures == 0:
+		return 0
+	case c.load-c.raised < c.usable*triedPart:
+		return failureHalvings
+	default:
+		return min(2*c.failures-1, failureHalvings)
+	}
 }
 
 // resting reports a cell that gave back and has not had the time to show the
--- a/steering/tuning.go
+++ b/steering/tuning.go
@@ -53,6 +53,11 @@
 	backPart = 0.5
 	// stepHalvings is how often a step is halved at most.
 	stepHalvings = 3
+	// failureHalvings is how often it is halved at most for failures.
+	failureHalvings = 5
+	// triedPart is the part of its capacity a place must carry to have been
+	// tried after a failure.
+	triedPart = 0.002
 	// backMemory is how long a place that gave back takes smaller steps.
 	backMemory = 15 * time.Minute
 	// unknownShare is the most a place nothing is known of gets of a flow.
