--- a/proxy/ingress/server.go
+++ b/proxy/ingress/server.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/lesismal/nbio"
-	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
 )
@@ -20,8 +19,6 @@
 	stopPoll    = 5 * time.Millisecond
 )
 
-var quietOnce sync.Once
-
 // Server serves callers until Stop.
 type Server struct {
 	options  Options
@@ -42,7 +39,7 @@
 // bound.
 func Start(o Options) (*Server, error) {
 	o.setDefaults()
-	quietOnce.Do(func() { logging.SetLevel(logging.LevelError) })
+	takeLibraryLog(o.Logger)
 	s := &Server{options: o}
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name:            "callers",
