--- a/steering/scenario/loop_test.go
+++ b/steering/scenario/loop_test.go
@@ -7,8 +7,6 @@
 	"math"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
 	"github.com/yuccaroute/yuccaroute/api/model"
 	"github.com/yuccaroute/yuccaroute/api/observe"
 	"github.com/yuccaroute/yuccaroute/api/plan"
@@ -352,57 +350,3 @@
 	}
 	return sum / plan.Whole
 }
-
-// admit lets through what the grants permit. They are worth what is usable in
-// a place by the last decision and, for a region and a link, by the
-// configuration; a dead place serves nothing.
-func (w *world) admit(streams []stream, limits []steering.Limit, out *result) []stream {
-	usable := make(map[cellName]float64)
-	for _, l := range limits {
-		usable[cellName{l.Service, l.Place}] = l.UsableRPS
-	}
-	cells, regions, links := w.sums(streams)
-	var served []stream
-	for _, s := range streams {
-		name := cellName{s.flow.service, s.place}
-		factor := min(1, ratio(usable[name], cells[name]))
-		region := w.account.Region(s.region)
-		factor = min(factor, ratio(region.CapacityRPS, regions[s.region]))
-		if s.region != s.flow.caller {
-			factor = min(factor, ratio(region.LinkInRPS, links[s.region]))
-		}
-		c := w.cells[name]
-		if c.usable == 0 {
-			factor = 0
-		}
-		out.refused += s.rps * (1 - factor)
-		out.failed += s.rps * factor * c.failing
-		s.rps *= factor
-		c.sent += s.rps
-		served = append(served, s)
-	}
-	return served
-}
-
-func (w *world) sums(streams []stream) (cells map[cellName]float64, regions, links map[model.RegionName]float64) {
-	cells = make(map[cellName]float64)
-	regions = make(map[model.RegionName]float64)
-	links = make(map[model.RegionName]float64)
-	for _, s := range streams {
-		cells[cellName{s.flow.service, s.place}] += s.rps
-		regions[s.region] += s.rps
-		if s.region != s.flow.caller {
-			links[s.region] += s.rps
-		}
-	}
-	return cells, regions, links
-}
-
-func ratio(limit, load float64) float64 {
-	if load <= limit {
-		return 1
-	}
-	return limit / load
-}
-
-func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, 60_000_000, 3) }
--- a/steering/scenario/result_test.go
+++ b/steering/scenario/result_test.go
@@ -132,3 +132,5 @@
 	return fmt.Sprintf("%-14s %-8s p50 %6.1f p99 %6.1f ms  headroom %5.1f %%  moved %5.1f %%  peak %.2f  refused %6.3f %% failed %6.3f %%  recovery %4d s  plans %3d",
 		r.script.name, r.policy, r.p(50), r.p(99), 100*r.headroom, 100*r.movedMost, r.peak, 100*r.refused/r.offered, 100*r.failed/r.offered, r.recovered, r.plans)
 }
+
+func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, 60_000_000, 3) }
