Put accepted changes back into a store that went back

Cause: a store restored from an older copy, or failed over to a replica that lagged, shows older heads; a process that starts then takes them for the newest and changes them. Change: watchers emit the version of each head, by which starting processes learn it (source.Learn); a watcher that holds the newest head puts it back under a higher epoch when the store's is an earlier state of it (Repair), refuses when it was changed meanwhile (ForkError), and an operator can give up (Adopt). Conclusion: nodes should call source.Learn for items with prefix head/.

--- a/config/changelog/changelog_test.go
+++ b/config/changelog/changelog_test.go
@@ -301,3 +301,72 @@
 		}
 	})
 }
+
+// TestRepair: the store is restored from a copy that lacks the last two
+// changes, their documents and a new account. A node that remembers them puts
+// them back; nothing accepted is lost, and the new state is newer than both.
+func TestRepair(t *testing.T) {
+	kv := &replaceable{memkv.New(memkv.Options{})}
+	log := changelog.New(kv, changelog.Options{})
+	seed(t, log)
+	copied, err := kv.List(t.Context(), "config/")
+	if err != nil {
+		t.Fatal(err)
+	}
+	mustApply(t, log, accountChange("change-07", withWeight("0.7"), 2))
+	second := accountChange("add-second", accountText("x", "second", false), 0)
+	second.Name = "second"
+	mustApply(t, log, second)
+	restored := memkv.New(memkv.Options{})
+	for _, entry := range copied.Entries {
+		if _, err := restored.Swap(t.Context(), entry.Key, entry.Value, 0, 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	kv.KV = restored
+	if err := log.Repair(t.Context(), "dealer"); err != nil {
+		t.Fatal(err)
+	}
+	fresh := changelog.New(kv, changelog.Options{})
+	cut, err := fresh.Read(t.Context(), "dealer")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if cut.Epoch != 2 || cut.Sequence != 4 || cut.Account("second") == nil || string(cut.Account("daehan").Text) != string(withWeight("0.7")) {
+		t.Errorf("got %+v", cut.Version)
+	}
+	history, err := fresh.History(t.Context(), "dealer", changelog.Filter{})
+	if err != nil || len(history) != 4 {
+		t.Errorf("history has %d records, %v", len(history), err)
+	}
+	mustApply(t, fresh, accountChange("change-06", withWeight("0.6"), 3))
+}
+
+// replaceable is a store whose content can be replaced, as by a restore.
+type replaceable struct{ store.KV }
+
+// TestForkIsNotRepaired: after a restore a process that had seen nothing of
+// the newer state made a change. To put the newer state back would lose that
+// accepted change, so an operator has to decide.
+func TestForkIsNotRepaired(t *testing.T) {
+	kv := &replaceable{memkv.New(memkv.Options{})}
+	log := changelog.New(kv, changelog.Options{})
+	seed(t, log)
+	mustApply(t, log, accountChange("change-07", withWeight("0.7"), 2))
+	kv.KV = memkv.New(memkv.Options{})
+	unaware := changelog.New(kv, changelog.Options{})
+	seed(t, unaware)
+	mustApply(t, unaware, accountChange("change-06", withWeight("0.6"), 2))
+	var fork *changelog.ForkError
+	if err := log.Repair(t.Context(), "dealer"); !errors.As(err, &fork) {
+		t.Fatalf("got %v", err)
+	}
+	version, err := log.Adopt(t.Context(), templateChange("adopt-store", nil, 0))
+	if err != nil || version != (changelog.Version{Epoch: 2, Sequence: 4}) {
+		t.Fatalf("got %v, %v", version, err)
+	}
+	cut, err := log.Read(t.Context(), "dealer")
+	if err != nil || string(cut.Account("daehan").Text) != string(withWeight("0.6")) {
+		t.Errorf("got %v", err)
+	}
+}
--- a/config/changelog/guard.go
+++ b/config/changelog/guard.go
@@ -59,6 +59,12 @@
 	return nil
 }
 
+// Forks reports whether a head has the version of the newest sighting and was
+// made by another change.
+func (g *Guard) Forks(template string, found Sighting) bool {
+	return found.forks(g.Seen(template))
+}
+
 func (s Sighting) forks(t Sighting) bool {
 	return s.Version == t.Version && s.Last != "" && t.Last != "" && s.Last != t.Last
 }
--- a/config/changelog/history.go
+++ b/config/changelog/history.go
@@ -66,6 +66,10 @@
 			return nil
 		}
 		record, err := l.auditRecord(ctx, template, previous)
+		// A restored store may lack records; the history then begins later.
+		if errors.Is(err, store.ErrNotFound) {
+			return nil
+		}
 		if err != nil {
 			return err
 		}
--- a/config/changelog/objects.go
+++ b/config/changelog/objects.go
@@ -63,6 +63,15 @@
 	return nil
 }
 
+// rewrite stores a kept document again. The error tells that it is not kept.
+func (o *objects) rewrite(ctx context.Context, hash string) error {
+	text, ok := o.cached(hash)
+	if !ok {
+		return errors.Errorf("changelog: document %s is not kept on this node", hash)
+	}
+	return writeOnce(ctx, o.kv, objectKey(hash), text)
+}
+
 // writeOnce writes a key that has the same value whoever writes it. A lost
 // answer needs no care beyond writing again: the key then exists, and a late
 // write meets a conflict.
--- a/config/source/source.go
+++ b/config/source/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -14,6 +15,21 @@
 // KeyPrefix is the prefix of the keys of the emitted items.
 const KeyPrefix = "account/"
 
+// HeadKeyPrefix is the prefix of the keys of items that tell the newest state
+// of each template's head. Pass them to Learn.
+const HeadKeyPrefix = "head/"
+
+// Learn tells a guard of a head's state that another node has read, so that a
+// process which starts after the store went back does not take the store's
+// older state for the newest. The arguments are those of an item whose key has
+// HeadKeyPrefix.
+func Learn(guard *changelog.Guard, key string, epoch, sequence uint64, body []byte) {
+	guard.Learn(strings.TrimPrefix(key, HeadKeyPrefix), changelog.Sighting{
+		Version: changelog.Version{Epoch: epoch, Sequence: sequence},
+		Last:    string(body),
+	})
+}
+
 // Key returns the key of an account's item.
 func Key(account string) string { return KeyPrefix + account }
 
@@ -63,13 +79,15 @@
 	for i := range listing.Entries {
 		entry := &listing.Entries[i]
 		template := changelog.TemplateOf(entry.Key)
-		if err := s.head(ctx, template, seen[template], entry.Value, emit); err != nil {
+		if err := s.value(ctx, template, seen[template].Version, entry.Value, emit); err != nil {
 			return 0, err
 		}
 		delete(seen, template)
 	}
-	for template, sighting := range seen {
-		s.logger.Errorf("config: the store has lost template %s, seen at %s; the accounts in force stay", template, sighting.Version)
+	for template := range seen {
+		if err := s.reread(ctx, template, emit); err != nil {
+			return 0, err
+		}
 	}
 	return listing.At, nil
 }
@@ -113,30 +131,80 @@
 func (s *Source) event(ctx context.Context, event store.Event, emit Emit) error {
 	template := changelog.TemplateOf(event.Entry.Key)
 	if event.Deleted {
-		s.logger.Errorf("config: the head of template %s was deleted; the accounts in force stay", template)
-		return nil
+		return s.reread(ctx, template, emit)
 	}
-	// An event is older than what a read through the log may have seen since,
-	// so it is compared with nothing; receivers drop what is older.
-	return s.head(ctx, template, changelog.Sighting{}, event.Entry.Value, emit)
+	seen := s.log.Guard().Seen(template)
+	return s.value(ctx, template, seen.Version, event.Entry.Value, emit)
 }
 
-// head emits what changed in one head.
-func (s *Source) head(ctx context.Context, template string, before changelog.Sighting, value []byte, emit Emit) error {
+// value takes a head's value. One that is older than what was seen is either
+// an event that a read has overtaken, or the store went back; only another
+// read can tell.
+func (s *Source) value(ctx context.Context, template string, seen changelog.Version, value []byte, emit Emit) error {
 	head, err := changelog.DecodeHead(value)
 	if err != nil {
 		s.logger.Errorf("config: template %s: %v; the accounts in force stay", template, err)
 		return nil
 	}
-	if err := s.log.Guard().Admit(template, before, head.Sighting()); err != nil {
+	if head.Less(seen) || s.log.Guard().Forks(template, head.Sighting()) {
+		return s.reread(ctx, template, emit)
+	}
+	s.log.Guard().Learn(template, head.Sighting())
+	return s.head(ctx, template, head, emit)
+}
+
+// reread reads a head and, if the store went back, puts the newest state back
+// into it. Where that is not possible the accounts in force stay.
+func (s *Source) reread(ctx context.Context, template string, emit Emit) error {
+	head, err := s.log.Head(ctx, template)
+	var back *changelog.WentBackError
+	if errors.As(err, &back) {
 		s.logger.Errorf("config: %v; the accounts in force stay", err)
+		head, err = s.repair(ctx, template)
+	}
+	switch {
+	case errors.Is(err, store.ErrUnavailable):
+		return err
+	case err != nil:
+		s.logger.Errorf("config: template %s is not as it was seen: %v; the accounts in force stay", template, err)
 		return nil
 	}
+	return s.head(ctx, template, head, emit)
+}
+
+func (s *Source) repair(ctx context.Context, template string) (*changelog.Head, error) {
+	err := s.log.Repair(ctx, template)
+	// Another watcher may have been faster, and a lost answer may hide a
+	// success; the next read tells.
+	if err != nil && !store.IsConflict(err) && !errors.Is(err, store.ErrUnknown) {
+		return nil, err
+	}
+	s.logger.Warnf("config: the newest known state of template %s was put back into the store", template)
+	return s.log.Head(ctx, template)
+}
+
+// head emits what changed in one head.
+func (s *Source) head(ctx context.Context, template string, head *changelog.Head, emit Emit) error {
 	s.log.Remember(template, head)
 	for name, sequence := range head.Gone {
 		s.gone(name, changelog.Version{Epoch: head.Epoch, Sequence: sequence}, emit)
 	}
-	return s.accounts(ctx, template, head, emit)
+	if err := s.accounts(ctx, template, head, emit); err != nil {
+		return err
+	}
+	s.sighting(template, head.Sighting(), emit)
+	return nil
+}
+
+// sighting tells all nodes which state of the head is the newest, for their
+// guards.
+func (s *Source) sighting(template string, seen changelog.Sighting, emit Emit) {
+	key := HeadKeyPrefix + template
+	if !s.emitted[key].Less(seen.Version) {
+		return
+	}
+	emit(key, seen.Epoch, seen.Sequence, []byte(seen.Last))
+	s.emitted[key] = seen.Version
 }
 
 func (s *Source) gone(account string, version changelog.Version, emit Emit) {
--- a/config/source/source_test.go
+++ b/config/source/source_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,29 +14,6 @@
 	"github.com/yuccaroute/yuccaroute/store/memkv"
 )
 
-type item struct {
-	key      string
-	sequence uint64
-	body     []byte
-}
-
-type sink struct {
-	mu    sync.Mutex
-	items []item
-}
-
-func (s *sink) emit(key string, _, sequence uint64, body []byte) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.items = append(s.items, item{key, sequence, body})
-}
-
-func (s *sink) last() item {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.items[len(s.items)-1]
-}
-
 func change(id string, kind changelog.Kind, name string, text []byte) changelog.Change {
 	return changelog.Change{ID: id, Who: "ana", Template: "dealer", Kind: kind, Name: name, Text: text, IfSequence: changelog.AnySequence}
 }
@@ -59,19 +35,19 @@
 		apply(change("add-account", changelog.KindAccount, "daehan", examples.Text("daehan")))
 
 		ctx, cancel := context.WithCancel(t.Context())
-		got := &sink{}
+		got := newSink(t)
 		src := source.New(kv, changelog.New(kv, changelog.Options{}), nil)
 		done := make(chan struct{})
 		go func() { defer close(done); _ = src.Run(ctx, got.emit) }()
 		synctest.Wait()
-		account, err := config.Decode(got.last().body)
+		account, err := config.Decode([]byte(got.lastAccount().body))
 		if err != nil || account.Revision != 2 || account.Name != "daehan" {
 			t.Fatalf("got %+v, %v", account, err)
 		}
 
 		apply(change("edit-template", changelog.KindTemplate, "dealer", append(examples.Text("dealer"), '\n')))
-		if got.last().sequence != 3 {
-			t.Errorf("template change not emitted: %d", got.last().sequence)
+		if got.lastAccount().version.Sequence != 3 {
+			t.Errorf("template change not emitted: %d", got.lastAccount().version.Sequence)
 		}
 		before := kv.Counts()
 		time.Sleep(time.Hour)
@@ -81,7 +57,7 @@
 		gone := change("delete-account", changelog.KindAccount, "daehan", nil)
 		gone.Delete = true
 		apply(gone)
-		if last := got.last(); last.sequence != 4 || last.body != nil {
+		if last := got.lastAccount(); last.version.Sequence != 4 || !last.deleted {
 			t.Errorf("deletion not emitted: %+v", last)
 		}
 		cancel()
