--- a/integration/long_test.go
+++ b/integration/long_test.go
@@ -60,7 +60,7 @@
 		{"half-open targets", rolling(swallow(back, 1))},
 		{"reset connections", rolling(resetAfter(back, 1, 1))},
 		{"cut before the request", between(cutTarget(2), restoreTarget(2))},
-		{"callers' paths", between(breakCallers, calmEntries)},
+		{"callers' paths", rollEntries},
 		{"target killed", between(killTarget(3), startTarget(3))},
 		{"entry VM killed", between(killEntry(0), startEntry(0))},
 		{"entry VM paused", between(pauseEntry(2), resumeEntry(2))},
@@ -79,12 +79,6 @@
 	return func(from, to int) []step { return []step{{from, fail}, {to, recover}} }
 }
 
-func breakCallers(f *farm) {
-	f.entryPaths[0].add(cutAfter(back, 3000, 0.5))
-	f.entryPaths[1].add(cutAfter(towards, 20000, 0.5))
-	f.entryPaths[2].add(resetAfter(back, 20, 0.3))
-}
-
 // longSteps lets the faults happen in turn until the requests end.
 func longSteps(requests int) []step {
 	var steps []step
--- a/integration/path_test.go
+++ b/integration/path_test.go
@@ -82,12 +82,9 @@
 		},
 		{
 			"caller's path breaks",
-			"The line between farmer and entry VM breaks before, within and after the request, first to one entry VM and then to the other.",
+			"The line between farmer and entry VM breaks before, within and after the request, to one entry VM after the other.",
 			0,
-			[]step{
-				{100, onEntry(0, cutAfter(back, 600, 0.7))}, {400, onEntry(0, cutAfter(towards, 6000, 0.7))},
-				{700, calmEntries}, {750, onEntry(1, resetAfter(back, 5, 0.5))}, {1000, calmEntries},
-			},
+			rollEntries(100, 1300),
 			map[result.Outcome]int{result.Ran: 500, result.Unknown: 3},
 		},
 		{
@@ -127,8 +124,24 @@
 	return append(steps, step{to, calmTargets})
 }
 
-func onEntry(i int, faults ...toxic) func(*farm) {
-	return func(f *farm) { f.entryPaths[i].add(faults...) }
+// Where rollEntries cuts answers: from within the head to within the body.
+const (
+	firstCut = 300
+	cutStep  = 25
+)
+
+// rollEntries breaks the paths to one entry VM after the other: within the
+// answer at one point after the other, and within the request.
+func rollEntries(from, to int) []step {
+	var steps []step
+	for after := from; after < to; after += rollEvery {
+		i := after / rollEvery
+		steps = append(steps, step{after, func(f *farm) {
+			calmEntries(f)
+			f.entryPaths[i%len(f.entryPaths)].add(cutAfter(back, firstCut+i*cutStep, 1), cutAfter(towards, 20_000, 1))
+		}})
+	}
+	return append(steps, step{to, calmEntries})
 }
 
 func cutTarget(i int) func(*farm)     { return func(f *farm) { f.targetPaths[i].cut() } }
