Let an owner adopt a store that cannot be mended

Cause: after a fork, or when no node holds the newest state, changes stay refused until somebody decides. Change: POST templates/{template}/adopt-store for owners, its client verb and its place in the OpenAPI file; a missing explanation reads as not-found.

--- a/admin/api_test.go
+++ b/admin/api_test.go
@@ -239,3 +239,16 @@
 	_, err = olga.PutIdentities(t.Context(), client.Created(), "[identity x]\ntoken_sha256 = "+hash+"\nrole = owner\n")
 	wantCode(t, err, result.RevisionConflict)
 }
+
+// TestOnlyAnOwnerGivesUpChanges: to adopt the store's state puts accepted
+// changes out of force.
+func TestOnlyAnOwnerGivesUpChanges(t *testing.T) {
+	f := newFixture(t, nil)
+	f.seed(t)
+	_, err := f.as(t, "rita").AdoptStore(t.Context(), "dealer", wire.AdoptRequest{})
+	wantCode(t, err, result.Forbidden)
+	adopted, err := f.as(t, "olga").AdoptStore(t.Context(), "dealer", wire.AdoptRequest{Note: "restored on purpose"})
+	if err != nil || adopted.Epoch != 2 || adopted.Sequence != 3 {
+		t.Errorf("got %+v, %v", adopted, err)
+	}
+}
--- a/admin/changes.go
+++ b/admin/changes.go
@@ -174,3 +174,24 @@
 func isNotFound(err error) bool {
 	return err != nil && codeOf(err) == result.NotFound
 }
+
+// adoptStore gives up accepted changes, so it is an owner's alone and logged
+// as a warning.
+func (c *call) adoptStore() (any, error) {
+	var request wire.AdoptRequest
+	if err := c.read(&request); err != nil {
+		return nil, err
+	}
+	if request.ID == "" {
+		request.ID = c.api.options.NewID()
+	}
+	c.changeID = request.ID
+	version, err := c.api.options.Log.Adopt(c.ctx, changelog.Change{
+		ID: request.ID, Who: c.who.Name, Note: request.Note, Template: c.template,
+	})
+	if err != nil {
+		return nil, err
+	}
+	c.api.options.Logger.Warnf("admin: template %s was adopted from the store at %s by %s", c.template, version, c.who.Name)
+	return &wire.AdoptAnswer{ID: request.ID, Epoch: version.Epoch, Sequence: version.Sequence}, nil
+}
--- a/admin/client/objects.go
+++ b/admin/client/objects.go
@@ -93,6 +93,13 @@
 	return get[wire.Outcome](ctx, c, o.path("changes", id), nil)
 }
 
+// AdoptStore gives up states of a template that are newer than the store's.
+func (c *Client) AdoptStore(ctx context.Context, template string, adopt wire.AdoptRequest) (*wire.AdoptAnswer, error) {
+	adopt.ID = withID(adopt.ID)
+	path := Template(template).path("adopt-store")
+	return send[wire.AdoptAnswer](ctx, c, request{method: http.MethodPost, path: path, body: adopt, changeID: adopt.ID})
+}
+
 // Identities returns the document of identities.
 func (c *Client) Identities(ctx context.Context) (*wire.IdentitiesDocument, error) {
 	return get[wire.IdentitiesDocument](ctx, c, []string{"identities"}, nil)
--- a/admin/failure.go
+++ b/admin/failure.go
@@ -53,6 +53,7 @@
 		tooLarge *changelog.TooLargeError
 		owned    *changelog.OwnedError
 		back     *changelog.WentBackError
+		fork     *changelog.ForkError
 	)
 	switch {
 	case errors.As(err, &unknown):
@@ -65,7 +66,7 @@
 		return result.RevisionConflict
 	case errors.As(err, &tooLarge):
 		return result.ChangeTooLarge
-	case errors.As(err, &back):
+	case errors.As(err, &back), errors.As(err, &fork), errors.Is(err, changelog.ErrNotNewest):
 		return result.StoreWentBack
 	case errors.Is(err, changelog.ErrNotFound), errors.Is(err, store.ErrNotFound):
 		return result.NotFound
--- a/admin/live.go
+++ b/admin/live.go
@@ -81,5 +81,9 @@
 	if c.api.options.Explainer == nil {
 		return nil, notFound("this node explains no decisions")
 	}
-	return c.api.options.Explainer.Explain(c.ctx, model.AccountName(c.account))
+	report, err := c.api.options.Explainer.Explain(c.ctx, model.AccountName(c.account))
+	if err != nil {
+		return nil, notFound("there is no decision to explain: " + err.Error())
+	}
+	return report, nil
 }
--- a/admin/routes.go
+++ b/admin/routes.go
@@ -59,6 +59,10 @@
 		Route{Method: "GET", Path: "identities", Summary: "Read the document of identities", Access: accessOwner, Answer: wire.IdentitiesDocument{}, serve: (*call).getIdentities},
 		Route{Method: "PUT", Path: "identities", Summary: "Replace the document of identities", Access: accessOwner, Conditional: true, Request: wire.ChangeRequest{}, Answer: wire.IdentitiesDocument{}, serve: (*call).putIdentities},
 	)
+	routes = append(routes, Route{
+		Method: "POST", Path: pathTemplate + "/adopt-store", Summary: "Give up states newer than the store's, after it went back and no node could mend it",
+		Access: accessOwner, Request: wire.AdoptRequest{}, Answer: wire.AdoptAnswer{}, serve: (*call).adoptStore,
+	})
 	routes = append(routes, objectRoutes(pathTemplate, "template")...)
 	routes = append(routes, objectRoutes(pathAccount, "account")...)
 	routes = append(routes, accountRoutes()...)
--- a/admin/wire/changes.go
+++ b/admin/wire/changes.go
@@ -134,3 +134,16 @@
 	FromPercent float64 `json:"from_percent"`
 	ToPercent   float64 `json:"to_percent"`
 }
+
+// AdoptRequest asks to take the store's state for the newest.
+type AdoptRequest struct {
+	ID   string `json:"id,omitempty"`
+	Note string `json:"note,omitempty"`
+}
+
+// AdoptAnswer tells the version that the adopted state has now.
+type AdoptAnswer struct {
+	ID       string `json:"id"`
+	Epoch    uint64 `json:"epoch"`
+	Sequence uint64 `json:"sequence"`
+}
