--- a/proxy/account_state.go
+++ b/proxy/account_state.go
@@ -153,6 +153,7 @@
 		services: make(map[model.ServiceName]*serviceView, len(s.account.Services)),
 		bytes:    s.bytes,
 		inFlight: s.inFlight,
+		held:     s.held,
 	}
 	for i := range s.account.Services {
 		service := &s.account.Services[i]
--- a/proxy/limits_test.go
+++ b/proxy/limits_test.go
@@ -83,6 +83,29 @@
 	}
 }
 
+// A place has lost its targets and the plan has left it, but the move cap lets
+// traffic follow only in steps. The caller is told that the cap is the reason.
+func TestHeldTrafficIsToldSo(t *testing.T) {
+	target := newScripted(t, answering(okAnswer))
+	capped := func(_ *Options, m *model.Account) {
+		m.Places = append(m.Places, model.Place{Name: "kr-busan-a", Region: testRegion})
+		m.Moves = model.MoveLimits{Share: 0.1, Window: time.Hour}
+	}
+	p := newTestProxy(t, capped, target.address())
+	next := testPlan()
+	next.Sequence = 2
+	next.Flows[0].Shares = []plan.Share{{Place: "kr-busan-a", PPM: plan.Whole}}
+	p.SetPlan(next)
+	p.SetTargets(listOf())
+	told := map[string]int{}
+	for range 100 {
+		told[call(p, http.MethodGet, "/stock", "").Header().Get(result.HeaderResult)]++
+	}
+	if told["111"] < 89 {
+		t.Fatalf("results %v", told)
+	}
+}
+
 // A plan is replaced while requests run: every request follows one plan or the
 // other, and an older plan that arrives late does not return.
 func TestOlderPlanDoesNotReturn(t *testing.T) {
--- a/proxy/permit.go
+++ b/proxy/permit.go
@@ -22,7 +22,7 @@
 		}
 	}
 	if place.targets.Load().set.Usable(p.now()) == 0 {
-		return permission{}, refuse(result.NoTarget)
+		return permission{}, refuse(q.noTargetCode())
 	}
 	// The line forms for want of slots. Without this check it would let
 	// requests wait for the grant too, though the account wants them refused.
@@ -32,6 +32,15 @@
 	return p.wait(ctx, q, place)
 }
 
+// noTargetCode names why a place without a target was chosen: the plan may have
+// left it already and the move cap still sends requests there.
+func (q *request) noTargetCode() result.Code {
+	if q.account.held {
+		return result.MoveHeld
+	}
+	return result.NoTarget
+}
+
 // wait queues a request until shortly before it would be answered too late.
 func (p *Proxy) wait(ctx context.Context, q *request, place *placeState) (permission, *refusal) {
 	leaveBy := q.deadline.Add(-place.typicalLatency())
--- a/proxy/snapshot.go
+++ b/proxy/snapshot.go
@@ -35,6 +35,8 @@
 	services map[model.ServiceName]*serviceView
 	bytes    *buffer.Share
 	inFlight *buffer.Share
+	// held tells that the move cap keeps traffic from where the plan wants it.
+	held bool
 }
 
 // serviceView is one service in force.
