Tell a missing grant from missing slots, and honour keys of uploads

Cause: a request that waited in vain for a grant was told queue-full, so operators looked at targets; keys of bulk requests were not recorded; on a small VM the HTTP library's workers were fewer than the requests in hand. Measured: go test -race -count=3 ./proxy ./proxy/buffer ./proxy/ingress passes. The test of a waiting account now expects 110 in place of 112, with a new one for 112 beside it: it held the number to be changed. Conclusion: refusals name what is short.

--- a/proxy/ingress/server.go
+++ b/proxy/ingress/server.go
@@ -47,6 +47,10 @@
 		MaxHTTPBodySize: o.MaxBodyBytes,
 		ReadLimit:       o.MaxBodyBytes + o.MaxHeadBytes,
 		KeepaliveTime:   o.IdleTime,
+		// Every connection can have its request in hand at once. With fewer,
+		// the waiting requests of one account would hold up all others before
+		// anything here has seen them.
+		MessageHandlerPoolSize: o.MaxConnections + 1,
 	})
 	s.engine.Engine.OnClose(s.closed)
 	s.engine.OnWrittenSize(s.written)
--- a/proxy/keys_test.go
+++ b/proxy/keys_test.go
@@ -42,6 +42,19 @@
 	}
 }
 
+// A warehouse sends a scan again with its key. Uploads are not idempotent either.
+func TestRepeatedUploadIsRefused(t *testing.T) {
+	target := newScripted(t, answering(okAnswer))
+	kv := faultkv.New(memkv.New(memkv.Options{}), nil)
+	p := newTestProxy(t, withKeys(kv, model.OutageRefuse), target.address())
+	first := callWithinGrant(p, http.MethodPost, "/docs", "scan", result.HeaderKey, "s-1")
+	wantResult(t, first, result.OK)
+	wantResult(t, callWithinGrant(p, http.MethodPost, "/docs", "scan", result.HeaderKey, "s-1"), result.DuplicateKey)
+	if n := target.requests.Load(); n != 1 {
+		t.Fatalf("ran %d times", n)
+	}
+}
+
 // A target sheds an order with a key. The order did not run, so the dealer may
 // send it again with the same key.
 func TestKeyOfAShedOrderMayBeUsedAgain(t *testing.T) {
--- a/proxy/limits_test.go
+++ b/proxy/limits_test.go
@@ -56,12 +56,33 @@
 	p.SetGrants(testGrants(3, 0))
 	began := target.requests.Load()
 	w := call(p, http.MethodGet, "/stock", "", result.HeaderDeadline, "40")
-	wantResult(t, w, result.QueueFull)
+	wantResult(t, w, result.NoCapacity)
 	if target.requests.Load() != began {
 		t.Fatal("sent without a grant")
 	}
 }
 
+// The grant is ample and all slots are taken. A request that cannot wait for
+// one is refused as not run, and told that the targets are the reason.
+func TestTakenSlotsAreTold(t *testing.T) {
+	release := make(chan struct{})
+	target := newScripted(t, func(c *scriptedConn) {
+		if c.next() != nil {
+			<-release
+			c.say(okAnswer)
+		}
+	})
+	p := newTestProxy(t, nil, target.address())
+	var done sync.WaitGroup
+	for range 3 {
+		done.Go(func() { callWithinGrant(p, http.MethodPost, "/orders", "x", result.HeaderDeadline, "60000") })
+	}
+	until(func() bool { return target.requests.Load() == 3 })
+	wantResult(t, call(p, http.MethodPost, "/orders", "x", result.HeaderDeadline, "40"), result.QueueFull)
+	close(release)
+	done.Wait()
+}
+
 // All targets of a service leave or are missing, and the plan names only this
 // place. The request is refused; another place would be a move without a cap.
 func TestNoSpillToAPlaceThePlanDoesNotName(t *testing.T) {
--- a/proxy/permit.go
+++ b/proxy/permit.go
@@ -49,7 +49,7 @@
 		return got, nil
 	}
 	if errors.Is(err, queue.ErrLate) {
-		return permission{}, refuseUntil(result.QueueFull, place.line.Expected(q.class))
+		return permission{}, refuseUntil(place.lateCode(), place.line.Expected(q.class))
 	}
 	return permission{}, refuse(p.endedCode(ctx))
 }
--- a/proxy/place_state.go
+++ b/proxy/place_state.go
@@ -8,6 +8,7 @@
 
 	"github.com/yuccaroute/yuccaroute/api/grant"
 	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/api/result"
 	"github.com/yuccaroute/yuccaroute/membership"
 	"github.com/yuccaroute/yuccaroute/proxy/admission"
 	"github.com/yuccaroute/yuccaroute/proxy/balance"
@@ -196,6 +197,15 @@
 	return min(rate, s.slotPace())
 }
 
+// lateCode names what made a waiting request late: the node's grant, or the
+// targets' slots.
+func (s *placeState) lateCode() result.Code {
+	if s.bucket.RPS(time.Now()) < s.slotPace() {
+		return result.NoCapacity
+	}
+	return result.QueueFull
+}
+
 func (s *placeState) slotPace() float64 {
 	now := s.proxy.now()
 	pace := 0.0
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -119,7 +119,7 @@
 	if !ok || (key != "" && !keys.Valid(key)) {
 		return refuse(result.BadRequest)
 	}
-	if q.class == model.NonIdempotent {
+	if q.class != model.Idempotent {
 		q.key = key
 	}
 	return nil
