Write a document also when this node has read it before

Cause: a restored store may lack a document that a node still keeps; a change that brought it back named a document that no other node could read. Change: the kept copy no longer replaces the write; a repair also writes the documents that can be rolled back to. Conclusion: a head in force never names a document that was not written.

--- a/config/changelog/changelog_test.go
+++ b/config/changelog/changelog_test.go
@@ -342,6 +342,29 @@
 	mustApply(t, fresh, accountChange("change-06", withWeight("0.6"), 3))
 }
 
+// TestDocumentLostByARestore: the store is restored and lacks a document that
+// this node has read before. A change that brings the document back must write
+// it, or no other node could read the account.
+func TestDocumentLostByARestore(t *testing.T) {
+	kv := &replaceable{memkv.New(memkv.Options{})}
+	log := changelog.New(kv, changelog.Options{})
+	seed(t, log)
+	mustApply(t, log, accountChange("change-07", withWeight("0.7"), 2))
+	mustApply(t, log, accountChange("change-06", withWeight("0.6"), 3))
+	key := "config/object/" + changelog.Hash(withWeight("0.7"))
+	entry, err := kv.Get(t.Context(), key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := kv.Delete(t.Context(), key, entry.Revision); err != nil {
+		t.Fatal(err)
+	}
+	mustApply(t, log, accountChange("again-07", withWeight("0.7"), 4))
+	if _, err := changelog.New(kv, changelog.Options{}).Read(t.Context(), "dealer"); err != nil {
+		t.Error(err)
+	}
+}
+
 // replaceable is a store whose content can be replaced, as by a restore.
 type replaceable struct{ store.KV }
 
--- a/config/changelog/objects.go
+++ b/config/changelog/objects.go
@@ -51,11 +51,10 @@
 	return entry.Value, nil
 }
 
-// write stores a document. After it returned nil the document can be read.
+// write stores a document. After it returned nil the document can be read. It
+// does so also for a document that this process has read before: the store may
+// have lost it by a restore, and a head that names it would be unreadable.
 func (o *objects) write(ctx context.Context, hash string, text []byte) error {
-	if _, ok := o.cached(hash); ok {
-		return nil
-	}
 	if err := writeOnce(ctx, o.kv, objectKey(hash), text); err != nil {
 		return err
 	}
--- a/config/changelog/repair.go
+++ b/config/changelog/repair.go
@@ -114,11 +114,23 @@
 			return err
 		}
 	}
+	l.restoreEarlier(ctx, head, since)
 	lost := *head
 	lost.Audited = since
 	return l.audit(ctx, template, &lost)
 }
 
+// restoreEarlier writes documents that are no longer in force, so that they can
+// be rolled back to. What this process does not keep, or the store does not
+// take, is left out.
+func (l *Log) restoreEarlier(ctx context.Context, head *Head, since uint64) {
+	for i := range head.Recent {
+		if record := &head.Recent[i]; record.Sequence > since && !record.Deleted() {
+			_ = l.objects.rewrite(ctx, record.Hash)
+		}
+	}
+}
+
 // replace swaps the head. A lost answer needs no care: the caller sees the
 // store's state when it reads it again.
 func (l *Log) replace(ctx context.Context, template string, head *Head, expected store.Revision) error {
