Ask the grant again before a late sending; count places that take no connections

Cause: a process paused between admission and sending would send on a grant that had gone to another node; a place whose targets refuse connections reported nothing sent and no failures, so the decider did not see it fail; refusals for want of slots were reported as want of grants.

--- a/api/observe/observe.go
+++ b/api/observe/observe.go
@@ -33,7 +33,8 @@
 type PlaceLoad struct {
 	Service model.ServiceName
 	Place   model.PlaceName
-	// SentRPS counts requests sent; RefusedRPS those that found no grant.
+	// SentRPS counts requests sent, and those that found no connection to a
+	// target; RefusedRPS those that found no grant.
 	SentRPS, RefusedRPS float64
 	// P50 and P99 are target latencies as the node saw them.
 	P50, P99 time.Duration
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -89,7 +89,13 @@
 		a.code = p.connectFailed(ctx, permission)
 		return a
 	}
-	permission.place.counts.sent.Add(1)
+	if !permission.stillGranted() {
+		permission.target.pool.Put(conn)
+		permission.release()
+		a.code = result.NoCapacity
+		return a
+	}
+	permission.place.counts.tried.Add(1)
 	out := q.out
 	out.Host = permission.target.address.String()
 	out.Deadline = deadline
@@ -117,6 +123,7 @@
 	if ctx.Err() != nil {
 		return p.endedCode(ctx)
 	}
+	permission.place.counts.tried.Add(1)
 	p.failed(permission)
 	return result.ConnectFailed
 }
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -95,7 +95,11 @@
 	return o.Dial(ctx, address)
 }
 
+// keepAlive finds an idle connection whose target's VM has vanished without a
+// word, in about eight seconds; an order sent on it would end as unknown.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 3}
+
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	var d net.Dialer
+	d := net.Dialer{KeepAliveConfig: keepAlive}
 	return d.DialContext(ctx, "tcp", address)
 }
--- a/proxy/place_counts.go
+++ b/proxy/place_counts.go
@@ -17,7 +17,9 @@
 
 // placeCounts is what a node measures of one place between two reports.
 type placeCounts struct {
-	sent, refused, failed atomic.Uint64
+	// tried counts attempts, those that found no connection included: a place
+	// whose targets take none gets nothing sent and fails all the same.
+	tried, refused, failed atomic.Uint64
 
 	mu        sync.Mutex
 	latencies *hdrhistogram.Histogram
--- a/proxy/place_state.go
+++ b/proxy/place_state.go
@@ -152,7 +152,9 @@
 	if class == model.Bulk {
 		s.bulk.Add(1)
 	}
-	return permission{place: s, target: ts.members[index], index: index, set: ts, class: class}, shortNone, 0
+	return permission{
+		place: s, target: ts.members[index], index: index, set: ts, class: class, admitted: time.Now(),
+	}, shortNone, 0
 }
 
 // hasOther reports whether there is a target that may get new work and is not
@@ -206,6 +208,13 @@
 	return result.QueueFull
 }
 
+// countRefusal counts requests that found no grant: only more of it helps them.
+func (s *placeState) countRefusal(code result.Code) {
+	if code == result.NoCapacity {
+		s.counts.refused.Add(1)
+	}
+}
+
 func (s *placeState) slotPace() float64 {
 	now := s.proxy.now()
 	pace := 0.0
--- a/proxy/reports.go
+++ b/proxy/reports.go
@@ -67,19 +67,19 @@
 }
 
 func (s *placeState) load(interval time.Duration) observe.PlaceLoad {
-	sent := s.counts.sent.Swap(0)
+	tried := s.counts.tried.Swap(0)
 	failed := s.counts.failed.Swap(0)
 	ts := s.targets.Load()
 	l := observe.PlaceLoad{
 		Service:    s.key.Service,
 		Place:      s.key.Place,
-		SentRPS:    perSecond(sent, interval),
+		SentRPS:    perSecond(tried, interval),
 		RefusedRPS: perSecond(s.counts.refused.Swap(0), interval),
 		Targets:    ts.set.Usable(s.proxy.now()),
 		Known:      len(ts.members),
 	}
-	if sent > 0 {
-		l.FailureShare = min(1, float64(failed)/float64(sent))
+	if tried > 0 {
+		l.FailureShare = min(1, float64(failed)/float64(tried))
 	}
 	l.P50, l.P99 = s.counts.takeLatencies()
 	return l
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -23,7 +23,7 @@
 	q.service.state.budget.Fresh(q.service.service.RetryBudget)
 	permission, short := p.permit(ctx, q, place)
 	if short != nil {
-		place.counts.refused.Add(1)
+		place.countRefusal(short.code)
 		return refused(short)
 	}
 	claim, short := p.claimKey(ctx, q)
