--- a/cmd/internal/operator/apply.go
+++ b/cmd/internal/operator/apply.go
@@ -23,6 +23,8 @@
 	Object Object `json:"object"`
 	// Unchanged tells that the text was in force already and nothing was sent.
 	Unchanged bool `json:"unchanged"`
+	// Sequence is where the text is in force.
+	Sequence uint64 `json:"sequence"`
 	// Answer is nil when nothing was sent.
 	Answer *wire.ChangeAnswer `json:"answer,omitempty"`
 }
@@ -86,7 +88,7 @@
 func (n *Nodes) Apply(ctx context.Context, p *Plan, id, note string) (*Applied, error) {
 	d := p.Document
 	if p.Unchanged() {
-		return &Applied{Object: d.Object, Unchanged: true}, nil
+		return &Applied{Object: d.Object, Unchanged: true, Sequence: p.Current.Sequence}, nil
 	}
 	if id == "" {
 		id = NewChangeID(d.Object)
@@ -97,7 +99,7 @@
 	if err != nil {
 		return nil, d.refused(err)
 	}
-	return &Applied{Object: d.Object, Answer: answer}, nil
+	return &Applied{Object: d.Object, Sequence: answer.Change.Sequence, Answer: answer}, nil
 }
 
 // DryRun tells what a planned change would do.
--- a/cmd/internal/operator/document.go
+++ b/cmd/internal/operator/document.go
@@ -98,3 +98,15 @@
 	}
 	return 0
 }
+
+// WriteBack writes the document with the sequence at which it is in force.
+func (d *Document) WriteBack(sequence uint64) error {
+	if d.File == StandardInput {
+		return errors.New("standard input cannot be written")
+	}
+	text := Exported(d.Object, sequence, d.Text)
+	return errors.Wrap(os.WriteFile(d.File, []byte(text), documentMode), "write document")
+}
+
+// documentMode is for files that do not exist any more.
+const documentMode = 0o644
--- a/cmd/yuccaroute/apply.go
+++ b/cmd/yuccaroute/apply.go
@@ -23,7 +23,9 @@
 	files  []string
 	base   operator.Base
 	dryRun bool
-	change changeFlags
+	// writeBack writes the new sequence into the file.
+	writeBack bool
+	change    changeFlags
 }
 
 func (f *applyFlags) register(flags *pflag.FlagSet) {
@@ -31,6 +33,7 @@
 	flags.Uint64Var(&f.base.At, "at", 0, "sequence that the file was made from; default from the first line that export writes")
 	flags.BoolVar(&f.base.Overwrite, "overwrite", false, "replace whatever is in force, also changes made by others meanwhile")
 	flags.BoolVar(&f.dryRun, "dry-run", false, "change nothing; show which values change and forecast the traffic")
+	flags.BoolVar(&f.writeBack, "write-back", false, "write the new sequence into the first line of the file, so that it can be changed and applied again")
 	f.change.register(flags)
 }
 
@@ -132,6 +135,11 @@
 	if err := s.printer.Applied(applied); err != nil {
 		return err
 	}
+	if f.writeBack {
+		if err := d.WriteBack(applied.Sequence); err != nil {
+			return program.Exit(program.ExitFailed, errors.Wrap(err, "the change is made, but its sequence is not in the file"))
+		}
+	}
 	return s.waitFor(d.Object, f.change.wait)
 }
 
--- a/cmd/yuccaroute/harness_test.go
+++ b/cmd/yuccaroute/harness_test.go
@@ -111,3 +111,15 @@
 		}
 	}
 }
+
+// wantSame wants a text to be that of a file.
+func wantSame(t *testing.T, text, file string) {
+	t.Helper()
+	content, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(content) != text {
+		t.Errorf("the file is\n%s\nwant\n%s", content, text)
+	}
+}
--- a/cmd/yuccaroute/operate_test.go
+++ b/cmd/yuccaroute/operate_test.go
@@ -30,7 +30,9 @@
 	changed := writeFile(t, "changed.ini", strings.ReplaceAll(exported, usualLink, fewerLink))
 	wantText(t, o.must(program.ExitFailed, "diff", "-f", changed).out, "-"+usualLink, "+"+fewerLink)
 	wantText(t, o.must(program.ExitOK, "apply", "-f", changed, "--dry-run").out, "1800", "1700")
-	o.must(program.ExitOK, "account", "apply", "-f", changed, "--note", "smaller link", "--wait", "60s")
+	o.must(program.ExitOK, "account", "apply", "-f", changed, "--note", "smaller link", "--wait", "60s", "--write-back")
+	wantText(t, o.must(program.ExitOK, "apply", "-f", changed).out, "no difference")
+	wantSame(t, o.must(program.ExitOK, "export", "daehan").out, changed)
 	var status wire.Spreading
 	o.read(&status, "account", "status", "daehan", "--wait", "60s")
 	if !status.Everywhere || status.InForce != len(nodes) {
