--- a/spread/hub.go
+++ b/spread/hub.go
@@ -58,7 +58,7 @@
 	h.mu.Lock()
 	keys := w.keys
 	w.keys = nil
-	w.marked = map[string]struct{}{}
+	clear(w.marked)
 	snap := h.table.Snapshot()
 	h.mu.Unlock()
 	items := make([]item.Item, 0, len(keys))
--- a/spread/item/table_test.go
+++ b/spread/item/table_test.go
@@ -88,8 +88,13 @@
 }
 
 func BenchmarkApply(b *testing.B) {
+	for _, keys := range []int{500, 5000} {
+		b.Run(fmt.Sprintf("items=%d", keys), func(b *testing.B) { benchmarkApply(b, keys) })
+	}
+}
+
+func benchmarkApply(b *testing.B, keys int) {
 	table := NewTable()
-	const keys = 5000
 	names := make([]string, keys)
 	for i := range names {
 		names[i] = fmt.Sprintf("account/customer-%d", i)
--- a/spread/sourcerunner.go
+++ b/spread/sourcerunner.go
@@ -23,11 +23,11 @@
 // Behind tells that the store offered an older state than the one in force: it
 // was restored, or a replica that lags answered.
 type Behind struct {
-	Key             string
-	OfferedEpoch    uint64
-	OfferedSequence uint64
-	InForceEpoch    uint64
-	InForceSequence uint64
+	Key             string `json:"key"`
+	OfferedEpoch    uint64 `json:"offered_epoch"`
+	OfferedSequence uint64 `json:"offered_sequence"`
+	InForceEpoch    uint64 `json:"in_force_epoch"`
+	InForceSequence uint64 `json:"in_force_sequence"`
 }
 
 // sourceRunner runs the source while the node is a watcher.
--- a/spread/status.go
+++ b/spread/status.go
@@ -7,43 +7,43 @@
 
 // Status is what the node knows at one moment.
 type Status struct {
-	VM     string
-	Role   string
-	Ready  bool
-	Items  int
-	Digest uint64
+	VM     string `json:"vm"`
+	Role   string `json:"role"`
+	Ready  bool   `json:"ready"`
+	Items  int    `json:"items"`
+	Digest uint64 `json:"digest"`
 	// Upstreams names the nodes it receives from now.
-	Upstreams []string
+	Upstreams []string `json:"upstreams"`
 	// Fed tells whether its source reads the store or an upstream leads to a
 	// watcher. It does not tell whether that watcher reaches the store.
-	Fed bool
+	Fed bool `json:"fed"`
 	// StoreAge is the time since the latest reading of the store by a watcher
 	// that this node knows of, -1 when it knows of none. What was accepted
 	// after that may be missing here.
-	StoreAge time.Duration
+	StoreAge time.Duration `json:"store_age_ns"`
 	// Subscribers names the nodes that receive from it.
-	Subscribers []string
+	Subscribers []string `json:"subscribers"`
 	// Watching tells that it watches the store; SourceError is why not.
-	Watching    bool
-	SourceError string
+	Watching    bool   `json:"watching"`
+	SourceError string `json:"source_error"`
 	// Behind lists keys of which the store offered an older state.
-	Behind []Behind
+	Behind []Behind `json:"behind"`
 	// Unsent is how many published items no watcher has taken yet.
-	Unsent int
+	Unsent int `json:"unsent"`
 	// Peers are the nodes heard so far; one not listed was not heard.
-	Peers []PeerStatus
+	Peers []PeerStatus `json:"peers"`
 }
 
 // PeerStatus is what was known of a peer when it was last heard.
 type PeerStatus struct {
-	VM          string
-	Incarnation uint64
+	VM          string `json:"vm"`
+	Incarnation uint64 `json:"incarnation"`
 	// Equal tells that all items were the same HeardAge ago. It says nothing
 	// about now.
-	Equal    bool
-	HeardAge time.Duration
+	Equal    bool          `json:"equal"`
+	HeardAge time.Duration `json:"heard_age_ns"`
 	// EqualAge is the time since it was last equal, -1 if it never was.
-	EqualAge time.Duration
+	EqualAge time.Duration `json:"equal_age_ns"`
 }
 
 // Status returns what the node knows.
--- a/spread/topology/plan_test.go
+++ b/spread/topology/plan_test.go
@@ -133,10 +133,14 @@
 	}
 }
 
-func BenchmarkBuild550(b *testing.B) {
-	members := vms(6, 3, 31)
-	b.ReportAllocs()
-	for b.Loop() {
-		Build(members, members[100])
+func BenchmarkBuild(b *testing.B) {
+	for _, perPlace := range []int{3, 31} {
+		members := vms(6, 3, perPlace)
+		b.Run(fmt.Sprintf("nodes=%d", len(members)), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				Build(members, members[len(members)/2])
+			}
+		})
 	}
 }
