Keep room for short answers; do not wait for the rest of one given up

Cause: with the memory full of uploads the confirmation of an order could not be read and became unknown; closing the body of an answer that is given up read on until the deadline (5 s in the test); orders were sent to places from where no answer could be back in time.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -58,7 +58,7 @@
 // dropAnswer frees the memory of an answer.
 func (q *request) dropAnswer(a *forward.Answer) {
 	if a != nil {
-		q.account.bytes.Give(int64(len(a.Body)))
+		q.account.bytes.Give(a.Reserved)
 	}
 }
 
--- a/proxy/forward/answer.go
+++ b/proxy/forward/answer.go
@@ -10,6 +10,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Reserved is what the body took of Request.Memory, to be given back.
+	Reserved int64
 	// NoBody tells that an answer of this kind has none (HEAD, 204, 304).
 	NoBody bool
 	// Shed tells that the target refused the request before running it.
--- a/proxy/forward/conn_test.go
+++ b/proxy/forward/conn_test.go
@@ -265,28 +265,40 @@
 }
 
 // fullMemory has no bytes left.
-type fullMemory struct{ taken int64 }
+type fullMemory struct{ balance int64 }
 
-func (m *fullMemory) Take(n int64) bool { return false }
-func (m *fullMemory) Give(n int64)      { m.taken -= n }
+func (m *fullMemory) Take(int64) bool { return false }
+func (m *fullMemory) Give(n int64)    { m.balance += n }
 
-func TestAnswerWithoutMemoryIsNotBuffered(t *testing.T) {
-	for _, text := range []string{
-		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n",
-		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
-	} {
-		c := NewConn(open(t, func(p *peer) {
-			p.next()
-			p.say(text)
-		}))
-		r := get("/stock")
-		memory := &fullMemory{}
-		r.Memory = memory
-		_, err := c.Exchange(background, r)
+func exchangeWithoutMemory(t *testing.T, answer string) (*Answer, error) {
+	t.Helper()
+	c := NewConn(open(t, func(p *peer) {
+		p.next()
+		p.say(answer)
+		p.next()
+	}))
+	defer c.Close()
+	r := get("/stock")
+	memory := &fullMemory{}
+	r.Memory = memory
+	a, err := c.Exchange(background, r)
+	if memory.balance != 0 {
+		t.Fatalf("%d bytes given back that were not taken", memory.balance)
+	}
+	return a, err
+}
+
+// The node's memory is full of uploads. A large answer is not read into it, and
+// the short confirmation of an order still is.
+func TestAnswersWithoutMemory(t *testing.T) {
+	for _, head := range []string{"Content-Length: 16385\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n4001\r\n"} {
+		_, err := exchangeWithoutMemory(t, "HTTP/1.1 200 OK\r\n"+head+strings.Repeat("a", 16385))
 		wantError(t, err, result.AnswerTooLarge)
-		if memory.taken != 0 {
-			t.Fatalf("%d bytes given back that were not taken", -memory.taken)
+	}
+	for _, rest := range []string{"Content-Length: 2\r\n\r\nok", "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"} {
+		a, err := exchangeWithoutMemory(t, "HTTP/1.1 200 OK\r\n"+rest)
+		if err != nil || string(a.Body) != "ok" || a.Reserved != 0 {
+			t.Fatalf("%v %v", a, err)
 		}
-		c.Close()
 	}
 }
--- a/proxy/forward/receive.go
+++ b/proxy/forward/receive.go
@@ -14,6 +14,9 @@
 const (
 	// maxInterim bounds the informational answers before the final one.
 	maxInterim = 8
+	// FreeAnswerBytes of an answer need no reservation: a node whose memory is
+	// full of uploads must still be able to read that an order ran.
+	FreeAnswerBytes = 16 << 10
 	// stepBytes is how much memory an answer of unknown length reserves at once.
 	stepBytes = 64 << 10
 )
@@ -34,22 +37,24 @@
 	if err != nil {
 		return nil, newError(headCode(ctx, err), err)
 	}
-	defer resp.Body.Close()
+	// The body is not closed: to close it reads the rest, until the deadline if
+	// need be, of an answer that is given up. The connection is closed instead.
 	if err := check(resp, r, exchange); err != nil {
 		return nil, newError(result.AnswerTruncated, err)
 	}
-	body, err := readBody(resp, r)
+	body, reserved, err := readBody(resp, r)
 	if err != nil {
 		return nil, newError(bodyCode(ctx, err), err)
 	}
 	c.clean = !resp.Close && c.reader.Buffered() == 0
 	return &Answer{
-		Status:  resp.StatusCode,
-		Header:  resp.Header,
-		Body:    body,
-		NoBody:  !hasBody(resp, r),
-		Shed:    resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(result.HeaderShed) != "",
-		Leaving: resp.Header.Get(result.HeaderLeaving) != "",
+		Status:   resp.StatusCode,
+		Header:   resp.Header,
+		Body:     body,
+		Reserved: reserved,
+		NoBody:   !hasBody(resp, r),
+		Shed:     resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(result.HeaderShed) != "",
+		Leaving:  resp.Header.Get(result.HeaderLeaving) != "",
 	}, nil
 }
 
@@ -92,12 +97,13 @@
 	return resp.StatusCode != http.StatusNoContent && resp.StatusCode != http.StatusNotModified
 }
 
-func readBody(resp *http.Response, r *Request) ([]byte, error) {
+// readBody returns the body and the bytes reserved for it.
+func readBody(resp *http.Response, r *Request) ([]byte, int64, error) {
 	if !hasBody(resp, r) {
-		return nil, nil
+		return nil, 0, nil
 	}
 	if resp.ContentLength > r.MaxAnswerBytes {
-		return nil, errOverLimit
+		return nil, 0, errOverLimit
 	}
 	if resp.ContentLength >= 0 {
 		return readKnown(resp, r)
@@ -105,46 +111,48 @@
 	return readChunked(resp, r)
 }
 
-func readKnown(resp *http.Response, r *Request) ([]byte, error) {
-	if !take(r, resp.ContentLength) {
-		return nil, errMemory
+func readKnown(resp *http.Response, r *Request) ([]byte, int64, error) {
+	reserved := overFree(resp.ContentLength)
+	if !take(r, reserved) {
+		return nil, 0, errMemory
 	}
 	body := make([]byte, resp.ContentLength)
 	if _, err := io.ReadFull(resp.Body, body); err != nil {
-		give(r, resp.ContentLength)
-		return nil, err
+		give(r, reserved)
+		return nil, 0, err
 	}
-	return body, nil
+	return body, reserved, nil
 }
 
-func readChunked(resp *http.Response, r *Request) ([]byte, error) {
+func readChunked(resp *http.Response, r *Request) ([]byte, int64, error) {
 	var body bytes.Buffer
 	reserved := int64(0)
-	for {
-		if !take(r, stepBytes) {
-			give(r, reserved)
-			return nil, errMemory
-		}
-		reserved += stepBytes
-		_, err := io.CopyN(&body, resp.Body, stepBytes)
+	for step := int64(FreeAnswerBytes); ; step = stepBytes {
+		_, err := io.CopyN(&body, resp.Body, step)
 		if int64(body.Len()) > r.MaxAnswerBytes {
 			err = errOverLimit
 		}
 		if errors.Is(err, io.EOF) {
-			give(r, reserved-int64(body.Len()))
-			return body.Bytes(), nil
+			return body.Bytes(), reserved, nil
+		}
+		if err == nil && !take(r, stepBytes) {
+			err = errMemory
 		}
 		if err != nil {
 			give(r, reserved)
-			return nil, err
+			return nil, 0, err
 		}
+		reserved += stepBytes
 	}
 }
 
-func take(r *Request, n int64) bool { return r.Memory == nil || r.Memory.Take(n) }
+// overFree returns how much of an answer has to be reserved.
+func overFree(length int64) int64 { return max(0, length-FreeAnswerBytes) }
+
+func take(r *Request, n int64) bool { return n == 0 || r.Memory == nil || r.Memory.Take(n) }
 
 func give(r *Request, n int64) {
-	if r.Memory != nil {
+	if n > 0 && r.Memory != nil {
 		r.Memory.Give(n)
 	}
 }
--- a/proxy/limits_test.go
+++ b/proxy/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -83,6 +84,25 @@
 	done.Wait()
 }
 
+// The place is farther away than the deadline allows. The order is refused as
+// not run instead of being sent and ending as unknown.
+func TestPlaceBeyondTheDeadline(t *testing.T) {
+	target := newScripted(t, answering(okAnswer))
+	far := func(o *Options, m *model.Account) {
+		o.Region = "kr-busan"
+		o.CallerRegion = func(model.AccountName, netip.Addr) (model.RegionName, bool) { return testRegion, true }
+		delay := model.Delay{To: testRegion, OneWay: 55 * time.Millisecond}
+		m.Regions = append(m.Regions, model.Region{Name: "kr-busan", Delays: []model.Delay{delay}})
+	}
+	p := newTestProxy(t, far, target.address())
+	w := call(p, http.MethodPost, "/orders", "x", result.HeaderDeadline, "110")
+	wantResult(t, w, result.DeadlineBeforeSend)
+	if n := target.requests.Load(); n != 0 {
+		t.Fatalf("%d orders sent", n)
+	}
+	wantResult(t, callWithinGrant(p, http.MethodPost, "/orders", "x", result.HeaderDeadline, "60000"), result.OK)
+}
+
 // All targets of a service leave or are missing, and the plan names only this
 // place. The request is refused; another place would be a move without a cap.
 func TestNoSpillToAPlaceThePlanDoesNotName(t *testing.T) {
--- a/proxy/permit.go
+++ b/proxy/permit.go
@@ -12,6 +12,11 @@
 // permit gets the permission to send a request to a place, waiting for it as
 // far as the deadline and the account permit.
 func (p *Proxy) permit(ctx context.Context, q *request, place *placeState) (permission, *refusal) {
+	if time.Until(q.deadline) <= place.wire() {
+		// The answer could not be back in time; an order sent all the same
+		// would end as unknown.
+		return permission{}, refuse(result.DeadlineBeforeSend)
+	}
 	if place.line.Waiting() == 0 {
 		got, short, wait := place.acquire(q.class, 0)
 		if short == shortNone {
--- a/proxy/place_state.go
+++ b/proxy/place_state.go
@@ -30,11 +30,12 @@
 	bulk    atomic.Int32
 	targets atomic.Pointer[targetSet]
 	counts  placeCounts
+	// roundTrip is the network delay to the place and back, in nanoseconds.
+	roundTrip atomic.Int64
 
 	// The rest is guarded by the proxy's lock.
-	service   *model.Service
-	roundTrip time.Duration
-	warming   sync.WaitGroup
+	service *model.Service
+	warming sync.WaitGroup
 }
 
 func newPlaceState(p *Proxy, key grant.Key) *placeState {
@@ -51,7 +52,7 @@
 
 func (s *placeState) setService(service *model.Service, roundTrip time.Duration, now int64) {
 	s.service = service
-	s.roundTrip = roundTrip
+	s.roundTrip.Store(int64(roundTrip))
 	s.adapt(s.proxy.options.Nodes())
 }
 
@@ -88,7 +89,7 @@
 
 func (s *placeState) newTarget(vm *membership.VM, now int64) *target {
 	nodes := s.proxy.options.Nodes()
-	limit := slotLimit(s.service.SlotsPerTarget, nodes, s.roundTrip, balance.FirstLatency)
+	limit := slotLimit(s.service.SlotsPerTarget, nodes, s.wire(), balance.FirstLatency)
 	connections := connectionLimit(s.service.ConnectionsPerTarget, nodes)
 	t := &target{
 		id:      vm.ID,
@@ -108,12 +109,15 @@
 	})
 }
 
+// wire returns the network delay to the place and back.
+func (s *placeState) wire() time.Duration { return time.Duration(s.roundTrip.Load()) }
+
 // adapt fits the bounds of the targets to the latency measured and the number
 // of nodes.
 func (s *placeState) adapt(nodes int) {
 	connections := connectionLimit(s.service.ConnectionsPerTarget, nodes)
 	for _, t := range s.targets.Load().members {
-		limit := slotLimit(s.service.SlotsPerTarget, nodes, s.roundTrip, t.state.Latency())
+		limit := slotLimit(s.service.SlotsPerTarget, nodes, s.wire(), t.state.Latency())
 		t.state.SetLimit(min(limit, connections))
 		t.pool.SetLimit(connections, limit)
 	}
