Close idle connections before targets do

Cause: targets close idle connections; an order that crosses the close ends as unknown although nothing failed. Change: a connection unused for 20 s is not used again; all of them, where only those over a number to keep were closed before. Measured: go test -race -count=3 ./proxy/pool ./proxy passes; the new test fails without the check. Conclusion: at low traffic an order now and then pays for a new connection.

--- a/proxy/place_state.go
+++ b/proxy/place_state.go
@@ -95,7 +95,7 @@
 		id:      vm.ID,
 		address: vm.Address,
 		state:   balance.NewTarget(now, min(limit, connections)),
-		pool:    pool.New(vm.Address.String(), s.proxy.options.dial, connections, limit),
+		pool:    pool.New(vm.Address.String(), s.proxy.options.dial, connections),
 	}
 	s.warm(t, min(limit, warmedConnections))
 	return t
@@ -119,7 +119,7 @@
 	for _, t := range s.targets.Load().members {
 		limit := slotLimit(s.service.SlotsPerTarget, nodes, s.wire(), t.state.Latency())
 		t.state.SetLimit(min(limit, connections))
-		t.pool.SetLimit(connections, limit)
+		t.pool.SetLimit(connections)
 	}
 }
 
--- a/proxy/pool/pool.go
+++ b/proxy/pool/pool.go
@@ -13,8 +13,10 @@
 	"github.com/yuccaroute/yuccaroute/proxy/forward"
 )
 
-// idleTime is how long a connection over the warmed number may stay unused.
-const idleTime = 30 * time.Second
+// MaxIdle is how long a connection may stay unused. Targets close idle
+// connections after a time of their own; a request that crosses such a close
+// is lost with an unknown outcome. So the pool must be the first to give up.
+const MaxIdle = 20 * time.Second
 
 // ErrFull tells that the node holds as many connections as it may.
 var ErrFull = errors.New("pool: connection limit reached")
@@ -34,7 +36,6 @@
 	idle    []idleConn
 	open    int
 	limit   int
-	keep    int
 	closed  bool
 }
 
@@ -43,24 +44,23 @@
 	since time.Time
 }
 
-// New returns an empty pool. Limit bounds open connections, keep is how many
-// idle ones are not closed for their age.
-func New(address string, dial Dial, limit, keep int) *Pool {
-	return &Pool{address: address, dial: dial, limit: limit, keep: min(keep, limit)}
+// New returns an empty pool with a bound on open connections.
+func New(address string, dial Dial, limit int) *Pool {
+	return &Pool{address: address, dial: dial, limit: limit}
 }
 
-// SetLimit changes the bounds; connections over the new one are closed as they
+// SetLimit changes the bound; connections over the new one are closed as they
 // come back.
-func (p *Pool) SetLimit(limit, keep int) {
+func (p *Pool) SetLimit(limit int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.limit = limit
-	p.keep = min(keep, limit)
 }
 
 // Get returns an idle connection that is still quiet, or opens one. Errors:
 // ErrFull, ErrClosed, or what dialling returned.
 func (p *Pool) Get(ctx context.Context) (*forward.Conn, error) {
+	p.dropOld()
 	for {
 		conn, err := p.reserve()
 		if err != nil {
@@ -92,9 +92,7 @@
 	p.idle = append(p.idle, idleConn{conn: c, since: time.Now()})
 	old := p.takeOld()
 	p.mu.Unlock()
-	if old != nil {
-		old.Close()
-	}
+	closeAll(old)
 }
 
 // Warm opens connections until n are open or one fails.
@@ -116,9 +114,7 @@
 	p.open -= len(idle)
 	p.closed = true
 	p.mu.Unlock()
-	for _, i := range idle {
-		i.conn.Close()
-	}
+	closeAll(idle)
 }
 
 // Open returns the number of open connections, those in use included.
@@ -179,14 +175,32 @@
 	p.mu.Unlock()
 }
 
-// takeOld removes the connection idle for longest if it is over the number to
-// keep and has been idle for too long.
-func (p *Pool) takeOld() *forward.Conn {
-	if len(p.idle) <= p.keep || time.Since(p.idle[0].since) < idleTime {
+// dropOld closes the connections that have been idle for too long.
+func (p *Pool) dropOld() {
+	p.mu.Lock()
+	old := p.takeOld()
+	p.mu.Unlock()
+	closeAll(old)
+}
+
+// takeOld removes the connections that have been idle for too long; the list is
+// in the order in which they came back.
+func (p *Pool) takeOld() []idleConn {
+	n := 0
+	for n < len(p.idle) && time.Since(p.idle[n].since) > MaxIdle {
+		n++
+	}
+	if n == 0 {
 		return nil
 	}
-	old := p.idle[0].conn
-	p.idle = append(p.idle[:0], p.idle[1:]...)
-	p.open--
+	old := append([]idleConn(nil), p.idle[:n]...)
+	p.idle = append(p.idle[:0], p.idle[n:]...)
+	p.open -= n
 	return old
 }
+
+func closeAll(conns []idleConn) {
+	for _, c := range conns {
+		c.conn.Close()
+	}
+}
--- a/proxy/pool/pool_test.go
+++ b/proxy/pool/pool_test.go
@@ -76,10 +76,10 @@
 	f.open = nil
 }
 
-func newPool(t *testing.T, limit, keep int) (*Pool, *farm) {
+func newPool(t *testing.T, limit int) (*Pool, *farm) {
 	t.Helper()
 	f := &farm{}
-	p := New("target", f.dial, limit, keep)
+	p := New("target", f.dial, limit)
 	t.Cleanup(func() {
 		p.Close()
 		f.closeAll()
@@ -108,7 +108,7 @@
 // than its part, also while some are being opened.
 func TestConnectionsStayWithinTheBound(t *testing.T) {
 	const limit = 5
-	p, f := newPool(t, limit, limit)
+	p, f := newPool(t, limit)
 	var most atomic.Int32
 	var inUse atomic.Int32
 	var done sync.WaitGroup
@@ -143,7 +143,7 @@
 // A target closed its idle connections, as after a restart. The next request
 // must get a new connection: one written to a closed one would be lost.
 func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
-	p, f := newPool(t, 3, 3)
+	p, f := newPool(t, 3)
 	p.Warm(context.Background(), 2)
 	f.closeAll()
 	f.done.Wait()
@@ -157,10 +157,24 @@
 	}
 }
 
+// A connection has been idle for so long that the target may be closing it just
+// now. An order sent on it could be lost; it gets a new connection.
+func TestLongIdleConnectionIsNotUsed(t *testing.T) {
+	p, f := newPool(t, 3)
+	p.Warm(context.Background(), 2)
+	for i := range p.idle {
+		p.idle[i].since = time.Now().Add(-MaxIdle - time.Second)
+	}
+	p.Put(get(t, p))
+	if f.opened.Load() != 3 || p.Open() != 1 {
+		t.Fatalf("%d opened, %d open", f.opened.Load(), p.Open())
+	}
+}
+
 // The target is closed during an exchange. The connection is not kept, and its
 // place is free.
 func TestUncleanConnectionIsClosed(t *testing.T) {
-	p, f := newPool(t, 1, 1)
+	p, f := newPool(t, 1)
 	c := get(t, p)
 	f.closeAll()
 	f.done.Wait()
@@ -178,7 +192,7 @@
 
 // A failed dialling leaves its place to the next.
 func TestFailedDialFreesItsPlace(t *testing.T) {
-	p, f := newPool(t, 1, 1)
+	p, f := newPool(t, 1)
 	f.fail.Store(true)
 	for range 3 {
 		if _, err := p.Get(context.Background()); !errors.Is(err, errDial) {
@@ -192,12 +206,12 @@
 // More nodes have joined and the part of each is smaller. Connections over it
 // are closed as they come back, and none is left after Close.
 func TestSmallerBoundAndClose(t *testing.T) {
-	p, _ := newPool(t, 4, 4)
+	p, _ := newPool(t, 4)
 	var held []*forward.Conn
 	for range 4 {
 		held = append(held, get(t, p))
 	}
-	p.SetLimit(2, 2)
+	p.SetLimit(2)
 	for _, c := range held[:3] {
 		p.Put(c)
 	}
