Keep two connections to each target open ahead

Cause: with idle connections given up after 20 s the first request after a quiet time paid for a new one, two round trips to another region. Change: the maintenance loop opens them again, at most one try a second a target. Measured: go test -race -count=3 ./proxy ./proxy/pool passes; no figure taken. Conclusion: at most two connections in 20 s for each target and node.

--- a/proxy/limits.go
+++ b/proxy/limits.go
@@ -20,9 +20,12 @@
 	// joiningNodes is how many nodes may join before the others divide by the
 	// new number; the bound on connections must hold then as well.
 	joiningNodes = 2
-	// warmedConnections is how many connections to a new target are opened
-	// ahead.
+	// warmedConnections is how many connections to a target are kept open ahead
+	// of the requests that need them.
 	warmedConnections = 2
+	// warmPause is the time between two tries to open them: a target that takes
+	// none must not be asked all the time.
+	warmPause = time.Second
 )
 
 // slotLimit returns how many requests of this node one target takes at once.
--- a/proxy/place_state.go
+++ b/proxy/place_state.go
@@ -97,16 +97,18 @@
 		state:   balance.NewTarget(now, min(limit, connections)),
 		pool:    pool.New(vm.Address.String(), s.proxy.options.dial, connections),
 	}
-	s.warm(t, min(limit, warmedConnections))
+	s.keepWarm(t, now)
 	return t
 }
 
-// warm opens connections before the first request needs them: one costs about
-// a millisecond and, to another region, two round trips.
-func (s *placeState) warm(t *target, n int) {
-	s.warming.Go(func() {
-		t.pool.Warm(s.proxy.base, n)
-	})
+// keepWarm opens connections before a request needs them: one costs about a
+// millisecond and, to another region, two round trips.
+func (s *placeState) keepWarm(t *target, now int64) {
+	if now < t.warmAt || t.state.Leaving() || t.pool.Fresh() >= warmedConnections {
+		return
+	}
+	t.warmAt = now + int64(warmPause)
+	s.warming.Go(func() { t.pool.Warm(s.proxy.base, warmedConnections) })
 }
 
 // wire returns the network delay to the place and back.
@@ -120,6 +122,7 @@
 		limit := slotLimit(s.service.SlotsPerTarget, nodes, s.wire(), t.state.Latency())
 		t.state.SetLimit(min(limit, connections))
 		t.pool.SetLimit(connections)
+		s.keepWarm(t, s.proxy.now())
 	}
 }
 
--- a/proxy/pool/pool.go
+++ b/proxy/pool/pool.go
@@ -117,6 +117,13 @@
 	closeAll(idle)
 }
 
+// Fresh closes connections that were idle for too long and returns the number
+// of those left, those in use included.
+func (p *Pool) Fresh() int {
+	p.dropOld()
+	return p.Open()
+}
+
 // Open returns the number of open connections, those in use included.
 func (p *Pool) Open() int {
 	p.mu.Lock()
--- a/proxy/target.go
+++ b/proxy/target.go
@@ -13,6 +13,9 @@
 	address netip.AddrPort
 	state   *balance.Target
 	pool    *pool.Pool
+	// warmAt is when connections may be opened ahead again. The proxy's lock
+	// guards it.
+	warmAt int64
 }
 
 // targetSet is the targets of one service in one place. It is immutable;
