--- a/bench/load/report.go
+++ b/bench/load/report.go
@@ -21,11 +21,15 @@
 	P99US  float64        `json:"p99_us"`
 	P999US float64        `json:"p999_us"`
 	MaxUS  float64        `json:"max_us"`
+	// WakeP50US and WakeP99US are how late idle workers were woken. They are
+	// part of the latencies, and of the load tool's making.
+	WakeP50US float64 `json:"wake_p50_us"`
+	WakeP99US float64 `json:"wake_p99_us"`
 }
 
 func merge(workers []*worker, o Options, elapsed time.Duration) *Report {
 	r := &Report{OfferedPerSecond: o.Rate, Codes: make(map[int]uint64)}
-	all := hdrhistogram.New(int64(minLatency), int64(maxLatency), significantDigits)
+	all, wake := newHistogram(), newHistogram()
 	for _, w := range workers {
 		r.Sent += w.sent.Load()
 		r.Failed += w.failed.Load()
@@ -34,6 +38,7 @@
 			r.Codes[code] += n
 		}
 		all.Merge(w.latency)
+		wake.Merge(w.wake)
 	}
 	if elapsed > 0 {
 		r.DonePerSecond = float64(r.Sent-r.Failed) / elapsed.Seconds()
@@ -43,6 +48,8 @@
 	r.P99US = quantile(all, 99)
 	r.P999US = quantile(all, 99.9)
 	r.MaxUS = float64(all.Max()) / float64(time.Microsecond)
+	r.WakeP50US = quantile(wake, 50)
+	r.WakeP99US = quantile(wake, 99)
 	return r
 }
 
--- a/bench/load/worker.go
+++ b/bench/load/worker.go
@@ -22,10 +22,13 @@
 	start    time.Time
 	schedule *schedule
 	latency  *hdrhistogram.Histogram
-	codes    map[int]uint64
-	late     uint64
-	sent     atomic.Uint64
-	failed   atomic.Uint64
+	// wake is how late the system's timer woke the idle worker: the load
+	// tool's own part of the latencies.
+	wake   *hdrhistogram.Histogram
+	codes  map[int]uint64
+	late   uint64
+	sent   atomic.Uint64
+	failed atomic.Uint64
 }
 
 func newWorker(number int, o Options, start time.Time) *worker {
@@ -34,11 +37,16 @@
 		options:  o,
 		start:    start,
 		schedule: newSchedule(o, number),
-		latency:  hdrhistogram.New(int64(minLatency), int64(maxLatency), significantDigits),
+		latency:  newHistogram(),
+		wake:     newHistogram(),
 		codes:    make(map[int]uint64),
 	}
 }
 
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(int64(minLatency), int64(maxLatency), significantDigits)
+}
+
 func (w *worker) run(ctx context.Context, call Call) {
 	end := w.options.Warmup + w.options.Duration
 	for number := uint64(0); ctx.Err() == nil; number++ {
@@ -49,6 +57,7 @@
 		wait := due - time.Since(w.start)
 		if wait > 0 {
 			time.Sleep(wait)
+			_ = w.wake.RecordValue(int64(clamp(time.Since(w.start) - due)))
 		}
 		code, err := call(ctx, w.number, number)
 		if due >= w.options.Warmup {
@@ -67,10 +76,11 @@
 		w.failed.Add(1)
 		return
 	}
-	latency := min(max(time.Since(w.start)-due, minLatency), maxLatency)
-	_ = w.latency.RecordValue(int64(latency))
+	_ = w.latency.RecordValue(int64(clamp(time.Since(w.start) - due)))
 }
 
+func clamp(d time.Duration) time.Duration { return min(max(d, minLatency), maxLatency) }
+
 // watch reports progress until the returned function is called.
 func watch(workers []*worker, start time.Time, progress func(Progress)) (stop func()) {
 	if progress == nil {
--- a/bench/scenario/scenario.go
+++ b/bench/scenario/scenario.go
@@ -84,5 +84,7 @@
 		{Name: "p99", Unit: "us", Value: r.P99US},
 		{Name: "p99.9", Unit: "us", Value: r.P999US},
 		{Name: "max", Unit: "us", Value: r.MaxUS},
+		{Name: "wake p50", Unit: "us", Value: r.WakeP50US},
+		{Name: "wake p99", Unit: "us", Value: r.WakeP99US},
 	}
 }
