--- a/cmd/yuccaroute/account.go
+++ b/cmd/yuccaroute/account.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -12,6 +14,7 @@
 	"github.com/yuccaroute/yuccaroute/cmd/internal/operator"
 	"github.com/yuccaroute/yuccaroute/cmd/internal/program"
 	"github.com/yuccaroute/yuccaroute/cmd/internal/render"
+	"github.com/yuccaroute/yuccaroute/config"
 	"github.com/yuccaroute/yuccaroute/steering/explain"
 )
 
@@ -52,26 +55,36 @@
 
 func newValues(c *connection) *cobra.Command {
 	var merged bool
+	var from string
 	cmd := &cobra.Command{
 		Use:               "values ACCOUNT",
 		Short:             "List every value in force and which document it came from",
-		Example:           "  yuccaroute account values daehan\n  yuccaroute account values daehan --merged",
+		Example:           "  yuccaroute account values daehan --from account\n  yuccaroute account values daehan --merged",
 		Args:              cobra.ExactArgs(1),
 		ValidArgsFunction: c.completeNames(operator.KindAccount),
 	}
+	origins := []string{string(config.FromAccount), string(config.FromTemplate), string(config.FromDefault)}
 	cmd.Flags().BoolVar(&merged, "merged", false, "write them as one INI document, origins as comments")
+	cmd.Flags().StringVar(&from, "from", "", "only values from account, template or default")
+	_ = cmd.RegisterFlagCompletionFunc("from", cobra.FixedCompletions(origins, cobra.ShellCompDirectiveNoFileComp))
+	cmd.MarkFlagsMutuallyExclusive("merged", "from")
 	cmd.RunE = c.run(func(s *session) error {
-		write := s.printer.Values
-		if merged {
-			write = s.printer.Merged
+		if from != "" && !slices.Contains(origins, from) {
+			return program.Exit(program.ExitUsage, errors.Errorf("--from is %q; permitted: %s", from, strings.Join(origins, ", ")))
 		}
-		return askAbout(s, (*client.Client).Values, write)
+		return askAbout(s, (*client.Client).Values, func(v *wire.Values) error {
+			if merged {
+				return s.printer.Merged(v)
+			}
+			return s.printer.Values(operator.ValuesFrom(v, from))
+		})
 	})
 	return cmd
 }
 
 func newStatus(c *connection) *cobra.Command {
 	var wait time.Duration
+	var missing bool
 	cmd := &cobra.Command{
 		Use:               "status ACCOUNT",
 		Short:             "Show on which nodes the newest state is in force",
@@ -81,11 +94,12 @@
 		ValidArgsFunction: c.completeNames(operator.KindAccount),
 	}
 	cmd.Flags().DurationVar(&wait, "wait", 0, "wait up to this long until it is in force everywhere")
-	cmd.RunE = c.run(func(s *session) error { return s.status(s.args[0], wait) })
+	cmd.Flags().BoolVar(&missing, "missing", false, "list only nodes where it is not known to be in force")
+	cmd.RunE = c.run(func(s *session) error { return s.status(s.args[0], wait, missing) })
 	return cmd
 }
 
-func (s *session) status(account string, wait time.Duration) error {
+func (s *session) status(account string, wait time.Duration, missing bool) error {
 	ctx, cancel := context.WithTimeout(s.ctx, wait)
 	defer cancel()
 	var status *wire.Spreading
@@ -98,7 +112,11 @@
 	if err != nil {
 		return err
 	}
-	if err := s.printer.Spreading(status); err != nil {
+	shown := status
+	if missing {
+		shown = operator.WithoutInForce(status)
+	}
+	if err := s.printer.Spreading(shown); err != nil {
 		return err
 	}
 	if !status.Everywhere {
@@ -108,14 +126,20 @@
 }
 
 func newExplain(c *connection) *cobra.Command {
-	return &cobra.Command{
+	var filter operator.FlowFilter
+	cmd := &cobra.Command{
 		Use:               "explain ACCOUNT",
 		Short:             "Explain the shares in force and what holds them back",
-		Example:           "  yuccaroute account explain daehan",
+		Example:           "  yuccaroute account explain daehan --service dealer-desk --callers kr-seoul",
 		Args:              cobra.ExactArgs(1),
 		ValidArgsFunction: c.completeNames(operator.KindAccount),
-		RunE: c.run(func(s *session) error {
-			return askAbout[explain.Report](s, (*client.Client).Explain, s.printer.Explanation)
-		}),
 	}
+	cmd.Flags().StringVar(&filter.Service, "service", "", "only this service")
+	cmd.Flags().StringVar(&filter.Callers, "callers", "", "only callers of this region")
+	cmd.RunE = c.run(func(s *session) error {
+		return askAbout(s, (*client.Client).Explain, func(r *explain.Report) error {
+			return s.printer.Explanation(filter.Apply(r))
+		})
+	})
+	return cmd
 }
--- a/cmd/yuccaroute/operate_test.go
+++ b/cmd/yuccaroute/operate_test.go
@@ -35,6 +35,7 @@
 	wantSame(t, o.must(program.ExitOK, "export", "daehan").out, changed)
 	var status wire.Spreading
 	o.read(&status, "account", "status", "daehan", "--wait", "60s")
+	o.must(program.ExitUsage, "account", "values", "daehan", "--from", "nowhere")
 	if !status.Everywhere || status.InForce != len(nodes) {
 		t.Errorf("in force on %d of %d nodes, everywhere is %v", status.InForce, len(nodes), status.Everywhere)
 	}
