Show the shares beside a move over the cap

Cause: a count alone does not tell whether traffic moved or was refused. Change: the example lists the shares of both bins. Conclusion: a report can be read without the raw records.

--- a/bench/check/moves.go
+++ b/bench/check/moves.go
@@ -1,8 +1,12 @@
 package check
 
 import (
+	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/yuccaroute/yuccaroute/api/model"
@@ -59,6 +63,20 @@
 	return sum
 }
 
+// String lists the shares of each service by place, and what ran nowhere.
+func (b bin) String() string {
+	var text strings.Builder
+	for _, service := range slices.Sorted(maps.Keys(b)) {
+		f := b[service]
+		fmt.Fprintf(&text, "[%s: %d requests", service, f.offered)
+		for _, place := range slices.Sorted(maps.Keys(f.placed)) {
+			fmt.Fprintf(&text, ", %s %.3f", place, f.share(place))
+		}
+		fmt.Fprintf(&text, ", nowhere %.3f]", f.unplaced())
+	}
+	return text.String()
+}
+
 // callerBins are the bins of one caller region in order of time.
 type callerBins struct {
 	caller model.RegionName
@@ -173,8 +191,8 @@
 	r.checked(MovedOver)
 	r.LargestMove = max(r.LargestMove, moved)
 	if moved > allowed {
-		r.violated(MovedOver, "%s: callers of %s: %.3f moved within %v, cap %.3f, with allowance %.3f",
-			account.Name, c.caller, moved, account.Moves.Window, account.Moves.Share, allowed)
+		r.violated(MovedOver, "%s: callers of %s: %.3f moved within %v, cap %.3f, with allowance %.3f; from %s to %s",
+			account.Name, c.caller, moved, account.Moves.Window, account.Moves.Share, allowed, earlier, later)
 	}
 }
 
