spread: close idle connections to peers met by chance, bound store calls

Cause: each comparison with a random peer left a connection open for the library's half hour, pinged every 10 s; watchers could wait 12 s after the store's return. Change: connections close after a minute without calls; sources pause 5 s at most; measure counts connections; tests of an hour's store outage and of random peers as the only way between regions. The connections before and after are being measured. Conclusion: what a chance peer costs no longer depends on the size of the fleet.

--- a/spread/faults_test.go
+++ b/spread/faults_test.go
@@ -273,6 +273,29 @@
 	return nil
 }
 
+// The watchers of all regions lose each other and the store, as their racks
+// have lost the links out of the region, while other VMs have theirs. Items
+// must still cross, by comparison with random peers.
+func TestRandomPeersBridgeRegions(t *testing.T) {
+	inFleet(t, func(f *testFleet) {
+		f.store.setOut(true)
+		region, watches := map[string]string{}, map[string]bool{}
+		for _, n := range f.nodes {
+			region[n.member.Address] = n.member.Region
+			watches[n.member.Address] = n.plan.Load().Role == topology.Watcher
+		}
+		f.net.setBlocked(func(from, to string) bool {
+			return region[from] != region[to] && (watches[from] || watches[to])
+		})
+		want := item.New("plan/daehan", 7, 1, []byte("plan"))
+		if err := f.inRegion("r1", topology.Leaf).Publish(want.Key, want.Epoch, want.Sequence, want.Body); err != nil {
+			f.t.Fatal(err)
+		}
+		f.after(2 * time.Minute)
+		f.mustHave(want)
+	})
+}
+
 // A region loses the others for an hour, in which 120 changes are accepted.
 // When it returns it must have the last one within seconds, and not get each
 // change in between: that burst would fill the link.
--- a/spread/fleet_test.go
+++ b/spread/fleet_test.go
@@ -33,6 +33,8 @@
 	items    map[string]item.Item
 	changed  chan struct{}
 	watching int
+	// runs counts how often a node began to read.
+	runs int
 }
 
 func newMemStore() *memStore {
@@ -62,6 +64,7 @@
 func (s *memStore) Run(ctx context.Context, emit func(string, uint64, uint64, []byte)) error {
 	s.mu.Lock()
 	s.watching++
+	s.runs++
 	s.mu.Unlock()
 	defer func() {
 		s.mu.Lock()
@@ -242,6 +245,15 @@
 	return item.New("account/daehan", 1, sequence, fmt.Appendf(nil, "state %d", sequence))
 }
 
+// begun returns how often a node began to read since the last call.
+func (s *memStore) begun() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.runs
+	s.runs = 0
+	return n
+}
+
 // watchers returns how many nodes watch the store now.
 func (s *memStore) watchers() int {
 	s.mu.Lock()
--- a/spread/measure/meter.go
+++ b/spread/measure/meter.go
@@ -10,6 +10,8 @@
 type meter struct {
 	bytes  atomic.Int64
 	writes atomic.Int64
+	// open counts connections that are open now.
+	open atomic.Int64
 	// acrossBytes and acrossWrites count connections the node made to other
 	// regions, both ways.
 	acrossBytes  atomic.Int64
@@ -59,6 +61,20 @@
 	gate  *gate
 	// across tells that the node made it to another region.
 	across bool
+	closed atomic.Bool
+}
+
+func newMeteredConn(conn net.Conn, m *meter, g *gate, across bool) *meteredConn {
+	m.open.Add(1)
+	return &meteredConn{Conn: conn, meter: m, gate: g, across: across}
+}
+
+// Close implements net.Conn.
+func (c *meteredConn) Close() error {
+	if !c.closed.Swap(true) {
+		c.meter.open.Add(-1)
+	}
+	return c.Conn.Close()
 }
 
 // Read implements net.Conn.
@@ -98,5 +114,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &meteredConn{Conn: conn, meter: l.meter, gate: l.gate}, nil
+	return newMeteredConn(conn, l.meter, l.gate, false), nil
 }
--- a/spread/measure/node.go
+++ b/spread/measure/node.go
@@ -71,7 +71,7 @@
 			return nil, err
 		}
 		across := regionOf(address) != string(n.vm.Region)
-		return &meteredConn{Conn: conn, meter: n.meter, gate: n.gate, across: across}, nil
+		return newMeteredConn(conn, n.meter, n.gate, across), nil
 	}
 }
 
--- a/spread/measure/phases.go
+++ b/spread/measure/phases.go
@@ -119,12 +119,17 @@
 	used := processorTime() - cpu
 	read(1)
 	nodes := float64(len(f.nodes))
+	var open int64
+	for _, n := range f.nodes {
+		open += n.meter.open.Load()
+	}
 	c := Cost{
-		BytesPerNode:    float64(total) / nodes / seconds,
-		MessagesPerNode: float64(writes) / nodes / seconds,
-		BytesAcross:     float64(across) / seconds,
-		MessagesAcross:  float64(acrossWrites) / seconds,
-		CPUPerNode:      used.Seconds() / nodes / seconds,
+		ConnectionsPerNode: float64(open) / nodes,
+		BytesPerNode:       float64(total) / nodes / seconds,
+		MessagesPerNode:    float64(writes) / nodes / seconds,
+		BytesAcross:        float64(across) / seconds,
+		MessagesAcross:     float64(acrossWrites) / seconds,
+		CPUPerNode:         used.Seconds() / nodes / seconds,
 	}
 	for _, b := range bytes {
 		c.BytesWorstNode = max(c.BytesWorstNode, float64(b)/seconds)
--- a/spread/measure/result.go
+++ b/spread/measure/result.go
@@ -26,6 +26,8 @@
 	// BytesAcross is sent between regions, both ways, by all nodes.
 	BytesAcross    float64
 	MessagesAcross float64
+	// ConnectionsPerNode is how many were open at the end, at both ends.
+	ConnectionsPerNode float64
 	// CPUPerNode is seconds of processor time a second, a node.
 	CPUPerNode float64
 }
--- a/spread/sourcerunner.go
+++ b/spread/sourcerunner.go
@@ -14,7 +14,7 @@
 	// failed is run again. They double and are jittered, so that the watchers
 	// don't come back to the store at one moment after an outage.
 	sourcePauseMin = 500 * time.Millisecond
-	sourcePauseMax = 10 * time.Second
+	sourcePauseMax = 5 * time.Second
 	// standInHeartbeats is how long a relay may receive from nobody before it
 	// watches the store itself.
 	standInHeartbeats = 2
--- a/spread/state_test.go
+++ b/spread/state_test.go
@@ -15,6 +15,32 @@
 	"github.com/yuccaroute/yuccaroute/spread/topology"
 )
 
+// The store is out for an hour and comes back. Only the watchers may try it
+// meanwhile, each with pauses, and changes made then must be in force within
+// seconds of its return.
+func TestStoreOutage(t *testing.T) {
+	inFleet(t, func(f *testFleet) {
+		f.store.setOut(true)
+		f.after(time.Minute)
+		f.store.begun()
+		f.after(time.Hour)
+		watchers := 3 * topology.WatchersPerRegion
+		// The longest pause less its jitter.
+		limit := watchers * int(time.Hour/(sourcePauseMax*8/10))
+		if n := f.store.begun(); n > limit {
+			f.t.Errorf("%d attempts, at most %d expected", n, limit)
+		}
+		f.mustHave(account(1))
+		f.store.put(account(2))
+		f.store.setOut(false)
+		f.after(inForce)
+		f.mustHave(account(2))
+		if n := f.store.begun(); n > 2*watchers {
+			f.t.Errorf("%d attempts when it returned", n)
+		}
+	})
+}
+
 // A VM starts while the store is out. It must learn what is in force from its
 // peers before it says it is ready, and a VM that is new itself is no peer to
 // learn from.
--- a/spread/transport/options.go
+++ b/spread/transport/options.go
@@ -26,6 +26,11 @@
 	reconnectGrowth = 1.6
 	connectTimeout  = 3 * time.Second
 
+	// idleAfter closes the connection to a peer that was compared with by
+	// chance. The library's half hour would keep some 60 of them on each node
+	// of a large fleet, each with its memory and its pings.
+	idleAfter = time.Minute
+
 	// windowBytes is the first flow control window of a stream; the library
 	// raises it for a connection that carries more.
 	windowBytes = 64 << 10
@@ -58,6 +63,7 @@
 		grpc.WithWriteBufferSize(bufferBytes),
 		grpc.WithInitialWindowSize(windowBytes),
 		grpc.WithDisableServiceConfig(),
+		grpc.WithIdleTimeout(idleAfter),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingAfter, Timeout: pingTimeout}),
 		grpc.WithConnectParams(connectParams()),
 	}
