--- a/cmd/internal/operator/drain.go
+++ b/cmd/internal/operator/drain.go
@@ -1,14 +1,39 @@
 package operator
 
 import (
+	"context"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/yuccaroute/yuccaroute/admin/client"
 	"github.com/yuccaroute/yuccaroute/admin/wire"
+	"github.com/yuccaroute/yuccaroute/config"
 )
 
+// PreviewDrain tells what a drain would do, without planning it. The document
+// is made here as the node makes it.
+func (n *Nodes) PreviewDrain(ctx context.Context, account, name string, drain *wire.DrainRequest) (*wire.Preview, error) {
+	o := Object{Kind: KindAccount, Name: account}
+	current, err := n.Get(ctx, o)
+	if err != nil {
+		return nil, err
+	}
+	template, err := n.Get(ctx, Object{Kind: KindTemplate, Name: current.Template})
+	if err != nil {
+		return nil, err
+	}
+	resolved, err := config.ResolveText(current.Template, []byte(template.Text), account, []byte(current.Text))
+	if err != nil {
+		return nil, err
+	}
+	text := resolved.WithDrain(config.PlannedDrain{Name: name, Place: drain.Place, Start: drain.Start, End: drain.End, Until: drain.Until})
+	return Read(ctx, n, func(ctx context.Context, api *client.Client) (*wire.Preview, error) {
+		return api.DryRun(ctx, o.API(), client.At(current.Sequence), wire.ChangeRequest{ID: NewChangeID(o), Text: string(text)})
+	})
+}
+
 // now is the word for the present.
 const now = "now"
 
--- a/cmd/internal/render/state.go
+++ b/cmd/internal/render/state.go
@@ -21,7 +21,9 @@
 			n := &s.Nodes[i]
 			t.AppendRow(table.Row{n.VM, n.Place, n.State, n.Sequence, ago(n.AgeMS), n.Error})
 		}
-		t.Render()
+		if len(s.Nodes) > 0 {
+			t.Render()
+		}
 		p.linef("%s", Summary(s))
 	})
 }
--- a/cmd/yuccaroute/drain.go
+++ b/cmd/yuccaroute/drain.go
@@ -29,6 +29,7 @@
 type drainFlags struct {
 	name   string
 	times  operator.DrainTimes
+	dryRun bool
 	change changeFlags
 }
 
@@ -49,6 +50,7 @@
 	flags.StringVar(&f.times.Start, "start", "now", "when traffic begins to move away")
 	flags.StringVar(&f.times.End, "end", "", "when the place is empty")
 	flags.StringVar(&f.times.Until, "until", "", "when the place is used again")
+	flags.BoolVar(&f.dryRun, "dry-run", false, "plan nothing; show what would change and forecast the traffic")
 	f.change.register(flags)
 	_ = cmd.MarkFlagRequired("end")
 	_ = cmd.MarkFlagRequired("until")
@@ -65,6 +67,13 @@
 	if name == "" {
 		name = place
 	}
+	if f.dryRun {
+		preview, err := s.nodes.PreviewDrain(s.ctx, account, name, request)
+		if err != nil {
+			return err
+		}
+		return s.printer.Preview(preview)
+	}
 	match, err := s.matchDrains(account)
 	if err != nil {
 		return err
--- a/cmd/yuccaroute/operate_test.go
+++ b/cmd/yuccaroute/operate_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -62,10 +63,12 @@
 	wantText(t, o.must(program.ExitOK, "export", "daehan").out, usualLink)
 
 	drainOnce(t, o)
+	deleteAndRestore(t, o, file)
 }
 
 func drainOnce(t *testing.T, o *tool) {
 	o.must(program.ExitOK, "account", "drain", "daehan", "kr-busan-a", "--start", "+1h", "--end", "+10m", "--until", "+2h", "--name", "racks")
+	wantText(t, o.must(program.ExitOK, "account", "drain", "daehan", "kr-busan-b", "--start", "+1h", "--end", "+10m", "--until", "+2h", "--dry-run").out, "drain kr-busan-b")
 	var drains wire.DrainList
 	o.read(&drains, "account", "drains", "daehan")
 	if len(drains.Drains) != 1 || drains.Drains[0].Place != "kr-busan-a" || drains.Drains[0].Name != "racks" {
@@ -79,3 +82,25 @@
 	}
 	o.must(program.ExitFailed, "account", "undrain", "daehan", "racks")
 }
+
+// deleteAndRestore makes a second account of a file, deletes it and brings it
+// back.
+func deleteAndRestore(t *testing.T, o *tool, exported string) {
+	text, err := os.ReadFile(exported)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, document, _ := strings.Cut(string(text), "\n")
+	file := writeFile(t, "pohang.ini", strings.ReplaceAll(document, "name = daehan", "name = pohang"))
+	var created operator.Applied
+	o.read(&created, "apply", "-f", file)
+	if created.Sequence == 0 || created.Unchanged {
+		t.Fatalf("created: %+v", created)
+	}
+	o.must(program.ExitUsage, "apply", "-f", writeFile(t, "edited.ini", strings.ReplaceAll(document, "name = daehan", "name = pohang")+"\n; edited\n"))
+	o.must(program.ExitFailed, "account", "delete", "pohang", "--at", strconv.FormatUint(created.Sequence+1, 10))
+	o.must(program.ExitOK, "account", "delete", "pohang", "--at", strconv.FormatUint(created.Sequence, 10))
+	o.must(program.ExitFailed, "account", "get", "pohang")
+	o.must(program.ExitOK, "account", "rollback", "pohang", "--to", strconv.FormatUint(created.Sequence, 10))
+	wantText(t, o.must(program.ExitOK, "account", "list").out, "pohang")
+}
