--- a/control/allocate/allocate.go
+++ b/control/allocate/allocate.go
@@ -28,7 +28,7 @@
 
 // DefaultParams returns the weights in use.
 func DefaultParams() Params {
-	return Params{FloorShare: 0.7, Unassigned: 0.05, EvenShare: 0.25, Enough: 0.75}
+	return Params{FloorShare: 0.7, Unassigned: 0.05, EvenShare: 0.25, Enough: 0.85}
 }
 
 // Node is what the split needs to know of one node. Slices are in the order
--- a/control/holder/core.go
+++ b/control/holder/core.go
@@ -38,8 +38,12 @@
 type Core struct {
 	options Options
 	alive   *grant.Liveness
-	// epoch and sequence name the set applied last.
+	// epoch and sequence name the set applied last, 0 after a pause.
 	epoch, sequence uint64
+	// latestEpoch and latestSequence are those of the newest set ever applied:
+	// the admission refuses a set that looks older than its own, also the
+	// empty one after a pause.
+	latestEpoch, latestSequence uint64
 	// seen is the highest epoch heard of.
 	seen uint64
 	// acknowledged is the last set of which nothing older is in force, loans
@@ -145,8 +149,8 @@
 func (c *Core) rebuild() {
 	set := &grant.Set{
 		Account:        c.options.Account,
-		Epoch:          c.epoch,
-		Sequence:       c.sequence,
+		Epoch:          c.latestEpoch,
+		Sequence:       c.latestSequence,
 		SurplusExpires: c.surplusExpires,
 	}
 	if !c.options.Params.Faults.KeepFloorsAfterPause {
--- a/control/holder/report.go
+++ b/control/holder/report.go
@@ -94,6 +94,7 @@
 	}
 	c.epoch = response.Epoch
 	c.sequence = response.Sequence
+	c.latestEpoch, c.latestSequence = c.epoch, c.sequence
 	c.seen = max(c.seen, response.Epoch)
 	from := sent.At
 	if c.options.Params.Faults.ExpiryFromReceipt {
--- a/control/modelcheck/world_test.go
+++ b/control/modelcheck/world_test.go
@@ -85,8 +85,10 @@
 	params := ledger.DefaultParams()
 	params.Faults = faults
 	split := allocate.DefaultParams()
-	// Everything is given out, so that anything counted twice shows.
+	// Everything is given out, and moves often, so that anything counted
+	// twice shows.
 	split.Unassigned = 0
+	split.Enough = 0.75
 	w := &world{
 		now:    time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
 		random: rand.New(rand.NewPCG(seed, 1)),
