Plan with steering's own adapter, speak TLS, learn heads from peers

Keys given in the settings were not used, and a node started after a restore of the store trusted its older heads. Change: steering/planner replaces node/planner.go; peers and the administration API use admin/tlsfiles when the settings name keys; head items reach the guard.

--- a/node/http.go
+++ b/node/http.go
@@ -61,11 +61,15 @@
 	mux.Handle(pathMetrics, n.metrics.page)
 	mux.HandleFunc(pathHealth, n.serveHealth)
 	mux.HandleFunc(pathStatus, n.serveStatus)
-	server, err := httpserver.Start(httpserver.Options{
+	options := httpserver.Options{
 		Address:      n.options.Settings.Listen.Admin.String(),
 		Handler:      mux,
 		MaxBodyBytes: maxAdminBytes,
-	})
+	}
+	if n.keys != nil {
+		options.TLS = n.keys.HTTPServer()
+	}
+	server, err := httpserver.Start(options)
 	if err != nil {
 		return err
 	}
--- a/node/items.go
+++ b/node/items.go
@@ -19,6 +19,14 @@
 func (n *Node) subscribe() {
 	n.spread.OnItem(source.KeyPrefix, n.onAccount)
 	n.spread.OnItem(control.PlanPrefix, n.onPlan)
+	n.spread.OnItem(source.HeadKeyPrefix, n.onHead)
+}
+
+// onHead tells the guard which state of a template is in force elsewhere. A
+// node that starts after the store was restored from a copy would else take the
+// older state in the store for the newest.
+func (n *Node) onHead(it item.Item) {
+	source.Learn(n.changes.Guard(), it.Key, it.Epoch, it.Sequence, it.Body)
 }
 
 // onAccount puts an account in force. An item that does not decode leaves the
--- a/node/node.go
+++ b/node/node.go
@@ -13,8 +13,8 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
+	"github.com/yuccaroute/yuccaroute/admin/tlsfiles"
 	"github.com/yuccaroute/yuccaroute/api/grant"
 	"github.com/yuccaroute/yuccaroute/api/peerpb"
 	"github.com/yuccaroute/yuccaroute/config/changelog"
@@ -29,6 +29,7 @@
 	"github.com/yuccaroute/yuccaroute/proxy/keys"
 	"github.com/yuccaroute/yuccaroute/spread"
 	"github.com/yuccaroute/yuccaroute/spread/transport"
+	"github.com/yuccaroute/yuccaroute/steering/planner"
 	"github.com/yuccaroute/yuccaroute/store"
 )
 
@@ -46,9 +47,11 @@
 	proxy    *proxy.Proxy
 	spread   *spread.Service
 	control  *control.System
-	planner  *planner
+	planner  *planner.Planner
 	peers    *transport.Pool
 	metrics  *metrics
+	// keys is nil when the node speaks without TLS.
+	keys *tlsfiles.Keeper
 
 	callers *ingress.Server
 	admin   *httpserver.Server
@@ -74,10 +77,11 @@
 		id:       options.id(),
 		log:      options.Logger,
 		accounts: newAccountSet(),
-		planner:  newPlanner(),
+		planner:  planner.New(),
 		metrics:  newMetrics(options.Settings.Node.VM),
 	}
 	steps := []func() error{
+		n.openKeys,
 		n.listenPeers,
 		n.openPlatform,
 		n.makeRequestPath,
@@ -112,8 +116,8 @@
 		Place:       string(s.Node.FailureDomain),
 		Region:      string(s.Node.Region),
 	}
-	n.grpc = grpc.NewServer(transport.ServerOptions()...)
-	n.peers = transport.NewPool(grpc.WithTransportCredentials(insecure.NewCredentials()))
+	n.grpc = grpc.NewServer(append(transport.ServerOptions(), grpc.Creds(n.serverCredentials()))...)
+	n.peers = transport.NewPool(grpc.WithTransportCredentials(n.clientCredentials()))
 	n.closers = append(n.closers, n.peers.Close)
 	return nil
 }
