--- a/control/decider/bench_test.go
+++ b/control/decider/bench_test.go
@@ -159,9 +159,13 @@
 		if fleet.step() {
 			t.Errorf("%d nodes: a steady second wrote", nodes)
 		}
-		request, answer := proto.Size(fleet.requests[0]), proto.Size(steady)
-		t.Logf("%d nodes, 34 keys: every %d ms a report of %d bytes, answer %d: %.0f bytes/s a node, %.0f at the decider",
-			nodes, steady.NextMs, request, answer,
-			float64(request+answer)*1000/float64(steady.NextMs), float64(request+answer)*perSecond)
+		whole, answer := proto.Size(fleet.requests[0]), proto.Size(steady)
+		fleet.requests[0].Places = nil
+		fleet.requests[0].PlacesSame = true
+		brief := proto.Size(fleet.requests[0])
+		// A steady node names its places in one report of four.
+		each := float64(whole+3*brief)/4 + float64(answer)
+		t.Logf("%d nodes, 34 keys: every %d ms a report of %d or %d bytes, answer %d: %.0f bytes/s a node, %.0f at the decider",
+			nodes, steady.NextMs, whole, brief, answer, each*1000/float64(steady.NextMs), each*perSecond)
 	}
 }
--- a/control/decider/renew.go
+++ b/control/decider/renew.go
@@ -33,7 +33,7 @@
 		return &peerpb.RenewResponse{Epoch: c.Epoch()}
 	}
 	c.ledger.SetLeaving(node.ID, request.Leaving)
-	c.report(reportOf(request, node), now)
+	c.report(reportOf(request, node), request.PlacesSame, now)
 	return c.answer(request, node, now)
 }
 
--- a/control/decider/reported.go
+++ b/control/decider/reported.go
@@ -36,7 +36,8 @@
 	caller  model.RegionName
 }
 
-func (c *Core) report(r observe.Report, now time.Time) {
+// report takes in a report. With placesSame its places are those of the last.
+func (c *Core) report(r observe.Report, placesSame bool, now time.Time) {
 	old := c.reports[r.Node]
 	if old == nil {
 		old = &reported{flows: make(map[flowKey]float64)}
@@ -46,6 +47,9 @@
 	if old.at.IsZero() {
 		since = time.Hour
 	}
+	if placesSame {
+		r.Places = old.report.Places
+	}
 	old.report = r
 	old.at = now
 	next := make(map[flowKey]float64, len(r.Flows))
--- /dev/null
+++ b/control/holder/brief_test.go
@@ -0,0 +1,45 @@
+package holder
+
+import (
+	"testing"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/observe"
+	"github.com/yuccaroute/yuccaroute/api/peerpb"
+)
+
+// A place begins to refuse, or a decider begins anew. It must hear of all
+// places at once, though nothing was worth a report the second before.
+func TestReportsNamePlacesWhenTheyMatter(t *testing.T) {
+	var b brief
+	report := func(sent, refused float64) observe.Report {
+		return observe.Report{Places: []observe.PlaceLoad{{Service: "desk", Place: "a", SentRPS: sent, RefusedRPS: refused, P99: time.Second}}}
+	}
+	same := func(r observe.Report, epoch uint64, after time.Duration) bool {
+		request := requestOf(r)
+		request.AppliedEpoch = epoch
+		b.shorten(request, r, start.Add(after))
+		return request.PlacesSame && len(request.Places) == 0
+	}
+	first := report(100, 0)
+	if same(first, 1, 0) {
+		t.Error("the first report names no places")
+	}
+	b.answered(&peerpb.RenewRequest{}, first, 1, start)
+	for name, c := range map[string]struct {
+		report observe.Report
+		epoch  uint64
+		after  time.Duration
+		want   bool
+	}{
+		"chance":      {report(110, 0), 1, time.Second, true},
+		"surge":       {report(200, 0), 1, time.Second, false},
+		"refusal":     {report(100, 1), 1, time.Second, false},
+		"new decider": {report(100, 0), 2, time.Second, false},
+		"long ago":    {report(100, 0), 1, wholeEvery, false},
+	} {
+		if got := same(c.report, c.epoch, c.after); got != c.want {
+			t.Errorf("%s: places left out: %v", name, got)
+		}
+	}
+}
--- a/control/holder/runner.go
+++ b/control/holder/runner.go
@@ -45,7 +45,9 @@
 	transfer uint64
 	heard    time.Time
 	refused  uint64
-	last     observe.Report
+	brief    brief
+	// hint is where the node asked last says that the decider is.
+	hint *peerpb.NodeRef
 	// random is seeded by the node's identity, so that nodes differ and a test
 	// runs the same each time.
 	random *rand.Rand
@@ -93,11 +95,18 @@
 	request, sent := r.request(report, leaving)
 	response, err := r.renew(ctx, request)
 	if err == nil && r.answer(sent, response) {
+		r.told(request, report, sent, response.Epoch)
 		return
 	}
 	r.borrow(ctx, report)
 }
 
+func (r *Runner) told(request *peerpb.RenewRequest, report observe.Report, sent Sent, epoch uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.brief.answered(request, report, epoch, sent.At)
+}
+
 func (r *Runner) done() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -107,7 +116,6 @@
 func (r *Runner) request(report observe.Report, leaving bool) (*peerpb.RenewRequest, Sent) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.last = report
 	now := r.options.Clock()
 	r.due = now.Add(r.jitter(time.Second))
 	sent := r.core.Request(now)
@@ -118,6 +126,7 @@
 	request.AppliedSequence = sent.Sequence
 	request.Leaving = leaving
 	request.Stopped = r.core.Stopped(now)
+	r.brief.shorten(request, report, now)
 	return request, sent
 }
 
@@ -127,11 +136,10 @@
 }
 
 func (r *Runner) renew(ctx context.Context, request *peerpb.RenewRequest) (*peerpb.RenewResponse, error) {
-	decider, epoch, ok := r.options.Decider()
-	if !ok {
+	decider := r.target()
+	if decider == nil {
 		return nil, errNoDecider
 	}
-	r.saw(epoch)
 	conn, err := r.options.Dial(decider.PeerAddress)
 	if err != nil {
 		return nil, err
@@ -139,10 +147,21 @@
 	return peerpb.NewControlClient(conn).Renew(ctx, request)
 }
 
-func (r *Runner) saw(epoch uint64) {
+// target returns the node to ask, nil for none. A hint is used once: the node
+// that gave it may be behind.
+func (r *Runner) target() *peerpb.NodeRef {
+	decider, epoch, ok := r.options.Decider()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.core.Saw(epoch)
+	hint := r.hint
+	r.hint = nil
+	if ok {
+		r.core.Saw(epoch)
+	}
+	if hint != nil {
+		return hint
+	}
+	return decider
 }
 
 func (r *Runner) answer(sent Sent, response *peerpb.RenewResponse) bool {
@@ -152,6 +171,7 @@
 	outcome := r.core.Answer(sent, response, now)
 	if outcome != Applied {
 		r.refused++
+		r.hint = response.Decider
 		return false
 	}
 	r.heard = now
