Run whole control parts on a bad store

Cause: the model check drives the cores; leases, runners and timers around them were only run on a sound store. Change: a fleet with one store call in five faulty, nodes that die, start again and are cut off; unused field removed.

--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -55,6 +55,8 @@
 	set     *grant.Set
 	offered float64
 	down    bool
+	// cut takes the node off the network, but not off the store.
+	cut bool
 }
 
 func fleetAccount() *model.Account {
@@ -240,6 +242,18 @@
 	return m.down
 }
 
+func (m *member) isCut() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.cut
+}
+
+func (m *member) setCut(cut bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cut = cut
+}
+
 // check sums what all live nodes may send.
 func (f *fleet) check() {
 	use := ledger.NewUse()
@@ -305,7 +319,7 @@
 // Invoke implements grpc.ClientConnInterface.
 func (l *link) Invoke(ctx context.Context, method string, args, reply any, _ ...grpc.CallOption) error {
 	to := l.fleet.at(l.address)
-	if to == nil {
+	if to == nil || l.from.isCut() || to.isCut() {
 		return errDown
 	}
 	var answer proto.Message
--- a/control/modelcheck/process_test.go
+++ b/control/modelcheck/process_test.go
@@ -51,7 +51,6 @@
 	calling   bool
 	renewing  bool
 	campaigns bool
-	seenPlan  uint64
 	// epochSeen is the highest epoch it applied a set of.
 	epochSeen uint64
 }
--- a/control/system_test.go
+++ b/control/system_test.go
@@ -3,8 +3,10 @@
 import (
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/yuccaroute/yuccaroute/api/grant"
+	"github.com/yuccaroute/yuccaroute/store/faultkv"
 )
 
 // within runs a test of a fleet in its own time.
@@ -182,3 +184,38 @@
 		}
 	})
 }
+
+// The store refuses, loses and delays one call in five while nodes die, start
+// again and are cut off for a time, with the leases, runners and timers of a real
+// node around the decisions. A region would be pushed past its capacity if one
+// of these broke the order of writing before sending.
+func TestFleetOnABadStore(t *testing.T) {
+	for seed := range uint64(3) {
+		within(t, 6, func(t *testing.T, f *fleet) {
+			f.store.SetChooser(faultkv.Random(seed+1, faultkv.Rates{
+				Refuse: 0.05, Drop: 0.05, LoseAnswer: 0.05, ApplyLate: 0.05, MaxDelay: time.Second,
+			}))
+			for round := range 12 {
+				f.offer(float64(100 + 200*(round%4)))
+				f.run(20)
+				old := f.nodes[round]
+				if old.isDown() {
+					continue
+				}
+				old.kill()
+				f.run(round)
+				f.add(old.ref.Vm, 1+round%6, old.ref.Incarnation+1)
+				f.nodes[(round+2)%6].setCut(round%2 == 0)
+			}
+			for _, m := range f.nodes {
+				m.setCut(false)
+			}
+			f.store.SetChooser(nil)
+			f.run(120)
+			if sum := f.sum(); sum < rps(1500) {
+				t.Errorf("%.0f requests/s permitted once the store is well", sum.RPS())
+			}
+			f.store.WaitLate()
+		})
+	}
+}
