Bound the candidates of an account in an outage of the store

Cause: in an outage no decider answers anybody, so after some time every node of the fleet campaigned and would have called the store at once when it came back. Change: never more than eight candidates; the status counts nodes that the VM list does not show at their address, which get no floor. Conclusion: the calls at the end of an outage do not depend on the fleet.

--- a/control/campaign/campaign.go
+++ b/control/campaign/campaign.go
@@ -36,6 +36,10 @@
 	// decider before it campaigns too. The list that ranks them lags, so the
 	// first ones may all have ended with their failure domain.
 	rankDelay = 2 * time.Second
+	// mostRanks bounds the candidates of an account at all times. In an outage
+	// of the store no decider answers anybody; without a bound the whole fleet
+	// would campaign, and call the store at once when it is back.
+	mostRanks = 8
 )
 
 // Campaign starts and ends the election of one account on one node. It is
@@ -68,6 +72,9 @@
 // Due reports whether a node of this rank should campaign after being without
 // a decider for a time.
 func Due(rank int, without time.Duration) bool {
+	if rank >= mostRanks {
+		return false
+	}
 	return rank < firstRanks || without >= time.Duration(rank)*rankDelay
 }
 
@@ -111,11 +118,12 @@
 // Step starts a new election.
 func (c *Campaign) Resign(ctx context.Context) error {
 	c.mu.Lock()
-	e := c.election
+	e, cancel := c.election, c.cancel
 	c.election = nil
 	c.mu.Unlock()
 	if e == nil {
 		return nil
 	}
+	defer cancel()
 	return e.Resign(ctx)
 }
--- a/control/decider/runner.go
+++ b/control/decider/runner.go
@@ -217,9 +217,12 @@
 
 // Status is what operators see of a decider.
 type Status struct {
-	Deciding    bool
-	Epoch       uint64
-	Nodes       int
+	Deciding bool
+	Epoch    uint64
+	Nodes    int
+	// Unlisted counts nodes that the VM list does not show at the address
+	// they report; they get no floor.
+	Unlisted    int
 	LedgerBytes int
 	Writes      uint64
 	// Over names a limit that more is out than; empty when there is none.
@@ -240,6 +243,7 @@
 	s.Deciding = true
 	s.Epoch = r.core.Epoch()
 	s.Nodes = l.Nodes()
+	s.Unlisted = l.Unlisted()
 	s.LedgerBytes = l.Bytes()
 	s.Explanation = r.core.Planned().Explanation
 	if err := l.Outstanding(r.options.Clock()).Check(l.Limits()); err != nil {
--- a/control/ledger/ledger.go
+++ b/control/ledger/ledger.go
@@ -83,6 +83,18 @@
 // Nodes returns how many lives of nodes the ledger counts.
 func (l *Ledger) Nodes() int { return len(l.order) }
 
+// Unlisted returns how many nodes that were heard no VM list has shown at
+// their address. They get no floor.
+func (l *Ledger) Unlisted() int {
+	n := 0
+	for _, h := range l.order {
+		if h.node.Listed == 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // Bytes returns the size of the last write proposed.
 func (l *Ledger) Bytes() int { return l.bytes }
 
