Test the floors of unlisted nodes and what a planned stop writes

Cause: two guards of the ledger had no test of their own. Change: one test for each. Conclusion: the guards are held by tests.

--- a/control/ledger/ledger_test.go
+++ b/control/ledger/ledger_test.go
@@ -303,3 +303,42 @@
 		t.Fatalf("gave %v to a node outside the region", got)
 	}
 }
+
+// A VM is so new that no list shows it. If it ended, no list could ever tell,
+// so it gets only what ends by itself.
+func TestUnlistedNodeGetsNoFloor(t *testing.T) {
+	a := node("a")
+	a.Listed = 0
+	l := begun(t, a)
+	want(l, a, 50, 50)
+	commit(l, start)
+	if got, _ := issued(t, l, a, start); got != (Amounts{Surplus: AmountOf(50)}) {
+		t.Fatalf("gave %v", got)
+	}
+	l.Observe([]Listed{{VM: "a", Address: "a:1"}}, 1, start)
+	commit(l, start)
+	if got, _ := issued(t, l, a, start); got.Floor != AmountOf(50) {
+		t.Fatalf("gave %v once it was listed", got)
+	}
+}
+
+// A planned stop frees what the node had, and writes that at once: the next
+// decider would otherwise count it until the removal time.
+func TestStoppedNodeIsFreeAndWritten(t *testing.T) {
+	a := node("a")
+	l := begun(t, a)
+	want(l, a, 100, 0)
+	commit(l, start)
+	issued(t, l, a, start)
+	l.Release(a.ID)
+	l.SetLeaving(a.ID, false)
+	if !commit(l, start) {
+		t.Fatal("not written")
+	}
+	if use := l.Reserved(); use.Keys[l.Keys()[0]] != 0 {
+		t.Fatalf("%d still counted in the store", use.Keys[l.Keys()[0]])
+	}
+	if !l.States(start)[0].Leaving {
+		t.Fatal("a late report made a stopped node a live one")
+	}
+}
