--- a/spread/state_test.go
+++ b/spread/state_test.go
@@ -130,18 +130,22 @@
 
 // neverBack fails the test when a node's listener is given an older state
 // after a later one.
-func (f *testFleet) neverBack(key string) {
-	for vm, n := range f.nodes {
-		var last item.Item
-		n.OnItem(key, func(it item.Item) {
-			if last.Key != "" && !it.Later(last) {
-				f.t.Errorf("%s was given %d.%d after %d.%d", vm, it.Epoch, it.Sequence, last.Epoch, last.Sequence)
-			}
-			last = it
-		})
+func (f *testFleet) neverBack(prefix string) {
+	for _, n := range f.nodes {
+		f.neverBackOn(n, prefix)
 	}
 }
 
+func (f *testFleet) neverBackOn(n *testNode, prefix string) {
+	last := map[string]item.Item{}
+	n.OnItem(prefix, func(it item.Item) {
+		if old, ok := last[it.Key]; ok && !it.Later(old) {
+			f.t.Errorf("%s was given %s %d.%d after %d.%d", n.member.VM, it.Key, it.Epoch, it.Sequence, old.Epoch, old.Sequence)
+		}
+		last[it.Key] = it
+	})
+}
+
 // Two watchers read different states under one version, from two replicas of a
 // store that was restored. All nodes must settle on one and the same.
 func TestWatchersDisagree(t *testing.T) {
