Let callers close the connections that they ask to be closed

Cause: nbio closes the wrong connection when a handler closes one: an event that was fetched for it is taken for the next connection on its descriptor. Change: httpserver and proxy/ingress answer Connection: close and leave the closing to the caller, which the reading goroutine then does in order; the idle time still bounds a caller that does not. Conclusion: what the server still closes by itself (time-outs, refusals) keeps the library's race; it ends as a lost connection, which is told as unknown.

--- a/httpserver/server.go
+++ b/httpserver/server.go
@@ -50,6 +50,7 @@
 		MaxHTTPBodySize: o.MaxBodyBytes,
 		ReadLimit:       o.MaxBodyBytes + headerAllowanceBytes,
 		Listen:          s.listen,
+		OnRequest:       LeaveClosing,
 	}
 	if o.TLS != nil {
 		config.TLSConfig = o.TLS
@@ -65,6 +66,21 @@
 	return s, nil
 }
 
+// LeaveClosing lets the caller close a connection that it asked to be closed.
+// It is an nbhttp OnRequest hook.
+//
+// Guard against a race of the library: when the server closes a connection
+// from a handler, an event that its reading goroutine has fetched already can
+// be taken for one of the next connection, which got the same descriptor, and
+// closes that one before its request is read. A connection whose caller closes
+// it is closed by the reading goroutine itself, after all its events.
+func LeaveClosing(w http.ResponseWriter, r *http.Request) {
+	if r.Close && r.ProtoAtLeast(1, 1) {
+		r.Close = false
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // orderHandover makes everything written while a connection was accepted
 // visible to the goroutine that reads from it.
 //
--- a/proxy/ingress/server.go
+++ b/proxy/ingress/server.go
@@ -11,6 +11,8 @@
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
+
+	"github.com/yuccaroute/yuccaroute/httpserver"
 )
 
 // Pauses of the server's own loops.
@@ -47,6 +49,7 @@
 		MaxHTTPBodySize: o.MaxBodyBytes,
 		ReadLimit:       o.MaxBodyBytes + o.MaxHeadBytes,
 		KeepaliveTime:   o.IdleTime,
+		OnRequest:       httpserver.LeaveClosing,
 		// Every connection can have its request in hand at once. With fewer,
 		// the waiting requests of one account would hold up all others before
 		// anything here has seen them.
