End callers' connections with the answers of a leaving node

Cause: a caller that kept its connection to a leaving node could send a request in the moment of the exit and lose it without an answer. Change: from the closing of the gate every answer ends its connection; one reading of the clock less in the choice. Conclusion: at the exit no caller is on the way.

--- a/proxy/drain/gate.go
+++ b/proxy/drain/gate.go
@@ -35,6 +35,9 @@
 // Open returns the number of requests in hand.
 func (g *Gate) Open() int { return int(g.state.Load() &^ closed) }
 
+// Closed reports whether new requests are refused.
+func (g *Gate) Closed() bool { return g.state.Load()&closed != 0 }
+
 // Close refuses new requests from now on.
 func (g *Gate) Close() {
 	g.closing.Do(func() {
--- a/proxy/drain_test.go
+++ b/proxy/drain_test.go
@@ -1,7 +1,9 @@
 package proxy
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -39,6 +41,47 @@
 	}
 }
 
+// A caller keeps its connection to a node that is leaving. With each answer the
+// node ends the connection, so that no request is on its way to it at its exit.
+func TestLeavingNodeEndsConnectionsWithTheAnswer(t *testing.T) {
+	release := make(chan struct{})
+	target := newScripted(t, func(c *scriptedConn) {
+		if c.next() != nil {
+			<-release
+			c.say(okAnswer)
+		}
+	})
+	p := newTestProxy(t, nil, target.address())
+	s := serveCallers(t, p)
+	inHand, inHandAnswer := dialCaller(t, s)
+	late, lateAnswer := dialCaller(t, s)
+	text := "POST /orders HTTP/1.1\r\n" + requestHead + "Content-Length: 1\r\n\r\nx"
+	_, _ = io.WriteString(inHand, text)
+	until(func() bool { return target.requests.Load() == 1 })
+	p.gate.Close()
+	_, _ = io.WriteString(late, text)
+	wantLastAnswer(t, lateAnswer, "114")
+	close(release)
+	wantLastAnswer(t, inHandAnswer, "0")
+}
+
+func wantLastAnswer(t *testing.T, reader *bufio.Reader, want string) {
+	t.Helper()
+	resp, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		t.Fatal(err)
+	}
+	if got := resp.Header.Get(result.HeaderResult); got != want || !resp.Close {
+		t.Fatalf("result %s, connection to be closed %v", got, resp.Close)
+	}
+	if _, err := reader.ReadByte(); err != io.EOF {
+		t.Fatalf("error %v after the last answer", err)
+	}
+}
+
 // A second stop signal ends the node before its work. What was sent is told as
 // unknown, what still waits as not run.
 func TestCloseTellsTheTruth(t *testing.T) {
--- a/proxy/place_state.go
+++ b/proxy/place_state.go
@@ -142,7 +142,8 @@
 // acquire takes a slot at a target that is not marked, and one request of the
 // grant. Without either it tells what is short and when to ask again.
 func (s *placeState) acquire(class model.Class, skip balance.Skip) (permission, shortage, time.Duration) {
-	now := s.proxy.now()
+	at := time.Now()
+	now := s.proxy.nanos(at)
 	ts := s.targets.Load()
 	if class == model.Bulk && !s.bulkFits(ts, now) {
 		return permission{}, shortSlot, askAgain
@@ -151,7 +152,7 @@
 	if index < 0 {
 		return permission{}, shortSlot, askAgain
 	}
-	ok, wait := s.takeToken(class)
+	ok, wait := s.takeToken(class, at)
 	if !ok {
 		ts.set.Targets[index].Release()
 		return permission{}, shortGrant, wait
@@ -160,7 +161,7 @@
 		s.bulk.Add(1)
 	}
 	return permission{
-		place: s, target: ts.members[index], index: index, set: ts, class: class, admitted: time.Now(),
+		place: s, target: ts.members[index], index: index, set: ts, class: class, admitted: at,
 	}, shortNone, 0
 }
 
@@ -186,8 +187,7 @@
 	return free >= 2 && int(s.bulk.Load()) < slots/2
 }
 
-func (s *placeState) takeToken(class model.Class) (bool, time.Duration) {
-	now := time.Now()
+func (s *placeState) takeToken(class model.Class, now time.Time) (bool, time.Duration) {
 	if class != model.Bulk {
 		return s.bucket.Take(now)
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -147,7 +147,10 @@
 }
 
 // now returns nanoseconds on the monotonic clock since the proxy began.
-func (p *Proxy) now() int64 { return int64(time.Since(p.start)) }
+func (p *Proxy) now() int64 { return p.nanos(time.Now()) }
+
+// nanos returns a time on the clock of now.
+func (p *Proxy) nanos(at time.Time) int64 { return int64(at.Sub(p.start)) }
 
 // accountState is called with the lock held.
 func (p *Proxy) accountState(name model.AccountName) *accountState {
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -13,6 +13,7 @@
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	from := callerOf(w)
 	if !p.gate.Enter() {
+		r.Close = true
 		writeRefusal(w, refuse(result.NodeLeaving))
 		return
 	}
@@ -42,6 +43,9 @@
 	ctx, cancel := p.requestContext(q.from, r, q.deadline)
 	defer cancel()
 	end := p.run(ctx, q)
+	// A caller that keeps its connection to a leaving node would lose the
+	// request it sends on it in the moment in which the node exits.
+	r.Close = r.Close || p.gate.Closed()
 	if end.answer == nil {
 		p.finish(w, q, end.refusal)
 		return
