Show in the drain run that the system stops sending

Cause: 'work after leaving' read 0 checked in the drain run: the target itself shed everything from the start of its stop, so the promise was not tested. Change: only the VM list tells of the stop; the target goes on taking work. Conclusion: the drain run now tests the promise.

--- a/demo/events.go
+++ b/demo/events.go
@@ -18,29 +18,44 @@
 	Took time.Duration
 }
 
-// drainTarget begins the planned stop of a target and measures it.
+// drainTarget begins the planned stop of a target and measures it. Only the VM
+// list tells of it: the target itself goes on taking work, so that the checker
+// sees whether the system stops sending.
 func (r *run) drainTarget(ctx context.Context, t *runningTarget) {
 	began := time.Now()
 	t.vm.State = membership.StateLeaving
 	r.world.Platform.SetVMs(t.vm)
-	t.target.Leave()
 	r.addLeaving(check.Leaving{Target: t.vm.ID, At: began})
 	r.events.Go(func() {
-		for t.target.Load() > 0 {
-			select {
-			case <-ctx.Done():
-				return
-			case <-time.After(emptyPoll):
-			}
+		if err := waitEmpty(ctx, t); err != nil {
+			return
 		}
-		r.addDrained(Drained{VM: t.vm.ID, Took: time.Since(began)})
+		r.addDrained(Drained{VM: t.vm.ID, Took: time.Since(began) - emptyFor})
 	})
 }
 
+// emptyFor is how long a target must have had no work to count as empty.
+const emptyFor = 2 * time.Second
+
+// waitEmpty returns when a target has had nothing in hand for emptyFor.
+func waitEmpty(ctx context.Context, t *runningTarget) error {
+	since := time.Now()
+	for time.Since(since) < emptyFor {
+		if t.target.Load() > 0 {
+			since = time.Now()
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(emptyPoll):
+		}
+	}
+	return nil
+}
+
 // returnTarget ends a planned stop.
 func (r *run) returnTarget(t *runningTarget) {
 	r.endLeaving(t.vm.ID, time.Now())
-	t.target.Return()
 	t.vm.State = membership.StateLive
 	r.world.Platform.SetVMs(t.vm)
 }
