bench: run the platform as a process of its own beside the nodes

Cause: with 100 processes every connection to the platform was closed at once. It ran in the process that starts the others, which inherit its connections; events of the inherited ones then closed later connections of the same number. Change: the stand-in runs as its own process, which starts none. Conclusion: the fault was of the measurement; a process starts no other.

--- a/bench/processes/processes_test.go
+++ b/bench/processes/processes_test.go
@@ -1,6 +1,7 @@
 package processes
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -12,14 +13,16 @@
 	"testing"
 	"time"
 
+	"github.com/goccy/go-json"
+
 	"github.com/yuccaroute/yuccaroute/api/result"
 	"github.com/yuccaroute/yuccaroute/config/changelog"
 	"github.com/yuccaroute/yuccaroute/config/examples"
-	"github.com/yuccaroute/yuccaroute/httpserver"
 	"github.com/yuccaroute/yuccaroute/lookup"
 	"github.com/yuccaroute/yuccaroute/lookup/blocks/blocktest"
 	"github.com/yuccaroute/yuccaroute/membership/wire"
 	"github.com/yuccaroute/yuccaroute/standin/platform"
+	"github.com/yuccaroute/yuccaroute/store/httpkv"
 )
 
 const (
@@ -36,44 +39,55 @@
 
 // BenchmarkProcesses varies the nodes, with the two example accounts.
 func BenchmarkProcesses(b *testing.B) {
-	daemon := buildDaemon(b)
-	for _, nodes := range []int{10, 25, 50, 100} {
+	programs := build(b)
+	for _, nodes := range []int{10, 25, 50, 75, 100} {
 		b.Run(fmt.Sprintf("nodes=%d", nodes), func(b *testing.B) {
-			measureOnce(b, daemon, nodes, 2, 0)
+			measureOnce(b, programs, nodes, 2, 0)
 		})
 	}
 }
 
 // BenchmarkProcessesBlocks varies the accounts, with 12,222 caller blocks each.
 func BenchmarkProcessesBlocks(b *testing.B) {
-	daemon := buildDaemon(b)
+	programs := build(b)
 	for _, accounts := range []int{1, 3, 9, 27} {
 		b.Run(fmt.Sprintf("accounts=%d", accounts), func(b *testing.B) {
-			measureOnce(b, daemon, places, accounts, 12_222)
+			measureOnce(b, programs, places, accounts, 12_222)
 		})
 	}
 }
 
-func buildDaemon(b *testing.B) string {
-	file := filepath.Join(b.TempDir(), "yuccarouted")
-	build := exec.Command("go", "build", "-o", file, "github.com/yuccaroute/yuccaroute/cmd/yuccarouted")
-	if output, err := build.CombinedOutput(); err != nil {
-		b.Fatalf("build the daemon: %v\n%s", err, output)
+// programs are the directories of the built programs.
+type programs struct{ daemon, tool string }
+
+func build(b *testing.B) programs {
+	directory := b.TempDir()
+	command := exec.Command("go", "build", "-o", directory,
+		"github.com/yuccaroute/yuccaroute/cmd/yuccarouted", "github.com/yuccaroute/yuccaroute/cmd/yuccaroute")
+	if output, err := command.CombinedOutput(); err != nil {
+		b.Fatalf("build the programs: %v\n%s", err, output)
 	}
-	return file
+	return programs{filepath.Join(directory, "yuccarouted"), filepath.Join(directory, "yuccaroute")}
 }
 
 // fleet is the running processes and their platform.
+//
+// The platform is a process too. A server of nbio must not be in a process that
+// starts others: they inherit its connections, whose events at the poller then
+// outlive them and close later connections of the same number.
 type fleet struct {
 	b        *testing.B
-	platform *platform.Server
+	platform *exec.Cmd
 	commands []*exec.Cmd
 }
 
-func measureOnce(b *testing.B, daemon string, nodes, accounts, blocks int) {
-	f := newFleet(b, accounts, blocks)
+// platformAddress is where the stand-in of the platform listens.
+const platformAddress = "127.7.255.1:7400"
+
+func measureOnce(b *testing.B, programs programs, nodes, accounts, blocks int) {
+	f := newFleet(b, programs.tool, accounts, blocks)
 	for i := range nodes {
-		f.start(daemon, i)
+		f.start(programs.daemon, i)
 	}
 	for i := range nodes {
 		f.waitReady(i)
@@ -92,14 +106,19 @@
 	b.ReportMetric(float64(after.waiting), "waiting-watches")
 }
 
-func newFleet(b *testing.B, accounts, blocks int) *fleet {
-	httpserver.QuietLibraryLogs()
-	f := &fleet{b: b, platform: platform.New(platform.Options{Address: "127.0.0.1:0", ListLag: time.Second})}
+func newFleet(b *testing.B, tool string, accounts, blocks int) *fleet {
+	f := &fleet{b: b, platform: exec.Command(tool, "standin", "platform", "--address", platformAddress)}
 	if err := f.platform.Start(); err != nil {
 		b.Fatal(err)
 	}
 	b.Cleanup(f.stop)
-	changes := changelog.New(f.platform.KV(), changelog.Options{})
+	f.waitPlatform()
+	kv, err := httpkv.New(httpkv.Options{Address: platformAddress})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(kv.Close)
+	changes := changelog.New(kv, changelog.Options{})
 	apply := func(kind changelog.Kind, template, name string, text []byte) {
 		_, err := changes.Apply(context.Background(), changelog.Change{
 			ID: "bench-" + string(kind) + "-" + name, Who: "bench", Kind: kind,
@@ -147,7 +166,7 @@
 	id := fmt.Sprintf("entry-%d", i)
 	text := fmt.Sprintf("[node]\nvm = %s\nregion = %s\nfailure_domain = %s\n"+
 		"[listen]\ncallers = %s\nadmin = %s\npeers = %s\n[platform]\nstore = %s\nvm_list = %s\n[admin]\nopen = yes\n[log]\nlevel = error\n",
-		id, region, place, address(i, callerPort), address(i, adminPort), address(i, peerPort), f.platform.Addr(), f.platform.Addr())
+		id, region, place, address(i, callerPort), address(i, adminPort), address(i, peerPort), platformAddress, platformAddress)
 	file := filepath.Join(f.b.TempDir(), id+".ini")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		f.b.Fatal(err)
@@ -158,7 +177,7 @@
 		f.b.Fatal(err)
 	}
 	f.commands = append(f.commands, command)
-	f.platform.ChangeVMs(platform.VMChange{Set: []wire.VM{{
+	f.list(platform.VMChange{Set: []wire.VM{{
 		ID: id, Role: "entry", State: "live", Region: region, Place: place,
 		Address: address(i, callerPort), Peer: address(i, peerPort),
 	}}})
@@ -187,7 +206,46 @@
 		_ = command.Process.Kill()
 		_ = command.Wait()
 	}
-	_ = f.platform.Stop()
+	_ = f.platform.Process.Kill()
+	_ = f.platform.Wait()
+}
+
+func (f *fleet) waitPlatform() {
+	deadline := time.Now().Add(readyWait)
+	for time.Now().Before(deadline) {
+		if response, err := http.Get("http://" + platformAddress + platform.PathCounters); err == nil {
+			response.Body.Close()
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	f.b.Fatal("the platform does not answer")
+}
+
+// list changes the platform's VM list.
+func (f *fleet) list(change platform.VMChange) {
+	body, err := json.Marshal(change)
+	if err != nil {
+		f.b.Fatal(err)
+	}
+	response, err := http.Post("http://"+platformAddress+platform.PathVMs, "application/json", bytes.NewReader(body))
+	if err != nil {
+		f.b.Fatal(err)
+	}
+	response.Body.Close()
+}
+
+func (f *fleet) counters() platform.Counters {
+	response, err := http.Get("http://" + platformAddress + platform.PathCounters)
+	if err != nil {
+		f.b.Fatal(err)
+	}
+	defer response.Body.Close()
+	var counters platform.Counters
+	if err := json.NewDecoder(response.Body).Decode(&counters); err != nil {
+		f.b.Fatal(err)
+	}
+	return counters
 }
 
 // reading is the sum over all node processes.
@@ -200,7 +258,7 @@
 }
 
 func (f *fleet) read() reading {
-	counters := f.platform.Counters()
+	counters := f.counters()
 	r := reading{calls: counters.Total, waiting: counters.WatchesWaiting, loopback: loopbackBytes(f.b)}
 	for _, command := range f.commands {
 		kb := residentKB(f.b, command.Process.Pid)
