Do not ask another target for an answer that is too large

Cause: a look-up whose answer is over the limit was sent to three targets. Change: that result is final. Measured: go test -race ./proxy passes; the new test counts one sending. Conclusion: retries go only where another target may do better.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -29,7 +29,9 @@
 	if a.answer != nil {
 		return class != model.Idempotent || !retryable(a.answer.Status)
 	}
-	if a.code == result.DeadlineBeforeSend || a.code == result.NodeLeaving || a.code == result.CallerGone {
+	switch a.code {
+	case result.DeadlineBeforeSend, result.NodeLeaving, result.CallerGone, result.AnswerTooLarge:
+		// Another target would end in the same way.
 		return true
 	}
 	return class != model.Idempotent && !isNotRun(a.code)
--- a/proxy/retry_test.go
+++ b/proxy/retry_test.go
@@ -103,6 +103,17 @@
 	}
 }
 
+// An answer is over the limit. Every other target would give the same one.
+func TestTooLargeAnswerIsNotAskedForAgain(t *testing.T) {
+	large := "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n"
+	a, b := newScripted(t, answering(large)), newScripted(t, answering(large))
+	p := newTestProxy(t, nil, a.address(), b.address())
+	wantResult(t, call(p, http.MethodGet, "/stock", ""), result.AnswerTooLarge)
+	if n := a.requests.Load() + b.requests.Load(); n != 1 {
+		t.Fatalf("sent %d times", n)
+	}
+}
+
 func TestNoRetryWithoutABudget(t *testing.T) {
 	a := newScripted(t, cutAfterRequest)
 	b := newScripted(t, cutAfterRequest)
