Check configuration and planned stops in every demo run

Cause: the demo's table lacked two promises of the users: an accepted configuration is in force everywhere within seconds and never reverts, and a planned stop breaks nothing. Change: every run asks all nodes for their revisions and counts any that goes back; the new run operators lets three operators a tenant race through different nodes while the store loses answers and applies writes late; requests through a leaving entry VM must not end unknown.

--- a/demo/events.go
+++ b/demo/events.go
@@ -67,6 +67,7 @@
 	vm := n.VM()
 	vm.State = membership.StateLeaving
 	r.world.Platform.SetVMs(vm)
+	r.addStopped(vm.ID, time.Now())
 	r.events.Go(func() {
 		began := time.Now()
 		if err := n.Leave(ctx); err != nil {
--- a/demo/report.go
+++ b/demo/report.go
@@ -23,6 +23,12 @@
 	Regions  []RegionReport
 	Drained  []Drained
 	Check    *check.Report
+	Promises []Promise
+	// InForce holds how long each accepted change took until it was in force on
+	// every node, ascending; Conflicts counts those refused as another came
+	// first.
+	InForce   []time.Duration
+	Conflicts int
 	// Skipped counts requests that were due and not sent, as too many were in
 	// progress.
 	Skipped int64
@@ -88,6 +94,9 @@
 			Bunching:     bunching,
 		}),
 	}
+	report.Promises = r.promises(report.Check, told)
+	report.InForce = r.configuration.times()
+	report.Conflicts = r.configuration.conflicts
 	for _, t := range r.world.Tenants {
 		report.Skipped += r.counts[t.Account.Name].Skipped
 		report.addServices(t.Account, told)
@@ -167,8 +176,14 @@
 	return peak
 }
 
-// Violations returns how many violations of promises the checker counted.
-func (r *Report) Violations() int { return r.Check.Violations() }
+// Violations returns how many violations of promises were counted.
+func (r *Report) Violations() int {
+	sum := 0
+	for _, p := range r.Promises {
+		sum += p.Violations
+	}
+	return sum
+}
 
 // Write renders the report as tables.
 func (r *Report) Write(out io.Writer) {
@@ -178,6 +193,7 @@
 	for _, d := range r.Drained {
 		fmt.Fprintf(out, "planned stop of %s: empty after %s\n", d.VM, d.Took.Round(time.Millisecond))
 	}
+	r.writeChanges(out)
 	if r.Skipped > 0 {
 		fmt.Fprintf(out, "not sent, as too many were in progress: %d\n", r.Skipped)
 	}
@@ -229,16 +245,26 @@
 	t.Render()
 }
 
+func (r *Report) writeChanges(out io.Writer) {
+	if len(r.InForce) == 0 {
+		return
+	}
+	middle := r.InForce[len(r.InForce)/2]
+	longest := r.InForce[len(r.InForce)-1]
+	fmt.Fprintf(out, "%d changes accepted, %d refused as another came first; in force on every node after %s in the middle, %s at the longest\n",
+		len(r.InForce), r.Conflicts, middle.Round(time.Millisecond), longest.Round(time.Millisecond))
+}
+
 func (r *Report) writePromises(out io.Writer) {
 	t := newTable(out, "promise broken", "violations", "checked")
-	for _, c := range r.Check.Counts {
-		t.AppendRow(table.Row{c.Promise, c.Violations, c.Checked})
+	for _, p := range r.Promises {
+		t.AppendRow(table.Row{p.Broken, p.Violations, p.Checked})
 	}
 	t.AppendFooter(table.Row{"in all", r.Violations(), ""})
 	t.Render()
-	for _, c := range r.Check.Counts {
-		for _, example := range c.Examples {
-			fmt.Fprintf(out, "%s: %s\n", c.Promise, example)
+	for _, p := range r.Promises {
+		for _, example := range p.Examples {
+			fmt.Fprintf(out, "%s: %s\n", p.Broken, example)
 		}
 	}
 }
--- a/demo/run.go
+++ b/demo/run.go
@@ -40,10 +40,16 @@
 	recorder check.Recorder
 	progress *progress
 	events   sync.WaitGroup
+	// configuration watches the revisions on all nodes.
+	configuration *configurationWatch
+	// loadEnded is closed when callers send no more.
+	loadEnded chan struct{}
 
 	mu      sync.Mutex
 	leaving []check.Leaving
 	drained []Drained
+	// stopped holds when the planned stop of an entry VM began.
+	stopped map[string]time.Time
 	counts  map[model.AccountName]caller.Counts
 }
 
@@ -58,6 +64,10 @@
 		options: options,
 		world:   world,
 		counts:  make(map[model.AccountName]caller.Counts),
+
+		stopped:       make(map[string]time.Time),
+		configuration: newConfigurationWatch(),
+		loadEnded:     make(chan struct{}),
 	}
 	r.progress = newProgress(options.Progress, options.Terminal)
 	r.progress.line("starting %d targets, %d entry VMs", world.countTargets(), world.countNodes())
@@ -87,13 +97,27 @@
 			r.addCounts(t.Account.Name, callers.Run(ctx))
 		})
 	}
-	ended := make(chan struct{})
-	go r.follow(ctx, ended)
+	watching, stopWatching := context.WithCancel(ctx)
+	defer stopWatching()
+	go r.configuration.run(watching, r.world)
+	go r.follow(ctx)
 	stopProgress := r.progress.watch(&r.recorder, r.options.Duration)
 	senders.Wait()
-	close(ended)
+	close(r.loadEnded)
 	stopProgress()
 	r.events.Wait()
+	return r.settle(ctx)
+}
+
+// settle waits until every accepted change is in force or late.
+func (r *run) settle(ctx context.Context) error {
+	for r.configuration.pending(time.Now()) {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(revisionPoll):
+		}
+	}
 	return ctx.Err()
 }
 
@@ -119,12 +143,12 @@
 }
 
 // follow lets the events happen at their times, until the load has ended.
-func (r *run) follow(ctx context.Context, ended <-chan struct{}) {
+func (r *run) follow(ctx context.Context) {
 	began := time.Now()
 	for _, e := range r.options.Scenario.Events {
 		due := time.Duration(e.At * float64(r.options.Duration))
 		select {
-		case <-ended:
+		case <-r.loadEnded:
 			return
 		case <-ctx.Done():
 			return
@@ -157,6 +181,12 @@
 	}
 }
 
+func (r *run) addStopped(vm string, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopped[vm] = at
+}
+
 func (r *run) addDrained(d Drained) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/demo/scenario.go
+++ b/demo/scenario.go
@@ -38,6 +38,7 @@
 		failureDomainScenario(),
 		storeOutageScenario(),
 		regionCutScenario(),
+		operatorsScenario(),
 	}
 }
 
@@ -134,6 +135,37 @@
 	}
 }
 
+func operatorsScenario() Scenario {
+	return Scenario{
+		Name:    "operators",
+		Summary: "three operators change each tenant's account at the same time; the store fails for a while",
+		Events: []Event{
+			{At: 0.1, What: "operators begin to change the accounts", Do: func(ctx context.Context, r *run) {
+				for _, t := range r.world.Tenants {
+					r.operate(ctx, t)
+				}
+			}},
+			{At: 0.4, What: "the key-value service loses answers and applies writes late", Do: func(_ context.Context, r *run) {
+				r.world.Platform.SetFault(badStore(r.options.Seed))
+			}},
+			{At: 0.6, What: "the key-value service is well", Do: func(_ context.Context, r *run) {
+				r.world.Platform.SetFault(platform.Fault{})
+			}},
+		},
+	}
+}
+
+// badStore answers, but not always truthfully.
+func badStore(seed uint64) platform.Fault {
+	return platform.Fault{
+		LoseAnswer:     0.1,
+		ApplyLate:      0.1,
+		Drop:           0.05,
+		MaxDelayMillis: 200,
+		Seed:           seed,
+	}
+}
+
 // Base loads of the services, requests/s in sum over all caller blocks.
 const (
 	lookupRPS = 500
--- a/node/status.go
+++ b/node/status.go
@@ -41,15 +41,25 @@
 		Spread:      n.spread.Status(),
 		Control:     n.control.Status(),
 	}
-	for _, a := range n.accounts.all() {
-		s.Accounts = append(s.Accounts, AccountRevision{Account: a.Name, Revision: a.Revision})
-	}
+	s.Accounts = n.Accounts()
 	if _, age, ok := n.membersWithAge(); ok {
 		s.VMListAgeMs = age.Milliseconds()
 	}
 	return s
 }
 
+// Running reports whether the node was not closed.
+func (n *Node) Running() bool { return !n.closed.Load() }
+
+// Accounts returns the accounts in force and their revisions.
+func (n *Node) Accounts() []AccountRevision {
+	var revisions []AccountRevision
+	for _, a := range n.accounts.all() {
+		revisions = append(revisions, AccountRevision{Account: a.Name, Revision: a.Revision})
+	}
+	return revisions
+}
+
 // servingPoll is how often WaitServing looks.
 const servingPoll = 20 * time.Millisecond
 
