spread: carry accounts larger than a value of the store

Cause: an account of 21,100 to 31,000 blocks passes the check of its document, but its item was over the 1 MiB that spreading took: accepted and never in force.

--- a/spread/convert.go
+++ b/spread/convert.go
@@ -9,10 +9,12 @@
 	"github.com/yuccaroute/yuccaroute/spread/item"
 )
 
-// Limits of an item.
+// Limits of an item. A body may be larger than a value of the store: the
+// account made from a template and parameters that are each within the store's
+// limit must be in force once they are accepted.
 const (
 	MaxKeyBytes  = 1 << 10
-	MaxBodyBytes = 1 << 20
+	MaxBodyBytes = 3 << 20
 )
 
 // chunkBytes is how many bytes of items go into one message before the next
--- a/spread/service_test.go
+++ b/spread/service_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/yuccaroute/yuccaroute/api/peerpb"
+	"github.com/yuccaroute/yuccaroute/spread/item"
+	"github.com/yuccaroute/yuccaroute/spread/transport"
 )
 
 // idleMessages counts the messages of an idle fleet, by node and minute.
@@ -38,6 +43,25 @@
 	}
 }
 
+// An account with as many blocks as its document may hold is accepted. Its
+// item, behind a chunk that is almost full, must fit a message, or it would
+// never be in force and every stream that tries to carry it would break.
+func TestLargestItemFitsAMessage(t *testing.T) {
+	almost := item.New("account/a", 1, 1, make([]byte, chunkBytes-itemOverheadBytes-len("account/a")-1))
+	largest := item.New(strings.Repeat("k", MaxKeyBytes), 1<<60, 1<<60, make([]byte, MaxBodyBytes))
+	parts := chunks([]item.Item{almost, largest, almost})
+	if len(parts) != 2 || len(parts[0]) != 2 {
+		t.Fatalf("%d messages, %d items in the first", len(parts), len(parts[0]))
+	}
+	u := &peerpb.Update{Items: parts[0], Digest: 1, StoreRead: &peerpb.StoreRead{Watcher: 1, Count: 1 << 60, AgeMs: 1 << 30}}
+	if n := proto.Size(u); n > transport.MaxMessageBytes {
+		t.Errorf("message of %d bytes, at most %d are taken", n, transport.MaxMessageBytes)
+	}
+	if _, err := fromProto(parts[0][1]); err != nil {
+		t.Error(err)
+	}
+}
+
 func benchService(b *testing.B) *Service {
 	s, err := New(Options{Ref: ref("a"), Members: noMembers, Dial: noDial})
 	if err != nil {
--- a/spread/transport/options.go
+++ b/spread/transport/options.go
@@ -10,8 +10,8 @@
 
 // Limits of a connection between nodes.
 const (
-	// MaxMessageBytes bounds one message. A message holds at most one item
-	// that is larger than a chunk, and items are at most 1 MiB.
+	// MaxMessageBytes bounds one message. A message holds at most one chunk of
+	// 256 KiB and one item of the largest size, 3 MiB, beyond it.
 	MaxMessageBytes = 4 << 20
 	// MaxStreams bounds the calls in progress on one connection.
 	MaxStreams = 64
