Let more callers of a region take part in the demo

Cause: two callers a region chose the same entry VM by chance, so that the stop of the other one touched no request. Change: eight callers a region.

--- a/demo/run.go
+++ b/demo/run.go
@@ -30,7 +30,7 @@
 	// callerConnections bounds one stand-in caller's connections to a node.
 	callerConnections = 32
 	callerInFlight    = 2000
-	callerSources     = 2
+	callerSources     = 8
 )
 
 // run is one run in progress.
