Set nbio's logger once, before the first server starts

Cause: the race detector found that each callers' server set the library's global logger while engines of other servers read it. Callers' paths with '//' or '..' were redirected by a ServeMux, without the headers of an outcome. Change: httpserver.UseLog belongs to the programs and takes effect once; the callers' listener switches on the path. Conclusion: process-wide settings of a library are the program's to make.

--- a/cmd/yuccaroute/standin.go
+++ b/cmd/yuccaroute/standin.go
@@ -5,6 +5,7 @@
 	"os"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
 	"github.com/yuccaroute/yuccaroute/cmd/internal/program"
@@ -31,7 +32,7 @@
 		Example: "  yuccaroute standin platform --address 127.0.0.1:7400",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			httpserver.QuietLibraryLogs()
+			httpserver.UseLog(logrus.StandardLogger())
 			server := platform.New(options)
 			if err := server.Start(); err != nil {
 				return program.Exit(program.ExitUsage, err)
@@ -57,7 +58,7 @@
 		Example: "  yuccaroute standin target --name desk-1 --address 127.0.0.1:7500 --slots 3",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			httpserver.QuietLibraryLogs()
+			httpserver.UseLog(logrus.StandardLogger())
 			if journal != "" {
 				file, err := os.OpenFile(journal, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 				if err != nil {
--- a/cmd/yuccarouted/main.go
+++ b/cmd/yuccarouted/main.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return program.Exit(program.ExitUsage, err)
 	}
-	httpserver.QuietLibraryLogs()
+	httpserver.UseLog(logger)
 	n, err := node.New(node.Options{Settings: s, Logger: logger})
 	if err != nil {
 		return program.Exit(program.ExitUsage, err)
--- a/demo/world.go
+++ b/demo/world.go
@@ -51,11 +51,11 @@
 // NewWorld starts the platform, commits both example accounts and starts
 // targets and nodes. After an error everything is stopped again.
 func NewWorld(ctx context.Context, seed uint64, logs io.Writer) (*World, error) {
-	httpserver.QuietLibraryLogs()
 	log := logrus.New()
 	log.SetOutput(logs)
 	// The relays and some libraries write to the standard logger.
 	logrus.SetOutput(logs)
+	httpserver.UseLog(log)
 	w := &World{
 		Platform: platform.New(platform.Options{Address: "127.0.0.1:0", ListLag: listLag}),
 		log:      log,
--- a/proxy/ingress/library_log.go
+++ b/httpserver/library_log.go
@@ -1,4 +1,4 @@
-package ingress
+package httpserver
 
 import (
 	"strings"
@@ -19,13 +19,13 @@
 var _ logging.Logger = libraryLog{}
 
 // Debug implements logging.Logger.
-func (l libraryLog) Debug(format string, v ...any) { l.log.Debugf("ingress: nbio: "+format, v...) }
+func (l libraryLog) Debug(format string, v ...any) { l.log.Debugf("httpserver: nbio: "+format, v...) }
 
 // Info implements logging.Logger: starts and stops are the program's to tell.
-func (l libraryLog) Info(format string, v ...any) { l.log.Debugf("ingress: nbio: "+format, v...) }
+func (l libraryLog) Info(format string, v ...any) { l.log.Debugf("httpserver: nbio: "+format, v...) }
 
 // Warn implements logging.Logger.
-func (l libraryLog) Warn(format string, v ...any) { l.log.Warnf("ingress: nbio: "+format, v...) }
+func (l libraryLog) Warn(format string, v ...any) { l.log.Warnf("httpserver: nbio: "+format, v...) }
 
 // Error implements logging.Logger.
 func (l libraryLog) Error(format string, v ...any) {
@@ -33,13 +33,21 @@
 		l.Debug(format, v...)
 		return
 	}
-	l.log.Errorf("ingress: nbio: "+format, v...)
+	l.log.Errorf("httpserver: nbio: "+format, v...)
 }
 
 var logOnce sync.Once
 
-// takeLibraryLog sends nbio's log, which is one for the process, to the first
-// logger given.
-func takeLibraryLog(log *logrus.Logger) {
+// UseLog sends nbio's log lines to a logger. The library has one logger for the
+// process and reads it without a lock: call UseLog once, before the first
+// server starts; later calls do nothing, nor do
+// those after QuietLibraryLogs.
+func UseLog(log *logrus.Logger) {
 	logOnce.Do(func() { logging.SetLogger(libraryLog{log: log}) })
 }
+
+// QuietLibraryLogs keeps all but errors out of the library's own output, for
+// tests and parts that have no logger. It does nothing after UseLog.
+func QuietLibraryLogs() {
+	logOnce.Do(func() { logging.SetLevel(logging.LevelError) })
+}
--- a/httpserver/server.go
+++ b/httpserver/server.go
@@ -7,12 +7,10 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 
 	"github.com/lesismal/llib/std/crypto/tls"
 	"github.com/lesismal/nbio"
-	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
 )
@@ -115,11 +113,3 @@
 func (s *Server) Stop(ctx context.Context) error {
 	return s.engine.Shutdown(ctx)
 }
-
-var quietOnce sync.Once
-
-// QuietLibraryLogs keeps nbio's own start and stop lines out of the program's
-// log; errors stay.
-func QuietLibraryLogs() {
-	quietOnce.Do(func() { logging.SetLevel(logging.LevelError) })
-}
--- a/node/http.go
+++ b/node/http.go
@@ -29,13 +29,10 @@
 )
 
 func (n *Node) listenCallers() error {
-	mux := http.NewServeMux()
-	mux.Handle(lookup.Path, n.lookup)
-	mux.Handle("/", n.proxy)
 	limits := n.options.Settings.Limits
 	server, err := ingress.Start(ingress.Options{
 		Address:        n.options.Settings.Listen.Callers.String(),
-		Handler:        n.whenReady(mux),
+		Handler:        n.whenReady(http.HandlerFunc(n.serveCaller)),
 		Bodies:         n.proxy,
 		MaxBodyBytes:   maxCallerBody(limits.BufferedBytes),
 		MaxConnections: limits.CallerConnections,
@@ -47,6 +44,16 @@
 	return nil
 }
 
+// serveCaller tells look-ups from requests. A ServeMux would redirect paths
+// that are not clean, and a caller would take its answer for the target's.
+func (n *Node) serveCaller(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == lookup.Path {
+		n.lookup.ServeHTTP(w, r)
+		return
+	}
+	n.proxy.ServeHTTP(w, r)
+}
+
 // callerBodyShare is the largest part of the node's buffer one request takes,
 // so that a few large uploads cannot refuse everybody else.
 const callerBodyShare = 8
--- a/proxy/ingress/options.go
+++ b/proxy/ingress/options.go
@@ -4,8 +4,6 @@
 	"net/http"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/yuccaroute/yuccaroute/api/result"
 )
 
@@ -45,8 +43,6 @@
 	// Address is ip:port; port 0 takes a free one.
 	Address string
 	Handler http.Handler
-	// Logger may be nil.
-	Logger *logrus.Logger
 	// Bodies may be nil; then only MaxBodyBytes bounds a body.
 	Bodies Bodies
 	// MaxHeadBytes bounds request line and fields, MaxBodyBytes one body.
@@ -61,9 +57,6 @@
 }
 
 func (o *Options) setDefaults() {
-	if o.Logger == nil {
-		o.Logger = logrus.New()
-	}
 	setInt(&o.MaxHeadBytes, DefaultHeadBytes)
 	setInt(&o.MaxBodyBytes, DefaultBodyBytes)
 	setInt(&o.MaxConnections, DefaultConnections)
--- a/proxy/ingress/server.go
+++ b/proxy/ingress/server.go
@@ -41,7 +41,6 @@
 // bound.
 func Start(o Options) (*Server, error) {
 	o.setDefaults()
-	takeLibraryLog(o.Logger)
 	s := &Server{options: o}
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name:            "callers",
