Leave the retries of unknown answers to the entry VM

Cause: the client library sent an idempotent request to the next entry VM when the first answered "unknown", though that entry VM had retried it within its service's budget already: a failing place got the retries of both levels. Change: work is repeated only when no entry VM said how it ended (lost, cut, no headers) or the answer is "not-run" with retry allowed; an answer that is too large is not asked for again. Conclusion: a request is retried at one level only.

--- a/client/attempt.go
+++ b/client/attempt.go
@@ -31,6 +31,9 @@
 	cause  error
 	// refused tells that no connection could be opened.
 	refused bool
+	// answered tells that an entry VM said how the request ended, and that
+	// another one would have nothing better to say.
+	answered bool
 }
 
 func (c *Client) attempt(ctx context.Context, entry Entry, r *Request) attempt {
@@ -97,8 +100,8 @@
 // whole: it shows as a body that ends early; net/http reports that for a body
 // with a length or with chunks, and other bodies are not accepted.
 func (c *Client) readAnswer(ctx context.Context, entry Entry, resp *http.Response) attempt {
-	outcome, code := outcomeOf(resp.Header)
-	a := attempt{answer: Answer{
+	outcome, code, known := outcomeOf(resp.Header)
+	a := attempt{answered: known, answer: Answer{
 		Outcome: outcome, Code: code, Status: resp.StatusCode, Header: resp.Header,
 		Entry: entry, RetryAfter: retryAfter(resp.Header),
 	}}
@@ -111,6 +114,10 @@
 		return a
 	}
 	a.cause = err
+	// The rest of a good answer was lost on the way from the entry VM, but for
+	// one that is too large, which it would be from every entry VM.
+	lost := outcome == result.Ran && !errors.Is(err, errAnswerTooLarge)
+	a.answered = known && !lost
 	a.answer.Outcome = result.Unknown
 	a.answer.Code = truncationCode(ctx, err)
 	return a
@@ -147,19 +154,19 @@
 
 // outcomeOf reads what the entry VM said. An answer without the headers did
 // not come from an entry VM: nothing is known.
-func outcomeOf(h http.Header) (result.Outcome, result.Code) {
+func outcomeOf(h http.Header) (outcome result.Outcome, code result.Code, known bool) {
 	number, err := strconv.ParseUint(h.Get(result.HeaderResult), 10, 16)
 	if err != nil {
-		return result.Unknown, result.Internal
+		return result.Unknown, result.Internal, false
 	}
-	code := result.Code(number)
+	code = result.Code(number)
 	switch h.Get(result.HeaderOutcome) {
 	case result.Ran.String():
-		return result.Ran, code
+		return result.Ran, code, true
 	case result.NotRun.String():
-		return result.NotRun, code
+		return result.NotRun, code, true
 	default:
-		return result.Unknown, code
+		return result.Unknown, code, true
 	}
 }
 
--- a/client/do.go
+++ b/client/do.go
@@ -137,9 +137,15 @@
 
 // mayRepeat is the rule that keeps non-idempotent work at most once: a second
 // entry VM gets it only if the first certainly did not let it run.
+//
+// Guard against retries at two levels: an entry VM that answers "unknown" has
+// already sent an idempotent request to other targets as far as the service's
+// retry budget permits. It shows as a failing place that gets several times
+// the requests its callers make. The guard holds because a request is repeated
+// here only when no entry VM said how it ended.
 func (e *exchange) mayRepeat(a *attempt) bool {
 	if a.answer.Outcome == result.NotRun {
 		return result.InfoOf(a.answer.Code).Retry
 	}
-	return e.request.Idempotent
+	return e.request.Idempotent && !a.answered
 }
--- a/client/request.go
+++ b/client/request.go
@@ -22,7 +22,7 @@
 	// context may end earlier.
 	Deadline time.Duration
 	// Idempotent declares that running the request twice does no harm. Only
-	// then is it sent again when it may have run.
+	// then is it sent again when its answer was lost.
 	Idempotent bool
 }
 
