store, membership: do not read an empty object as an empty list

Cause: any JSON object decodes into an answer. Writes and single reads checked that their fields were there, a list of keys, a watch and the list of VMs did not. An empty object from something in between read as "no keys", as a watch at revision 0, and as a first list without any VM; five of them in a row would have ended every VM. Change: an answer without its rows, or a watch answer from before the revision asked for, is unavailable. The stand-in sends an empty list where it sent null. Measured: TestEmptyObjectIsNoReading and TestEmptyObjectIsNoList failed before (nil error) and pass now; go test -race of store, membership, standin and config is green. Conclusion: both watchers start again from a list after such an error.

--- a/membership/httplist/lister.go
+++ b/membership/httplist/lister.go
@@ -109,6 +109,11 @@
 	if err != nil {
 		return membership.List{}, unavailable(err)
 	}
+	// Any JSON object decodes into an answer. One without rows is no list of
+	// the platform; taken for one, it would end every VM.
+	if answer.VMs == nil {
+		return membership.List{}, unavailable(errors.New("answer without the list of VMs"))
+	}
 	list := membership.List{Sequence: answer.Sequence, VMs: convert(answer.VMs)}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/membership/wire/wire.go
+++ b/membership/wire/wire.go
@@ -24,5 +24,6 @@
 // ListAnswer is the list at one sequence.
 type ListAnswer struct {
 	Sequence uint64 `json:"sequence"`
-	VMs      []VM   `json:"vms"`
+	// VMs is present, as an empty list, also when there are none.
+	VMs []VM `json:"vms"`
 }
--- a/standin/platform/list_test.go
+++ b/standin/platform/list_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"testing"
 	"time"
@@ -81,3 +82,18 @@
 	post(t, s, platform.PathFault, platform.Fault{})
 	mustList(t, l)
 }
+
+// Story: something between a node and the platform answers the VM list with an
+// empty object. Taken for a list, it would be the first one of a node that
+// starts, and after five of them every VM would have ended.
+func TestEmptyObjectIsNoList(t *testing.T) {
+	between := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("{}"))
+	}))
+	t.Cleanup(between.Close)
+	l := httplist.New(httplist.Options{Address: between.Listener.Addr().String()})
+	t.Cleanup(l.Close)
+	if _, err := l.List(t.Context()); !errors.Is(err, store.ErrUnavailable) {
+		t.Errorf("an empty object read as a list: %v", err)
+	}
+}
--- a/standin/platform/vmlist.go
+++ b/standin/platform/vmlist.go
@@ -22,7 +22,8 @@
 }
 
 func newVMList(lag time.Duration) *vmList {
-	return &vmList{lag: lag, versions: []version{{}}}
+	empty := version{list: wire.ListAnswer{VMs: []wire.VM{}}}
+	return &vmList{lag: lag, versions: []version{empty}}
 }
 
 func (l *vmList) setLag(lag time.Duration) {
--- a/store/httpkv/kv.go
+++ b/store/httpkv/kv.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/yuccaroute/yuccaroute/store"
 	"github.com/yuccaroute/yuccaroute/store/wire"
 )
@@ -64,6 +66,12 @@
 	if err != nil {
 		return store.Batch{}, err
 	}
+	// The service's revision never goes back without a reset. An answer that
+	// lacks its fields reads as revision 0; a watcher that went on from there
+	// would get all changes again, or an answer without any wait.
+	if !answer.Reset && answer.At < after {
+		return store.Batch{}, op.lost(errors.Errorf("watch answer at revision %d, asked for after %d", answer.At, after))
+	}
 	return answer.Store(), nil
 }
 
--- a/store/httpkv/outcome_test.go
+++ b/store/httpkv/outcome_test.go
@@ -165,3 +165,16 @@
 		t.Errorf("requests arrived: %d, want 1", n)
 	}
 }
+
+// Story: something between a node and the service answers a list with an empty
+// object. Taken for a list of no keys it would say that no account is
+// configured, and a watch that is behind its watcher would be asked again at
+// once, without end.
+func TestEmptyObjectIsNoReading(t *testing.T) {
+	const empty = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+	c := client(t, serve(t, empty, empty).Addr().String())
+	_, err := c.List(t.Context(), "config/")
+	mustBe(t, err, store.ErrUnavailable)
+	_, err = c.Watch(t.Context(), "config/", 7)
+	mustBe(t, err, store.ErrUnavailable)
+}
--- a/store/wire/valid.go
+++ b/store/wire/valid.go
@@ -10,6 +10,9 @@
 // Valid implements Validator.
 func (e *Entry) Valid() bool { return e.Revision != 0 }
 
+// Valid implements Validator: the service sends an empty list for no entries.
+func (a *ListAnswer) Valid() bool { return a.Entries != nil }
+
 // Valid implements Validator.
 func (a *SwapAnswer) Valid() bool { return a.Revision != 0 }
 
--- a/store/wire/wire.go
+++ b/store/wire/wire.go
@@ -45,6 +45,7 @@
 
 // ListAnswer is store.Listing.
 type ListAnswer struct {
+	// Entries is present, as an empty list, also when there are none.
 	Entries []Entry        `json:"entries"`
 	At      store.Revision `json:"at"`
 }
