steering: name the package of measurements for what it does

Cause: package picture with its Book and belief was a metaphor; a reader had to open it to learn that it sums and averages the nodes' reports. Change: steering/aggregate with Aggregator and steadyPart; the planner's book is an account. A line of input.go is wrapped, a rounding constant has a name. No behaviour changes.

--- a/membership/view/snapshot.go
+++ b/membership/view/snapshot.go
@@ -34,7 +34,7 @@
 	return g.Confirmed.Sub(g.Since)
 }
 
-// Age is how old the picture is.
+// Age is the time since the reading.
 func (s *Snapshot) Age(now time.Time) time.Duration {
 	return now.Sub(s.ReadAt)
 }
--- a/steering/picture/book.go
+++ b/steering/aggregate/aggregator.go
@@ -1,7 +1,7 @@
-// Package picture turns the reports of all nodes into what Decide needs: the
+// Package aggregate turns the reports of all nodes into what Decide needs: the
 // demand of each flow and the state of each service in each place, each with
 // an age. It keeps smoothed rates and what each place's latency was when warm.
-package picture
+package aggregate
 
 import (
 	"math"
@@ -35,15 +35,15 @@
 	Age time.Duration
 }
 
-// Book is the picture of one account. It is not safe for use by several
-// goroutines.
-type Book struct {
+// Aggregator keeps the averages of one account. It is not safe for use by
+// several goroutines.
+type Aggregator struct {
 	read  time.Time
 	flows map[flowKey]*rate
 	cells map[cellKey]*cellRate
 	warm  map[cellKey]time.Duration
-	// usable is how far the targets of each place are relied on.
-	usable map[cellKey]*belief
+	// steady is the part of the targets of each place that is relied on.
+	steady map[cellKey]*steadyPart
 }
 
 type flowKey struct {
@@ -56,26 +56,26 @@
 	place   model.PlaceName
 }
 
-// NewBook returns an empty picture.
-func NewBook() *Book {
-	return &Book{
+// New returns an aggregator that has read nothing yet.
+func New() *Aggregator {
+	return &Aggregator{
 		flows:  make(map[flowKey]*rate),
 		cells:  make(map[cellKey]*cellRate),
 		warm:   make(map[cellKey]time.Duration),
-		usable: make(map[cellKey]*belief),
+		steady: make(map[cellKey]*steadyPart),
 	}
 }
 
 // Read takes in the last reports of all nodes and the moves made lately, and
-// returns the picture of the account at now, sorted.
-func (b *Book) Read(account *model.Account, reports []Report, moved []steering.Move, now time.Time) ([]steering.Demand, []steering.PlaceState) {
-	since := now.Sub(b.read)
-	if b.read.IsZero() {
+// returns the demand and the state of the places at now, sorted.
+func (a *Aggregator) Read(account *model.Account, reports []Report, moved []steering.Move, now time.Time) ([]steering.Demand, []steering.PlaceState) {
+	since := now.Sub(a.read)
+	if a.read.IsZero() {
 		since = math.MaxInt64
 	}
-	b.read = now
-	demand := b.demand(account, reports, since)
-	places := b.places(reports, moved, since)
+	a.read = now
+	demand := a.demand(account, reports, since)
+	places := a.places(reports, moved, since)
 	return demand, places
 }
 
@@ -84,7 +84,7 @@
 // the sum. A flow that a report leaves out had no request: what is missing is
 // a report, not its zeros. Taken for unknown, a flow with few requests would
 // count as a large part of the capacity in every quiet second.
-func (b *Book) demand(account *model.Account, reports []Report, since time.Duration) []steering.Demand {
+func (a *Aggregator) demand(account *model.Account, reports []Report, since time.Duration) []steering.Demand {
 	if len(reports) == 0 {
 		return nil
 	}
@@ -103,10 +103,10 @@
 		if sum.rps > 0 {
 			d.Age = time.Duration(sum.age.value())
 		}
-		d.RPS, d.Margin = b.rateOf(key).add(sum.rps, since)
+		d.RPS, d.Margin = a.rateOf(key).add(sum.rps, since)
 		demand = append(demand, d)
 	}
-	b.forgetFlows(sums)
+	a.forgetFlows(sums)
 	sort.Slice(demand, func(i, j int) bool {
 		if demand[i].Service != demand[j].Service {
 			return demand[i].Service < demand[j].Service
@@ -152,19 +152,19 @@
 	return time.Duration(m.value())
 }
 
-func (b *Book) forgetFlows(known flowSums) {
-	for key := range b.flows {
+func (a *Aggregator) forgetFlows(known flowSums) {
+	for key := range a.flows {
 		if known[key] == nil {
-			delete(b.flows, key)
+			delete(a.flows, key)
 		}
 	}
 }
 
-func (b *Book) rateOf(key flowKey) *rate {
-	if b.flows[key] == nil {
-		b.flows[key] = &rate{}
+func (a *Aggregator) rateOf(key flowKey) *rate {
+	if a.flows[key] == nil {
+		a.flows[key] = &rate{}
 	}
-	return b.flows[key]
+	return a.flows[key]
 }
 
 // weightOf is the part a new value has in an average over a time.
--- a/steering/picture/book_test.go
+++ b/steering/aggregate/aggregator_test.go
@@ -1,4 +1,4 @@
-package picture
+package aggregate
 
 import (
 	"testing"
@@ -32,7 +32,7 @@
 		reportOf(0, 300, observe.PlaceLoad{SentRPS: 300, Targets: 4, Known: 4}),
 		reportOf(40*time.Second, 100, observe.PlaceLoad{SentRPS: 100, Targets: 0, Known: 4}),
 	}
-	demand, places := NewBook().Read(account, reports, nil, start)
+	demand, places := New().Read(account, reports, nil, start)
 	if demand[0].RPS != 400 || demand[0].Age != 10*time.Second {
 		t.Fatalf("demand %+v", demand[0])
 	}
@@ -46,7 +46,7 @@
 func TestOneNodeWeighsItsPart(t *testing.T) {
 	well := observe.PlaceLoad{SentRPS: 90, Targets: 4, Known: 4, P99: 20 * time.Millisecond}
 	cut := observe.PlaceLoad{SentRPS: 10, Targets: 0, Known: 4, FailureShare: 1}
-	_, places := NewBook().Read(account, []Report{reportOf(0, 1, well), reportOf(0, 1, well), reportOf(0, 1, well), reportOf(0, 1, cut)}, nil, start)
+	_, places := New().Read(account, []Report{reportOf(0, 1, well), reportOf(0, 1, well), reportOf(0, 1, well), reportOf(0, 1, cut)}, nil, start)
 	if p := places[0]; p.Usable != 12 || p.Known != 16 || p.FailureShare > 0.04 || p.P99 != 20*time.Millisecond {
 		t.Fatalf("place %+v", p)
 	}
@@ -55,7 +55,7 @@
 // The latency right after an increase is that of cold caches. Taken for the
 // warm one, it would hide that the place is slow.
 func TestWarmLatencyLeavesOutIncreases(t *testing.T) {
-	b := NewBook()
+	b := New()
 	load := observe.PlaceLoad{SentRPS: 100, Targets: 4, Known: 4, P99: 20 * time.Millisecond}
 	b.Read(account, []Report{reportOf(0, 100, load)}, nil, start)
 	load.P99 = 90 * time.Millisecond
@@ -75,7 +75,7 @@
 func TestInvalidRatesAreLeftOut(t *testing.T) {
 	nan := 0.0
 	nan /= nan
-	demand, _ := NewBook().Read(account, []Report{reportOf(0, 100, observe.PlaceLoad{SentRPS: nan}), reportOf(0, nan, observe.PlaceLoad{SentRPS: -1})}, nil, start)
+	demand, _ := New().Read(account, []Report{reportOf(0, 100, observe.PlaceLoad{SentRPS: nan}), reportOf(0, nan, observe.PlaceLoad{SentRPS: -1})}, nil, start)
 	if len(demand) != 1 || demand[0].RPS != 100 {
 		t.Fatalf("demand %+v", demand)
 	}
@@ -85,7 +85,7 @@
 // take away in one failure must not wait there for the next one: the place
 // counts as failed until its targets have stayed for half a minute.
 func TestComingTargetsAreBelievedLate(t *testing.T) {
-	b := NewBook()
+	b := New()
 	usable := func(second, targets int) int {
 		load := observe.PlaceLoad{SentRPS: 100, Targets: targets, Known: 4}
 		_, places := b.Read(account, []Report{reportOf(0, 100, load)}, nil, start.Add(time.Duration(second)*time.Second))
@@ -135,11 +135,11 @@
 // capacity, and would draw room from the others each time.
 func TestQuietFlowIsKnownToBeQuiet(t *testing.T) {
 	reports := []Report{{Age: 2 * time.Second}, {Age: 4 * time.Second}}
-	demand, _ := NewBook().Read(account, reports, nil, start)
+	demand, _ := New().Read(account, reports, nil, start)
 	if len(demand) != 1 || demand[0].RPS != 0 || demand[0].Age != 3*time.Second {
 		t.Fatalf("demand %+v", demand)
 	}
-	if demand, _ = NewBook().Read(account, nil, nil, start); len(demand) != 0 {
+	if demand, _ = New().Read(account, nil, nil, start); len(demand) != 0 {
 		t.Fatalf("demand without any report: %+v", demand)
 	}
 }
@@ -147,7 +147,7 @@
 // One of three requests in a quiet hour fails, or a second goes wrong. Neither
 // makes a place look bad; failures that last do within three seconds.
 func TestFewFailuresTellLittle(t *testing.T) {
-	b := NewBook()
+	b := New()
 	second := 0
 	share := func(sent, failed float64) float64 {
 		second++
--- a/steering/picture/mean.go
+++ b/steering/aggregate/mean.go
@@ -1,4 +1,4 @@
-package picture
+package aggregate
 
 // mean is a weighted mean. Without any weight it is the plain one.
 type mean struct {
--- a/steering/picture/places.go
+++ b/steering/aggregate/places.go
@@ -1,4 +1,4 @@
-package picture
+package aggregate
 
 import (
 	"sort"
@@ -7,6 +7,9 @@
 	"github.com/yuccaroute/yuccaroute/steering"
 )
 
+// rounding covers the error of a product of a part and a count.
+const rounding = 1e-9
+
 // sums is what the nodes measured of one service in one place.
 type sums struct {
 	sent          float64
@@ -18,7 +21,7 @@
 // places sums the measurements of the nodes. Targets are summed over the
 // nodes as well: one node that sees all of them gone, or all of them well,
 // weighs no more than its part.
-func (b *Book) places(reports []Report, moved []steering.Move, since time.Duration) []steering.PlaceState {
+func (a *Aggregator) places(reports []Report, moved []steering.Move, since time.Duration) []steering.PlaceState {
 	cells := make(map[cellKey]*sums)
 	for _, r := range current(reports) {
 		addReport(cells, &r)
@@ -27,9 +30,9 @@
 	states := make([]steering.PlaceState, 0, len(cells))
 	for key, c := range cells {
 		state := c.state(key)
-		b.cellOf(key).smooth(&state, since)
-		state.Unsteady = state.Usable - b.relied(key, &state)
-		state.WarmP99 = b.warmOf(key, &state, risen, since)
+		a.cellOf(key).smooth(&state, since)
+		state.Unsteady = state.Usable - a.steadyTargets(key, &state)
+		state.WarmP99 = a.warmOf(key, &state, risen, since)
 		states = append(states, state)
 	}
 	sort.Slice(states, func(i, j int) bool {
@@ -42,7 +45,7 @@
 }
 
 // current leaves out reports too old to tell of a place, unless there are no
-// others: then their age tells that the picture is stale.
+// others: then their age tells that the state is stale.
 func current(reports []Report) []Report {
 	var fresh []Report
 	for i := range reports {
@@ -96,24 +99,23 @@
 	}
 }
 
-func (b *Book) cellOf(key cellKey) *cellRate {
-	if b.cells[key] == nil {
-		b.cells[key] = &cellRate{}
+func (a *Aggregator) cellOf(key cellKey) *cellRate {
+	if a.cells[key] == nil {
+		a.cells[key] = &cellRate{}
 	}
-	return b.cells[key]
+	return a.cells[key]
 }
 
-// relied returns the number of usable targets that is relied on.
-func (b *Book) relied(key cellKey, state *steering.PlaceState) int {
+// steadyTargets returns the number of usable targets that is relied on.
+func (a *Aggregator) steadyTargets(key cellKey, state *steering.PlaceState) int {
 	if state.Known == 0 {
 		return 0
 	}
 	part := float64(state.Usable) / float64(state.Known)
-	if b.usable[key] == nil {
-		b.usable[key] = newBelief(part, b.read)
+	if a.steady[key] == nil {
+		a.steady[key] = newSteadyPart(part, a.read)
 	}
-	const rounding = 1e-9
-	return int(b.usable[key].see(part, b.read)*float64(state.Known) + rounding)
+	return int(a.steady[key].update(part, a.read)*float64(state.Known) + rounding)
 }
 
 // lastRises returns for each cell the age of its newest increase.
@@ -132,17 +134,17 @@
 // warmOf keeps the latency a place has when it took no more for a while. A
 // place that stays slow for other reasons becomes its own measure with time,
 // so that it is not held for ever.
-func (b *Book) warmOf(key cellKey, state *steering.PlaceState, risen map[cellKey]time.Duration, since time.Duration) time.Duration {
+func (a *Aggregator) warmOf(key cellKey, state *steering.PlaceState, risen map[cellKey]time.Duration, since time.Duration) time.Duration {
 	age, rose := risen[key]
 	if state.P99 <= 0 || state.Age >= steering.FreezeAge || (rose && age < quiet) {
-		return b.warm[key]
+		return a.warm[key]
 	}
-	old, ok := b.warm[key]
+	old, ok := a.warm[key]
 	if !ok {
-		b.warm[key] = state.P99
+		a.warm[key] = state.P99
 		return state.P99
 	}
 	weight := weightOf(since, warming)
-	b.warm[key] = old + time.Duration(weight*float64(state.P99-old))
-	return b.warm[key]
+	a.warm[key] = old + time.Duration(weight*float64(state.P99-old))
+	return a.warm[key]
 }
--- a/steering/picture/rate.go
+++ b/steering/aggregate/rate.go
@@ -1,4 +1,4 @@
-package picture
+package aggregate
 
 import "time"
 
--- a/steering/decide_test.go
+++ b/steering/decide_test.go
@@ -41,7 +41,7 @@
 // Reports stop while a region is busy. A node that takes silence for no load
 // would send everything there. Nothing may be increased anywhere, the places
 // last seen failing stay closed, and the decision says that it is frozen.
-func TestOldPictureFreezes(t *testing.T) {
+func TestOldMeasurementsFreeze(t *testing.T) {
 	in := inputOf(accountOf(2, 2, 1), 0.5)
 	in.Previous = Decide(in).Plan
 	first := in.Account.Places[0].Name
--- a/steering/decision.go
+++ b/steering/decision.go
@@ -20,7 +20,7 @@
 	Limits []Limit
 	// Reasons tell why shares are what they are.
 	Reasons []Reason
-	// Frozen tells that the picture is too old for any increase.
+	// Frozen tells that the measurements are too old for any increase.
 	Frozen bool
 }
 
--- a/steering/explain/explain.go
+++ b/steering/explain/explain.go
@@ -15,7 +15,7 @@
 type Report struct {
 	Account        model.AccountName `json:"account"`
 	ConfigRevision uint64            `json:"config_revision"`
-	// Frozen tells that the picture is too old for any increase.
+	// Frozen tells that the measurements are too old for any increase.
 	Frozen bool   `json:"frozen"`
 	Flows  []Flow `json:"flows"`
 	// Limits lists what each service may do in each place.
--- a/steering/input.go
+++ b/steering/input.go
@@ -43,7 +43,7 @@
 	// P50 and P99 are target latencies; 0 is unknown.
 	P50, P99 time.Duration
 	// WarmP99 is P99 as it was when the place had not taken more for a while;
-	// 0 is unknown. Package steering/picture keeps it.
+	// 0 is unknown. Package steering/aggregate keeps it.
 	WarmP99 time.Duration
 	// FailureShare is the part of the requests sent that failed, 0 to 1.
 	FailureShare float64
@@ -67,7 +67,7 @@
 	Delta int32
 	// Cause is why it was made.
 	Cause Kind
-	// Age is the time since it was decided. An age that is too low only delays later moves; one that is too
-	// high lets more move than the cap allows.
+	// Age is the time since it was decided. An age that is too low only delays
+	// later moves; one that is too high lets more move than the cap allows.
 	Age time.Duration
 }
--- a/steering/planner/planner.go
+++ b/steering/planner/planner.go
@@ -9,38 +9,39 @@
 	"github.com/yuccaroute/yuccaroute/control/decider"
 	"github.com/yuccaroute/yuccaroute/control/ledger"
 	"github.com/yuccaroute/yuccaroute/steering"
-	"github.com/yuccaroute/yuccaroute/steering/picture"
+	"github.com/yuccaroute/yuccaroute/steering/aggregate"
 )
 
 const (
 	// settling is how long a new decider waits for the reports of all nodes
 	// before it takes their sum for the demand.
 	settling = 5 * time.Second
-	// forgetting is how long a picture is kept that nobody reads.
+	// forgetting is how long the measurements of an account are kept that
+	// nobody reads.
 	forgetting = 5 * time.Minute
 )
 
 // Planner implements decider.Planner for any number of accounts. It is safe
 // for use by several goroutines.
 type Planner struct {
-	mu    sync.Mutex
-	books map[model.AccountName]*book
+	mu       sync.Mutex
+	accounts map[model.AccountName]*account
 }
 
-// book is the picture of one account and when it was last read.
-type book struct {
-	mu      sync.Mutex
-	picture *picture.Book
-	read    time.Time
+// account is what is kept of one account, and when it was last read.
+type account struct {
+	mu         sync.Mutex
+	aggregator *aggregate.Aggregator
+	read       time.Time
 	// last is what the last plan was made from.
 	last steering.Input
 }
 
 var _ decider.Planner = (*Planner)(nil)
 
-// New returns a planner without any picture yet.
+// New returns a planner that has seen no account yet.
 func New() *Planner {
-	return &Planner{books: make(map[model.AccountName]*book)}
+	return &Planner{accounts: make(map[model.AccountName]*account)}
 }
 
 // Plan implements decider.Planner. The Explanation is a steering.Decision.
@@ -61,55 +62,55 @@
 		Previous: s.Previous,
 		Moved:    steeringMoves(s.Moves, s.Now),
 	}
-	reports := make([]picture.Report, 0, len(s.Reports))
+	reports := make([]aggregate.Report, 0, len(s.Reports))
 	for _, r := range s.Reports {
-		reports = append(reports, picture.Report{Report: r.Report, Age: r.Age})
+		reports = append(reports, aggregate.Report{Report: r.Report, Age: r.Age})
 	}
-	b := p.book(s.Account.Name, s.Now)
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	in.Demand, in.Places = b.picture.Read(s.Account, reports, in.Moved, s.Now)
+	a := p.account(s.Account.Name, s.Now)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	in.Demand, in.Places = a.aggregator.Read(s.Account, reports, in.Moved, s.Now)
 	if s.Now.Sub(s.Since) < settling {
 		// The first reports after a change of decider are a part of the
 		// demand only. Taken for all of it, they would make full places look
 		// empty; unknown demand moves nothing.
 		in.Demand = nil
 	}
-	b.last = in
+	a.last = in
 	return in
 }
 
 // Last returns what the last plan of an account was made from, for forecasts;
 // ok is false when this node has made none lately.
-func (p *Planner) Last(account model.AccountName) (in steering.Input, ok bool) {
+func (p *Planner) Last(name model.AccountName) (in steering.Input, ok bool) {
 	p.mu.Lock()
-	b := p.books[account]
+	a := p.accounts[name]
 	p.mu.Unlock()
-	if b == nil {
+	if a == nil {
 		return steering.Input{}, false
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.last, b.last.Account != nil
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.last, a.last.Account != nil
 }
 
-// book returns the picture of an account. One that was not read for long is
-// of an earlier term and begun anew.
-func (p *Planner) book(name model.AccountName, now time.Time) *book {
+// account returns what is kept of an account. What was not read for long is of
+// an earlier term and begun anew.
+func (p *Planner) account(name model.AccountName, now time.Time) *account {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for other, b := range p.books {
-		if now.Sub(b.read) > forgetting {
-			delete(p.books, other)
+	for other, a := range p.accounts {
+		if now.Sub(a.read) > forgetting {
+			delete(p.accounts, other)
 		}
 	}
-	b := p.books[name]
-	if b == nil {
-		b = &book{picture: picture.NewBook()}
-		p.books[name] = b
+	a := p.accounts[name]
+	if a == nil {
+		a = &account{aggregator: aggregate.New()}
+		p.accounts[name] = a
 	}
-	b.read = now
-	return b
+	a.read = now
+	return a
 }
 
 func steeringMoves(moves []ledger.Move, now time.Time) []steering.Move {
--- a/steering/scenario/loop_test.go
+++ b/steering/scenario/loop_test.go
@@ -11,7 +11,7 @@
 	"github.com/yuccaroute/yuccaroute/api/observe"
 	"github.com/yuccaroute/yuccaroute/api/plan"
 	"github.com/yuccaroute/yuccaroute/steering"
-	"github.com/yuccaroute/yuccaroute/steering/picture"
+	"github.com/yuccaroute/yuccaroute/steering/aggregate"
 	"github.com/yuccaroute/yuccaroute/steering/step"
 )
 
@@ -70,10 +70,10 @@
 	// paused is the index of a node that applies no plan, -1 for none.
 	paused int
 	// lag is how old a report is when it arrives, in seconds.
-	lag   int
-	moved []steering.Move
-	made  []time.Time
-	book  *picture.Book
+	lag        int
+	moved      []steering.Move
+	made       []time.Time
+	aggregator *aggregate.Aggregator
 }
 
 // report is what all nodes measured in one second.
@@ -84,14 +84,14 @@
 
 func newWorld(t *tenant) *world {
 	w := &world{
-		tenant:  t,
-		account: t.account(),
-		start:   time.Date(2026, 3, 1, 4, 0, 0, 0, time.UTC),
-		demand:  make(map[flowName]float64),
-		cells:   make(map[cellName]*truth),
-		lag:     3,
-		paused:  -1,
-		book:    picture.NewBook(),
+		tenant:     t,
+		account:    t.account(),
+		start:      time.Date(2026, 3, 1, 4, 0, 0, 0, time.UTC),
+		demand:     make(map[flowName]float64),
+		cells:      make(map[cellName]*truth),
+		lag:        3,
+		paused:     -1,
+		aggregator: aggregate.New(),
 	}
 	w.now = w.start
 	for _, s := range w.account.Services {
@@ -198,8 +198,8 @@
 	if newest == nil {
 		return in
 	}
-	reports := []picture.Report{{Report: newest.Report, Age: w.now.Sub(newest.at)}}
-	in.Demand, in.Places = w.book.Read(w.account, reports, in.Moved, w.now)
+	reports := []aggregate.Report{{Report: newest.Report, Age: w.now.Sub(newest.at)}}
+	in.Demand, in.Places = w.aggregator.Read(w.account, reports, in.Moved, w.now)
 	return in
 }
 
@@ -239,7 +239,7 @@
 	for i := range w.made {
 		w.made[i] = w.now
 	}
-	w.book = picture.NewBook()
+	w.aggregator = aggregate.New()
 }
 
 // run plays a script with a policy.
