Keep per connection what an exchange with a target allocated anew

Cause: each exchange made a raw connection and a closure to look at the idle connection, a closure to abort it, a request for the answer's parser, a copy of the request sent and four numbers and addresses as text. Change: forward.Conn holds probe, abort function and parser request; numbers are appended to the head; a target holds its address as text; the request is sent from where it is, as nothing uses it between attempts.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -98,11 +98,10 @@
 		return a
 	}
 	permission.place.counts.tried.Add(1)
-	out := q.out
-	out.Host = permission.target.address.String()
-	out.Deadline = deadline
+	q.out.Host = permission.target.host
+	q.out.Deadline = deadline
 	sent := time.Now()
-	answer, err := conn.Exchange(ctx, &out)
+	answer, err := conn.Exchange(ctx, &q.out)
 	permission.target.pool.Put(conn)
 	permission.release()
 	took := time.Since(sent)
--- a/proxy/forward/conn.go
+++ b/proxy/forward/conn.go
@@ -5,7 +5,7 @@
 	"bytes"
 	"context"
 	"net"
-	"strconv"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -31,12 +31,25 @@
 	meter  *meter
 	reader *bufio.Reader
 	clean  bool
+	// asked tells the parser of an answer what was asked.
+	asked http.Request
+	// probe looks at the idle connection; nil if its kind cannot be looked at.
+	probe *probe
+	// abort ends the reads and writes under way.
+	abort func()
 }
 
 // NewConn takes over an open connection.
 func NewConn(c net.Conn) *Conn {
 	m := &meter{conn: c}
-	return &Conn{conn: c, meter: m, reader: bufio.NewReaderSize(m, readBufferBytes), clean: true}
+	return &Conn{
+		conn:   c,
+		meter:  m,
+		reader: bufio.NewReaderSize(m, readBufferBytes),
+		clean:  true,
+		probe:  newProbe(c),
+		abort:  func() { _ = c.SetDeadline(longAgo) },
+	}
 }
 
 // Close closes the connection.
@@ -63,7 +76,7 @@
 	}
 	// A cancelled request ends its reads and writes at once: the target sees
 	// the connection close and the slot is free for others.
-	stop := context.AfterFunc(ctx, func() { _ = c.conn.SetDeadline(longAgo) })
+	stop := context.AfterFunc(ctx, c.abort)
 	answer, err := c.run(ctx, r, left)
 	if !stop() || !c.clean {
 		// Either the deadline was spoilt by the cancellation or the exchange
@@ -77,7 +90,7 @@
 }
 
 func (c *Conn) run(ctx context.Context, r *Request, left time.Duration) (*Answer, error) {
-	exchange := strconv.FormatUint(exchanges.Add(1), 16)
+	exchange := exchanges.Add(1)
 	if r.Length > longBodyBytes {
 		return c.runLong(ctx, r, exchange, left)
 	}
@@ -99,7 +112,7 @@
 }
 
 // send writes the request and returns how many bytes the system took.
-func (c *Conn) send(r *Request, exchange string, left time.Duration) (int64, error) {
+func (c *Conn) send(r *Request, exchange uint64, left time.Duration) (int64, error) {
 	head := headBuffers.Get().(*bytes.Buffer)
 	defer headBuffers.Put(head)
 	head.Reset()
--- a/proxy/forward/head.go
+++ b/proxy/forward/head.go
@@ -32,17 +32,19 @@
 var headBuffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
 // writeHead renders the request line and the fields.
-func writeHead(b *bytes.Buffer, r *Request, exchange string, left time.Duration) {
+func writeHead(b *bytes.Buffer, r *Request, exchange uint64, left time.Duration) {
 	b.WriteString(r.Method)
 	b.WriteByte(' ')
 	b.WriteString(r.URI)
 	b.WriteString(" HTTP/1.1\r\n")
 	writeField(b, "Host", r.Host)
 	if r.Length > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
-		writeField(b, "Content-Length", strconv.FormatInt(r.Length, 10))
+		writeNumber(b, "Content-Length", r.Length)
 	}
-	writeField(b, result.HeaderDeadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
-	writeField(b, result.HeaderExchange, exchange)
+	writeNumber(b, result.HeaderDeadline, max(1, left.Milliseconds()))
+	b.WriteString(result.HeaderExchange + ": ")
+	b.Write(appendExchange(b.AvailableBuffer(), exchange))
+	b.WriteString("\r\n")
 	// Writing to a bytes.Buffer does not fail.
 	_ = r.Header.WriteSubset(b, excluded(r.Header))
 	b.WriteString("\r\n")
@@ -55,6 +57,18 @@
 	b.WriteString("\r\n")
 }
 
+func writeNumber(b *bytes.Buffer, name string, value int64) {
+	b.WriteString(name)
+	b.WriteString(": ")
+	b.Write(strconv.AppendInt(b.AvailableBuffer(), value, 10))
+	b.WriteString("\r\n")
+}
+
+// appendExchange appends the number of an exchange as it goes on the wire.
+func appendExchange(to []byte, exchange uint64) []byte {
+	return strconv.AppendUint(to, exchange, 16)
+}
+
 // excluded returns the fields not to forward: the fixed ones and those that
 // the sender named in its Connection field.
 func excluded(h http.Header) map[string]bool {
--- a/proxy/forward/idle_unix.go
+++ b/proxy/forward/idle_unix.go
@@ -3,6 +3,7 @@
 package forward
 
 import (
+	"net"
 	"syscall"
 )
 
@@ -13,25 +14,38 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.conn.(syscall.Conn)
+	return c.probe == nil || c.probe.wouldBlock()
+}
+
+// probe looks at a connection's input without taking or awaiting any.
+type probe struct {
+	raw   syscall.RawConn
+	look  func(fd uintptr) bool
+	first [1]byte
+	quiet bool
+}
+
+// newProbe returns nil if the connection is not one of the system's.
+func newProbe(c net.Conn) *probe {
+	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return true
+		return nil
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	return wouldBlock(raw)
+	p := &probe{}
+	p.look = p.peek
+	// A connection that is closed by now has no raw one and is never quiet.
+	p.raw, _ = sc.SyscallConn()
+	return p
 }
 
 // wouldBlock reads without waiting; only "nothing to read yet" is quiet.
-func wouldBlock(raw syscall.RawConn) bool {
-	quiet := false
-	err := raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, rerr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = rerr == syscall.EAGAIN || rerr == syscall.EWOULDBLOCK
-		return true
-	})
-	return err == nil && quiet
+func (p *probe) wouldBlock() bool {
+	p.quiet = false
+	return p.raw != nil && p.raw.Read(p.look) == nil && p.quiet
+}
+
+func (p *probe) peek(fd uintptr) bool {
+	_, _, err := syscall.Recvfrom(int(fd), p.first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	p.quiet = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+	return true
 }
--- a/proxy/forward/long.go
+++ b/proxy/forward/long.go
@@ -14,7 +14,7 @@
 // runLong sends a long body and reads at the same time: a target that refuses
 // an upload at its head stops reading, and its answer would never be seen by a
 // sender that waits for the end of its own write.
-func (c *Conn) runLong(ctx context.Context, r *Request, exchange string, left time.Duration) (*Answer, error) {
+func (c *Conn) runLong(ctx context.Context, r *Request, exchange uint64, left time.Duration) (*Answer, error) {
 	sent := make(chan sending, 1)
 	go func() {
 		written, err := c.send(r, exchange, left)
--- a/proxy/forward/receive.go
+++ b/proxy/forward/receive.go
@@ -32,7 +32,7 @@
 
 // receive reads the answer. By now the request may have run, so whatever goes
 // wrong the outcome is unknown.
-func (c *Conn) receive(ctx context.Context, r *Request, exchange string) (*Answer, error) {
+func (c *Conn) receive(ctx context.Context, r *Request, exchange uint64) (*Answer, error) {
 	resp, err := c.readHead(r)
 	if err != nil {
 		return nil, newError(headCode(ctx, err), err)
@@ -59,9 +59,9 @@
 }
 
 func (c *Conn) readHead(r *Request) (*http.Response, error) {
-	asked := &http.Request{Method: r.Method}
+	c.asked.Method = r.Method
 	for range maxInterim {
-		resp, err := http.ReadResponse(c.reader, asked)
+		resp, err := http.ReadResponse(c.reader, &c.asked)
 		if err != nil {
 			return nil, err
 		}
@@ -76,10 +76,10 @@
 }
 
 // check refuses what cannot be told to be this request's whole answer.
-func check(resp *http.Response, r *Request, exchange string) error {
+func check(resp *http.Response, r *Request, exchange uint64) error {
 	// A target that repeats the exchange number lets an answer that came too
 	// late, or twice, be told from the one that is waited for.
-	if got := resp.Header.Get(result.HeaderExchange); got != "" && got != exchange {
+	if got := resp.Header.Get(result.HeaderExchange); got != "" && !isExchange(got, exchange) {
 		return errForeign
 	}
 	// A body that ends with the connection looks the same whether it is whole
@@ -90,6 +90,11 @@
 	return nil
 }
 
+func isExchange(text string, exchange uint64) bool {
+	var digits [16]byte
+	return text == string(appendExchange(digits[:0], exchange))
+}
+
 func hasBody(resp *http.Response, r *Request) bool {
 	if r.Method == http.MethodHead {
 		return false
--- a/proxy/place_targets.go
+++ b/proxy/place_targets.go
@@ -69,6 +69,7 @@
 	t := &target{
 		id:      vm.ID,
 		address: vm.Address,
+		host:    vm.Address.String(),
 		state:   balance.NewTarget(now, min(limit, connections)),
 		pool:    pool.New(vm.Address.String(), s.proxy.options.dial, connections),
 	}
--- a/proxy/target.go
+++ b/proxy/target.go
@@ -11,8 +11,10 @@
 type target struct {
 	id      string
 	address netip.AddrPort
-	state   *balance.Target
-	pool    *pool.Pool
+	// host is the address as text.
+	host  string
+	state *balance.Target
+	pool  *pool.Pool
 	// warmAt is when connections may be opened ahead again. The proxy's lock
 	// guards it.
 	warmAt int64
