steering/aggregate: forget places that a service has left

Cause: rates, warm latencies and steady parts were kept for every service and place that a report ever named, for as long as the decider stayed. Change: what the account does not configure and no report names is dropped at each reading. A configured place that falls silent is kept. Conclusion: the memory is bounded by the configuration and the reports.

--- a/steering/aggregate/aggregator.go
+++ b/steering/aggregate/aggregator.go
@@ -75,7 +75,7 @@
 	}
 	a.read = now
 	demand := a.demand(account, reports, since)
-	places := a.places(reports, moved, since)
+	places := a.places(account, reports, moved, since)
 	return demand, places
 }
 
--- a/steering/aggregate/aggregator_test.go
+++ b/steering/aggregate/aggregator_test.go
@@ -1,6 +1,7 @@
 package aggregate
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -169,3 +170,24 @@
 		t.Fatalf("three seconds of failures read %.2f", got)
 	}
 }
+
+// Story: an operator moves a service from place to place all year, and the
+// decider stays the same. What was averaged for places that the service has
+// left would stay in memory for ever. A place that only falls silent is kept.
+func TestForgetsPlacesThatAreGone(t *testing.T) {
+	a := New()
+	var configured *model.Account
+	for i := range 100 {
+		place := model.PlaceName(fmt.Sprintf("place-%d", i))
+		configured = &model.Account{Services: []model.Service{{
+			Name: "desk", Capacity: []model.PlaceCapacity{{Place: place, RPS: 100}},
+		}}}
+		r := reportOf(0, 100, observe.PlaceLoad{SentRPS: 100, Targets: 4, Known: 4, P99: 20 * time.Millisecond})
+		r.Places[0].Place = place
+		a.Read(configured, []Report{r}, nil, start.Add(time.Duration(i)*time.Minute))
+	}
+	a.Read(configured, nil, nil, start.Add(101*time.Minute))
+	if len(a.cells) != 1 || len(a.warm) != 1 || len(a.steady) != 1 {
+		t.Errorf("kept %d rates, %d warm latencies, %d steady parts of one place", len(a.cells), len(a.warm), len(a.steady))
+	}
+}
--- a/steering/aggregate/places.go
+++ b/steering/aggregate/places.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"github.com/yuccaroute/yuccaroute/api/model"
 	"github.com/yuccaroute/yuccaroute/steering"
 )
 
@@ -21,7 +22,7 @@
 // places sums the measurements of the nodes. Targets are summed over the
 // nodes as well: one node that sees all of them gone, or all of them well,
 // weighs no more than its part.
-func (a *Aggregator) places(reports []Report, moved []steering.Move, since time.Duration) []steering.PlaceState {
+func (a *Aggregator) places(account *model.Account, reports []Report, moved []steering.Move, since time.Duration) []steering.PlaceState {
 	cells := make(map[cellKey]*sums)
 	for _, r := range current(reports) {
 		addReport(cells, &r)
@@ -35,6 +36,7 @@
 		state.WarmP99 = a.warmOf(key, &state, risen, since)
 		states = append(states, state)
 	}
+	a.forgetCells(account, cells)
 	sort.Slice(states, func(i, j int) bool {
 		if states[i].Service != states[j].Service {
 			return states[i].Service < states[j].Service
@@ -44,6 +46,27 @@
 	return states
 }
 
+// forgetCells drops what was averaged for cells that the account does not
+// configure and no report names. Without it a decider that stays for long
+// would keep every place that a service ever had. A configured place whose
+// reports stop is kept: its warm latency is needed when they return.
+func (a *Aggregator) forgetCells(account *model.Account, reported map[cellKey]*sums) {
+	configured := make(map[cellKey]bool)
+	for i := range account.Services {
+		service := &account.Services[i]
+		for _, c := range service.Capacity {
+			configured[cellKey{service.Name, c.Place}] = true
+		}
+	}
+	for key := range a.cells {
+		if !configured[key] && reported[key] == nil {
+			delete(a.cells, key)
+			delete(a.warm, key)
+			delete(a.steady, key)
+		}
+	}
+}
+
 // current leaves out reports too old to tell of a place, unless there are no
 // others: then their age tells that the state is stale.
 func current(reports []Report) []Report {
