Keep the memory of header fields between a caller's requests

Cause: for each request the server made anew the lists of the fields that decide on a body and the list of reservations; for each answer the fields that are always the same (result, outcome, place, target) and the length as text. Change: emptied lists keep their memory, for at most 16 names, as a caller may invent new ones; the fields are made once; a Content-Length that the target told is passed on if it is the length of the body.

--- a/proxy/ending.go
+++ b/proxy/ending.go
@@ -1,15 +1,13 @@
 package proxy
 
-import (
-	"github.com/yuccaroute/yuccaroute/api/model"
-	"github.com/yuccaroute/yuccaroute/proxy/forward"
-)
+import "github.com/yuccaroute/yuccaroute/proxy/forward"
 
-// ending is how a request ended: with a target's whole answer, or refused.
+// ending is how a request ended: with the whole answer of a target in a place,
+// or refused.
 type ending struct {
 	answer *forward.Answer
-	place  model.PlaceName
-	target string
+	place  *placeState
+	target *target
 	// refusal is set when answer is nil.
 	refusal *refusal
 }
--- a/proxy/forward/answer.go
+++ b/proxy/forward/answer.go
@@ -20,15 +20,29 @@
 	Leaving bool
 }
 
-// Length returns the Content-Length to pass on, or -1 for none. An answer to
-// HEAD tells the length that GET would have.
-func (a *Answer) Length() int64 {
-	if !a.NoBody {
-		return int64(len(a.Body))
+// LengthField returns the Content-Length to pass on, nil for none; it is only
+// to be read. It is the length of the body, whatever the target wrote. An
+// answer to HEAD tells the length that GET would have.
+func (a *Answer) LengthField() []string {
+	told := a.Header["Content-Length"]
+	if a.NoBody {
+		return parsedLength(told)
 	}
-	n, err := strconv.ParseInt(a.Header.Get("Content-Length"), 10, 64)
-	if err != nil {
-		return -1
+	var digits [20]byte
+	length := strconv.AppendInt(digits[:0], int64(len(a.Body)), 10)
+	if len(told) == 1 && told[0] == string(length) {
+		return told
 	}
-	return n
+	return []string{string(length)}
+}
+
+func parsedLength(told []string) []string {
+	if len(told) == 0 {
+		return nil
+	}
+	n, err := strconv.ParseInt(told[0], 10, 64)
+	if err != nil || n < 0 {
+		return nil
+	}
+	return []string{strconv.FormatInt(n, 10)}
 }
--- a/proxy/ingress/connection.go
+++ b/proxy/ingress/connection.go
@@ -185,7 +185,9 @@
 		return body{}
 	}
 	b := c.bodies[0]
-	c.bodies = c.bodies[1:]
+	// A caller seldom sends ahead, so that nearly always one is moved to none,
+	// and the list keeps its memory.
+	c.bodies = append(c.bodies[:0], c.bodies[1:]...)
 	return b
 }
 
--- a/proxy/ingress/processor.go
+++ b/proxy/ingress/processor.go
@@ -62,7 +62,7 @@
 
 // OnMethod implements nbhttp.Processor: a new request begins.
 func (p *processor) OnMethod(parser *nbhttp.Parser, method string) {
-	clear(p.header)
+	p.forgetHeader()
 	p.reserved = body{began: time.Now()}
 	p.bodyBytes = 0
 	p.Processor.OnMethod(parser, method)
@@ -84,6 +84,22 @@
 	p.Processor.OnHeader(parser, key, value)
 }
 
+// maxKeptFields bounds the field names kept from one request to the next: a
+// caller that invents new ones must not fill the memory.
+const maxKeptFields = 16
+
+// forgetHeader empties the fields of the last request and keeps their memory
+// for the next one, which mostly has the same.
+func (p *processor) forgetHeader() {
+	if len(p.header) > maxKeptFields {
+		clear(p.header)
+		return
+	}
+	for key, values := range p.header {
+		p.header[key] = values[:0]
+	}
+}
+
 // decides reports whether a field matters to whether the body may come.
 func decides(key string) bool {
 	return strings.HasPrefix(key, "Yucca-") || key == "Expect" || key == "Transfer-Encoding"
--- a/proxy/place_state.go
+++ b/proxy/place_state.go
@@ -20,8 +20,10 @@
 
 // placeState is one service in one place, over all snapshots.
 type placeState struct {
-	proxy  *Proxy
-	key    grant.Key
+	proxy *Proxy
+	key   grant.Key
+	// field is the place's name as answers tell it.
+	field  []string
 	bucket *admission.Bucket
 	line   *queue.Line[permission]
 	// bulk counts bulk requests at targets.
@@ -40,6 +42,7 @@
 	s := &placeState{
 		proxy:  p,
 		key:    key,
+		field:  []string{string(key.Place)},
 		bucket: admission.NewBucket(time.Now()),
 	}
 	s.line = queue.NewLine[permission](s)
--- a/proxy/place_targets.go
+++ b/proxy/place_targets.go
@@ -70,6 +70,7 @@
 		id:      vm.ID,
 		address: vm.Address,
 		host:    vm.Address.String(),
+		field:   []string{vm.ID},
 		state:   balance.NewTarget(now, min(limit, connections)),
 		pool:    pool.New(vm.Address.String(), s.proxy.options.dial, connections),
 	}
--- a/proxy/target.go
+++ b/proxy/target.go
@@ -11,7 +11,8 @@
 type target struct {
 	id      string
 	address netip.AddrPort
-	// host is the address as text.
+	// host is the address as text, field the name as answers tell it.
+	field []string
 	host  string
 	state *balance.Target
 	pool  *pool.Pool
--- a/proxy/write.go
+++ b/proxy/write.go
@@ -28,15 +28,22 @@
 	flush(w)
 }
 
+// The fields of every answer of a target; they are only read.
+var (
+	okResult  = []string{strconv.Itoa(int(result.OK))}
+	okOutcome = []string{result.Ran.String()}
+)
+
 // writeAnswer passes a target's whole answer on.
 func writeAnswer(w http.ResponseWriter, end ending) {
 	h := w.Header()
 	forward.CopyHeader(h, end.answer.Header)
-	setOutcome(h, result.InfoOf(result.OK))
-	h.Set(result.HeaderPlace, string(end.place))
-	h.Set(result.HeaderTarget, end.target)
-	if length := end.answer.Length(); length >= 0 {
-		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	h[result.HeaderResult] = okResult
+	h[result.HeaderOutcome] = okOutcome
+	h[result.HeaderPlace] = end.place.field
+	h[result.HeaderTarget] = end.target.field
+	if length := end.answer.LengthField(); length != nil {
+		h["Content-Length"] = length
 	}
 	w.WriteHeader(sendableStatus(h, end.answer.Status))
 	if len(end.answer.Body) > 0 {
