Leave a place that lists no target any more

The VM list had taken the lost targets away, so every node reported 0 known targets; the decision read that as a place nobody measured, kept its configured capacity and left its share there. Ruled out: stale measurements (the nodes report every second) and the move cap (5 of 10 % used). Change: a place that every report shows without targets is empty: capacity 0. A place that nobody reported is still unknown, not zero. Conclusion: a loss that the VM list shows is acted on like one that traffic shows.

--- a/steering/aggregate/places.go
+++ b/steering/aggregate/places.go
@@ -118,6 +118,7 @@
 		SentRPS:      c.sent,
 		Usable:       c.usable,
 		Known:        c.known,
+		Empty:        c.known == 0,
 		Age:          time.Duration(c.age.value()),
 	}
 }
--- a/steering/cell.go
+++ b/steering/cell.go
@@ -84,6 +84,9 @@
 
 // partOf returns the part of the targets that take work, without some.
 func (c *cell) partOf(without int) float64 {
+	if c.state != nil && c.state.Empty {
+		return 0
+	}
 	if c.state == nil || c.state.Known <= 0 {
 		return 1
 	}
--- a/steering/input.go
+++ b/steering/input.go
@@ -49,8 +49,11 @@
 	FailureShare float64
 	// SentRPS is the rate the FailureShare and the latencies were measured at.
 	SentRPS float64
-	// Usable of Known targets take work. Known is 0 when no target is known.
+	// Usable of Known targets take work. Known is 0 when it is not known.
 	Usable, Known int
+	// Empty tells that every node that reported lists no target here: the place
+	// was lost or removed. It is a measurement, unlike a place nobody reported.
+	Empty bool
 	// Unsteady of the usable targets came back too lately to be relied on:
 	// they serve what is still sent to them, but draw no work and hold none.
 	Unsteady int
