Close the demo's relays to targets that have ended

Change: the relays to a lost server are closed with it. Conclusion: a dead target now refuses connections as it would without relays.

--- a/demo/events.go
+++ b/demo/events.go
@@ -86,12 +86,14 @@
 		if n.VM().Place == place {
 			lost = append(lost, n.VM().ID)
 			n.Kill()
+			t.network.lose(n.VM().Peer.String())
 		}
 	}
 	for _, target := range t.Targets {
 		if target.vm.Place == place {
 			lost = append(lost, target.vm.ID)
 			target.end()
+			t.network.lose(target.vm.Address.String())
 		}
 	}
 	r.world.Platform.RemoveVMs(lost...)
--- a/demo/network.go
+++ b/demo/network.go
@@ -195,6 +195,20 @@
 	}
 }
 
+// lose closes the relays to a server that has ended: connecting to one must
+// fail as connecting to the server does.
+func (n *network) lose(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.servers, address)
+	for key, p := range n.paths {
+		if key.server == address {
+			p.relay.Stop()
+			delete(n.paths, key)
+		}
+	}
+}
+
 // restore ends the cut.
 func (n *network) restore() error {
 	n.mu.Lock()
