demo: end the watch and the events of a run before its report

Cause: the goroutines that watch revisions and play the events were not waited for, while the report reads what they write without a lock. Measured: go test -race ./demo ./cmd/... green; the scenario operators in a build with the race detector, 4 s, exits 0 with no violation after the change. The same build before it reported no race in three runs either, so the fault is found by reading and no test shows it. Conclusion: a run leaves nothing behind that could write into its report.

--- a/demo/promise.go
+++ b/demo/promise.go
@@ -45,7 +45,7 @@
 	defer w.mu.Unlock()
 	return append(all,
 		r.plannedStops(told),
-		newPromise("configuration went back", w.back, w.checked),
+		newPromise("configuration went back", w.wentBack, w.checked),
 		newPromise("accepted change late", w.late(), len(w.changes)),
 	)
 }
--- a/demo/run.go
+++ b/demo/run.go
@@ -50,7 +50,8 @@
 	drained []Drained
 	// stopped holds when the planned stop of an entry VM began.
 	stopped map[string]time.Time
-	counts  map[model.AccountName]caller.Counts
+	// counts holds what the callers of each account sent.
+	counts map[model.AccountName]caller.Counts
 }
 
 // Run plays a scenario and returns what it showed.
@@ -61,10 +62,9 @@
 	}
 	defer world.Close()
 	r := &run{
-		options: options,
-		world:   world,
-		counts:  make(map[model.AccountName]caller.Counts),
-
+		options:       options,
+		world:         world,
+		counts:        make(map[model.AccountName]caller.Counts),
 		stopped:       make(map[string]time.Time),
 		configuration: newConfigurationWatch(),
 		loadEnded:     make(chan struct{}),
@@ -84,8 +84,11 @@
 	return r.report(time.Since(began)), nil
 }
 
-// play sends the load and lets the events happen.
+// play sends the load and lets the events happen. When it returns nothing of
+// the run goes on, so that the report reads what it left without a lock.
 func (r *run) play(ctx context.Context) error {
+	stopWatch := r.configuration.start(ctx, r.world)
+	defer stopWatch()
 	var senders sync.WaitGroup
 	for i, t := range r.world.Tenants {
 		callers, err := r.newCallers(t, uint64(i))
@@ -97,10 +100,7 @@
 			r.addCounts(t.Account.Name, callers.Run(ctx))
 		})
 	}
-	watching, stopWatching := context.WithCancel(ctx)
-	defer stopWatching()
-	go r.configuration.run(watching, r.world)
-	go r.follow(ctx)
+	r.events.Go(func() { r.follow(ctx) })
 	stopProgress := r.progress.watch(&r.recorder, r.options.Duration)
 	senders.Wait()
 	close(r.loadEnded)
