--- a/demo/scenario.go
+++ b/demo/scenario.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"time"
 
-	"github.com/yuccaroute/yuccaroute/api/model"
-	"github.com/yuccaroute/yuccaroute/standin/caller"
 	"github.com/yuccaroute/yuccaroute/standin/platform"
 )
 
@@ -146,7 +143,7 @@
 				}
 			}},
 			{At: 0.4, What: "the key-value service loses answers and applies writes late", Do: func(_ context.Context, r *run) {
-				r.world.Platform.SetFault(badStore(r.options.Seed))
+				r.world.Platform.SetFault(faultyStore(r.options.Seed))
 			}},
 			{At: 0.6, What: "the key-value service is well", Do: func(_ context.Context, r *run) {
 				r.world.Platform.SetFault(platform.Fault{})
@@ -155,8 +152,8 @@
 	}
 }
 
-// badStore answers, but not always truthfully.
-func badStore(seed uint64) platform.Fault {
+// faultyStore loses answers and writes, and applies some writes late.
+func faultyStore(seed uint64) platform.Fault {
 	return platform.Fault{
 		LoseAnswer:     0.1,
 		ApplyLate:      0.1,
@@ -165,32 +162,3 @@
 		Seed:           seed,
 	}
 }
-
-// Base loads of the services, requests/s in sum over all caller blocks.
-const (
-	lookupRPS = 500
-	uploadRPS = 25
-)
-
-// rushRise is the part of the run within which the load climbs to its peak.
-const rushRise = 0.125
-
-// rate returns the load of a service over the run.
-func (s *Scenario) rate(base float64, duration time.Duration) caller.Rate {
-	if s.Peak == 0 {
-		return caller.Steady(base)
-	}
-	half := duration / 2
-	rise := time.Duration(rushRise * float64(duration))
-	return caller.Rush(base, base*s.Peak, half, rise)
-}
-
-// loadsOf returns the loads on an account's services.
-func (s *Scenario) loadsOf(account model.AccountName, duration time.Duration) []caller.Load {
-	asks := s.rate(lookupRPS, duration)
-	uploads := s.rate(uploadRPS, duration)
-	if account == "daehan" {
-		return []caller.Load{caller.DealerDesk(asks), caller.WarehouseDocs(uploads)}
-	}
-	return []caller.Load{caller.Termindienst(asks), caller.Herdenakte(uploads)}
-}
--- a/demo/series.go
+++ b/demo/series.go
@@ -99,7 +99,7 @@
 		c.out.Places = append(c.out.Places, PlaceSeries{Place: place.Name, RPS: make([]float64, seconds)})
 	}
 	for range seconds {
-		c.latencies = append(c.latencies, hdrhistogram.New(1, slowestMicros, histogramTen))
+		c.latencies = append(c.latencies, hdrhistogram.New(1, slowestMicros, histogramDigits))
 	}
 	return c
 }
