--- a/steering/cell.go
+++ b/steering/cell.go
@@ -22,12 +22,12 @@
 	// raised is what the cell was raised by within the step interval, and
 	// raisedLately what of it may prove too much, requests/s.
 	raised, raisedLately float64
-	// back is what a slow cell still has to give back, requests/s.
-	back float64
-	// backs counts the times it gave back lately; lastBack is the age of the
+	// backoff is what a slow cell still has to give back, requests/s.
+	backoff float64
+	// backoffs counts the times it gave back lately; lastBackoff is the age of the
 	// newest, 0 without one.
-	backs    int
-	lastBack time.Duration
+	backoffs    int
+	lastBackoff time.Duration
 	// holdDown is the time for which work does not return, failures the number
 	// of times it left because of a failure.
 	holdDown time.Duration
@@ -143,7 +143,6 @@
 // the others' to one that has none. A value far off is brought near the
 // middle: one wrong report must not decide alone.
 func setLatencies(row []cell) {
-	const farOff = 4
 	var known []float64
 	for i := range row {
 		if row[i].measured() && row[i].state.P50 > 0 {
@@ -158,7 +157,7 @@
 	for i := range row {
 		row[i].latencyMS = middle
 		if row[i].measured() && row[i].state.P50 > 0 {
-			row[i].latencyMS = min(max(milliseconds(row[i].state.P50), middle/farOff), middle*farOff)
+			row[i].latencyMS = min(max(milliseconds(row[i].state.P50), middle/mostLatencyFactor), middle*mostLatencyFactor)
 		}
 	}
 }
--- a/steering/cold.go
+++ b/steering/cold.go
@@ -21,7 +21,7 @@
 	}
 	c := &s.cells[service][place]
 	s.chargeStep(c, m, service)
-	c.chargeBack(m)
+	c.chargeBackoff(m)
 	if m.Cause == KindFailure && m.Delta < 0 || m.Delta > 0 {
 		noteEpisode(episodes, cellKey{m.Service, m.Place}, m)
 	}
@@ -38,17 +38,17 @@
 	}
 }
 
-// chargeBack counts the times the cell gave back lately. The parts of one time
-// are made at once or, when the cap holds some back, within the watch time.
-func (c *cell) chargeBack(m *Move) {
-	if m.Cause != KindSlow || m.Delta >= 0 || m.Age > backMemory {
+// chargeBackoff counts the times the cell gave back lately. The parts of one
+// time are made at once or, when the cap holds some back, within the watch time.
+func (c *cell) chargeBackoff(m *Move) {
+	if m.Cause != KindSlow || m.Delta >= 0 || m.Age > backoffMemory {
 		return
 	}
-	if c.backs == 0 || c.lastBack-m.Age >= watchTime || m.Age-c.lastBack >= watchTime {
-		c.backs++
+	if c.backoffs == 0 || c.lastBackoff-m.Age >= watchTime || m.Age-c.lastBackoff >= watchTime {
+		c.backoffs++
 	}
-	if c.backs == 1 || m.Age < c.lastBack {
-		c.lastBack = m.Age
+	if c.backoffs == 1 || m.Age < c.lastBackoff {
+		c.lastBackoff = m.Age
 	}
 }
 
@@ -62,16 +62,16 @@
 	return 0
 }
 
-// setBack lets cells that are far slower than when warm give back a part of
-// what they were raised by lately, once in a watch time: what was given back
-// shows in the measurements as late as an increase does, and a place that
-// warms up would be emptied meanwhile.
-func (s *solver) setBack() {
+// setBackoffs lets cells that are far slower than when warm give back a part
+// of what they were raised by lately, once in a watch time: what was given back
+// shows in the measurements as late as an increase does, and a place that warms
+// up would be emptied meanwhile.
+func (s *solver) setBackoffs() {
 	for i := range s.cells {
 		for p := range s.cells[i] {
 			c := &s.cells[i][p]
-			if c.slowness() >= slowBack && c.raisedLately > 0 && !c.resting() {
-				c.back = c.raisedLately * backPart
+			if c.slowness() >= slowBackoff && c.raisedLately > 0 && !c.resting() {
+				c.backoff = c.raisedLately * backoffPart
 			}
 		}
 	}
--- a/steering/cost.go
+++ b/steering/cost.go
@@ -35,14 +35,9 @@
 	if utilisation <= s.target {
 		return weight * utilisation / s.target
 	}
-	return weight + fullPressure*(utilisation-s.target)/max(1-s.target, 0.05)
+	return weight + fullPressure*(utilisation-s.target)/max(1-s.target, leastHeadroom)
 }
 
-// mostUtilised stands for every utilisation beyond it, and for that of what
-// has no capacity: a quotient by nothing would be no number, and a decision
-// that holds one can neither be compared nor written as JSON.
-const mostUtilised = 2.0
-
 func utilisationOf(load, capacity float64) float64 {
 	if capacity <= 0 {
 		return mostUtilised
--- a/steering/exchange.go
+++ b/steering/exchange.go
@@ -161,10 +161,10 @@
 	return cheapest, lowest
 }
 
-// hasRoom reports whether at least a tenth of a quantum fits.
+// hasRoom reports whether at least leastFit fits.
 func (s *solver) hasRoom(f *flow, from, to int) bool {
 	r := s.roomFor(f, from, to)
-	return r.kind == KindNone || r.rps > 0 && r.rps >= f.rps(quantum/10)
+	return r.kind == KindNone || r.rps > 0 && r.rps >= f.rps(leastFit)
 }
 
 // exchange moves a part of a flow, as far as the budget, the share and the
@@ -184,7 +184,7 @@
 	s.addLoad(f, to, rps)
 	s.cells[f.service][to].raised += rps
 	if cause == KindSlow {
-		s.cells[f.service][from].back -= rps
+		s.cells[f.service][from].backoff -= rps
 	}
 	f.budget -= int64(part)
 	f.spent += int64(part)
--- a/steering/forced.go
+++ b/steering/forced.go
@@ -19,8 +19,8 @@
 	if kind, over := s.regionOver(f, place); kind != KindNone {
 		return kind, min(held, over)
 	}
-	if c.back > 0 {
-		return KindSlow, min(held, c.back)
+	if c.backoff > 0 {
+		return KindSlow, min(held, c.backoff)
 	}
 	return KindNone, 0
 }
@@ -49,9 +49,10 @@
 	return KindNone, 0
 }
 
-// tolerance covers the rounding of sums of loads.
+// tolerance is how far a sum of loads may pass a capacity by rounding alone,
+// requests/s.
 func tolerance(capacity float64) float64 {
-	return capacity * 1e-9
+	return capacity * rounding
 }
 
 // heldBack reports whether work that must leave a place is still there.
--- a/steering/moved.go
+++ b/steering/moved.go
@@ -23,7 +23,7 @@
 		s.setBudget(&s.flows[i])
 	}
 	s.shutEarly()
-	s.setBack()
+	s.setBackoffs()
 }
 
 // chargeMove counts an increase against its flow.
--- a/steering/pick/picker_test.go
+++ b/steering/pick/picker_test.go
@@ -98,7 +98,7 @@
 
 // A change of shares must move few blocks: each moved block lands on a cold
 // cache and counts against the move cap. Counted over many blocks, it is what
-// BlocksMoved tells, and the shares hold before and after.
+// blocksMoved tells, and the shares hold before and after.
 func TestForBlockMovesFew(t *testing.T) {
 	const blocks = 200_000
 	cases := []struct {
@@ -124,7 +124,7 @@
 			}
 		}
 		got := float64(moved) / blocks
-		want := BlocksMoved(c.before, c.after)
+		want := blocksMoved(c.before, c.after)
 		t.Logf("share change %.2f moved %.4f of the blocks, expected %.4f", c.x, got, want)
 		if math.Abs(got-want) > 0.005 {
 			t.Errorf("moved %.4f of the blocks, expected %.4f", got, want)
--- a/steering/room.go
+++ b/steering/room.go
@@ -84,11 +84,11 @@
 // with each time the cell gave back or failed: the same step would be too much
 // again and the share would swing, or as much work would be lost as before.
 func (c *cell) step() float64 {
-	return c.usable * stepPart / float64(int(1)<<(c.backHalvings()+c.failureHalvings()))
+	return c.usable * stepPart / float64(int(1)<<(c.backoffHalvings()+c.failureHalvings()))
 }
 
-func (c *cell) backHalvings() int {
-	return min(c.backs, stepHalvings)
+func (c *cell) backoffHalvings() int {
+	return min(c.backoffs, stepHalvings)
 }
 
 // failureHalvings grows by two with each further failure: what a place takes
@@ -109,5 +109,5 @@
 // resting reports a cell that gave back and has not had the time to show the
 // effect.
 func (c *cell) resting() bool {
-	return c.backs > 0 && c.lastBack < watchTime
+	return c.backoffs > 0 && c.lastBackoff < watchTime
 }
--- a/steering/solver.go
+++ b/steering/solver.go
@@ -44,7 +44,7 @@
 
 func newSolver(in *Input) *solver {
 	s := &solver{in: in, account: in.Account}
-	s.target = max(1-in.Account.Policy.Headroom, 0.05)
+	s.target = max(1-in.Account.Policy.Headroom, leastTarget)
 	s.capPPM = int64(min(max(in.Account.Moves.Share, 0), 1) * plan.Whole)
 	s.addRegions()
 	s.addPlaces()
--- a/steering/tuning.go
+++ b/steering/tuning.go
@@ -13,6 +13,9 @@
 const (
 	// quantum is the least change that is weighed, parts per million.
 	quantum = plan.Whole / 100
+	// leastFit is the least room for which a place is considered, parts per
+	// million: below it the search would creep towards a full place.
+	leastFit = quantum / 10
 	// deadBand is the gain in cost below which nothing moves. Without it two
 	// places of like cost would swap traffic at every measurement.
 	deadBand = 0.02
@@ -28,6 +31,19 @@
 	fullPressure = 4.0
 	// forcedCost is the cost of work in a place that it must leave.
 	forcedCost = 1000.0
+	// leastTarget and leastHeadroom keep the target utilisation and the part
+	// above it from 0, by which costs are divided.
+	leastTarget   = 0.05
+	leastHeadroom = 0.05
+	// mostUtilised stands for every utilisation beyond it, and for that of
+	// what has no capacity: a quotient by nothing would be no number, and a
+	// decision that holds one can neither be compared nor written as JSON.
+	mostUtilised = 2.0
+	// mostLatencyFactor is how far a service time may be from the middle of
+	// the places: one wrong report must not decide alone.
+	mostLatencyFactor = 4
+	// rounding is the relative error that sums of loads may have.
+	rounding = 1e-9
 )
 
 const (
@@ -45,12 +61,12 @@
 	stepInterval = 10 * time.Second
 	// stepPart is the part of a place's capacity it takes more of in a step.
 	stepPart = 0.1
-	// slowHold and slowBack are the ratios of P99 to its warm value from which
+	// slowHold and slowBackoff are the ratios of P99 to its warm value from which
 	// on a place takes no more, and gives back.
-	slowHold = 1.5
-	slowBack = 3.0
-	// backPart is the part of what was raised lately that a place gives back.
-	backPart = 0.5
+	slowHold    = 1.5
+	slowBackoff = 3.0
+	// backoffPart is the part of what was raised lately that a place gives back.
+	backoffPart = 0.5
 	// stepHalvings is how often a step is halved at most.
 	stepHalvings = 3
 	// failureHalvings is how often it is halved at most for failures.
@@ -58,8 +74,8 @@
 	// triedPart is the part of its capacity a place must carry to have been
 	// tried after a failure.
 	triedPart = 0.002
-	// backMemory is how long a place that gave back takes smaller steps.
-	backMemory = 15 * time.Minute
+	// backoffMemory is how long a place that gave back takes smaller steps.
+	backoffMemory = 15 * time.Minute
 	// unknownShare is the most a place nothing is known of gets of a flow.
 	unknownShare = plan.Whole / 100
 )
