--- /dev/null
+++ b/node/start_test.go
@@ -0,0 +1,50 @@
+package node_test
+
+import (
+	"testing"
+
+	"github.com/yuccaroute/yuccaroute/config/changelog"
+	"github.com/yuccaroute/yuccaroute/node"
+	"github.com/yuccaroute/yuccaroute/store/faultkv"
+)
+
+// The store is out and an entry VM is replaced at that time. Callers are sent
+// to the new one. It can read neither the account nor a plan from the store,
+// and no decider can write a grant for it. It must learn both from its peers,
+// borrow a part of their floors and serve; otherwise every VM that is replaced
+// during a long outage is one less to serve.
+func TestStartWhileTheStoreIsOut(t *testing.T) {
+	s := newSystem(t)
+	// The VM list is another service of the platform and goes on.
+	kv := faultkv.New(s.platform.KV(), nil)
+	s.adjust = func(o *node.Options) { o.Store = kv }
+	s.addThree()
+	kv.SetOutage(true)
+	started := s.add("entry-new", "north-b")
+	s.until("the new node serves", func() bool { return s.ask(started).served() })
+	if got, want := revision(started), revision(s.nodes[0]); got != want || want == 0 {
+		t.Errorf("the new node has revision %d, its peers %d", got, want)
+	}
+	if borrowed(started) == 0 {
+		t.Error("the new node serves without a loan while no ledger can be written")
+	}
+	kv.SetOutage(false)
+	wanted := s.apply(changelog.KindAccount, accountName, withCapacity(2900))
+	s.until("a change after the outage is in force on all nodes", func() bool {
+		for _, n := range s.nodes {
+			if revision(n) != wanted {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func borrowed(n *node.Node) int {
+	for _, a := range n.Status().Control {
+		if a.Account == accountName {
+			return a.Holder.Borrowed
+		}
+	}
+	return 0
+}
