api, store, membership: errors of each store call; drop what nobody uses

Cause: KV listed the errors of two of its eight calls, grant named a package that does not exist, TableHeader and Change.Empty had no caller anywhere. Change: each method of KV says its errors; the comments of grant, membership and UseLog say what the code does; the two unused exports are gone. Conclusion: no behaviour changes.

--- a/api/grant/grant.go
+++ b/api/grant/grant.go
@@ -1,7 +1,7 @@
 // Package grant holds the permission of one node to send a bounded rate of
 // work to a place. The sum of all grants that may be in force anywhere never
-// passes a capacity; module steering/ledger keeps that account, module
-// control hands grants out, module proxy enforces them.
+// passes a capacity: control/ledger keeps that account, control/decider hands
+// grants out, module proxy enforces them.
 package grant
 
 import "github.com/yuccaroute/yuccaroute/api/model"
--- a/api/result/row.go
+++ b/api/result/row.go
@@ -5,10 +5,8 @@
 	"strconv"
 )
 
-// TableHeader is the head of the table in docs/RESULT-CODES.md.
-const TableHeader = "| number | name | HTTP | outcome | send again | meaning |\n|---|---|---|---|---|---|"
-
-// Row renders one code as a line of that table.
+// Row renders one code as a line of the table in docs/RESULT-CODES.md: number,
+// name, HTTP status, outcome, whether to send again, meaning.
 func Row(i Info) string {
 	again := "no"
 	if i.Retry {
--- a/httpserver/library_log.go
+++ b/httpserver/library_log.go
@@ -40,8 +40,7 @@
 
 // UseLog sends nbio's log lines to a logger. The library has one logger for the
 // process and reads it without a lock: call UseLog once, before the first
-// server starts; later calls do nothing, nor do
-// those after QuietLibraryLogs.
+// server starts. Later calls do nothing, nor does one after QuietLibraryLogs.
 func UseLog(log *logrus.Logger) {
 	logOnce.Do(func() { logging.SetLogger(libraryLog{log: log}) })
 }
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -1,6 +1,7 @@
 // Package membership reads the platform's list of VMs. The list lags: a VM it
 // shows as live may have ended, and a new one may be missing. A VM that it
-// showed and shows no longer has ended. The same VM may be listed twice.
+// showed and shows no longer is taken for ended after a while; package view
+// tells for how long it has been absent. The same VM may be listed twice.
 package membership
 
 import (
--- a/membership/view/change.go
+++ b/membership/view/change.go
@@ -20,11 +20,6 @@
 	New membership.VM
 }
 
-// Empty reports whether nothing differs.
-func (c Change) Empty() bool {
-	return len(c.Added)+len(c.Removed)+len(c.Updated)+len(c.Replaced) == 0
-}
-
 // Diff compares two lists sorted by ID.
 func Diff(before, after []membership.VM) Change {
 	var change Change
--- a/store/store.go
+++ b/store/store.go
@@ -93,21 +93,26 @@
 type KV interface {
 	// Get returns the entry or ErrNotFound or ErrUnavailable.
 	Get(ctx context.Context, key string) (Entry, error)
-	// List returns all entries whose key starts with prefix, sorted by key.
+	// List returns all entries whose key starts with prefix, sorted by key, or
+	// ErrUnavailable.
 	List(ctx context.Context, prefix string) (Listing, error)
 	// Swap writes value if the key is at revision expected (0: does not
 	// exist) and binds it to the lease unless that is 0. Errors: a
-	// ConflictError, ErrLeaseGone, ErrUnavailable, ErrUnknown.
+	// ConflictError, ErrLeaseGone, ErrTooLarge, ErrUnavailable, ErrUnknown.
 	Swap(ctx context.Context, key string, value []byte, expected Revision, lease LeaseID) (Revision, error)
-	// Delete removes the key if it is at revision expected.
+	// Delete removes the key if it is at revision expected. Errors: a
+	// ConflictError, ErrNotFound for revision 0, ErrUnavailable, ErrUnknown.
 	Delete(ctx context.Context, key string, expected Revision) error
 	// Watch waits until there is a change under prefix after the revision
-	// given, or until the service's waiting time ends (an empty batch).
+	// given, or until the service's waiting time ends (an empty batch). Its
+	// only error is ErrUnavailable.
 	Watch(ctx context.Context, prefix string, after Revision) (Batch, error)
-	// Grant makes a lease; keys bound to it are removed when it lapses.
+	// Grant makes a lease; keys bound to it are removed when it lapses. Errors:
+	// ErrUnavailable, ErrUnknown; an unknown lease lapses by itself.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
 	// KeepAlive extends the lease by its full time, counted at the service.
+	// Errors: ErrLeaseGone, ErrUnavailable, ErrUnknown.
 	KeepAlive(ctx context.Context, lease LeaseID) error
-	// Revoke ends the lease and removes its keys.
+	// Revoke ends the lease and removes its keys. Errors as of KeepAlive.
 	Revoke(ctx context.Context, lease LeaseID) error
 }
