Tell an unreadable answer to a change as unknown

Cause: a 200 answer that is not JSON gave a plain error, which by the client's contract means not sent; an operator would make the change again. Change: such an answer to a change is change-unknown with its identifier. Conclusion: only what was not sent reads as not sent.

--- a/admin/client/client.go
+++ b/admin/client/client.go
@@ -25,9 +25,9 @@
 // Client calls one node. It is safe for use by several goroutines.
 //
 // Errors are *wire.Error when the node answered, and also when the answer to
-// a change was lost: its code is then change-unknown and its ChangeID is the
-// one to ask by or to repeat the change under. Any other error means that the
-// request was not sent, or that nothing was to be changed.
+// a change was lost or cannot be read: its code is then change-unknown and its
+// ChangeID is the one to ask by or to repeat the change under. Any other error
+// means that the request was not sent, or that nothing was to be changed.
 type Client struct {
 	base  string
 	token string
@@ -68,10 +68,25 @@
 	if err != nil {
 		return lost(r, err)
 	}
-	if answer.StatusCode == http.StatusOK {
-		return errors.Wrap(json.Unmarshal(body, into), "admin: answer is not the JSON expected")
+	if answer.StatusCode != http.StatusOK {
+		return failed(r, answer.StatusCode, body)
 	}
-	return failed(r, answer.StatusCode, body)
+	return decoded(r, body, into)
+}
+
+// decoded reads a success. A change was sent and may be in force although the
+// answer cannot be read, as when a server of another kind stands in between; a
+// plain error would read as "not sent", and the change would be made again
+// under a new identifier.
+func decoded(r request, body []byte, into any) error {
+	err := json.Unmarshal(body, into)
+	if err == nil {
+		return nil
+	}
+	if r.changeID != "" {
+		return unknown(r, "the answer is not the JSON expected: "+err.Error())
+	}
+	return errors.Wrap(err, "admin: answer is not the JSON expected")
 }
 
 func (c *Client) build(ctx context.Context, r request) (*http.Request, error) {
