Read a document at an earlier sequence; try a roll back first

Cause: nobody could see an earlier document, so a roll back had no difference and no dry run. The roll back reads through the same function. Conclusion: a roll back can be judged before it is made.

--- a/admin/client/objects.go
+++ b/admin/client/objects.go
@@ -47,6 +47,12 @@
 	return get[wire.Document](ctx, c, o.path(), nil)
 }
 
+// GetAt returns the document that was in force at a sequence of the history.
+func (c *Client) GetAt(ctx context.Context, o Object, sequence uint64) (*wire.Document, error) {
+	query := url.Values{"at": {strconv.FormatUint(sequence, 10)}}
+	return get[wire.Document](ctx, c, o.path(), query)
+}
+
 // Put creates or changes a document. A change without an ID gets one.
 func (c *Client) Put(ctx context.Context, o Object, match Match, change wire.ChangeRequest) (*wire.ChangeAnswer, error) {
 	change.ID = withID(change.ID)
--- a/admin/documents.go
+++ b/admin/documents.go
@@ -59,6 +59,13 @@
 	if err != nil {
 		return nil, err
 	}
+	at, err := c.sequenceParam("at")
+	if err != nil {
+		return nil, err
+	}
+	if at != 0 {
+		return c.documentAt(template, kind, name, at)
+	}
 	head, from, err := c.head(template)
 	if err != nil {
 		return nil, err
@@ -81,6 +88,19 @@
 	}, nil
 }
 
+// documentAt returns an earlier document. It sets no ETag: a change made from
+// an earlier state must name the state in force.
+func (c *call) documentAt(template string, kind changelog.Kind, name string, at uint64) (any, error) {
+	document, err := c.api.options.Log.DocumentAt(c.ctx, template, kind, name, at)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.Document{
+		Kind: string(kind), Name: name, Template: template,
+		Sequence: document.Sequence, Text: string(document.Text),
+	}, nil
+}
+
 func (c *call) values() (any, error) {
 	template, err := c.templateOf(c.account)
 	if err != nil {
--- a/admin/routes.go
+++ b/admin/routes.go
@@ -71,7 +71,7 @@
 // objectRoutes are the operations that templates and accounts share.
 func objectRoutes(path, kind string) []Route {
 	return []Route{
-		{Method: "GET", Path: path, Summary: "Get the document of the " + kind + " as written", Access: accessRead, Answer: wire.Document{}, serve: (*call).getDocument},
+		{Method: "GET", Path: path, Summary: "Get the document of the " + kind + " as written, the one at a sequence of its history with at", Access: accessRead, Query: []string{"at"}, Answer: wire.Document{}, serve: (*call).getDocument},
 		{Method: "PUT", Path: path, Summary: "Create or change the " + kind, Access: accessChange, Conditional: true, Request: wire.ChangeRequest{}, Answer: wire.ChangeAnswer{}, serve: (*call).putDocument},
 		{Method: "DELETE", Path: path, Summary: "Delete the " + kind, Access: accessChange, Conditional: true, Query: []string{"id", "note"}, Answer: wire.ChangeAnswer{}, serve: (*call).deleteDocument},
 		{Method: "POST", Path: path + "/dry-run", Summary: "Check a change and forecast what it does, without making it", Access: accessRead, Conditional: true, Request: wire.ChangeRequest{}, Answer: wire.Preview{}, serve: (*call).dryRun},
--- a/cmd/internal/operator/apply.go
+++ b/cmd/internal/operator/apply.go
@@ -49,6 +49,13 @@
 	})
 }
 
+// GetAt returns the document that was in force at a sequence of the history.
+func (n *Nodes) GetAt(ctx context.Context, o Object, sequence uint64) (*wire.Document, error) {
+	return Read(ctx, n, func(ctx context.Context, api *client.Client) (*wire.Document, error) {
+		return api.GetAt(ctx, o.API(), sequence)
+	})
+}
+
 // Plan reads what is in force and finds the precondition of the change. The
 // error is a BaseError when an object exists and nothing tells which state the
 // document was made from.
--- a/cmd/yuccaroute/export.go
+++ b/cmd/yuccaroute/export.go
@@ -4,6 +4,7 @@
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
+	"github.com/yuccaroute/yuccaroute/admin/wire"
 	"github.com/yuccaroute/yuccaroute/cmd/internal/operator"
 	"github.com/yuccaroute/yuccaroute/cmd/internal/program"
 )
@@ -26,16 +27,24 @@
 		if o.Kind != operator.KindAccount && o.Kind != operator.KindTemplate {
 			return program.Exit(program.ExitUsage, errors.Errorf("--kind is %q; permitted: account, template", kind))
 		}
-		return s.get(o)
+		return s.get(o, 0)
 	})
 	return cmd
 }
 
-// get writes a document in force.
-func (s *session) get(o operator.Object) error {
-	d, err := s.nodes.Get(s.ctx, o)
+// get writes the document in force, or the one at a sequence.
+func (s *session) get(o operator.Object, at uint64) error {
+	d, err := s.document(o, at)
 	if err != nil {
 		return err
 	}
 	return s.printer.Document(d, operator.Exported(o, d.Sequence, d.Text))
 }
+
+// document returns the document in force at a sequence, 0 for now.
+func (s *session) document(o operator.Object, at uint64) (*wire.Document, error) {
+	if at == 0 {
+		return s.nodes.Get(s.ctx, o)
+	}
+	return s.nodes.GetAt(s.ctx, o, at)
+}
--- a/cmd/yuccaroute/object.go
+++ b/cmd/yuccaroute/object.go
@@ -60,16 +60,19 @@
 }
 
 func newGet(c *connection, kind operator.Kind) *cobra.Command {
-	return &cobra.Command{
+	var at uint64
+	cmd := &cobra.Command{
 		Use:               "get NAME",
 		Short:             "Write the document of one " + string(kind) + " with its sequence",
-		Example:           "  yuccaroute " + string(kind) + " get NAME",
+		Example:           "  yuccaroute " + string(kind) + " get NAME\n  yuccaroute " + string(kind) + " get NAME --at 12",
 		Args:              cobra.ExactArgs(1),
 		ValidArgsFunction: c.completeNames(kind),
 		RunE: c.run(func(s *session) error {
-			return s.get(operator.Object{Kind: kind, Name: s.args[0]})
+			return s.get(operator.Object{Kind: kind, Name: s.args[0]}, at)
 		}),
 	}
+	cmd.Flags().Uint64Var(&at, "at", 0, "the document that was in force at this sequence of the history")
+	return cmd
 }
 
 func newDelete(c *connection, kind operator.Kind) *cobra.Command {
@@ -120,36 +123,6 @@
 	return cmd
 }
 
-func newRollback(c *connection, kind operator.Kind) *cobra.Command {
-	var to, at uint64
-	var change changeFlags
-	cmd := &cobra.Command{
-		Use:     "rollback NAME --to SEQUENCE",
-		Aliases: []string{"roll-back"},
-		Short:   "Put an earlier document of one " + string(kind) + " in force again",
-		Long: "Put the document that was in force at a sequence of the history in force again,\nas a new change. A change made since the verb began, or since --at, is a\n" +
-			"conflict.",
-		Example:           "  yuccaroute " + string(kind) + " history NAME\n  yuccaroute " + string(kind) + " rollback NAME --to 12",
-		Args:              cobra.ExactArgs(1),
-		ValidArgsFunction: c.completeNames(kind),
-	}
-	cmd.Flags().Uint64Var(&to, "to", 0, "sequence of the history")
-	cmd.Flags().Uint64Var(&at, "at", 0, "sequence in force that the decision was made on; default the one now")
-	change.register(cmd.Flags())
-	_ = cmd.MarkFlagRequired("to")
-	cmd.RunE = c.run(func(s *session) error {
-		o := operator.Object{Kind: kind, Name: s.args[0]}
-		match, err := s.matchNow(o, at)
-		if err != nil {
-			return err
-		}
-		return s.change(o, change, func(ctx context.Context, api *client.Client, id string) (*wire.ChangeAnswer, error) {
-			return api.RollBack(ctx, o.API(), match, wire.RollBackRequest{ID: id, Note: change.note, ToSequence: to})
-		})
-	})
-	return cmd
-}
-
 // matchNow requires the sequence given, or else the one in force now; an
 // object that does not exist is created.
 func (s *session) matchNow(o operator.Object, at uint64) (client.Match, error) {
--- a/cmd/yuccaroute/operate_test.go
+++ b/cmd/yuccaroute/operate_test.go
@@ -58,8 +58,14 @@
 	wantText(t, conflict.notes, "smaller link", "anonymous", mine.ID, "-"+fewerLink)
 	wantText(t, o.must(program.ExitOK, "export", "daehan").out, fewerLink)
 
-	before := history.Changes[1].Sequence
-	o.must(program.ExitOK, "account", "rollback", "daehan", "--to", strconv.FormatUint(before, 10), "--wait", "60s")
+	before := strconv.FormatUint(history.Changes[1].Sequence, 10)
+	wantText(t, o.must(program.ExitOK, "account", "get", "daehan", "--at", before).out, usualLink)
+	o.must(program.ExitFailed, "account", "get", "daehan", "--at", "1")
+	preview := o.must(program.ExitOK, "account", "rollback", "daehan", "--to", before, "--dry-run")
+	wantText(t, preview.notes, "-"+fewerLink, "+"+usualLink)
+	wantText(t, preview.out, "1700", "1800")
+	wantText(t, o.must(program.ExitOK, "export", "daehan").out, fewerLink)
+	o.must(program.ExitOK, "account", "rollback", "daehan", "--to", before, "--wait", "60s")
 	wantText(t, o.must(program.ExitOK, "export", "daehan").out, usualLink)
 
 	drainOnce(t, o)
--- a/config/changelog/history.go
+++ b/config/changelog/history.go
@@ -151,26 +151,36 @@
 // c names the change and the object; its text is taken from the change that
 // made the sequence to. Errors are those of Apply.
 func (l *Log) RollBack(ctx context.Context, c Change, to uint64) (Result, error) {
-	head, err := l.readHead(ctx, c.Template)
+	earlier, err := l.DocumentAt(ctx, c.Template, c.Kind, c.Name, to)
 	if err != nil {
 		return Result{}, err
 	}
-	var target *Record
-	err = l.walk(ctx, c.Template, head.Head, func(r *Record) bool {
-		if r.Sequence <= to && r.Kind == c.Kind && r.Name == c.Name {
+	c.Text = earlier.Text
+	return l.Apply(ctx, c)
+}
+
+// DocumentAt returns the document of an object as it was at a sequence of its
+// template. Its own sequence is that of the change that made it. Errors:
+// ErrNotFound when the object did not exist then, store.ErrUnavailable,
+// WentBackError.
+func (l *Log) DocumentAt(ctx context.Context, template string, kind Kind, name string, at uint64) (Document, error) {
+	head, err := l.readHead(ctx, template)
+	if err != nil {
+		return Document{}, err
+	}
+	var made *Record
+	err = l.walk(ctx, template, head.Head, func(r *Record) bool {
+		if r.Sequence <= at && r.Kind == kind && r.Name == name {
 			found := *r
-			target = &found
+			made = &found
 		}
-		return target == nil
+		return made == nil
 	})
 	if err != nil {
-		return Result{}, err
+		return Document{}, err
 	}
-	if target == nil || target.Deleted() {
-		return Result{}, errors.Wrapf(ErrNotFound, "%s %s at sequence %d", c.Kind, c.Name, to)
+	if made == nil || made.Deleted() {
+		return Document{}, errors.Wrapf(ErrNotFound, "%s %s at sequence %d", kind, name, at)
 	}
-	if c.Text, err = l.objects.read(ctx, target.Hash); err != nil {
-		return Result{}, err
-	}
-	return l.Apply(ctx, c)
+	return l.document(ctx, name, Object{Hash: made.Hash, Sequence: made.Sequence})
 }
