store: only the probe's end admits the next probe; one wait for three

Cause: while the service fails, one call on the path of a request at a time finds out whether it is back. The end of any such call cleared that mark, also of one sent before the failure, so that a second request waited behind a call that may hang. Besides, waiting for a time or a context stood in three packages. Change: a call carries its turn, which tells whether it is the probe; the wait is store/internal/wait; a bare 4 is retryShare. Conclusion: one request at a time waits for a service that fails.

--- a/store/faultkv/store.go
+++ b/store/faultkv/store.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/yuccaroute/yuccaroute/store"
+	"github.com/yuccaroute/yuccaroute/store/internal/wait"
 )
 
 // Store wraps a store.KV. It is safe for use by several goroutines.
@@ -98,7 +99,7 @@
 	lost := lostError(kind)
 	ctx, cancel := contextUntil(ctx, out)
 	defer cancel()
-	if !sleep(ctx, decision.DelayBefore) {
+	if !wait.For(ctx, decision.DelayBefore) {
 		return lost
 	}
 	switch decision.Fault {
@@ -109,7 +110,7 @@
 		return lost
 	}
 	err := work(ctx)
-	if !sleep(ctx, decision.DelayAfter) || decision.Fault == LoseAnswer {
+	if !wait.For(ctx, decision.DelayAfter) || decision.Fault == LoseAnswer {
 		return lost
 	}
 	return err
@@ -151,18 +152,3 @@
 		cancel()
 	}
 }
-
-// sleep reports whether the time passed before the context ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/store/httpkv/call.go
+++ b/store/httpkv/call.go
@@ -47,23 +47,21 @@
 	callCtx, cancel := context.WithTimeout(ctx, op.timeout)
 	defer cancel()
 	began := time.Now()
-	round, err := c.turn(callCtx, op)
+	t, err := c.turn(callCtx, op)
 	sent := time.Now()
 	if err != nil {
 		err = notSent(err)
 	} else {
 		err = c.exchange(callCtx, op, body, answer)
-		c.report(ctx, round, err)
-		if store.IsPrompt(ctx) {
-			c.pacer.endProbe()
-		}
+		c.report(ctx, t.round, err)
+		c.pacer.endProbe(t)
 	}
 	c.observe(op, err, began, sent)
 	return err
 }
 
 // turn returns when the call may be sent, or an error when it must not be.
-func (c *Client) turn(ctx context.Context, op operation) (round uint64, err error) {
+func (c *Client) turn(ctx context.Context, op operation) (turn, error) {
 	if store.IsPrompt(ctx) {
 		return c.pacer.admit()
 	}
--- a/store/httpkv/pacer.go
+++ b/store/httpkv/pacer.go
@@ -8,6 +8,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
+
+	"github.com/yuccaroute/yuccaroute/store/internal/wait"
 )
 
 // pacer keeps calls below the client's rate and, after failures, at a random
@@ -38,16 +40,25 @@
 	}
 }
 
-// wait returns when a call may be sent, with the round to report it under, or
-// an error when the context ends first.
-func (p *pacer) wait(ctx context.Context, urgent bool) (round uint64, err error) {
+// turn permits one call.
+type turn struct {
+	// round is what a failure of the call is reported under.
+	round uint64
+	// probe tells that the call finds out whether the service is back; others
+	// wait for its end.
+	probe bool
+}
+
+// wait returns when a call may be sent, or an error when the context ends
+// first.
+func (p *pacer) wait(ctx context.Context, urgent bool) (turn, error) {
 	for {
 		round, pause := p.pause()
 		if pause <= 0 {
-			return round, p.takeTurn(ctx, urgent)
+			return turn{round: round}, p.takeTurn(ctx, urgent)
 		}
-		if err := sleep(ctx, pause); err != nil {
-			return 0, err
+		if !wait.For(ctx, pause) {
+			return turn{}, ctx.Err()
 		}
 	}
 }
@@ -66,21 +77,26 @@
 // errHeldBack tells why a prompt call was not sent.
 var errHeldBack = errors.New("httpkv: the service failed lately or the rate is used up")
 
-// admit returns at once: with the round for a call that may be sent now, or
-// with an error. While the service is failing it lets one call at a time
+// admit returns at once: with a turn for a call that may be sent now, or with
+// an error. While the service is failing it lets one call at a time
 // through: if it hangs, requests must not all wait for their timeout behind it.
-func (p *pacer) admit() (round uint64, err error) {
+func (p *pacer) admit() (turn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if time.Until(p.resume) > 0 || p.probing || !p.limiter.Allow() {
-		return 0, errHeldBack
+		return turn{}, errHeldBack
 	}
 	p.probing = p.failures > 0
-	return p.round, nil
+	return turn{round: p.round, probe: p.probing}, nil
 }
 
-// endProbe lets the next prompt call through, however the last one ended.
-func (p *pacer) endProbe() {
+// endProbe lets the next prompt call through, however the probe ended. A call
+// that was sent before the service failed is no probe: its end says nothing of
+// the probe that another one is making.
+func (p *pacer) endProbe(t turn) {
+	if !t.probe {
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.probing = false
@@ -118,14 +134,3 @@
 	}
 	return min(bound, p.longest)
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/store/httpkv/pacer_test.go
+++ b/store/httpkv/pacer_test.go
@@ -87,7 +87,7 @@
 // callUntilServed calls until the service is back at the time given.
 func callUntilServed(ctx context.Context, p *pacer, seen *arrivals, back time.Duration) {
 	for {
-		round, err := p.wait(ctx, false)
+		turn, err := p.wait(ctx, false)
 		if err != nil {
 			return
 		}
@@ -96,7 +96,7 @@
 			p.succeeded()
 			return
 		}
-		p.failed(round)
+		p.failed(turn.round)
 	}
 }
 
@@ -123,12 +123,12 @@
 func TestCallsFailingTogetherCountOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPacer(Options{}.withDefaults())
-		round, err := p.wait(t.Context(), false)
+		turn, err := p.wait(t.Context(), false)
 		if err != nil {
 			t.Fatal(err)
 		}
 		for range 10 {
-			p.failed(round)
+			p.failed(turn.round)
 		}
 		if got := p.bound(); got != DefaultBackoffFirst {
 			t.Errorf("next pause is up to %s, want %s", got, DefaultBackoffFirst)
--- a/store/httpkv/prompt_test.go
+++ b/store/httpkv/prompt_test.go
@@ -13,11 +13,11 @@
 func TestPromptCallIsNeverHeldBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPacer(Options{CallsPerSecond: 100, Burst: 100, BackoffFirst: time.Second, BackoffMax: 5 * time.Second})
-		round, err := p.admit()
+		first, err := p.admit()
 		if err != nil {
 			t.Fatal("a prompt call is refused while the service answers")
 		}
-		p.failed(round)
+		p.failed(first.round)
 		asked := time.Now()
 		if _, err := p.admit(); err == nil {
 			t.Fatal("a prompt call is sent within the pause after a failure")
@@ -26,13 +26,18 @@
 			t.Fatal("a prompt call was held back")
 		}
 		time.Sleep(p.bound() + time.Second)
-		if _, err := p.admit(); err != nil {
+		probe, err := p.admit()
+		if err != nil {
 			t.Fatal("no call finds out whether the service is back")
 		}
 		if _, err := p.admit(); err == nil {
 			t.Fatal("a second call waits behind one that may hang")
 		}
-		p.endProbe()
+		p.endProbe(first)
+		if _, err := p.admit(); err == nil {
+			t.Fatal("the end of a call sent before the failure lets a second one wait")
+		}
+		p.endProbe(probe)
 		if _, err := p.admit(); err != nil {
 			t.Fatal("no call is let through after the first one ended")
 		}
--- a/store/lease/hold.go
+++ b/store/lease/hold.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/yuccaroute/yuccaroute/store"
+	"github.com/yuccaroute/yuccaroute/store/internal/wait"
 )
 
 var logger = logrus.StandardLogger()
@@ -18,15 +19,15 @@
 	t := s.term
 	e.current.Store(t)
 	e.options.OnWon(t.epoch)
-	wait := e.interval()
-	for e.wait(ctx, min(wait, t.remaining())) && t.valid() {
+	pause := e.interval()
+	for wait.For(ctx, min(pause, t.remaining())) && t.valid() {
 		err := e.keepAlive(ctx, s)
 		if errors.Is(err, store.ErrLeaseGone) {
 			break
 		}
-		wait = e.interval()
+		pause = e.interval()
 		if err != nil {
-			wait = e.retryInterval()
+			pause = e.retryInterval()
 		}
 	}
 	t.ended.Store(true)
@@ -46,6 +47,9 @@
 	return nil
 }
 
+// retryShare of the interval passes before a failed keep-alive is sent again.
+const retryShare = 4
+
 // safeFor is how long the holder trusts a lease after sending the call that
 // extended it.
 func (e *Election) safeFor() time.Duration {
@@ -61,27 +65,12 @@
 }
 
 func (e *Election) retryInterval() time.Duration {
-	return e.interval() / 4
+	return e.interval() / retryShare
 }
 
 // pause waits between two attempts, with jitter so that candidates that
 // failed together do not call together.
 func (e *Election) pause(ctx context.Context) {
 	longest := e.interval()
-	e.wait(ctx, longest/2+rand.N(longest/2+1))
-}
-
-// wait reports whether the time passed before the context ended.
-func (e *Election) wait(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	wait.For(ctx, longest/2+rand.N(longest/2+1))
 }
