--- a/cmd/yuccaroute/object.go
+++ b/cmd/yuccaroute/object.go
@@ -42,7 +42,7 @@
 			return s.printer.Templates(l)
 		}),
 	}
-	cmd.AddCommand(list)
+	cmd.AddCommand(list, newAdoptStore(c))
 	cmd.AddCommand(objectVerbs(c, operator.KindTemplate)...)
 	return cmd
 }
