Remove the setting watchers_per_failure_domain

Cause: it was read and never used; spread watches the store from two nodes of each region (topology.WatchersPerRegion) and offers no option for it. Change: the setting, its field and its row of the page are gone. A file that still has it is refused with its line, as any unknown key is. Measured: go test ./config/settings passes; nothing else read it (grep).

--- a/config/settings/load.go
+++ b/config/settings/load.go
@@ -98,7 +98,6 @@
 		ReadsPerSecond:  v.Number(sectionPlatform, "", keyReads),
 		WritesPerSecond: v.Number(sectionPlatform, "", keyWrites),
 		VMListInterval:  v.Duration(sectionPlatform, "", keyVMListInterval, time.Millisecond),
-		Watchers:        int(v.Whole(sectionPlatform, "", keyWatchers)),
 	}
 }
 
--- a/config/settings/schema.go
+++ b/config/settings/schema.go
@@ -32,7 +32,6 @@
 	keyReads             = "reads_per_second"
 	keyWrites            = "writes_per_second"
 	keyVMListInterval    = "vm_list_interval_ms"
-	keyWatchers          = "watchers_per_failure_domain"
 	keyBuffered          = "buffered_bytes"
 	keyQueued            = "queued_requests"
 	keyCallerConnections = "caller_connections"
@@ -81,7 +80,6 @@
 		{Name: keyReads, Value: callRate, Default: "50"},
 		{Name: keyWrites, Value: callRate, Default: "20"},
 		{Name: keyVMListInterval, Value: timeout, Default: "1000"},
-		{Name: keyWatchers, Value: inifile.Whole{Min: 1, Max: 16}, Default: "2"},
 	}},
 	{Kind: sectionLimits, Keys: []inifile.KeySpec{
 		{Name: keyBuffered, Value: someBytes, Default: "268435456"},
--- a/config/settings/settings.go
+++ b/config/settings/settings.go
@@ -47,8 +47,6 @@
 	ReadsPerSecond, WritesPerSecond float64
 	// VMListInterval is the time between two readings of the list.
 	VMListInterval time.Duration
-	// Watchers is how many nodes of a failure domain watch the store.
-	Watchers int
 }
 
 // Limits bounds what one process holds.
