demo: part the relays from the network; one start for both kinds

Cause: network.go held the places' network and the library's delays; a relay was set up twice in the same six lines, and one whose delay could not be set was left running. Change: relay.go with startRelay, named streams and delay; such a relay is stopped.

--- a/demo/network.go
+++ b/demo/network.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"net"
-	"strings"
 	"sync"
 	"time"
 
@@ -107,58 +104,20 @@
 }
 
 func (n *network) newPath(from model.Place, to server) (*path, error) {
-	relay := toxiproxy.NewProxy()
-	relay.Name = string(from.Name) + " to " + to.address
-	relay.Listen = "127.0.0.1:0"
-	relay.Upstream = to.address
-	if err := relay.Start(); err != nil {
-		return nil, errors.Wrap(err, "demo: start a relay")
+	relay, err := startRelay(string(from.Name)+" to "+to.address, to.address)
+	if err != nil {
+		return nil, err
 	}
 	oneWay := n.oneWay(from.Region, to.place.Region)
-	for _, stream := range []string{"upstream", "downstream"} {
+	for _, stream := range []string{streamUp, streamDown} {
 		if err := addLatency(relay, stream, oneWay); err != nil {
+			relay.Stop()
 			return nil, err
 		}
 	}
 	return &path{relay: relay, from: from.Region, to: to.place.Region}, nil
 }
 
-// latency is the form in which the library reads a delay.
-type latency struct {
-	Name       string            `json:"name"`
-	Type       string            `json:"type"`
-	Stream     string            `json:"stream"`
-	Attributes latencyAttributes `json:"attributes"`
-}
-
-type latencyAttributes struct {
-	Latency int64 `json:"latency"`
-}
-
-// addLatency delays one direction; the library counts whole milliseconds, so
-// that the delay within a region rounds to 1 ms in one direction and 0 in the
-// other.
-func addLatency(relay *toxiproxy.Proxy, stream string, oneWay time.Duration) error {
-	millis := oneWay.Milliseconds()
-	if stream == "upstream" && oneWay%time.Millisecond != 0 {
-		millis++
-	}
-	if millis == 0 {
-		return nil
-	}
-	text, err := json.Marshal(latency{
-		Name:       fmt.Sprintf("latency %s", stream),
-		Type:       "latency",
-		Stream:     stream,
-		Attributes: latencyAttributes{Latency: millis},
-	})
-	if err != nil {
-		return err
-	}
-	_, err = relay.Toxics.AddToxicJson(strings.NewReader(string(text)))
-	return err
-}
-
 // oneWay returns the delay between two places of different failure domains.
 func (n *network) oneWay(from, to model.RegionName) time.Duration {
 	if from == to {
@@ -228,12 +187,9 @@
 // platformFor returns an address at which a node reaches the platform until
 // its region is cut off. The platform stands in no region, at no delay.
 func (n *network) platformFor(node, address string, region model.RegionName) (string, error) {
-	relay := toxiproxy.NewProxy()
-	relay.Name = node + " to the platform"
-	relay.Listen = "127.0.0.1:0"
-	relay.Upstream = address
-	if err := relay.Start(); err != nil {
-		return "", errors.Wrap(err, "demo: start a relay")
+	relay, err := startRelay(node+" to the platform", address)
+	if err != nil {
+		return "", err
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
