api, store, steering: unexport what only its own package uses

Change: the row of the result table stands in the test that compares the page; the others are unexported or folded into their one caller. No test case is dropped.

--- a/api/result/result.go
+++ b/api/result/result.go
@@ -89,6 +89,7 @@
 	Internal            Code = 900
 )
 
+// table holds all codes in ascending order.
 var table = []Info{
 	{OK, "ok", 200, Ran, "The target answered.", false},
 	{BadRequest, "bad-request", 400, NotRun, "The request is malformed.", false},
@@ -133,9 +134,6 @@
 	{Internal, "internal", 500, Unknown, "The node failed in a way it does not know.", false},
 }
 
-// Table returns a copy of all codes in ascending order.
-func Table() []Info { return append([]Info(nil), table...) }
-
 // InfoOf returns the description of a code; unknown numbers read as Internal.
 func InfoOf(c Code) Info {
 	for i := range table {
--- a/api/result/result_test.go
+++ b/api/result/result_test.go
@@ -3,12 +3,27 @@
 import (
 	"fmt"
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
 )
 
+// row renders one code as a line of the table in docs/RESULT-CODES.md: number,
+// name, HTTP status, outcome, whether to send again, meaning.
+func row(i Info) string {
+	again := "no"
+	if i.Retry {
+		again = "yes"
+	}
+	http := "-"
+	if i.HTTP != 0 {
+		http = strconv.Itoa(i.HTTP)
+	}
+	return fmt.Sprintf("| %d | %s | %s | %s | %s | %s |", i.Code, i.Name, http, i.Outcome, again, i.Meaning)
+}
+
 // TestDocumentedTable compares docs/RESULT-CODES.md with the table in code, so
 // that a code cannot be added or changed without its documentation.
 func TestDocumentedTable(t *testing.T) {
@@ -23,8 +38,8 @@
 		}
 	}
 	var want []string
-	for _, info := range Table() {
-		want = append(want, Row(info))
+	for _, info := range table {
+		want = append(want, row(info))
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Fatalf("docs/RESULT-CODES.md differs from the table (-code +page):\n%s", diff)
@@ -34,7 +49,7 @@
 func TestCodesAreDistinctAndAscending(t *testing.T) {
 	names := map[string]Code{}
 	last := -1
-	for _, info := range Table() {
+	for _, info := range table {
 		if int(info.Code) <= last {
 			t.Errorf("code %d follows %d", info.Code, last)
 		}
@@ -49,7 +64,7 @@
 // TestRetryNeedsCertainty holds the rule that a caller is invited to send a
 // request again only when it is certain that no target ran it.
 func TestRetryNeedsCertainty(t *testing.T) {
-	for _, info := range Table() {
+	for _, info := range table {
 		if info.Retry && info.Outcome != NotRun {
 			t.Errorf("%s invites a retry but its outcome is %s", info.Name, info.Outcome)
 		}
--- a/steering/aggregate/aggregator_test.go
+++ b/steering/aggregate/aggregator_test.go
@@ -53,6 +53,23 @@
 	}
 }
 
+// A failure domain is lost with its entry VM. The VM list shows it to the other
+// nodes, the lost node's last report still lists all targets. Counted by what
+// is listed, the place reads as whole until that report is too old, and callers
+// are refused for half a minute before any work moves.
+func TestLostNodeDoesNotKeepItsPlace(t *testing.T) {
+	lost := reportOf(10*time.Second, 1, observe.PlaceLoad{SentRPS: 90, Targets: 4, Known: 4})
+	other := reportOf(0, 1, observe.PlaceLoad{})
+	_, places := New().Read(account, []Report{lost, other, other, other}, nil, start)
+	if p := places[0]; p.Usable != 4 || p.Known != 16 || p.Empty {
+		t.Fatalf("place %+v", p)
+	}
+	_, places = New().Read(account, []Report{other, other, other}, nil, start)
+	if p := places[0]; !p.Empty {
+		t.Fatalf("place %+v, want it empty", p)
+	}
+}
+
 // The latency right after an increase is that of cold caches. Taken for the
 // warm one, it would hide that the place is slow.
 func TestWarmLatencyLeavesOutIncreases(t *testing.T) {
--- a/steering/aggregate/places.go
+++ b/steering/aggregate/places.go
@@ -15,6 +15,9 @@
 type sums struct {
 	sent          float64
 	usable, known int
+	// without counts the reports that list no target, most is the most targets
+	// that one report lists.
+	without, most int
 	p50, p99      mean
 	failures, age mean
 }
@@ -97,6 +100,10 @@
 		c.sent += p.SentRPS
 		c.usable += min(max(p.Targets, 0), max(p.Known, 0))
 		c.known += max(p.Known, 0)
+		c.most = max(c.most, p.Known)
+		if p.Known <= 0 {
+			c.without++
+		}
 		c.age.add(float64(r.Age), 1)
 		c.failures.add(min(max(p.FailureShare, 0), 1), p.SentRPS)
 		if p.P50 > 0 {
@@ -108,6 +115,10 @@
 	}
 }
 
+// state joins the sums. A node that lists no target counts as one that sees
+// all of them gone: the last report of a node that was lost with its failure
+// domain still lists them, and would alone keep the place looking whole until
+// it is too old to count.
 func (c *sums) state(key cellKey) steering.PlaceState {
 	return steering.PlaceState{
 		Service:      key.service,
@@ -117,7 +128,7 @@
 		FailureShare: c.failures.value(),
 		SentRPS:      c.sent,
 		Usable:       c.usable,
-		Known:        c.known,
+		Known:        c.known + c.without*c.most,
 		Empty:        c.known == 0,
 		Age:          time.Duration(c.age.value()),
 	}
--- a/steering/explain/explain.go
+++ b/steering/explain/explain.go
@@ -100,7 +100,7 @@
 		Value:  r.Value,
 		Limit:  r.Limit,
 		WaitMS: r.Wait.Milliseconds(),
-		Text:   Text(r),
+		Text:   textOf(r),
 	}
 }
 
--- a/steering/explain/explain_test.go
+++ b/steering/explain/explain_test.go
@@ -14,7 +14,7 @@
 // forgotten would show as a bare name.
 func TestEveryKindHasWords(t *testing.T) {
 	for kind := steering.KindLatency; kind.String() != "invalid"; kind++ {
-		text := Text(&steering.Reason{Kind: kind, Place: "kr-seoul-a", Value: 0.25, Limit: 0.5, Wait: 90 * time.Second})
+		text := textOf(&steering.Reason{Kind: kind, Place: "kr-seoul-a", Value: 0.25, Limit: 0.5, Wait: 90 * time.Second})
 		if text == kind.String() || len(text) < 20 {
 			t.Errorf("%s reads %q", kind, text)
 		}
--- a/steering/explain/text.go
+++ b/steering/explain/text.go
@@ -7,8 +7,8 @@
 	"github.com/yuccaroute/yuccaroute/steering"
 )
 
-// Text returns a reason as one sentence with its numbers.
-func Text(r *steering.Reason) string {
+// textOf returns a reason as one sentence with its numbers.
+func textOf(r *steering.Reason) string {
 	switch r.Kind {
 	case steering.KindLatency:
 		return fmt.Sprintf("%s answers soonest: %.1f ms", r.Place, r.Value)
--- a/store/lease/campaign.go
+++ b/store/lease/campaign.go
@@ -80,7 +80,7 @@
 
 func (e *Election) open(ctx context.Context) (*session, error) {
 	token := newToken()
-	record, err := encodeRecord(Record{Token: token, Value: e.options.Value})
+	text, err := encodeRecord(record{Token: token, Value: e.options.Value})
 	if err != nil {
 		return nil, err
 	}
@@ -91,7 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &session{id: id, sent: sent, record: record, token: token}, nil
+	return &session{id: id, sent: sent, record: text, token: token}, nil
 }
 
 // errTaken tells that another candidate holds the key.
@@ -139,8 +139,8 @@
 	if err != nil {
 		return 0, err
 	}
-	record, err := decodeRecord(entry.Value)
-	if err != nil || record.Token != s.token {
+	found, err := decodeRecord(entry.Value)
+	if err != nil || found.Token != s.token {
 		return 0, errTaken
 	}
 	return uint64(entry.Revision), nil
--- a/store/lease/clock.go
+++ b/store/lease/clock.go
@@ -7,11 +7,11 @@
 	Now() time.Time
 }
 
-// SystemClock reads the machine's clocks.
-type SystemClock struct{}
+// systemClock reads the machine's clocks.
+type systemClock struct{}
 
 // Now implements Clock.
-func (SystemClock) Now() time.Time {
+func (systemClock) Now() time.Time {
 	return time.Now()
 }
 
--- a/store/lease/options.go
+++ b/store/lease/options.go
@@ -33,7 +33,7 @@
 	// Margin is subtracted from TTL when the holder judges its own lease.
 	// 0 means a tenth of TTL.
 	Margin time.Duration
-	// Clock is the holder's clock; nil means SystemClock.
+	// Clock is the holder's clock; nil means the machine's clocks.
 	Clock Clock
 	// OnWon and OnLost are called from Run, one after the other, at the
 	// start and the end of each term. They must return soon: keep-alives
@@ -50,7 +50,7 @@
 		o.Margin = o.TTL / marginShare
 	}
 	if o.Clock == nil {
-		o.Clock = SystemClock{}
+		o.Clock = systemClock{}
 	}
 	if o.OnWon == nil {
 		o.OnWon = func(uint64) {}
--- a/store/lease/record.go
+++ b/store/lease/record.go
@@ -10,8 +10,8 @@
 	"github.com/yuccaroute/yuccaroute/store"
 )
 
-// Record is what the key holds.
-type Record struct {
+// record is what the key holds.
+type record struct {
 	// Token is random for each lease. The holder knows its own write by it.
 	Token string `json:"token"`
 	// Value is Options.Value of the holder.
@@ -25,35 +25,30 @@
 	Epoch uint64
 }
 
-// Decode reads the holder from an entry of the key.
-func Decode(entry store.Entry) (Holder, error) {
-	record, err := decodeRecord(entry.Value)
-	if err != nil {
-		return Holder{}, err
-	}
-	return Holder{Value: record.Value, Epoch: uint64(entry.Revision)}, nil
-}
-
 // Lookup reads who holds the key: store.ErrNotFound when nobody does.
 func Lookup(ctx context.Context, kv store.KV, key string) (Holder, error) {
 	entry, err := kv.Get(ctx, key)
 	if err != nil {
 		return Holder{}, err
 	}
-	return Decode(entry)
+	found, err := decodeRecord(entry.Value)
+	if err != nil {
+		return Holder{}, err
+	}
+	return Holder{Value: found.Value, Epoch: uint64(entry.Revision)}, nil
 }
 
 func newToken() string {
 	return uuid.NewString()
 }
 
-func encodeRecord(record Record) ([]byte, error) {
-	text, err := json.Marshal(record)
+func encodeRecord(r record) ([]byte, error) {
+	text, err := json.Marshal(r)
 	return text, errors.Wrap(err, "lease: encode record")
 }
 
-func decodeRecord(text []byte) (Record, error) {
-	var record Record
-	err := json.Unmarshal(text, &record)
-	return record, errors.Wrap(err, "lease: decode record")
+func decodeRecord(text []byte) (record, error) {
+	var r record
+	err := json.Unmarshal(text, &r)
+	return r, errors.Wrap(err, "lease: decode record")
 }
