steering: call the times of a drain its schedule

Cause: s.places[place].drain.drain.End named a struct and its field alike. Change: drainState.schedule. Measured: go vet and go test -race ./steering green before and after. Conclusion: no behaviour changes.

--- a/steering/drain.go
+++ b/steering/drain.go
@@ -13,7 +13,7 @@
 	// are gone.
 	shut, ended bool
 	planned     bool
-	drain       model.Drain
+	schedule    model.Drain
 }
 
 // drainOf returns the first drain of a place that is not over.
@@ -23,14 +23,14 @@
 		if d.Place != place || !now.Before(d.Until) {
 			continue
 		}
-		if state.planned && !d.Start.Before(state.drain.Start) {
+		if state.planned && !d.Start.Before(state.schedule.Start) {
 			continue
 		}
-		state = drainState{planned: true, drain: d}
+		state = drainState{planned: true, schedule: d}
 	}
 	if state.planned {
-		state.shut = !now.Before(state.drain.Start)
-		state.ended = !now.Before(state.drain.End)
+		state.shut = !now.Before(state.schedule.Start)
+		state.ended = !now.Before(state.schedule.End)
 	}
 	return state
 }
@@ -44,7 +44,7 @@
 			continue
 		}
 		for i := range s.flows {
-			begin := d.drain.End.Add(-s.emptyingTime(&s.flows[i], p))
+			begin := d.schedule.End.Add(-s.emptyingTime(&s.flows[i], p))
 			if !s.in.Now.Before(begin) {
 				d.shut = true
 			}
@@ -68,7 +68,7 @@
 	if s.capPPM == 0 {
 		return float64(f.shares[place]) / plan.Whole, s.account.Moves.Window
 	}
-	remaining := max(s.places[place].drain.drain.End.Sub(s.in.Now), 0)
+	remaining := max(s.places[place].drain.schedule.End.Sub(s.in.Now), 0)
 	windows := int64(remaining / s.account.Moves.Window)
 	share := int64(f.shares[place])
 	can := max(f.budget, 0) + windows*s.capPPM
--- a/steering/overload_test.go
+++ b/steering/overload_test.go
@@ -68,7 +68,7 @@
 		{Place: "a", Start: at(5), End: at(6), Until: at(7)},
 		{Place: "a", Start: at(-9), End: at(-8), Until: at(-7)},
 	}
-	if state := drainOf(drains, "a", testNow); !state.shut || state.ended || !state.drain.End.Equal(at(1)) {
+	if state := drainOf(drains, "a", testNow); !state.shut || state.ended || !state.schedule.End.Equal(at(1)) {
 		t.Fatalf("state %+v", state)
 	}
 }
--- a/steering/reasons.go
+++ b/steering/reasons.go
@@ -108,7 +108,7 @@
 		warm := milliseconds(c.state.WarmP99)
 		return s.reason(f, place, kind, milliseconds(c.state.P99), warm*slowHold, 0)
 	case KindDrain:
-		left := s.places[place].drain.drain.End.Sub(s.in.Now)
+		left := s.places[place].drain.schedule.End.Sub(s.in.Now)
 		return s.reason(f, place, kind, share, 0, max(left, 0))
 	case KindStale:
 		return s.reason(f, place, kind, c.state.Age.Seconds(), FreezeAge.Seconds(), 0)
