store/httpkv: drop the observation of calls that nothing observes

Conclusion: calls of the store have no metrics today; who adds them in the node starts at Client.call.

--- a/store/httpkv/call.go
+++ b/store/httpkv/call.go
@@ -46,17 +46,13 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, op.timeout)
 	defer cancel()
-	began := time.Now()
 	t, err := c.turn(callCtx, op)
-	sent := time.Now()
 	if err != nil {
-		err = notSent(err)
-	} else {
-		err = c.exchange(callCtx, op, body, answer)
-		c.report(ctx, t.round, err)
-		c.pacer.endProbe(t)
+		return notSent(err)
 	}
-	c.observe(op, err, began, sent)
+	err = c.exchange(callCtx, op, body, answer)
+	c.report(ctx, t.round, err)
+	c.pacer.endProbe(t)
 	return err
 }
 
--- a/store/httpkv/options.go
+++ b/store/httpkv/options.go
@@ -46,8 +46,6 @@
 	// BackoffFirst, doubled at each further failure up to BackoffMax.
 	BackoffFirst time.Duration
 	BackoffMax   time.Duration
-	// Observe, if set, is called after each call, from the caller's goroutine.
-	Observe func(Observation)
 }
 
 func (o Options) withDefaults() Options {
