--- a/proxy/admission/bucket_test.go
+++ b/proxy/admission/bucket_test.go
@@ -173,3 +173,23 @@
 		}
 	})
 }
+
+// Story: an entry VM's process is paused for a minute. Its floors are given to
+// others meanwhile. The first orders after the pause are admitted before any
+// timer of the process has run, and the place gets more than it carries.
+func TestPausedProcessAdmitsNothing(t *testing.T) {
+	const pauseLimit = 30 * time.Second
+	start := time.Unix(1000, 0)
+	alive := grant.NewLiveness(pauseLimit)
+	alive.Touch(start)
+	l := limit(100, 0, start)
+	l.Alive = alive
+	b := NewBucket(start)
+	b.Set(l, start)
+	if n := takeAll(b, start.Add(time.Second)); n == 0 {
+		t.Fatal("a live process admits nothing")
+	}
+	if n := takeAll(b, start.Add(time.Minute)); n != 0 {
+		t.Fatalf("%d requests were admitted after the pause", n)
+	}
+}
