--- a/bench/scenario/lookup_http.go
+++ b/bench/scenario/lookup_http.go
@@ -91,9 +91,15 @@
 		return 0, errors.Wrap(err, "make request")
 	}
 	request.Header.Set(result.HeaderAccount, string(accountName))
+	return exchange(client, request)
+}
+
+// exchange sends a request, reads the whole answer and returns its result
+// number, with an error for every number but that of OK.
+func exchange(client *http.Client, request *http.Request) (int, error) {
 	answer, err := client.Do(request)
 	if err != nil {
-		return int(result.Internal), errors.Wrap(err, "look up")
+		return int(result.Internal), errors.Wrap(err, "send request")
 	}
 	defer answer.Body.Close()
 	if _, err := io.Copy(io.Discard, answer.Body); err != nil {
--- a/bench/scenario/scenario.go
+++ b/bench/scenario/scenario.go
@@ -61,6 +61,8 @@
 		lookupHTTP(),
 		lookupLibrary(),
 		membersByVMs(),
+		proxyHTTP(),
+		storeHTTP(),
 	}
 }
 
