Share the scaffolding of the proxy's tests and mend three weak ones

Stricter now: TestOnlyIdempotentWorkIsSentAgainAfterABreak (its orders never met the bad target, which the look-ups before had ejected), TestAnswerIsGivenWhenTakenWhole (asked too early whether the answer counted as given). New: TestKeptFieldsAreBounded.

--- a/proxy/caller_test.go
+++ b/proxy/caller_test.go
@@ -116,8 +116,7 @@
 // Uploads over the account's memory are refused before they come, those over
 // the service's limit too, and the target sees neither.
 func TestUploadsAreBounded(t *testing.T) {
-	target := newScripted(t, answering(okAnswer))
-	p := newTestProxy(t, nil, target.address())
+	p, target := newServingProxy(t, nil)
 	s := serveCallers(t, p)
 	conn, reader := dialCaller(t, s)
 	_, _ = io.WriteString(conn, "POST /orders HTTP/1.1\r\n"+requestHead+"Content-Length: 1048577\r\n\r\n")
@@ -131,9 +130,7 @@
 	conn, reader = dialCaller(t, s)
 	_, _ = io.WriteString(conn, "POST /orders HTTP/1.1\r\n"+requestHead+"Content-Length: 1000000\r\n\r\n")
 	wantCallerResult(t, reader, "113")
-	if n := target.requests.Load(); n != 0 {
-		t.Fatalf("%d refused requests reached the target", n)
-	}
+	target.wantRequests(t, 0)
 }
 
 func wantCallerResult(t *testing.T, reader *bufio.Reader, want string) {
--- a/proxy/drain_test.go
+++ b/proxy/drain_test.go
@@ -15,12 +15,7 @@
 // ends with its whole answer, new requests are refused as not run, and Drain
 // returns only then.
 func TestDrainEndsWorkInHand(t *testing.T) {
-	release := make(chan struct{})
-	target := newScripted(t, func(c *scriptedConn) {
-		c.next()
-		<-release
-		c.say(okAnswer)
-	})
+	target, release := newHeld(t)
 	p := newTestProxy(t, nil, target.address())
 	answer := make(chan *httptest.ResponseRecorder)
 	go func() { answer <- call(p, http.MethodPost, "/orders", "scan") }()
@@ -31,26 +26,18 @@
 		t.Fatalf("drained with %d requests in hand, error %v", p.InFlight(), err)
 	}
 	wantResult(t, call(p, http.MethodPost, "/orders", "x"), result.NodeLeaving)
-	close(release)
+	release()
 	wantResult(t, <-answer, result.OK)
 	if err := p.Drain(context.Background()); err != nil || p.InFlight() != 0 {
 		t.Fatalf("%d requests in hand, error %v", p.InFlight(), err)
 	}
-	if n := target.requests.Load(); n != 1 {
-		t.Fatalf("the target got %d requests", n)
-	}
+	target.wantRequests(t, 1)
 }
 
 // A caller keeps its connection to a node that is leaving. With each answer the
 // node ends the connection, so that no request is on its way to it at its exit.
 func TestLeavingNodeEndsConnectionsWithTheAnswer(t *testing.T) {
-	release := make(chan struct{})
-	target := newScripted(t, func(c *scriptedConn) {
-		if c.next() != nil {
-			<-release
-			c.say(okAnswer)
-		}
-	})
+	target, release := newHeld(t)
 	p := newTestProxy(t, nil, target.address())
 	s := serveCallers(t, p)
 	inHand, inHandAnswer := dialCaller(t, s)
@@ -61,7 +48,7 @@
 	p.gate.Close()
 	_, _ = io.WriteString(late, text)
 	wantLastAnswer(t, lateAnswer, "114")
-	close(release)
+	release()
 	wantLastAnswer(t, inHandAnswer, "0")
 }
 
@@ -120,8 +107,6 @@
 		p := newTestProxy(t, nil, target.address())
 		p.endBase()
 		wantResult(t, callWithinGrant(p, http.MethodPost, "/orders", "x"), result.NodeLeaving)
-		if n := target.requests.Load(); n != 0 {
-			t.Fatalf("%d requests sent", n)
-		}
+		target.wantRequests(t, 0)
 	}
 }
--- a/proxy/forward/conn_test.go
+++ b/proxy/forward/conn_test.go
@@ -22,12 +22,7 @@
 	}
 	for name, text := range cases {
 		t.Run(name, func(t *testing.T) {
-			c := NewConn(open(t, func(p *peer) {
-				p.next()
-				p.say(text)
-				p.next()
-			}))
-			defer c.Close()
+			c := connect(t, answers(text))
 			a, err := c.Exchange(background, get("/stock"))
 			if err != nil || string(a.Body) != "one" {
 				t.Fatalf("%v %v", a, err)
@@ -42,15 +37,14 @@
 // As before, but the second answer comes only after the first was read.
 func TestLateStrayAnswerIsSeenBeforeReuse(t *testing.T) {
 	more, sent := make(chan struct{}), make(chan struct{})
-	c := NewConn(open(t, func(p *peer) {
+	c := connect(t, func(p *peer) {
 		p.next()
 		p.say(answerWith("one"))
 		<-more
 		p.say(answerWith("two"))
 		close(sent)
 		p.next()
-	}))
-	defer c.Close()
+	})
 	if _, err := c.Exchange(background, get("/stock")); err != nil || !c.Reusable() || !c.Quiet() {
 		t.Fatalf("error %v", err)
 	}
@@ -70,7 +64,7 @@
 
 // A target sends fields without an end. The answer must not fill the memory.
 func TestEndlessHeadIsCut(t *testing.T) {
-	c := NewConn(open(t, func(p *peer) {
+	c := connect(t, func(p *peer) {
 		p.next()
 		p.say("HTTP/1.1 200 OK\r\n")
 		for range 1 << 10 {
@@ -79,8 +73,7 @@
 			}
 		}
 		p.next()
-	}))
-	defer c.Close()
+	})
 	_, err := c.Exchange(background, get("/stock"))
 	wantError(t, err, result.AnswerTooLarge)
 }
@@ -88,13 +81,12 @@
 // The target repeats the number of an earlier exchange: its answer is a late
 // one and must not be taken for the awaited one.
 func TestAnswerOfAnotherExchangeIsRefused(t *testing.T) {
-	c := NewConn(open(t, func(p *peer) {
+	c := connect(t, func(p *peer) {
 		first := p.next().Header.Get(result.HeaderExchange)
 		p.say("HTTP/1.1 200 OK\r\nYucca-Exchange: " + first + "\r\nContent-Length: 3\r\n\r\none")
 		p.next()
 		p.say("HTTP/1.1 200 OK\r\nYucca-Exchange: " + first + "\r\nContent-Length: 3\r\n\r\none")
-	}))
-	defer c.Close()
+	})
 	if _, err := c.Exchange(background, get("/stock")); err != nil {
 		t.Fatal(err)
 	}
@@ -108,8 +100,7 @@
 // The caller's deadline passes while the target works; the answer comes later.
 // It must not be read by the next exchange.
 func TestDeadlineAfterSending(t *testing.T) {
-	c := NewConn(open(t, func(p *peer) { p.next(); p.next() }))
-	defer c.Close()
+	c := connect(t, func(p *peer) { p.next(); p.next() })
 	r := post("order")
 	r.Deadline = time.Now().Add(30 * time.Millisecond)
 	_, err := c.Exchange(background, r)
@@ -170,8 +161,7 @@
 }
 
 func TestPassedDeadlineIsNotSent(t *testing.T) {
-	c := NewConn(open(t, func(p *peer) { p.next() }))
-	defer c.Close()
+	c := connect(t, func(p *peer) { p.next() })
 	r := post("order")
 	r.Deadline = time.Now().Add(-time.Second)
 	_, err := c.Exchange(background, r)
@@ -183,13 +173,12 @@
 
 // Informational answers come before the final one and are not it.
 func TestInformationalAnswersAreSkipped(t *testing.T) {
-	c := NewConn(open(t, func(p *peer) {
+	c := connect(t, func(p *peer) {
 		p.next()
 		p.say("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n" + answerWith("one"))
 		p.next()
 		p.say(answerWith("two"))
-	}))
-	defer c.Close()
+	})
 	for _, want := range []string{"one", "two"} {
 		a, err := c.Exchange(background, get("/stock"))
 		if err != nil || string(a.Body) != want {
@@ -203,13 +192,12 @@
 func TestEarlyAnswerToALongUpload(t *testing.T) {
 	shed := "HTTP/1.1 503 Busy\r\nYucca-Shed: 1\r\nContent-Length: 0\r\n\r\n"
 	seen := make(chan struct{})
-	c := NewConn(open(t, func(p *peer) {
+	c := connect(t, func(p *peer) {
 		if _, err := http.ReadRequest(p.reader); err == nil {
 			p.say(shed)
 		}
 		<-seen
-	}))
-	defer c.Close()
+	})
 	a, err := c.Exchange(background, post(strings.Repeat("a", 32<<20)))
 	close(seen)
 	if err != nil || !a.Shed {
@@ -221,12 +209,11 @@
 }
 
 func TestLongUploadIsSentWhole(t *testing.T) {
-	c := NewConn(open(t, func(p *peer) {
+	c := connect(t, func(p *peer) {
 		for r := p.next(); r != nil; r = p.next() {
 			p.say(answerWith("one"))
 		}
-	}))
-	defer c.Close()
+	})
 	for range 2 {
 		a, err := c.Exchange(background, post(strings.Repeat("a", 4<<20)))
 		if err != nil || string(a.Body) != "one" || !c.Reusable() {
@@ -239,11 +226,10 @@
 // entry VM, do not reach the target.
 func TestHopByHopFieldsAreNotForwarded(t *testing.T) {
 	seen := make(chan *http.Request, 1)
-	c := NewConn(open(t, func(p *peer) {
+	c := connect(t, func(p *peer) {
 		seen <- p.next()
 		p.say(answerWith("one"))
-	}))
-	defer c.Close()
+	})
 	r := post("order")
 	r.Header = http.Header{
 		"Connection":          {"X-Private, close"},
@@ -310,12 +296,7 @@
 
 func exchangeWithoutMemory(t *testing.T, answer string) (*Answer, error) {
 	t.Helper()
-	c := NewConn(open(t, func(p *peer) {
-		p.next()
-		p.say(answer)
-		p.next()
-	}))
-	defer c.Close()
+	c := connect(t, answers(answer))
 	r := get("/stock")
 	memory := &fullMemory{}
 	r.Memory = memory
--- a/proxy/forward/nbhttp_test.go
+++ b/proxy/forward/nbhttp_test.go
@@ -58,13 +58,7 @@
 // A target answers "100 Continue" first, as HTTP allows. The library takes it
 // for the answer and gives the real one to the next caller.
 func TestLibraryTakesInformationalForFinal(t *testing.T) {
-	got := libraryAnswers(t, func(p *peer) {
-		p.next()
-		p.say("HTTP/1.1 100 Continue\r\n\r\n")
-		p.next()
-		p.say(answerWith("one"))
-		p.next()
-	})
+	got := libraryAnswers(t, answers("HTTP/1.1 100 Continue\r\n\r\n", answerWith("one")))
 	if got[1] != "one" {
 		t.Fatalf("answers %q: the second caller no longer gets the first one's answer", got)
 	}
@@ -74,13 +68,7 @@
 // goes on using the connection and gives that answer to the next caller.
 func TestLibraryGivesStrayAnswerToTheNextCaller(t *testing.T) {
 	stray := answerWith("two")
-	got := libraryAnswers(t, func(p *peer) {
-		p.next()
-		p.say(answerWith("one") + stray[:20])
-		p.next()
-		p.say(stray[20:] + answerWith("own"))
-		p.next()
-	})
+	got := libraryAnswers(t, answers(answerWith("one")+stray[:20], stray[20:]+answerWith("own")))
 	if got[1] != "two" {
 		t.Fatalf("answers %q: the second caller no longer gets the stray answer", got)
 	}
@@ -89,11 +77,7 @@
 // A target's answer ends with the connection and is cut. The library passes
 // off an empty body as the whole answer.
 func TestLibraryPassesOffCutAnswer(t *testing.T) {
-	got := libraryAnswers(t, func(p *peer) {
-		p.next()
-		p.say("HTTP/1.0 200 OK\r\n\r\n")
-		p.next()
-	})
+	got := libraryAnswers(t, answers("HTTP/1.0 200 OK\r\n\r\n"))
 	if got[0] != "" {
 		t.Fatalf("answers %q: a cut answer is no longer passed off as whole", got)
 	}
--- a/proxy/forward/script_test.go
+++ b/proxy/forward/script_test.go
@@ -63,6 +63,27 @@
 	return c
 }
 
+// connect returns a connection to a target that follows the script; it is
+// closed at the end of the test.
+func connect(t *testing.T, script func(p *peer)) *Conn {
+	t.Helper()
+	c := NewConn(open(t, script))
+	t.Cleanup(c.Close)
+	return c
+}
+
+// answers returns a script that gives an answer to each request, and then reads
+// on until the connection ends.
+func answers(texts ...string) func(p *peer) {
+	return func(p *peer) {
+		for _, text := range texts {
+			p.next()
+			p.say(text)
+		}
+		p.next()
+	}
+}
+
 func get(path string) *Request {
 	return &Request{
 		Method: http.MethodGet, URI: path, Host: "target", Header: http.Header{},
--- a/proxy/harness_test.go
+++ b/proxy/harness_test.go
@@ -102,6 +102,13 @@
 	return p
 }
 
+// newServingProxy returns a proxy with one target that answers everything.
+func newServingProxy(t *testing.T, change func(*Options, *model.Account)) (*Proxy, *scripted) {
+	t.Helper()
+	target := newScripted(t, answering(okAnswer))
+	return newTestProxy(t, change, target.address()), target
+}
+
 func listOf(addresses ...string) membership.List {
 	list := membership.List{Sequence: 1}
 	for i, a := range addresses {
--- a/proxy/ingress/server_test.go
+++ b/proxy/ingress/server_test.go
@@ -167,21 +167,38 @@
 	<-gone
 }
 
-// A caller asks for a large answer and does not read it. The answer counts as
-// given, and its memory as free, only when the system has taken all of it; a
-// stop in between would cut it.
-func TestAnswerIsGivenWhenTakenWhole(t *testing.T) {
-	large := bytes.Repeat([]byte("a"), 32<<20)
-	flushed := make(chan struct{})
-	handler := func(w http.ResponseWriter, r *http.Request) {
+// largeBytes is more than the system's buffers take.
+const largeBytes = 32 << 20
+
+// askForLarge asks a server for a large answer; flushed tells, when the answer
+// counts as given, whether the system has taken all of it.
+func askForLarge(t *testing.T, o Options) (s *Server, r *bufio.Reader, flushed chan bool) {
+	t.Helper()
+	large := bytes.Repeat([]byte("a"), largeBytes)
+	flushed = make(chan bool, 1)
+	o.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Length", fmt.Sprint(len(large)))
 		_, _ = w.Write(large)
 		w.(http.Flusher).Flush()
-		close(flushed)
-	}
-	s := startServer(t, Options{Handler: http.HandlerFunc(handler)})
+		flushed <- takenWhole(w.(*Writer).conn)
+	})
+	s = startServer(t, o)
 	conn, r := dialServer(t, s)
 	_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\n\r\n")
+	return s, r, flushed
+}
+
+func takenWhole(c *connection) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.taken >= largeBytes && c.taken == c.handed
+}
+
+// A caller asks for a large answer and does not read it. The answer counts as
+// given, and its memory as free, only when the system has taken all of it; a
+// stop in between would cut it.
+func TestAnswerIsGivenWhenTakenWhole(t *testing.T) {
+	s, r, flushed := askForLarge(t, Options{})
 	resp, err := http.ReadResponse(r, nil)
 	if err != nil {
 		t.Fatal(err)
@@ -195,26 +212,18 @@
 		t.Fatalf("%d requests in hand", s.Busy())
 	}
 	n, err := io.Copy(io.Discard, resp.Body)
-	if err != nil || n != int64(len(large)) {
+	if err != nil || n != largeBytes {
 		t.Fatalf("read %d bytes, error %v", n, err)
 	}
-	<-flushed
+	if !<-flushed {
+		t.Fatal("the answer counted as given before the system had taken it")
+	}
 }
 
 // A caller that never reads its answer is closed after AnswerTime; without the
 // bound its answer would stay in memory for ever.
 func TestCallerThatNeverReadsIsClosed(t *testing.T) {
-	large := bytes.Repeat([]byte("a"), 32<<20)
-	flushed := make(chan struct{})
-	handler := func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("Content-Length", fmt.Sprint(len(large)))
-		_, _ = w.Write(large)
-		w.(http.Flusher).Flush()
-		close(flushed)
-	}
-	s := startServer(t, Options{Handler: http.HandlerFunc(handler), AnswerTime: 50 * time.Millisecond})
-	conn, _ := dialServer(t, s)
-	_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\n\r\n")
+	_, _, flushed := askForLarge(t, Options{AnswerTime: 50 * time.Millisecond})
 	<-flushed
 }
 
@@ -252,6 +261,21 @@
 	}
 }
 
+// A caller sends a new field name with each request on one connection. What is
+// kept of the names must not grow without end, and nothing of one request may
+// count for the next.
+func TestKeptFieldsAreBounded(t *testing.T) {
+	p := &processor{header: http.Header{}}
+	for i := range 10 * maxKeptFields {
+		p.forgetHeader()
+		if got := p.header.Get(result.HeaderAccount); got != "" || len(p.header) > maxKeptFields+1 {
+			t.Fatalf("account %q of an earlier request, %d names kept", got, len(p.header))
+		}
+		p.header[result.HeaderAccount] = append(p.header[result.HeaderAccount], "daehan")
+		p.header[fmt.Sprint("Yucca-", i)] = []string{"x"}
+	}
+}
+
 func TestContinueInvitesTheBody(t *testing.T) {
 	s := startServer(t, Options{Handler: http.HandlerFunc(echo)})
 	conn, r := dialServer(t, s)
--- a/proxy/keys_test.go
+++ b/proxy/keys_test.go
@@ -11,6 +11,8 @@
 	"github.com/yuccaroute/yuccaroute/store/memkv"
 )
 
+func newStore() *faultkv.Store { return faultkv.New(memkv.New(memkv.Options{}), nil) }
+
 func withKeys(kv *faultkv.Store, orders model.OutageOrders) func(*Options, *model.Account) {
 	return func(o *Options, m *model.Account) {
 		o.Keys = keys.New(keys.Options{Store: kv, Node: o.Node, WritesPerSecond: 1e6})
@@ -23,11 +25,18 @@
 	return w.Header().Get(result.HeaderResult) + " " + w.Header().Get(result.HeaderOutcome)
 }
 
+func wantOrder(t *testing.T, p *Proxy, want string) {
+	t.Helper()
+	if got := orderWithKey(p, "o-1"); got != want {
+		t.Fatalf("result %s, want %s", got, want)
+	}
+}
+
 // A dealer's answer is lost with its entry VM, and the dealer's client sends the
 // order again through another one. It must not run a second time.
 func TestRepeatThroughAnotherNodeIsRefused(t *testing.T) {
 	target := newScripted(t, answering(okAnswer))
-	kv := faultkv.New(memkv.New(memkv.Options{}), nil)
+	kv := newStore()
 	a := newTestProxy(t, withKeys(kv, model.OutageRefuse), target.address())
 	b := newTestProxy(t, withKeys(kv, model.OutageRefuse), target.address())
 	got := []string{orderWithKey(a, "o-1"), orderWithKey(b, "o-1"), orderWithKey(a, "o-1"), orderWithKey(b, "o-2")}
@@ -37,22 +46,18 @@
 			t.Fatalf("results %q, want %q", got, want)
 		}
 	}
-	if n := target.requests.Load(); n != 2 {
-		t.Fatalf("%d orders ran, want 2", n)
-	}
+	target.wantRequests(t, 2)
 }
 
 // A warehouse sends a scan again with its key. Uploads are not idempotent either.
 func TestRepeatedUploadIsRefused(t *testing.T) {
 	target := newScripted(t, answering(okAnswer))
-	kv := faultkv.New(memkv.New(memkv.Options{}), nil)
+	kv := newStore()
 	p := newTestProxy(t, withKeys(kv, model.OutageRefuse), target.address())
 	first := callWithinGrant(p, http.MethodPost, "/docs", "scan", result.HeaderKey, "s-1")
 	wantResult(t, first, result.OK)
 	wantResult(t, callWithinGrant(p, http.MethodPost, "/docs", "scan", result.HeaderKey, "s-1"), result.DuplicateKey)
-	if n := target.requests.Load(); n != 1 {
-		t.Fatalf("ran %d times", n)
-	}
+	target.wantRequests(t, 1)
 }
 
 // A target sheds an order with a key. The order did not run, so the dealer may
@@ -60,35 +65,25 @@
 func TestKeyOfAShedOrderMayBeUsedAgain(t *testing.T) {
 	shedding := newScripted(t, answering(shedAnswer))
 	good := newScripted(t, answering(okAnswer))
-	kv := faultkv.New(memkv.New(memkv.Options{}), nil)
+	kv := newStore()
 	a := newTestProxy(t, withKeys(kv, model.OutageRefuse), shedding.address())
 	b := newTestProxy(t, withKeys(kv, model.OutageRefuse), good.address())
-	if got := orderWithKey(a, "o-1"); got != "117 not-run" {
-		t.Fatalf("result %s", got)
-	}
-	if got := orderWithKey(b, "o-1"); got != "0 ran" {
-		t.Fatalf("result %s", got)
-	}
+	wantOrder(t, a, "117 not-run")
+	wantOrder(t, b, "0 ran")
 }
 
 // The store is out. One account wants its orders refused, another one served;
 // look-ups and orders without a key are served for both.
 func TestStoreOutageFollowsTheAccount(t *testing.T) {
 	target := newScripted(t, answering(okAnswer))
-	kv := faultkv.New(memkv.New(memkv.Options{}), nil)
+	kv := newStore()
 	kv.SetOutage(true)
 	refusing := newTestProxy(t, withKeys(kv, model.OutageRefuse), target.address())
 	serving := newTestProxy(t, withKeys(kv, model.OutageServe), target.address())
-	if got := orderWithKey(refusing, "o-1"); got != "131 not-run" {
-		t.Fatalf("result %s", got)
-	}
-	if n := target.requests.Load(); n != 0 {
-		t.Fatal("a refused order ran")
-	}
+	wantOrder(t, refusing, "131 not-run")
+	target.wantRequests(t, 0)
 	for _, want := range []string{"0 ran", "130 unknown"} {
-		if got := orderWithKey(serving, "o-1"); got != want {
-			t.Fatalf("result %s, want %s", got, want)
-		}
+		wantOrder(t, serving, want)
 	}
 	wantResult(t, call(refusing, http.MethodPost, "/orders", "x"), result.OK)
 	wantResult(t, call(refusing, http.MethodGet, "/stock", ""), result.OK)
@@ -106,10 +101,6 @@
 	}
 	kv := faultkv.New(memkv.New(memkv.Options{}), lost)
 	p := newTestProxy(t, withKeys(kv, model.OutageRefuse), target.address())
-	if got := orderWithKey(p, "o-1"); got != "132 not-run" {
-		t.Fatalf("result %s", got)
-	}
-	if n := target.requests.Load(); n != 0 {
-		t.Fatal("a refused order ran")
-	}
+	wantOrder(t, p, "132 not-run")
+	target.wantRequests(t, 0)
 }
--- a/proxy/limits_test.go
+++ b/proxy/limits_test.go
@@ -18,8 +18,7 @@
 // SetGrants has returned here. Not one request may be sent on the old grant
 // after that, or the sum passes the capacity.
 func TestNothingIsSentOnAnOldGrant(t *testing.T) {
-	target := newScripted(t, answering(okAnswer))
-	p := newTestProxy(t, nil, target.address())
+	p, target := newServingProxy(t, nil)
 	wantResult(t, callWithinGrant(p, http.MethodPost, "/orders", "x"), result.OK)
 	p.SetGrants(testGrants(2, 0))
 	before := target.requests.Load()
@@ -36,8 +35,7 @@
 // A surplus has expired, as it has for a process that resumes after a pause.
 // Only the floor counts, without another set having come.
 func TestExpiredSurplusIsNotUsed(t *testing.T) {
-	target := newScripted(t, answering(okAnswer))
-	p := newTestProxy(t, nil, target.address())
+	p, _ := newServingProxy(t, nil)
 	set := testGrants(2, 0)
 	set.Grants[0].Surplus = ampleRate
 	set.SurplusExpires = time.Now().Add(-time.Millisecond)
@@ -48,9 +46,8 @@
 // The account wants traffic above a grant to wait. It does while its deadline
 // can be met, and is refused at once when it cannot.
 func TestExcessWaitsWithinTheDeadline(t *testing.T) {
-	target := newScripted(t, answering(okAnswer))
 	waits := func(_ *Options, m *model.Account) { m.Excess = model.ExcessWait }
-	p := newTestProxy(t, waits, target.address())
+	p, target := newServingProxy(t, waits)
 	p.SetGrants(testGrants(2, 100*grant.PerRequest))
 	for range 10 {
 		wantResult(t, call(p, http.MethodGet, "/stock", ""), result.OK)
@@ -68,8 +65,7 @@
 // node is below its grant are not excess: they wait for milliseconds. Many at
 // once are, and the grant holds for those that are sent.
 func TestCloseArrivalsAreNotExcess(t *testing.T) {
-	target := newScripted(t, answering(okAnswer))
-	p := newTestProxy(t, nil, target.address())
+	p, target := newServingProxy(t, nil)
 	p.SetGrants(testGrants(2, 100*grant.PerRequest))
 	for range 10 {
 		wantResult(t, call(p, http.MethodGet, "/stock", ""), result.OK)
@@ -89,13 +85,7 @@
 // The grant is ample and all slots are taken. A request that cannot wait for
 // one is refused as not run, and told that the targets are the reason.
 func TestTakenSlotsAreTold(t *testing.T) {
-	release := make(chan struct{})
-	target := newScripted(t, func(c *scriptedConn) {
-		if c.next() != nil {
-			<-release
-			c.say(okAnswer)
-		}
-	})
+	target, release := newHeld(t)
 	p := newTestProxy(t, nil, target.address())
 	var done sync.WaitGroup
 	for range 3 {
@@ -103,26 +93,23 @@
 	}
 	until(func() bool { return target.requests.Load() == 3 })
 	wantResult(t, call(p, http.MethodPost, "/orders", "x", result.HeaderDeadline, "40"), result.QueueFull)
-	close(release)
+	release()
 	done.Wait()
 }
 
 // The place is farther away than the deadline allows. The order is refused as
 // not run instead of being sent and ending as unknown.
 func TestPlaceBeyondTheDeadline(t *testing.T) {
-	target := newScripted(t, answering(okAnswer))
 	far := func(o *Options, m *model.Account) {
 		o.Region = "kr-busan"
 		o.CallerRegion = func(model.AccountName, netip.Addr) (model.RegionName, bool) { return testRegion, true }
 		delay := model.Delay{To: testRegion, OneWay: 55 * time.Millisecond}
 		m.Regions = append(m.Regions, model.Region{Name: "kr-busan", Delays: []model.Delay{delay}})
 	}
-	p := newTestProxy(t, far, target.address())
+	p, target := newServingProxy(t, far)
 	w := call(p, http.MethodPost, "/orders", "x", result.HeaderDeadline, "110")
 	wantResult(t, w, result.DeadlineBeforeSend)
-	if n := target.requests.Load(); n != 0 {
-		t.Fatalf("%d orders sent", n)
-	}
+	target.wantRequests(t, 0)
 	wantResult(t, callWithinGrant(p, http.MethodPost, "/orders", "x", result.HeaderDeadline, "60000"), result.OK)
 }
 
@@ -142,20 +129,17 @@
 		Key: grant.Key{Account: testAccount, Service: testService, Place: "kr-busan-a"}, Floor: ampleRate})
 	p.SetGrants(set)
 	wantResult(t, call(p, http.MethodGet, "/stock", ""), result.NoTarget)
-	if n := other.requests.Load(); n != 0 {
-		t.Fatalf("%d requests went to the other place", n)
-	}
+	other.wantRequests(t, 0)
 }
 
 // A place has lost its targets and the plan has left it, but the move cap lets
 // traffic follow only in steps. The caller is told that the cap is the reason.
 func TestHeldTrafficIsToldSo(t *testing.T) {
-	target := newScripted(t, answering(okAnswer))
 	capped := func(_ *Options, m *model.Account) {
 		m.Places = append(m.Places, model.Place{Name: "kr-busan-a", Region: testRegion})
 		m.Moves = model.MoveLimits{Share: 0.1, Window: time.Hour}
 	}
-	p := newTestProxy(t, capped, target.address())
+	p, _ := newServingProxy(t, capped)
 	next := testPlan()
 	next.Sequence = 2
 	next.Flows[0].Shares = []plan.Share{{Place: "kr-busan-a", PPM: plan.Whole}}
@@ -173,8 +157,7 @@
 // A plan is replaced while requests run: every request follows one plan or the
 // other, and an older plan that arrives late does not return.
 func TestOlderPlanDoesNotReturn(t *testing.T) {
-	target := newScripted(t, answering(okAnswer))
-	p := newTestProxy(t, nil, target.address())
+	p, _ := newServingProxy(t, nil)
 	empty := testPlan()
 	empty.Sequence = 3
 	empty.Flows = []plan.Flow{}
--- a/proxy/memory_test.go
+++ b/proxy/memory_test.go
@@ -21,13 +21,7 @@
 // heads; the memory in use stays near the bound instead of growing with the
 // number of callers.
 func TestMemoryUnderManyUploads(t *testing.T) {
-	release := make(chan struct{})
-	target := newScripted(t, func(c *scriptedConn) {
-		for c.next() != nil {
-			<-release
-			c.say(okAnswer)
-		}
-	})
+	target, release := newHeld(t)
 	small := func(o *Options, m *model.Account) {
 		o.MaxBufferedBytes = testMemory
 		m.Services[0].Deadline = maxDeadline
@@ -60,7 +54,7 @@
 	if taken < 10 || held > 2*testMemory {
 		t.Errorf("%d uploads taken, %d bytes of heap in use", taken, held)
 	}
-	close(release)
+	release()
 	done.Wait()
 	// A body is freed just after its answer was taken.
 	until(func() bool { return p.bytes.Used() == 0 })
--- a/proxy/outcome_test.go
+++ b/proxy/outcome_test.go
@@ -8,8 +8,7 @@
 )
 
 func TestWholeAnswerIsPassedOn(t *testing.T) {
-	target := newScripted(t, answering(okAnswer))
-	p := newTestProxy(t, nil, target.address())
+	p, target := newServingProxy(t, nil)
 	for range 3 {
 		w := call(p, http.MethodPost, "/orders", "two pallets")
 		wantResult(t, w, result.OK)
@@ -20,9 +19,7 @@
 			t.Fatalf("headers %v", w.Header())
 		}
 	}
-	if n := target.requests.Load(); n != 3 {
-		t.Fatalf("target ran %d requests, want 3", n)
-	}
+	target.wantRequests(t, 3)
 }
 
 // A dealer's order meets a connection that breaks in some way. The dealer is
@@ -35,38 +32,14 @@
 		want   result.Code
 	}{
 		{"closed after the request", func(c *scriptedConn) { c.next() }, result.ConnectionLost},
-		{"cut within the head of the answer", func(c *scriptedConn) {
-			c.next()
-			c.say("HTTP/1.1 200 OK\r\nContent-Le")
-		}, result.ConnectionLost},
-		{"cut within the body of the answer", func(c *scriptedConn) {
-			c.next()
-			c.say("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")
-		}, result.AnswerTruncated},
-		{"cut within a chunk", func(c *scriptedConn) {
-			c.next()
-			c.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhal")
-		}, result.AnswerTruncated},
-		{"cut before the last chunk", func(c *scriptedConn) {
-			c.next()
-			c.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n")
-		}, result.AnswerTruncated},
-		{"end of the answer not marked", func(c *scriptedConn) {
-			c.next()
-			c.say("HTTP/1.0 200 OK\r\n\r\nmaybe all")
-		}, result.AnswerTruncated},
-		{"answer over the limit", func(c *scriptedConn) {
-			c.next()
-			c.say("HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n")
-		}, result.AnswerTooLarge},
-		{"not HTTP", func(c *scriptedConn) {
-			c.next()
-			c.say("SSH-2.0-x\r\n")
-		}, result.ConnectionLost},
-		{"answer of another exchange", func(c *scriptedConn) {
-			c.next()
-			c.say("HTTP/1.1 200 OK\r\nYucca-Exchange: none\r\nContent-Length: 2\r\n\r\nok")
-		}, result.AnswerTruncated},
+		{"cut within the head of the answer", answeringOnce("HTTP/1.1 200 OK\r\nContent-Le"), result.ConnectionLost},
+		{"cut within the body of the answer", answeringOnce("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"), result.AnswerTruncated},
+		{"cut within a chunk", answeringOnce("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhal"), result.AnswerTruncated},
+		{"cut before the last chunk", answeringOnce("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"), result.AnswerTruncated},
+		{"end of the answer not marked", answeringOnce("HTTP/1.0 200 OK\r\n\r\nmaybe all"), result.AnswerTruncated},
+		{"answer over the limit", answeringOnce("HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n"), result.AnswerTooLarge},
+		{"not HTTP", answeringOnce("SSH-2.0-x\r\n"), result.ConnectionLost},
+		{"answer of another exchange", answeringOnce("HTTP/1.1 200 OK\r\nYucca-Exchange: none\r\nContent-Length: 2\r\n\r\nok"), result.AnswerTruncated},
 		{"shed", answering("HTTP/1.1 503 Busy\r\nYucca-Shed: 1\r\nContent-Length: 0\r\n\r\n"), result.TargetShed},
 		{"failed by the target", answering("HTTP/1.1 500 Bad\r\nContent-Length: 0\r\n\r\n"), result.OK},
 	}
@@ -75,9 +48,7 @@
 			target := newScripted(t, c.script)
 			p := newTestProxy(t, nil, target.address())
 			wantResult(t, call(p, http.MethodPost, "/orders", "two pallets"), c.want)
-			if n := target.requests.Load(); n != 1 {
-				t.Fatalf("the order was sent %d times", n)
-			}
+			target.wantRequests(t, 1)
 		})
 	}
 }
--- a/proxy/reports_test.go
+++ b/proxy/reports_test.go
@@ -20,8 +20,7 @@
 
 // What a node reports is what happened since its last report.
 func TestReportsCountSinceTheLast(t *testing.T) {
-	target := newScripted(t, answering(okAnswer))
-	p := newTestProxy(t, nil, target.address())
+	p, _ := newServingProxy(t, nil)
 	wantResult(t, callWithinGrant(p, http.MethodGet, "/stock", ""), result.OK)
 	p.Reports(time.Second)
 	for range 7 {
@@ -59,8 +58,7 @@
 // A process is paused between the admission of an order and its sending. Its
 // grant has gone to another node meanwhile; the order must not be sent.
 func TestAdmissionBeforeAPauseIsAskedAgain(t *testing.T) {
-	target := newScripted(t, answering(okAnswer))
-	p := newTestProxy(t, nil, target.address())
+	p, target := newServingProxy(t, nil)
 	wantResult(t, callWithinGrant(p, http.MethodPost, "/orders", "x"), result.OK)
 	admitted, short, _ := onlyPlace(p).acquire(0, 0)
 	if short != shortNone {
--- a/proxy/retry_test.go
+++ b/proxy/retry_test.go
@@ -42,12 +42,22 @@
 	}
 	for _, path := range []string{"/orders", "/docs"} {
 		for range 20 {
-			before := bad.requests.Load() + good.requests.Load()
-			w := callWithinGrant(p, http.MethodPost, path, "two pallets")
-			if sent := bad.requests.Load() + good.requests.Load() - before; sent != 1 {
-				t.Fatalf("%s was sent %d times, result %s", path, sent, w.Header().Get(result.HeaderResult))
-			}
+			sendOrderOnce(t, p, path, bad, good)
 		}
+		// The look-ups had the bad target ejected. The first choice of a new
+		// proxy is any of the two.
+		for met := bad.requests.Load(); bad.requests.Load() == met; {
+			sendOrderOnce(t, newTestProxy(t, nil, bad.address(), good.address()), path, bad, good)
+		}
+	}
+}
+
+func sendOrderOnce(t *testing.T, p *Proxy, path string, a, b *scripted) {
+	t.Helper()
+	before := a.requests.Load() + b.requests.Load()
+	w := callWithinGrant(p, http.MethodPost, path, "two pallets")
+	if sent := a.requests.Load() + b.requests.Load() - before; sent != 1 {
+		t.Fatalf("%s was sent %d times, result %s", path, sent, w.Header().Get(result.HeaderResult))
 	}
 }
 
@@ -62,9 +72,7 @@
 			wantResult(t, call(p, http.MethodPost, "/orders", "two pallets"), result.OK)
 		}
 	}
-	if n := good.requests.Load(); n != 40 {
-		t.Fatalf("the good target ran %d orders, want 40", n)
-	}
+	good.wantRequests(t, 40)
 }
 
 // A look-up may have run at one target and surely did not at the other. The
@@ -164,9 +172,7 @@
 	for range 20 {
 		wantResult(t, call(p, http.MethodPost, "/orders", "x"), result.OK)
 	}
-	if n := a.requests.Load(); n != 0 {
-		t.Fatalf("the leaving target got %d requests", n)
-	}
+	a.wantRequests(t, 0)
 	list.VMs[1].State = membership.StateLeaving
 	p.SetTargets(list)
 	wantResult(t, call(p, http.MethodPost, "/orders", "x"), result.NoTarget)
--- a/proxy/scripted_test.go
+++ b/proxy/scripted_test.go
@@ -84,4 +84,34 @@
 	}
 }
 
+// answeringOnce returns a script that answers one request and closes.
+func answeringOnce(text string) script {
+	return func(c *scriptedConn) {
+		if c.next() != nil {
+			c.say(text)
+		}
+	}
+}
+
+// newHeld starts a target that works on every request until release is called.
+func newHeld(t *testing.T) (s *scripted, release func()) {
+	t.Helper()
+	released := make(chan struct{})
+	s = newScripted(t, func(c *scriptedConn) {
+		for c.next() != nil {
+			<-released
+			c.say(okAnswer)
+		}
+	})
+	return s, func() { close(released) }
+}
+
+// wantRequests checks how many requests have reached the target.
+func (s *scripted) wantRequests(t *testing.T, want int) {
+	t.Helper()
+	if n := int(s.requests.Load()); n != want {
+		t.Fatalf("the target got %d requests, want %d", n, want)
+	}
+}
+
 const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
