Tell an entry VM the whole deadline of idempotent work

Change: the entry VM is told the whole time; the client gives a silent attempt up at half of it if the retry budget pays for the next one. Conclusion: TestSilentEntryVMLeavesTimeForAnother holds both halves.

--- a/client/attempt.go
+++ b/client/attempt.go
@@ -31,6 +31,8 @@
 	cause  error
 	// refused tells that no connection could be opened.
 	refused bool
+	// gaveUp tells that the client ended the attempt and has paid for the next.
+	gaveUp bool
 	// answered tells that an entry VM said how the request ended, and that
 	// another one would have nothing better to say.
 	answered bool
--- a/client/do.go
+++ b/client/do.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -71,27 +72,41 @@
 func (e *exchange) send(ctx context.Context, entry Entry) attempt {
 	e.attempts++
 	e.tried[entry.Address] = time.Time{}
-	ctx, cancel := e.attemptContext(ctx)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	var gaveUp atomic.Bool
+	if timer := e.giveUpTimer(ctx, &gaveUp, cancel); timer != nil {
+		defer timer.Stop()
+	}
 	a := e.client.attempt(ctx, entry, e.request)
+	a.gaveUp = gaveUp.Load() && a.answer.Status == 0
 	e.note(entry, &a)
 	return a
 }
 
-// attemptContext leaves half of the time for another entry VM when a request
-// may be sent again after it was lost: an entry VM that was paused accepts
-// connections and never answers.
-func (e *exchange) attemptContext(ctx context.Context) (context.Context, context.CancelFunc) {
+// giveUpTimer ends an attempt of idempotent work at half of the time left, so
+// that another entry VM can still answer.
+//
+// Guard against an entry VM that was paused: it accepts connections and never
+// answers, and would use up the whole deadline. The entry VM is told the whole
+// time, as it may make its callers wait for room. The retry is paid for before
+// the attempt ends; without one left the wait goes on.
+func (e *exchange) giveUpTimer(ctx context.Context, gaveUp *atomic.Bool, end context.CancelFunc) *time.Timer {
 	deadline, ok := ctx.Deadline()
 	if !ok || !e.request.Idempotent || e.attempts >= e.client.options.MaxAttempts {
-		return context.WithCancel(ctx)
+		return nil
 	}
-	return context.WithTimeout(ctx, time.Until(deadline)/2)
+	return time.AfterFunc(time.Until(deadline)/2, func() {
+		if e.client.budget.take() {
+			gaveUp.Store(true)
+			end()
+		}
+	})
 }
 
 // note remembers what the attempt tells about the entry VM.
 func (e *exchange) note(entry Entry, a *attempt) {
-	if errors.Is(a.cause, context.Canceled) {
+	if errors.Is(a.cause, context.Canceled) && !a.gaveUp {
 		return
 	}
 	e.tried[entry.Address] = time.Now().Add(a.answer.RetryAfter)
@@ -119,7 +134,7 @@
 	if ctx.Err() != nil || e.attempts >= e.client.options.MaxAttempts {
 		return false
 	}
-	if a.refused || cannotServe(a.answer.Code) {
+	if a.refused || a.gaveUp || cannotServe(a.answer.Code) {
 		return true
 	}
 	if !e.mayRepeat(a) {
--- a/client/levels_test.go
+++ b/client/levels_test.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptrace"
+	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/yuccaroute/yuccaroute/api/result"
 )
@@ -67,3 +71,42 @@
 		})
 	}
 }
+
+// An entry VM stands still with a farmer's availability check. Another one is
+// asked while there is time; the first was told the whole time, since one that
+// is well may let its callers wait for room.
+func TestSilentEntryVMLeavesTimeForAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var told []string
+		f := &fakeVMs{lookup: threeVMs}
+		client := fakeClient(t, f)
+		defer client.Close()
+		client.transport = roundTrip(func(req *http.Request) (*http.Response, error) {
+			if req.URL.Path == LookupPath {
+				return f.RoundTrip(req)
+			}
+			told = append(told, req.Header.Get(result.HeaderDeadline))
+			if req.URL.Host == "a:1" {
+				httptrace.ContextClientTrace(req.Context()).GotConn(httptrace.GotConnInfo{})
+				<-req.Context().Done()
+				return nil, req.Context().Err()
+			}
+			return answerOf(result.OK, "", 0), nil
+		})
+		client.entries.transport = client.transport
+		start := time.Now()
+		answer, err := client.Do(context.Background(), Request{Idempotent: true, Deadline: time.Second})
+		if err != nil || answer.Attempts != 2 || time.Since(start) != time.Second/2 {
+			t.Errorf("%d attempts in %v, error %v; want 2 in 500 ms", answer.Attempts, time.Since(start), err)
+		}
+		if want := []string{"950", "450"}; !slices.Equal(told, want) {
+			t.Errorf("deadlines told %v, want %v", told, want)
+		}
+	})
+}
+
+// roundTrip is a function as a transport.
+type roundTrip func(*http.Request) (*http.Response, error)
+
+// RoundTrip implements http.RoundTripper.
+func (f roundTrip) RoundTrip(req *http.Request) (*http.Response, error) { return f(req) }
