--- a/bench/scenario/proxy_http.go
+++ b/bench/scenario/proxy_http.go
@@ -39,10 +39,11 @@
 
 func runProxyHTTP(ctx context.Context, p Params) ([]report.Metric, error) {
 	world, err := demo.NewWorld(ctx, p.Seed, io.Discard)
-	defer world.Close()
 	if err != nil {
+		world.Close()
 		return nil, err
 	}
+	defer world.Close()
 	if err := world.WaitReady(ctx); err != nil {
 		return nil, err
 	}
