membership: log through the node's logger

Cause: the view of the VM list wrote to the standard logger, so that a node with level error still logged its warnings, in another format. Change: an option for the logger; the node passes its own. Measured: go test ./membership/... passes.

--- a/membership/view/options.go
+++ b/membership/view/options.go
@@ -1,6 +1,10 @@
 package view
 
-import "time"
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
 
 // Defaults of Options.
 const (
@@ -32,6 +36,8 @@
 	// KeepGone and MaxGone bound what is remembered of VMs that are gone.
 	KeepGone time.Duration
 	MaxGone  int
+	// Logger defaults to logrus' standard logger.
+	Logger logrus.FieldLogger
 }
 
 func (o Options) withDefaults() Options {
@@ -41,6 +47,9 @@
 	setDefault(&o.StableAfter, DefaultStableAfter)
 	setDefault(&o.KeepGone, DefaultKeepGone)
 	setDefault(&o.MaxGone, DefaultMaxGone)
+	if o.Logger == nil {
+		o.Logger = logrus.StandardLogger()
+	}
 	return o
 }
 
--- a/membership/view/view.go
+++ b/membership/view/view.go
@@ -61,7 +61,7 @@
 	for ctx.Err() == nil {
 		err := v.Refresh(ctx)
 		if ctx.Err() == nil {
-			logTurn(out, err)
+			logTurn(v.options.Logger, out, err)
 			out = err != nil
 		}
 		pause(ctx, v.options.Interval)
@@ -70,12 +70,12 @@
 }
 
 // logTurn writes a line at the start and the end of an outage only.
-func logTurn(wasOut bool, err error) {
+func logTurn(log logrus.FieldLogger, wasOut bool, err error) {
 	switch {
 	case err != nil && !wasOut:
-		logrus.WithError(err).Warn("membership: list not read, keeping the last one")
+		log.WithError(err).Warn("membership: list not read, keeping the last one")
 	case err == nil && wasOut:
-		logrus.Info("membership: list read again")
+		log.Info("membership: list read again")
 	}
 }
 
--- a/node/platform.go
+++ b/node/platform.go
@@ -28,6 +28,7 @@
 	}
 	n.view = view.New(lister, view.Options{
 		Interval: n.options.Settings.Platform.VMListInterval,
+		Logger:   n.log,
 	})
 	return nil
 }
