config: keep no spare room in decoded caller blocks

Cause: a third of a decoded account's list of caller blocks was spare room, and each block held its own copy of its region's name; memory at 330,000 blocks is over the budget of 64 MB (79 MB of heap, docs/CAPACITY.md). Change: Decode copies the list to its size and shares the names.

--- a/config/codec.go
+++ b/config/codec.go
@@ -50,5 +50,23 @@
 	if err := json.Unmarshal(text, account); err != nil {
 		return nil, errors.Wrap(err, "config: decode account")
 	}
+	compact(account)
 	return account, nil
 }
+
+// compact frees what decoding leaves behind: spare room in the list of caller
+// blocks, which is by far the largest, and a copy of the region's name for each
+// block. A node holds hundreds of thousands of blocks.
+func compact(account *model.Account) {
+	account.Callers = append([]model.CallerBlock(nil), account.Callers...)
+	names := make(map[model.RegionName]model.RegionName, len(account.Regions))
+	for i := range account.Callers {
+		block := &account.Callers[i]
+		name, seen := names[block.Region]
+		if !seen {
+			name = block.Region
+			names[name] = name
+		}
+		block.Region = name
+	}
+}
