steering/planner: give no forecast from unknown demand

Cause: for five seconds after a change of decider the demand is unknown, and the planner still offered that input for dry runs. A forecast from no demand says that nothing moves and every capacity holds. Change: such an input is not kept; the dry run is then answered with not-leader, which invites to ask again. Measured: TestNoForecastFromUnknownDemand failed before and passes now; go test -race ./steering/planner ./admin/... ./cmd/... green. Conclusion: a dry run right after a change of decider has to be repeated.

--- a/steering/planner/planner.go
+++ b/steering/planner/planner.go
@@ -77,11 +77,15 @@
 		in.Demand = nil
 	}
 	a.last = in
+	if len(in.Demand) == 0 {
+		// A forecast from it would say that every capacity holds.
+		a.last = steering.Input{}
+	}
 	return in
 }
 
 // Last returns what the last plan of an account was made from, for forecasts;
-// ok is false when this node has made none lately.
+// ok is false when this node has made none lately, or knew no demand for it.
 func (p *Planner) Last(name model.AccountName) (in steering.Input, ok bool) {
 	p.mu.Lock()
 	a := p.accounts[name]
--- a/steering/planner/planner_test.go
+++ b/steering/planner/planner_test.go
@@ -37,6 +37,17 @@
 	}
 }
 
+// Story: an operator asks for a dry run seconds after a change of decider. The
+// demand is not known yet; a forecast from no demand would say that every
+// capacity holds and nothing moves.
+func TestNoForecastFromUnknownDemand(t *testing.T) {
+	p := New()
+	p.Plan(situation(start.Add(time.Second)))
+	if last, ok := p.Last("daehan"); ok {
+		t.Errorf("input with demand %v", last.Demand)
+	}
+}
+
 // A decider takes over while a place is down and another decider's moves have
 // just used the cap up. Before the nodes have reported it moves nothing; then
 // it moves what the remembered moves leave, and no more.
