Tell how old the configuration on a node may be

Cause: the live accounts' age was 0 as long as a node was fed by others, also while the store was out for everybody; and an empty store never made a node ready, as its source emitted nothing. Change: the source tells when the store last answered it and when it has read all; the age is that of the latest reading a node knows of. In force on a running system: not run. Conclusion: an age is never better than what is known.

--- a/admin/wire/documents.go
+++ b/admin/wire/documents.go
@@ -76,7 +76,7 @@
 	Sequence uint64         `json:"sequence"`
 	// Since is when the node put this state in force.
 	Since time.Time `json:"since"`
-	// AgeMS is how long ago the node last knew that it had all accounts as the
-	// watchers of the store see them; -1 when it never did.
+	// AgeMS is how long ago a watcher that the node knows of last read the store;
+	// -1 when it knows of none. What was accepted since may be missing here.
 	AgeMS int64 `json:"age_ms"`
 }
--- a/config/source/source.go
+++ b/config/source/source.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"strings"
+	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -43,6 +45,9 @@
 	logger logrus.FieldLogger
 	// emitted holds the version last emitted for each item of this run.
 	emitted map[string]changelog.Version
+	// synced and lastRead are read by other goroutines than that of Run.
+	synced   atomic.Bool
+	lastRead atomic.Pointer[time.Time]
 }
 
 // New returns a source that reads documents through log and watches kv.
@@ -58,17 +63,38 @@
 // items by their versions; run it again after a pause.
 func (s *Source) Run(ctx context.Context, emit Emit) error {
 	s.emitted = map[string]changelog.Version{}
+	s.synced.Store(false)
 	for {
 		at, err := s.list(ctx, emit)
 		if err != nil {
 			return err
 		}
+		s.answered()
+		s.synced.Store(true)
 		if err := s.watch(ctx, at, emit); err != nil {
 			return err
 		}
 	}
 }
 
+// Synced reports whether the last Run has emitted all there was, which may be
+// nothing.
+func (s *Source) Synced() bool { return s.synced.Load() }
+
+// LastRead returns when the store last answered; it is zero before the first
+// answer. While nothing changes it is up to one waiting time of a watch ago.
+func (s *Source) LastRead() time.Time {
+	if at := s.lastRead.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
+func (s *Source) answered() {
+	now := time.Now()
+	s.lastRead.Store(&now)
+}
+
 // list reads all heads.
 func (s *Source) list(ctx context.Context, emit Emit) (store.Revision, error) {
 	seen := s.log.Guard().All()
@@ -100,6 +126,7 @@
 		if err != nil {
 			return errors.Wrap(err, "config: watch heads")
 		}
+		s.answered()
 		if batch.Reset || batch.At < after {
 			return nil
 		}
--- a/node/admin.go
+++ b/node/admin.go
@@ -129,28 +129,20 @@
 			Epoch:    it.Epoch,
 			Sequence: it.Sequence,
 			Since:    p.node.accounts.since(a.Name),
-			AgeMS:    fedAge(&status),
+			AgeMS:    storeAge(&status),
 		})
 	}
 	return live
 }
 
-// fedAge is how long ago the node was level with a peer or with the store, in
-// ms; -1 when it never was.
-func fedAge(s *spread.Status) int64 {
-	if s.Fed {
-		return 0
+// storeAge is how long ago a watcher that this node knows of last read the
+// store, in ms; -1 when it knows of none. What was accepted since may be missing
+// here.
+func storeAge(s *spread.Status) int64 {
+	if s.StoreAge < 0 {
+		return -1
 	}
-	youngest := int64(-1)
-	for _, peer := range s.Peers {
-		if peer.EqualAge < 0 {
-			continue
-		}
-		if age := peer.EqualAge.Milliseconds(); youngest < 0 || age < youngest {
-			youngest = age
-		}
-	}
-	return youngest
+	return s.StoreAge.Milliseconds()
 }
 
 // The states of a node in wire.NodeState.
--- /dev/null
+++ b/node/source.go
@@ -0,0 +1,15 @@
+package node
+
+import (
+	"github.com/yuccaroute/yuccaroute/config/source"
+	"github.com/yuccaroute/yuccaroute/spread"
+)
+
+// The source tells when it has read all and when the store last answered;
+// without them an empty store would never make a node ready, and the age of the
+// configuration would be too low while the store is out.
+var (
+	_ spread.Source     = (*source.Source)(nil)
+	_ spread.Syncer     = (*source.Source)(nil)
+	_ spread.LastReader = (*source.Source)(nil)
+)
