Keep no values and no long names of a caller's earlier requests

Cause: the lists of fields kept between requests still held their values, and names of any length: a hostile caller could have kept 16 long ones for each of its connections, over what any account's share covers. Change: values are cleared, long names and long lists are dropped, and a map with too many names is made anew. TestKeptFieldsAreBounded asks all of it.

--- a/proxy/ingress/processor.go
+++ b/proxy/ingress/processor.go
@@ -84,18 +84,30 @@
 	p.Processor.OnHeader(parser, key, value)
 }
 
-// maxKeptFields bounds the field names kept from one request to the next: a
-// caller that invents new ones must not fill the memory.
-const maxKeptFields = 16
+// Bounds of what is kept of one request's fields for the next.
+const (
+	maxKeptFields    = 16
+	maxKeptNameBytes = 32
+	maxKeptValues    = 4
+)
 
-// forgetHeader empties the fields of the last request and keeps their memory
-// for the next one, which mostly has the same.
+// forgetHeader empties the fields of the last request and keeps their lists for
+// the next one, which mostly has the same.
+//
+// Guard against a caller that invents names, or sends long or many values, on
+// each of its connections: it shows as memory that no account's share covers.
+// The guard holds because no value is kept, and few, short names are.
 func (p *processor) forgetHeader() {
 	if len(p.header) > maxKeptFields {
-		clear(p.header)
+		p.header = make(http.Header)
 		return
 	}
 	for key, values := range p.header {
+		if len(key) > maxKeptNameBytes || cap(values) > maxKeptValues {
+			delete(p.header, key)
+			continue
+		}
+		clear(values)
 		p.header[key] = values[:0]
 	}
 }
--- a/proxy/ingress/server_test.go
+++ b/proxy/ingress/server_test.go
@@ -261,18 +261,26 @@
 	}
 }
 
-// A caller sends a new field name with each request on one connection. What is
-// kept of the names must not grow without end, and nothing of one request may
-// count for the next.
+// A caller sends other fields with each request on one connection: new names,
+// long names, many values. What is kept of them must not grow without end, and
+// nothing of one request may count for the next.
 func TestKeptFieldsAreBounded(t *testing.T) {
 	p := &processor{header: http.Header{}}
 	for i := range 10 * maxKeptFields {
-		p.forgetHeader()
-		if got := p.header.Get(result.HeaderAccount); got != "" || len(p.header) > maxKeptFields+1 {
-			t.Fatalf("account %q of an earlier request, %d names kept", got, len(p.header))
-		}
 		p.header[result.HeaderAccount] = append(p.header[result.HeaderAccount], "daehan")
 		p.header[fmt.Sprint("Yucca-", i)] = []string{"x"}
+		p.header["Yucca-"+strings.Repeat("a", maxKeptNameBytes)] = []string{"x"}
+		p.header["Yucca-Many"] = make([]string, maxKeptValues+1)
+		p.forgetHeader()
+		if len(p.header) > maxKeptFields {
+			t.Fatalf("%d names kept", len(p.header))
+		}
+		for name, values := range p.header {
+			kept := values[:cap(values)]
+			if len(values) > 0 || len(name) > maxKeptNameBytes || len(kept) > maxKeptValues || strings.Join(kept, "") != "" {
+				t.Fatalf("%s: %q kept", name, kept)
+			}
+		}
 	}
 }
 
