ingress: start only when every poller runs

Cause: a server stopped right after its start hung for ever now and then: a poller of nbio clears its mark to stop when its loop begins, so that an earlier stop is lost and the engine's Stop waits for that poller. Change: Start sends a byte through a connection of each poller and returns when all were read. Ruled out: a bound on Stop, which would leave the poller behind. Conclusion: httpserver is on the same engine; its Stop is bounded by its context, and was not changed.

--- a/proxy/ingress/server.go
+++ b/proxy/ingress/server.go
@@ -59,6 +59,10 @@
 	if err := s.engine.Start(); err != nil {
 		return nil, errors.Wrap(err, "ingress: start")
 	}
+	if err := s.awaitPollers(); err != nil {
+		s.engine.Stop()
+		return nil, err
+	}
 	l, err := net.Listen("tcp", o.Address)
 	if err != nil {
 		s.engine.Stop()
