admin/client: a change counts as made only if the answer names it

Cause: with status 200 the client took any JSON for success. '{}' of a server in between, or the document read after a redirect that turned the PUT into a GET, was reported as a change in force; {"name": ...} with another status was reported as refused. Either hides a change whose outcome is not known.

Change: a success must hold the change's identifier and a sequence (identities: a revision); an error must have a code and an outcome and, if it names a change, this one. Anything else is change-unknown with the identifier to ask by.

--- a/admin/client/client.go
+++ b/admin/client/client.go
@@ -75,11 +75,16 @@
 }
 
 // decoded reads a success. A change was sent and may be in force although the
-// answer cannot be read, as when a server of another kind stands in between; a
-// plain error would read as "not sent", and the change would be made again
-// under a new identifier.
+// answer cannot be read or does not name it, as when a server of another kind
+// stands in between: "{}" with status 200, or the document after a redirect
+// turned the change into a read. Success would hide a change that never reached
+// the node; a plain error would read as "not sent", and the change would be made
+// again under a new identifier.
 func decoded(r request, body []byte, into any) error {
 	err := json.Unmarshal(body, into)
+	if err == nil && r.changeID != "" && !confirms(into, r.changeID) {
+		err = errors.New("it does not name the change")
+	}
 	if err == nil {
 		return nil
 	}
@@ -89,6 +94,20 @@
 	return errors.Wrap(err, "admin: answer is not the JSON expected")
 }
 
+// confirms reports whether a decoded answer says that the change is in force.
+func confirms(answer any, changeID string) bool {
+	switch a := answer.(type) {
+	case *wire.ChangeAnswer:
+		return a.Change.ID == changeID && a.Change.Sequence != 0
+	case *wire.AdoptAnswer:
+		return a.ID == changeID && a.Sequence != 0
+	case *wire.IdentitiesDocument:
+		return a.Revision != 0
+	default:
+		return false
+	}
+}
+
 func (c *Client) build(ctx context.Context, r request) (*http.Request, error) {
 	var body io.Reader
 	if r.body != nil {
@@ -149,7 +168,7 @@
 // as from a server that failed, leaves a change unknown.
 func failed(r request, status int, body []byte) error {
 	answer := &wire.Error{}
-	if err := json.Unmarshal(body, answer); err == nil && answer.Name != "" {
+	if err := json.Unmarshal(body, answer); err == nil && ownError(r, answer) {
 		return answer
 	}
 	message := http.StatusText(status) + ": " + string(body)
@@ -158,3 +177,16 @@
 	}
 	return errors.Errorf("admin: %d %s", status, message)
 }
+
+// ownError reports whether the node made an error: it has a code, an outcome
+// and, if it names a change, this one. {"name": "..."} of a middle box must not
+// read as "not run".
+func ownError(r request, e *wire.Error) bool {
+	if e.Code == result.OK || e.Name == "" {
+		return false
+	}
+	if e.Outcome != result.NotRun.String() && e.Outcome != result.Unknown.String() {
+		return false
+	}
+	return e.ChangeID == "" || e.ChangeID == r.changeID
+}
