control: count absence only by readings of the VM list

Cause: a decider counted a node as absent for as long as its list lacked it, by its own clock. While the list service was out the same reading was offered again, so after the removal time the floor of a VM that was cut off, and might have been listed again, went to others.

Change: the reading's age goes with it, and absence is the time between the first and the last reading that told it.

Tests: TestFloorsOfEndedNodes read the list once and took the passing of time for absence, which was the fault. It reads again now, just before the removal time (nothing may be freed) and at it.

Conclusion: an outage of the list frees no floor.

--- a/control/decider/core.go
+++ b/control/decider/core.go
@@ -115,9 +115,9 @@
 // Planned returns the last result of the planner.
 func (c *Core) Planned() Planned { return c.planned }
 
-// Observe takes in a reading of the VM list.
-func (c *Core) Observe(list []ledger.Listed, sequence uint64, now time.Time) {
-	c.ledger.Observe(list, sequence, now)
+// Observe takes in a reading of the VM list that was made at readAt.
+func (c *Core) Observe(list []ledger.Listed, sequence uint64, readAt time.Time) {
+	c.ledger.Observe(list, sequence, readAt)
 }
 
 // Step makes the decisions due at now and returns the write that must be made
--- a/control/decider/runner.go
+++ b/control/decider/runner.go
@@ -32,9 +32,9 @@
 	Lease   Lease
 	// Configured returns the account in force on this node, nil for none.
 	Configured func() *model.Account
-	// Listed returns the last reading of the VM list and its sequence; ok is
+	// Listed returns the last reading of the VM list, its sequence and age; ok is
 	// false while there is none.
-	Listed func() (list []ledger.Listed, sequence uint64, ok bool)
+	Listed func() (list []ledger.Listed, sequence uint64, age time.Duration, ok bool)
 	// Publish sends a plan to all nodes. It must not wait for them.
 	Publish func(*plan.Plan)
 	Clock   func() time.Time
@@ -151,7 +151,7 @@
 }
 
 func (r *Runner) propose(account *model.Account) (Write, bool) {
-	list, sequence, ok := r.options.Listed()
+	list, sequence, age, ok := r.options.Listed()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.core == nil {
@@ -159,7 +159,7 @@
 	}
 	now := r.options.Clock()
 	if ok {
-		r.core.Observe(list, sequence, now)
+		r.core.Observe(list, sequence, now.Add(-age))
 	}
 	return r.core.Step(account, now)
 }
--- a/control/ledger/ledger_test.go
+++ b/control/ledger/ledger_test.go
@@ -163,20 +163,52 @@
 	commit(l, start)
 	issued(t, l, a, start)
 	dropped := start.Add(time.Hour)
-	l.Observe([]Listed{{VM: "b", Address: "b:1"}}, 2, dropped)
+	listed := []Listed{{VM: "b", Address: "b:1"}}
+	l.Observe(listed, 2, dropped)
 	want(l, b, 100, 0)
 	free := dropped.Add(l.params.Wait(l.params.RemovalTime))
 	l.Hear(b, free)
+	l.Observe(listed, 2, free.Add(-time.Nanosecond))
 	commit(l, free.Add(-time.Nanosecond))
 	if got, _ := issued(t, l, b, free); got.Floor != 0 {
 		t.Fatalf("gave %v away early", got)
 	}
+	l.Observe(listed, 2, free)
 	commit(l, free)
 	if got, _ := issued(t, l, b, free); got.Floor != AmountOf(100) {
 		t.Fatalf("gave %v after the removal time", got)
 	}
 }
 
+// The list service goes out just after it dropped a VM that is cut off. The
+// decider offers the last reading again and again for an hour. The VM may have
+// returned unseen, so its floor stays counted until a reading of after the
+// outage still lacks it.
+func TestListOutageIsNoAbsence(t *testing.T) {
+	a, b := node("a"), node("b")
+	l := begun(t, a, b)
+	want(l, a, 100, 0)
+	commit(l, start)
+	issued(t, l, a, start)
+	listed := []Listed{{VM: "b", Address: "b:1"}}
+	want(l, b, 100, 0)
+	back := start.Add(time.Hour)
+	for now := start; now.Before(back); now = now.Add(time.Minute) {
+		l.Hear(b, now)
+		l.Observe(listed, 2, start)
+		commit(l, now)
+		if got, _ := issued(t, l, b, now); got.Floor != 0 {
+			t.Fatalf("gave %v while the list was out", got)
+		}
+	}
+	l.Hear(b, back)
+	l.Observe(listed, 2, back)
+	commit(l, back)
+	if got, _ := issued(t, l, b, back); got.Floor != AmountOf(100) {
+		t.Fatalf("gave %v once a reading told the absence", got)
+	}
+}
+
 // A process restarts on its VM, which the list goes on to show. The floor of
 // its first life must come back in the end, and only after the removal time.
 func TestFloorOfAnEarlierLifeOfTheVM(t *testing.T) {
--- a/control/ledger/node.go
+++ b/control/ledger/node.go
@@ -46,8 +46,9 @@
 	olderUntil time.Time
 	// first and heard are when this decider first and last heard the node.
 	first, heard time.Time
-	// unlisted is since when the VM list does not show the node.
-	unlisted time.Time
+	// unlisted is since when the VM list does not show the node, unlistedUntil
+	// is the last reading that told so.
+	unlisted, unlistedUntil time.Time
 	// leaving tells that the node is in a planned stop, stopped that it has
 	// closed its admission for good.
 	leaving, stopped bool
--- a/control/ledger/remove.go
+++ b/control/ledger/remove.go
@@ -11,11 +11,15 @@
 	VM, Address string
 }
 
-// Observe takes in a reading of the VM list. Sequence must be above 0. Only a
-// list at least as new as one that showed a node can tell that it is gone: a
-// decider whose list lags behind its predecessor's would take a new VM for an
-// ended one.
-func (l *Ledger) Observe(list []Listed, sequence uint64, now time.Time) {
+// Observe takes in a reading of the VM list that was made at readAt. Sequence
+// must be above 0. Only a list at least as new as one that showed a node can
+// tell that it is gone: a decider whose list lags behind its predecessor's would
+// take a new VM for an ended one.
+//
+// The time of the reading counts, not that of the call: while the list service
+// is out the same reading is offered again and again, and the VM may have
+// returned unseen.
+func (l *Ledger) Observe(list []Listed, sequence uint64, readAt time.Time) {
 	shown := make(map[Listed]bool, len(list))
 	for _, v := range list {
 		shown[v] = true
@@ -27,10 +31,13 @@
 			continue
 		}
 		older := sequence < h.node.Listed && !l.params.Faults.AnyListProves
-		if older || !h.unlisted.IsZero() {
+		if older {
 			continue
 		}
-		h.unlisted = now
+		if h.unlisted.IsZero() {
+			h.unlisted = readAt
+		}
+		h.unlistedUntil = readAt
 	}
 }
 
@@ -62,7 +69,7 @@
 	if l.holdsNothing(h, now) {
 		return true
 	}
-	if !h.unlisted.IsZero() && now.Sub(h.unlisted) >= wait {
+	if !h.unlisted.IsZero() && h.unlistedUntil.Sub(h.unlisted) >= wait {
 		return true
 	}
 	return l.succeeded(h, now, wait)
--- a/control/members.go
+++ b/control/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"github.com/yuccaroute/yuccaroute/api/model"
 	"github.com/yuccaroute/yuccaroute/api/peerpb"
@@ -12,10 +13,10 @@
 
 // listed returns the entry VMs as the ledger reads them. Leaving VMs count:
 // they hold grants until they hand them back.
-func (s *System) listed() (vms []ledger.Listed, sequence uint64, ok bool) {
-	list, _, ok := s.options.Members()
+func (s *System) listed() (vms []ledger.Listed, sequence uint64, age time.Duration, ok bool) {
+	list, age, ok := s.options.Members()
 	if !ok {
-		return nil, 0, false
+		return nil, 0, 0, false
 	}
 	for i := range list.VMs {
 		vm := &list.VMs[i]
@@ -23,7 +24,7 @@
 			vms = append(vms, ledger.Listed{VM: vm.ID, Address: vm.Peer.String()})
 		}
 	}
-	return vms, max(list.Sequence, 1), true
+	return vms, max(list.Sequence, 1), age, true
 }
 
 // candidates returns the VMs that may decide.
