Refuse as early as it is known, and tell refused callers apart when to return

Cause: a request waited in a place's line until its deadline less the mean latency, judged once, when it came. What left the line last had an even chance to be late and ended as unknown; with the grant or the targets gone it was held until its deadline all the same; and all refused callers were told one time to come back, so that they returned together.

Refusals tell a time of each caller's own, worked out from the next token and the pace, in Yucca-Retry-After-Ms and, rounded up to seconds, in HTTP's Retry-After, which the client library reads where the finer field is missing.

Tests changed: FuzzOutcome calls the reader of the field where it is now, and the fakes of the line got the method that its source now has.

--- a/client/attempt.go
+++ b/client/attempt.go
@@ -105,7 +105,7 @@
 	outcome, code, known := outcomeOf(resp.Header)
 	a := attempt{answered: known, answer: Answer{
 		Outcome: outcome, Code: code, Status: resp.StatusCode, Header: resp.Header,
-		Entry: entry, RetryAfter: retryAfter(resp.Header),
+		Entry: entry, RetryAfter: result.RetryAfter(resp.Header),
 	}}
 	body, err := readWhole(resp, c.options.MaxAnswerBytes)
 	if err == nil {
@@ -171,11 +171,3 @@
 		return result.Unknown, code, true
 	}
 }
-
-func retryAfter(h http.Header) time.Duration {
-	ms, err := strconv.ParseUint(h.Get(result.HeaderRetryAfter), 10, 31)
-	if err != nil {
-		return 0
-	}
-	return time.Duration(ms) * time.Millisecond
-}
--- a/client/fuzz_test.go
+++ b/client/fuzz_test.go
@@ -35,7 +35,7 @@
 		if got != result.Unknown && got.String() != outcome {
 			t.Errorf("outcome %q read as %v", outcome, got)
 		}
-		if retryAfter(h) < 0 {
+		if result.RetryAfter(h) < 0 {
 			t.Errorf("retry after %q read as negative", after)
 		}
 	})
--- a/node/ready.go
+++ b/node/ready.go
@@ -3,13 +3,14 @@
 import (
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/yuccaroute/yuccaroute/api/result"
 )
 
-// startRetryAfterMs is when a caller may come back to a node that has just
+// startRetryAfter is when a caller may come back to a node that has just
 // started; learning what is in force takes about a second.
-const startRetryAfterMs = 1000
+const startRetryAfter = time.Second
 
 // whenReady refuses callers until the node knows what is in force.
 //
@@ -33,7 +34,7 @@
 	h := w.Header()
 	h.Set(result.HeaderResult, strconv.Itoa(int(info.Code)))
 	h.Set(result.HeaderOutcome, info.Outcome.String())
-	h.Set(result.HeaderRetryAfter, strconv.Itoa(startRetryAfterMs))
+	result.SetRetryAfter(h, result.Spread(startRetryAfter))
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(info.HTTP)
--- a/proxy/account_state.go
+++ b/proxy/account_state.go
@@ -122,7 +122,7 @@
 	s.grants = set
 	for key, place := range s.places {
 		place.bucket.Set(admission.LimitOf(set, key), now)
-		place.line.Wake()
+		place.line.Review()
 	}
 }
 
@@ -137,6 +137,7 @@
 	nodes := s.proxy.options.Nodes()
 	for _, place := range s.places {
 		place.adapt(nodes)
+		place.line.Review()
 	}
 }
 
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -131,6 +131,9 @@
 	if errors.As(err, &failure) {
 		code = failure.Code
 	}
+	if code == result.DeadlineAfterSend {
+		permission.place.tail.cutOff(took)
+	}
 	if p.blames(permission.target, code, took) {
 		p.failed(permission)
 	}
@@ -178,4 +181,5 @@
 	state.Served(took)
 	state.Health.Succeeded(now)
 	permission.place.counts.answered(took)
+	permission.place.tail.observe(took)
 }
--- a/proxy/ingress/processor.go
+++ b/proxy/ingress/processor.go
@@ -241,13 +241,20 @@
 	b.WriteString(result.HeaderResult + ": " + strconv.Itoa(int(info.Code)) + "\r\n")
 	b.WriteString(result.HeaderOutcome + ": " + info.Outcome.String() + "\r\n")
 	if info.Retry {
-		b.WriteString(result.HeaderRetryAfter + ": " + strconv.Itoa(refusalRetryMillis) + "\r\n")
+		writeRetryAfter(&b)
 	}
 	b.WriteString("Content-Type: text/plain; charset=utf-8\r\nConnection: close\r\nContent-Length: " + strconv.Itoa(len(text)) + "\r\n\r\n")
 	b.WriteString(text)
 	return []byte(b.String())
 }
 
-// refusalRetryMillis is when a caller may come back to a node whose memory was
+// refusalRetryAfter is when a caller may come back to a node whose memory was
 // full.
-const refusalRetryMillis = 200
+const refusalRetryAfter = 200 * time.Millisecond
+
+// writeRetryAfter renders when the caller may come back.
+func writeRetryAfter(b *strings.Builder) {
+	h := make(http.Header)
+	result.SetRetryAfter(h, result.Spread(refusalRetryAfter))
+	_ = h.Write(b)
+}
--- /dev/null
+++ b/proxy/overload_test.go
@@ -0,0 +1,158 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/grant"
+	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/api/result"
+)
+
+// pipeTarget is a target in simulated time: serve tells how long the next
+// request takes.
+type pipeTarget struct {
+	mu    sync.Mutex
+	serve func() time.Duration
+}
+
+func (p *pipeTarget) next() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.serve()
+}
+
+// dial implements Options.Dial.
+func (p *pipeTarget) dial(context.Context, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	go p.answer(far)
+	return near, nil
+}
+
+func (p *pipeTarget) answer(c net.Conn) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		time.Sleep(p.next())
+		if _, err := io.WriteString(c, okAnswer); err != nil {
+			return
+		}
+	}
+}
+
+// loadResult counts how the requests of a scripted load ended.
+type loadResult struct {
+	ran, notRun, unknown int
+	// lateRefusals were told not run after more than half of their deadline.
+	lateRefusals int
+}
+
+// offer sends orders at random times, rate a second on average, for a time.
+func offer(p *Proxy, random *rand.Rand, rate float64, deadline, length time.Duration) loadResult {
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	var sum loadResult
+	for began := time.Now(); time.Since(began) < length; {
+		time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+		all.Go(func() {
+			came := time.Now()
+			w := call(p, http.MethodPost, "/orders", "x", result.HeaderDeadline, strconv.FormatInt(deadline.Milliseconds(), 10))
+			mu.Lock()
+			defer mu.Unlock()
+			sum.count(w.Header(), time.Since(came) > deadline/2)
+		})
+	}
+	all.Wait()
+	return sum
+}
+
+func (l *loadResult) count(h http.Header, late bool) {
+	switch h.Get(result.HeaderOutcome) {
+	case result.Ran.String():
+		l.ran++
+	case result.NotRun.String():
+		l.notRun++
+		if late {
+			l.lateRefusals++
+		}
+	default:
+		l.unknown++
+	}
+}
+
+// overloaded returns a proxy with three targets of three slots whose account
+// wants excess to wait.
+func overloaded(t *testing.T, serve func() time.Duration) *Proxy {
+	target := &pipeTarget{serve: serve}
+	return newTestProxy(t, func(o *Options, m *model.Account) {
+		o.Dial = target.dial
+		m.Excess = model.ExcessWait
+	}, "10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80")
+}
+
+// settle closes a proxy and waits until its targets have ended.
+func settle(p *Proxy) {
+	p.Close()
+	time.Sleep(time.Second)
+}
+
+// Orders come faster than the targets serve them, and one answer in ten takes
+// ten times as long. An order that waits for a slot until its deadline less the
+// mean latency is then sent with an even chance to be late, and its caller is
+// told "unknown" where an earlier refusal would have been "not run".
+func TestOrdersUnderOverloadAreNotSentTooLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(1, 2))
+		p := overloaded(t, func() time.Duration {
+			if random.IntN(10) == 0 {
+				return 100 * time.Millisecond
+			}
+			return 10 * time.Millisecond
+		})
+		got := offer(p, rand.New(rand.NewPCG(3, 4)), 600, 250*time.Millisecond, 20*time.Second)
+		settle(p)
+		t.Logf("ran %d, not run %d, %d of them late, unknown %d", got.ran, got.notRun, got.lateRefusals, got.unknown)
+		if all := got.ran + got.notRun + got.unknown; got.unknown*500 > all || got.lateRefusals*200 > all {
+			t.Errorf("%d unknown and %d late refusals of %d", got.unknown, got.lateRefusals, all)
+		}
+		// Nine slots serve 9,470 in this time.
+		if got.ran < 9000 {
+			t.Errorf("%d ran", got.ran)
+		}
+	})
+}
+
+// Orders come faster than the grant permits and then the grant is taken away.
+// Those for which there is no room learn it when they come or when the grant
+// goes, not near their deadlines.
+func TestOrdersOverTheGrantAreToldEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := overloaded(t, func() time.Duration { return 10 * time.Millisecond })
+		defer settle(p)
+		random := rand.New(rand.NewPCG(3, 4))
+		p.SetGrants(testGrants(2, 200*grant.PerRequest))
+		got := offer(p, random, 300, 250*time.Millisecond, 20*time.Second)
+		if got.unknown+got.lateRefusals > 0 || got.ran < 3900 {
+			t.Errorf("%+v", got)
+		}
+		time.AfterFunc(100*time.Millisecond, func() { p.SetGrants(testGrants(3, 0)) })
+		got = offer(p, random, 300, 2*time.Second, time.Second)
+		if got.unknown+got.lateRefusals > 0 || got.notRun == 0 {
+			t.Errorf("the grant is taken away: %+v", got)
+		}
+	})
+}
--- a/proxy/permit.go
+++ b/proxy/permit.go
@@ -29,13 +29,13 @@
 			return got, nil
 		}
 	}
-	if place.targets.Load().set.Usable(p.now()) == 0 {
+	if !place.hasTarget() {
 		return permission{}, refuse(q.noTargetCode())
 	}
-	leaveBy := q.deadline.Add(-place.typicalLatency())
+	leaveBy := q.leaveBy(place)
 	if wait := place.bucket.Wait(time.Now()); wait > 0 && !q.excessWaits() {
 		if wait > pacingTime {
-			return permission{}, refuseUntil(result.NoCapacity, wait)
+			return permission{}, refuseUntil(result.NoCapacity, place.comeBack(wait))
 		}
 		leaveBy = earlier(leaveBy, time.Now().Add(pacingTime))
 	}
@@ -58,6 +58,12 @@
 	return result.NoTarget
 }
 
+// leaveBy returns the last moment at which a request may be sent after a wait:
+// one sent later has too small a chance of an answer in time.
+func (q *request) leaveBy(place *placeState) time.Time {
+	return q.deadline.Add(-place.answerTime(time.Until(q.deadline)))
+}
+
 // wait queues a request until leaveBy.
 func (p *Proxy) wait(ctx context.Context, q *request, place *placeState, leaveBy time.Time) (permission, *refusal) {
 	got, err := place.line.Acquire(ctx, q.class, leaveBy)
@@ -65,7 +71,10 @@
 		return got, nil
 	}
 	if errors.Is(err, queue.ErrLate) {
-		return permission{}, refuseUntil(place.lateCode(), place.line.Expected(q.class))
+		if !place.hasTarget() {
+			return permission{}, refuse(q.noTargetCode())
+		}
+		return permission{}, refuseUntil(place.lateCode(), place.comeBack(place.line.Expected(q.class)))
 	}
 	return permission{}, refuse(p.endedCode(ctx))
 }
--- a/proxy/place_state.go
+++ b/proxy/place_state.go
@@ -18,6 +18,12 @@
 // that shed work is open again after a time, which wakes nobody.
 const askAgain = 10 * time.Millisecond
 
+// slotPaceMargin is how many times slower than by the mean latencies the slots
+// are taken to become free. Latencies vary, and a request that is let wait by
+// the mean alone has an even chance of being refused at the end of its wait
+// instead of its beginning.
+const slotPaceMargin = 2
+
 // placeState is one service in one place, over all snapshots.
 type placeState struct {
 	proxy *Proxy
@@ -30,6 +36,9 @@
 	bulk    atomic.Int32
 	targets atomic.Pointer[targetSet]
 	counts  placeCounts
+	// tail is how long slow answers of the place take.
+	tail     tailLatency
+	comeback comeback
 	// roundTrip is the network delay to the place and back, in nanoseconds.
 	roundTrip atomic.Int64
 
@@ -134,7 +143,21 @@
 // permit.
 func (s *placeState) Pace() float64 {
 	rate := s.bucket.RPS(time.Now())
-	return min(rate, s.slotPace())
+	return min(rate, s.slotPace()/slotPaceMargin)
+}
+
+// Wait implements queue.Source.
+func (s *placeState) Wait() time.Duration { return s.bucket.Wait(time.Now()) }
+
+// comeBack returns when a refused caller may come back, given how long a request
+// would wait now.
+func (s *placeState) comeBack(wait time.Duration) time.Duration {
+	return s.comeback.next(time.Now(), wait, s.Pace())
+}
+
+// hasTarget reports whether any target may get new work.
+func (s *placeState) hasTarget() bool {
+	return s.targets.Load().set.Usable(s.proxy.now()) > 0
 }
 
 // lateCode names what made a waiting request late: the node's grant, or the
@@ -179,3 +202,11 @@
 	}
 	return sum / time.Duration(n)
 }
+
+// answerTime returns how much of the time left a request that waits needs for
+// its answer: the latency of slow answers, but at most half of what is left, or
+// requests with short deadlines could not wait at all for one slow answer in a
+// hundred.
+func (s *placeState) answerTime(left time.Duration) time.Duration {
+	return max(s.typicalLatency(), min(s.tail.get(), left/2))
+}
--- a/proxy/place_targets.go
+++ b/proxy/place_targets.go
@@ -28,7 +28,7 @@
 			t.pool.Close()
 		}
 	}
-	s.line.Wake()
+	s.line.Review()
 }
 
 // ownVMs returns the VMs of the list that this node uses for the place: all, or
--- a/proxy/queue/line.go
+++ b/proxy/queue/line.go
@@ -17,6 +17,9 @@
 // ErrLate tells that the request could not be served before its deadline.
 var ErrLate = errors.New("queue: the deadline cannot be met")
 
+// never is the wait reported while nothing is known to come.
+const never = time.Hour
+
 // Source is where the requests of a line get what they wait for.
 type Source[T any] interface {
 	// Acquire takes a permission for one request of the class. If there is
@@ -25,8 +28,11 @@
 	Acquire(class model.Class) (permission T, ok bool, wait time.Duration)
 	// Release gives an unused permission back.
 	Release(permission T)
-	// Pace returns how many requests a second the line serves at present.
+	// Pace returns how many requests a second the line serves at present; 0 if
+	// nothing is known to come.
 	Pace() float64
+	// Wait returns how long the first of the line waits at least.
+	Wait() time.Duration
 }
 
 // Line is the queue of one service in one place. Work that a person waits for
@@ -42,9 +48,12 @@
 }
 
 type waiter[T any] struct {
-	class model.Class
+	class   model.Class
+	leaveBy time.Time
 	// ready has room for one, so that handing over never blocks.
 	ready chan T
+	// late is closed when the request is refused before leaveBy.
+	late chan struct{}
 }
 
 // NewLine returns an empty line.
@@ -64,9 +73,9 @@
 	return l.source.Acquire(class)
 }
 
-// Acquire waits for a permission until leaveBy. It returns ErrLate at once if
-// the requests ahead will take longer than that, and the context's error if
-// that ends first.
+// Acquire waits for a permission until leaveBy. It returns ErrLate as soon as
+// it is known that the wait will take longer than that, and the context's error
+// if that ends first.
 func (l *Line[T]) Acquire(ctx context.Context, class model.Class, leaveBy time.Time) (T, error) {
 	permission, ok, _ := l.TryAcquire(class)
 	if ok {
@@ -81,6 +90,8 @@
 	select {
 	case permission = <-w.ready:
 		return permission, nil
+	case <-w.late:
+		return permission, ErrLate
 	case <-late.C:
 		return l.leave(w, ErrLate)
 	case <-ctx.Done():
@@ -95,6 +106,27 @@
 	return l.expected(class)
 }
 
+// Review refuses the requests that can no longer be served in time. It is
+// called when the pace may have fallen.
+//
+// Guard against requests that are held until their deadline after the grant or
+// the targets they wait for have gone: it shows as callers that learn at the
+// last moment what was known long before. The guard holds because each waiting
+// request is judged by the same rule as one that comes now.
+func (l *Line[T]) Review() {
+	if l.waiting.Load() == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.serve()
+	first, each := l.outlook()
+	now := time.Now()
+	l.fast = l.dropLate(l.fast, now.Add(first), each)
+	first += time.Duration(len(l.fast)) * each
+	l.bulk = l.dropLate(l.bulk, now.Add(first), each)
+}
+
 // Wake serves waiting requests as far as the source permits. It is called
 // whenever a permission becomes free.
 func (l *Line[T]) Wake() {
@@ -112,7 +144,7 @@
 	if time.Now().Add(l.expected(class)).After(leaveBy) {
 		return nil, ErrLate
 	}
-	w := &waiter[T]{class: class, ready: make(chan T, 1)}
+	w := &waiter[T]{class: class, leaveBy: leaveBy, ready: make(chan T, 1), late: make(chan struct{})}
 	l.waiting.Add(1)
 	if class == model.Bulk {
 		l.bulk = append(l.bulk, w)
@@ -155,18 +187,39 @@
 }
 
 func (l *Line[T]) expected(class model.Class) time.Duration {
+	first, each := l.outlook()
 	ahead := len(l.fast)
 	if class == model.Bulk {
 		ahead += len(l.bulk)
 	}
-	if ahead == 0 {
-		return 0
-	}
+	return first + time.Duration(ahead)*each
+}
+
+// outlook returns how long the first of the line waits and each one behind it
+// in addition.
+func (l *Line[T]) outlook() (first, each time.Duration) {
 	pace := l.source.Pace()
 	if pace <= 0 {
-		return time.Hour
+		return never, 0
+	}
+	return l.source.Wait(), time.Duration(min(1/pace, never.Seconds()) * float64(time.Second))
+}
+
+// dropLate refuses those of a list that will not be served by their time. The
+// first one is served at the time given and each next one later by each.
+func (l *Line[T]) dropLate(list []*waiter[T], served time.Time, each time.Duration) []*waiter[T] {
+	kept := list[:0]
+	for _, w := range list {
+		if served.After(w.leaveBy) {
+			l.waiting.Add(-1)
+			close(w.late)
+			continue
+		}
+		served = served.Add(each)
+		kept = append(kept, w)
 	}
-	return time.Duration(float64(ahead) / pace * float64(time.Second))
+	clear(list[len(kept):])
+	return kept
 }
 
 // serve is called with the lock held.
--- a/proxy/queue/line_test.go
+++ b/proxy/queue/line_test.go
@@ -38,6 +38,8 @@
 
 func (s *slots) Pace() float64 { return s.pace }
 
+func (*slots) Wait() time.Duration { return 0 }
+
 // serve holds a permission for the time a request takes.
 func serve(l *Line[int], s *slots, permission int, took time.Duration) {
 	time.Sleep(took)
@@ -151,6 +153,8 @@
 func (*lateSlot) Release(int)   {}
 func (*lateSlot) Pace() float64 { return 1 }
 
+func (*lateSlot) Wait() time.Duration { return 0 }
+
 // A slot becomes free between a request's question and its wait. The request
 // must not wait for a wake-up that has passed.
 func TestNoLostWakeUp(t *testing.T) {
@@ -180,3 +184,42 @@
 		t.Fatal("the permission is lost")
 	}
 }
+
+// What requests wait for is taken away: a grant ends, or all targets leave.
+// Those that cannot be served any more are told so at once, although their
+// deadlines are far, and those that still can go on waiting.
+func TestWaitingRequestsAreRefusedWhenThePaceFalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &slots{pace: 100}
+		l := NewLine[int](s)
+		came := time.Now()
+		refused := make(map[time.Duration]int)
+		var mu sync.Mutex
+		for range 20 {
+			go func() {
+				_, err := l.Acquire(context.Background(), model.Idempotent, came.Add(time.Minute))
+				mu.Lock()
+				defer mu.Unlock()
+				if errors.Is(err, ErrLate) {
+					refused[time.Since(came)]++
+				}
+			}()
+		}
+		synctest.Wait()
+		for _, step := range []struct {
+			pace float64
+			left int
+		}{{1, 20}, {0.1, 6}, {0, 0}} {
+			time.Sleep(time.Second)
+			s.pace = step.pace
+			l.Review()
+			synctest.Wait()
+			if n := l.Waiting(); n != step.left {
+				t.Errorf("%d wait at a pace of %g a second, want %d", n, step.pace, step.left)
+			}
+		}
+		if refused[2*time.Second] != 14 || refused[3*time.Second] != 6 {
+			t.Errorf("refused at %v", refused)
+		}
+	})
+}
--- /dev/null
+++ b/proxy/refusal_test.go
@@ -0,0 +1,152 @@
+package proxy
+
+import (
+	"net/http"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/api/plan"
+	"github.com/yuccaroute/yuccaroute/api/result"
+)
+
+// A request that will not be served is refused in the moment in which that is
+// known, whatever its deadline, as not run and with the time to come back. A
+// caller that is held until near its deadline can go nowhere else any more.
+func TestRefusalsAreGivenAtOnce(t *testing.T) {
+	cases := []struct {
+		want   result.Code
+		change func(*Options, *model.Account)
+		spoil  func(p *Proxy)
+	}{
+		{want: result.NoCapacity, spoil: func(p *Proxy) { p.SetGrants(testGrants(2, 0)) }},
+		{want: result.NoCapacity, spoil: func(p *Proxy) { p.SetGrants(testGrants(2, 0)) },
+			change: func(_ *Options, m *model.Account) { m.Excess = model.ExcessWait }},
+		{want: result.QueueFull, change: func(o *Options, _ *model.Account) { o.MaxInFlight = 1 },
+			spoil: func(p *Proxy) { p.inFlight.NewShare().Take(1) }},
+		{want: result.BufferFull, change: func(o *Options, _ *model.Account) { o.MaxBufferedBytes = 1 }},
+		{want: result.NodeLeaving, spoil: func(p *Proxy) { p.gate.Close() }},
+		{want: result.NoTarget, spoil: func(p *Proxy) { p.SetTargets(listOf()) }},
+		{want: result.MoveHeld, spoil: moveWithoutTargets,
+			change: func(_ *Options, m *model.Account) {
+				m.Places = append(m.Places, model.Place{Name: "kr-busan-a", Region: testRegion})
+				m.Moves = model.MoveLimits{Share: 0, Window: time.Hour}
+			}},
+		{want: result.NoPlan, spoil: func(p *Proxy) {
+			empty := testPlan()
+			empty.Sequence, empty.Flows = 2, []plan.Flow{}
+			p.SetPlan(empty)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.want.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				target := &pipeTarget{serve: func() time.Duration { return 10 * time.Millisecond }}
+				p := newTestProxy(t, func(o *Options, m *model.Account) {
+					o.Dial = target.dial
+					if c.change != nil {
+						c.change(o, m)
+					}
+				}, "10.0.0.1:80")
+				defer settle(p)
+				if c.spoil != nil {
+					c.spoil(p)
+				}
+				came := time.Now()
+				w := call(p, http.MethodPost, "/orders", "an order", result.HeaderDeadline, "5000")
+				wantResult(t, w, c.want)
+				if took := time.Since(came); took != 0 {
+					t.Errorf("told after %s", took)
+				}
+				if result.RetryAfter(w.Header()) <= 0 || w.Header().Get("Retry-After") == "" {
+					t.Errorf("not told when to come back: %v", w.Header())
+				}
+			})
+		})
+	}
+}
+
+// moveWithoutTargets puts a plan in force that has left a place, and takes the
+// targets away there.
+func moveWithoutTargets(p *Proxy) {
+	next := testPlan()
+	next.Sequence = 2
+	next.Flows[0].Shares = []plan.Share{{Place: "kr-busan-a", PPM: plan.Whole}}
+	p.SetPlan(next)
+	p.SetTargets(listOf())
+}
+
+// All targets leave while an order waits for a slot. Its caller learns at once
+// that it was not run, not when its deadline is near.
+func TestWaitingOrderIsRefusedWhenTargetsLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		target := &pipeTarget{serve: func() time.Duration { return time.Minute }}
+		p := newTestProxy(t, func(o *Options, _ *model.Account) { o.Dial = target.dial }, "10.0.0.1:80")
+		defer time.Sleep(time.Minute)
+		defer p.Close()
+		time.Sleep(time.Second)
+		for range 3 {
+			go call(p, http.MethodPost, "/orders", "x", result.HeaderDeadline, "30000")
+		}
+		synctest.Wait()
+		time.AfterFunc(time.Second, func() { p.SetTargets(listOf()) })
+		came := time.Now()
+		wantResult(t, call(p, http.MethodPost, "/orders", "x", result.HeaderDeadline, "20000"), result.NoTarget)
+		if took := time.Since(came); took != time.Second {
+			t.Errorf("told after %s", took)
+		}
+		time.Sleep(30 * time.Second)
+	})
+}
+
+// Many callers are refused in the same moment. They are told times that bring
+// them back one after the other at the pace of the grant, not all at once.
+func TestRefusedCallersComeBackOneAfterTheOther(t *testing.T) {
+	const callers, rate = 80, 100.0
+	var c comeback
+	now := time.Now()
+	var back []time.Duration
+	for range callers {
+		back = append(back, c.next(now, 10*time.Millisecond, rate))
+	}
+	slices.Sort(back)
+	const window = 100 * time.Millisecond
+	for i, first := range back {
+		n := 0
+		for _, other := range back[i:] {
+			if other-first < window {
+				n++
+			}
+		}
+		if n > 2+int(rate*window.Seconds()) {
+			t.Fatalf("%d come back within %s at a pace of %g a second", n, window, rate)
+		}
+	}
+	if back[0] < 10*time.Millisecond || back[callers-1] > maxComeback {
+		t.Errorf("from %s to %s", back[0], back[callers-1])
+	}
+}
+
+// One answer in a hundred is slow. The estimate is above the others and not far
+// above the slow ones; answers cut off by their deadlines raise it too.
+func TestTailLatencySettlesAtTheSlowAnswers(t *testing.T) {
+	var l tailLatency
+	for i := range 20_000 {
+		took := time.Duration(1+i%50) * time.Millisecond
+		if i%50 == 49 {
+			took = 400 * time.Millisecond
+		}
+		l.observe(took)
+	}
+	if got := l.get(); got < 50*time.Millisecond || got > 400*time.Millisecond {
+		t.Errorf("%s", got)
+	}
+	for range 50 {
+		l.cutOff(2 * time.Second)
+	}
+	if got := l.get(); got != 2*time.Second {
+		t.Errorf("%s after answers that took over 2s", got)
+	}
+}
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -68,13 +68,13 @@
 // once more, within the time left.
 func (p *Proxy) permitAgain(ctx context.Context, q *request, place *placeState, skip balance.Skip, n int) (permission, bool) {
 	wait := retry.Backoff(n)
-	if time.Until(q.deadline) < wait+place.typicalLatency() || !sleep(ctx, wait) {
+	if time.Until(q.leaveBy(place)) < wait || !sleep(ctx, wait) {
 		return permission{}, false
 	}
 	next, short, _ := place.acquire(q.class, skip)
 	if short == shortSlot && q.class == model.Idempotent {
 		var refused *refusal
-		next, refused = p.wait(ctx, q, place, q.deadline.Add(-place.typicalLatency()))
+		next, refused = p.wait(ctx, q, place, q.leaveBy(place))
 		if refused == nil {
 			short = shortNone
 		}
--- a/proxy/write.go
+++ b/proxy/write.go
@@ -17,9 +17,9 @@
 	if info.Retry {
 		after := r.retryAfter
 		if after <= 0 {
-			after = defaultRetryAfter
+			after = retryAfterOf(r.code)
 		}
-		h.Set(result.HeaderRetryAfter, strconv.FormatInt(max(1, after.Milliseconds()), 10))
+		result.SetRetryAfter(h, after)
 	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
