client: let the caller stand in the way of its connections

A stand-in for the network must delay what a caller sends without taking its source address away, as the entry VM knows the caller's region by it. A relay cannot do that. The option Opened is given each opened connection and returns the one to use; nil leaves the dialer as it was.

--- a/client/options.go
+++ b/client/options.go
@@ -1,6 +1,7 @@
 package client
 
 import (
+	"net"
 	"net/netip"
 	"time"
 
@@ -30,6 +31,9 @@
 	// LocalAddr is the source address of all connections; not set: the
 	// operating system chooses.
 	LocalAddr netip.Addr
+	// Opened is given each connection that was opened and returns the one to
+	// use, for example one that counts or delays what passes. Nil leaves it.
+	Opened func(net.Conn) net.Conn
 	// Timeout bounds a request that has no deadline of its own.
 	Timeout time.Duration
 	// ConnectTimeout bounds the opening of one connection.
--- a/client/transport.go
+++ b/client/transport.go
@@ -19,7 +19,7 @@
 		dialer.LocalAddr = &net.TCPAddr{IP: options.LocalAddr.AsSlice()}
 	}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dialContext(dialer, options.Opened),
 		Proxy:               nil,
 		DisableCompression:  true,
 		MaxConnsPerHost:     options.MaxConnections,
@@ -28,6 +28,21 @@
 	}
 }
 
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+func dialContext(dialer *net.Dialer, opened func(net.Conn) net.Conn) dialFunc {
+	if opened == nil {
+		return dialer.DialContext
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return opened(conn), nil
+	}
+}
+
 // onceBody is a request body that net/http cannot send a second time.
 //
 // Guard against a hidden retry: when a kept-alive connection ends before the
