demo: the 3 ms between callers and entry VMs

The first users told 3 ms one way to their clients; the demo had callers reach the entry VMs at no delay, so its latencies were too low. Each connection now passes the delay of the fault-injecting library in both directions, and opening one takes a round trip.

--- a/demo/network.go
+++ b/demo/network.go
@@ -15,6 +15,9 @@
 // domainDelay is the one-way delay between failure domains of a region.
 const domainDelay = 500 * time.Microsecond
 
+// callerDelay is the one-way delay between callers and entry VMs.
+const callerDelay = 3 * time.Millisecond
+
 // server is where a service of the demonstration really listens.
 type server struct {
 	address string
--- a/demo/run.go
+++ b/demo/run.go
@@ -132,7 +132,7 @@
 		Nodes:           nodes,
 		Blocks:          t.Account.Callers,
 		SourcesPerBlock: callerSources,
-		Client:          client.Options{MaxConnections: callerConnections},
+		Client:          client.Options{MaxConnections: callerConnections, Opened: delayCaller},
 		MaxInFlight:     callerInFlight,
 		Duration:        r.options.Duration,
 		Seed:            r.options.Seed + index,
--- a/demo/world.go
+++ b/demo/world.go
@@ -129,6 +129,11 @@
 			return nil, err
 		}
 	}
+	return resolve(pair)
+}
+
+// resolve returns an example account with its template applied.
+func resolve(pair examples.Pair) (*model.Account, error) {
 	template, err := config.ParseTemplate(pair.Template, examples.Text(pair.Template))
 	if err != nil {
 		return nil, err
