check: compare whole windows too, and count times alike

Cause: the allowance for chance (0.09 at 2,500 requests a bin) hid a move that lasts: 0.23 moved in every window, cap 0.1, was no violation. And the shares of a bin were means over its requests: when a rush fell into a part of it, the difference of two bins was no longer the mean of the moves over their lag, so the derivation failed. Change: two windows next to each other are compared besides the half ones; their allowance is that of twice the requests. A bin's shares are means over five slices of time. The allowance is derived as before, by the same chance of a false alarm; it holds nothing for the mechanism, so nothing more can be taken off it. The planted jump of all traffic is counted 6 times instead of 3, hence the changed number in check_test.go; no check was removed. Conclusion: a lasting move is told sooner, and a rush no longer looks like a move.

--- a/bench/check/check_test.go
+++ b/bench/check/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -113,7 +114,16 @@
 		{"all traffic moves at once", func(in *Input) {
 			sendTo(in, 0, requests/2, "t1", "tirol-a")
 			sendTo(in, requests/2, requests, "s1", "salzburg-a")
-		}, MovedOver, 3},
+		}, MovedOver, 6},
+		{"0.23 moves in each window", func(in *Input) {
+			sendTo(in, 0, len(in.Ran), "t1", "tirol-a")
+			for i := range in.Ran {
+				moved := 0.23 * float64(i) / rps / 8
+				if math.Mod(float64(i)*math.Phi, 1) < moved {
+					sendTo(in, i, i+1, "s1", "salzburg-a")
+				}
+			}
+		}, MovedOver, 6},
 		{"work six seconds after leaving", func(in *Input) {
 			sendTo(in, 0, requests, "t1", "tirol-a")
 			sendTo(in, 10, 11, "s1", "salzburg-a")
@@ -178,3 +188,18 @@
 		})
 	}
 }
+
+// A rush falls into one part of a bin. A move that is within the cap must not
+// look larger, because more requests were sent after it than before.
+func TestRushDoesNotWeighMoves(t *testing.T) {
+	f := newBinFlow()
+	for range 10 {
+		f.add(0, &Ran{Place: "tirol-a"})
+	}
+	for range 90 {
+		f.add(1, &Ran{Place: "salzburg-a"})
+	}
+	if share := f.share("salzburg-a"); share != 0.5 || f.offered() != 100 {
+		t.Fatalf("share %f of %d requests, want 0.5 of 100", share, f.offered())
+	}
+}
--- a/bench/check/moves.go
+++ b/bench/check/moves.go
@@ -13,6 +13,8 @@
 	// compared, so that a sudden move inside a bin shows in full between the
 	// bins around it.
 	binsPerWindow = 2
+	// slicesPerBin cuts a bin into times that count alike.
+	slicesPerBin = 5
 	// minBinRequests is the fewest requests of a caller region in a bin that
 	// is compared.
 	minBinRequests = 100
@@ -22,10 +24,11 @@
 )
 
 // checkMoves compares, for each caller region, the shares of its traffic that
-// went to each place in two bins at most one window apart. The difference of
-// two averages over bins a lag d apart is the average of the moves over d, so
-// it is under the cap when every move over a window is, plus an allowance for
-// chance; see allowance.
+// went to each place in two bins at most one window apart, and in two whole
+// windows next to each other. The difference of two averages over times a lag
+// d apart is the average of the moves over d, so it is under the cap when every
+// move over a window is, plus an allowance for chance; see allowance. The short
+// bins show a sudden move in full, the long ones a smaller one that lasts.
 func checkMoves(in *Input, requests map[string]*request, r *Report) {
 	for _, account := range in.Accounts {
 		if account.Moves.Window <= 0 {
@@ -44,16 +47,30 @@
 	}
 	sort.Ints(order)
 	peaks := make(map[model.ServiceName]map[model.PlaceName]float64)
-	comparisons := len(order) * binsPerWindow
+	comparisons := len(order) * (binsPerWindow + 1)
 	for _, n := range order {
 		rememberPeaks(peaks, c.bins[n])
 		for lag := 1; lag <= binsPerWindow; lag++ {
-			later, ok := c.bins[n+lag]
-			if ok {
-				comparePair(account, c, c.bins[n], later, peaks, comparisons, r)
-			}
+			comparePair(account, c, c.bins[n], c.bins[n+lag], peaks, comparisons, r)
 		}
+		earlier, ok := c.window(n - 1)
+		later, follows := c.window(n + 1)
+		if ok && follows {
+			comparePair(account, c, earlier, later, peaks, comparisons, r)
+		}
+	}
+}
+
+// window joins the bins of the window that begins with bin n; ok is false when
+// one is missing.
+func (c *callerBins) window(n int) (joined bin, ok bool) {
+	for i := n; i < n+binsPerWindow; i++ {
+		if c.bins[i] == nil {
+			return nil, false
+		}
+		joined = joined.with(c.bins[i])
 	}
+	return joined, true
 }
 
 func rememberPeaks(peaks map[model.ServiceName]map[model.PlaceName]float64, b bin) {
@@ -61,7 +78,7 @@
 		if peaks[service] == nil {
 			peaks[service] = make(map[model.PlaceName]float64)
 		}
-		for place := range f.placed {
+		for place := range f.places() {
 			peaks[service][place] = max(peaks[service][place], f.share(place))
 		}
 	}
@@ -79,10 +96,10 @@
 		if from == nil {
 			continue
 		}
-		weight := float64(to.offered) / float64(total)
+		weight := float64(to.offered()) / float64(total)
 		moved += weight * movedShare(account, from, to, peaks[service])
-		spreadEarlier += weight * weight / float64(from.offered)
-		spreadLater += weight * weight / float64(to.offered)
+		spreadEarlier += weight * weight * from.spread()
+		spreadLater += weight * weight * to.spread()
 	}
 	allowed := account.Moves.Share +
 		allowance(len(later)*len(account.Places), comparisons, spreadEarlier+spreadLater)
