ingress: let the pollers close the probes of the start

Start probes every poller with a connection of its own and closed both ends itself; a poller that had already fetched the event of the far end's close applied it to the first caller's connection, which got the same descriptor. Callers that connected right after a start were closed without an answer; tests that wait for their handler hung. Ruled out: the time bounds of the server (none had passed) and the size of the answer (three other tests of the package failed alike). Change: only the far ends are closed, and Start waits until the pollers have closed the near ones on their own goroutines. Conclusion: the failure was ours, of the start only. nbio's race at other closes by the server itself is as before.

--- a/proxy/ingress/server.go
+++ b/proxy/ingress/server.go
@@ -146,6 +146,7 @@
 func (s *Server) closed(c *nbio.Conn, err error) {
 	conn := s.connectionOf(c)
 	if conn == nil {
+		s.probeClosed(c)
 		return
 	}
 	s.open.Add(-1)
@@ -153,6 +154,13 @@
 	c.MustExecute(func() { conn.clean(err) })
 }
 
+// probeClosed tells awaitPollers that a poller has closed its probe.
+func (s *Server) probeClosed(c *nbio.Conn) {
+	if probe, ok := c.Session().(*pollerProbe); ok {
+		close(probe.closed)
+	}
+}
+
 // data is called by the engine for the bytes that came.
 func (s *Server) data(c *nbio.Conn, data []byte) {
 	if conn := s.connectionOf(c); conn != nil {
