Share one wait for a time or the end of a context

The same timer and select stood ten times, in store, config, membership, spread, proxy, client, standin and bench. The package wait moves from store's internals to api, which every module reaches, and the others use it.

Behaviour stays: a wait of no time passes at once unless the context has ended, as a timer of no time did. Run: tests of api, store, client, proxy, spread, membership, config/changelog, standin and bench/scenario with -race.

--- a/bench/scenario/fleet.go
+++ b/bench/scenario/fleet.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/yuccaroute/yuccaroute/api/wait"
 	"github.com/yuccaroute/yuccaroute/bench/report"
 	"github.com/yuccaroute/yuccaroute/store/faultkv"
 )
@@ -128,12 +129,8 @@
 }
 
 func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !wait.For(ctx, d) {
 		return ctx.Err()
 	}
+	return nil
 }
--- a/client/choose.go
+++ b/client/choose.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/wait"
 )
 
 // Pauses before a request goes back to an entry VM it was already sent to.
@@ -43,8 +45,8 @@
 	if !best.tried {
 		return best.entry, ctx.Err()
 	}
-	wait := e.client.jitter.between(minRepeatPause, maxRepeatPause)
-	return best.entry, pause(ctx, max(wait, best.back))
+	repeat := e.client.jitter.between(minRepeatPause, maxRepeatPause)
+	return best.entry, pause(ctx, max(repeat, best.back))
 }
 
 func (e *exchange) best(entries []Entry) choice {
@@ -67,20 +69,17 @@
 	return c
 }
 
-func pause(ctx context.Context, wait time.Duration) error {
-	if wait <= 0 {
+// pause fails at once when the deadline does not leave the time.
+func pause(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
 		return ctx.Err()
 	}
 	deadline, ok := ctx.Deadline()
-	if ok && time.Until(deadline) <= wait {
+	if ok && time.Until(deadline) <= d {
 		return context.DeadlineExceeded
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !wait.For(ctx, d) {
 		return ctx.Err()
 	}
+	return nil
 }
--- a/config/changelog/log.go
+++ b/config/changelog/log.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/yuccaroute/yuccaroute/api/wait"
 	"github.com/yuccaroute/yuccaroute/store"
 )
 
@@ -115,16 +116,9 @@
 func (l *Log) pause(ctx context.Context, try int) bool {
 	longest := min(defaultPause<<min(try, 8), maxPause)
 	l.mu.Lock()
-	wait := time.Duration(l.random.Int64N(int64(longest)))
+	d := time.Duration(l.random.Int64N(int64(longest)))
 	l.mu.Unlock()
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.For(ctx, d)
 }
 
 // takeTurn waits for the template's turn and returns the function that ends
--- a/membership/view/view.go
+++ b/membership/view/view.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/yuccaroute/yuccaroute/api/wait"
 	"github.com/yuccaroute/yuccaroute/membership"
 )
 
@@ -109,10 +110,5 @@
 
 func pause(ctx context.Context, interval time.Duration) {
 	jitter := time.Duration(jitterShare * rand.Float64() * float64(interval))
-	timer := time.NewTimer(interval - jitter)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	wait.For(ctx, interval-jitter)
 }
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -7,6 +7,7 @@
 
 	"github.com/yuccaroute/yuccaroute/api/model"
 	"github.com/yuccaroute/yuccaroute/api/result"
+	"github.com/yuccaroute/yuccaroute/api/wait"
 	"github.com/yuccaroute/yuccaroute/proxy/balance"
 	"github.com/yuccaroute/yuccaroute/proxy/retry"
 )
@@ -67,8 +68,8 @@
 // permitAgain finds another target of the same place for a request that is sent
 // once more, within the time left.
 func (p *Proxy) permitAgain(ctx context.Context, q *request, place *placeState, skip balance.Skip, n int) (permission, bool) {
-	wait := retry.Backoff(n)
-	if time.Until(q.leaveBy(place)) < wait || !sleep(ctx, wait) {
+	backoff := retry.Backoff(n)
+	if time.Until(q.leaveBy(place)) < backoff || !wait.For(ctx, backoff) {
 		return permission{}, false
 	}
 	next, short, _ := place.acquire(q.class, skip)
@@ -86,17 +87,6 @@
 	return next, true
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func isNotRun(code result.Code) bool {
 	return result.InfoOf(code).Outcome == result.NotRun
 }
--- a/spread/measure/phases.go
+++ b/spread/measure/phases.go
@@ -8,6 +8,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/pkg/errors"
 
+	"github.com/yuccaroute/yuccaroute/api/wait"
 	"github.com/yuccaroute/yuccaroute/spread/topology"
 )
 
@@ -40,7 +41,7 @@
 		return p, err
 	}
 	p.FormedAfter = time.Since(start)
-	pause(ctx, config.Settle)
+	wait.For(ctx, config.Settle)
 	p.Watchers = f.source.count()
 	p.HeapPerNode = float64(liveHeap()-before) / float64(config.Nodes)
 	p.Idle = f.cost(ctx, config.IdleTime, 0)
@@ -49,7 +50,7 @@
 	hung := f.relay()
 	p.Hung = f.delaysBut(ctx, hung, hung.gate.hold)
 	hung.gate.release()
-	pause(ctx, config.Settle)
+	wait.For(ctx, config.Settle)
 	killed := f.relay()
 	p.Killed = f.delaysBut(ctx, killed, killed.kill)
 	return p, errors.Wrap(ctx.Err(), "measure: not finished")
@@ -73,7 +74,7 @@
 			d.Lost++
 		}
 		_ = times.RecordValue(took.Microseconds())
-		pause(ctx, pauseBetween)
+		wait.For(ctx, pauseBetween)
 	}
 	d.Count = int(times.TotalCount())
 	d.P50 = time.Duration(times.ValueAtQuantile(50)) * time.Microsecond
@@ -140,7 +141,7 @@
 // changeAtRate makes changes at a rate until the time is over.
 func (f *fleet) changeAtRate(ctx context.Context, length time.Duration, rate float64) {
 	if rate <= 0 {
-		pause(ctx, length)
+		wait.For(ctx, length)
 		return
 	}
 	every := time.NewTicker(time.Duration(float64(time.Second) / rate))
@@ -158,13 +159,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // liveHeap returns the bytes of heap in use after a collection.
 func liveHeap() uint64 {
 	runtime.GC()
--- a/spread/network_test.go
+++ b/spread/network_test.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/yuccaroute/yuccaroute/api/peerpb"
+	"github.com/yuccaroute/yuccaroute/api/wait"
 )
 
 const (
@@ -92,7 +93,7 @@
 		if !blocked {
 			break
 		}
-		if !sleep(ctx, blockPoll) {
+		if !wait.For(ctx, blockPoll) {
 			return status.FromContextError(ctx.Err()).Err()
 		}
 	}
@@ -121,7 +122,7 @@
 	if err := n.carry(ctx, kind, from, to, m); err != nil {
 		return err
 	}
-	if !sleep(ctx, n.travel(from, to)) {
+	if !wait.For(ctx, n.travel(from, to)) {
 		return status.FromContextError(ctx.Err()).Err()
 	}
 	return nil
@@ -248,7 +249,7 @@
 			}
 			return s.ended
 		}
-		if !sleep(s.ctx, time.Until(a.at)) {
+		if !wait.For(s.ctx, time.Until(a.at)) {
 			return s.ctx.Err()
 		}
 		proto.Merge(m.(proto.Message), a.update)
--- a/spread/plan.go
+++ b/spread/plan.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/yuccaroute/yuccaroute/api/wait"
 	"github.com/yuccaroute/yuccaroute/spread/topology"
 )
 
@@ -21,7 +22,7 @@
 	last := time.Now()
 	for {
 		s.refreshPlan()
-		if !sleep(ctx, s.jitter(s.options.Heartbeat, jitterShare)) {
+		if !wait.For(ctx, s.jitter(s.options.Heartbeat, jitterShare)) {
 			return
 		}
 		now := time.Now()
--- a/spread/push.go
+++ b/spread/push.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/yuccaroute/yuccaroute/api/peerpb"
+	"github.com/yuccaroute/yuccaroute/api/wait"
 	"github.com/yuccaroute/yuccaroute/spread/topology"
 )
 
@@ -66,7 +67,7 @@
 			continue
 		}
 		s.pushes.add(keys...)
-		if !sleep(ctx, s.jitter(pause, jitterShare)) {
+		if !wait.For(ctx, s.jitter(pause, jitterShare)) {
 			return
 		}
 		pause = min(2*pause, pushPauseMax)
--- a/spread/ready.go
+++ b/spread/ready.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/yuccaroute/yuccaroute/api/wait"
 	"github.com/yuccaroute/yuccaroute/spread/topology"
 )
 
@@ -84,7 +85,7 @@
 			if s.ready.ever() && round == alonePauses {
 				break
 			}
-			if !sleep(ctx, s.jitter(s.options.Heartbeat/2, jitterShare)) {
+			if !wait.For(ctx, s.jitter(s.options.Heartbeat/2, jitterShare)) {
 				return
 			}
 		}
@@ -157,7 +158,7 @@
 // WaitReady returns when the node is ready or with the context's error.
 func (s *Service) WaitReady(ctx context.Context) error {
 	for !s.Ready() {
-		if !sleep(ctx, readyPoll) {
+		if !wait.For(ctx, readyPoll) {
 			return ctx.Err()
 		}
 	}
--- a/spread/service.go
+++ b/spread/service.go
@@ -143,15 +143,3 @@
 	defer s.randMu.Unlock()
 	return s.rand.IntN(n)
 }
-
-// sleep waits and reports false when the context ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/spread/sourcerunner.go
+++ b/spread/sourcerunner.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/yuccaroute/yuccaroute/api/wait"
 	"github.com/yuccaroute/yuccaroute/spread/item"
 	"github.com/yuccaroute/yuccaroute/spread/topology"
 )
@@ -108,7 +109,7 @@
 		if r.once(ctx) {
 			pause = sourcePauseMin
 		}
-		if !sleep(ctx, r.service.jitter(pause, jitterShare)) {
+		if !wait.For(ctx, r.service.jitter(pause, jitterShare)) {
 			return
 		}
 		pause = min(2*pause, sourcePauseMax)
@@ -122,7 +123,7 @@
 		if role == topology.Leaf || role == topology.Relay && r.service.hasFeed() {
 			return
 		}
-		sleep(ctx, r.service.jitter(r.service.options.Heartbeat, jitterShare))
+		wait.For(ctx, r.service.jitter(r.service.options.Heartbeat, jitterShare))
 	}
 }
 
--- a/spread/subscription.go
+++ b/spread/subscription.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/yuccaroute/yuccaroute/api/peerpb"
+	"github.com/yuccaroute/yuccaroute/api/wait"
 	"github.com/yuccaroute/yuccaroute/spread/topology"
 )
 
@@ -54,12 +55,12 @@
 func (f *subscription) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		changed := f.service.planChanged()
-		m, wait, ok := f.choose()
+		m, untilFree, ok := f.choose()
 		if !ok {
 			f.waitForPlan(ctx, changed)
 			continue
 		}
-		if wait > 0 && !sleep(ctx, wait) {
+		if untilFree > 0 && !wait.For(ctx, untilFree) {
 			return
 		}
 		started := time.Now()
--- a/spread/witness.go
+++ b/spread/witness.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/yuccaroute/yuccaroute/api/wait"
 	"github.com/yuccaroute/yuccaroute/spread/topology"
 )
 
@@ -18,7 +19,7 @@
 // or left. Now and then the peer is random, which joins parts of the fleet that no
 // longer share an upstream.
 func (s *Service) runCompare(ctx context.Context) {
-	for round := 1; sleep(ctx, s.jitter(s.options.CompareEvery, jitterShare)); round++ {
+	for round := 1; wait.For(ctx, s.jitter(s.options.CompareEvery, jitterShare)); round++ {
 		m, ok := s.witness(round%randomEvery == 0)
 		if !ok {
 			continue
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/api/wait"
 	"github.com/yuccaroute/yuccaroute/client"
 )
 
@@ -104,7 +105,7 @@
 	next := arrivals{rate: load.Rate, random: random}
 	for {
 		due := start.Add(next.after())
-		if !waitUntil(ctx, due) {
+		if !wait.For(ctx, time.Until(due)) {
 			return
 		}
 		d := c.draw(load, random, due)
@@ -136,21 +137,3 @@
 	})
 	return true
 }
-
-func waitUntil(ctx context.Context, due time.Time) bool {
-	if ctx.Err() != nil {
-		return false
-	}
-	wait := time.Until(due)
-	if wait <= 0 {
-		return true
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/standin/target/probes.go
+++ b/standin/target/probes.go
@@ -5,6 +5,8 @@
 	"strconv"
 
 	"github.com/goccy/go-json"
+
+	"github.com/yuccaroute/yuccaroute/api/wait"
 )
 
 // serveHealth says "ok" whatever becomes of requests, unless told otherwise.
@@ -28,7 +30,7 @@
 		return
 	}
 	defer t.slots.leave()
-	pause(r.Context(), t.options.ProbeCost)
+	wait.For(r.Context(), t.options.ProbeCost)
 }
 
 func (t *Target) reportedLoad() int {
--- a/standin/target/work.go
+++ b/standin/target/work.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/yuccaroute/yuccaroute/api/result"
+	"github.com/yuccaroute/yuccaroute/api/wait"
 )
 
 // noToken stands in the answer to a request without a token.
@@ -44,7 +45,7 @@
 	}
 	defer t.slots.leave()
 	t.ledger.record(r.Header.Get(result.HeaderToken))
-	pause(ctx, t.duration(w, faults))
+	wait.For(ctx, t.duration(w, faults))
 	t.answer(w, r, http.StatusOK)
 }
 
@@ -102,12 +103,3 @@
 	w.Header().Set(result.HeaderShed, "1")
 	writeText(w, http.StatusServiceUnavailable, "shed\n")
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/store/faultkv/store.go
+++ b/store/faultkv/store.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/yuccaroute/yuccaroute/api/wait"
 	"github.com/yuccaroute/yuccaroute/store"
-	"github.com/yuccaroute/yuccaroute/store/internal/wait"
 )
 
 // Store wraps a store.KV. It is safe for use by several goroutines.
--- a/store/httpkv/pacer.go
+++ b/store/httpkv/pacer.go
@@ -9,7 +9,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
 
-	"github.com/yuccaroute/yuccaroute/store/internal/wait"
+	"github.com/yuccaroute/yuccaroute/api/wait"
 )
 
 // pacer keeps calls below the client's rate and, after failures, at a random
--- a/store/lease/hold.go
+++ b/store/lease/hold.go
@@ -8,8 +8,8 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/yuccaroute/yuccaroute/api/wait"
 	"github.com/yuccaroute/yuccaroute/store"
-	"github.com/yuccaroute/yuccaroute/store/internal/wait"
 )
 
 var logger = logrus.StandardLogger()
