Tell a change as in force on a node only when requests are served by it

Cause: 'live' and the survey behind 'account status' told the version of the latest item that had arrived at the node, beside the account that was in use. An item is decoded and handed over afterwards, and one that does not decode, as from a later release, is never used. The node then said in-force, and the operator was told 'everywhere', for a change that served nobody.

Change: the node keeps the version with the account; 'live' and the survey tell that one (spread.Options.InForce). The account is published for operators last, after look-up and request path took it, so 'since' is not early either.

--- a/node/accounts.go
+++ b/node/accounts.go
@@ -8,32 +8,36 @@
 	"time"
 
 	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/config/changelog"
 )
 
+// inForce is an account in force on this node with the version that it came
+// with and when it was put in force.
+type inForce struct {
+	account *model.Account
+	version changelog.Version
+	since   time.Time
+}
+
 // accountSet holds the accounts in force on this node. Readers take an
 // immutable slice; writers replace it.
 type accountSet struct {
 	mu      sync.Mutex
-	byName  map[model.AccountName]*model.Account
-	sinceOf map[model.AccountName]time.Time
+	byName  map[model.AccountName]inForce
 	current atomic.Pointer[[]*model.Account]
 }
 
 func newAccountSet() *accountSet {
-	s := &accountSet{
-		byName:  make(map[model.AccountName]*model.Account),
-		sinceOf: make(map[model.AccountName]time.Time),
-	}
+	s := &accountSet{byName: make(map[model.AccountName]inForce)}
 	s.publish()
 	return s
 }
 
 // set puts an account in force.
-func (s *accountSet) set(a *model.Account) {
+func (s *accountSet) set(a *model.Account, version changelog.Version) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.byName[a.Name] = a
-	s.sinceOf[a.Name] = time.Now()
+	s.byName[a.Name] = inForce{account: a, version: version, since: time.Now()}
 	s.publish()
 }
 
@@ -41,22 +45,38 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.byName, name)
-	delete(s.sinceOf, name)
 	s.publish()
 }
 
-// since returns when the state of an account that is in force was put there.
-func (s *accountSet) since(name model.AccountName) time.Time {
+// version returns the version of an account that is in force; ok is false when
+// none is.
+func (s *accountSet) version(name model.AccountName) (version changelog.Version, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	in, ok := s.byName[name]
+	return in.version, ok
+}
+
+// allInForce returns the accounts sorted by name, each with its own version. The
+// version is kept with the account, since the items of module spread are ahead
+// of it: one that has arrived is not in force until it was decoded and handed
+// over, and never if it does not decode. Telling its version beside the account
+// would call a change in force that is not.
+func (s *accountSet) allInForce() []inForce {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.sinceOf[name]
+	var all []inForce
+	for _, name := range slices.Sorted(maps.Keys(s.byName)) {
+		all = append(all, s.byName[name])
+	}
+	return all
 }
 
 func (s *accountSet) publish() {
 	names := slices.Sorted(maps.Keys(s.byName))
 	all := make([]*model.Account, 0, len(names))
 	for _, name := range names {
-		all = append(all, s.byName[name])
+		all = append(all, s.byName[name].account)
 	}
 	s.current.Store(&all)
 }
--- a/node/admin.go
+++ b/node/admin.go
@@ -119,16 +119,12 @@
 func (p operatorPorts) Live() []wire.LiveAccount {
 	status := p.node.spread.Status()
 	var live []wire.LiveAccount
-	for _, a := range p.node.accounts.all() {
-		it, ok := p.node.spread.Get(source.Key(string(a.Name)))
-		if !ok {
-			continue
-		}
+	for _, a := range p.node.accounts.allInForce() {
 		live = append(live, wire.LiveAccount{
-			Account:  a,
-			Epoch:    it.Epoch,
-			Sequence: it.Sequence,
-			Since:    p.node.accounts.since(a.Name),
+			Account:  a.account,
+			Epoch:    a.version.Epoch,
+			Sequence: a.version.Sequence,
+			Since:    a.since,
 			AgeMS:    storeAge(&status),
 		})
 	}
--- a/node/items.go
+++ b/node/items.go
@@ -10,8 +10,10 @@
 	"github.com/yuccaroute/yuccaroute/api/peerpb"
 	"github.com/yuccaroute/yuccaroute/api/plan"
 	"github.com/yuccaroute/yuccaroute/config"
+	"github.com/yuccaroute/yuccaroute/config/changelog"
 	"github.com/yuccaroute/yuccaroute/config/source"
 	"github.com/yuccaroute/yuccaroute/control"
+	"github.com/yuccaroute/yuccaroute/spread"
 	"github.com/yuccaroute/yuccaroute/spread/item"
 )
 
@@ -45,9 +47,21 @@
 		n.log.WithError(err).WithField("account", name).Error("node: cannot read an account")
 		return
 	}
-	n.accounts.set(account)
 	n.lookup.SetAccount(account)
 	n.proxy.SetAccount(account)
+	// Last, as operators read from here what is in force: requests are served by
+	// it by then.
+	n.accounts.set(account, changelog.Version{Epoch: it.Epoch, Sequence: it.Sequence})
+}
+
+// versionInForce tells peers which version of an account requests are served by.
+func (n *Node) versionInForce(key string) (version spread.VersionInForce, known bool) {
+	name, isAccount := strings.CutPrefix(key, source.KeyPrefix)
+	if !isAccount {
+		return spread.VersionInForce{}, false
+	}
+	at, has := n.accounts.version(model.AccountName(name))
+	return spread.VersionInForce{Has: has, Epoch: at.Epoch, Sequence: at.Sequence}, true
 }
 
 func (n *Node) onPlan(it item.Item) {
--- a/node/node.go
+++ b/node/node.go
@@ -175,6 +175,7 @@
 		Members: n.members,
 		Dial:    n.peers.Dial,
 		Source:  source.New(n.store, n.changes, n.log),
+		InForce: n.versionInForce,
 		Seed:    n.id.Incarnation,
 		Logger:  n.log,
 	})
--- a/spread/options.go
+++ b/spread/options.go
@@ -29,6 +29,11 @@
 	Dial func(address string) (grpc.ClientConnInterface, error)
 	// Source watches the store; nil on a node that can't reach it.
 	Source Source
+	// InForce tells which version of a key the node uses, for surveys: what has
+	// arrived is not used until a listener took it. known is false for keys that
+	// it does not know of, and for all when it is nil; the latest version that
+	// arrived counts then.
+	InForce func(key string) (version VersionInForce, known bool)
 	// Seed makes the jitter repeatable; nodes must differ.
 	Seed uint64
 	// Logger defaults to logrus' standard logger.
@@ -40,6 +45,14 @@
 	CompareEvery time.Duration
 }
 
+// VersionInForce is the version of a key that a node uses. Has is false when it
+// uses none.
+type VersionInForce struct {
+	Has      bool
+	Epoch    uint64
+	Sequence uint64
+}
+
 // withDefaults checks the options and fills in what was left out.
 func (o Options) withDefaults() (Options, error) {
 	if o.Ref == nil || o.Ref.Vm == "" {
--- a/spread/survey.go
+++ b/spread/survey.go
@@ -118,10 +118,10 @@
 	}
 }
 
-// row is the node's own row.
+// row is the node's own row. A deletion is in force as soon as it arrives.
 func (s *Service) row(key string) *peerpb.SurveyRow {
 	it, ok := s.Snapshot().Get(key)
-	return &peerpb.SurveyRow{
+	row := &peerpb.SurveyRow{
 		Vm:          s.options.Ref.Vm,
 		Incarnation: s.options.Ref.Incarnation,
 		Has:         ok,
@@ -129,6 +129,16 @@
 		Sequence:    it.Sequence,
 		Sum:         it.Sum,
 	}
+	if s.options.InForce == nil || !ok || it.Deleted {
+		return row
+	}
+	if used, known := s.options.InForce(key); known {
+		row.Has = used.Has
+		if used.Epoch != it.Epoch || used.Sequence != it.Sequence {
+			row.Epoch, row.Sequence, row.Sum = used.Epoch, used.Sequence, 0
+		}
+	}
+	return row
 }
 
 // shorter returns a context that ends one part of n before its parent.
