--- a/bench/processes/processes_test.go
+++ b/bench/processes/processes_test.go
@@ -77,15 +77,25 @@
 // outlive them and close later connections of the same number.
 type fleet struct {
 	b        *testing.B
+	layout   layout
 	platform *exec.Cmd
 	commands []*exec.Cmd
 }
 
+// layout is over how many regions and failure domains the nodes are spread.
+type layout struct{ regions, places int }
+
+// targetLayout is that of the size to carry, todayLayout that of one tenant.
+var (
+	targetLayout = layout{regions: regions, places: places}
+	todayLayout  = layout{regions: 3, places: 6}
+)
+
 // platformAddress is where the stand-in of the platform listens.
 const platformAddress = "127.7.255.1:7400"
 
 func measureOnce(b *testing.B, programs programs, nodes, accounts, blocks int) {
-	f := newFleet(b, programs.tool, accounts, blocks)
+	f := newFleet(b, programs.tool, targetLayout, accounts, blocks)
 	for i := range nodes {
 		f.start(programs.daemon, i)
 	}
@@ -106,8 +116,8 @@
 	b.ReportMetric(float64(after.waiting), "waiting-watches")
 }
 
-func newFleet(b *testing.B, tool string, accounts, blocks int) *fleet {
-	f := &fleet{b: b, platform: exec.Command(tool, "standin", "platform", "--address", platformAddress)}
+func newFleet(b *testing.B, tool string, layout layout, accounts, blocks int) *fleet {
+	f := &fleet{b: b, layout: layout, platform: exec.Command(tool, "standin", "platform", "--address", platformAddress)}
 	if err := f.platform.Start(); err != nil {
 		b.Fatal(err)
 	}
@@ -162,11 +172,12 @@
 }
 
 func (f *fleet) start(daemon string, i int) {
-	region, place := fmt.Sprintf("region-%d", i%places%regions), fmt.Sprintf("place-%d", i%places)
+	place := i % f.layout.places
+	region, domain := fmt.Sprintf("region-%d", place%f.layout.regions), fmt.Sprintf("place-%d", place)
 	id := fmt.Sprintf("entry-%d", i)
 	text := fmt.Sprintf("[node]\nvm = %s\nregion = %s\nfailure_domain = %s\n"+
 		"[listen]\ncallers = %s\nadmin = %s\npeers = %s\n[platform]\nstore = %s\nvm_list = %s\n[admin]\nopen = yes\n[log]\nlevel = error\n",
-		id, region, place, address(i, callerPort), address(i, adminPort), address(i, peerPort), platformAddress, platformAddress)
+		id, region, domain, address(i, callerPort), address(i, adminPort), address(i, peerPort), platformAddress, platformAddress)
 	file := filepath.Join(f.b.TempDir(), id+".ini")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		f.b.Fatal(err)
@@ -178,7 +189,7 @@
 	}
 	f.commands = append(f.commands, command)
 	f.list(platform.VMChange{Set: []wire.VM{{
-		ID: id, Role: "entry", State: "live", Region: region, Place: place,
+		ID: id, Role: "entry", State: "live", Region: region, Place: domain,
 		Address: address(i, callerPort), Peer: address(i, peerPort),
 	}}})
 }
