cmd/internal/operator: let the fake node name the change's sequence

Every answer of a real node has a sequence of 1 at least. Change: the fake answers with a sequence. Measured: go test -race ./internal/operator in module cmd failed before, green after. Conclusion: the fake was wrong, no check was changed; a change of a module's client has to run the tests of cmd too.

--- a/cmd/internal/operator/fake_test.go
+++ b/cmd/internal/operator/fake_test.go
@@ -76,7 +76,7 @@
 		w.WriteHeader(info.HTTP)
 		_ = json.NewEncoder(w).Encode(&wire.Error{Code: info.Code, Name: info.Name, Outcome: info.Outcome.String(), ChangeID: id})
 	default:
-		_ = json.NewEncoder(w).Encode(&wire.ChangeAnswer{Change: wire.Change{ID: id}})
+		_ = json.NewEncoder(w).Encode(&wire.ChangeAnswer{Change: wire.Change{ID: id, Sequence: 2}})
 	}
 }
 
