One retry budget for the client and the proxy

Two types held retries to a share of the fresh requests, one in client and one in proxy/retry, with the same lines. api/retrybudget holds it now, with a test of its own, which neither had; the bounds stay with their users: 10 in hand and at most in the client, 1 in hand and 20 at most in the proxy.

Behaviour stays. Run: tests of api/retrybudget, client and proxy with -race, passed.

--- a/client/client.go
+++ b/client/client.go
@@ -14,8 +14,14 @@
 	"sync"
 
 	"github.com/pkg/errors"
+
+	"github.com/yuccaroute/yuccaroute/api/retrybudget"
 )
 
+// maxSavedRetries bounds the retries saved up in quiet times; a new client has
+// them in hand.
+const maxSavedRetries = 10
+
 // Client sends requests for one client account. It is safe for use by several
 // goroutines. Close it when done.
 type Client struct {
@@ -24,7 +30,7 @@
 	entries   *entryCache
 	holds     *holds
 	jitter    *jitter
-	budget    *retryBudget
+	budget    *retrybudget.Budget
 	closeOnce sync.Once
 	stop      context.CancelFunc
 }
@@ -48,7 +54,7 @@
 		entries:   newEntryCache(ctx, options, transport, j),
 		holds:     newHolds(j),
 		jitter:    j,
-		budget:    newRetryBudget(options.RetryShare),
+		budget:    retrybudget.New(maxSavedRetries, maxSavedRetries),
 		stop:      stop,
 	}
 }
--- a/client/do.go
+++ b/client/do.go
@@ -30,7 +30,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, orDefault(r.Deadline, c.options.Timeout))
 	defer cancel()
-	c.budget.fresh()
+	c.budget.Fresh(c.options.RetryShare)
 	e := &exchange{client: c, request: &r, tried: make(map[string]time.Time)}
 	last := e.run(ctx)
 	last.answer.Attempts = e.attempts
@@ -97,7 +97,7 @@
 		return nil
 	}
 	return time.AfterFunc(time.Until(deadline)/2, func() {
-		if e.client.budget.take() {
+		if e.client.budget.Take() {
 			gaveUp.Store(true)
 			end()
 		}
@@ -140,7 +140,7 @@
 	if !e.mayRepeat(a) {
 		return false
 	}
-	return e.client.budget.take()
+	return e.client.budget.Take()
 }
 
 // cannotServe reports whether an entry VM refuses whatever it is sent, as it
--- a/proxy/retry/backoff.go
+++ b/proxy/retry/backoff.go
@@ -1,3 +1,4 @@
+// Package retry decides how long to wait before a request is sent again.
 package retry
 
 import (
--- a/proxy/service_state.go
+++ b/proxy/service_state.go
@@ -7,12 +7,19 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/yuccaroute/yuccaroute/api/model"
-	"github.com/yuccaroute/yuccaroute/proxy/retry"
+	"github.com/yuccaroute/yuccaroute/api/retrybudget"
+)
+
+const (
+	// startRetries lets a service that gets few requests still retry one.
+	startRetries = 1
+	// maxSavedRetries is how many retries can be saved up in quiet times.
+	maxSavedRetries = 20
 )
 
 // serviceState is one service of one account, over all snapshots.
 type serviceState struct {
-	budget  *retry.Budget
+	budget  *retrybudget.Budget
 	metrics [model.ClassCount]*classMetrics
 
 	mu sync.Mutex
@@ -22,7 +29,7 @@
 
 func newServiceState(scope tally.Scope, account model.AccountName, service model.ServiceName) *serviceState {
 	s := &serviceState{
-		budget:  retry.NewBudget(),
+		budget:  retrybudget.New(startRetries, maxSavedRetries),
 		offered: make(map[model.RegionName]*atomic.Uint64),
 	}
 	for class := range s.metrics {
