Share the defaults of options

Three copies of setDefault, one of orDefault and the same three lines in ten option files gave left-out options their defaults. api/option.Default does it for numbers and durations not above zero; where only zero stood for left out, cmp.Or of the standard library does.

Behaviour stays.

--- a/client/do.go
+++ b/client/do.go
@@ -1,6 +1,7 @@
 package client
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync/atomic"
@@ -28,7 +29,7 @@
 	if r.Method == "" {
 		r.Method = http.MethodGet
 	}
-	ctx, cancel := context.WithTimeout(ctx, orDefault(r.Deadline, c.options.Timeout))
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(r.Deadline, c.options.Timeout))
 	defer cancel()
 	c.budget.Fresh(c.options.RetryShare)
 	e := &exchange{client: c, request: &r, tried: make(map[string]time.Time)}
--- a/client/options.go
+++ b/client/options.go
@@ -1,6 +1,7 @@
 package client
 
 import (
+	"cmp"
 	"net"
 	"net/netip"
 	"time"
@@ -70,20 +71,12 @@
 	if o.RetryShare < 0 || o.RetryShare > 1 {
 		return errors.Errorf("retry share is %v, permitted are 0 to 1", o.RetryShare)
 	}
-	o.Timeout = orDefault(o.Timeout, DefaultTimeout)
-	o.ConnectTimeout = orDefault(o.ConnectTimeout, DefaultConnectTimeout)
-	o.LookupTimeout = orDefault(o.LookupTimeout, DefaultLookupTimeout)
-	o.MaxConnections = orDefault(o.MaxConnections, DefaultMaxConnections)
-	o.MaxAttempts = orDefault(o.MaxAttempts, DefaultMaxAttempts)
-	o.RetryShare = orDefault(o.RetryShare, DefaultRetryShare)
-	o.MaxAnswerBytes = orDefault(o.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	o.Timeout = cmp.Or(o.Timeout, DefaultTimeout)
+	o.ConnectTimeout = cmp.Or(o.ConnectTimeout, DefaultConnectTimeout)
+	o.LookupTimeout = cmp.Or(o.LookupTimeout, DefaultLookupTimeout)
+	o.MaxConnections = cmp.Or(o.MaxConnections, DefaultMaxConnections)
+	o.MaxAttempts = cmp.Or(o.MaxAttempts, DefaultMaxAttempts)
+	o.RetryShare = cmp.Or(o.RetryShare, DefaultRetryShare)
+	o.MaxAnswerBytes = cmp.Or(o.MaxAnswerBytes, DefaultMaxAnswerBytes)
 	return nil
 }
-
-func orDefault[T comparable](value, fallback T) T {
-	var zero T
-	if value == zero {
-		return fallback
-	}
-	return value
-}
--- a/config/changelog/log.go
+++ b/config/changelog/log.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/yuccaroute/yuccaroute/api/option"
 	"github.com/yuccaroute/yuccaroute/api/wait"
 	"github.com/yuccaroute/yuccaroute/store"
 )
@@ -59,12 +60,8 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
-	if options.CacheBytes <= 0 {
-		options.CacheBytes = DefaultCacheBytes
-	}
-	if options.Tries <= 0 {
-		options.Tries = DefaultTries
-	}
+	option.Default(&options.CacheBytes, DefaultCacheBytes)
+	option.Default(&options.Tries, DefaultTries)
 	return &Log{
 		kv:      kv,
 		guard:   options.Guard,
--- a/lookup/options.go
+++ b/lookup/options.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/api/option"
 )
 
 // Path is the HTTP path of the look-up.
@@ -36,9 +37,7 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.Lifetime <= 0 {
-		o.Lifetime = DefaultLifetime
-	}
+	option.Default(&o.Lifetime, DefaultLifetime)
 	if o.Logger == nil {
 		o.Logger = logrus.StandardLogger()
 	}
--- a/membership/httplist/lister.go
+++ b/membership/httplist/lister.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/yuccaroute/yuccaroute/api/option"
 	"github.com/yuccaroute/yuccaroute/membership"
 	"github.com/yuccaroute/yuccaroute/membership/wire"
 	"github.com/yuccaroute/yuccaroute/store"
@@ -52,9 +53,7 @@
 	if options.Path == "" {
 		options.Path = wire.DefaultPath
 	}
-	if options.Timeout <= 0 {
-		options.Timeout = DefaultTimeout
-	}
+	option.Default(&options.Timeout, DefaultTimeout)
 	return &Lister{
 		url:     "http://" + options.Address + options.Path,
 		timeout: options.Timeout,
--- a/membership/view/options.go
+++ b/membership/view/options.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/yuccaroute/yuccaroute/api/option"
 )
 
 // Defaults of Options.
@@ -41,20 +43,14 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.Interval, DefaultInterval)
-	setDefault(&o.ReturnHold, DefaultReturnHold)
-	setDefault(&o.MaxHold, DefaultMaxHold)
-	setDefault(&o.StableAfter, DefaultStableAfter)
-	setDefault(&o.KeepGone, DefaultKeepGone)
-	setDefault(&o.MaxGone, DefaultMaxGone)
+	option.Default(&o.Interval, DefaultInterval)
+	option.Default(&o.ReturnHold, DefaultReturnHold)
+	option.Default(&o.MaxHold, DefaultMaxHold)
+	option.Default(&o.StableAfter, DefaultStableAfter)
+	option.Default(&o.KeepGone, DefaultKeepGone)
+	option.Default(&o.MaxGone, DefaultMaxGone)
 	if o.Logger == nil {
 		o.Logger = logrus.StandardLogger()
 	}
 	return o
 }
-
-func setDefault[T int | time.Duration](field *T, value T) {
-	if *field <= 0 {
-		*field = value
-	}
-}
--- a/proxy/keys/options.go
+++ b/proxy/keys/options.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/yuccaroute/yuccaroute/api/grant"
+	"github.com/yuccaroute/yuccaroute/api/option"
 	"github.com/yuccaroute/yuccaroute/store"
 )
 
@@ -31,16 +32,8 @@
 }
 
 func (o *Options) setDefaults() {
-	if o.Keep <= 0 {
-		o.Keep = DefaultKeep
-	}
-	if o.WritesPerSecond <= 0 {
-		o.WritesPerSecond = DefaultWritesPerSecond
-	}
-	if o.Timeout <= 0 {
-		o.Timeout = DefaultTimeout
-	}
-	if o.Remembered <= 0 {
-		o.Remembered = DefaultRemembered
-	}
+	option.Default(&o.Keep, DefaultKeep)
+	option.Default(&o.WritesPerSecond, DefaultWritesPerSecond)
+	option.Default(&o.Timeout, DefaultTimeout)
+	option.Default(&o.Remembered, DefaultRemembered)
 }
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -12,6 +12,7 @@
 
 	"github.com/yuccaroute/yuccaroute/api/grant"
 	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/api/option"
 	"github.com/yuccaroute/yuccaroute/proxy/keys"
 )
 
@@ -65,15 +66,9 @@
 }
 
 func (o *Options) setDefaults() {
-	if o.MaxBufferedBytes <= 0 {
-		o.MaxBufferedBytes = DefaultBufferedBytes
-	}
-	if o.MaxInFlight <= 0 {
-		o.MaxInFlight = DefaultMaxInFlight
-	}
-	if o.ConnectTimeout <= 0 {
-		o.ConnectTimeout = DefaultConnectTimeout
-	}
+	option.Default(&o.MaxBufferedBytes, DefaultBufferedBytes)
+	option.Default(&o.MaxInFlight, DefaultMaxInFlight)
+	option.Default(&o.ConnectTimeout, DefaultConnectTimeout)
 	if o.Nodes == nil {
 		o.Nodes = func() int { return 1 }
 	}
--- a/spread/measure/config.go
+++ b/spread/measure/config.go
@@ -1,6 +1,7 @@
 package measure
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/pkg/errors"
@@ -50,21 +51,14 @@
 	if c.Nodes < minNodes || c.Nodes > maxNodes {
 		return c, errors.Errorf("measure: %d nodes, want %d to %d", c.Nodes, minNodes, maxNodes)
 	}
-	setDefault(&c.Regions, defaultRegions)
-	setDefault(&c.PlacesPerRegion, defaultPlaces)
-	setDefault(&c.Items, defaultItems)
-	setDefault(&c.BodyBytes, defaultBodyBytes)
-	setDefault(&c.Changes, defaultChanges)
-	setDefault(&c.IdleTime, defaultIdleTime)
-	setDefault(&c.BusyTime, defaultBusyTime)
-	setDefault(&c.BusyRate, defaultBusyRate)
-	setDefault(&c.Settle, defaultSettle)
+	c.Regions = cmp.Or(c.Regions, defaultRegions)
+	c.PlacesPerRegion = cmp.Or(c.PlacesPerRegion, defaultPlaces)
+	c.Items = cmp.Or(c.Items, defaultItems)
+	c.BodyBytes = cmp.Or(c.BodyBytes, defaultBodyBytes)
+	c.Changes = cmp.Or(c.Changes, defaultChanges)
+	c.IdleTime = cmp.Or(c.IdleTime, defaultIdleTime)
+	c.BusyTime = cmp.Or(c.BusyTime, defaultBusyTime)
+	c.BusyRate = cmp.Or(c.BusyRate, defaultBusyRate)
+	c.Settle = cmp.Or(c.Settle, defaultSettle)
 	return c, nil
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/spread/options.go
+++ b/spread/options.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
 
+	"github.com/yuccaroute/yuccaroute/api/option"
 	"github.com/yuccaroute/yuccaroute/api/peerpb"
 	"github.com/yuccaroute/yuccaroute/membership"
 )
@@ -64,11 +65,7 @@
 	if o.Logger == nil {
 		o.Logger = logrus.StandardLogger()
 	}
-	if o.Heartbeat <= 0 {
-		o.Heartbeat = DefaultHeartbeat
-	}
-	if o.CompareEvery <= 0 {
-		o.CompareEvery = DefaultCompareEvery
-	}
+	option.Default(&o.Heartbeat, DefaultHeartbeat)
+	option.Default(&o.CompareEvery, DefaultCompareEvery)
 	return o, nil
 }
--- a/standin/caller/options.go
+++ b/standin/caller/options.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/api/option"
 	"github.com/yuccaroute/yuccaroute/bench/check"
 	"github.com/yuccaroute/yuccaroute/client"
 )
@@ -55,11 +56,7 @@
 			return errors.Errorf("caller: load of %s needs a rate, kinds and a deadline", load.Service)
 		}
 	}
-	if o.SourcesPerBlock <= 0 {
-		o.SourcesPerBlock = DefaultSourcesPerBlock
-	}
-	if o.MaxInFlight <= 0 {
-		o.MaxInFlight = DefaultMaxInFlight
-	}
+	option.Default(&o.SourcesPerBlock, DefaultSourcesPerBlock)
+	option.Default(&o.MaxInFlight, DefaultMaxInFlight)
 	return nil
 }
--- a/standin/target/options.go
+++ b/standin/target/options.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/option"
 )
 
 // Defaults of Options.
@@ -44,13 +46,7 @@
 }
 
 func (o *Options) setDefaults() {
-	if o.Slots <= 0 {
-		o.Slots = DefaultSlots
-	}
-	if o.ServiceTime <= 0 {
-		o.ServiceTime = DefaultServiceTime
-	}
-	if o.MaxBodyBytes <= 0 {
-		o.MaxBodyBytes = DefaultBodyBytes
-	}
+	option.Default(&o.Slots, DefaultSlots)
+	option.Default(&o.ServiceTime, DefaultServiceTime)
+	option.Default(&o.MaxBodyBytes, DefaultBodyBytes)
 }
--- a/store/httpkv/options.go
+++ b/store/httpkv/options.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/yuccaroute/yuccaroute/api/option"
 	"github.com/yuccaroute/yuccaroute/store/wire"
 )
 
@@ -52,21 +53,15 @@
 	if o.PathPrefix == "" {
 		o.PathPrefix = wire.DefaultPathPrefix
 	}
-	setDefault(&o.Timeout, DefaultTimeout)
-	setDefault(&o.WatchTimeout, DefaultWatchTimeout)
-	setDefault(&o.CallsPerSecond, DefaultCallsPerSecond)
-	setDefault(&o.Burst, DefaultBurst)
-	setDefault(&o.BackoffFirst, DefaultBackoffFirst)
-	setDefault(&o.BackoffMax, DefaultBackoffMax)
+	option.Default(&o.Timeout, DefaultTimeout)
+	option.Default(&o.WatchTimeout, DefaultWatchTimeout)
+	option.Default(&o.CallsPerSecond, DefaultCallsPerSecond)
+	option.Default(&o.Burst, DefaultBurst)
+	option.Default(&o.BackoffFirst, DefaultBackoffFirst)
+	option.Default(&o.BackoffMax, DefaultBackoffMax)
 	return o
 }
 
-func setDefault[T int | float64 | time.Duration](field *T, value T) {
-	if *field <= 0 {
-		*field = value
-	}
-}
-
 func (o Options) check() error {
 	if o.Address == "" {
 		return errors.New("httpkv: no address given")
--- a/store/lease/options.go
+++ b/store/lease/options.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/yuccaroute/yuccaroute/api/option"
 	"github.com/yuccaroute/yuccaroute/store"
 )
 
@@ -43,12 +44,8 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.TTL <= 0 {
-		o.TTL = DefaultTTL
-	}
-	if o.Margin <= 0 {
-		o.Margin = o.TTL / marginShare
-	}
+	option.Default(&o.TTL, DefaultTTL)
+	option.Default(&o.Margin, o.TTL/marginShare)
 	if o.Clock == nil {
 		o.Clock = systemClock{}
 	}
--- a/store/memkv/options.go
+++ b/store/memkv/options.go
@@ -1,6 +1,10 @@
 package memkv
 
-import "time"
+import (
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/option"
+)
 
 // Defaults of Options.
 const (
@@ -20,14 +24,8 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.WatchWait <= 0 {
-		o.WatchWait = DefaultWatchWait
-	}
-	if o.HistoryEvents <= 0 {
-		o.HistoryEvents = DefaultHistoryEvents
-	}
-	if o.HistoryBytes <= 0 {
-		o.HistoryBytes = DefaultHistoryBytes
-	}
+	option.Default(&o.WatchWait, DefaultWatchWait)
+	option.Default(&o.HistoryEvents, DefaultHistoryEvents)
+	option.Default(&o.HistoryBytes, DefaultHistoryBytes)
 	return o
 }
