yuccaroute: tell the right usage, and each fault once

Read as a newcomer: standin without a verb printed its help and exited 0, where every other group exits 2; check-config stopped at the first file with faults, though it lists all faults at once; a wrong number of arguments gave 'requires at least 1 arg(s), only received 0'; one node that does not answer was told twice.

Now standin is a group like the others, check-config reads all files and counts those with faults, a wrong argument shows the command's usage line, and a lone node's failure stands only in the error. A table test of nine wrong usages checks exit code 2 and the text; TestNoNode also checks what is told of one node and of two.

--- a/cmd/yuccaroute/check_config.go
+++ b/cmd/yuccaroute/check_config.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/yuccaroute/yuccaroute/cmd/internal/program"
@@ -16,12 +17,18 @@
 		Example: "  yuccaroute check-config /etc/yuccaroute/node.ini",
 		Args:    cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, files []string) error {
+			faulty := 0
 			for _, file := range files {
 				if _, err := settings.Load(file); err != nil {
-					return program.Exit(program.ExitUsage, err)
+					faulty++
+					fmt.Fprintln(cmd.ErrOrStderr(), err)
+					continue
 				}
 				fmt.Fprintln(cmd.OutOrStdout(), file+": ok")
 			}
+			if faulty > 0 {
+				return program.Exit(program.ExitUsage, errors.Errorf("%d of %d files have faults", faulty, len(files)))
+			}
 			return nil
 		},
 	}
--- a/cmd/yuccaroute/connection.go
+++ b/cmd/yuccaroute/connection.go
@@ -64,8 +64,10 @@
 		return nil, errors.Errorf("--output is %q; permitted: table, json", c.output)
 	}
 	options := c.options
-	options.Passed = func(address string, cause error) {
-		fmt.Fprintf(cmd.ErrOrStderr(), "node %s gave no result: %v\n", address, operator.Reason(cause))
+	if len(options.Nodes) > 1 {
+		options.Passed = func(address string, cause error) {
+			fmt.Fprintf(cmd.ErrOrStderr(), "node %s gave no result: %v\n", address, operator.Reason(cause))
+		}
 	}
 	nodes, err := connect.Open(options)
 	if err != nil {
--- a/cmd/yuccaroute/help_test.go
+++ b/cmd/yuccaroute/help_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"github.com/spf13/cobra"
+
+	"github.com/yuccaroute/yuccaroute/cmd/internal/program"
 )
 
 // Every verb shows an operator how it is typed.
@@ -19,3 +21,26 @@
 	}
 	check(newRoot())
 }
+
+// Wrong usage does nothing, exits with its own code and tells what is right.
+func TestWrongUsage(t *testing.T) {
+	bad := writeFile(t, "bad.ini", "[account]\nname = x\n")
+	worse := writeFile(t, "worse.ini", "[node]\nvm = X\n")
+	for _, c := range []struct {
+		args []string
+		want []string
+	}{
+		{[]string{"nonsense"}, []string{`unknown command "nonsense"`}},
+		{[]string{"standin"}, []string{"standin needs a verb", "standin --help"}},
+		{[]string{"account", "nonsense"}, []string{`unknown command "nonsense" for "yuccaroute account"`}},
+		{[]string{"demo", "extra"}, []string{`["extra"]`, "usage: yuccaroute demo [flags]"}},
+		{[]string{"demo", "--scenario", "nope"}, []string{`no scenario "nope"`, "steady:"}},
+		{[]string{"demo", "--duration", "-1s"}, []string{"--duration -1s is not positive"}},
+		{[]string{"bench", "compare", "one.json"}, []string{"usage: yuccaroute bench compare EARLIER LATER"}},
+		{[]string{"check-config"}, []string{"usage: yuccaroute check-config FILE..."}},
+		{[]string{"check-config", bad, worse}, []string{bad + ":1: [account] unknown section", worse + ":1: [node] region: the key is missing", "2 of 2 files have faults"}},
+	} {
+		a := (&tool{t: t}).must(program.ExitUsage, c.args...)
+		wantText(t, a.notes+a.err.Error(), c.want...)
+	}
+}
--- a/cmd/yuccaroute/main.go
+++ b/cmd/yuccaroute/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 
+	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/yuccaroute/yuccaroute/cmd/internal/program"
@@ -49,9 +50,29 @@
 	addAll(root, groupOperate, newApply(c), newDiff(c), newExport(c), newTemplate(c), newAccount(c), newOutcome(c), newIdentity(c))
 	addAll(root, groupObserve, newWhoami(c), newLive(c))
 	addAll(root, groupMeasure, newDemo(), newReport(), newBench(), newStandin(), newCheckConfig())
+	tellUsage(root)
 	return root
 }
 
+// tellUsage lets each command that gets a wrong number of arguments tell which
+// ones it takes.
+func tellUsage(cmd *cobra.Command) {
+	if permitted := cmd.Args; permitted != nil && !cmd.HasSubCommands() {
+		cmd.Args = func(cmd *cobra.Command, args []string) error {
+			if permitted(cmd, args) == nil {
+				return nil
+			}
+			if len(args) == 0 {
+				return errors.Errorf("no argument given; usage: %s", cmd.UseLine())
+			}
+			return errors.Errorf("the arguments %q do not fit; usage: %s", args, cmd.UseLine())
+		}
+	}
+	for _, child := range cmd.Commands() {
+		tellUsage(child)
+	}
+}
+
 func addAll(root *cobra.Command, group string, commands ...*cobra.Command) {
 	for _, cmd := range commands {
 		cmd.GroupID = group
--- a/cmd/yuccaroute/standin.go
+++ b/cmd/yuccaroute/standin.go
@@ -15,11 +15,7 @@
 )
 
 func newStandin() *cobra.Command {
-	cmd := &cobra.Command{
-		Use:     "standin",
-		Short:   "Run one stand-in as a process, for tests",
-		Example: "  yuccaroute standin platform --address 127.0.0.1:7400",
-	}
+	cmd := newGroup("standin", "Run one stand-in as a process, for tests", "  yuccaroute standin platform --address 127.0.0.1:7400")
 	cmd.AddCommand(newStandinPlatform(), newStandinTarget())
 	return cmd
 }
--- a/cmd/yuccaroute/unknown_test.go
+++ b/cmd/yuccaroute/unknown_test.go
@@ -70,7 +70,11 @@
 	o := toolFor(t, down.URL)
 	file := writeFile(t, "daehan.ini", string(examples.Text(examples.DaehanAccount)))
 	o.must(program.ExitUnavailable, "apply", "-f", file)
-	o.must(program.ExitUnavailable, "account", "list")
+	if a := o.must(program.ExitUnavailable, "account", "list"); a.notes != "" {
+		t.Errorf("besides the error that one node does not answer: %s", a.notes)
+	}
+	two := toolFor(t, down.URL, down.URL+"/").must(program.ExitUnavailable, "account", "list")
+	wantText(t, two.notes, "node "+down.URL+" gave no result")
 	t.Setenv(environmentNode, "")
 	(&tool{t: t}).must(program.ExitUsage, "account", "list")
 }
