membership: watchers read the VM list and spread what changed

Cause: every node read the list each second: 550 reads/s at the target, and the whole list, 212 KB, to each node after each change.

Change: package feed. Watchers read the list and publish the parts that changed (package parts: 1,024 parts by a hash of the VM's name, and a digest over all) as items of spread. A node puts a list in force only when its parts have the digest. Versions are (epoch, sequence); the epoch grows when a list service counts anew, which is believed after 5 readings and 8 s in which nobody read the list in force. A node for which nobody has read its list for 8 s reads it itself, at its share of 50 readings/s for all. A node that starts while the list service is out learns from the deciders that the store names.

Tests: package view reads no list any more. That the platform may count anew is tested with whole fleets (TestListServiceCountsAnew).

Conclusion: readings no longer grow with the fleet but at its start.

--- a/membership/membership.go
+++ b/membership/membership.go
@@ -48,10 +48,21 @@
 // List is one reading, sorted by ID without duplicates.
 type List struct {
 	VMs []VM
+	// Epoch grows each time the platform is taken to count anew. The nodes keep
+	// it; a Lister leaves it 0.
+	Epoch uint64
 	// Sequence grows with each change the platform shows.
 	Sequence uint64
 }
 
+// Later reports whether the list is a newer one than other.
+func (l List) Later(other List) bool {
+	if l.Epoch != other.Epoch {
+		return l.Epoch > other.Epoch
+	}
+	return l.Sequence > other.Sequence
+}
+
 // Lister reads the list. It returns store.ErrUnavailable when the platform
 // does not answer.
 type Lister interface {
--- a/membership/view/snapshot.go
+++ b/membership/view/snapshot.go
@@ -34,7 +34,9 @@
 	return g.Confirmed.Sub(g.Since)
 }
 
-// Age is the time since the reading.
+// Age is the time since the reading, by the clock that advanced further: the
+// monotonic clock may stand still while a VM is suspended, and its list would
+// look as young as before.
 func (s *Snapshot) Age(now time.Time) time.Duration {
-	return now.Sub(s.ReadAt)
+	return max(now.Sub(s.ReadAt), now.Round(0).Sub(s.ReadAt.Round(0)))
 }
--- a/membership/view/tracker.go
+++ b/membership/view/tracker.go
@@ -11,12 +11,10 @@
 
 // tracker folds readings into snapshots. It makes no calls and reads no clock.
 type tracker struct {
-	options  Options
-	records  map[string]*record
-	sequence uint64
-	older    int
-	order    uint64
-	last     *Snapshot
+	options Options
+	records map[string]*record
+	order   uint64
+	last    *Snapshot
 	// rows are those of the last reading, as it gave them.
 	rows []membership.VM
 	// waiting is set while a VM that returned is not shown yet.
@@ -31,10 +29,11 @@
 	}
 }
 
-// fold returns the snapshot after a reading, or nil if the reading is older
-// than the last one.
+// fold returns the snapshot after a reading made at now, or nil if the list or
+// the reading is older than the last one. An older list would bring VMs back
+// that ended, and hide new ones.
 func (t *tracker) fold(list membership.List, now time.Time) *Snapshot {
-	if t.isOlder(list.Sequence) {
+	if t.last.List.Later(list) || now.Before(t.last.ReadAt) {
 		return nil
 	}
 	shown := t.last.List.VMs
@@ -47,7 +46,7 @@
 	}
 	t.forget(now)
 	next := &Snapshot{
-		List:    membership.List{VMs: shown, Sequence: list.Sequence},
+		List:    membership.List{VMs: shown, Epoch: list.Epoch, Sequence: list.Sequence},
 		ReadAt:  now,
 		Gone:    t.gone(now),
 		Version: t.last.Version,
@@ -59,24 +58,6 @@
 	return next
 }
 
-// isOlder tells a reading from a part of the platform that is behind. If it
-// were believed, VMs that ended would be back, and new ones would be gone. A
-// platform that counts anew after a restart is believed after some readings.
-func (t *tracker) isOlder(sequence uint64) bool {
-	if sequence >= t.sequence {
-		t.older = 0
-		t.sequence = sequence
-		return false
-	}
-	t.older++
-	if t.older < olderLimit {
-		return true
-	}
-	t.older = 0
-	t.sequence = sequence
-	return false
-}
-
 // note takes over rows that differ from those of the last reading.
 func (t *tracker) note(vms []membership.VM, now time.Time) {
 	t.order++
--- a/membership/view/view.go
+++ b/membership/view/view.go
@@ -3,15 +3,10 @@
 package view
 
 import (
-	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
-	"github.com/yuccaroute/yuccaroute/api/wait"
 	"github.com/yuccaroute/yuccaroute/membership"
 )
 
@@ -19,10 +14,8 @@
 // return soon: the next reading waits for it.
 type Subscriber func(snapshot *Snapshot, change Change)
 
-// View reads the list again and again.
+// View folds the readings of the list into snapshots.
 type View struct {
-	lister  membership.Lister
-	options Options
 	current atomic.Pointer[Snapshot]
 
 	mu          sync.Mutex
@@ -30,17 +23,12 @@
 	subscribers []Subscriber
 }
 
-// New returns a view that has read nothing yet.
-func New(lister membership.Lister, options Options) *View {
-	options = options.withDefaults()
-	return &View{
-		lister:  lister,
-		options: options,
-		tracker: newTracker(options),
-	}
+// New returns a view that has taken nothing yet.
+func New(options Options) *View {
+	return &View{tracker: newTracker(options.withDefaults())}
 }
 
-// Current returns the last snapshot, nil before the first good answer.
+// Current returns the last snapshot, nil before the first reading.
 func (v *View) Current() *Snapshot {
 	return v.current.Load()
 }
@@ -56,45 +44,13 @@
 	}
 }
 
-// Run reads the list until the context ends.
-func (v *View) Run(ctx context.Context) error {
-	out := false
-	for ctx.Err() == nil {
-		err := v.Refresh(ctx)
-		if ctx.Err() == nil {
-			logTurn(v.options.Logger, out, err)
-			out = err != nil
-		}
-		pause(ctx, v.options.Interval)
-	}
-	return nil
-}
-
-// logTurn writes a line at the start and the end of an outage only.
-func logTurn(log logrus.FieldLogger, wasOut bool, err error) {
-	switch {
-	case err != nil && !wasOut:
-		log.WithError(err).Warn("membership: list not read, keeping the last one")
-	case err == nil && wasOut:
-		log.Info("membership: list read again")
-	}
-}
-
-// Refresh reads the list once.
-func (v *View) Refresh(ctx context.Context) error {
-	list, err := v.lister.List(ctx)
-	if err != nil {
-		return err
-	}
-	v.take(list, time.Now())
-	return nil
-}
-
-func (v *View) take(list membership.List, now time.Time) {
+// Take takes in a list that the platform gave at readAt. A list older than the
+// last one, and a reading older than the last one, are left out.
+func (v *View) Take(list membership.List, readAt time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	before := v.tracker.last
-	snapshot := v.tracker.fold(list, now)
+	snapshot := v.tracker.fold(list, readAt)
 	if snapshot == nil {
 		return
 	}
@@ -107,8 +63,3 @@
 		subscriber(snapshot, change)
 	}
 }
-
-func pause(ctx context.Context, interval time.Duration) {
-	jitter := time.Duration(jitterShare * rand.Float64() * float64(interval))
-	wait.For(ctx, interval-jitter)
-}
--- a/node/node.go
+++ b/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/yuccaroute/yuccaroute/httpserver"
 	"github.com/yuccaroute/yuccaroute/lookup"
 	"github.com/yuccaroute/yuccaroute/membership"
+	"github.com/yuccaroute/yuccaroute/membership/feed"
 	"github.com/yuccaroute/yuccaroute/membership/view"
 	"github.com/yuccaroute/yuccaroute/proxy"
 	"github.com/yuccaroute/yuccaroute/proxy/ingress"
@@ -40,7 +41,9 @@
 	ref      *peerpb.NodeRef
 	log      *logrus.Logger
 	store    store.KV
+	lister   membership.Lister
 	view     *view.View
+	feed     *feed.Feed
 	accounts *accountSet
 	changes  *changelog.Log
 	lookup   *lookup.Lookup
@@ -86,6 +89,7 @@
 		n.openPlatform,
 		n.makeRequestPath,
 		n.makeSpread,
+		n.makeFeed,
 		n.makeControl,
 		n.listenCallers,
 		n.listenAdmin,
@@ -172,7 +176,7 @@
 	n.changes = changelog.New(n.store, changelog.Options{Seed: n.id.Incarnation})
 	service, err := spread.New(spread.Options{
 		Ref:     n.ref,
-		Members: n.members,
+		Members: n.peerList,
 		Dial:    n.peers.Dial,
 		Source:  source.New(n.store, n.changes, n.log),
 		InForce: n.versionInForce,
@@ -228,6 +232,15 @@
 	return list
 }
 
+// peerList returns the VMs from which this node may learn; there are none
+// before the feed is made.
+func (n *Node) peerList() membership.List {
+	if n.feed == nil {
+		return membership.List{}
+	}
+	return n.feed.Members()
+}
+
 func (n *Node) membersWithAge() (membership.List, time.Duration, bool) {
 	snapshot := n.view.Current()
 	if snapshot == nil {
--- a/node/platform.go
+++ b/node/platform.go
@@ -26,10 +26,8 @@
 		n.closers = append(n.closers, adapter.Close)
 		lister = adapter
 	}
-	n.view = view.New(lister, view.Options{
-		Interval: n.options.Settings.Platform.VMListInterval,
-		Logger:   n.log,
-	})
+	n.lister = lister
+	n.view = view.New(view.Options{})
 	return nil
 }
 
--- a/node/run.go
+++ b/node/run.go
@@ -24,7 +24,7 @@
 			n.log.WithError(err).Error("node: the listener for peers failed")
 		}
 	})
-	n.running.Go(func() { _ = n.view.Run(ctx) })
+	n.running.Go(func() { n.feed.Run(ctx) })
 	n.running.Go(func() { n.spread.Run(ctx) })
 	n.running.Go(func() { n.runControl(ctx) })
 	n.log.WithField("callers", n.callers.Address()).WithField("peers", n.ref.PeerAddress).
--- /dev/null
+++ b/spread/vmlist_test.go
@@ -0,0 +1,493 @@
+package spread
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/yuccaroute/yuccaroute/membership"
+	"github.com/yuccaroute/yuccaroute/membership/feed"
+	"github.com/yuccaroute/yuccaroute/membership/parts"
+	"github.com/yuccaroute/yuccaroute/membership/view"
+	"github.com/yuccaroute/yuccaroute/spread/item"
+	"github.com/yuccaroute/yuccaroute/spread/topology"
+	"github.com/yuccaroute/yuccaroute/store"
+)
+
+// leavingKnown is how soon every node must know that a target leaves.
+const leavingKnown = 6 * time.Second
+
+// listService stands for the platform's VM list and counts its readings.
+type listService struct {
+	mu    sync.Mutex
+	list  membership.List
+	out   bool
+	reads int
+	// given is what some VMs are given instead, nil for no answer.
+	given map[string]*membership.List
+}
+
+// listReader is the service as one VM sees it.
+type listReader struct {
+	service *listService
+	vm      string
+}
+
+func (s *listService) reader(vm string) listReader { return listReader{s, vm} }
+
+// List implements membership.Lister.
+func (r listReader) List(context.Context) (membership.List, error) {
+	s := r.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	given, special := s.given[r.vm]
+	if s.out || special && given == nil {
+		return membership.List{}, store.ErrUnavailable
+	}
+	if special {
+		return *given, nil
+	}
+	return s.list, nil
+}
+
+// set replaces the row of a VM, or adds one.
+func (s *listService) set(vm membership.VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	vms := slices.DeleteFunc(slices.Clone(s.list.VMs), func(old membership.VM) bool { return old.ID == vm.ID })
+	s.list = membership.List{VMs: membership.Normalize(append(vms, vm)), Sequence: s.list.Sequence + 1}
+}
+
+func (s *listService) change(edit func(*listService)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	edit(s)
+}
+
+// counted returns the readings since the last call.
+func (s *listService) counted() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reads := s.reads
+	s.reads = 0
+	return reads
+}
+
+// nodeList is the VM list of one node, connected as package node does it.
+type nodeList struct {
+	*Service
+	view *view.View
+	feed *feed.Feed
+	// wentBack counts lists that were older than the one before.
+	wentBack atomic.Int64
+	seeds    atomic.Pointer[membership.VM]
+}
+
+var _ feed.Spread = (*nodeList)(nil)
+
+func newNodeList() *nodeList {
+	l := &nodeList{view: view.New(view.Options{})}
+	var last membership.List
+	l.view.Subscribe(func(s *view.Snapshot, _ view.Change) {
+		if last.Later(s.List) {
+			l.wentBack.Add(1)
+		}
+		last = s.List
+	})
+	return l
+}
+
+func (l *nodeList) connect(s *Service, lister membership.Lister, seed uint64, log logrus.FieldLogger) {
+	l.Service = s
+	l.feed = feed.New(lister, l, l.view, feed.Options{
+		Seeds:  l.findSeeds,
+		Seed:   seed,
+		Logger: log,
+	})
+	s.OnItem(parts.Prefix, func(it item.Item) { l.feed.Take(it.Key, it.Epoch, it.Sequence, it.Body) })
+}
+
+func (l *nodeList) findSeeds(context.Context) []membership.VM {
+	if seed := l.seeds.Load(); seed != nil {
+		return []membership.VM{*seed}
+	}
+	return nil
+}
+
+func (l *nodeList) members() membership.List {
+	if l.feed == nil {
+		return membership.List{}
+	}
+	return l.feed.Members()
+}
+
+func (l *nodeList) Part(key string) (epoch, sequence uint64, body []byte) {
+	it, _ := l.Get(key)
+	return it.Epoch, it.Sequence, it.Body
+}
+
+func (l *nodeList) Reading() (feed.Reading, bool) {
+	read, ok := l.ListRead()
+	return feed.Reading(read), ok
+}
+
+func (l *nodeList) NoteReading(epoch, sequence uint64, at time.Time) {
+	l.NoteListRead(epoch, sequence, at)
+}
+
+func (l *nodeList) age() time.Duration { return l.view.Current().Age(time.Now()) }
+
+// withLists runs a test on a fleet that has its VM list from a list service,
+// with 48 targets, before and after it has formed its tree.
+func withLists(t *testing.T, regions, places, perPlace int, started func(f *testFleet), test func(f *testFleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newStoppedFleet(t, regions, places, perPlace)
+		defer f.stop()
+		f.store.put(account(1))
+		f.lists = &listService{list: membership.List{VMs: membership.Normalize(f.list.VMs), Sequence: 1}, given: map[string]*membership.List{}}
+		for i := range 48 {
+			f.lists.set(target(i, membership.StateLive))
+		}
+		for _, m := range topology.FromList(f.list) {
+			f.start(m)
+		}
+		started(f)
+		f.after(settle)
+		f.lists.counted()
+		f.mustList(f.lists.list)
+		test(f)
+		for vm, n := range f.nodes {
+			if n.vms.wentBack.Load() > 0 {
+				f.t.Errorf("%s went from a list to an older one", vm)
+			}
+		}
+	})
+}
+
+func inListFleet(t *testing.T, test func(f *testFleet)) {
+	t.Helper()
+	withLists(t, 3, 2, 8, func(*testFleet) {}, test)
+}
+
+func target(i int, state membership.State) membership.VM {
+	return membership.VM{
+		ID: fmt.Sprintf("target-%03d", i), Role: membership.RoleTarget, State: state,
+		Region: "kr-seoul", Place: "kr-seoul-1", Account: "daehan", Service: "dealer-desk",
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, 0, byte(i)}), 80),
+	}
+}
+
+// leave makes a target leave and returns the list from then on.
+func (f *testFleet) leave(i int) membership.List {
+	f.lists.set(target(i, membership.StateLeaving))
+	return f.lists.list
+}
+
+// mustList fails if a node has another list in force.
+func (f *testFleet) mustList(want membership.List) {
+	f.t.Helper()
+	for vm, n := range f.nodes {
+		got := n.vms.view.Current()
+		if got == nil || !slices.Equal(got.List.VMs, want.VMs) || got.List.Sequence != want.Sequence {
+			f.t.Fatalf("%s (%s) lacks list %d", vm, n.plan.Load().Role, want.Sequence)
+		}
+	}
+}
+
+// A target begins to leave. Nothing fails. Every node knows it at once, and the
+// list is read by the watchers only.
+func TestListChangeReachesAll(t *testing.T) {
+	inListFleet(t, func(f *testFleet) {
+		const seconds = 30
+		f.after(seconds * time.Second)
+		if reads := f.lists.counted(); reads > 2*3*topology.WatchersPerRegion*seconds {
+			f.t.Errorf("%d readings in %d s", reads, seconds)
+		}
+		list := f.leave(1)
+		f.after(2 * time.Second)
+		f.mustList(list)
+		for vm, n := range f.nodes {
+			if age := n.vms.age(); age > feed.DefaultStaleAfter {
+				f.t.Errorf("%s: the list in force is %s old", vm, age)
+			}
+		}
+	})
+}
+
+// A relay dies, hangs or lags between two changes of the list. Its subscribers
+// would go on sending work to a target that leaves; they find another way
+// within the few seconds of the promise.
+func TestListPastAFailingRelay(t *testing.T) {
+	faults := map[string]func(f *testFleet, relay *testNode){
+		"dies": func(f *testFleet, relay *testNode) { f.kill(relay) },
+		"hangs": func(f *testFleet, relay *testNode) {
+			f.net.setBlocked(func(from, to string) bool { return from == relay.member.Address || to == relay.member.Address })
+			delete(f.nodes, relay.member.VM)
+		},
+		"lags": func(f *testFleet, relay *testNode) {
+			f.net.setDelay(func(_, to string) time.Duration {
+				if to == relay.member.Address {
+					return time.Minute
+				}
+				return 0
+			})
+			delete(f.nodes, relay.member.VM)
+		},
+	}
+	for name, fail := range faults {
+		t.Run(name, func(t *testing.T) {
+			inListFleet(t, func(f *testFleet) {
+				relay := f.byRole(topology.Relay)
+				defer relay.stop()
+				f.leave(1)
+				f.after(500 * time.Millisecond)
+				fail(f, relay)
+				list := f.leave(2)
+				f.after(leavingKnown)
+				f.mustList(list)
+			})
+		})
+	}
+}
+
+// One watcher is given an old list for two minutes, by a part of the platform
+// that is behind. It must neither bring VMs back that ended, nor be believed to
+// see a platform that counts anew, nor keep the others from the newer list.
+func TestWatcherWithAnOlderList(t *testing.T) {
+	inListFleet(t, func(f *testFleet) {
+		old := f.lists.list
+		f.lists.change(func(s *listService) { s.given[f.byRole(topology.Watcher).member.VM] = &old })
+		for i := range 24 {
+			list := f.leave(i)
+			f.after(5 * time.Second)
+			f.mustList(list)
+		}
+		for vm, n := range f.nodes {
+			if epoch := n.vms.view.Current().List.Epoch; epoch != 1 {
+				f.t.Errorf("%s: epoch %d", vm, epoch)
+			}
+		}
+	})
+}
+
+// The list service loses its count and begins at 1 again. Its lists look older
+// than those in force; they are believed once nobody reads the old count any
+// more, on all nodes as one new epoch.
+func TestListServiceCountsAnew(t *testing.T) {
+	inListFleet(t, func(f *testFleet) {
+		f.lists.change(func(s *listService) { s.list.Sequence = 1 })
+		list := f.leave(1)
+		f.after(4 * feed.DefaultStaleAfter)
+		f.mustList(list)
+		list = f.leave(2)
+		f.after(2 * time.Second)
+		f.mustList(list)
+		for vm, n := range f.nodes {
+			if epoch := n.vms.view.Current().List.Epoch; epoch != 2 {
+				f.t.Errorf("%s: epoch %d", vm, epoch)
+			}
+		}
+	})
+}
+
+// The list service is out for ten minutes. The nodes go on with the last list,
+// say how old it is, ask within the rate that is permitted for all, and have
+// the new list soon after it is back.
+func TestListServiceOutAndBack(t *testing.T) {
+	inListFleet(t, func(f *testFleet) {
+		before := f.lists.list
+		const outage = 10 * time.Minute
+		f.lists.change(func(s *listService) { s.out = true })
+		list := f.leave(1)
+		f.after(outage)
+		f.mustList(before)
+		rate := float64(f.lists.counted()) / outage.Seconds()
+		if limit := 2.0*3*topology.WatchersPerRegion + 2*feed.DefaultReadsPerSecond; rate > limit {
+			f.t.Errorf("%.1f readings a second, at most %.1f are permitted", rate, limit)
+		}
+		for vm, n := range f.nodes {
+			if age := n.vms.age(); age < outage-time.Second || age > outage+feed.DefaultStaleAfter {
+				f.t.Errorf("%s: the list is %s old after %s", vm, age, outage)
+			}
+		}
+		f.lists.change(func(s *listService) { s.out = false })
+		f.after(leavingKnown)
+		f.mustList(list)
+	})
+}
+
+// A VM starts while the list service is out, knowing one other node by the
+// store. It must learn the list, with its age, from its peers.
+func TestNodeStartsWhileTheListIsOut(t *testing.T) {
+	inListFleet(t, func(f *testFleet) {
+		list := f.lists.list
+		f.lists.change(func(s *listService) { s.out = true })
+		f.after(time.Minute)
+		restarted := f.byRole(topology.Leaf)
+		f.kill(restarted)
+		n := f.start(restarted.member)
+		var seed membership.VM
+		for _, vm := range f.list.VMs {
+			if vm.ID != n.member.VM {
+				seed = vm
+			}
+		}
+		n.vms.seeds.Store(&seed)
+		f.after(settle)
+		f.mustList(list)
+		if age := n.vms.age(); !n.Ready() || age < time.Minute || age > 2*time.Minute {
+			f.t.Errorf("ready %v with a list %s old", n.Ready(), age)
+		}
+	})
+}
+
+// A VM hears nothing for five minutes, neither its peers nor the platform, and
+// its list changes meanwhile. When it is back it must not take its old list for
+// fresh, and have the new one within seconds.
+func TestCutOffNodeKnowsTheAgeOfItsList(t *testing.T) {
+	inListFleet(t, func(f *testFleet) {
+		cut := f.byRole(topology.Leaf)
+		f.lists.change(func(s *listService) { s.given[cut.member.VM] = nil })
+		f.net.setBlocked(func(from, to string) bool {
+			return from == cut.member.Address || to == cut.member.Address
+		})
+		f.after(time.Second)
+		list := f.leave(1)
+		const away = 5 * time.Minute
+		f.after(away)
+		if age := cut.vms.age(); age < away {
+			f.t.Errorf("a list of %s ago counts as %s old", away, age)
+		}
+		f.net.setBlocked(func(string, string) bool { return false })
+		cut.ready.reset()
+		f.after(leavingKnown)
+		f.mustList(list)
+	})
+}
+
+// Spreading fails for a whole failure domain although the platform answers.
+// The nodes there read the list themselves.
+func TestNodesReadWhileSpreadingFails(t *testing.T) {
+	inListFleet(t, func(f *testFleet) {
+		inside := map[string]bool{}
+		for _, n := range f.nodes {
+			if n.member.Place == "r1-p1" {
+				inside[n.member.Address] = true
+			}
+		}
+		f.net.setBlocked(func(from, to string) bool { return inside[from] != inside[to] })
+		f.after(2 * feed.DefaultStaleAfter)
+		list := f.leave(1)
+		f.after(leavingKnown)
+		f.mustList(list)
+	})
+}
+
+// Spreading fails everywhere at one moment. Every node reads the list itself,
+// in sum within the rate permitted, and learns of a change.
+func TestAllNodesReadWithinTheRate(t *testing.T) {
+	withLists(t, 3, 2, 20, func(*testFleet) {}, func(f *testFleet) {
+		f.net.setBlocked(func(string, string) bool { return true })
+		f.after(feed.DefaultStaleAfter)
+		f.lists.counted()
+		worst := 0
+		list := f.leave(1)
+		for range 60 {
+			f.after(time.Second)
+			worst = max(worst, f.lists.counted())
+		}
+		f.mustList(list)
+		watchers := 2 * 3 * topology.WatchersPerRegion
+		if limit := watchers + 3*feed.DefaultReadsPerSecond/2; worst > limit {
+			f.t.Errorf("%d readings in one second, at most %d are expected", worst, limit)
+		}
+		t.Logf("%d nodes: at most %d readings in one second", len(f.nodes), worst)
+	})
+}
+
+// All VMs are started at one moment. Each reads the list about once, since it
+// knows no other node; then only the watchers do.
+func TestAllNodesStartTogether(t *testing.T) {
+	started := func(f *testFleet) {
+		nodes := len(f.nodes)
+		f.after(10 * time.Second)
+		reads := f.lists.counted()
+		t.Logf("%d nodes started together: %d readings in 10 s", nodes, reads)
+		if limit := 4*nodes + 20*3*topology.WatchersPerRegion; reads > limit {
+			f.t.Errorf("%d readings by %d nodes, at most %d are expected", reads, nodes, limit)
+		}
+	}
+	withLists(t, 3, 2, 8, started, func(*testFleet) {})
+	withLists(t, 6, 3, 6, started, func(*testFleet) {})
+}
+
+// Parts of the next list are damaged on their way, or made by a faulty node.
+// Every node sees that its parts do not add up and keeps the list it has; the
+// watchers mend the parts, by a new epoch where the damaged ones would win.
+func TestDamagedPartIsNeverShown(t *testing.T) {
+	inListFleet(t, func(f *testFleet) {
+		before := f.lists.list
+		leaf := f.byRole(topology.Leaf)
+		for _, vm := range before.VMs[:8] {
+			vm.State = membership.StateLeaving
+			forged, err := parts.Split([]membership.VM{vm})
+			if err != nil {
+				f.t.Fatal(err)
+			}
+			for key, body := range forged {
+				if err := leaf.Publish(key, 1, before.Sequence+1, body); err != nil {
+					f.t.Fatal(err)
+				}
+			}
+		}
+		list := f.leave(1)
+		for range 300 {
+			f.after(100 * time.Millisecond)
+			for vm, n := range f.nodes {
+				got := n.vms.view.Current().List.VMs
+				if !slices.Equal(got, before.VMs) && !slices.Equal(got, list.VMs) {
+					f.t.Fatalf("%s shows a list that never was", vm)
+				}
+			}
+		}
+		f.mustList(list)
+	})
+}
+
+// All watchers are given an old list for some seconds when a VM restarts, which
+// reads the newer one. It must not take the older one from its peers, and gives
+// them its own. (Were they given the old one for longer than StaleAfter, it would
+// be taken for that of a platform that counts anew.)
+func TestRestartedNodeKeepsItsNewerList(t *testing.T) {
+	inListFleet(t, func(f *testFleet) {
+		old := f.lists.list
+		f.lists.change(func(s *listService) {
+			for vm, n := range f.nodes {
+				if n.Watching() {
+					s.given[vm] = &old
+				}
+			}
+		})
+		list := f.leave(1)
+		restarted := f.byRole(topology.Leaf)
+		f.kill(restarted)
+		n := f.start(restarted.member)
+		for range leavingKnown / time.Second {
+			f.after(time.Second)
+			if got := n.vms.view.Current(); got.List.Sequence != list.Sequence {
+				f.t.Fatalf("list %d after list %d", got.List.Sequence, list.Sequence)
+			}
+		}
+		f.mustList(list)
+	})
+}
