integration: the race waits for the store by its head, not by its whole history

Cause: with 60 changes an operator the test gave up after 60 s with 'the history to stand still': it read the whole history, a call for each older change at 20 calls a second, in each of 20 rounds.

Change: the rounds read the head's sequence; the history is read once.

--- a/integration/config_race_test.go
+++ b/integration/config_race_test.go
@@ -241,22 +241,26 @@
 	}
 	defer kv.Close()
 	log := changelog.New(kv, changelog.Options{})
-	var history []changelog.Record
-	quiet := 0
-	r.f.waitUntil("the history to stand still", func() bool {
-		now, err := log.History(r.t.Context(), raceTemplate, changelog.Filter{})
-		if err != nil || len(now) != len(history) {
-			history, quiet = now, 0
-			return false
+	newest, quiet := uint64(0), 0
+	r.f.waitUntil("the store to stand still", func() bool {
+		head, err := log.Head(r.t.Context(), raceTemplate)
+		if err != nil || head.Sequence != newest {
+			quiet = 0
+		}
+		if err == nil {
+			newest = head.Sequence
 		}
 		quiet++
-		return quiet >= quietRounds
+		return quiet > quietRounds
 	})
+	history, err := log.History(r.t.Context(), raceTemplate, changelog.Filter{})
+	if err != nil {
+		r.t.Fatal(err)
+	}
 	for _, record := range history {
 		r.in.History = append(r.in.History, configcheck.Record{ID: record.ID, Object: objectOf(record.Name), Sequence: record.Sequence})
 	}
 	r.askByIdentifier(history)
-	newest := history[0].Sequence
 	for i := range r.nodes {
 		r.f.waitUntil(r.nodes[i].name+" to have the newest state", func() bool { return r.hasNewest(i, newest) })
 		r.in.Last = append(r.in.Last, r.live(i)...)
