tlsfiles: close a peer's connection once its authority was taken away

Cause: a peer's certificate is checked when its connection is set up. A peer with a key of an authority that was removed from authority_file, as one whose key was stolen, was answered for as long as it kept its connection. The files were also looked at only when somebody connected.

Change: the keeper holds the open connections of both directions with their certificates and closes those that the authorities now in use did not sign; Watch looks at the files every 10 s.

--- a/admin/tlsfiles/keeper.go
+++ b/admin/tlsfiles/keeper.go
@@ -12,7 +12,8 @@
 const DefaultInterval = 10 * time.Second
 
 // Keeper holds the newest keys that could be read. It looks at the files when
-// a connection is set up, at most once in an interval.
+// a connection is set up, at most once in an interval, and in each while Watch
+// runs.
 //
 // Files are not replaced all at one moment, so a reading can catch a new
 // certificate with an old key. Such a pair does not load; the keeper then goes
@@ -24,6 +25,7 @@
 	logger   logrus.FieldLogger
 
 	current atomic.Pointer[keys]
+	open    openPeers
 
 	mu     sync.Mutex
 	looked time.Time
@@ -89,4 +91,5 @@
 	k.last = read
 	k.current.Store(fresh)
 	k.logger.Info("tls: keys read again")
+	k.closeStrangers()
 }
--- a/admin/tlsfiles/peers.go
+++ b/admin/tlsfiles/peers.go
@@ -46,18 +46,22 @@
 }
 
 func (k *Keeper) verify(host string, chain []*x509.Certificate) error {
+	k.keys()
+	err := k.verifyChain(chain, x509.VerifyOptions{DNSName: host})
+	return errors.Wrap(err, "tls: certificate of "+host)
+}
+
+// verifyChain checks a peer's certificate against the authorities as last read.
+func (k *Keeper) verifyChain(chain []*x509.Certificate, options x509.VerifyOptions) error {
 	if len(chain) == 0 {
 		return errors.New("tls: the peer has no certificate")
 	}
-	between := x509.NewCertPool()
+	options.Intermediates = x509.NewCertPool()
 	for _, certificate := range chain[1:] {
-		between.AddCert(certificate)
+		options.Intermediates.AddCert(certificate)
 	}
-	_, err := chain[0].Verify(x509.VerifyOptions{
-		DNSName:       host,
-		Roots:         k.keys().authorities,
-		Intermediates: between,
-		CurrentTime:   k.now(),
-	})
-	return errors.Wrap(err, "tls: certificate of "+host)
+	options.Roots = k.current.Load().authorities
+	options.CurrentTime = k.now()
+	_, err := chain[0].Verify(options)
+	return err
 }
--- a/node/run.go
+++ b/node/run.go
@@ -26,6 +26,9 @@
 	})
 	n.running.Go(func() { n.feed.Run(ctx) })
 	n.running.Go(func() { n.spread.Run(ctx) })
+	if n.keys != nil {
+		n.running.Go(func() { n.keys.Watch(ctx) })
+	}
 	n.running.Go(func() { n.runControl(ctx) })
 	n.log.WithField("callers", n.callers.Address()).WithField("peers", n.ref.PeerAddress).
 		WithField("admin", n.admin.Address()).Info("node: started")
--- a/node/tls.go
+++ b/node/tls.go
@@ -30,7 +30,7 @@
 	if n.keys == nil {
 		return insecure.NewCredentials()
 	}
-	return credentials.NewTLS(n.keys.PeerServer())
+	return n.keys.Watched(credentials.NewTLS(n.keys.PeerServer()))
 }
 
 // clientCredentials are those of connections to peers.
@@ -38,10 +38,10 @@
 	if n.keys == nil {
 		return insecure.NewCredentials()
 	}
-	return peerCredentials{
+	return n.keys.Watched(peerCredentials{
 		TransportCredentials: credentials.NewTLS(n.keys.PeerClient("")),
 		keys:                 n.keys,
-	}
+	})
 }
 
 // peerCredentials check that a peer's certificate names the IP address that was
