steering: compare the plans once for all nodes that lag

A sum in the order of a map could also differ in its last digit between two calls. Change: the distances of a flow's plans are computed once, versions are found by bisection, and nodes are summed in a fixed order.

--- a/control/decider/reported.go
+++ b/control/decider/reported.go
@@ -85,6 +85,7 @@
 
 // observed returns the last reports, and the nodes that there is none of.
 func (c *Core) observed(now time.Time) (reports []Observed, unheard []grant.NodeID) {
+	reports = make([]Observed, 0, len(c.reports))
 	for _, state := range c.ledger.States(now) {
 		r := c.reports[state.Node.ID]
 		if r == nil {
--- a/steering/planner/positions.go
+++ b/steering/planner/positions.go
@@ -1,7 +1,9 @@
 package planner
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/yuccaroute/yuccaroute/api/grant"
@@ -188,22 +190,63 @@
 		return nil
 	}
 	ref := p.trail.inForce(now.Add(-window))
+	lags := p.lagging(ref)
+	if len(lags) == 0 {
+		return nil
+	}
 	var result []steering.Behind
 	for i := range p.trail.plans[ref].flows {
 		f := &p.trail.plans[ref].flows[i]
 		key := flowKey{f.Service, f.Caller}
-		if sum := p.charge(key, ref); sum > 0 {
+		if sum := p.charge(key, lags, ref); sum > 0 {
 			result = append(result, steering.Behind{Service: key.service, Caller: key.caller, PPM: sum})
 		}
 	}
 	return result
 }
 
-func (p *positions) charge(key flowKey, ref int) uint32 {
+// lag is a node that may still be at an older plan than the one in force a
+// window ago.
+type lag struct {
+	id   grant.NodeID
+	node *position
+	// from is the index of the plan, -1 for one that is not remembered.
+	from int
+}
+
+// lagging lists the nodes behind the plan at ref, those farthest back first.
+func (p *positions) lagging(ref int) []lag {
+	var lags []lag
+	for id, n := range p.nodes {
+		if len(n.reached) > 0 && n.reached[0].before(p.trail.plans[ref].version) {
+			lags = append(lags, lag{id, n, p.trail.find(n.reached[0].version)})
+		}
+	}
+	slices.SortFunc(lags, compareLags)
+	return lags
+}
+
+// compareLags gives an order that does not depend on that of a map: sums of
+// rounded numbers do, and a plan must not.
+func compareLags(a, b lag) int {
+	return cmp.Or(
+		cmp.Compare(a.from, b.from),
+		cmp.Compare(a.id.VM, b.id.VM),
+		cmp.Compare(a.id.Incarnation, b.id.Incarnation),
+	)
+}
+
+func (p *positions) charge(key flowKey, lags []lag, ref int) uint32 {
+	first := max(lags[0].from, 0)
+	farthest := p.trail.farthest(first, ref, key)
 	sum := 0.0
-	for _, n := range p.nodes {
-		if far := p.farOf(n, key, ref); far > 0 {
-			sum += float64(far) * p.partOf(n, key)
+	for _, l := range lags {
+		far := farthest[max(l.from, 0)-first]
+		if l.from < 0 {
+			far = min(far+p.trail.before[key], plan.Whole)
+		}
+		if far > 0 {
+			sum += float64(far) * p.partOf(l.node, key)
 		}
 	}
 	return uint32(math.Ceil(min(sum, plan.Whole)))
@@ -221,14 +264,6 @@
 	return min(max(equal, partFactor*h.value()), 1)
 }
 
-// farOf returns the distance of a node to the plan at ref.
-func (p *positions) farOf(n *position, key flowKey, ref int) uint32 {
-	if len(n.reached) == 0 || !n.reached[0].before(p.trail.plans[ref].version) {
-		return 0
-	}
-	return p.trail.farthest(n.reached[0].version, ref, key)
-}
-
 // highest is the largest of the values within the last window, or a little
 // longer.
 type highest struct {
--- a/steering/planner/trail.go
+++ b/steering/planner/trail.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"sort"
 	"time"
 
 	"github.com/yuccaroute/yuccaroute/api/plan"
@@ -102,28 +103,24 @@
 
 // find returns the index of a version, or -1.
 func (t *trail) find(v version) int {
-	for i := len(t.plans) - 1; i >= 0; i-- {
-		if t.plans[i].version == v {
-			return i
-		}
+	i := sort.Search(len(t.plans), func(i int) bool { return !t.plans[i].version.before(v) })
+	if i < len(t.plans) && t.plans[i].version == v {
+		return i
 	}
 	return -1
 }
 
-// farthest returns the largest distance of a flow's shares in the plans from
-// a version on to those in the plan at ref. A node on its way between some of
-// them is no farther: its shares are a weighted mean of theirs. For a version
-// that is not remembered it is at most all that was moved before the others.
-func (t *trail) farthest(from version, ref int, key flowKey) uint32 {
+// farthest returns for each plan from the first up to the one at ref how far a
+// flow is at most from the latter, on its way from the former: a node that is
+// between some plans has a weighted mean of their shares, and is no farther
+// than the farthest of them.
+func (t *trail) farthest(first, ref int, key flowKey) []uint32 {
 	goal := sharesOf(t.plans[ref].flows, key)
-	first, most := t.find(from), uint32(0)
-	for i := max(first, 0); i < ref; i++ {
-		most = max(most, distance(sharesOf(t.plans[i].flows, key), goal))
-	}
-	if first < 0 {
-		most += t.before[key]
+	most := make([]uint32, ref-first+1)
+	for i := ref - 1; i >= first; i-- {
+		most[i-first] = max(most[i-first+1], distance(sharesOf(t.plans[i].flows, key), goal))
 	}
-	return min(most, plan.Whole)
+	return most
 }
 
 func sharesOf(flows []plan.Flow, key flowKey) []plan.Share {
