clock: grants expire while the machine is suspended

Cause: the expiry of a surplus was compared with the clock behind time.Now, which stands still while a VM is suspended. Ruled out: the wall clock, which a correction of the time would move, and a timer, which runs after the first admissions. Change: api/clock adds to time.Now how far the boot clock has gone ahead of it; the daemon gives it to the proxy and to module control, where grants are made, kept and admitted.

--- a/cmd/yuccarouted/main.go
+++ b/cmd/yuccarouted/main.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
+	"github.com/yuccaroute/yuccaroute/api/clock"
 	"github.com/yuccaroute/yuccaroute/cmd/internal/program"
 	"github.com/yuccaroute/yuccaroute/config/settings"
 	"github.com/yuccaroute/yuccaroute/httpserver"
@@ -61,7 +62,7 @@
 		return program.Exit(program.ExitUsage, err)
 	}
 	httpserver.UseLog(logger)
-	n, err := node.New(node.Options{Settings: s, Logger: logger})
+	n, err := node.New(node.Options{Settings: s, Logger: logger, Clock: clock.New().Now})
 	if err != nil {
 		return program.Exit(program.ExitUsage, err)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -161,6 +161,7 @@
 		MaxBufferedBytes: s.Limits.BufferedBytes,
 		MaxInFlight:      int64(s.Limits.QueuedRequests),
 		Nodes:            n.liveNodes,
+		Clock:            n.options.Clock,
 		Dial:             n.options.Dial,
 	})
 	if err != nil {
@@ -206,6 +207,7 @@
 		Leaving:     n.leaving.Load,
 		Planner:     n.planner,
 		Logger:      n.log,
+		Clock:       n.options.Clock,
 	})
 	if err != nil {
 		return err
--- a/node/options.go
+++ b/node/options.go
@@ -30,6 +30,8 @@
 	// Incarnation names this life of the process; 0 draws a random one. Two
 	// lives of one VM must differ, since grants belong to one life.
 	Incarnation uint64
+	// Clock is what grants expire by; nil takes time.Now. See api/clock.
+	Clock func() time.Time
 	// After times the notice of a planned stop; nil takes time.After.
 	After func(time.Duration) <-chan time.Time
 }
@@ -41,6 +43,9 @@
 	if o.Logger == nil {
 		o.Logger = logrus.StandardLogger()
 	}
+	if o.Clock == nil {
+		o.Clock = time.Now
+	}
 	if o.After == nil {
 		o.After = time.After
 	}
--- a/proxy/account_state.go
+++ b/proxy/account_state.go
@@ -74,7 +74,7 @@
 	state := s.places[key]
 	if state == nil {
 		state = newPlaceState(s.proxy, key)
-		state.bucket.Set(admission.LimitOf(s.grants, key), time.Now())
+		state.bucket.Set(admission.LimitOf(s.grants, key), s.proxy.options.Clock())
 		s.places[key] = state
 	}
 	state.setService(service, s.roundTrip(place.Region), now)
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -61,6 +61,10 @@
 	ConnectTimeout time.Duration
 	// Nodes returns how many entry nodes are live; nil reads as one.
 	Nodes func() int
+	// Clock is what grants are compared with, and must be the clock that their
+	// expiry was read from; nil takes time.Now. A clock that goes on while the
+	// machine is suspended keeps expired grants from being used after it.
+	Clock func() time.Time
 	// Dial opens connections to targets; nil takes TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
@@ -72,6 +76,9 @@
 	if o.Nodes == nil {
 		o.Nodes = func() int { return 1 }
 	}
+	if o.Clock == nil {
+		o.Clock = time.Now
+	}
 	if o.Logger == nil {
 		o.Logger = logrus.New()
 	}
--- a/proxy/permission.go
+++ b/proxy/permission.go
@@ -26,7 +26,7 @@
 // its surplus has gone to another node; the request would come on top of that
 // node's. What the first admission took is not given back.
 func (p permission) stillGranted() bool {
-	now := time.Now()
+	now := p.place.proxy.options.Clock()
 	if now.Sub(p.admitted) < freshFor {
 		return true
 	}
--- a/proxy/permit.go
+++ b/proxy/permit.go
@@ -33,7 +33,7 @@
 		return permission{}, refuse(q.noTargetCode())
 	}
 	leaveBy := q.leaveBy(place)
-	if wait := place.bucket.Wait(time.Now()); wait > 0 && !q.excessWaits() {
+	if wait := place.bucket.Wait(p.options.Clock()); wait > 0 && !q.excessWaits() {
 		if wait > pacingTime {
 			return permission{}, refuseUntil(result.NoCapacity, place.comeBack(wait))
 		}
--- a/proxy/place_state.go
+++ b/proxy/place_state.go
@@ -52,7 +52,7 @@
 		proxy:  p,
 		key:    key,
 		field:  []string{string(key.Place)},
-		bucket: admission.NewBucket(time.Now()),
+		bucket: admission.NewBucket(p.options.Clock()),
 	}
 	s.line = queue.NewLine[permission](s)
 	s.counts.init()
@@ -82,8 +82,8 @@
 // acquire takes a slot at a target that is not marked, and one request of the
 // grant. Without either it tells what is short and when to ask again.
 func (s *placeState) acquire(class model.Class, skip balance.Skip) (permission, shortage, time.Duration) {
-	at := time.Now()
-	now := s.proxy.nanos(at)
+	at := s.proxy.options.Clock()
+	now := s.proxy.now()
 	ts := s.targets.Load()
 	if class == model.Bulk && !s.bulkFits(ts, now) {
 		return permission{}, shortSlot, askAgain
@@ -134,7 +134,7 @@
 	return s.bucket.TakeLow(now)
 }
 
-func (s *placeState) returnToken() { s.bucket.Return(time.Now()) }
+func (s *placeState) returnToken() { s.bucket.Return(s.proxy.options.Clock()) }
 
 // Release implements queue.Source.
 func (s *placeState) Release(p permission) { p.cancel() }
@@ -142,12 +142,12 @@
 // Pace implements queue.Source: the lower of what the grant and what the slots
 // permit.
 func (s *placeState) Pace() float64 {
-	rate := s.bucket.RPS(time.Now())
+	rate := s.bucket.RPS(s.proxy.options.Clock())
 	return min(rate, s.slotPace()/slotPaceMargin)
 }
 
 // Wait implements queue.Source.
-func (s *placeState) Wait() time.Duration { return s.bucket.Wait(time.Now()) }
+func (s *placeState) Wait() time.Duration { return s.bucket.Wait(s.proxy.options.Clock()) }
 
 // comeBack returns when a refused caller may come back, given how long a request
 // would wait now.
@@ -163,7 +163,7 @@
 // lateCode names what made a waiting request late: the node's grant, or the
 // targets' slots.
 func (s *placeState) lateCode() result.Code {
-	if s.bucket.RPS(time.Now()) < s.slotPace() {
+	if s.bucket.RPS(s.proxy.options.Clock()) < s.slotPace() {
 		return result.NoCapacity
 	}
 	return result.QueueFull
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -107,7 +107,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.accountState(set.Account)
-	s.setGrants(set, time.Now())
+	s.setGrants(set, p.options.Clock())
 }
 
 // SetTargets puts a reading of the VM list in force.
@@ -147,10 +147,7 @@
 }
 
 // now returns nanoseconds on the monotonic clock since the proxy began.
-func (p *Proxy) now() int64 { return p.nanos(time.Now()) }
-
-// nanos returns a time on the clock of now.
-func (p *Proxy) nanos(at time.Time) int64 { return int64(at.Sub(p.start)) }
+func (p *Proxy) now() int64 { return int64(time.Since(p.start)) }
 
 // accountState is called with the lock held.
 func (p *Proxy) accountState(name model.AccountName) *accountState {
--- a/proxy/reports_test.go
+++ b/proxy/reports_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/yuccaroute/yuccaroute/api/model"
 	"github.com/yuccaroute/yuccaroute/api/observe"
 	"github.com/yuccaroute/yuccaroute/api/plan"
 	"github.com/yuccaroute/yuccaroute/api/result"
@@ -96,3 +98,21 @@
 		t.Fatalf("reports plan %d, the shares are those of 3", r.PlanSequence)
 	}
 }
+
+// A VM is suspended with a surplus in force and resumed an hour later. The
+// clock behind time.Now stood still, and the surplus has long been given to
+// other nodes; no request may be sent on it, though no timer has run yet.
+func TestSurplusIsNotUsedAfterASuspension(t *testing.T) {
+	var suspended atomic.Int64
+	p, target := newServingProxy(t, func(o *Options, _ *model.Account) {
+		o.Clock = func() time.Time { return time.Now().Add(time.Duration(suspended.Load())) }
+	})
+	set := testGrants(2, 0)
+	set.Grants[0].Surplus = ampleRate
+	set.SurplusExpires = time.Now().Add(time.Minute)
+	p.SetGrants(set)
+	wantResult(t, callWithinGrant(p, http.MethodPost, "/orders", "x"), result.OK)
+	suspended.Store(int64(time.Hour))
+	wantResult(t, call(p, http.MethodPost, "/orders", "x"), result.NoCapacity)
+	target.wantRequests(t, 1)
+}
