Hold a new connection back until no event of an earlier one can reach it

Cause: a poller of nbio finds the connection of an event by its descriptor. An event that it had fetched for a connection which another goroutine closed (a time-out, a failed write, a stop) was applied to the connection that had the descriptor by then, so that a sound one was closed before its request was read.

Change: httpserver/handover accepts for both servers. It hands a connection to its poller only after that has read two bytes, one after the other, on a connection of the server's own: then the batch that was under way when the descriptor became free is done. It also makes Start of httpserver return only when every poller runs, without which a stop right after it could hang.

TestStopRightAfterStart hangs with the first pass taken out.

--- /dev/null
+++ b/httpserver/handover/acceptor_test.go
@@ -0,0 +1,48 @@
+package handover
+
+import (
+	"net"
+	"sync/atomic"
+	"testing"
+
+	"github.com/lesismal/nbio"
+)
+
+// A server is stopped right after its start, with callers connecting. The
+// engine forgets a stop that comes before a poller has begun and would never
+// end; and a connection taken after the stop would never be closed.
+func TestStopRightAfterStart(t *testing.T) {
+	const rounds, callers = 300, 4
+	for round := range rounds {
+		engine := nbio.NewEngine(nbio.Config{Name: "test", NPoller: 3})
+		engine.OnData(func(c *nbio.Conn, data []byte) { c.DataHandler()(c, data) })
+		if err := engine.Start(); err != nil {
+			t.Fatal(err)
+		}
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var stopped atomic.Bool
+		a, err := Start(engine, l, func(c *nbio.Conn) {
+			if stopped.Load() {
+				t.Error("taken after the stop")
+			}
+			c.OnData(func(*nbio.Conn, []byte) {})
+			_, _ = engine.AddConn(c)
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range round % 2 * callers {
+			c, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+		}
+		a.Stop()
+		stopped.Store(true)
+		engine.Stop()
+	}
+}
--- a/httpserver/server.go
+++ b/httpserver/server.go
@@ -13,6 +13,8 @@
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
+
+	"github.com/yuccaroute/yuccaroute/httpserver/handover"
 )
 
 // headerAllowanceBytes is what a request's head may add to its body in the
@@ -32,8 +34,10 @@
 
 // Server is a running HTTP server.
 type Server struct {
-	engine  *nbhttp.Engine
-	address net.Addr
+	engine   *nbhttp.Engine
+	acceptor *handover.Acceptor
+	address  net.Addr
+	tls      *tls.Config
 	// opened counts connections; see orderHandover.
 	opened atomic.Uint64
 }
@@ -41,29 +45,40 @@
 // Start listens and serves until Stop. It returns an error if the address
 // cannot be bound.
 func Start(o Options) (*Server, error) {
-	s := &Server{}
-	config := nbhttp.Config{
-		Network:         "tcp",
+	l, err := net.Listen("tcp", o.Address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", o.Address)
+	}
+	s := &Server{tls: o.TLS, address: l.Addr()}
+	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Handler:         o.Handler,
 		MaxHTTPBodySize: o.MaxBodyBytes,
 		ReadLimit:       o.MaxBodyBytes + headerAllowanceBytes,
-		Listen:          s.listen,
 		OnRequest:       LeaveClosing,
-	}
-	if o.TLS != nil {
-		config.TLSConfig = o.TLS
-		config.AddrsTLS = []string{o.Address}
-	} else {
-		config.Addrs = []string{o.Address}
-	}
-	s.engine = nbhttp.NewEngine(config)
+	})
 	s.orderHandover()
 	if err := s.engine.Start(); err != nil {
-		return nil, errors.Wrapf(err, "listen on %s", o.Address)
+		_ = l.Close()
+		return nil, errors.Wrap(err, "start the server")
+	}
+	if s.acceptor, err = handover.Start(s.engine.Engine, l, s.take); err != nil {
+		_ = l.Close()
+		s.engine.Stop()
+		return nil, errors.Wrap(err, "start the server")
 	}
 	return s, nil
 }
 
+// take gives a new connection to the engine.
+func (s *Server) take(c *nbio.Conn) {
+	conn := &nbhttp.Conn{Conn: c}
+	if s.tls == nil {
+		s.engine.AddConnNonTLSNonBlocking(conn, nil, func() {})
+		return
+	}
+	s.engine.AddConnTLSNonBlocking(conn, s.tls, func() {})
+}
+
 // LeaveClosing lets the caller close a connection that it asked to be closed.
 // It is an nbhttp OnRequest hook.
 //
@@ -95,21 +110,12 @@
 	})
 }
 
-// listen keeps the address that the system chose for port 0.
-func (s *Server) listen(network, address string) (net.Listener, error) {
-	l, err := net.Listen(network, address)
-	if err != nil {
-		return nil, err
-	}
-	s.address = l.Addr()
-	return l, nil
-}
-
 // Address returns the ip:port in use.
 func (s *Server) Address() string { return s.address.String() }
 
 // Stop closes the listener and all connections. Work in hand must have ended
 // before, since its answers are lost.
 func (s *Server) Stop(ctx context.Context) error {
+	s.acceptor.Stop()
 	return s.engine.Shutdown(ctx)
 }
--- a/proxy/ingress/server.go
+++ b/proxy/ingress/server.go
@@ -13,19 +13,18 @@
 	"github.com/pkg/errors"
 
 	"github.com/yuccaroute/yuccaroute/httpserver"
+	"github.com/yuccaroute/yuccaroute/httpserver/handover"
 )
 
-// Pauses of the server's own loops.
-const (
-	acceptPause = 10 * time.Millisecond
-	stopPoll    = 5 * time.Millisecond
-)
+// stopPoll is how often a stop looks whether all answers are given.
+const stopPoll = 5 * time.Millisecond
 
 // Server serves callers until Stop.
 type Server struct {
 	options  Options
 	engine   *nbhttp.Engine
-	listener net.Listener
+	acceptor *handover.Acceptor
+	address  net.Addr
 	open     atomic.Int64
 	// busy counts requests handed over whose answers are not wholly given.
 	busy atomic.Int64
@@ -33,7 +32,6 @@
 	// engine's goroutines. The engine itself hands it over through the kernel
 	// only, which Go's memory model does not know.
 	handovers atomic.Int64
-	accept    sync.WaitGroup
 	stop      sync.Once
 }
 
@@ -68,13 +66,17 @@
 		s.engine.Stop()
 		return nil, errors.Wrapf(err, "ingress: listen on %s", o.Address)
 	}
-	s.listener = l
-	s.accept.Go(s.acceptLoop)
+	s.address = l.Addr()
+	if s.acceptor, err = handover.Start(s.engine.Engine, l, s.take); err != nil {
+		_ = l.Close()
+		s.engine.Stop()
+		return nil, errors.Wrap(err, "ingress: start")
+	}
 	return s, nil
 }
 
 // Address returns the ip:port in use.
-func (s *Server) Address() string { return s.listener.Addr().String() }
+func (s *Server) Address() string { return s.address.String() }
 
 // Busy returns the requests in hand whose answers are not wholly given.
 func (s *Server) Busy() int { return int(s.busy.Load()) }
@@ -82,8 +84,7 @@
 // Stop takes no new connections, waits until every answer in hand is given or
 // the context ends, and closes all connections.
 func (s *Server) Stop(ctx context.Context) error {
-	_ = s.listener.Close()
-	s.accept.Wait()
+	s.acceptor.Stop()
 	err := s.waitIdle(ctx)
 	s.stop.Do(s.engine.Stop)
 	return err
@@ -102,32 +103,11 @@
 	return nil
 }
 
-func (s *Server) acceptLoop() {
-	for {
-		c, err := s.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			// Out of file descriptors, most likely: some become free again.
-			time.Sleep(acceptPause)
-			continue
-		}
-		s.take(c)
-	}
-}
-
 // take hands a new connection to the engine.
-func (s *Server) take(c net.Conn) {
+func (s *Server) take(nbc *nbio.Conn) {
 	if s.open.Add(1) > int64(s.options.MaxConnections) {
 		s.open.Add(-1)
-		_ = c.Close()
-		return
-	}
-	nbc, err := nbio.NBConn(c)
-	if err != nil {
-		s.open.Add(-1)
-		_ = c.Close()
+		_ = nbc.Close()
 		return
 	}
 	conn := newConnection(s, nbc)
