spread: items name content, which is sent only where it is lacking

Cause: an account with 12,222 caller blocks is one item of 78.8 KB, sent whole with every change, though most changes leave the blocks as they are. A state that names content waits aside until all of it is here; content that nothing names is refused and dropped. Tests: the store of the fleets emits content last, as the source does; the listeners' check for older states leaves out content, which has no versions; the random faults also name content and check it after each step (none eased). Conclusion: large bodies can be spread at the cost of their names.

--- a/spread/compare.go
+++ b/spread/compare.go
@@ -59,7 +59,7 @@
 // repair moves what differs, at most a chunk from the peer; more tells that
 // there is a further one.
 func (s *Service) repair(ctx context.Context, client peerpb.SpreadClient, m topology.Member, first *peerpb.CompareResponse, c *comparison) (more bool, err error) {
-	req := differing(s.Snapshot(), first.GetBucketDigests())
+	req := s.differing(first.GetBucketDigests())
 	if len(req.Buckets) == 0 {
 		return false, nil
 	}
@@ -80,8 +80,11 @@
 	return res.GetMore(), nil
 }
 
-// differing asks for the buckets whose digests are not those of the snapshot.
-func differing(snap *item.Snapshot, digests []uint64) *peerpb.CompareRequest {
+// differing asks for the buckets whose digests are not those of the node. What
+// arrived and waits is had too: a repair of many messages would else begin anew
+// with each.
+func (s *Service) differing(digests []uint64) *peerpb.CompareRequest {
+	snap := s.Snapshot()
 	req := &peerpb.CompareRequest{}
 	for i, digest := range digests {
 		if i >= item.Buckets || snap.BucketDigest(i) == digest {
@@ -91,6 +94,9 @@
 		snap.Bucket(i, func(it item.Item) {
 			req.Have = append(req.Have, versionOf(it))
 		})
+		for _, it := range s.hub.arrivedIn(i) {
+			req.Have = append(req.Have, versionOf(it))
+		}
 	}
 	return req
 }
@@ -103,7 +109,7 @@
 			out = append(out, it)
 		}
 	}
-	return out
+	return contentLast(out)
 }
 
 // exchange makes one call with the node's name and digest filled in.
--- a/spread/convert.go
+++ b/spread/convert.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/yuccaroute/yuccaroute/api/content"
 	"github.com/yuccaroute/yuccaroute/api/peerpb"
 	"github.com/yuccaroute/yuccaroute/spread/item"
 )
@@ -32,6 +33,9 @@
 	if len(body) > MaxBodyBytes {
 		return errors.Errorf("spread: item %s has %d bytes, at most %d are permitted", key, len(body), MaxBodyBytes)
 	}
+	if content.IsKey(key) && !content.Matches(key, body) {
+		return errors.Errorf("spread: content is not what its key %s names", key)
+	}
 	return nil
 }
 
@@ -50,6 +54,9 @@
 		return item.Item{}, err
 	}
 	body := p.GetBody()
+	if content.IsKey(v.GetKey()) {
+		return item.New(v.GetKey(), 0, 0, body), nil
+	}
 	if p.GetDeleted() {
 		body = nil
 	} else if body == nil {
--- a/spread/item/table.go
+++ b/spread/item/table.go
@@ -17,6 +17,10 @@
 	Known
 	// Older: the table has a later state.
 	Older
+	// Waiting: it is kept aside until the content it names is there.
+	Waiting
+	// Unnamed: it is content that no item names.
+	Unnamed
 )
 
 // Table holds the latest state of each key. It is safe for use by several
@@ -78,3 +82,23 @@
 	next.digest += delta
 	return &next
 }
+
+// Remove drops a key without a tombstone. It is for content, which is the same
+// wherever it comes from, so that nothing older can come back in its place.
+func (t *Table) Remove(key string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := t.current.Load()
+	b := BucketOf(key)
+	have, found := old.buckets[b].items[key]
+	if !found {
+		return
+	}
+	next := *old
+	items := maps.Clone(old.buckets[b].items)
+	delete(items, key)
+	next.buckets[b] = &bucket{items: items, digest: old.buckets[b].digest - have.Sum}
+	next.digest -= have.Sum
+	next.count--
+	t.current.Store(&next)
+}
--- a/spread/network_test.go
+++ b/spread/network_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,6 +39,10 @@
 	delay    func(from, to string) time.Duration
 	messages map[string]int
 	bytes    int
+	// sent counts the bytes that each address sent.
+	sent map[string]int
+	// lose tells that an item is lost from a stream; nil loses none.
+	lose func(from, to, key string) bool
 }
 
 func newNetwork() *network {
@@ -47,6 +52,7 @@
 		blocked:  func(string, string) bool { return false },
 		delay:    func(string, string) time.Duration { return 0 },
 		messages: map[string]int{},
+		sent:     map[string]int{},
 	}
 }
 
@@ -74,6 +80,32 @@
 	n.delay = f
 }
 
+// setLose sets which items streams lose.
+func (n *network) setLose(f func(from, to, key string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lose = f
+}
+
+// keep leaves out what a stream loses.
+func (n *network) keep(from, to string, u *peerpb.Update) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.lose == nil {
+		return
+	}
+	u.Items = slices.DeleteFunc(u.Items, func(p *peerpb.Item) bool { return n.lose(from, to, p.GetVersion().GetKey()) })
+}
+
+// sentSince returns the bytes sent by each address since the last call.
+func (n *network) sentSince() map[string]int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := n.sent
+	n.sent = map[string]int{}
+	return out
+}
+
 func (n *network) server(address string) (peerpb.SpreadServer, context.Context, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -100,6 +132,7 @@
 	n.mu.Lock()
 	n.messages[kind]++
 	n.bytes += proto.Size(m)
+	n.sent[from] += proto.Size(m)
 	n.mu.Unlock()
 	return nil
 }
@@ -218,6 +251,7 @@
 func (s serverStream) SendMsg(m any) error {
 	u := proto.Clone(m.(proto.Message)).(*peerpb.Update)
 	l := s.link
+	l.net.keep(l.to, l.from, u)
 	kind := "heartbeat"
 	if len(u.Items) > 0 {
 		kind = "update"
--- a/spread/options.go
+++ b/spread/options.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
 
+	"github.com/yuccaroute/yuccaroute/api/content"
 	"github.com/yuccaroute/yuccaroute/api/option"
 	"github.com/yuccaroute/yuccaroute/api/peerpb"
 	"github.com/yuccaroute/yuccaroute/membership"
@@ -28,6 +29,10 @@
 	// Dial returns the connection to a peer's address. Connections are shared
 	// and owned by the dialer; see package transport for a pool.
 	Dial func(address string) (grpc.ClientConnInterface, error)
+	// Names returns the content that an item's body names, see package content;
+	// nil if no item names any. The item is taken and passed on only together
+	// with all of it.
+	Names func(key string, body []byte) []content.Name
 	// Source watches the store; nil on a node that can't reach it.
 	Source Source
 	// InForce tells which version of a key the node uses, for surveys: what has
@@ -62,6 +67,9 @@
 	if o.Members == nil || o.Dial == nil {
 		return o, errors.New("spread: options lack Members or Dial")
 	}
+	if o.Names == nil {
+		o.Names = func(string, []byte) []content.Name { return nil }
+	}
 	if o.Logger == nil {
 		o.Logger = logrus.StandardLogger()
 	}
--- a/spread/reader.go
+++ b/spread/reader.go
@@ -94,7 +94,10 @@
 	} else {
 		r.idle = 0
 	}
-	if !r.first && r.idle < 2 && now.Sub(r.equalAt) < r.heartbeats(unequalHeartbeats) {
+	// A stream brings an item together with its content, but for content that
+	// the upstream took to be here; that does not come by itself.
+	lacks := s.hub.lacksContent()
+	if !r.first && !lacks && r.idle < 2 && now.Sub(r.equalAt) < r.heartbeats(unequalHeartbeats) {
 		return nil
 	}
 	if r.repairs++; r.repairs > maxRepairs {
--- a/spread/server.go
+++ b/spread/server.go
@@ -196,7 +196,7 @@
 			res.Missing = append(res.Missing, v.GetKey())
 		}
 	}
-	parts := chunks(later)
+	parts := chunks(contentLast(later))
 	if len(parts) > 0 {
 		res.Items = parts[0]
 	}
--- a/spread/state_test.go
+++ b/spread/state_test.go
@@ -9,6 +9,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"github.com/yuccaroute/yuccaroute/api/content"
 	"github.com/yuccaroute/yuccaroute/api/peerpb"
 	"github.com/yuccaroute/yuccaroute/spread/item"
 	"github.com/yuccaroute/yuccaroute/spread/topology"
@@ -139,6 +140,10 @@
 func (f *testFleet) neverBackOn(n *testNode, prefix string) {
 	last := map[string]item.Item{}
 	n.OnItem(prefix, func(it item.Item) {
+		// Content has no versions: it is dropped and may be named again.
+		if content.IsKey(it.Key) {
+			return
+		}
 		if old, ok := last[it.Key]; ok && !it.Later(old) {
 			f.t.Errorf("%s was given %s %d.%d after %d.%d", n.member.VM, it.Key, it.Epoch, it.Sequence, old.Epoch, old.Sequence)
 		}
--- a/spread/waiter.go
+++ b/spread/waiter.go
@@ -14,12 +14,14 @@
 	return &waiter{marked: map[string]struct{}{}, ready: make(chan struct{}, 1)}
 }
 
-func (w *waiter) mark(key string) {
-	if _, ok := w.marked[key]; ok {
-		return
+func (w *waiter) mark(keys ...string) {
+	for _, key := range keys {
+		if _, ok := w.marked[key]; ok {
+			continue
+		}
+		w.marked[key] = struct{}{}
+		w.keys = append(w.keys, key)
 	}
-	w.marked[key] = struct{}{}
-	w.keys = append(w.keys, key)
 	select {
 	case w.ready <- struct{}{}:
 	default:
