Spread caller blocks apart from their account, and keep no list of them

Cause: every change of an account spread all its caller blocks, and a node kept them twice, as the account's list and as the look-up's table. A node reads the sets to build its table and drops the list; the API's live account decodes it when asked. Fields that JSON leaves out are left out of the API's description.

--- a/admin/openapi/schema.go
+++ b/admin/openapi/schema.go
@@ -74,6 +74,9 @@
 			s.fields(field.Type, into)
 			continue
 		}
+		if name == "-" {
+			continue
+		}
 		if name == "" {
 			name = field.Name
 		}
--- a/api/model/model.go
+++ b/api/model/model.go
@@ -7,6 +7,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/content"
 )
 
 // AccountName names a client account, for example "daehan".
@@ -82,6 +84,12 @@
 	Drains       []Drain
 	// Callers maps client address blocks to the region the callers are in.
 	Callers []CallerBlock
+	// CallerSets names the content that holds Callers, in order. It is set in an
+	// account as nodes hold it when the blocks are many: Callers is then nil.
+	CallerSets []content.Name `json:"-"`
+	// CallerRegions lists the regions that Callers names, each once. It is set
+	// together with CallerSets.
+	CallerRegions []RegionName `json:"-"`
 }
 
 // Region is a group of places behind one link.
--- a/config/source/source.go
+++ b/config/source/source.go
@@ -35,7 +35,8 @@
 // Key returns the key of an account's item.
 func Key(account string) string { return KeyPrefix + account }
 
-// Emit takes an item. A nil body tells that the account was deleted.
+// Emit takes an item. A nil body tells that the account was deleted. The content
+// that an account names is emitted after it.
 type Emit = func(key string, epoch, sequence uint64, body []byte)
 
 // Source emits accounts. Run it from one goroutine at a time.
@@ -257,7 +258,7 @@
 				return err
 			}
 		}
-		body, err := s.body(ctx, head, parsed, name, version)
+		body, contents, err := s.body(ctx, head, parsed, name, version)
 		if isProblems(err) {
 			s.logger.Errorf("config: account %s at %s does not pass the checks of this version of the program: %v; the account in force stays", name, version, err)
 			continue
@@ -266,24 +267,27 @@
 			return err
 		}
 		emit(key, version.Epoch, version.Sequence, body)
+		for i := range contents {
+			emit(contents[i].Name.Key(), 0, 0, contents[i].Body)
+		}
 		s.emitted[key] = version
 	}
 	return nil
 }
 
-// body encodes an account. It depends on the head's content alone, so that all
+// body encodes an account and the content that it names. It depends on the head's content alone, so that all
 // watchers emit the same bytes for a version.
-func (s *Source) body(ctx context.Context, head *changelog.Head, template *config.Template, name string, version changelog.Version) ([]byte, error) {
+func (s *Source) body(ctx context.Context, head *changelog.Head, template *config.Template, name string, version changelog.Version) ([]byte, []config.Content, error) {
 	document, err := s.log.ParsedAccount(ctx, head, name)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	resolved, err := config.Resolve(template, document)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	resolved.Account.Revision = version.Sequence
-	return config.Encode(resolved.Account)
+	return config.EncodeDivided(resolved.Account)
 }
 
 func isProblems(err error) bool {
--- a/lookup/lookup.go
+++ b/lookup/lookup.go
@@ -38,22 +38,25 @@
 }
 
 // SetAccount puts an account in force. An account older than the one in force
-// is ignored, so that a late message never turns a change back.
+// is ignored, so that a late message never turns a change back. Of an account
+// with CallerSets the Callers are read, but not kept; they are not read where
+// HasBlocks is true.
 func (l *Lookup) SetAccount(account *model.Account) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	old := l.current.Load()
 	held := old.accounts[account.Name]
-	if held != nil && held.account.Revision > account.Revision {
+	if held != nil && held.revision > account.Revision {
 		return
 	}
 	next := *old
 	next.accounts = maps.Clone(old.accounts)
 	next.accounts[account.Name] = &accountView{
-		account: account,
-		blocks:  old.blocksOf(account),
-		order:   newRegionOrder(account),
-		metrics: l.metricsOf(account.Name),
+		revision: account.Revision,
+		callers:  callersOf(account),
+		blocks:   old.blocksOf(account),
+		order:    newRegionOrder(account),
+		metrics:  l.metricsOf(account.Name),
 	}
 	l.current.Store(&next)
 	l.options.Logger.WithField("account", string(account.Name)).WithField("revision", account.Revision).
@@ -117,7 +120,7 @@
 	if view == nil {
 		return result.UnknownAccount
 	}
-	answer.Revision = view.account.Revision
+	answer.Revision = view.revision
 	region, ok := view.blocks.Region(addr)
 	if !ok {
 		view.metrics.refused.Inc(1)
--- a/lookup/snapshot.go
+++ b/lookup/snapshot.go
@@ -13,12 +13,14 @@
 	entries  *entries
 }
 
-// accountView is one account as look-ups need it.
+// accountView is one account as look-ups need it. It does not keep the account:
+// its list of blocks is larger than the table made from it.
 type accountView struct {
-	account *model.Account
-	blocks  *blocks.View
-	order   regionOrder
-	metrics *accountMetrics
+	revision uint64
+	callers  callers
+	blocks   *blocks.View
+	order    regionOrder
+	metrics  *accountMetrics
 }
 
 // accountMetrics outlives the revisions of its account.
--- a/lookup/swap.go
+++ b/lookup/swap.go
@@ -3,17 +3,60 @@
 import (
 	"slices"
 
+	"github.com/yuccaroute/yuccaroute/api/content"
 	"github.com/yuccaroute/yuccaroute/api/model"
 	"github.com/yuccaroute/yuccaroute/lookup/blocks"
 )
 
+// callers tells whether two accounts have the same caller blocks.
+type callers struct {
+	// sets names the blocks that the account does not hold itself.
+	sets []content.Name
+	// list is the account's own list; it is nil if sets is not.
+	list []model.CallerBlock
+}
+
+func callersOf(account *model.Account) callers {
+	if len(account.CallerSets) > 0 {
+		return callers{sets: account.CallerSets}
+	}
+	return callers{list: account.Callers}
+}
+
+func (c callers) equal(other callers) bool {
+	return slices.Equal(c.sets, other.sets) && slices.Equal(c.list, other.list)
+}
+
+// HasBlocks reports whether the blocks of these sets are in force for some
+// account, so that SetAccount needs no list of them.
+func (l *Lookup) HasBlocks(sets []content.Name) bool {
+	return l.current.Load().viewOf(callers{sets: sets}) != nil
+}
+
+// viewOf returns the blocks of any account with these callers, or nil.
+func (s *snapshot) viewOf(wanted callers) *blocks.View {
+	for _, view := range s.accounts {
+		if view.callers.equal(wanted) {
+			return view.blocks
+		}
+	}
+	return nil
+}
+
 // blocksOf returns the blocks of an account: those it has already if they did
-// not change, as with most changes, or else a new view.
+// not change, as with most changes, those of an account with the same sets, or
+// else a new view.
 func (s *snapshot) blocksOf(account *model.Account) *blocks.View {
+	wanted := callersOf(account)
 	held := s.accounts[account.Name]
-	if held != nil && slices.Equal(held.account.Callers, account.Callers) {
+	if held != nil && held.callers.equal(wanted) {
 		return held.blocks
 	}
+	if len(wanted.sets) > 0 {
+		if view := s.viewOf(wanted); view != nil {
+			return view
+		}
+	}
 	others := make([]*blocks.View, 0, len(s.accounts))
 	for _, view := range s.accounts {
 		others = append(others, view.blocks)
--- a/node/admin.go
+++ b/node/admin.go
@@ -118,10 +118,19 @@
 // Live implements admin.LiveAccounts.
 func (p operatorPorts) Live() []wire.LiveAccount {
 	status := p.node.spread.Status()
+	items := p.node.spread.Snapshot()
 	var live []wire.LiveAccount
 	for _, a := range p.node.accounts.allInForce() {
+		whole, err := withCallers(a.account, items)
+		if errors.Is(err, errContentGone) {
+			a, whole, err = p.node.replacing(a, items)
+		}
+		if err != nil {
+			p.node.log.WithError(err).WithField("account", a.account.Name).Error("node: cannot read an account")
+			continue
+		}
 		live = append(live, wire.LiveAccount{
-			Account:  a.account,
+			Account:  whole,
 			Epoch:    a.version.Epoch,
 			Sequence: a.version.Sequence,
 			Since:    a.since,
--- a/node/items.go
+++ b/node/items.go
@@ -2,10 +2,13 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/goccy/go-json"
+	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/yuccaroute/yuccaroute/api/content"
 	"github.com/yuccaroute/yuccaroute/api/model"
 	"github.com/yuccaroute/yuccaroute/api/peerpb"
 	"github.com/yuccaroute/yuccaroute/api/plan"
@@ -47,13 +50,76 @@
 		n.log.WithError(err).WithField("account", name).Error("node: cannot read an account")
 		return
 	}
-	n.lookup.SetAccount(account)
+	withBlocks := account
+	if len(account.CallerSets) > 0 && !n.lookup.HasBlocks(account.CallerSets) {
+		withBlocks, err = withCallers(account, n.spread.Snapshot())
+	}
+	if errors.Is(err, errContentGone) {
+		return
+	}
+	if err != nil {
+		n.log.WithError(err).WithField("account", name).Error("node: cannot read the caller blocks of an account")
+		return
+	}
+	n.lookup.SetAccount(withBlocks)
 	n.proxy.SetAccount(account)
 	// Last, as operators read from here what is in force: requests are served by
 	// it by then.
 	n.accounts.set(account, changelog.Version{Epoch: it.Epoch, Sequence: it.Sequence})
 }
 
+// errContentGone tells that content an account names is not held any more. It
+// is held as long as the state that names it, so a later state is on its way.
+var errContentGone = errors.New("node: the account's caller blocks are not held any more")
+
+// withCallers returns the account with its caller blocks as a list. The list is
+// several times larger than the look-up's table: do not keep it.
+func withCallers(account *model.Account, items *item.Snapshot) (*model.Account, error) {
+	if len(account.CallerSets) == 0 {
+		return account, nil
+	}
+	sets := make([][]byte, 0, len(account.CallerSets))
+	for _, name := range account.CallerSets {
+		it, ok := items.Get(name.Key())
+		if !ok {
+			return nil, errContentGone
+		}
+		sets = append(sets, it.Body)
+	}
+	callers, err := config.DecodeCallers(sets)
+	if err != nil {
+		return nil, err
+	}
+	whole := *account
+	whole.Callers = callers
+	return &whole, nil
+}
+
+// replacing returns the state that takes the place of one whose content is not
+// held any more, and is about to be in force.
+func (n *Node) replacing(old inForce, items *item.Snapshot) (inForce, *model.Account, error) {
+	it, ok := items.Get(source.Key(string(old.account.Name)))
+	if !ok || it.Deleted {
+		return old, nil, errContentGone
+	}
+	account, err := config.Decode(it.Body)
+	if err != nil {
+		return old, nil, err
+	}
+	next := inForce{account: account, version: changelog.Version{Epoch: it.Epoch, Sequence: it.Sequence}, since: time.Now()}
+	// A snapshot that shows an item shows its content.
+	whole, err := withCallers(account, items)
+	return next, whole, err
+}
+
+// namedContent returns the content that an item names.
+func namedContent(key string, body []byte) []content.Name {
+	if !strings.HasPrefix(key, source.KeyPrefix) {
+		return nil
+	}
+	return config.CallerSets(body)
+}
+
 // versionInForce tells peers which version of an account requests are served by.
 func (n *Node) versionInForce(key string) (version spread.VersionInForce, known bool) {
 	name, isAccount := strings.CutPrefix(key, source.KeyPrefix)
--- a/node/node.go
+++ b/node/node.go
@@ -179,6 +179,7 @@
 		Ref:     n.ref,
 		Members: n.peerList,
 		Dial:    n.peers.Dial,
+		Names:   namedContent,
 		Source:  source.New(n.store, n.changes, n.log),
 		InForce: n.versionInForce,
 		Seed:    n.id.Incarnation,
--- a/node/status.go
+++ b/node/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/yuccaroute/yuccaroute/api/model"
@@ -60,6 +61,13 @@
 	return revisions
 }
 
+// CallerRegion returns the region in which an account in force places an
+// address. It is false for an unknown account or an address in none of its
+// blocks.
+func (n *Node) CallerRegion(account model.AccountName, address netip.Addr) (model.RegionName, bool) {
+	return n.lookup.CallerRegion(account, address)
+}
+
 // servingPoll is how often WaitServing looks.
 const servingPoll = 20 * time.Millisecond
 
--- a/steering/flow.go
+++ b/steering/flow.go
@@ -88,6 +88,9 @@
 	for i := range account.Callers {
 		add(account.Callers[i].Region)
 	}
+	for _, name := range account.CallerRegions {
+		add(name)
+	}
 	return names
 }
 
