tlsfiles/tlstest: one signer of test certificates in place of three

Cause: the tests of tlsfiles, node and integration each had an authority of their own with the same certificate row, key encoding and file writing.

Change: package tlstest holds it; the three keep only what is theirs. No test case or check changed; the client that shows a certificate whatever the server asks for is the one of node's test.

--- a/admin/tlsfiles/tlsfiles_test.go
+++ b/admin/tlsfiles/tlsfiles_test.go
@@ -2,16 +2,8 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"io"
-	"math/big"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -21,71 +13,17 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/yuccaroute/yuccaroute/admin/tlsfiles"
+	"github.com/yuccaroute/yuccaroute/admin/tlsfiles/tlstest"
 	"github.com/yuccaroute/yuccaroute/httpserver"
 )
 
-// authority signs certificates for tests.
-type authority struct {
-	certificate *x509.Certificate
-	key         *ecdsa.PrivateKey
-	serial      int64
-}
-
-func newAuthority(t *testing.T) *authority {
-	t.Helper()
-	a := &authority{key: newKey(t)}
-	template := a.template("authority")
-	template.IsCA, template.BasicConstraintsValid = true, true
-	template.KeyUsage = x509.KeyUsageCertSign
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &a.key.PublicKey, a.key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	a.certificate, _ = x509.ParseCertificate(der)
-	return a
-}
+func newAuthority(t *testing.T) *tlstest.Authority { return tlstest.New(t, "127.0.0.1") }
 
-func newKey(t *testing.T) *ecdsa.PrivateKey {
+// write puts a new certificate of a name, and the authority, into the files.
+func write(t *testing.T, a *tlstest.Authority, files tlsfiles.Files, name string) {
 	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return key
-}
-
-func (a *authority) template(name string) *x509.Certificate {
-	a.serial++
-	return &x509.Certificate{
-		SerialNumber: big.NewInt(a.serial), Subject: pkix.Name{CommonName: name},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		IPAddresses: []net.IP{net.ParseIP("127.0.0.1")},
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-}
-
-// write puts a new certificate of a name into the files.
-func (a *authority) write(t *testing.T, files tlsfiles.Files, name string) {
-	t.Helper()
-	key := newKey(t)
-	der, err := x509.CreateCertificate(rand.Reader, a.template(name), a.certificate, &key.PublicKey, a.key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	writePEM(t, files.Certificate, "CERTIFICATE", der)
-	writePEM(t, files.Key, "PRIVATE KEY", keyDER)
-	writePEM(t, files.Authority, "CERTIFICATE", a.certificate.Raw)
-}
-
-func writePEM(t *testing.T, path, kind string, der []byte) {
-	t.Helper()
-	if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	a.Renew(files, name)
+	tlstest.Write(t, files.Authority, a.PEM())
 }
 
 func filesIn(t *testing.T) tlsfiles.Files {
@@ -149,7 +87,7 @@
 	now := time.Now()
 	clock := func() time.Time { return now }
 	ca, files := newAuthority(t), filesIn(t)
-	ca.write(t, files, "first")
+	write(t, ca, files, "first")
 	k := keeper(t, files, clock)
 	want := func(name string) {
 		t.Helper()
@@ -160,7 +98,7 @@
 	}
 	want("first")
 	half := filesIn(t)
-	ca.write(t, half, "second")
+	write(t, ca, half, "second")
 	certificate, _ := os.ReadFile(half.Certificate)
 	_ = os.WriteFile(files.Certificate, certificate, 0o600)
 	now = now.Add(2 * time.Second)
@@ -175,8 +113,8 @@
 // must not get through in either direction, nor one with another address.
 func TestStrangersAreRefused(t *testing.T) {
 	files, strangerFiles := filesIn(t), filesIn(t)
-	newAuthority(t).write(t, files, "ours")
-	newAuthority(t).write(t, strangerFiles, "stranger")
+	write(t, newAuthority(t), files, "ours")
+	write(t, newAuthority(t), strangerFiles, "stranger")
 	ours, stranger := keeper(t, files, nil), keeper(t, strangerFiles, nil)
 	for name, pair := range map[string][2]*tls.Config{
 		"stranger as client":  {ours.PeerServer(), stranger.PeerClient("127.0.0.1")},
@@ -192,7 +130,7 @@
 
 func TestHTTPServer(t *testing.T) {
 	ca, files := newAuthority(t), filesIn(t)
-	ca.write(t, files, "node")
+	write(t, ca, files, "node")
 	server, err := httpserver.Start(httpserver.Options{
 		Address: "127.0.0.1:0", MaxBodyBytes: 1 << 16, TLS: keeper(t, files, nil).HTTPServer(),
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("hello")) }),
@@ -201,9 +139,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = server.Stop(context.Background()) }()
-	roots := x509.NewCertPool()
-	roots.AddCert(ca.certificate)
-	transport := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots}}
+	transport := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: tlstest.Roots(ca)}}
 	defer transport.CloseIdleConnections()
 	answer, err := (&http.Client{Transport: transport}).Get("https://" + server.Address() + "/")
 	if err != nil {
--- a/integration/config_keys_test.go
+++ b/integration/config_keys_test.go
@@ -2,18 +2,10 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"fmt"
-	"math/big"
-	"net"
 	"net/http"
-	"os"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -23,6 +15,8 @@
 	"google.golang.org/grpc/credentials"
 
 	"github.com/yuccaroute/yuccaroute/admin/client"
+	"github.com/yuccaroute/yuccaroute/admin/tlsfiles"
+	"github.com/yuccaroute/yuccaroute/admin/tlsfiles/tlstest"
 	"github.com/yuccaroute/yuccaroute/admin/wire"
 	"github.com/yuccaroute/yuccaroute/api/peerpb"
 	"github.com/yuccaroute/yuccaroute/api/result"
@@ -77,25 +71,25 @@
 	t          *testing.T
 	f          *farm
 	nodes      []*configNode
-	files      []keyFiles
-	old, fresh *authority
+	files      []tlsfiles.Files
+	old, fresh *tlstest.Authority
 	made       int
 }
 
-type keyFiles struct{ certificate, key, authority string }
-
 func newKeyCluster(t *testing.T) *keyCluster {
 	t.Helper()
-	k := &keyCluster{t: t, f: &farm{t: t}, old: newAuthority(t), fresh: newAuthority(t)}
+	k := &keyCluster{t: t, f: &farm{t: t}, old: tlstest.New(t, configIP()), fresh: tlstest.New(t, configIP())}
 	k.f.startPlatform()
 	k.f.startTargets()
 	k.nodes = k.f.startConfigNodes(keyNodes, func(i int) string {
 		dir := t.TempDir()
-		files := keyFiles{filepath.Join(dir, "certificate.pem"), filepath.Join(dir, "key.pem"), filepath.Join(dir, "authority.pem")}
+		files := tlsfiles.Files{
+			Certificate: filepath.Join(dir, "certificate.pem"), Key: filepath.Join(dir, "key.pem"), Authority: filepath.Join(dir, "authority.pem"),
+		}
 		k.files = append(k.files, files)
-		k.old.issueTo(files)
-		writeKeyFile(t, files.authority, k.old.pem())
-		return fmt.Sprintf("\n[tls]\ncertificate_file = %s\nkey_file = %s\nauthority_file = %s\n", files.certificate, files.key, files.authority)
+		k.old.Renew(files, "node")
+		tlstest.Write(t, files.Authority, k.old.PEM())
+		return fmt.Sprintf("\n[tls]\ncertificate_file = %s\nkey_file = %s\nauthority_file = %s\n", files.Certificate, files.Key, files.Authority)
 	})
 	k.f.listVMs(k.f.vms...)
 	for _, n := range k.nodes {
@@ -118,12 +112,7 @@
 	return client.New("https://"+n.admin, "", &http.Client{Transport: transport, Timeout: exitPatience})
 }
 
-func (k *keyCluster) roots() *x509.CertPool {
-	pool := x509.NewCertPool()
-	pool.AddCert(k.old.certificate)
-	pool.AddCert(k.fresh.certificate)
-	return pool
-}
+func (k *keyCluster) roots() *x509.CertPool { return tlstest.Roots(k.old, k.fresh) }
 
 // change makes a change through each node and waits until the last is in force
 // on all.
@@ -148,7 +137,7 @@
 
 func (k *keyCluster) trustBoth() {
 	for i := range k.files {
-		writeKeyFile(k.t, k.files[i].authority, append(k.old.pem(), k.fresh.pem()...))
+		tlstest.Write(k.t, k.files[i].Authority, append(k.old.PEM(), k.fresh.PEM()...))
 	}
 	for _, n := range k.nodes {
 		k.f.waitUntil(n.name+" to accept the new authority", func() bool { return k.accepts(n, k.fresh) })
@@ -158,7 +147,7 @@
 
 func (k *keyCluster) renew() {
 	for i := range k.files {
-		k.fresh.issueTo(k.files[i])
+		k.fresh.Renew(k.files[i], "node")
 	}
 	for _, n := range k.nodes {
 		k.f.waitUntil(n.name+" to show its new certificate", func() bool { return k.shows(n, k.fresh) })
@@ -168,7 +157,7 @@
 
 func (k *keyCluster) trustNewOnly() {
 	for i := range k.files {
-		writeKeyFile(k.t, k.files[i].authority, k.fresh.pem())
+		tlstest.Write(k.t, k.files[i].Authority, k.fresh.PEM())
 	}
 	for _, n := range k.nodes {
 		k.f.waitUntil(n.name+" to refuse the old authority", func() bool { return !k.accepts(n, k.old) })
@@ -189,12 +178,8 @@
 
 // connect returns a connection to a node that shows a certificate of the
 // authority.
-func (k *keyCluster) connect(n *configNode, shown *authority) (conn grpc.ClientConnInterface, done func()) {
-	pair := shown.pair()
-	keys := &tls.Config{
-		RootCAs: k.roots(), ServerName: configIP(),
-		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return &pair, nil },
-	}
+func (k *keyCluster) connect(n *configNode, shown *tlstest.Authority) (conn grpc.ClientConnInterface, done func()) {
+	keys := tlstest.Showing(k.roots(), configIP(), shown.Pair())
 	pool := transport.NewPool(grpc.WithTransportCredentials(credentials.NewTLS(keys)))
 	conn, err := pool.Dial(n.peers)
 	if err != nil {
@@ -211,7 +196,7 @@
 }
 
 // connections sets up a connection to each node and keeps it.
-func (k *keyCluster) connections(shown *authority) []grpc.ClientConnInterface {
+func (k *keyCluster) connections(shown *tlstest.Authority) []grpc.ClientConnInterface {
 	var conns []grpc.ClientConnInterface
 	for _, n := range k.nodes {
 		conn, done := k.connect(n, shown)
@@ -226,7 +211,7 @@
 
 // accepts reports whether a node answers a peer that connects with a certificate
 // of the authority.
-func (k *keyCluster) accepts(n *configNode, shown *authority) bool {
+func (k *keyCluster) accepts(n *configNode, shown *tlstest.Authority) bool {
 	conn, done := k.connect(n, shown)
 	defer done()
 	return answered(conn)
@@ -234,100 +219,11 @@
 
 // shows reports whether a node's listener for operators shows a certificate of
 // the authority.
-func (k *keyCluster) shows(n *configNode, signer *authority) bool {
+func (k *keyCluster) shows(n *configNode, signer *tlstest.Authority) bool {
 	conn, err := tls.Dial("tcp", n.admin, &tls.Config{RootCAs: k.roots(), ServerName: configIP()})
 	if err != nil {
 		return false
 	}
 	defer conn.Close()
-	return conn.ConnectionState().PeerCertificates[0].CheckSignatureFrom(signer.certificate) == nil
-}
-
-// authority signs certificates for the nodes of this test process.
-type authority struct {
-	t           *testing.T
-	certificate *x509.Certificate
-	key         *ecdsa.PrivateKey
-	serial      int64
-}
-
-func newAuthority(t *testing.T) *authority {
-	t.Helper()
-	a := &authority{t: t}
-	row := a.row()
-	row.IsCA, row.BasicConstraintsValid, row.KeyUsage = true, true, x509.KeyUsageCertSign
-	row.Subject = pkix.Name{CommonName: "authority"}
-	var der []byte
-	a.key, der = a.sign(row, nil)
-	certificate, err := x509.ParseCertificate(der)
-	if err != nil {
-		t.Fatal(err)
-	}
-	a.certificate = certificate
-	return a
-}
-
-func (a *authority) row() *x509.Certificate {
-	a.serial++
-	return &x509.Certificate{
-		SerialNumber: big.NewInt(a.serial), Subject: pkix.Name{CommonName: "node"},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		IPAddresses: []net.IP{net.ParseIP(configIP())},
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-}
-
-// sign makes a key and its certificate; parent nil is for the authority itself.
-func (a *authority) sign(row, parent *x509.Certificate) (*ecdsa.PrivateKey, []byte) {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		a.t.Fatal(err)
-	}
-	signer := a.key
-	if parent == nil {
-		parent, signer = row, key
-	}
-	der, err := x509.CreateCertificate(rand.Reader, row, parent, &key.PublicKey, signer)
-	if err != nil {
-		a.t.Fatal(err)
-	}
-	return key, der
-}
-
-// issue returns a new certificate and its key in PEM.
-func (a *authority) issue() (certificate, key []byte) {
-	private, der := a.sign(a.row(), a.certificate)
-	keyDER, err := x509.MarshalPKCS8PrivateKey(private)
-	if err != nil {
-		a.t.Fatal(err)
-	}
-	return encodePEM("CERTIFICATE", der), encodePEM("PRIVATE KEY", keyDER)
-}
-
-// issueTo replaces certificate and key, one file after the other.
-func (a *authority) issueTo(files keyFiles) {
-	certificate, key := a.issue()
-	writeKeyFile(a.t, files.certificate, certificate)
-	writeKeyFile(a.t, files.key, key)
-}
-
-func (a *authority) pair() tls.Certificate {
-	pair, err := tls.X509KeyPair(a.issue())
-	if err != nil {
-		a.t.Fatal(err)
-	}
-	return pair
-}
-
-func (a *authority) pem() []byte { return encodePEM("CERTIFICATE", a.certificate.Raw) }
-
-func encodePEM(kind string, der []byte) []byte {
-	return pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
-}
-
-func writeKeyFile(t *testing.T, path string, text []byte) {
-	t.Helper()
-	if err := os.WriteFile(path, text, 0o600); err != nil {
-		t.Fatal(err)
-	}
+	return conn.ConnectionState().PeerCertificates[0].CheckSignatureFrom(signer.Certificate) == nil
 }
--- a/node/tls_test.go
+++ b/node/tls_test.go
@@ -2,25 +2,17 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
-	"net"
 	"net/http"
-	"os"
 	"path/filepath"
 	"testing"
-	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
 
 	"github.com/yuccaroute/yuccaroute/admin/client"
+	"github.com/yuccaroute/yuccaroute/admin/tlsfiles"
+	"github.com/yuccaroute/yuccaroute/admin/tlsfiles/tlstest"
 	"github.com/yuccaroute/yuccaroute/api/peerpb"
 	"github.com/yuccaroute/yuccaroute/config/changelog"
 	"github.com/yuccaroute/yuccaroute/config/settings"
@@ -38,7 +30,7 @@
 	s := newSystem(t)
 	signer := newAuthority(t)
 	files := signer.files(t)
-	signer.renew(t, files)
+	signer.renew(files)
 	s.adjust = func(o *node.Options) { o.Settings.TLS = files }
 	s.addThree()
 	s.refusesStrangers(signer, s.nodes[0])
@@ -52,7 +44,7 @@
 		t.Error("the API answered in plain text")
 	}
 
-	renewed := signer.renew(t, files)
+	renewed := signer.renew(files)
 	s.until("the running node shows the new certificate", func() bool {
 		return signer.serialOf(s.nodes[0].AdminAddress()) == renewed
 	})
@@ -92,110 +84,33 @@
 	return err
 }
 
-// authority signs certificates for tests.
-type authority struct {
-	t           *testing.T
-	certificate *x509.Certificate
-	key         *ecdsa.PrivateKey
-	serial      int64
-}
-
-func newKey(t *testing.T) *ecdsa.PrivateKey {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return key
-}
-
-func newAuthority(t *testing.T) *authority {
-	t.Helper()
-	a := &authority{t: t, key: newKey(t)}
-	row := a.row()
-	row.IsCA, row.BasicConstraintsValid, row.KeyUsage = true, true, x509.KeyUsageCertSign
-	der, err := x509.CreateCertificate(rand.Reader, row, row, &a.key.PublicKey, a.key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if a.certificate, err = x509.ParseCertificate(der); err != nil {
-		t.Fatal(err)
-	}
-	return a
-}
+// authority signs the certificates of a test's nodes.
+type authority struct{ *tlstest.Authority }
 
-// row is a certificate before it is signed.
-func (a *authority) row() *x509.Certificate {
-	a.serial++
-	return &x509.Certificate{
-		SerialNumber: big.NewInt(a.serial),
-		Subject:      pkix.Name{CommonName: "test"},
-		NotBefore:    time.Now().Add(-time.Hour),
-		NotAfter:     time.Now().Add(time.Hour),
-		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)},
-		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-}
-
-// issue returns a new certificate and its key in PEM.
-func (a *authority) issue() (certificate, key []byte) {
-	private := newKey(a.t)
-	der, err := x509.CreateCertificate(rand.Reader, a.row(), a.certificate, &private.PublicKey, a.key)
-	if err != nil {
-		a.t.Fatal(err)
-	}
-	keyDER, err := x509.MarshalPKCS8PrivateKey(private)
-	if err != nil {
-		a.t.Fatal(err)
-	}
-	return encodePEM("CERTIFICATE", der), encodePEM("PRIVATE KEY", keyDER)
-}
-
-func encodePEM(kind string, der []byte) []byte {
-	return pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
-}
+func newAuthority(t *testing.T) *authority { return &authority{tlstest.New(t, "127.0.0.1")} }
 
 func (a *authority) files(t *testing.T) settings.TLS {
 	dir := t.TempDir()
-	return settings.TLS{
+	files := settings.TLS{
 		CertificateFile: filepath.Join(dir, "certificate.pem"),
 		KeyFile:         filepath.Join(dir, "key.pem"),
 		AuthorityFile:   filepath.Join(dir, "authority.pem"),
 	}
+	tlstest.Write(t, files.AuthorityFile, a.PEM())
+	return files
 }
 
 // renew writes a new certificate into the files and returns its serial number.
-func (a *authority) renew(t *testing.T, files settings.TLS) int64 {
-	t.Helper()
-	certificate, key := a.issue()
-	for path, text := range map[string][]byte{
-		files.CertificateFile: certificate,
-		files.KeyFile:         key,
-		files.AuthorityFile:   encodePEM("CERTIFICATE", a.certificate.Raw),
-	} {
-		if err := os.WriteFile(path, text, 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
-	return a.serial
+func (a *authority) renew(files settings.TLS) int64 {
+	return a.Renew(tlsfiles.Files{Certificate: files.CertificateFile, Key: files.KeyFile}, "test")
 }
 
 // config trusts the authority and shows a certificate of shown, nil for none.
 func (a *authority) config(shown *authority) *tls.Config {
-	pool := x509.NewCertPool()
-	pool.AddCert(a.certificate)
-	config := &tls.Config{RootCAs: pool, ServerName: "127.0.0.1"}
 	if shown == nil {
-		return config
-	}
-	pair, err := tls.X509KeyPair(shown.issue())
-	if err != nil {
-		a.t.Fatal(err)
+		return &tls.Config{RootCAs: tlstest.Roots(a.Authority), ServerName: "127.0.0.1"}
 	}
-	// The library shows a certificate only where the server asks for its
-	// signer; GetClientCertificate shows it always.
-	config.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return &pair, nil }
-	return config
+	return tlstest.Showing(tlstest.Roots(a.Authority), "127.0.0.1", shown.Pair())
 }
 
 func (a *authority) client() *http.Client {
