integration: regions, groups of targets and deciders lost, with real processes

Cause: no run with real processes showed a lost or cut-off region, a flapping group, lying reports, entry VMs killed in a store outage, or a killed or paused decider.

One case needs daemons that dial through fault proxies: the test program starts itself as such. Each cluster has a loopback address of its own and hands out its ports: on 127.0.0.1 a stranger's target took the port of a cut path and answered in its place (333 "told ran but in no ledger" of 19,857, restart of the path refused with "address already in use").

No existing test is eased; their clusters use the new addresses too.

Weak: a whole place without targets refuses under the cap on moves, callers' repetitions move traffic that no plan moves, and all entry VMs replaced in an outage.

--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -54,11 +55,26 @@
 // and waits until every entry VM serves.
 func newCluster(t *testing.T, change func(account []byte) []byte) *farm {
 	t.Helper()
-	f := &farm{t: t}
+	return startCluster(&farm{t: t, ip: clusterIP()}, change)
+}
+
+// clusters counts the clusters of this process.
+var clusters atomic.Uint32
+
+// clusterIP returns a loopback address that no other cluster uses. While a path
+// is cut its port is free: on a shared address a stranger's target could listen
+// there and answer in its place, and the run would be told in no ledger.
+func clusterIP() string {
+	pid, n := os.Getpid(), clusters.Add(1)
+	return netip.AddrFrom4([4]byte{127, 64 + byte(pid>>8)%64, byte(pid), byte(n)}).String()
+}
+
+func startCluster(f *farm, change func(account []byte) []byte) *farm {
+	f.t.Helper()
 	f.startPlatform()
 	f.startTargets()
 	f.startEntries()
-	f.putInForce(change(readFile(t, "testdata/account.ini")))
+	f.putInForce(change(readFile(f.t, "testdata/account.ini")))
 	f.listVMs(f.vms...)
 	f.waitServing()
 	f.ledger = f.readJournals
@@ -68,39 +84,44 @@
 // asWritten changes nothing.
 func asWritten(account []byte) []byte { return account }
 
-// freeAddress returns an address that nobody listens on now.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
+// firstPort is the first port that a cluster uses, below those that the system
+// gives to connections.
+const firstPort = 20_000
+
+// freeAddress returns an address that nobody listens on: the cluster has its IP
+// alone and uses each port once.
+func (f *farm) freeAddress() string {
+	f.ports++
+	return net.JoinHostPort(f.ip, strconv.Itoa(firstPort+f.ports))
 }
 
 func (f *farm) startPlatform() {
-	f.platformAddress = freeAddress(f.t)
+	f.platformAddress = f.freeAddress()
 	f.platform = startProcess(f.t, "platform", toolProgram, "standin", "platform",
 		"--address", f.platformAddress, "--list-lag", listLag.String())
 	f.waitListening(f.platformAddress)
-	f.platformPath = startFaultProxy(f.t, "to platform", f.platformAddress)
+	f.platformPath = startFaultProxy(f.t, f.freeAddress(), "to platform", f.platformAddress)
 }
 
 func (f *farm) startTargets() {
 	for i, place := range clusterTargets {
-		name, address := fmt.Sprintf("target-%d", i), freeAddress(f.t)
+		name, address := fmt.Sprintf("target-%d", i), f.freeAddress()
+		f.targetAddresses = append(f.targetAddresses, address)
 		journal := filepath.Join(f.t.TempDir(), name+".jsonl")
 		p := startProcess(f.t, name, toolProgram, "standin", "target", "--name", name, "--address", address,
 			"--slots", "4", "--queue", "64", "--service-time", "3ms", "--spread", "0.5", "--seed", strconv.Itoa(i), "--journal", journal)
 		f.waitListening(address)
-		path := startFaultProxy(f.t, "to "+name, address)
+		listed := netip.MustParseAddrPort(address)
+		if f.regions.withPaths() {
+			path := startFaultProxy(f.t, f.freeAddress(), "to "+name, address)
+			f.targetPaths = append(f.targetPaths, path)
+			listed = path.address()
+		}
 		f.targets = append(f.targets, p)
-		f.targetPaths = append(f.targetPaths, path)
 		f.journals = append(f.journals, journal)
 		f.vms = append(f.vms, membership.VM{
 			ID: name, Role: membership.RoleTarget, Region: place.Region, Place: place.Name,
-			Account: account, Service: service, Address: path.address(),
+			Account: account, Service: service, Address: listed,
 		})
 	}
 }
@@ -108,23 +129,38 @@
 func (f *farm) startEntries() {
 	f.entryRegions = make(map[string]model.RegionName)
 	for i, place := range clusterEntries {
-		name, callers, peers := fmt.Sprintf("entry-%d", i), freeAddress(f.t), freeAddress(f.t)
-		file := filepath.Join(f.t.TempDir(), name+".ini")
-		text := fmt.Sprintf(nodeSettings, name, place.Region, place.Name, callers, freeAddress(f.t), peers,
-			f.platformPath.address(), f.platformPath.address())
-		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
-			f.t.Fatal(err)
+		vm := membership.VM{
+			ID: fmt.Sprintf("entry-%d", i), Role: membership.RoleEntry, Region: place.Region, Place: place.Name,
+			Address: netip.MustParseAddrPort(f.freeAddress()), Peer: netip.MustParseAddrPort(f.freeAddress()),
 		}
-		p := startProcess(f.t, name, daemonProgram, "--settings", file)
-		path := startFaultProxy(f.t, "to "+name, callers)
-		f.entries = append(f.entries, p)
-		f.entryPaths = append(f.entryPaths, path)
-		f.entryRegions[name] = place.Region
-		f.vms = append(f.vms, membership.VM{
-			ID: name, Role: membership.RoleEntry, Region: place.Region, Place: place.Name,
-			Address: path.address(), Peer: netip.MustParseAddrPort(peers),
-		})
+		f.entryRegions[vm.ID] = vm.Region
+		f.vms = append(f.vms, vm)
+		f.admins = append(f.admins, f.freeAddress())
+	}
+	f.regions.connect(f)
+	for i, admin := range f.admins {
+		f.startEntry(&f.vms[len(f.targets)+i], admin)
+	}
+}
+
+// startEntry starts the daemon of an entry VM and puts a fault proxy before it,
+// unless the callers' addresses must show.
+func (f *farm) startEntry(vm *membership.VM, admin string) {
+	file := filepath.Join(f.t.TempDir(), vm.ID+".ini")
+	platformAddress := f.regions.platformPath(f, vm.Region).address()
+	text := fmt.Sprintf(nodeSettings, vm.ID, vm.Region, vm.Place, vm.Address, admin, vm.Peer, platformAddress, platformAddress)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	program, args := f.regions.daemon(vm.Region, file)
+	f.entries = append(f.entries, startProcess(f.t, vm.ID, program, args...))
+	if f.regions != nil {
+		f.regions.entries = append(f.regions.entries, vm.Address.String())
+		return
 	}
+	path := startFaultProxy(f.t, f.freeAddress(), "to "+vm.ID, vm.Address.String())
+	f.entryPaths = append(f.entryPaths, path)
+	vm.Address = path.address()
 }
 
 const nodeSettings = `[node]
@@ -195,6 +231,12 @@
 	f.control(platform.PathVMs, change)
 }
 
+// unlistVMs takes rows out of the platform's list.
+func (f *farm) unlistVMs(ids ...string) {
+	f.t.Helper()
+	f.control(platform.PathVMs, platform.VMChange{Remove: ids})
+}
+
 func (f *farm) control(path string, message any) {
 	f.t.Helper()
 	body, err := json.Marshal(message)
@@ -224,8 +266,7 @@
 
 func (f *farm) waitServing() {
 	f.t.Helper()
-	for _, path := range f.entryPaths {
-		address := path.address().String()
+	for _, address := range f.nodes() {
 		f.waitUntil("entry VM at "+address+" to serve", func() bool { return serves(f.t.Context(), address) })
 	}
 }
--- a/integration/farm_test.go
+++ b/integration/farm_test.go
@@ -48,6 +48,15 @@
 	platformAddress string
 	vms             []membership.VM
 	journals        []string
+	// ip is where all of the cluster listens, ports how many ports it has used,
+	// admins the entry VMs' addresses for
+	// operators, targetAddresses those of the targets behind their paths.
+	ip                      string
+	ports                   int
+	admins, targetAddresses []string
+	// regions is what lies between the regions; nil where all callers are of
+	// one region.
+	regions *regions
 	// ledger returns what ran at all targets, those that were killed included.
 	ledger func() []check.Ran
 }
@@ -68,6 +77,7 @@
 
 // outcome is what a run showed.
 type outcome struct {
+	told   []check.Told
 	report *check.Report
 	counts map[result.Outcome]int
 	codes  map[result.Code]int
@@ -83,9 +93,15 @@
 	})
 }
 
-// blocks are the callers' addresses. The fault proxy hides them from the entry
-// VMs, so that all callers count as of one region.
-func blocks() []model.CallerBlock { return caller.AlpenvliesBlocks()[:1] }
+// blocks are the callers' addresses. A fault proxy hides them from the entry
+// VMs, so that all callers count as of one region there.
+func (f *farm) blocks() []model.CallerBlock {
+	all := caller.AlpenvliesBlocks()
+	if f.regions != nil {
+		return []model.CallerBlock{all[0], all[2]}
+	}
+	return all[:1]
+}
 
 // run sends the load, lets the steps happen and checks.
 func (f *farm) run(l load, steps ...step) outcome {
@@ -94,7 +110,7 @@
 	happen := f.follow(steps)
 	var ended atomic.Int64
 	callers, err := caller.New(caller.Options{
-		Account: account, Nodes: f.nodes(), Blocks: blocks(), SourcesPerBlock: 4,
+		Account: account, Nodes: f.nodes(), Blocks: f.blocks(), SourcesPerBlock: 4,
 		Client: client.Options{MaxConnections: 128},
 		Loads:  []caller.Load{{Service: service, Rate: l.rate, Kinds: kinds(), Deadline: l.deadline}},
 		Seed:   l.seed, Name: f.t.Name(), MaxRequests: l.requests, MaxInFlight: 1000, RepeatUnknown: true,
@@ -145,6 +161,9 @@
 }
 
 func (f *farm) nodes() []string {
+	if f.regions != nil {
+		return f.regions.entries
+	}
 	var nodes []string
 	for _, p := range f.entryPaths {
 		nodes = append(nodes, p.address().String())
@@ -160,6 +179,7 @@
 		in.Accounts = []*model.Account{f.account}
 	}
 	o := outcome{
+		told:   told,
 		report: check.Check(in),
 		counts: make(map[result.Outcome]int),
 		codes:  make(map[result.Code]int),
--- a/integration/faultproxy_test.go
+++ b/integration/faultproxy_test.go
@@ -59,11 +59,10 @@
 	proxy    *toxiproxy.Proxy
 }
 
-func startFaultProxy(t *testing.T, name, upstream string) *faultProxy {
+func startFaultProxy(t *testing.T, listen, name, upstream string) *faultProxy {
 	t.Helper()
-	f := &faultProxy{t: t, name: name, listen: "127.0.0.1:0", upstream: upstream}
+	f := &faultProxy{t: t, name: name, listen: listen, upstream: upstream}
 	f.start()
-	f.listen = f.proxy.Listen
 	t.Cleanup(func() { f.proxy.Stop() })
 	return f
 }
--- a/integration/local_test.go
+++ b/integration/local_test.go
@@ -65,7 +65,7 @@
 // on every path.
 func newLocalFarm(t *testing.T) *farm {
 	t.Helper()
-	f := &farm{t: t}
+	f := &farm{t: t, ip: clusterIP()}
 	var targets []*target.Target
 	var vms []membership.VM
 	for i := range localTargets {
@@ -75,7 +75,7 @@
 		}
 		t.Cleanup(made.Stop)
 		targets = append(targets, made)
-		path := startFaultProxy(t, fmt.Sprintf("to target-%d", i), made.Addr().String())
+		path := startFaultProxy(t, f.freeAddress(), fmt.Sprintf("to target-%d", i), made.Addr().String())
 		f.targetPaths = append(f.targetPaths, path)
 		vms = append(vms, targetVM(i, path))
 	}
@@ -136,7 +136,7 @@
 		p.Close()
 		_ = server.Stop(ctx)
 	})
-	f.entryPaths = append(f.entryPaths, startFaultProxy(f.t, fmt.Sprintf("to entry-%d", i), server.Address()))
+	f.entryPaths = append(f.entryPaths, startFaultProxy(f.t, f.freeAddress(), fmt.Sprintf("to entry-%d", i), server.Address()))
 }
 
 func (f *farm) serveLookup(w http.ResponseWriter, _ *http.Request) {
--- a/integration/main_test.go
+++ b/integration/main_test.go
@@ -11,12 +11,16 @@
 	"github.com/sirupsen/logrus"
 )
 
-// The programs under test, built once.
-var daemonProgram, toolProgram string
+// The programs under test, built once, and this one.
+var daemonProgram, toolProgram, testProgram string
 
 // TestMain builds the programs and keeps the fault proxy's own lines, one for
-// each connection, out of the tests' output.
+// each connection, out of the tests' output. As a routed daemon it runs no test.
 func TestMain(m *testing.M) {
+	if len(os.Args) == 4 && os.Args[1] == routedCommand {
+		fmt.Fprintln(os.Stderr, runRouted(os.Args[2], os.Args[3]))
+		os.Exit(1)
+	}
 	logrus.SetOutput(io.Discard)
 	os.Exit(buildAndRun(m))
 }
@@ -34,6 +38,10 @@
 		fmt.Fprintf(os.Stderr, "build the programs: %v\n%s", err, out)
 		return 1
 	}
+	if testProgram, err = os.Executable(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
 	daemonProgram = filepath.Join(dir, "yuccarouted")
 	toolProgram = filepath.Join(dir, "yuccaroute")
 	return m.Run()
