bench: a region cut off and back, by the length of the cut

Cause: docs/CAPACITY.md had no measurement of the return of a region that was cut off for long.

Change: scenario fleet-cut: 102 whole nodes in 17 failure domains, one region of 18 loses the others, the store and the VM list while a change a second is made, every other one a drain. Peaks before and after, bytes over the cut, and the time until all nodes have the newest revision and the same items.

An hour itself was not run.

--- a/bench/scenario/fleet_world.go
+++ b/bench/scenario/fleet_world.go
@@ -30,6 +30,8 @@
 	// changeNumber makes the identifiers of changes differ.
 	changeNumber int
 	nodes        []*node.Node
+	// network connects the nodes where a region can be cut off; nil takes TCP.
+	network *regionNetwork
 }
 
 // List implements membership.Lister.
@@ -71,7 +73,11 @@
 	)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	return node.New(node.Options{Settings: s, Logger: log, Store: w.watches, Lister: w})
+	options := node.Options{Settings: s, Logger: log, Store: w.watches, Lister: w}
+	if w.network != nil {
+		w.network.use(&options, vm.Region)
+	}
+	return node.New(options)
 }
 
 func (w *fleetWorld) close() {
--- a/bench/scenario/scenario.go
+++ b/bench/scenario/scenario.go
@@ -57,6 +57,7 @@
 		fleetScenario(),
 		fleetByAccounts(),
 		fleetByBlocks(),
+		fleetCut(),
 		fleetFailure(),
 		lookupHTTP(),
 		lookupLibrary(),
