integration: a cluster takes its address with its first port

Cause: the clusters of the configuration tests start no processes by newCluster, so they had no loopback address to put a fault proxy on.

Change: the first port asked for draws the address; the configuration tests' one fault proxy takes a port of it. No check is changed.

Conclusion: every fault proxy listens where no stranger can take its port.

--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -55,7 +55,7 @@
 // and waits until every entry VM serves.
 func newCluster(t *testing.T, change func(account []byte) []byte) *farm {
 	t.Helper()
-	return startCluster(&farm{t: t, ip: clusterIP()}, change)
+	return startCluster(&farm{t: t}, change)
 }
 
 // clusters counts the clusters of this process.
@@ -91,6 +91,9 @@
 // freeAddress returns an address that nobody listens on: the cluster has its IP
 // alone and uses each port once.
 func (f *farm) freeAddress() string {
+	if f.ip == "" {
+		f.ip = clusterIP()
+	}
 	f.ports++
 	return net.JoinHostPort(f.ip, strconv.Itoa(firstPort+f.ports))
 }
--- a/integration/config_cluster_test.go
+++ b/integration/config_cluster_test.go
@@ -74,7 +74,7 @@
 			f.t.Fatal(err)
 		}
 		n.p = startProcess(f.t, n.name, daemonProgram, "--settings", file)
-		path := startFaultProxy(f.t, "to "+n.name, callers)
+		path := startFaultProxy(f.t, f.freeAddress(), "to "+n.name, callers)
 		f.entries, f.entryPaths = append(f.entries, n.p), append(f.entryPaths, path)
 		vm := membership.VM{
 			ID: n.name, Role: membership.RoleEntry, Region: place.Region, Place: place.Name,
--- a/integration/regions_test.go
+++ b/integration/regions_test.go
@@ -28,7 +28,7 @@
 // newRegions starts a cluster with callers in two regions.
 func newRegions(t *testing.T, cuttable, paths bool) *farm {
 	t.Helper()
-	return startCluster(&farm{t: t, ip: clusterIP(), regions: &regions{cuttable: cuttable, paths: paths}}, tight)
+	return startCluster(&farm{t: t, regions: &regions{cuttable: cuttable, paths: paths}}, tight)
 }
 
 // withPaths tells whether each target is behind a fault proxy.
