bench run: tell the true time, the warm-up and what is wrong

State told 'takes at least 2m30s' and took 3.3 s: scenarios whose length follows from their work counted the default duration, which they do not use. They say so now (Untimed), the estimate leaves them out, and a duration given to one is a fault. The progress line showed '1s, 2 sent' at 100 calls/s: its time began before the warm-up, its counts after it; it tells the warm-up now. An unknown scenario names the known ones and no longer adds 'no [scenario NAME] section'; show and compare refuse a file that is no result ('{}' read as one and exited 0); no empty table of lines.

Tests for the estimate, the faults, the wrong file and the empty table; tests of bench/experiment, report, load and cmd/yuccaroute with -race, passed. bench/scenario changed only in the new field; its tests were not run again.

--- a/bench/experiment/experiment_test.go
+++ b/bench/experiment/experiment_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"strings"
 	"testing"
+	"time"
 )
 
 const file = `[experiment]
@@ -38,13 +39,25 @@
 	}
 }
 
+// The time that is told before a run counts only scenarios that run for a time.
+func TestEstimate(t *testing.T) {
+	e, err := Parse([]byte(file + "[scenario membership]\nsizes = 100\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := e.Estimate(), 8*20*time.Millisecond; got != want {
+		t.Errorf("estimated %s, want %s", got, want)
+	}
+}
+
 func TestAllFaultsAtOnce(t *testing.T) {
 	text := strings.NewReplacer("duration = 20ms", "duration = 20", "p99 = 1.5", "p99 = much", "workers = 2", "wrokers = 2").Replace(file)
+	text += "[scenario nope]\n[scenario membership]\nsizes = 100\nduration = 1s\n"
 	_, err := Parse([]byte(text))
 	if err == nil {
 		t.Fatal("accepted")
 	}
-	for _, want := range []string{"key duration", "key p99", "key wrokers"} {
+	for _, want := range []string{"key duration", "key p99", "key wrokers", `"nope"; there are blocks, `, "[scenario membership], key duration: not used"} {
 		if !strings.Contains(err.Error(), want) {
 			t.Errorf("error %q does not name %q", err, want)
 		}
--- a/bench/experiment/file.go
+++ b/bench/experiment/file.go
@@ -79,10 +79,14 @@
 	return p.experiment, nil
 }
 
-// Estimate returns how long the experiment takes at least.
+// Estimate returns how long the experiment takes at least. Untimed scenarios
+// count nothing.
 func (e *Experiment) Estimate() time.Duration {
 	var total time.Duration
 	for _, part := range e.Parts {
+		if part.Scenario.Untimed {
+			continue
+		}
 		one := part.Params.Warmup + part.Params.Duration
 		total += one * time.Duration(len(part.Sizes)*len(e.Seeds)*e.Repetitions)
 	}
@@ -92,6 +96,8 @@
 type parser struct {
 	experiment *Experiment
 	faults     []string
+	// scenarios counts the sections of scenarios, those with faults included.
+	scenarios int
 }
 
 func (p *parser) fault(section *ini.Section, key, text string) {
@@ -129,9 +135,10 @@
 }
 
 func (p *parser) scenario(section *ini.Section, name string) {
+	p.scenarios++
 	found, ok := scenario.Find(name)
 	if !ok {
-		p.faults = append(p.faults, "unknown scenario "+strconv.Quote(name))
+		p.faults = append(p.faults, "unknown scenario "+strconv.Quote(name)+"; there are "+strings.Join(scenario.Names(), ", "))
 		return
 	}
 	part := Part{Scenario: found, Params: scenario.Params{Workers: defaultWorkers, Duration: defaultDuration, Rate: defaultRate}}
@@ -143,10 +150,8 @@
 			part.Params.Rate = p.number(section, key, key.String(), 1, load.MaxRate)
 		case "workers":
 			part.Params.Workers = p.integer(section, key, 1, load.MaxWorkers)
-		case "warmup":
-			part.Params.Warmup = p.duration(section, key, 0)
-		case "duration":
-			part.Params.Duration = p.duration(section, key, time.Millisecond)
+		case "warmup", "duration":
+			p.time(section, key, &part)
 		default:
 			p.fault(section, key.Name(), "unknown key")
 		}
@@ -157,3 +162,15 @@
 	slices.SortFunc(part.Sizes, cmp.Compare[float64])
 	p.experiment.Parts = append(p.experiment.Parts, part)
 }
+
+// time reads how long a scenario warms up or runs.
+func (p *parser) time(section *ini.Section, key *ini.Key, part *Part) {
+	switch {
+	case part.Scenario.Untimed:
+		p.fault(section, key.Name(), "not used: a run takes as long as its work")
+	case key.Name() == "warmup":
+		part.Params.Warmup = p.duration(section, key, 0)
+	default:
+		part.Params.Duration = p.duration(section, key, time.Millisecond)
+	}
+}
--- a/bench/experiment/run.go
+++ b/bench/experiment/run.go
@@ -33,9 +33,7 @@
 			fmt.Fprintf(progress, "bench: %s\n", name)
 			params := part.Params
 			params.Size, params.Seed = size, seed
-			params.Progress = func(p load.Progress) {
-				fmt.Fprintf(progress, "bench: %s: %v, %d sent, %d failed\n", name, p.Elapsed.Round(time.Second), p.Sent, p.Failed)
-			}
+			params.Progress = func(p load.Progress) { writeProgress(progress, name, params.Warmup, p) }
 			metrics, err := part.Scenario.Run(ctx, params)
 			if err != nil {
 				return errors.Wrap(err, name)
@@ -48,3 +46,12 @@
 	}
 	return nil
 }
+
+// writeProgress writes one line; the counts begin after the warm-up.
+func writeProgress(w io.Writer, name string, warmup time.Duration, p load.Progress) {
+	if p.Elapsed < warmup {
+		fmt.Fprintf(w, "bench: %s: warming up\n", name)
+		return
+	}
+	fmt.Fprintf(w, "bench: %s: %v, %d sent, %d failed\n", name, (p.Elapsed - warmup).Round(time.Second), p.Sent, p.Failed)
+}
--- a/bench/experiment/values.go
+++ b/bench/experiment/values.go
@@ -69,7 +69,7 @@
 	if e.Name == "" {
 		p.faults = append(p.faults, "section [experiment], key name: missing")
 	}
-	if len(e.Parts) == 0 {
+	if p.scenarios == 0 {
 		p.faults = append(p.faults, "no [scenario NAME] section")
 	}
 	if total := e.Estimate(); total > maxTotal {
--- a/bench/report/report_test.go
+++ b/bench/report/report_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -52,3 +53,19 @@
 		t.Error(diff)
 	}
 }
+
+// A file that is no result must not read as one without figures.
+func TestNoResult(t *testing.T) {
+	if r, err := ReadJSON(strings.NewReader("{}")); err == nil {
+		t.Errorf("read %+v", r)
+	}
+}
+
+// Too few sizes give no line, and then there is no table either.
+func TestNoLineNoTable(t *testing.T) {
+	var out strings.Builder
+	result(1, 2).WriteFits(&out)
+	if out.Len() > 0 {
+		t.Error(out.String())
+	}
+}
--- a/bench/report/result.go
+++ b/bench/report/result.go
@@ -67,5 +67,8 @@
 	if err := json.NewDecoder(reader).Decode(r); err != nil {
 		return nil, errors.Wrap(err, "read result")
 	}
+	if r.Experiment == "" {
+		return nil, errors.New("read result: it names no experiment, so it is no result")
+	}
 	return r, nil
 }
--- a/bench/report/table.go
+++ b/bench/report/table.go
@@ -23,7 +23,8 @@
 }
 
 // WriteFits writes, for every figure with enough sizes, the line through all
-// sizes but the largest and what it foretells there.
+// sizes but the largest and what it foretells there. Without such a figure it
+// writes nothing.
 func (r *Result) WriteFits(w io.Writer) {
 	t := newTable(w, r.Experiment+": lines")
 	t.AppendHeader(table.Row{"scenario", "figure", "unit", "slope", "intercept", "spread", "R2", "left out", "foretold", "measured", "error"})
@@ -38,7 +39,9 @@
 			number(f.Foretold), number(f.Measured), percent(f.Error),
 		})
 	}
-	t.Render()
+	if t.Length() > 0 {
+		t.Render()
+	}
 }
 
 func newTable(w io.Writer, title string) table.Writer {
--- a/bench/scenario/config.go
+++ b/bench/scenario/config.go
@@ -26,6 +26,7 @@
 		SizeName: "blocks",
 		Summary:  "an account's document by caller blocks: bytes, time to check, to encode and to read",
 		MaxSize:  targetBlocks,
+		Untimed:  true,
 		Run:      runConfig,
 	}
 }
--- a/bench/scenario/decider.go
+++ b/bench/scenario/decider.go
@@ -31,6 +31,7 @@
 		SizeName: "nodes",
 		Summary:  "one account with 6 places and 2 services, by nodes; simulated time",
 		MaxSize:  2 * targetNodes,
+		Untimed:  true,
 		Run: func(ctx context.Context, p Params) ([]report.Metric, error) {
 			return runDecider(ctx, int(p.Size), todayPlaces, busyUse, p.Seed)
 		},
@@ -44,6 +45,7 @@
 		SizeName: "sites",
 		Summary:  "one account with 2 services and 550 nodes, by sites; simulated time",
 		MaxSize:  targetSites,
+		Untimed:  true,
 		Run: func(ctx context.Context, p Params) ([]report.Metric, error) {
 			return runDecider(ctx, targetNodes, int(p.Size), busyUse, p.Seed)
 		},
@@ -57,6 +59,7 @@
 		SizeName: "use",
 		Summary:  "one account with 6 places, 2 services and 100 nodes, by percent of the capacity used; simulated time",
 		MaxSize:  100,
+		Untimed:  true,
 		Run: func(ctx context.Context, p Params) ([]report.Metric, error) {
 			return runDecider(ctx, useNodes, todayPlaces, p.Size/100, p.Seed)
 		},
--- a/bench/scenario/fleet_blocks.go
+++ b/bench/scenario/fleet_blocks.go
@@ -23,6 +23,7 @@
 		SizeName: "accounts",
 		Summary:  "memory of a node by accounts with 12,222 caller blocks each; 27 of them have 330,000",
 		MaxSize:  maxAccounts,
+		Untimed:  true,
 		Run: func(ctx context.Context, p Params) ([]report.Metric, error) {
 			return runFleetBlocks(ctx, int(p.Size))
 		},
--- a/bench/scenario/fleet_failure.go
+++ b/bench/scenario/fleet_failure.go
@@ -30,6 +30,7 @@
 		SizeName: "failed",
 		Summary:  "102 whole idle nodes, 2 accounts; the given number fails at once: peaks on the others and at the store",
 		MaxSize:  failureNodes / 2,
+		Untimed:  true,
 		Run: func(ctx context.Context, p Params) ([]report.Metric, error) {
 			return runFleetFailure(ctx, int(p.Size))
 		},
--- a/bench/scenario/members.go
+++ b/bench/scenario/members.go
@@ -26,6 +26,7 @@
 		SizeName: "vms",
 		Summary:  "one changed VM list, a fifth of it entry VMs: bytes, time to read, to use in look-up and spreading",
 		MaxSize:  maxVMs,
+		Untimed:  true,
 		Run: func(_ context.Context, p Params) ([]report.Metric, error) {
 			return measureMembers(int(p.Size))
 		},
--- a/bench/scenario/scenario.go
+++ b/bench/scenario/scenario.go
@@ -34,6 +34,9 @@
 	Summary  string
 	// MaxSize bounds Params.Size.
 	MaxSize float64
+	// Untimed tells that a run takes as long as its work: it uses neither
+	// Params.Warmup nor Params.Duration.
+	Untimed bool
 	Run     func(ctx context.Context, p Params) ([]report.Metric, error)
 }
 
@@ -77,6 +80,15 @@
 	return all[i], true
 }
 
+// Names returns the names of all scenarios, sorted.
+func Names() []string {
+	var names []string
+	for _, s := range All() {
+		names = append(names, s.Name)
+	}
+	return names
+}
+
 // loadMetrics turns a report into figures of a result.
 func loadMetrics(r *load.Report) []report.Metric {
 	return []report.Metric{
--- a/cmd/yuccaroute/bench.go
+++ b/cmd/yuccaroute/bench.go
@@ -75,7 +75,9 @@
 func runExperiment(cmd *cobra.Command, e *experiment.Experiment, output outputFlags) error {
 	stops := program.OnSignals(cmd.Context())
 	defer stops.Close()
-	fmt.Fprintf(cmd.ErrOrStderr(), "%s takes at least %s\n", e.Name, e.Estimate().Round(time.Second))
+	if estimate := e.Estimate(); estimate > 0 {
+		fmt.Fprintf(cmd.ErrOrStderr(), "%s takes at least %s\n", e.Name, estimate.Round(time.Second))
+	}
 	result, runErr := experiment.Run(stops.Planned, e, cmd.ErrOrStderr())
 	if result == nil {
 		return program.Exit(program.ExitFailed, runErr)
