--- a/bench/scenario/config.go
+++ b/bench/scenario/config.go
@@ -43,15 +43,25 @@
 		return nil, err
 	}
 	var body []byte
+	var contents []config.Content
 	encode, err := least(func() (err error) {
-		body, err = config.Encode(resolved.Account)
+		body, contents, err = config.EncodeDivided(resolved.Account)
 		return err
 	})
 	if err != nil {
 		return nil, err
 	}
+	content := 0
+	sets := make([][]byte, 0, len(contents))
+	for i := range contents {
+		content += len(contents[i].Body)
+		sets = append(sets, contents[i].Body)
+	}
 	decode, err := least(func() error {
-		_, err := config.Decode(body)
+		if _, err := config.Decode(body); err != nil {
+			return err
+		}
+		_, err := config.DecodeCallers(sets)
 		return err
 	})
 	if err != nil {
@@ -67,6 +77,7 @@
 	return []report.Metric{
 		{Name: "document", Unit: "B", Value: float64(len(text))},
 		{Name: "item", Unit: "B", Value: float64(len(body))},
+		{Name: "content", Unit: "B", Value: float64(content)},
 		{Name: "check", Unit: "ms", Value: check.Seconds() * 1000},
 		{Name: "encode", Unit: "ms", Value: encode.Seconds() * 1000},
 		{Name: "decode", Unit: "ms", Value: decode.Seconds() * 1000},
