Record how soon real processes have a change in force

Cause: the time from accepted to in force, its calls, bytes and processor were known for module spread in one process and for whole nodes in one process, not for built daemons that are changed through their administration API.

--- a/bench/processes/inforce_test.go
+++ b/bench/processes/inforce_test.go
@@ -36,6 +36,10 @@
 	costTime    = 10 * time.Second
 	busyChanges = 20
 	settleShort = 8 * time.Second
+	// callsPerChange bounds the store calls of a change: those of the node that
+	// takes it, and two of each of the six watchers, its watch and the document.
+	// The number of nodes must not matter.
+	callsPerChange = 20
 	// sizeTime bounds the run of one size.
 	sizeTime = 5 * time.Minute
 )
@@ -75,8 +79,14 @@
 	time.Sleep(settleShort)
 	b.ReportMetric(0, "ns/op")
 	c := newChanger(ctx, f)
-	c.cost("idle", 0, report)
-	c.cost("busy", busyChanges, report)
+	idle := c.cost("idle", 0, report)
+	busy := c.cost("busy", busyChanges, report)
+	calls := (busy.calls - idle.calls) / busyChanges
+	report("store-calls/change", calls)
+	report("B/change", (busy.bytes-idle.bytes)/busyChanges)
+	if calls > callsPerChange {
+		b.Errorf("a change takes %.1f calls of the store, at most %d are permitted", calls, callsPerChange)
+	}
 	c.series("quiet", nil, report)
 	relay := c.relay()
 	hung := f.commands[relay].Process
@@ -187,8 +197,11 @@
 	}
 }
 
+// used is what all nodes and the store used in a costTime.
+type used struct{ calls, bytes float64 }
+
 // cost reads what the nodes use while so many changes are made.
-func (c *changer) cost(name string, changes int, report func(string, float64)) {
+func (c *changer) cost(name string, changes int, report func(string, float64)) used {
 	before, begin := c.f.read(), time.Now()
 	for i := range changes {
 		c.change()
@@ -201,6 +214,8 @@
 	report(name+"-B/s/node", (after.loopback-before.loopback)/perNode)
 	report(name+"-store-calls/s", float64(after.calls-before.calls)/seconds)
 	report(name+"-waiting-watches", float64(after.waiting))
+	scale := costTime.Seconds() / seconds
+	return used{calls: float64(after.calls-before.calls) * scale, bytes: (after.loopback - before.loopback) * scale}
 }
 
 // relay chooses the relay with the most subscribers; where no relay has any,
