control: measure the time from demand to raise

The fleet test reported the present demand, where a real node reports the mean since its last report.

Change: the fleet test's nodes count what arrives between reports, and TestDemandToRaise doubles the demand in front of one of eight nodes at 20 phases and follows the messages in simulated time.

--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -51,10 +51,15 @@
 	cancel context.CancelFunc
 	done   chan struct{}
 
-	mu      sync.Mutex
-	set     *grant.Set
-	offered float64
-	down    bool
+	mu  sync.Mutex
+	set *grant.Set
+	// offered is the demand in front of the node, requests/s; arrived counts
+	// what came since the last report, up to counted.
+	offered, arrived float64
+	counted          time.Time
+	// reportedRPS is the demand in the last report that was answered.
+	reportedRPS float64
+	down        bool
 	// cut takes the node off the network, but not off the store.
 	cut bool
 }
@@ -102,6 +107,7 @@
 		ref:     &peerpb.NodeRef{Vm: vm, Incarnation: incarnation, PeerAddress: peer.String(), Region: string(region)},
 		done:    make(chan struct{}),
 		offered: 80,
+		counted: time.Now(),
 	}
 	system, err := New(m.options())
 	if err != nil {
@@ -189,16 +195,37 @@
 func (m *member) reports(interval time.Duration) []observe.Report {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.count()
+	rate := m.offered
+	if interval > 0 {
+		rate = m.arrived / interval.Seconds()
+	}
+	m.arrived = 0
 	r := observe.Report{Account: "daehan", Interval: interval}
 	r.Flows = append(r.Flows, observe.FlowDemand{
-		Service: "dealer-desk", Caller: model.RegionName(m.ref.Region), OfferedRPS: m.offered,
+		Service: "dealer-desk", Caller: model.RegionName(m.ref.Region), OfferedRPS: rate,
 	})
 	for _, c := range m.fleet.account.Services[0].Capacity {
-		r.Places = append(r.Places, observe.PlaceLoad{Service: "dealer-desk", Place: c.Place, SentRPS: m.offered / 4})
+		r.Places = append(r.Places, observe.PlaceLoad{Service: "dealer-desk", Place: c.Place, SentRPS: rate / 4})
 	}
 	return []observe.Report{r}
 }
 
+// count adds what has arrived since it was called last; it needs mu.
+func (m *member) count() {
+	now := time.Now()
+	m.arrived += m.offered * now.Sub(m.counted).Seconds()
+	m.counted = now
+}
+
+// ask sets the demand in front of the node.
+func (m *member) ask(rps float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.count()
+	m.offered = rps
+}
+
 func (m *member) apply(set *grant.Set) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -327,6 +354,7 @@
 	switch request := args.(type) {
 	case *peerpb.RenewRequest:
 		answer, err = to.server.Renew(ctx, request)
+		l.from.answeredTo(request)
 	case *peerpb.LendRequest:
 		answer, err = to.server.Lend(ctx, request)
 	}
@@ -342,6 +370,16 @@
 	return nil
 }
 
+// answeredTo notes the demand that a report told.
+func (m *member) answeredTo(request *peerpb.RenewRequest) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reportedRPS = 0
+	for _, f := range request.Flows {
+		m.reportedRPS += float64(f.OfferedRps)
+	}
+}
+
 // NewStream implements grpc.ClientConnInterface.
 func (l *link) NewStream(context.Context, *grpc.StreamDesc, string, ...grpc.CallOption) (grpc.ClientStream, error) {
 	return nil, errDown
--- /dev/null
+++ b/control/raise_test.go
@@ -0,0 +1,92 @@
+package control
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// raiseTimes is when, after a node's callers ask for more, the messages of its
+// raise were seen, in simulated time.
+type raiseTimes struct {
+	// reported is when the decider took the first report with all of it,
+	// written when the ledger was written after that, raised when the node may
+	// send more, enough when it may send all that its callers ask for.
+	reported, written, raised, enough time.Duration
+}
+
+// raisePoll is how exactly the times are taken.
+const raisePoll = 10 * time.Millisecond
+
+// timeRaise raises the demand in front of a node and follows the messages.
+func (f *fleet) timeRaise(m *member, demand float64) raiseTimes {
+	var t raiseTimes
+	began := time.Now()
+	held := m.permitted()
+	before := f.usage().writes
+	m.ask(demand)
+	for time.Since(began) < 30*time.Second && t.enough == 0 {
+		time.Sleep(raisePoll)
+		since := time.Since(began)
+		note := func(at *time.Duration, seen bool) {
+			if *at == 0 && seen {
+				*at = since
+			}
+		}
+		note(&t.reported, m.told(demand))
+		note(&t.written, t.reported > 0 && f.usage().writes > before)
+		note(&t.raised, m.permitted() > held)
+		note(&t.enough, m.permitted() >= rps(demand))
+	}
+	f.check()
+	return t
+}
+
+// told reports whether a report with all of a demand has been answered.
+func (m *member) told(demand float64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.reportedRPS >= demand*0.99
+}
+
+// Callers of one node ask for twice what it may send, while most of the
+// capacity is idle. They wait in its queue until the raise is there. The time
+// goes by message; the node's phase against the decider's step varies.
+func TestDemandToRaise(t *testing.T) {
+	const trials = 20
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 8)
+		defer f.stop()
+		f.run(30)
+		var sum, most raiseTimes
+		for i := range trials {
+			time.Sleep(time.Duration(i) * 50 * time.Millisecond)
+			m := f.nodes[i%len(f.nodes)]
+			one := f.timeRaise(m, 2*m.permitted().RPS())
+			sum.add(one)
+			most.raise(one)
+			f.offer(80)
+			f.run(120)
+		}
+		t.Logf("mean of %d: reported %v, written %v, raised %v, enough %v", trials,
+			sum.reported/trials, sum.written/trials, sum.raised/trials, sum.enough/trials)
+		t.Logf("most: %+v", most)
+		if sum.raised == 0 || most.enough == 0 {
+			t.Fatal("no raise was seen")
+		}
+	})
+}
+
+func (t *raiseTimes) add(u raiseTimes) {
+	t.reported += u.reported
+	t.written += u.written
+	t.raised += u.raised
+	t.enough += u.enough
+}
+
+func (t *raiseTimes) raise(u raiseTimes) {
+	t.reported = max(t.reported, u.reported)
+	t.written = max(t.written, u.written)
+	t.raised = max(t.raised, u.raised)
+	t.enough = max(t.enough, u.enough)
+}
--- a/control/system_test.go
+++ b/control/system_test.go
@@ -156,9 +156,7 @@
 // offer sets the demand in front of each node.
 func (f *fleet) offer(rps float64) {
 	for _, m := range f.nodes {
-		m.mu.Lock()
-		m.offered = rps
-		m.mu.Unlock()
+		m.ask(rps)
 	}
 }
 
