allocate: do not let grants follow the order of the first reports

Cause: when callers come to all nodes at once, the first node to report is the only one with demand. Its share was nearly all there is, more than twice what it held, so it was raised to that, and the others were lowered to the even part, just before their own first reports.

--- a/control/allocate/allocate.go
+++ b/control/allocate/allocate.go
@@ -70,7 +70,9 @@
 	// largest sum of floors in it.
 	target, floors []float64
 	// share is what each node should have: nodes by keys.
-	share  [][]float64
+	share [][]float64
+	// even is the part of a share that does not depend on demand, by keys.
+	even   []float64
 	region map[model.RegionName]float64
 	link   map[model.RegionName]float64
 	wishes [][]ledger.Amounts
@@ -87,6 +89,7 @@
 		target: make([]float64, len(keys)),
 		floors: make([]float64, len(keys)),
 		share:  matrix[float64](len(nodes), len(keys)),
+		even:   make([]float64, len(keys)),
 		region: make(map[model.RegionName]float64),
 		link:   make(map[model.RegionName]float64),
 		wishes: matrix[ledger.Amounts](len(nodes), len(keys)),
@@ -220,6 +223,7 @@
 			part := 0.0
 			if !n.Leaving {
 				part = even / float64(reachable)
+				s.even[k] = part * s.target[k]
 			}
 			if s.demand[k] > 0 {
 				part += (1 - even) * n.Demand[k] / s.demand[k]
--- a/control/allocate/allocate_test.go
+++ b/control/allocate/allocate_test.go
@@ -90,6 +90,22 @@
 	}
 }
 
+// Callers come to all nodes at the same time, and one node is the first to
+// report them. It has room for them. If it got its share of the demand known so
+// far, nearly all there is, the others would be lowered to what they had
+// before their callers came, and these would wait for a second raise.
+func TestFirstReportTakesNothingFromOthers(t *testing.T) {
+	l := limits(100, 1000, 1000)
+	nodes := []Node{node("east", 0, 0), node("east", 0, 0), node("east", 0, 0), node("east", 0, 0)}
+	settle(l, nodes)
+	nodes[0].Demand[0] = 5
+	for i, w := range wish(l, nodes) {
+		if w[0] != nodes[i].Have[0] {
+			t.Errorf("node %d changed from %v to %v", i, nodes[i].Have[0], w[0])
+		}
+	}
+}
+
 // A node that cannot be reached keeps its floor. The others must be given only
 // the rest, or the ledger would hold back a raise for one of them for good.
 func TestFloorsOfSilentNodesAreLeftOut(t *testing.T) {
