control: report at once when short, and decide at once

Change: the proxy tells when a request will wait longer than the pacing time for the grant. The node counts its demand for 200 ms and reports out of turn; the decider splits without a new plan, writes the ledger if anything is raised, and then answers. A lower set is acknowledged 50 to 100 ms after it is in force. Out of turn are: one report in a regular interval, one decision a second. The model check sends reports that are short and holds their answers until after the write.

--- a/control/account.go
+++ b/control/account.go
@@ -29,6 +29,8 @@
 	without time.Time
 	// announced is the epoch whose address was published last.
 	announced uint64
+	// relieved is when the decider last decided out of turn; only Run uses it.
+	relieved time.Time
 	// stepping is true while a step runs, stopped after Stop.
 	stepping, stopped atomic.Bool
 }
@@ -61,6 +63,7 @@
 		Configured:  a.configured.Load,
 		Listed:      a.system.listed,
 		Publish:     a.publishPlan,
+		Hurry:       a.hurry,
 		Clock:       o.Clock,
 		Logger:      o.Logger,
 		CallTimeout: decider.DefaultCallTimeout,
@@ -106,10 +109,45 @@
 		o.Logger.WithError(err).Error("control: cannot campaign")
 	}
 	a.announce()
-	if err := a.decider.Step(ctx); err != nil {
-		o.Logger.WithField("account", a.name).WithError(err).Warn("control: giving up the lease")
-		_ = a.campaign.Resign(ctx)
+	a.resignOn(ctx, a.decider.Step(ctx))
+}
+
+// resignOn gives the lease up if the term is over.
+func (a *account) resignOn(ctx context.Context, err error) {
+	if err == nil {
+		return
+	}
+	a.system.options.Logger.WithField("account", a.name).WithError(err).Warn("control: giving up the lease")
+	_ = a.campaign.Resign(ctx)
+}
+
+// hurry asks for a decision out of turn. If the request is dropped the next step
+// serves the nodes that wait.
+func (a *account) hurry() {
+	select {
+	case a.system.hurried <- a:
+	default:
+	}
+}
+
+const (
+	// relieveEvery is the shortest time between two decisions out of turn, so
+	// that an account writes its ledger at most twice in a second, and once a
+	// second in the mean of longer times plus once for each step.
+	relieveEvery = time.Second
+	// gather is how long a decision out of turn waits for the reports of other
+	// nodes that are short for the same reason.
+	gather = 50 * time.Millisecond
+)
+
+// relieve decides out of turn.
+func (a *account) relieve(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(gather):
 	}
+	a.resignOn(ctx, a.decider.Relieve(ctx))
 }
 
 // stop hands back the grants, to this node itself if it decides, and then the
--- a/control/decider/core.go
+++ b/control/decider/core.go
@@ -129,6 +129,24 @@
 	if !c.ledger.Pending() {
 		c.decide(account, now)
 	}
+	return c.propose(now)
+}
+
+// Relieve gives what is free to nodes that are short, without a new plan: its
+// outcome is that of Step.
+func (c *Core) Relieve(now time.Time) (w Write, ok bool) {
+	if c.lost {
+		return Write{}, false
+	}
+	if !c.ledger.Pending() {
+		c.allocate(now)
+	}
+	return c.propose(now)
+}
+
+// propose returns the write that the ledger needs before anything of it may be
+// sent; ok is false when it needs none.
+func (c *Core) propose(now time.Time) (w Write, ok bool) {
 	value := c.ledger.Propose(now)
 	if value == nil {
 		return Write{}, false
--- a/control/decider/renew.go
+++ b/control/decider/renew.go
@@ -13,28 +13,49 @@
 // leastInterval is the shortest time between two reports of a node.
 const leastInterval = time.Second
 
-// Renew answers a report received at now. The caller must have found the lease
-// held after it received the report.
+// Renew takes in a report received at now and answers it. The caller must have
+// found the lease held after it received the report.
 func (c *Core) Renew(request *peerpb.RenewRequest, now time.Time) *peerpb.RenewResponse {
+	if response, _ := c.Take(request, now); response != nil {
+		return response
+	}
+	return c.Answer(request, now)
+}
+
+// Take takes in a report received at now. A response that is not nil is the
+// answer. With nil the caller answers by Answer, after the next step if hold is
+// set: the node is short, and an answer now would tell it nothing. The caller must have found the lease held after it received the report.
+func (c *Core) Take(request *peerpb.RenewRequest, now time.Time) (response *peerpb.RenewResponse, hold bool) {
 	if c.lost || request.AppliedEpoch > c.Epoch() {
 		// The node has heard a newer decider: this one was replaced without
 		// noticing.
 		c.lost = true
-		return &peerpb.RenewResponse{Code: uint32(result.NotLeader)}
+		return &peerpb.RenewResponse{Code: uint32(result.NotLeader)}, false
 	}
 	node := nodeOf(request.Node)
 	if node.ID.VM == "" {
-		return &peerpb.RenewResponse{Code: uint32(result.BadRequest)}
+		return &peerpb.RenewResponse{Code: uint32(result.BadRequest)}, false
 	}
 	c.ledger.Hear(node, now)
 	c.ledger.Acknowledge(node.ID, request.AppliedEpoch, request.AppliedSequence)
 	if request.Stopped {
 		c.ledger.Release(node.ID)
-		return &peerpb.RenewResponse{Epoch: c.Epoch()}
+		return &peerpb.RenewResponse{Epoch: c.Epoch()}, false
 	}
 	c.ledger.SetLeaving(node.ID, request.Leaving)
-	c.report(reportOf(request, node), request.PlacesSame, now)
-	return c.answer(request, node, now)
+	c.report(reportOf(request, node), request, now)
+	return nil, request.Short
+}
+
+// Answer answers a report that Take has taken in, at now. The caller must have
+// found the lease held after it received the report: the surplus counts from
+// when the node sent it, and so ends within one time to live of the lease
+// however long the answer was held.
+func (c *Core) Answer(request *peerpb.RenewRequest, now time.Time) *peerpb.RenewResponse {
+	if c.lost {
+		return &peerpb.RenewResponse{Code: uint32(result.NotLeader)}
+	}
+	return c.answer(request, nodeOf(request.Node), now)
 }
 
 func (c *Core) answer(request *peerpb.RenewRequest, node ledger.Node, now time.Time) *peerpb.RenewResponse {
--- a/control/decider/reported.go
+++ b/control/decider/reported.go
@@ -7,6 +7,7 @@
 	"github.com/yuccaroute/yuccaroute/api/grant"
 	"github.com/yuccaroute/yuccaroute/api/model"
 	"github.com/yuccaroute/yuccaroute/api/observe"
+	"github.com/yuccaroute/yuccaroute/api/peerpb"
 	"github.com/yuccaroute/yuccaroute/control/allocate"
 	"github.com/yuccaroute/yuccaroute/control/ledger"
 )
@@ -36,8 +37,9 @@
 	caller  model.RegionName
 }
 
-// report takes in a report. With placesSame its places are those of the last.
-func (c *Core) report(r observe.Report, placesSame bool, now time.Time) {
+// report takes in the report of a request. With PlacesSame its places are those
+// of the last.
+func (c *Core) report(r observe.Report, request *peerpb.RenewRequest, now time.Time) {
 	old := c.reports[r.Node]
 	if old == nil {
 		old = &reported{flows: make(map[flowKey]float64)}
@@ -47,7 +49,7 @@
 	if old.at.IsZero() {
 		since = time.Hour
 	}
-	if placesSame {
+	if request.PlacesSame {
 		r.Places = old.report.Places
 	}
 	old.report = r
@@ -59,21 +61,35 @@
 			continue
 		}
 		key := flowKey{f.Service, f.Caller}
-		next[key] = average(old.flows[key], f.OfferedRPS, since)
+		next[key] = average(old.flows[key], f.OfferedRPS, r.Interval, since, request.Short)
 	}
 	old.flows = next
 }
 
-// average moves a smoothed rate towards a new reading.
-func average(old, reading float64, since time.Duration) float64 {
+// average moves a smoothed rate towards a new reading over an interval. A rise
+// that is no chance counts in full for a node that is short.
+func average(old, reading float64, interval, since time.Duration, short bool) float64 {
 	over := smoothing
-	if reading > old+surgeDeviations*math.Sqrt(max(old, 1)) {
+	if rises(old, reading, interval) {
+		if short {
+			return reading
+		}
 		over = surging
 	}
 	weight := 1 - math.Exp(-since.Seconds()/over.Seconds())
 	return old + weight*(reading-old)
 }
 
+// rises reports whether a reading is above the average by more than chance: a
+// rate that is counted over a shorter interval varies more.
+func rises(old, reading float64, interval time.Duration) bool {
+	seconds := interval.Seconds()
+	if seconds <= 0 || seconds > 1 {
+		seconds = 1
+	}
+	return reading > old+surgeDeviations*math.Sqrt(max(old, 1)/seconds)
+}
+
 // forget drops the reports of nodes that the ledger no longer knows.
 func (c *Core) forget(now time.Time) {
 	for id, r := range c.reports {
--- a/control/decider/runner.go
+++ b/control/decider/runner.go
@@ -37,8 +37,10 @@
 	Listed func() (list []ledger.Listed, sequence uint64, age time.Duration, ok bool)
 	// Publish sends a plan to all nodes. It must not wait for them.
 	Publish func(*plan.Plan)
-	Clock   func() time.Time
-	Logger  logrus.FieldLogger
+	// Hurry asks for a call of Relieve soon; it must not block.
+	Hurry  func()
+	Clock  func() time.Time
+	Logger logrus.FieldLogger
 	// CallTimeout bounds a call to the store.
 	CallTimeout time.Duration
 }
@@ -46,6 +48,10 @@
 // DefaultCallTimeout bounds a call to the store.
 const DefaultCallTimeout = 2 * time.Second
 
+// holdTime bounds how long the answer to a node that is short waits for the
+// next step. It is below the time after which a node takes no answer.
+const holdTime = 1500 * time.Millisecond
+
 // Runner does the I/O of a Core: it takes over when the lease is won, writes
 // the ledger and publishes plans. It makes at most one write a step.
 type Runner struct {
@@ -56,16 +62,20 @@
 	core      *Core
 	published *plan.Plan
 	writes    uint64
+	// next is closed when a step that has not begun yet has ended: it decides
+	// with all reports taken in so far.
+	next chan struct{}
 }
 
 // NewRunner returns a runner that decides nothing yet.
 func NewRunner(options RunnerOptions) *Runner {
-	return &Runner{options: options}
+	return &Runner{options: options, next: make(chan struct{})}
 }
 
 // Step does the work due now. It must be called by one goroutine, each second.
 // An error means that the term is over and the lease is to be given up.
 func (r *Runner) Step(ctx context.Context) error {
+	defer close(r.beginStep())
 	epoch, held := r.options.Lease.Held()
 	account := r.options.Configured()
 	if !held || account == nil {
@@ -77,12 +87,36 @@
 			return err
 		}
 	}
-	if err := r.commit(ctx, account); err != nil {
-		r.end()
-		return err
+	return r.commit(ctx, func() (Write, bool) { return r.propose(account) })
+}
+
+// Relieve gives what is free to nodes that are short, between two steps. It is
+// called like Step, and its error means the same.
+func (r *Runner) Relieve(ctx context.Context) error {
+	defer close(r.beginStep())
+	epoch, held := r.options.Lease.Held()
+	if !held || !r.deciding(epoch) {
+		return nil
 	}
-	r.publish()
-	return nil
+	return r.commit(ctx, r.relieve)
+}
+
+func (r *Runner) relieve() (Write, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.core == nil {
+		return Write{}, false
+	}
+	return r.core.Relieve(r.options.Clock())
+}
+
+// beginStep returns what is to be closed when the step has ended.
+func (r *Runner) beginStep() chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ended := r.next
+	r.next = make(chan struct{})
+	return ended
 }
 
 func (r *Runner) deciding(epoch uint64) bool {
@@ -131,9 +165,19 @@
 	return entry, err
 }
 
-// commit makes the step's decisions and the write they need.
-func (r *Runner) commit(ctx context.Context, account *model.Account) error {
-	write, due := r.propose(account)
+// commit makes the step's decisions, the write they need, and gives out a plan
+// that is written.
+func (r *Runner) commit(ctx context.Context, propose func() (Write, bool)) error {
+	if err := r.write(ctx, propose); err != nil {
+		r.end()
+		return err
+	}
+	r.publish()
+	return nil
+}
+
+func (r *Runner) write(ctx context.Context, propose func() (Write, bool)) error {
+	write, due := propose()
 	if !due {
 		return nil
 	}
@@ -204,15 +248,57 @@
 
 // Renew answers a report. The lease is checked after the report was received,
 // so that nothing given in the answer can outlive the wait of the next
-// decider, however long the answer then takes.
-func (r *Runner) Renew(request *peerpb.RenewRequest) *peerpb.RenewResponse {
+// decider, however long the answer then takes. The answer to a node that is
+// short waits for the next step, which is asked for.
+func (r *Runner) Renew(ctx context.Context, request *peerpb.RenewRequest) *peerpb.RenewResponse {
+	response, stepped := r.take(request)
+	if response != nil {
+		return response
+	}
+	r.options.Hurry()
+	ctx, cancel := context.WithTimeout(ctx, holdTime)
+	defer cancel()
+	select {
+	case <-stepped:
+	case <-ctx.Done():
+	}
+	return r.answer(request)
+}
+
+// take takes in a report and answers it. When the answer is to wait it returns
+// what is closed after the next step in place of it.
+func (r *Runner) take(request *peerpb.RenewRequest) (response *peerpb.RenewResponse, stepped <-chan struct{}) {
 	epoch, held := r.options.Lease.Held()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !held || r.core == nil || r.core.Epoch() != epoch {
-		return &peerpb.RenewResponse{Code: uint32(result.NotLeader)}
+		return notLeader(), nil
 	}
-	return r.core.Renew(request, r.options.Clock())
+	now := r.options.Clock()
+	response, hold := r.core.Take(request, now)
+	switch {
+	case response != nil:
+		return response, nil
+	case hold:
+		return nil, r.next
+	default:
+		return r.core.Answer(request, now), nil
+	}
+}
+
+// answer answers a report that was held. The lease may have ended meanwhile.
+func (r *Runner) answer(request *peerpb.RenewRequest) *peerpb.RenewResponse {
+	epoch, held := r.options.Lease.Held()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !held || r.core == nil || r.core.Epoch() != epoch {
+		return notLeader()
+	}
+	return r.core.Answer(request, r.options.Clock())
+}
+
+func notLeader() *peerpb.RenewResponse {
+	return &peerpb.RenewResponse{Code: uint32(result.NotLeader)}
 }
 
 // Status is what operators see of a decider.
--- a/control/holder/runner.go
+++ b/control/holder/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,16 +39,24 @@
 
 	// mu guards the rest. It is held over Apply, so that sets are put in force
 	// in their order, but not over calls to other nodes.
-	mu       sync.Mutex
-	core     *Core
-	busy     bool
-	due      time.Time
+	mu   sync.Mutex
+	core *Core
+	busy bool
+	due  time.Time
+	// interval is that of regular reports, as the decider said last.
+	interval time.Duration
 	transfer uint64
 	heard    time.Time
 	refused  uint64
 	brief    brief
 	// hint is where the node asked last says that the decider is.
 	hint *peerpb.NodeRef
+	// short tells that requests wait for more than the node has; shortAfter is
+	// before when that is no cause for a report out of turn, and early counts
+	// such reports.
+	short      bool
+	shortAfter time.Time
+	early      uint64
 	// random is seeded by the node's identity, so that nodes differ and a test
 	// runs the same each time.
 	random *rand.Rand
@@ -75,30 +84,94 @@
 // jitterShare spreads the reports of many nodes over the interval.
 const jitterShare = 0.1
 
-// Due reports whether a report is due, and if so notes it as under way: a node
-// has one request under way at a time.
+// Due reports whether a regular report is due, and if so notes it as under way:
+// a node has one request under way at a time. While one out of turn is to come
+// it waits for that: it would tell the mean of a time before the shortage.
 func (r *Runner) Due() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.busy || r.options.Clock().Before(r.due) {
+	if r.busy || r.short || r.options.Clock().Before(r.due) {
 		return false
 	}
 	r.busy = true
 	return true
 }
 
-// Report sends a report and takes in the answer. Call it after Due.
+// Short notes that requests wait for more than the node has. wake tells that a
+// report out of turn is due for it; DueEarly must be called then.
+//
+// Guard against a storm of reports while there is no capacity left: after one
+// out of turn the node waits for the interval of its regular reports before the
+// next, so that no node sends more than twice its regular reports.
+func (r *Runner) Short() (wake bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.short || r.options.Clock().Before(r.shortAfter) {
+		return false
+	}
+	r.short = true
+	return true
+}
+
+// DueEarly reports whether a report out of turn is due, and if so notes it as
+// under way. While another is under way the shortage is forgotten: requests that
+// still wait will tell it again.
+func (r *Runner) DueEarly() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.busy || !r.short {
+		r.short = false
+		return false
+	}
+	r.busy = true
+	r.early++
+	return true
+}
+
+// acknowledgeAfter is how long after a lower set was put in force the decider is
+// told, spread by jitter: what was taken may be what another node waits for.
+const acknowledgeAfter = 50 * time.Millisecond
+
+// Report sends a report and takes in the answer. Call it after Due or DueEarly.
+// An answer that lowers the grants is acknowledged soon, by the same report.
 func (r *Runner) Report(ctx context.Context, report observe.Report, leaving bool) {
 	defer r.done()
+	lowered, ok := r.exchange(ctx, report, leaving)
+	if !ok {
+		r.borrow(ctx, report)
+		return
+	}
+	if !lowered {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(r.acknowledgeDelay()):
+		r.exchange(ctx, report, leaving)
+	}
+}
+
+func (r *Runner) acknowledgeDelay() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return acknowledgeAfter + time.Duration(r.random.Int64N(int64(acknowledgeAfter)))
+}
+
+// exchange sends a report and takes in the answer. ok tells that it was taken,
+// lowered that it permits less than before for a place.
+func (r *Runner) exchange(ctx context.Context, report observe.Report, leaving bool) (lowered, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, r.options.RequestTimeout)
 	defer cancel()
 	request, sent := r.request(report, leaving)
 	response, err := r.renew(ctx, request)
-	if err == nil && r.answer(sent, response) {
+	if err != nil {
+		return false, false
+	}
+	lowered, ok = r.answer(sent, response)
+	if ok {
 		r.told(request, report, sent, response.Epoch)
-		return
 	}
-	r.borrow(ctx, report)
+	return lowered, ok
 }
 
 func (r *Runner) told(request *peerpb.RenewRequest, report observe.Report, sent Sent, epoch uint64) {
@@ -126,6 +199,11 @@
 	request.AppliedSequence = sent.Sequence
 	request.Leaving = leaving
 	request.Stopped = r.core.Stopped(now)
+	request.Short = r.short
+	if r.short {
+		r.short = false
+		r.shortAfter = now.Add(r.jitter(max(r.interval, time.Second)))
+	}
 	r.brief.shorten(request, report, now)
 	return request, sent
 }
@@ -164,23 +242,39 @@
 	return decider
 }
 
-func (r *Runner) answer(sent Sent, response *peerpb.RenewResponse) bool {
+func (r *Runner) answer(sent Sent, response *peerpb.RenewResponse) (lowered, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.options.Clock()
+	before := r.core.Set()
 	outcome := r.core.Answer(sent, response, now)
 	if outcome != Applied {
 		r.refused++
 		r.hint = response.Decider
-		return false
+		return false, false
 	}
 	r.heard = now
 	r.transfer = 0
 	r.options.Apply(r.core.Set())
 	if response.NextMs > 0 {
-		r.due = sent.At.Add(r.jitter(time.Duration(response.NextMs) * time.Millisecond))
+		r.interval = time.Duration(response.NextMs) * time.Millisecond
+		r.due = sent.At.Add(r.jitter(r.interval))
 	}
-	return true
+	return lowers(before, r.core.Set()), true
+}
+
+// lowers reports whether a set has less of anything than the one before.
+func lowers(before, after *grant.Set) bool {
+	for _, b := range before.Grants {
+		i := slices.IndexFunc(after.Grants, func(a grant.Grant) bool { return a.Key == b.Key })
+		if b.Floor+b.Surplus == 0 {
+			continue
+		}
+		if i < 0 || after.Grants[i].Floor < b.Floor || after.Grants[i].Surplus < b.Surplus {
+			return true
+		}
+	}
+	return false
 }
 
 // Stop closes the admission and tells the decider, so that what the node had
@@ -217,7 +311,10 @@
 	// Heard is when a decider last answered, zero for never.
 	Heard time.Time
 	// Refused counts reports without an answer that was taken.
-	Refused        uint64
+	Refused uint64
+	// Early counts reports out of turn, made because requests waited for more
+	// than the node had.
+	Early          uint64
 	Lent, Borrowed int
 }
 
@@ -229,6 +326,7 @@
 		Set:      r.core.Set(),
 		Heard:    r.heard,
 		Refused:  r.refused,
+		Early:    r.early,
 		Lent:     len(r.core.lent),
 		Borrowed: len(r.core.borrowed),
 	}
--- a/control/modelcheck/process_test.go
+++ b/control/modelcheck/process_test.go
@@ -51,10 +51,19 @@
 	calling   bool
 	renewing  bool
 	campaigns bool
+	// waiting are reports whose answers wait for the next step.
+	waiting []waiter
 	// epochSeen is the highest epoch it applied a set of.
 	epochSeen uint64
 }
 
+// waiter is a report that a decider has taken in and not answered yet.
+type waiter struct {
+	core *decider.Core
+	from *process
+	call *renewCall
+}
+
 // local is the process's own clock.
 func (p *process) local() time.Time {
 	elapsed := p.w.now.Sub(p.born)
@@ -95,6 +104,9 @@
 // last answer is over, so that answers overtake each other.
 const impatientPercent = 5
 
+// shortPercent is how many reports tell that requests wait.
+const shortPercent = 20
+
 // behind reports whether the list must not lag any longer.
 func (p *process) behind() bool {
 	return p.w.falseDrops && p.w.now.Sub(p.w.lists[p.list+1].at) >= mostLag
@@ -134,6 +146,7 @@
 		AppliedSequence: sent.Sequence,
 		Flows:           p.flows(),
 		Stopped:         p.holder.Stopped(now),
+		Short:           p.w.chance(shortPercent),
 	}}
 	p.asked = call
 	p.askedAt = now
@@ -156,10 +169,49 @@
 	if !p.held() || p.core == nil || p.core.Epoch() != p.epoch {
 		return
 	}
-	response := p.core.Renew(call.request, p.local())
+	response, hold := p.core.Take(call.request, p.local())
+	switch {
+	case response != nil:
+		p.reply(from, call, response)
+	case hold:
+		p.waiting = append(p.waiting, waiter{p.core, from, call})
+		p.relieve()
+	default:
+		p.reply(from, call, p.core.Answer(call.request, p.local()))
+	}
+}
+
+func (p *process) reply(from *process, call *renewCall, response *peerpb.RenewResponse) {
 	p.w.send(p, from, func() { from.answered(call, response) })
 }
 
+// relieve decides out of turn.
+func (p *process) relieve() {
+	if !p.calling {
+		p.stepped(p.core.Relieve(p.local()))
+	}
+}
+
+// stepped ends a step, after its write if there is one.
+func (p *process) stepped(write decider.Write, due bool) {
+	if due {
+		p.write(p.core, write)
+		return
+	}
+	p.answerWaiting()
+}
+
+// answerWaiting answers the reports that were held, if the lease is held still.
+func (p *process) answerWaiting() {
+	waiting := p.waiting
+	p.waiting = nil
+	for _, w := range waiting {
+		if p.held() && p.core == w.core && p.core.Epoch() == p.epoch {
+			p.reply(w.from, w.call, w.core.Answer(w.call.request, p.local()))
+		}
+	}
+}
+
 func (p *process) answered(call *renewCall, response *peerpb.RenewResponse) {
 	// A late answer is handed over too: the core must refuse it.
 	if p.asked == call {
@@ -274,9 +326,7 @@
 	}
 	p.observe()
 	p.publish(p.core)
-	if write, due := p.core.Step(p.account(), p.local()); due {
-		p.write(p.core, write)
-	}
+	p.stepped(p.core.Step(p.account(), p.local()))
 }
 
 func (p *process) takeOver() {
@@ -317,6 +367,7 @@
 	}
 	switch p.core.Settle(revisionOf(revision), err) {
 	case nil:
+		p.answerWaiting()
 	case decider.ErrResolve:
 		p.resolve(core)
 	default:
@@ -332,9 +383,14 @@
 		entry := w.kv.ledger
 		return func() {
 			done()
-			if core == p.core && core.Resolve(entry) != nil {
+			if core != p.core {
+				return
+			}
+			if core.Resolve(entry) != nil {
 				p.giveUp()
+				return
 			}
+			p.answerWaiting()
 		}
 	}, done, done)
 }
--- a/control/raise_test.go
+++ b/control/raise_test.go
@@ -28,6 +28,10 @@
 	for time.Since(began) < 30*time.Second && t.enough == 0 {
 		time.Sleep(raisePoll)
 		since := time.Since(began)
+		if m.permitted() < rps(demand) {
+			// Requests wait at the node.
+			m.system.Short("daehan")
+		}
 		note := func(at *time.Duration, seen bool) {
 			if *at == 0 && seen {
 				*at = since
@@ -90,3 +94,40 @@
 	t.raised = max(t.raised, u.raised)
 	t.enough = max(t.enough, u.enough)
 }
+
+// Callers ask every node for far more than all of the capacity, so that each
+// is short all the time and no report can help. The decider must not be flooded:
+// no node sends more than twice its regular reports, and no second has more
+// than two writes of the ledger.
+func TestNodesThatStayShortDoNotFlood(t *testing.T) {
+	const seconds = 60
+	within(t, 8, func(t *testing.T, f *fleet) {
+		f.offer(2000)
+		f.run(10)
+		began := f.usage()
+		var most usage
+		for range seconds {
+			before := f.usage()
+			for range 20 {
+				for _, m := range f.nodes {
+					m.system.Short("daehan")
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+			f.check()
+			most.raise(f.usage().sub(before))
+		}
+		used := f.usage().sub(began)
+		early := uint64(0)
+		for _, m := range f.nodes {
+			early += m.system.Status()[0].Holder.Early
+		}
+		t.Logf("in %d s: %+v, %d out of turn; most in one second %+v", seconds, used, early, most)
+		if early == 0 || used.calls > 2*seconds*len(f.nodes) {
+			t.Errorf("%d calls of %d nodes in %d s, %d out of turn", used.calls, len(f.nodes), seconds, early)
+		}
+		if most.writes > 2 {
+			t.Errorf("%d writes in one second", most.writes)
+		}
+	})
+}
--- a/control/server.go
+++ b/control/server.go
@@ -15,12 +15,12 @@
 }
 
 // Renew implements the Control service.
-func (s *server) Renew(_ context.Context, request *peerpb.RenewRequest) (*peerpb.RenewResponse, error) {
+func (s *server) Renew(ctx context.Context, request *peerpb.RenewRequest) (*peerpb.RenewResponse, error) {
 	a := s.system.account(model.AccountName(request.Account))
 	if a == nil {
 		return &peerpb.RenewResponse{Code: uint32(result.UnknownAccount)}, nil
 	}
-	response := a.decider.Renew(request)
+	response := a.decider.Renew(ctx, request)
 	if response.Code == uint32(result.NotLeader) {
 		response.Decider, _, _ = s.system.options.DeciderOf(a.name)
 	}
--- a/control/system.go
+++ b/control/system.go
@@ -22,11 +22,22 @@
 	options Options
 	refBody []byte
 
+	// short wakes Run when a node is short, hurried when a decider is to decide
+	// out of turn.
+	short   chan struct{}
+	hurried chan *account
+	// sampler is used by Run only.
+	sampler *sampler
+
 	mu       sync.Mutex
 	accounts map[model.AccountName]*account
 	running  sync.WaitGroup
 }
 
+// hurriedRoom is how many requests for a decision out of turn may wait; each
+// step serves all that are dropped.
+const hurriedRoom = 64
+
 // New returns a control part that is not running.
 func New(options Options) (*System, error) {
 	options = options.withDefaults()
@@ -40,6 +51,9 @@
 	return &System{
 		options:  options,
 		refBody:  body,
+		short:    make(chan struct{}, 1),
+		hurried:  make(chan *account, hurriedRoom),
+		sampler:  newSampler(options.Reports, options.Clock()),
 		accounts: make(map[model.AccountName]*account),
 	}, nil
 }
@@ -57,36 +71,80 @@
 	defer s.running.Wait()
 	ticker := time.NewTicker(period)
 	defer ticker.Stop()
-	last := s.options.Clock()
+	s.round(ctx)
+	var early <-chan time.Time
 	for {
-		now := s.options.Clock()
-		s.round(ctx, now.Sub(last))
-		last = now
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+			s.round(ctx)
+		case <-s.short:
+			if early == nil {
+				s.sampler.cut(s.options.Clock())
+				early = time.After(shortSample)
+			}
+		case <-early:
+			early = nil
+			s.reportShort(ctx)
+		case a := <-s.hurried:
+			s.relieve(ctx, a)
 		}
 	}
 }
 
 // round starts the work of all accounts. An account whose last step still
 // waits for the store is left out, so that none delays another.
-func (s *System) round(ctx context.Context, interval time.Duration) {
-	reports := s.reports(interval)
+func (s *System) round(ctx context.Context) {
+	reports := s.sampler.regular(s.options.Clock())
 	for _, a := range s.refresh() {
 		a.holder.Tick()
-		s.report(ctx, a, reports[a.name])
+		if a.holder.Due() {
+			s.report(ctx, a, reports[a.name])
+		}
 		s.decide(ctx, a)
 	}
 }
 
-func (s *System) reports(interval time.Duration) map[model.AccountName]observe.Report {
-	reports := make(map[model.AccountName]observe.Report)
-	for _, r := range s.options.Reports(interval) {
-		reports[r.Account] = r
+// Short tells that requests of an account wait for more than the node has. It
+// does not block.
+func (s *System) Short(name model.AccountName) {
+	a := s.account(name)
+	if a == nil || !a.holder.Short() {
+		return
+	}
+	select {
+	case s.short <- struct{}{}:
+	default:
+	}
+}
+
+// reportShort makes the reports of the accounts that are short.
+func (s *System) reportShort(ctx context.Context) {
+	reports := s.sampler.sinceCut(s.options.Clock())
+	for _, a := range s.refresh() {
+		if a.holder.DueEarly() {
+			s.report(ctx, a, reports[a.name])
+		}
+	}
+}
+
+func (s *System) report(ctx context.Context, a *account, report observe.Report) {
+	s.running.Go(func() { a.holder.Report(ctx, report, s.options.Leaving()) })
+}
+
+// relieve starts a decision out of turn, unless one was made just now or a step
+// is under way.
+func (s *System) relieve(ctx context.Context, a *account) {
+	now := s.options.Clock()
+	if now.Sub(a.relieved) < relieveEvery || !a.stepping.CompareAndSwap(false, true) {
+		return
 	}
-	return reports
+	a.relieved = now
+	s.running.Go(func() {
+		defer a.stepping.Store(false)
+		a.relieve(ctx)
+	})
 }
 
 // refresh takes the accounts in force into use. An account that is gone from
@@ -111,13 +169,6 @@
 	return all
 }
 
-func (s *System) report(ctx context.Context, a *account, report observe.Report) {
-	if !a.holder.Due() {
-		return
-	}
-	s.running.Go(func() { a.holder.Report(ctx, report, s.options.Leaving()) })
-}
-
 func (s *System) decide(ctx context.Context, a *account) {
 	if !a.stepping.CompareAndSwap(false, true) {
 		return
--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,7 @@
 
 	"github.com/yuccaroute/yuccaroute/admin/tlsfiles"
 	"github.com/yuccaroute/yuccaroute/api/grant"
+	"github.com/yuccaroute/yuccaroute/api/model"
 	"github.com/yuccaroute/yuccaroute/api/peerpb"
 	"github.com/yuccaroute/yuccaroute/config/changelog"
 	"github.com/yuccaroute/yuccaroute/config/source"
@@ -162,6 +163,7 @@
 		MaxInFlight:      int64(s.Limits.QueuedRequests),
 		Nodes:            n.liveNodes,
 		Clock:            n.options.Clock,
+		Short:            func(account model.AccountName) { n.control.Short(account) },
 		Dial:             n.options.Dial,
 	})
 	if err != nil {
--- a/proxy/limits_test.go
+++ b/proxy/limits_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -192,3 +193,25 @@
 	close(release)
 	uploads.Wait()
 }
+
+// Callers ask for four times the node's grant and wait in its queue. The decider
+// would hear of it only with the next regular report; the node must tell that it
+// is short, and not once for each request that waits.
+func TestWaitForTheGrantIsTold(t *testing.T) {
+	var told atomic.Int32
+	p, _ := newServingProxy(t, func(o *Options, m *model.Account) {
+		m.Excess = model.ExcessWait
+		o.Short = func(model.AccountName) { told.Add(1) }
+	})
+	p.SetGrants(testGrants(2, 10*grant.PerRequest))
+	began := time.Now()
+	var waiting sync.WaitGroup
+	for range 20 {
+		waiting.Go(func() { call(p, http.MethodGet, "/stock", "") })
+	}
+	waiting.Wait()
+	most := int32(time.Since(began)/shortEvery) + 1
+	if n := told.Load(); n == 0 || n > most {
+		t.Errorf("told %d times, at most %d expected", n, most)
+	}
+}
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -59,6 +59,9 @@
 	MaxInFlight int64
 	// ConnectTimeout bounds opening a connection to a target.
 	ConnectTimeout time.Duration
+	// Short is told that requests of an account wait for more than the node's
+	// grant, at most once each shortEvery. It must not block; nil is not told.
+	Short func(model.AccountName)
 	// Nodes returns how many entry nodes are live; nil reads as one.
 	Nodes func() int
 	// Clock is what grants are compared with, and must be the clock that their
@@ -79,6 +82,9 @@
 	if o.Clock == nil {
 		o.Clock = time.Now
 	}
+	if o.Short == nil {
+		o.Short = func(model.AccountName) {}
+	}
 	if o.Logger == nil {
 		o.Logger = logrus.New()
 	}
--- a/proxy/permit.go
+++ b/proxy/permit.go
@@ -33,7 +33,11 @@
 		return permission{}, refuse(q.noTargetCode())
 	}
 	leaveBy := q.leaveBy(place)
-	if wait := place.bucket.Wait(p.options.Clock()); wait > 0 && !q.excessWaits() {
+	wait := place.bucket.Wait(p.options.Clock())
+	if wait > 0 {
+		place.tellShort(wait + place.line.Expected(q.class))
+	}
+	if wait > 0 && !q.excessWaits() {
 		if wait > pacingTime {
 			return permission{}, refuseUntil(result.NoCapacity, place.comeBack(wait))
 		}
--- a/proxy/place_state.go
+++ b/proxy/place_state.go
@@ -41,6 +41,9 @@
 	comeback comeback
 	// roundTrip is the network delay to the place and back, in nanoseconds.
 	roundTrip atomic.Int64
+	// shortTold is when a shortage of the grant was told last, in the proxy's
+	// time; 0 is never.
+	shortTold atomic.Int64
 
 	// The rest is guarded by the proxy's lock.
 	service *model.Service
