control: nodes that nobody calls report every 10 s

Cause: every node reported each account at a fixed interval, also when nothing had changed for hours. At 27 accounts that alone was 7.1 to 8.1 KB/s a node of a budget of 3 KB/s.

Change: a node that nobody calls, whose last answer changed nothing and that is at the plan and sees the targets it told reports every 10 s. When its grants are to change the decider asks it for a report (Hasten). A regular report covers the whole time since the last one. Places that are the same are left out for 30 s, not 4 s.

Open: the decider's bytes with callers at all nodes.

--- a/bench/scenario/scenario.go
+++ b/bench/scenario/scenario.go
@@ -57,6 +57,7 @@
 		deciderByNodes(),
 		deciderBySites(),
 		deciderByUse(),
+		deciderIdle(),
 		fleetScenario(),
 		fleetByAccounts(),
 		fleetByBlocks(),
--- a/control/account.go
+++ b/control/account.go
@@ -9,11 +9,13 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/api/observe"
 	"github.com/yuccaroute/yuccaroute/api/peerpb"
 	"github.com/yuccaroute/yuccaroute/api/plan"
 	"github.com/yuccaroute/yuccaroute/control/campaign"
 	"github.com/yuccaroute/yuccaroute/control/decider"
 	"github.com/yuccaroute/yuccaroute/control/holder"
+	"github.com/yuccaroute/yuccaroute/control/ledger"
 	"github.com/yuccaroute/yuccaroute/store/lease"
 )
 
@@ -25,8 +27,11 @@
 	campaign   *campaign.Campaign
 	decider    *decider.Runner
 	holder     *holder.Runner
-	// without is since when no decider has answered this node.
+	// without is since when this node works for the account.
 	without time.Time
+	// measured is what was measured since the last regular report; only Run
+	// uses it.
+	measured observe.Report
 	// announced is the epoch whose address was published last.
 	announced uint64
 	// relieved is when the decider last decided out of turn; only Run uses it.
@@ -63,6 +68,7 @@
 		Configured:  a.configured.Load,
 		Listed:      a.system.listed,
 		Publish:     a.publishPlan,
+		Hasten:      a.hasten,
 		Hurry:       a.hurry,
 		Clock:       o.Clock,
 		Logger:      o.Logger,
@@ -130,6 +136,24 @@
 	}
 }
 
+// hastenTimeout bounds a request to report; a lost one is repeated.
+const hastenTimeout = time.Second
+
+// hasten asks a node to report, without waiting for it.
+func (a *account) hasten(node ledger.Node, epoch uint64) {
+	s := a.system
+	s.running.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), hastenTimeout)
+		defer cancel()
+		conn, err := s.options.Dial(node.Address)
+		if err != nil {
+			return
+		}
+		request := &peerpb.HastenRequest{Account: string(a.name), Epoch: epoch}
+		_, _ = peerpb.NewControlClient(conn).Hasten(ctx, request)
+	})
+}
+
 const (
 	// relieveEvery is the shortest time between two decisions out of turn, so
 	// that an account writes its ledger at most twice in a second, and once a
@@ -178,13 +202,18 @@
 // stepPoll is how often a stopping node looks whether a step has ended.
 const stepPoll = 10 * time.Millisecond
 
-// withoutDecider is how long no decider has answered.
+// withoutDecider is how long no decider has answered, 0 while the last report was
+// answered: a node at rest does not ask for long.
 func (a *account) withoutDecider() time.Duration {
-	heard := a.holder.Status().Heard
-	if heard.After(a.without) {
-		a.without = heard
+	status := a.holder.Status()
+	switch {
+	case status.Heard.IsZero():
+		return a.system.options.Clock().Sub(a.without)
+	case status.Unanswered.IsZero():
+		return 0
+	default:
+		return a.system.options.Clock().Sub(status.Unanswered)
 	}
-	return a.system.options.Clock().Sub(a.without)
 }
 
 // announce publishes the address of this node once in each term.
--- a/control/decider/reported.go
+++ b/control/decider/reported.go
@@ -28,6 +28,9 @@
 type reported struct {
 	report observe.Report
 	at     time.Time
+	// hastened is when the node was asked last to report, zero for not since
+	// its last report.
+	hastened time.Time
 	// flows is the smoothed demand.
 	flows map[flowKey]float64
 }
@@ -54,6 +57,7 @@
 	}
 	old.report = r
 	old.at = now
+	old.hastened = time.Time{}
 	next := make(map[flowKey]float64, len(r.Flows))
 	for _, f := range r.Flows {
 		// A value that is no rate would spoil every later average.
--- a/control/decider/runner.go
+++ b/control/decider/runner.go
@@ -37,6 +37,8 @@
 	Listed func() (list []ledger.Listed, sequence uint64, age time.Duration, ok bool)
 	// Publish sends a plan to all nodes. It must not wait for them.
 	Publish func(*plan.Plan)
+	// Hasten asks a node to report; it must not wait for the node.
+	Hasten func(node ledger.Node, epoch uint64)
 	// Hurry asks for a call of Relieve soon; it must not block.
 	Hurry  func()
 	Clock  func() time.Time
@@ -173,9 +175,25 @@
 		return err
 	}
 	r.publish()
+	r.hasten()
 	return nil
 }
 
+// hasten asks the nodes that report seldom and whose grants are to change.
+func (r *Runner) hasten() {
+	r.mu.Lock()
+	if r.core == nil {
+		r.mu.Unlock()
+		return
+	}
+	nodes := r.core.Hasten(r.options.Clock())
+	epoch := r.core.Epoch()
+	r.mu.Unlock()
+	for _, node := range nodes {
+		r.options.Hasten(node, epoch)
+	}
+}
+
 func (r *Runner) write(ctx context.Context, propose func() (Write, bool)) error {
 	write, due := propose()
 	if !due {
--- a/control/holder/brief.go
+++ b/control/holder/brief.go
@@ -11,7 +11,7 @@
 const (
 	// wholeEvery is how often a report names all places though none has
 	// changed; a measurement that is repeated by silence must not grow old.
-	wholeEvery = 4 * time.Second
+	wholeEvery = 30 * time.Second
 	// sameLatency and sameFailures are how far a latency, as a part of itself,
 	// and a failure share may be from what was reported.
 	sameLatency  = 0.2
--- a/control/holder/runner.go
+++ b/control/holder/runner.go
@@ -43,12 +43,20 @@
 	core *Core
 	busy bool
 	due  time.Time
+	// restDue is when a node at rest reports.
+	restDue time.Time
 	// interval is that of regular reports, as the decider said last.
 	interval time.Duration
 	transfer uint64
 	heard    time.Time
+	// unanswered is since when no report has been answered, zero while the last
+	// one was.
+	unanswered time.Time
+	// told is what the decider knows; hastened tells that the node is to report
+	// though it has nothing to tell, because its grants are to change.
+	told     Told
+	hastened bool
 	refused  uint64
-	brief    brief
 	// hint is where the node asked last says that the decider is.
 	hint *peerpb.NodeRef
 	// short tells that requests wait for more than the node has; shortAfter is
@@ -86,17 +94,32 @@
 
 // Due reports whether a regular report is due, and if so notes it as under way:
 // a node has one request under way at a time. While one out of turn is to come
-// it waits for that: it would tell the mean of a time before the shortage.
-func (r *Runner) Due() bool {
+// it waits for that: it would tell the mean of a time before the shortage. A
+// node at rest, with nothing to tell, reports seldom.
+func (r *Runner) Due(measured observe.Report) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.busy || r.short || r.options.Clock().Before(r.due) {
+	now := r.options.Clock()
+	if r.busy || r.short || now.Before(r.due) {
+		return false
+	}
+	if !r.hastened && now.Before(r.restDue) && r.told.Enough(measured, r.core.Set()) {
 		return false
 	}
 	r.busy = true
 	return true
 }
 
+// Hasten makes the next regular report come at once, for a decider of an epoch
+// that is not older than the last one heard of.
+func (r *Runner) Hasten(epoch uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if epoch >= r.core.Set().Epoch {
+		r.hastened = true
+	}
+}
+
 // Short notes that requests wait for more than the node has. wake tells that a
 // report out of turn is due for it; DueEarly must be called then.
 //
@@ -164,20 +187,27 @@
 	defer cancel()
 	request, sent := r.request(report, leaving)
 	response, err := r.renew(ctx, request)
-	if err != nil {
-		return false, false
-	}
-	lowered, ok = r.answer(sent, response)
-	if ok {
-		r.told(request, report, sent, response.Epoch)
+	if err == nil {
+		lowered, ok = r.answer(sent, response)
 	}
+	r.note(request, report, sent, response, ok)
 	return lowered, ok
 }
 
-func (r *Runner) told(request *peerpb.RenewRequest, report observe.Report, sent Sent, epoch uint64) {
+// note notes what became of a report.
+func (r *Runner) note(request *peerpb.RenewRequest, report observe.Report, sent Sent, response *peerpb.RenewResponse, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.brief.answered(request, report, epoch, sent.At)
+	if !ok {
+		r.told.Unanswered()
+		if r.unanswered.IsZero() {
+			r.unanswered = sent.At
+		}
+		return
+	}
+	r.unanswered = time.Time{}
+	r.told.Answered(request, report, response, sent.At)
+	r.restDue = sent.At.Add(r.jitter(max(RestInterval, r.interval)))
 }
 
 func (r *Runner) done() {
@@ -191,6 +221,7 @@
 	defer r.mu.Unlock()
 	now := r.options.Clock()
 	r.due = now.Add(r.jitter(time.Second))
+	r.hastened = false
 	sent := r.core.Request(now)
 	request := requestOf(report)
 	request.Node = r.options.Ref
@@ -204,7 +235,7 @@
 		r.short = false
 		r.shortAfter = now.Add(r.jitter(max(r.interval, time.Second)))
 	}
-	r.brief.shorten(request, report, now)
+	r.told.Shorten(request, report, now)
 	return request, sent
 }
 
@@ -308,8 +339,9 @@
 // Status is what operators see of a holder.
 type Status struct {
 	Set *grant.Set
-	// Heard is when a decider last answered, zero for never.
-	Heard time.Time
+	// Heard is when a decider last answered, zero for never; Unanswered since
+	// when none has, zero while the last report was answered.
+	Heard, Unanswered time.Time
 	// Refused counts reports without an answer that was taken.
 	Refused uint64
 	// Early counts reports out of turn, made because requests waited for more
@@ -323,8 +355,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return Status{
-		Set:      r.core.Set(),
-		Heard:    r.heard,
+		Set:   r.core.Set(),
+		Heard: r.heard, Unanswered: r.unanswered,
 		Refused:  r.refused,
 		Early:    r.early,
 		Lent:     len(r.core.lent),
--- a/control/ledger/issue.go
+++ b/control/ledger/issue.go
@@ -110,6 +110,18 @@
 	return true
 }
 
+// Untold returns the nodes that were given a set in this term and whose next set
+// has other amounts.
+func (l *Ledger) Untold() []Node {
+	var untold []Node
+	for _, h := range l.order {
+		if h.latestFrom != 0 && !h.same() {
+			untold = append(untold, h.node)
+		}
+	}
+	return untold
+}
+
 // content is a new slice, as the last one may still be read by a sender.
 func (h *holding) content() []Amounts {
 	c := make([]Amounts, len(h.latest))
--- a/control/modelcheck/process_test.go
+++ b/control/modelcheck/process_test.go
@@ -104,6 +104,13 @@
 // last answer is over, so that answers overtake each other.
 const impatientPercent = 5
 
+// idlePercent is how many reports are followed by a long time without one,
+// idleTime, as when nothing changes at a node.
+const (
+	idlePercent = 20
+	idleTime    = 10 * time.Second
+)
+
 // shortPercent is how many reports tell that requests wait.
 const shortPercent = 20
 
@@ -131,6 +138,9 @@
 		return
 	}
 	p.nextAsk = now.Add(time.Second)
+	if p.w.chance(idlePercent) {
+		p.nextAsk = now.Add(idleTime)
+	}
 	target := p.known.process
 	if p.held() {
 		target = p
@@ -327,6 +337,18 @@
 	p.observe()
 	p.publish(p.core)
 	p.stepped(p.core.Step(p.account(), p.local()))
+	p.hasten()
+}
+
+// hasten asks nodes to report.
+func (p *process) hasten() {
+	for _, node := range p.core.Hasten(p.local()) {
+		for _, to := range p.w.processes {
+			if to.id == node.ID {
+				p.w.send(p, to, func() { to.nextAsk = to.local() })
+			}
+		}
+	}
 }
 
 func (p *process) takeOver() {
--- a/control/server.go
+++ b/control/server.go
@@ -35,3 +35,18 @@
 	}
 	return a.holder.Lend(request), nil
 }
+
+// Hasten implements the Control service.
+func (s *server) Hasten(_ context.Context, request *peerpb.HastenRequest) (*peerpb.HastenResponse, error) {
+	a := s.system.account(model.AccountName(request.Account))
+	if a == nil {
+		return &peerpb.HastenResponse{Code: uint32(result.UnknownAccount)}, nil
+	}
+	a.holder.Hasten(request.Epoch)
+	select {
+	case s.system.hastened <- a:
+	default:
+		// The next round makes the report.
+	}
+	return &peerpb.HastenResponse{}, nil
+}
--- a/control/system.go
+++ b/control/system.go
@@ -26,6 +26,8 @@
 	// out of turn.
 	short   chan struct{}
 	hurried chan *account
+	// hastened wakes Run when a decider asks for a report.
+	hastened chan *account
 	// sampler is used by Run only.
 	sampler *sampler
 
@@ -34,8 +36,8 @@
 	running  sync.WaitGroup
 }
 
-// hurriedRoom is how many requests for a decision out of turn may wait; each
-// step serves all that are dropped.
+// hurriedRoom is how many requests for a decision or a report out of turn may
+// wait; the next round serves those that are dropped.
 const hurriedRoom = 64
 
 // New returns a control part that is not running.
@@ -53,6 +55,7 @@
 		refBody:  body,
 		short:    make(chan struct{}, 1),
 		hurried:  make(chan *account, hurriedRoom),
+		hastened: make(chan *account, hurriedRoom),
 		sampler:  newSampler(options.Reports, options.Clock()),
 		accounts: make(map[model.AccountName]*account),
 	}, nil
@@ -89,6 +92,8 @@
 			s.reportShort(ctx)
 		case a := <-s.hurried:
 			s.relieve(ctx, a)
+		case a := <-s.hastened:
+			s.reportDue(ctx, a, a.measured)
 		}
 	}
 }
@@ -99,13 +104,22 @@
 	reports := s.sampler.regular(s.options.Clock())
 	for _, a := range s.refresh() {
 		a.holder.Tick()
-		if a.holder.Due() {
-			s.report(ctx, a, reports[a.name])
-		}
+		now := reports[a.name]
+		a.measured = join(a.measured, now)
+		s.reportDue(ctx, a, now)
 		s.decide(ctx, a)
 	}
 }
 
+// reportDue makes the regular report of an account if it is due. It covers all
+// that was measured since the last one.
+func (s *System) reportDue(ctx context.Context, a *account, now observe.Report) {
+	if a.holder.Due(now) {
+		s.report(ctx, a, a.measured)
+		a.measured = observe.Report{}
+	}
+}
+
 // Short tells that requests of an account wait for more than the node has. It
 // does not block.
 func (s *System) Short(name model.AccountName) {
@@ -133,11 +147,16 @@
 	s.running.Go(func() { a.holder.Report(ctx, report, s.options.Leaving()) })
 }
 
-// relieve starts a decision out of turn, unless one was made just now or a step
-// is under way.
+// relieve starts a decision out of turn, unless one was made just now. While a
+// step is under way it is put off: that step may have begun before the report
+// that asks for it.
 func (s *System) relieve(ctx context.Context, a *account) {
 	now := s.options.Clock()
-	if now.Sub(a.relieved) < relieveEvery || !a.stepping.CompareAndSwap(false, true) {
+	if now.Sub(a.relieved) < relieveEvery {
+		return
+	}
+	if !a.stepping.CompareAndSwap(false, true) {
+		time.AfterFunc(gather, a.hurry)
 		return
 	}
 	a.relieved = now
