--- a/cmd/yuccaroute/demo.go
+++ b/cmd/yuccaroute/demo.go
@@ -59,11 +59,7 @@
 		Example: "  yuccaroute demo\n  yuccaroute demo --scenario drain --duration 20s",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			options, err := run.options()
-			if err != nil {
-				return err
-			}
-			report, err := runDemo(cmd, options, run.logs)
+			report, err := run.play(cmd)
 			if err != nil {
 				return err
 			}
@@ -82,11 +78,15 @@
 	return b.String()
 }
 
-// runDemo plays a scenario and writes its tables.
-func runDemo(cmd *cobra.Command, options demo.Options, logs string) (*demo.Report, error) {
+// play plays the scenario and writes its tables.
+func (f *demoFlags) play(cmd *cobra.Command) (*demo.Report, error) {
+	options, err := f.options()
+	if err != nil {
+		return nil, err
+	}
 	options.Logs = io.Discard
-	if logs != "" {
-		file, err := os.Create(logs)
+	if f.logs != "" {
+		file, err := os.Create(f.logs)
 		if err != nil {
 			return nil, program.Exit(program.ExitUsage, errors.Wrap(err, "open the log file"))
 		}
--- a/cmd/yuccaroute/help_test.go
+++ b/cmd/yuccaroute/help_test.go
@@ -36,6 +36,7 @@
 		{[]string{"demo", "extra"}, []string{`["extra"]`, "usage: yuccaroute demo [flags]"}},
 		{[]string{"demo", "--scenario", "nope"}, []string{`no scenario "nope"`, "steady:"}},
 		{[]string{"demo", "--duration", "-1s"}, []string{"--duration -1s is not positive"}},
+		{[]string{"report", "--png", "x.png", "--account", "nope"}, []string{`no account "nope"; there are: daehan, alpenvlies`}},
 		{[]string{"bench", "compare", "one.json"}, []string{"usage: yuccaroute bench compare EARLIER LATER"}},
 		{[]string{"check-config"}, []string{"usage: yuccaroute check-config FILE..."}},
 		{[]string{"check-config", bad, worse}, []string{bad + ":1: [account] unknown section", worse + ":1: [node] region: the key is missing", "2 of 2 files have faults"}},
--- a/cmd/yuccaroute/report.go
+++ b/cmd/yuccaroute/report.go
@@ -2,11 +2,15 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 
+	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/yuccaroute/yuccaroute/cmd/internal/measure"
 	"github.com/yuccaroute/yuccaroute/cmd/internal/program"
+	"github.com/yuccaroute/yuccaroute/demo"
 )
 
 func newReport() *cobra.Command {
@@ -20,11 +24,10 @@
 		Example: "  yuccaroute report --scenario failure-domain --account daehan --png failure-domain.png",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			options, err := run.options()
-			if err != nil {
-				return err
+			if account != "" && !slices.Contains(demo.Accounts(), account) {
+				return errors.Errorf("no account %q; there are: %s", account, strings.Join(demo.Accounts(), ", "))
 			}
-			report, err := runDemo(cmd, options, run.logs)
+			report, err := run.play(cmd)
 			if err != nil {
 				return err
 			}
--- a/demo/world.go
+++ b/demo/world.go
@@ -25,6 +25,15 @@
 	"github.com/yuccaroute/yuccaroute/standin/platform"
 )
 
+// Accounts returns the names of the client accounts that run.
+func Accounts() []string {
+	var names []string
+	for _, pair := range examples.Pairs() {
+		names = append(names, pair.Account)
+	}
+	return names
+}
+
 // World is everything that runs.
 type World struct {
 	Platform *platform.Server
