control/ledger: say once how the tests give an amount and look at one

The tests of the ledger wrote the commit and sending of an amount nine times and the same three lines of a check sixteen times; give, wantFloor and wantSurplus hold them.

--- a/control/ledger/ledger_test.go
+++ b/control/ledger/ledger_test.go
@@ -67,6 +67,28 @@
 	return set.Amounts[0], set.Sequence
 }
 
+// give commits amounts for a node and sends them.
+func give(t *testing.T, l *Ledger, n Node, floor, surplus float64) {
+	t.Helper()
+	want(l, n, floor, surplus)
+	commit(l, start)
+	issued(t, l, n, start)
+}
+
+func wantFloor(t *testing.T, l *Ledger, n Node, now time.Time, rps float64, when string) {
+	t.Helper()
+	if got, _ := issued(t, l, n, now); got.Floor != AmountOf(rps) {
+		t.Fatalf("floor %v %s, want that of %v requests/s", got.Floor, when, rps)
+	}
+}
+
+func wantSurplus(t *testing.T, l *Ledger, n Node, now time.Time, rps float64, when string) {
+	t.Helper()
+	if got, _ := issued(t, l, n, now); got.Surplus != AmountOf(rps) {
+		t.Fatalf("surplus %v %s, want that of %v requests/s", got.Surplus, when, rps)
+	}
+}
+
 // A raise whose write has no answer must not reach the node: if the write
 // never happened, the next decider would not count it.
 func TestRaiseWaitsForItsWrite(t *testing.T) {
@@ -76,13 +98,9 @@
 	if l.Propose(start) == nil {
 		t.Fatal("a raise needs a write")
 	}
-	if got, _ := issued(t, l, a, start); got.Floor != 0 {
-		t.Fatalf("sent %v before the write", got)
-	}
+	wantFloor(t, l, a, start, 0, "before the write")
 	l.Written()
-	if got, _ := issued(t, l, a, start); got.Floor != AmountOf(40) {
-		t.Fatalf("sent %v after the write", got)
-	}
+	wantFloor(t, l, a, start, 40, "after the write")
 }
 
 // While a write that lowers a node is not settled, the old amount must not be
@@ -91,9 +109,7 @@
 func TestUnsettledLowerIsNotRaisedAgain(t *testing.T) {
 	a, b := node("a"), node("b")
 	l := begun(t, a, b)
-	want(l, a, 40, 0)
-	commit(l, start)
-	issued(t, l, a, start)
+	give(t, l, a, 40, 0)
 	want(l, a, 10, 0)
 	_, sequence := issued(t, l, a, start)
 	l.Acknowledge(a.ID, 1, sequence)
@@ -102,9 +118,7 @@
 		t.Fatal("a raise needs a write")
 	}
 	want(l, a, 40, 0)
-	if got, _ := issued(t, l, a, start); got.Floor != AmountOf(10) {
-		t.Fatalf("sent %v while a lower amount was being written", got)
-	}
+	wantFloor(t, l, a, start, 10, "while a lower amount was being written")
 }
 
 // A lowered floor is free only when the node acknowledged the lower one: the
@@ -112,9 +126,7 @@
 func TestLoweredFloorIsCountedUntilAcknowledged(t *testing.T) {
 	a, b := node("a"), node("b")
 	l := begun(t, a, b)
-	want(l, a, 100, 0)
-	commit(l, start)
-	issued(t, l, a, start)
+	give(t, l, a, 100, 0)
 	want(l, a, 20, 0)
 	_, sequence := issued(t, l, a, start)
 	want(l, b, 80, 0)
@@ -122,14 +134,10 @@
 	l.Hear(a, later)
 	l.Hear(b, later)
 	commit(l, later)
-	if got, _ := issued(t, l, b, later); got.Floor != 0 {
-		t.Fatalf("gave %v away before the acknowledgement", got)
-	}
+	wantFloor(t, l, b, later, 0, "before the acknowledgement")
 	l.Acknowledge(a.ID, 1, sequence)
 	commit(l, later)
-	if got, _ := issued(t, l, b, later); got.Floor != AmountOf(80) {
-		t.Fatalf("gave %v after the acknowledgement", got)
-	}
+	wantFloor(t, l, b, later, 80, "after the acknowledgement")
 }
 
 // A surplus is free once it has run out with the margin, without any word of
@@ -137,20 +145,14 @@
 func TestSurplusIsFreeAfterItsTimeAndMargin(t *testing.T) {
 	a, b := node("a"), node("b")
 	l := begun(t, a, b)
-	want(l, a, 0, 100)
-	commit(l, start)
-	issued(t, l, a, start)
+	give(t, l, a, 0, 100)
 	want(l, a, 0, 0)
 	want(l, b, 0, 100)
 	ends := start.Add(l.params.Wait(l.params.SurplusTTL))
 	commit(l, ends.Add(-time.Nanosecond))
-	if got, _ := issued(t, l, b, ends.Add(-time.Nanosecond)); got.Surplus != 0 {
-		t.Fatalf("gave %v away early", got)
-	}
+	wantSurplus(t, l, b, ends.Add(-time.Nanosecond), 0, "before its time ended")
 	commit(l, ends)
-	if got, _ := issued(t, l, b, ends); got.Surplus != AmountOf(100) {
-		t.Fatalf("gave %v after the surplus ended", got)
-	}
+	wantSurplus(t, l, b, ends, 100, "after the surplus ended")
 }
 
 // A failure domain is gone and its nodes with it: the VM list still shows
@@ -159,9 +161,7 @@
 func TestFloorsOfEndedNodes(t *testing.T) {
 	a, b := node("a"), node("b")
 	l := begun(t, a, b)
-	want(l, a, 100, 0)
-	commit(l, start)
-	issued(t, l, a, start)
+	give(t, l, a, 100, 0)
 	dropped := start.Add(time.Hour)
 	listed := []Listed{{VM: "b", Address: "b:1"}}
 	l.Observe(listed, 2, dropped)
@@ -170,14 +170,10 @@
 	l.Hear(b, free)
 	l.Observe(listed, 2, free.Add(-time.Nanosecond))
 	commit(l, free.Add(-time.Nanosecond))
-	if got, _ := issued(t, l, b, free); got.Floor != 0 {
-		t.Fatalf("gave %v away early", got)
-	}
+	wantFloor(t, l, b, free, 0, "before its time ended")
 	l.Observe(listed, 2, free)
 	commit(l, free)
-	if got, _ := issued(t, l, b, free); got.Floor != AmountOf(100) {
-		t.Fatalf("gave %v after the removal time", got)
-	}
+	wantFloor(t, l, b, free, 100, "after the removal time")
 }
 
 // The list service goes out just after it dropped a VM that is cut off. The
@@ -187,9 +183,7 @@
 func TestListOutageIsNoAbsence(t *testing.T) {
 	a, b := node("a"), node("b")
 	l := begun(t, a, b)
-	want(l, a, 100, 0)
-	commit(l, start)
-	issued(t, l, a, start)
+	give(t, l, a, 100, 0)
 	listed := []Listed{{VM: "b", Address: "b:1"}}
 	want(l, b, 100, 0)
 	back := start.Add(time.Hour)
@@ -197,16 +191,12 @@
 		l.Hear(b, now)
 		l.Observe(listed, 2, start)
 		commit(l, now)
-		if got, _ := issued(t, l, b, now); got.Floor != 0 {
-			t.Fatalf("gave %v while the list was out", got)
-		}
+		wantFloor(t, l, b, now, 0, "while the list was out")
 	}
 	l.Hear(b, back)
 	l.Observe(listed, 2, back)
 	commit(l, back)
-	if got, _ := issued(t, l, b, back); got.Floor != AmountOf(100) {
-		t.Fatalf("gave %v once a reading told the absence", got)
-	}
+	wantFloor(t, l, b, back, 100, "once a reading told the absence")
 }
 
 // A process restarts on its VM, which the list goes on to show. The floor of
@@ -216,9 +206,7 @@
 	second := a
 	second.ID.Incarnation = 2
 	l := begun(t, a)
-	want(l, a, 100, 0)
-	commit(l, start)
-	issued(t, l, a, start)
+	give(t, l, a, 100, 0)
 	restarted := start.Add(time.Second)
 	free := restarted.Add(l.params.Wait(l.params.RemovalTime))
 	for now := restarted; now.Before(free); now = now.Add(time.Second) {
@@ -231,9 +219,7 @@
 		}
 	}
 	commit(l, free)
-	if got, _ := issued(t, l, second, free); got.Floor != AmountOf(100) {
-		t.Fatalf("gave %v after the removal time", got)
-	}
+	wantFloor(t, l, second, free, 100, "after the removal time")
 }
 
 // A decider whose VM list lags behind its predecessor's does not know a new
@@ -242,9 +228,7 @@
 	a := node("a")
 	a.Listed = 7
 	l := begun(t, a)
-	want(l, a, 100, 0)
-	commit(l, start)
-	issued(t, l, a, start)
+	give(t, l, a, 100, 0)
 	later := start.Add(time.Hour)
 	l.Observe(nil, 6, start)
 	l.Propose(later)
@@ -258,24 +242,18 @@
 func TestNoRaiseOverALoweredCapacity(t *testing.T) {
 	a, b := node("a"), node("b")
 	l := begun(t, a, b)
-	want(l, a, 80, 0)
-	commit(l, start)
-	issued(t, l, a, start)
+	give(t, l, a, 80, 0)
 	lowered := twoRegions(50)
 	lowered.Revision = 2
 	l.SetLimits(LimitsOf(lowered))
 	want(l, a, 20, 0)
 	want(l, b, 30, 0)
 	commit(l, start)
-	if got, _ := issued(t, l, b, start); got.Floor != 0 {
-		t.Fatalf("raised to %v while more than the capacity is out", got)
-	}
+	wantFloor(t, l, b, start, 0, "while more than the capacity is out")
 	_, sequence := issued(t, l, a, start)
 	l.Acknowledge(a.ID, 1, sequence)
 	commit(l, start)
-	if got, _ := issued(t, l, b, start); got.Floor != AmountOf(30) {
-		t.Fatalf("gave %v once there was room", got)
-	}
+	wantFloor(t, l, b, start, 30, "once there was room")
 	if l.SetLimits(LimitsOf(twoRegions(100))) {
 		t.Fatal("took an older configuration")
 	}
@@ -331,9 +309,7 @@
 	if err := l.Allowed().Check(l.Limits()); err != nil {
 		t.Fatal(err)
 	}
-	if got, _ := issued(t, l, far, start); got.Floor != AmountOf(20) {
-		t.Fatalf("gave %v to a node outside the region", got)
-	}
+	wantFloor(t, l, far, start, 20, "to a node outside the region")
 }
 
 // A VM is so new that no list shows it. If it ended, no list could ever tell,
@@ -349,9 +325,7 @@
 	}
 	l.Observe([]Listed{{VM: "a", Address: "a:1"}}, 1, start)
 	commit(l, start)
-	if got, _ := issued(t, l, a, start); got.Floor != AmountOf(50) {
-		t.Fatalf("gave %v once it was listed", got)
-	}
+	wantFloor(t, l, a, start, 50, "once it was listed")
 }
 
 // A planned stop frees what the node had, and writes that at once: the next
@@ -359,9 +333,7 @@
 func TestStoppedNodeIsFreeAndWritten(t *testing.T) {
 	a := node("a")
 	l := begun(t, a)
-	want(l, a, 100, 0)
-	commit(l, start)
-	issued(t, l, a, start)
+	give(t, l, a, 100, 0)
 	l.Release(a.ID)
 	l.SetLeaving(a.ID, false)
 	if !commit(l, start) {
