control: reports leave out the names of places

Cause: half of a report of a node that is called is the names of services and places, which do not change from one report to the next.

Change: places that are those of the last named report answered in the term, in the same order, are sent without names and with a hash of them.

--- a/control/decider/renew_test.go
+++ b/control/decider/renew_test.go
@@ -3,8 +3,10 @@
 import (
 	"testing"
 
+	"github.com/yuccaroute/yuccaroute/api/observe"
 	"github.com/yuccaroute/yuccaroute/api/peerpb"
 	"github.com/yuccaroute/yuccaroute/control/allocate"
+	"github.com/yuccaroute/yuccaroute/control/internal/placenames"
 	"github.com/yuccaroute/yuccaroute/control/ledger"
 	"github.com/yuccaroute/yuccaroute/store"
 )
@@ -47,3 +49,30 @@
 		t.Fatalf("%d reports, unheard %v, want 1 and %v", len(planner.Reports), planner.Unheard, silent)
 	}
 }
+
+// Two reports of a node overtake each other while its places change. The decider
+// must not take the load of one place for that of another.
+func TestPlacesWithoutNames(t *testing.T) {
+	var old reported
+	take := func(request *peerpb.RenewRequest) []observe.PlaceLoad {
+		r := reportOf(request, ledger.Node{})
+		old.namePlaces(&r, request)
+		old.report = r
+		return r.Places
+	}
+	load := func(place string, sent float32) *peerpb.PlaceLoad {
+		return &peerpb.PlaceLoad{Service: "desk", Place: place, SentRps: sent}
+	}
+	first := take(&peerpb.RenewRequest{Places: []*peerpb.PlaceLoad{load("a", 1), load("b", 2)}})
+	names := placenames.Hash(first)
+	next := []*peerpb.PlaceLoad{{SentRps: 3}, {SentRps: 4}}
+	got := take(&peerpb.RenewRequest{PlaceNames: names, Places: next})
+	if len(got) != 2 || got[0].Place != "a" || got[0].SentRPS != 3 || got[1].Place != "b" || got[1].Service != "desk" {
+		t.Errorf("places %+v", got)
+	}
+	take(&peerpb.RenewRequest{Places: []*peerpb.PlaceLoad{load("b", 5), load("a", 6)}})
+	got = take(&peerpb.RenewRequest{PlaceNames: names, Places: next})
+	if got[0].Place != "b" || got[0].SentRPS != 5 || got[1].SentRPS != 6 {
+		t.Errorf("loads under other names: %+v", got)
+	}
+}
--- a/control/decider/reported.go
+++ b/control/decider/reported.go
@@ -9,6 +9,7 @@
 	"github.com/yuccaroute/yuccaroute/api/observe"
 	"github.com/yuccaroute/yuccaroute/api/peerpb"
 	"github.com/yuccaroute/yuccaroute/control/allocate"
+	"github.com/yuccaroute/yuccaroute/control/internal/placenames"
 	"github.com/yuccaroute/yuccaroute/control/ledger"
 )
 
@@ -28,6 +29,8 @@
 type reported struct {
 	report observe.Report
 	at     time.Time
+	// names is the hash of the names in the last report that had them.
+	names uint32
 	// hastened is when the node was asked last to report, zero for not since
 	// its last report.
 	hastened time.Time
@@ -52,9 +55,7 @@
 	if old.at.IsZero() {
 		since = time.Hour
 	}
-	if request.PlacesSame {
-		r.Places = old.report.Places
-	}
+	old.namePlaces(&r, request)
 	old.report = r
 	old.at = now
 	old.hastened = time.Time{}
@@ -70,6 +71,23 @@
 	old.flows = next
 }
 
+// namePlaces fills in what a report leaves out of its places. Names on which node
+// and decider do not agree, because another report came in between, leave the
+// places as they were until the node names them again.
+func (old *reported) namePlaces(r *observe.Report, request *peerpb.RenewRequest) {
+	known := old.report.Places
+	switch {
+	case request.PlacesSame, request.PlaceNames != 0 && (request.PlaceNames != old.names || len(known) != len(r.Places)):
+		r.Places = known
+	case request.PlaceNames != 0:
+		for i := range r.Places {
+			r.Places[i].Service, r.Places[i].Place = known[i].Service, known[i].Place
+		}
+	default:
+		old.names = placenames.Hash(r.Places)
+	}
+}
+
 // average moves a smoothed rate towards a new reading over an interval. A rise
 // that is no chance counts in full for a node that is short.
 func average(old, reading float64, interval, since time.Duration, short bool) float64 {
--- a/control/holder/brief_test.go
+++ b/control/holder/brief_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/yuccaroute/yuccaroute/api/model"
 	"github.com/yuccaroute/yuccaroute/api/observe"
 	"github.com/yuccaroute/yuccaroute/api/peerpb"
 )
@@ -43,3 +44,36 @@
 		}
 	}
 }
+
+// The loads of places change all the time, their names do not. They are left out
+// once the decider has them, and told again when the places are others.
+func TestReportsNamePlacesOnce(t *testing.T) {
+	var b brief
+	now := start
+	named := func(epoch uint64, sent float64, places ...model.PlaceName) bool {
+		now = now.Add(time.Second)
+		var r observe.Report
+		for _, p := range places {
+			r.Places = append(r.Places, observe.PlaceLoad{Service: "desk", Place: p, SentRPS: sent})
+		}
+		request := requestOf(r)
+		request.AppliedEpoch = epoch
+		b.shorten(request, r, now)
+		b.answered(request, r, epoch, now)
+		if len(request.Places) != len(places) || request.Places[0].SentRps != float32(sent) {
+			t.Fatalf("request %v", request)
+		}
+		return request.PlaceNames == 0 && request.Places[0].Place == string(places[0])
+	}
+	for i, step := range []struct{ got, want bool }{
+		{named(1, 100, "a", "b"), true},
+		{named(1, 300, "a", "b"), false},
+		{named(1, 900, "b", "a"), true},
+		{named(1, 100, "b", "a"), false},
+		{named(2, 900, "b", "a"), true},
+	} {
+		if step.got != step.want {
+			t.Errorf("report %d has names: %v", i, step.got)
+		}
+	}
+}
