demo, bench: an interrupt is told as one

Ctrl-C ended the demo with 'yuccaroute: demo: a node does not serve: context canceled' or 'context canceled', and a bench run that was interrupted in its first repetition with an empty table and the same words. They end now with 'interrupted before the end', exit code 1, and without the empty table. A test with an ended context for both, one for the table; tests of cmd and bench/report with -race, passed.

--- a/bench/report/report_test.go
+++ b/bench/report/report_test.go
@@ -61,10 +61,12 @@
 	}
 }
 
-// Too few sizes give no line, and then there is no table either.
-func TestNoLineNoTable(t *testing.T) {
+// Too few sizes give no line and a run that was interrupted may have no figure;
+// then there is no table either.
+func TestNothingNoTable(t *testing.T) {
 	var out strings.Builder
 	result(1, 2).WriteFits(&out)
+	result().WriteTable(&out)
 	if out.Len() > 0 {
 		t.Error(out.String())
 	}
--- a/bench/report/table.go
+++ b/bench/report/table.go
@@ -9,8 +9,11 @@
 	"github.com/yuccaroute/yuccaroute/bench/fit"
 )
 
-// WriteTable writes the figures for people.
+// WriteTable writes the figures for people; without any it writes nothing.
 func (r *Result) WriteTable(w io.Writer) {
+	if len(r.Rows) == 0 {
+		return
+	}
 	t := newTable(w, r.Experiment)
 	t.AppendHeader(table.Row{"scenario", "size", "figure", "median", "min", "max", "unit", "runs"})
 	for _, s := range r.Summaries() {
--- a/cmd/internal/program/stop.go
+++ b/cmd/internal/program/stop.go
@@ -5,6 +5,8 @@
 	"os"
 	"os/signal"
 	"syscall"
+
+	"github.com/pkg/errors"
 )
 
 // Stops are the two signals of a stop.
@@ -46,5 +48,13 @@
 	}
 }
 
+// Told puts an error that an interrupt caused into the words of who sent it.
+func (s *Stops) Told(err error) error {
+	if err != nil && s.Planned.Err() != nil {
+		return errors.New("interrupted before the end")
+	}
+	return err
+}
+
 // Close ends the watching.
 func (s *Stops) Close() { s.cancel() }
--- a/cmd/yuccaroute/bench.go
+++ b/cmd/yuccaroute/bench.go
@@ -89,7 +89,7 @@
 		fmt.Fprintln(cmd.ErrOrStderr(), "wrote", name)
 	}
 	if runErr != nil {
-		return program.Exit(program.ExitFailed, runErr)
+		return program.Exit(program.ExitFailed, stops.Told(runErr))
 	}
 	return program.Exit(program.ExitFailed, err)
 }
--- a/cmd/yuccaroute/demo.go
+++ b/cmd/yuccaroute/demo.go
@@ -99,7 +99,7 @@
 	defer stops.Close()
 	report, err := demo.Run(stops.Planned, options)
 	if err != nil {
-		return nil, program.Exit(program.ExitFailed, err)
+		return nil, program.Exit(program.ExitFailed, stops.Told(err))
 	}
 	report.Write(cmd.OutOrStdout())
 	return report, nil
--- a/cmd/yuccaroute/help_test.go
+++ b/cmd/yuccaroute/help_test.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"context"
+	"io"
 	"testing"
 
 	"github.com/spf13/cobra"
@@ -22,6 +24,22 @@
 	check(newRoot())
 }
 
+// Who interrupts a run is told so, and not of a context that was cancelled.
+func TestInterrupted(t *testing.T) {
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	for _, args := range [][]string{{"demo"}, {"bench", "scenario", "store-http", "--sizes", "100"}} {
+		root := newRoot()
+		root.SetOut(io.Discard)
+		root.SetErr(io.Discard)
+		root.SetArgs(args)
+		err := root.ExecuteContext(ended)
+		if err == nil || err.Error() != "interrupted before the end" || program.CodeOf(err) != program.ExitFailed {
+			t.Errorf("%v ended with %v", args, err)
+		}
+	}
+}
+
 // Wrong usage does nothing, exits with its own code and tells what is right.
 func TestWrongUsage(t *testing.T) {
 	bad := writeFile(t, "bad.ini", "[account]\nname = x\n")
