integration: the race always has a change of unknown outcome

Change: once the node is paused a change is given to it by an operator who gives up after 1 s; the node takes it up when it goes on. The check is as strict.

--- a/integration/config_race_test.go
+++ b/integration/config_race_test.go
@@ -36,8 +36,10 @@
 	raceOperators = 16
 	raceChanges   = 12
 	raceTemplate  = "booking"
-	// racePatience is how long an operator waits for one answer.
+	// racePatience is how long an operator waits for one answer, and hurry how
+	// long one who asks a node that is paused.
 	racePatience = 4 * time.Second
+	hurry        = time.Second
 	// raceRepeats is how often an operator follows up an unknown outcome.
 	raceRepeats = 2
 	// marksEach keeps the marks of operators apart.
@@ -153,7 +155,7 @@
 	}
 	set(false)
 	steps := []func(){
-		1: func() { r.nodes[pausedNode].p.pause() },
+		1: func() { r.nodes[pausedNode].p.pause(); r.changeAtPaused() },
 		3: func() { r.nodes[pausedNode].p.resume() },
 		4: func() { r.nodes[killedNode].p.kill() },
 		5: func() { set(true) },
@@ -177,6 +179,17 @@
 	}
 }
 
+// changeAtPaused gives a change to the paused node, which answers only after its
+// operator gave up: the outcome is unknown, whatever else fails. The operator
+// follows it up elsewhere, and the node takes it up when it goes on.
+func (r *configRace) changeAtPaused() {
+	late := r.operator(raceOperators + 1)
+	late.node = pausedNode
+	late.clients = append([]*client.Client{}, r.http...)
+	late.clients[pausedNode] = r.nodes[pausedNode].api(httpClientFor(r.t, hurry))
+	late.change(1, changelog.AnySequence, false)
+}
+
 func (r *configRace) restart(node int) {
 	r.mu.Lock()
 	r.nodes[node].starts++
@@ -324,11 +337,13 @@
 	made   int
 	random *rand.Rand
 	texts  [2]string
+	// clients are those of the nodes.
+	clients []*client.Client
 }
 
 func (r *configRace) operator(n int) *raceOperator {
 	return &raceOperator{
-		r: r, n: n, node: n % raceNodes, random: rand.New(rand.NewPCG(r.seed, uint64(n))),
+		r: r, n: n, node: n % raceNodes, clients: r.http, random: rand.New(rand.NewPCG(r.seed, uint64(n))),
 		texts: [2]string{string(readFile(r.t, "testdata/template.ini")), string(readFile(r.t, "testdata/account.ini"))},
 	}
 }
@@ -347,7 +362,7 @@
 	}
 }
 
-func (o *raceOperator) api() *client.Client { return o.r.http[o.node] }
+func (o *raceOperator) api() *client.Client { return o.clients[o.node] }
 
 // elsewhere goes on with another node.
 func (o *raceOperator) elsewhere() { o.node = (o.node + 1 + o.random.IntN(raceNodes-1)) % raceNodes }
