integration: config tests take their addresses from the cluster

Cause: the config tests looked for free ports by themselves, on an IP of the test process, since the cluster's own ones could be taken by other programs. The cluster has an IP of its own now.

No check changed.

--- a/integration/config_cluster_test.go
+++ b/integration/config_cluster_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -22,30 +21,6 @@
 	{Name: "salzburg-a", Region: "salzburg"}, {Name: "salzburg-b", Region: "salzburg"},
 }
 
-// configAddresses returns free addresses on a loopback IP of this test process.
-// All are held at once, so that none is given twice. On 127.0.0.1 another
-// program's outgoing connection can take a port between this look and the start
-// of the node, which then never listens.
-func configAddresses(t *testing.T, count int) []string {
-	t.Helper()
-	var addresses []string
-	for range count {
-		l, err := net.Listen("tcp", configIP()+":0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer l.Close()
-		addresses = append(addresses, l.Addr().String())
-	}
-	return addresses
-}
-
-func configIP() string {
-	const perByte = 250
-	pid := os.Getpid()
-	return fmt.Sprintf("127.9.%d.%d", pid/perByte%perByte, pid%perByte+1)
-}
-
 // configNode is a node process with its administration API.
 type configNode struct {
 	name  string
@@ -60,13 +35,11 @@
 // node's settings, "" for none.
 func (f *farm) startConfigNodes(count int, tls func(i int) string) []*configNode {
 	f.t.Helper()
-	const each = 3
-	addresses := configAddresses(f.t, each*count)
 	var nodes []*configNode
 	for i := range count {
 		place := configPlaces[i%len(configPlaces)]
-		n := &configNode{name: fmt.Sprintf("node-%d", i), admin: addresses[each*i], peers: addresses[each*i+1]}
-		callers := addresses[each*i+2]
+		n := &configNode{name: fmt.Sprintf("node-%d", i), admin: f.freeAddress(), peers: f.freeAddress()}
+		callers := f.freeAddress()
 		file := filepath.Join(f.t.TempDir(), n.name+".ini")
 		text := fmt.Sprintf(nodeSettings, n.name, place.Region, place.Name, callers, n.admin, n.peers,
 			f.platformPath.address(), f.platformPath.address()) + tls(i)
