Keep the resident size of a node near its heap

Cause: the runtime lets the heap grow to twice what is in use before it collects. Change: [limits] collect_at_percent, 40 by default, and memory_bytes, none by default, reach the collector. The faults of both stand in the settings' test.

--- a/cmd/yuccarouted/main.go
+++ b/cmd/yuccarouted/main.go
@@ -61,6 +61,7 @@
 	if err != nil {
 		return program.Exit(program.ExitUsage, err)
 	}
+	limitMemory(s.Limits)
 	httpserver.UseLog(logger)
 	n, err := node.New(node.Options{Settings: s, Logger: logger, Clock: clock.New().Now})
 	if err != nil {
--- a/config/settings/load.go
+++ b/config/settings/load.go
@@ -69,6 +69,8 @@
 			QueuedRequests:    int(v.Whole(sectionLimits, "", keyQueued)),
 			CallerConnections: int(v.Whole(sectionLimits, "", keyCallerConnections)),
 			LeaveTime:         v.Duration(sectionLimits, "", keyLeaveTime, time.Millisecond),
+			CollectAtPercent:  int(v.Whole(sectionLimits, "", keyCollectAt)),
+			MemoryBytes:       v.Whole(sectionLimits, "", keyMemory),
 		},
 		Log: Log{
 			Level:  v.Text(sectionLog, "", keyLevel),
--- a/config/settings/schema.go
+++ b/config/settings/schema.go
@@ -36,6 +36,8 @@
 	keyQueued            = "queued_requests"
 	keyCallerConnections = "caller_connections"
 	keyLeaveTime         = "leave_time_ms"
+	keyCollectAt         = "collect_at_percent"
+	keyMemory            = "memory_bytes"
 	keyLevel             = "level"
 	keyFormat            = "format"
 	keyCertificate       = "certificate_file"
@@ -49,12 +51,16 @@
 const (
 	maxTimeoutMS = 600_000
 	maxRate      = 100_000
+	// minMemoryBytes is what a node without accounts takes. With less the
+	// collector would run all the time.
+	minMemoryBytes = 32 << 20
 )
 
 var (
 	timeout   = inifile.Number{Min: 1, Max: maxTimeoutMS}
 	callRate  = inifile.Number{Min: 0.1, Max: maxRate}
 	someCount = inifile.Whole{Min: 1, Max: math.MaxInt32}
+	growth    = inifile.Whole{Min: 10, Max: 1000}
 	someBytes = inifile.Whole{Min: 1 << 16, Max: 1 << 40}
 	listening = inifile.Address{AnyPort: true}
 )
@@ -86,6 +92,8 @@
 		{Name: keyQueued, Value: someCount, Default: "4096"},
 		{Name: keyCallerConnections, Value: someCount, Default: "20000"},
 		{Name: keyLeaveTime, Value: timeout, Default: "30000"},
+		{Name: keyCollectAt, Value: growth, Default: "40"},
+		{Name: keyMemory, Value: inifile.Whole{Min: minMemoryBytes, Max: 1 << 40}},
 	}},
 	{Kind: sectionLog, Keys: []inifile.KeySpec{
 		{Name: keyLevel, Value: inifile.Choice{"debug", "info", "warn", "error"}, Default: "info"},
--- a/config/settings/settings.go
+++ b/config/settings/settings.go
@@ -59,6 +59,13 @@
 	CallerConnections int
 	// LeaveTime bounds a planned stop of the process.
 	LeaveTime time.Duration
+	// CollectAtPercent is how far the heap grows over what is in use before
+	// memory is collected, in percent of it.
+	CollectAtPercent int
+	// MemoryBytes is the memory of the process from which on it is collected more
+	// often; 0 for no such limit. It guards a VM against running out of memory: if
+	// what is in use is near it, collecting takes up to half the processor time.
+	MemoryBytes int64
 }
 
 // Log tells what is logged and how.
--- a/config/settings/settings_test.go
+++ b/config/settings/settings_test.go
@@ -61,6 +61,8 @@
 call_timeout_seconds = 2
 [limits]
 buffered_bytes = 256MB
+collect_at_percent = 5
+memory_bytes = 1048576
 [logging]
 `
 	_, err := settings.Parse("node.ini", []byte(text))
@@ -76,7 +78,9 @@
 		"node.ini:5: [listen] peers: the key is missing",
 		"node.ini:11: [platform] call_timeout_seconds: wrong unit, got \"2\"; permitted: call_timeout_ms",
 		"node.ini:13: [limits] buffered_bytes: wrong value, got \"256MB\"; permitted: a whole number from 65536",
-		"node.ini:14: [logging] unknown section",
+		"node.ini:14: [limits] collect_at_percent: wrong value, got \"5\"; permitted: a whole number from 10 to 1000",
+		"node.ini:15: [limits] memory_bytes: wrong value, got \"1048576\"; permitted: a whole number from 33554432",
+		"node.ini:16: [logging] unknown section",
 	} {
 		if !strings.Contains(err.Error(), want) {
 			t.Errorf("missing %q in\n%v", want, err)
