spread, bench: measure what the VM list costs by nodes

Cause: the capacity page says that the readings of the VM list grow with the fleet and that each change sends it whole; nothing measured either.

Change: TestListCosts runs fleets of 10 to 144 nodes (558 with YUCCAROUTE_LONG_LIST=1) in simulated time and counts readings, bytes and the time of a change to the last node; bench counts the readings of whole nodes and the size of the parts.

--- a/bench/scenario/fleet.go
+++ b/bench/scenario/fleet.go
@@ -97,6 +97,7 @@
 	processor time.Duration
 	calls     faultkv.Counts
 	waiting   int64
+	listReads int64
 	loopback  loopbackCounters
 	routines  int
 }
@@ -107,6 +108,7 @@
 		processor: processorTime(),
 		calls:     w.store.Counts(),
 		waiting:   w.watches.waiting.Load(),
+		listReads: w.listReads.Load(),
 		loopback:  readLoopback(),
 		routines:  runtime.NumGoroutine(),
 	}
@@ -124,6 +126,7 @@
 		{Name: "peer packets", Unit: "1/s/node", Value: float64(b.loopback.packets-a.loopback.packets) / each},
 		{Name: "store reads", Unit: "1/s", Value: reads / seconds},
 		{Name: "store writes", Unit: "1/s", Value: writes / seconds},
+		{Name: "list reads", Unit: "1/s", Value: float64(b.listReads-a.listReads) / seconds},
 		{Name: "waiting watches", Unit: "calls", Value: float64(b.waiting)},
 	}
 }
--- a/bench/scenario/fleet_world.go
+++ b/bench/scenario/fleet_world.go
@@ -22,11 +22,13 @@
 
 // fleetWorld is whole nodes around an in-memory platform.
 type fleetWorld struct {
-	store    *faultkv.Store
-	watches  *watchGauge
-	list     atomic.Pointer[membership.List]
-	accounts []model.AccountName
-	log      *changelog.Log
+	store   *faultkv.Store
+	watches *watchGauge
+	list    atomic.Pointer[membership.List]
+	// listReads counts the readings of the VM list.
+	listReads atomic.Int64
+	accounts  []model.AccountName
+	log       *changelog.Log
 	// changeNumber makes the identifiers of changes differ.
 	changeNumber int
 	nodes        []*node.Node
@@ -35,7 +37,10 @@
 }
 
 // List implements membership.Lister.
-func (w *fleetWorld) List(context.Context) (membership.List, error) { return *w.list.Load(), nil }
+func (w *fleetWorld) List(context.Context) (membership.List, error) {
+	w.listReads.Add(1)
+	return *w.list.Load(), nil
+}
 
 // newFleetWorld returns a platform without configuration and nodes.
 func newFleetWorld() *fleetWorld {
--- a/bench/scenario/members.go
+++ b/bench/scenario/members.go
@@ -12,6 +12,7 @@
 	"github.com/yuccaroute/yuccaroute/bench/report"
 	"github.com/yuccaroute/yuccaroute/lookup"
 	"github.com/yuccaroute/yuccaroute/membership"
+	"github.com/yuccaroute/yuccaroute/membership/parts"
 	"github.com/yuccaroute/yuccaroute/membership/wire"
 	"github.com/yuccaroute/yuccaroute/spread/topology"
 )
@@ -69,6 +70,16 @@
 	kept := mixedList(count)
 	bytes := liveHeap() - before
 	runtime.KeepAlive(kept)
+	before = liveHeap()
+	bodies, err := parts.Split(list.VMs)
+	if err != nil {
+		return nil, err
+	}
+	bodiesKept := liveHeap() - before
+	divide, err := least(func() error { _, err := parts.Split(list.VMs); return err })
+	if err != nil {
+		return nil, err
+	}
 	l := lookup.New(lookup.Options{})
 	set, _ := least(func() error { l.SetVMs(list); return nil })
 	members := topology.FromList(list)
@@ -77,11 +88,22 @@
 		{Name: "list", Unit: "B", Value: float64(len(body))},
 		{Name: "read", Unit: "us", Value: float64(read.Microseconds())},
 		{Name: "list kept", Unit: "B", Value: float64(bytes)},
+		{Name: "parts", Unit: "B", Value: float64(sizeOf(bodies))},
+		{Name: "parts kept", Unit: "B", Value: float64(bodiesKept)},
+		{Name: "divide", Unit: "us", Value: float64(divide.Microseconds())},
 		{Name: "look-up", Unit: "us", Value: float64(set.Microseconds())},
 		{Name: "topology", Unit: "us", Value: float64(build.Microseconds())},
 	}, nil
 }
 
+func sizeOf(bodies parts.Bodies) int {
+	size := 0
+	for _, body := range bodies {
+		size += len(body)
+	}
+	return size
+}
+
 func readList(body []byte) error {
 	var answer wire.ListAnswer
 	if err := json.Unmarshal(body, &answer); err != nil {
--- a/spread/network_test.go
+++ b/spread/network_test.go
@@ -43,6 +43,8 @@
 	sent map[string]int
 	// lose tells that an item is lost from a stream; nil loses none.
 	lose func(from, to, key string) bool
+	// byNode counts the bytes that each address sent and received.
+	byNode map[string]int
 }
 
 func newNetwork() *network {
@@ -53,6 +55,7 @@
 		delay:    func(string, string) time.Duration { return 0 },
 		messages: map[string]int{},
 		sent:     map[string]int{},
+		byNode:   map[string]int{},
 	}
 }
 
@@ -131,12 +134,24 @@
 	}
 	n.mu.Lock()
 	n.messages[kind]++
-	n.bytes += proto.Size(m)
-	n.sent[from] += proto.Size(m)
+	size := proto.Size(m)
+	n.bytes += size
+	n.sent[from] += size
+	n.byNode[from] += size
+	n.byNode[to] += size
 	n.mu.Unlock()
 	return nil
 }
 
+// countedBytes returns the bytes by address since the last call.
+func (n *network) countedBytes() map[string]int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := n.byNode
+	n.byNode = map[string]int{}
+	return out
+}
+
 func (n *network) count(kind string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/spread/vmlist_test.go
+++ b/spread/vmlist_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -149,13 +150,18 @@
 // withLists runs a test on a fleet that has its VM list from a list service,
 // with 48 targets, before and after it has formed its tree.
 func withLists(t *testing.T, regions, places, perPlace int, started func(f *testFleet), test func(f *testFleet)) {
+	t.Helper()
+	withTargets(t, regions, places, perPlace, 48, started, test)
+}
+
+func withTargets(t *testing.T, regions, places, perPlace, targets int, started func(f *testFleet), test func(f *testFleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		f := newStoppedFleet(t, regions, places, perPlace)
 		defer f.stop()
 		f.store.put(account(1))
 		f.lists = &listService{list: membership.List{VMs: membership.Normalize(f.list.VMs), Sequence: 1}, given: map[string]*membership.List{}}
-		for i := range 48 {
+		for i := range targets {
 			f.lists.set(target(i, membership.StateLive))
 		}
 		for _, m := range topology.FromList(f.list) {
@@ -183,7 +189,7 @@
 	return membership.VM{
 		ID: fmt.Sprintf("target-%03d", i), Role: membership.RoleTarget, State: state,
 		Region: "kr-seoul", Place: "kr-seoul-1", Account: "daehan", Service: "dealer-desk",
-		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, 0, byte(i)}), 80),
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, 0, byte(i)}), 80+uint16(i>>8)),
 	}
 }
 
@@ -491,3 +497,71 @@
 		f.mustList(list)
 	})
 }
+
+// What a change of the list costs by the number of nodes: the readings must not
+// grow with it, and a node must not be sent the whole list. The figures of the
+// capacity page are what it logs; the last size, 558 nodes, runs with
+// YUCCAROUTE_LONG_LIST=1.
+func TestListCosts(t *testing.T) {
+	shapes := []struct{ regions, places, perPlace int }{{1, 2, 5}, {3, 2, 8}, {6, 3, 8}}
+	if os.Getenv("YUCCAROUTE_LONG_LIST") != "" {
+		shapes = append(shapes, struct{ regions, places, perPlace int }{6, 3, 31})
+	}
+	for _, s := range shapes {
+		nodes := s.regions * s.places * s.perPlace
+		targets := nodes * 800 / 550
+		started := func(f *testFleet) {
+			f.after(10 * time.Second)
+			t.Logf("%d nodes started together: %d readings in 10 s", nodes, f.lists.counted())
+		}
+		withTargets(t, s.regions, s.places, s.perPlace, targets, started, func(f *testFleet) {
+			const changes, apart = 10, 6 * time.Second
+			f.net.countedBytes()
+			f.lists.counted()
+			f.after(changes * apart)
+			idle := f.net.countedBytes()
+			reads := float64(f.lists.counted()) / (changes * apart).Seconds()
+			var longest, sum time.Duration
+			for i := range changes {
+				took := f.timeToAll(f.leave(i))
+				longest, sum = max(longest, took), sum+took
+				f.after(apart - took)
+			}
+			busy := f.net.countedBytes()
+			var all, worst, rest int
+			for address := range busy {
+				rest += idle[address]
+				all += busy[address] - idle[address]
+				worst = max(worst, busy[address]-idle[address])
+			}
+			mean := all / len(busy) / changes
+			whole := 0
+			bodies, err := parts.Split(f.lists.list.VMs)
+			if err != nil {
+				f.t.Fatal(err)
+			}
+			for _, body := range bodies {
+				whole += len(body)
+			}
+			t.Logf("%d nodes, %d rows: %.1f readings/s, idle %.0f B/s a node; a change: %d B mean, %d B worst node, list %d B; to all nodes %s mean, %s longest",
+				nodes, nodes+targets, reads, float64(rest)/float64(nodes)/(changes*apart).Seconds(), mean, worst/changes, whole, sum/changes, longest)
+			if limit := 1.2 * float64(s.regions*topology.WatchersPerRegion); reads > limit {
+				f.t.Errorf("%.1f readings/s, at most %.1f are expected", reads, limit)
+			}
+			if mean > 2000 || longest > 2*time.Second {
+				f.t.Errorf("a change costs %d B a node and takes %s", mean, longest)
+			}
+		})
+	}
+}
+
+// timeToAll returns how long it takes until all nodes have the list.
+func (f *testFleet) timeToAll(list membership.List) time.Duration {
+	began := time.Now()
+	for _, n := range f.nodes {
+		for n.vms.view.Current().List.Sequence < list.Sequence {
+			f.after(time.Millisecond)
+		}
+	}
+	return time.Since(began)
+}
