store/wire: say that it was the service that answered

It reads 'the service answered unavailable: store: unavailable' now, and so for rate_limited and bad_request. Only the text changes.

--- a/store/wire/failure.go
+++ b/store/wire/failure.go
@@ -81,7 +81,7 @@
 	case CodeTooLarge:
 		return store.ErrTooLarge, true
 	case CodeUnavailable, CodeRateLimited, CodeBadRequest:
-		return errors.WithMessage(store.ErrUnavailable, string(f.Code)), true
+		return errors.WithMessage(store.ErrUnavailable, "the service answered "+string(f.Code)), true
 	default:
 		return nil, false
 	}
