bench: start the fleet of a failure and of a cut in one place

Cause: fleet-cut repeated how fleet-failure commits the configuration, starts the 102 nodes, lets them settle and measures a quiet time (9 equal lines).

Change: startQuiet does it for both; fleet-cut tells that it takes as long as its work, as the other fleets do.

--- a/bench/scenario/fleet_cut.go
+++ b/bench/scenario/fleet_cut.go
@@ -44,6 +44,7 @@
 		SizeName: "seconds",
 		Summary:  "102 whole idle nodes, 2 accounts; one region is cut off for the given time while a change a second is made, and returns: peaks before, during and after",
 		MaxSize:  maxCut,
+		Untimed:  true,
 		Run: func(ctx context.Context, p Params) ([]report.Metric, error) {
 			return runFleetCut(ctx, time.Duration(p.Size*float64(time.Second)))
 		},
@@ -53,18 +54,9 @@
 func runFleetCut(ctx context.Context, length time.Duration) ([]report.Metric, error) {
 	w := newFleetWorld()
 	defer w.close()
-	if err := w.commitAll(ctx, fleetAccounts, 0); err != nil {
-		return nil, errors.Wrap(err, "fleet: commit the configuration")
-	}
 	w.network = newRegionNetwork(w, regionName(0))
-	if err := w.start(ctx, failureNodes); err != nil {
-		return nil, err
-	}
-	if err := pause(ctx, settleTime); err != nil {
-		return nil, err
-	}
 	quietCrossing := &crossingPeak{network: w.network}
-	quiet, err := w.peaks(ctx, settleTime, quietCrossing.take)
+	quiet, err := w.startQuiet(ctx, quietCrossing.take)
 	if err != nil {
 		return nil, err
 	}
--- a/bench/scenario/fleet_failure.go
+++ b/bench/scenario/fleet_failure.go
@@ -40,16 +40,7 @@
 func runFleetFailure(ctx context.Context, failed int) ([]report.Metric, error) {
 	w := newFleetWorld()
 	defer w.close()
-	if err := w.commitAll(ctx, fleetAccounts, 0); err != nil {
-		return nil, errors.Wrap(err, "fleet: commit the configuration")
-	}
-	if err := w.start(ctx, failureNodes); err != nil {
-		return nil, err
-	}
-	if err := pause(ctx, settleTime); err != nil {
-		return nil, err
-	}
-	quiet, err := w.peaks(ctx, settleTime, func(time.Duration) {})
+	quiet, err := w.startQuiet(ctx, func(time.Duration) {})
 	if err != nil {
 		return nil, err
 	}
@@ -67,6 +58,21 @@
 	return append(quiet.metrics("quiet"), after.metrics("failure")...), nil
 }
 
+// startQuiet starts the fleet that a part of fails, lets it settle and returns
+// the peaks of a quiet time, with each called before every sample.
+func (w *fleetWorld) startQuiet(ctx context.Context, each func(elapsed time.Duration)) (peakReading, error) {
+	if err := w.commitAll(ctx, fleetAccounts, 0); err != nil {
+		return peakReading{}, errors.Wrap(err, "fleet: commit the configuration")
+	}
+	if err := w.start(ctx, failureNodes); err != nil {
+		return peakReading{}, err
+	}
+	if err := pause(ctx, settleTime); err != nil {
+		return peakReading{}, err
+	}
+	return w.peaks(ctx, settleTime, each)
+}
+
 // fail ends the first nodes of the fleet's order by place: a failure takes
 // neighbours, so that it takes whole failure domains as it grows.
 func (w *fleetWorld) fail(count int) {
