--- a/membership/feed/feed.go
+++ b/membership/feed/feed.go
@@ -98,11 +98,23 @@
 func (f *Feed) Take(key string, epoch, sequence uint64, body []byte) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if err := f.parts.put(key, version{epoch, sequence}, body); err != nil {
-		f.log.WithError(err).WithField("item", key).Error("membership: cannot read a part of the list")
-		return
+	if f.put(key, version{epoch, sequence}, body) {
+		f.assemble()
+	}
+}
+
+// put notes a part and reports whether it could be read.
+func (f *Feed) put(key string, v version, body []byte) bool {
+	log := f.log.WithField("item", key)
+	unread, err := f.parts.put(key, v, body)
+	if err != nil {
+		log.WithError(err).Error("membership: cannot read a part of the list")
+		return false
+	}
+	if unread > 0 {
+		log.Warnf("membership: %d rows left out", unread)
 	}
-	f.assemble()
+	return true
 }
 
 // Members returns the list in force; before there is one, the nodes from which
--- a/membership/feed/partset.go
+++ b/membership/feed/partset.go
@@ -40,22 +40,23 @@
 
 func newPartSet() partSet { return partSet{parts: map[string]part{}} }
 
-// put takes in a part. The spreading never gives an older one after a newer.
-func (s *partSet) put(key string, v version, body []byte) error {
+// put takes in a part, unless a later one is there. Unread counts rows that
+// were left out.
+func (s *partSet) put(key string, v version, body []byte) (unread int, err error) {
 	if key == parts.HeadKey {
-		return s.putHead(v, body)
+		return 0, s.putHead(v, body)
 	}
 	old := s.parts[key]
 	if old.version.later(v) {
-		return nil
+		return 0, nil
 	}
-	rows, _, err := parts.Rows(body)
+	rows, unread, err := parts.Rows(body)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	s.sum += parts.Sum(key, body) - parts.Sum(key, []byte(old.body))
 	s.parts[key] = part{version: v, body: string(body), rows: rows}
-	return nil
+	return unread, nil
 }
 
 func (s *partSet) putHead(v version, body []byte) error {
--- a/membership/feed/read.go
+++ b/membership/feed/read.go
@@ -207,9 +207,7 @@
 		return
 	}
 	epoch, sequence, body := f.spread.Part(key)
-	if err := f.parts.put(key, version{epoch, sequence}, body); err != nil {
-		f.log.WithError(err).WithField("item", key).Error("membership: part of the list not taken")
-	}
+	f.put(key, version{epoch, sequence}, body)
 }
 
 // divide divides the rows unless they are those of the last reading.
--- a/node/start_test.go
+++ b/node/start_test.go
@@ -1,11 +1,14 @@
 package node_test
 
 import (
+	"context"
 	"slices"
 	"testing"
 
 	"github.com/yuccaroute/yuccaroute/config/changelog"
+	"github.com/yuccaroute/yuccaroute/membership"
 	"github.com/yuccaroute/yuccaroute/node"
+	"github.com/yuccaroute/yuccaroute/store"
 	"github.com/yuccaroute/yuccaroute/store/faultkv"
 )
 
@@ -44,6 +47,28 @@
 	})
 }
 
+// The VM list is out and an entry VM is replaced at that time. It knows no other
+// node but the deciders that the store names. It must learn the list from them,
+// with its age, and serve.
+func TestStartWhileTheListIsOut(t *testing.T) {
+	s := newSystem(t)
+	s.addThree()
+	s.adjust = func(o *node.Options) { o.Lister = noList{} }
+	started := s.add("entry-new", "north-b")
+	t.Cleanup(func() { s.tellHolders(started) })
+	s.until("the new node serves", func() bool { return s.ask(started).served() })
+	if age := started.Status().VMListAgeMs; age < 0 {
+		t.Errorf("the list is %d ms old", age)
+	}
+}
+
+// noList stands for a list service that is out.
+type noList struct{}
+
+func (noList) List(context.Context) (membership.List, error) {
+	return membership.List{}, store.ErrUnavailable
+}
+
 func borrowed(n *node.Node) int {
 	for _, a := range n.Status().Control {
 		if a.Account == accountName {
