ingress: one probe of the pollers, and a stop that waits for the memory

Cause: the probes that tell whether every poller runs stood in proxy/ingress and again in httpserver/handover, which both servers use now. And TestReservedMemoryComesBack failed once in 480 runs beside other load: the engine's stop returns when all connections have closed, but the work that frees what their parsers and bodies hold runs on other goroutines. Change: ingress listens first and leaves the probes to handover; Stop counts the connections that are not cleaned yet and waits for them, within its context.

--- a/proxy/ingress/server.go
+++ b/proxy/ingress/server.go
@@ -28,6 +28,9 @@
 	open     atomic.Int64
 	// busy counts requests handed over whose answers are not wholly given.
 	busy atomic.Int64
+	// cleaning counts closed connections whose parsers are not cleaned yet: the
+	// engine's own stop does not wait for that.
+	cleaning atomic.Int64
 	// handovers orders the making of a connection before its use on the
 	// engine's goroutines. The engine itself hands it over through the kernel
 	// only, which Go's memory model does not know.
@@ -39,7 +42,11 @@
 // bound.
 func Start(o Options) (*Server, error) {
 	o.setDefaults()
-	s := &Server{options: o}
+	l, err := net.Listen("tcp", o.Address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "ingress: listen on %s", o.Address)
+	}
+	s := &Server{options: o, address: l.Addr()}
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name:            "callers",
 		Handler:         http.HandlerFunc(s.serve),
@@ -55,18 +62,9 @@
 	s.engine.Engine.OnClose(s.closed)
 	s.engine.OnWrittenSize(s.written)
 	if err := s.engine.Start(); err != nil {
+		_ = l.Close()
 		return nil, errors.Wrap(err, "ingress: start")
 	}
-	if err := s.awaitPollers(); err != nil {
-		s.engine.Stop()
-		return nil, err
-	}
-	l, err := net.Listen("tcp", o.Address)
-	if err != nil {
-		s.engine.Stop()
-		return nil, errors.Wrapf(err, "ingress: listen on %s", o.Address)
-	}
-	s.address = l.Addr()
 	if s.acceptor, err = handover.Start(s.engine.Engine, l, s.take); err != nil {
 		_ = l.Close()
 		s.engine.Stop()
@@ -82,18 +80,23 @@
 func (s *Server) Busy() int { return int(s.busy.Load()) }
 
 // Stop takes no new connections, waits until every answer in hand is given or
-// the context ends, and closes all connections.
+// the context ends, and closes all connections. Without an error the memory of
+// all bodies is free when it returns.
 func (s *Server) Stop(ctx context.Context) error {
 	s.acceptor.Stop()
-	err := s.waitIdle(ctx)
+	err := waitZero(ctx, &s.busy)
 	s.stop.Do(s.engine.Stop)
-	return err
+	if err != nil {
+		return err
+	}
+	return waitZero(ctx, &s.cleaning)
 }
 
-func (s *Server) waitIdle(ctx context.Context) error {
+// waitZero returns when a count is zero, or with the context's error.
+func waitZero(ctx context.Context, count *atomic.Int64) error {
 	tick := time.NewTicker(stopPoll)
 	defer tick.Stop()
-	for s.busy.Load() > 0 {
+	for count.Load() > 0 {
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
@@ -126,19 +129,15 @@
 func (s *Server) closed(c *nbio.Conn, err error) {
 	conn := s.connectionOf(c)
 	if conn == nil {
-		s.probeClosed(c)
 		return
 	}
 	s.open.Add(-1)
 	conn.gone()
-	c.MustExecute(func() { conn.clean(err) })
-}
-
-// probeClosed tells awaitPollers that a poller has closed its probe.
-func (s *Server) probeClosed(c *nbio.Conn) {
-	if probe, ok := c.Session().(*pollerProbe); ok {
-		close(probe.closed)
-	}
+	s.cleaning.Add(1)
+	c.MustExecute(func() {
+		defer s.cleaning.Add(-1)
+		conn.clean(err)
+	})
 }
 
 // data is called by the engine for the bytes that came.
