demo: delay each direction within a region by 0.5 ms

Cause: the relays' library counts delays in whole milliseconds, so 0.5 ms one way ran as 1 ms towards the target and none back; the round trip was right, the age of a report and of a request on the way was not.

Ruled out: rounding both up (a round trip of 2 ms) or both down (none).

Change: a toxic of our own, registered with the library, that holds each chunk for a duration; it replaces the library's latency for all delays.

Measured: in simulated time each chunk takes 0.5 ms, two sent together both do (TestDelayBelowMillisecond, 20 runs with -race).

--- a/demo/relay.go
+++ b/demo/relay.go
@@ -9,11 +9,10 @@
 	"github.com/pkg/errors"
 )
 
-// The library's names of the two directions and of its delay.
+// The library's names of the two directions.
 const (
-	streamUp     = "upstream"
-	streamDown   = "downstream"
-	toxicLatency = "latency"
+	streamUp   = "upstream"
+	streamDown = "downstream"
 )
 
 // startRelay returns a relay to a server at a free port.
@@ -28,34 +27,24 @@
 	return relay, nil
 }
 
-// latency is the form in which the library reads a delay.
-type latency struct {
-	Name       string            `json:"name"`
-	Type       string            `json:"type"`
-	Stream     string            `json:"stream"`
-	Attributes latencyAttributes `json:"attributes"`
+// toxic is the form in which the library reads a delay.
+type toxic struct {
+	Name       string `json:"name"`
+	Type       string `json:"type"`
+	Stream     string `json:"stream"`
+	Attributes delay  `json:"attributes"`
 }
 
-type latencyAttributes struct {
-	Latency int64 `json:"latency"`
-}
-
-// addLatency delays one direction; the library counts whole milliseconds, so
-// that the delay within a region rounds to 1 ms in one direction and 0 in the
-// other.
+// addLatency delays one direction.
 func addLatency(relay *toxiproxy.Proxy, stream string, oneWay time.Duration) error {
-	millis := oneWay.Milliseconds()
-	if stream == streamUp && oneWay%time.Millisecond != 0 {
-		millis++
-	}
-	if millis == 0 {
+	if oneWay == 0 {
 		return nil
 	}
-	text, err := json.Marshal(latency{
-		Name:       "latency " + stream,
-		Type:       toxicLatency,
+	text, err := json.Marshal(toxic{
+		Name:       toxicDelay + " " + stream,
+		Type:       toxicDelay,
 		Stream:     stream,
-		Attributes: latencyAttributes{Latency: millis},
+		Attributes: delay{OneWay: oneWay},
 	})
 	if err != nil {
 		return err
