bench: nodes of the decider scenarios measure each second and follow the plan

Cause: the simulated nodes told one second of measurements at each report, the same one they judged their rest by, kept one phase, and sent an equal part to each site whatever the plan. So their rates and latencies varied more in reports than those of nodes do, they showed work at sites without a grant, and how many reports of nodes at rest fell into the 30 s measured depended on the phase.

Change: the nodes measure each second, tell all since their last report, spread their reports as control.System does and send by the plan given out last. Joining two reports moves to observe.Join for that.

--- a/control/join.go
+++ b/api/observe/join.go
@@ -1,14 +1,12 @@
-package control
+package observe
 
 import (
 	"time"
-
-	"github.com/yuccaroute/yuccaroute/api/observe"
 )
 
-// join returns the report of two intervals that follow each other. What only
+// Join returns the report of two intervals that follow each other. What only
 // one of them names counts as 0 in the other.
-func join(a, b observe.Report) observe.Report {
+func Join(a, b Report) Report {
 	joined := b
 	joined.Interval = a.Interval + b.Interval
 	if joined.Interval <= 0 {
@@ -21,8 +19,8 @@
 }
 
 // joinFlows takes the part of the first interval in both as weight.
-func joinFlows(a, b []observe.FlowDemand, weight float64) []observe.FlowDemand {
-	joined := make([]observe.FlowDemand, 0, len(b))
+func joinFlows(a, b []FlowDemand, weight float64) []FlowDemand {
+	joined := make([]FlowDemand, 0, len(b))
 	for _, f := range b {
 		f.OfferedRPS *= 1 - weight
 		joined = append(joined, f)
@@ -44,8 +42,8 @@
 
 // joinPlaces keeps the places of the later interval: one that is gone is not
 // reported.
-func joinPlaces(a, b []observe.PlaceLoad, weight float64) []observe.PlaceLoad {
-	joined := make([]observe.PlaceLoad, 0, len(b))
+func joinPlaces(a, b []PlaceLoad, weight float64) []PlaceLoad {
+	joined := make([]PlaceLoad, 0, len(b))
 	for _, p := range b {
 		for i := range a {
 			if a[i].Service == p.Service && a[i].Place == p.Place {
@@ -58,7 +56,7 @@
 	return joined
 }
 
-func joinPlace(a *observe.PlaceLoad, b observe.PlaceLoad, weight float64) observe.PlaceLoad {
+func joinPlace(a *PlaceLoad, b PlaceLoad, weight float64) PlaceLoad {
 	before, after := a.SentRPS*weight, b.SentRPS*(1-weight)
 	joined := b
 	joined.SentRPS = before + after
--- a/bench/scenario/decider_world.go
+++ b/bench/scenario/decider_world.go
@@ -13,6 +13,7 @@
 	"github.com/yuccaroute/yuccaroute/api/model"
 	"github.com/yuccaroute/yuccaroute/api/observe"
 	"github.com/yuccaroute/yuccaroute/api/peerpb"
+	"github.com/yuccaroute/yuccaroute/api/plan"
 	"github.com/yuccaroute/yuccaroute/control/allocate"
 	"github.com/yuccaroute/yuccaroute/control/decider"
 	"github.com/yuccaroute/yuccaroute/control/holder"
@@ -44,8 +45,9 @@
 	nodes       []*simulatedNode
 	listed      []ledger.Listed
 	// revision counts the writes that the simulated store took.
-	revision    store.Revision
-	lastPlan    uint64
+	revision store.Revision
+	// plan is the one given out last, nil before the first.
+	plan        *plan.Plan
 	ledgerBytes int
 	planBytes   int
 	counts      deciderCounts
@@ -54,8 +56,11 @@
 // simulatedNode is one node as its decider sees it.
 type simulatedNode struct {
 	ref *peerpb.NodeRef
-	// due is when the node reports, restDue when it does with nothing to tell.
-	due, restDue    time.Time
+	// next is when the node measures, due when it reports, restDue when it does
+	// with nothing to tell.
+	next, due, restDue time.Time
+	// measured is what it measured since its last report.
+	measured        observe.Report
 	epoch, sequence uint64
 	// callers tells that callers reach the node.
 	callers bool
@@ -95,7 +100,7 @@
 				Vm: vm.ID, Incarnation: d.random.Uint64(), PeerAddress: address,
 				Place: string(vm.Place), Region: string(vm.Region),
 			},
-			due:     d.now.Add(time.Duration(d.random.Float64() * float64(time.Second))),
+			next:    d.now.Add(time.Duration(d.random.Float64() * float64(ledgerStep))),
 			callers: i%oneIn == 0,
 			set:     &grant.Set{},
 		})
@@ -163,7 +168,7 @@
 	for _, node := range asked {
 		for _, n := range d.nodes {
 			if n.ref.Vm == node.ID.VM {
-				n.due, n.restDue = d.now, d.now
+				d.report(n)
 			}
 		}
 	}
@@ -171,10 +176,10 @@
 
 func (d *deciderWorld) publish() error {
 	p := d.core.Publish()
-	if p == nil || p.Sequence == d.lastPlan {
+	if p == nil || p == d.plan {
 		return nil
 	}
-	d.lastPlan = p.Sequence
+	d.plan = p
 	body, err := json.Marshal(p)
 	if err != nil {
 		return err
@@ -191,21 +196,32 @@
 	for range parts {
 		d.now = d.now.Add(ledgerStep / parts)
 		for _, n := range d.nodes {
-			if !n.due.After(d.now) {
-				d.report(n)
+			if !n.next.After(d.now) {
+				n.next = n.next.Add(ledgerStep)
+				d.round(n)
 			}
 		}
 	}
 }
 
-// report makes the report of a node that is due, unless it has nothing to tell.
-func (d *deciderWorld) report(n *simulatedNode) {
-	request := d.request(n)
-	measured := observed(request)
-	if d.now.Before(n.restDue) && n.told.Enough(measured, n.set) {
-		n.due = d.now.Add(ledgerStep)
+// round measures a second of a node and makes its report if it is due and the
+// node has something to tell.
+func (d *deciderWorld) round(n *simulatedNode) {
+	recent := d.measure(n)
+	n.measured = observe.Join(n.measured, recent)
+	if n.due.After(d.now) || d.now.Before(n.restDue) && n.told.Enough(recent, n.set) {
 		return
 	}
+	d.report(n)
+}
+
+// report makes the report of a node.
+func (d *deciderWorld) report(n *simulatedNode) {
+	measured := n.measured
+	n.measured = observe.Report{}
+	request := holder.NewRequest(measured)
+	request.Node, request.Account = n.ref, string(accountName)
+	request.AppliedEpoch, request.AppliedSequence = n.epoch, n.sequence
 	n.told.Shorten(request, measured, d.now)
 	started := time.Now()
 	answer := d.core.Renew(request, d.now)
@@ -214,8 +230,8 @@
 	d.counts.requestBytes += uint64(proto.Size(request))
 	d.counts.answerBytes += uint64(proto.Size(answer))
 	interval := max(time.Duration(answer.NextMs)*time.Millisecond, ledgerStep)
-	n.due = d.now.Add(interval)
-	n.restDue = d.now.Add(max(interval, holder.RestInterval))
+	n.due = d.now.Add(d.jitter(interval))
+	n.restDue = d.now.Add(d.jitter(max(interval, holder.RestInterval)))
 	if answer.Code != 0 {
 		n.told.Unanswered()
 		return
@@ -225,6 +241,12 @@
 	n.apply(answer)
 }
 
+// jitter spreads reports as nodes do.
+func (d *deciderWorld) jitter(interval time.Duration) time.Duration {
+	const share = 0.1
+	return time.Duration(float64(interval) * (1 - share*d.random.Float64()))
+}
+
 // apply takes the grants of an answer into use.
 func (n *simulatedNode) apply(answer *peerpb.RenewResponse) {
 	set := &grant.Set{Account: accountName, Epoch: answer.Epoch, Sequence: answer.Sequence, Grants: n.set.Grants}
@@ -240,53 +262,47 @@
 	n.set = set
 }
 
-// observed is what a request tells, as its node measured it.
-func observed(request *peerpb.RenewRequest) observe.Report {
-	r := observe.Report{Account: accountName, Interval: time.Duration(request.IntervalMs) * time.Millisecond}
-	for _, f := range request.Flows {
-		r.Flows = append(r.Flows, observe.FlowDemand{
-			Service: model.ServiceName(f.Service), Caller: model.RegionName(f.Caller), OfferedRPS: float64(f.OfferedRps),
-		})
-	}
-	for _, p := range request.Places {
-		r.Places = append(r.Places, observe.PlaceLoad{
-			Service: model.ServiceName(p.Service), Place: model.PlaceName(p.Place), SentRPS: float64(p.SentRps),
-			P50: time.Duration(p.P50Us) * time.Microsecond, P99: time.Duration(p.P99Us) * time.Microsecond,
-			Targets: int(p.Targets), Known: int(p.Known),
-		})
-	}
-	return r
-}
-
-// request is the report of a node whose callers are all in its own region and
-// whose traffic varies as independent arrivals do.
-func (d *deciderWorld) request(n *simulatedNode) *peerpb.RenewRequest {
-	r := &peerpb.RenewRequest{
-		Node: n.ref, Account: string(accountName), IntervalMs: 1000,
-		AppliedEpoch: n.epoch, AppliedSequence: n.sequence,
-	}
-	places := float64(len(d.account.Places))
+// measure is what a node measures in a second that follows the plan, whose callers
+// are all in its own region and whose traffic varies as independent arrivals do.
+func (d *deciderWorld) measure(n *simulatedNode) observe.Report {
+	r := observe.Report{Account: accountName, Interval: ledgerStep}
 	mean := 0.0
 	if n.callers {
-		mean = d.use * siteRPS * places / float64(d.withCallers)
+		mean = d.use * siteRPS * float64(len(d.account.Places)) / float64(d.withCallers)
 	}
 	for s := range services {
 		offered := max(0, mean+d.random.NormFloat64()*math.Sqrt(mean))
-		r.Flows = append(r.Flows, &peerpb.FlowDemand{Service: string(serviceName(s)), Caller: n.ref.Region, OfferedRps: float32(offered)})
+		flow := observe.FlowDemand{Service: serviceName(s), Caller: model.RegionName(n.ref.Region), OfferedRPS: offered}
+		r.Flows = append(r.Flows, flow)
 		for _, place := range d.account.Places {
-			r.Places = append(r.Places, d.load(s, place.Name, offered/places))
+			r.Places = append(r.Places, d.load(flow.Service, place.Name, offered*d.share(&flow, place.Name)))
 		}
 	}
 	return r
 }
 
-func (d *deciderWorld) load(service int, place model.PlaceName, sent float64) *peerpb.PlaceLoad {
-	if sent <= 0 {
-		return &peerpb.PlaceLoad{Service: string(serviceName(service)), Place: string(place), Targets: 3, Known: 3}
+// share is the part of a flow that goes to a place by the plan, 0 to 1.
+func (d *deciderWorld) share(flow *observe.FlowDemand, place model.PlaceName) float64 {
+	if d.plan == nil {
+		return 0
 	}
-	return &peerpb.PlaceLoad{
-		Service: string(serviceName(service)), Place: string(place), SentRps: float32(sent),
-		P50Us: uint32(7000 + d.random.IntN(2000)), P99Us: uint32(20000 + d.random.IntN(9000)),
-		Targets: 3, Known: 3,
+	planned := d.plan.Flow(flow.Service, flow.Caller)
+	if planned == nil {
+		return 0
+	}
+	for _, s := range planned.Shares {
+		if s.Place == place {
+			return float64(s.PPM) / plan.Whole
+		}
+	}
+	return 0
+}
+
+func (d *deciderWorld) load(service model.ServiceName, place model.PlaceName, sent float64) observe.PlaceLoad {
+	load := observe.PlaceLoad{Service: service, Place: place, SentRPS: sent, Targets: 3, Known: 3}
+	if sent > 0 {
+		load.P50 = time.Duration(7000+d.random.IntN(2000)) * time.Microsecond
+		load.P99 = time.Duration(20000+d.random.IntN(9000)) * time.Microsecond
 	}
+	return load
 }
--- a/control/holder/brief_test.go
+++ b/control/holder/brief_test.go
@@ -17,7 +17,7 @@
 		return observe.Report{Places: []observe.PlaceLoad{{Service: "desk", Place: "a", SentRPS: sent, RefusedRPS: refused, P99: time.Second}}}
 	}
 	same := func(r observe.Report, epoch uint64, after time.Duration) bool {
-		request := requestOf(r)
+		request := NewRequest(r)
 		request.AppliedEpoch = epoch
 		b.shorten(request, r, start.Add(after))
 		return request.PlacesSame && len(request.Places) == 0
@@ -56,7 +56,7 @@
 		for _, p := range places {
 			r.Places = append(r.Places, observe.PlaceLoad{Service: "desk", Place: p, SentRPS: sent})
 		}
-		request := requestOf(r)
+		request := NewRequest(r)
 		request.AppliedEpoch = epoch
 		b.shorten(request, r, now)
 		b.answered(request, r, epoch, now)
--- a/control/holder/runner.go
+++ b/control/holder/runner.go
@@ -223,7 +223,7 @@
 	r.due = now.Add(r.jitter(time.Second))
 	r.hastened = false
 	sent := r.core.Request(now)
-	request := requestOf(report)
+	request := NewRequest(report)
 	request.Node = r.options.Ref
 	request.Account = string(r.options.Account)
 	request.AppliedEpoch = sent.Epoch
--- a/control/holder/wire.go
+++ b/control/holder/wire.go
@@ -5,7 +5,8 @@
 	"github.com/yuccaroute/yuccaroute/api/peerpb"
 )
 
-func requestOf(report observe.Report) *peerpb.RenewRequest {
+// NewRequest returns the request that tells a report, with all names.
+func NewRequest(report observe.Report) *peerpb.RenewRequest {
 	request := &peerpb.RenewRequest{
 		IntervalMs:   uint32(report.Interval.Milliseconds()),
 		PlanEpoch:    report.PlanEpoch,
--- a/control/sampler.go
+++ b/control/sampler.go
@@ -66,7 +66,7 @@
 func (s samples) add(r observe.Report) {
 	old, ok := s[r.Account]
 	if ok && old.Interval > 0 {
-		r = join(old, r)
+		r = observe.Join(old, r)
 	}
 	s[r.Account] = r
 }
--- a/control/system.go
+++ b/control/system.go
@@ -105,7 +105,7 @@
 	for _, a := range s.refresh() {
 		a.holder.Tick()
 		now := reports[a.name]
-		a.measured = join(a.measured, now)
+		a.measured = observe.Join(a.measured, now)
 		s.reportDue(ctx, a, now)
 		s.decide(ctx, a)
 	}
