steering/planner: charge a silent node for what its grants let it serve

Cause: callers who crowd to an entry VM that lags the plan move by its distance to it. The VM was charged for twice the callers of its last report, or two even parts when it never reported to this decider; that more came nobody could hear.

Change: the situation tells what grants permit a node for a service; a node's part of a flow is at least its largest grant of the last window over the least rate of the flow in it. The parts together are at most the whole, those farthest back first. Nothing that was charged before is charged less, but for that sum.

Tests: the fleet of the test bounds what nodes serve by grants when it is given a capacity; the cases that were there run without, as before.

--- a/control/decider/core.go
+++ b/control/decider/core.go
@@ -166,9 +166,12 @@
 func (c *Core) makePlan(now time.Time) {
 	reports, unheard := c.observed(now)
 	c.planned = c.options.Planner.Plan(Situation{
-		Account:  c.account,
-		Reports:  reports,
-		Unheard:  unheard,
+		Account: c.account,
+		Reports: reports,
+		Unheard: unheard,
+		Permitted: func(id grant.NodeID, service model.ServiceName) float64 {
+			return c.ledger.Permitted(id, service, now).RPS()
+		},
 		Previous: c.previous,
 		Moves:    c.ledger.Moves(),
 		Now:      now,
--- a/control/decider/planner.go
+++ b/control/decider/planner.go
@@ -21,8 +21,11 @@
 	Account *model.Account
 	Reports []Observed
 	// Unheard are the nodes on record that have not reported to this decider.
-	Unheard  []grant.NodeID
-	Previous *plan.Plan
+	Unheard []grant.NodeID
+	// Permitted returns the rate, in requests per second, that the grants in
+	// force let a node send for a service; nil when it is not known.
+	Permitted func(grant.NodeID, model.ServiceName) float64
+	Previous  *plan.Plan
 	// Moves are those made lately, by whichever decider.
 	Moves []ledger.Move
 	Now   time.Time
--- a/control/ledger/ledger.go
+++ b/control/ledger/ledger.go
@@ -215,3 +215,19 @@
 	}
 	return ""
 }
+
+// Permitted returns the largest amount that a node may have in force for a
+// service, over all places.
+func (l *Ledger) Permitted(id grant.NodeID, service model.ServiceName, now time.Time) grant.Amount {
+	h := l.nodes[id]
+	if h == nil {
+		return 0
+	}
+	sum := grant.Amount(0)
+	for k, key := range l.keys {
+		if key.Service == service {
+			sum += h.inForce(k, now).Total()
+		}
+	}
+	return sum
+}
--- a/steering/planner/fleet_cap_test.go
+++ b/steering/planner/fleet_cap_test.go
@@ -152,6 +152,39 @@
 	}
 }
 
+// All callers crowd to one VM, as those near them refuse, just before the decider
+// changes. It was cut off for some plans, and its last report told of few
+// callers; when they come, and when they leave, more than the cap moves. How many
+// it serves is bounded by its grants, here of a capacity ten times the load.
+func TestCrowdAtASilentVMStaysUnderCap(t *testing.T) {
+	for _, seed := range []uint64{16, 152, 309} {
+		nodes := 3 + int(seed%6)
+		before, after := newFleet(nodes, true, seed), newFleet(nodes, true, seed)
+		before.capacity, after.capacity = 10*fleetGroups, 10*fleetGroups
+		after.tellsGrants = true
+		before.play(crowdFaults)
+		after.play(crowdFaults)
+		t.Logf("seed %d: grants not counted: %s, counted: %s", seed, before, after)
+		if after.over() {
+			t.Errorf("seed %d: %s", seed, after)
+		}
+		if !before.over() {
+			t.Errorf("seed %d: when grants are not counted %s, which shows nothing", seed, before)
+		}
+	}
+}
+
+func crowdFaults(f *fleet, s int) {
+	if f.random.IntN(120) == 0 {
+		to := f.random.IntN(len(f.nodes))
+		for from := range f.nodes {
+			f.moveCallers(from, to)
+		}
+		f.takeover()
+	}
+	randomFaults(f, s)
+}
+
 // moveToOneInStep lets the callers of a node go to one that has reached the
 // plan and has room, twice an equal part: those who crowd to a node that lags, or
 // to one that then does, are beyond what is charged for it.
--- a/steering/planner/positions.go
+++ b/steering/planner/positions.go
@@ -42,6 +42,9 @@
 type positions struct {
 	trail trail
 	nodes map[grant.NodeID]*position
+	// gaps are the seconds from one request of a flow to the next, the largest
+	// lately: callers who have just gone to another node count twice for a while.
+	gaps map[flowKey]*highest
 }
 
 // position is what is known of one node.
@@ -50,6 +53,8 @@
 	reached []reached
 	// parts are the node's parts of the flows by its last reports, 0 to 1.
 	parts map[flowKey]*highest
+	// permitted is what the node's grants let it send, requests per second.
+	permitted map[model.ServiceName]*highest
 	// seen is when the decider last counted the node, heard when its last
 	// report arrived.
 	seen, heard time.Time
@@ -73,7 +78,10 @@
 }
 
 func newPositions() *positions {
-	return &positions{nodes: make(map[grant.NodeID]*position)}
+	return &positions{
+		nodes: make(map[grant.NodeID]*position),
+		gaps:  make(map[flowKey]*highest),
+	}
 }
 
 // read takes in the last plan and reports, and returns what is charged to each
@@ -86,10 +94,13 @@
 		p.report(&s.Reports[i], rates, window, now)
 	}
 	p.missing(s)
+	p.measureGaps(s.Previous, rates, window, now)
 	for id, n := range p.nodes {
 		if now.Sub(n.seen) > n.after(window) {
 			delete(p.nodes, id)
+			continue
 		}
+		n.permit(id, s)
 	}
 	return p.behind(window, now)
 }
@@ -113,7 +124,10 @@
 func (p *positions) node(id grant.NodeID) *position {
 	n := p.nodes[id]
 	if n == nil {
-		n = &position{parts: make(map[flowKey]*highest)}
+		n = &position{
+			parts:     make(map[flowKey]*highest),
+			permitted: make(map[model.ServiceName]*highest),
+		}
 		p.nodes[id] = n
 	}
 	return n
@@ -181,6 +195,34 @@
 	}
 }
 
+func (p *positions) measureGaps(last *plan.Plan, rates map[flowKey]float64, window time.Duration, now time.Time) {
+	if last == nil {
+		return
+	}
+	for i := range last.Flows {
+		key := flowKey{last.Flows[i].Service, last.Flows[i].Caller}
+		if p.gaps[key] == nil {
+			p.gaps[key] = &highest{}
+		}
+		p.gaps[key].add(1/rates[key], window, now)
+	}
+}
+
+// permit notes what the node's grants let it send. Callers above a grant that
+// ended lately may have gone elsewhere within the window.
+func (n *position) permit(id grant.NodeID, s *decider.Situation) {
+	if s.Permitted == nil {
+		return
+	}
+	for i := range s.Account.Services {
+		service := s.Account.Services[i].Name
+		if n.permitted[service] == nil {
+			n.permitted[service] = &highest{}
+		}
+		n.permitted[service].add(s.Permitted(id, service), s.Account.Moves.Window, s.Now)
+	}
+}
+
 // behind charges each flow the distance of every node to the plan in force a
 // window ago, weighted by the node's part of the flow. From that plan to the
 // newest one the distance is within what moved in the window, which is charged
@@ -236,32 +278,54 @@
 	)
 }
 
+// charge is the most that callers of a flow can move by going to nodes that lag
+// or away from them. All parts of a flow together are no more than the whole, so
+// the nodes farthest back are counted first, until it is reached.
 func (p *positions) charge(key flowKey, lags []lag, ref int) uint32 {
 	first := max(lags[0].from, 0)
 	farthest := p.trail.farthest(first, ref, key)
-	sum := 0.0
+	sum, left := 0.0, 1.0
 	for _, l := range lags {
 		far := farthest[max(l.from, 0)-first]
 		if l.from < 0 {
 			far = min(far+p.trail.before[key], plan.Whole)
 		}
-		if far > 0 {
-			sum += float64(far) * p.partOf(l.node, key)
+		if far == 0 || left <= 0 {
+			break
 		}
+		part := min(p.partOf(l.node, key), left)
+		left -= part
+		sum += float64(far) * part
 	}
 	return uint32(math.Ceil(min(sum, plan.Whole)))
 }
 
-// partOf widens a node's part of a flow. It is at least an equal part: callers
-// who had left a node may come back to it. One that was never measured counts
-// as if it had an equal part.
+// partOf is the part of a flow whose callers may come to a node. It is at least
+// an equal part, as callers who had left the node may come back to it, twice
+// that for one that was never measured, and what its grants let it serve.
+//
+// Guard against callers who crowd to a node that nobody hears, as those near
+// them have ended: it shows as more than the cap moved when they come and when
+// they leave, though the node's last report told of few. The guard holds because
+// a node serves no more than it has been granted, and refused requests do not
+// move.
 func (p *positions) partOf(n *position, key flowKey) float64 {
 	equal := 1 / float64(len(p.nodes))
-	h := n.parts[key]
-	if h == nil {
-		return min(partFactor*equal, 1)
+	part := partFactor * equal
+	if h := n.parts[key]; h != nil {
+		part = max(equal, partFactor*h.value())
+	}
+	return max(part, p.permittedPart(n, key))
+}
+
+// permittedPart is the part of a flow that a node's grants let it serve, 1 when
+// no node in touch tells how large the flow is.
+func (p *positions) permittedPart(n *position, key flowKey) float64 {
+	h, gap := n.permitted[key.service], p.gaps[key]
+	if h == nil || gap == nil || h.value() <= 0 {
+		return 0
 	}
-	return min(max(equal, partFactor*h.value()), 1)
+	return min(1, h.value()*gap.value())
 }
 
 // highest is the largest of the values within the last window, or a little
