control: relays that carry the reports of a failure domain

Cause: the decider of an account takes a gRPC call from each node, 195 a second from 200 nodes up: on paper 2.1 % of a core for calls alone.

Change: service Relay. A node of the failure domain, chosen by rendezvous hashing, gathers reports for 1 s (2 s from 400 nodes on) and sends them in one batch; the decider answers each by its present logic. A node that is short is not held. A relay that fails costs time: the node reports directly, spread by chance, before its surplus ends. Off unless Options.RelayFromNodes is set; no setting yet.

The test now runs twice, directly and by relay, with the bound it had.

--- a/api/peerpb/generated_test.go
+++ b/api/peerpb/generated_test.go
@@ -20,6 +20,7 @@
 		"spread.proto":  File_spread_proto,
 		"control.proto": File_control_proto,
 		"insight.proto": File_insight_proto,
+		"relay.proto":   File_relay_proto,
 	}
 	for name, have := range generated {
 		files, err := compiler.Compile(context.Background(), name)
--- a/control/account.go
+++ b/control/account.go
@@ -91,9 +91,14 @@
 		Dial:    o.Dial,
 		Decider: a.deciderRef,
 		Lenders: a.system.lenders,
-		Apply:   o.ApplyGrants,
-		Clock:   o.Clock,
-		Logger:  o.Logger,
+
+		Relays:         a.system.relays.members,
+		RelayFromNodes: o.RelayFromNodes,
+		Pass:           a.system.pass,
+
+		Apply:  o.ApplyGrants,
+		Clock:  o.Clock,
+		Logger: o.Logger,
 	}
 }
 
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -31,15 +31,17 @@
 	store *faultkv.Store
 	nodes []*member
 
-	mu       sync.Mutex
-	account  *model.Account
-	list     membership.List
-	decider  *peerpb.NodeRef
-	epoch    uint64
-	calls    int
-	bytes    int
-	plans    int
-	answered map[string]int
+	mu      sync.Mutex
+	account *model.Account
+	list    membership.List
+	decider *peerpb.NodeRef
+	epoch   uint64
+	calls   int
+	bytes   int
+	plans   int
+	// relayFrom is from how many nodes on reports go by relay.
+	relayFrom int
+	answered  map[string]int
 }
 
 // member is one node of a fleet.
@@ -47,6 +49,7 @@
 	fleet  *fleet
 	system *System
 	server *server
+	relay  *relayServer
 	ref    *peerpb.NodeRef
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -60,8 +63,11 @@
 	// reportedRPS is the demand in the last report that was answered.
 	reportedRPS float64
 	down        bool
-	// cut takes the node off the network, but not off the store.
-	cut bool
+	// cut takes the node off the network, but not off the store; paused makes calls
+	// to it wait.
+	cut, paused bool
+	// frozen is the decider the node knows, nil for the present one.
+	frozen func() (*peerpb.NodeRef, uint64, bool)
 }
 
 func fleetAccount() *model.Account {
@@ -79,12 +85,16 @@
 	return a
 }
 
-func newFleet(t *testing.T, size int) *fleet {
+func newFleet(t *testing.T, size int) *fleet { return newRelayFleet(t, size, 0) }
+
+// newRelayFleet returns a fleet whose reports go by relay from a number of nodes on.
+func newRelayFleet(t *testing.T, size, from int) *fleet {
 	f := &fleet{
-		t:        t,
-		store:    faultkv.New(memkv.New(memkv.Options{}), nil),
-		account:  fleetAccount(),
-		answered: make(map[string]int),
+		relayFrom: from,
+		t:         t,
+		store:     faultkv.New(memkv.New(memkv.Options{}), nil),
+		account:   fleetAccount(),
+		answered:  make(map[string]int),
 	}
 	for i := range size {
 		f.add(fmt.Sprintf("vm%d", i), i+1, 1)
@@ -115,6 +125,7 @@
 	}
 	m.system = system
 	m.server = &server{system: system}
+	m.relay = &relayServer{system: system}
 	var ctx context.Context
 	ctx, m.cancel = context.WithCancel(context.Background())
 	go func() {
@@ -140,8 +151,10 @@
 		Reports:     m.reports,
 		ApplyGrants: m.apply,
 		Publish:     m.fleet.publish,
-		DeciderOf:   m.fleet.deciderOf,
+		DeciderOf:   m.deciderOf,
 		Logger:      logger,
+
+		RelayFromNodes: m.fleet.relayFrom,
 	}
 }
 
@@ -279,6 +292,36 @@
 	return m.cut
 }
 
+func (m *member) isPaused() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.paused
+}
+
+func (m *member) pause() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.paused = true
+}
+
+// freezeDecider lets the node know no later decider than the present one.
+func (m *member) freezeDecider() {
+	ref, epoch, ok := m.fleet.deciderOf("daehan")
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.frozen = func() (*peerpb.NodeRef, uint64, bool) { return ref, epoch, ok }
+}
+
+func (m *member) deciderOf(name model.AccountName) (*peerpb.NodeRef, uint64, bool) {
+	m.mu.Lock()
+	frozen := m.frozen
+	m.mu.Unlock()
+	if frozen != nil {
+		return frozen()
+	}
+	return m.fleet.deciderOf(name)
+}
+
 func (m *member) setCut(cut bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -356,12 +399,23 @@
 	if to == nil || l.from.isCut() || to.isCut() {
 		return errDown
 	}
+	if to.isPaused() {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	var answer proto.Message
 	var err error
 	switch request := args.(type) {
 	case *peerpb.RenewRequest:
 		answer, err = to.server.Renew(ctx, request)
 		l.from.answeredTo(request)
+	case *peerpb.PassRequest:
+		answer, err = to.relay.Pass(ctx, request)
+		if err == nil {
+			l.from.answeredTo(request.Report)
+		}
+	case *peerpb.BatchRequest:
+		answer, err = to.relay.Batch(ctx, proto.CloneOf(request))
 	case *peerpb.LendRequest:
 		answer, err = to.server.Lend(ctx, request)
 	case *peerpb.HastenRequest:
--- a/control/holder/report.go
+++ b/control/holder/report.go
@@ -19,6 +19,9 @@
 // of older ones are refused, also before the new one has been asked.
 func (c *Core) Saw(epoch uint64) { c.seen = max(c.seen, epoch) }
 
+// Seen returns the highest epoch heard of.
+func (c *Core) Seen() uint64 { return c.seen }
+
 // Request notes that a report is about to be sent at now. The surplus in its
 // answer counts from now: the decider counts from receiving the report, which
 // is later, so it never takes a surplus for ended that the node still uses.
--- a/control/holder/runner.go
+++ b/control/holder/runner.go
@@ -14,6 +14,7 @@
 	"github.com/yuccaroute/yuccaroute/api/grant"
 	"github.com/yuccaroute/yuccaroute/api/observe"
 	"github.com/yuccaroute/yuccaroute/api/peerpb"
+	"github.com/yuccaroute/yuccaroute/control/relay"
 )
 
 // RunnerOptions configures a Runner.
@@ -25,6 +26,11 @@
 	// Decider returns where the decider of the account was last seen, and its
 	// epoch.
 	Decider func() (ref *peerpb.NodeRef, epoch uint64, ok bool)
+	// Relays are the nodes that may pass reports on, from RelayFromNodes nodes on;
+	// nil means that all reports go directly. Pass hands one to a relay.
+	Relays         func() relay.Members
+	RelayFromNodes int
+	Pass           func(ctx context.Context, relay *peerpb.NodeRef, request *peerpb.PassRequest) (*peerpb.RenewResponse, error)
 	// Lenders returns the other nodes of the region, in the order to ask.
 	Lenders func() []*peerpb.NodeRef
 	// Apply puts a set in force before it returns.
@@ -42,13 +48,21 @@
 	mu   sync.Mutex
 	core *Core
 	busy bool
-	due  time.Time
+	// turn counts reports. relayed tells that a relay has the one under way, whose
+	// node was not short.
+	turn    uint64
+	relayed bool
+	due     time.Time
 	// restDue is when a node at rest reports.
 	restDue time.Time
 	// interval is that of regular reports, as the decider said last.
 	interval time.Duration
 	transfer uint64
 	heard    time.Time
+	// renewed is when the last report that was answered was sent.
+	renewed time.Time
+	// route chooses the way of reports, nil for always directly.
+	route *relay.Route
 	// unanswered is since when no report has been answered, zero while the last
 	// one was.
 	unanswered time.Time
@@ -56,7 +70,12 @@
 	// though it has nothing to tell, because its grants are to change.
 	told     Told
 	hastened bool
-	refused  uint64
+	// urgent tells that the next report should not wait at a relay; repeat that one
+	// out of turn is to be made again, because its relay failed.
+	urgent, repeat bool
+	// cancel ends the request made last.
+	cancel  context.CancelFunc
+	refused uint64
 	// hint is where the node asked last says that the decider is.
 	hint *peerpb.NodeRef
 	// short tells that requests wait for more than the node has; shortAfter is
@@ -73,11 +92,21 @@
 // NewRunner returns a runner without grants.
 func NewRunner(options RunnerOptions) *Runner {
 	node := options.Node
-	return &Runner{
+	r := &Runner{
 		options: options,
 		core:    New(options.Options),
+		cancel:  func() {},
 		random:  rand.New(rand.NewPCG(node.Incarnation, xxhash.Sum64String(node.VM))),
 	}
+	if options.Relays != nil {
+		r.route = relay.NewRoute(relay.RouteOptions{
+			Account:   options.Account,
+			FromNodes: options.RelayFromNodes,
+			Members:   options.Relays,
+			Random:    r.random,
+		})
+	}
+	return r
 }
 
 // Tick notes that the process runs; call it at least once a second.
@@ -111,6 +140,7 @@
 	if !r.hastened && !renewed && now.Before(r.restDue) && r.told.Enough(recent, whole, set) {
 		return false
 	}
+	r.turn++
 	r.busy = true
 	return true
 }
@@ -142,15 +172,20 @@
 }
 
 // DueEarly reports whether a report out of turn is due, and if so notes it as
-// under way. While another is under way the shortage is forgotten: requests that
-// still wait will tell it again.
+// under way, in place of one that a relay holds. While another is under way the
+// shortage is forgotten: requests that still wait will tell it again.
 func (r *Runner) DueEarly() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.busy || !r.short {
+	if r.busy && !r.relayed || !r.short {
 		r.short = false
 		return false
 	}
+	if r.busy {
+		r.cancel()
+	}
+	r.relayed = false
+	r.turn++
 	r.busy = true
 	r.early++
 	return true
@@ -163,8 +198,15 @@
 // Report sends a report and takes in the answer. Call it after Due or DueEarly.
 // An answer that lowers the grants is acknowledged soon, by the same report.
 func (r *Runner) Report(ctx context.Context, report observe.Report, leaving bool) {
-	defer r.done()
+	turn := r.begin()
+	defer r.done(turn)
 	lowered, ok := r.exchange(ctx, report, leaving)
+	if !ok && r.again() {
+		lowered, ok = r.exchange(ctx, report, leaving)
+	}
+	if r.replaced(turn) {
+		return
+	}
 	if !ok {
 		r.borrow(ctx, report)
 		return
@@ -175,6 +217,7 @@
 	select {
 	case <-ctx.Done():
 	case <-time.After(r.acknowledgeDelay()):
+		r.noteUrgent()
 		r.exchange(ctx, report, leaving)
 	}
 }
@@ -190,12 +233,18 @@
 func (r *Runner) exchange(ctx context.Context, report observe.Report, leaving bool) (lowered, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, r.options.RequestTimeout)
 	defer cancel()
+	turn := r.setCancel(cancel)
 	request, sent := r.request(report, leaving)
-	response, err := r.renew(ctx, request)
+	way := r.way(request)
+	response, err := r.renew(ctx, way, request)
 	if err == nil {
 		lowered, ok = r.answer(sent, response)
 	}
+	if !ok && r.replaced(turn) {
+		return false, false
+	}
 	r.note(request, report, sent, response, ok)
+	r.noteWay(way, request, sent.At, ok)
 	return lowered, ok
 }
 
@@ -215,10 +264,21 @@
 	r.restDue = sent.At.Add(r.jitter(max(RestInterval, r.interval)))
 }
 
-func (r *Runner) done() {
+func (r *Runner) begin() (turn uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.busy = false
+	return r.turn
+}
+
+// replaced reports whether another report was made in place of that of a turn.
+func (r *Runner) replaced(turn uint64) bool { return r.begin() != turn }
+
+func (r *Runner) done(turn uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.turn == turn {
+		r.busy, r.relayed = false, false
+	}
 }
 
 func (r *Runner) request(report observe.Report, leaving bool) (*peerpb.RenewRequest, Sent) {
@@ -226,6 +286,7 @@
 	defer r.mu.Unlock()
 	now := r.options.Clock()
 	r.due = now.Add(r.jitter(time.Second))
+	r.urgent = r.urgent || r.hastened || r.short || leaving || r.heard.IsZero()
 	r.hastened = false
 	sent := r.core.Request(now)
 	request := NewRequest(report)
@@ -249,35 +310,6 @@
 	return time.Duration(float64(d) * (1 - jitterShare*r.random.Float64()))
 }
 
-func (r *Runner) renew(ctx context.Context, request *peerpb.RenewRequest) (*peerpb.RenewResponse, error) {
-	decider := r.target()
-	if decider == nil {
-		return nil, errNoDecider
-	}
-	conn, err := r.options.Dial(decider.PeerAddress)
-	if err != nil {
-		return nil, err
-	}
-	return peerpb.NewControlClient(conn).Renew(ctx, request)
-}
-
-// target returns the node to ask, nil for none. A hint is used once: the node
-// that gave it may be behind.
-func (r *Runner) target() *peerpb.NodeRef {
-	decider, epoch, ok := r.options.Decider()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	hint := r.hint
-	r.hint = nil
-	if ok {
-		r.core.Saw(epoch)
-	}
-	if hint != nil {
-		return hint
-	}
-	return decider
-}
-
 func (r *Runner) answer(sent Sent, response *peerpb.RenewResponse) (lowered, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -330,7 +362,7 @@
 		}
 	}
 	request, _ := r.request(observe.Report{}, true)
-	if _, err := r.renew(ctx, request); err != nil {
+	if _, err := r.renew(ctx, r.directly(), request); err != nil {
 		r.options.Logger.WithError(err).Info("control: could not hand back the grants, they are freed after the removal time")
 	}
 }
--- a/control/options.go
+++ b/control/options.go
@@ -60,7 +60,10 @@
 	Allocate allocate.Params
 	// LeaseTTL is the time to live of a decider's lease; 0 means the default.
 	LeaseTTL time.Duration
-	Logger   logrus.FieldLogger
+	// RelayFromNodes is from how many live entry VMs on reports go by way of a
+	// relay of the failure domain; 0 means never.
+	RelayFromNodes int
+	Logger         logrus.FieldLogger
 	// Clock is a monotonic clock; nil means time.Now.
 	Clock func() time.Time
 }
--- a/control/raise_test.go
+++ b/control/raise_test.go
@@ -57,9 +57,14 @@
 // capacity is idle. They wait in its queue until the raise is there. The time
 // goes by message; the node's phase against the decider's step varies.
 func TestDemandToRaise(t *testing.T) {
+	t.Run("direct", func(t *testing.T) { testDemandToRaise(t, 0) })
+	t.Run("relay", func(t *testing.T) { testDemandToRaise(t, 1) })
+}
+
+func testDemandToRaise(t *testing.T, relayFrom int) {
 	const trials = 20
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 8)
+		f := newRelayFleet(t, 8, relayFrom)
 		defer f.stop()
 		f.run(30)
 		var sum, most raiseTimes
--- /dev/null
+++ b/control/relay/batch.go
@@ -0,0 +1,33 @@
+package relay
+
+import (
+	"context"
+	"sync"
+
+	"github.com/yuccaroute/yuccaroute/api/peerpb"
+	"github.com/yuccaroute/yuccaroute/api/result"
+)
+
+// Renew answers one report as the decider of its account.
+type Renew func(ctx context.Context, report *peerpb.RenewRequest) *peerpb.RenewResponse
+
+// Answer answers a batch at the decider: each report by itself, in the order of
+// the batch, as if its node had sent it. The answers to nodes that are short are
+// held by renew, so these are asked for beside the others.
+func Answer(ctx context.Context, batch *peerpb.BatchRequest, renew Renew) *peerpb.BatchResponse {
+	if len(batch.Reports) == 0 || len(batch.Reports) > maxHeld {
+		return &peerpb.BatchResponse{Code: uint32(result.BadRequest)}
+	}
+	reports := unfold(batch)
+	answers := make([]*peerpb.RenewResponse, len(reports))
+	var held sync.WaitGroup
+	for i, report := range reports {
+		if report.Short {
+			held.Go(func() { answers[i] = renew(ctx, report) })
+			continue
+		}
+		answers[i] = renew(ctx, report)
+	}
+	held.Wait()
+	return foldAnswers(answers)
+}
--- a/control/server.go
+++ b/control/server.go
@@ -20,11 +20,7 @@
 	if a == nil {
 		return &peerpb.RenewResponse{Code: uint32(result.UnknownAccount)}, nil
 	}
-	response := a.decider.Renew(ctx, request)
-	if response.Code == uint32(result.NotLeader) {
-		response.Decider, _, _ = s.system.options.DeciderOf(a.name)
-	}
-	return response, nil
+	return s.system.renewOf(a)(ctx, request), nil
 }
 
 // Lend implements the Control service.
--- a/control/system.go
+++ b/control/system.go
@@ -15,6 +15,7 @@
 	"github.com/yuccaroute/yuccaroute/api/peerpb"
 	"github.com/yuccaroute/yuccaroute/control/decider"
 	"github.com/yuccaroute/yuccaroute/control/holder"
+	"github.com/yuccaroute/yuccaroute/control/relay"
 )
 
 // System is the control part of one node.
@@ -30,6 +31,10 @@
 	hastened chan *account
 	// sampler is used by Run only.
 	sampler *sampler
+	// relay passes on reports of other nodes, relays are those that may pass on
+	// the reports of this one.
+	relay  *relay.Relay
+	relays *relayList
 
 	mu       sync.Mutex
 	accounts map[model.AccountName]*account
@@ -50,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &System{
+	s := &System{
 		options:  options,
 		refBody:  body,
 		short:    make(chan struct{}, 1),
@@ -58,12 +63,16 @@
 		hastened: make(chan *account, hurriedRoom),
 		sampler:  newSampler(options.Reports, options.Clock()),
 		accounts: make(map[model.AccountName]*account),
-	}, nil
+		relays:   newRelayList(options),
+	}
+	s.relay = relay.New(s.relayOptions())
+	return s, nil
 }
 
-// Register adds the Control service to a gRPC server.
+// Register adds the Control and Relay services to a gRPC server.
 func (s *System) Register(registrar grpc.ServiceRegistrar) {
 	peerpb.RegisterControlServer(registrar, &server{system: s})
+	peerpb.RegisterRelayServer(registrar, &relayServer{system: s})
 }
 
 // period is the time between two rounds of work.
@@ -238,6 +247,9 @@
 	return all
 }
 
+// RelayStatus returns what this node has passed on for others.
+func (s *System) RelayStatus() relay.Status { return s.relay.Status() }
+
 // Stop gives back the leases and the grants of this node, so that others go on
 // at once; call it after the node takes no new requests. Run must still be
 // running, and no decision is started after it.
--- a/control/system_test.go
+++ b/control/system_test.go
@@ -12,8 +12,14 @@
 
 // within runs a test of a fleet in its own time.
 func within(t *testing.T, size int, test func(t *testing.T, f *fleet)) {
+	withinRelays(t, size, 0, test)
+}
+
+// withinRelays is within for a fleet whose reports go by relay from a number of
+// nodes on.
+func withinRelays(t *testing.T, size, from int, test func(t *testing.T, f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, size)
+		f := newRelayFleet(t, size, from)
 		defer f.stop()
 		f.run(30)
 		test(t, f)
