holder: only the report out of turn tells that the node is short

Cause: a regular report took the mark of a shortage that began between the moment at which it was found due and the moment at which it was made. It told the demand before the shortage, brought no raise, and kept the node from telling for its interval: the raise took 1.2 s in place of 0.27 s.

Ruled out: the decider's one decision out of turn a second (the fleet had been quiet for 120 s), and a report held by a relay (it happened directly too).

Change: DueEarly marks the request that is to tell the shortage.

--- a/control/holder/runner.go
+++ b/control/holder/runner.go
@@ -80,8 +80,10 @@
 	hint *peerpb.NodeRef
 	// short tells that requests wait for more than the node has; shortAfter is
 	// before when that is no cause for a report out of turn, and early counts
-	// such reports.
+	// such reports. tellsShort marks the next request as one: a regular report that
+	// is being made when requests begin to wait tells the mean of a time before.
 	short      bool
+	tellsShort bool
 	shortAfter time.Time
 	early      uint64
 	// random is seeded by the node's identity, so that nodes differ and a test
@@ -187,6 +189,7 @@
 	r.relayed = false
 	r.turn++
 	r.busy = true
+	r.tellsShort = true
 	r.early++
 	return true
 }
@@ -286,7 +289,9 @@
 	defer r.mu.Unlock()
 	now := r.options.Clock()
 	r.due = now.Add(r.jitter(time.Second))
-	r.urgent = r.urgent || r.hastened || r.short || leaving || r.heard.IsZero()
+	short := r.tellsShort
+	r.tellsShort = false
+	r.urgent = r.urgent || r.hastened || short || leaving || r.heard.IsZero()
 	r.hastened = false
 	sent := r.core.Request(now)
 	request := NewRequest(report)
@@ -296,8 +301,8 @@
 	request.AppliedSequence = sent.Sequence
 	request.Leaving = leaving
 	request.Stopped = r.core.Stopped(now)
-	request.Short = r.short
-	if r.short {
+	request.Short = short
+	if short {
 		r.short = false
 		r.shortAfter = now.Add(r.jitter(max(r.interval, time.Second)))
 	}
--- a/control/holder/way.go
+++ b/control/holder/way.go
@@ -106,7 +106,7 @@
 	r.due = now.Add(r.route.Failed(w.relay, r.renewed, now))
 	if request.Short {
 		r.route.Directly(now)
-		r.short, r.repeat = true, true
+		r.tellsShort, r.repeat = true, true
 	}
 }
 
