control: the setting from how many nodes on reports go by relay

Cause: the relays of docs/design/0016-report-relay.md were not used by any node.

Change: [limits] relay_from_nodes, 64 unless set, 0 for never, so that fleets of today's 8 to 10 nodes go on as before. GET /status of a node tells what it passed on.

Ruled out: a value in the configuration of accounts. It would have to be in force everywhere at once; different values on two nodes cost calls only.

--- a/config/settings/load.go
+++ b/config/settings/load.go
@@ -70,6 +70,7 @@
 			QueuedRequests:    int(v.Whole(sectionLimits, "", keyQueued)),
 			CallerConnections: int(v.Whole(sectionLimits, "", keyCallerConnections)),
 			LeaveTime:         v.Duration(sectionLimits, "", keyLeaveTime, time.Millisecond),
+			RelayFromNodes:    int(v.Whole(sectionLimits, "", keyRelayFrom)),
 			CollectAtPercent:  int(v.Whole(sectionLimits, "", keyCollectAt)),
 			MemoryBytes:       v.Whole(sectionLimits, "", keyMemory),
 		},
--- a/config/settings/schema.go
+++ b/config/settings/schema.go
@@ -37,6 +37,7 @@
 	keyQueued            = "queued_requests"
 	keyCallerConnections = "caller_connections"
 	keyLeaveTime         = "leave_time_ms"
+	keyRelayFrom         = "relay_from_nodes"
 	keyCollectAt         = "collect_at_percent"
 	keyMemory            = "memory_bytes"
 	keyLevel             = "level"
@@ -60,6 +61,7 @@
 var (
 	timeout   = inifile.Number{Min: 1, Max: maxTimeoutMS}
 	callRate  = inifile.Number{Min: 0.1, Max: maxRate}
+	anyCount  = inifile.Whole{Min: 0, Max: math.MaxInt32}
 	someCount = inifile.Whole{Min: 1, Max: math.MaxInt32}
 	growth    = inifile.Whole{Min: 10, Max: 1000}
 	anyBytes  = inifile.Whole{Min: 0, Max: 1 << 40}
@@ -95,6 +97,7 @@
 		{Name: keyQueued, Value: someCount, Default: "4096"},
 		{Name: keyCallerConnections, Value: someCount, Default: "20000"},
 		{Name: keyLeaveTime, Value: timeout, Default: "30000"},
+		{Name: keyRelayFrom, Value: anyCount, Default: "64"},
 		{Name: keyCollectAt, Value: growth, Default: "40"},
 		{Name: keyMemory, Value: inifile.Whole{Min: minMemoryBytes, Max: 1 << 40}},
 	}},
--- a/config/settings/settings.go
+++ b/config/settings/settings.go
@@ -62,6 +62,9 @@
 	CallerConnections int
 	// LeaveTime bounds a planned stop of the process.
 	LeaveTime time.Duration
+	// RelayFromNodes is from how many live entry VMs on the reports of a failure
+	// domain go to the deciders by way of one of its nodes; 0 for never.
+	RelayFromNodes int
 	// CollectAtPercent is how far the heap grows over what is in use before
 	// memory is collected, in percent of it.
 	CollectAtPercent int
--- a/control/relay/times.go
+++ b/control/relay/times.go
@@ -3,9 +3,6 @@
 import "time"
 
 const (
-	// DefaultFromNodes is from how many live entry VMs on reports go by way of
-	// relays.
-	DefaultFromNodes = 64
 	// leastDomain is how many live nodes a failure domain must have for a relay
 	// to save calls.
 	leastDomain = 4
--- a/node/node.go
+++ b/node/node.go
@@ -215,6 +215,8 @@
 		Planner:     n.planner,
 		Logger:      n.log,
 		Clock:       n.options.Clock,
+
+		RelayFromNodes: n.options.Settings.Limits.RelayFromNodes,
 	})
 	if err != nil {
 		return err
--- a/node/status.go
+++ b/node/status.go
@@ -7,6 +7,7 @@
 
 	"github.com/yuccaroute/yuccaroute/api/model"
 	"github.com/yuccaroute/yuccaroute/control"
+	"github.com/yuccaroute/yuccaroute/control/relay"
 	"github.com/yuccaroute/yuccaroute/spread"
 )
 
@@ -22,6 +23,8 @@
 	VMListAgeMs int64                   `json:"vm_list_age_ms"`
 	Spread      spread.Status           `json:"spread"`
 	Control     []control.AccountStatus `json:"control"`
+	// Relay is what the node has passed on for nodes of its failure domain.
+	Relay relay.Status `json:"relay"`
 }
 
 // AccountRevision is an account in force.
@@ -41,6 +44,7 @@
 		VMListAgeMs: -1,
 		Spread:      n.spread.Status(),
 		Control:     n.control.Status(),
+		Relay:       n.control.RelayStatus(),
 	}
 	s.Accounts = n.Accounts()
 	if _, age, ok := n.membersWithAge(); ok {
