--- a/proxy/bench_test.go
+++ b/proxy/bench_test.go
@@ -64,27 +64,35 @@
 const (
 	benchSlots       = 1024
 	benchServiceTime = time.Millisecond
+	maxBenchBytes    = 16 << 20
 )
 
-func benchExchange(b *testing.B, callers int, way string) {
-	t := standin.New(standin.Options{Slots: benchSlots, ServiceTime: benchServiceTime})
+// benchAddress starts a stand-in target and returns the address to send to: its
+// own, or that of a proxy before it.
+func benchAddress(b *testing.B, way string) string {
+	t := standin.New(standin.Options{Slots: benchSlots, ServiceTime: benchServiceTime, MaxBodyBytes: maxBenchBytes})
 	if err := t.Start("127.0.0.1:0"); err != nil {
 		b.Fatal(err)
 	}
-	defer t.Stop()
-	address := t.Addr().String()
-	if way == "proxied" {
-		p := newTestProxy(b, func(_ *Options, m *model.Account) {
-			m.Services[0].SlotsPerTarget = benchSlots
-			m.Services[0].ConnectionsPerTarget = 3 * benchSlots
-		}, address)
-		s, err := ingress.Start(ingress.Options{Address: "127.0.0.1:0", Handler: p, Bodies: p})
-		if err != nil {
-			b.Fatal(err)
-		}
-		defer s.Stop(context.Background())
-		address = s.Address()
+	b.Cleanup(t.Stop)
+	if way == "direct" {
+		return t.Addr().String()
+	}
+	p := newTestProxy(b, func(_ *Options, m *model.Account) {
+		m.Services[0].SlotsPerTarget = benchSlots
+		m.Services[0].ConnectionsPerTarget = 3 * benchSlots
+		m.Services[0].MaxRequestBytes = maxBenchBytes
+	}, t.Addr().String())
+	s, err := ingress.Start(ingress.Options{Address: "127.0.0.1:0", Handler: p, Bodies: p})
+	if err != nil {
+		b.Fatal(err)
 	}
+	b.Cleanup(func() { _ = s.Stop(context.Background()) })
+	return s.Address()
+}
+
+func benchExchange(b *testing.B, callers int, way string) {
+	address := benchAddress(b, way)
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callers, MaxConnsPerHost: callers}}
 	defer client.CloseIdleConnections()
 	url := "http://" + address + "/stock"
