ingress: check the Retry-After fields of refusals of bodies

Cause: no test saw whether a refusal that is written without a parsed request tells when to come back, as 113 (buffer-full) must and 103 must not.

Change: the table of bad input checks both fields by the code's own entry.

Result: fails for the two rows of 113 with the field left out, passes with it.

--- a/proxy/ingress/server_test.go
+++ b/proxy/ingress/server_test.go
@@ -121,6 +121,12 @@
 			_, _ = io.WriteString(conn, c.text)
 			resp, _ := readAnswer(t, r)
 			wantCode(t, resp, c.want)
+			due := result.InfoOf(c.want).Retry
+			for _, field := range []string{result.HeaderRetryAfter, "Retry-After"} {
+				if told := resp.Header.Get(field) != ""; told != due {
+					t.Errorf("%s told: %t, due: %t", field, told, due)
+				}
+			}
 		})
 	}
 }
