config: let a watch outlast the service's wait

Cause: the platform answers a watch without changes after 30 s, and [platform] watch_timeout_ms was 30000 by default: each quiet watch ended as a fault at the moment of its answer. A watcher of the configuration then ran its source again, which reads, parses, sorts and compresses every account, and the store's client backed off. With 27 accounts of 12,222 blocks that is 2 s of processor time every 30 s on each of the 12 watchers, 9 to 18 % of a core; the other nodes took 1 % in the same 20 s.

Ruled out: timers, heartbeats, reports and metrics; a processor profile of 20 s on nodes that did not start over shows 0.35 to 0.95 % of a core for all of them and the collector. A source that remembers over a failed run what it emitted would also save the work, but a run that emits nothing counts as one that has not read the store, so that is a larger change.

Change: 40000 by default, and the page says what it must be longer than. The test relates the default to the wait of the stand-in.

--- a/config/settings/schema.go
+++ b/config/settings/schema.go
@@ -88,7 +88,7 @@
 		{Name: keyStorePath, Value: inifile.PathKind, Default: "/kv/v1"},
 		{Name: keyVMListPath, Value: inifile.PathKind, Default: "/vms/v1"},
 		{Name: keyCallTimeout, Value: timeout, Default: "2000"},
-		{Name: keyWatchTimeout, Value: timeout, Default: "30000"},
+		{Name: keyWatchTimeout, Value: timeout, Default: "40000"},
 		{Name: keyReads, Value: callRate, Default: "50"},
 		{Name: keyWrites, Value: callRate, Default: "20"},
 		{Name: keyVMListInterval, Value: timeout, Default: "1000"},
--- a/config/settings/settings.go
+++ b/config/settings/settings.go
@@ -41,7 +41,10 @@
 	// StorePathPrefix stands before every path of the key-value service;
 	// VMListPath answers the list of VMs.
 	StorePathPrefix, VMListPath string
-	// CallTimeout bounds one call; WatchTimeout bounds one waiting watch.
+	// CallTimeout bounds one call; WatchTimeout bounds one waiting watch. The
+	// latter must be some seconds longer than the waiting time of the service:
+	// a watch that ends before its answer counts as an outage, after which a
+	// watcher reads and encodes every account again.
 	CallTimeout, WatchTimeout time.Duration
 	// ReadsPerSecond and WritesPerSecond bound this node's calls.
 	ReadsPerSecond, WritesPerSecond float64
--- a/config/settings/settings_test.go
+++ b/config/settings/settings_test.go
@@ -9,6 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/yuccaroute/yuccaroute/config/settings"
+	"github.com/yuccaroute/yuccaroute/store/memkv"
 )
 
 const good = `[node]
@@ -45,6 +46,16 @@
 	}
 }
 
+// Nothing changes, and every 30 s each watcher takes two seconds of processor
+// time. The service answers a watch without changes after 30 s; a node that
+// gives up at that moment takes it for an outage and reads all accounts again.
+func TestWatchOutlastsService(t *testing.T) {
+	s := settings.Defaults(settings.Node{}, settings.Listen{}, netip.AddrPort{}, netip.AddrPort{})
+	if got, waits := s.Platform.WatchTimeout, memkv.DefaultWatchWait; got < waits+s.Platform.CallTimeout {
+		t.Errorf("a watch ends after %s, the service waits %s and has %s for its answer", got, waits, s.Platform.CallTimeout)
+	}
+}
+
 // TestAllFaultsAtOnce: an operator who starts a node with a file full of
 // faults sees all of them in one run.
 func TestAllFaultsAtOnce(t *testing.T) {
