httpserver, ingress: no client queue in the servers

Cause: nbhttp makes a queue of 65,536 functions, 0.5 MB, for client connections in every engine unless it is told to be a server only; by heap profile of a node four queues took 2 MB, two of them these.

Change: SupportServerOnly in both servers.

--- a/httpserver/server.go
+++ b/httpserver/server.go
@@ -55,6 +55,8 @@
 		MaxHTTPBodySize: o.MaxBodyBytes,
 		ReadLimit:       o.MaxBodyBytes + headerAllowanceBytes,
 		OnRequest:       LeaveClosing,
+		// Without it the library keeps a queue of 0.5 MB for clients.
+		SupportServerOnly: true,
 	})
 	s.orderHandover()
 	if err := s.engine.Start(); err != nil {
--- a/proxy/ingress/server.go
+++ b/proxy/ingress/server.go
@@ -54,6 +54,8 @@
 		ReadLimit:       o.MaxBodyBytes + o.MaxHeadBytes,
 		KeepaliveTime:   o.IdleTime,
 		OnRequest:       httpserver.LeaveClosing,
+		// Without it the library keeps a queue of 0.5 MB for clients.
+		SupportServerOnly: true,
 		// Every connection can have its request in hand at once. With fewer,
 		// the waiting requests of one account would hold up all others before
 		// anything here has seen them.
