spread: compare with the witness in every round

Cause: every fifth comparison went to a random peer in place of the witness, which alone shows a node that its relay lags. When the random peer was the lagging relay itself, or hung, the call used up its timeout of 4 s and the next useful comparison was up to 18 s after the last one; a change is to be in force within 8 s. TestRelayLags failed so now and then: the order in which goroutines draw from a node's random numbers differs between runs, and with it which peer is drawn when.

Ruled out: the stream and the digests; the nodes that were late had an upstream of equal digest throughout, and their log shows the round lost to the relay that lags (compare with it: deadline exceeded).

Change: comparisons with random peers have rounds of their own, five times as far apart as those with the witness. A new test measures the time since the witness was heard while all other peers hang.

Comparisons rise by a fifth, one empty exchange in 30 s. A witness that hangs together with the relay is still found by random peers only.

--- a/spread/faults_test.go
+++ b/spread/faults_test.go
@@ -140,6 +140,33 @@
 	})
 }
 
+// A relay lags, and meanwhile other peers hang that its subscriber compares with
+// now and then. Its witness alone can show it that it is out of date: a round
+// left out, or held up by a call to a peer that hangs, makes a change late.
+func TestHungPeersDoNotDelayTheWitness(t *testing.T) {
+	inFleet(t, func(f *testFleet) {
+		// By then all that started with a later choice are back at their first.
+		f.after(2 * time.Minute)
+		leaf := f.byRole(topology.Leaf)
+		plan := leaf.plan.Load()
+		witness, _ := leaf.alternate(plan)
+		first := plan.Upstreams[0][0]
+		f.net.setBlocked(func(from, to string) bool {
+			other := func(address string) bool { return address != witness.Address && address != first.Address }
+			return from == leaf.member.Address && other(to) || to == leaf.member.Address && other(from)
+		})
+		longest := time.Duration(float64(DefaultCompareEvery)*(1+jitterShare)) + 2*linkDelay
+		for range 300 {
+			f.after(time.Second)
+			for _, peer := range leaf.Status().Peers {
+				if peer.VM == witness.VM && peer.HeardAge > longest {
+					f.t.Fatalf("witness %s heard %s ago, want at most %s", peer.VM, peer.HeardAge, longest)
+				}
+			}
+		}
+	})
+}
+
 // becomeLate makes messages to a node later and later, up to a minute, so that
 // no gap between two of them shows it.
 func (f *testFleet) becomeLate(n *testNode) {
--- a/spread/options.go
+++ b/spread/options.go
@@ -47,7 +47,8 @@
 	// Heartbeat is the time between empty Updates on an idle stream, jittered
 	// by a fifth. A stream silent for 2.5 heartbeats is given up.
 	Heartbeat time.Duration
-	// CompareEvery is the mean time between comparisons with a random peer.
+	// CompareEvery is the mean time between comparisons with the witness, jittered
+	// by a fifth. Those with a random peer are five times as far apart.
 	CompareEvery time.Duration
 }
 
--- a/spread/service.go
+++ b/spread/service.go
@@ -88,7 +88,7 @@
 // Run does the node's part until the context ends.
 func (s *Service) Run(ctx context.Context) {
 	tasks := []func(context.Context){
-		s.runPlan, s.runCompare, s.runPush, s.runReady, s.source.run, s.dispatch.run,
+		s.runPlan, s.runCompare, s.runCompareRandom, s.runPush, s.runReady, s.source.run, s.dispatch.run,
 	}
 	for _, f := range s.follows {
 		tasks = append(tasks, f.run)
--- a/spread/witness.go
+++ b/spread/witness.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/yuccaroute/yuccaroute/api/wait"
 	"github.com/yuccaroute/yuccaroute/spread/topology"
 )
 
-// randomEvery is how often, in comparisons, the peer is a random one instead
-// of the node's witness.
+// randomEvery is how many comparisons with the witness there are for one with a
+// random peer.
 const randomEvery = 5
 
 // runCompare compares periodically with the witness: the node that would be
@@ -16,11 +17,34 @@
 // upstream does, sends heartbeats with a digest that is equal to its
 // subscriber's, as both are out of date; only a node fed by another way shows
 // it. What it brings makes the digests differ, and the upstream is then asked
-// or left. Now and then the peer is random, which joins parts of the fleet that no
-// longer share an upstream.
+// or left.
 func (s *Service) runCompare(ctx context.Context) {
-	for round := 1; wait.For(ctx, s.jitter(s.options.CompareEvery, jitterShare)); round++ {
-		m, ok := s.witness(round%randomEvery == 0)
+	s.compareEvery(ctx, s.options.CompareEvery, func() (topology.Member, bool) {
+		plan := s.plan.Load()
+		if m, ok := s.alternate(plan); ok {
+			return m, true
+		}
+		return s.randomPeer(plan)
+	})
+}
+
+// runCompareRandom compares now and then with a random peer, which joins parts
+// of the fleet that no longer share an upstream. It has rounds of its own:
+//
+// Guard against a random peer in place of the witness. It shows as a change
+// that comes late by a round and a call's timeout when the peer hangs, or is
+// the relay that lags itself. The guard holds because the rounds with the
+// witness neither skip one nor wait for a call to another peer.
+func (s *Service) runCompareRandom(ctx context.Context) {
+	s.compareEvery(ctx, randomEvery*s.options.CompareEvery, func() (topology.Member, bool) {
+		return s.randomPeer(s.plan.Load())
+	})
+}
+
+// compareEvery compares once a period with the peer that choose returns.
+func (s *Service) compareEvery(ctx context.Context, period time.Duration, choose func() (topology.Member, bool)) {
+	for wait.For(ctx, s.jitter(period, jitterShare)) {
+		m, ok := choose()
 		if !ok {
 			continue
 		}
@@ -30,14 +54,8 @@
 	}
 }
 
-// witness chooses the peer of a periodic comparison.
-func (s *Service) witness(random bool) (topology.Member, bool) {
-	plan := s.plan.Load()
-	if !random {
-		if m, ok := s.alternate(plan); ok {
-			return m, true
-		}
-	}
+// randomPeer returns any other entry VM, if there is one.
+func (s *Service) randomPeer(plan *topology.Plan) (topology.Member, bool) {
 	if len(plan.Peers) == 0 {
 		return topology.Member{}, false
 	}
