--- a/integration/measures_test.go
+++ b/integration/measures_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"sort"
 	"time"
@@ -62,6 +63,18 @@
 	return lowest, limit
 }
 
+// deciderAfter waits until an entry VM decides for the account with a higher
+// epoch than the one given, and returns it and its epoch.
+func (f *farm) deciderAfter(epoch uint64) (int, uint64) {
+	f.t.Helper()
+	entry, later := -1, uint64(0)
+	f.waitUntil(fmt.Sprintf("a decider with an epoch above %d", epoch), func() bool {
+		entry, later = f.decider()
+		return entry >= 0 && later > epoch
+	})
+	return entry, later
+}
+
 // decider returns the entry VM that decides for the account with the highest
 // epoch, -1 for none. A paused one does not answer.
 func (f *farm) decider() (entry int, epoch uint64) {
