proxy: a repeat through another node gets the first answer too

Cause: four of five repeats of the client library come through another entry VM than the one that had the answer, since it passes over one that did not answer. They were told 130 although the answer was kept.

Change: the record of a key names the VM that made it. A node that finds a key recorded reads that name and asks the VM for the kept answer (new service Kept between nodes), for one second at most; the hashes of the request and its sender go along and are compared where the answer is. Without an answer the repeat gets 130 as before. No write is added; a repeat costs one read and one call.

--- a/api/peerpb/generated_test.go
+++ b/api/peerpb/generated_test.go
@@ -21,6 +21,7 @@
 		"control.proto": File_control_proto,
 		"insight.proto": File_insight_proto,
 		"relay.proto":   File_relay_proto,
+		"kept.proto":    File_kept_proto,
 	}
 	for name, have := range generated {
 		files, err := compiler.Compile(context.Background(), name)
--- a/node/node.go
+++ b/node/node.go
@@ -161,6 +161,7 @@
 		Scope:            n.metrics.scope,
 		CallerRegion:     n.lookup.CallerRegion,
 		Keys:             recorder,
+		Ask:              n.askKept,
 		KeptAnswerBytes:  s.Limits.KeptAnswerBytes,
 		MaxBufferedBytes: s.Limits.BufferedBytes,
 		StreamOverBytes:  s.Limits.StreamOverBytes,
@@ -226,6 +227,7 @@
 	n.control = system
 	system.Register(n.grpc)
 	peerpb.RegisterInsightServer(n.grpc, &insightServer{node: n})
+	peerpb.RegisterKeptServer(n.grpc, &keptServer{proxy: n.proxy})
 	return nil
 }
 
--- a/proxy/ending.go
+++ b/proxy/ending.go
@@ -1,6 +1,9 @@
 package proxy
 
-import "github.com/yuccaroute/yuccaroute/proxy/forward"
+import (
+	"github.com/yuccaroute/yuccaroute/api/result"
+	"github.com/yuccaroute/yuccaroute/proxy/forward"
+)
 
 // ending is how a request ended: with the whole answer of a target in a place,
 // or refused.
@@ -12,4 +15,9 @@
 	refusal *refusal
 }
 
+// duplicate reports whether the key of the request was recorded before.
+func (e ending) duplicate() bool {
+	return e.answer == nil && e.refusal.code == result.DuplicateKey
+}
+
 func refused(r *refusal) ending { return ending{refusal: r} }
--- a/proxy/kept/store.go
+++ b/proxy/kept/store.go
@@ -1,6 +1,6 @@
 // Package kept holds, at one node and for a short time, the answers to requests
 // with an idempotency key, so that a caller whose answer was lost gets it when
-// it sends the request again through the same node.
+// it sends the request again.
 package kept
 
 import (
@@ -80,6 +80,14 @@
 	return entry, true
 }
 
+// Find returns the entry of a key, or nil.
+func (s *Store) Find(key keys.Key) *Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.trim(time.Now())
+	return s.entries[key]
+}
+
 // End tells that the request ran or may have run. A nil answer, or one that is
 // too large, is not kept; the request's print still is.
 func (s *Store) End(entry *Entry, answer *Answer) {
--- a/proxy/keys/recorder.go
+++ b/proxy/keys/recorder.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"strings"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
@@ -173,6 +174,23 @@
 	return found.Revision
 }
 
+// Holder returns the VM whose record a key has. It takes one read of the store.
+func (r *Recorder) Holder(ctx context.Context, key Key) (vm string, known bool) {
+	ctx, cancel := context.WithTimeout(store.Prompt(ctx), r.options.Timeout)
+	defer cancel()
+	entry, err := r.options.Store.Get(ctx, path(key))
+	if err != nil {
+		return "", false
+	}
+	return vmOf(string(entry.Value))
+}
+
+// vmOf returns the VM within the identifier of a claim.
+func vmOf(id string) (vm string, known bool) {
+	vm, _, known = strings.Cut(id, "/")
+	return vm, known
+}
+
 func (r *Recorder) newID() string {
 	return fmt.Sprintf("%s/%x/%d", r.options.Node.VM, r.options.Node.Incarnation, r.count.Add(1))
 }
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -13,6 +13,8 @@
 	"github.com/yuccaroute/yuccaroute/api/grant"
 	"github.com/yuccaroute/yuccaroute/api/model"
 	"github.com/yuccaroute/yuccaroute/api/option"
+	"github.com/yuccaroute/yuccaroute/api/result"
+	"github.com/yuccaroute/yuccaroute/proxy/kept"
 	"github.com/yuccaroute/yuccaroute/proxy/keys"
 )
 
@@ -38,8 +40,15 @@
 	ClaimLocally(key keys.Key) bool
 	// Release frees the key of a request that certainly did not run.
 	Release(ctx context.Context, claim keys.Claim)
+	// Holder returns the VM that recorded a key, and false if that cannot be
+	// found out.
+	Holder(ctx context.Context, key keys.Key) (vm string, known bool)
 }
 
+// Ask returns the answer that another node keeps for a request, as
+// Proxy.KeptAnswer of that node; a failure is result.DuplicateKey.
+type Ask func(ctx context.Context, vm string, key keys.Key, print kept.Print) (*kept.Answer, result.Code)
+
 // Options configure a Proxy.
 type Options struct {
 	Node   grant.NodeID
@@ -57,6 +66,9 @@
 	// KeptAnswerBytes bounds the answers to requests with an idempotency key that
 	// are kept for repeats through this node, in sum; 0 keeps none.
 	KeptAnswerBytes int64
+	// Ask may be nil; repeats through another node than the first then get no
+	// answer.
+	Ask Ask
 	// MaxBufferedBytes bounds the bodies held in memory in sum, 0 takes
 	// DefaultBufferedBytes.
 	MaxBufferedBytes int64
--- a/proxy/repeat.go
+++ b/proxy/repeat.go
@@ -16,6 +16,9 @@
 		entry, first := p.kept.Begin(q.keyOf(), print)
 		if first {
 			end := p.run(ctx, q)
+			if !q.claimed && end.duplicate() {
+				end = p.ask(ctx, q, print, end)
+			}
 			p.keep(entry, q, end)
 			return end
 		}
@@ -27,6 +30,19 @@
 
 // repeat returns the end of a request whose key another one has, unless that
 // one turns out not to have run.
+func (p *Proxy) repeat(ctx context.Context, q *request, entry *kept.Entry, print kept.Print) (end ending, known bool) {
+	answer, code, dropped := answerFrom(ctx, entry, print)
+	if dropped {
+		return ending{}, false
+	}
+	if answer == nil {
+		return refused(refuse(code)), true
+	}
+	return p.repeated(q, answer), true
+}
+
+// answerFrom returns the answer of an entry's request to one with a print, or the
+// code to refuse it with; dropped tells that the entry's did not run.
 //
 // Guard against a foreign answer: it shows as a dealer who reads the
 // confirmation of another order, or of another dealer who chose the same key.
@@ -36,26 +52,25 @@
 // It waits for a request in hand because that one's answer is on its way; if
 // its own deadline comes first, or the other ends without an answer, it is told
 // that at once.
-func (p *Proxy) repeat(ctx context.Context, q *request, entry *kept.Entry, print kept.Print) (end ending, known bool) {
+func answerFrom(ctx context.Context, entry *kept.Entry, print kept.Print) (answer *kept.Answer, code result.Code, dropped bool) {
 	if entry.Print.Work != print.Work {
-		return refused(refuse(result.KeyReused)), true
+		return nil, result.KeyReused, false
 	}
 	if entry.Print.Sender != print.Sender {
-		return refused(refuse(result.DuplicateKey)), true
+		return nil, result.DuplicateKey, false
 	}
 	answer, dropped, err := entry.Wait(ctx)
-	if err != nil {
-		// Never "not run": the other request with this key may run.
-		return refused(refuse(result.DuplicateKey)), true
-	}
-	if dropped {
-		return ending{}, false
-	}
-	if answer == nil {
-		return refused(refuse(result.DuplicateKey)), true
+	if err != nil || answer == nil {
+		// Never "not run" after an error: the other request may run.
+		return nil, result.DuplicateKey, dropped
 	}
+	return answer, result.OK, false
+}
+
+// repeated is the end of a request that gets the answer to an earlier sending.
+func (p *Proxy) repeated(q *request, answer *kept.Answer) ending {
 	q.service.state.metrics[q.class].keptAnswers.Inc(1)
-	return ending{answer: &answer.Answer, place: answer.Place, target: answer.Target}, true
+	return ending{answer: &answer.Answer, place: answer.Place, target: answer.Target}
 }
 
 // keep ends the entry of a request. One that did not get the right to run is
