bench: decider scenarios with relays of reports

Cause: what relays save at the decider was worked out only.

Change: scenarios decider-relays and decider-relays-idle, as decider-nodes and decider-idle with a relay in each failure domain; figures for the calls a decider takes and for the busiest relay.

--- a/bench/scenario/decider.go
+++ b/bench/scenario/decider.go
@@ -79,6 +79,33 @@
 	}
 }
 
+// deciderByRelays measures the decider of a busy account with a relay of reports in
+// each failure domain.
+func deciderByRelays() Scenario {
+	return Scenario{
+		Name:     "decider-relays",
+		SizeName: "nodes",
+		Summary:  "as decider-nodes, with relays of reports; simulated time",
+		MaxSize:  2 * targetNodes,
+		Run: func(ctx context.Context, p Params) ([]report.Metric, error) {
+			return runDecider(ctx, deciderShape{nodes: int(p.Size), sites: todayPlaces, use: busyUse, relays: true}, p.Seed)
+		},
+	}
+}
+
+// deciderIdleByRelays measures the same with callers at few nodes.
+func deciderIdleByRelays() Scenario {
+	return Scenario{
+		Name:     "decider-relays-idle",
+		SizeName: "nodes",
+		Summary:  "as decider-idle, with relays of reports; simulated time",
+		MaxSize:  2 * targetNodes,
+		Run: func(ctx context.Context, p Params) ([]report.Metric, error) {
+			return runDecider(ctx, deciderShape{nodes: int(p.Size), sites: todayPlaces, use: idleUse, oneIn: idleOneIn, relays: true}, p.Seed)
+		},
+	}
+}
+
 // Load of the idle scenario.
 const (
 	idleUse   = 0.2
@@ -92,6 +119,8 @@
 	use float64
 	// oneIn tells that callers reach one node in so many; 0 reads as 1.
 	oneIn int
+	// relays tells that reports go by relay.
+	relays bool
 }
 
 // runDecider drives the real decider, its planner and its ledger with the
@@ -106,6 +135,7 @@
 		return nil, err
 	}
 	d.counts = deciderCounts{}
+	d.busiestRelay()
 	started := time.Now()
 	if err := d.run(ctx, deciderTime); err != nil {
 		return nil, err
@@ -118,8 +148,9 @@
 
 // deciderCounts is what happened in the measured time.
 type deciderCounts struct {
-	reports, requestBytes, answerBytes uint64
-	writes, writeBytes                 uint64
+	messageCounts
+	reports            uint64
+	writes, writeBytes uint64
 	// asked counts nodes that were asked to report.
 	asked               uint64
 	plans, planBytes    uint64
@@ -130,8 +161,10 @@
 	c := d.counts
 	seconds := deciderTime.Seconds()
 	each := float64(max(c.reports, 1))
+	relay := d.busiestRelay()
 	return []report.Metric{
 		{Name: "reports", Unit: "1/s", Value: float64(c.reports) / seconds},
+		{Name: "calls", Unit: "1/s", Value: float64(c.calls) / seconds},
 		{Name: "asked", Unit: "1/s", Value: float64(c.asked) / seconds},
 		{Name: "messages", Unit: "B/s", Value: float64(c.requestBytes+c.answerBytes) / seconds},
 		{Name: "request", Unit: "B", Value: float64(c.requestBytes) / each},
@@ -145,6 +178,8 @@
 		{Name: "plans", Unit: "1/s", Value: float64(c.plans) / seconds},
 		{Name: "plan", Unit: "B", Value: float64(d.planBytes)},
 		{Name: "kept", Unit: "B", Value: float64(kept)},
+		{Name: "relay calls", Unit: "1/s", Value: float64(relay.calls) / seconds},
+		{Name: "relay messages", Unit: "B/s", Value: float64(relay.requestBytes+relay.answerBytes) / seconds},
 	}
 }
 
--- a/bench/scenario/decider_world.go
+++ b/bench/scenario/decider_world.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/goccy/go-json"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/yuccaroute/yuccaroute/api/grant"
 	"github.com/yuccaroute/yuccaroute/api/model"
@@ -43,7 +42,9 @@
 	account     *model.Account
 	core        *decider.Core
 	nodes       []*simulatedNode
-	listed      []ledger.Listed
+	// relays are by failure domain; there are none where reports go directly.
+	relays map[string]*simulatedRelay
+	listed []ledger.Listed
 	// revision counts the writes that the simulated store took.
 	revision store.Revision
 	// plan is the one given out last, nil before the first.
@@ -62,6 +63,8 @@
 	// measured is what it measured since its last report.
 	measured        observe.Report
 	epoch, sequence uint64
+	// held tells that a relay holds a report of the node.
+	held bool
 	// callers tells that callers reach the node.
 	callers bool
 	told    holder.Told
@@ -88,6 +91,9 @@
 	}
 	d.core = core
 	d.addNodes(shape.nodes, max(shape.oneIn, 1))
+	if shape.relays {
+		d.addRelays()
+	}
 	return d, nil
 }
 
@@ -167,8 +173,8 @@
 	d.counts.asked += uint64(len(asked))
 	for _, node := range asked {
 		for _, n := range d.nodes {
-			if n.ref.Vm == node.ID.VM {
-				d.report(n)
+			if n.ref.Vm == node.ID.VM && !n.held {
+				d.report(n, true)
 			}
 		}
 	}
@@ -201,6 +207,7 @@
 				d.round(n)
 			}
 		}
+		d.sendBatches()
 	}
 }
 
@@ -209,35 +216,53 @@
 func (d *deciderWorld) round(n *simulatedNode) {
 	recent := d.measure(n)
 	n.measured = observe.Join(n.measured, recent)
-	if n.due.After(d.now) || d.now.Before(n.restDue) && n.told.Enough(recent, n.measured, n.set) {
+	if n.held || n.due.After(d.now) || d.now.Before(n.restDue) && n.told.Enough(recent, n.measured, n.set) {
 		return
 	}
-	d.report(n)
+	d.report(n, false)
+}
+
+// sentReport is a report under way.
+type sentReport struct {
+	node     *simulatedNode
+	request  *peerpb.RenewRequest
+	measured observe.Report
+	at       time.Time
 }
 
-// report makes the report of a node.
-func (d *deciderWorld) report(n *simulatedNode) {
+// report makes the report of a node. One that is urgent does not wait at a relay.
+func (d *deciderWorld) report(n *simulatedNode, urgent bool) {
 	measured := n.measured
 	n.measured = observe.Report{}
 	request := holder.NewRequest(measured)
 	request.Node, request.Account = n.ref, string(accountName)
 	request.AppliedEpoch, request.AppliedSequence = n.epoch, n.sequence
 	n.told.Shorten(request, measured, n.set, d.now)
+	sent := &sentReport{node: n, request: request, measured: measured, at: d.now}
+	if d.relays[n.ref.Place] != nil {
+		d.pass(sent, urgent)
+		return
+	}
 	started := time.Now()
 	answer := d.core.Renew(request, d.now)
 	d.counts.renewTime += time.Since(started)
+	d.counts.take(1, request, answer)
+	d.answered(sent, answer)
+}
+
+// answered takes in the answer to a report.
+func (d *deciderWorld) answered(sent *sentReport, answer *peerpb.RenewResponse) {
+	n := sent.node
 	d.counts.reports++
-	d.counts.requestBytes += uint64(proto.Size(request))
-	d.counts.answerBytes += uint64(proto.Size(answer))
 	interval := max(time.Duration(answer.NextMs)*time.Millisecond, ledgerStep)
-	n.due = d.now.Add(d.jitter(interval))
-	n.restDue = d.now.Add(d.jitter(max(interval, holder.RestInterval)))
+	n.due = sent.at.Add(d.jitter(interval))
+	n.restDue = sent.at.Add(d.jitter(max(interval, holder.RestInterval)))
 	if answer.Code != 0 {
 		n.told.Unanswered()
 		return
 	}
 	n.epoch, n.sequence = answer.Epoch, answer.Sequence
-	n.told.Answered(request, measured, answer, d.now)
+	n.told.Answered(sent.request, sent.measured, answer, sent.at)
 	n.apply(answer)
 }
 
--- a/bench/scenario/scenario.go
+++ b/bench/scenario/scenario.go
@@ -58,6 +58,8 @@
 		deciderBySites(),
 		deciderByUse(),
 		deciderIdle(),
+		deciderByRelays(),
+		deciderIdleByRelays(),
 		fleetScenario(),
 		fleetByAccounts(),
 		fleetByBlocks(),
--- a/control/relay/gathering.go
+++ b/control/relay/gathering.go
@@ -142,12 +142,12 @@
 	g.relay.counts.passed.Add(uint64(len(batch)))
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	response, err := peerpb.NewRelayClient(conn).Batch(ctx, fold(string(g.account), reports))
+	response, err := peerpb.NewRelayClient(conn).Batch(ctx, Fold(string(g.account), reports))
 	if err != nil {
 		return nil, err
 	}
 	if response.Code != uint32(result.OK) || len(response.Answers) != len(batch) {
 		return nil, status.Errorf(codes.Unavailable, "relay: decider refused the batch, code %d", response.Code)
 	}
-	return unfoldAnswers(response), nil
+	return UnfoldAnswers(response), nil
 }
--- a/control/relay/relay.go
+++ b/control/relay/relay.go
@@ -5,7 +5,7 @@
 // network that delays messages and may lose them.
 //
 // Relay is the relay's side, Route the choice of a relay on the reporting node, and
-// Answer the decider's side.
+// Answer the decider's side. Fold and UnfoldAnswers are the form of a batch.
 package relay
 
 import (
--- a/control/relay/relay_test.go
+++ b/control/relay/relay_test.go
@@ -216,7 +216,7 @@
 				Epoch: random.Uint64N(3), NextMs: random.Uint32N(2), SurplusTtlMs: random.Uint32N(3), Code: random.Uint32N(2),
 			})
 		}
-		batch := fold("daehan", reports)
+		batch := Fold("daehan", reports)
 		folded := proto.Size(batch)
 		if diff := cmp.Diff(reports, unfold(batch), protocmp.Transform()); diff != "" {
 			t.Fatal(diff)
@@ -228,7 +228,7 @@
 		for i, a := range answers {
 			want[i] = proto.CloneOf(a)
 		}
-		if diff := cmp.Diff(want, unfoldAnswers(foldAnswers(answers)), protocmp.Transform()); diff != "" {
+		if diff := cmp.Diff(want, UnfoldAnswers(foldAnswers(answers)), protocmp.Transform()); diff != "" {
 			t.Fatal(diff)
 		}
 	}
--- a/control/relay/route.go
+++ b/control/relay/route.go
@@ -57,7 +57,7 @@
 // that the report goes directly to the decider.
 func (r *Route) Next(now time.Time) (relay *peerpb.NodeRef, timeout time.Duration) {
 	members := r.options.Members()
-	if r.options.FromNodes <= 0 || members.Fleet < r.options.FromNodes || len(members.Domain) < leastDomain {
+	if r.options.FromNodes <= 0 || members.Fleet < r.options.FromNodes || len(members.Domain) < LeastDomain {
 		return nil, 0
 	}
 	if !r.direct.IsZero() && !now.Before(r.direct) {
--- a/control/relay/route_test.go
+++ b/control/relay/route_test.go
@@ -35,8 +35,8 @@
 		fleet, inDomain int
 		relay           bool
 	}{
-		{10, 5, false}, {fromNodes - 1, 8, false}, {550, leastDomain - 1, false},
-		{fromNodes, leastDomain, true}, {550, 32, true},
+		{10, 5, false}, {fromNodes - 1, 8, false}, {550, LeastDomain - 1, false},
+		{fromNodes, LeastDomain, true}, {550, 32, true},
 	} {
 		if via, _ := newRoute(c.fleet, c.inDomain, 1).Next(time.Now()); (via != nil) != c.relay {
 			t.Errorf("%+v: relay %v", c, via)
--- a/control/relay/times.go
+++ b/control/relay/times.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	// leastDomain is how many live nodes a failure domain must have for a relay
+	// LeastDomain is how many live nodes a failure domain must have for a relay
 	// to save calls.
-	leastDomain = 4
+	LeastDomain = 4
 	// largeFleet is from how many nodes on reports are held for longer: each node
 	// then reports every two seconds or more seldom.
 	largeFleet = 400
