proxy, client: a repeat keeps its place unless the move cap has room

Cause: while a group of targets flaps, its place refuses its share. The caller's client sends refused requests again, and the entry VM placed each anew: most ran in other places, beside the 10 % that the plan moved. The proxy's own retries are not part of it, they stay in the place.

Ruled out: keeping every repeat in its place (refuses what the cap has room for), counting repeats as moves of the plan (work that must leave would leave later).

Change: a refusal names its place in Yucca-Refused-Place, the client sends the field along with the repeat. The entry VM places it elsewhere only while the flow has earned it: each first request earns what this node's moves of the last window have left of the cap, two repeats are saved up at most. Otherwise it goes to its place again and is refused at once with a time to come back.

Callers who repeat without the field, or come back later, are placed anew.

--- a/api/result/header.go
+++ b/api/result/header.go
@@ -20,6 +20,9 @@
 	// HeaderPlace names the place that served, HeaderTarget the target.
 	HeaderPlace  = "Yucca-Place"
 	HeaderTarget = "Yucca-Target"
+	// HeaderRefusedPlace names the place that a refused request fell to. A caller
+	// that sends the request again sends the field along.
+	HeaderRefusedPlace = "Yucca-Refused-Place"
 	// HeaderRetryAfter tells, in milliseconds, when to come back.
 	HeaderRetryAfter = "Yucca-Retry-After-Ms"
 	// HeaderShed is set by a target that refused a request before running it.
--- a/client/attempt.go
+++ b/client/attempt.go
@@ -38,7 +38,8 @@
 	answered bool
 }
 
-func (c *Client) attempt(ctx context.Context, entry Entry, r *Request) attempt {
+// attempt sends a request; refusedAt is the place that refused it before, if any.
+func (c *Client) attempt(ctx context.Context, entry Entry, r *Request, refusedAt string) attempt {
 	var sent atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
 	req, err := newHTTPRequest(httptrace.WithClientTrace(ctx, trace), r.Method, entry.Address, r.Path, r.Body)
@@ -46,6 +47,9 @@
 		return failedAttempt(entry, result.NotRun, result.BadRequest, err)
 	}
 	setHeaders(ctx, req, r, c.options)
+	if refusedAt != "" {
+		req.Header.Set(result.HeaderRefusedPlace, refusedAt)
+	}
 	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
 		return lostAttempt(ctx, entry, sent.Load(), err)
--- a/client/do.go
+++ b/client/do.go
@@ -19,6 +19,9 @@
 	// tried holds the entry VMs used, and when each may be used again.
 	tried    map[string]time.Time
 	attempts int
+	// refusedAt is the place that refused the request last, "" for none. A repeat
+	// that is placed anew would move traffic beside the account's cap.
+	refusedAt string
 }
 
 // Do sends a request and returns how it ended. The error is nil exactly when
@@ -79,7 +82,7 @@
 	if timer := e.giveUpTimer(ctx, &gaveUp, cancel); timer != nil {
 		defer timer.Stop()
 	}
-	a := e.client.attempt(ctx, entry, e.request)
+	a := e.client.attempt(ctx, entry, e.request, e.refusedAt)
 	a.gaveUp = gaveUp.Load() && a.answer.Status == 0
 	e.note(entry, &a)
 	return a
@@ -111,6 +114,7 @@
 		return
 	}
 	e.tried[entry.Address] = time.Now().Add(a.answer.RetryAfter)
+	e.refusedAt = cmp.Or(a.answer.Header.Get(result.HeaderRefusedPlace), e.refusedAt)
 	silent := a.answer.Status == 0 && a.cause != nil
 	service := e.request.Service
 	switch {
--- a/proxy/account_state.go
+++ b/proxy/account_state.go
@@ -30,6 +30,7 @@
 	services map[model.ServiceName]*serviceState
 	places   map[grant.Key]*placeState
 	pickers  map[flowKey]*pick.Picker
+	repeats  map[flowKey]*elsewhere
 	bytes    *buffer.Share
 	inFlight *buffer.Share
 }
@@ -46,6 +47,7 @@
 		services: make(map[model.ServiceName]*serviceState),
 		places:   make(map[grant.Key]*placeState),
 		pickers:  make(map[flowKey]*pick.Picker),
+		repeats:  make(map[flowKey]*elsewhere),
 		bytes:    p.bytes.NewShare(),
 		inFlight: p.inFlight.NewShare(),
 	}
@@ -189,7 +191,23 @@
 func (s *accountState) flowView(flow *plan.Flow, state *serviceState) *flowView {
 	key := flowKey{flow.Service, flow.Caller}
 	s.pickers[key] = pick.NewAfter(s.pickers[key], flow)
-	return &flowView{chooser: s.pickers[key], offered: state.offeredBy(flow.Caller)}
+	if s.repeats[key] == nil {
+		s.repeats[key] = newElsewhere()
+	}
+	s.repeats[key].setLeft(s.stepper.Left(flow.Service, flow.Caller))
+	return &flowView{
+		chooser:   s.pickers[key],
+		shares:    flow.Shares,
+		elsewhere: s.repeats[key],
+		offered:   state.offeredBy(flow.Caller),
+	}
+}
+
+// refreshLeft tells each flow what its moves have left of the cap.
+func (s *accountState) refreshLeft() {
+	for key, e := range s.repeats {
+		e.setLeft(s.stepper.Left(key.service, key.caller))
+	}
 }
 
 var _ PlaceChooser = (*pick.Picker)(nil)
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -203,5 +203,6 @@
 		if s.held && s.advance(nil) {
 			p.publish(s)
 		}
+		s.refreshLeft()
 	}
 }
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -25,11 +25,13 @@
 
 // request is one caller's request after it was read and checked.
 type request struct {
-	account  *accountView
-	service  *serviceView
-	class    model.Class
-	region   model.RegionName
-	flow     *flowView
+	account *accountView
+	service *serviceView
+	class   model.Class
+	region  model.RegionName
+	flow    *flowView
+	// place is the one that the request falls to, nil for none.
+	place    *placeState
 	from     caller
 	arrived  time.Time
 	deadline time.Time
@@ -70,6 +72,7 @@
 		q.service.state.offeredBy(q.region).Add(1)
 		return q, refuse(result.NoPlan)
 	}
+	q.findPlace(r.Header)
 	return q, nil
 }
 
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -17,7 +17,7 @@
 
 // run sends a request until it has ended.
 func (p *Proxy) run(ctx context.Context, q *request) ending {
-	place := q.service.places[q.flow.chooser.Next()]
+	place := q.place
 	if place == nil {
 		return refused(refuse(result.NoTarget))
 	}
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -90,6 +90,7 @@
 
 // finish answers without a target's answer and counts the result.
 func (p *Proxy) finish(w http.ResponseWriter, q *request, refused *refusal) {
+	q.tellPlace(w.Header())
 	writeRefusal(w, refused)
 	p.record(q, refused.code)
 }
--- a/proxy/snapshot.go
+++ b/proxy/snapshot.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 
 	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/api/plan"
 	"github.com/yuccaroute/yuccaroute/proxy/buffer"
 )
 
@@ -50,5 +51,8 @@
 // flowView is the traffic of a service from callers of one region.
 type flowView struct {
 	chooser PlaceChooser
-	offered *atomic.Uint64
+	// shares are those the chooser goes by.
+	shares    []plan.Share
+	elsewhere *elsewhere
+	offered   *atomic.Uint64
 }
--- a/steering/step/stepper.go
+++ b/steering/step/stepper.go
@@ -77,6 +77,17 @@
 	return s.effective, true
 }
 
+// Left returns the part of a flow that may still move now, 0 to 1.
+func (s *Stepper) Left(service model.ServiceName, caller model.RegionName) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.tracks[flowKey{service, caller}]
+	if t == nil {
+		return 0
+	}
+	return float64(t.history.budget(s.limits, s.clock())) / plan.Whole
+}
+
 // moveAll advances every flow of the target and reports whether one changed.
 func (s *Stepper) moveAll() bool {
 	now := s.clock()
