bench/check: a place claims only what ran there or nowhere since

Cause: requests that were refused and run again where a place had ever served as much did not count as moved. The largest share of the whole run was taken, also when the traffic had run elsewhere since. Work that left a place under the cap, was refused for a while and came to it at once was passed over.

Change: a place keeps a claim to what ran there, and of what ran there before to as much as ran nowhere since, with the allowance for chance of that bin.

Measured: planted, 0.7 leaves at 0.1 a window, is refused for 7 s and comes back at once: 1 violation before (by the windows further apart) and 7 now. A run that keeps its promises and the permitted ones: 0. The planted cases 20 times under the race detector: the same counts. The seven region cases of integration: 0 violations. One of them failed in one of three runs on its own check, load and health lie: 0 of 1,424 requests in the ledger of the target that fails at once, 20 of 1,424 and 20 of 1,425 in the others. The checker has no part in that count; not looked into.

--- a/bench/check/check_test.go
+++ b/bench/check/check_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -128,6 +129,20 @@
 		}, MovedOver, 15},
 		{"0.23 moves in each window", func(in *Input) { moveInEachWindow(in, 0.23) }, MovedOver, 15},
 		{"0.15 moves in each window", func(in *Input) { moveInEachWindow(in, 0.15) }, MovedOver, 4},
+		{"moved away slowly, refused, and back at once", func(in *Input) {
+			in.Accounts[0].Moves.Window = 4 * time.Second
+			sendTo(in, 0, len(in.Ran), "t1", "tirol-a")
+			for i := range in.Ran {
+				at, drawn := float64(i)/rps, math.Mod(float64(i)*math.Phi, 1)
+				switch {
+				case drawn < max(0.8-0.1*at/4, 0.1), at >= 35 && drawn < 0.8:
+					sendTo(in, i, i+1, "s1", "salzburg-a")
+				case at >= 28 && drawn < 0.8:
+					in.Told[i].Outcome, in.Ran[i].Count = result.NotRun, -1
+				}
+			}
+			in.Ran = slices.DeleteFunc(in.Ran, func(ran Ran) bool { return ran.Count < 0 })
+		}, MovedOver, 7},
 		{"work six seconds after leaving", func(in *Input) {
 			sendTo(in, 0, requests, "t1", "tirol-a")
 			sendTo(in, 10, 11, "s1", "salzburg-a")
--- a/bench/check/moves.go
+++ b/bench/check/moves.go
@@ -51,20 +51,20 @@
 		order = append(order, n)
 	}
 	sort.Ints(order)
-	peaks := make(map[model.ServiceName]map[model.PlaceName]float64)
+	homes := make(map[model.ServiceName]map[model.PlaceName]float64)
 	comparisons := len(order) * (binsPerWindow + lastingWindows)
 	for _, n := range order {
-		rememberPeaks(peaks, c.bins[n])
+		rememberHomes(account, homes, c.bins[n], comparisons)
 		for lag := 1; lag <= binsPerWindow; lag++ {
-			comparePair(account, c, c.bins[n], c.bins[n+lag], 1, peaks, comparisons, r)
+			comparePair(account, c, c.bins[n], c.bins[n+lag], 1, homes, comparisons, r)
 		}
-		c.compareWindows(account, n, peaks, comparisons, r)
+		c.compareWindows(account, n, homes, comparisons, r)
 	}
 }
 
 // compareWindows compares the window that ends with bin n with later ones.
 func (c *callerBins) compareWindows(account *model.Account, n int,
-	peaks map[model.ServiceName]map[model.PlaceName]float64, comparisons int, r *Report) {
+	homes map[model.ServiceName]map[model.PlaceName]float64, comparisons int, r *Report) {
 	first := n + 1 - binsPerWindow
 	earlier, ok := c.window(first)
 	if !ok {
@@ -72,7 +72,7 @@
 	}
 	for lag := 1; lag <= lastingWindows; lag++ {
 		if later, follows := c.window(first + lag*binsPerWindow); follows {
-			comparePair(account, c, earlier, later, lag, peaks, comparisons, r)
+			comparePair(account, c, earlier, later, lag, homes, comparisons, r)
 		}
 	}
 }
@@ -89,20 +89,26 @@
 	return joined, true
 }
 
-func rememberPeaks(peaks map[model.ServiceName]map[model.PlaceName]float64, b bin) {
+// rememberHomes keeps, for each place, the largest share that may still belong
+// there: what ran there, and of what ran there before as much as ran nowhere
+// since. What ran elsewhere meanwhile has moved, and comes back as a move.
+func rememberHomes(account *model.Account, homes map[model.ServiceName]map[model.PlaceName]float64, b bin, comparisons int) {
 	for service, f := range b {
-		if peaks[service] == nil {
-			peaks[service] = make(map[model.PlaceName]float64)
+		if homes[service] == nil {
+			homes[service] = make(map[model.PlaceName]float64)
 		}
-		for place := range f.places() {
-			peaks[service][place] = max(peaks[service][place], f.share(place))
+		chance := allowance(len(account.Places), comparisons, f.spread())
+		for i := range account.Places {
+			place := account.Places[i].Name
+			share := f.share(place)
+			homes[service][place] = max(share, min(homes[service][place], share+f.unplaced()+chance))
 		}
 	}
 }
 
 // comparePair compares two times that are at most some windows apart.
 func comparePair(account *model.Account, c *callerBins, earlier, later bin, windows int,
-	peaks map[model.ServiceName]map[model.PlaceName]float64, comparisons int, r *Report) {
+	homes map[model.ServiceName]map[model.PlaceName]float64, comparisons int, r *Report) {
 	total := later.offered()
 	if total < minBinRequests || earlier.offered() < minBinRequests {
 		return
@@ -114,7 +120,7 @@
 			continue
 		}
 		weight := float64(to.offered()) / float64(total)
-		moved += weight * movedShare(account, from, to, peaks[service])
+		moved += weight * movedShare(account, from, to, homes[service])
 		spreadEarlier += weight * weight * from.spread()
 		spreadLater += weight * weight * to.spread()
 	}
@@ -137,15 +143,15 @@
 }
 
 // movedShare is the share of a flow that appeared in places where it was not
-// before. Requests that were refused and run again where they ran at some
-// earlier time did not move: a place came back.
-func movedShare(account *model.Account, from, to *binFlow, peak map[model.PlaceName]float64) float64 {
+// before. Requests that were refused and run again where they ran before that
+// did not move: a place came back.
+func movedShare(account *model.Account, from, to *binFlow, home map[model.PlaceName]float64) float64 {
 	gained, returned := 0.0, 0.0
 	for i := range account.Places {
 		place := account.Places[i].Name
 		gain := max(0, to.share(place)-from.share(place))
 		gained += gain
-		returned += min(gain, max(0, peak[place]-from.share(place)))
+		returned += min(gain, max(0, home[place]-from.share(place)))
 	}
 	return gained - min(returned, max(0, from.unplaced()-to.unplaced()))
 }
