--- a/proxy/upload_test.go
+++ b/proxy/upload_test.go
@@ -147,7 +147,13 @@
 // must not get the first one's confirmation: it is compared with it by its whole
 // body, which an upload that is sent on early does not have.
 func TestUploadsUnderOneKeyAreCompared(t *testing.T) {
-	_, s, targets := serveUploads(t, sayChecksum)
+	p, s, targets := serveUploads(t, sayChecksum)
+	fields := http.Header{result.HeaderAccount: {testAccount}, result.HeaderService: {testService}, result.HeaderKey: {"o-1"}}
+	if reservation, code := p.ReserveBody(fields, 2*halfBytes); code != result.OK || reservation.Ahead != 0 {
+		t.Errorf("%d, sent on %s early", code, reservation.Ahead)
+	} else {
+		reservation.Release()
+	}
 	keyed := postUpload + "Idempotency-Key: o-1\r\n"
 	first, firstReader := beginUpload(t, s, keyed, 'a')
 	_, _ = first.Write(half('a'))
