demo: begin the load when each node has grants for its region

Cause: steady runs had up to 29 requests of termindienst that a node refused for want of a grant and that ran through another one, all within the first half second. A node that reports last has no grant for some keys until the others, who were given all, are lowered; WaitServing is content with any grant, so the load began in that time. With a second refusal a caller waits, which made the p99.9 of 358.7 ms.

Ruled out: cold connections, probes, ejection and the targets' queues; each refusal was logged with its place, and the node's rate there was zero.

Change: WaitReady waits until each node has a grant for each service in each place of its region.

--- a/demo/world.go
+++ b/demo/world.go
@@ -14,7 +14,9 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/yuccaroute/yuccaroute/api/grant"
 	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/api/wait"
 	"github.com/yuccaroute/yuccaroute/config"
 	"github.com/yuccaroute/yuccaroute/config/changelog"
 	"github.com/yuccaroute/yuccaroute/config/examples"
@@ -188,18 +190,52 @@
 	w.Platform.SetVMs(vms...)
 }
 
-// WaitReady returns when every node serves, or with the context's error.
+// grantPoll is how often WaitReady looks for grants.
+const grantPoll = 20 * time.Millisecond
+
+// WaitReady returns when every node serves and has a grant for each service in
+// each place of its own region, or with the context's error. A node that starts
+// last serves before the others gave up a part of what they were granted; its
+// first callers would be refused, which is no part of a steady run.
 func (w *World) WaitReady(ctx context.Context) error {
 	for _, t := range w.Tenants {
 		for _, n := range t.Nodes {
 			if err := n.WaitServing(ctx, t.Account.Name); err != nil {
 				return errors.Wrap(err, "demo: a node does not serve")
 			}
+			for !t.hasGrants(n) {
+				if !wait.For(ctx, grantPoll) {
+					return errors.Wrapf(ctx.Err(), "demo: %s has no grant for a place of its region", n.VM().ID)
+				}
+			}
 		}
 	}
 	return nil
 }
 
+// hasGrants reports whether a node may send requests of each service to each
+// place of its own region.
+func (t *Tenant) hasGrants(n *node.Node) bool {
+	granted := make(map[grant.Key]bool)
+	for _, status := range n.Status().Control {
+		if status.Account != t.Account.Name || status.Holder.Set == nil {
+			continue
+		}
+		for _, g := range status.Holder.Set.Grants {
+			granted[g.Key] = g.Floor+g.Surplus > 0
+		}
+	}
+	for i := range t.Account.Services {
+		for _, place := range t.Account.Places {
+			key := grant.Key{Account: t.Account.Name, Service: t.Account.Services[i].Name, Place: place.Name}
+			if place.Region == n.VM().Region && !granted[key] {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // Close stops everything.
 func (w *World) Close() {
 	var ends sync.WaitGroup
