control: reports and answers carry hashes in place of words

Cause: words were nine tenths of a report of 240 bytes and of an answer of 320.

Ruled out: numbers that the decider deals in a term. It may begin anew within one epoch, and a number of before would be another node's, whose grants its acknowledgement would free.

Change: each word is told once in a term. After an answer to it a node sends a hash of 64 bits of all that names it, and rates and loads in the order of names told before, with a hash of these, or "the same". The decider sends amounts in the order of names that the node has acknowledged, with their hash. A hash that is not known changes nothing: result 402 for a node, a flag for names of a report; a node does not take amounts whose names it does not have, and asks for them. Without an answer, and towards a new decider, all words are told again, and so is every measurement after 30 s, without names. Relays pass on reports of nodes named by hash.

--- a/api/result/result.go
+++ b/api/result/result.go
@@ -82,6 +82,7 @@
 	ChangeTooLarge      Code = 306
 	StaleEpoch          Code = 400
 	NotLeader           Code = 401
+	UnknownNode         Code = 402
 	StoreUnavailable    Code = 500
 	StoreUnknown        Code = 501
 	StoreConflict       Code = 502
@@ -128,6 +129,7 @@
 	{ChangeTooLarge, "change-too-large", 413, NotRun, "The object is over the store's value limit.", false},
 	{StaleEpoch, "stale-epoch", 409, NotRun, "The message carries an older fencing token than the receiver has seen.", false},
 	{NotLeader, "not-leader", 409, NotRun, "The node does not decide for this account.", true},
+	{UnknownNode, "unknown-node", 409, NotRun, "The decider has not been told in its term which node it is.", true},
 	{StoreUnavailable, "store-unavailable", 503, NotRun, "The store did not take the call.", true},
 	{StoreUnknown, "store-unknown", 504, Unknown, "The store's answer was lost; the write may take effect now or later.", false},
 	{StoreConflict, "store-conflict", 409, NotRun, "The stored revision is not the expected one.", true},
--- a/bench/scenario/decider_world.go
+++ b/bench/scenario/decider_world.go
@@ -17,6 +17,7 @@
 	"github.com/yuccaroute/yuccaroute/control/decider"
 	"github.com/yuccaroute/yuccaroute/control/holder"
 	"github.com/yuccaroute/yuccaroute/control/ledger"
+	"github.com/yuccaroute/yuccaroute/membership"
 	"github.com/yuccaroute/yuccaroute/steering/planner"
 	"github.com/yuccaroute/yuccaroute/store"
 )
@@ -61,14 +62,13 @@
 	// with nothing to tell.
 	next, due, restDue time.Time
 	// measured is what it measured since its last report.
-	measured        observe.Report
-	epoch, sequence uint64
+	measured observe.Report
 	// held tells that a relay holds a report of the node.
 	held bool
 	// callers tells that callers reach the node.
 	callers bool
 	told    holder.Told
-	set     *grant.Set
+	holder  *holder.Core
 }
 
 func newDeciderWorld(shape deciderShape, seed uint64) (*deciderWorld, error) {
@@ -108,11 +108,23 @@
 			},
 			next:    d.now.Add(time.Duration(d.random.Float64() * float64(ledgerStep))),
 			callers: i%oneIn == 0,
-			set:     &grant.Set{},
+			holder:  newHolder(vm),
 		})
 	}
 }
 
+// newHolder returns the grants of a node that has none yet.
+func newHolder(vm membership.VM) *holder.Core {
+	return holder.New(holder.Options{
+		Node:           grant.NodeID{VM: vm.ID},
+		Region:         vm.Region,
+		Account:        accountName,
+		Params:         ledger.DefaultParams(),
+		RequestTimeout: holder.DefaultRequestTimeout,
+		LendShare:      holder.DefaultLendShare,
+	})
+}
+
 // deciderAccount has its sites spread evenly over the target's regions.
 func deciderAccount(sites int) *model.Account {
 	a := &model.Account{
@@ -214,9 +226,10 @@
 // round measures a second of a node and makes its report if it is due and the
 // node has something to tell.
 func (d *deciderWorld) round(n *simulatedNode) {
+	n.holder.Tick(d.now)
 	recent := d.measure(n)
 	n.measured = observe.Join(n.measured, recent)
-	if n.held || n.due.After(d.now) || d.now.Before(n.restDue) && n.told.Enough(recent, n.measured, n.set) {
+	if n.held || n.due.After(d.now) || d.now.Before(n.restDue) && n.told.Enough(recent, n.measured, n.holder.Set()) {
 		return
 	}
 	d.report(n, false)
@@ -227,18 +240,20 @@
 	node     *simulatedNode
 	request  *peerpb.RenewRequest
 	measured observe.Report
-	at       time.Time
+	// acknowledged is what it acknowledges, and when it left.
+	acknowledged holder.Sent
 }
 
 // report makes the report of a node. One that is urgent does not wait at a relay.
 func (d *deciderWorld) report(n *simulatedNode, urgent bool) {
 	measured := n.measured
 	n.measured = observe.Report{}
+	acknowledged := n.holder.Request(d.now)
 	request := holder.NewRequest(measured)
 	request.Node, request.Account = n.ref, string(accountName)
-	request.AppliedEpoch, request.AppliedSequence = n.epoch, n.sequence
-	n.told.Shorten(request, measured, n.set, d.now)
-	sent := &sentReport{node: n, request: request, measured: measured, at: d.now}
+	request.AppliedEpoch, request.AppliedSequence, request.GrantNames = acknowledged.Epoch, acknowledged.Sequence, acknowledged.GrantNames
+	n.told.Shorten(request, measured, n.holder.Set(), d.now)
+	sent := &sentReport{node: n, request: request, measured: measured, acknowledged: acknowledged}
 	if d.relays[n.ref.Place] != nil {
 		d.pass(sent, urgent)
 		return
@@ -255,15 +270,14 @@
 	n := sent.node
 	d.counts.reports++
 	interval := max(time.Duration(answer.NextMs)*time.Millisecond, ledgerStep)
-	n.due = sent.at.Add(d.jitter(interval))
-	n.restDue = sent.at.Add(d.jitter(max(interval, holder.RestInterval)))
-	if answer.Code != 0 {
+	at := sent.acknowledged.At
+	n.due = at.Add(d.jitter(interval))
+	n.restDue = at.Add(d.jitter(max(interval, holder.RestInterval)))
+	if n.holder.Answer(sent.acknowledged, answer, d.now) != holder.Applied {
 		n.told.Unanswered()
 		return
 	}
-	n.epoch, n.sequence = answer.Epoch, answer.Sequence
-	n.told.Answered(sent.request, sent.measured, answer, sent.at)
-	n.apply(answer)
+	n.told.Answered(sent.request, sent.measured, answer, at)
 }
 
 // jitter spreads reports as nodes do.
@@ -272,21 +286,6 @@
 	return time.Duration(float64(interval) * (1 - share*d.random.Float64()))
 }
 
-// apply takes the grants of an answer into use.
-func (n *simulatedNode) apply(answer *peerpb.RenewResponse) {
-	set := &grant.Set{Account: accountName, Epoch: answer.Epoch, Sequence: answer.Sequence, Grants: n.set.Grants}
-	if !answer.Unchanged {
-		set.Grants = nil
-		for _, g := range answer.Grants {
-			set.Grants = append(set.Grants, grant.Grant{
-				Key:   grant.Key{Account: accountName, Service: model.ServiceName(g.Service), Place: model.PlaceName(g.Place)},
-				Floor: grant.Amount(g.Floor), Surplus: grant.Amount(g.Surplus),
-			})
-		}
-	}
-	n.set = set
-}
-
 // measure is what a node measures in a second that follows the plan, whose callers
 // are all in its own region and whose traffic varies as independent arrivals do.
 func (d *deciderWorld) measure(n *simulatedNode) observe.Report {
--- a/control/decider/core.go
+++ b/control/decider/core.go
@@ -50,6 +50,9 @@
 	revision store.Revision
 	since    time.Time
 	reports  map[grant.NodeID]*reported
+	// nodes finds the nodes heard in this term by the hash of what names them. Two
+	// nodes with one hash leave an empty one.
+	nodes    map[uint64]ledger.Node
 	previous *plan.Plan
 	sequence uint64
 	planned  Planned
@@ -61,6 +64,9 @@
 	lost  bool
 	// index finds the ledger index of a key.
 	index map[ledger.Key]int
+	// keysHash is the hash of the names of the first keysHashed keys.
+	keysHash   uint64
+	keysHashed int
 }
 
 // Begin takes over at now. entry is the stored ledger, or the zero Entry when
@@ -72,6 +78,7 @@
 		revision: entry.Revision,
 		since:    now,
 		reports:  make(map[grant.NodeID]*reported),
+		nodes:    make(map[uint64]ledger.Node),
 	}
 	limits := ledger.LimitsOf(account)
 	if entry.Revision == 0 {
--- a/control/decider/renew_test.go
+++ b/control/decider/renew_test.go
@@ -6,8 +6,9 @@
 
 	"github.com/yuccaroute/yuccaroute/api/observe"
 	"github.com/yuccaroute/yuccaroute/api/peerpb"
+	"github.com/yuccaroute/yuccaroute/api/result"
 	"github.com/yuccaroute/yuccaroute/control/allocate"
-	"github.com/yuccaroute/yuccaroute/control/internal/placenames"
+	"github.com/yuccaroute/yuccaroute/control/internal/names"
 	"github.com/yuccaroute/yuccaroute/control/ledger"
 	"github.com/yuccaroute/yuccaroute/store"
 )
@@ -78,6 +79,46 @@
 	}
 }
 
+// A node names itself by a hash to a decider that was changed, or that has heard of
+// another node with that hash. Taken for the other's, its acknowledgement would free
+// what the other still has in force.
+func TestNodesWithoutWords(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(*Core, *peerpb.RenewRequest)
+		want   result.Code
+		named  bool
+	}{
+		{"known", func(*Core, *peerpb.RenewRequest) {}, result.OK, false},
+		{"asks for names", func(_ *Core, r *peerpb.RenewRequest) { r.GrantNames = true }, result.OK, true},
+		{"acknowledges no names", func(_ *Core, r *peerpb.RenewRequest) { r.AppliedSequence = 0 }, result.OK, true},
+		{"unknown", func(_ *Core, r *peerpb.RenewRequest) { r.NodeKey++ }, result.UnknownNode, false},
+		{"other term", func(_ *Core, r *peerpb.RenewRequest) { r.AppliedEpoch = 0 }, result.UnknownNode, false},
+		{"two nodes", func(core *Core, r *peerpb.RenewRequest) {
+			core.remember(r.Node, ledger.Node{ID: nodeID("other", 1)}, &reported{})
+		}, result.UnknownNode, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			term := newTerm(t, 2)
+			request := term.requests[1]
+			id := nodeOf(request.Node).ID
+			request.NodeKey = names.Node(request.Node)
+			c.change(term.core, request)
+			request.Node = nil
+			// Other amounts, so that they are sent.
+			term.core.Ledger().Want(id, make([]ledger.Amounts, len(term.core.Ledger().Keys())))
+			response := term.core.Renew(request, term.now)
+			if response.Code != uint32(c.want) {
+				t.Fatalf("code %d, want %d", response.Code, c.want)
+			}
+			named, hashed := len(response.Grants) > 0, response.GrantKeys != 0
+			if c.want == result.OK && (named != c.named || hashed == c.named) {
+				t.Errorf("named grants %d, hash %d", len(response.Grants), response.GrantKeys)
+			}
+		})
+	}
+}
+
 // Two reports of a node overtake each other while its places change. The decider
 // must not take the load of one place for that of another.
 func TestPlacesWithoutNames(t *testing.T) {
@@ -92,14 +133,14 @@
 		return &peerpb.PlaceLoad{Service: "desk", Place: place, SentRps: sent}
 	}
 	first := take(&peerpb.RenewRequest{Places: []*peerpb.PlaceLoad{load("a", 1), load("b", 2)}})
-	names := placenames.Hash(first)
+	hash := names.Places(first)
 	next := []*peerpb.PlaceLoad{{SentRps: 3}, {SentRps: 4}}
-	got := take(&peerpb.RenewRequest{PlaceNames: names, Places: next})
+	got := take(&peerpb.RenewRequest{PlaceNames: hash, Places: next})
 	if len(got) != 2 || got[0].Place != "a" || got[0].SentRPS != 3 || got[1].Place != "b" || got[1].Service != "desk" {
 		t.Errorf("places %+v", got)
 	}
 	take(&peerpb.RenewRequest{Places: []*peerpb.PlaceLoad{load("b", 5), load("a", 6)}})
-	got = take(&peerpb.RenewRequest{PlaceNames: names, Places: next})
+	got = take(&peerpb.RenewRequest{PlaceNames: hash, Places: next})
 	if got[0].Place != "b" || got[0].SentRPS != 5 || got[1].SentRPS != 6 {
 		t.Errorf("loads under other names: %+v", got)
 	}
--- a/control/decider/reported.go
+++ b/control/decider/reported.go
@@ -9,7 +9,7 @@
 	"github.com/yuccaroute/yuccaroute/api/observe"
 	"github.com/yuccaroute/yuccaroute/api/peerpb"
 	"github.com/yuccaroute/yuccaroute/control/allocate"
-	"github.com/yuccaroute/yuccaroute/control/internal/placenames"
+	"github.com/yuccaroute/yuccaroute/control/internal/names"
 	"github.com/yuccaroute/yuccaroute/control/ledger"
 )
 
@@ -32,8 +32,15 @@
 	// rest is for how long after it the node says nothing while what it measures
 	// stays the same, 0 for a node that reports at the interval.
 	rest time.Duration
-	// names is the hash of the names in the last report that had them.
-	names uint32
+	// key is the hash of the node, flowNames and placeNames are those of the names
+	// in the last report that had them.
+	key                   uint64
+	flowNames, placeNames uint32
+	// incomplete tells that the last report relied on names that are not known.
+	incomplete bool
+	// keysFrom is the sequence of the last answer with the names of grants, 0 for
+	// none, and keys the hash of these names.
+	keysFrom, keys uint64
 	// hastened is when the node was asked last to report, zero for not since
 	// its last report.
 	hastened time.Time
@@ -46,9 +53,9 @@
 	caller  model.RegionName
 }
 
-// report takes in the report of a request. With PlacesSame its places are those
-// of the last.
-func (c *Core) report(r observe.Report, request *peerpb.RenewRequest, now time.Time) {
+// report takes in the report of a request. What it says is the same is that of the
+// last. complete is false if it relies on names that the last did not have.
+func (c *Core) report(r observe.Report, request *peerpb.RenewRequest, now time.Time) (complete bool) {
 	old := c.reports[r.Node]
 	if old == nil {
 		old = &reported{flows: make(map[flowKey]float64)}
@@ -58,7 +65,8 @@
 	if old.at.IsZero() {
 		since = time.Hour
 	}
-	old.namePlaces(&r, request)
+	complete = old.nameFlows(&r, request)
+	complete = old.namePlaces(&r, request) && complete
 	old.report = r
 	old.at = now
 	old.rest = min(time.Duration(request.RestMs)*time.Millisecond, c.options.Ledger.SurplusTTL)
@@ -73,23 +81,49 @@
 		next[key] = average(old.flows[key], f.OfferedRPS, r.Interval, since, request.Short)
 	}
 	old.flows = next
+	return complete
 }
 
-// namePlaces fills in what a report leaves out of its places. Names on which node
-// and decider do not agree, because another report came in between, leave the
-// places as they were until the node names them again.
-func (old *reported) namePlaces(r *observe.Report, request *peerpb.RenewRequest) {
+// nameFlows fills in what a report leaves out of its flows. Names on which node and
+// decider do not agree, because another report came in between, leave the flows as
+// they were; the node is told to name them.
+func (old *reported) nameFlows(r *observe.Report, request *peerpb.RenewRequest) (complete bool) {
+	known := old.report.Flows
+	switch {
+	case request.FlowsSame:
+		r.Flows = known
+		return old.flowNames != 0
+	case request.FlowNames == 0:
+		old.flowNames = names.Flows(r.Flows)
+		return true
+	case request.FlowNames != old.flowNames || len(known) != len(r.Flows):
+		r.Flows = known
+		return false
+	}
+	for i := range r.Flows {
+		r.Flows[i].Service, r.Flows[i].Caller = known[i].Service, known[i].Caller
+	}
+	return true
+}
+
+// namePlaces does for the places what nameFlows does for the flows.
+func (old *reported) namePlaces(r *observe.Report, request *peerpb.RenewRequest) (complete bool) {
 	known := old.report.Places
 	switch {
-	case request.PlacesSame, request.PlaceNames != 0 && (request.PlaceNames != old.names || len(known) != len(r.Places)):
+	case request.PlacesSame:
 		r.Places = known
-	case request.PlaceNames != 0:
-		for i := range r.Places {
-			r.Places[i].Service, r.Places[i].Place = known[i].Service, known[i].Place
-		}
-	default:
-		old.names = placenames.Hash(r.Places)
+		return old.placeNames != 0
+	case request.PlaceNames == 0:
+		old.placeNames = names.Places(r.Places)
+		return true
+	case request.PlaceNames != old.placeNames || len(known) != len(r.Places):
+		r.Places = known
+		return false
+	}
+	for i := range r.Places {
+		r.Places[i].Service, r.Places[i].Place = known[i].Service, known[i].Place
 	}
+	return true
 }
 
 // average moves a smoothed rate towards a new reading over an interval. A rise
@@ -120,6 +154,7 @@
 func (c *Core) forget(now time.Time) {
 	for id, r := range c.reports {
 		if c.ledger.RegionOf(id) == "" && now.Sub(r.at) > c.options.Ledger.RemovalTime {
+			delete(c.nodes, r.key)
 			delete(c.reports, id)
 		}
 	}
--- a/control/holder/brief_test.go
+++ b/control/holder/brief_test.go
@@ -26,7 +26,7 @@
 	if same(first, 1, 0) {
 		t.Error("the first report names no places")
 	}
-	b.answered(&peerpb.RenewRequest{}, first, 1, start)
+	b.answered(&peerpb.RenewRequest{}, first, &peerpb.RenewResponse{Epoch: 1}, start)
 	for name, c := range map[string]struct {
 		report observe.Report
 		epoch  uint64
@@ -59,7 +59,7 @@
 		request := NewRequest(r)
 		request.AppliedEpoch = epoch
 		b.shorten(request, r, now)
-		b.answered(request, r, epoch, now)
+		b.answered(request, r, &peerpb.RenewResponse{Epoch: epoch}, now)
 		if len(request.Places) != len(places) || request.Places[0].SentRps != float32(sent) {
 			t.Fatalf("request %v", request)
 		}
--- a/control/holder/core.go
+++ b/control/holder/core.go
@@ -50,7 +50,12 @@
 	// counted; it lags behind while a lower floor does not cover the loans.
 	acknowledgedEpoch, acknowledgedSequence uint64
 	grants                                  []grant.Grant
-	surplusExpires                          time.Time
+	// keys are those of the last grants with names, in their order, and keysHash
+	// their hash. unnamed tells that an answer relied on others.
+	keys           []grant.Key
+	keysHash       uint64
+	unnamed        bool
+	surplusExpires time.Time
 	// ticked is when the process last ran; voided is when it last dropped
 	// everything after a pause, and answers to earlier requests are void.
 	ticked, voided time.Time
--- a/control/holder/core_test.go
+++ b/control/holder/core_test.go
@@ -7,6 +7,7 @@
 	"github.com/yuccaroute/yuccaroute/api/grant"
 	"github.com/yuccaroute/yuccaroute/api/peerpb"
 	"github.com/yuccaroute/yuccaroute/api/result"
+	"github.com/yuccaroute/yuccaroute/control/internal/names"
 	"github.com/yuccaroute/yuccaroute/control/ledger"
 )
 
@@ -158,6 +159,42 @@
 	return answer
 }
 
+// A decider sends amounts in the order of names that it told another life of the
+// node, or before the configuration changed. Taken for those of the names that the
+// node has, they would push a place past its capacity.
+func TestAmountsNeedTheirNames(t *testing.T) {
+	c := newCore("a")
+	named := response(1, 1, 100, 0)
+	named.Grants = append(named.Grants, &peerpb.Grant{Service: "desk", Place: "b"})
+	c.Answer(c.Request(start), named, start)
+	h := names.NewHasher()
+	for _, name := range []string{"desk", "a", "desk", "b"} {
+		h.Add(name)
+	}
+	other := key
+	other.Place = "b"
+	for i, step := range []struct {
+		response *peerpb.RenewResponse
+		want     Outcome
+		a, b     grant.Amount
+	}{
+		{&peerpb.RenewResponse{GrantKeys: h.Sum(), Floors: []uint64{70, 30}, Surpluses: []uint64{0, 0}}, Applied, 70, 30},
+		{&peerpb.RenewResponse{GrantKeys: h.Sum() + 1, Floors: []uint64{900, 900}, Surpluses: []uint64{0, 0}}, Unnamed, 70, 30},
+		{&peerpb.RenewResponse{GrantKeys: h.Sum(), Floors: []uint64{900}, Surpluses: []uint64{0}}, Unnamed, 70, 30},
+		{response(1, 0, 50, 0), Applied, 50, 0},
+	} {
+		step.response.Epoch, step.response.Sequence = 1, uint64(i+2)
+		got := c.Answer(c.Request(start), step.response, start)
+		set := c.Set()
+		if got != step.want || set.Allowed(key, start) != step.a || set.Allowed(other, start) != step.b {
+			t.Errorf("answer %d: outcome %d, set %+v", i, got, set.Grants)
+		}
+		if asks := c.Request(start).GrantNames; asks != (got == Unnamed) {
+			t.Errorf("answer %d: asks for names: %v", i, asks)
+		}
+	}
+}
+
 // A decider lowers a floor of which a part is lent. The acknowledgement would
 // free what the borrower still uses, so it waits for the loan to end.
 func TestLoanHoldsBackTheAcknowledgement(t *testing.T) {
--- a/control/holder/report.go
+++ b/control/holder/report.go
@@ -7,12 +7,15 @@
 	"github.com/yuccaroute/yuccaroute/api/model"
 	"github.com/yuccaroute/yuccaroute/api/peerpb"
 	"github.com/yuccaroute/yuccaroute/api/result"
+	"github.com/yuccaroute/yuccaroute/control/internal/names"
 )
 
 // Sent is a request under way: what was acknowledged in it and when it left.
 type Sent struct {
 	At              time.Time
 	Epoch, Sequence uint64
+	// GrantNames tells that it asks for grants with names.
+	GrantNames bool
 }
 
 // Saw notes that a decider of an epoch has been elected. From then on answers
@@ -26,7 +29,7 @@
 // answer counts from now: the decider counts from receiving the report, which
 // is later, so it never takes a surplus for ended that the node still uses.
 func (c *Core) Request(now time.Time) Sent {
-	return Sent{At: now, Epoch: c.acknowledgedEpoch, Sequence: c.acknowledgedSequence}
+	return Sent{At: now, Epoch: c.acknowledgedEpoch, Sequence: c.acknowledgedSequence, GrantNames: c.unnamed}
 }
 
 // Outcome tells what became of an answer.
@@ -44,6 +47,9 @@
 	Late
 	// Stale: the answer is older than what is in force.
 	Stale
+	// Unnamed: the answer relies on names of grants that the node does not have.
+	// The next request asks for them.
+	Unnamed
 )
 
 // Answer takes in the answer to a request. With Applied, Set returns the new
@@ -62,10 +68,27 @@
 	if response.Unchanged && (sent.Epoch != c.epoch || sent.Sequence != c.sequence) {
 		return Stale
 	}
+	if !c.named(response) {
+		c.unnamed = true
+		return Unnamed
+	}
 	c.apply(sent, response, now)
 	return Applied
 }
 
+// named reports whether the node has the names that the grants in an answer go by.
+//
+// Guard against a decider that gave out other names before: amounts would be taken
+// for those of other places, and these pushed past their capacity. The hash is of
+// the names themselves, so that it cannot agree with others.
+func (c *Core) named(response *peerpb.RenewResponse) bool {
+	if response.GrantKeys == 0 {
+		return true
+	}
+	return response.GrantKeys == c.keysHash &&
+		len(response.Floors) == len(c.keys) && len(response.Surpluses) == len(c.keys)
+}
+
 // late reports whether the answer may rest on a state that is gone: the
 // decider may have removed the node since it sent the answer.
 func (c *Core) late(sent Sent, now time.Time) bool {
@@ -93,7 +116,7 @@
 
 func (c *Core) apply(sent Sent, response *peerpb.RenewResponse, now time.Time) {
 	if !response.Unchanged {
-		c.grants = c.grantsOf(response.Grants)
+		c.grants = c.grantsOf(response)
 	}
 	c.epoch = response.Epoch
 	c.sequence = response.Sequence
@@ -121,18 +144,42 @@
 	c.acknowledgedSequence = c.sequence
 }
 
-func (c *Core) grantsOf(wire []*peerpb.Grant) []grant.Grant {
+// grantsOf returns the grants of an answer that are not empty.
+func (c *Core) grantsOf(response *peerpb.RenewResponse) []grant.Grant {
+	if response.GrantKeys == 0 {
+		return c.learn(response.Grants)
+	}
+	grants := make([]grant.Grant, 0, len(c.keys))
+	for i, key := range c.keys {
+		grants = appendGrant(grants, key, response.Floors[i], response.Surpluses[i])
+	}
+	return grants
+}
+
+// learn takes the names of grants into use.
+func (c *Core) learn(wire []*peerpb.Grant) []grant.Grant {
 	grants := make([]grant.Grant, 0, len(wire))
+	hash := names.NewHasher()
+	c.keys = make([]grant.Key, 0, len(wire))
 	for _, g := range wire {
-		grants = append(grants, grant.Grant{
-			Key:     c.keyOf(g),
-			Floor:   grant.Amount(g.Floor),
-			Surplus: grant.Amount(g.Surplus),
-		})
+		key := c.keyOf(g)
+		c.keys = append(c.keys, key)
+		hash.Add(g.Service)
+		hash.Add(g.Place)
+		grants = appendGrant(grants, key, g.Floor, g.Surplus)
 	}
+	c.keysHash = hash.Sum()
+	c.unnamed = false
 	return grants
 }
 
+func appendGrant(grants []grant.Grant, key grant.Key, floor, surplus uint64) []grant.Grant {
+	if floor == 0 && surplus == 0 {
+		return grants
+	}
+	return append(grants, grant.Grant{Key: key, Floor: grant.Amount(floor), Surplus: grant.Amount(surplus)})
+}
+
 func (c *Core) keyOf(g *peerpb.Grant) grant.Key {
 	return grant.Key{
 		Account: c.options.Account,
--- a/control/holder/rest.go
+++ b/control/holder/rest.go
@@ -32,12 +32,14 @@
 
 // Answered notes that the decider has answered a request made at a time.
 func (t *Told) Answered(request *peerpb.RenewRequest, report observe.Report, response *peerpb.RenewResponse, at time.Time) {
-	t.brief.answered(request, report, response.Epoch, at)
-	t.rest = rest{epoch: response.Epoch, told: report, settled: response.Unchanged && request.RestMs > 0}
+	t.brief.answered(request, report, response, at)
+	settled := response.Unchanged && !response.ReportNames && request.RestMs > 0
+	t.rest = rest{epoch: response.Epoch, told: report, settled: settled}
 }
 
-// Unanswered notes that a request had no answer that could be used.
-func (t *Told) Unanswered() { t.rest = rest{} }
+// Unanswered notes that a request had no answer that could be used: the next one
+// tells all, with all words.
+func (t *Told) Unanswered() { *t = Told{} }
 
 // Enough reports whether a node with a set in force has nothing to tell. recent is
 // what it measured in the last round, whole since its last report: what changes by
--- a/control/holder/runner.go
+++ b/control/holder/runner.go
@@ -285,6 +285,7 @@
 }
 
 func (r *Runner) request(report observe.Report, leaving bool) (*peerpb.RenewRequest, Sent) {
+	_, decider, known := r.options.Decider()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.options.Clock()
@@ -294,11 +295,16 @@
 	r.urgent = r.urgent || r.hastened || short || leaving || r.heard.IsZero()
 	r.hastened = false
 	sent := r.core.Request(now)
+	if known && decider > sent.Epoch {
+		// A new decider has been told nothing.
+		r.told.Unanswered()
+	}
 	request := NewRequest(report)
 	request.Node = r.options.Ref
 	request.Account = string(r.options.Account)
 	request.AppliedEpoch = sent.Epoch
 	request.AppliedSequence = sent.Sequence
+	request.GrantNames = sent.GrantNames
 	request.Leaving = leaving
 	request.Stopped = r.core.Stopped(now)
 	request.Short = short
--- a/control/modelcheck/message_test.go
+++ b/control/modelcheck/message_test.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/yuccaroute/yuccaroute/api/observe"
 	"github.com/yuccaroute/yuccaroute/api/peerpb"
 	"github.com/yuccaroute/yuccaroute/control/holder"
 )
@@ -19,6 +20,7 @@
 
 type renewCall struct {
 	request *peerpb.RenewRequest
+	report  observe.Report
 	sent    holder.Sent
 }
 
--- a/control/modelcheck/process_test.go
+++ b/control/modelcheck/process_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/yuccaroute/yuccaroute/api/grant"
 	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/api/observe"
 	"github.com/yuccaroute/yuccaroute/api/peerpb"
 	"github.com/yuccaroute/yuccaroute/control/decider"
 	"github.com/yuccaroute/yuccaroute/control/holder"
@@ -29,6 +30,7 @@
 	// deaf cuts it off from the deciders, but not from other nodes.
 	deaf   bool
 	holder *holder.Core
+	told   holder.Told
 	// asked is the report under way.
 	asked    *renewCall
 	askedAt  time.Time
@@ -132,6 +134,7 @@
 	now := p.local()
 	if p.asked != nil && (now.Sub(p.askedAt) >= p.w.holderOptions.RequestTimeout || p.w.chance(impatientPercent)) {
 		p.asked = nil
+		p.told.Unanswered()
 		p.borrow()
 	}
 	if p.asked != nil || now.Before(p.nextAsk) {
@@ -150,14 +153,14 @@
 		return
 	}
 	sent := p.holder.Request(now)
-	call := &renewCall{sent: sent, request: &peerpb.RenewRequest{
-		Node:            p.ref,
-		AppliedEpoch:    sent.Epoch,
-		AppliedSequence: sent.Sequence,
-		Flows:           p.flows(),
-		Stopped:         p.holder.Stopped(now),
-		Short:           p.w.chance(shortPercent),
-	}}
+	report := p.measured()
+	request := holder.NewRequest(report)
+	request.Node = p.ref
+	request.AppliedEpoch, request.AppliedSequence, request.GrantNames = sent.Epoch, sent.Sequence, sent.GrantNames
+	request.Stopped = p.holder.Stopped(now)
+	request.Short = p.w.chance(shortPercent)
+	p.told.Shorten(request, report, p.holder.Set(), now)
+	call := &renewCall{sent: sent, request: request, report: report}
 	p.asked = call
 	p.askedAt = now
 	if !p.deaf {
@@ -165,12 +168,13 @@
 	}
 }
 
-func (p *process) flows() []*peerpb.FlowDemand {
-	var flows []*peerpb.FlowDemand
-	for _, r := range p.w.account(0).Regions {
-		flows = append(flows, &peerpb.FlowDemand{Service: service, Caller: string(r.Name), OfferedRps: float32(p.offered)})
+// measured is a report of the demand in front of the process.
+func (p *process) measured() observe.Report {
+	var r observe.Report
+	for _, region := range p.w.account(0).Regions {
+		r.Flows = append(r.Flows, observe.FlowDemand{Service: service, Caller: region.Name, OfferedRPS: p.offered})
 	}
-	return flows
+	return r
 }
 
 // renew is the decider's answer. The lease is checked after the report came;
@@ -228,8 +232,10 @@
 		p.asked = nil
 	}
 	if p.holder.Answer(call.sent, response, p.local()) != holder.Applied {
+		p.told.Unanswered()
 		return
 	}
+	p.told.Answered(call.request, call.report, response, call.sent.At)
 	p.transfer = 0
 	if response.Epoch < p.epochSeen {
 		p.w.fail("%s applied epoch %d after %d", p.id.VM, response.Epoch, p.epochSeen)
--- a/control/raise_test.go
+++ b/control/raise_test.go
@@ -144,7 +144,11 @@
 // node every second would spend its network on nothing. Then the callers of one
 // node come: what the nodes at rest hold must be moved soon all the same.
 func TestNodesAtRestReportSeldom(t *testing.T) {
-	const seconds, nodes = 100, 32
+	const (
+		seconds, nodes = 100, 32
+		// wordless bounds the bytes of a report without names and its answer.
+		wordless = 75
+	)
 	for _, offered := range []float64{0, 20} {
 		within(t, nodes, func(t *testing.T, f *fleet) {
 			f.offer(offered)
@@ -157,6 +161,9 @@
 			if used.calls+used.asked > nodes*seconds/8 || used.calls < nodes*seconds/12 {
 				t.Errorf("%d calls in %d s", used.calls, seconds)
 			}
+			if each := used.bytes / max(used.calls, 1); each > wordless {
+				t.Errorf("a report and its answer have %d bytes in the mean", each)
+			}
 			began = f.usage()
 			one := f.timeRaise(f.nodes[3], 300)
 			after := f.usage().sub(began)
--- a/control/relay/relay.go
+++ b/control/relay/relay.go
@@ -81,7 +81,7 @@
 // shows as not-leader answers for one domain only. The guard holds because a node
 // that knows a newer decider is told at once and reports directly.
 func (r *Relay) Pass(ctx context.Context, request *peerpb.PassRequest) (*peerpb.RenewResponse, error) {
-	if request.Report.GetNode() == nil || request.Report.Stopped {
+	if unnamed := request.Report.GetNode() == nil && request.Report.GetNodeKey() == 0; unnamed || request.Report.Stopped {
 		return &peerpb.RenewResponse{Code: uint32(result.BadRequest)}, nil
 	}
 	account := model.AccountName(request.Report.Account)
