lookup/blocks: index the IPv4 ranges by first octet

Ruled out: an index by two octets, 256 KB a set of blocks.

Change: 257 positions, 1 KB a set, bound the search to the ranges of one first octet. The test against a scan covers several octets and blocks wider than one.

--- a/lookup/blocks/build.go
+++ b/lookup/blocks/build.go
@@ -103,7 +103,13 @@
 		d.add(prefix, uint32(i))
 	}
 	d.finish()
-	return &Table{four: d.four, six: d.six, hashes: hashes, sum: sum}
+	return &Table{
+		four:   d.four,
+		octets: newOctetIndex(d.four.starts),
+		six:    d.six,
+		hashes: hashes,
+		sum:    sum,
+	}
 }
 
 // keyBytes is an address of 16 bytes, its family and the prefix length.
--- a/lookup/blocks/ranges.go
+++ b/lookup/blocks/ranges.go
@@ -79,6 +79,34 @@
 	r.ordinals = slices.Clone(r.ordinals)
 }
 
+// octets is how many first octets an IPv4 address can have.
+const octets = 256
+
+// octetShift moves the first octet of an address to the lowest place.
+const octetShift = 24
+
+// octetIndex shortens the search among IPv4 ranges: it holds for each first octet
+// the position of the first range that starts in it or behind.
+type octetIndex [octets + 1]uint32
+
+func newOctetIndex(starts []address4) *octetIndex {
+	var index octetIndex
+	for octet := range octets {
+		position, _ := slices.BinarySearch(starts, address4(octet)<<octetShift)
+		index[octet] = uint32(position)
+	}
+	index[octets] = uint32(len(starts))
+	return &index
+}
+
+// search is slices.BinarySearch of the starts that the index was made from.
+func (x *octetIndex) search(starts []address4, address address4) (position int, isStart bool) {
+	octet := address >> octetShift
+	from, to := x[octet], x[octet+1]
+	position, isStart = slices.BinarySearch(starts[from:to], address)
+	return int(from) + position, isStart
+}
+
 // divider turns nested blocks, sorted by address and then the widest first, into
 // ranges that do not overlap.
 type divider struct {
--- a/lookup/blocks/table.go
+++ b/lookup/blocks/table.go
@@ -22,8 +22,9 @@
 // Table is an immutable longest-prefix table: the blocks divided into ranges of
 // addresses, found by binary search.
 type Table struct {
-	four ranges[address4]
-	six  ranges[address6]
+	four   ranges[address4]
+	octets *octetIndex
+	six    ranges[address6]
 	// hashes is indexed by Block.Ordinal.
 	hashes []uint32
 	// sum identifies the set of prefixes.
@@ -42,7 +43,7 @@
 func (t *Table) ordinal(addr netip.Addr) uint32 {
 	switch {
 	case addr.Is4():
-		return t.four.at(slices.BinarySearch(t.four.starts, newAddress4(addr)))
+		return t.four.at(t.octets.search(t.four.starts, newAddress4(addr)))
 	case addr.Is6():
 		return t.six.at(slices.BinarySearchFunc(t.six.starts, newAddress6(addr), compare6))
 	default:
--- a/lookup/blocks/table_test.go
+++ b/lookup/blocks/table_test.go
@@ -52,7 +52,7 @@
 
 // randomAddr returns one of the last addresses of a family.
 func randomAddr(random *rand.Rand) netip.Addr {
-	low := [4]byte{0xff, 0xfc | byte(random.IntN(4)), byte(random.IntN(256)), byte(random.IntN(256))}
+	low := [4]byte{0xfc | byte(random.IntN(4)), 0xfc | byte(random.IntN(4)), byte(random.IntN(256)), byte(random.IntN(256))}
 	if random.IntN(2) == 0 {
 		return netip.AddrFrom4(low)
 	}
@@ -63,7 +63,7 @@
 
 func randomBlock(random *rand.Rand) model.CallerBlock {
 	addr := randomAddr(random)
-	prefix := netip.PrefixFrom(addr, addr.BitLen()-random.IntN(25)).Masked()
+	prefix := netip.PrefixFrom(addr, addr.BitLen()-random.IntN(28)).Masked()
 	return model.CallerBlock{Prefix: prefix, Region: model.RegionName(fmt.Sprintf("r%d", random.IntN(5)))}
 }
 
