config/inifile: find sections by an index

Cause: in a profile of merges of accounts from documents, the look-up of values took 16 % of the samples, most of it a walk through all sections of a document for each key. Change: a view indexes the sections of its layers at its first look-up.

--- a/config/inifile/document.go
+++ b/config/inifile/document.go
@@ -50,6 +50,19 @@
 	return nil
 }
 
+// sectionsByKey indexes the first section of each kind and name.
+func (d *Document) sectionsByKey() map[sectionKey]*Section {
+	index := make(map[sectionKey]*Section, len(d.Sections))
+	for i := range d.Sections {
+		s := &d.Sections[i]
+		key := sectionKey{s.Kind, s.Name}
+		if index[key] == nil {
+			index[key] = s
+		}
+	}
+	return index
+}
+
 // Find returns the first key of a name, or nil.
 func (s *Section) Find(key string) *Key {
 	for i := range s.Keys {
--- a/config/inifile/view.go
+++ b/config/inifile/view.go
@@ -23,8 +23,13 @@
 type View struct {
 	Schema Schema
 	Layers []Layer
+	// index finds the sections of each layer. It is made by the first Lookup, which
+	// must not run beside another; a document may have hundreds of sections.
+	index []map[sectionKey]*Section
 }
 
+type sectionKey struct{ kind, name string }
+
 // Value is a setting and where it came from.
 type Value struct {
 	Text   string
@@ -55,7 +60,7 @@
 func (v *View) Lookup(kind, name, key string) (Value, bool) {
 	for i := len(v.Layers) - 1; i >= 0; i-- {
 		layer := &v.Layers[i]
-		section := layer.Doc.Find(kind, name)
+		section := v.section(i, kind, name)
 		if section == nil {
 			continue
 		}
@@ -70,12 +75,22 @@
 	return Value{Text: spec.Default, Origin: OriginDefault}, true
 }
 
+// section returns the first section of a kind and name in a layer, or nil.
+func (v *View) section(layer int, kind, name string) *Section {
+	if v.index == nil {
+		v.index = make([]map[sectionKey]*Section, len(v.Layers))
+		for i := range v.Layers {
+			v.index[i] = v.Layers[i].Doc.sectionsByKey()
+		}
+	}
+	return v.index[layer][sectionKey{kind, name}]
+}
+
 // Place returns where a section stands: in the last layer that has it.
 func (v *View) Place(kind, name string) (file string, line int) {
 	for i := len(v.Layers) - 1; i >= 0; i-- {
-		doc := v.Layers[i].Doc
-		if section := doc.Find(kind, name); section != nil {
-			return doc.File, section.Line
+		if section := v.section(i, kind, name); section != nil {
+			return v.Layers[i].Doc.File, section.Line
 		}
 	}
 	return v.Layers[len(v.Layers)-1].Doc.File, 0
