config, node, spread: spread documents and merge them on the nodes

Cause: a watcher merged each account with its template and emitted it whole. A change of a template of 448 bytes reached a node as all its accounts, 652 bytes each: 22 s at 100 accounts and a node's budget of 3,000 bytes/s, 18 minutes at 5,000.

A sum over versions takes a template and an account of two histories of a store that went back for one cut; the template that an account was changed with is not known to a watcher that starts later; a sum over all documents held never matches again after an owner adopted a state that lacks one of them. Also one item that names sets of documents as content: it would have to name the caller blocks of all accounts.

A node is ready when it has merged what it holds. A survey asks nodes for the version in force also where no item has the key's name. Accounts of a template that lists caller blocks come merged as before; with merged_accounts = yes watchers emit both, for an upgrade. Readers of compressed data are used again.

Tests changed: the benchmarks of config/source/cost_test.go take the form, and "as document" runs the items that the source emits in place of a stand-in. No other test was changed.

The race of operators with real processes passes.

--- a/config/builder.go
+++ b/config/builder.go
@@ -30,6 +30,9 @@
 		OutageOrders: b.outageOrders(),
 		Drains:       b.drains(),
 		Callers:      b.callers(),
+		// Of a document that was spread.
+		CallerSets:    doc.callerSets,
+		CallerRegions: doc.callerRegions,
 	}
 }
 
@@ -197,10 +200,17 @@
 func (b *builder) callers() []model.CallerBlock {
 	var blocks []model.CallerBlock
 	for _, region := range b.enabled[kindCallers] {
-		for _, text := range inifile.SplitList(b.view.Text(kindCallers, region, keyBlocks)) {
-			prefix, _ := netip.ParsePrefix(text)
-			blocks = append(blocks, model.CallerBlock{Prefix: prefix, Region: model.RegionName(region)})
-		}
+		blocks = append(blocks, blocksOf(region, b.view.Text(kindCallers, region, keyBlocks))...)
+	}
+	return blocks
+}
+
+// blocksOf reads a list of blocks that passed the schema.
+func blocksOf(region, list string) []model.CallerBlock {
+	var blocks []model.CallerBlock
+	for _, text := range inifile.SplitList(list) {
+		prefix, _ := netip.ParsePrefix(text)
+		blocks = append(blocks, model.CallerBlock{Prefix: prefix, Region: model.RegionName(region)})
 	}
 	return blocks
 }
--- a/config/codec.go
+++ b/config/codec.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"encoding/binary"
 	"io"
+	"sync"
 
 	"github.com/goccy/go-json"
 	"github.com/pkg/errors"
@@ -53,12 +54,17 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	body := []byte{dividedMark}
+	return append(appendNames(nil, contents), packed...), contents, nil
+}
+
+// appendNames writes the names that cutNames reads.
+func appendNames(body []byte, contents []Content) []byte {
+	body = append(body, dividedMark)
 	body = binary.AppendUvarint(body, uint64(len(contents)))
 	for i := range contents {
 		body = append(body, contents[i].Name[:]...)
 	}
-	return append(body, packed...), contents, nil
+	return body
 }
 
 // CallerSets returns the names of the sets of caller blocks that an account's
@@ -125,8 +131,16 @@
 	return body.Bytes(), nil
 }
 
+// unpackers keeps readers: each has a window of 32 KB, and a merge of all accounts
+// of a template would make one for each.
+var unpackers = sync.Pool{New: func() any { return flate.NewReader(nil) }}
+
 func unpack(body []byte, value any, what string) error {
-	unpacker := flate.NewReader(bytes.NewReader(body))
+	unpacker := unpackers.Get().(io.Reader)
+	defer unpackers.Put(unpacker)
+	if err := unpacker.(flate.Resetter).Reset(bytes.NewReader(body), nil); err != nil {
+		return errors.Wrapf(err, "config: unpack %s", what)
+	}
 	text, err := io.ReadAll(io.LimitReader(unpacker, maxDecodedBytes+1))
 	if err != nil {
 		return errors.Wrapf(err, "config: unpack %s", what)
--- a/config/document.go
+++ b/config/document.go
@@ -1,6 +1,10 @@
 package config
 
-import "github.com/yuccaroute/yuccaroute/config/inifile"
+import (
+	"github.com/yuccaroute/yuccaroute/api/content"
+	"github.com/yuccaroute/yuccaroute/api/model"
+	"github.com/yuccaroute/yuccaroute/config/inifile"
+)
 
 // Template is a parsed template. It is immutable.
 type Template struct {
@@ -16,6 +20,10 @@
 	Template string
 	Text     []byte
 	doc      *inifile.Document
+	// callerSets and callerRegions stand for caller blocks that are not in doc, in
+	// a document that was spread.
+	callerSets    []content.Name
+	callerRegions []model.RegionName
 }
 
 // ParseTemplate reads and checks a template on its own. The error is Problems.
@@ -24,11 +32,15 @@
 	if problems != nil {
 		return nil, problems
 	}
+	return newTemplate(doc, text), nil
+}
+
+func newTemplate(doc *inifile.Document, text []byte) *Template {
 	return &Template{
 		Name: doc.Find(kindTemplate, "").Find(keyName).Value,
 		Text: text,
 		doc:  doc,
-	}, nil
+	}
 }
 
 // ParseAccount reads and checks an account document on its own. The error is
@@ -38,13 +50,17 @@
 	if problems != nil {
 		return nil, problems
 	}
+	return newAccountDocument(doc, text), nil
+}
+
+func newAccountDocument(doc *inifile.Document, text []byte) *AccountDocument {
 	head := doc.Find(kindAccount, "")
 	return &AccountDocument{
 		Name:     head.Find(keyName).Value,
 		Template: head.Find(keyTemplate).Value,
 		Text:     text,
 		doc:      doc,
-	}, nil
+	}
 }
 
 func parse(file string, text []byte, schema inifile.Schema, head string) (*inifile.Document, Problems) {
@@ -52,6 +68,12 @@
 	if doc == nil {
 		return nil, problems
 	}
+	return checked(doc, problems, schema, head)
+}
+
+// checked returns the document unless it has problems of its own or those found
+// before.
+func checked(doc *inifile.Document, problems Problems, schema inifile.Schema, head string) (*inifile.Document, Problems) {
 	problems = append(problems, schema.Check(doc)...)
 	problems = append(problems, missingHead(doc, schema.Section(head))...)
 	if len(problems) > 0 {
--- a/config/settings/load.go
+++ b/config/settings/load.go
@@ -104,6 +104,7 @@
 		ReadsPerSecond:  v.Number(sectionPlatform, "", keyReads),
 		WritesPerSecond: v.Number(sectionPlatform, "", keyWrites),
 		VMListInterval:  v.Duration(sectionPlatform, "", keyVMListInterval, time.Millisecond),
+		MergedAccounts:  v.Yes(sectionPlatform, "", keyMergedAccounts),
 	}
 }
 
--- a/config/settings/schema.go
+++ b/config/settings/schema.go
@@ -32,6 +32,7 @@
 	keyReads             = "reads_per_second"
 	keyWrites            = "writes_per_second"
 	keyVMListInterval    = "vm_list_interval_ms"
+	keyMergedAccounts    = "merged_accounts"
 	keyBuffered          = "buffered_bytes"
 	keyKeptAnswers       = "kept_answer_bytes"
 	keyStreamOver        = "stream_over_bytes"
@@ -92,6 +93,7 @@
 		{Name: keyReads, Value: callRate, Default: "50"},
 		{Name: keyWrites, Value: callRate, Default: "20"},
 		{Name: keyVMListInterval, Value: timeout, Default: "1000"},
+		{Name: keyMergedAccounts, Value: inifile.YesNo, Default: "no"},
 	}},
 	{Kind: sectionLimits, Keys: []inifile.KeySpec{
 		{Name: keyBuffered, Value: someBytes, Default: "268435456"},
--- a/config/settings/settings.go
+++ b/config/settings/settings.go
@@ -50,6 +50,10 @@
 	ReadsPerSecond, WritesPerSecond float64
 	// VMListInterval is the time between two readings of the list.
 	VMListInterval time.Duration
+	// MergedAccounts makes the node, when it watches the store, spread each account
+	// merged with its template beside the documents, for nodes of a release that
+	// does not merge them.
+	MergedAccounts bool
 }
 
 // Limits bounds what one process holds.
--- a/config/source/cost_test.go
+++ b/config/source/cost_test.go
@@ -1,10 +1,9 @@
 package source_test
 
 import (
-	"bytes"
-	"compress/flate"
 	"context"
 	"fmt"
+	"regexp"
 	"runtime"
 	"strings"
 	"testing"
@@ -35,7 +34,7 @@
 
 // emittedByTemplateChange is what the source emits for one change of a
 // template with so many accounts.
-func emittedByTemplateChange(b *testing.B, accounts int) [][]byte {
+func emittedByTemplateChange(b *testing.B, form source.Form, accounts int) [][]byte {
 	b.Helper()
 	kv := memkv.New(memkv.Options{})
 	head := changelog.Head{Version: changelog.Version{Epoch: 1, Sequence: 1}, Audited: 1, Accounts: map[string]changelog.Object{}}
@@ -62,7 +61,7 @@
 	defer cancel()
 	var bodies [][]byte
 	log := changelog.New(kv, changelog.Options{})
-	_ = source.New(kv, log, quiet()).Run(ctx, func(key string, _, _ uint64, body []byte) {
+	_ = source.NewIn(form, kv, log, quiet()).Run(ctx, func(key string, _, _ uint64, body []byte) {
 		bodies = append(bodies, append([]byte(key), body...))
 		if strings.HasPrefix(key, source.HeadKeyPrefix) {
 			cancel()
@@ -76,7 +75,7 @@
 func BenchmarkTemplateChangeAsAccounts(b *testing.B) {
 	for _, accounts := range sizes {
 		b.Run(fmt.Sprint(accounts), func(b *testing.B) {
-			bodies := emittedByTemplateChange(b, accounts)
+			bodies := emittedByTemplateChange(b, source.Accounts, accounts)
 			b.ResetTimer()
 			for b.Loop() {
 				for i, body := range bodies[:accounts] {
@@ -91,33 +90,49 @@
 	}
 }
 
-// BenchmarkTemplateChangeAsDocument is the same change as one document, which
-// the node merges with the accounts' documents that it holds compressed.
+// BenchmarkTemplateChangeAsDocument is the same change as the source emits it in
+// documents: the template and the cut. The node merges it with the accounts'
+// documents, which it holds compressed.
 func BenchmarkTemplateChangeAsDocument(b *testing.B) {
 	for _, accounts := range sizes {
 		b.Run(fmt.Sprint(accounts), func(b *testing.B) {
-			template := packed(b, examples.Text("dealer"))
+			items := map[string][]byte{}
+			for _, body := range emittedByTemplateChange(b, source.Documents, accounts) {
+				key, rest := keyOf(body)
+				items[key] = rest
+			}
 			held := make([][]byte, accounts)
 			for i := range held {
-				_, text := accountDocument(i)
-				held[i] = packed(b, text)
+				name, _ := accountDocument(i)
+				held[i] = items[source.DocumentKey("dealer", name)]
 			}
+			template, cut := items[source.TemplateKey("dealer")], items[source.CutKey("dealer")]
 			b.ResetTimer()
 			for b.Loop() {
-				parsed, err := config.ParseTemplate("template", unpacked(b, template))
+				parsed, err := config.DecodeTemplate("template", template)
 				if err != nil {
 					b.Fatal(err)
 				}
 				for _, body := range held {
-					mustResolve(b, parsed, unpacked(b, body))
+					mustResolve(b, parsed, body)
 				}
 			}
-			report(b, len(template))
+			report(b, len(template)+len(cut))
 			b.ReportMetric(float64(sumOf(held)), "held-B")
 		})
 	}
 }
 
+// keyOf divides a body that emittedByTemplateChange returned. The key ends with
+// the name of the template or an account.
+func keyOf(body []byte) (key string, rest []byte) {
+	end := regexp.MustCompile(`^[a-z]+/dealer(/account-\d{5})?`).FindIndex(body)
+	if end == nil {
+		return "", nil
+	}
+	return string(body[:end[1]]), body[end[1]:]
+}
+
 // BenchmarkParsedInMemory is what a node would keep to merge without parsing
 // again.
 func BenchmarkParsedInMemory(b *testing.B) {
@@ -154,8 +169,8 @@
 	b.ReportMetric(cpu/nodeCoreShare, "s-by-cpu")
 }
 
-func mustResolve(b *testing.B, template *config.Template, text []byte) *model.Account {
-	document, err := config.ParseAccount("account", text)
+func mustResolve(b *testing.B, template *config.Template, body []byte) *model.Account {
+	document, err := config.DecodeAccountDocument("account", body)
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -166,27 +181,6 @@
 	return resolved.Account
 }
 
-func packed(b *testing.B, text []byte) []byte {
-	var body bytes.Buffer
-	packer, err := flate.NewWriter(&body, flate.DefaultCompression)
-	if err != nil {
-		b.Fatal(err)
-	}
-	_, _ = packer.Write(text)
-	if err := packer.Close(); err != nil {
-		b.Fatal(err)
-	}
-	return body.Bytes()
-}
-
-func unpacked(b *testing.B, body []byte) []byte {
-	var text bytes.Buffer
-	if _, err := text.ReadFrom(flate.NewReader(bytes.NewReader(body))); err != nil {
-		b.Fatal(err)
-	}
-	return text.Bytes()
-}
-
 func sumOf(bodies [][]byte) int {
 	total := 0
 	for _, body := range bodies {
--- a/config/source/source.go
+++ b/config/source/source.go
@@ -41,6 +41,7 @@
 
 // Source emits accounts. Run it from one goroutine at a time.
 type Source struct {
+	form   Form
 	kv     store.KV
 	log    *changelog.Log
 	logger logrus.FieldLogger
@@ -51,12 +52,18 @@
 	lastRead atomic.Pointer[time.Time]
 }
 
-// New returns a source that reads documents through log and watches kv.
+// New returns a source that reads documents through log and watches kv. It emits
+// accounts merged.
 func New(kv store.KV, log *changelog.Log, logger logrus.FieldLogger) *Source {
+	return NewIn(Accounts, kv, log, logger)
+}
+
+// NewIn is New with the form in which accounts are emitted.
+func NewIn(form Form, kv store.KV, log *changelog.Log, logger logrus.FieldLogger) *Source {
 	if logger == nil {
 		logger = logrus.StandardLogger()
 	}
-	return &Source{kv: kv, log: log, logger: logger}
+	return &Source{form: form, kv: kv, log: log, logger: logger}
 }
 
 // Run emits every account and then every change until the context ends or the
@@ -211,37 +218,10 @@
 	return s.log.RawHead(ctx, template)
 }
 
-// head emits what changed in one head.
-func (s *Source) head(ctx context.Context, template string, head *changelog.Head, emit Emit) error {
-	s.log.Remember(template, head)
-	for name, sequence := range head.Gone {
-		s.gone(name, changelog.Version{Epoch: head.Epoch, Sequence: sequence}, emit)
-	}
-	if err := s.accounts(ctx, template, head, emit); err != nil {
-		return err
-	}
-	s.sighting(template, head.Sighting(), emit)
-	return nil
-}
-
 // sighting tells all nodes which state of the head is the newest, for their
 // guards.
 func (s *Source) sighting(template string, seen changelog.Sighting, emit Emit) {
-	key := HeadKeyPrefix + template
-	if !s.emitted[key].Less(seen.Version) {
-		return
-	}
-	emit(key, seen.Epoch, seen.Sequence, []byte(seen.Last))
-	s.emitted[key] = seen.Version
-}
-
-func (s *Source) gone(account string, version changelog.Version, emit Emit) {
-	key := Key(account)
-	if !s.emitted[key].Less(version) {
-		return
-	}
-	emit(key, version.Epoch, version.Sequence, nil)
-	s.emitted[key] = version
+	s.item(HeadKeyPrefix+template, seen.Version, []byte(seen.Last), emit)
 }
 
 func (s *Source) accounts(ctx context.Context, template string, head *changelog.Head, emit Emit) error {
@@ -266,17 +246,16 @@
 		if err != nil {
 			return err
 		}
-		emit(key, version.Epoch, version.Sequence, body)
+		s.item(key, version, body, emit)
 		for i := range contents {
 			emit(contents[i].Name.Key(), 0, 0, contents[i].Body)
 		}
-		s.emitted[key] = version
 	}
 	return nil
 }
 
-// body encodes an account and the content that it names. It depends on the head's content alone, so that all
-// watchers emit the same bytes for a version.
+// body encodes an account and the content that it names. It depends on the head's
+// content alone, so that all watchers emit the same bytes for a version.
 func (s *Source) body(ctx context.Context, head *changelog.Head, template *config.Template, name string, version changelog.Version) ([]byte, []config.Content, error) {
 	document, err := s.log.ParsedAccount(ctx, head, name)
 	if err != nil {
--- a/node/accounts.go
+++ b/node/accounts.go
@@ -8,53 +8,63 @@
 	"time"
 
 	"github.com/yuccaroute/yuccaroute/api/model"
-	"github.com/yuccaroute/yuccaroute/config/changelog"
+	"github.com/yuccaroute/yuccaroute/node/merge"
 )
 
 // inForce is an account in force on this node with the version that it came
 // with and when it was put in force.
 type inForce struct {
 	account *model.Account
-	version changelog.Version
+	// callers holds the bodies of the account's CallerSets. The node's items drop
+	// them when a newer document arrives, which may not be in force for a while.
+	callers [][]byte
+	state   merge.State
 	since   time.Time
 }
 
 // accountSet holds the accounts in force on this node. Readers take an
 // immutable slice; writers replace it.
 type accountSet struct {
-	mu      sync.Mutex
-	byName  map[model.AccountName]inForce
+	mu     sync.Mutex
+	byName map[model.AccountName]inForce
+	// deleted holds the accounts that were taken out of force.
+	deleted map[model.AccountName]merge.State
 	current atomic.Pointer[[]*model.Account]
 }
 
 func newAccountSet() *accountSet {
-	s := &accountSet{byName: make(map[model.AccountName]inForce)}
+	s := &accountSet{byName: make(map[model.AccountName]inForce), deleted: make(map[model.AccountName]merge.State)}
 	s.publish()
 	return s
 }
 
 // set puts an account in force.
-func (s *accountSet) set(a *model.Account, version changelog.Version) {
+func (s *accountSet) set(a *model.Account, callers [][]byte, state merge.State) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.byName[a.Name] = inForce{account: a, version: version, since: time.Now()}
+	s.byName[a.Name] = inForce{account: a, callers: callers, state: state, since: time.Now()}
+	delete(s.deleted, a.Name)
 	s.publish()
 }
 
-func (s *accountSet) remove(name model.AccountName) {
+func (s *accountSet) remove(name model.AccountName, state merge.State) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.byName, name)
+	s.deleted[name] = state
 	s.publish()
 }
 
-// version returns the version of an account that is in force; ok is false when
-// none is.
-func (s *accountSet) version(name model.AccountName) (version changelog.Version, ok bool) {
+// state returns the state of an account that is in force or was deleted; ok is
+// false when nothing is known of it.
+func (s *accountSet) state(name model.AccountName) (state merge.State, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	in, ok := s.byName[name]
-	return in.version, ok
+	if in, ok := s.byName[name]; ok {
+		return in.state, true
+	}
+	state, ok = s.deleted[name]
+	return state, ok
 }
 
 // allInForce returns the accounts sorted by name, each with its own version. The
--- a/node/admin.go
+++ b/node/admin.go
@@ -118,21 +118,17 @@
 // Live implements admin.LiveAccounts.
 func (p operatorPorts) Live() []wire.LiveAccount {
 	status := p.node.spread.Status()
-	items := p.node.spread.Snapshot()
 	var live []wire.LiveAccount
 	for _, a := range p.node.accounts.allInForce() {
-		whole, err := withCallers(a.account, items)
-		if errors.Is(err, errContentGone) {
-			a, whole, err = p.node.replacing(a, items)
-		}
+		whole, err := withCallers(a.account, a.callers)
 		if err != nil {
 			p.node.log.WithError(err).WithField("account", a.account.Name).Error("node: cannot read an account")
 			continue
 		}
 		live = append(live, wire.LiveAccount{
 			Account:  whole,
-			Epoch:    a.version.Epoch,
-			Sequence: a.version.Sequence,
+			Epoch:    a.state.Version.Epoch,
+			Sequence: a.state.Version.Sequence,
 			Since:    a.since,
 			AgeMS:    storeAge(&status),
 		})
--- a/node/http.go
+++ b/node/http.go
@@ -87,7 +87,7 @@
 // serveHealth answers 200 while the node takes requests and knows what is in
 // force, 503 otherwise.
 func (n *Node) serveHealth(w http.ResponseWriter, _ *http.Request) {
-	if n.leaving.Load() || !n.spread.Ready() {
+	if n.leaving.Load() || !n.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/node/items.go
+++ b/node/items.go
@@ -2,10 +2,8 @@
 
 import (
 	"strings"
-	"time"
 
 	"github.com/goccy/go-json"
-	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/yuccaroute/yuccaroute/api/content"
@@ -16,6 +14,7 @@
 	"github.com/yuccaroute/yuccaroute/config/changelog"
 	"github.com/yuccaroute/yuccaroute/config/source"
 	"github.com/yuccaroute/yuccaroute/control"
+	"github.com/yuccaroute/yuccaroute/node/merge"
 	"github.com/yuccaroute/yuccaroute/spread"
 	"github.com/yuccaroute/yuccaroute/spread/item"
 )
@@ -25,6 +24,9 @@
 	n.spread.OnItem(source.KeyPrefix, n.onAccount)
 	n.spread.OnItem(control.PlanPrefix, n.onPlan)
 	n.spread.OnItem(source.HeadKeyPrefix, n.onHead)
+	n.spread.OnItem(source.TemplateKeyPrefix, n.merger.OnItem)
+	n.spread.OnItem(source.DocumentKeyPrefix, n.merger.OnItem)
+	n.spread.OnItem(source.CutKeyPrefix, n.merger.OnItem)
 }
 
 // onHead tells the guard which state of a template is in force elsewhere. A
@@ -34,15 +36,15 @@
 	source.Learn(n.changes.Guard(), it.Key, it.Epoch, it.Sequence, it.Body)
 }
 
-// onAccount puts an account in force. An item that does not decode leaves the
-// account as it is: it was checked before it was accepted, so it comes from a
-// newer release, and the older state in force is better than none.
+// onAccount puts an account in force that arrived merged. An item that does not
+// decode leaves the account as it is: it was checked before it was accepted, so
+// it comes from a newer release, and the older state in force is better than
+// none.
 func (n *Node) onAccount(it item.Item) {
 	name := model.AccountName(strings.TrimPrefix(it.Key, source.KeyPrefix))
+	state := merge.State{Version: changelog.Version{Epoch: it.Epoch, Sequence: it.Sequence}}
 	if it.Deleted {
-		n.accounts.remove(name)
-		n.lookup.RemoveAccount(name)
-		n.proxy.RemoveAccount(name)
+		n.Remove(name, state)
 		return
 	}
 	account, err := config.Decode(it.Body)
@@ -50,43 +52,92 @@
 		n.log.WithError(err).WithField("account", name).Error("node: cannot read an account")
 		return
 	}
-	withBlocks := account
-	if len(account.CallerSets) > 0 && !n.lookup.HasBlocks(account.CallerSets) {
-		withBlocks, err = withCallers(account, n.spread.Snapshot())
+	items := n.spread.Snapshot()
+	if overtaken(items, account, state) {
+		return
 	}
-	if errors.Is(err, errContentGone) {
+	callers, ok := callerBodies(account, items)
+	if !ok {
+		// Content is held as long as the state that names it, so a later state is on
+		// its way.
 		return
 	}
-	if err != nil {
+	if err := n.Put(account, callers, state); err != nil {
 		n.log.WithError(err).WithField("account", name).Error("node: cannot read the caller blocks of an account")
-		return
+	}
+}
+
+// overtaken reports whether the account's template is spread in documents of the
+// same or a later cut. Accounts that arrived merged before that stay among the
+// items; a node that starts gets both, and must not go back to the older one until
+// it has merged the documents.
+func overtaken(items *item.Snapshot, account *model.Account, state merge.State) bool {
+	it, ok := items.Get(source.CutKey(account.Template))
+	if !ok {
+		return false
+	}
+	cut, err := source.DecodeCut(it.Body)
+	return err == nil && cut.Merged && !(changelog.Version{Epoch: it.Epoch, Sequence: it.Sequence}).Less(state.Version)
+}
+
+// State implements merge.Accounts.
+func (n *Node) State(name model.AccountName) (merge.State, bool) { return n.accounts.state(name) }
+
+// Put implements merge.Accounts. Accounts arrive merged and as documents, in two
+// goroutines; the lock makes the later state win in every order.
+func (n *Node) Put(account *model.Account, callers [][]byte, state merge.State) error {
+	n.putting.Lock()
+	defer n.putting.Unlock()
+	if old, known := n.accounts.state(account.Name); known && !state.Replaces(old) {
+		return nil
+	}
+	withBlocks := account
+	if len(account.CallerSets) > 0 && !n.lookup.HasBlocks(account.CallerSets) {
+		var err error
+		if withBlocks, err = withCallers(account, callers); err != nil {
+			return err
+		}
 	}
 	n.lookup.SetAccount(withBlocks)
 	n.proxy.SetAccount(account)
 	// Last, as operators read from here what is in force: requests are served by
 	// it by then.
-	n.accounts.set(account, changelog.Version{Epoch: it.Epoch, Sequence: it.Sequence})
+	n.accounts.set(account, callers, state)
+	return nil
 }
 
-// errContentGone tells that content an account names is not held any more. It
-// is held as long as the state that names it, so a later state is on its way.
-var errContentGone = errors.New("node: the account's caller blocks are not held any more")
+// Remove implements merge.Accounts.
+func (n *Node) Remove(name model.AccountName, state merge.State) {
+	n.putting.Lock()
+	defer n.putting.Unlock()
+	if old, known := n.accounts.state(name); known && !state.Replaces(old) {
+		return
+	}
+	n.accounts.remove(name, state)
+	n.lookup.RemoveAccount(name)
+	n.proxy.RemoveAccount(name)
+}
+
+// callerBodies returns the content that the account names; ok is false when some
+// is not held any more.
+func callerBodies(account *model.Account, items *item.Snapshot) (bodies [][]byte, ok bool) {
+	for _, name := range account.CallerSets {
+		it, held := items.Get(name.Key())
+		if !held {
+			return nil, false
+		}
+		bodies = append(bodies, it.Body)
+	}
+	return bodies, true
+}
 
 // withCallers returns the account with its caller blocks as a list. The list is
 // several times larger than the look-up's table: do not keep it.
-func withCallers(account *model.Account, items *item.Snapshot) (*model.Account, error) {
+func withCallers(account *model.Account, bodies [][]byte) (*model.Account, error) {
 	if len(account.CallerSets) == 0 {
 		return account, nil
 	}
-	sets := make([][]byte, 0, len(account.CallerSets))
-	for _, name := range account.CallerSets {
-		it, ok := items.Get(name.Key())
-		if !ok {
-			return nil, errContentGone
-		}
-		sets = append(sets, it.Body)
-	}
-	callers, err := config.DecodeCallers(sets)
+	callers, err := config.DecodeCallers(bodies)
 	if err != nil {
 		return nil, err
 	}
@@ -95,29 +146,12 @@
 	return &whole, nil
 }
 
-// replacing returns the state that takes the place of one whose content is not
-// held any more, and is about to be in force.
-func (n *Node) replacing(old inForce, items *item.Snapshot) (inForce, *model.Account, error) {
-	it, ok := items.Get(source.Key(string(old.account.Name)))
-	if !ok || it.Deleted {
-		return old, nil, errContentGone
-	}
-	account, err := config.Decode(it.Body)
-	if err != nil {
-		return old, nil, err
-	}
-	next := inForce{account: account, version: changelog.Version{Epoch: it.Epoch, Sequence: it.Sequence}, since: time.Now()}
-	// A snapshot that shows an item shows its content.
-	whole, err := withCallers(account, items)
-	return next, whole, err
-}
-
 // namedContent returns the content that an item names.
 func namedContent(key string, body []byte) []content.Name {
-	if !strings.HasPrefix(key, source.KeyPrefix) {
-		return nil
+	if strings.HasPrefix(key, source.KeyPrefix) || strings.HasPrefix(key, source.DocumentKeyPrefix) {
+		return config.CallerSets(body)
 	}
-	return config.CallerSets(body)
+	return nil
 }
 
 // versionInForce tells peers which version of an account requests are served by.
@@ -126,8 +160,8 @@
 	if !isAccount {
 		return spread.VersionInForce{}, false
 	}
-	at, has := n.accounts.version(model.AccountName(name))
-	return spread.VersionInForce{Has: has, Epoch: at.Epoch, Sequence: at.Sequence}, true
+	at, has := n.accounts.state(model.AccountName(name))
+	return spread.VersionInForce{Has: has, Epoch: at.Version.Epoch, Sequence: at.Version.Sequence}, true
 }
 
 func (n *Node) onPlan(it item.Item) {
--- a/node/node.go
+++ b/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/yuccaroute/yuccaroute/membership"
 	"github.com/yuccaroute/yuccaroute/membership/feed"
 	"github.com/yuccaroute/yuccaroute/membership/view"
+	"github.com/yuccaroute/yuccaroute/node/merge"
 	"github.com/yuccaroute/yuccaroute/proxy"
 	"github.com/yuccaroute/yuccaroute/proxy/ingress"
 	"github.com/yuccaroute/yuccaroute/proxy/keys"
@@ -46,14 +47,17 @@
 	view     *view.View
 	feed     *feed.Feed
 	accounts *accountSet
-	changes  *changelog.Log
-	lookup   *lookup.Lookup
-	proxy    *proxy.Proxy
-	spread   *spread.Service
-	control  *control.System
-	planner  *planner.Planner
-	peers    *transport.Pool
-	metrics  *metrics
+	// putting is held while an account is put in force or taken out of it.
+	putting sync.Mutex
+	merger  *merge.Merger
+	changes *changelog.Log
+	lookup  *lookup.Lookup
+	proxy   *proxy.Proxy
+	spread  *spread.Service
+	control *control.System
+	planner *planner.Planner
+	peers   *transport.Pool
+	metrics *metrics
 	// keys is nil when the node speaks without TLS.
 	keys *tlsfiles.Keeper
 
@@ -65,10 +69,12 @@
 	// leaving tells that a planned stop has begun, refusing that it takes no
 	// requests any more.
 	leaving, refusing atomic.Bool
-	closed            atomic.Bool
-	running           sync.WaitGroup
-	cancel            context.CancelFunc
-	closers           []func()
+	// settled tells that what was known when the node started is in force.
+	settled atomic.Bool
+	closed  atomic.Bool
+	running sync.WaitGroup
+	cancel  context.CancelFunc
+	closers []func()
 }
 
 // New makes a node and binds its listeners, so that its addresses are known.
@@ -188,7 +194,7 @@
 		Members: n.peerList,
 		Dial:    n.peers.Dial,
 		Names:   namedContent,
-		Source:  source.New(n.store, n.changes, n.log),
+		Source:  source.NewIn(n.accountForm(), n.store, n.changes, n.log),
 		InForce: n.versionInForce,
 		Seed:    n.id.Incarnation,
 		Logger:  n.log,
@@ -197,6 +203,7 @@
 		return err
 	}
 	n.spread = service
+	n.merger = merge.New(service.Snapshot, n, n.log)
 	service.Register(n.grpc)
 	return nil
 }
--- a/node/ready.go
+++ b/node/ready.go
@@ -20,7 +20,7 @@
 // this refusal sends them to another entry VM.
 func (n *Node) whenReady(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if n.spread.Ready() {
+		if n.ready() {
 			next.ServeHTTP(w, r)
 			return
 		}
@@ -28,6 +28,11 @@
 	})
 }
 
+// ready reports whether the node knows what is in force and, since it started,
+// has merged it. Documents that arrived are not in force until then: a caller of
+// an account that waits for its merge would be told that there is none.
+func (n *Node) ready() bool { return n.spread.Ready() && n.settled.Load() }
+
 func refuseNotReady(w http.ResponseWriter) {
 	info := result.InfoOf(result.NoPlan)
 	body := info.Name + ": the node has just started\n"
--- a/node/run.go
+++ b/node/run.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/yuccaroute/yuccaroute/api/wait"
 )
 
 // handBackTime bounds the return of leases and grants at a planned stop; what
@@ -20,6 +22,12 @@
 	partTime    = time.Second
 )
 
+// settlePoll is how often a node that starts looks whether it has merged all.
+const settlePoll = 20 * time.Millisecond
+
+// settleWarning is after how many looks the node says that it waits.
+const settleWarning = 500
+
 // Start begins all work. It returns at once.
 func (n *Node) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -31,6 +39,7 @@
 	})
 	n.running.Go(func() { n.feed.Run(ctx) })
 	n.running.Go(func() { n.spread.Run(ctx) })
+	n.running.Go(func() { n.merger.Run(ctx) })
 	if n.keys != nil {
 		n.running.Go(func() { n.keys.Watch(ctx) })
 	}
@@ -45,12 +54,29 @@
 	if err := n.spread.WaitReady(ctx); err != nil {
 		return
 	}
+	if !n.settle(ctx) {
+		return
+	}
 	n.log.Info("node: ready")
 	if err := n.control.Run(ctx); err != nil {
 		n.log.WithError(err).Error("node: the control work failed")
 	}
 }
 
+// settle waits until what the node holds is in force, and reports whether it is.
+func (n *Node) settle(ctx context.Context) bool {
+	for polls := 1; !n.merger.Settled(); polls++ {
+		if polls == settleWarning {
+			n.log.Warn("node: waits for documents of one state of a template; callers are refused until then")
+		}
+		if !wait.For(ctx, settlePoll) {
+			return false
+		}
+	}
+	n.settled.Store(true)
+	return true
+}
+
 // Leave is the planned stop. The node leaves the look-up answers and serves
 // callers that still hold a cached one, with the grants it has; then it ends
 // their connections with their answers; then it refuses new requests as not run
--- a/node/source.go
+++ b/node/source.go
@@ -13,3 +13,11 @@
 	_ spread.Syncer     = (*source.Source)(nil)
 	_ spread.LastReader = (*source.Source)(nil)
 )
+
+// accountForm is the form in which this node, as a watcher, emits accounts.
+func (n *Node) accountForm() source.Form {
+	if n.options.Settings.Platform.MergedAccounts {
+		return source.Both
+	}
+	return source.Documents
+}
--- a/node/status.go
+++ b/node/status.go
@@ -38,7 +38,7 @@
 	s := Status{
 		VM:          n.id.VM,
 		Incarnation: n.id.Incarnation,
-		Ready:       n.spread.Ready(),
+		Ready:       n.ready(),
 		Leaving:     n.leaving.Load(),
 		InFlight:    n.proxy.InFlight(),
 		VMListAgeMs: -1,
--- a/spread/survey.go
+++ b/spread/survey.go
@@ -118,7 +118,8 @@
 	}
 }
 
-// row is the node's own row. A deletion is in force as soon as it arrives.
+// row is the node's own row. Of keys that InForce does not know of, a deletion is
+// in force as soon as it arrives.
 func (s *Service) row(key string) *peerpb.SurveyRow {
 	it, ok := s.Snapshot().Get(key)
 	row := &peerpb.SurveyRow{
@@ -129,14 +130,16 @@
 		Sequence:    it.Sequence,
 		Sum:         it.Sum,
 	}
-	if s.options.InForce == nil || !ok || it.Deleted {
+	if s.options.InForce == nil {
 		return row
 	}
-	if used, known := s.options.InForce(key); known {
-		row.Has = used.Has
-		if used.Epoch != it.Epoch || used.Sequence != it.Sequence {
-			row.Epoch, row.Sequence, row.Sum = used.Epoch, used.Sequence, 0
-		}
+	used, known := s.options.InForce(key)
+	if !known {
+		return row
+	}
+	row.Has = used.Has
+	if used.Epoch != it.Epoch || used.Sequence != it.Sequence {
+		row.Epoch, row.Sequence, row.Sum = used.Epoch, used.Sequence, 0
 	}
 	return row
 }
