standin/target: a fault that reports a load of 0

Cause: "load and health lie" names a target that says it is idle, but froze the report at whatever it was at that moment.

Change: fault idle_load, used by that case.

--- a/integration/region_faults_test.go
+++ b/integration/region_faults_test.go
@@ -259,7 +259,7 @@
 
 // lies are the faults of the targets that lie.
 var lies = []target.Faults{
-	{FailFast: true, StuckLoad: true},
+	{FailFast: true, IdleLoad: true},
 	{Silent: true, StuckLoad: true},
 	{SlowFactor: 20, StuckLoad: true},
 	{Unhealthy: true},
--- a/standin/target/faults.go
+++ b/standin/target/faults.go
@@ -11,6 +11,8 @@
 	Unhealthy bool `json:"unhealthy"`
 	// StuckLoad freezes the load report.
 	StuckLoad bool `json:"stuck_load"`
+	// IdleLoad reports a load of 0 whatever the load is.
+	IdleLoad bool `json:"idle_load"`
 	// SlowFactor multiplies the service time, 0 reads as 1.
 	SlowFactor float64 `json:"slow_factor"`
 }
--- a/standin/target/load_report.go
+++ b/standin/target/load_report.go
@@ -15,10 +15,13 @@
 }
 
 // current returns the report; load is the true value.
-func (r *loadReport) current(load int, stuck bool) int {
+func (r *loadReport) current(load int, faults *Faults) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if stuck {
+	if faults.IdleLoad {
+		return 0
+	}
+	if faults.StuckLoad {
 		return r.value
 	}
 	if now := time.Now(); now.Sub(r.at) >= r.lag {
--- a/standin/target/probes.go
+++ b/standin/target/probes.go
@@ -34,7 +34,7 @@
 }
 
 func (t *Target) reportedLoad() int {
-	return t.report.current(t.slots.load(), t.faults.Load().StuckLoad)
+	return t.report.current(t.slots.load(), t.faults.Load())
 }
 
 func (t *Target) serveLedger(w http.ResponseWriter, _ *http.Request) {
