proxy/balance: let a target's latency age while it is not chosen

Cause: only an answer changes a target's moving average. One that answered late once costs more than the others and gets no request while one of them is free, so it never shows that it is quick again: a target without work beside busy ones.

Ruled out: the target's report of its load, which is not read; ejection, which the nodes' logs would show; the ledger, which had the target's runs of before.

Change: the latency counts for less with the time since the target was chosen, to a hundredth after 10 s; an answer after a pause counts for more in the average. The time of an ejection does not count.

Measured: requests that come one at a time, one of four targets slow once: 0 of 300 came to it before; it is used again now. A target that stays slow is asked once in 10 s.

--- a/proxy/balance/choose.go
+++ b/proxy/balance/choose.go
@@ -34,10 +34,23 @@
 // cost estimates how long a request would take at the target, from this node's
 // own requests only. A target's load report is not read: however it is
 // weighted, it sent more work to the targets that report less than they have.
+//
+// Guard against an estimate that is never corrected: a target that answered slowly
+// for a moment costs more than the others, gets no request while one of them is
+// free, and so never shows that it is quick again. It shows as a target without
+// work beside busy ones, for good. The guard holds because the cost falls with the
+// time since the target was chosen, to minEstimate of itself. The time of an
+// ejection does not count: a target that comes back begins with little work.
 func (t *Target) cost(now int64) float64 {
 	queue := float64(t.outstanding.Load()) + 1
-	return queue * float64(t.Latency()) / max(t.Health.Weight(now), minWeight)
+	age := float64(min(now-t.chosenAt.Load(), t.Health.InUse(now)))
+	estimate := float64(t.Latency()) * max(minEstimate, 1-age/float64(estimateLife))
+	return queue * estimate / max(t.Health.Weight(now), minWeight)
 }
 
+// minEstimate keeps the cost of a target that was idle for long above zero, so that
+// its queue and weight still count.
+const minEstimate = 0.01
+
 // minWeight keeps the cost of a target that was ejected meanwhile finite.
 const minWeight = 0.01
--- a/proxy/balance/set.go
+++ b/proxy/balance/set.go
@@ -43,7 +43,11 @@
 func (s *Set) Acquire(now int64, random uint64, skip Skip) int {
 	for {
 		i := s.choose(now, random, skip)
-		if i < 0 || s.Targets[i].Acquire() {
+		if i < 0 {
+			return i
+		}
+		if s.Targets[i].Acquire() {
+			s.Targets[i].chosen(now)
 			return i
 		}
 	}
--- a/proxy/balance/set_test.go
+++ b/proxy/balance/set_test.go
@@ -102,3 +102,47 @@
 		t.Fatalf("requests %v", got)
 	}
 }
+
+// One target of four stalls for a moment and answers one request late. Callers come
+// one at a time, so that one of the others is always free: the target had no work
+// from then on, however quick it was again, as only an answer changes the estimate.
+func TestSlowAnswerIsForgiven(t *testing.T) {
+	const every = 100 * time.Millisecond
+	s := newSet(4, 3)
+	random := rand.New(rand.NewPCG(1, 2))
+	s.Targets[0].Served(time.Second)
+	asked, again := 0, 0
+	for now := time.Duration(0); now < 3*estimateLife; now += every {
+		i := s.Acquire(int64(now), random.Uint64(), 0)
+		s.Targets[i].Served(5 * time.Millisecond)
+		s.Targets[i].Release()
+		asked++
+		if i == 0 {
+			again++
+		}
+	}
+	if again == 0 || again > asked/2 {
+		t.Errorf("%d of %d requests came to the target that was slow once", again, asked)
+	}
+}
+
+// A target stays slow. It is asked now and then, and no more often for that.
+func TestSlowTargetIsAskedSeldom(t *testing.T) {
+	const every, lives = 10 * time.Millisecond, 6
+	s := newSet(4, 3)
+	random := rand.New(rand.NewPCG(1, 2))
+	slow := 0
+	for now := time.Duration(0); now < lives*estimateLife; now += every {
+		i := s.Acquire(int64(now), random.Uint64(), 0)
+		took := 5 * time.Millisecond
+		if i == 0 {
+			took = 200 * time.Millisecond
+			slow++
+		}
+		s.Targets[i].Served(took)
+		s.Targets[i].Release()
+	}
+	if slow < lives-1 || slow > 2*lives {
+		t.Errorf("a slow target was asked %d times in %d lives of an estimate", slow, lives)
+	}
+}
--- a/proxy/balance/target.go
+++ b/proxy/balance/target.go
@@ -13,6 +13,9 @@
 	latencyWeight = 0.2
 	// FirstLatency is assumed of a target that has not answered yet.
 	FirstLatency = 10 * time.Millisecond
+	// estimateLife is how long after its last request the latency of a target has
+	// no say any more in the choice.
+	estimateLife = 10 * time.Second
 	// ShedPause is how long a target that refused work gets none.
 	ShedPause = 20 * time.Millisecond
 )
@@ -31,6 +34,9 @@
 	shedUntil atomic.Int64
 	// latency is the moving average of served requests, float64 bits of ns.
 	latency atomic.Uint64
+	// chosenAt is when the target was chosen last, idle the longest time between
+	// two choices since the last request that was served, both in ns.
+	chosenAt, idle atomic.Int64
 }
 
 // NewTarget returns a target that begins its ramp now and takes at most limit
@@ -39,6 +45,7 @@
 	t := &Target{Health: eject.NewHealth(now)}
 	t.limit.Store(int32(limit))
 	t.latency.Store(math.Float64bits(float64(FirstLatency)))
+	t.chosenAt.Store(now)
 	return t
 }
 
@@ -79,13 +86,23 @@
 // Release gives the slot back.
 func (t *Target) Release() { t.outstanding.Add(-1) }
 
-// Served counts the latency of a request that the target served. Failures do
-// not count: a target that fails fast would look like the best one.
+// chosen notes that a request goes to the target.
+func (t *Target) chosen(now int64) {
+	idle := now - t.chosenAt.Swap(now)
+	if idle > t.idle.Load() {
+		t.idle.Store(idle)
+	}
+}
+
+// Served counts the latency of a request that the target served, for more after
+// the target was idle. Failures do not count: a target that fails fast would look
+// like the best one.
 func (t *Target) Served(latency time.Duration) {
+	weight := min(1, max(latencyWeight, float64(t.idle.Swap(0))/float64(estimateLife)))
 	for {
 		old := t.latency.Load()
 		mean := math.Float64frombits(old)
-		mean += latencyWeight * (float64(latency) - mean)
+		mean += weight * (float64(latency) - mean)
 		if t.latency.CompareAndSwap(old, math.Float64bits(mean)) {
 			return
 		}
--- a/proxy/eject/health.go
+++ b/proxy/eject/health.go
@@ -73,6 +73,10 @@
 	return startWeight + (1-startWeight)*float64(since)/float64(RampTime)
 }
 
+// InUse returns for how long the target has been in use, in ns: since it was new or
+// came back.
+func (h *Health) InUse(now int64) int64 { return now - h.rampFrom.Load() }
+
 // Ejected reports whether the target is out of use.
 func (h *Health) Ejected(now int64) bool { return now < h.until.Load() }
 
