allocate: split a key evenly while hardly any of it is asked for

Cause: three quarters of a capacity are split by demand as soon as it is not exactly zero. The average of callers who came to the first node and went stays above zero for a long time and is all of the demand, so that this node kept 371 of 475 requests/s of an idle service and seven others 14.8 each, which is the even quarter and thus not too little. Callers who then came to all waited up to 3.9 s.

Change: up to 5 % of what may be given out, demand has no say in the split.

The new test fails without the rule.

--- a/control/allocate/allocate.go
+++ b/control/allocate/allocate.go
@@ -202,6 +202,16 @@
 	return still, rest
 }
 
+// hardlyUsed is the part of a key's target up to which demand has no say in the
+// split.
+//
+// Guard against a split by what is left of an average: callers of one node come and
+// go before others have any, and its part of the demand stays all of it, however
+// little that is. It shows as a node that holds three quarters of an idle capacity;
+// the callers of the others wait when they come. The guard holds because all nodes
+// are brought to the even part while there is hardly any demand.
+const hardlyUsed = 0.05
+
 // shareOut splits the target of each key over the nodes that can be reached.
 func (s *split) shareOut() {
 	reachable := 0
@@ -212,7 +222,7 @@
 	}
 	for k := range s.keys {
 		even := s.params.EvenShare
-		if s.demand[k] <= 0 {
+		if s.demand[k]*float64(grant.PerRequest) <= hardlyUsed*s.target[k] {
 			even = 1
 		}
 		for i := range s.nodes {
--- a/control/allocate/allocate_test.go
+++ b/control/allocate/allocate_test.go
@@ -106,6 +106,26 @@
 	}
 }
 
+// Callers of one node come before the others report, and go. Its average of
+// them is all the demand there is for a while. If it kept all that is split by
+// demand, the callers who then come to the others would wait.
+func TestRestOfDemandHoldsNothing(t *testing.T) {
+	l := limits(100, 1000, 1000)
+	nodes := []Node{node("east", 80, 0), node("east", 0, 0), node("east", 0, 0), node("east", 0, 0)}
+	settle(l, nodes)
+	first := nodes[0].Have[0].Total()
+	nodes[0].Demand[0] = 4
+	settle(l, nodes)
+	if first < 2*nodes[0].Have[0].Total() {
+		t.Errorf("the first node has %d and had %d", nodes[0].Have[0].Total(), first)
+	}
+	for i := range nodes {
+		if nodes[i].Have[0] != nodes[0].Have[0] {
+			t.Errorf("node %d has %v, the first %v", i, nodes[i].Have[0], nodes[0].Have[0])
+		}
+	}
+}
+
 // A node that cannot be reached keeps its floor. The others must be given only
 // the rest, or the ledger would hold back a raise for one of them for good.
 func TestFloorsOfSilentNodesAreLeftOut(t *testing.T) {
