store/lease: watch a key from where the service is, if its own revision is too old

Cause: a candidate watches the key from the revision of its record. That was written when the lease was taken and not since, so that the service no longer has the changes from there once some thousands were made. It refuses the watch at once, and the candidate began again without a pause.

Ruled out: watches of the configuration, which list again and go on from there; the campaigns after a loss of the lease, which pause.

Change: the next watch begins at the revision that the service names, after the key was read again; a second refusal in a row is followed by a pause.

Measured: the new test, before: does not end, as the candidate never waits; after: at most 10 calls in a minute, and the candidate wins when the holder is cut off. All tests of store five times with -race.

--- a/store/lease/campaign.go
+++ b/store/lease/campaign.go
@@ -40,35 +40,59 @@
 }
 
 // awaitFree returns true when the key was seen free.
+//
+// Guard against a loop without a pause: a record that was written longer ago than
+// the service keeps changes cannot be watched from its own revision, and every
+// candidate that comes reads and watches again at once, hundreds of thousands of
+// times a second. The guard holds because the next watch begins where the service
+// said it is; the key is read after that, so that no removal is missed.
 func (e *Election) awaitFree(ctx context.Context) bool {
-	callCtx, cancel := context.WithTimeout(ctx, e.callTimeout())
-	entry, err := e.options.KV.Get(callCtx, e.options.Key)
-	cancel()
-	if errors.Is(err, store.ErrNotFound) {
-		return true
-	}
-	if err != nil {
-		e.pause(ctx)
-		return false
-	}
-	after := entry.Revision
-	for ctx.Err() == nil {
-		batch, err := e.options.KV.Watch(ctx, e.options.Key, after)
+	after := store.Revision(0)
+	for resets := 0; ctx.Err() == nil; resets++ {
+		if resets > 1 {
+			e.pause(ctx)
+		}
+		callCtx, cancel := context.WithTimeout(ctx, e.callTimeout())
+		entry, err := e.options.KV.Get(callCtx, e.options.Key)
+		cancel()
+		if errors.Is(err, store.ErrNotFound) {
+			return true
+		}
 		if err != nil {
 			e.pause(ctx)
 			return false
 		}
-		if batch.Reset {
+		at, free, err := e.watchFree(ctx, max(after, entry.Revision))
+		if err != nil {
+			e.pause(ctx)
 			return false
 		}
-		if removed(batch, e.options.Key) {
+		if free {
 			return true
 		}
-		after = batch.At
+		after = at
 	}
 	return false
 }
 
+// watchFree watches the key until it is removed, or until the service no longer
+// has the changes after a revision: then it returns where the service is.
+func (e *Election) watchFree(ctx context.Context, after store.Revision) (at store.Revision, free bool, err error) {
+	for {
+		batch, err := e.options.KV.Watch(ctx, e.options.Key, after)
+		if err != nil {
+			return 0, false, err
+		}
+		if batch.Reset {
+			return batch.At, false, nil
+		}
+		if removed(batch, e.options.Key) {
+			return batch.At, true, nil
+		}
+		after = batch.At
+	}
+}
+
 func removed(batch store.Batch, key string) bool {
 	for i := len(batch.Events) - 1; i >= 0; i-- {
 		if batch.Events[i].Entry.Key == key {
--- a/store/lease/election_test.go
+++ b/store/lease/election_test.go
@@ -106,6 +106,33 @@
 	})
 }
 
+// Story: a node has decided for an account for hours, and thousands of changes were
+// made meanwhile, so that the service no longer has those since the lease was
+// taken. A VM starts and is the next candidate. It asked the service without a
+// pause, as its watch was refused at once, and slowed all other callers of it.
+func TestCandidateOfAnOldLeaseWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := memkv.New(memkv.Options{HistoryEvents: 8})
+		a := start(t, kv, "a", 1)
+		settle(time.Second)
+		at := store.Revision(0)
+		for range 20 {
+			var err error
+			if at, err = kv.Swap(context.Background(), "other", []byte("x"), at, 0); err != nil {
+				t.Fatal(err)
+			}
+		}
+		b := start(t, kv, "b", 1)
+		settle(time.Minute)
+		if calls := b.link.Counts().Total(); calls > 10 {
+			t.Errorf("the candidate made %d calls in a minute", calls)
+		}
+		a.link.SetOutage(true)
+		settle(2 * ttl)
+		mustHold(t, b)
+	})
+}
+
 // Story: two nodes want to decide for one account. The holder is cut off from
 // the service. The service lets the lease lapse and the other node wins. The
 // first must not believe in its lease at any time at which the other does.
