httpserver/handover: probe pollers until every one is met

Cause: a probe's near end was opened two descriptors after the last one, so with an even number of pollers half of them were never met; the demo ended with 'a poller has no probe' on 8 processors. After that failure the engine was stopped before its pollers had begun; it forgets such a stop and spins on the stop's event (GOMAXPROCS=1: 10 minutes at a full core). Change: a near end that is not needed stays open, so that descriptors go up one by one and every remainder comes up; no cap on tries. An engine whose start failed is not stopped. Before: demo on 8 processors exits 1; with GOMAXPROCS=1 spins and outlives SIGTERM.

--- a/httpserver/handover/acceptor.go
+++ b/httpserver/handover/acceptor.go
@@ -38,7 +38,12 @@
 // Start accepts connections and calls take for each, from several goroutines;
 // take adds it to the engine or closes it. The engine must have been started, and
 // give what it reads to the connection's own handler, as nbhttp's does.
-// When Start returns every poller of the engine runs.
+// When Start returns without an error every poller of the engine runs.
+//
+// After an error the engine must not be stopped: it forgets a stop that comes
+// before a poller has begun, which then spins on the stop's event for ever, and
+// nothing tells whether a poller without a probe has begun. It stays idle instead
+// until the process ends.
 func Start(engine *nbio.Engine, l net.Listener, take func(*nbio.Conn)) (*Acceptor, error) {
 	barriers, err := newBarriers(engine)
 	if err != nil {
@@ -64,9 +69,7 @@
 		close(b.pending)
 	}
 	a.passing.Wait()
-	for _, b := range a.barriers {
-		b.close()
-	}
+	closeBarriers(a.barriers)
 }
 
 func (a *Acceptor) accept() {
--- a/httpserver/handover/barrier.go
+++ b/httpserver/handover/barrier.go
@@ -10,9 +10,6 @@
 	"github.com/pkg/errors"
 )
 
-// maxProbes bounds how many connections are tried to find one for a poller.
-const maxProbes = 16
-
 // order makes a probe's making visible to its poller: the engine hands a
 // connection over through the kernel only, which Go's memory model does not
 // count as order.
@@ -27,33 +24,45 @@
 }
 
 // newBarriers returns one barrier for each poller of the engine.
+//
+// The engine finds the poller of a connection by its descriptor modulo the number
+// of pollers, so probes are opened until every remainder has come up. The near
+// end of a probe that is not needed stays open until the end: the next near end
+// then gets a higher descriptor, and every remainder comes up after a bounded
+// number of probes whatever descriptors are open. The only error is that no
+// more descriptors are to be had.
 func newBarriers(engine *nbio.Engine) ([]*barrier, error) {
 	barriers := make([]*barrier, engine.NPoller)
-	missing := engine.NPoller
 	var unused []net.Conn
 	defer func() { closeAll(unused) }()
-	for range maxProbes * engine.NPoller {
-		if missing == 0 {
-			return barriers, nil
-		}
+	for missing := engine.NPoller; missing > 0; {
 		near, far, err := probePair()
 		if err != nil {
+			closeBarriers(barriers)
 			return nil, err
 		}
 		i := pollerOf(near, engine.NPoller)
 		if barriers[i] != nil {
-			// Ends stay open to the last, or the next pair would get the same
-			// descriptors and meet the same poller.
-			unused = append(unused, near, far)
+			_ = far.Close()
+			unused = append(unused, near)
 			continue
 		}
 		barriers[i] = newBarrier(far)
+		missing--
 		if err := barriers[i].watch(engine, near); err != nil {
+			closeBarriers(barriers)
 			return nil, err
 		}
-		missing--
 	}
-	return nil, errors.New("handover: a poller has no probe")
+	return barriers, nil
+}
+
+func closeBarriers(barriers []*barrier) {
+	for _, b := range barriers {
+		if b != nil {
+			b.close()
+		}
+	}
 }
 
 func newBarrier(far net.Conn) *barrier {
--- a/httpserver/server.go
+++ b/httpserver/server.go
@@ -65,7 +65,6 @@
 	}
 	if s.acceptor, err = handover.Start(s.engine.Engine, l, s.take); err != nil {
 		_ = l.Close()
-		s.engine.Stop()
 		return nil, errors.Wrap(err, "start the server")
 	}
 	return s, nil
--- a/proxy/ingress/server.go
+++ b/proxy/ingress/server.go
@@ -69,7 +69,6 @@
 	}
 	if s.acceptor, err = handover.Start(s.engine.Engine, l, s.take); err != nil {
 		_ = l.Close()
-		s.engine.Stop()
 		return nil, errors.Wrap(err, "ingress: start")
 	}
 	return s, nil
