--- /dev/null
+++ b/edge/entry/counts.go
@@ -0,0 +1,76 @@
+package entry
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// latencyBuckets bound the histograms of requests.
+var latencyBuckets = tally.DurationBuckets{
+	25 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond,
+	300 * time.Millisecond, 400 * time.Millisecond, 600 * time.Millisecond, time.Second,
+	2 * time.Second, 4 * time.Second, 8 * time.Second,
+}
+
+// counts implements gateway.Metrics. Scopes are kept by their tags: to make one
+// takes longer than to count.
+type counts struct {
+	scope tally.Scope
+
+	mu       sync.Mutex
+	requests map[requestTags]requestMetrics
+	sendings map[sendingTags]tally.Counter
+}
+
+type requestTags struct {
+	route, service string
+	code           int
+}
+
+type requestMetrics struct {
+	ended   tally.Counter
+	latency tally.Histogram
+}
+
+type sendingTags struct{ service, end string }
+
+func newCounts(scope tally.Scope) *counts {
+	return &counts{scope: scope, requests: make(map[requestTags]requestMetrics), sendings: make(map[sendingTags]tally.Counter)}
+}
+
+// Ended implements gateway.Metrics.
+func (c *counts) Ended(route, service string, code int, took time.Duration) {
+	m := c.request(requestTags{route, service, code})
+	m.ended.Inc(1)
+	m.latency.RecordDuration(took)
+}
+
+func (c *counts) request(tags requestTags) requestMetrics {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m, ok := c.requests[tags]
+	if !ok {
+		scope := c.scope.Tagged(map[string]string{
+			"route": tags.route, "service": tags.service, "result": strconv.Itoa(tags.code),
+		})
+		m = requestMetrics{ended: scope.Counter("requests"), latency: scope.Histogram("latency", latencyBuckets)}
+		c.requests[tags] = m
+	}
+	return m
+}
+
+// Sent implements gateway.Metrics.
+func (c *counts) Sent(service, end string) {
+	c.mu.Lock()
+	tags := sendingTags{service, end}
+	counter, ok := c.sendings[tags]
+	if !ok {
+		counter = c.scope.Tagged(map[string]string{"service": service, "end": end}).Counter("sendings")
+		c.sendings[tags] = counter
+	}
+	c.mu.Unlock()
+	counter.Inc(1)
+}
--- /dev/null
+++ b/edge/entry/entry.go
@@ -0,0 +1,291 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/yuccaroute/yuccaroute/api/wait"
+	"github.com/yuccaroute/yuccaroute/edge/catalog"
+	"github.com/yuccaroute/yuccaroute/edge/exchange"
+	"github.com/yuccaroute/yuccaroute/edge/gateway"
+	"github.com/yuccaroute/yuccaroute/edge/mirror"
+	"github.com/yuccaroute/yuccaroute/edge/peers"
+	"github.com/yuccaroute/yuccaroute/edge/placing"
+	"github.com/yuccaroute/yuccaroute/edge/registry"
+	"github.com/yuccaroute/yuccaroute/edge/serve"
+	"github.com/yuccaroute/yuccaroute/httpserver/scrape"
+	"github.com/yuccaroute/yuccaroute/proxy/buffer"
+	"github.com/yuccaroute/yuccaroute/store"
+)
+
+const (
+	// bodyShare of the memory may hold request bodies.
+	bodyShare = 0.25
+	// answerBytes bounds one answer of a target.
+	answerBytes = 16 << 20
+	// maintainEvery is how often lines, peers and suspects are looked at.
+	maintainEvery = 100 * time.Millisecond
+	// lineEvery is the same while requests wait.
+	lineEvery = 10 * time.Millisecond
+	// metricsEvery is how often the metrics page is brought up to date.
+	metricsEvery = 2 * time.Second
+	// stopTaking is how long after a planned stop began new requests are taken:
+	// callers ask the directory again within it.
+	stopTaking = 3 * time.Second
+	// exitMargin is how long before the end of the grace time the process exits.
+	exitMargin = 300 * time.Millisecond
+	// stopPoll is how often a stop looks whether all answers are given.
+	stopPoll = 20 * time.Millisecond
+)
+
+// Entry is a running VM.
+type Entry struct {
+	options Options
+	log     *logrus.Logger
+	delays  *delays
+	book    *peers.Book
+	board   *placing.Board
+	gateway *gateway.Gateway
+	mirror  *mirror.Mirror
+	catalog *catalog.Catalog
+	talk    *exchange.Exchange
+	metrics *scrape.Metrics
+	counts  *counts
+	front   *serve.Server
+	servers []*serve.Server
+	leaving atomic.Bool
+	stop    context.CancelFunc
+	// listed ends the registration, and tells that it has ended.
+	unlist   context.CancelFunc
+	unlisted chan struct{}
+}
+
+// Start runs a VM until Leave or Close. It returns an error if an address cannot
+// be bound.
+func Start(o Options) (*Entry, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &Entry{options: o, log: o.Logger, stop: cancel, unlisted: make(chan struct{})}
+	now := time.Now()
+	e.delays = newDelays(o.VM.Region)
+	e.book = peers.New(o.VM, now)
+	e.metrics = scrape.New(o.VM.Name, metricsEvery)
+	e.counts = newCounts(e.metrics.Scope)
+	e.board = placing.New(placing.Options{
+		VM: o.VM.Name, Zone: o.VM.Zone, Region: o.VM.Region, RegionOf: o.RegionOf, Delay: e.delays.get,
+	})
+	e.gateway = gateway.New(gateway.Options{
+		Fields: o.Names.Fields, Board: e.board, Logger: e.part("gateway"), Metrics: e.counts,
+		RetryRatio: o.RetryRatio, RetryExtra: o.RetryExtra, VMs: e.book.Count, Delay: e.delays.get,
+		Changed: e.changed, MaxAnswerBytes: answerBytes,
+	})
+	e.catalog = catalog.New(catalog.Options{Codec: o.Codec, Logger: e.part("catalog"), Changed: e.setView, Now: time.Now})
+	e.mirror = mirror.New(mirror.Options{
+		KV: o.KV, Logger: e.part("mirror"), Prefix: o.Names.WatchPrefix, Changed: e.catalog.Apply, FetchFrom: fetchCopy,
+	})
+	if err := e.listen(ctx); err != nil {
+		e.Close()
+		return nil, err
+	}
+	if err := e.register(); err != nil {
+		e.Close()
+		return nil, err
+	}
+	go e.mirror.Run(ctx)
+	go e.maintain(ctx)
+	e.part("entry").WithFields(logrus.Fields{"vm": o.VM.Name, "zone": o.VM.Zone, "region": o.VM.Region}).Info("entry: started")
+	return e, nil
+}
+
+func (e *Entry) part(name string) *logrus.Entry { return e.log.WithField("part", name) }
+
+// changed tells the other VMs soon.
+func (e *Entry) changed() {
+	if e.talk != nil {
+		e.talk.Changed()
+	}
+}
+
+func (e *Entry) listen(ctx context.Context) error {
+	talk, err := exchange.Start(ctx, exchange.Options{
+		Address: e.options.PeerAddress, Logger: e.part("exchange"), State: e.state, Heard: e.heard(ctx),
+	})
+	if err != nil {
+		return err
+	}
+	e.talk = talk
+	memory := buffer.NewBudget(int64(bodyShare * float64(e.options.MemoryBytes))).NewShare()
+	listeners := []struct {
+		address string
+		handler serve.Handler
+	}{
+		{e.options.EntryAddress, e.gateway.Handle},
+		{e.options.ReadyAddress, e.handleReady},
+		{e.options.DirectoryAddress, e.handleResolve},
+		{e.options.PeerAddress, e.handlePeer},
+	}
+	for _, l := range listeners {
+		if l.address == "" {
+			continue
+		}
+		s, err := serve.Start(serve.Options{
+			Address: l.address, Handler: l.handler, Limits: e.limits, Memory: memory,
+			Logger: e.part("serve"), MaxConnections: e.options.MaxConnections,
+		})
+		if err != nil {
+			return err
+		}
+		if e.front == nil {
+			e.front = s
+		}
+		e.servers = append(e.servers, s)
+	}
+	return nil
+}
+
+func (e *Entry) register() error {
+	listed, err := registry.New(e.options.KV, e.options.Names.VMKey, e.options.VM, e.part("registry"))
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	e.unlist = cancel
+	go func() {
+		listed.Run(ctx)
+		close(e.unlisted)
+	}()
+	e.catalogMissing(listed)
+	return nil
+}
+
+// catalogMissing registers anew when the store's list lacks this VM.
+func (e *Entry) catalogMissing(listed *registry.Registry) {
+	go func() {
+		for wait.For(context.Background(), registry.TTL) && !e.leaving.Load() {
+			if _, loaded := e.mirror.At(); loaded && !e.isListed() {
+				listed.Missing()
+			}
+		}
+	}()
+}
+
+func (e *Entry) isListed() bool {
+	for _, vm := range e.catalog.View().VMs {
+		if vm.Name == e.options.VM.Name && vm.Incarnation == e.options.VM.Incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+// setView puts what the store says in force.
+func (e *Entry) setView(v *catalog.View) {
+	now := time.Now()
+	e.book.Register(v.VMs, now)
+	e.gateway.SetView(v, now)
+	others := e.book.Others()
+	list := make([]exchange.Peer, 0, len(others))
+	for _, vm := range others {
+		list = append(list, exchange.Peer{Name: vm.Name, Address: vm.Peer, Near: vm.Region == e.options.VM.Region})
+		e.delays.measure(vm.Region, vm.Peer)
+	}
+	if e.talk != nil {
+		e.talk.SetPeers(list)
+	}
+	e.board.SetVMs(e.book.Near(now))
+}
+
+// serving reports whether callers may be sent here.
+func (e *Entry) serving() bool { return e.gateway.Ready() && !e.leaving.Load() }
+
+// state is what other VMs are told.
+func (e *Entry) state() exchange.State {
+	at, _ := e.mirror.At()
+	inHand, demand := e.board.Report(time.Now())
+	return exchange.State{
+		VM: e.options.VM.Name, Incarnation: e.options.VM.Incarnation, Region: e.options.VM.Region,
+		Leaving: e.leaving.Load(), Serving: e.gateway.Ready(), Revision: uint64(at),
+		InHand: inHand, Demand: demand,
+	}
+}
+
+// heard takes in what another VM says.
+func (e *Entry) heard(ctx context.Context) func(string, exchange.State) {
+	return func(from string, s exchange.State) {
+		now := time.Now()
+		e.book.Hear(from, peers.Said{Incarnation: s.Incarnation, At: now, Serving: s.Serving, Leaving: s.Leaving})
+		e.board.SetPeer(now, from, &placing.Peer{Region: s.Region, InHand: s.InHand, Demand: s.Demand, At: now})
+		for _, vm := range e.catalog.View().VMs {
+			if vm.Name == from {
+				e.mirror.SawPeer(ctx, vm.Peer, store.Revision(s.Revision), now)
+			}
+		}
+	}
+}
+
+// maintain looks at what changes with the time.
+func (e *Entry) maintain(ctx context.Context) {
+	last := time.Now()
+	for {
+		pause := maintainEvery
+		if e.board.Waiting() > 0 {
+			pause = lineEvery
+		}
+		if !wait.For(ctx, pause) {
+			return
+		}
+		now := time.Now()
+		e.board.Tick(now)
+		if now.Sub(last) < maintainEvery {
+			continue
+		}
+		last = now
+		e.catalog.Expire(now)
+		e.board.SetVMs(e.book.Near(now))
+		e.gateway.Probe(ctx, e.healthPath)
+	}
+}
+
+func (e *Entry) healthPath(service string) string {
+	if c := e.catalog.View().Config; c != nil {
+		return c.Services[service].HealthPath
+	}
+	return "/"
+}
+
+// Leave is a planned stop: callers are sent elsewhere, the work in hand is ended,
+// and the VM is off the list. It returns when the process may exit.
+func (e *Entry) Leave() {
+	began := time.Now()
+	e.leaving.Store(true)
+	e.part("entry").WithField("busy", e.front.Busy()).Info("entry: leaving")
+	e.talk.Flush()
+	e.unlist()
+	e.front.Part()
+	time.Sleep(stopTaking)
+	e.gateway.Leave()
+	e.front.StopListening()
+	e.front.CloseIdle()
+	until := began.Add(e.options.Grace - exitMargin)
+	for e.front.Busy() > 0 && time.Now().Before(until) {
+		time.Sleep(stopPoll)
+	}
+	// Answers that were just given are still on their way.
+	time.Sleep(min(exitMargin, max(0, time.Until(until))))
+	e.part("entry").WithFields(logrus.Fields{"busy": e.front.Busy(), "ms": time.Since(began).Milliseconds()}).Info("entry: stopped")
+	e.Close()
+}
+
+// Close ends everything at once.
+func (e *Entry) Close() {
+	e.stop()
+	if e.unlist != nil {
+		e.unlist()
+	}
+	for _, s := range e.servers {
+		s.Close()
+	}
+	_ = e.metrics.Closer.Close()
+}
--- /dev/null
+++ b/edge/entry/handlers.go
@@ -0,0 +1,107 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccaroute/yuccaroute/edge/mirror"
+	"github.com/yuccaroute/yuccaroute/edge/serve"
+)
+
+const (
+	// copyPath is where other VMs read this VM's copy of the store.
+	copyPath = "/copy"
+	// metricsPath shows the metrics.
+	metricsPath = "/metrics"
+	// directoryTTL is how long callers may keep an answer of the directory. A VM
+	// that stops takes requests for longer than that.
+	directoryTTL = 2 * time.Second
+	// copyTime bounds reading a copy.
+	copyTime = 2 * time.Second
+	// Limits before a configuration is known.
+	firstHeaderBytes = 16 << 10
+	firstBodyBytes   = 1 << 20
+	firstHeaderTime  = 3 * time.Second
+	firstIdleTime    = 15 * time.Second
+)
+
+// limits are those of the configuration in force.
+func (e *Entry) limits() serve.Limits {
+	c := e.catalog.View().Config
+	if c == nil || c.Limits.HeaderBytes == 0 {
+		return serve.Limits{
+			HeaderBytes: firstHeaderBytes, BodyBytes: firstBodyBytes,
+			HeaderTime: firstHeaderTime, IdleTime: firstIdleTime,
+		}
+	}
+	return serve.Limits(c.Limits)
+}
+
+func (e *Entry) handleReady(context.Context, *serve.Request) *serve.Answer {
+	if e.serving() {
+		return serve.Plain(http.StatusOK, "ready\n")
+	}
+	return serve.Plain(http.StatusServiceUnavailable, "not ready\n")
+}
+
+func (e *Entry) handleResolve(_ context.Context, r *serve.Request) *serve.Answer {
+	if r.Path != e.options.Names.ResolvePath {
+		return serve.Plain(http.StatusNotFound, "")
+	}
+	zone, region := e.options.Names.Caller(r.Query)
+	entries := e.book.Entries(zone, region, e.serving(), time.Now())
+	if len(entries) == 0 {
+		return serve.Plain(http.StatusServiceUnavailable, "no entry VM\n")
+	}
+	return e.options.Names.Resolved(entries, min(directoryTTL, e.options.MaxTTL))
+}
+
+func (e *Entry) handlePeer(_ context.Context, r *serve.Request) *serve.Answer {
+	switch r.Path {
+	case copyPath:
+		text, err := json.Marshal(e.mirror.Copy())
+		if err != nil {
+			return serve.Plain(http.StatusInternalServerError, err.Error())
+		}
+		return serve.JSON(http.StatusOK, text)
+	case metricsPath:
+		page := &pageWriter{header: make(http.Header)}
+		e.metrics.Page.ServeHTTP(page, &http.Request{Method: http.MethodGet, Header: make(http.Header)})
+		return &serve.Answer{Status: http.StatusOK, Header: page.header, Body: page.Bytes()}
+	}
+	return serve.Plain(http.StatusNotFound, "")
+}
+
+// pageWriter holds a page that an http.Handler writes.
+type pageWriter struct {
+	bytes.Buffer
+	header http.Header
+}
+
+func (w *pageWriter) Header() http.Header { return w.header }
+func (w *pageWriter) WriteHeader(int)     {}
+
+var copies = &http.Client{Timeout: copyTime, Transport: &http.Transport{DisableKeepAlives: true}}
+
+// fetchCopy reads another VM's copy of the store.
+func fetchCopy(ctx context.Context, peer string) (mirror.Copy, error) {
+	var c mirror.Copy
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer+copyPath, nil)
+	if err != nil {
+		return c, errors.Wrap(err, "entry: copy")
+	}
+	resp, err := copies.Do(req)
+	if err != nil {
+		return c, errors.Wrap(err, "entry: copy")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return c, errors.Errorf("entry: copy: status %d", resp.StatusCode)
+	}
+	return c, errors.Wrap(json.NewDecoder(resp.Body).Decode(&c), "entry: copy")
+}
--- /dev/null
+++ b/edge/gateway/run.go
@@ -0,0 +1,287 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccaroute/yuccaroute/api/result"
+	"github.com/yuccaroute/yuccaroute/edge/placing"
+	"github.com/yuccaroute/yuccaroute/edge/site"
+	"github.com/yuccaroute/yuccaroute/proxy/forward"
+	"github.com/yuccaroute/yuccaroute/proxy/pool"
+)
+
+const (
+	// maxSendings bounds how often a request is sent that targets refuse unrun.
+	maxSendings = 4
+	// hedgeAfter times the expected latency without an answer, an idempotent
+	// request is sent to a second target: its target may have lost power.
+	hedgeAfter = 2.2
+	// minHedge is the shortest such time.
+	minHedge = 120 * time.Millisecond
+)
+
+// try is one sending that has ended.
+type try struct {
+	decision placing.Decision
+	answer   *forward.Answer
+	// notRun tells that the request certainly did not run.
+	notRun bool
+	code   result.Code
+	err    error
+}
+
+// run sends a request until it has ended.
+func (g *Gateway) run(ctx context.Context, j *job) outcome {
+	g.budgetOf(j.service).Fresh(budgetMargin * g.options.RetryRatio)
+	for {
+		d, end := g.place(ctx, j)
+		if d.Target == nil {
+			return g.settle(j, end)
+		}
+		t := g.send(ctx, j, d)
+		end, done := g.judge(ctx, j, t)
+		if done {
+			return g.settle(j, end)
+		}
+	}
+}
+
+// settle keeps what an earlier sending showed: a failure that a target answered is
+// passed on rather than replaced, and "not run" is not said of what may have run.
+func (g *Gateway) settle(j *job, end outcome) outcome {
+	if end.answer != nil || end.code == result.CallerGone {
+		return end
+	}
+	if j.last != nil {
+		return outcome{code: result.OK, answer: j.last}
+	}
+	if j.mayHaveRun && result.InfoOf(end.code).Outcome == result.NotRun && j.route.Kind == site.AtMostOnce {
+		return outcome{code: result.ConnectionLost, why: end.why}
+	}
+	return end
+}
+
+// place waits for a target.
+func (g *Gateway) place(ctx context.Context, j *job) (placing.Decision, outcome) {
+	began := time.Now()
+	d, w := g.options.Board.Place(began, &j.ask)
+	j.ask.Again = true
+	if w != nil {
+		g.options.Changed()
+		select {
+		case d = <-w.Decided():
+		case <-ctx.Done():
+			if late, decided := g.options.Board.Leave(w); decided && late.Target != nil {
+				g.options.Board.Done(time.Now(), late, j.class, placing.Cancelled, 0)
+			}
+			return placing.Decision{}, g.givenUp(ctx, j)
+		}
+		j.log.waited += time.Since(began)
+	}
+	if d.Target == nil {
+		code := result.QueueFull
+		if d.Reason == placing.NoTarget {
+			code = result.NoTarget
+		}
+		return d, outcome{code: code, retryAfter: d.RetryAfter, why: d.Reason.String()}
+	}
+	g.options.Changed()
+	return d, outcome{}
+}
+
+// givenUp is the outcome when the time ended, or the caller left.
+func (g *Gateway) givenUp(ctx context.Context, j *job) outcome {
+	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return outcome{code: result.CallerGone, why: "caller left"}
+	}
+	if j.mayHaveRun {
+		return outcome{code: result.DeadlineAfterSend, why: "no answer in time"}
+	}
+	return outcome{code: result.QueueFull, retryAfter: minRetry, why: "no target in time"}
+}
+
+// minRetry is for callers whose time is over: they may come back at once.
+const minRetry = 50 * time.Millisecond
+
+// send sends a request to one target, and an idempotent one to a second if the
+// first is silent for long.
+func (g *Gateway) send(ctx context.Context, j *job, d placing.Decision) try {
+	if j.route.Kind == site.AtMostOnce || j.route.MaxAttempts < 2 || j.sent > 0 {
+		return g.exchange(ctx, j, d)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	tries := make(chan try, 2)
+	go func() { tries <- g.exchangeOnce(ctx, j, d) }()
+	patience := time.NewTimer(max(minHedge, time.Duration(hedgeAfter*float64(d.Expected))))
+	defer patience.Stop()
+	running := 1
+	for {
+		select {
+		case t := <-tries:
+			running--
+			g.note(j, t)
+			if t.answer != nil && !isServerError(t.answer) || running == 0 {
+				return t
+			}
+		case <-patience.C:
+			if second, ok := g.hedge(j, d); ok {
+				running++
+				j.log.hedged = true
+				go func() { tries <- g.exchangeOnce(ctx, j, second) }()
+			}
+		}
+	}
+}
+
+// hedge finds a second target that is free now.
+func (g *Gateway) hedge(j *job, first placing.Decision) (placing.Decision, bool) {
+	if g.options.Board.Waiting() > 0 || !g.budgetOf(j.service).Take() {
+		return placing.Decision{}, false
+	}
+	j.ask.Tried = append(j.ask.Tried, first.Target)
+	d, w := g.options.Board.Place(time.Now(), &j.ask)
+	if w != nil {
+		if late, decided := g.options.Board.Leave(w); decided {
+			d = late
+		}
+	}
+	if d.Target == nil {
+		g.budgetOf(j.service).Give()
+		return d, false
+	}
+	return d, true
+}
+
+// exchange is one sending, noted.
+func (g *Gateway) exchange(ctx context.Context, j *job, d placing.Decision) try {
+	t := g.exchangeOnce(ctx, j, d)
+	g.note(j, t)
+	return t
+}
+
+// note takes a sending into the request's account.
+func (g *Gateway) note(j *job, t try) {
+	j.sent++
+	j.ask.Tried = append(j.ask.Tried, t.decision.Target)
+	j.mayHaveRun = j.mayHaveRun || !t.notRun
+	j.log.targets = append(j.log.targets, t.decision.Target.ID)
+	j.log.region = t.decision.Region
+	end := "answered"
+	if t.err != nil {
+		end = t.err.Error()
+	} else if t.notRun {
+		end = "not run"
+	}
+	j.log.ends = append(j.log.ends, end)
+	g.options.Metrics.Sent(j.service, t.code.String())
+}
+
+// exchangeOnce sends a request once and ends it at the board.
+func (g *Gateway) exchangeOnce(ctx context.Context, j *job, d placing.Decision) try {
+	began := time.Now()
+	t := g.exchangeOn(ctx, j, d)
+	g.options.Board.Done(time.Now(), d, j.class, g.endOf(ctx, t), time.Since(began))
+	g.options.Changed()
+	return t
+}
+
+func (g *Gateway) exchangeOn(ctx context.Context, j *job, d placing.Decision) try {
+	p := g.poolOf(d.Target)
+	conn, err := p.Get(ctx)
+	if err != nil {
+		return try{decision: d, notRun: true, code: result.ConnectFailed, err: err}
+	}
+	out := j.out
+	out.Header = j.out.Header.Clone()
+	out.Header.Set(g.options.Fields.ExpectTarget, d.Target.ID)
+	answer, err := conn.Exchange(ctx, &out)
+	if answer != nil {
+		setIdle(p, answer.Header)
+	}
+	p.Put(conn)
+	return g.classify(d, answer, err)
+}
+
+// setIdle keeps idle connections for less time than the target says it does.
+func setIdle(p *pool.Pool, h http.Header) {
+	if limit, ok := keepAlive(h); ok {
+		p.SetMaxIdle(limit)
+	}
+}
+
+// classify tells what an exchange showed.
+func (g *Gateway) classify(d placing.Decision, answer *forward.Answer, err error) try {
+	t := try{decision: d, answer: answer}
+	var failed *forward.Error
+	switch {
+	case errors.As(err, &failed):
+		t.code, t.err, t.notRun = failed.Code, err, failed.NotRun()
+	case err != nil:
+		t.code, t.err = result.ConnectionLost, err
+	case answer.Header.Get(g.options.Fields.NotRun) != "" || answer.Status == http.StatusMisdirectedRequest:
+		t.code, t.notRun, t.answer = result.TargetShed, true, nil
+	case answer.Header.Get(g.options.Fields.Stamp) == "" && answer.Status < http.StatusBadRequest:
+		// Only the target's own mark shows that a success is one.
+		t.code, t.answer, t.err = result.AnswerTruncated, nil, errNoStamp
+	}
+	return t
+}
+
+var errNoStamp = errors.New("gateway: success without the target's mark")
+
+// endOf tells the board how a sending ended.
+func (g *Gateway) endOf(ctx context.Context, t try) placing.End {
+	switch {
+	case t.answer != nil && isServerError(t.answer):
+		return placing.Broken
+	case t.answer != nil:
+		return placing.Answered
+	case t.code == result.TargetShed:
+		return placing.Shed
+	case ctx.Err() != nil || t.code == result.DeadlineBeforeSend || t.code == result.CallerGone:
+		return placing.Cancelled
+	case t.code == result.ConnectFailed && !errors.Is(t.err, pool.ErrFull):
+		return placing.Unreachable
+	}
+	return placing.Broken
+}
+
+func isServerError(a *forward.Answer) bool { return a.Status >= http.StatusInternalServerError }
+
+// judge decides whether a request has ended, or is sent again.
+func (g *Gateway) judge(ctx context.Context, j *job, t try) (outcome, bool) {
+	repeatable := j.route.Kind == site.Idempotent
+	if t.answer != nil {
+		if !isServerError(t.answer) || !repeatable {
+			return outcome{code: result.OK, answer: t.answer}, true
+		}
+		j.last = t.answer
+	}
+	if ctx.Err() != nil {
+		return g.givenUp(ctx, j), true
+	}
+	end := outcome{code: t.code, why: "sending failed"}
+	if t.answer != nil {
+		end = outcome{code: result.OK, answer: t.answer}
+	} else if t.notRun {
+		end.retryAfter = shedRetry
+	}
+	if !t.notRun && !repeatable {
+		return end, true
+	}
+	if !t.notRun && j.sent >= j.route.MaxAttempts || j.sent >= maxSendings {
+		return end, true
+	}
+	if t.code != result.ConnectFailed && !g.budgetOf(j.service).Take() {
+		return end, true
+	}
+	return outcome{}, false
+}
+
+// shedRetry is when a target that shed a request should have room.
+const shedRetry = 200 * time.Millisecond
--- /dev/null
+++ b/edge/gateway/serve.go
@@ -0,0 +1,191 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/yuccaroute/yuccaroute/api/result"
+	"github.com/yuccaroute/yuccaroute/edge/placing"
+	"github.com/yuccaroute/yuccaroute/edge/route"
+	"github.com/yuccaroute/yuccaroute/edge/serve"
+	"github.com/yuccaroute/yuccaroute/proxy/forward"
+)
+
+const (
+	// defaultDeadline is for callers that name none.
+	defaultDeadline = 10 * time.Second
+	// deadlineMargin is how long before the caller gives up its answer leaves: it
+	// needs a few milliseconds to get there.
+	deadlineMargin = 10 * time.Millisecond
+	// largeBody is the length from which on a body prefers the own failure domain.
+	largeBody = 16 << 10
+	// configRetryAfter is when a VM without a configuration should have one.
+	configRetryAfter = 300 * time.Millisecond
+)
+
+// job is one request on its way.
+type job struct {
+	in      *serve.Request
+	id      string
+	route   *route.Entry
+	service string
+	class   *placing.Class
+	version uint64
+	ask     placing.Request
+	// deadline is when the caller, or the route's timeout, ends it.
+	deadline time.Time
+	out      forward.Request
+	// sent counts the sendings to targets, mayHaveRun tells that one may have run.
+	sent       int
+	mayHaveRun bool
+	// last is the last failure that a target answered itself.
+	last *forward.Answer
+	log  trail
+}
+
+// outcome is how a request ended.
+type outcome struct {
+	code   result.Code
+	answer *forward.Answer
+	// retryAfter is when there should be room, for refusals.
+	retryAfter time.Duration
+	why        string
+}
+
+// Handle implements serve.Handler.
+func (g *Gateway) Handle(ctx context.Context, in *serve.Request) *serve.Answer {
+	j := &job{in: in, id: in.Header.Get(g.options.Fields.RequestID)}
+	end := g.handle(ctx, j)
+	g.record(j, end)
+	return g.answer(end)
+}
+
+func (g *Gateway) handle(ctx context.Context, j *job) outcome {
+	table := g.table.Load()
+	if table == nil {
+		return outcome{code: result.NoPlan, retryAfter: configRetryAfter, why: "no configuration yet"}
+	}
+	if g.leaving.Load() {
+		return outcome{code: result.NodeLeaving, why: "leaving"}
+	}
+	j.version = table.Version
+	j.route = table.Match(j.in.Host, j.in.Path)
+	if j.route == nil {
+		return outcome{code: result.UnknownService, why: "no route"}
+	}
+	if refused := g.prepare(j); refused.code != result.OK {
+		return refused
+	}
+	ctx, cancel := context.WithDeadline(ctx, j.deadline)
+	defer cancel()
+	return g.run(ctx, j)
+}
+
+// prepare works out what the decisions read and what is sent.
+func (g *Gateway) prepare(j *job) outcome {
+	left, ok := g.timeLeft(j)
+	if !ok {
+		return outcome{code: result.BadDeadline, why: "deadline not understood"}
+	}
+	j.deadline = j.in.Arrived.Add(left)
+	j.service, j.class = j.route.Next()
+	object := j.in.Header.Get(g.options.Fields.Affinity)
+	j.ask = placing.Request{
+		Service: j.service, Class: j.class,
+		Object: placing.HashOf(j.route.Prefix + object), HasObject: object != "" && j.route.Sticky,
+		Large: j.route.Upload || len(j.in.Body) > largeBody, Priority: j.route.Priority,
+		Aim: j.in.Arrived.Add(j.route.Aim), Deadline: j.deadline,
+	}
+	if len(j.route.Regions) > 0 {
+		j.ask.Allowed = j.route.Allows
+	}
+	j.out = forward.Request{
+		Method: j.in.Method, URI: j.in.Target, Host: j.in.Host, Header: j.in.Header.Clone(),
+		Length: int64(len(j.in.Body)), Deadline: j.deadline, MaxAnswerBytes: g.options.MaxAnswerBytes,
+		Dialect: &forward.Dialect{
+			DeadlineField: g.options.Fields.Deadline, IDField: g.options.Fields.RequestID, ID: j.id,
+			CloseDelimited: true,
+		},
+	}
+	if len(j.in.Body) > 0 {
+		j.out.Body = [][]byte{j.in.Body}
+	}
+	return outcome{}
+}
+
+// timeLeft is how long the request may take from its arrival on.
+func (g *Gateway) timeLeft(j *job) (time.Duration, bool) {
+	left := defaultDeadline
+	if text := j.in.Header.Get(g.options.Fields.Deadline); text != "" {
+		millis, err := strconv.ParseFloat(text, 64)
+		if err != nil || millis <= 0 {
+			return 0, false
+		}
+		left = time.Duration(millis*float64(time.Millisecond)) - deadlineMargin
+	}
+	if j.route.Timeout > 0 {
+		left = min(left, j.route.Timeout)
+	}
+	return left, true
+}
+
+// answer renders an outcome.
+func (g *Gateway) answer(end outcome) *serve.Answer {
+	if end.code == result.CallerGone {
+		return nil
+	}
+	if a := end.answer; a != nil {
+		out := &serve.Answer{Status: a.Status, Header: a.Header, Body: a.Body, NoBody: a.NoBody}
+		if length := a.LengthField(); len(length) > 0 {
+			out.Length = length[0]
+		}
+		return out
+	}
+	info := result.InfoOf(end.code)
+	status := info.HTTP
+	if info.Outcome == result.NotRun && info.Retry {
+		// Callers repeat any request after 503, which says that it has not run.
+		status = http.StatusServiceUnavailable
+	}
+	a := serve.Plain(status, info.Name+"\n")
+	if status == http.StatusServiceUnavailable {
+		a.Header["Retry-After"] = []string{strconv.FormatFloat(end.retryAfter.Seconds(), 'f', 3, 64)}
+	}
+	return a
+}
+
+// trail is what happened to a request, for its log line.
+type trail struct {
+	waited  time.Duration
+	targets []string
+	ends    []string
+	region  string
+	hedged  bool
+}
+
+func (g *Gateway) record(j *job, end outcome) {
+	took := time.Since(j.in.Arrived)
+	name := ""
+	if j.route != nil {
+		name = j.route.Name
+	}
+	g.options.Metrics.Ended(name, j.service, int(end.code), took)
+	fields := logrus.Fields{
+		"id": j.id, "route": name, "service": j.service, "version": j.version, "result": end.code.String(),
+		"ms": took.Milliseconds(), "waited_ms": j.log.waited.Milliseconds(), "sent": j.sent,
+	}
+	if len(j.log.targets) > 0 {
+		fields["targets"], fields["ends"], fields["region"] = j.log.targets, j.log.ends, j.log.region
+	}
+	if end.answer != nil {
+		fields["status"] = end.answer.Status
+	} else {
+		fields["why"] = end.why
+		fields["retry_after_ms"] = end.retryAfter.Milliseconds()
+	}
+	g.options.Logger.WithFields(fields).Info("gateway: request ended")
+}
--- /dev/null
+++ b/edge/peers/peers.go
@@ -0,0 +1,162 @@
+// Package peers keeps what is known of the other entry VMs: what they registered,
+// and what they said lately. It decides which of them callers are sent to.
+package peers
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/edge/site"
+)
+
+// silence is how long a VM of the own region may say nothing before callers are
+// not sent to it: it beats four times a second, and a paused one is back by then
+// or has lost its callers anyway.
+const silence = 1500 * time.Millisecond
+
+// farSilence is the same for VMs of other regions, which beat twice a second.
+const farSilence = 3 * time.Second
+
+// Said is what a VM said last.
+type Said struct {
+	Incarnation uint64
+	At          time.Time
+	Serving     bool
+	Leaving     bool
+}
+
+// Book holds the VMs. It is safe for use by several goroutines.
+type Book struct {
+	own site.VM
+	// started is when this VM began to listen.
+	started time.Time
+
+	mu         sync.Mutex
+	registered map[string]site.VM
+	said       map[string]Said
+}
+
+// New returns a book that knows this VM only.
+func New(own site.VM, now time.Time) *Book {
+	return &Book{own: own, started: now, registered: make(map[string]site.VM), said: make(map[string]Said)}
+}
+
+// Register replaces the registered VMs. A VM that has said something lately stays
+// known without a registration: the store may have lost it in an outage.
+func (b *Book) Register(vms []site.VM, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	next := make(map[string]site.VM, len(vms))
+	for _, vm := range vms {
+		next[vm.Name] = vm
+	}
+	for name, vm := range b.registered {
+		if _, ok := next[name]; !ok && b.isHeard(vm, now) {
+			next[name] = vm
+		}
+	}
+	b.registered = next
+}
+
+// Hear takes in what a VM said.
+func (b *Book) Hear(name string, s Said) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.said[name] = s
+}
+
+// Others returns the registered VMs but this one, by name.
+func (b *Book) Others() []site.VM {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var all []site.VM
+	for name, vm := range b.registered {
+		if name != b.own.Name {
+			all = append(all, vm)
+		}
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Name < all[j].Name })
+	return all
+}
+
+// isHeard reports whether a VM lives, by what it said.
+func (b *Book) isHeard(vm site.VM, now time.Time) bool {
+	said, ok := b.said[vm.Name]
+	return ok && now.Sub(said.At) < b.patience(vm)
+}
+
+func (b *Book) patience(vm site.VM) time.Duration {
+	if vm.Region == b.own.Region {
+		return silence
+	}
+	return farSilence
+}
+
+// live reports whether callers may be sent to a VM. One that has said nothing
+// yet is given the benefit of the doubt while this VM is new itself.
+func (b *Book) live(vm site.VM, now time.Time) bool {
+	said, ok := b.said[vm.Name]
+	if !ok {
+		return now.Sub(b.started) < b.patience(vm)
+	}
+	return now.Sub(said.At) < b.patience(vm) && said.Serving && !said.Leaving
+}
+
+// Near returns the names of the live VMs of the own region, this one included.
+func (b *Book) Near(now time.Time) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	names := []string{b.own.Name}
+	for name, vm := range b.registered {
+		if name != b.own.Name && vm.Region == b.own.Region && b.isHeard(vm, now) {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Count returns how many VMs are known, this one included.
+func (b *Book) Count() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := len(b.registered)
+	if _, ok := b.registered[b.own.Name]; !ok {
+		n++
+	}
+	return max(1, n)
+}
+
+// Entries returns where callers of a failure domain connect: the live VMs of their
+// domain, else of their region, else all live ones. own tells whether this VM
+// takes callers. The result is empty if no VM does.
+func (b *Book) Entries(zone, region string, own bool, now time.Time) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var sameZone, sameRegion, any []string
+	consider := func(vm site.VM) {
+		any = append(any, vm.Entry)
+		if vm.Region == region {
+			sameRegion = append(sameRegion, vm.Entry)
+		}
+		if vm.Zone == zone {
+			sameZone = append(sameZone, vm.Entry)
+		}
+	}
+	if own {
+		consider(b.own)
+	}
+	for name, vm := range b.registered {
+		if name != b.own.Name && b.live(vm, now) {
+			consider(vm)
+		}
+	}
+	for _, list := range [][]string{sameZone, sameRegion, any} {
+		if len(list) > 0 {
+			sort.Strings(list)
+			return list
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/edge/placing/request.go
@@ -0,0 +1,67 @@
+package placing
+
+import "time"
+
+// Request is what the decisions read of one request.
+type Request struct {
+	Service string
+	Class   *Class
+	// Allowed reports whether a region may run it; nil allows all.
+	Allowed func(region string) bool
+	// Object is what the request is about, if HasObject.
+	Object    uint64
+	HasObject bool
+	// Large prefers targets in the VM's own failure domain.
+	Large    bool
+	Priority int
+	// Aim is until when the answer has its full worth, Deadline until when any.
+	Aim, Deadline time.Time
+	// Tried are the targets that it must not be sent to again.
+	Tried []*Target
+	// Again tells that it was counted as demand before.
+	Again bool
+}
+
+func (r *Request) allows(region string) bool { return r.Allowed == nil || r.Allowed(region) }
+
+func (r *Request) tried(t *Target) bool {
+	for _, other := range r.Tried {
+		if other == t {
+			return true
+		}
+	}
+	return false
+}
+
+// Reason says why a request was refused.
+type Reason int
+
+// Reasons of a refusal.
+const (
+	// NoTarget tells that no target may serve the request.
+	NoTarget Reason = iota + 1
+	// TooLate tells that it would be served after its time.
+	TooLate
+)
+
+// String implements fmt.Stringer.
+func (r Reason) String() string {
+	if r == NoTarget {
+		return "no target"
+	}
+	return "too late"
+}
+
+// Decision is a target, or a refusal.
+type Decision struct {
+	// Target has the request counted in; Done must be called for it.
+	Target *Target
+	Region string
+	// Warm tells that the target is taken to know the object.
+	Warm bool
+	// Expected is how long the answer should take, with the network.
+	Expected time.Duration
+	Reason   Reason
+	// RetryAfter is when there should be room.
+	RetryAfter time.Duration
+}
--- /dev/null
+++ b/edge/placing/shares.go
@@ -0,0 +1,154 @@
+package placing
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+const (
+	// fillShare of a region's slots is planned for its own callers before the
+	// rest goes elsewhere: above it, waiting grows quickly.
+	fillShare = 0.8
+	// startUse is the part of all slots that is taken to be asked for until
+	// demand is measured.
+	startUse = 0.4
+	// shiftRate is how much of a region's requests may change their region in a
+	// second. A third of what callers' regions permit in two windows of two
+	// seconds, the rest is for chance.
+	shiftRate = 0.035
+	// lossRate is the same while a region loses capacity: callers would be refused.
+	lossRate = 0.5
+	// demandTime is the time constant of the measured demand.
+	demandTime = 1500 * time.Millisecond
+)
+
+// demand measures how many slots the arriving requests keep busy.
+type demand struct {
+	slots float64
+	at    time.Time
+}
+
+// add counts a request that takes work.
+func (d *demand) add(now time.Time, work time.Duration) {
+	d.decay(now)
+	d.slots += work.Seconds() / demandTime.Seconds()
+}
+
+func (d *demand) decay(now time.Time) {
+	if !d.at.IsZero() {
+		d.slots *= math.Exp(-now.Sub(d.at).Seconds() / demandTime.Seconds())
+	}
+	d.at = now
+}
+
+// plan returns, for callers of one region, the share of their requests that each
+// region runs. Demand and capacity are in slots, by region.
+func plan(own string, demand, capacity map[string]float64) map[string]float64 {
+	excess := make(map[string]float64)
+	spare, spareSum, excessSum := make(map[string]float64), 0.0, 0.0
+	for region, slots := range capacity {
+		room := fillShare*slots - demand[region]
+		if room >= 0 {
+			spare[region] = room
+			spareSum += room
+		} else {
+			excess[region] = -room
+			excessSum -= room
+		}
+	}
+	out := map[string]float64{}
+	if demand[own] <= 0 || excess[own] <= 0 || spareSum <= 0 {
+		out[own] = 1
+		return out
+	}
+	moved := excess[own] * min(1, spareSum/excessSum)
+	for region, room := range spare {
+		if room > 0 {
+			out[region] = moved / demand[own] * room / spareSum
+		}
+	}
+	out[own] = 1 - moved/demand[own]
+	return out
+}
+
+// shares divide the requests of this VM's callers between regions. They move
+// slowly: a crowd that changes its region at once meets cold targets.
+type shares struct {
+	part   map[string]float64
+	credit map[string]float64
+	at     time.Time
+}
+
+// step moves the shares towards the wanted ones by at most rate a second.
+func (s *shares) step(now time.Time, wanted map[string]float64, rate float64) {
+	if s.part == nil {
+		s.part, s.credit, s.at = wanted, make(map[string]float64), now
+		return
+	}
+	most := rate * min(now.Sub(s.at).Seconds(), 1)
+	s.at = now
+	distance := 0.0
+	for _, region := range regionsOf(s.part, wanted) {
+		distance += math.Abs(wanted[region]-s.part[region]) / 2
+	}
+	if distance == 0 {
+		return
+	}
+	move := min(1, most/distance)
+	next := make(map[string]float64)
+	for _, region := range regionsOf(s.part, wanted) {
+		part := s.part[region] + move*(wanted[region]-s.part[region])
+		if part > 1e-6 {
+			next[region] = part
+		}
+	}
+	s.part = next
+}
+
+func regionsOf(maps ...map[string]float64) []string {
+	var all []string
+	seen := make(map[string]bool)
+	for _, m := range maps {
+		for region := range m {
+			if !seen[region] {
+				seen[region] = true
+				all = append(all, region)
+			}
+		}
+	}
+	sort.Strings(all)
+	return all
+}
+
+// accrue gives each region its part of one more request.
+func (s *shares) accrue() {
+	for region, part := range s.part {
+		s.credit[region] += part
+	}
+}
+
+// next returns the permitted region with the most credit.
+func (s *shares) next(permitted func(region string) bool) (string, bool) {
+	best, found := "", false
+	for region := range s.part {
+		if !permitted(region) {
+			continue
+		}
+		if !found || s.credit[region] > s.credit[best] || (s.credit[region] == s.credit[best] && region < best) {
+			best, found = region, true
+		}
+	}
+	return best, found
+}
+
+// maxCredit bounds what a region that could not be used saves up.
+const maxCredit = 2
+
+// spend counts a request that a region runs.
+func (s *shares) spend(region string) {
+	s.credit[region]--
+	for r, c := range s.credit {
+		s.credit[r] = min(max(c, -maxCredit), maxCredit)
+	}
+}
--- /dev/null
+++ b/edge/placing/target.go
@@ -0,0 +1,161 @@
+package placing
+
+import (
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/edge/site"
+)
+
+const (
+	// overfill is how many requests a target may have beyond its slots: one
+	// waits there while the answer before it is on the way back.
+	overfill = 1
+	// warmFor is how long a target is taken to know an object it handled.
+	warmFor = 12 * time.Second
+	// maxWarm bounds the objects remembered for one target; targets keep 40 to 50.
+	maxWarm = 48
+	// failureRate is the weight of one outcome in a target's share of failures.
+	failureRate = 0.2
+	// failureCost is how much later a target that always fails is taken to
+	// answer: the caller has to come back.
+	failureCost = 800 * time.Millisecond
+	// slowRate is the weight of one answer in a target's slowness.
+	slowRate = 0.3
+	// forgiveAfter is how long a target's slowness and failures last without
+	// news: it gets few requests, and would never show that it is well again.
+	forgiveAfter = 3 * time.Second
+	// slowFrom is the slowness from which on a target teaches nothing about work.
+	slowFrom = 1.7
+	// firstEjection and lastEjection bound how long a target gets nothing.
+	firstEjection = 400 * time.Millisecond
+	lastEjection  = 3 * time.Second
+	// ejectAfter failures in a row eject a target; a failed connection does at once.
+	ejectAfter = 3
+	// coldMargin is added to the time a target says it is cold: it said so
+	// before it was read here.
+	coldMargin = 500 * time.Millisecond
+)
+
+// Target is one target as this VM sees it. The board's lock guards it.
+type Target struct {
+	site.Target
+	Region string
+	hash   uint64
+	// delay is the network's, to the target and back.
+	delay time.Duration
+	// usable is false for draining targets and those in evacuated domains.
+	usable   bool
+	sameZone bool
+	// own and others count the requests in hand, of this VM and of all others.
+	own, others int
+	warm        map[uint64]time.Time
+	// failures is the share of failed requests, slow how many times longer than
+	// expected it works; news is when they last changed.
+	failures, slow float64
+	news           time.Time
+	failedInRow    int
+	ejectedUntil   time.Time
+	ejection       time.Duration
+	// probing tells that the target must pass a probe before it gets requests.
+	probing  bool
+	coldTill time.Time
+	cold     coldBucket
+}
+
+// inHand is the number of requests at the target, of all VMs.
+func (t *Target) inHand() int { return t.own + t.others }
+
+// open reports whether the target may get one more request.
+func (t *Target) open(now time.Time) bool {
+	if !t.usable || t.probing || now.Before(t.ejectedUntil) || t.inHand() >= t.Slots+overfill {
+		return false
+	}
+	return !now.Before(t.coldTill) || t.cold.has(now)
+}
+
+// alive reports whether the target takes part in the region's capacity.
+func (t *Target) alive(now time.Time) bool {
+	return t.usable && !t.probing && !now.Before(t.ejectedUntil)
+}
+
+// knows reports whether the target is taken to have the object at hand.
+func (t *Target) knows(object uint64, now time.Time) bool {
+	at, ok := t.warm[object]
+	return ok && now.Sub(at) < warmFor
+}
+
+// remember notes that the target handles an object.
+func (t *Target) remember(object uint64, now time.Time) {
+	t.warm[object] = now
+	if len(t.warm) <= maxWarm {
+		return
+	}
+	oldest, at := object, now
+	for o, when := range t.warm {
+		if when.Before(at) {
+			oldest, at = o, when
+		}
+	}
+	delete(t.warm, oldest)
+}
+
+// fade returns how much of what was learnt still holds.
+func (t *Target) fade(now time.Time) float64 {
+	return max(0, 1-float64(now.Sub(t.news))/float64(forgiveAfter))
+}
+
+// slowness is at least 1.
+func (t *Target) slowness(now time.Time) float64 { return 1 + (t.slow-1)*t.fade(now) }
+
+// cost is when a request is expected to end there, from now on.
+func (t *Target) cost(now time.Time, class *Class, warm bool) time.Duration {
+	work := float64(class.work(warm)) * t.slowness(now)
+	ahead := max(0, t.inHand()+1-t.Slots)
+	wait := work * float64(ahead) / float64(t.Slots)
+	// Targets that fill up are a little dearer, so that equal ones share the load.
+	wait += 0.02 * work * float64(t.inHand()) / float64(t.Slots)
+	failing := t.failures * t.fade(now) * float64(failureCost)
+	return t.delay + time.Duration(work+wait+failing)
+}
+
+// succeeded takes in an answer; took is without the network's delay.
+func (t *Target) succeeded(now time.Time, class *Class, warm bool, took time.Duration) {
+	ratio := max(1, float64(took)/float64(max(class.work(warm), time.Millisecond)))
+	t.slow = t.slowness(now) + slowRate*(ratio-t.slowness(now))
+	t.failures = (1 - failureRate) * t.failures * t.fade(now)
+	t.news = now
+	t.failedInRow = 0
+	t.ejection = 0
+	if t.slow < slowFrom && now.After(t.coldTill) {
+		class.learn(warm, took)
+	}
+}
+
+// failed takes in a failure; unreachable tells that no connection could be had.
+func (t *Target) failed(now time.Time, unreachable bool) {
+	faded := t.failures * t.fade(now)
+	t.failures = faded + failureRate*(1-faded)
+	t.slow = t.slowness(now)
+	t.news = now
+	t.failedInRow++
+	if !unreachable && t.failedInRow < ejectAfter {
+		return
+	}
+	t.failedInRow = 0
+	t.ejection = min(max(firstEjection, 2*t.ejection), lastEjection)
+	t.ejectedUntil = now.Add(t.ejection)
+	t.probing = true
+}
+
+// coldBucket limits what this VM sends to a cold target.
+type coldBucket struct {
+	// rate is requests a second; 0 permits none.
+	rate float64
+	next time.Time
+}
+
+func (b *coldBucket) has(now time.Time) bool { return b.rate > 0 && !now.Before(b.next) }
+
+func (b *coldBucket) take(now time.Time) {
+	b.next = now.Add(time.Duration(float64(time.Second) / b.rate))
+}
--- /dev/null
+++ b/edge/serve/conn.go
@@ -0,0 +1,434 @@
+package serve
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+var (
+	errHeaderTooLong = errors.New("serve: header over the limit")
+	errBodyTooLong   = errors.New("serve: body over the limit")
+	errNoMemory      = errors.New("serve: no memory for the body")
+	errExpectation   = errors.New("serve: expectation not known")
+)
+
+// conn is one caller's connection.
+type conn struct {
+	server *Server
+	nc     net.Conn
+	reader *bufio.Reader
+	cancel context.CancelFunc
+	once   sync.Once
+
+	mu sync.Mutex
+	// inHand counts requests taken whose answers are not wholly given.
+	inHand int
+	// closing tells that no further request is taken.
+	closing bool
+}
+
+// take counts a request in, unless the connection is closing: a request that was
+// not taken was not passed on, and its caller may send it again.
+func (c *conn) take() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return false
+	}
+	c.inHand++
+	return true
+}
+
+func (c *conn) give() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inHand--
+}
+
+func (c *conn) hasWork() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.inHand > 0
+}
+
+// closeIfIdle closes the connection unless a request is in hand.
+func (c *conn) closeIfIdle() {
+	c.mu.Lock()
+	idle := c.inHand == 0
+	c.closing = c.closing || idle
+	c.mu.Unlock()
+	if idle {
+		c.shut()
+	}
+}
+
+// isLast decides whether an answer ends the connection. While requests wait
+// behind it the connection stays open: they were read, and their callers wait.
+func (c *conn) isLast(in *incoming) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !in.last && (!c.server.parting.Load() || c.inHand > 1) {
+		return false
+	}
+	c.closing = true
+	return true
+}
+
+// shut closes the connection; the requests in hand learn it by their context.
+func (c *conn) shut() {
+	c.once.Do(func() {
+		c.cancel()
+		_ = c.nc.Close()
+	})
+}
+
+// run reads requests until the connection ends. It goes on reading while
+// requests are worked on, so that a caller that leaves is seen at once.
+func (c *conn) run(ctx context.Context) {
+	var working sync.WaitGroup
+	defer func() {
+		c.shut()
+		working.Wait()
+	}()
+	places := make(chan struct{}, maxAhead)
+	before := make(chan struct{})
+	close(before)
+	for {
+		r, err := c.read()
+		if err != nil {
+			c.refuse(ctx, err, before)
+			return
+		}
+		select {
+		case places <- struct{}{}:
+		case <-ctx.Done():
+			c.drop(r)
+			return
+		}
+		if !c.take() {
+			c.drop(r)
+			return
+		}
+		done := make(chan struct{})
+		c.server.busy.Add(1)
+		previous := before
+		working.Go(func() {
+			c.serve(ctx, r, previous)
+			close(done)
+			<-places
+		})
+		before = done
+		if r.last {
+			c.awaitEnd(ctx, before)
+			return
+		}
+	}
+}
+
+// awaitEnd watches for a caller that leaves while its last request is worked on.
+func (c *conn) awaitEnd(ctx context.Context, done <-chan struct{}) {
+	gone := make(chan struct{})
+	go func() {
+		_, _ = c.reader.Peek(1)
+		close(gone)
+	}()
+	select {
+	case <-done:
+		c.linger(gone)
+	case <-gone:
+		if c.reader.Buffered() > 0 {
+			// Bytes after the last request belong to nothing.
+			<-done
+		}
+	case <-ctx.Done():
+	}
+}
+
+// lingerTime is how long the caller has to close after the last answer: to close
+// with bytes still under way resets the connection and may take the answer along.
+const lingerTime = 500 * time.Millisecond
+
+func (c *conn) linger(gone <-chan struct{}) {
+	if tcp, ok := c.nc.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+	timer := time.NewTimer(lingerTime)
+	defer timer.Stop()
+	select {
+	case <-gone:
+	case <-timer.C:
+	}
+}
+
+// incoming is a request with what belongs to its connection.
+type incoming struct {
+	*Request
+	// last tells that the caller closes after this request.
+	last bool
+	held int64
+}
+
+// read returns the next request. Errors of the kind err... are answered, others
+// are the end of the connection.
+func (c *conn) read() (*incoming, error) {
+	limits := c.server.options.Limits()
+	if err := c.awaitByte(limits.IdleTime); err != nil {
+		return nil, err
+	}
+	began := time.Now()
+	_ = c.nc.SetReadDeadline(began.Add(limits.HeaderTime))
+	r, err := c.readHead(limits)
+	if err != nil {
+		return nil, err
+	}
+	in := &incoming{last: r.Close || !r.ProtoAtLeast(1, 1), Request: &Request{
+		Method: r.Method, Target: r.RequestURI, Path: r.URL.Path, Query: r.URL.Query(),
+		Host: r.Host, Header: r.Header, Arrived: began,
+	}}
+	if err := c.readBody(r, in, limits); err != nil {
+		c.drop(in)
+		return nil, err
+	}
+	_ = c.nc.SetReadDeadline(time.Time{})
+	return in, nil
+}
+
+// awaitByte returns when a request begins. A connection is not idle while answers
+// are still to come.
+func (c *conn) awaitByte(idle time.Duration) error {
+	for {
+		_ = c.nc.SetReadDeadline(time.Now().Add(idle))
+		_, err := c.reader.Peek(1)
+		if err == nil || !isTimeout(err) || !c.hasWork() {
+			return err
+		}
+	}
+}
+
+// readHead parses request line and fields. The limit holds for the head only: the
+// reader below it is the connection's own.
+func (c *conn) readHead(limits Limits) (*http.Request, error) {
+	if err := c.checkHead(limits.HeaderBytes); err != nil {
+		return nil, err
+	}
+	r, err := http.ReadRequest(c.reader)
+	if err != nil {
+		if isTimeout(err) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
+			return nil, err
+		}
+		return nil, &badRequest{cause: err}
+	}
+	return r, nil
+}
+
+// checkHead makes room for a head that is longer than the connection's buffer, up
+// to the limit.
+func (c *conn) checkHead(limit int) error {
+	for {
+		seen, _ := c.reader.Peek(c.reader.Buffered())
+		if bytes.Contains(seen, []byte("\r\n\r\n")) || bytes.Contains(seen, []byte("\n\n")) {
+			return nil
+		}
+		if len(seen) >= limit {
+			return errHeaderTooLong
+		}
+		if len(seen) == c.reader.Size() {
+			// What is buffered moves into a larger reader, in front of the rest.
+			rest := io.MultiReader(bytes.NewReader(bytes.Clone(seen)), c.nc)
+			c.reader = bufio.NewReaderSize(rest, min(2*c.reader.Size(), limit+readBuffer))
+		}
+		if _, err := c.reader.Peek(c.reader.Buffered() + 1); err != nil {
+			return err
+		}
+	}
+}
+
+func (c *conn) readBody(r *http.Request, in *incoming, limits Limits) error {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil
+	}
+	if r.ContentLength > limits.BodyBytes {
+		return errBodyTooLong
+	}
+	if expects := r.Header.Get("Expect"); expects != "" {
+		if expects != "100-continue" {
+			return errExpectation
+		}
+		_ = c.nc.SetWriteDeadline(time.Now().Add(writeTime))
+		if _, err := c.nc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
+			return err
+		}
+	}
+	_ = c.nc.SetReadDeadline(time.Now().Add(max(limits.IdleTime, limits.HeaderTime)))
+	if r.ContentLength >= 0 {
+		return c.readKnown(r, in)
+	}
+	return c.readChunks(r, in, limits)
+}
+
+func (c *conn) readKnown(r *http.Request, in *incoming) error {
+	if !c.hold(in, r.ContentLength) {
+		return errNoMemory
+	}
+	in.Body = make([]byte, r.ContentLength)
+	_, err := io.ReadFull(r.Body, in.Body)
+	return err
+}
+
+// chunkStep is how much memory a body of unknown length reserves at once.
+const chunkStep = 64 << 10
+
+func (c *conn) readChunks(r *http.Request, in *incoming, limits Limits) error {
+	var body bytes.Buffer
+	for {
+		if !c.hold(in, chunkStep) {
+			return errNoMemory
+		}
+		_, err := io.CopyN(&body, r.Body, chunkStep)
+		if int64(body.Len()) > limits.BodyBytes {
+			return errBodyTooLong
+		}
+		if errors.Is(err, io.EOF) {
+			in.Body = body.Bytes()
+			return nil
+		}
+		if err != nil {
+			if errors.Is(err, io.ErrUnexpectedEOF) || isTimeout(err) {
+				return err
+			}
+			return &badRequest{cause: err}
+		}
+	}
+}
+
+// hold reserves memory for a body.
+func (c *conn) hold(in *incoming, n int64) bool {
+	if m := c.server.options.Memory; m != nil && !m.Take(n) {
+		return false
+	}
+	in.held += n
+	return true
+}
+
+// drop frees what a request reserved.
+func (c *conn) drop(in *incoming) {
+	if m := c.server.options.Memory; m != nil && in.held > 0 {
+		m.Give(in.held)
+	}
+	in.held = 0
+}
+
+// serve answers one request once the one before it is answered.
+func (c *conn) serve(ctx context.Context, in *incoming, before <-chan struct{}) {
+	defer func() {
+		c.drop(in)
+		c.give()
+		c.server.busy.Add(-1)
+	}()
+	answer := c.server.options.Handler(ctx, in.Request)
+	<-before
+	if answer == nil {
+		c.shut()
+		return
+	}
+	last := c.isLast(in)
+	switch err := c.write(answer, last); {
+	case err != nil:
+		c.shut()
+	case last && !in.last:
+		// A caller that asked for the end closes itself, see awaitEnd.
+		c.finish()
+	}
+}
+
+// finish lets the caller read the last answer before the connection closes.
+func (c *conn) finish() {
+	if tcp, ok := c.nc.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+	time.AfterFunc(lingerTime, c.shut)
+}
+
+// answers holds buffers for answers.
+var answers = sync.Pool{New: func() any { return bytes.NewBuffer(make([]byte, 0, writeBuffer)) }}
+
+func (c *conn) write(a *Answer, last bool) error {
+	b := answers.Get().(*bytes.Buffer)
+	defer answers.Put(b)
+	b.Reset()
+	a.encode(b, last)
+	_ = c.nc.SetWriteDeadline(time.Now().Add(writeTime))
+	pieces := net.Buffers{b.Bytes()}
+	if len(a.Body) > 0 && !a.NoBody {
+		pieces = append(pieces, a.Body)
+	}
+	_, err := pieces.WriteTo(c.nc)
+	return err
+}
+
+// badRequest is a request that is not HTTP/1.1.
+type badRequest struct{ cause error }
+
+func (e *badRequest) Error() string { return "serve: malformed request: " + e.cause.Error() }
+
+// refuse answers a request that cannot be read whole, if there was one.
+func (c *conn) refuse(ctx context.Context, err error, before <-chan struct{}) {
+	status := statusOf(err)
+	if status == 0 {
+		return
+	}
+	c.server.options.Logger.WithError(err).WithField("status", status).Info("serve: request refused")
+	select {
+	case <-before:
+	case <-ctx.Done():
+		return
+	}
+	a := Plain(status, "")
+	if status == http.StatusServiceUnavailable {
+		a.Header["Retry-After"] = []string{"0.3"}
+	}
+	if c.write(a, true) == nil {
+		c.drainInput()
+	}
+}
+
+// drainInput reads on for a while: to close with unread bytes resets the
+// connection, and the caller might lose the answer.
+func (c *conn) drainInput() {
+	if tcp, ok := c.nc.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+	_ = c.nc.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.Copy(io.Discard, c.reader)
+}
+
+// statusOf is the answer to a request that could not be read, 0 for none.
+func statusOf(err error) int {
+	var bad *badRequest
+	switch {
+	case errors.Is(err, errHeaderTooLong):
+		return http.StatusRequestHeaderFieldsTooLarge
+	case errors.Is(err, errBodyTooLong):
+		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, errNoMemory):
+		return http.StatusServiceUnavailable
+	case errors.Is(err, errExpectation):
+		return http.StatusExpectationFailed
+	case errors.As(err, &bad):
+		return http.StatusBadRequest
+	}
+	return 0
+}
+
+func isTimeout(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
--- a/node/http.go
+++ b/node/http.go
@@ -65,7 +65,7 @@
 func (n *Node) listenAdmin() error {
 	mux := http.NewServeMux()
 	mux.Handle(admin.PathPrefix, n.newAPI())
-	mux.Handle(pathMetrics, n.metrics.page)
+	mux.Handle(pathMetrics, n.metrics.Page)
 	mux.HandleFunc(pathHealth, n.serveHealth)
 	mux.HandleFunc(pathStatus, n.serveStatus)
 	options := httpserver.Options{
--- a/node/node.go
+++ b/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/yuccaroute/yuccaroute/config/source"
 	"github.com/yuccaroute/yuccaroute/control"
 	"github.com/yuccaroute/yuccaroute/httpserver"
+	"github.com/yuccaroute/yuccaroute/httpserver/scrape"
 	"github.com/yuccaroute/yuccaroute/lookup"
 	"github.com/yuccaroute/yuccaroute/membership"
 	"github.com/yuccaroute/yuccaroute/membership/feed"
@@ -57,7 +58,7 @@
 	control *control.System
 	planner *planner.Planner
 	peers   *transport.Pool
-	metrics *metrics
+	metrics *scrape.Metrics
 	// keys is nil when the node speaks without TLS.
 	keys *tlsfiles.Keeper
 
@@ -90,7 +91,7 @@
 		log:      options.Logger,
 		accounts: newAccountSet(),
 		planner:  planner.New(),
-		metrics:  newMetrics(options.Settings.Node.VM),
+		metrics:  scrape.New(options.Settings.Node.VM, metricsInterval),
 	}
 	steps := []func() error{
 		n.openKeys,
@@ -151,7 +152,7 @@
 		Region: s.Node.Region,
 		Place:  s.Node.FailureDomain,
 		Logger: n.log,
-		Scope:  n.metrics.scope,
+		Scope:  n.metrics.Scope,
 	})
 	recorder := keys.New(keys.Options{
 		Store:           n.store,
@@ -164,7 +165,7 @@
 		Region:           s.Node.Region,
 		Place:            s.Node.FailureDomain,
 		Logger:           n.log,
-		Scope:            n.metrics.scope,
+		Scope:            n.metrics.Scope,
 		CallerRegion:     n.lookup.CallerRegion,
 		Keys:             recorder,
 		Ask:              n.askKept,
@@ -309,5 +310,5 @@
 	if n.peerTCP != nil {
 		_ = n.peerTCP.Close()
 	}
-	_ = n.metrics.closer.Close()
+	_ = n.metrics.Closer.Close()
 }
--- a/proxy/forward/head.go
+++ b/proxy/forward/head.go
@@ -41,11 +41,16 @@
 	if r.Length > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
 		writeNumber(b, "Content-Length", r.Length)
 	}
-	writeNumber(b, result.HeaderDeadline, max(1, left.Milliseconds()))
-	b.WriteString(result.HeaderExchange + ": ")
-	b.Write(appendExchange(b.AvailableBuffer(), exchange))
-	b.WriteString("\r\n")
-	writeHeader(b, r.Header)
+	if r.Dialect != nil {
+		writeNumber(b, r.Dialect.DeadlineField, max(1, left.Milliseconds()))
+		writeField(b, r.Dialect.IDField, oneLine(r.Dialect.ID))
+	} else {
+		writeNumber(b, result.HeaderDeadline, max(1, left.Milliseconds()))
+		b.WriteString(result.HeaderExchange + ": ")
+		b.Write(appendExchange(b.AvailableBuffer(), exchange))
+		b.WriteString("\r\n")
+	}
+	writeHeader(b, r)
 	b.WriteString("\r\n")
 }
 
@@ -55,10 +60,10 @@
 // Guard against a caller that hides a second request, or a field, in a name or
 // value: it shows as an order that no entry VM admitted. No line of a field can
 // end within it here, as names are tokens and line ends in values are blanks.
-func writeHeader(b *bytes.Buffer, h http.Header) {
-	skip := excluded(h)
-	for name, values := range h {
-		if skip[name] || !isToken(name) {
+func writeHeader(b *bytes.Buffer, r *Request) {
+	skip := excluded(r.Header)
+	for name, values := range r.Header {
+		if skip[name] || !isToken(name) || r.Dialect.writes(name) {
 			continue
 		}
 		for _, value := range values {
@@ -67,6 +72,11 @@
 	}
 }
 
+// writes reports whether the field is written apart from the request's own.
+func (d *Dialect) writes(name string) bool {
+	return d != nil && (name == d.DeadlineField || name == d.IDField)
+}
+
 // lineEnds turns what could end a line into blanks.
 var lineEnds = strings.NewReplacer("\n", " ", "\r", " ")
 
--- a/proxy/forward/receive.go
+++ b/proxy/forward/receive.go
@@ -33,7 +33,7 @@
 // receive reads the answer. By now the request may have run, so whatever goes
 // wrong the outcome is unknown.
 func (c *Conn) receive(ctx context.Context, r *Request, exchange uint64) (*Answer, error) {
-	resp, err := c.readHead(r)
+	resp, err := c.readOwnHead(r)
 	if err != nil {
 		return nil, newError(headCode(ctx, err), err)
 	}
@@ -58,6 +58,38 @@
 	}, nil
 }
 
+// maxStray bounds the answers to other requests that are skipped before the own one.
+const maxStray = 2
+
+// readOwnHead reads the head of the answer to this request.
+//
+// Guard against a target that answers an earlier request a second time, late: the
+// second answer comes where this one's is expected, and would go to the wrong
+// caller. It is told by the id that targets repeat, and is read to its end.
+func (c *Conn) readOwnHead(r *Request) (*http.Response, error) {
+	for range maxStray {
+		resp, err := c.readHead(r)
+		if err != nil || !r.Dialect.isStray(resp) {
+			return resp, err
+		}
+		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+			return nil, errForeign
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return nil, err
+		}
+	}
+	return nil, errForeign
+}
+
+func (d *Dialect) isStray(resp *http.Response) bool {
+	if d == nil {
+		return false
+	}
+	got := resp.Header.Get(d.IDField)
+	return got != "" && got != d.ID
+}
+
 func (c *Conn) readHead(r *Request) (*http.Response, error) {
 	c.asked.Method = r.Method
 	for range maxInterim {
@@ -79,12 +111,13 @@
 func check(resp *http.Response, r *Request, exchange uint64) error {
 	// A target that repeats the exchange number lets an answer that came too
 	// late, or twice, be told from the one that is waited for.
-	if got := resp.Header.Get(result.HeaderExchange); got != "" && !isExchange(got, exchange) {
+	if got := resp.Header.Get(result.HeaderExchange); r.Dialect == nil && got != "" && !isExchange(got, exchange) {
 		return errForeign
 	}
 	// A body that ends with the connection looks the same whether it is whole
 	// or cut.
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && hasBody(resp, r) {
+	closeDelimited := r.Dialect != nil && r.Dialect.CloseDelimited
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && hasBody(resp, r) && !closeDelimited {
 		return errNoLength
 	}
 	return nil
--- a/proxy/forward/request.go
+++ b/proxy/forward/request.go
@@ -26,6 +26,23 @@
 	MaxAnswerBytes int64
 	// Memory bounds the bytes of answers in sum; nil does not bound them.
 	Memory Memory
+	// Dialect replaces the fields that this package writes and reads itself; nil
+	// is the project's own protocol.
+	Dialect *Dialect
+}
+
+// Dialect is how targets of another protocol name the deadline and tell answers
+// apart.
+type Dialect struct {
+	// DeadlineField gets the milliseconds that are left.
+	DeadlineField string
+	// IDField carries the id of the request, which targets repeat.
+	IDField string
+	// ID of this request; it is sent once, with the request's own fields.
+	ID string
+	// CloseDelimited takes an answer without a length as whole if the target
+	// closes the connection after it in order, without a reset.
+	CloseDelimited bool
 }
 
 // Source is a body that may still be coming.
--- a/proxy/pool/pool.go
+++ b/proxy/pool/pool.go
@@ -13,9 +13,10 @@
 	"github.com/yuccaroute/yuccaroute/proxy/forward"
 )
 
-// MaxIdle is how long a connection may stay unused. Targets close idle
-// connections after a time of their own; a request that crosses such a close
-// is lost with an unknown outcome. So the pool must be the first to give up.
+// MaxIdle is how long a connection may stay unused, unless SetMaxIdle says less.
+// Targets close idle connections after a time of their own; a request that crosses
+// such a close is lost with an unknown outcome. So the pool must be the first to
+// give up.
 const MaxIdle = 20 * time.Second
 
 // ErrFull tells that the node holds as many connections as it may.
@@ -36,6 +37,7 @@
 	idle    []idleConn
 	open    int
 	limit   int
+	maxIdle time.Duration
 	closed  bool
 }
 
@@ -46,7 +48,14 @@
 
 // New returns an empty pool with a bound on open connections.
 func New(address string, dial Dial, limit int) *Pool {
-	return &Pool{address: address, dial: dial, limit: limit}
+	return &Pool{address: address, dial: dial, limit: limit, maxIdle: MaxIdle}
+}
+
+// SetMaxIdle changes how long a connection may stay unused.
+func (p *Pool) SetMaxIdle(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.maxIdle = d
 }
 
 // SetLimit changes the bound; connections over the new one are closed as they
@@ -194,7 +203,7 @@
 // in the order in which they came back.
 func (p *Pool) takeOld() []idleConn {
 	n := 0
-	for n < len(p.idle) && time.Since(p.idle[n].since) > MaxIdle {
+	for n < len(p.idle) && time.Since(p.idle[n].since) > p.maxIdle {
 		n++
 	}
 	if n == 0 {
