placing: regions by capacity first, objects keep their region; refuse early

Cause: in the first seconds no target knows an object, each region learnt every object by itself, and small regions were full for good as shares move slowly; waiting requests were refused at the end of their time. Change: shares begin by capacity, alike in all regions, with weighted rendezvous hashing of objects; waiting requests are refused when they cannot be served in time.

--- a/edge/placing/board.go
+++ b/edge/placing/board.go
@@ -193,7 +193,7 @@
 		return Decision{Reason: NoTarget, RetryAfter: maxRetryAfter}, nil
 	}
 	if !r.Again {
-		s.demand.add(now, r.Class.work(r.HasObject))
+		s.demand.add(now, r.work())
 		b.stepShares(now, s)
 		s.shares.accrue()
 	}
@@ -207,7 +207,7 @@
 	if refusal, late := b.tooLate(now, s, r, region); late {
 		return refusal, nil
 	}
-	w := &Waiter{request: r, region: region, decided: make(chan Decision, 1)}
+	w := &Waiter{request: r, region: region, last: r.lastEnd(now), decided: make(chan Decision, 1)}
 	s.line.add(w, now)
 	return Decision{}, w
 }
@@ -215,8 +215,8 @@
 // regionFor returns the region that runs a request: the one whose share is due if
 // it can answer in time there, "" if no region has a target.
 func (b *Board) regionFor(now time.Time, s *service, r *Request) string {
-	work := r.Class.work(r.HasObject)
-	region, ok := s.shares.next(func(region string) bool {
+	work := r.work()
+	region, ok := s.shares.pick(r, func(region string) bool {
 		if !r.allows(region) || s.slots(now, region) == 0 {
 			return false
 		}
@@ -265,15 +265,9 @@
 
 // tooLate refuses a request that would end long after its aim, or its deadline.
 func (b *Board) tooLate(now time.Time, s *service, r *Request, region string) (Decision, bool) {
-	slots := max(1, s.slots(now, region))
-	wait := s.line.ahead(r, now) / time.Duration(slots)
-	end := now.Add(wait + r.Class.work(r.HasObject) + b.options.Delay(region))
-	aim := r.Aim.Sub(now)
-	last := r.Aim.Add(time.Duration(lateShare * float64(max(0, aim))))
-	if last.After(r.Deadline) {
-		last = r.Deadline
-	}
-	if !end.After(last) {
+	wait := time.Duration(float64(s.line.ahead(r, now)) / s.pace(now, region))
+	end := now.Add(wait + r.work() + b.options.Delay(region))
+	if !end.After(r.lastEnd(now)) {
 		return Decision{}, false
 	}
 	return Decision{Reason: TooLate, RetryAfter: retryAfter(wait)}, true
@@ -356,12 +350,18 @@
 	b.serveAll(now)
 }
 
-// serve is called with the lock held.
+// serve is called with the lock held. Requests that would be served too late learn
+// it now, not when their time is over: their callers can still go elsewhere.
 func (s *service) serve(now time.Time, b *Board) {
+	if len(s.line.waiting) == 0 {
+		return
+	}
 	kept := s.line.waiting[:0]
+	ahead := make(map[string]time.Duration)
 	for _, w := range s.line.waiting {
-		d, ok := b.decide(now, s, w)
+		d, ok := b.decide(now, s, w, ahead[w.region])
 		if !ok {
+			ahead[w.region] += w.request.work()
 			kept = append(kept, w)
 			continue
 		}
@@ -371,19 +371,20 @@
 	s.line.waiting = kept
 }
 
-func (b *Board) decide(now time.Time, s *service, w *Waiter) (Decision, bool) {
-	if d, ok := b.give(now, s, w.request, w.region); ok {
-		return d, true
-	}
+// decide serves or refuses a waiting request with the work before it.
+func (b *Board) decide(now time.Time, s *service, w *Waiter, ahead time.Duration) (Decision, bool) {
 	if s.slots(now, w.region) == 0 {
 		if region := b.nearest(now, s, w.request); region != "" {
 			w.region = region
-			return b.give(now, s, w.request, region)
 		}
 	}
-	need := w.request.Class.work(w.request.HasObject) + b.options.Delay(w.region)
-	if now.Add(need).After(w.request.Deadline) {
-		return Decision{Reason: TooLate, RetryAfter: minRetryAfter}, true
+	if d, ok := b.give(now, s, w.request, w.region); ok {
+		return d, true
+	}
+	wait := time.Duration(float64(ahead) / s.pace(now, w.region))
+	need := wait + w.request.work() + b.options.Delay(w.region)
+	if now.Add(need).After(w.last) {
+		return Decision{Reason: TooLate, RetryAfter: retryAfter(wait)}, true
 	}
 	return Decision{}, false
 }
@@ -395,20 +396,13 @@
 		rate = lossRate
 	}
 	capacity := make(map[string]float64)
-	total := 0.0
 	for region := range s.regions {
 		capacity[region] = float64(s.slots(now, region))
-		total += capacity[region]
 	}
-	needs := make(map[string]float64)
 	if s.shares.part == nil {
-		for region := range capacity {
-			needs[region] = startUse * total / float64(len(capacity))
-		}
-	} else {
-		needs = b.demandOf(now, s)
+		s.shares.begin(now, capacity)
 	}
-	s.shares.step(now, plan(b.options.Region, needs, capacity), rate)
+	s.shares.step(now, plan(b.options.Region, b.demandOf(now, s), capacity), rate)
 }
 
 func (b *Board) demandOf(now time.Time, s *service) map[string]float64 {
--- a/edge/placing/line.go
+++ b/edge/placing/line.go
@@ -6,6 +6,8 @@
 type Waiter struct {
 	request *Request
 	region  string
+	// last is until when an answer is worth waiting for.
+	last time.Time
 	// decided gets the outcome once.
 	decided chan Decision
 }
@@ -17,10 +19,10 @@
 type line struct{ waiting []*Waiter }
 
 // before is the order of the line: requests that can still meet their aim go
-// before those that are late, urgent ones before others, then the earliest aim.
+// before those that cannot, urgent ones before others, then the earliest aim.
 func (w *Waiter) before(other *Waiter, now time.Time) bool {
 	a, b := w.request, other.request
-	if late := now.After(a.Aim); late != now.After(b.Aim) {
+	if late := a.late(now); late != b.late(now) {
 		return !late
 	}
 	if a.Priority != b.Priority {
@@ -55,7 +57,7 @@
 	sum := time.Duration(0)
 	for _, other := range l.waiting {
 		if !w.before(other, now) {
-			sum += other.request.Class.work(other.request.HasObject)
+			sum += other.request.work()
 		}
 	}
 	return sum
--- a/edge/placing/request.go
+++ b/edge/placing/request.go
@@ -24,6 +24,21 @@
 
 func (r *Request) allows(region string) bool { return r.Allowed == nil || r.Allowed(region) }
 
+// work is how long a target that knows the object needs.
+func (r *Request) work() time.Duration { return r.Class.work(r.HasObject) }
+
+// late reports whether the request would miss its aim if it began now.
+func (r *Request) late(now time.Time) bool { return now.Add(r.work()).After(r.Aim) }
+
+// lastEnd is until when an answer is worth waiting for.
+func (r *Request) lastEnd(now time.Time) time.Time {
+	last := r.Aim.Add(time.Duration(lateShare * float64(max(0, r.Aim.Sub(now)))))
+	if last.After(r.Deadline) {
+		return r.Deadline
+	}
+	return last
+}
+
 func (r *Request) tried(t *Target) bool {
 	for _, other := range r.Tried {
 		if other == t {
--- a/edge/placing/service.go
+++ b/edge/placing/service.go
@@ -42,8 +42,7 @@
 	return best, lowest
 }
 
-// home is the target of a region that an object goes to first. Large bodies
-// prefer the VM's own failure domain: bytes between domains have a price.
+// home is the target of a region that an object goes to first.
 func (s *service) home(r *Request, region string) *Target {
 	if !r.HasObject {
 		return nil
@@ -54,10 +53,7 @@
 		if !t.usable || t.probing {
 			continue
 		}
-		order := draw(r.Object, t.hash) >> 1
-		if r.Large && t.sameZone {
-			order |= 1 << 63
-		}
+		order := draw(r.Object, t.hash)
 		if home == nil || order > rank {
 			home, rank = t, order
 		}
@@ -75,3 +71,14 @@
 	}
 	return n
 }
+
+// pace is how many slots of a region serve this VM's line: its part of the
+// requests in hand there.
+func (s *service) pace(now time.Time, region string) float64 {
+	own, all := 1.0, 1.0
+	for _, t := range s.regions[region] {
+		own += float64(t.own)
+		all += float64(t.inHand())
+	}
+	return max(1, float64(s.slots(now, region))) * own / all
+}
--- a/edge/placing/shares.go
+++ b/edge/placing/shares.go
@@ -8,11 +8,9 @@
 
 const (
 	// fillShare of a region's slots is planned for its own callers before the
-	// rest goes elsewhere: above it, waiting grows quickly.
-	fillShare = 0.8
-	// startUse is the part of all slots that is taken to be asked for until
-	// demand is measured.
-	startUse = 0.4
+	// rest goes elsewhere: above it, requests wait for each other, and the delay to
+	// another region is short against what callers hope for.
+	fillShare = 0.5
 	// shiftRate is how much of a region's requests may change their region in a
 	// second. A third of what callers' regions permit in two windows of two
 	// seconds, the rest is for chance.
@@ -42,13 +40,23 @@
 	d.at = now
 }
 
+func sum(values map[string]float64) float64 {
+	total := 0.0
+	for _, v := range values {
+		total += v
+	}
+	return total
+}
+
 // plan returns, for callers of one region, the share of their requests that each
-// region runs. Demand and capacity are in slots, by region.
+// region runs. Demand and capacity are in slots, by region. Regions are filled
+// evenly, above fillShare: when all are short, callers everywhere wait alike.
 func plan(own string, demand, capacity map[string]float64) map[string]float64 {
 	excess := make(map[string]float64)
 	spare, spareSum, excessSum := make(map[string]float64), 0.0, 0.0
+	fill := max(fillShare, sum(demand)/max(1, sum(capacity)))
 	for region, slots := range capacity {
-		room := fillShare*slots - demand[region]
+		room := fill*slots - demand[region]
 		if room >= 0 {
 			spare[region] = room
 			spareSum += room
@@ -80,12 +88,20 @@
 	at     time.Time
 }
 
+// begin divides requests by capacity, in all regions alike: no target knows an
+// object yet, and the fewer targets an object is sent to the sooner it is known.
+func (s *shares) begin(now time.Time, capacity map[string]float64) {
+	total := sum(capacity)
+	s.part, s.credit, s.at = make(map[string]float64), make(map[string]float64), now
+	for region, slots := range capacity {
+		if slots > 0 {
+			s.part[region] = slots / total
+		}
+	}
+}
+
 // step moves the shares towards the wanted ones by at most rate a second.
 func (s *shares) step(now time.Time, wanted map[string]float64, rate float64) {
-	if s.part == nil {
-		s.part, s.credit, s.at = wanted, make(map[string]float64), now
-		return
-	}
 	most := rate * min(now.Sub(s.at).Seconds(), 1)
 	s.at = now
 	distance := 0.0
@@ -128,6 +144,39 @@
 	}
 }
 
+// pick returns the region of one request. An object has its region as long as the
+// shares permit: weighted rendezvous hashing moves as few objects as possible when
+// shares change, and callers of all regions that have equal shares meet at the same
+// warm target. A region that is behind its share by slack is served first, so that
+// the shares hold in every few requests and not only on average.
+func (s *shares) pick(r *Request, permitted func(region string) bool) (string, bool) {
+	if r.HasObject {
+		region, ok := s.favourite(r.Object, permitted)
+		if ok && s.credit[region] > -slack {
+			return region, true
+		}
+	}
+	return s.next(permitted)
+}
+
+// slack is how many requests a region may be ahead of its share.
+const slack = 2
+
+// favourite is the region of an object.
+func (s *shares) favourite(object uint64, permitted func(region string) bool) (string, bool) {
+	best, lowest := "", math.Inf(1)
+	for region, part := range s.part {
+		if !permitted(region) {
+			continue
+		}
+		u := (float64(draw(object, HashOf(region))>>11) + 0.5) / (1 << 53)
+		if score := -math.Log(u) / part; score < lowest || (score == lowest && region < best) {
+			best, lowest = region, score
+		}
+	}
+	return best, best != ""
+}
+
 // next returns the permitted region with the most credit.
 func (s *shares) next(permitted func(region string) bool) (string, bool) {
 	best, found := "", false
@@ -143,7 +192,7 @@
 }
 
 // maxCredit bounds what a region that could not be used saves up.
-const maxCredit = 2
+const maxCredit = 4
 
 // spend counts a request that a region runs.
 func (s *shares) spend(region string) {
