--- a/edge/placing/service.go
+++ b/edge/placing/service.go
@@ -22,10 +22,17 @@
 	}
 }
 
+// spillBelow is the part of a region's slots in use up to which an object may go to
+// a target that does not know it. There it takes three times as long: in a busy
+// region every such run delays others, which then go to cold targets in turn, and
+// all targets stay full with work that warm ones would have done long ago.
+const spillBelow = 0.6
+
 // best returns the open target of a region at which a request is expected to end
-// first, and when; nil if none is open.
+// first, and when; nil if it should wait.
 func (s *service) best(now time.Time, r *Request, region string) (*Target, time.Duration) {
-	home := s.home(r, region)
+	homes := s.homes(r, region)
+	spill := !r.HasObject || s.use(now, region) < spillBelow
 	var best *Target
 	var lowest time.Duration
 	var rank uint64
@@ -33,7 +40,11 @@
 		if !t.open(now) || r.tried(t) {
 			continue
 		}
-		cost := t.cost(now, r.Class, r.HasObject && (t == home || t.knows(r.Object, now)))
+		known := r.HasObject && t.knows(r.Object, now)
+		if !spill && !known && !homes.has(t) {
+			continue
+		}
+		cost := t.cost(now, r.Class, known || homes.first == t)
 		order := draw(r.Object, t.hash)
 		if best == nil || cost < lowest || (cost == lowest && order > rank) {
 			best, lowest, rank = t, cost, order
@@ -42,23 +53,44 @@
 	return best, lowest
 }
 
-// home is the target of a region that an object goes to first.
-func (s *service) home(r *Request, region string) *Target {
+// homes are the two targets of a region that an object goes to first. The second
+// one takes over when the first is full, so that a busy object does not wait for
+// one target alone.
+type homes struct{ first, second *Target }
+
+func (h homes) has(t *Target) bool { return t == h.first || t == h.second }
+
+func (s *service) homes(r *Request, region string) homes {
+	var h homes
 	if !r.HasObject {
-		return nil
+		return h
 	}
-	var home *Target
-	var rank uint64
+	var first, second uint64
 	for _, t := range s.regions[region] {
-		if !t.usable || t.probing {
+		if !t.usable || t.probing || r.tried(t) {
 			continue
 		}
-		order := draw(r.Object, t.hash)
-		if home == nil || order > rank {
-			home, rank = t, order
+		switch order := draw(r.Object, t.hash); {
+		case h.first == nil || order > first:
+			h.second, second = h.first, first
+			h.first, first = t, order
+		case h.second == nil || order > second:
+			h.second, second = t, order
+		}
+	}
+	return h
+}
+
+// use is the part of a region's slots that is in use.
+func (s *service) use(now time.Time, region string) float64 {
+	slots, inHand := 0, 0
+	for _, t := range s.regions[region] {
+		if t.alive(now) {
+			slots += t.Slots
+			inHand += t.inHand()
 		}
 	}
-	return home
+	return float64(inHand) / float64(max(1, slots))
 }
 
 // slots is the capacity of a region.
