mirror, peers: few VMs watch the store, the others follow them

Change: in each region one VM in eight (at most 3) watches; the others copy what changed from a VM that is ahead. A busy object gets as many targets as its requests need; large bodies stay in their region below 80 % use.

--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -84,6 +84,7 @@
 	e.catalog = catalog.New(catalog.Options{Codec: o.Codec, Logger: e.part("catalog"), Changed: e.setView, Now: time.Now})
 	e.mirror = mirror.New(mirror.Options{
 		KV: o.KV, Logger: e.part("mirror"), Prefix: o.Names.WatchPrefix, Changed: e.catalog.Apply, FetchFrom: fetchCopy,
+		Watches: func() bool { return e.book.Watches(time.Now()) },
 	})
 	if err := e.listen(ctx); err != nil {
 		e.Close()
@@ -185,6 +186,12 @@
 	now := time.Now()
 	e.book.Register(v.VMs, now)
 	e.gateway.SetView(v, now)
+	e.tellOthers()
+	e.board.SetVMs(e.book.Near(now))
+}
+
+// tellOthers makes all VMs that are known hear this one.
+func (e *Entry) tellOthers() {
 	others := e.book.Others()
 	list := make([]exchange.Peer, 0, len(others))
 	for _, vm := range others {
@@ -194,7 +201,6 @@
 	if e.talk != nil {
 		e.talk.SetPeers(list)
 	}
-	e.board.SetVMs(e.book.Near(now))
 }
 
 // serving reports whether callers may be sent here.
@@ -205,23 +211,21 @@
 	at, _ := e.mirror.At()
 	inHand, demand := e.board.Report(time.Now())
 	return exchange.State{
-		VM: e.options.VM.Name, Incarnation: e.options.VM.Incarnation, Region: e.options.VM.Region,
-		Leaving: e.leaving.Load(), Serving: e.gateway.Ready(), Revision: uint64(at),
-		InHand: inHand, Demand: demand,
+		VM: e.options.VM, Leaving: e.leaving.Load(), Serving: e.gateway.Ready(), Linked: e.mirror.Linked(),
+		Revision: uint64(at), InHand: inHand, Demand: demand,
 	}
 }
 
 // heard takes in what another VM says.
-func (e *Entry) heard(ctx context.Context) func(string, exchange.State) {
-	return func(from string, s exchange.State) {
+func (e *Entry) heard(ctx context.Context) func(exchange.State) {
+	return func(s exchange.State) {
 		now := time.Now()
-		e.book.Hear(from, peers.Said{Incarnation: s.Incarnation, At: now, Serving: s.Serving, Leaving: s.Leaving})
-		e.board.SetPeer(now, from, &placing.Peer{Region: s.Region, InHand: s.InHand, Demand: s.Demand, At: now})
-		for _, vm := range e.catalog.View().VMs {
-			if vm.Name == from {
-				e.mirror.SawPeer(ctx, vm.Peer, store.Revision(s.Revision), now)
-			}
+		near := s.VM.Region == e.options.VM.Region
+		if e.book.Hear(s.VM, peers.Said{At: now, Serving: s.Serving, Leaving: s.Leaving, Linked: s.Linked}) {
+			e.tellOthers()
 		}
+		e.board.SetPeer(now, s.VM.Name, &placing.Peer{Region: s.VM.Region, InHand: s.InHand, Demand: s.Demand, At: now})
+		e.mirror.SawPeer(ctx, s.VM.Peer, near, store.Revision(s.Revision), now)
 	}
 }
 
--- a/edge/entry/handlers.go
+++ b/edge/entry/handlers.go
@@ -5,12 +5,14 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/yuccaroute/yuccaroute/edge/mirror"
 	"github.com/yuccaroute/yuccaroute/edge/serve"
+	"github.com/yuccaroute/yuccaroute/store"
 )
 
 const (
@@ -64,7 +66,11 @@
 func (e *Entry) handlePeer(_ context.Context, r *serve.Request) *serve.Answer {
 	switch r.Path {
 	case copyPath:
-		text, err := json.Marshal(e.mirror.Copy())
+		after, err := strconv.ParseUint(r.Query.Get("after"), 10, 64)
+		if err != nil {
+			return serve.Plain(http.StatusBadRequest, "after is no revision\n")
+		}
+		text, err := json.Marshal(e.mirror.CopyAfter(store.Revision(after)))
 		if err != nil {
 			return serve.Plain(http.StatusInternalServerError, err.Error())
 		}
@@ -86,12 +92,17 @@
 func (w *pageWriter) Header() http.Header { return w.header }
 func (w *pageWriter) WriteHeader(int)     {}
 
-var copies = &http.Client{Timeout: copyTime, Transport: &http.Transport{DisableKeepAlives: true}}
+// copyIdle is how long a connection for copies is kept; it is shorter than other
+// VMs keep theirs.
+const copyIdle = 5 * time.Second
+
+var copies = &http.Client{Timeout: copyTime, Transport: &http.Transport{IdleConnTimeout: copyIdle, DisableCompression: true}}
 
-// fetchCopy reads another VM's copy of the store.
-func fetchCopy(ctx context.Context, peer string) (mirror.Copy, error) {
+// fetchCopy reads what another VM's copy of the store has after a revision.
+func fetchCopy(ctx context.Context, peer string, after store.Revision) (mirror.Copy, error) {
 	var c mirror.Copy
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer+copyPath, nil)
+	target := "http://" + peer + copyPath + "?after=" + strconv.FormatUint(uint64(after), 10)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
 		return c, errors.Wrap(err, "entry: copy")
 	}
--- a/edge/exchange/exchange.go
+++ b/edge/exchange/exchange.go
@@ -15,6 +15,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/yuccaroute/yuccaroute/api/wait"
+	"github.com/yuccaroute/yuccaroute/edge/site"
 )
 
 const (
@@ -34,14 +35,15 @@
 
 // State is what one VM tells.
 type State struct {
-	VM          string `msgpack:"v"`
-	Incarnation uint64 `msgpack:"i"`
+	// VM is how the VM registered itself: the store may have lost that.
+	VM site.VM `msgpack:"v"`
 	// Number orders the datagrams of one incarnation.
 	Number uint64 `msgpack:"n"`
-	Region string `msgpack:"r"`
 	// Leaving tells that the VM takes no new callers, Serving that it can.
 	Leaving bool `msgpack:"l"`
 	Serving bool `msgpack:"s"`
+	// Linked tells that the VM watches the store and is answered.
+	Linked bool `msgpack:"k"`
 	// Revision is that of its copy of the store.
 	Revision uint64             `msgpack:"x"`
 	InHand   map[uint64]int     `msgpack:"h"`
@@ -64,7 +66,7 @@
 	// State returns what to tell.
 	State func() State
 	// Heard is called with each newer state of another VM.
-	Heard func(from string, s State)
+	Heard func(State)
 }
 
 // Exchange sends and receives. It is safe for use by several goroutines.
@@ -77,7 +79,7 @@
 	mu    sync.Mutex
 	peers []Peer
 	addrs []netip.AddrPort
-	last  map[string]State
+	last  map[string]position
 	sent  uint64
 }
 
@@ -91,7 +93,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "exchange: listen")
 	}
-	e := &Exchange{options: o, conn: conn, changed: make(chan struct{}, 1), last: make(map[string]State)}
+	e := &Exchange{options: o, conn: conn, changed: make(chan struct{}, 1), last: make(map[string]position)}
 	context.AfterFunc(ctx, func() { _ = conn.Close() })
 	go e.receive()
 	go e.sendLoop(ctx)
@@ -197,7 +199,7 @@
 			continue
 		}
 		if e.isNews(s) {
-			e.options.Heard(s.VM, s)
+			e.options.Heard(s)
 		}
 	}
 }
@@ -207,10 +209,14 @@
 func (e *Exchange) isNews(s State) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	last, known := e.last[s.VM]
-	if known && (s.Incarnation < last.Incarnation || (s.Incarnation == last.Incarnation && s.Number <= last.Number)) {
+	last, known := e.last[s.VM.Name]
+	incarnation := s.VM.Incarnation
+	if known && (incarnation < last.incarnation || (incarnation == last.incarnation && s.Number <= last.number)) {
 		return false
 	}
-	e.last[s.VM] = State{Incarnation: s.Incarnation, Number: s.Number}
+	e.last[s.VM.Name] = position{incarnation, s.Number}
 	return true
 }
+
+// position orders the datagrams of one VM.
+type position struct{ incarnation, number uint64 }
--- a/edge/mirror/mirror.go
+++ b/edge/mirror/mirror.go
@@ -4,8 +4,10 @@
 package mirror
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -24,9 +26,15 @@
 	// firstRetry and lastRetry bound the pause after a failed call; it doubles.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = time.Second
-	// behindFor is how long a copy may be behind another VM's before it is
-	// brought up to date from there: a watch is answered within it.
+	// behindFor is how long a copy that watches, or hears of a distant VM, may be
+	// behind before it is brought up to date from there: its own watch, or a VM
+	// nearby, mostly is as quick.
 	behindFor = 300 * time.Millisecond
+	// idleLook is how often a copy that does not watch looks whether it should.
+	idleLook = 200 * time.Millisecond
+	// kept is how many changes are remembered for others that are behind: some
+	// minutes' worth on an ordinary day.
+	kept = 512
 )
 
 // Change is one item that was written or removed.
@@ -38,10 +46,14 @@
 	Listed bool
 }
 
-// Copy is all items at a revision.
+// Copy is items at a revision: all of them, or those that changed after another one.
 type Copy struct {
 	At    store.Revision `json:"at"`
 	Items []store.Entry  `json:"items"`
+	// Partial tells that items and removals bring a copy from After to At.
+	Partial bool           `json:"partial,omitempty"`
+	After   store.Revision `json:"after,omitempty"`
+	Removed []store.Entry  `json:"removed,omitempty"`
 }
 
 // Options configure a Mirror.
@@ -53,8 +65,11 @@
 	// Changed is called for each batch of changes, in their order, one call at
 	// a time.
 	Changed func([]Change)
-	// FetchFrom reads another VM's copy.
-	FetchFrom func(ctx context.Context, peer string) (Copy, error)
+	// FetchFrom reads what another VM's copy has after a revision.
+	FetchFrom func(ctx context.Context, peer string, after store.Revision) (Copy, error)
+	// Watches reports whether this VM is one of those that watch the store; the
+	// others follow them.
+	Watches func() bool
 }
 
 // Mirror is the copy. It is safe for use by several goroutines.
@@ -67,10 +82,14 @@
 	loaded bool
 	// connected tells whether the last call to the store was answered.
 	connected bool
+	watching  bool
 	calls     uint64
 	// behindSince is when another VM was first seen to be ahead; zero if none is.
 	behindSince time.Time
 	fetching    bool
+	// recent are the last changes, all of those after recentAfter.
+	recent      []Change
+	recentAfter store.Revision
 }
 
 // New returns an empty mirror.
@@ -92,21 +111,53 @@
 	return m.calls
 }
 
-// Copy returns all items.
-func (m *Mirror) Copy() Copy {
+// Linked reports whether the copy follows the store itself and is answered.
+func (m *Mirror) Linked() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	c := Copy{At: m.at}
+	return m.connected && m.watching
+}
+
+// CopyAfter returns what changed after a revision, or all items if that is not
+// remembered.
+func (m *Mirror) CopyAfter(after store.Revision) Copy {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if after > 0 && after >= m.recentAfter {
+		return m.partial(after)
+	}
+	c := Copy{At: m.at, Items: make([]store.Entry, 0, len(m.items))}
 	for _, entry := range m.items {
 		c.Items = append(c.Items, entry)
 	}
 	return c
 }
 
+// partial is called with the lock held.
+func (m *Mirror) partial(after store.Revision) Copy {
+	c := Copy{At: m.at, Partial: true, After: after}
+	for _, change := range m.recent {
+		switch {
+		case change.Entry.Revision <= after:
+		case change.Removed:
+			removed := change.Entry
+			removed.Value = nil
+			c.Removed = append(c.Removed, removed)
+		default:
+			c.Items = append(c.Items, change.Entry)
+		}
+	}
+	return c
+}
+
 // Run follows the store until the context ends.
 func (m *Mirror) Run(ctx context.Context) {
 	pause := firstRetry
 	for ctx.Err() == nil {
+		if !m.setWatching(m.options.Watches()) {
+			wait.For(ctx, idleLook)
+			continue
+		}
 		changed, err := m.follow(ctx)
 		if m.setConnected(err == nil) {
 			m.logConnection(err)
@@ -124,6 +175,18 @@
 	}
 }
 
+// setWatching reports whether the store is to be asked: by a VM that watches, and
+// by any that has no copy yet.
+func (m *Mirror) setWatching(watches bool) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.watching != watches {
+		m.options.Logger.WithFields(logrus.Fields{"watches": watches, "revision": m.at}).Info("mirror: duty changed")
+	}
+	m.watching = watches
+	return watches || !m.loaded
+}
+
 // setConnected reports whether that is news.
 func (m *Mirror) setConnected(now bool) bool {
 	m.mu.Lock()
@@ -174,6 +237,11 @@
 func (m *Mirror) apply(batch store.Batch) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.applyEvents(batch)
+}
+
+// applyEvents is called with the lock held.
+func (m *Mirror) applyEvents(batch store.Batch) {
 	var changes []Change
 	for _, event := range batch.Events {
 		if event.Entry.Revision <= m.items[event.Entry.Key].Revision {
@@ -186,17 +254,52 @@
 		}
 		changes = append(changes, Change{Entry: event.Entry, Removed: event.Deleted})
 	}
-	m.at = max(m.at, batch.At)
+	if batch.At > m.at {
+		m.at = batch.At
+		m.behindSince = time.Time{}
+	}
+	m.remember(changes)
 	m.tell(changes)
 }
 
-// Adopt takes a whole copy if it is newer.
+// remember keeps the last changes for other VMs.
+func (m *Mirror) remember(changes []Change) {
+	m.recent = append(m.recent, changes...)
+	if over := len(m.recent) - kept; over > 0 {
+		m.recentAfter = m.recent[over-1].Entry.Revision
+		m.recent = append(m.recent[:0], m.recent[over:]...)
+	}
+}
+
+// Adopt takes a copy if it is newer.
 func (m *Mirror) Adopt(c Copy) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.loaded && c.At <= m.at {
 		return
 	}
+	if !c.Partial {
+		m.replace(c)
+		return
+	}
+	if !m.loaded || c.After > m.at {
+		return
+	}
+	batch := store.Batch{At: c.At}
+	for _, entry := range c.Removed {
+		batch.Events = append(batch.Events, store.Event{Entry: entry, Deleted: true})
+	}
+	for _, entry := range c.Items {
+		batch.Events = append(batch.Events, store.Event{Entry: entry})
+	}
+	slices.SortStableFunc(batch.Events, func(a, b store.Event) int {
+		return cmp.Compare(a.Entry.Revision, b.Entry.Revision)
+	})
+	m.applyEvents(batch)
+}
+
+// replace is called with the lock held.
+func (m *Mirror) replace(c Copy) {
 	var changes []Change
 	present := make(map[string]bool, len(c.Items))
 	for _, entry := range c.Items {
@@ -210,13 +313,16 @@
 		}
 	}
 	for key, entry := range m.items {
-		if !present[key] {
+		if !present[key] && entry.Revision <= c.At {
 			delete(m.items, key)
 			changes = append(changes, Change{Entry: entry, Removed: true, Listed: true})
 		}
 	}
 	m.at = c.At
 	m.loaded = true
+	m.behindSince = time.Time{}
+	// What was removed, and when, is not known of a listing.
+	m.recent, m.recentAfter = nil, c.At
 	m.tell(changes)
 }
 
@@ -233,30 +339,36 @@
 // Guard against a store that serves the other VMs but not this one, or a watch
 // that went silent: it shows as a VM that serves an old configuration. The guard
 // holds because revisions are the store's own: a copy with a higher one is newer.
-func (m *Mirror) SawPeer(ctx context.Context, peer string, at store.Revision, now time.Time) {
+func (m *Mirror) SawPeer(ctx context.Context, peer string, near bool, at store.Revision, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.loaded && at <= m.at {
-		m.behindSince = time.Time{}
+		// Others may be behind as well; only news of its own ends the delay.
 		return
 	}
 	if m.behindSince.IsZero() {
 		m.behindSince = now
 	}
-	if m.fetching || now.Sub(m.behindSince) < behindFor {
+	patience := behindFor
+	if near && !m.watching {
+		patience = 0
+	}
+	if m.fetching || now.Sub(m.behindSince) < patience {
 		return
 	}
 	m.fetching = true
-	go m.fetch(ctx, peer)
+	go m.fetch(ctx, peer, m.at)
 }
 
-func (m *Mirror) fetch(ctx context.Context, peer string) {
-	c, err := m.options.FetchFrom(ctx, peer)
+func (m *Mirror) fetch(ctx context.Context, peer string, after store.Revision) {
+	c, err := m.options.FetchFrom(ctx, peer, after)
+	log := m.options.Logger.WithField("peer", peer)
 	if err != nil {
-		m.options.Logger.WithError(err).WithField("peer", peer).Warn("mirror: no copy from a peer")
+		log.WithError(err).Warn("mirror: no copy from a peer")
 	} else {
 		m.Adopt(c)
-		m.options.Logger.WithFields(logrus.Fields{"peer": peer, "revision": c.At}).Info("mirror: copied from a peer")
+		log.WithFields(logrus.Fields{"revision": c.At, "partial": c.Partial, "items": len(c.Items)}).
+			Info("mirror: copied from a peer")
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/edge/peers/peers.go
+++ b/edge/peers/peers.go
@@ -20,10 +20,11 @@
 
 // Said is what a VM said last.
 type Said struct {
-	Incarnation uint64
-	At          time.Time
-	Serving     bool
-	Leaving     bool
+	At      time.Time
+	Serving bool
+	Leaving bool
+	// Linked tells that it watches the store and is answered.
+	Linked bool
 }
 
 // Book holds the VMs. It is safe for use by several goroutines.
@@ -59,11 +60,17 @@
 	b.registered = next
 }
 
-// Hear takes in what a VM said.
-func (b *Book) Hear(name string, s Said) {
+// Hear takes in what a VM said. It is known from then on, also if the store has
+// lost its registration. It reports whether that is news.
+func (b *Book) Hear(vm site.VM, s Said) (news bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.said[name] = s
+	b.said[vm.Name] = s
+	if known, ok := b.registered[vm.Name]; ok && known.Incarnation >= vm.Incarnation {
+		return false
+	}
+	b.registered[vm.Name] = vm
+	return true
 }
 
 // Others returns the registered VMs but this one, by name.
@@ -117,6 +124,34 @@
 	return names
 }
 
+const (
+	// vmsPerWatch is how many VMs of a region follow one that watches the store,
+	// maxWatches how many watch in one region. Calls have a price, and the store's
+	// rates do not grow with the fleet.
+	vmsPerWatch = 8
+	maxWatches  = 3
+)
+
+// Watches reports whether this VM watches the store: the first ones of each region
+// do, of those that are answered. One that is not heard, or not answered, is
+// replaced by the next as soon as it is noticed.
+func (b *Book) Watches(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	near, before := 1, 0
+	for name, vm := range b.registered {
+		if name == b.own.Name || vm.Region != b.own.Region || !b.isHeard(vm, now) {
+			continue
+		}
+		near++
+		said := b.said[name]
+		if said.Linked && !said.Leaving && name < b.own.Name {
+			before++
+		}
+	}
+	return before < min(maxWatches, max(1, near/vmsPerWatch))
+}
+
 // Count returns how many VMs are known, this one included.
 func (b *Book) Count() int {
 	b.mu.Lock()
--- a/edge/placing/board.go
+++ b/edge/placing/board.go
@@ -15,6 +15,9 @@
 	// lateShare of the aim is how much later than its aim a request may be
 	// expected to end and still wait.
 	lateShare = 0.5
+	// largeStays is the part of the own region's slots in use up to which large
+	// bodies stay there: bytes between regions are scarce.
+	largeStays = 0.8
 	// lossFor is how long after a loss of capacity shares move quickly.
 	lossFor = 4 * time.Second
 	// minRetryAfter keeps refused callers from coming back within a round trip.
@@ -194,6 +197,8 @@
 	}
 	if !r.Again {
 		s.demand.add(now, r.work())
+		r.Class.arrive(now, r)
+		s.vms = max(1, len(b.vms))
 		b.stepShares(now, s)
 		s.shares.accrue()
 	}
@@ -215,6 +220,9 @@
 // regionFor returns the region that runs a request: the one whose share is due if
 // it can answer in time there, "" if no region has a target.
 func (b *Board) regionFor(now time.Time, s *service, r *Request) string {
+	if own := b.options.Region; r.Large && r.allows(own) && s.slots(now, own) > 0 && s.use(now, own) < largeStays {
+		return own
+	}
 	work := r.work()
 	region, ok := s.shares.pick(r, func(region string) bool {
 		if !r.allows(region) || s.slots(now, region) == 0 {
--- a/edge/placing/service.go
+++ b/edge/placing/service.go
@@ -14,6 +14,8 @@
 	line    line
 	demand  demand
 	shares  shares
+	// vms is the number of VMs in the own region.
+	vms int
 }
 
 func newService(s site.Service) *service {
@@ -40,11 +42,15 @@
 		if !t.open(now) || r.tried(t) {
 			continue
 		}
-		known := r.HasObject && t.knows(r.Object, now)
-		if !spill && !known && !homes.has(t) {
+		place := homes.place(t)
+		known := r.HasObject && (place >= 0 || t.knows(r.Object, now))
+		if !spill && !known {
 			continue
 		}
-		cost := t.cost(now, r.Class, known || homes.first == t)
+		cost := t.cost(now, r.Class, known)
+		if place > 0 {
+			cost += time.Duration(laterHome * float64(r.work()))
+		}
 		order := draw(r.Object, t.hash)
 		if best == nil || cost < lowest || (cost == lowest && order > rank) {
 			best, lowest, rank = t, cost, order
@@ -53,29 +59,55 @@
 	return best, lowest
 }
 
-// homes are the two targets of a region that an object goes to first. The second
-// one takes over when the first is full, so that a busy object does not wait for
-// one target alone.
-type homes struct{ first, second *Target }
+// laterHome is how much dearer the later targets of an object are, in parts of its
+// work: an object that one target can carry is learnt by one only.
+const laterHome = 0.2
 
-func (h homes) has(t *Target) bool { return t == h.first || t == h.second }
+// homes are the targets of a region that an object goes to, the first one first.
+// All VMs find the same ones, so that each is taken to know the object.
+type homes []home
 
-func (s *service) homes(r *Request, region string) homes {
-	var h homes
-	if !r.HasObject {
+type home struct {
+	target *Target
+	order  uint64
+}
+
+// place returns the position of a target, -1 if it is no home.
+func (h homes) place(t *Target) int {
+	for i := range h {
+		if h[i].target == t {
+			return i
+		}
+	}
+	return -1
+}
+
+// add puts a target in by its order and keeps most of them.
+func (h homes) add(t *Target, order uint64, most int) homes {
+	i := len(h)
+	for i > 0 && order > h[i-1].order {
+		i--
+	}
+	if i >= most {
 		return h
 	}
-	var first, second uint64
+	if len(h) < most {
+		h = append(h, home{})
+	}
+	copy(h[i+1:], h[i:])
+	h[i] = home{t, order}
+	return h
+}
+
+func (s *service) homes(r *Request, region string) homes {
+	if !r.HasObject || len(s.regions[region]) == 0 {
+		return nil
+	}
+	most := r.Class.homes(s.vms, s.regions[region][0].Slots)
+	h := make(homes, 0, most)
 	for _, t := range s.regions[region] {
-		if !t.usable || t.probing || r.tried(t) {
-			continue
-		}
-		switch order := draw(r.Object, t.hash); {
-		case h.first == nil || order > first:
-			h.second, second = h.first, first
-			h.first, first = t, order
-		case h.second == nil || order > second:
-			h.second, second = t, order
+		if t.usable && !t.probing && !r.tried(t) {
+			h = h.add(t, draw(r.Object, t.hash), most)
 		}
 	}
 	return h
--- a/edge/site/site.go
+++ b/edge/site/site.go
@@ -102,14 +102,14 @@
 
 // VM is one entry VM as it registered itself.
 type VM struct {
-	Name   string `json:"name"`
-	Region string `json:"region"`
-	Zone   string `json:"zone"`
+	Name   string `json:"name" msgpack:"n"`
+	Region string `json:"region" msgpack:"r"`
+	Zone   string `json:"zone" msgpack:"z"`
 	// Entry is where callers connect, Peer where other VMs do.
-	Entry string `json:"entry"`
-	Peer  string `json:"peer"`
+	Entry string `json:"entry" msgpack:"e"`
+	Peer  string `json:"peer" msgpack:"p"`
 	// Incarnation tells the starts of one VM apart.
-	Incarnation uint64 `json:"incarnation"`
+	Incarnation uint64 `json:"incarnation" msgpack:"i"`
 }
 
 // FieldNames are the header fields of the protocol between callers, entry VMs
