--- /dev/null
+++ b/edge/catalog/catalog_test.go
@@ -0,0 +1,126 @@
+package catalog
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/yuccaroute/yuccaroute/edge/mirror"
+	"github.com/yuccaroute/yuccaroute/edge/site"
+	"github.com/yuccaroute/yuccaroute/store"
+)
+
+// codec reads values that are plain words.
+type codec struct{}
+
+func (codec) IsConfig(key string) bool { return key == "config" }
+func (codec) Config(value []byte) (*site.Config, error) {
+	if string(value) == "bad" {
+		return nil, errors.New("bad")
+	}
+	return &site.Config{Version: uint64(len(value))}, nil
+}
+func (codec) EvacuatedZone(key string) (string, bool) { return strings.CutPrefix(key, "evacuated/") }
+func (codec) IsTarget(key string) bool                { return strings.HasPrefix(key, "target/") }
+func (codec) Target(key string, value []byte) (site.Target, error) {
+	return site.Target{ID: strings.TrimPrefix(key, "target/"), Draining: string(value) == "draining"}, nil
+}
+func (codec) IsVM(key string) bool { return strings.HasPrefix(key, "vm/") }
+
+type fixture struct {
+	*Catalog
+	now      time.Time
+	revision store.Revision
+}
+
+func newFixture() *fixture {
+	f := &fixture{now: time.Unix(1000, 0)}
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	f.Catalog = New(Options{Codec: codec{}, Logger: logrus.NewEntry(l), Changed: func(*View) {}, Now: func() time.Time { return f.now }})
+	return f
+}
+
+func (f *fixture) put(key, value string) {
+	f.revision++
+	f.Apply([]mirror.Change{{Entry: store.Entry{Key: key, Value: []byte(value), Revision: f.revision}}})
+}
+
+func (f *fixture) remove(key string, listed bool) {
+	f.revision++
+	f.Apply([]mirror.Change{{Entry: store.Entry{Key: key, Revision: f.revision}, Removed: true, Listed: listed}})
+}
+
+func (f *fixture) targets() (ids []string) {
+	for _, t := range f.View().Targets {
+		ids = append(ids, t.ID)
+	}
+	return ids
+}
+
+// The store was away and dropped all registrations, though the targets live. Without
+// patience every request would be refused until the targets have registered anew.
+func TestTargetsOutliveAnOutageOfTheStore(t *testing.T) {
+	f := newFixture()
+	f.put("target/a", "ready")
+	f.put("target/b", "ready")
+	f.remove("target/a", true)
+	f.remove("target/b", true)
+	f.now = f.now.Add(missingFor - time.Millisecond)
+	f.Expire(f.now)
+	if len(f.targets()) != 2 {
+		t.Fatalf("targets %v just after the outage", f.targets())
+	}
+	f.put("target/a", "ready")
+	f.now = f.now.Add(time.Millisecond)
+	f.Expire(f.now)
+	if got := f.targets(); len(got) != 1 || got[0] != "a" {
+		t.Fatalf("targets %v, only a came back", got)
+	}
+}
+
+// A target leaves: it gets nothing from the moment on at which that is known.
+func TestRemovedTargetIsGoneAtOnce(t *testing.T) {
+	f := newFixture()
+	f.put("target/a", "ready")
+	f.remove("target/a", false)
+	f.put("target/b", "draining")
+	f.remove("target/b", true)
+	if got := f.targets(); len(got) != 0 {
+		t.Fatalf("targets %v", got)
+	}
+}
+
+// Operators write what this program does not understand. The last configuration
+// stays in force.
+func TestBadConfigurationChangesNothing(t *testing.T) {
+	f := newFixture()
+	f.put("config", "good")
+	f.put("config", "bad")
+	if c := f.View().Config; c == nil || c.Version != 4 {
+		t.Fatalf("configuration %+v", c)
+	}
+	f.remove("config", true)
+	if f.View().Config == nil {
+		t.Fatal("no configuration after its removal")
+	}
+}
+
+func TestEvacuationAndVMs(t *testing.T) {
+	f := newFixture()
+	f.put("evacuated/z1", "{}")
+	f.put("vm/a", `{"name":"a","region":"r"}`)
+	f.put("vm/b", `not json`)
+	if v := f.View(); !v.Evacuated["z1"] || len(v.VMs) != 1 || v.VMs[0].Region != "r" {
+		t.Fatalf("view %+v", v)
+	}
+	f.remove("evacuated/z1", false)
+	f.remove("vm/a", false)
+	if v := f.View(); v.Evacuated["z1"] || len(v.VMs) != 0 {
+		t.Fatalf("view %+v", v)
+	}
+}
--- /dev/null
+++ b/edge/mirror/mirror_test.go
@@ -0,0 +1,236 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/yuccaroute/yuccaroute/store"
+	"github.com/yuccaroute/yuccaroute/store/memkv"
+)
+
+// vm is one copy of a store with what it was told.
+type vm struct {
+	*Mirror
+	mu      sync.Mutex
+	changes []Change
+	watches bool
+}
+
+func quiet() *logrus.Entry {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	return logrus.NewEntry(l)
+}
+
+func newVM(kv store.KV, watches bool, fetch func(after store.Revision) (Copy, error)) *vm {
+	v := &vm{watches: watches}
+	v.Mirror = New(Options{
+		KV: kv, Logger: quiet(),
+		Changed: func(changes []Change) {
+			v.mu.Lock()
+			defer v.mu.Unlock()
+			v.changes = append(v.changes, changes...)
+		},
+		FetchFrom: func(_ context.Context, _ string, after store.Revision) (Copy, error) { return fetch(after) },
+		Watches:   func() bool { return v.watches },
+	})
+	return v
+}
+
+func (v *vm) value(key string) string {
+	v.Mirror.mu.Lock()
+	defer v.Mirror.mu.Unlock()
+	return string(v.items[key].Value)
+}
+
+func noFetch(store.Revision) (Copy, error) { return Copy{}, errors.New("no peer") }
+
+func put(t *testing.T, kv store.KV, key, value string) {
+	t.Helper()
+	ctx := context.Background()
+	at := store.Revision(0)
+	if e, err := kv.Get(ctx, key); err == nil {
+		at = e.Revision
+	}
+	if _, err := kv.Swap(ctx, key, []byte(value), at, 0); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// bubble runs a test with virtual time and ends its goroutines.
+func bubble(t *testing.T, run func(t *testing.T, ctx context.Context)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		run(t, ctx)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestFollowsTheStore(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context) {
+		kv := memkv.New(memkv.Options{WatchWait: time.Second})
+		put(t, kv, "a", "1")
+		v := newVM(kv, true, noFetch)
+		go v.Run(ctx)
+		time.Sleep(time.Second)
+		put(t, kv, "a", "2")
+		put(t, kv, "b", "1")
+		time.Sleep(2 * gather)
+		if v.value("a") != "2" || v.value("b") != "1" {
+			t.Fatalf("a %q, b %q", v.value("a"), v.value("b"))
+		}
+		e, _ := kv.Get(ctx, "b")
+		if err := kv.Delete(ctx, "b", e.Revision); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * gather)
+		if v.value("b") != "" || !v.Linked() {
+			t.Fatal("a removal was not followed")
+		}
+	})
+}
+
+// The one VM of a region that watches is cut off and comes back with what it missed.
+// A follower hears two VMs by turns: one that is ahead, and one that is as far
+// behind as itself. It stayed behind for good, as each word of the second one
+// made it begin its wait anew; requests went to a target that had left.
+func TestFollowerCatchesUpBesideAnotherThatIsBehind(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context) {
+		ahead := Copy{At: 9, Items: []store.Entry{{Key: "a", Value: []byte("new"), Revision: 9}}}
+		v := newVM(nil, true, func(store.Revision) (Copy, error) { return ahead, nil })
+		v.Adopt(Copy{At: 5, Items: []store.Entry{{Key: "a", Value: []byte("old"), Revision: 5}}})
+		for range 10 {
+			v.SawPeer(ctx, "ahead", false, 9, time.Now())
+			v.SawPeer(ctx, "behind", true, 5, time.Now())
+			time.Sleep(100 * time.Millisecond)
+		}
+		synctest.Wait()
+		if v.value("a") != "new" {
+			t.Fatal("the copy stayed behind")
+		}
+	})
+}
+
+// A VM that does not watch makes no calls, and gets each change from one that does,
+// as the difference only.
+func TestFollowerMakesNoCalls(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context) {
+		kv := memkv.New(memkv.Options{WatchWait: time.Second})
+		put(t, kv, "a", "1")
+		watcher := newVM(kv, true, noFetch)
+		partial := 0
+		follower := newVM(kv, false, func(after store.Revision) (Copy, error) {
+			c := watcher.CopyAfter(after)
+			if c.Partial {
+				partial++
+			}
+			return c, nil
+		})
+		go watcher.Run(ctx)
+		go follower.Run(ctx)
+		time.Sleep(time.Second)
+		for i := range 5 {
+			put(t, kv, "a", fmt.Sprint(i))
+			time.Sleep(2 * gather)
+			at, _ := watcher.At()
+			follower.SawPeer(ctx, "watcher", true, at, time.Now())
+			synctest.Wait()
+			if got := follower.value("a"); got != fmt.Sprint(i) {
+				t.Fatalf("change %d: %q", i, got)
+			}
+		}
+		if partial != 5 {
+			t.Errorf("%d of 5 changes came as a difference", partial)
+		}
+		if calls := follower.calls; calls != 1 {
+			t.Errorf("the follower made %d calls, one for its first copy wanted", calls)
+		}
+	})
+}
+
+// Copies overtake each other on the way. An older one must not bring old values back.
+func TestOlderCopyChangesNothing(t *testing.T) {
+	v := newVM(nil, true, noFetch)
+	v.Adopt(Copy{At: 8, Items: []store.Entry{{Key: "a", Value: []byte("new"), Revision: 8}}})
+	v.Adopt(Copy{At: 6, Items: []store.Entry{{Key: "a", Value: []byte("old"), Revision: 6}, {Key: "b", Revision: 3}}})
+	v.Adopt(Copy{At: 9, Partial: true, After: 8, Items: []store.Entry{{Key: "a", Value: []byte("old"), Revision: 6}}})
+	if v.value("a") != "new" {
+		t.Errorf("a went back to %q", v.value("a"))
+	}
+	// What changed between 9 and 11 is not known here.
+	v.Adopt(Copy{At: 12, Partial: true, After: 11})
+	if at, _ := v.At(); at != 9 {
+		t.Errorf("revision %d after a copy with a gap", at)
+	}
+}
+
+// The store's history is gone while it also lost keys. All is read, and what is
+// missing is told apart from what was removed.
+func TestListedRemovalIsMarked(t *testing.T) {
+	v := newVM(nil, true, noFetch)
+	v.Adopt(Copy{At: 5, Items: []store.Entry{{Key: "a", Revision: 4}, {Key: "b", Revision: 5}}})
+	v.changes = nil
+	v.Adopt(Copy{At: 7, Items: []store.Entry{{Key: "a", Revision: 4}}})
+	if len(v.changes) != 1 || !v.changes[0].Removed || !v.changes[0].Listed || v.changes[0].Entry.Key != "b" {
+		t.Errorf("changes %+v", v.changes)
+	}
+	v.apply(store.Batch{At: 8, Events: []store.Event{{Entry: store.Entry{Key: "a", Revision: 8}, Deleted: true}}})
+	if last := v.changes[len(v.changes)-1]; last.Listed || !last.Removed {
+		t.Errorf("removal %+v", last)
+	}
+}
+
+// More changes come than are remembered. A VM that is far behind gets the whole copy.
+func TestDistantCopyIsWhole(t *testing.T) {
+	v := newVM(nil, true, noFetch)
+	v.Adopt(Copy{At: 1, Items: []store.Entry{{Key: "a", Revision: 1}}})
+	for i := range 2 * kept {
+		at := store.Revision(2 + i)
+		v.apply(store.Batch{At: at, Events: []store.Event{{Entry: store.Entry{Key: "a", Revision: at}}}})
+	}
+	if c := v.CopyAfter(5); c.Partial || len(c.Items) != 1 {
+		t.Errorf("copy %+v", c)
+	}
+	at, _ := v.At()
+	if c := v.CopyAfter(at - 3); !c.Partial || len(c.Items) != 3 {
+		t.Errorf("copy %+v", c)
+	}
+}
+
+// downKV is a store that does not answer.
+type downKV struct{ store.KV }
+
+func (downKV) List(context.Context, string) (store.Listing, error) {
+	return store.Listing{}, store.ErrUnavailable
+}
+
+// A VM starts while the store is away. It waits longer and longer between calls, and
+// takes its first copy from another VM.
+func TestFirstCopyFromAPeer(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context) {
+		v := newVM(downKV{}, true, func(store.Revision) (Copy, error) {
+			return Copy{At: 3, Items: []store.Entry{{Key: "a", Value: []byte("1"), Revision: 2}}}, nil
+		})
+		go v.Run(ctx)
+		time.Sleep(10 * time.Second)
+		if v.calls > 20 {
+			t.Errorf("%d calls in 10 s to a store that is away", v.calls)
+		}
+		for range 5 {
+			v.SawPeer(ctx, "peer", true, 3, time.Now())
+			time.Sleep(behindFor / 2)
+		}
+		if v.value("a") != "1" || v.Linked() {
+			t.Error("no copy from the peer")
+		}
+	})
+}
--- /dev/null
+++ b/edge/peers/peers_test.go
@@ -0,0 +1,117 @@
+package peers
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/yuccaroute/yuccaroute/edge/site"
+)
+
+var start = time.Unix(1000, 0)
+
+func vmOf(name, zone string) site.VM {
+	return site.VM{Name: name, Region: zone[:1], Zone: zone, Entry: name + ":1", Peer: name + ":2", Incarnation: 1}
+}
+
+func hear(b *Book, at time.Time, vms ...site.VM) {
+	for _, vm := range vms {
+		b.Hear(vm, Said{At: at, Serving: true})
+	}
+}
+
+// Callers are sent to their failure domain, and elsewhere only when nobody there
+// takes them.
+func TestEntriesAreNearAndLive(t *testing.T) {
+	own, mate, other, far := vmOf("own", "n1"), vmOf("mate", "n1"), vmOf("other", "n2"), vmOf("far", "s1")
+	b := New(own, start)
+	b.Register([]site.VM{own, mate, other, far}, start)
+	hear(b, start, mate, other, far)
+	check := func(what, zone, region string, serving bool, now time.Time, want ...string) {
+		t.Helper()
+		if diff := cmp.Diff(want, b.Entries(zone, region, serving, now)); diff != "" {
+			t.Errorf("%s: %s", what, diff)
+		}
+	}
+	check("own domain", "n1", "n", true, start, "mate:1", "own:1")
+	check("this VM leaves", "n1", "n", false, start, "mate:1")
+	check("no VM in the domain", "n3", "n", true, start, "mate:1", "other:1", "own:1")
+	check("another region", "s1", "s", true, start, "far:1")
+	later := start.Add(2 * time.Second)
+	check("silent VMs", "n1", "n", true, later, "own:1")
+	check("a silent region", "s1", "s", true, start.Add(4*time.Second), "own:1")
+	b.Hear(mate, Said{At: later, Serving: true, Leaving: true})
+	check("a VM that leaves", "n1", "n", true, later, "own:1")
+	check("nobody", "n1", "n", false, start.Add(time.Hour))
+}
+
+// The store loses all registrations in an outage. VMs that are heard stay known, and
+// callers of a small domain still find theirs.
+func TestHeardVMsOutliveTheirRegistration(t *testing.T) {
+	own, mate := vmOf("own", "n1"), vmOf("mate", "n2")
+	b := New(own, start)
+	hear(b, start, mate)
+	b.Register(nil, start.Add(time.Second))
+	if got := b.Entries("n2", "n", true, start.Add(time.Second)); len(got) != 1 || got[0] != "mate:1" {
+		t.Errorf("entries %v", got)
+	}
+	b.Register(nil, start.Add(time.Hour))
+	if got := b.Others(); len(got) != 0 {
+		t.Errorf("a VM that is silent for an hour is known: %v", got)
+	}
+}
+
+// The VM that watches the store for its region is cut off, from the store or from
+// all. Without another one in its place the region would serve what it knew.
+func TestAnotherWatchesWhenTheFirstIsCutOff(t *testing.T) {
+	a, b, c := vmOf("a", "n1"), vmOf("b", "n1"), vmOf("c", "n2")
+	book := New(b, start)
+	book.Register([]site.VM{a, b, c}, start)
+	if !book.Watches(start) {
+		t.Error("nobody is heard to watch, and this VM does not")
+	}
+	book.Hear(a, Said{At: start, Serving: true, Linked: true})
+	book.Hear(c, Said{At: start, Serving: true, Linked: true})
+	if book.Watches(start) {
+		t.Error("watches beside the first one")
+	}
+	if !book.Watches(start.Add(silence)) {
+		t.Error("does not watch though the first one is silent")
+	}
+	book.Hear(a, Said{At: start, Serving: true, Linked: false})
+	if !book.Watches(start) {
+		t.Error("does not watch though the first one has lost the store")
+	}
+}
+
+// In a region of any size somebody watches, and few do.
+func TestFewWatch(t *testing.T) {
+	for _, size := range []int{1, 2, 8, 27, 100} {
+		var vms []site.VM
+		for i := range size {
+			vms = append(vms, vmOf(fmt.Sprintf("vm-%03d", i), "n1"))
+		}
+		linked := make([]bool, size)
+		for range 2 * size {
+			for i := range vms {
+				book := New(vms[i], start)
+				book.Register(vms, start)
+				for j, vm := range vms {
+					book.Hear(vm, Said{At: start, Serving: true, Linked: linked[j] && j != i})
+				}
+				linked[i] = book.Watches(start)
+			}
+		}
+		n := 0
+		for _, l := range linked {
+			if l {
+				n++
+			}
+		}
+		if n < 1 || n > maxWatches {
+			t.Errorf("%d of %d VMs watch", n, size)
+		}
+	}
+}
