serve, gateway, placing: tests; look-ups spread over targets, a bounded hedge

Found by the tests: requests without an object all went to one target, as their order of targets was the same; a look-up at a silent target was not sent to another one before its time was over when its expected latency was a first guess.

--- a/edge/gateway/run.go
+++ b/edge/gateway/run.go
@@ -22,6 +22,9 @@
 	hedgeAfter = 2.2
 	// minHedge is the shortest such time.
 	minHedge = 120 * time.Millisecond
+	// hedgeShare of the time left is the longest such time: the second target needs
+	// the rest.
+	hedgeShare = 0.4
 )
 
 // try is one sending that has ended.
@@ -117,7 +120,7 @@
 	defer cancel()
 	tries := make(chan try, 2)
 	go func() { tries <- g.exchangeOnce(ctx, j, d) }()
-	patience := time.NewTimer(max(minHedge, time.Duration(hedgeAfter*float64(d.Expected))))
+	patience := time.NewTimer(hedgeTime(d.Expected, time.Until(j.deadline)))
 	defer patience.Stop()
 	running := 1
 	for {
@@ -138,6 +141,11 @@
 	}
 }
 
+// hedgeTime is how long the first target may be silent.
+func hedgeTime(expected, left time.Duration) time.Duration {
+	return max(minHedge, time.Duration(min(hedgeAfter*float64(expected), hedgeShare*float64(left))))
+}
+
 // hedge finds a second target that is free now.
 func (g *Gateway) hedge(j *job, first placing.Decision) (placing.Decision, bool) {
 	if g.options.Board.Waiting() > 0 || !g.budgetOf(j.service).Take() {
--- a/edge/gateway/serve.go
+++ b/edge/gateway/serve.go
@@ -94,9 +94,14 @@
 	j.deadline = j.in.Arrived.Add(left)
 	j.service, j.class = j.route.Next()
 	object := j.in.Header.Get(g.options.Fields.Affinity)
+	hasObject := object != "" && j.route.Sticky
+	if !hasObject {
+		// Requests about nothing in particular are spread over all targets.
+		object = j.id
+	}
 	j.ask = placing.Request{
 		Service: j.service, Class: j.class,
-		Object: placing.HashOf(j.route.Prefix + object), HasObject: object != "" && j.route.Sticky,
+		Object: placing.HashOf(j.route.Prefix + object), HasObject: hasObject,
 		Large: j.route.Upload || len(j.in.Body) > largeBody, Priority: j.route.Priority,
 		Aim: j.in.Arrived.Add(j.route.Aim), Deadline: j.deadline,
 	}
--- a/edge/placing/shares.go
+++ b/edge/placing/shares.go
@@ -12,9 +12,9 @@
 	// another region is short against what callers hope for.
 	fillShare = 0.5
 	// shiftRate is how much of a region's requests may change their region in a
-	// second. A third of what callers' regions permit in two windows of two
+	// second. A quarter of what callers' regions permit in two windows of two
 	// seconds, the rest is for chance.
-	shiftRate = 0.035
+	shiftRate = 0.025
 	// lossRate is the same while a region loses capacity: callers would be refused.
 	lossRate = 0.5
 	// demandTime is the time constant of the measured demand.
@@ -160,7 +160,7 @@
 }
 
 // slack is how many requests a region may be ahead of its share.
-const slack = 2
+const slack = 1
 
 // favourite is the region of an object.
 func (s *shares) favourite(object uint64, permitted func(region string) bool) (string, bool) {
