--- /dev/null
+++ b/edge/exchange/exchange_test.go
@@ -0,0 +1,131 @@
+package exchange
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/yuccaroute/yuccaroute/edge/site"
+)
+
+func quiet() *logrus.Entry {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	return logrus.NewEntry(l)
+}
+
+// vm is one end of the exchange.
+type vm struct {
+	*Exchange
+	address string
+	mu      sync.Mutex
+	heard   map[string]State
+	news    chan struct{}
+	inHand  map[uint64]int
+}
+
+func startVM(t *testing.T, name string) *vm {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	v := &vm{heard: make(map[string]State), news: make(chan struct{}, 100), inHand: map[uint64]int{7: 1}}
+	e, err := Start(ctx, Options{
+		Address: "127.0.0.1:0", Logger: quiet(),
+		State: func() State {
+			return State{VM: site.VM{Name: name, Incarnation: 3, Peer: "p"}, Serving: true, Revision: 9,
+				InHand: v.inHand, Demand: map[string]float64{"s": 1.5}}
+		},
+		Heard: func(s State) {
+			v.mu.Lock()
+			defer v.mu.Unlock()
+			v.heard[s.VM.Name] = s
+			select {
+			case v.news <- struct{}{}:
+			default:
+			}
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	v.Exchange = e
+	v.address = e.conn.LocalAddr().(*net.UDPAddr).String()
+	return v
+}
+
+// Each VM hears what the other one has in hand, and what it knows of the store.
+func TestVMsHearEachOther(t *testing.T) {
+	a, b := startVM(t, "a"), startVM(t, "b")
+	a.SetPeers([]Peer{{Name: "b", Address: b.address, Near: true}, {Name: "odd", Address: "nowhere"}})
+	b.SetPeers([]Peer{{Name: "a", Address: a.address}})
+	<-a.news
+	<-b.news
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.heard["a"]
+	if s.InHand[7] != 1 || s.Demand["s"] != 1.5 || s.Revision != 9 || !s.Serving || s.VM.Peer != "p" {
+		t.Errorf("%+v", s)
+	}
+}
+
+// Datagrams overtake each other, and a VM is restarted. An older one must not bring back
+// requests that have ended.
+func TestOlderDatagramsAreDropped(t *testing.T) {
+	e := &Exchange{last: make(map[string]position)}
+	state := func(incarnation, number uint64) State {
+		return State{VM: site.VM{Name: "a", Incarnation: incarnation}, Number: number}
+	}
+	for i, c := range []struct {
+		s    State
+		want bool
+	}{
+		{state(1, 5), true}, {state(1, 4), false}, {state(1, 5), false}, {state(1, 6), true},
+		{state(2, 1), true}, {state(1, 7), false}, {state(2, 2), true},
+	} {
+		if got := e.isNews(c.s); got != c.want {
+			t.Errorf("datagram %d: news %v", i, got)
+		}
+	}
+}
+
+// Somebody sends nonsense to the port.
+func TestNonsenseIsIgnored(t *testing.T) {
+	a, b := startVM(t, "a"), startVM(t, "b")
+	c, err := net.Dial("udp", b.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	for range 10 {
+		if _, err := c.Write([]byte("\xc1nonsense")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	a.SetPeers([]Peer{{Name: "b", Address: b.address, Near: true}})
+	<-b.news
+}
+
+// The state changes many times in a moment. Datagrams stay few: each costs a wake-up at
+// every VM of the region.
+func TestChangesAreGathered(t *testing.T) {
+	a, b := startVM(t, "a"), startVM(t, "b")
+	a.SetPeers([]Peer{{Name: "b", Address: b.address, Near: true}})
+	<-b.news
+	began := time.Now()
+	for range 10000 {
+		a.Changed()
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.Exchange.mu.Lock()
+	defer a.Exchange.mu.Unlock()
+	most := uint64(3 + time.Since(began)/turn)
+	if a.sent > most+1 {
+		t.Errorf("%d datagrams, at most %d", a.sent, most)
+	}
+}
--- a/edge/mirror/mirror_test.go
+++ b/edge/mirror/mirror_test.go
@@ -151,7 +151,7 @@
 		if partial != 5 {
 			t.Errorf("%d of 5 changes came as a difference", partial)
 		}
-		if calls := follower.calls; calls != 1 {
+		if calls := follower.Calls(); calls != 1 {
 			t.Errorf("the follower made %d calls, one for its first copy wanted", calls)
 		}
 	})
@@ -213,6 +213,11 @@
 	return store.Listing{}, store.ErrUnavailable
 }
 
+// Watch implements store.KV.
+func (downKV) Watch(context.Context, string, store.Revision) (store.Batch, error) {
+	return store.Batch{}, store.ErrUnavailable
+}
+
 // A VM starts while the store is away. It waits longer and longer between calls, and
 // takes its first copy from another VM.
 func TestFirstCopyFromAPeer(t *testing.T) {
@@ -222,8 +227,8 @@
 		})
 		go v.Run(ctx)
 		time.Sleep(10 * time.Second)
-		if v.calls > 20 {
-			t.Errorf("%d calls in 10 s to a store that is away", v.calls)
+		if v.Calls() > 20 {
+			t.Errorf("%d calls in 10 s to a store that is away", v.Calls())
 		}
 		for range 5 {
 			v.SawPeer(ctx, "peer", true, 3, time.Now())
--- /dev/null
+++ b/edge/registry/registry_test.go
@@ -0,0 +1,125 @@
+package registry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/yuccaroute/yuccaroute/edge/site"
+	"github.com/yuccaroute/yuccaroute/store"
+	"github.com/yuccaroute/yuccaroute/store/memkv"
+)
+
+const key = "vm/a"
+
+func newRegistry(t *testing.T, kv store.KV) *Registry {
+	t.Helper()
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	r, err := New(kv, key, site.VM{Name: "a"}, logrus.NewEntry(l))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func listed(kv store.KV) bool {
+	_, err := kv.Get(context.Background(), key)
+	return err == nil
+}
+
+// A VM is listed from its start to its planned stop, and for no longer than the lease
+// after it has vanished.
+func TestListedWhileRunning(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := memkv.New(memkv.Options{})
+		ctx, stop := context.WithCancel(context.Background())
+		go newRegistry(t, kv).Run(ctx)
+		for range 10 {
+			time.Sleep(TTL)
+			if !listed(kv) {
+				t.Fatal("not listed")
+			}
+		}
+		stop()
+		synctest.Wait()
+		if listed(kv) {
+			t.Error("listed after its end")
+		}
+	})
+}
+
+// The VM was killed and starts anew while its last entry is still there.
+func TestReplacesItsLastEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := memkv.New(memkv.Options{})
+		old, err := kv.Grant(context.Background(), TTL)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := kv.Swap(context.Background(), key, []byte("old"), 0, old); err != nil {
+			t.Fatal(err)
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		go newRegistry(t, kv).Run(ctx)
+		time.Sleep(2 * TTL)
+		if e, err := kv.Get(ctx, key); err != nil || string(e.Value) == "old" {
+			t.Errorf("%q, %v", e.Value, err)
+		}
+		stop()
+		synctest.Wait()
+	})
+}
+
+// The store drops the entry and goes on renewing the lease, so that no call shows it.
+func TestRegistersAnewWhenItsEntryIsMissing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := memkv.New(memkv.Options{})
+		ctx, stop := context.WithCancel(context.Background())
+		r := newRegistry(t, kv)
+		go r.Run(ctx)
+		time.Sleep(TTL)
+		e, err := kv.Get(ctx, key)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := kv.Delete(ctx, key, e.Revision); err != nil {
+			t.Fatal(err)
+		}
+		r.Missing()
+		time.Sleep(2 * renewEvery)
+		if !listed(kv) {
+			t.Error("still missing")
+		}
+		stop()
+		synctest.Wait()
+	})
+}
+
+// lost answers no write, though it does them.
+type lost struct{ store.KV }
+
+func (l lost) Swap(ctx context.Context, key string, value []byte, expected store.Revision, lease store.LeaseID) (store.Revision, error) {
+	if _, err := l.KV.Swap(ctx, key, value, expected, lease); err != nil {
+		return 0, err
+	}
+	return 0, store.ErrUnknown
+}
+
+// The answer to the registration is lost. The next try meets its own entry.
+func TestLostAnswerOfTheRegistration(t *testing.T) {
+	kv := memkv.New(memkv.Options{})
+	r := newRegistry(t, lost{kv})
+	if err := r.keep(context.Background()); !errors.Is(err, store.ErrUnknown) {
+		t.Fatalf("error %v", err)
+	}
+	r.kv = kv
+	if err := r.keep(context.Background()); err != nil || !listed(kv) {
+		t.Fatalf("error %v", err)
+	}
+}
--- /dev/null
+++ b/edge/route/table_test.go
@@ -0,0 +1,67 @@
+package route
+
+import (
+	"testing"
+
+	"github.com/yuccaroute/yuccaroute/edge/placing"
+	"github.com/yuccaroute/yuccaroute/edge/site"
+)
+
+func config(version uint64, routes ...site.Route) *site.Config {
+	return &site.Config{Version: version, Routes: routes}
+}
+
+func routeTo(name, prefix string, services ...string) site.Route {
+	r := site.Route{Name: name, Host: "h", Prefix: prefix}
+	for i, s := range services {
+		r.Parts = append(r.Parts, site.Part{Service: s, Weight: float64(90 - 80*i)})
+	}
+	return r
+}
+
+func TestLongestPrefixWins(t *testing.T) {
+	table := NewTable(config(1, routeTo("short", "/a/", "s"), routeTo("long", "/a/b/", "s")), nil)
+	for path, want := range map[string]string{"/a/x": "short", "/a/b/x": "long", "/a/b": "short", "/b/": "", "/": ""} {
+		got := ""
+		if e := table.Match("h:80", path); e != nil {
+			got = e.Name
+		}
+		if got != want {
+			t.Errorf("%s: %q, want %q", path, got, want)
+		}
+	}
+	if table.Match("other", "/a/x") != nil {
+		t.Error("another host's route")
+	}
+}
+
+// Each part gets its share of every few requests, not only on average.
+func TestPartsGetTheirWeights(t *testing.T) {
+	e := NewTable(config(1, routeTo("r", "/", "big", "small")), nil).Match("h", "/")
+	small := 0
+	for i := range 100 {
+		if s, _ := e.Next(); s == "small" {
+			small++
+		}
+		if want := (i + 1) / 10; small < want-1 || small > want+1 {
+			t.Fatalf("%d of %d requests, one in ten wanted", small, i+1)
+		}
+	}
+}
+
+// A change of the configuration must not make a VM forget how long requests take.
+func TestLearntWorkOutlivesAChange(t *testing.T) {
+	first := NewTable(config(1, routeTo("r", "/", "s")), nil)
+	_, before := first.Match("h", "/").Next()
+	changed := routeTo("renamed", "/", "s", "new")
+	changed.Parts[1].Weight = 0
+	second := NewTable(config(2, changed), first)
+	_, after := second.Match("h", "/").Next()
+	if before != after {
+		t.Error("the estimates of the service began anew")
+	}
+	var none *placing.Class
+	if second.Match("h", "/").classes["new"] == none {
+		t.Error("no estimates for the new service")
+	}
+}
