--- a/edge/placing/board.go
+++ b/edge/placing/board.go
@@ -12,9 +12,6 @@
 	// coldOwners is how many VMs of a region send to a cold target. Each may
 	// begin with one request at once, so that their number is part of the sum.
 	coldOwners = 3
-	// lateShare of the aim is how much later than its aim a request may be
-	// expected to end and still wait.
-	lateShare = 0.5
 	// largeStays is the part of the own region's slots in use up to which large
 	// bodies stay there: bytes between regions are scarce.
 	largeStays = 0.8
@@ -212,7 +209,7 @@
 	if refusal, late := b.tooLate(now, s, r, region); late {
 		return refusal, nil
 	}
-	w := &Waiter{request: r, region: region, last: r.lastEnd(now), decided: make(chan Decision, 1)}
+	w := &Waiter{request: r, region: region, last: r.lastEnd(), decided: make(chan Decision, 1)}
 	s.line.add(w, now)
 	return Decision{}, w
 }
@@ -271,11 +268,11 @@
 	return Decision{Target: t, Region: region, Warm: warm, Expected: cost}, true
 }
 
-// tooLate refuses a request that would end long after its aim, or its deadline.
+// tooLate refuses a request that would miss its aim, or its deadline, in the line.
 func (b *Board) tooLate(now time.Time, s *service, r *Request, region string) (Decision, bool) {
 	wait := time.Duration(float64(s.line.ahead(r, now)) / s.pace(now, region))
 	end := now.Add(wait + r.work() + b.options.Delay(region))
-	if !end.After(r.lastEnd(now)) {
+	if !end.After(r.lastEnd()) {
 		return Decision{}, false
 	}
 	return Decision{Reason: TooLate, RetryAfter: retryAfter(wait)}, true
--- a/edge/placing/request.go
+++ b/edge/placing/request.go
@@ -30,13 +30,13 @@
 // late reports whether the request would miss its aim if it began now.
 func (r *Request) late(now time.Time) bool { return now.Add(r.work()).After(r.Aim) }
 
-// lastEnd is until when an answer is worth waiting for.
-func (r *Request) lastEnd(now time.Time) time.Time {
-	last := r.Aim.Add(time.Duration(lateShare * float64(max(0, r.Aim.Sub(now)))))
-	if last.After(r.Deadline) {
+// lastEnd is until when an answer is worth waiting for: its aim. In an overload all
+// requests wait for as long as they may, and with any later bound all would be late.
+func (r *Request) lastEnd() time.Time {
+	if r.Aim.After(r.Deadline) {
 		return r.Deadline
 	}
-	return last
+	return r.Aim
 }
 
 func (r *Request) tried(t *Target) bool {
