--- a/edge/placing/board.go
+++ b/edge/placing/board.go
@@ -203,6 +203,9 @@
 	if region == "" {
 		return Decision{Reason: NoTarget, RetryAfter: maxRetryAfter}, nil
 	}
+	if !r.Again {
+		s.shares.spend(region)
+	}
 	if d, ok := b.give(now, s, r, region); ok {
 		return d, nil
 	}
@@ -262,9 +265,6 @@
 	if r.HasObject {
 		t.remember(r.Object, now)
 	}
-	if !r.Again {
-		s.shares.spend(region)
-	}
 	return Decision{Target: t, Region: region, Warm: warm, Expected: cost}, true
 }
 
--- a/edge/placing/shares.go
+++ b/edge/placing/shares.go
@@ -12,9 +12,9 @@
 	// another region is short against what callers hope for.
 	fillShare = 0.5
 	// shiftRate is how much of a region's requests may change their region in a
-	// second. A quarter of what callers' regions permit in two windows of two
-	// seconds, the rest is for chance.
-	shiftRate = 0.025
+	// second. Half of what the cap permits between two windows of two
+	// seconds at most, the rest is for chance.
+	shiftRate = 0.02
 	// lossRate is the same while a region loses capacity: callers would be refused.
 	lossRate = 0.5
 	// demandTime is the time constant of the measured demand.
