exchange: listeners and digests in large regions

Change: above 8 VMs a region has two listeners that all report to; the first sends digests, and regions tell each other sums.

--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -18,7 +18,6 @@
 	"github.com/yuccaroute/yuccaroute/edge/serve"
 	"github.com/yuccaroute/yuccaroute/httpserver/scrape"
 	"github.com/yuccaroute/yuccaroute/proxy/buffer"
-	"github.com/yuccaroute/yuccaroute/store"
 )
 
 const (
@@ -111,7 +110,8 @@
 
 func (e *Entry) listen(ctx context.Context) error {
 	talk, err := exchange.Start(ctx, exchange.Options{
-		Address: e.options.PeerAddress, Logger: e.part("exchange"), State: e.state, Heard: e.heard(ctx),
+		Address: e.options.PeerAddress, Logger: e.part("exchange"), State: e.state, Digest: e.digest,
+		Audience: e.audience, Heard: e.heard(ctx),
 	})
 	if err != nil {
 		return err
@@ -186,49 +186,15 @@
 	now := time.Now()
 	e.book.Register(v.VMs, now)
 	e.gateway.SetView(v, now)
-	e.tellOthers()
-	e.board.SetVMs(e.book.Near(now))
-}
-
-// tellOthers makes all VMs that are known hear this one.
-func (e *Entry) tellOthers() {
-	others := e.book.Others()
-	list := make([]exchange.Peer, 0, len(others))
-	for _, vm := range others {
-		list = append(list, exchange.Peer{Name: vm.Name, Address: vm.Peer, Near: vm.Region == e.options.VM.Region})
+	for _, vm := range e.book.Others() {
 		e.delays.measure(vm.Region, vm.Peer)
 	}
-	if e.talk != nil {
-		e.talk.SetPeers(list)
-	}
+	e.board.SetVMs(e.book.Near(now))
 }
 
 // serving reports whether callers may be sent here.
 func (e *Entry) serving() bool { return e.gateway.Ready() && !e.leaving.Load() }
 
-// state is what other VMs are told.
-func (e *Entry) state() exchange.State {
-	at, _ := e.mirror.At()
-	inHand, demand := e.board.Report(time.Now())
-	return exchange.State{
-		VM: e.options.VM, Leaving: e.leaving.Load(), Serving: e.gateway.Ready(), Linked: e.mirror.Linked(),
-		Revision: uint64(at), InHand: inHand, Demand: demand,
-	}
-}
-
-// heard takes in what another VM says.
-func (e *Entry) heard(ctx context.Context) func(exchange.State) {
-	return func(s exchange.State) {
-		now := time.Now()
-		near := s.VM.Region == e.options.VM.Region
-		if e.book.Hear(s.VM, peers.Said{At: now, Serving: s.Serving, Leaving: s.Leaving, Linked: s.Linked}) {
-			e.tellOthers()
-		}
-		e.board.SetPeer(now, s.VM.Name, &placing.Peer{Region: s.VM.Region, InHand: s.InHand, Demand: s.Demand, At: now})
-		e.mirror.SawPeer(ctx, s.VM.Peer, near, store.Revision(s.Revision), now)
-	}
-}
-
 // maintain looks at what changes with the time.
 func (e *Entry) maintain(ctx context.Context) {
 	last := time.Now()
--- a/edge/exchange/exchange.go
+++ b/edge/exchange/exchange.go
@@ -1,6 +1,11 @@
 // Package exchange tells the other entry VMs, by datagrams, which requests this VM
 // has in hand at which target, how much its callers ask for, and that it lives.
 // A datagram holds the whole state, so that a lost one is made good by the next.
+//
+// In a small region every VM reports to every other one. In a large one they report
+// to a few listeners, and the first of these sends each of the others a digest: all
+// that it has heard, summed up. The datagrams of a VM then do not grow with the
+// region. Listeners of different regions tell each other the sums of their regions.
 package exchange
 
 import (
@@ -19,21 +24,24 @@
 )
 
 const (
-	// beat is the longest time between two datagrams to the VMs of the own
-	// region; farBeat to others, which need demand and liveness only.
+	// beat is the longest time between two reports to the VMs of the own region;
+	// farBeat to others, which need sums and liveness only.
 	beat    = 250 * time.Millisecond
 	farBeat = 500 * time.Millisecond
-	// turn is the shortest time between two datagrams in a small region. With
-	// 20 ms a target's count is as old as a tenth of its shortest work.
+	// turn is the shortest time between two reports in a small region. With 20 ms
+	// a target's count is as old as a tenth of its shortest work.
 	turn = 20 * time.Millisecond
-	// turnPerPeer bounds what a VM spends in a large region: at most one
-	// datagram a turnPerPeer.
-	turnPerPeer = 4 * time.Millisecond
+	// largeTurn is the same in a large region, where many VMs share each target
+	// and no one of them changes its count by much. It is also the time between
+	// two digests.
+	largeTurn = 150 * time.Millisecond
+	// seenEvery digests, one tells which VMs were heard.
+	seenEvery = 4
 	// maxDatagram is below the smallest usual MTU times a few fragments.
-	maxDatagram = 8 << 10
+	maxDatagram = 16 << 10
 )
 
-// State is what one VM tells.
+// State is what one VM reports.
 type State struct {
 	// VM is how the VM registered itself: the store may have lost that.
 	VM site.VM `msgpack:"v"`
@@ -45,17 +53,50 @@
 	// Linked tells that the VM watches the store and is answered.
 	Linked bool `msgpack:"k"`
 	// Revision is that of its copy of the store.
-	Revision uint64             `msgpack:"x"`
-	InHand   map[uint64]int     `msgpack:"h"`
-	Demand   map[string]float64 `msgpack:"d"`
+	Revision uint64 `msgpack:"x"`
+	// Sum tells that InHand and Demand are those of the whole region.
+	Sum bool `msgpack:"w"`
+	// InHand counts requests by target, Demand the slots needed by service.
+	InHand map[uint64]int     `msgpack:"h"`
+	Demand map[string]float64 `msgpack:"d"`
+	// Digest is set in what a listener sends to a VM that is none.
+	Digest *Digest `msgpack:"g,omitempty"`
 }
 
-// Peer is another VM.
+// Digest is what a listener heard of the other VMs; the receiver's own part is not
+// in it.
+type Digest struct {
+	InHand map[uint64]int `msgpack:"h"`
+	// Demand is by region and service.
+	Demand map[string]map[string]float64 `msgpack:"d"`
+	// Seen are the VMs of the region, in some digests only.
+	Seen []Seen `msgpack:"s,omitempty"`
+}
+
+// Seen is what a listener knows of one VM.
+type Seen struct {
+	Name    string        `msgpack:"n"`
+	Age     time.Duration `msgpack:"a"`
+	Leaving bool          `msgpack:"l"`
+	Serving bool          `msgpack:"s"`
+	Linked  bool          `msgpack:"k"`
+}
+
+// Peer is a VM that is told.
 type Peer struct {
 	Name    string
 	Address string
-	// Near tells that it is of the own region.
-	Near bool
+}
+
+// Audience is who is told what.
+type Audience struct {
+	// Near are the listeners of the own region, without this VM; Far those of
+	// other regions.
+	Near, Far []Peer
+	// Digests get a digest each: this VM is the first listener of a large region.
+	Digests []Peer
+	// Large tells that the region has listeners.
+	Large bool
 }
 
 // Options configure an Exchange.
@@ -63,8 +104,12 @@
 	// Address is ip:port for datagrams.
 	Address string
 	Logger  *logrus.Entry
-	// State returns what to tell.
-	State func() State
+	// State returns what to report, the sums of the region if they are asked for.
+	State func(sum bool) State
+	// Digest returns what to tell one VM.
+	Digest func(to string, seen bool) *Digest
+	// Audience returns who is told.
+	Audience func() Audience
 	// Heard is called with each newer state of another VM.
 	Heard func(State)
 }
@@ -77,8 +122,7 @@
 	changed chan struct{}
 
 	mu    sync.Mutex
-	peers []Peer
-	addrs []netip.AddrPort
+	addrs map[string]netip.AddrPort
 	last  map[string]position
 	sent  uint64
 }
@@ -93,31 +137,14 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "exchange: listen")
 	}
-	e := &Exchange{options: o, conn: conn, changed: make(chan struct{}, 1), last: make(map[string]position)}
+	e := &Exchange{options: o, conn: conn, changed: make(chan struct{}, 1),
+		addrs: make(map[string]netip.AddrPort), last: make(map[string]position)}
 	context.AfterFunc(ctx, func() { _ = conn.Close() })
 	go e.receive()
 	go e.sendLoop(ctx)
 	return e, nil
 }
 
-// SetPeers replaces the VMs that are told.
-func (e *Exchange) SetPeers(peers []Peer) {
-	var known []Peer
-	var addrs []netip.AddrPort
-	for _, p := range peers {
-		addr, err := netip.ParseAddrPort(p.Address)
-		if err != nil {
-			e.options.Logger.WithError(err).WithField("peer", p.Name).Warn("exchange: peer without a usable address")
-			continue
-		}
-		known = append(known, p)
-		addrs = append(addrs, addr)
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.peers, e.addrs = known, addrs
-}
-
 // Changed asks for a datagram soon. It never blocks.
 func (e *Exchange) Changed() {
 	select {
@@ -126,61 +153,104 @@
 	}
 }
 
-// Flush sends a datagram to all VMs now.
-func (e *Exchange) Flush() { e.send(true) }
+// Flush sends reports to all now.
+func (e *Exchange) Flush() {
+	audience := e.options.Audience()
+	e.report(audience.Near, false)
+	e.report(audience.Far, audience.Large)
+}
 
 func (e *Exchange) sendLoop(ctx context.Context) {
 	tick := time.NewTicker(beat)
 	defer tick.Stop()
 	farAt := time.Now()
-	for {
+	for round := 0; ; round++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
 		case <-e.changed:
 		}
-		far := time.Since(farAt) >= farBeat
-		if far {
+		audience := e.options.Audience()
+		e.report(audience.Near, false)
+		if time.Since(farAt) >= farBeat {
 			farAt = time.Now()
+			e.report(audience.Far, audience.Large)
+		}
+		e.digest(audience.Digests, round%seenEvery == 0)
+		pause := turn
+		if audience.Large {
+			pause = largeTurn
 		}
-		near := e.send(far)
-		if !wait.For(ctx, max(turn, time.Duration(near)*turnPerPeer)) {
+		if !wait.For(ctx, pause) {
 			return
 		}
 	}
 }
 
-// send tells the near VMs, and the far ones too if asked to. It returns how many
-// near ones there are.
-func (e *Exchange) send(far bool) (near int) {
+// report sends this VM's state, or its region's sums.
+func (e *Exchange) report(to []Peer, sum bool) {
+	if len(to) == 0 {
+		return
+	}
+	state := e.options.State(sum)
+	state.Sum = sum
+	text := e.encode(&state)
+	for _, p := range to {
+		e.write(text, p)
+	}
+}
+
+// digest sends each VM what the others do.
+func (e *Exchange) digest(to []Peer, seen bool) {
+	if len(to) == 0 {
+		return
+	}
+	state := e.options.State(false)
+	for _, p := range to {
+		state.Digest = e.options.Digest(p.Name, seen)
+		e.write(e.encode(&state), p)
+	}
+}
+
+// encode numbers and renders a state, nil if that fails.
+func (e *Exchange) encode(state *State) []byte {
 	e.mu.Lock()
-	peers, addrs := e.peers, e.addrs
 	e.sent++
-	number := e.sent
+	state.Number = e.sent
 	e.mu.Unlock()
-	if len(peers) == 0 {
-		return 0
-	}
-	state := e.options.State()
-	state.Number = number
-	text, err := msgpack.Marshal(&state)
+	text, err := msgpack.Marshal(state)
 	if err != nil || len(text) > maxDatagram {
 		e.options.Logger.WithError(err).WithField("bytes", len(text)).Error("exchange: state cannot be sent")
-		return 0
+		return nil
 	}
-	for i, p := range peers {
-		if p.Near {
-			near++
-		}
-		if !p.Near && !far {
-			continue
-		}
-		// A datagram that is not sent is made good by the next one; the peer's
-		// silence is what counts, and is logged there.
-		_, _ = e.conn.WriteToUDPAddrPort(text, addrs[i])
+	return text
+}
+
+func (e *Exchange) write(text []byte, to Peer) {
+	addr, ok := e.address(to)
+	if text == nil || !ok {
+		return
+	}
+	// A datagram that is not sent is made good by the next one; the peer's
+	// silence is what counts, and is logged there.
+	_, _ = e.conn.WriteToUDPAddrPort(text, addr)
+}
+
+// address parses a VM's address once.
+func (e *Exchange) address(to Peer) (netip.AddrPort, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	addr, ok := e.addrs[to.Address]
+	if ok {
+		return addr, addr.IsValid()
+	}
+	addr, err := netip.ParseAddrPort(to.Address)
+	if err != nil {
+		e.options.Logger.WithError(err).WithField("peer", to.Name).Warn("exchange: peer without a usable address")
 	}
-	return near
+	e.addrs[to.Address] = addr
+	return addr, err == nil
 }
 
 func (e *Exchange) receive() {
--- a/edge/exchange/exchange_test.go
+++ b/edge/exchange/exchange_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,16 +28,29 @@
 	heard   map[string]State
 	news    chan struct{}
 	inHand  map[uint64]int
+	// audience is who this VM tells.
+	audience atomic.Pointer[Audience]
 }
 
+func (v *vm) tells(a Audience) { v.audience.Store(&a) }
+
 func startVM(t *testing.T, name string) *vm {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	v := &vm{heard: make(map[string]State), news: make(chan struct{}, 100), inHand: map[uint64]int{7: 1}}
+	v.tells(Audience{})
 	e, err := Start(ctx, Options{
 		Address: "127.0.0.1:0", Logger: quiet(),
-		State: func() State {
+		Audience: func() Audience { return *v.audience.Load() },
+		Digest: func(to string, seen bool) *Digest {
+			d := &Digest{InHand: map[uint64]int{8: 2}}
+			if seen {
+				d.Seen = []Seen{{Name: to, Age: time.Second}}
+			}
+			return d
+		},
+		State: func(bool) State {
 			return State{VM: site.VM{Name: name, Incarnation: 3, Peer: "p"}, Serving: true, Revision: 9,
 				InHand: v.inHand, Demand: map[string]float64{"s": 1.5}}
 		},
@@ -61,8 +75,8 @@
 // Each VM hears what the other one has in hand, and what it knows of the store.
 func TestVMsHearEachOther(t *testing.T) {
 	a, b := startVM(t, "a"), startVM(t, "b")
-	a.SetPeers([]Peer{{Name: "b", Address: b.address, Near: true}, {Name: "odd", Address: "nowhere"}})
-	b.SetPeers([]Peer{{Name: "a", Address: a.address}})
+	a.tells(Audience{Near: []Peer{{Name: "b", Address: b.address}, {Name: "odd", Address: "nowhere"}}})
+	b.tells(Audience{Near: []Peer{{Name: "a", Address: a.address}}})
 	<-a.news
 	<-b.news
 	b.mu.Lock()
@@ -106,7 +120,7 @@
 			t.Fatal(err)
 		}
 	}
-	a.SetPeers([]Peer{{Name: "b", Address: b.address, Near: true}})
+	a.tells(Audience{Near: []Peer{{Name: "b", Address: b.address}}})
 	<-b.news
 }
 
@@ -114,14 +128,12 @@
 // every VM of the region.
 func TestChangesAreGathered(t *testing.T) {
 	a, b := startVM(t, "a"), startVM(t, "b")
-	a.SetPeers([]Peer{{Name: "b", Address: b.address, Near: true}})
+	a.tells(Audience{Near: []Peer{{Name: "b", Address: b.address}}})
 	<-b.news
 	began := time.Now()
 	for range 10000 {
 		a.Changed()
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
 	a.Exchange.mu.Lock()
 	defer a.Exchange.mu.Unlock()
 	most := uint64(3 + time.Since(began)/turn)
@@ -129,3 +141,23 @@
 		t.Errorf("%d datagrams, at most %d", a.sent, most)
 	}
 }
+
+// In a large region a VM that is no listener gets a digest, and now and then who was heard.
+func TestDigestsReachTheOthers(t *testing.T) {
+	a, b := startVM(t, "a"), startVM(t, "b")
+	a.tells(Audience{Large: true, Digests: []Peer{{Name: "b", Address: b.address}}})
+	seen := false
+	for range 2 * seenEvery {
+		<-b.news
+		b.mu.Lock()
+		d := b.heard["a"].Digest
+		if d == nil || d.InHand[8] != 2 {
+			t.Fatalf("%+v", b.heard["a"])
+		}
+		seen = seen || len(d.Seen) == 1 && d.Seen[0].Name == "b"
+		b.mu.Unlock()
+	}
+	if !seen {
+		t.Error("never told who was heard")
+	}
+}
--- a/edge/peers/peers.go
+++ b/edge/peers/peers.go
@@ -3,6 +3,7 @@
 package peers
 
 import (
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -15,9 +16,20 @@
 // or has lost its callers anyway.
 const silence = 1500 * time.Millisecond
 
-// farSilence is the same for VMs of other regions, which beat twice a second.
+// farSilence is the same for VMs of other regions, which beat twice a second. In
+// large fleets only some of them are heard, and the others are taken to live as
+// long as the store lists them.
 const farSilence = 3 * time.Second
 
+const (
+	// smallRegion is up to how many VMs all report to each other. Above it a VM
+	// would spend more on datagrams than on requests.
+	smallRegion = 8
+	// listeners is how many VMs of a large region hear all others: one that works
+	// and one that takes over.
+	listeners = 2
+)
+
 // Said is what a VM said last.
 type Said struct {
 	At      time.Time
@@ -101,15 +113,108 @@
 }
 
 // live reports whether callers may be sent to a VM. One that has said nothing
-// yet is given the benefit of the doubt while this VM is new itself.
+// yet is given the benefit of the doubt while this VM is new itself, or is distant.
 func (b *Book) live(vm site.VM, now time.Time) bool {
 	said, ok := b.said[vm.Name]
 	if !ok {
-		return now.Sub(b.started) < b.patience(vm)
+		return vm.Region != b.own.Region || now.Sub(b.started) < silence
 	}
 	return now.Sub(said.At) < b.patience(vm) && said.Serving && !said.Leaving
 }
 
+// mayListen reports whether a VM of the own region can be a listener: it is heard,
+// or this VM is too new to tell.
+func (b *Book) mayListen(vm site.VM, now time.Time) bool {
+	said, ok := b.said[vm.Name]
+	if !ok {
+		return now.Sub(b.started) < silence
+	}
+	return now.Sub(said.At) < silence && !said.Leaving
+}
+
+// Group is how the VMs of the own region share what they hear.
+type Group struct {
+	// Large tells that only the listeners hear all others.
+	Large bool
+	// Listeners of the own region, the first one first; this VM may be one.
+	Listeners []site.VM
+	// Others are the VMs of the region that are no listeners, without this VM.
+	Others []site.VM
+	// Far are the listeners of the other regions.
+	Far []site.VM
+}
+
+// Group returns the group at a time. All VMs that hear the same find the same one.
+func (b *Book) Group(now time.Time) Group {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	regions := map[string][]site.VM{b.own.Region: {b.own}}
+	for name, vm := range b.registered {
+		if name != b.own.Name {
+			regions[vm.Region] = append(regions[vm.Region], vm)
+		}
+	}
+	var g Group
+	for region, vms := range regions {
+		sort.Slice(vms, func(i, j int) bool { return vms[i].Name < vms[j].Name })
+		if region != b.own.Region {
+			g.Far = append(g.Far, first(vms, func(site.VM) bool { return true })...)
+			continue
+		}
+		g.Large = len(vms) > smallRegion
+		g.Listeners = first(vms, func(vm site.VM) bool { return vm.Name == b.own.Name || b.mayListen(vm, now) })
+		g.Others = without(without(vms, g.Listeners), []site.VM{b.own})
+	}
+	return g
+}
+
+// first returns the listeners of a region: all VMs of a small one, the first ones
+// that can be in a large one.
+func first(vms []site.VM, can func(site.VM) bool) []site.VM {
+	if len(vms) <= smallRegion {
+		return vms
+	}
+	var all []site.VM
+	for _, vm := range vms {
+		if len(all) < listeners && can(vm) {
+			all = append(all, vm)
+		}
+	}
+	return all
+}
+
+func without(vms, some []site.VM) []site.VM {
+	var rest []site.VM
+	for _, vm := range vms {
+		if !slices.ContainsFunc(some, func(other site.VM) bool { return other.Name == vm.Name }) {
+			rest = append(rest, vm)
+		}
+	}
+	return rest
+}
+
+// HearOf takes in what a listener knows of a VM that this one may not hear itself.
+func (b *Book) HearOf(name string, s Said) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if last, ok := b.said[name]; name != b.own.Name && (!ok || s.At.After(last.At)) {
+		b.said[name] = s
+	}
+}
+
+// Seen returns what was said last by the VMs of the own region that are registered.
+func (b *Book) Seen() map[string]Said {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	seen := make(map[string]Said)
+	for name, vm := range b.registered {
+		if said, ok := b.said[name]; ok && vm.Region == b.own.Region {
+			seen[name] = said
+		}
+	}
+	return seen
+}
+
 // Near returns the names of the live VMs of the own region, this one included.
 func (b *Book) Near(now time.Time) []string {
 	b.mu.Lock()
--- a/edge/peers/peers_test.go
+++ b/edge/peers/peers_test.go
@@ -115,3 +115,84 @@
 		}
 	}
 }
+
+// groupsOf returns what each of the VMs finds, when those in dead are silent.
+func groupsOf(vms []site.VM, dead map[string]bool) map[string]Group {
+	now := start.Add(time.Minute)
+	groups := make(map[string]Group)
+	for _, vm := range vms {
+		b := New(vm, start)
+		b.Register(vms, now)
+		for _, other := range vms {
+			if !dead[other.Name] {
+				hear(b, now, other)
+			}
+		}
+		groups[vm.Name] = b.Group(now)
+	}
+	return groups
+}
+
+func fleet(perRegion int, regions ...string) (vms []site.VM) {
+	for _, region := range regions {
+		for i := range perRegion {
+			vms = append(vms, vmOf(fmt.Sprintf("%s-%03d", region, i), region+"1"))
+		}
+	}
+	return vms
+}
+
+// In a small region each VM hears every other one. In a large one the same few hear all,
+// and the datagrams of the others do not grow with the region.
+func TestListeners(t *testing.T) {
+	for _, size := range []int{1, 3, 8, 9, 27, 92} {
+		vms := fleet(size, "n", "s")
+		groups := groupsOf(vms, nil)
+		for _, vm := range vms {
+			g, want := groups[vm.Name], size
+			if size > smallRegion {
+				want = listeners
+			}
+			if len(g.Listeners) != want || len(g.Far) != want || g.Large != (size > smallRegion) {
+				t.Fatalf("%d VMs: %s finds %d listeners, %d far ones", size, vm.Name, len(g.Listeners), len(g.Far))
+			}
+			if diff := cmp.Diff(groups[vm.Region+"-000"].Listeners, g.Listeners); diff != "" {
+				t.Fatalf("%d VMs: %s finds others: %s", size, vm.Name, diff)
+			}
+		}
+		if first := groups["n-000"]; first.Large && len(first.Others) != size-listeners {
+			t.Errorf("%d VMs: digests for %d", size, len(first.Others))
+		}
+	}
+}
+
+// The first listener dies. All that live find the same ones in its place.
+func TestListenersAreReplaced(t *testing.T) {
+	vms := fleet(27, "n")
+	groups := groupsOf(vms, map[string]bool{"n-000": true})
+	for name, g := range groups {
+		if name == "n-000" {
+			continue
+		}
+		if len(g.Listeners) != listeners || g.Listeners[0].Name != "n-001" || g.Listeners[1].Name != "n-002" {
+			t.Fatalf("%s finds %v", name, g.Listeners)
+		}
+	}
+}
+
+// A VM hears of the others by a listener only. They count as live for it, and older news
+// does not replace newer one.
+func TestHeardOfByAListener(t *testing.T) {
+	vms := fleet(27, "n")
+	b := New(vms[5], start)
+	now := start.Add(time.Minute)
+	b.Register(vms, now)
+	b.HearOf("n-020", Said{At: now, Serving: true})
+	b.HearOf("n-020", Said{At: now.Add(-time.Second), Serving: true, Leaving: true})
+	if got := b.Near(now); len(got) != 2 {
+		t.Errorf("near %v", got)
+	}
+	if got := b.Entries("n1", "n", false, now); len(got) != 1 || got[0] != "n-020:1" {
+		t.Errorf("entries %v", got)
+	}
+}
--- a/edge/placing/board.go
+++ b/edge/placing/board.go
@@ -50,14 +50,15 @@
 	lossAt time.Time
 }
 
-// Peer is what another VM tells.
+// Peer is what another VM tells, of itself or of several VMs.
 type Peer struct {
-	Region string
-	// InHand counts its requests at targets, by HashOf of the target's id.
+	// InHand counts requests at targets, by HashOf of the target's id.
 	InHand map[uint64]int
-	// Demand is the slots that its callers' requests need, by service.
-	Demand map[string]float64
-	At     time.Time
+	// Demand is the slots that callers' requests need, by region and service.
+	Demand map[string]map[string]float64
+	// Sum tells that these are the sums of several VMs.
+	Sum bool
+	At  time.Time
 }
 
 // New returns an empty board.
@@ -415,7 +416,9 @@
 	needs := map[string]float64{b.options.Region: s.demand.slots}
 	for _, p := range b.peers {
 		if now.Sub(p.At) < peerLife {
-			needs[p.Region] += p.Demand[s.Name]
+			for region, services := range p.Demand {
+				needs[region] += services[s.Name]
+			}
 		}
 	}
 	return needs
@@ -468,6 +471,53 @@
 	return inHand, needs
 }
 
+// Sums returns what all VMs but one have told, and this VM's own part.
+func (b *Board) Sums(now time.Time, but string) (inHand map[uint64]int, needs map[string]map[string]float64) {
+	own, ownNeeds := b.Report(now)
+	inHand, needs = own, map[string]map[string]float64{b.options.Region: ownNeeds}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for name, p := range b.peers {
+		if name == but || now.Sub(p.At) >= peerLife {
+			continue
+		}
+		for target, n := range p.InHand {
+			inHand[target] += n
+		}
+		for region, services := range p.Demand {
+			if needs[region] == nil {
+				needs[region] = make(map[string]float64)
+			}
+			for service, slots := range services {
+				needs[region][service] += slots
+			}
+		}
+	}
+	return inHand, needs
+}
+
+// RegionSums returns what the VMs of the own region have told of themselves, and this
+// VM's own part.
+func (b *Board) RegionSums(now time.Time) (inHand map[uint64]int, needs map[string]float64) {
+	own := b.options.Region
+	inHand, needs = b.Report(now)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range b.peers {
+		services, near := p.Demand[own]
+		if !near || p.Sum || now.Sub(p.At) >= peerLife {
+			continue
+		}
+		for target, n := range p.InHand {
+			inHand[target] += n
+		}
+		for service, slots := range services {
+			needs[service] += slots
+		}
+	}
+	return inHand, needs
+}
+
 // Suspects returns the ejected targets that a probe may readmit now.
 func (b *Board) Suspects(now time.Time) []*Target {
 	b.mu.Lock()
--- a/edge/placing/replay_test.go
+++ b/edge/placing/replay_test.go
@@ -153,7 +153,9 @@
 		inHand, needs := from.Report(w.now)
 		for j, to := range w.boards {
 			if i != j {
-				to.SetPeer(w.now, from.options.VM, &Peer{Region: from.options.Region, InHand: inHand, Demand: needs, At: w.now})
+				to.SetPeer(w.now, from.options.VM, &Peer{
+					InHand: inHand, Demand: map[string]map[string]float64{from.options.Region: needs}, At: w.now,
+				})
 			}
 		}
 	}
