--- a/edge/placing/board.go
+++ b/edge/placing/board.go
@@ -198,7 +198,7 @@
 		r.Class.arrive(now, r)
 		s.vms = max(1, len(b.vms))
 		b.stepShares(now, s)
-		s.shares.accrue()
+		s.shares.accrue(now)
 	}
 	region := b.regionFor(now, s, r)
 	if region == "" {
--- a/edge/placing/shares.go
+++ b/edge/placing/shares.go
@@ -17,6 +17,8 @@
 	shiftRate = 0.02
 	// lossRate is the same while a region loses capacity: callers would be refused.
 	lossRate = 0.5
+	// creditTime is the time constant with which credit fades.
+	creditTime = 2 * time.Second
 	// demandTime is the time constant of the measured demand.
 	demandTime = 1500 * time.Millisecond
 )
@@ -86,6 +88,8 @@
 	part   map[string]float64
 	credit map[string]float64
 	at     time.Time
+	// accrued is when credit faded last.
+	accrued time.Time
 }
 
 // begin divides requests by capacity, in all regions alike: no target knows an
@@ -137,8 +141,15 @@
 	return all
 }
 
-// accrue gives each region its part of one more request.
-func (s *shares) accrue() {
+// accrue gives each region its part of one more request. Credit fades: objects divide
+// unevenly between regions, and to make that good would send some of them by turns to
+// targets that do not know them. Only quick changes are held back.
+func (s *shares) accrue(now time.Time) {
+	left := math.Exp(-now.Sub(s.accrued).Seconds() / creditTime.Seconds())
+	s.accrued = now
+	for region := range s.credit {
+		s.credit[region] *= left
+	}
 	for region, part := range s.part {
 		s.credit[region] += part
 	}
@@ -160,7 +171,7 @@
 }
 
 // slack is how many requests a region may be ahead of its share.
-const slack = 1
+const slack = 4
 
 // favourite is the region of an object.
 func (s *shares) favourite(object uint64, permitted func(region string) bool) (string, bool) {
@@ -192,7 +203,7 @@
 }
 
 // maxCredit bounds what a region that could not be used saves up.
-const maxCredit = 4
+const maxCredit = 8
 
 // spend counts a request that a region runs.
 func (s *shares) spend(region string) {
