--- a/edge/placing/board.go
+++ b/edge/placing/board.go
@@ -114,25 +114,33 @@
 
 func (b *Board) setTarget(now time.Time, s *service, l Listing, evacuated bool) {
 	t := s.targets[l.ID]
-	if t == nil {
-		region := b.options.RegionOf[l.Zone]
-		t = &Target{
-			Region: region, hash: HashOf(l.ID), delay: b.options.Delay(region),
-			sameZone: l.Zone == b.options.Zone, warm: make(map[uint64]time.Time), slow: 1,
-		}
+	if t == nil || t.Address != l.Address || t.Zone != l.Zone {
+		t = b.newTarget(l)
 		s.targets[l.ID] = t
 	}
-	if t.Target.Zone != "" && !t.usable && !l.Draining && !evacuated {
+	usable := !l.Draining && !evacuated
+	if usable && t.evacuated {
 		// Its domain is taken back: it may have become cold meanwhile.
 		t.coldTill = now.Add(s.ColdTime)
 	}
-	t.Target = l.Target
-	t.usable = !l.Draining && !evacuated
+	t.usable, t.evacuated = usable, evacuated
+	// The fields that name the target stay as they are: the request path reads
+	// them without the lock.
+	t.Slots = l.Slots
+	t.delay = b.options.Delay(t.Region)
 	if l.ColdFor > 0 && l.ColdUntil.Add(coldMargin).After(t.coldTill) {
 		t.coldTill = l.ColdUntil.Add(coldMargin)
 	}
 }
 
+func (b *Board) newTarget(l Listing) *Target {
+	region := b.options.RegionOf[l.Zone]
+	return &Target{
+		Target: l.Target, Region: region, hash: HashOf(l.ID), delay: b.options.Delay(region),
+		warm: make(map[uint64]time.Time), slow: 1,
+	}
+}
+
 func (s *service) sortRegions() {
 	s.regions = make(map[string][]*Target)
 	for _, t := range s.targets {
--- a/edge/placing/target.go
+++ b/edge/placing/target.go
@@ -36,7 +36,8 @@
 	coldMargin = 500 * time.Millisecond
 )
 
-// Target is one target as this VM sees it. The board's lock guards it.
+// Target is one target as this VM sees it. What names it never changes; the board's
+// lock guards the rest, the slots included.
 type Target struct {
 	site.Target
 	Region string
@@ -44,8 +45,7 @@
 	// delay is the network's, to the target and back.
 	delay time.Duration
 	// usable is false for draining targets and those in evacuated domains.
-	usable   bool
-	sameZone bool
+	usable, evacuated bool
 	// own and others count the requests in hand, of this VM and of all others.
 	own, others int
 	warm        map[uint64]time.Time
