placing: callers begin in their own region

Cause: objects had one region for all callers at first, so that each was learnt once; with the rule that objects wait for targets that know them, learning is short anyway, and the way to another region (110 ms of 400) made first answers late. Change: shares begin with the own region, as far as its slots carry an equal part of all callers.

--- a/edge/placing/board.go
+++ b/edge/placing/board.go
@@ -414,7 +414,7 @@
 		capacity[region] = float64(s.slots(now, region))
 	}
 	if s.shares.part == nil {
-		s.shares.begin(now, capacity)
+		s.shares.begin(now, b.options.Region, capacity)
 	}
 	s.shares.step(now, plan(b.options.Region, b.demandOf(now, s), capacity), rate)
 }
--- a/edge/placing/shares.go
+++ b/edge/placing/shares.go
@@ -11,6 +11,9 @@
 	// rest goes elsewhere: above it, requests wait for each other, and the delay to
 	// another region is short against what callers hope for.
 	fillShare = 0.5
+	// startUse is the part of all slots that is taken to be asked for until demand
+	// is measured.
+	startUse = 0.6
 	// shiftRate is how much of a region's requests may change their region in a
 	// second. Half of what the cap permits between two windows of two
 	// seconds at most, the rest is for chance.
@@ -92,16 +95,15 @@
 	accrued time.Time
 }
 
-// begin divides requests by capacity, in all regions alike: no target knows an
-// object yet, and the fewer targets an object is sent to the sooner it is known.
-func (s *shares) begin(now time.Time, capacity map[string]float64) {
-	total := sum(capacity)
-	s.part, s.credit, s.at = make(map[string]float64), make(map[string]float64), now
-	for region, slots := range capacity {
-		if slots > 0 {
-			s.part[region] = slots / total
-		}
+// begin keeps requests in their region as far as its targets can carry an equal part
+// of all callers: nothing is known of the demand yet.
+func (s *shares) begin(now time.Time, own string, capacity map[string]float64) {
+	s.credit, s.at = make(map[string]float64), now
+	needs := make(map[string]float64)
+	for region := range capacity {
+		needs[region] = startUse * sum(capacity) / float64(len(capacity))
 	}
+	s.part = plan(own, needs, capacity)
 }
 
 // step moves the shares towards the wanted ones by at most rate a second.
