placing, gateway: one probe at a time; the log line of a request tells what decided it

Change: a suspect is due again after 1 s; lines carry requests in hand, slots, the age of other VMs' counts and the expected latency.

--- a/edge/gateway/run.go
+++ b/edge/gateway/run.go
@@ -85,6 +85,7 @@
 		}
 		j.log.waited += time.Since(began)
 	}
+	j.log.placed = d
 	if d.Target == nil {
 		code := result.QueueFull
 		if d.Reason == placing.NoTarget {
@@ -178,7 +179,6 @@
 	j.ask.Tried = append(j.ask.Tried, t.decision.Target)
 	j.mayHaveRun = j.mayHaveRun || !t.notRun
 	j.log.targets = append(j.log.targets, t.decision.Target.ID)
-	j.log.region = t.decision.Region
 	end := "answered"
 	if t.err != nil {
 		end = t.err.Error()
--- a/edge/gateway/serve.go
+++ b/edge/gateway/serve.go
@@ -163,15 +163,29 @@
 	return a
 }
 
-// trail is what happened to a request, for its log line.
+// trail is what happened to a request, for its log line: what decided its last
+// placing, and each sending.
 type trail struct {
 	waited  time.Duration
+	placed  placing.Decision
 	targets []string
 	ends    []string
-	region  string
 	hedged  bool
 }
 
+// fields adds the trail to a log line.
+func (t *trail) fields(to logrus.Fields) {
+	to["waited_ms"] = t.waited.Milliseconds()
+	to["expected_ms"] = t.placed.Expected.Milliseconds()
+	to["slots"] = t.placed.Slots
+	if len(t.targets) == 0 {
+		return
+	}
+	to["targets"], to["ends"], to["region"] = t.targets, t.ends, t.placed.Region
+	to["in_hand"], to["heard_ms"] = t.placed.InHand, t.placed.HeardAge.Milliseconds()
+	to["warm"], to["hedged"] = t.placed.Warm, t.hedged
+}
+
 func (g *Gateway) record(j *job, end outcome) {
 	took := time.Since(j.in.Arrived)
 	name := ""
@@ -181,11 +195,9 @@
 	g.options.Metrics.Ended(name, j.service, int(end.code), took)
 	fields := logrus.Fields{
 		"id": j.id, "route": name, "service": j.service, "version": j.version, "result": end.code.String(),
-		"ms": took.Milliseconds(), "waited_ms": j.log.waited.Milliseconds(), "sent": j.sent,
-	}
-	if len(j.log.targets) > 0 {
-		fields["targets"], fields["ends"], fields["region"] = j.log.targets, j.log.ends, j.log.region
+		"ms": took.Milliseconds(), "sent": j.sent,
 	}
+	j.log.fields(fields)
 	if end.answer != nil {
 		fields["status"] = end.answer.Status
 	} else {
--- a/edge/placing/board.go
+++ b/edge/placing/board.go
@@ -274,7 +274,10 @@
 	if r.HasObject {
 		t.remember(r.Object, now)
 	}
-	return Decision{Target: t, Region: region, Warm: warm, Expected: cost}, true
+	return Decision{
+		Target: t, Region: region, Warm: warm, Expected: cost,
+		InHand: t.inHand() - 1, Slots: t.Slots, HeardAge: b.heardAge(now),
+	}, true
 }
 
 // tooLate refuses a request that would miss its aim, or its deadline, in the line.
@@ -284,7 +287,7 @@
 	if !end.After(r.lastEnd()) {
 		return Decision{}, false
 	}
-	return Decision{Reason: TooLate, RetryAfter: retryAfter(wait)}, true
+	return Decision{Reason: TooLate, RetryAfter: retryAfter(wait), Expected: end.Sub(now), Slots: s.slots(now, region)}, true
 }
 
 func retryAfter(wait time.Duration) time.Duration {
@@ -445,6 +448,17 @@
 	b.serveAll(now)
 }
 
+// heardAge is the age of the oldest counts of other VMs that decisions still use.
+func (b *Board) heardAge(now time.Time) time.Duration {
+	oldest := time.Duration(0)
+	for _, p := range b.peers {
+		if age := now.Sub(p.At); age < peerLife {
+			oldest = max(oldest, age)
+		}
+	}
+	return oldest
+}
+
 func (b *Board) sumPeers(now time.Time) {
 	sum := make(map[uint64]int)
 	for _, p := range b.peers {
@@ -526,7 +540,12 @@
 	return inHand, needs
 }
 
-// Suspects returns the ejected targets that a probe may readmit now.
+// probeEvery is how long after one probe the next one of the same target may begin:
+// longer than a probe takes.
+const probeEvery = time.Second
+
+// Suspects returns the ejected targets that a probe may readmit now. Each is returned
+// once until the outcome of its probe is taken in, or probeEvery has passed.
 func (b *Board) Suspects(now time.Time) []*Target {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -534,6 +553,7 @@
 	for _, s := range b.services {
 		for _, t := range s.targets {
 			if t.usable && t.probing && !now.Before(t.ejectedUntil) {
+				t.ejectedUntil = now.Add(probeEvery)
 				due = append(due, t)
 			}
 		}
@@ -551,6 +571,7 @@
 		return
 	}
 	t.probing = false
+	t.ejectedUntil = now
 	t.failures = 0
 	if coldFor > 0 {
 		t.coldTill = now.Add(coldFor + coldMargin)
--- /dev/null
+++ b/edge/placing/board_test.go
@@ -0,0 +1,134 @@
+package placing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/edge/site"
+)
+
+// newBoard has two targets in the own region.
+func newBoard(now time.Time) *Board {
+	b := New(Options{
+		VM: "vm", Zone: "a1", Region: "a", RegionOf: map[string]string{"a1": "a"},
+		Delay: func(string) time.Duration { return time.Millisecond },
+	})
+	b.SetTargets(now, services(0), []Listing{listing("t1"), listing("t2")}, nil)
+	return b
+}
+
+func services(coldRate float64) map[string]site.Service {
+	return map[string]site.Service{serviceName: {Name: serviceName, ColdRate: coldRate, ColdTime: 3 * time.Second}}
+}
+
+func listing(id string) Listing {
+	return Listing{Target: site.Target{ID: id, Service: serviceName, Zone: "a1", Slots: 2}}
+}
+
+func request(now time.Time, class *Class) *Request {
+	return &Request{Service: serviceName, Class: class, Aim: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}
+}
+
+// A target cannot be reached. It gets nothing until one probe, and only one at a time,
+// has found it well; the probes of a dead one become rare.
+func TestEjectedTargetIsProbedOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b, class := newBoard(now), NewClass(time.Second)
+	d, _ := b.Place(now, request(now, class))
+	b.Done(now, d, class, Unreachable, 0)
+	bad := d.Target
+	for range 6 {
+		d, w := b.Place(now, request(now, class))
+		if w == nil && d.Target == bad {
+			t.Fatal("an ejected target got a request")
+		}
+	}
+	now = now.Add(firstEjection)
+	if due := b.Suspects(now); len(due) != 1 || due[0] != bad {
+		t.Fatalf("suspects %v", due)
+	}
+	if due := b.Suspects(now.Add(100 * time.Millisecond)); len(due) != 0 {
+		t.Fatal("probed again while a probe is under way")
+	}
+	b.Probed(now, bad, false, 0)
+	if due := b.Suspects(now.Add(firstEjection)); len(due) != 0 {
+		t.Error("no longer pause after a failed probe")
+	}
+	now = now.Add(2 * firstEjection)
+	if due := b.Suspects(now); len(due) != 1 {
+		t.Fatal("never probed again")
+	}
+	b.Probed(now, bad, true, time.Second)
+	if !bad.alive(now) || !now.Before(bad.coldTill) {
+		t.Error("not readmitted, or not as cold as it said")
+	}
+}
+
+// Operators empty a failure domain and take it back. Nothing is sent there meanwhile, and
+// its targets may have become cold.
+func TestEvacuatedTargets(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b, class := newBoard(now), NewClass(time.Second)
+	list := []Listing{listing("t1"), listing("t2")}
+	b.SetTargets(now, services(5), list, map[string]bool{"a1": true})
+	if d, w := b.Place(now, request(now, class)); w != nil || d.Target != nil || d.Reason != NoTarget {
+		t.Fatalf("decision %+v in an evacuated domain", d)
+	}
+	b.SetTargets(now, services(5), list, nil)
+	b.SetVMs([]string{"vm"})
+	for _, target := range b.services[serviceName].targets {
+		if !now.Before(target.coldTill) {
+			t.Error("not treated as cold")
+		}
+	}
+}
+
+// A waiting caller leaves. Its place is free, and a decision that came in the same moment
+// is handed back to be ended.
+func TestLeavingTheLine(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b, class := newBoard(now), NewClass(100*time.Millisecond)
+	var given []Decision
+	var waiting []*Waiter
+	for range 8 {
+		d, w := b.Place(now, request(now, class))
+		if w != nil {
+			waiting = append(waiting, w)
+			continue
+		}
+		given = append(given, d)
+	}
+	if len(given) != 2*(2+overfill) || len(waiting) != 2 {
+		t.Fatalf("%d given, %d wait", len(given), len(waiting))
+	}
+	if _, decided := b.Leave(waiting[0]); decided || b.Waiting() != 1 {
+		t.Fatal("the line kept a caller that left")
+	}
+	b.Done(now, given[0], class, Answered, 10*time.Millisecond)
+	if d, decided := b.Leave(waiting[1]); !decided || d.Target == nil {
+		t.Fatal("a decision was lost")
+	}
+}
+
+// Another VM fills the targets. This VM sends nothing there until its counts end, or are
+// too old to be trusted.
+func TestOthersCountsAreUsed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b, class := newBoard(now), NewClass(100*time.Millisecond)
+	full := map[uint64]int{HashOf("t1"): 2 + overfill, HashOf("t2"): 2 + overfill}
+	b.SetPeer(now, "other", &Peer{InHand: full, At: now})
+	_, w := b.Place(now, request(now, class))
+	if w == nil {
+		t.Fatal("a full target got a request")
+	}
+	now = now.Add(peerLife)
+	b.SetPeer(now, "third", &Peer{At: now})
+	select {
+	case d := <-w.Decided():
+		if d.Target == nil {
+			t.Error("refused")
+		}
+	default:
+		t.Error("still waits for a VM that is silent")
+	}
+}
--- a/edge/placing/request.go
+++ b/edge/placing/request.go
@@ -74,9 +74,13 @@
 	Region string
 	// Warm tells that the target is taken to know the object.
 	Warm bool
-	// Expected is how long the answer should take, with the network.
+	// Expected is how long the answer should take, with the network and the line.
 	Expected time.Duration
-	Reason   Reason
+	// InHand is what the target had in hand before, of its Slots, by counts of other
+	// VMs that are at most HeardAge old. Of a refusal Slots are those of the region.
+	InHand, Slots int
+	HeardAge      time.Duration
+	Reason        Reason
 	// RetryAfter is when there should be room.
 	RetryAfter time.Duration
 }
