integration/soak: the real programs under random faults

Entry VMs as separate processes before stand-ins of targets and store; paths delayed, silenced, cut one way, reset and refused by a loopback proxy; processes paused, killed, stopped and started by signals; store faults; configurations and drains in series. Checked: own answers, orders at most once, 'not run' is true, routes, all VMs serve afterwards.

--- /dev/null
+++ b/integration/soak/caller_test.go
@@ -0,0 +1,141 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/platform/platformtest"
+)
+
+const (
+	host = "shop.example"
+	// callTime is the callers' deadline.
+	callTime = 2 * time.Second
+	// dialTime bounds connecting to a VM.
+	dialTime = 500 * time.Millisecond
+)
+
+// outcome is what a caller saw of one request.
+type outcome struct {
+	id     string
+	order  bool
+	status int // 0: no answer
+	own    bool
+	body   string
+}
+
+// journal collects what all callers saw.
+type journal struct {
+	mu  sync.Mutex
+	all []outcome
+}
+
+func (j *journal) add(o outcome) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.all = append(j.all, o)
+}
+
+// caller sends one request after the other, mostly on a connection that it keeps.
+type caller struct {
+	name    string
+	random  *rand.Rand
+	vms     []*process
+	journal *journal
+	conn    net.Conn
+	reader  *bufio.Reader
+	sent    int
+}
+
+func (c *caller) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		c.sent++
+		order := c.random.IntN(2) == 0
+		c.journal.add(c.ask(fmt.Sprintf("%s-%d", c.name, c.sent), order))
+	}
+	c.drop()
+}
+
+// connect asks some VM's directory and connects to a VM that it names.
+func (c *caller) connect() bool {
+	if c.conn != nil && c.random.IntN(8) > 0 {
+		return true
+	}
+	c.drop()
+	vm := c.vms[c.random.IntN(len(c.vms))].vm
+	entry := vm.Entry
+	if addresses := resolve(vm); len(addresses) > 0 {
+		entry = addresses[c.random.IntN(len(addresses))]
+	}
+	conn, err := net.DialTimeout("tcp", entry, dialTime)
+	if err != nil {
+		time.Sleep(10 * time.Millisecond)
+		return false
+	}
+	c.conn, c.reader = conn, bufio.NewReader(conn)
+	return true
+}
+
+func (c *caller) drop() {
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
+
+func resolve(vm platformtest.VM) []string {
+	client := &http.Client{Timeout: dialTime, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get("http://" + vm.Directory + platformtest.ResolvePath(host, vm.Region, vm.Zone))
+	if err != nil {
+		return nil
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		return nil
+	}
+	addresses, err := platformtest.Addresses(text)
+	if err != nil {
+		return nil
+	}
+	return addresses
+}
+
+// ask sends one request and returns what was seen of it.
+func (c *caller) ask(id string, order bool) outcome {
+	o := outcome{id: id, order: order}
+	if !c.connect() {
+		return o
+	}
+	method, path := http.MethodGet, "/look/"+id
+	if order {
+		method, path = http.MethodPost, "/order/"+id
+	}
+	_ = c.conn.SetDeadline(time.Now().Add(callTime + dialTime))
+	if _, err := io.WriteString(c.conn, platformtest.Request(host, method, path, id, callTime)); err != nil {
+		c.drop()
+		return o
+	}
+	resp, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		c.drop()
+		return o
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		c.drop()
+		return o
+	}
+	o.status, o.body, o.own = resp.StatusCode, string(body), platformtest.IsOwn(resp.Header, id)
+	if resp.Close {
+		c.drop()
+	}
+	return o
+}
--- /dev/null
+++ b/integration/soak/doc.go
@@ -0,0 +1,7 @@
+// Package soak holds a randomized test of the real programs as separate processes:
+// entry VMs before stand-ins of targets and store, with faults injected from outside.
+// The promises of docs/callers/promises.md are checked from what callers and targets
+// see. Run it by hand with
+//
+//	go test ./integration/soak -run TestSoak -seeds 50 -seconds 20 -v
+package soak
--- /dev/null
+++ b/integration/soak/soak_test.go
@@ -0,0 +1,303 @@
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sort"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/platform/platformtest"
+	"github.com/yuccaroute/yuccaroute/store/memkv"
+)
+
+var (
+	seeds    = flag.Int("seeds", 1, "how many seeds to run")
+	first    = flag.Uint64("first", 1, "the first seed")
+	seconds  = flag.Int("seconds", 6, "how long each seed runs under faults")
+	vms      = flag.Int("vms", 4, "entry VMs")
+	keepLogs = flag.String("logs", "", "folder for the programs' logs; a temporary one by default")
+)
+
+const (
+	targetsPerService = 3
+	callers           = 12
+	work              = 20 * time.Millisecond
+	// healTime is how long a VM may take to serve after all faults have ended.
+	healTime = 30 * time.Second
+)
+
+// Callers, targets and operators go on while processes are stopped, paused, killed and
+// restarted, connections are delayed, reset, swallowed and refused, and the store is
+// away, in series and overlapping. No promise is broken, and all VMs serve afterwards.
+func TestSoak(t *testing.T) {
+	program := buildEntry(t)
+	for i := range *seeds {
+		seed := *first + uint64(i)
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { soak(t, program, seed) })
+	}
+}
+
+// world is the processes and stand-ins of one run.
+type world struct {
+	t        *testing.T
+	random   *rand.Rand
+	kv       *memkv.Store
+	store    *platformtest.Store
+	operator platformtest.Operator
+	ledger   *platformtest.Ledger
+	targets  []*platformtest.Target
+	// paths stand before targets, storePaths before the store, one for each VM.
+	paths, storePaths []*proxy
+	processes         []*process
+	version           int
+	faults            map[string]int
+}
+
+func soak(t *testing.T, program string, seed uint64) {
+	w := newWorld(t, program, seed)
+	seen := &journal{}
+	ctx, stop := context.WithCancel(context.Background())
+	var all sync.WaitGroup
+	for i := range callers {
+		c := &caller{name: fmt.Sprintf("c%d-%d", seed, i), random: rand.New(rand.NewPCG(seed, uint64(i))), vms: w.processes, journal: seen}
+		all.Go(func() { c.run(ctx) })
+	}
+	w.waitServing("before any fault")
+	end := time.Now().Add(time.Duration(*seconds) * time.Second)
+	for time.Now().Before(end) {
+		w.harm()
+		time.Sleep(time.Duration(w.random.IntN(500)) * time.Millisecond)
+	}
+	w.heal()
+	w.waitServing("after all faults")
+	stop()
+	all.Wait()
+	w.check(seen)
+}
+
+func newWorld(t *testing.T, program string, seed uint64) *world {
+	t.Helper()
+	w := &world{
+		t: t, random: rand.New(rand.NewPCG(seed, 0)), kv: memkv.New(memkv.Options{}), ledger: platformtest.NewLedger(),
+		faults: make(map[string]int),
+	}
+	w.operator = platformtest.Operator{KV: w.kv}
+	w.store = platformtest.NewStore(w.kv)
+	t.Cleanup(w.store.Close)
+	w.configure()
+	zones := map[string]string{"n1": "n", "n2": "n", "s1": "s"}
+	names := []string{"n1", "n2", "s1"}
+	for i := range 2 * targetsPerService {
+		target := platformtest.NewTarget(fmt.Sprintf("i-%d", i), fmt.Sprintf("s%d", i%2), names[i%3], work, w.ledger)
+		t.Cleanup(target.Close)
+		path := w.path(target.Address())
+		w.targets, w.paths = append(w.targets, target), append(w.paths, path)
+		w.must(w.operator.Register(target, path.address(), false))
+	}
+	dir := *keepLogs
+	if dir == "" {
+		dir = t.TempDir()
+	} else {
+		dir = filepath.Join(dir, fmt.Sprint(seed))
+		w.must(os.MkdirAll(dir, 0o755))
+	}
+	for i := range *vms {
+		path := w.path(w.store.Address())
+		w.storePaths = append(w.storePaths, path)
+		zone := names[i%3]
+		p := newProcess(t, program, dir, platformtest.VM{
+			Name: fmt.Sprintf("vm-%d", i), Zone: zone, Region: zones[zone], Store: path.address(), Grace: 6, Zones: zones,
+		})
+		t.Cleanup(p.stop)
+		w.processes = append(w.processes, p)
+	}
+	return w
+}
+
+func (w *world) path(upstream string) *proxy {
+	w.t.Helper()
+	p, err := startProxy(upstream)
+	w.must(err)
+	w.t.Cleanup(p.close)
+	return p
+}
+
+func (w *world) must(err error) {
+	w.t.Helper()
+	if err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+// configure writes the next version: look-ups go to one service by turns, orders to
+// both, each under its own route.
+func (w *world) configure() {
+	w.version++
+	routes := []platformtest.Route{
+		{Name: "look", Host: host, Prefix: "/look/", Kind: platformtest.Safe, Service: fmt.Sprintf("s%d", w.version%2)},
+		{Name: "order", Host: host, Prefix: "/order/", Kind: platformtest.NonIdempotent, Service: "s0"},
+	}
+	w.must(w.operator.Configure(w.version, routes, "s0", "s1"))
+}
+
+// harm injects one fault, or ends one.
+func (w *world) harm() {
+	harms := []struct {
+		name string
+		do   func()
+	}{
+		{"path to a target", func() { w.pathFault(w.paths) }},
+		{"path to the store", func() { w.pathFault(w.storePaths) }},
+		{"connections reset", func() { w.paths[w.random.IntN(len(w.paths))].resetAll() }},
+		{"process killed", func() { p := w.anyProcess(); p.kill(); p.start() }},
+		{"process paused", w.pause},
+		{"process stopped as planned", w.planned},
+		{"settings signal", func() { w.anyProcess().signal(syscall.SIGHUP) }},
+		{"answers lost", func() { w.targets[w.random.IntN(len(w.targets))].LoseAnswers(w.random.Float64() / 2) }},
+		{"store fails", w.failStore},
+		{"store well", func() { w.store.Fail(nil) }},
+		{"configuration", w.configure},
+		{"target drains", w.drain},
+	}
+	h := harms[w.random.IntN(len(harms))]
+	w.faults[h.name]++
+	h.do()
+}
+
+func (w *world) anyProcess() *process { return w.processes[w.random.IntN(len(w.processes))] }
+
+func (w *world) pathFault(paths []*proxy) {
+	m := mode(w.random.IntN(int(modes)))
+	w.faults["mode "+m.String()]++
+	paths[w.random.IntN(len(paths))].set(m)
+}
+
+func (w *world) pause() {
+	p := w.anyProcess()
+	p.signal(syscall.SIGSTOP)
+	time.Sleep(time.Duration(w.random.IntN(1500)) * time.Millisecond)
+	p.signal(syscall.SIGCONT)
+}
+
+// planned stops a process while callers go on using their connections to it.
+func (w *world) planned() {
+	p := w.anyProcess()
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.gone:
+	case <-time.After(time.Duration(p.vm.Grace) * time.Second):
+		p.kill()
+	}
+	p.start()
+}
+
+func (w *world) failStore() {
+	fault := []platformtest.Fault{platformtest.Busy, platformtest.Limited, platformtest.Lost, platformtest.Silent, platformtest.Gone}[w.random.IntN(5)]
+	share := w.random.Float64()
+	random := rand.New(rand.NewPCG(w.random.Uint64(), 0))
+	var mu sync.Mutex
+	w.store.Fail(func(string) platformtest.Fault {
+		mu.Lock()
+		defer mu.Unlock()
+		if random.Float64() < share {
+			return fault
+		}
+		return platformtest.None
+	})
+}
+
+func (w *world) drain() {
+	i := w.random.IntN(len(w.targets))
+	w.must(w.operator.Register(w.targets[i], w.paths[i].address(), w.random.IntN(2) == 0))
+}
+
+func (w *world) heal() {
+	w.store.Fail(nil)
+	for _, p := range append(append([]*proxy(nil), w.paths...), w.storePaths...) {
+		p.set(pass)
+		p.resetAll()
+	}
+	for i, target := range w.targets {
+		target.LoseAnswers(0)
+		w.must(w.operator.Register(target, w.paths[i].address(), false))
+	}
+}
+
+// waitServing returns when each VM has served an order in the newest version.
+func (w *world) waitServing(when string) {
+	w.t.Helper()
+	seen := &journal{}
+	for i, p := range w.processes {
+		c := &caller{name: fmt.Sprintf("%s %d", when[:5], i), random: w.random, vms: w.processes[i : i+1], journal: seen}
+		for began := time.Now(); ; {
+			c.sent++
+			c.drop()
+			if o := c.ask(fmt.Sprintf("wait-%s-%d-%d", when[:2], i, c.sent), true); o.status == http.StatusOK {
+				break
+			}
+			if time.Since(began) > healTime {
+				w.t.Fatalf("%s %s serves nothing", p.vm.Name, when)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		c.drop()
+	}
+}
+
+// check compares what callers saw with what targets did.
+func (w *world) check(seen *journal) {
+	w.t.Helper()
+	counts := map[string]int{}
+	for _, o := range seen.all {
+		runs := w.ledger.Runs(o.id)
+		counts[fmt.Sprintf("answers %3d", o.status)]++
+		switch {
+		case o.order && len(runs) > 1:
+			w.t.Errorf("order %s ran %d times: %+v", o.id, len(runs), runs)
+		case o.order && isPromise(o.status) && len(runs) > 0:
+			w.t.Errorf("order %s was answered %d and ran: %+v", o.id, o.status, runs)
+		case o.status == http.StatusOK && (!o.own || o.body != platformtest.BodyOf(o.id) || len(runs) == 0):
+			w.t.Errorf("%s got another answer: %+v, runs %+v", o.id, o, runs)
+		case o.status == http.StatusNotFound:
+			w.t.Errorf("%s was denied a route that was always there", o.id)
+		}
+		for _, r := range runs {
+			if o.order && r.Service != "s0" {
+				w.t.Errorf("order %s ran in %s", o.id, r.Service)
+			}
+		}
+	}
+	w.report(counts, len(seen.all))
+}
+
+// isPromise reports whether a status says that the request did not run.
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+func (w *world) report(counts map[string]int, requests int) {
+	for name, n := range w.faults {
+		counts["fault "+name] = n
+	}
+	names := make([]string, 0, len(counts))
+	for name := range counts {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	w.t.Logf("%d requests", requests)
+	for _, name := range names {
+		w.t.Logf("%-40s %d", name, counts[name])
+	}
+}
