--- a/edge/mirror/mirror.go
+++ b/edge/mirror/mirror.go
@@ -4,11 +4,8 @@
 package mirror
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -46,16 +43,6 @@
 	Listed bool
 }
 
-// Copy is items at a revision: all of them, or those that changed after another one.
-type Copy struct {
-	At    store.Revision `json:"at"`
-	Items []store.Entry  `json:"items"`
-	// Partial tells that items and removals bring a copy from After to At.
-	Partial bool           `json:"partial,omitempty"`
-	After   store.Revision `json:"after,omitempty"`
-	Removed []store.Entry  `json:"removed,omitempty"`
-}
-
 // Options configure a Mirror.
 type Options struct {
 	KV     store.KV
@@ -118,38 +105,6 @@
 	return m.connected && m.watching
 }
 
-// CopyAfter returns what changed after a revision, or all items if that is not
-// remembered.
-func (m *Mirror) CopyAfter(after store.Revision) Copy {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if after > 0 && after >= m.recentAfter {
-		return m.partial(after)
-	}
-	c := Copy{At: m.at, Items: make([]store.Entry, 0, len(m.items))}
-	for _, entry := range m.items {
-		c.Items = append(c.Items, entry)
-	}
-	return c
-}
-
-// partial is called with the lock held.
-func (m *Mirror) partial(after store.Revision) Copy {
-	c := Copy{At: m.at, Partial: true, After: after}
-	for _, change := range m.recent {
-		switch {
-		case change.Entry.Revision <= after:
-		case change.Removed:
-			removed := change.Entry
-			removed.Value = nil
-			c.Removed = append(c.Removed, removed)
-		default:
-			c.Items = append(c.Items, change.Entry)
-		}
-	}
-	return c
-}
-
 // Run follows the store until the context ends.
 func (m *Mirror) Run(ctx context.Context) {
 	pause := firstRetry
@@ -262,116 +217,9 @@
 	m.tell(changes)
 }
 
-// remember keeps the last changes for other VMs.
-func (m *Mirror) remember(changes []Change) {
-	m.recent = append(m.recent, changes...)
-	if over := len(m.recent) - kept; over > 0 {
-		m.recentAfter = m.recent[over-1].Entry.Revision
-		m.recent = append(m.recent[:0], m.recent[over:]...)
-	}
-}
-
-// Adopt takes a copy if it is newer.
-func (m *Mirror) Adopt(c Copy) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.loaded && c.At <= m.at {
-		return
-	}
-	if !c.Partial {
-		m.replace(c)
-		return
-	}
-	if !m.loaded || c.After > m.at {
-		return
-	}
-	batch := store.Batch{At: c.At}
-	for _, entry := range c.Removed {
-		batch.Events = append(batch.Events, store.Event{Entry: entry, Deleted: true})
-	}
-	for _, entry := range c.Items {
-		batch.Events = append(batch.Events, store.Event{Entry: entry})
-	}
-	slices.SortStableFunc(batch.Events, func(a, b store.Event) int {
-		return cmp.Compare(a.Entry.Revision, b.Entry.Revision)
-	})
-	m.applyEvents(batch)
-}
-
-// replace is called with the lock held.
-func (m *Mirror) replace(c Copy) {
-	var changes []Change
-	present := make(map[string]bool, len(c.Items))
-	for _, entry := range c.Items {
-		if !strings.HasPrefix(entry.Key, m.options.Prefix) {
-			continue
-		}
-		present[entry.Key] = true
-		if entry.Revision > m.items[entry.Key].Revision {
-			m.items[entry.Key] = entry
-			changes = append(changes, Change{Entry: entry, Listed: true})
-		}
-	}
-	for key, entry := range m.items {
-		if !present[key] && entry.Revision <= c.At {
-			delete(m.items, key)
-			changes = append(changes, Change{Entry: entry, Removed: true, Listed: true})
-		}
-	}
-	m.at = c.At
-	m.loaded = true
-	m.behindSince = time.Time{}
-	// What was removed, and when, is not known of a listing.
-	m.recent, m.recentAfter = nil, c.At
-	m.tell(changes)
-}
-
 // tell is called with the lock held, so that changes are told in order.
 func (m *Mirror) tell(changes []Change) {
 	if len(changes) > 0 {
 		m.options.Changed(changes)
 	}
 }
-
-// SawPeer tells the revision of another VM's copy. A copy that stays behind is
-// brought up to date from there.
-//
-// Guard against a store that serves the other VMs but not this one, or a watch
-// that went silent: it shows as a VM that serves an old configuration. The guard
-// holds because revisions are the store's own: a copy with a higher one is newer.
-func (m *Mirror) SawPeer(ctx context.Context, peer string, near bool, at store.Revision, now time.Time) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.loaded && at <= m.at {
-		// Others may be behind as well; only news of its own ends the delay.
-		return
-	}
-	if m.behindSince.IsZero() {
-		m.behindSince = now
-	}
-	patience := behindFor
-	if near && !m.watching {
-		patience = 0
-	}
-	if m.fetching || now.Sub(m.behindSince) < patience {
-		return
-	}
-	m.fetching = true
-	go m.fetch(ctx, peer, m.at)
-}
-
-func (m *Mirror) fetch(ctx context.Context, peer string, after store.Revision) {
-	c, err := m.options.FetchFrom(ctx, peer, after)
-	log := m.options.Logger.WithField("peer", peer)
-	if err != nil {
-		log.WithError(err).Warn("mirror: no copy from a peer")
-	} else {
-		m.Adopt(c)
-		log.WithFields(logrus.Fields{"revision": c.At, "partial": c.Partial, "items": len(c.Items)}).
-			Info("mirror: copied from a peer")
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.fetching = false
-	m.behindSince = time.Time{}
-}
--- /dev/null
+++ b/edge/placing/cold.go
@@ -0,0 +1,57 @@
+package placing
+
+import "time"
+
+// SetVMs tells which VMs of the own region are live, this one included.
+func (b *Board) SetVMs(names []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.vms = b.vms[:0]
+	for _, name := range names {
+		b.vms = append(b.vms, HashOf(name))
+	}
+	b.limitCold()
+}
+
+// limitCold gives this VM its part of what cold targets bear. Only the VMs that a
+// hash names for a target send to it while it is cold: with all VMs sending their
+// first request at once, a target would get one from each within a moment.
+func (b *Board) limitCold() {
+	for _, s := range b.services {
+		for _, t := range s.targets {
+			t.cold.rate = b.coldRate(s, t)
+		}
+	}
+}
+
+func (b *Board) coldRate(s *service, t *Target) float64 {
+	if s.ColdRate <= 0 {
+		return 1e6
+	}
+	if t.Region != b.options.Region {
+		return 0
+	}
+	mine, before := draw(b.hash, t.hash), 0
+	for _, vm := range b.vms {
+		if vm != b.hash && draw(vm, t.hash) > mine {
+			before++
+		}
+	}
+	if before >= coldOwners {
+		return 0
+	}
+	return s.ColdRate / float64(min(coldOwners, max(1, len(b.vms))))
+}
+
+// coldBucket limits what this VM sends to a cold target.
+type coldBucket struct {
+	// rate is requests a second; 0 permits none.
+	rate float64
+	next time.Time
+}
+
+func (b *coldBucket) has(now time.Time) bool { return b.rate > 0 && !now.Before(b.next) }
+
+func (b *coldBucket) take(now time.Time) {
+	b.next = now.Add(time.Duration(float64(time.Second) / b.rate))
+}
--- /dev/null
+++ b/edge/placing/done.go
@@ -0,0 +1,51 @@
+package placing
+
+import "time"
+
+// End is how a request ended at a target.
+type End int
+
+// Ends of a request.
+const (
+	// Answered: the target gave its whole answer.
+	Answered End = iota
+	// Shed: the target did not run the request.
+	Shed
+	// Broken: the answer was lost, spoilt or an error of the target.
+	Broken
+	// Unreachable: no connection could be had.
+	Unreachable
+	// Cancelled: the caller or the system gave up; it says nothing of the target.
+	Cancelled
+)
+
+// Done ends a request that was given a target. took is from sending to the
+// answer's end.
+func (b *Board) Done(now time.Time, d Decision, class *Class, end End, took time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := d.Target
+	t.own--
+	switch end {
+	case Answered:
+		t.succeeded(now, class, d.Warm, took-t.delay)
+	case Broken:
+		t.failed(now, false)
+		b.noteLoss(now, t)
+	case Shed:
+		t.failed(now, false)
+	case Unreachable:
+		t.failed(now, true)
+		b.noteLoss(now, t)
+	case Cancelled:
+	}
+	if s := b.services[t.Service]; s != nil {
+		s.serve(now, b)
+	}
+}
+
+func (b *Board) noteLoss(now time.Time, t *Target) {
+	if t.probing {
+		b.lossAt = now
+	}
+}
--- /dev/null
+++ b/edge/placing/listing.go
@@ -0,0 +1,90 @@
+package placing
+
+import (
+	"sort"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/edge/site"
+)
+
+// Listing is one target as the catalog lists it.
+type Listing struct {
+	site.Target
+	ColdUntil time.Time
+}
+
+// SetTargets puts services and targets in force; evacuated domains get nothing.
+func (b *Board) SetTargets(now time.Time, services map[string]site.Service, list []Listing, evacuated map[string]bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	listed := make(map[string]bool, len(list))
+	for _, l := range list {
+		listed[l.ID] = true
+		b.setTarget(now, b.service(services, l.Service), l, evacuated[l.Zone])
+	}
+	for _, s := range b.services {
+		for id, t := range s.targets {
+			if !listed[id] {
+				t.usable = false
+				delete(s.targets, id)
+			}
+		}
+		s.sortRegions()
+		s.ColdRate = services[s.Name].ColdRate
+	}
+	b.limitCold()
+	b.serveAll(now)
+}
+
+func (b *Board) service(services map[string]site.Service, name string) *service {
+	s := b.services[name]
+	if s == nil {
+		known := services[name]
+		known.Name = name
+		s = newService(known)
+		b.services[name] = s
+	}
+	if known, ok := services[name]; ok {
+		s.Service = known
+	}
+	return s
+}
+
+func (b *Board) setTarget(now time.Time, s *service, l Listing, evacuated bool) {
+	t := s.targets[l.ID]
+	if t == nil || t.Address != l.Address || t.Zone != l.Zone {
+		t = b.newTarget(l)
+		s.targets[l.ID] = t
+	}
+	usable := !l.Draining && !evacuated
+	if usable && t.evacuated {
+		// Its domain is taken back: it may have become cold meanwhile.
+		t.coldTill = now.Add(s.ColdTime)
+	}
+	t.usable, t.evacuated = usable, evacuated
+	// The fields that name the target stay as they are: the request path reads
+	// them without the lock.
+	t.Slots = l.Slots
+	t.delay = b.options.Delay(t.Region)
+	if l.ColdFor > 0 && l.ColdUntil.Add(coldMargin).After(t.coldTill) {
+		t.coldTill = l.ColdUntil.Add(coldMargin)
+	}
+}
+
+func (b *Board) newTarget(l Listing) *Target {
+	region := b.options.RegionOf[l.Zone]
+	return &Target{
+		Target: l.Target, Region: region, hash: HashOf(l.ID), delay: b.options.Delay(region),
+		warm: make(map[uint64]time.Time), slow: 1,
+	}
+}
+
+func (s *service) sortRegions() {
+	s.regions = make(map[string][]*Target)
+	for _, t := range s.targets {
+		s.regions[t.Region] = append(s.regions[t.Region], t)
+	}
+	for _, list := range s.regions {
+		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	}
+}
--- /dev/null
+++ b/edge/placing/regions.go
@@ -0,0 +1,66 @@
+package placing
+
+import "time"
+
+// regionFor returns the region that runs a request: the one whose share is due if
+// it can answer in time there, "" if no region has a target.
+func (b *Board) regionFor(now time.Time, s *service, r *Request) string {
+	if own := b.options.Region; r.Large && r.allows(own) && s.slots(now, own) > 0 && s.use(now, own) < largeStays {
+		return own
+	}
+	work := r.work()
+	region, ok := s.shares.pick(r, func(region string) bool {
+		if !r.allows(region) || s.slots(now, region) == 0 {
+			return false
+		}
+		return region == b.options.Region || !now.Add(b.options.Delay(region)+work).After(r.Aim)
+	})
+	if ok {
+		return region
+	}
+	return b.nearest(now, s, r)
+}
+
+// nearest is the allowed region with targets and the least delay.
+func (b *Board) nearest(now time.Time, s *service, r *Request) string {
+	best := ""
+	for region := range s.regions {
+		if !r.allows(region) || s.slots(now, region) == 0 {
+			continue
+		}
+		if best == "" || b.options.Delay(region) < b.options.Delay(best) ||
+			(b.options.Delay(region) == b.options.Delay(best) && region < best) {
+			best = region
+		}
+	}
+	return best
+}
+
+// stepShares moves a service's shares towards what demand and capacity ask for.
+func (b *Board) stepShares(now time.Time, s *service) {
+	rate := shiftRate
+	if now.Sub(b.lossAt) < lossFor && !b.lossAt.IsZero() {
+		rate = lossRate
+	}
+	capacity := make(map[string]float64)
+	for region := range s.regions {
+		capacity[region] = float64(s.slots(now, region))
+	}
+	if s.shares.part == nil {
+		s.shares.begin(now, b.options.Region, capacity)
+	}
+	s.shares.step(now, plan(b.options.Region, b.demandOf(now, s), capacity), rate)
+}
+
+func (b *Board) demandOf(now time.Time, s *service) map[string]float64 {
+	s.demand.decay(now)
+	needs := map[string]float64{b.options.Region: s.demand.slots}
+	for _, p := range b.peers {
+		if now.Sub(p.At) < peerLife {
+			for region, services := range p.Demand {
+				needs[region] += services[s.Name]
+			}
+		}
+	}
+	return needs
+}
--- a/edge/placing/target.go
+++ b/edge/placing/target.go
@@ -146,16 +146,3 @@
 	t.ejectedUntil = now.Add(t.ejection)
 	t.probing = true
 }
-
-// coldBucket limits what this VM sends to a cold target.
-type coldBucket struct {
-	// rate is requests a second; 0 permits none.
-	rate float64
-	next time.Time
-}
-
-func (b *coldBucket) has(now time.Time) bool { return b.rate > 0 && !now.Before(b.next) }
-
-func (b *coldBucket) take(now time.Time) {
-	b.next = now.Add(time.Duration(float64(time.Second) / b.rate))
-}
