gateway: a look-up that may have run is not called 'not run'

Cause: a look-up that was lost at one target and then found no other was answered 503, which says that it has not run; only orders were guarded. Change: the guard holds for all. The test fails before. entry: the registration's goroutines end with the VM.

--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -57,16 +57,15 @@
 	servers []*serve.Server
 	leaving atomic.Bool
 	stop    context.CancelFunc
-	// listed ends the registration, and tells that it has ended.
-	unlist   context.CancelFunc
-	unlisted chan struct{}
+	// unlist ends the registration.
+	unlist context.CancelFunc
 }
 
 // Start runs a VM until Leave or Close. It returns an error if an address cannot
 // be bound.
 func Start(o Options) (*Entry, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	e := &Entry{options: o, log: o.Logger, stop: cancel, unlisted: make(chan struct{})}
+	e := &Entry{options: o, log: o.Logger, stop: cancel}
 	now := time.Now()
 	e.delays = newDelays(o.VM.Region)
 	e.book = peers.New(o.VM, now)
@@ -89,7 +88,7 @@
 		e.Close()
 		return nil, err
 	}
-	if err := e.register(); err != nil {
+	if err := e.register(ctx); err != nil {
 		e.Close()
 		return nil, err
 	}
@@ -146,30 +145,25 @@
 	return nil
 }
 
-func (e *Entry) register() error {
+func (e *Entry) register(ctx context.Context) error {
 	listed, err := registry.New(e.options.KV, e.options.Names.VMKey, e.options.VM, e.part("registry"))
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	own, cancel := context.WithCancel(ctx)
 	e.unlist = cancel
-	go func() {
-		listed.Run(ctx)
-		close(e.unlisted)
-	}()
-	e.catalogMissing(listed)
+	go listed.Run(own)
+	go e.watchListing(own, listed)
 	return nil
 }
 
-// catalogMissing registers anew when the store's list lacks this VM.
-func (e *Entry) catalogMissing(listed *registry.Registry) {
-	go func() {
-		for wait.For(context.Background(), registry.TTL) && !e.leaving.Load() {
-			if _, loaded := e.mirror.At(); loaded && !e.isListed() {
-				listed.Missing()
-			}
+// watchListing registers anew when the store's list lacks this VM.
+func (e *Entry) watchListing(ctx context.Context, listed *registry.Registry) {
+	for wait.For(ctx, registry.TTL) {
+		if _, loaded := e.mirror.At(); loaded && !e.isListed() {
+			listed.Missing()
 		}
-	}()
+	}
 }
 
 func (e *Entry) isListed() bool {
--- a/edge/gateway/gateway_test.go
+++ b/edge/gateway/gateway_test.go
@@ -229,6 +229,19 @@
 	}
 }
 
+// A look-up is lost at one target, and the other one refuses it unrun. It may have run, so
+// that its caller is not told that it has not.
+func TestNotRunIsNotSaidOfALostLookup(t *testing.T) {
+	for i := range 6 {
+		bad, full := startTarget(t, "lost", hangUp), startTarget(t, "full", shed)
+		f := newGateway(t, bad, full)
+		a := f.ask(context.Background(), "GET", "/safe/x", fmt.Sprint(i), time.Second, "")
+		if bad.count() > 0 && a.Status == http.StatusServiceUnavailable {
+			t.Fatalf("request %d reached a target and was answered %d", i, a.Status)
+		}
+	}
+}
+
 // A target's own failure of an order is passed on as it is.
 func TestTargetsFailureIsPassedOn(t *testing.T) {
 	f := newGateway(t, startTarget(t, "a", func(w *bufio.Writer, r *http.Request, _ string) bool {
--- a/edge/gateway/run.go
+++ b/edge/gateway/run.go
@@ -62,7 +62,7 @@
 	if j.last != nil {
 		return outcome{code: result.OK, answer: j.last}
 	}
-	if j.mayHaveRun && result.InfoOf(end.code).Outcome == result.NotRun && j.route.Kind == site.AtMostOnce {
+	if j.mayHaveRun && result.InfoOf(end.code).Outcome == result.NotRun {
 		return outcome{code: result.ConnectionLost, why: end.why}
 	}
 	return end
