--- a/cmd/yuccaentry/main.go
+++ b/cmd/yuccaentry/main.go
@@ -47,9 +47,10 @@
 		SilenceErrors: true, SilenceUsage: true,
 	}
 	var file string
+	var metricsPort int
 	run := &cobra.Command{
 		Use: "run", Short: "Serve until a signal", Args: cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error { return serve(file) },
+		RunE: func(*cobra.Command, []string) error { return serve(file, metricsPort) },
 	}
 	check := &cobra.Command{
 		Use: "check", Short: "Check the settings and exit", Args: cobra.NoArgs,
@@ -63,12 +64,13 @@
 	}
 	root.PersistentFlags().StringVar(&file, "settings", os.Getenv(platform.SettingsVariable),
 		"file with the settings; default from "+platform.SettingsVariable)
+	run.Flags().IntVar(&metricsPort, "metrics-port", 0, "port that shows the metrics, beside the first port between VMs; 0 for none")
 	root.AddCommand(run, check)
 	return root
 }
 
 // serve runs the VM until a signal.
-func serve(file string) error {
+func serve(file string, metricsPort int) error {
 	s, err := platform.LoadSettings(file)
 	if err != nil {
 		return program.Exit(program.ExitUsage, err)
@@ -78,7 +80,7 @@
 	logger := logs.New(os.Stdout)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	e, err := entry.Start(optionsOf(s, memory, logger))
+	e, err := entry.Start(optionsOf(s, memory, metricsPort, logger))
 	if err != nil {
 		return program.Exit(program.ExitFailed, err)
 	}
@@ -103,16 +105,20 @@
 	log.Info("entry: settings read again")
 }
 
-func optionsOf(s *platform.Settings, memory int64, logger *logrus.Logger) entry.Options {
+func optionsOf(s *platform.Settings, memory int64, metricsPort int, logger *logrus.Logger) entry.Options {
 	items := platform.Items{}
 	peer := fmt.Sprintf("%s:%d", s.Node.IP, s.Ports.First)
+	metrics := ""
+	if metricsPort > 0 {
+		metrics = fmt.Sprintf("%s:%d", s.Node.IP, metricsPort)
+	}
 	return entry.Options{
 		VM: site.VM{
 			Name: s.Node.Name, Region: s.Node.Region, Zone: s.Node.Zone, Entry: s.Listen.Entry, Peer: peer,
 			Incarnation: uint64(time.Now().UnixMicro()),
 		},
 		EntryAddress: s.Listen.Entry, ReadyAddress: s.Listen.Ready, DirectoryAddress: s.Listen.Directory,
-		PeerAddress: peer, RegionOf: s.Zones,
+		PeerAddress: peer, MetricsAddress: metrics, RegionOf: s.Zones,
 		Names: entry.Names{
 			Fields: platform.Fields, ResolvePath: platform.PathResolve, ReadyPath: platform.PathReady,
 			VMKey: items.VMKey(s.Node.Name), Caller: platform.Caller, Resolved: platform.Resolved,
--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -88,6 +88,7 @@
 		e.Close()
 		return nil, err
 	}
+	e.listenMetrics()
 	if err := e.register(ctx); err != nil {
 		e.Close()
 		return nil, err
@@ -145,6 +146,22 @@
 	return nil
 }
 
+// listenMetrics shows the metrics on a port of their own. A port that is taken must not
+// keep the VM from serving callers.
+func (e *Entry) listenMetrics() {
+	if e.options.MetricsAddress == "" {
+		return
+	}
+	s, err := serve.Start(serve.Options{
+		Address: e.options.MetricsAddress, Handler: e.handleMetrics, Limits: e.limits, Logger: e.part("serve"),
+	})
+	if err != nil {
+		e.part("entry").WithError(err).Warn("entry: no port for the metrics")
+		return
+	}
+	e.servers = append(e.servers, s)
+}
+
 func (e *Entry) register(ctx context.Context) error {
 	listed, err := registry.New(e.options.KV, e.options.Names.VMKey, e.options.VM, e.part("registry"))
 	if err != nil {
--- a/edge/entry/entry_test.go
+++ b/edge/entry/entry_test.go
@@ -131,7 +131,7 @@
 		EntryAddress: freeAddress(f.t), ReadyAddress: freeAddress(f.t), DirectoryAddress: freeAddress(f.t), PeerAddress: peer,
 		RegionOf: map[string]string{"n1": "n", "n2": "n"}, Codec: codec{}, KV: kv, Logger: log,
 		MemoryBytes: 100 << 20, MaxConnections: 100, Grace: 6 * time.Second, MaxTTL: 5 * time.Second,
-		RetryRatio: 0.2, RetryExtra: 50,
+		RetryRatio: 0.2, RetryExtra: 50, MetricsAddress: freeAddress(f.t),
 		Names: entry.Names{
 			Fields: names, ResolvePath: "/resolve", ReadyPath: "/ready", VMKey: "vm/" + name,
 			Caller: func(q url.Values) (string, string) { return q.Get("zone"), q.Get("region") },
@@ -199,8 +199,13 @@
 	if status, _ := get(v.options.EntryAddress, "/p/x"); status != http.StatusNotFound {
 		t.Errorf("%d on a route that is gone", status)
 	}
-	if status, page := get(v.options.PeerAddress, "/metrics"); status != http.StatusOK || !strings.Contains(page, "yuccaroute") {
-		t.Errorf("metrics: %d %.100s", status, page)
+	for _, address := range []string{v.options.PeerAddress, v.options.MetricsAddress} {
+		if status, page := get(address, "/metrics"); status != http.StatusOK || !strings.Contains(page, "yuccaroute") {
+			t.Errorf("metrics: %d %.100s", status, page)
+		}
+	}
+	if status, _ := get(v.options.MetricsAddress, "/copy"); status != http.StatusNotFound {
+		t.Errorf("%d for the copy on the metrics' port", status)
 	}
 }
 
--- a/edge/entry/handlers.go
+++ b/edge/entry/handlers.go
@@ -76,13 +76,24 @@
 		}
 		return serve.JSON(http.StatusOK, text)
 	case metricsPath:
-		page := &pageWriter{header: make(http.Header)}
-		e.metrics.Page.ServeHTTP(page, &http.Request{Method: http.MethodGet, Header: make(http.Header)})
-		return &serve.Answer{Status: http.StatusOK, Header: page.header, Body: page.Bytes()}
+		return e.metricsPage()
 	}
 	return serve.Plain(http.StatusNotFound, "")
 }
 
+func (e *Entry) handleMetrics(_ context.Context, r *serve.Request) *serve.Answer {
+	if r.Path != metricsPath {
+		return serve.Plain(http.StatusNotFound, "")
+	}
+	return e.metricsPage()
+}
+
+func (e *Entry) metricsPage() *serve.Answer {
+	page := &pageWriter{header: make(http.Header)}
+	e.metrics.Page.ServeHTTP(page, &http.Request{Method: http.MethodGet, Header: make(http.Header)})
+	return &serve.Answer{Status: http.StatusOK, Header: page.header, Body: page.Bytes()}
+}
+
 // pageWriter holds a page that an http.Handler writes.
 type pageWriter struct {
 	bytes.Buffer
--- a/edge/entry/options.go
+++ b/edge/entry/options.go
@@ -34,6 +34,8 @@
 	// EntryAddress, ReadyAddress and DirectoryAddress are where callers and the
 	// platform connect; PeerAddress is for other VMs, by TCP and UDP.
 	EntryAddress, ReadyAddress, DirectoryAddress, PeerAddress string
+	// MetricsAddress shows the metrics, as PeerAddress does too; "" for nowhere else.
+	MetricsAddress string
 	// RegionOf maps each failure domain to its region.
 	RegionOf map[string]string
 	Names    Names
