spread: compare with the witness within the 6 s of a leaving target

Only the comparison with its witness shows it that, and its period of 6 s with a jitter of a fifth lasts up to 7.2 s. Ruled out: load (23 of 240 runs failed on a quiet machine, always the same leaf). Change: the period is 4.5 s, 5.4 s at most. Conclusion: the bound of 6 s now holds by construction; one empty exchange more a node in 18 s.

--- a/spread/options.go
+++ b/spread/options.go
@@ -13,10 +13,13 @@
 	"github.com/yuccaroute/yuccaroute/membership"
 )
 
-// Default durations.
 const (
-	DefaultHeartbeat    = 2 * time.Second
-	DefaultCompareEvery = 6 * time.Second
+	// DefaultHeartbeat is the time between empty Updates on an idle stream.
+	DefaultHeartbeat = 2 * time.Second
+	// DefaultCompareEvery with its jitter, 5.4 s, stays below the 6 s within
+	// which every node must know that a target leaves: a relay that lags is
+	// shown by nothing else.
+	DefaultCompareEvery = 4500 * time.Millisecond
 )
 
 // Options configures a Service. Ref, Members and Dial are required.
--- a/spread/vmlist_test.go
+++ b/spread/vmlist_test.go
@@ -68,6 +68,52 @@
 	}
 }
 
+// A relay begins to lag just after its subscriber compared with the witness, and
+// a target begins to leave. Only the next comparison shows the subscriber that
+// it is out of date, so the longest time between two of them is part of the
+// promise. With 6 s on average, up to 7.2 s, one subscriber was late in 23 of
+// 240 runs.
+func TestRelayLagsJustAfterAComparison(t *testing.T) {
+	const trials = 6
+	for trial := range trials {
+		inListFleet(t, func(f *testFleet) {
+			f.after(time.Duration(trial) * 3 * time.Second)
+			leaf := f.byRole(topology.Leaf)
+			relay := f.nodes[leaf.plan.Load().Upstreams[0][0].VM]
+			f.untilCompared(leaf)
+			f.net.setDelay(func(_, to string) time.Duration {
+				if to == relay.member.Address {
+					return time.Minute
+				}
+				return 0
+			})
+			delete(f.nodes, relay.member.VM)
+			defer relay.stop()
+			list := f.leave(2)
+			f.after(leavingKnown)
+			f.mustList(list)
+		})
+	}
+}
+
+// untilCompared waits until a node has just compared with its witness.
+func (f *testFleet) untilCompared(n *testNode) {
+	const poll = 100 * time.Millisecond
+	witness, ok := n.alternate(n.plan.Load())
+	if !ok {
+		f.t.Fatalf("%s has no witness", n.member.VM)
+	}
+	for range 2 * int(DefaultCompareEvery/poll) {
+		f.after(poll)
+		for _, peer := range n.Status().Peers {
+			if peer.VM == witness.VM && peer.HeardAge <= poll {
+				return
+			}
+		}
+	}
+	f.t.Fatalf("%s did not compare with %s", n.member.VM, witness.VM)
+}
+
 // One watcher is given an old list for two minutes, by a part of the platform
 // that is behind. It must neither bring VMs back that ended, nor be believed to
 // see a platform that counts anew, nor keep the others from the newer list.
