soak: a plot over time, and promises counted

Cause: the report of a run showed sums only, not when callers were served how. Change: -plot FOLDER writes for each seed the answers by kind, the slowest answer and the faults of each second; the report counts the promises that were checked.

--- a/integration/soak/caller_test.go
+++ b/integration/soak/caller_test.go
@@ -29,17 +29,22 @@
 	status int // 0: no answer
 	own    bool
 	body   string
+	// at is the time of the answer since the start of the run, took that since the
+	// request.
+	at, took time.Duration
 }
 
 // journal collects what all callers saw.
 type journal struct {
-	mu  sync.Mutex
-	all []outcome
+	began time.Time
+	mu    sync.Mutex
+	all   []outcome
 }
 
 func (j *journal) add(o outcome) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	o.at = time.Since(j.began)
 	j.all = append(j.all, o)
 }
 
@@ -58,7 +63,10 @@
 	for ctx.Err() == nil {
 		c.sent++
 		order := c.random.IntN(2) == 0
-		c.journal.add(c.ask(fmt.Sprintf("%s-%d", c.name, c.sent), order))
+		asked := time.Now()
+		o := c.ask(fmt.Sprintf("%s-%d", c.name, c.sent), order)
+		o.took = time.Since(asked)
+		c.journal.add(o)
 	}
 	c.drop()
 }
--- a/integration/soak/doc.go
+++ b/integration/soak/doc.go
@@ -4,4 +4,6 @@
 // see. Run it by hand with
 //
 //	go test ./integration/soak -run TestSoak -seeds 50 -seconds 20 -v
+//
+// With -plot FOLDER each seed also leaves a plot of its answers and faults over time.
 package soak
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -23,6 +23,7 @@
 	first    = flag.Uint64("first", 1, "the first seed")
 	seconds  = flag.Int("seconds", 6, "how long each seed runs under faults")
 	vms      = flag.Int("vms", 4, "entry VMs")
+	plotTo   = flag.String("plot", "", "folder for a plot of each seed over time; none by default")
 	keepLogs = flag.String("logs", "", "folder for the programs' logs; a temporary one by default")
 )
 
@@ -59,11 +60,14 @@
 	processes         []*process
 	version           int
 	faults            map[string]int
+	timeline          *timeline
+	// checked counts promises: what the answer to one request may say.
+	checked int
 }
 
 func soak(t *testing.T, program string, seed uint64) {
 	w := newWorld(t, program, seed)
-	seen := &journal{}
+	seen := &journal{began: w.timeline.began}
 	ctx, stop := context.WithCancel(context.Background())
 	var all sync.WaitGroup
 	for i := range callers {
@@ -81,13 +85,16 @@
 	stop()
 	all.Wait()
 	w.check(seen)
+	if *plotTo != "" {
+		w.must(w.timeline.write(seen.all, filepath.Join(*plotTo, fmt.Sprintf("seed-%d.png", seed))))
+	}
 }
 
 func newWorld(t *testing.T, program string, seed uint64) *world {
 	t.Helper()
 	w := &world{
 		t: t, random: rand.New(rand.NewPCG(seed, 0)), kv: memkv.New(memkv.Options{}), ledger: platformtest.NewLedger(),
-		faults: make(map[string]int),
+		faults: make(map[string]int), timeline: &timeline{began: time.Now()},
 	}
 	w.operator = platformtest.Operator{KV: w.kv}
 	w.store = platformtest.NewStore(w.kv)
@@ -169,6 +176,7 @@
 	}
 	h := harms[w.random.IntN(len(harms))]
 	w.faults[h.name]++
+	w.timeline.mark()
 	h.do()
 }
 
@@ -259,6 +267,9 @@
 	for _, o := range seen.all {
 		runs := w.ledger.Runs(o.id)
 		counts[fmt.Sprintf("answers %3d", o.status)]++
+		if o.order || o.status == http.StatusOK {
+			w.checked++
+		}
 		switch {
 		case o.order && len(runs) > 1:
 			w.t.Errorf("order %s ran %d times: %+v", o.id, len(runs), runs)
@@ -275,6 +286,7 @@
 			}
 		}
 	}
+	counts["promises checked"] = w.checked
 	w.report(counts, len(seen.all))
 }
 
