--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -56,7 +56,11 @@
 	front   *serve.Server
 	servers []*serve.Server
 	leaving atomic.Bool
-	stop    context.CancelFunc
+	// getsDigests tells that this VM hears the others of its region by digests,
+	// digestAt is when the last one came, in Unix nanoseconds.
+	getsDigests atomic.Bool
+	digestAt    atomic.Int64
+	stop        context.CancelFunc
 	// unlist ends the registration.
 	unlist context.CancelFunc
 }
@@ -111,7 +115,7 @@
 func (e *Entry) listen(ctx context.Context) error {
 	talk, err := exchange.Start(ctx, exchange.Options{
 		Address: e.options.PeerAddress, Logger: e.part("exchange"), State: e.state, Digest: e.digest,
-		Audience: e.audience, Heard: e.heard(ctx),
+		Audience: e.audience, Mates: e.mates, Heard: e.heard(ctx),
 	})
 	if err != nil {
 		return err
--- a/edge/entry/talk.go
+++ b/edge/entry/talk.go
@@ -11,8 +11,12 @@
 	"github.com/yuccaroute/yuccaroute/store"
 )
 
-// digestName stands for all VMs that a listener sums up.
-const digestName = "digest"
+// Names under which the sums of several VMs are kept: those of the own region and of
+// all others, as a listener tells them.
+const (
+	nearName = "near"
+	farName  = "far"
+)
 
 // regionName stands for the VMs of another region that are told in sum.
 func regionName(region string) string { return "region " + region }
@@ -23,15 +27,32 @@
 	own := e.options.VM.Name
 	a := exchange.Audience{Large: g.Large, Near: peersOf(g.Listeners, own)}
 	listens := len(a.Near) < len(g.Listeners)
+	e.getsDigests.Store(g.Large && !listens)
 	if listens {
 		a.Far = peersOf(g.Far, own)
 	}
 	if g.Large && listens && g.Listeners[0].Name == own {
-		a.Digests = peersOf(g.Others, own)
+		a.Digests = peersOf(append(g.Mates, g.Deaf...), own)
+		a.Relays = peersOf(g.Relays, own)
 	}
 	return a
 }
 
+// mates are the VMs to which this one passes a digest on.
+func (e *Entry) mates() []exchange.Peer {
+	return peersOf(e.book.Group(time.Now()).Mates, e.options.VM.Name)
+}
+
+// deaf reports whether this VM should get digests and gets none: the relay of its
+// failure domain is there for the listener, but not for this VM.
+func (e *Entry) deaf(now time.Time) bool {
+	if !e.getsDigests.Load() {
+		e.digestAt.Store(now.UnixNano())
+		return false
+	}
+	return now.Sub(time.Unix(0, e.digestAt.Load())) > peers.DeafAfter
+}
+
 func peersOf(vms []site.VM, but string) []exchange.Peer {
 	list := make([]exchange.Peer, 0, len(vms))
 	for _, vm := range vms {
@@ -48,27 +69,29 @@
 	at, _ := e.mirror.At()
 	s := exchange.State{
 		VM: e.options.VM, Leaving: e.leaving.Load(), Serving: e.gateway.Ready(), Linked: e.mirror.Linked(),
-		Revision: uint64(at),
+		Revision: uint64(at), Deaf: e.deaf(now),
 	}
 	if !sum {
 		s.InHand, s.Demand = e.board.Report(now)
 		return s
 	}
-	inHand, demand := e.board.RegionSums(now)
+	inHand, demand := e.board.NearSums(now)
 	s.InHand, s.Demand = inHand, demand
 	return s
 }
 
-// digest is what one VM is told of all others.
-func (e *Entry) digest(to string, seen bool) *exchange.Digest {
+// digest is what all VMs of the region are told.
+func (e *Entry) digest(rest bool) *exchange.Digest {
 	now := time.Now()
-	d := &exchange.Digest{}
-	d.InHand, d.Demand = e.board.Sums(now, to)
-	if !seen {
+	inHand, demand := e.board.NearSums(now)
+	d := &exchange.Digest{InHand: inHand, Demand: demand}
+	if !rest {
 		return d
 	}
+	inHand, far := e.board.FarSums(now)
+	d.Rest = &exchange.Rest{InHand: inHand, Demand: far}
 	for name, said := range e.book.Seen() {
-		d.Seen = append(d.Seen, exchange.Seen{
+		d.Rest.Seen = append(d.Rest.Seen, exchange.Seen{
 			Name: name, Age: now.Sub(said.At), Leaving: said.Leaving, Serving: said.Serving, Linked: said.Linked,
 		})
 	}
@@ -79,7 +102,7 @@
 func (e *Entry) heard(ctx context.Context) func(exchange.State) {
 	return func(s exchange.State) {
 		now := time.Now()
-		if e.book.Hear(s.VM, peers.Said{At: now, Serving: s.Serving, Leaving: s.Leaving, Linked: s.Linked}) {
+		if e.book.Hear(s.VM, peers.Said{At: now, Serving: s.Serving, Leaving: s.Leaving, Linked: s.Linked, Deaf: s.Deaf}) {
 			e.delays.measure(s.VM.Region, s.VM.Peer)
 		}
 		e.hearCounts(now, s)
@@ -91,20 +114,29 @@
 // hearCounts takes in requests in hand and demand: of the VM, of its region, or of
 // all VMs.
 func (e *Entry) hearCounts(now time.Time, s exchange.State) {
-	p := &placing.Peer{InHand: s.InHand, Demand: map[string]map[string]float64{s.VM.Region: s.Demand}, At: now}
-	switch {
-	case s.Digest != nil:
-		p.Sum, p.InHand, p.Demand = true, s.Digest.InHand, s.Digest.Demand
-		e.board.SetPeer(now, digestName, p)
-		for _, seen := range s.Digest.Seen {
-			e.book.HearOf(seen.Name, peers.Said{
-				At: now.Add(-seen.Age), Serving: seen.Serving, Leaving: seen.Leaving, Linked: seen.Linked,
-			})
-		}
-	case s.Sum:
-		p.Sum = true
-		e.board.SetPeer(now, regionName(s.VM.Region), p)
-	default:
-		e.board.SetPeer(now, s.VM.Name, p)
+	if s.Digest != nil {
+		e.hearDigest(now, s.Digest)
+		return
+	}
+	name := s.VM.Name
+	if s.Sum {
+		name = regionName(s.VM.Region)
+	}
+	e.board.SetPeer(now, name, &placing.Peer{
+		InHand: s.InHand, Demand: map[string]map[string]float64{s.VM.Region: s.Demand}, Sum: s.Sum, At: now,
+	})
+}
+
+func (e *Entry) hearDigest(now time.Time, d *exchange.Digest) {
+	e.digestAt.Store(now.UnixNano())
+	e.board.SetNear(now, nearName, d.InHand, d.Demand)
+	if d.Rest == nil {
+		return
+	}
+	e.board.SetPeer(now, farName, &placing.Peer{InHand: d.Rest.InHand, Demand: d.Rest.Demand, Sum: true, At: now})
+	for _, seen := range d.Rest.Seen {
+		e.book.HearOf(seen.Name, peers.Said{
+			At: now.Add(-seen.Age), Serving: seen.Serving, Leaving: seen.Leaving, Linked: seen.Linked,
+		})
 	}
 }
--- a/edge/exchange/exchange.go
+++ b/edge/exchange/exchange.go
@@ -3,9 +3,11 @@
 // A datagram holds the whole state, so that a lost one is made good by the next.
 //
 // In a small region every VM reports to every other one. In a large one they report
-// to a few listeners, and the first of these sends each of the others a digest: all
-// that it has heard, summed up. The datagrams of a VM then do not grow with the
-// region. Listeners of different regions tell each other the sums of their regions.
+// to a few listeners, and the first of these sends out a digest: all that it has
+// heard, summed up. The digest goes to one VM of each failure domain, a relay, which
+// passes it on to the others of its domain. The datagrams of a VM then do not grow
+// with the region, and those between failure domains neither. Listeners of different
+// regions tell each other the sums of their regions.
 package exchange
 
 import (
@@ -35,8 +37,9 @@
 	// and no one of them changes its count by much. It is also the time between
 	// two digests.
 	largeTurn = 150 * time.Millisecond
-	// seenEvery digests, one tells which VMs were heard.
-	seenEvery = 4
+	// restEvery digests, one has what is needed less often: other regions, and which
+	// VMs were heard. Twice its time is shorter than counts are trusted.
+	restEvery = 3
 	// maxDatagram is below the smallest usual MTU times a few fragments.
 	maxDatagram = 16 << 10
 )
@@ -57,29 +60,39 @@
 	// Sum tells that InHand and Demand are those of the whole region.
 	Sum bool `msgpack:"w"`
 	// InHand counts requests by target, Demand the slots needed by service.
-	InHand map[uint64]int     `msgpack:"h"`
+	InHand Counts             `msgpack:"h"`
 	Demand map[string]float64 `msgpack:"d"`
-	// Digest is set in what a listener sends to a VM that is none.
+	// Deaf tells that the VM should get digests and gets none.
+	Deaf bool `msgpack:"f,omitempty"`
+	// Digest is set in what a listener sends to VMs that are none.
 	Digest *Digest `msgpack:"g,omitempty"`
 }
 
-// Digest is what a listener heard of the other VMs; the receiver's own part is not
-// in it.
+// Digest is what a listener heard of all VMs of its region, the receiver among them.
 type Digest struct {
-	InHand map[uint64]int `msgpack:"h"`
-	// Demand is by region and service.
+	InHand Counts             `msgpack:"h"`
+	Demand map[string]float64 `msgpack:"d"`
+	// Rest is set in some digests only.
+	Rest *Rest `msgpack:"r,omitempty"`
+}
+
+// Rest is the part of a digest that is needed less often.
+type Rest struct {
+	// InHand are the requests of other regions, Demand is by region and service.
+	InHand Counts                        `msgpack:"h"`
 	Demand map[string]map[string]float64 `msgpack:"d"`
-	// Seen are the VMs of the region, in some digests only.
-	Seen []Seen `msgpack:"s,omitempty"`
+	// Seen are the VMs of the own region.
+	Seen []Seen `msgpack:"s"`
 }
 
 // Seen is what a listener knows of one VM.
 type Seen struct {
-	Name    string        `msgpack:"n"`
-	Age     time.Duration `msgpack:"a"`
-	Leaving bool          `msgpack:"l"`
-	Serving bool          `msgpack:"s"`
-	Linked  bool          `msgpack:"k"`
+	_msgpack struct{} `msgpack:",as_array"`
+	Name     string
+	Age      time.Duration
+	Leaving  bool
+	Serving  bool
+	Linked   bool
 }
 
 // Peer is a VM that is told.
@@ -93,8 +106,9 @@
 	// Near are the listeners of the own region, without this VM; Far those of
 	// other regions.
 	Near, Far []Peer
-	// Digests get a digest each: this VM is the first listener of a large region.
-	Digests []Peer
+	// Digests get a digest, and Relays one to pass on: this VM is the first listener
+	// of a large region.
+	Digests, Relays []Peer
 	// Large tells that the region has listeners.
 	Large bool
 }
@@ -106,10 +120,12 @@
 	Logger  *logrus.Entry
 	// State returns what to report, the sums of the region if they are asked for.
 	State func(sum bool) State
-	// Digest returns what to tell one VM.
-	Digest func(to string, seen bool) *Digest
+	// Digest returns what all VMs of the region are told, with the rest if that is due.
+	Digest func(rest bool) *Digest
 	// Audience returns who is told.
 	Audience func() Audience
+	// Mates returns to whom a relay passes a digest on.
+	Mates func() []Peer
 	// Heard is called with each newer state of another VM.
 	Heard func(State)
 }
@@ -177,7 +193,7 @@
 			farAt = time.Now()
 			e.report(audience.Far, audience.Large)
 		}
-		e.digest(audience.Digests, round%seenEvery == 0)
+		e.digest(audience, round%restEvery == 0)
 		pause := turn
 		if audience.Large {
 			pause = largeTurn
@@ -201,30 +217,44 @@
 	}
 }
 
-// digest sends each VM what the others do.
-func (e *Exchange) digest(to []Peer, seen bool) {
-	if len(to) == 0 {
+// digest sends the VMs of the region what all of them do.
+func (e *Exchange) digest(to Audience, rest bool) {
+	if len(to.Digests)+len(to.Relays) == 0 {
 		return
 	}
 	state := e.options.State(false)
-	for _, p := range to {
-		state.Digest = e.options.Digest(p.Name, seen)
-		e.write(e.encode(&state), p)
+	state.Digest = e.options.Digest(rest)
+	text := e.encode(&state)
+	if text == nil {
+		return
+	}
+	for _, p := range to.Digests {
+		e.write(text, p)
+	}
+	text[0] = toPassOn
+	for _, p := range to.Relays {
+		e.write(text, p)
 	}
 }
 
+// The first byte of a datagram tells what the receiver does with it.
+const (
+	toKeep   = 0
+	toPassOn = 1
+)
+
 // encode numbers and renders a state, nil if that fails.
 func (e *Exchange) encode(state *State) []byte {
 	e.mu.Lock()
 	e.sent++
 	state.Number = e.sent
 	e.mu.Unlock()
-	text, err := msgpack.Marshal(state)
-	if err != nil || len(text) > maxDatagram {
-		e.options.Logger.WithError(err).WithField("bytes", len(text)).Error("exchange: state cannot be sent")
+	body, err := msgpack.Marshal(state)
+	if err != nil || len(body) >= maxDatagram {
+		e.options.Logger.WithError(err).WithField("bytes", len(body)).Error("exchange: state cannot be sent")
 		return nil
 	}
-	return text
+	return append([]byte{toKeep}, body...)
 }
 
 func (e *Exchange) write(text []byte, to Peer) {
@@ -263,15 +293,31 @@
 		if err != nil {
 			continue
 		}
-		var s State
-		if err := msgpack.Unmarshal(buffer[:n], &s); err != nil {
-			e.options.Logger.WithError(err).Warn("exchange: datagram not understood")
-			continue
-		}
-		if e.isNews(s) {
-			e.options.Heard(s)
+		e.take(buffer[:n])
+	}
+}
+
+// take takes in one datagram, after it was passed on.
+func (e *Exchange) take(text []byte) {
+	var s State
+	if len(text) == 0 || text[0] > toPassOn {
+		e.options.Logger.WithField("bytes", len(text)).Warn("exchange: datagram of an unknown kind")
+		return
+	}
+	if err := msgpack.Unmarshal(text[1:], &s); err != nil {
+		e.options.Logger.WithError(err).Warn("exchange: datagram not understood")
+		return
+	}
+	if !e.isNews(s) {
+		return
+	}
+	if text[0] == toPassOn {
+		text[0] = toKeep
+		for _, p := range e.options.Mates() {
+			e.write(text, p)
 		}
 	}
+	e.options.Heard(s)
 }
 
 // isNews reports whether a state is newer than the last of its VM: datagrams may
--- a/edge/exchange/exchange_test.go
+++ b/edge/exchange/exchange_test.go
@@ -27,9 +27,11 @@
 	mu      sync.Mutex
 	heard   map[string]State
 	news    chan struct{}
-	inHand  map[uint64]int
+	inHand  Counts
 	// audience is who this VM tells.
 	audience atomic.Pointer[Audience]
+	// mates is to whom it passes digests on.
+	mates atomic.Pointer[[]Peer]
 }
 
 func (v *vm) tells(a Audience) { v.audience.Store(&a) }
@@ -38,18 +40,20 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	v := &vm{heard: make(map[string]State), news: make(chan struct{}, 100), inHand: map[uint64]int{7: 1}}
+	v := &vm{heard: make(map[string]State), news: make(chan struct{}, 100), inHand: Counts{7: 1}}
 	v.tells(Audience{})
+	v.mates.Store(&[]Peer{})
 	e, err := Start(ctx, Options{
 		Address: "127.0.0.1:0", Logger: quiet(),
 		Audience: func() Audience { return *v.audience.Load() },
-		Digest: func(to string, seen bool) *Digest {
-			d := &Digest{InHand: map[uint64]int{8: 2}}
-			if seen {
-				d.Seen = []Seen{{Name: to, Age: time.Second}}
+		Digest: func(rest bool) *Digest {
+			d := &Digest{InHand: Counts{8: 2}}
+			if rest {
+				d.Rest = &Rest{Seen: []Seen{{Name: "b", Age: time.Second}}}
 			}
 			return d
 		},
+		Mates: func() []Peer { return *v.mates.Load() },
 		State: func(bool) State {
 			return State{VM: site.VM{Name: name, Incarnation: 3, Peer: "p"}, Serving: true, Revision: 9,
 				InHand: v.inHand, Demand: map[string]float64{"s": 1.5}}
@@ -147,17 +151,36 @@
 	a, b := startVM(t, "a"), startVM(t, "b")
 	a.tells(Audience{Large: true, Digests: []Peer{{Name: "b", Address: b.address}}})
 	seen := false
-	for range 2 * seenEvery {
+	for range 2 * restEvery {
 		<-b.news
 		b.mu.Lock()
 		d := b.heard["a"].Digest
 		if d == nil || d.InHand[8] != 2 {
 			t.Fatalf("%+v", b.heard["a"])
 		}
-		seen = seen || len(d.Seen) == 1 && d.Seen[0].Name == "b"
+		seen = seen || d.Rest != nil && len(d.Rest.Seen) == 1 && d.Rest.Seen[0].Name == "b"
 		b.mu.Unlock()
 	}
 	if !seen {
 		t.Error("never told who was heard")
 	}
 }
+
+// A listener sends its digest to one VM of a failure domain, and the others there have it
+// from that one as the listener's, once.
+func TestDigestsArePassedOn(t *testing.T) {
+	a, b, c := startVM(t, "a"), startVM(t, "b"), startVM(t, "c")
+	b.mates.Store(&[]Peer{{Name: "c", Address: c.address}})
+	c.mates.Store(&[]Peer{{Name: "b", Address: b.address}})
+	a.tells(Audience{Large: true, Relays: []Peer{{Name: "b", Address: b.address}}})
+	<-c.news
+	a.tells(Audience{})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s, ok := c.heard["a"]; !ok || s.Digest == nil || s.Digest.InHand[8] != 2 {
+		t.Errorf("heard %+v", c.heard)
+	}
+	if len(c.heard) != 1 {
+		t.Errorf("heard of %d VMs", len(c.heard))
+	}
+}
--- /dev/null
+++ b/edge/peers/group.go
@@ -0,0 +1,110 @@
+package peers
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/edge/site"
+)
+
+const (
+	// smallRegion is up to how many VMs all report to each other. Above it a VM
+	// would spend more on datagrams than on requests.
+	smallRegion = 8
+	// listeners is how many VMs of a large region hear all others: one that works
+	// and one that takes over.
+	listeners = 2
+	// DeafAfter is how long a VM without a digest waits before it says so: longer
+	// than a silent listener or relay is replaced in.
+	DeafAfter = silence + 500*time.Millisecond
+	// deafFor is how long it gets digests from the listener itself then.
+	deafFor = 5 * time.Second
+)
+
+// Group is how the VMs of the own region share what they hear.
+type Group struct {
+	// Large tells that only the listeners hear all others.
+	Large bool
+	// Listeners of the own region, the first one first; this VM may be one.
+	Listeners []site.VM
+	// Mates are the VMs of the own failure domain that are no listeners, without
+	// this VM.
+	Mates []site.VM
+	// Relays are one VM of each other failure domain of the region, to pass a
+	// digest on to its mates.
+	Relays []site.VM
+	// Deaf are VMs of other failure domains that no digest reached lately.
+	Deaf []site.VM
+	// Far are the listeners of the other regions.
+	Far []site.VM
+}
+
+// Group returns the group at a time. All VMs that hear the same find the same one.
+func (b *Book) Group(now time.Time) Group {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	regions := map[string][]site.VM{b.own.Region: {b.own}}
+	for name, vm := range b.registered {
+		if name != b.own.Name {
+			regions[vm.Region] = append(regions[vm.Region], vm)
+		}
+	}
+	var g Group
+	for region, vms := range regions {
+		sort.Slice(vms, func(i, j int) bool { return vms[i].Name < vms[j].Name })
+		if region != b.own.Region {
+			g.Far = append(g.Far, first(vms, func(site.VM) bool { return true })...)
+			continue
+		}
+		g.Large = len(vms) > smallRegion
+		g.Listeners = first(vms, func(vm site.VM) bool { return vm.Name == b.own.Name || b.mayListen(vm, now) })
+		b.divide(&g, vms, now)
+	}
+	return g
+}
+
+// divide finds by whom the VMs of the own region get a digest.
+func (b *Book) divide(g *Group, vms []site.VM, now time.Time) {
+	served := map[string]bool{b.own.Zone: true}
+	for _, vm := range vms {
+		if vm.Name == b.own.Name || slices.ContainsFunc(g.Listeners, func(l site.VM) bool { return l.Name == vm.Name }) {
+			continue
+		}
+		at, deaf := b.deafAt[vm.Name]
+		switch {
+		case vm.Zone == b.own.Zone:
+			g.Mates = append(g.Mates, vm)
+		case !served[vm.Zone] && b.mayListen(vm, now):
+			served[vm.Zone] = true
+			g.Relays = append(g.Relays, vm)
+		case deaf && now.Sub(at) < deafFor:
+			g.Deaf = append(g.Deaf, vm)
+		}
+	}
+}
+
+// mayListen reports whether a VM of the own region can be a listener or a relay: it
+// is heard, or this VM is too new to tell.
+func (b *Book) mayListen(vm site.VM, now time.Time) bool {
+	said, ok := b.said[vm.Name]
+	if !ok {
+		return now.Sub(b.started) < silence
+	}
+	return now.Sub(said.At) < silence && !said.Leaving
+}
+
+// first returns the listeners of a region: all VMs of a small one, the first ones
+// that can be in a large one.
+func first(vms []site.VM, can func(site.VM) bool) []site.VM {
+	if len(vms) <= smallRegion {
+		return vms
+	}
+	var all []site.VM
+	for _, vm := range vms {
+		if len(all) < listeners && can(vm) {
+			all = append(all, vm)
+		}
+	}
+	return all
+}
--- a/edge/peers/peers.go
+++ b/edge/peers/peers.go
@@ -3,7 +3,6 @@
 package peers
 
 import (
-	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -21,15 +20,6 @@
 // long as the store lists them.
 const farSilence = 3 * time.Second
 
-const (
-	// smallRegion is up to how many VMs all report to each other. Above it a VM
-	// would spend more on datagrams than on requests.
-	smallRegion = 8
-	// listeners is how many VMs of a large region hear all others: one that works
-	// and one that takes over.
-	listeners = 2
-)
-
 // Said is what a VM said last.
 type Said struct {
 	At      time.Time
@@ -37,6 +27,8 @@
 	Leaving bool
 	// Linked tells that it watches the store and is answered.
 	Linked bool
+	// Deaf tells that no digest reached it.
+	Deaf bool
 }
 
 // Book holds the VMs. It is safe for use by several goroutines.
@@ -48,11 +40,14 @@
 	mu         sync.Mutex
 	registered map[string]site.VM
 	said       map[string]Said
+	// deafAt is when a VM last said that no digest reached it.
+	deafAt map[string]time.Time
 }
 
 // New returns a book that knows this VM only.
 func New(own site.VM, now time.Time) *Book {
-	return &Book{own: own, started: now, registered: make(map[string]site.VM), said: make(map[string]Said)}
+	return &Book{own: own, started: now, registered: make(map[string]site.VM), said: make(map[string]Said),
+		deafAt: make(map[string]time.Time)}
 }
 
 // Register replaces the registered VMs. A VM that has said something lately stays
@@ -78,6 +73,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.said[vm.Name] = s
+	if s.Deaf {
+		b.deafAt[vm.Name] = s.At
+	}
 	if known, ok := b.registered[vm.Name]; ok && known.Incarnation >= vm.Incarnation {
 		return false
 	}
@@ -122,77 +120,6 @@
 	return now.Sub(said.At) < b.patience(vm) && said.Serving && !said.Leaving
 }
 
-// mayListen reports whether a VM of the own region can be a listener: it is heard,
-// or this VM is too new to tell.
-func (b *Book) mayListen(vm site.VM, now time.Time) bool {
-	said, ok := b.said[vm.Name]
-	if !ok {
-		return now.Sub(b.started) < silence
-	}
-	return now.Sub(said.At) < silence && !said.Leaving
-}
-
-// Group is how the VMs of the own region share what they hear.
-type Group struct {
-	// Large tells that only the listeners hear all others.
-	Large bool
-	// Listeners of the own region, the first one first; this VM may be one.
-	Listeners []site.VM
-	// Others are the VMs of the region that are no listeners, without this VM.
-	Others []site.VM
-	// Far are the listeners of the other regions.
-	Far []site.VM
-}
-
-// Group returns the group at a time. All VMs that hear the same find the same one.
-func (b *Book) Group(now time.Time) Group {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	regions := map[string][]site.VM{b.own.Region: {b.own}}
-	for name, vm := range b.registered {
-		if name != b.own.Name {
-			regions[vm.Region] = append(regions[vm.Region], vm)
-		}
-	}
-	var g Group
-	for region, vms := range regions {
-		sort.Slice(vms, func(i, j int) bool { return vms[i].Name < vms[j].Name })
-		if region != b.own.Region {
-			g.Far = append(g.Far, first(vms, func(site.VM) bool { return true })...)
-			continue
-		}
-		g.Large = len(vms) > smallRegion
-		g.Listeners = first(vms, func(vm site.VM) bool { return vm.Name == b.own.Name || b.mayListen(vm, now) })
-		g.Others = without(without(vms, g.Listeners), []site.VM{b.own})
-	}
-	return g
-}
-
-// first returns the listeners of a region: all VMs of a small one, the first ones
-// that can be in a large one.
-func first(vms []site.VM, can func(site.VM) bool) []site.VM {
-	if len(vms) <= smallRegion {
-		return vms
-	}
-	var all []site.VM
-	for _, vm := range vms {
-		if len(all) < listeners && can(vm) {
-			all = append(all, vm)
-		}
-	}
-	return all
-}
-
-func without(vms, some []site.VM) []site.VM {
-	var rest []site.VM
-	for _, vm := range vms {
-		if !slices.ContainsFunc(some, func(other site.VM) bool { return other.Name == vm.Name }) {
-			rest = append(rest, vm)
-		}
-	}
-	return rest
-}
-
 // HearOf takes in what a listener knows of a VM that this one may not hear itself.
 func (b *Book) HearOf(name string, s Said) {
 	b.mu.Lock()
--- a/edge/peers/peers_test.go
+++ b/edge/peers/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -160,8 +161,8 @@
 				t.Fatalf("%d VMs: %s finds others: %s", size, vm.Name, diff)
 			}
 		}
-		if first := groups["n-000"]; first.Large && len(first.Others) != size-listeners {
-			t.Errorf("%d VMs: digests for %d", size, len(first.Others))
+		if first := groups["n-000"]; first.Large && len(first.Mates) != size-listeners {
+			t.Errorf("%d VMs: digests for %d", size, len(first.Mates))
 		}
 	}
 }
@@ -196,3 +197,65 @@
 		t.Errorf("entries %v", got)
 	}
 }
+
+// A digest reaches each VM of a large region once, by the listener or by the relay of its
+// failure domain, and only relays get one across failure domains. One is dead: the next VM
+// there takes its place.
+func TestEachVMGetsADigest(t *testing.T) {
+	var vms []site.VM
+	for i := range 30 {
+		vms = append(vms, vmOf(fmt.Sprintf("vm-%03d", i), fmt.Sprintf("n%d", i%3)))
+	}
+	for _, dead := range []map[string]bool{nil, {"vm-004": true}, {"vm-000": true, "vm-005": true}} {
+		groups := groupsOf(vms, dead)
+		listener := ""
+		for _, vm := range vms {
+			if !dead[vm.Name] {
+				listener = groups[vm.Name].Listeners[0].Name
+				break
+			}
+		}
+		got := make(map[string]int)
+		for _, vm := range groups[listener].Mates {
+			got[vm.Name]++
+		}
+		if n := len(groups[listener].Relays); n != 2 {
+			t.Errorf("%d relays", n)
+		}
+		for _, relay := range groups[listener].Relays {
+			got[relay.Name]++
+			for _, vm := range groups[relay.Name].Mates {
+				got[vm.Name]++
+			}
+		}
+		for _, vm := range vms {
+			isListener := slices.ContainsFunc(groups[listener].Listeners, func(l site.VM) bool { return l.Name == vm.Name })
+			if !isListener && !dead[vm.Name] && got[vm.Name] != 1 {
+				t.Errorf("dead %v: %s gets %d digests", dead, vm.Name, got[vm.Name])
+			}
+		}
+	}
+}
+
+// The link between a VM and the relay of its failure domain is cut, and both are there for
+// the listener. The VM says that it gets no digest, and has them from the listener itself.
+func TestADeafVMGetsDigestsFromTheListener(t *testing.T) {
+	var vms []site.VM
+	for i := range 12 {
+		vms = append(vms, vmOf(fmt.Sprintf("vm-%03d", i), fmt.Sprintf("n%d", i%2)))
+	}
+	b := New(vms[0], start)
+	b.Register(vms, start)
+	hear(b, start, vms[1:]...)
+	if got := b.Group(start).Deaf; len(got) != 0 {
+		t.Errorf("deaf at first: %v", got)
+	}
+	b.Hear(vms[5], Said{At: start, Serving: true, Deaf: true})
+	b.Hear(vms[5], Said{At: start.Add(time.Second), Serving: true})
+	if got := b.Group(start.Add(time.Second)).Deaf; len(got) != 1 || got[0].Name != "vm-005" {
+		t.Errorf("deaf %v", got)
+	}
+	if got := b.Group(start.Add(deafFor)).Deaf; len(got) != 0 {
+		t.Errorf("still deaf: %v", got)
+	}
+}
--- a/edge/placing/board.go
+++ b/edge/placing/board.go
@@ -40,6 +40,7 @@
 	mu       sync.Mutex
 	services map[string]*service
 	peers    map[string]*Peer
+	reported report
 	// vms are the names of the live VMs of the own region, by hash.
 	vms []uint64
 	// lossAt is when capacity was last lost without a plan.
--- a/edge/placing/board_test.go
+++ b/edge/placing/board_test.go
@@ -115,7 +115,7 @@
 func TestOthersCountsAreUsed(t *testing.T) {
 	now := time.Unix(1000, 0)
 	b, class := newBoard(now), NewClass(100*time.Millisecond)
-	full := map[uint64]int{HashOf("t1"): 2 + overfill, HashOf("t2"): 2 + overfill}
+	full := map[uint32]int{KeyOf(HashOf("t1")): 2 + overfill, KeyOf(HashOf("t2")): 2 + overfill}
 	b.SetPeer(now, "other", &Peer{InHand: full, At: now})
 	_, w := b.Place(now, request(now, class))
 	if w == nil {
@@ -132,3 +132,34 @@
 		t.Error("still waits for a VM that is silent")
 	}
 }
+
+// A listener tells all VMs the same sums. Each takes out what it told last; its own requests
+// would count twice else, and it would take targets for full that it fills itself.
+func TestOwnPartOfASumDoesNotCount(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b, class := newBoard(now), NewClass(100*time.Millisecond)
+	if d, w := b.Place(now, request(now, class)); w != nil || d.Target == nil {
+		t.Fatal("not placed")
+	}
+	inHand, needs := b.Report(now)
+	for key := range inHand {
+		inHand = map[uint32]int{key: inHand[key] + 1, key + 1: 4}
+	}
+	for service := range needs {
+		needs = map[string]float64{service: needs[service] + 3}
+	}
+	b.SetNear(now, "near", inHand, needs)
+	others := b.peers["near"]
+	total := 0
+	for _, n := range others.InHand {
+		total += n
+	}
+	if total != 1+4 {
+		t.Errorf("%d requests of others, want 5", total)
+	}
+	for service, slots := range others.Demand[b.options.Region] {
+		if slots < 2.99 || slots > 3.01 {
+			t.Errorf("%s: others need %.2f slots, want 3", service, slots)
+		}
+	}
+}
--- a/edge/placing/hash.go
+++ b/edge/placing/hash.go
@@ -5,6 +5,13 @@
 // HashOf is the same on all VMs.
 func HashOf(text string) uint64 { return xxhash.Sum64String(text) }
 
+// keyBits of a target's hash name it between VMs. Of 3,000 targets one pair in four fleets
+// has the same 24 bits; each of the two then counts as busy with the other's requests too.
+const keyBits = 24
+
+// KeyOf names a target, by the hash of its id, in what VMs tell each other.
+func KeyOf(hash uint64) uint32 { return uint32(hash >> (64 - keyBits)) }
+
 // draw orders targets for an object, or VMs for a target: rendezvous hashing.
 func draw(a, b uint64) uint64 {
 	x := a ^ (b * 0x9e3779b97f4a7c15)
