--- a/edge/entry/talk.go
+++ b/edge/entry/talk.go
@@ -39,8 +39,10 @@
 }
 
 // mates are the VMs to which this one passes a digest on.
-func (e *Entry) mates() []exchange.Peer {
-	return peersOf(e.book.Group(time.Now()).Mates, e.options.VM.Name)
+func (e *Entry) mates() ([]exchange.Peer, exchange.Via) {
+	at, _ := e.mirror.At()
+	via := exchange.Via{Peer: e.options.VM.Peer, Revision: uint64(at)}
+	return peersOf(e.book.Group(time.Now()).Mates, e.options.VM.Name), via
 }
 
 // deaf reports whether this VM should get digests and gets none: the relay of its
@@ -106,7 +108,12 @@
 			e.delays.measure(s.VM.Region, s.VM.Peer)
 		}
 		e.hearCounts(now, s)
-		near := s.VM.Region == e.options.VM.Region
+		if s.Via != nil {
+			e.mirror.SawPeer(ctx, s.Via.Peer, true, store.Revision(s.Via.Revision), now)
+		}
+		// A copy from a VM of the own failure domain costs no bytes between domains;
+		// the listener's is for when the relay does not have the change soon.
+		near := s.VM.Region == e.options.VM.Region && s.Via == nil
 		e.mirror.SawPeer(ctx, s.VM.Peer, near, store.Revision(s.Revision), now)
 	}
 }
--- a/edge/exchange/exchange.go
+++ b/edge/exchange/exchange.go
@@ -11,7 +11,9 @@
 package exchange
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -40,8 +42,10 @@
 	// restEvery digests, one has what is needed less often: other regions, and which
 	// VMs were heard. Twice its time is shorter than counts are trusted.
 	restEvery = 3
-	// maxDatagram is below the smallest usual MTU times a few fragments.
+	// maxDatagram is below the smallest usual MTU times a few fragments; maxTail of it
+	// are for what a relay adds.
 	maxDatagram = 16 << 10
+	maxTail     = 256
 )
 
 // State is what one VM reports.
@@ -66,6 +70,15 @@
 	Deaf bool `msgpack:"f,omitempty"`
 	// Digest is set in what a listener sends to VMs that are none.
 	Digest *Digest `msgpack:"g,omitempty"`
+	// Via is the relay that passed this on, nil if it came from the VM itself.
+	Via *Via `msgpack:"-"`
+}
+
+// Via is a relay of the receiver's failure domain.
+type Via struct {
+	Peer string `msgpack:"p"`
+	// Revision is that of the relay's copy of the store.
+	Revision uint64 `msgpack:"x"`
 }
 
 // Digest is what a listener heard of all VMs of its region, the receiver among them.
@@ -124,8 +137,8 @@
 	Digest func(rest bool) *Digest
 	// Audience returns who is told.
 	Audience func() Audience
-	// Mates returns to whom a relay passes a digest on.
-	Mates func() []Peer
+	// Mates returns to whom a relay passes a digest on, and as whom.
+	Mates func() ([]Peer, Via)
 	// Heard is called with each newer state of another VM.
 	Heard func(State)
 }
@@ -250,7 +263,7 @@
 	state.Number = e.sent
 	e.mu.Unlock()
 	body, err := msgpack.Marshal(state)
-	if err != nil || len(body) >= maxDatagram {
+	if err != nil || len(body) >= maxDatagram-maxTail {
 		e.options.Logger.WithError(err).WithField("bytes", len(body)).Error("exchange: state cannot be sent")
 		return nil
 	}
@@ -299,12 +312,12 @@
 
 // take takes in one datagram, after it was passed on.
 func (e *Exchange) take(text []byte) {
-	var s State
 	if len(text) == 0 || text[0] > toPassOn {
 		e.options.Logger.WithField("bytes", len(text)).Warn("exchange: datagram of an unknown kind")
 		return
 	}
-	if err := msgpack.Unmarshal(text[1:], &s); err != nil {
+	s, err := decode(text[1:])
+	if err != nil {
 		e.options.Logger.WithError(err).Warn("exchange: datagram not understood")
 		return
 	}
@@ -312,14 +325,42 @@
 		return
 	}
 	if text[0] == toPassOn {
-		text[0] = toKeep
-		for _, p := range e.options.Mates() {
-			e.write(text, p)
-		}
+		e.passOn(text)
 	}
 	e.options.Heard(s)
 }
 
+// decode reads a state and, after it, by whom it was passed on.
+func decode(text []byte) (State, error) {
+	var s State
+	dec := msgpack.NewDecoder(bytes.NewReader(text))
+	if err := dec.Decode(&s); err != nil {
+		return s, err
+	}
+	var via Via
+	err := dec.Decode(&via)
+	if errors.Is(err, io.EOF) {
+		return s, nil
+	}
+	s.Via = &via
+	return s, err
+}
+
+// passOn sends a datagram to the VMs of the own failure domain.
+func (e *Exchange) passOn(text []byte) {
+	mates, via := e.options.Mates()
+	tail, err := msgpack.Marshal(&via)
+	if err != nil {
+		e.options.Logger.WithError(err).Error("exchange: digest not passed on")
+		return
+	}
+	text[0] = toKeep
+	text = append(text, tail...)
+	for _, p := range mates {
+		e.write(text, p)
+	}
+}
+
 // isNews reports whether a state is newer than the last of its VM: datagrams may
 // overtake each other.
 func (e *Exchange) isNews(s State) bool {
--- a/edge/exchange/exchange_test.go
+++ b/edge/exchange/exchange_test.go
@@ -53,7 +53,7 @@
 			}
 			return d
 		},
-		Mates: func() []Peer { return *v.mates.Load() },
+		Mates: func() ([]Peer, Via) { return *v.mates.Load(), Via{Peer: name, Revision: 8} },
 		State: func(bool) State {
 			return State{VM: site.VM{Name: name, Incarnation: 3, Peer: "p"}, Serving: true, Revision: 9,
 				InHand: v.inHand, Demand: map[string]float64{"s": 1.5}}
@@ -177,9 +177,13 @@
 	a.tells(Audience{})
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if s, ok := c.heard["a"]; !ok || s.Digest == nil || s.Digest.InHand[8] != 2 {
+	s, ok := c.heard["a"]
+	if !ok || s.Digest == nil || s.Digest.InHand[8] != 2 {
 		t.Errorf("heard %+v", c.heard)
 	}
+	if s.Via == nil || *s.Via != (Via{Peer: "b", Revision: 8}) {
+		t.Errorf("passed on by %+v", s.Via)
+	}
 	if len(c.heard) != 1 {
 		t.Errorf("heard of %d VMs", len(c.heard))
 	}
