entry: collect the heap more often

Change: the heap may grow by 40 % between two collections, not by 100 %. Conclusion: 40 %; below that little is left to save.

--- a/cmd/yuccaentry/main.go
+++ b/cmd/yuccaentry/main.go
@@ -29,6 +29,10 @@
 	watchWait = 3 * time.Second
 	// heapShare of the memory is what the collector aims for.
 	heapShare = 0.6
+	// collectAt is by how many percent the heap grows between two collections. With
+	// 40 in place of 100 a day of 67 VMs took 50.5 GB x s of memory in place of 62.5
+	// and 77 s of processor in place of 62: memory is dearer by far. 20 took 47.9 GB x s.
+	collectAt = 40
 	// filesForTargets are descriptors that callers' connections leave free.
 	filesForTargets = 1200
 )
@@ -76,6 +80,7 @@
 		return program.Exit(program.ExitUsage, err)
 	}
 	memory := int64(s.Limits.MemoryMB) << 20
+	debug.SetGCPercent(collectAt)
 	debug.SetMemoryLimit(int64(heapShare * float64(memory)))
 	logger := logs.New(os.Stdout)
 	signals := make(chan os.Signal, 4)
