edge: fewer calls to the store, most of all while it is away

Change: a VM that watches in place of others waits up to 3 s after a failed call; a failed renewal is tried again after 1 s, then 2 s, still twice within the lease; the first watch comes 0.5 s after the first listing.

--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -87,6 +87,7 @@
 	e.mirror = mirror.New(mirror.Options{
 		KV: o.KV, Logger: e.part("mirror"), Prefix: o.Names.WatchPrefix, Changed: e.catalog.Apply, FetchFrom: fetchCopy,
 		Watches: func() bool { return e.book.Watches(time.Now()) },
+		First:   func() bool { return e.book.WatchesFirst(time.Now()) },
 	})
 	if err := e.listen(ctx); err != nil {
 		e.Close()
--- a/edge/mirror/mirror.go
+++ b/edge/mirror/mirror.go
@@ -23,6 +23,13 @@
 	// firstRetry and lastRetry bound the pause after a failed call; it doubles.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = time.Second
+	// spareRetry is the longest pause, and the only one, of VMs that watch in place
+	// of others that are not answered: in an outage all of a region do. With a pause of
+	// at most 1 s they made 846 calls in an outage of 8 s on 81 VMs.
+	spareRetry = 3 * time.Second
+	// settle is the pause between the first listing and the first watch. Which VMs
+	// watch is known once they were heard; before, all would.
+	settle = 500 * time.Millisecond
 	// behindFor is how long a copy that watches, or hears of a distant VM, may be
 	// behind before it is brought up to date from there: its own watch, or a VM
 	// nearby, mostly is as quick.
@@ -57,6 +64,9 @@
 	// Watches reports whether this VM is one of those that watch the store; the
 	// others follow them.
 	Watches func() bool
+	// First reports whether this VM watches while the store answers all, so that
+	// the others wait for it.
+	First func() bool
 }
 
 // Mirror is the copy. It is safe for use by several goroutines.
@@ -113,23 +123,41 @@
 			wait.For(ctx, idleLook)
 			continue
 		}
-		changed, err := m.follow(ctx)
+		found, err := m.follow(ctx)
 		if m.setConnected(err == nil) {
 			m.logConnection(err)
 		}
-		switch {
-		case err != nil:
+		if err != nil {
+			pause = m.retryPause(pause)
 			wait.For(ctx, pause/2+rand.N(pause/2))
 			pause = min(2*pause, lastRetry)
-		case changed:
-			pause = firstRetry
-			wait.For(ctx, gather)
-		default:
-			pause = firstRetry
+			continue
 		}
+		pause = firstRetry
+		wait.For(ctx, pauses[found])
 	}
 }
 
+// retryPause is the pause after a failed call, when the next one in turn is given.
+func (m *Mirror) retryPause(next time.Duration) time.Duration {
+	if _, loaded := m.At(); loaded && !m.options.First() {
+		return spareRetry
+	}
+	return next
+}
+
+// found is what a call to the store brought.
+type found int
+
+const (
+	foundNothing found = iota
+	foundChanges
+	foundFirstCopy
+)
+
+// pauses are those before the next call.
+var pauses = map[found]time.Duration{foundChanges: gather, foundFirstCopy: settle}
+
 // setWatching reports whether the store is to be asked: by a VM that watches, and
 // by any that has no copy yet.
 func (m *Mirror) setWatching(watches bool) bool {
@@ -163,21 +191,24 @@
 }
 
 // follow makes one call: a listing for the first copy, a watch afterwards.
-func (m *Mirror) follow(ctx context.Context) (changed bool, err error) {
+func (m *Mirror) follow(ctx context.Context) (found, error) {
 	at, loaded := m.At()
 	if !loaded {
-		return true, m.list(ctx)
+		return foundFirstCopy, m.list(ctx)
 	}
 	batch, err := m.options.KV.Watch(ctx, m.options.Prefix, at)
 	if err != nil {
-		return false, err
+		return foundNothing, err
 	}
 	if batch.Reset {
 		m.options.Logger.WithField("revision", at).Warn("mirror: the store's history is gone, reading all")
-		return true, m.list(ctx)
+		return foundChanges, m.list(ctx)
 	}
 	m.apply(batch)
-	return len(batch.Events) > 0, nil
+	if len(batch.Events) == 0 {
+		return foundNothing, nil
+	}
+	return foundChanges, nil
 }
 
 func (m *Mirror) list(ctx context.Context) error {
--- a/edge/mirror/mirror_test.go
+++ b/edge/mirror/mirror_test.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/yuccaroute/yuccaroute/store"
+	"github.com/yuccaroute/yuccaroute/store/faultkv"
 	"github.com/yuccaroute/yuccaroute/store/memkv"
 )
 
@@ -22,6 +23,8 @@
 	mu      sync.Mutex
 	changes []Change
 	watches bool
+	// spare makes it a VM that watches in place of others.
+	spare bool
 }
 
 func quiet() *logrus.Entry {
@@ -41,6 +44,7 @@
 		},
 		FetchFrom: func(_ context.Context, _ string, after store.Revision) (Copy, error) { return fetch(after) },
 		Watches:   func() bool { return v.watches },
+		First:     func() bool { return !v.spare },
 	})
 	return v
 }
@@ -239,3 +243,36 @@
 		}
 	})
 }
+
+// The store is away. The VMs that watch while all is well try about once a second; those that
+// would take over, all others of the region, seldom do: each call has a price. All are back
+// soon after the store.
+func TestFewTryWhileTheStoreIsAway(t *testing.T) {
+	for _, c := range []struct {
+		spare       bool
+		least, most uint64
+	}{{false, 10, 18}, {true, 3, 8}} {
+		synctest.Test(t, func(t *testing.T) {
+			kv := faultkv.New(memkv.New(memkv.Options{}), nil)
+			put(t, kv, "a", "1")
+			ctx, stop := context.WithCancel(context.Background())
+			defer stop()
+			v := newVM(kv, true, noFetch)
+			v.spare = c.spare
+			go v.Run(ctx)
+			time.Sleep(time.Second)
+			before := v.Calls()
+			kv.SetOutage(true)
+			time.Sleep(10 * time.Second)
+			if n := v.Calls() - before; n < c.least || n > c.most {
+				t.Errorf("spare %v: %d calls in 10 s, want %d to %d", c.spare, n, c.least, c.most)
+			}
+			kv.SetOutage(false)
+			put(t, kv, "a", "2")
+			time.Sleep(spareRetry + gather)
+			if got := v.value("a"); got != "2" {
+				t.Errorf("spare %v: has %q after the outage", c.spare, got)
+			}
+		})
+	}
+}
--- a/edge/peers/peers.go
+++ b/edge/peers/peers.go
@@ -168,6 +168,17 @@
 // do, of those that are answered. One that is not heard, or not answered, is
 // replaced by the next as soon as it is noticed.
 func (b *Book) Watches(now time.Time) bool {
+	return b.isAmongFirst(now, func(s Said) bool { return s.Linked && !s.Leaving })
+}
+
+// WatchesFirst reports whether this VM is one of those that watch while the store
+// answers all.
+func (b *Book) WatchesFirst(now time.Time) bool {
+	return b.isAmongFirst(now, func(s Said) bool { return !s.Leaving })
+}
+
+// isAmongFirst reports whether few enough of the VMs that count come before this one.
+func (b *Book) isAmongFirst(now time.Time, counts func(Said) bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	near, before := 1, 0
@@ -176,8 +187,7 @@
 			continue
 		}
 		near++
-		said := b.said[name]
-		if said.Linked && !said.Leaving && name < b.own.Name {
+		if name < b.own.Name && counts(b.said[name]) {
 			before++
 		}
 	}
--- a/edge/registry/registry.go
+++ b/edge/registry/registry.go
@@ -21,8 +21,11 @@
 	TTL = 5 * time.Second
 	// renewEvery leaves room for two lost calls within TTL.
 	renewEvery = 1500 * time.Millisecond
-	// retryEvery is the pause after a failed call.
-	retryEvery = 500 * time.Millisecond
+	// retryFirst and retryLast are the pauses after the first failed call in a row and
+	// after the others: two more calls within TTL. Each call has a price, in an outage
+	// too: 81 VMs made 941 in 8 s with a pause of 0.5 s.
+	retryFirst = time.Second
+	retryLast  = 2 * time.Second
 )
 
 // Registry lists one VM.
@@ -51,13 +54,17 @@
 
 // Run keeps the VM listed until the context ends, then removes it.
 func (r *Registry) Run(ctx context.Context) {
+	retry := retryFirst
 	for ctx.Err() == nil {
-		pause := renewEvery
-		if err := r.keep(ctx); err != nil {
-			r.log.WithError(err).Warn("registry: not renewed")
-			pause = retryEvery
+		err := r.keep(ctx)
+		if err == nil {
+			retry = retryFirst
+			wait.For(ctx, renewEvery)
+			continue
 		}
-		wait.For(ctx, pause)
+		r.log.WithError(err).Warn("registry: not renewed")
+		wait.For(ctx, retry)
+		retry = retryLast
 	}
 	r.remove()
 }
--- a/edge/registry/registry_test.go
+++ b/edge/registry/registry_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/yuccaroute/yuccaroute/edge/site"
 	"github.com/yuccaroute/yuccaroute/store"
+	"github.com/yuccaroute/yuccaroute/store/faultkv"
 	"github.com/yuccaroute/yuccaroute/store/memkv"
 )
 
@@ -123,3 +124,27 @@
 		t.Fatalf("error %v", err)
 	}
 }
+
+// The store is away for longer than the lease lasts. The VM tries often enough to keep its
+// lease over a short outage, and no more: each call has a price. It is listed again soon.
+func TestFewCallsWhileTheStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := faultkv.New(memkv.New(memkv.Options{}), nil)
+		ctx, stop := context.WithCancel(context.Background())
+		go newRegistry(t, kv).Run(ctx)
+		time.Sleep(TTL)
+		before := kv.Counts().Total()
+		kv.SetOutage(true)
+		time.Sleep(20 * time.Second)
+		if n := kv.Counts().Total() - before; n < 9 || n > 12 {
+			t.Errorf("%d calls in 20 s, want 9 to 12", n)
+		}
+		kv.SetOutage(false)
+		time.Sleep(2 * retryLast)
+		if !listed(kv) {
+			t.Error("not listed after the outage")
+		}
+		stop()
+		synctest.Wait()
+	})
+}
