peers: a VM that starts does not say at once that it misses digests

Cause: the time of the last digest began at zero, so in a large region each VM said at its start that none reached it, and the listener sent one to each VM itself for 5 s: the bytes that relays save, just after all VMs start at once. Change: Digests keeps from when on one is expected; staticcheck's remark on the field that the msgpack library reads is answered. Measured: TestDigestsAreMissingOnlyAfterAWhile (the zero time fails its first check); race tests of edge/peers, edge/entry, edge/exchange pass.

--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -56,11 +56,8 @@
 	front   *serve.Server
 	servers []*serve.Server
 	leaving atomic.Bool
-	// getsDigests tells that this VM hears the others of its region by digests,
-	// digestAt is when the last one came, in Unix nanoseconds.
-	getsDigests atomic.Bool
-	digestAt    atomic.Int64
-	stop        context.CancelFunc
+	digests *peers.Digests
+	stop    context.CancelFunc
 	// unlist ends the registration.
 	unlist context.CancelFunc
 }
@@ -71,6 +68,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Entry{options: o, log: o.Logger, stop: cancel}
 	now := time.Now()
+	e.digests = peers.NewDigests(now)
 	e.delays = newDelays(o.VM.Region)
 	e.book = peers.New(o.VM, now)
 	e.metrics = scrape.New(o.VM.Name, metricsEvery)
--- a/edge/entry/talk.go
+++ b/edge/entry/talk.go
@@ -23,11 +23,12 @@
 
 // audience returns who is told what.
 func (e *Entry) audience() exchange.Audience {
-	g := e.book.Group(time.Now())
+	now := time.Now()
+	g := e.book.Group(now)
 	own := e.options.VM.Name
 	a := exchange.Audience{Large: g.Large, Near: peersOf(g.Listeners, own)}
 	listens := len(a.Near) < len(g.Listeners)
-	e.getsDigests.Store(g.Large && !listens)
+	e.digests.Expect(now, g.Large && !listens)
 	if listens {
 		a.Far = peersOf(g.Far, own)
 	}
@@ -45,16 +46,6 @@
 	return peersOf(e.book.Group(time.Now()).Mates, e.options.VM.Name), via
 }
 
-// deaf reports whether this VM should get digests and gets none: the relay of its
-// failure domain is there for the listener, but not for this VM.
-func (e *Entry) deaf(now time.Time) bool {
-	if !e.getsDigests.Load() {
-		e.digestAt.Store(now.UnixNano())
-		return false
-	}
-	return now.Sub(time.Unix(0, e.digestAt.Load())) > peers.DeafAfter
-}
-
 func peersOf(vms []site.VM, but string) []exchange.Peer {
 	list := make([]exchange.Peer, 0, len(vms))
 	for _, vm := range vms {
@@ -71,7 +62,7 @@
 	at, _ := e.mirror.At()
 	s := exchange.State{
 		VM: e.options.VM, Leaving: e.leaving.Load(), Serving: e.gateway.Ready(), Linked: e.mirror.Linked(),
-		Revision: uint64(at), Deaf: e.deaf(now),
+		Revision: uint64(at), Deaf: e.digests.Missing(now),
 	}
 	if !sum {
 		s.InHand, s.Demand = e.board.Report(now)
@@ -135,7 +126,7 @@
 }
 
 func (e *Entry) hearDigest(now time.Time, d *exchange.Digest) {
-	e.digestAt.Store(now.UnixNano())
+	e.digests.Came(now)
 	e.board.SetNear(now, nearName, d.InHand, d.Demand)
 	if d.Rest == nil {
 		return
--- a/edge/exchange/exchange.go
+++ b/edge/exchange/exchange.go
@@ -100,6 +100,7 @@
 
 // Seen is what a listener knows of one VM.
 type Seen struct {
+	//lint:ignore U1000 the msgpack library reads its tag: an array, without field names
 	_msgpack struct{} `msgpack:",as_array"`
 	Name     string
 	Age      time.Duration
--- /dev/null
+++ b/edge/peers/digests.go
@@ -0,0 +1,44 @@
+package peers
+
+import (
+	"sync"
+	"time"
+)
+
+// Digests tells whether a VM that hears the others by digests gets them. It is safe for
+// use by several goroutines.
+type Digests struct {
+	mu sync.Mutex
+	// expected is false while this VM hears the others itself.
+	expected bool
+	// at is when the last one came, or when the wait for one began.
+	at time.Time
+}
+
+// NewDigests begins to wait now.
+func NewDigests(now time.Time) *Digests { return &Digests{at: now} }
+
+// Expect tells whether this VM should get digests.
+func (d *Digests) Expect(now time.Time, expected bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if expected && !d.expected {
+		d.at = now
+	}
+	d.expected = expected
+}
+
+// Came notes a digest.
+func (d *Digests) Came(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.at = now
+}
+
+// Missing reports whether digests should come and none did: the relay of the own failure
+// domain is there for the listener, but not for this VM.
+func (d *Digests) Missing(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.expected && now.Sub(d.at) > deafAfter
+}
--- /dev/null
+++ b/edge/peers/digests_test.go
@@ -0,0 +1,32 @@
+package peers
+
+import (
+	"testing"
+	"time"
+)
+
+// All VMs of a region start at once. If each said that it misses digests before the first
+// could have come, the listener would send one to every VM itself for seconds.
+func TestDigestsAreMissingOnlyAfterAWhile(t *testing.T) {
+	d, now := NewDigests(start), start
+	check := func(what string, want bool) {
+		t.Helper()
+		if got := d.Missing(now); got != want {
+			t.Errorf("%s: missing %v", what, got)
+		}
+	}
+	d.Expect(now, true)
+	check("at the start", false)
+	now = now.Add(deafAfter + time.Millisecond)
+	check("none came", true)
+	d.Came(now)
+	check("one came", false)
+	d.Expect(now, false)
+	now = now.Add(time.Hour)
+	check("a listener", false)
+	d.Expect(now, true)
+	check("a listener no more", false)
+	now = now.Add(deafAfter + time.Millisecond)
+	d.Expect(now, true)
+	check("none came to it", true)
+}
--- a/edge/peers/group.go
+++ b/edge/peers/group.go
@@ -15,9 +15,9 @@
 	// listeners is how many VMs of a large region hear all others: one that works
 	// and one that takes over.
 	listeners = 2
-	// DeafAfter is how long a VM without a digest waits before it says so: longer
+	// deafAfter is how long a VM without a digest waits before it says so: longer
 	// than a silent listener or relay is replaced in.
-	DeafAfter = silence + 500*time.Millisecond
+	deafAfter = silence + 500*time.Millisecond
 	// deafFor is how long it gets digests from the listener itself then.
 	deafFor = 5 * time.Second
 )
