edge: plain names for who gets a digest and who passes it on

Cause: 'deaf' and 'mates' were images; a newcomer reads NoDigest, SameDomain, Unreached and PassTo without a glossary. Change: names only. Measured: race tests of all packages of edge pass; no behaviour is touched.

--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -114,7 +114,7 @@
 func (e *Entry) listen(ctx context.Context) error {
 	talk, err := exchange.Start(ctx, exchange.Options{
 		Address: e.options.PeerAddress, Logger: e.part("exchange"), State: e.state, Digest: e.digest,
-		Audience: e.audience, Mates: e.mates, Heard: e.heard(ctx),
+		Audience: e.audience, PassTo: e.passTo, Heard: e.heard(ctx),
 	})
 	if err != nil {
 		return err
--- a/edge/entry/talk.go
+++ b/edge/entry/talk.go
@@ -33,17 +33,17 @@
 		a.Far = peersOf(g.Far, own)
 	}
 	if g.Large && listens && g.Listeners[0].Name == own {
-		a.Digests = peersOf(append(g.Mates, g.Deaf...), own)
+		a.Digests = peersOf(append(g.SameDomain, g.Unreached...), own)
 		a.Relays = peersOf(g.Relays, own)
 	}
 	return a
 }
 
-// mates are the VMs to which this one passes a digest on.
-func (e *Entry) mates() ([]exchange.Peer, exchange.Via) {
+// passTo returns the VMs to which this one passes a digest on.
+func (e *Entry) passTo() ([]exchange.Peer, exchange.Via) {
 	at, _ := e.mirror.At()
 	via := exchange.Via{Peer: e.options.VM.Peer, Revision: uint64(at)}
-	return peersOf(e.book.Group(time.Now()).Mates, e.options.VM.Name), via
+	return peersOf(e.book.Group(time.Now()).SameDomain, e.options.VM.Name), via
 }
 
 func peersOf(vms []site.VM, but string) []exchange.Peer {
@@ -62,7 +62,7 @@
 	at, _ := e.mirror.At()
 	s := exchange.State{
 		VM: e.options.VM, Leaving: e.leaving.Load(), Serving: e.gateway.Ready(), Linked: e.mirror.Linked(),
-		Revision: uint64(at), Deaf: e.digests.Missing(now),
+		Revision: uint64(at), NoDigest: e.digests.Missing(now),
 	}
 	if !sum {
 		s.InHand, s.Demand = e.board.Report(now)
@@ -95,7 +95,7 @@
 func (e *Entry) heard(ctx context.Context) func(exchange.State) {
 	return func(s exchange.State) {
 		now := time.Now()
-		if e.book.Hear(s.VM, peers.Said{At: now, Serving: s.Serving, Leaving: s.Leaving, Linked: s.Linked, Deaf: s.Deaf}) {
+		if e.book.Hear(s.VM, peers.Said{At: now, Serving: s.Serving, Leaving: s.Leaving, Linked: s.Linked, NoDigest: s.NoDigest}) {
 			e.delays.measure(s.VM.Region, s.VM.Peer)
 		}
 		e.hearCounts(now, s)
--- a/edge/exchange/exchange.go
+++ b/edge/exchange/exchange.go
@@ -66,8 +66,8 @@
 	// InHand counts requests by target, Demand the slots needed by service.
 	InHand Counts             `msgpack:"h"`
 	Demand map[string]float64 `msgpack:"d"`
-	// Deaf tells that the VM should get digests and gets none.
-	Deaf bool `msgpack:"f,omitempty"`
+	// NoDigest tells that the VM should get digests and gets none.
+	NoDigest bool `msgpack:"f,omitempty"`
 	// Digest is set in what a listener sends to VMs that are none.
 	Digest *Digest `msgpack:"g,omitempty"`
 	// Via is the relay that passed this on, nil if it came from the VM itself.
@@ -138,8 +138,8 @@
 	Digest func(rest bool) *Digest
 	// Audience returns who is told.
 	Audience func() Audience
-	// Mates returns to whom a relay passes a digest on, and as whom.
-	Mates func() ([]Peer, Via)
+	// PassTo returns to whom a relay passes a digest on, and as whom.
+	PassTo func() ([]Peer, Via)
 	// Heard is called with each newer state of another VM.
 	Heard func(State)
 }
@@ -349,7 +349,7 @@
 
 // passOn sends a datagram to the VMs of the own failure domain.
 func (e *Exchange) passOn(text []byte) {
-	mates, via := e.options.Mates()
+	to, via := e.options.PassTo()
 	tail, err := msgpack.Marshal(&via)
 	if err != nil {
 		e.options.Logger.WithError(err).Error("exchange: digest not passed on")
@@ -357,7 +357,7 @@
 	}
 	text[0] = toKeep
 	text = append(text, tail...)
-	for _, p := range mates {
+	for _, p := range to {
 		e.write(text, p)
 	}
 }
--- a/edge/exchange/exchange_test.go
+++ b/edge/exchange/exchange_test.go
@@ -30,8 +30,8 @@
 	inHand  Counts
 	// audience is who this VM tells.
 	audience atomic.Pointer[Audience]
-	// mates is to whom it passes digests on.
-	mates atomic.Pointer[[]Peer]
+	// passTo is to whom it passes digests on.
+	passTo atomic.Pointer[[]Peer]
 }
 
 func (v *vm) tells(a Audience) { v.audience.Store(&a) }
@@ -42,7 +42,7 @@
 	t.Cleanup(cancel)
 	v := &vm{heard: make(map[string]State), news: make(chan struct{}, 100), inHand: Counts{7: 1}}
 	v.tells(Audience{})
-	v.mates.Store(&[]Peer{})
+	v.passTo.Store(&[]Peer{})
 	e, err := Start(ctx, Options{
 		Address: "127.0.0.1:0", Logger: quiet(),
 		Audience: func() Audience { return *v.audience.Load() },
@@ -53,7 +53,7 @@
 			}
 			return d
 		},
-		Mates: func() ([]Peer, Via) { return *v.mates.Load(), Via{Peer: name, Revision: 8} },
+		PassTo: func() ([]Peer, Via) { return *v.passTo.Load(), Via{Peer: name, Revision: 8} },
 		State: func(bool) State {
 			return State{VM: site.VM{Name: name, Incarnation: 3, Peer: "p"}, Serving: true, Revision: 9,
 				InHand: v.inHand, Demand: map[string]float64{"s": 1.5}}
@@ -170,8 +170,8 @@
 // from that one as the listener's, once.
 func TestDigestsArePassedOn(t *testing.T) {
 	a, b, c := startVM(t, "a"), startVM(t, "b"), startVM(t, "c")
-	b.mates.Store(&[]Peer{{Name: "c", Address: c.address}})
-	c.mates.Store(&[]Peer{{Name: "b", Address: b.address}})
+	b.passTo.Store(&[]Peer{{Name: "c", Address: c.address}})
+	c.passTo.Store(&[]Peer{{Name: "b", Address: b.address}})
 	a.tells(Audience{Large: true, Relays: []Peer{{Name: "b", Address: b.address}}})
 	<-c.news
 	a.tells(Audience{})
--- a/edge/peers/digests.go
+++ b/edge/peers/digests.go
@@ -40,5 +40,5 @@
 func (d *Digests) Missing(now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.expected && now.Sub(d.at) > deafAfter
+	return d.expected && now.Sub(d.at) > missingAfter
 }
--- a/edge/peers/digests_test.go
+++ b/edge/peers/digests_test.go
@@ -17,7 +17,7 @@
 	}
 	d.Expect(now, true)
 	check("at the start", false)
-	now = now.Add(deafAfter + time.Millisecond)
+	now = now.Add(missingAfter + time.Millisecond)
 	check("none came", true)
 	d.Came(now)
 	check("one came", false)
@@ -26,7 +26,7 @@
 	check("a listener", false)
 	d.Expect(now, true)
 	check("a listener no more", false)
-	now = now.Add(deafAfter + time.Millisecond)
+	now = now.Add(missingAfter + time.Millisecond)
 	d.Expect(now, true)
 	check("none came to it", true)
 }
--- a/edge/peers/group.go
+++ b/edge/peers/group.go
@@ -15,11 +15,11 @@
 	// listeners is how many VMs of a large region hear all others: one that works
 	// and one that takes over.
 	listeners = 2
-	// deafAfter is how long a VM without a digest waits before it says so: longer
+	// missingAfter is how long a VM without a digest waits before it says so: longer
 	// than a silent listener or relay is replaced in.
-	deafAfter = silence + 500*time.Millisecond
-	// deafFor is how long it gets digests from the listener itself then.
-	deafFor = 5 * time.Second
+	missingAfter = silence + 500*time.Millisecond
+	// directFor is how long it gets digests from the listener itself then.
+	directFor = 5 * time.Second
 )
 
 // Group is how the VMs of the own region share what they hear.
@@ -28,14 +28,14 @@
 	Large bool
 	// Listeners of the own region, the first one first; this VM may be one.
 	Listeners []site.VM
-	// Mates are the VMs of the own failure domain that are no listeners, without
+	// SameDomain are the VMs of the own failure domain that are no listeners, without
 	// this VM.
-	Mates []site.VM
+	SameDomain []site.VM
 	// Relays are one VM of each other failure domain of the region, to pass a
-	// digest on to its mates.
+	// digest on to the others there.
 	Relays []site.VM
-	// Deaf are VMs of other failure domains that no digest reached lately.
-	Deaf []site.VM
+	// Unreached are VMs of other failure domains that no digest reached lately.
+	Unreached []site.VM
 	// Far are the listeners of the other regions.
 	Far []site.VM
 }
@@ -71,15 +71,15 @@
 		if vm.Name == b.own.Name || slices.ContainsFunc(g.Listeners, func(l site.VM) bool { return l.Name == vm.Name }) {
 			continue
 		}
-		at, deaf := b.deafAt[vm.Name]
+		at, without := b.withoutAt[vm.Name]
 		switch {
 		case vm.Zone == b.own.Zone:
-			g.Mates = append(g.Mates, vm)
+			g.SameDomain = append(g.SameDomain, vm)
 		case !served[vm.Zone] && b.mayListen(vm, now):
 			served[vm.Zone] = true
 			g.Relays = append(g.Relays, vm)
-		case deaf && now.Sub(at) < deafFor:
-			g.Deaf = append(g.Deaf, vm)
+		case without && now.Sub(at) < directFor:
+			g.Unreached = append(g.Unreached, vm)
 		}
 	}
 }
--- a/edge/peers/peers.go
+++ b/edge/peers/peers.go
@@ -27,8 +27,8 @@
 	Leaving bool
 	// Linked tells that it watches the store and is answered.
 	Linked bool
-	// Deaf tells that no digest reached it.
-	Deaf bool
+	// NoDigest tells that no digest reached it.
+	NoDigest bool
 }
 
 // Book holds the VMs. It is safe for use by several goroutines.
@@ -40,14 +40,14 @@
 	mu         sync.Mutex
 	registered map[string]site.VM
 	said       map[string]Said
-	// deafAt is when a VM last said that no digest reached it.
-	deafAt map[string]time.Time
+	// withoutAt is when a VM last said that no digest reached it.
+	withoutAt map[string]time.Time
 }
 
 // New returns a book that knows this VM only.
 func New(own site.VM, now time.Time) *Book {
 	return &Book{own: own, started: now, registered: make(map[string]site.VM), said: make(map[string]Said),
-		deafAt: make(map[string]time.Time)}
+		withoutAt: make(map[string]time.Time)}
 }
 
 // Register replaces the registered VMs. A VM that has said something lately stays
@@ -73,8 +73,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.said[vm.Name] = s
-	if s.Deaf {
-		b.deafAt[vm.Name] = s.At
+	if s.NoDigest {
+		b.withoutAt[vm.Name] = s.At
 	}
 	if known, ok := b.registered[vm.Name]; ok && known.Incarnation >= vm.Incarnation {
 		return false
--- a/edge/peers/peers_test.go
+++ b/edge/peers/peers_test.go
@@ -161,8 +161,8 @@
 				t.Fatalf("%d VMs: %s finds others: %s", size, vm.Name, diff)
 			}
 		}
-		if first := groups["n-000"]; first.Large && len(first.Mates) != size-listeners {
-			t.Errorf("%d VMs: digests for %d", size, len(first.Mates))
+		if first := groups["n-000"]; first.Large && len(first.SameDomain) != size-listeners {
+			t.Errorf("%d VMs: digests for %d", size, len(first.SameDomain))
 		}
 	}
 }
@@ -216,7 +216,7 @@
 			}
 		}
 		got := make(map[string]int)
-		for _, vm := range groups[listener].Mates {
+		for _, vm := range groups[listener].SameDomain {
 			got[vm.Name]++
 		}
 		if n := len(groups[listener].Relays); n != 2 {
@@ -224,7 +224,7 @@
 		}
 		for _, relay := range groups[listener].Relays {
 			got[relay.Name]++
-			for _, vm := range groups[relay.Name].Mates {
+			for _, vm := range groups[relay.Name].SameDomain {
 				got[vm.Name]++
 			}
 		}
@@ -239,7 +239,7 @@
 
 // The link between a VM and the relay of its failure domain is cut, and both are there for
 // the listener. The VM says that it gets no digest, and has them from the listener itself.
-func TestADeafVMGetsDigestsFromTheListener(t *testing.T) {
+func TestAVMWithoutDigestsGetsThemFromTheListener(t *testing.T) {
 	var vms []site.VM
 	for i := range 12 {
 		vms = append(vms, vmOf(fmt.Sprintf("vm-%03d", i), fmt.Sprintf("n%d", i%2)))
@@ -247,16 +247,16 @@
 	b := New(vms[0], start)
 	b.Register(vms, start)
 	hear(b, start, vms[1:]...)
-	if got := b.Group(start).Deaf; len(got) != 0 {
-		t.Errorf("deaf at first: %v", got)
+	if got := b.Group(start).Unreached; len(got) != 0 {
+		t.Errorf("unreached at first: %v", got)
 	}
-	b.Hear(vms[5], Said{At: start, Serving: true, Deaf: true})
+	b.Hear(vms[5], Said{At: start, Serving: true, NoDigest: true})
 	b.Hear(vms[5], Said{At: start.Add(time.Second), Serving: true})
-	if got := b.Group(start.Add(time.Second)).Deaf; len(got) != 1 || got[0].Name != "vm-005" {
-		t.Errorf("deaf %v", got)
+	if got := b.Group(start.Add(time.Second)).Unreached; len(got) != 1 || got[0].Name != "vm-005" {
+		t.Errorf("unreached %v", got)
 	}
-	if got := b.Group(start.Add(deafFor)).Deaf; len(got) != 0 {
-		t.Errorf("still deaf: %v", got)
+	if got := b.Group(start.Add(directFor)).Unreached; len(got) != 0 {
+		t.Errorf("still unreached: %v", got)
 	}
 }
 
