--- a/edge/placing/board_test.go
+++ b/edge/placing/board_test.go
@@ -112,10 +112,10 @@
 	}
 }
 
-// Another VM fills the targets. This VM sends nothing there until its counts end, or are
-// too old to be trusted.
-func TestOthersCountsAreUsed(t *testing.T) {
-	now := time.Unix(1000, 0)
+// filledByAnother returns a board whose targets another VM has filled, and a request that
+// waits there.
+func filledByAnother(t *testing.T, now time.Time) (*Board, *Waiter) {
+	t.Helper()
 	b, class := newBoard(now), NewClass(100*time.Millisecond)
 	full := map[uint32]int{KeyOf(HashOf("t1")): 2 + overfill, KeyOf(HashOf("t2")): 2 + overfill}
 	b.SetPeer(now, "other", &Peer{InHand: full, At: now})
@@ -123,18 +123,32 @@
 	if w == nil {
 		t.Fatal("a full target got a request")
 	}
-	now = now.Add(peerLife)
-	b.SetPeer(now, "third", &Peer{At: now})
+	return b, w
+}
+
+// mustBeSent fails unless a request that waited has its target now.
+func mustBeSent(t *testing.T, w *Waiter) {
+	t.Helper()
 	select {
 	case d := <-w.Decided():
 		if d.Target == nil {
 			t.Error("refused")
 		}
 	default:
-		t.Error("still waits for a VM that is silent")
+		t.Error("still waits for VMs that are silent")
 	}
 }
 
+// Another VM fills the targets. This VM sends nothing there until its counts end, or are
+// too old to be trusted.
+func TestOthersCountsAreUsed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b, w := filledByAnother(t, now)
+	now = now.Add(peerLife)
+	b.SetPeer(now, "third", &Peer{At: now})
+	mustBeSent(t, w)
+}
+
 // A listener tells all VMs the same sums. Each takes out what it told last; its own requests
 // would count twice else, and it would take targets for full that it fills itself.
 func TestOwnPartOfASumDoesNotCount(t *testing.T) {
@@ -170,22 +184,9 @@
 // count for good: this VM would take its targets for full and refuse everybody.
 func TestCountsOfSilentVMsEnd(t *testing.T) {
 	now := time.Unix(1000, 0)
-	b, class := newBoard(now), NewClass(100*time.Millisecond)
-	full := map[uint32]int{KeyOf(HashOf("t1")): 2 + overfill, KeyOf(HashOf("t2")): 2 + overfill}
-	b.SetPeer(now, "other", &Peer{InHand: full, At: now})
-	_, w := b.Place(now, request(now, class))
-	if w == nil {
-		t.Fatal("a full target got a request")
-	}
+	b, w := filledByAnother(t, now)
 	b.Tick(now.Add(peerLife))
-	select {
-	case d := <-w.Decided():
-		if d.Target == nil {
-			t.Error("refused")
-		}
-	default:
-		t.Error("still waits for VMs that are silent")
-	}
+	mustBeSent(t, w)
 }
 
 // VMs report, change what they report, fall silent and are forgotten in any order, and
