edge: VMs that hear less than half of their region divide work by the list

Cause: the parts of what a cold target bears are hashed among the VMs that are heard. One that is cut off from all others hears nobody after 1.5 s and took itself for the only one: it sent to every cold target of its region at the full rate, as did each other VM that was cut off, N times the rate in sum. Ruled out: the guard of VMs that start at once ends with their first 1.5 s.

Change: peers.Sharers names the VMs among which work is divided; they are the live ones while half of the region is heard, else all that the store lists. Two parts of a region are at most two views besides the list's.

Before: TestACutOffVMCountsTheOthersAsLive counted 1 VM (13 in the smaller part). After: 27; 14 in the larger part; 3 once the store lists only 3.

--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -200,7 +200,7 @@
 	now := time.Now()
 	e.book.Register(v.VMs, now)
 	// Before the targets: what this VM may send to cold ones depends on the others.
-	e.board.SetVMs(e.book.Near(now))
+	e.board.SetVMs(e.book.Sharers(now))
 	e.gateway.SetView(v, now)
 	for _, vm := range e.book.Others() {
 		e.delays.measure(vm.Region, vm.Peer)
@@ -228,7 +228,7 @@
 		}
 		last = now
 		e.catalog.Expire(now)
-		e.board.SetVMs(e.book.Near(now))
+		e.board.SetVMs(e.book.Sharers(now))
 		e.gateway.Probe(ctx, e.healthPath)
 	}
 }
--- a/edge/peers/peers.go
+++ b/edge/peers/peers.go
@@ -163,6 +163,29 @@
 	return names
 }
 
+// Sharers returns the names of the VMs of the own region among which work is divided,
+// this one included: the live ones, or all that are listed while less than half of them
+// is heard.
+//
+// Guard against VMs that were cut off from all others: each would take itself for the only
+// one, and all would send to the same cold target. It shows as a target that gets a request
+// from every such VM within a moment. The guard holds because at most two parts of a region
+// hear half of it each, so there are at most two views besides the list's.
+func (b *Book) Sharers(now time.Time) []string {
+	near := b.Near(now)
+	all := []string{b.own.Name}
+	for _, vm := range b.Others() {
+		if vm.Region == b.own.Region {
+			all = append(all, vm.Name)
+		}
+	}
+	if 2*len(near) >= len(all) {
+		return near
+	}
+	sort.Strings(all)
+	return all
+}
+
 const (
 	// vmsPerWatch is how many VMs of a region follow one that watches the store,
 	// maxWatches how many watch in one region. Calls have a price, and the store's
--- a/edge/peers/peers_test.go
+++ b/edge/peers/peers_test.go
@@ -279,3 +279,30 @@
 		t.Errorf("near once the others are silent: %v", got)
 	}
 }
+
+// A switch cuts several VMs off from all others, one by one, while targets are cold.
+// Each of them heard nobody, took itself for the only VM of its region and sent to every
+// cold target at the full rate: in sum as many times the rate as VMs were cut off. The
+// store's list says that the others exist.
+func TestACutOffVMCountsTheOthersAsLive(t *testing.T) {
+	vms := fleet(27, "n")
+	b := New(vms[5], start)
+	b.Register(vms, start)
+	hear(b, start, vms...)
+	cut := start.Add(time.Minute)
+	if got := b.Sharers(cut); len(got) != len(vms) {
+		t.Errorf("%d VMs near without any that is heard, want all %d", len(got), len(vms))
+	}
+	hear(b, cut, vms[6:18]...)
+	if got := b.Sharers(cut); len(got) != len(vms) {
+		t.Errorf("%d VMs near in the smaller part of a region, want all %d", len(got), len(vms))
+	}
+	hear(b, cut, vms[18])
+	if got := b.Sharers(cut); len(got) != 14 {
+		t.Errorf("%d VMs near in the larger part, want the 14 of it", len(got))
+	}
+	b.Register(vms[5:8], cut.Add(time.Minute))
+	if got := b.Sharers(cut.Add(time.Minute)); len(got) != 3 {
+		t.Errorf("%d VMs near, want the 3 that the store still lists", len(got))
+	}
+}
--- a/edge/placing/board.go
+++ b/edge/placing/board.go
@@ -43,7 +43,7 @@
 	reported report
 	// heard counts the requests of all peers, by KeyOf the target.
 	heard map[uint32]*heard
-	// vms are the names of the live VMs of the own region, by hash.
+	// vms are the names of the VMs of the own region among which work is divided, by hash.
 	vms []uint64
 	// vmNames are the same as they were told.
 	vmNames []string
--- a/edge/placing/cold.go
+++ b/edge/placing/cold.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// SetVMs tells which VMs of the own region are live, this one included, in a fixed
-// order. It is called ten times a second: with 3,000 targets and 100 VMs a call takes
+// SetVMs tells among which VMs of the own region work is divided, this one included, in
+// a fixed order. It is called ten times a second: with 3,000 targets and 100 VMs a call takes
 // 0.14 us, and 1,140 us when all parts are found anew (BenchmarkTellVMs).
 func (b *Board) SetVMs(names []string) {
 	b.mu.Lock()
