platform/kvclient: one client of the store for both daemons

Cause: two clients of the platform's store stood side by side. yuccarouted spoke a protocol of our own (store/httpkv, store/wire, 680 lines) that no platform has; yuccaentry spoke the users' by platform.KV, which lacked the guards that httpkv had: it followed redirects, took an empty object or a 500 for the service's word, and called a write that was never sent unknown.

Change: platform/kvclient is the client of both, with httpkv's guards. Pacing, which only yuccarouted wants, is store/paced, around any store.KV. The stand-in speaks the users' protocol by platformtest.NewHandler. The setting store_path_prefix goes with the protocol that had it; a listing may span pages, and its entries may be newer than its revision (its readers read heads again when an older event follows; the copy of yuccaentry orders by revision).

Tests: pacer and prompt tests are moved unchanged. Those of outcomes are moved; two of their answers change: a 503 without a code was no answer in our protocol and means "not done" in the users', so the error page is a 502 and the unknown code a 504 now. New: an empty object is no renewal, a 404 is no empty listing, a conflict without its keys and a 410 on a write are unknown, a full answer of a watch is continued.

--- a/bench/processes/processes_test.go
+++ b/bench/processes/processes_test.go
@@ -21,8 +21,8 @@
 	"github.com/yuccaroute/yuccaroute/lookup"
 	"github.com/yuccaroute/yuccaroute/lookup/blocks/blocktest"
 	"github.com/yuccaroute/yuccaroute/membership/wire"
+	"github.com/yuccaroute/yuccaroute/platform/kvclient"
 	"github.com/yuccaroute/yuccaroute/standin/platform"
-	"github.com/yuccaroute/yuccaroute/store/httpkv"
 )
 
 const (
@@ -123,7 +123,7 @@
 	}
 	b.Cleanup(f.stop)
 	f.waitPlatform()
-	kv, err := httpkv.New(httpkv.Options{Address: platformAddress})
+	kv, err := kvclient.New(kvclient.Options{Address: platformAddress})
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/bench/scenario/store_http.go
+++ b/bench/scenario/store_http.go
@@ -9,9 +9,9 @@
 	"github.com/yuccaroute/yuccaroute/bench/load"
 	"github.com/yuccaroute/yuccaroute/bench/report"
 	"github.com/yuccaroute/yuccaroute/httpserver"
+	"github.com/yuccaroute/yuccaroute/platform/kvclient"
 	"github.com/yuccaroute/yuccaroute/standin/platform"
 	"github.com/yuccaroute/yuccaroute/store"
-	"github.com/yuccaroute/yuccaroute/store/httpkv"
 )
 
 const (
@@ -41,9 +41,7 @@
 		return nil, err
 	}
 	defer func() { _ = server.Stop() }()
-	kv, err := httpkv.New(httpkv.Options{
-		Address: server.Addr(), CallsPerSecond: 2 * maxStoreRate, Burst: maxStoreRate,
-	})
+	kv, err := kvclient.New(kvclient.Options{Address: server.Addr(), Idle: p.Workers})
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/yuccaentry/main.go
+++ b/cmd/yuccaentry/main.go
@@ -20,6 +20,8 @@
 	"github.com/yuccaroute/yuccaroute/edge/logs"
 	"github.com/yuccaroute/yuccaroute/edge/site"
 	"github.com/yuccaroute/yuccaroute/platform"
+	"github.com/yuccaroute/yuccaroute/platform/kvclient"
+	"github.com/yuccaroute/yuccaroute/store"
 )
 
 const (
@@ -85,7 +87,11 @@
 	logger := logs.New(os.Stdout)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	e, err := entry.Start(optionsOf(s, memory, metricsPort, logger))
+	client, err := kvclient.New(kvclient.Options{Address: s.Store.Address, Wait: watchWait})
+	if err != nil {
+		return program.Exit(program.ExitUsage, err)
+	}
+	e, err := entry.Start(optionsOf(s, client, memory, metricsPort, logger))
 	if err != nil {
 		return program.Exit(program.ExitFailed, err)
 	}
@@ -110,7 +116,7 @@
 	log.Info("entry: settings read again")
 }
 
-func optionsOf(s *platform.Settings, memory int64, metricsPort int, logger *logrus.Logger) entry.Options {
+func optionsOf(s *platform.Settings, client store.KV, memory int64, metricsPort int, logger *logrus.Logger) entry.Options {
 	items := platform.Items{}
 	peer := fmt.Sprintf("%s:%d", s.Node.IP, s.Ports.First)
 	metrics := ""
@@ -128,7 +134,7 @@
 			Fields: platform.Fields, ResolvePath: platform.PathResolve, ReadyPath: platform.PathReady,
 			VMKey: items.VMKey(s.Node.Name), Caller: platform.Caller, Resolved: platform.Resolved,
 		},
-		Codec: items, KV: platform.NewKV(s.Store.Address, watchWait), Logger: logger,
+		Codec: items, KV: client, Logger: logger,
 		MemoryBytes: memory, MaxConnections: max(64, s.Limits.MaxFiles-filesForTargets),
 		Grace: platform.Duration(s.Bounds.Grace), MaxTTL: platform.Duration(s.Bounds.MaxTTL),
 		RetryRatio: s.Bounds.RetryRatio, RetryExtra: s.Bounds.RetryExtra,
--- a/config/settings/load.go
+++ b/config/settings/load.go
@@ -97,7 +97,6 @@
 	return Platform{
 		Store:           address(v, sectionPlatform, keyStore),
 		VMList:          address(v, sectionPlatform, keyVMList),
-		StorePathPrefix: v.Text(sectionPlatform, "", keyStorePath),
 		VMListPath:      v.Text(sectionPlatform, "", keyVMListPath),
 		CallTimeout:     v.Duration(sectionPlatform, "", keyCallTimeout, time.Millisecond),
 		WatchTimeout:    v.Duration(sectionPlatform, "", keyWatchTimeout, time.Millisecond),
--- a/config/settings/schema.go
+++ b/config/settings/schema.go
@@ -25,7 +25,6 @@
 	keyPeers             = "peers"
 	keyStore             = "store"
 	keyVMList            = "vm_list"
-	keyStorePath         = "store_path_prefix"
 	keyVMListPath        = "vm_list_path"
 	keyCallTimeout       = "call_timeout_ms"
 	keyWatchTimeout      = "watch_timeout_ms"
@@ -86,7 +85,6 @@
 	{Kind: sectionPlatform, Keys: []inifile.KeySpec{
 		{Name: keyStore, Value: inifile.Address{}, Required: true},
 		{Name: keyVMList, Value: inifile.Address{}, Required: true},
-		{Name: keyStorePath, Value: inifile.PathKind, Default: "/kv/v1"},
 		{Name: keyVMListPath, Value: inifile.PathKind, Default: "/vms/v1"},
 		{Name: keyCallTimeout, Value: timeout, Default: "2000"},
 		{Name: keyWatchTimeout, Value: timeout, Default: "40000"},
--- a/config/settings/settings.go
+++ b/config/settings/settings.go
@@ -38,13 +38,12 @@
 type Platform struct {
 	Store  netip.AddrPort
 	VMList netip.AddrPort
-	// StorePathPrefix stands before every path of the key-value service;
 	// VMListPath answers the list of VMs.
-	StorePathPrefix, VMListPath string
-	// CallTimeout bounds one call; WatchTimeout bounds one waiting watch. The
-	// latter must be some seconds longer than the waiting time of the service:
-	// a watch that ends before its answer counts as an outage, after which a
-	// watcher reads and encodes every account again.
+	VMListPath string
+	// CallTimeout bounds one call; WatchTimeout bounds one waiting watch, whose
+	// wait at the service ends a CallTimeout before: a watch that ends before its
+	// answer counts as an outage, after which a watcher reads and encodes every
+	// account again.
 	CallTimeout, WatchTimeout time.Duration
 	// ReadsPerSecond and WritesPerSecond bound this node's calls.
 	ReadsPerSecond, WritesPerSecond float64
--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -22,9 +22,9 @@
 	"github.com/yuccaroute/yuccaroute/config/changelog"
 	"github.com/yuccaroute/yuccaroute/membership"
 	"github.com/yuccaroute/yuccaroute/membership/wire"
+	"github.com/yuccaroute/yuccaroute/platform/kvclient"
 	"github.com/yuccaroute/yuccaroute/standin/platform"
 	"github.com/yuccaroute/yuccaroute/standin/target"
-	"github.com/yuccaroute/yuccaroute/store/httpkv"
 )
 
 // Where the targets and the entry VMs of a cluster stand.
@@ -191,7 +191,7 @@
 // putInForce writes template and account as an operator's change does.
 func (f *farm) putInForce(accountText []byte) {
 	f.t.Helper()
-	kv, err := httpkv.New(httpkv.Options{Address: f.platformAddress})
+	kv, err := kvclient.New(kvclient.Options{Address: f.platformAddress})
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/integration/config_race_test.go
+++ b/integration/config_race_test.go
@@ -20,8 +20,8 @@
 	"github.com/yuccaroute/yuccaroute/api/result"
 	"github.com/yuccaroute/yuccaroute/bench/processes/configcheck"
 	"github.com/yuccaroute/yuccaroute/config/changelog"
+	"github.com/yuccaroute/yuccaroute/platform/kvclient"
 	"github.com/yuccaroute/yuccaroute/standin/platform"
-	"github.com/yuccaroute/yuccaroute/store/httpkv"
 )
 
 // The variables that ask for the long race: changes of each operator, and the
@@ -248,7 +248,7 @@
 // returns all that was noted.
 func (r *configRace) settled() configcheck.Input {
 	r.f.control(platform.PathFault, platform.Fault{})
-	kv, err := httpkv.New(httpkv.Options{Address: r.f.platformAddress})
+	kv, err := kvclient.New(kvclient.Options{Address: r.f.platformAddress})
 	if err != nil {
 		r.t.Fatal(err)
 	}
--- a/node/platform.go
+++ b/node/platform.go
@@ -1,9 +1,13 @@
 package node
 
 import (
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/config/settings"
 	"github.com/yuccaroute/yuccaroute/membership/httplist"
 	"github.com/yuccaroute/yuccaroute/membership/view"
-	"github.com/yuccaroute/yuccaroute/store/httpkv"
+	"github.com/yuccaroute/yuccaroute/platform/kvclient"
+	"github.com/yuccaroute/yuccaroute/store/paced"
 )
 
 // storeBurst is how many calls may go to the store at once before the rate
@@ -38,18 +42,25 @@
 	}
 	p := n.options.Settings.Platform
 	rate := p.ReadsPerSecond + p.WritesPerSecond
-	client, err := httpkv.New(httpkv.Options{
-		Address:        p.Store.String(),
-		PathPrefix:     p.StorePathPrefix,
-		Timeout:        p.CallTimeout,
-		WatchTimeout:   p.WatchTimeout,
-		CallsPerSecond: rate,
-		Burst:          int(storeBurst*rate) + 1,
+	burst := int(storeBurst*rate) + 1
+	client, err := kvclient.New(kvclient.Options{
+		Address: p.Store.String(),
+		Wait:    watchWait(p),
+		Timeout: p.CallTimeout, WatchMargin: p.CallTimeout,
+		Idle: burst,
 	})
 	if err != nil {
 		return err
 	}
-	n.store = client
 	n.closers = append(n.closers, client.Close)
-	return nil
+	n.store, err = paced.New(client, paced.Options{
+		Timeout: p.CallTimeout, WatchTimeout: p.WatchTimeout, CallsPerSecond: rate, Burst: burst,
+	})
+	return err
+}
+
+// watchWait is how long the service holds a watch: its answer has as long as that of
+// any other call to arrive within the watch's time.
+func watchWait(p settings.Platform) time.Duration {
+	return min(max(p.WatchTimeout-p.CallTimeout, p.WatchTimeout/2), kvclient.MaxWait)
 }
--- a/standin/platform/bench_test.go
+++ b/standin/platform/bench_test.go
@@ -9,16 +9,19 @@
 	"time"
 
 	"github.com/yuccaroute/yuccaroute/httpserver"
+	"github.com/yuccaroute/yuccaroute/platform/kvclient"
 	"github.com/yuccaroute/yuccaroute/standin/platform"
-	"github.com/yuccaroute/yuccaroute/store/httpkv"
 	"github.com/yuccaroute/yuccaroute/store/memkv"
 )
 
+// idleConnections is above the calls that a benchmark has under way.
+const idleConnections = 1000
+
 // parallelCalls is how many calls a client has under way in a benchmark, for
 // each processor.
 const parallelCalls = 4
 
-func open(b *testing.B, address func(string) string, options platform.Options) (*platform.Server, *httpkv.Client) {
+func open(b *testing.B, address func(string) string, options platform.Options) (*platform.Server, *kvclient.Client) {
 	b.Helper()
 	httpserver.QuietLibraryLogs()
 	options.Address = "127.0.0.1:0"
@@ -27,7 +30,7 @@
 		b.Fatal(err)
 	}
 	b.Cleanup(func() { _ = s.Stop() })
-	c, err := httpkv.New(httpkv.Options{Address: address(s.Addr()), CallsPerSecond: fast, Burst: 1000})
+	c, err := kvclient.New(kvclient.Options{Address: address(s.Addr()), Idle: idleConnections})
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/standin/platform/contract_test.go
+++ b/standin/platform/contract_test.go
@@ -5,16 +5,13 @@
 	"time"
 
 	"github.com/yuccaroute/yuccaroute/httpserver"
+	"github.com/yuccaroute/yuccaroute/platform/kvclient"
 	"github.com/yuccaroute/yuccaroute/standin/platform"
 	"github.com/yuccaroute/yuccaroute/store"
-	"github.com/yuccaroute/yuccaroute/store/httpkv"
 	"github.com/yuccaroute/yuccaroute/store/memkv"
 	"github.com/yuccaroute/yuccaroute/store/storetest"
 )
 
-// fast is above any rate that these tests reach.
-const fast = 1e6
-
 func start(t *testing.T, options platform.Options) *platform.Server {
 	t.Helper()
 	httpserver.QuietLibraryLogs()
@@ -27,15 +24,9 @@
 	return s
 }
 
-func connect(t *testing.T, s *platform.Server) *httpkv.Client {
+func connect(t *testing.T, s *platform.Server) *kvclient.Client {
 	t.Helper()
-	c, err := httpkv.New(httpkv.Options{
-		Address:        s.Addr(),
-		CallsPerSecond: fast,
-		Burst:          100,
-		BackoffFirst:   time.Millisecond,
-		BackoffMax:     time.Millisecond,
-	})
+	c, err := kvclient.New(kvclient.Options{Address: s.Addr()})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/standin/platform/options.go
+++ b/standin/platform/options.go
@@ -4,15 +4,12 @@
 	"time"
 
 	"github.com/yuccaroute/yuccaroute/store/memkv"
-	"github.com/yuccaroute/yuccaroute/store/wire"
 )
 
 // Options describes one platform.
 type Options struct {
 	// Address is ip:port to listen on; port 0 takes a free one.
 	Address string
-	// PathPrefix of the key-value calls; empty means wire.DefaultPathPrefix.
-	PathPrefix string
 	// Store bounds the key-value service.
 	Store memkv.Options
 	// ReadsPerSecond and WritesPerSecond are what the service takes; a call
@@ -22,10 +19,3 @@
 	// ListLag is how long a change of a VM stays hidden from the VM list.
 	ListLag time.Duration
 }
-
-func (o Options) withDefaults() Options {
-	if o.PathPrefix == "" {
-		o.PathPrefix = wire.DefaultPathPrefix
-	}
-	return o
-}
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -41,7 +41,6 @@
 
 // New returns a platform that does not listen yet.
 func New(options Options) *Server {
-	options = options.withDefaults()
 	kv := memkv.New(options.Store)
 	return &Server{
 		options: options,
@@ -91,7 +90,7 @@
 
 func (s *Server) routes(ctx context.Context) http.Handler {
 	mux := http.NewServeMux()
-	s.routeKV(ctx, mux)
+	mux.Handle("/-/", s.serveKV(ctx))
 	s.routeControl(mux)
 	mux.HandleFunc("GET "+wire.DefaultPath, s.serveList)
 	return mux
--- a/store/httpkv/options.go
+++ b/store/paced/options.go
@@ -1,13 +1,11 @@
-package httpkv
+package paced
 
 import (
-	"crypto/tls"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/yuccaroute/yuccaroute/api/option"
-	"github.com/yuccaroute/yuccaroute/store/wire"
 )
 
 // Defaults of Options.
@@ -18,25 +16,13 @@
 	DefaultBurst          = 20
 	DefaultBackoffFirst   = 100 * time.Millisecond
 	DefaultBackoffMax     = 5 * time.Second
-	// idleConnTimeout is below the usual keep-alive time of a server, so that
-	// a call seldom meets a connection that the server is closing: for a
-	// write that is an unknown outcome.
-	idleConnTimeout = 15 * time.Second
-	// maxAnswerBytes bounds an answer: a list of many values.
-	maxAnswerBytes = 256 << 20
 )
 
-// Options describes the service and how fast this client may call it.
+// Options tell how fast a client may call the service.
 type Options struct {
-	// Address is host:port of the service.
-	Address string
-	// PathPrefix comes before each path; empty means wire.DefaultPathPrefix.
-	PathPrefix string
-	// TLS is nil for plain HTTP.
-	TLS *tls.Config
-	// Timeout bounds one call but a watch, WatchTimeout a watch. The latter
-	// must be longer than the waiting time of the service, but not by much: it
-	// is also how long a watcher waits on a service that vanished.
+	// Timeout bounds one call but a watch, WatchTimeout a watch, both with the wait
+	// for their turn. The latter must be longer than the waiting time of the service,
+	// but not by much: it is also how long a watcher waits on a service that vanished.
 	Timeout      time.Duration
 	WatchTimeout time.Duration
 	// CallsPerSecond and Burst bound all calls of this client. The sum over
@@ -50,9 +36,6 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.PathPrefix == "" {
-		o.PathPrefix = wire.DefaultPathPrefix
-	}
 	option.Default(&o.Timeout, DefaultTimeout)
 	option.Default(&o.WatchTimeout, DefaultWatchTimeout)
 	option.Default(&o.CallsPerSecond, DefaultCallsPerSecond)
@@ -63,11 +46,8 @@
 }
 
 func (o Options) check() error {
-	if o.Address == "" {
-		return errors.New("httpkv: no address given")
-	}
 	if o.BackoffMax < o.BackoffFirst {
-		return errors.Errorf("httpkv: longest backoff %s is below the first %s", o.BackoffMax, o.BackoffFirst)
+		return errors.Errorf("paced: longest backoff %s is below the first %s", o.BackoffMax, o.BackoffFirst)
 	}
 	return nil
 }
--- a/store/httpkv/pacer.go
+++ b/store/paced/pacer.go
@@ -1,4 +1,4 @@
-package httpkv
+package paced
 
 import (
 	"context"
@@ -75,7 +75,7 @@
 }
 
 // errHeldBack tells why a prompt call was not sent.
-var errHeldBack = errors.New("httpkv: the service failed lately or the rate is used up")
+var errHeldBack = errors.New("paced: the service failed lately or the rate is used up")
 
 // admit returns at once: with a turn for a call that may be sent now, or with
 // an error. While the service is failing it lets one call at a time
--- a/store/httpkv/pacer_test.go
+++ b/store/paced/pacer_test.go
@@ -1,4 +1,4 @@
-package httpkv
+package paced
 
 import (
 	"context"
--- a/store/store.go
+++ b/store/store.go
@@ -25,10 +25,11 @@
 	Lease    LeaseID
 }
 
-// Listing is a consistent read of all keys under a prefix.
+// Listing is a read of all keys under a prefix.
 type Listing struct {
 	Entries []Entry
-	// At is the service's revision of the read.
+	// At is the service's revision when the read began. Entries may be newer, and
+	// a watch from At tells of their changes once more.
 	At Revision
 }
 
