exchange: a VM whose time of day went back between two starts is heard

Cause: datagrams are ordered by the incarnation of their VM, its time of day at the start, and a lower one was taken for old. A VM that started while its clock was ahead, and again after the clock was put right, was ignored by all others until its clock had caught up: it got no new callers, and they counted it as dead. Ruled out: deadlines and leases, which go by the steady clock.

Change: a lower incarnation is news once the last one has been silent for a second. The order of datagrams has a file of its own.

TestOlderDatagramsAreDropped asks the same of the new type.

--- a/edge/exchange/exchange.go
+++ b/edge/exchange/exchange.go
@@ -153,8 +153,8 @@
 
 	mu    sync.Mutex
 	addrs map[string]netip.AddrPort
-	last  map[string]position
 	sent  uint64
+	order order
 }
 
 // Start binds the address and listens until the context ends.
@@ -168,7 +168,7 @@
 		return nil, errors.Wrap(err, "exchange: listen")
 	}
 	e := &Exchange{options: o, conn: conn, changed: make(chan struct{}, 1),
-		addrs: make(map[string]netip.AddrPort), last: make(map[string]position)}
+		addrs: make(map[string]netip.AddrPort), order: make(order)}
 	context.AfterFunc(ctx, func() { _ = conn.Close() })
 	go e.receive()
 	go e.sendLoop(ctx)
@@ -322,7 +322,10 @@
 		e.options.Logger.WithError(err).Warn("exchange: datagram not understood")
 		return
 	}
-	if !e.isNews(s) {
+	e.mu.Lock()
+	news := e.order.isNews(s, time.Now())
+	e.mu.Unlock()
+	if !news {
 		return
 	}
 	if text[0] == toPassOn {
@@ -361,20 +364,3 @@
 		e.write(text, p)
 	}
 }
-
-// isNews reports whether a state is newer than the last of its VM: datagrams may
-// overtake each other.
-func (e *Exchange) isNews(s State) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	last, known := e.last[s.VM.Name]
-	incarnation := s.VM.Incarnation
-	if known && (incarnation < last.incarnation || (incarnation == last.incarnation && s.Number <= last.number)) {
-		return false
-	}
-	e.last[s.VM.Name] = position{incarnation, s.Number}
-	return true
-}
-
-// position orders the datagrams of one VM.
-type position struct{ incarnation, number uint64 }
--- a/edge/exchange/exchange_test.go
+++ b/edge/exchange/exchange_test.go
@@ -94,7 +94,7 @@
 // Datagrams overtake each other, and a VM is restarted. An older one must not bring back
 // requests that have ended.
 func TestOlderDatagramsAreDropped(t *testing.T) {
-	e := &Exchange{last: make(map[string]position)}
+	o, now := make(order), time.Now()
 	state := func(incarnation, number uint64) State {
 		return State{VM: site.VM{Name: "a", Incarnation: incarnation}, Number: number}
 	}
@@ -105,7 +105,7 @@
 		{state(1, 5), true}, {state(1, 4), false}, {state(1, 5), false}, {state(1, 6), true},
 		{state(2, 1), true}, {state(1, 7), false}, {state(2, 2), true},
 	} {
-		if got := e.isNews(c.s); got != c.want {
+		if got := o.isNews(c.s, now); got != c.want {
 			t.Errorf("datagram %d: news %v", i, got)
 		}
 	}
