peers: regions are sorted when the list of VMs changes, not at each round

Cause: Group, asked before each round of datagrams and for each digest that is passed on (up to 13 times a second each), sorted all VMs of all regions.

Change: the sorted regions are kept until a registration or a newly heard VM changes them; Near and Sharers read them too.

Before and after, BenchmarkGroup, 552 VMs in six regions: 173 us and 176 KB a call, 15 us and 29 KB; at 26 calls a second 0.45 and 0.04 % of a core of this machine.

--- a/edge/peers/group.go
+++ b/edge/peers/group.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sort"
 	"time"
 
 	"github.com/yuccaroute/yuccaroute/edge/site"
@@ -44,15 +43,8 @@
 func (b *Book) Group(now time.Time) Group {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	regions := map[string][]site.VM{b.own.Region: {b.own}}
-	for name, vm := range b.registered {
-		if name != b.own.Name {
-			regions[vm.Region] = append(regions[vm.Region], vm)
-		}
-	}
 	var g Group
-	for region, vms := range regions {
-		sort.Slice(vms, func(i, j int) bool { return vms[i].Name < vms[j].Name })
+	for region, vms := range b.regions {
 		if region != b.own.Region {
 			g.Far = append(g.Far, first(vms, func(site.VM) bool { return true })...)
 			continue
--- a/edge/peers/peers.go
+++ b/edge/peers/peers.go
@@ -39,15 +39,21 @@
 
 	mu         sync.Mutex
 	registered map[string]site.VM
-	said       map[string]Said
+	// regions are the registered VMs and this one by region, each region's by name.
+	// They are made anew when the registered VMs change: BenchmarkGroup with 552 VMs
+	// takes 15 us in place of 173 when they are made for each call.
+	regions map[string][]site.VM
+	said    map[string]Said
 	// withoutAt is when a VM last said that no digest reached it.
 	withoutAt map[string]time.Time
 }
 
 // New returns a book that knows this VM only.
 func New(own site.VM, now time.Time) *Book {
-	return &Book{own: own, started: now, registered: make(map[string]site.VM), said: make(map[string]Said),
+	b := &Book{own: own, started: now, registered: make(map[string]site.VM), said: make(map[string]Said),
 		withoutAt: make(map[string]time.Time)}
+	b.sortRegions()
+	return b
 }
 
 // Register replaces the registered VMs. A VM that has said something lately stays
@@ -65,6 +71,20 @@
 		}
 	}
 	b.registered = next
+	b.sortRegions()
+}
+
+// sortRegions is called with the lock held.
+func (b *Book) sortRegions() {
+	b.regions = map[string][]site.VM{b.own.Region: {b.own}}
+	for name, vm := range b.registered {
+		if name != b.own.Name {
+			b.regions[vm.Region] = append(b.regions[vm.Region], vm)
+		}
+	}
+	for _, vms := range b.regions {
+		sort.Slice(vms, func(i, j int) bool { return vms[i].Name < vms[j].Name })
+	}
 }
 
 // Hear takes in what a VM said. It is known from then on, also if the store has
@@ -80,6 +100,7 @@
 		return false
 	}
 	b.registered[vm.Name] = vm
+	b.sortRegions()
 	return true
 }
 
@@ -151,15 +172,14 @@
 func (b *Book) Near(now time.Time) []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	names := []string{b.own.Name}
-	for name, vm := range b.registered {
-		_, said := b.said[name]
+	var names []string
+	for _, vm := range b.regions[b.own.Region] {
+		_, said := b.said[vm.Name]
 		isNew := !said && now.Sub(b.started) < silence
-		if name != b.own.Name && vm.Region == b.own.Region && (isNew || b.isHeard(vm, now)) {
-			names = append(names, name)
+		if vm.Name == b.own.Name || isNew || b.isHeard(vm, now) {
+			names = append(names, vm.Name)
 		}
 	}
-	sort.Strings(names)
 	return names
 }
 
@@ -173,17 +193,17 @@
 // hear half of it each, so there are at most two views besides the list's.
 func (b *Book) Sharers(now time.Time) []string {
 	near := b.Near(now)
-	all := []string{b.own.Name}
-	for _, vm := range b.Others() {
-		if vm.Region == b.own.Region {
-			all = append(all, vm.Name)
-		}
-	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	all := b.regions[b.own.Region]
 	if 2*len(near) >= len(all) {
 		return near
 	}
-	sort.Strings(all)
-	return all
+	names := make([]string, 0, len(all))
+	for _, vm := range all {
+		names = append(names, vm.Name)
+	}
+	return names
 }
 
 const (
