entry: lines for the region's VMs, this VM's role and missing digests

Cause: a VM divides work at cold targets among the VMs that it takes to live, and in a large region hears of them through a listener. When that changed, nothing in its log said so: a request at the wrong place could not be explained.

Change: one line for each change of the VMs, of this VM's role, and of digests that end or begin to come, by a small type that remembers what was logged last.

--- /dev/null
+++ b/edge/entry/beliefs.go
@@ -0,0 +1,68 @@
+package entry
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+)
+
+// beliefs is what this VM last took its region to be, to log each change once. It is
+// safe for use by several goroutines.
+type beliefs struct {
+	log *logrus.Entry
+
+	mu      sync.Mutex
+	role    role
+	sharers []string
+}
+
+// role is what this VM does for its region, and what it gets.
+type role struct {
+	// listens tells that this VM hears all others of a large region, sends that it
+	// is the one that sends the digests.
+	listens, sends bool
+	// missing tells that digests should come and none do.
+	missing bool
+}
+
+func (b *beliefs) setRole(now role) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	old := b.role
+	b.role = now
+	if now.missing && !old.missing {
+		b.log.Warn("entry: digests lost")
+	}
+	if old.missing && !now.missing {
+		b.log.Info("entry: digests regained")
+	}
+	if now.listens != old.listens || now.sends != old.sends {
+		b.log.WithFields(logrus.Fields{"listens": now.listens, "sends_digests": now.sends}).
+			Info("entry: role in the region changed")
+	}
+}
+
+// setSharers takes the sorted names of the VMs among which work is divided.
+func (b *beliefs) setSharers(names []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if slices.Equal(names, b.sharers) {
+		return
+	}
+	b.log.WithFields(logrus.Fields{
+		"vms": len(names), "gone": without(b.sharers, names), "new": without(names, b.sharers),
+	}).Info("entry: VMs of the region changed")
+	b.sharers = names
+}
+
+// without returns the names of the first list that the second, sorted one lacks.
+func without(names, others []string) []string {
+	var left []string
+	for _, name := range names {
+		if _, found := slices.BinarySearch(others, name); !found {
+			left = append(left, name)
+		}
+	}
+	return left
+}
--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -57,6 +57,7 @@
 	servers []*serve.Server
 	leaving atomic.Bool
 	digests *peers.Digests
+	beliefs *beliefs
 	stop    context.CancelFunc
 	// unlist ends the registration.
 	unlist context.CancelFunc
@@ -69,6 +70,7 @@
 	e := &Entry{options: o, log: o.Logger, stop: cancel}
 	now := time.Now()
 	e.digests = peers.NewDigests(now)
+	e.beliefs = &beliefs{log: e.part("entry")}
 	e.delays = newDelays(o.VM.Region)
 	e.book = peers.New(o.VM, now)
 	e.metrics = scrape.New(o.VM.Name, metricsEvery)
@@ -200,13 +202,20 @@
 	now := time.Now()
 	e.book.Register(v.VMs, now)
 	// Before the targets: what this VM may send to cold ones depends on the others.
-	e.board.SetVMs(e.book.Sharers(now))
+	e.tellVMs(now)
 	e.gateway.SetView(v, now)
 	for _, vm := range e.book.Others() {
 		e.delays.measure(vm.Region, vm.Peer)
 	}
 }
 
+// tellVMs tells the board among which VMs work is divided.
+func (e *Entry) tellVMs(now time.Time) {
+	names := e.book.Sharers(now)
+	e.beliefs.setSharers(names)
+	e.board.SetVMs(names)
+}
+
 // serving reports whether callers may be sent here.
 func (e *Entry) serving() bool { return e.gateway.Ready() && !e.leaving.Load() }
 
@@ -228,7 +237,7 @@
 		}
 		last = now
 		e.catalog.Expire(now)
-		e.board.SetVMs(e.book.Sharers(now))
+		e.tellVMs(now)
 		e.gateway.Probe(ctx, e.healthPath)
 	}
 }
--- a/edge/entry/talk.go
+++ b/edge/entry/talk.go
@@ -29,6 +29,9 @@
 	a := exchange.Audience{Large: g.Large, Near: peersOf(g.Listeners, own)}
 	listens := len(a.Near) < len(g.Listeners)
 	e.digests.Expect(now, g.Large && !listens)
+	e.beliefs.setRole(role{
+		listens: g.Large && listens, sends: g.Large && g.Listeners[0].Name == own, missing: e.digests.Missing(now),
+	})
 	if listens {
 		a.Far = peersOf(g.Far, own)
 	}
