catalog: one line for the new targets of a whole copy

Cause: a VM that starts logged each of its 516 targets, at each start.

Change: new targets found in a whole copy are counted in one line; those that leave, and all that change later, have their own as before.

--- a/edge/catalog/catalog.go
+++ b/edge/catalog/catalog.go
@@ -70,6 +70,8 @@
 	evacuated map[string]bool
 	targets   map[string]Entry
 	vms       map[string]site.VM
+	// read counts the new targets of the whole copy that is being taken in.
+	read int
 }
 
 // New returns an empty catalog.
@@ -91,13 +93,20 @@
 func (c *Catalog) Apply(changes []mirror.Change) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.read = 0
+	newest := store.Revision(0)
 	for _, change := range changes {
+		newest = max(newest, change.Entry.Revision)
 		if err := c.applyOne(change); err != nil {
 			c.options.Logger.WithError(err).WithFields(logrus.Fields{
 				"key": change.Entry.Key, "revision": change.Entry.Revision,
 			}).Error("catalog: item not understood, the last one stays in force")
 		}
 	}
+	if c.read > 0 {
+		c.options.Logger.WithFields(logrus.Fields{"new": c.read, "targets": len(c.targets), "revision": newest}).
+			Info("catalog: targets read")
+	}
 	c.publish()
 }
 
@@ -171,6 +180,11 @@
 	}
 	old, known := c.targets[change.Entry.Key]
 	c.targets[change.Entry.Key] = Entry{Target: t, LearntAt: c.options.Now()}
+	if !known && change.Listed && !t.Draining {
+		// One line tells of all of them: a first copy has hundreds.
+		c.read++
+		return nil
+	}
 	if !known || old.Draining != t.Draining {
 		c.logTarget(t.ID, t.Service, change.Entry.Revision, "draining", t.Draining)
 	}
--- a/edge/catalog/catalog_test.go
+++ b/edge/catalog/catalog_test.go
@@ -2,18 +2,46 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/yuccaroute/yuccaroute/edge/mirror"
 	"github.com/yuccaroute/yuccaroute/edge/site"
 	"github.com/yuccaroute/yuccaroute/store"
 )
 
+// A VM starts with hundreds of targets listed. Its log has one line for them, not one
+// each, so that the lines of its first requests are found; a target that leaves has its
+// own line.
+func TestAFirstCopyIsOneLine(t *testing.T) {
+	f := newFixture()
+	logger, hook := test.NewNullLogger()
+	f.options.Logger = logrus.NewEntry(logger)
+	var changes []mirror.Change
+	for i := range 300 {
+		entry := store.Entry{Key: fmt.Sprintf("target/%d", i), Value: []byte("ready"), Revision: store.Revision(i + 1)}
+		changes = append(changes, mirror.Change{Entry: entry, Listed: true})
+	}
+	changes[7].Entry.Value = []byte("draining")
+	f.Apply(changes)
+	if n := len(hook.AllEntries()); n != 2 {
+		t.Fatalf("%d lines, want one of the target that leaves and one of the others", n)
+	}
+	last := hook.LastEntry()
+	if last.Message != "catalog: targets read" || last.Data["new"] != 299 || last.Data["revision"] != store.Revision(300) {
+		t.Errorf("line %q with %v", last.Message, last.Data)
+	}
+	if n := len(f.targets()); n != 300 {
+		t.Errorf("%d targets, want 300", n)
+	}
+}
+
 // codec reads values that are plain words.
 type codec struct{}
 
