standin/loopback: ports of tests that no connection of the machine can take

The VM's log has one line each time, "bind: address already in use": the port was free when the test picked it, and an outgoing connection had it when the program bound it.

Change: the integration tests already had loopback addresses of their own for a like reason; that is standin/loopback now, for the soak and edge/entry too.

--- a/edge/entry/entry_test.go
+++ b/edge/entry/entry_test.go
@@ -20,6 +20,7 @@
 	"github.com/yuccaroute/yuccaroute/edge/entry"
 	"github.com/yuccaroute/yuccaroute/edge/serve"
 	"github.com/yuccaroute/yuccaroute/edge/site"
+	"github.com/yuccaroute/yuccaroute/standin/loopback"
 	"github.com/yuccaroute/yuccaroute/store"
 	"github.com/yuccaroute/yuccaroute/store/memkv"
 )
@@ -44,22 +45,12 @@
 }
 func (codec) IsVM(key string) bool { return strings.HasPrefix(key, "vm/") }
 
-// freeAddress returns a loopback address that nobody listens on.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // fleet is entry VMs before one store and one target.
 type fleet struct {
-	t  *testing.T
-	kv *memkv.Store
-	mu sync.Mutex
+	t    *testing.T
+	kv   *memkv.Store
+	host *loopback.Host
+	mu   sync.Mutex
 	// served counts the requests that reached the target.
 	served int
 }
@@ -80,7 +71,7 @@
 }
 
 func newFleet(t *testing.T) *fleet {
-	f := &fleet{t: t, kv: memkv.New(memkv.Options{WatchWait: time.Second})}
+	f := &fleet{t: t, kv: memkv.New(memkv.Options{WatchWait: time.Second}), host: loopback.NewHost()}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -126,12 +117,12 @@
 	f.t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	peer := freeAddress(f.t)
+	peer := f.host.Address()
 	o := entry.Options{
-		EntryAddress: freeAddress(f.t), ReadyAddress: freeAddress(f.t), DirectoryAddress: freeAddress(f.t), PeerAddress: peer,
+		EntryAddress: f.host.Address(), ReadyAddress: f.host.Address(), DirectoryAddress: f.host.Address(), PeerAddress: peer,
 		RegionOf: map[string]string{"n1": "n", "n2": "n"}, Codec: codec{}, KV: kv, Logger: log,
 		MemoryBytes: 100 << 20, MaxConnections: 100, Grace: 6 * time.Second, MaxTTL: 5 * time.Second,
-		RetryRatio: 0.2, RetryExtra: 50, MetricsAddress: freeAddress(f.t),
+		RetryRatio: 0.2, RetryExtra: 50, MetricsAddress: f.host.Address(),
 		Names: entry.Names{
 			Fields: names, ResolvePath: "/resolve", ReadyPath: "/ready", VMKey: "vm/" + name,
 			Caller: func(q url.Values) (string, string) { return q.Get("zone"), q.Get("region") },
--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -11,7 +11,6 @@
 	"os"
 	"path/filepath"
 	"strconv"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,6 +22,7 @@
 	"github.com/yuccaroute/yuccaroute/membership"
 	"github.com/yuccaroute/yuccaroute/membership/wire"
 	"github.com/yuccaroute/yuccaroute/platform/kvclient"
+	"github.com/yuccaroute/yuccaroute/standin/loopback"
 	"github.com/yuccaroute/yuccaroute/standin/platform"
 	"github.com/yuccaroute/yuccaroute/standin/target"
 )
@@ -55,18 +55,7 @@
 // and waits until every entry VM serves.
 func newCluster(t *testing.T, change func(account []byte) []byte) *farm {
 	t.Helper()
-	return startCluster(&farm{t: t}, change)
-}
-
-// clusters counts the clusters of this process.
-var clusters atomic.Uint32
-
-// clusterIP returns a loopback address that no other cluster uses. While a path
-// is cut its port is free: on a shared address a stranger's target could listen
-// there and answer in its place, and the run would be told in no ledger.
-func clusterIP() string {
-	pid, n := os.Getpid(), clusters.Add(1)
-	return netip.AddrFrom4([4]byte{127, 64 + byte(pid>>8)%64, byte(pid), byte(n)}).String()
+	return startCluster(newFarm(t), change)
 }
 
 func startCluster(f *farm, change func(account []byte) []byte) *farm {
@@ -84,20 +73,15 @@
 // asWritten changes nothing.
 func asWritten(account []byte) []byte { return account }
 
-// firstPort is the first port that a cluster uses, below those that the system
-// gives to connections.
-const firstPort = 20_000
-
-// freeAddress returns an address that nobody listens on: the cluster has its IP
-// alone and uses each port once.
+// freeAddress returns an address that nobody listens on. While a path is cut its port
+// is free: on a shared address a stranger's target could listen there and answer in its
+// place, and the run would be told in no ledger.
 func (f *farm) freeAddress() string {
-	if f.ip == "" {
-		f.ip = clusterIP()
-	}
-	f.ports++
-	return net.JoinHostPort(f.ip, strconv.Itoa(firstPort+f.ports))
+	return f.host.Address()
 }
 
+func newFarm(t *testing.T) *farm { return &farm{t: t, host: loopback.NewHost()} }
+
 func (f *farm) startPlatform() {
 	f.platformAddress = f.freeAddress()
 	f.platform = startProcess(f.t, "platform", toolProgram, "standin", "platform",
--- a/integration/config_keys_test.go
+++ b/integration/config_keys_test.go
@@ -78,9 +78,9 @@
 
 func newKeyCluster(t *testing.T) *keyCluster {
 	t.Helper()
-	k := &keyCluster{t: t, f: &farm{t: t}}
+	k := &keyCluster{t: t, f: newFarm(t)}
 	k.f.startPlatform()
-	k.old, k.fresh = tlstest.New(t, k.f.ip), tlstest.New(t, k.f.ip)
+	k.old, k.fresh = tlstest.New(t, k.f.host.IP()), tlstest.New(t, k.f.host.IP())
 	k.f.startTargets()
 	k.nodes = k.f.startConfigNodes(keyNodes, func(i int) string {
 		dir := t.TempDir()
@@ -180,7 +180,7 @@
 // connect returns a connection to a node that shows a certificate of the
 // authority.
 func (k *keyCluster) connect(n *configNode, shown *tlstest.Authority) (conn grpc.ClientConnInterface, done func()) {
-	keys := tlstest.Showing(k.roots(), k.f.ip, shown.Pair())
+	keys := tlstest.Showing(k.roots(), k.f.host.IP(), shown.Pair())
 	pool := transport.NewPool(grpc.WithTransportCredentials(credentials.NewTLS(keys)))
 	conn, err := pool.Dial(n.peers)
 	if err != nil {
@@ -221,7 +221,7 @@
 // shows reports whether a node's listener for operators shows a certificate of
 // the authority.
 func (k *keyCluster) shows(n *configNode, signer *tlstest.Authority) bool {
-	conn, err := tls.Dial("tcp", n.admin, &tls.Config{RootCAs: k.roots(), ServerName: k.f.ip})
+	conn, err := tls.Dial("tcp", n.admin, &tls.Config{RootCAs: k.roots(), ServerName: k.f.host.IP()})
 	if err != nil {
 		return false
 	}
--- a/integration/config_race_test.go
+++ b/integration/config_race_test.go
@@ -106,7 +106,7 @@
 
 func newConfigRace(t *testing.T, seed uint64, changes int) *configRace {
 	t.Helper()
-	r := &configRace{t: t, f: &farm{t: t}, seed: seed, changes: changes, start: time.Now()}
+	r := &configRace{t: t, f: newFarm(t), seed: seed, changes: changes, start: time.Now()}
 	r.f.startPlatform()
 	r.nodes = r.f.startConfigNodes(raceNodes, plainTLS)
 	r.f.listVMs(r.f.vms...)
--- a/integration/farm_test.go
+++ b/integration/farm_test.go
@@ -14,6 +14,7 @@
 	"github.com/yuccaroute/yuccaroute/client"
 	"github.com/yuccaroute/yuccaroute/membership"
 	"github.com/yuccaroute/yuccaroute/standin/caller"
+	"github.com/yuccaroute/yuccaroute/standin/loopback"
 )
 
 // The account that all tests use: the farmers' booking platform, with its
@@ -49,11 +50,9 @@
 	platformAddress string
 	vms             []membership.VM
 	journals        []string
-	// ip is where all of the cluster listens, ports how many ports it has used,
-	// admins the entry VMs' addresses for
+	// host is where all of the cluster listens, admins the entry VMs' addresses for
 	// operators, targetAddresses those of the targets behind their paths.
-	ip                      string
-	ports                   int
+	host                    *loopback.Host
 	admins, targetAddresses []string
 	// regions is what lies between the regions; nil where all callers are of
 	// one region.
--- a/integration/local_test.go
+++ b/integration/local_test.go
@@ -65,7 +65,7 @@
 // on every path.
 func newLocalFarm(t *testing.T) *farm {
 	t.Helper()
-	f := &farm{t: t}
+	f := newFarm(t)
 	var targets []*target.Target
 	var vms []membership.VM
 	for i := range localTargets {
--- a/integration/regions_test.go
+++ b/integration/regions_test.go
@@ -28,7 +28,9 @@
 // newRegions starts a cluster with callers in two regions.
 func newRegions(t *testing.T, cuttable, paths bool) *farm {
 	t.Helper()
-	return startCluster(&farm{t: t, regions: &regions{cuttable: cuttable, paths: paths}}, tight)
+	f := newFarm(t)
+	f.regions = &regions{cuttable: cuttable, paths: paths}
+	return startCluster(f, tight)
 }
 
 // withPaths tells whether each target is behind a fault proxy.
--- a/integration/soak/process_test.go
+++ b/integration/soak/process_test.go
@@ -1,16 +1,15 @@
 package soak
 
 import (
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"syscall"
 	"testing"
 
 	"github.com/yuccaroute/yuccaroute/platform"
 	"github.com/yuccaroute/yuccaroute/platform/platformtest"
+	"github.com/yuccaroute/yuccaroute/standin/loopback"
 )
 
 // buildEntry builds the program under test once.
@@ -35,22 +34,11 @@
 	gone     chan struct{}
 }
 
-// freePort returns a port that is free for TCP and UDP.
-func freePort(t *testing.T) int {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
-}
-
 func newProcess(t *testing.T, program, dir string, vm platformtest.VM) *process {
 	t.Helper()
-	local := func() string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(freePort(t))) }
-	vm.Entry, vm.Ready, vm.Directory = local(), local(), local()
-	vm.FirstPort = freePort(t)
+	host := loopback.NewHost()
+	vm.IP, vm.Entry, vm.Ready, vm.Directory = host.IP(), host.Address(), host.Address(), host.Address()
+	vm.FirstPort = host.Port()
 	vm.LastPort = vm.FirstPort
 	p := &process{t: t, program: program, settings: filepath.Join(dir, vm.Name+".ini"), vm: vm}
 	if err := os.WriteFile(p.settings, []byte(platformtest.Settings(vm)), 0o600); err != nil {
