gateway: the time that a caller gives is in a request's line

Cause: the deadline decides whether a request waits or is refused, and the log did not have it; nor could a caller's repeat be told from its first try.

Change: left_ms, the time given at the arrival.

Before and after: TestFailureIsFoundByItsID asks for it and failed first.

--- a/edge/gateway/serve.go
+++ b/edge/gateway/serve.go
@@ -197,6 +197,9 @@
 		"id": j.id, "route": name, "service": j.service, "version": j.version, "result": end.code.String(),
 		"ms": took.Milliseconds(), "sent": j.sent,
 	}
+	if !j.deadline.IsZero() {
+		fields["left_ms"] = j.deadline.Sub(j.in.Arrived).Milliseconds()
+	}
 	j.log.fields(fields)
 	if end.answer != nil {
 		fields["status"] = end.answer.Status
