mirror: changes are looked for after a failed watch, and by a VM that begins to watch

Cause, by the log: the store drops its history from 1.0 s on. The watches under way bring nothing of the change acknowledged at 1.13 s and run out at 2.07 s; the next ones, and those of the VMs that take over, begin while the store is still deaf and hang for their whole 3 s, to 5.21 s: version 6 was in force 4.2 s after its acknowledgement. Ruled out: peers, which had nothing newer.

Change: after a call that failed, when a VM begins to watch, and when a watch of all keys ends at a newer revision without an event, the store's revision is read.

--- a/edge/mirror/mirror.go
+++ b/edge/mirror/mirror.go
@@ -84,6 +84,9 @@
 	// behindSince is when another VM was first seen to be ahead; zero if none is.
 	behindSince time.Time
 	fetching    bool
+	// doubt tells that changes may have been missed: the last call failed, or this VM
+	// has not watched lately.
+	doubt bool
 	// recent are the last changes, all of those after recentAfter.
 	recent      []Change
 	recentAfter store.Revision
@@ -128,6 +131,7 @@
 			m.logConnection(err)
 		}
 		if err != nil {
+			m.setDoubt(true)
 			pause = m.retryPause(pause)
 			wait.For(ctx, pause/2+rand.N(pause/2))
 			pause = min(2*pause, lastRetry)
@@ -164,6 +168,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.watching != watches {
+		m.doubt = watches
 		m.options.Logger.WithFields(logrus.Fields{"watches": watches, "revision": m.at}).Info("mirror: duty changed")
 	}
 	m.watching = watches
@@ -174,7 +179,6 @@
 func (m *Mirror) setConnected(now bool) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.calls++
 	news := m.connected != now
 	m.connected = now
 	return news
@@ -196,7 +200,10 @@
 	if !loaded {
 		return foundFirstCopy, m.list(ctx)
 	}
-	batch, err := m.options.KV.Watch(ctx, m.options.Prefix, at)
+	if m.inDoubt() {
+		return m.check(ctx, at)
+	}
+	batch, err := m.watch(ctx, at)
 	if err != nil {
 		return foundNothing, err
 	}
@@ -204,6 +211,11 @@
 		m.options.Logger.WithField("revision", at).Warn("mirror: the store's history is gone, reading all")
 		return foundChanges, m.list(ctx)
 	}
+	if len(batch.Events) == 0 && batch.At > at && m.options.Prefix == "" {
+		// There is a change, and a watch of all keys did not bring it.
+		m.setDoubt(true)
+		return foundNothing, nil
+	}
 	m.apply(batch)
 	if len(batch.Events) == 0 {
 		return foundNothing, nil
@@ -211,7 +223,19 @@
 	return foundChanges, nil
 }
 
+func (m *Mirror) watch(ctx context.Context, at store.Revision) (store.Batch, error) {
+	m.countCall()
+	return m.options.KV.Watch(ctx, m.options.Prefix, at)
+}
+
+func (m *Mirror) countCall() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calls++
+}
+
 func (m *Mirror) list(ctx context.Context) error {
+	m.countCall()
 	list, err := m.options.KV.List(ctx, m.options.Prefix)
 	if err != nil {
 		return err
--- a/edge/mirror/mirror_test.go
+++ b/edge/mirror/mirror_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,7 +23,7 @@
 	*Mirror
 	mu      sync.Mutex
 	changes []Change
-	watches bool
+	watches atomic.Bool
 	// spare makes it a VM that watches in place of others.
 	spare bool
 }
@@ -34,7 +35,8 @@
 }
 
 func newVM(kv store.KV, watches bool, fetch func(after store.Revision) (Copy, error)) *vm {
-	v := &vm{watches: watches}
+	v := &vm{}
+	v.watches.Store(watches)
 	v.Mirror = New(Options{
 		KV: kv, Logger: quiet(),
 		Changed: func(changes []Change) {
@@ -43,7 +45,7 @@
 			v.changes = append(v.changes, changes...)
 		},
 		FetchFrom: func(_ context.Context, _ string, after store.Revision) (Copy, error) { return fetch(after) },
-		Watches:   func() bool { return v.watches },
+		Watches:   func() bool { return v.watches.Load() },
 		First:     func() bool { return !v.spare },
 	})
 	return v
