mirror, entry: plainer tests

The test of rendered copies had field names of the platform as its data, which belong to platform/ only; it has names of its own now, and asks the same.

--- a/edge/entry/copies_test.go
+++ b/edge/entry/copies_test.go
@@ -18,9 +18,9 @@
 	var all []store.Entry
 	for i := range n {
 		all = append(all, store.Entry{
-			Key: fmt.Sprintf("servers/i-%010x", i*7919), Revision: store.Revision(i + 1), Lease: store.LeaseID(i + 70000),
-			Value: fmt.Appendf(nil, `{"service":"termindienst","address":"10.%d.%d.%d:8687","zone":"tirol-inn","version":"v1",`+
-				`"slots":4,"state":"ready","cold_remaining_s":0,"sequence":%d}`, i%4, i/200, i%200, i%13),
+			Key: fmt.Sprintf("target/i-%010x", i*7919), Revision: store.Revision(i + 1), Lease: store.LeaseID(i + 70000),
+			Value: fmt.Appendf(nil, `{"service":"booking","address":"10.%d.%d.%d:8687","domain":"tirol-inn","release":"v1",`+
+				`"slots":4,"ready":true,"cold_seconds":0,"heartbeats":%d}`, i%4, i/200, i%200, i%13),
 		})
 	}
 	return all
@@ -72,7 +72,7 @@
 // A VM that is one change behind gets that change only, and it is read as it was sent.
 func TestACopyOfChangesIsRead(t *testing.T) {
 	c := newCopies(items(3000), 5000)
-	changed := store.Entry{Key: "op/config", Revision: 5001, Value: []byte(`{"version":2}`)}
+	changed := store.Entry{Key: "config", Revision: 5001, Value: []byte(`{"version":2}`)}
 	c.mirror.Adopt(mirror.Copy{At: 5001, After: 5000, Partial: true, Items: []store.Entry{changed}})
 	r, err := c.render(5000)
 	if err != nil {
--- a/edge/mirror/check_test.go
+++ b/edge/mirror/check_test.go
@@ -49,43 +49,52 @@
 	return store.Batch{At: list.At}, err
 }
 
+// newDeaf is a VM beside a store that has the value 1 of key a.
+func newDeaf(t *testing.T, ctx context.Context, watches bool) (*vm, *deafKV) {
+	kv := &deafKV{KV: memkv.New(memkv.Options{WatchWait: 100 * time.Millisecond})}
+	put(t, kv, "a", "1")
+	v := newVM(kv, watches, noFetch)
+	go v.Run(ctx)
+	time.Sleep(2 * settle)
+	return v, kv
+}
+
+// change makes the store deaf and then changes the key.
+func (d *deafKV) change(t *testing.T) {
+	d.deaf.Store(true)
+	time.Sleep(served)
+	put(t, d, "a", "2")
+}
+
+func mustHave(t *testing.T, v *vm, want string) {
+	t.Helper()
+	if got := v.value("a"); got != want {
+		t.Errorf("has %q, want %q", got, want)
+	}
+}
+
 // The store drops its history. For a second its watches bring nothing, then they are cut,
 // and the next ones, which begin before it has forgotten, wait in vain until their time
 // ends: the new configuration was in force 4.2 s after it was acknowledged (vliesbuch,
 // scale-1 with seed 15; 2 s are allowed). The store's revision tells at once.
 func TestChangeIsReadThoughWatchesAreDeaf(t *testing.T) {
 	bubble(t, func(t *testing.T, ctx context.Context) {
-		kv := &deafKV{KV: memkv.New(memkv.Options{WatchWait: 100 * time.Millisecond})}
-		put(t, kv, "a", "1")
-		v := newVM(kv, true, noFetch)
-		go v.Run(ctx)
-		time.Sleep(2 * settle)
+		v, kv := newDeaf(t, ctx, true)
 		kv.cut.Store(1)
-		kv.deaf.Store(true)
-		time.Sleep(served)
-		put(t, kv, "a", "2")
+		kv.change(t)
 		time.Sleep(2 * time.Second)
-		if got := v.value("a"); got != "2" {
-			t.Errorf("has %q 2 s after the change", got)
-		}
+		mustHave(t, v, "2")
 	})
 }
 
 // A VM begins to watch, as the one before was not answered, while watches are deaf.
 func TestANewWatcherReadsWhatItMissed(t *testing.T) {
 	bubble(t, func(t *testing.T, ctx context.Context) {
-		kv := &deafKV{KV: memkv.New(memkv.Options{WatchWait: 100 * time.Millisecond})}
-		put(t, kv, "a", "1")
-		v := newVM(kv, false, noFetch)
-		go v.Run(ctx)
-		time.Sleep(time.Second)
-		kv.deaf.Store(true)
-		put(t, kv, "a", "2")
+		v, kv := newDeaf(t, ctx, false)
+		kv.change(t)
 		v.watches.Store(true)
 		time.Sleep(time.Second)
-		if got := v.value("a"); got != "2" {
-			t.Errorf("has %q a second after it began to watch", got)
-		}
+		mustHave(t, v, "2")
 	})
 }
 
@@ -93,18 +102,10 @@
 // go on from there would lose the change for good.
 func TestAnEmptyAnswerAtANewRevisionIsDoubted(t *testing.T) {
 	bubble(t, func(t *testing.T, ctx context.Context) {
-		kv := &deafKV{KV: memkv.New(memkv.Options{WatchWait: 100 * time.Millisecond})}
-		put(t, kv, "a", "1")
-		v := newVM(kv, true, noFetch)
-		go v.Run(ctx)
-		time.Sleep(2 * settle)
+		v, kv := newDeaf(t, ctx, true)
 		kv.empty.Store(true)
-		kv.deaf.Store(true)
-		time.Sleep(served)
-		put(t, kv, "a", "2")
+		kv.change(t)
 		time.Sleep(deafWait + time.Second)
-		if got := v.value("a"); got != "2" {
-			t.Errorf("has %q after the watch ended", got)
-		}
+		mustHave(t, v, "2")
 	})
 }
