--- a/cmd/yuccaroute/logs.go
+++ b/cmd/yuccaroute/logs.go
@@ -96,7 +96,7 @@
 	}
 	return &chart.Timeline{Rows: [][]chart.Panel{{
 		{Title: "Requests", Unit: "a second", Lines: []chart.Line{
-			line("in aim", func(p *account.Point) float64 { return float64(p.InAim) }),
+			line("in objective", func(p *account.Point) float64 { return float64(p.InObjective) }),
 			line("late", func(p *account.Point) float64 { return float64(p.Late) }),
 			line("refused", func(p *account.Point) float64 { return float64(p.Refused) }),
 			line("failed", func(p *account.Point) float64 { return float64(p.Failed) }),
--- a/cmd/yuccaroute/logs_test.go
+++ b/cmd/yuccaroute/logs_test.go
@@ -11,8 +11,8 @@
 	"github.com/yuccaroute/yuccaroute/edge/logs/account"
 )
 
-const logLine = `{"msg":"gateway: request ended","time":"10:00:00.000","route":"r","service":"s","aim_ms":300,` +
-	`"result":"ok","status":200,"sent":1,"object":"o","targets":["t"],"took_ms":[90],"ms":100}` + "\n"
+const logLine = `{"msg":"gateway: request ended","time":"10:00:00.000","route":"r","service":"s","objective_ms":300,` +
+	`"result":"ok","status":200,"sent":1,"affinity_key":"o","targets":["t"],"took_ms":[90],"ms":100}` + "\n"
 
 // An engineer reads one VM's file and the rest from a pipe, and wants figures to compare.
 func TestLogsAccount(t *testing.T) {
@@ -29,7 +29,7 @@
 	if err := json.Unmarshal(out.Bytes(), &a); err != nil {
 		t.Fatal(err)
 	}
-	if a.Lines != 2 || a.Bad != 1 || a.All.InAim != 2 {
+	if a.Lines != 2 || a.Bad != 1 || a.All.InObjective != 2 {
 		t.Errorf("%+v", a)
 	}
 	if info, err := os.Stat(png); err != nil || info.Size() == 0 {
--- a/edge/catalog/catalog.go
+++ b/edge/catalog/catalog.go
@@ -12,7 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
-	"github.com/yuccaroute/yuccaroute/edge/mirror"
+	"github.com/yuccaroute/yuccaroute/edge/replica"
 	"github.com/yuccaroute/yuccaroute/edge/site"
 	"github.com/yuccaroute/yuccaroute/store"
 )
@@ -99,7 +99,7 @@
 func (c *Catalog) View() *View { return c.view.Load() }
 
 // Apply takes changes of the store's items in.
-func (c *Catalog) Apply(changes []mirror.Change) {
+func (c *Catalog) Apply(changes []replica.Change) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.read = 0
@@ -137,7 +137,7 @@
 	}
 }
 
-func (c *Catalog) applyOne(change mirror.Change) error {
+func (c *Catalog) applyOne(change replica.Change) error {
 	key := change.Entry.Key
 	if zone, ok := c.options.Codec.EvacuatedZone(key); ok {
 		c.applyEvacuation(zone, change)
@@ -155,7 +155,7 @@
 	return nil
 }
 
-func (c *Catalog) applyEvacuation(zone string, change mirror.Change) {
+func (c *Catalog) applyEvacuation(zone string, change replica.Change) {
 	c.options.Logger.WithFields(logrus.Fields{"zone": zone, "evacuated": !change.Removed, "revision": change.Entry.Revision}).
 		Info("catalog: evacuation changed")
 	if change.Removed {
@@ -165,7 +165,7 @@
 	c.evacuated[zone] = true
 }
 
-func (c *Catalog) applyConfig(change mirror.Change) error {
+func (c *Catalog) applyConfig(change replica.Change) error {
 	if change.Removed {
 		return errors.New("catalog: the configuration was removed")
 	}
@@ -192,7 +192,7 @@
 	}
 }
 
-func (c *Catalog) applyVM(change mirror.Change) error {
+func (c *Catalog) applyVM(change replica.Change) error {
 	key := change.Entry.Key
 	if change.Removed {
 		delete(c.vms, key)
--- a/edge/catalog/catalog_test.go
+++ b/edge/catalog/catalog_test.go
@@ -12,7 +12,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sirupsen/logrus/hooks/test"
 
-	"github.com/yuccaroute/yuccaroute/edge/mirror"
+	"github.com/yuccaroute/yuccaroute/edge/replica"
 	"github.com/yuccaroute/yuccaroute/edge/site"
 	"github.com/yuccaroute/yuccaroute/store"
 )
@@ -24,10 +24,10 @@
 	f := newFixture()
 	logger, hook := test.NewNullLogger()
 	f.options.Logger = logrus.NewEntry(logger)
-	var changes []mirror.Change
+	var changes []replica.Change
 	for i := range 300 {
 		entry := store.Entry{Key: fmt.Sprintf("target/%d", i), Value: []byte("ready"), Revision: store.Revision(i + 1)}
-		changes = append(changes, mirror.Change{Entry: entry, Listed: true})
+		changes = append(changes, replica.Change{Entry: entry, Listed: true})
 	}
 	changes[7].Entry.Value = []byte("draining")
 	f.Apply(changes)
@@ -90,12 +90,12 @@
 
 func (f *fixture) put(key, value string) {
 	f.revision++
-	f.Apply([]mirror.Change{{Entry: store.Entry{Key: key, Value: []byte(value), Revision: f.revision}}})
+	f.Apply([]replica.Change{{Entry: store.Entry{Key: key, Value: []byte(value), Revision: f.revision}}})
 }
 
 func (f *fixture) remove(key string, listed bool) {
 	f.revision++
-	f.Apply([]mirror.Change{{Entry: store.Entry{Key: key, Revision: f.revision}, Removed: true, Listed: listed}})
+	f.Apply([]replica.Change{{Entry: store.Entry{Key: key, Revision: f.revision}, Removed: true, Listed: listed}})
 }
 
 func (f *fixture) targets() (ids []string) {
--- a/edge/catalog/target.go
+++ b/edge/catalog/target.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/sirupsen/logrus"
 
-	"github.com/yuccaroute/yuccaroute/edge/mirror"
+	"github.com/yuccaroute/yuccaroute/edge/replica"
 	"github.com/yuccaroute/yuccaroute/edge/site"
 	"github.com/yuccaroute/yuccaroute/store"
 )
@@ -40,7 +40,7 @@
 	return true
 }
 
-func (c *Catalog) applyTarget(change mirror.Change) {
+func (c *Catalog) applyTarget(change replica.Change) {
 	if change.Removed {
 		c.removeTarget(change)
 		return
@@ -78,7 +78,7 @@
 // target that has ended goes on getting requests, which fail until its address answers for
 // another service. The guard holds because a live target writes its registration again
 // within a heartbeat; until then it is listed as draining, and what was learnt of it is kept.
-func (c *Catalog) applyForeign(change mirror.Change, err error) {
+func (c *Catalog) applyForeign(change replica.Change, err error) {
 	key := change.Entry.Key
 	if known, ok := c.targets[key]; ok {
 		known.Draining = true
@@ -90,7 +90,7 @@
 	}
 }
 
-func (c *Catalog) removeTarget(change mirror.Change) {
+func (c *Catalog) removeTarget(change replica.Change) {
 	t, known := c.targets[change.Entry.Key]
 	if !known {
 		return
--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -11,10 +11,10 @@
 	"github.com/yuccaroute/yuccaroute/edge/catalog"
 	"github.com/yuccaroute/yuccaroute/edge/exchange"
 	"github.com/yuccaroute/yuccaroute/edge/gateway"
-	"github.com/yuccaroute/yuccaroute/edge/mirror"
 	"github.com/yuccaroute/yuccaroute/edge/peers"
 	"github.com/yuccaroute/yuccaroute/edge/placing"
 	"github.com/yuccaroute/yuccaroute/edge/registry"
+	"github.com/yuccaroute/yuccaroute/edge/replica"
 	"github.com/yuccaroute/yuccaroute/edge/serve"
 	"github.com/yuccaroute/yuccaroute/httpserver/scrape"
 	"github.com/yuccaroute/yuccaroute/proxy/buffer"
@@ -42,24 +42,24 @@
 
 // Entry is a running VM.
 type Entry struct {
-	options Options
-	log     *logrus.Logger
-	delays  *delays
-	book    *peers.Book
-	board   *placing.Board
-	gateway *gateway.Gateway
-	mirror  *mirror.Mirror
-	copies  *copies
-	catalog *catalog.Catalog
-	talk    *exchange.Exchange
-	metrics *scrape.Metrics
-	counts  *counts
-	front   *serve.Server
-	servers []*serve.Server
-	leaving atomic.Bool
-	digests *peers.Digests
-	beliefs *beliefs
-	stop    context.CancelFunc
+	options     Options
+	log         *logrus.Logger
+	delays      *delays
+	members     *peers.Members
+	balancer    *placing.Balancer
+	gateway     *gateway.Gateway
+	replica     *replica.Replica
+	snapshots   *snapshots
+	catalog     *catalog.Catalog
+	talk        *exchange.Exchange
+	metrics     *scrape.Metrics
+	counts      *counts
+	front       *serve.Server
+	servers     []*serve.Server
+	leaving     atomic.Bool
+	digests     *peers.Digests
+	regionState *regionState
+	stop        context.CancelFunc
 	// unlist ends the registration.
 	unlist context.CancelFunc
 }
@@ -71,26 +71,26 @@
 	e := &Entry{options: o, log: o.Logger, stop: cancel}
 	now := time.Now()
 	e.digests = peers.NewDigests(now)
-	e.beliefs = &beliefs{log: e.part("entry")}
+	e.regionState = &regionState{log: e.part("entry")}
 	e.delays = newDelays(o.VM.Region)
-	e.book = peers.New(o.VM, now)
+	e.members = peers.New(o.VM, now)
 	e.metrics = scrape.New(o.VM.Name, metricsEvery)
 	e.counts = newCounts(e.metrics.Scope)
-	e.board = placing.New(placing.Options{
+	e.balancer = placing.New(placing.Options{
 		VM: o.VM.Name, Zone: o.VM.Zone, Region: o.VM.Region, RegionOf: o.RegionOf, Delay: e.delays.get,
 	})
 	e.gateway = gateway.New(gateway.Options{
-		Fields: o.Names.Fields, Board: e.board, Logger: e.part("gateway"), Metrics: e.counts,
-		RetryRatio: o.RetryRatio, RetryExtra: o.RetryExtra, VMs: e.book.Count, Delay: e.delays.get,
+		Fields: o.Names.Fields, Balancer: e.balancer, Logger: e.part("gateway"), Metrics: e.counts,
+		RetryRatio: o.RetryRatio, RetryExtra: o.RetryExtra, VMs: e.members.Count, Delay: e.delays.get,
 		Changed: e.changed, MaxAnswerBytes: answerBytes,
 	})
 	e.catalog = catalog.New(catalog.Options{Codec: o.Codec, Logger: e.part("catalog"), Changed: e.setView, Now: time.Now})
-	e.mirror = mirror.New(mirror.Options{
-		KV: o.KV, Logger: e.part("mirror"), Prefix: o.Names.WatchPrefix, Changed: e.catalog.Apply, FetchFrom: fetchCopy,
-		Watches: func() bool { return e.book.Watches(time.Now()) },
-		First:   func() bool { return e.book.WatchesFirst(time.Now()) },
+	e.replica = replica.New(replica.Options{
+		KV: o.KV, Logger: e.part("replica"), Prefix: o.Names.WatchPrefix, Changed: e.catalog.Apply, FetchFrom: fetchSnapshot,
+		Watches: func() bool { return e.members.Watches(time.Now()) },
+		First:   func() bool { return e.members.WatchesFirst(time.Now()) },
 	})
-	e.copies = &copies{mirror: e.mirror, log: e.part("mirror")}
+	e.snapshots = &snapshots{replica: e.replica, log: e.part("replica")}
 	if err := e.listen(ctx); err != nil {
 		e.Close()
 		return nil, err
@@ -100,7 +100,7 @@
 		e.Close()
 		return nil, err
 	}
-	go e.mirror.Run(ctx)
+	go e.replica.Run(ctx)
 	go e.maintain(ctx)
 	e.part("entry").WithFields(logrus.Fields{"vm": o.VM.Name, "zone": o.VM.Zone, "region": o.VM.Region}).Info("entry: started")
 	return e, nil
@@ -118,7 +118,7 @@
 func (e *Entry) listen(ctx context.Context) error {
 	talk, err := exchange.Start(ctx, exchange.Options{
 		Address: e.options.PeerAddress, Logger: e.part("exchange"), State: e.state, Digest: e.digest,
-		Audience: e.audience, PassTo: e.passTo, Heard: e.heard(ctx),
+		Recipients: e.recipients, RelayTo: e.relayTo, Received: e.received(ctx),
 	})
 	if err != nil {
 		return err
@@ -170,7 +170,7 @@
 }
 
 func (e *Entry) register(ctx context.Context) error {
-	listed, err := registry.New(e.options.KV, e.options.Names.VMKey, e.options.VM, e.mirror, e.part("registry"))
+	listed, err := registry.New(e.options.KV, e.options.Names.VMKey, e.options.VM, e.replica, e.part("registry"))
 	if err != nil {
 		return err
 	}
@@ -184,7 +184,7 @@
 // watchListing registers anew when the store's list lacks this VM.
 func (e *Entry) watchListing(ctx context.Context, listed *registry.Registry) {
 	for wait.For(ctx, registry.TTL) {
-		if _, loaded := e.mirror.At(); loaded && !e.isListed() {
+		if _, loaded := e.replica.At(); loaded && !e.isListed() {
 			listed.Missing()
 		}
 	}
@@ -202,20 +202,20 @@
 // setView puts what the store says in force.
 func (e *Entry) setView(v *catalog.View) {
 	now := time.Now()
-	e.book.Register(v.VMs, now)
+	e.members.Register(v.VMs, now)
 	// Before the targets: what this VM may send to cold ones depends on the others.
 	e.tellVMs(now)
 	e.gateway.SetView(v, now)
-	for _, vm := range e.book.Others() {
+	for _, vm := range e.members.Others() {
 		e.delays.measure(vm.Region, vm.Peer)
 	}
 }
 
 // tellVMs tells the board among which VMs work is divided.
 func (e *Entry) tellVMs(now time.Time) {
-	names := e.book.Sharers(now)
-	e.beliefs.setSharers(names)
-	e.board.SetVMs(names)
+	names := e.members.Sharers(now)
+	e.regionState.setSharers(names)
+	e.balancer.SetVMs(names)
 }
 
 // serving reports whether callers may be sent here.
@@ -226,14 +226,14 @@
 	last := time.Now()
 	for {
 		pause := maintainEvery
-		if e.board.Waiting() > 0 {
+		if e.balancer.Waiting() > 0 {
 			pause = lineEvery
 		}
 		if !wait.For(ctx, pause) {
 			return
 		}
 		now := time.Now()
-		e.board.Tick(now)
+		e.balancer.Tick(now)
 		if now.Sub(last) < maintainEvery {
 			continue
 		}
--- a/edge/entry/entry_test.go
+++ b/edge/entry/entry_test.go
@@ -100,7 +100,7 @@
 	f.put("config", site.Config{
 		Version: version, Services: map[string]site.Service{"s": {Name: "s", HealthPath: "/health"}},
 		Routes: []site.Route{{
-			Name: "r", Host: "h", Prefix: prefix, Timeout: 5 * time.Second, Aim: time.Second, MaxAttempts: 2,
+			Name: "r", Host: "h", Prefix: prefix, Timeout: 5 * time.Second, Objective: time.Second, MaxAttempts: 2,
 			Parts: []site.Part{{Service: "s", Weight: 1}},
 		}},
 		Limits: site.Limits{HeaderBytes: 8192, BodyBytes: 1 << 20, HeaderTime: time.Second, IdleTime: time.Minute},
@@ -195,7 +195,7 @@
 			t.Errorf("metrics: %d %.100s", status, page)
 		}
 	}
-	if status, _ := get(v.options.MetricsAddress, "/copy"); status != http.StatusNotFound {
+	if status, _ := get(v.options.MetricsAddress, "/snapshot"); status != http.StatusNotFound {
 		t.Errorf("%d for the copy on the metrics' port", status)
 	}
 }
--- a/edge/entry/handlers.go
+++ b/edge/entry/handlers.go
@@ -48,7 +48,7 @@
 		return serve.Plain(http.StatusNotFound, "")
 	}
 	zone, region := e.options.Names.Caller(r.Query)
-	entries := e.book.Entries(zone, region, e.serving(), time.Now())
+	entries := e.members.Entries(zone, region, e.serving(), time.Now())
 	if len(entries) == 0 {
 		return serve.Plain(http.StatusServiceUnavailable, "no entry VM\n")
 	}
@@ -57,12 +57,12 @@
 
 func (e *Entry) handlePeer(_ context.Context, r *serve.Request) *serve.Answer {
 	switch r.Path {
-	case copyPath:
+	case snapshotPath:
 		after, err := strconv.ParseUint(r.Query.Get("after"), 10, 64)
 		if err != nil {
 			return serve.Plain(http.StatusBadRequest, "after is no revision\n")
 		}
-		return e.copies.answer(store.Revision(after))
+		return e.snapshots.answer(store.Revision(after))
 	case metricsPath:
 		return e.metricsPage()
 	}
--- a/edge/entry/regionstate.go
+++ b/edge/entry/regionstate.go
@@ -7,9 +7,9 @@
 	"github.com/sirupsen/logrus"
 )
 
-// beliefs is what this VM last took its region to be, to log each change once. It is
+// regionState is what this VM last took its region to be, to log each change once. It is
 // safe for use by several goroutines.
-type beliefs struct {
+type regionState struct {
 	log *logrus.Entry
 
 	mu      sync.Mutex
@@ -19,41 +19,41 @@
 
 // role is what this VM does for its region, and what it gets.
 type role struct {
-	// listens tells that this VM hears all others of a large region, sends that it
+	// listens tells that this VM gets the reports of all others of a large region, sends that it
 	// is the one that sends the digests.
 	listens, sends bool
 	// missing tells that digests should come and none do.
 	missing bool
 }
 
-func (b *beliefs) setRole(now role) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	old := b.role
-	b.role = now
+func (s *regionState) setRole(now role) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.role
+	s.role = now
 	if now.missing && !old.missing {
-		b.log.Warn("entry: digests lost")
+		s.log.Warn("entry: digests lost")
 	}
 	if old.missing && !now.missing {
-		b.log.Info("entry: digests regained")
+		s.log.Info("entry: digests regained")
 	}
 	if now.listens != old.listens || now.sends != old.sends {
-		b.log.WithFields(logrus.Fields{"listens": now.listens, "sends_digests": now.sends}).
+		s.log.WithFields(logrus.Fields{"listens": now.listens, "sends_digests": now.sends}).
 			Info("entry: role in the region changed")
 	}
 }
 
 // setSharers takes the sorted names of the VMs among which work is divided.
-func (b *beliefs) setSharers(names []string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if slices.Equal(names, b.sharers) {
+func (s *regionState) setSharers(names []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if slices.Equal(names, s.sharers) {
 		return
 	}
-	b.log.WithFields(logrus.Fields{
-		"vms": len(names), "gone": without(b.sharers, names), "new": without(names, b.sharers),
+	s.log.WithFields(logrus.Fields{
+		"vms": len(names), "gone": without(s.sharers, names), "new": without(names, s.sharers),
 	}).Info("entry: VMs of the region changed")
-	b.sharers = names
+	s.sharers = names
 }
 
 // without returns the names of the first list that the second, sorted one lacks.
--- a/edge/entry/regionstate_test.go
+++ b/edge/entry/regionstate_test.go
@@ -10,18 +10,18 @@
 
 // An engineer asks why a cold target got requests from a VM that should not have sent any.
 // The log tells from when on that VM took another one for gone, and when it got no digest.
-func TestEachChangeOfBeliefIsLoggedOnce(t *testing.T) {
+func TestEachChangeOfTheRegionIsLoggedOnce(t *testing.T) {
 	logger, hook := test.NewNullLogger()
-	b := &beliefs{log: logrus.NewEntry(logger)}
+	s := &regionState{log: logrus.NewEntry(logger)}
 	for range 2 {
-		b.setSharers([]string{"a", "b", "c"})
-		b.setRole(role{})
+		s.setSharers([]string{"a", "b", "c"})
+		s.setRole(role{})
 	}
 	for range 2 {
-		b.setSharers([]string{"a", "c", "d"})
-		b.setRole(role{missing: true})
+		s.setSharers([]string{"a", "c", "d"})
+		s.setRole(role{missing: true})
 	}
-	b.setRole(role{listens: true, sends: true})
+	s.setRole(role{listens: true, sends: true})
 	var lines []string
 	for _, entry := range hook.AllEntries() {
 		lines = append(lines, entry.Message)
--- a/edge/entry/snapshots.go
+++ b/edge/entry/snapshots.go
@@ -14,39 +14,37 @@
 	"github.com/sirupsen/logrus"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/yuccaroute/yuccaroute/edge/mirror"
+	"github.com/yuccaroute/yuccaroute/edge/replica"
 	"github.com/yuccaroute/yuccaroute/edge/serve"
 	"github.com/yuccaroute/yuccaroute/store"
 )
 
 const (
-	// copyPath is where other VMs read this VM's copy of the store.
-	copyPath = "/copy"
-	// copyTime bounds reading a copy.
-	copyTime = 2 * time.Second
-	// copyIdle is how long a connection for copies is kept; it is shorter than other
+	// snapshotPath is where other VMs read this VM's copy of the store.
+	snapshotPath = "/snapshot"
+	// snapshotTimeout bounds reading a copy.
+	snapshotTimeout = 2 * time.Second
+	// snapshotIdle is how long a connection for snapshots is kept; it is shorter than other
 	// VMs keep theirs.
-	copyIdle = 5 * time.Second
+	snapshotIdle = 5 * time.Second
 	// compressFrom is the length from which on a copy is compressed. Shorter ones are
 	// what changed lately, and a compressor takes more memory than they have.
 	compressFrom = 4 << 10
-	// maxCopyBytes bounds a copy: 330,000 targets of 200 bytes each.
-	maxCopyBytes = 64 << 20
-	// gzipEncoding is the encoding of compressed copies.
+	// maxSnapshotBytes bounds a copy: 330,000 targets of 200 bytes each.
+	maxSnapshotBytes = 64 << 20
+	// gzipEncoding is the encoding of compressed snapshots.
 	gzipEncoding = "gzip"
 )
 
-// copies gives this VM's copy of the store to other VMs. It is safe for use by several
+// snapshots gives this VM's replica of the store to other VMs. It is safe for use by several
 // goroutines.
 //
 // Guard against VMs that all start at once and ask the same one for all items: it shows as
 // a VM that runs out of memory and of its link. The guard holds because a whole copy is
-// rendered once for each revision, and is compressed: 71 KB in place of 812 for 3,000
-// targets, once in place of 100 times. On a day of 300 VMs that lose their power the
-// busiest one took 18.5 MB and 688 KB/s in place of 51.4 MB and 3,004 KB/s.
-type copies struct {
-	mirror *mirror.Mirror
-	log    *logrus.Entry
+// rendered once for each revision, and is compressed.
+type snapshots struct {
+	replica *replica.Replica
+	log     *logrus.Entry
 
 	mu sync.Mutex
 	// whole is the copy of all items at a revision.
@@ -61,10 +59,10 @@
 }
 
 // answer is what changed after a revision, or all items if that is not remembered.
-func (c *copies) answer(after store.Revision) *serve.Answer {
+func (c *snapshots) answer(after store.Revision) *serve.Answer {
 	r, err := c.render(after)
 	if err != nil {
-		c.log.WithError(err).Error("mirror: copy for a peer not rendered")
+		c.log.WithError(err).Error("replica: copy for a peer not rendered")
 		return serve.Plain(http.StatusInternalServerError, err.Error())
 	}
 	a := &serve.Answer{Status: http.StatusOK, Header: http.Header{"Content-Type": {"application/msgpack"}}, Body: r.text}
@@ -74,16 +72,16 @@
 	return a
 }
 
-func (c *copies) render(after store.Revision) (rendered, error) {
-	if c.mirror.Remembers(after) {
-		return render(c.mirror.CopyAfter(after))
+func (c *snapshots) render(after store.Revision) (rendered, error) {
+	if c.replica.Remembers(after) {
+		return render(c.replica.SnapshotAfter(after))
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if at, _ := c.mirror.At(); at == c.at && c.whole.text != nil {
+	if at, _ := c.replica.At(); at == c.at && c.whole.text != nil {
 		return c.whole, nil
 	}
-	whole := c.mirror.CopyAfter(0)
+	whole := c.replica.SnapshotAfter(0)
 	r, err := render(whole)
 	if err == nil {
 		c.whole, c.at = r, whole.At
@@ -91,7 +89,7 @@
 	return r, err
 }
 
-func render(c mirror.Copy) (rendered, error) {
+func render(c replica.Snapshot) (rendered, error) {
 	text, err := msgpack.Marshal(&c)
 	if err != nil || len(text) < compressFrom {
 		return rendered{text: text}, errors.Wrap(err, "entry: copy")
@@ -111,39 +109,39 @@
 }
 
 // read decodes a copy.
-func (r rendered) read() (mirror.Copy, error) {
-	var c mirror.Copy
+func (r rendered) read() (replica.Snapshot, error) {
+	var c replica.Snapshot
 	var from io.Reader = bytes.NewReader(r.text)
 	if r.compressed {
 		unzip, err := gzip.NewReader(from)
 		if err != nil {
 			return c, errors.Wrap(err, "entry: copy")
 		}
-		from = io.LimitReader(unzip, maxCopyBytes)
+		from = io.LimitReader(unzip, maxSnapshotBytes)
 	}
 	return c, errors.Wrap(msgpack.NewDecoder(from).Decode(&c), "entry: copy")
 }
 
-var copyClient = &http.Client{Timeout: copyTime, Transport: &http.Transport{IdleConnTimeout: copyIdle, DisableCompression: true}}
+var snapshotClient = &http.Client{Timeout: snapshotTimeout, Transport: &http.Transport{IdleConnTimeout: snapshotIdle, DisableCompression: true}}
 
-// fetchCopy reads what another VM's copy of the store has after a revision.
-func fetchCopy(ctx context.Context, peer string, after store.Revision) (mirror.Copy, error) {
-	target := "http://" + peer + copyPath + "?after=" + strconv.FormatUint(uint64(after), 10)
+// fetchSnapshot reads what another VM's copy of the store has after a revision.
+func fetchSnapshot(ctx context.Context, peer string, after store.Revision) (replica.Snapshot, error) {
+	target := "http://" + peer + snapshotPath + "?after=" + strconv.FormatUint(uint64(after), 10)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
-		return mirror.Copy{}, errors.Wrap(err, "entry: copy")
+		return replica.Snapshot{}, errors.Wrap(err, "entry: copy")
 	}
-	resp, err := copyClient.Do(req)
+	resp, err := snapshotClient.Do(req)
 	if err != nil {
-		return mirror.Copy{}, errors.Wrap(err, "entry: copy")
+		return replica.Snapshot{}, errors.Wrap(err, "entry: copy")
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return mirror.Copy{}, errors.Errorf("entry: copy: status %d", resp.StatusCode)
+		return replica.Snapshot{}, errors.Errorf("entry: copy: status %d", resp.StatusCode)
 	}
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxCopyBytes))
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxSnapshotBytes))
 	if err != nil {
-		return mirror.Copy{}, errors.Wrap(err, "entry: copy")
+		return replica.Snapshot{}, errors.Wrap(err, "entry: copy")
 	}
 	return rendered{text: text, compressed: resp.Header.Get("Content-Encoding") == gzipEncoding}.read()
 }
--- a/edge/entry/snapshots_test.go
+++ b/edge/entry/snapshots_test.go
@@ -9,7 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/sirupsen/logrus"
 
-	"github.com/yuccaroute/yuccaroute/edge/mirror"
+	"github.com/yuccaroute/yuccaroute/edge/replica"
 	"github.com/yuccaroute/yuccaroute/store"
 )
 
@@ -26,16 +26,16 @@
 	return all
 }
 
-func newCopies(entries []store.Entry, at store.Revision) *copies {
+func newCopies(entries []store.Entry, at store.Revision) *snapshots {
 	l := logrus.New()
 	l.SetOutput(io.Discard)
-	m := mirror.New(mirror.Options{Logger: logrus.NewEntry(l), Changed: func([]mirror.Change) {}})
-	m.Adopt(mirror.Copy{At: at, Items: entries})
-	return &copies{mirror: m, log: logrus.NewEntry(l)}
+	m := replica.New(replica.Options{Logger: logrus.NewEntry(l), Changed: func([]replica.Change) {}})
+	m.Adopt(replica.Snapshot{At: at, Items: entries})
+	return &snapshots{replica: m, log: logrus.NewEntry(l)}
 }
 
 // All VMs of a region lose their power and start at once. Each asks the one that has the
-// store's items for all of them: 100 copies of 3,000 targets were rendered side by side,
+// store's items for all of them: 100 snapshots of 3,000 targets were rendered side by side,
 // 0.9 MB each, and its memory grew fivefold. They are rendered once, and small.
 func TestAWholeCopyIsRenderedOnce(t *testing.T) {
 	entries := items(3000)
@@ -56,10 +56,10 @@
 		t.Fatal(err)
 	}
 	sort.Slice(got.Items, func(i, j int) bool { return got.Items[i].Revision < got.Items[j].Revision })
-	if diff := cmp.Diff(mirror.Copy{At: 5000, Items: entries}, got); diff != "" {
+	if diff := cmp.Diff(replica.Snapshot{At: 5000, Items: entries}, got); diff != "" {
 		t.Error(diff)
 	}
-	c.mirror.Adopt(mirror.Copy{At: 5001, After: 5000, Partial: true, Removed: []store.Entry{{Key: entries[0].Key, Revision: 5001}}})
+	c.replica.Adopt(replica.Snapshot{At: 5001, After: 5000, Partial: true, Removed: []store.Entry{{Key: entries[0].Key, Revision: 5001}}})
 	third, err := c.render(0)
 	if err != nil {
 		t.Fatal(err)
@@ -73,13 +73,13 @@
 func TestACopyOfChangesIsRead(t *testing.T) {
 	c := newCopies(items(3000), 5000)
 	changed := store.Entry{Key: "config", Revision: 5001, Value: []byte(`{"version":2}`)}
-	c.mirror.Adopt(mirror.Copy{At: 5001, After: 5000, Partial: true, Items: []store.Entry{changed}})
+	c.replica.Adopt(replica.Snapshot{At: 5001, After: 5000, Partial: true, Items: []store.Entry{changed}})
 	r, err := c.render(5000)
 	if err != nil {
 		t.Fatal(err)
 	}
 	got, err := r.read()
-	want := mirror.Copy{At: 5001, After: 5000, Partial: true, Items: []store.Entry{changed}}
+	want := replica.Snapshot{At: 5001, After: 5000, Partial: true, Items: []store.Entry{changed}}
 	if diff := cmp.Diff(want, got); err != nil || diff != "" {
 		t.Errorf("error %v: %s", err, diff)
 	}
--- a/edge/entry/talk.go
+++ b/edge/entry/talk.go
@@ -14,39 +14,39 @@
 // Names under which the sums of several VMs are kept: those of the own region and of
 // all others, as a listener tells them.
 const (
-	nearName = "near"
-	farName  = "far"
+	regionSums      = "near"
+	otherRegionSums = "far"
 )
 
-// regionName stands for the VMs of another region that are told in sum.
+// regionName stands for the VMs of another region that report in sum.
 func regionName(region string) string { return "region " + region }
 
-// audience returns who is told what.
-func (e *Entry) audience() exchange.Audience {
+// recipients returns who gets what.
+func (e *Entry) recipients() exchange.Recipients {
 	now := time.Now()
-	g := e.book.Group(now)
+	g := e.members.Group(now)
 	own := e.options.VM.Name
-	a := exchange.Audience{Large: g.Large, Near: peersOf(g.Listeners, own)}
-	listens := len(a.Near) < len(g.Listeners)
-	e.digests.Expect(now, g.Large && !listens)
-	e.beliefs.setRole(role{
+	to := exchange.Recipients{Large: g.Large, SameRegion: peersOf(g.Listeners, own)}
+	listens := len(to.SameRegion) < len(g.Listeners)
+	e.digests.Await(now, g.Large && !listens)
+	e.regionState.setRole(role{
 		listens: g.Large && listens, sends: g.Large && g.Listeners[0].Name == own, missing: e.digests.Missing(now),
 	})
 	if listens {
-		a.Far = peersOf(g.Far, own)
+		to.OtherRegions = peersOf(g.Far, own)
 	}
 	if g.Large && listens && g.Listeners[0].Name == own {
-		a.Digests = peersOf(append(g.SameDomain, g.Unreached...), own)
-		a.Relays = peersOf(g.Relays, own)
+		to.Digests = peersOf(append(g.SameDomain, g.Unreached...), own)
+		to.Relays = peersOf(g.Relays, own)
 	}
-	return a
+	return to
 }
 
-// passTo returns the VMs to which this one passes a digest on.
-func (e *Entry) passTo() ([]exchange.Peer, exchange.Via) {
-	at, _ := e.mirror.At()
-	via := exchange.Via{Peer: e.options.VM.Peer, Revision: uint64(at)}
-	return peersOf(e.book.Group(time.Now()).SameDomain, e.options.VM.Name), via
+// relayTo returns the VMs to which this one passes a digest on.
+func (e *Entry) relayTo() ([]exchange.Peer, exchange.Relay) {
+	at, _ := e.replica.At()
+	via := exchange.Relay{Peer: e.options.VM.Peer, Revision: uint64(at)}
+	return peersOf(e.members.Group(time.Now()).SameDomain, e.options.VM.Name), via
 }
 
 func peersOf(vms []site.VM, but string) []exchange.Peer {
@@ -59,84 +59,84 @@
 	return list
 }
 
-// state is what other VMs are told of this one, or of its region in sum.
+// state is the report on this VM, or on its region in sum.
 func (e *Entry) state(sum bool) exchange.State {
 	now := time.Now()
-	at, _ := e.mirror.At()
+	at, _ := e.replica.At()
 	s := exchange.State{
-		VM: e.options.VM, Leaving: e.leaving.Load(), Serving: e.gateway.Ready(), Linked: e.mirror.Linked(),
+		VM: e.options.VM, Leaving: e.leaving.Load(), Serving: e.gateway.Ready(), Linked: e.replica.Linked(),
 		Revision: uint64(at), NoDigest: e.digests.Missing(now),
 	}
 	if !sum {
-		s.InHand, s.Demand = e.board.Report(now)
+		s.InFlight, s.Demand = e.balancer.Report(now)
 		return s
 	}
-	inHand, demand := e.board.NearSums(now)
-	s.InHand, s.Demand = inHand, demand
+	inFlight, demand := e.balancer.RegionSums(now)
+	s.InFlight, s.Demand = inFlight, demand
 	return s
 }
 
-// digest is what all VMs of the region are told.
-func (e *Entry) digest(rest bool) *exchange.Digest {
+// digest is what all VMs of the region get.
+func (e *Entry) digest(full bool) *exchange.Digest {
 	now := time.Now()
-	inHand, demand := e.board.NearSums(now)
-	d := &exchange.Digest{InHand: inHand, Demand: demand}
-	if !rest {
+	inFlight, demand := e.balancer.RegionSums(now)
+	d := &exchange.Digest{InFlight: inFlight, Demand: demand}
+	if !full {
 		return d
 	}
-	inHand, far := e.board.FarSums(now)
-	d.Rest = &exchange.Rest{InHand: inHand, Demand: far}
-	for name, said := range e.book.Seen() {
-		d.Rest.Seen = append(d.Rest.Seen, exchange.Seen{
-			Name: name, Age: now.Sub(said.At), Leaving: said.Leaving, Serving: said.Serving, Linked: said.Linked,
+	inFlight, far := e.balancer.OtherRegionSums(now)
+	d.Full = &exchange.Full{InFlight: inFlight, Demand: far}
+	for name, state := range e.members.Seen() {
+		d.Full.Seen = append(d.Full.Seen, exchange.Seen{
+			Name: name, Age: now.Sub(state.At), Leaving: state.Leaving, Serving: state.Serving, Linked: state.Linked,
 		})
 	}
 	return d
 }
 
-// heard takes in what another VM says.
-func (e *Entry) heard(ctx context.Context) func(exchange.State) {
+// received takes in a report of another VM.
+func (e *Entry) received(ctx context.Context) func(exchange.State) {
 	return func(s exchange.State) {
 		now := time.Now()
-		if e.book.Hear(s.VM, peers.Said{At: now, Serving: s.Serving, Leaving: s.Leaving, Linked: s.Linked, NoDigest: s.NoDigest}) {
+		if e.members.Observe(s.VM, peers.State{At: now, Serving: s.Serving, Leaving: s.Leaving, Linked: s.Linked, NoDigest: s.NoDigest}) {
 			e.delays.measure(s.VM.Region, s.VM.Peer)
 		}
-		e.hearCounts(now, s)
-		if s.Via != nil {
-			e.mirror.SawPeer(ctx, s.Via.Peer, true, store.Revision(s.Via.Revision), now)
+		e.takeCounts(now, s)
+		if s.Relay != nil {
+			e.replica.ObservePeer(ctx, s.Relay.Peer, true, store.Revision(s.Relay.Revision), now)
 		}
 		// A copy from a VM of the own failure domain costs no bytes between domains;
 		// the listener's is for when the relay does not have the change soon.
-		near := s.VM.Region == e.options.VM.Region && s.Via == nil
-		e.mirror.SawPeer(ctx, s.VM.Peer, near, store.Revision(s.Revision), now)
+		near := s.VM.Region == e.options.VM.Region && s.Relay == nil
+		e.replica.ObservePeer(ctx, s.VM.Peer, near, store.Revision(s.Revision), now)
 	}
 }
 
-// hearCounts takes in requests in hand and demand: of the VM, of its region, or of
+// takeCounts takes in requests in hand and demand: of the VM, of its region, or of
 // all VMs.
-func (e *Entry) hearCounts(now time.Time, s exchange.State) {
+func (e *Entry) takeCounts(now time.Time, s exchange.State) {
 	if s.Digest != nil {
-		e.hearDigest(now, s.Digest)
+		e.takeDigest(now, s.Digest)
 		return
 	}
 	name := s.VM.Name
 	if s.Sum {
 		name = regionName(s.VM.Region)
 	}
-	e.board.SetPeer(now, name, &placing.Peer{
-		InHand: s.InHand, Demand: map[string]map[string]float64{s.VM.Region: s.Demand}, Sum: s.Sum, At: now,
+	e.balancer.SetPeer(now, name, &placing.Peer{
+		InFlight: s.InFlight, Demand: map[string]map[string]float64{s.VM.Region: s.Demand}, Sum: s.Sum, At: now,
 	})
 }
 
-func (e *Entry) hearDigest(now time.Time, d *exchange.Digest) {
-	e.digests.Came(now)
-	e.board.SetNear(now, nearName, d.InHand, d.Demand)
-	if d.Rest == nil {
+func (e *Entry) takeDigest(now time.Time, d *exchange.Digest) {
+	e.digests.Received(now)
+	e.balancer.SetRegionSums(now, regionSums, d.InFlight, d.Demand)
+	if d.Full == nil {
 		return
 	}
-	e.board.SetPeer(now, farName, &placing.Peer{InHand: d.Rest.InHand, Demand: d.Rest.Demand, Sum: true, At: now})
-	for _, seen := range d.Rest.Seen {
-		e.book.HearOf(seen.Name, peers.Said{
+	e.balancer.SetPeer(now, otherRegionSums, &placing.Peer{InFlight: d.Full.InFlight, Demand: d.Full.Demand, Sum: true, At: now})
+	for _, seen := range d.Full.Seen {
+		e.members.ObserveFrom(seen.Name, peers.State{
 			At: now.Add(-seen.Age), Serving: seen.Serving, Leaving: seen.Leaving, Linked: seen.Linked,
 		})
 	}
--- a/edge/exchange/counts_test.go
+++ b/edge/exchange/counts_test.go
@@ -22,7 +22,7 @@
 // other one reads.
 func TestCountsAreReadAsSent(t *testing.T) {
 	for _, c := range []Counts{{}, {0: 1}, {1<<32 - 1: 3, 0: 200}, targetsOf(500)} {
-		text, err := msgpack.Marshal(&State{InHand: c})
+		text, err := msgpack.Marshal(&State{InFlight: c})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -30,7 +30,7 @@
 		if err := msgpack.Unmarshal(text, &got); err != nil {
 			t.Fatal(err)
 		}
-		if diff := cmp.Diff(c, got.InHand); diff != "" {
+		if diff := cmp.Diff(c, got.InFlight); diff != "" {
 			t.Error(diff)
 		}
 	}
@@ -39,7 +39,7 @@
 // At 300 VMs a listener knew 3,000 targets. With 10 bytes each the datagram was larger than
 // any that is sent, and the VMs of the region heard nothing more of each other.
 func TestAThousandBusyTargetsFitADatagram(t *testing.T) {
-	text, err := msgpack.Marshal(&State{Digest: &Digest{InHand: targetsOf(3000)}})
+	text, err := msgpack.Marshal(&State{Digest: &Digest{InFlight: targetsOf(3000)}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/edge/exchange/exchange.go
+++ b/edge/exchange/exchange.go
@@ -1,13 +1,13 @@
-// Package exchange tells the other entry VMs, by datagrams, which requests this VM
-// has in hand at which target, how much its callers ask for, and that it lives.
+// Package exchange reports to the other entry VMs, by datagrams, which requests this VM
+// has in flight at which target, how much its callers ask for, and that it lives.
 // A datagram holds the whole state, so that a lost one is made good by the next.
 //
 // In a small region every VM reports to every other one. In a large one they report
-// to a few listeners, and the first of these sends out a digest: all that it has
-// heard, summed up. The digest goes to one VM of each failure domain, a relay, which
-// passes it on to the others of its domain. The datagrams of a VM then do not grow
+// to a few listeners, and the first of these sends out a digest: the sum
+// of all that it received. The digest goes to one VM of each failure domain, a relay, which
+// sends it on to the others of its domain. The datagrams of a VM then do not grow
 // with the region, and those between failure domains neither. Listeners of different
-// regions tell each other the sums of their regions.
+// regions exchange the sums of their regions.
 package exchange
 
 import (
@@ -25,38 +25,39 @@
 )
 
 const (
-	// beat is the longest time between two reports to the VMs of the own region;
-	// farBeat to others, which need sums and liveness only.
-	beat    = 250 * time.Millisecond
-	farBeat = 500 * time.Millisecond
-	// turn is the shortest time between two reports in a small region. With 20 ms
-	// a target's count is as old as a tenth of its shortest work.
-	turn = 20 * time.Millisecond
-	// largeTurn is the same in a large region, where many VMs share each target
+	// heartbeatInterval is the longest time between two reports to the VMs of the own region;
+	// farHeartbeatInterval to others, which need sums and liveness only.
+	heartbeatInterval    = 250 * time.Millisecond
+	farHeartbeatInterval = 500 * time.Millisecond
+	// minReportInterval is the shortest time between two reports in a small region: a
+	// small part of the shortest service time.
+	minReportInterval = 20 * time.Millisecond
+	// minReportIntervalLarge is the same in a large region, where many VMs share each target
 	// and no one of them changes its count by much. It is also the time between
 	// two digests.
-	largeTurn = 150 * time.Millisecond
-	// restEvery digests, one has what is needed less often: other regions, and which
-	// VMs were heard. Twice its time is shorter than counts are trusted.
-	restEvery = 3
+	minReportIntervalLarge = 150 * time.Millisecond
+	// fullDigestEvery is in how many digests one is full: it has what is needed less often,
+	// the counts of other regions and which VMs are responsive. Two such intervals are
+	// shorter than counts are trusted.
+	fullDigestEvery = 3
 	// maxDatagram is below the smallest usual MTU times a few fragments; maxTail of it
 	// are for what a relay adds.
 	maxDatagram = 16 << 10
 	maxTail     = 256
 )
 
-// Peer is a VM that is told.
+// Peer is a VM that gets datagrams.
 type Peer struct {
 	Name    string
 	Address string
 }
 
-// Audience is who is told what.
-type Audience struct {
-	// Near are the listeners of the own region, without this VM; Far those of
+// Recipients is who gets what.
+type Recipients struct {
+	// SameRegion are the listeners of the own region, without this VM; OtherRegions those of
 	// other regions.
-	Near, Far []Peer
-	// Digests get a digest, and Relays one to pass on: this VM is the first listener
+	SameRegion, OtherRegions []Peer
+	// Digests get a digest, and Relays one to relay: this VM is the first listener
 	// of a large region.
 	Digests, Relays []Peer
 	// Large tells that the region has listeners.
@@ -70,14 +71,14 @@
 	Logger  *logrus.Entry
 	// State returns what to report, the sums of the region if they are asked for.
 	State func(sum bool) State
-	// Digest returns what all VMs of the region are told, with the rest if that is due.
-	Digest func(rest bool) *Digest
-	// Audience returns who is told.
-	Audience func() Audience
-	// PassTo returns to whom a relay passes a digest on, and as whom.
-	PassTo func() ([]Peer, Via)
-	// Heard is called with each newer state of another VM.
-	Heard func(State)
+	// Digest returns the digest for all VMs of the region.
+	Digest func(full bool) *Digest
+	// Recipients returns who gets reports and digests now.
+	Recipients func() Recipients
+	// RelayTo returns to whom this VM relays a digest, and what it adds.
+	RelayTo func() ([]Peer, Relay)
+	// Received is called with each newer state of another VM.
+	Received func(State)
 }
 
 // Exchange sends and receives. It is safe for use by several goroutines.
@@ -121,13 +122,13 @@
 
 // Flush sends reports to all now.
 func (e *Exchange) Flush() {
-	audience := e.options.Audience()
-	e.report(audience.Near, false)
-	e.report(audience.Far, audience.Large)
+	to := e.options.Recipients()
+	e.report(to.SameRegion, false)
+	e.report(to.OtherRegions, to.Large)
 }
 
 func (e *Exchange) sendLoop(ctx context.Context) {
-	tick := time.NewTicker(beat)
+	tick := time.NewTicker(heartbeatInterval)
 	defer tick.Stop()
 	farAt := time.Now()
 	for round := 0; ; round++ {
@@ -137,16 +138,16 @@
 		case <-tick.C:
 		case <-e.changed:
 		}
-		audience := e.options.Audience()
-		e.report(audience.Near, false)
-		if time.Since(farAt) >= farBeat {
+		to := e.options.Recipients()
+		e.report(to.SameRegion, false)
+		if time.Since(farAt) >= farHeartbeatInterval {
 			farAt = time.Now()
-			e.report(audience.Far, audience.Large)
+			e.report(to.OtherRegions, to.Large)
 		}
-		e.digest(audience, round%restEvery == 0)
-		pause := turn
-		if audience.Large {
-			pause = largeTurn
+		e.digest(to, round%fullDigestEvery == 0)
+		pause := minReportInterval
+		if to.Large {
+			pause = minReportIntervalLarge
 		}
 		if !wait.For(ctx, pause) {
 			return
@@ -168,12 +169,12 @@
 }
 
 // digest sends the VMs of the region what all of them do.
-func (e *Exchange) digest(to Audience, rest bool) {
+func (e *Exchange) digest(to Recipients, full bool) {
 	if len(to.Digests)+len(to.Relays) == 0 {
 		return
 	}
 	state := e.options.State(false)
-	state.Digest = e.options.Digest(rest)
+	state.Digest = e.options.Digest(full)
 	text := e.encode(&state)
 	if text == nil {
 		return
@@ -181,7 +182,7 @@
 	for _, p := range to.Digests {
 		e.write(text, p)
 	}
-	text[0] = toPassOn
+	text[0] = toRelay
 	for _, p := range to.Relays {
 		e.write(text, p)
 	}
@@ -189,8 +190,8 @@
 
 // The first byte of a datagram tells what the receiver does with it.
 const (
-	toKeep   = 0
-	toPassOn = 1
+	toKeep  = 0
+	toRelay = 1
 )
 
 // encode numbers and renders a state, nil if that fails.
@@ -249,7 +250,7 @@
 
 // take takes in one datagram, after it was passed on.
 func (e *Exchange) take(text []byte) {
-	if len(text) == 0 || text[0] > toPassOn {
+	if len(text) == 0 || text[0] > toRelay {
 		e.options.Logger.WithField("bytes", len(text)).Warn("exchange: datagram of an unknown kind")
 		return
 	}
@@ -264,16 +265,16 @@
 	if !news {
 		return
 	}
-	if text[0] == toPassOn {
-		e.passOn(text)
+	if text[0] == toRelay {
+		e.relay(text)
 	}
-	e.options.Heard(s)
+	e.options.Received(s)
 }
 
-// passOn sends a datagram to the VMs of the own failure domain.
-func (e *Exchange) passOn(text []byte) {
-	to, via := e.options.PassTo()
-	tail, err := msgpack.Marshal(&via)
+// relay sends a datagram to the VMs of the own failure domain.
+func (e *Exchange) relay(text []byte) {
+	to, own := e.options.RelayTo()
+	tail, err := msgpack.Marshal(&own)
 	if err != nil {
 		e.options.Logger.WithError(err).Error("exchange: digest not passed on")
 		return
--- a/edge/exchange/exchange_test.go
+++ b/edge/exchange/exchange_test.go
@@ -23,45 +23,45 @@
 // vm is one end of the exchange.
 type vm struct {
 	*Exchange
-	address string
-	mu      sync.Mutex
-	heard   map[string]State
-	news    chan struct{}
-	inHand  Counts
-	// audience is who this VM tells.
-	audience atomic.Pointer[Audience]
-	// passTo is to whom it passes digests on.
-	passTo atomic.Pointer[[]Peer]
+	address  string
+	mu       sync.Mutex
+	received map[string]State
+	news     chan struct{}
+	inFlight Counts
+	// to is who gets this VM's reports.
+	to atomic.Pointer[Recipients]
+	// relayTo is to whom it relays digests.
+	relayTo atomic.Pointer[[]Peer]
 }
 
-func (v *vm) tells(a Audience) { v.audience.Store(&a) }
+func (v *vm) sendsTo(to Recipients) { v.to.Store(&to) }
 
 func startVM(t *testing.T, name string) *vm {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	v := &vm{heard: make(map[string]State), news: make(chan struct{}, 100), inHand: Counts{7: 1}}
-	v.tells(Audience{})
-	v.passTo.Store(&[]Peer{})
+	v := &vm{received: make(map[string]State), news: make(chan struct{}, 100), inFlight: Counts{7: 1}}
+	v.sendsTo(Recipients{})
+	v.relayTo.Store(&[]Peer{})
 	e, err := Start(ctx, Options{
 		Address: "127.0.0.1:0", Logger: quiet(),
-		Audience: func() Audience { return *v.audience.Load() },
-		Digest: func(rest bool) *Digest {
-			d := &Digest{InHand: Counts{8: 2}}
-			if rest {
-				d.Rest = &Rest{Seen: []Seen{{Name: "b", Age: time.Second}}}
+		Recipients: func() Recipients { return *v.to.Load() },
+		Digest: func(full bool) *Digest {
+			d := &Digest{InFlight: Counts{8: 2}}
+			if full {
+				d.Full = &Full{Seen: []Seen{{Name: "b", Age: time.Second}}}
 			}
 			return d
 		},
-		PassTo: func() ([]Peer, Via) { return *v.passTo.Load(), Via{Peer: name, Revision: 8} },
+		RelayTo: func() ([]Peer, Relay) { return *v.relayTo.Load(), Relay{Peer: name, Revision: 8} },
 		State: func(bool) State {
 			return State{VM: site.VM{Name: name, Incarnation: 3, Peer: "p"}, Serving: true, Revision: 9,
-				InHand: v.inHand, Demand: map[string]float64{"s": 1.5}}
+				InFlight: v.inFlight, Demand: map[string]float64{"s": 1.5}}
 		},
-		Heard: func(s State) {
+		Received: func(s State) {
 			v.mu.Lock()
 			defer v.mu.Unlock()
-			v.heard[s.VM.Name] = s
+			v.received[s.VM.Name] = s
 			select {
 			case v.news <- struct{}{}:
 			default:
@@ -79,14 +79,14 @@
 // Each VM hears what the other one has in hand, and what it knows of the store.
 func TestVMsHearEachOther(t *testing.T) {
 	a, b := startVM(t, "a"), startVM(t, "b")
-	a.tells(Audience{Near: []Peer{{Name: "b", Address: b.address}, {Name: "odd", Address: "nowhere"}}})
-	b.tells(Audience{Near: []Peer{{Name: "a", Address: a.address}}})
+	a.sendsTo(Recipients{SameRegion: []Peer{{Name: "b", Address: b.address}, {Name: "odd", Address: "nowhere"}}})
+	b.sendsTo(Recipients{SameRegion: []Peer{{Name: "a", Address: a.address}}})
 	<-a.news
 	<-b.news
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.heard["a"]
-	if s.InHand[7] != 1 || s.Demand["s"] != 1.5 || s.Revision != 9 || !s.Serving || s.VM.Peer != "p" {
+	s := b.received["a"]
+	if s.InFlight[7] != 1 || s.Demand["s"] != 1.5 || s.Revision != 9 || !s.Serving || s.VM.Peer != "p" {
 		t.Errorf("%+v", s)
 	}
 }
@@ -124,7 +124,7 @@
 			t.Fatal(err)
 		}
 	}
-	a.tells(Audience{Near: []Peer{{Name: "b", Address: b.address}}})
+	a.sendsTo(Recipients{SameRegion: []Peer{{Name: "b", Address: b.address}}})
 	<-b.news
 }
 
@@ -132,7 +132,7 @@
 // every VM of the region.
 func TestChangesAreGathered(t *testing.T) {
 	a, b := startVM(t, "a"), startVM(t, "b")
-	a.tells(Audience{Near: []Peer{{Name: "b", Address: b.address}}})
+	a.sendsTo(Recipients{SameRegion: []Peer{{Name: "b", Address: b.address}}})
 	<-b.news
 	began := time.Now()
 	for range 10000 {
@@ -140,7 +140,7 @@
 	}
 	a.Exchange.mu.Lock()
 	defer a.Exchange.mu.Unlock()
-	most := uint64(3 + time.Since(began)/turn)
+	most := uint64(3 + time.Since(began)/minReportInterval)
 	if a.sent > most+1 {
 		t.Errorf("%d datagrams, at most %d", a.sent, most)
 	}
@@ -149,16 +149,16 @@
 // In a large region a VM that is no listener gets a digest, and now and then who was heard.
 func TestDigestsReachTheOthers(t *testing.T) {
 	a, b := startVM(t, "a"), startVM(t, "b")
-	a.tells(Audience{Large: true, Digests: []Peer{{Name: "b", Address: b.address}}})
+	a.sendsTo(Recipients{Large: true, Digests: []Peer{{Name: "b", Address: b.address}}})
 	seen := false
-	for range 2 * restEvery {
+	for range 2 * fullDigestEvery {
 		<-b.news
 		b.mu.Lock()
-		d := b.heard["a"].Digest
-		if d == nil || d.InHand[8] != 2 {
-			t.Fatalf("%+v", b.heard["a"])
+		d := b.received["a"].Digest
+		if d == nil || d.InFlight[8] != 2 {
+			t.Fatalf("%+v", b.received["a"])
 		}
-		seen = seen || d.Rest != nil && len(d.Rest.Seen) == 1 && d.Rest.Seen[0].Name == "b"
+		seen = seen || d.Full != nil && len(d.Full.Seen) == 1 && d.Full.Seen[0].Name == "b"
 		b.mu.Unlock()
 	}
 	if !seen {
@@ -170,21 +170,21 @@
 // from that one as the listener's, once.
 func TestDigestsArePassedOn(t *testing.T) {
 	a, b, c := startVM(t, "a"), startVM(t, "b"), startVM(t, "c")
-	b.passTo.Store(&[]Peer{{Name: "c", Address: c.address}})
-	c.passTo.Store(&[]Peer{{Name: "b", Address: b.address}})
-	a.tells(Audience{Large: true, Relays: []Peer{{Name: "b", Address: b.address}}})
+	b.relayTo.Store(&[]Peer{{Name: "c", Address: c.address}})
+	c.relayTo.Store(&[]Peer{{Name: "b", Address: b.address}})
+	a.sendsTo(Recipients{Large: true, Relays: []Peer{{Name: "b", Address: b.address}}})
 	<-c.news
-	a.tells(Audience{})
+	a.sendsTo(Recipients{})
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s, ok := c.heard["a"]
-	if !ok || s.Digest == nil || s.Digest.InHand[8] != 2 {
-		t.Errorf("heard %+v", c.heard)
+	s, ok := c.received["a"]
+	if !ok || s.Digest == nil || s.Digest.InFlight[8] != 2 {
+		t.Errorf("heard %+v", c.received)
 	}
-	if s.Via == nil || *s.Via != (Via{Peer: "b", Revision: 8}) {
-		t.Errorf("passed on by %+v", s.Via)
+	if s.Relay == nil || *s.Relay != (Relay{Peer: "b", Revision: 8}) {
+		t.Errorf("passed on by %+v", s.Relay)
 	}
-	if len(c.heard) != 1 {
-		t.Errorf("heard of %d VMs", len(c.heard))
+	if len(c.received) != 1 {
+		t.Errorf("heard of %d VMs", len(c.received))
 	}
 }
--- a/edge/exchange/state.go
+++ b/edge/exchange/state.go
@@ -24,39 +24,39 @@
 	Linked bool `msgpack:"k"`
 	// Revision is that of its copy of the store.
 	Revision uint64 `msgpack:"x"`
-	// Sum tells that InHand and Demand are those of the whole region.
+	// Sum tells that InFlight and Demand are those of the whole region.
 	Sum bool `msgpack:"w"`
-	// InHand counts requests by target, Demand the slots needed by service.
-	InHand Counts             `msgpack:"h"`
-	Demand map[string]float64 `msgpack:"d"`
+	// InFlight counts requests by target, Demand the slots needed by service.
+	InFlight Counts             `msgpack:"h"`
+	Demand   map[string]float64 `msgpack:"d"`
 	// NoDigest tells that the VM should get digests and gets none.
 	NoDigest bool `msgpack:"f,omitempty"`
 	// Digest is set in what a listener sends to VMs that are none.
 	Digest *Digest `msgpack:"g,omitempty"`
-	// Via is the relay that passed this on, nil if it came from the VM itself.
-	Via *Via `msgpack:"-"`
+	// Relay is the relay that passed this on, nil if it came from the VM itself.
+	Relay *Relay `msgpack:"-"`
 }
 
-// Via is a relay of the receiver's failure domain.
-type Via struct {
+// Relay is a relay of the receiver's failure domain.
+type Relay struct {
 	Peer string `msgpack:"p"`
 	// Revision is that of the relay's copy of the store.
 	Revision uint64 `msgpack:"x"`
 }
 
-// Digest is what a listener heard of all VMs of its region, the receiver among them.
+// Digest is what a listener received from all VMs of its region, the receiver among them.
 type Digest struct {
-	InHand Counts             `msgpack:"h"`
-	Demand map[string]float64 `msgpack:"d"`
-	// Rest is set in some digests only.
-	Rest *Rest `msgpack:"r,omitempty"`
+	InFlight Counts             `msgpack:"h"`
+	Demand   map[string]float64 `msgpack:"d"`
+	// Full is set in some digests only.
+	Full *Full `msgpack:"r,omitempty"`
 }
 
-// Rest is the part of a digest that is needed less often.
-type Rest struct {
-	// InHand are the requests of other regions, Demand is by region and service.
-	InHand Counts                        `msgpack:"h"`
-	Demand map[string]map[string]float64 `msgpack:"d"`
+// Full is the part of a digest that is needed less often.
+type Full struct {
+	// InFlight are the requests of other regions, Demand is by region and service.
+	InFlight Counts                        `msgpack:"h"`
+	Demand   map[string]map[string]float64 `msgpack:"d"`
 	// Seen are the VMs of the own region.
 	Seen []Seen `msgpack:"s"`
 }
@@ -79,11 +79,11 @@
 	if err := dec.Decode(&s); err != nil {
 		return s, err
 	}
-	var via Via
-	err := dec.Decode(&via)
+	var relay Relay
+	err := dec.Decode(&relay)
 	if errors.Is(err, io.EOF) {
 		return s, nil
 	}
-	s.Via = &via
+	s.Relay = &relay
 	return s, err
 }
--- a/edge/gateway/fixture_test.go
+++ b/edge/gateway/fixture_test.go
@@ -151,7 +151,7 @@
 	delay := func(string) time.Duration { return time.Millisecond }
 	board := placing.New(placing.Options{VM: "vm", Zone: "z", Region: "r", RegionOf: map[string]string{"z": "r"}, Delay: delay})
 	f.Gateway = New(Options{
-		Fields: fields, Board: board, Logger: logrus.NewEntry(l), Metrics: noMetrics{}, RetryRatio: 0.2, RetryExtra: 50,
+		Fields: fields, Balancer: board, Logger: logrus.NewEntry(l), Metrics: noMetrics{}, RetryRatio: 0.2, RetryExtra: 50,
 		VMs: func() int { return 1 }, Delay: delay, Changed: func() {}, MaxAnswerBytes: 1 << 20,
 		Dial: dial,
 	})
@@ -164,7 +164,7 @@
 	}}
 	for name, kind := range map[string]site.Kind{"safe": site.Idempotent, "once": site.AtMostOnce} {
 		v.Config.Routes = append(v.Config.Routes, site.Route{
-			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Timeout: 2 * time.Second, Aim: time.Second,
+			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Timeout: 2 * time.Second, Objective: time.Second,
 			MaxAttempts: 2, Parts: []site.Part{{Service: "s", Weight: 1}},
 		})
 	}
--- a/edge/gateway/gateway.go
+++ b/edge/gateway/gateway.go
@@ -1,5 +1,5 @@
 // Package gateway carries requests from callers to targets. It keeps three
-// promises: a caller gets the whole answer to its own request or is told so, "not
+// promises: a caller gets the whole answer to its own request or learns it, "not
 // run" is only said when it is certain, and work that must not run twice is never
 // sent again after it may have run.
 package gateway
@@ -25,7 +25,7 @@
 	// sum over all VMs must stay below it also while they disagree on their number.
 	budgetMargin = 0.7
 	// firstIdle is how long an idle connection is kept to a target that has not
-	// said when it closes them.
+	// stated when it closes them.
 	firstIdle = 4 * time.Second
 	// poolMargin is the part of a target's connections that the VMs use in sum.
 	poolMargin = 0.6
@@ -43,10 +43,10 @@
 
 // Options configure a Gateway.
 type Options struct {
-	Fields  site.FieldNames
-	Board   *placing.Board
-	Logger  *logrus.Entry
-	Metrics Metrics
+	Fields   site.FieldNames
+	Balancer *placing.Balancer
+	Logger   *logrus.Entry
+	Metrics  Metrics
 	// RetryRatio and RetryExtra bound the sendings beyond the first of each
 	// request, of all VMs together, in a window.
 	RetryRatio, RetryExtra float64
@@ -54,7 +54,7 @@
 	VMs func() int
 	// Delay is the network's to a region and back.
 	Delay func(region string) time.Duration
-	// Changed is told when the requests in hand changed. It must not block.
+	// Changed is told when the requests in flight changed. It must not block.
 	Changed func()
 	// MaxAnswerBytes bounds one answer.
 	MaxAnswerBytes int64
@@ -108,7 +108,7 @@
 		list = append(list, placing.Listing{Target: t.Target, ColdUntil: t.LearntAt.Add(t.ColdFor)})
 		listed[poolKey(t.Target)] = true
 	}
-	g.options.Board.SetTargets(now, v.Config.Services, list, v.Evacuated)
+	g.options.Balancer.SetTargets(now, v.Config.Services, list, v.Evacuated)
 	g.closePools(listed)
 }
 
--- a/edge/gateway/gateway_test.go
+++ b/edge/gateway/gateway_test.go
@@ -229,7 +229,7 @@
 		}
 	}
 	for _, want := range []string{`"route":"once"`, `"version":3`, `"targets":["a"]`, `"ends":`, `"result":`, `"why":`, `"sent":1`,
-		`"in_hand":0`, `"slots":4`, `"heard_ms":`, `"expected_ms":`, `"waited_ms":`, `"left_ms":`} {
+		`"in_flight":0`, `"slots":4`, `"counts_age_ms":`, `"expected_ms":`, `"waited_ms":`, `"left_ms":`} {
 		if !strings.Contains(line, want) {
 			t.Errorf("%s is not in %s", want, line)
 		}
--- a/edge/gateway/run.go
+++ b/edge/gateway/run.go
@@ -20,9 +20,7 @@
 	// hedgeAfter times the expected latency without an answer, an idempotent
 	// request is sent to a second target: its target may have lost power. A cold run
 	// takes three times as long as a warm one, and must not be sent again for that: the
-	// second target runs it cold as well. Mean worth of the standard days with 2.2 and
-	// 120 ms / 4 and 300 ms: dphbd-route 0.706 / 0.707, kovacevic-spend 0.734 / 0.736,
-	// vliesbuch 0.577 / 0.579.
+	// second target runs it cold as well.
 	hedgeAfter = 4.0
 	// minHedge is the shortest such time.
 	minHedge = 300 * time.Millisecond
@@ -77,15 +75,15 @@
 // place waits for a target.
 func (g *Gateway) place(ctx context.Context, j *job) (placing.Decision, outcome) {
 	began := time.Now()
-	d, w := g.options.Board.Place(began, &j.ask)
+	d, w := g.options.Balancer.Place(began, &j.ask)
 	j.ask.Again = true
 	if w != nil {
 		g.options.Changed()
 		select {
 		case d = <-w.Decided():
 		case <-ctx.Done():
-			if late, decided := g.options.Board.Leave(w); decided && late.Target != nil {
-				g.options.Board.Done(time.Now(), late, j.class, placing.Cancelled, 0)
+			if late, decided := g.options.Balancer.Cancel(w); decided && late.Target != nil {
+				g.options.Balancer.Done(time.Now(), late, j.class, placing.Cancelled, 0)
 			}
 			return placing.Decision{}, g.givenUp(ctx, j)
 		}
@@ -114,11 +112,11 @@
 	return outcome{code: result.QueueFull, retryAfter: minRetry, why: "no target in time"}
 }
 
-// minRetry is for callers whose time is over: they may come back at once.
+// minRetry is for callers whose time is over: they may retry at once.
 const minRetry = 50 * time.Millisecond
 
 // send sends a request to one target, and an idempotent one to a second if the
-// first is silent for long.
+// first does not answer for long.
 func (g *Gateway) send(ctx context.Context, j *job, d placing.Decision) try {
 	if j.route.Kind == site.AtMostOnce || j.route.MaxAttempts < 2 || j.sent > 0 {
 		return g.exchange(ctx, j, d)
@@ -138,7 +136,7 @@
 			if t.answer != nil && !isServerError(t.answer) || running == 0 {
 				return t
 			}
-			// The second target did not run it, and the first is still silent: a third
+			// The second target did not run it, and the first has not answered: a third
 			// one is tried, or the request would wait for its deadline.
 			if t.notRun && j.sent < maxSendings {
 				patience.Reset(minHedge)
@@ -153,20 +151,20 @@
 	}
 }
 
-// hedgeTime is how long the first target may be silent.
+// hedgeTime is how long the first target may take to answer.
 func hedgeTime(expected, left time.Duration) time.Duration {
 	return max(minHedge, time.Duration(min(hedgeAfter*float64(expected), hedgeShare*float64(left))))
 }
 
 // hedge finds a second target that is free now.
 func (g *Gateway) hedge(j *job, first placing.Decision) (placing.Decision, bool) {
-	if g.options.Board.Waiting() > 0 || !g.budgetOf(j.service).Take() {
+	if g.options.Balancer.Waiting() > 0 || !g.budgetOf(j.service).Take() {
 		return placing.Decision{}, false
 	}
 	j.ask.Tried = append(j.ask.Tried, first.Target)
-	d, w := g.options.Board.Place(time.Now(), &j.ask)
+	d, w := g.options.Balancer.Place(time.Now(), &j.ask)
 	if w != nil {
-		if late, decided := g.options.Board.Leave(w); decided {
+		if late, decided := g.options.Balancer.Cancel(w); decided {
 			d = late
 		}
 	}
@@ -206,7 +204,7 @@
 	began := time.Now()
 	t := g.exchangeOn(ctx, j, d)
 	t.took = time.Since(began)
-	g.options.Board.Done(time.Now(), d, j.class, g.endOf(ctx, t), t.took)
+	g.options.Balancer.Done(time.Now(), d, j.class, g.endOf(ctx, t), t.took)
 	g.options.Changed()
 	return t
 }
--- a/edge/gateway/serve.go
+++ b/edge/gateway/serve.go
@@ -93,17 +93,17 @@
 	}
 	j.deadline = j.in.Arrived.Add(left)
 	j.service, j.class = j.route.Next()
-	object := j.in.Header.Get(g.options.Fields.Affinity)
-	hasObject := object != "" && j.route.Sticky
-	if !hasObject {
-		// Requests about nothing in particular are spread over all targets.
-		object = j.id
+	key := j.in.Header.Get(g.options.Fields.Affinity)
+	hasKey := key != "" && j.route.Sticky
+	if !hasKey {
+		// Requests without an affinity key are spread over all targets.
+		key = j.id
 	}
 	j.ask = placing.Request{
 		Service: j.service, Class: j.class,
-		Object: placing.HashOf(j.route.Prefix + object), HasObject: hasObject,
+		Key: placing.HashOf(j.route.Prefix + key), HasKey: hasKey,
 		Large: isLarge(j), Priority: j.route.Priority,
-		Aim: j.in.Arrived.Add(j.route.Aim), Deadline: j.deadline,
+		Objective: j.in.Arrived.Add(j.route.Objective), Deadline: j.deadline,
 	}
 	if len(j.route.Regions) > 0 {
 		j.ask.Allowed = j.route.Allows
@@ -124,8 +124,6 @@
 
 // isLarge tells whether a request or its answer should stay in its region. A large
 // answer from afar takes several round trips, and bytes between regions are scarce.
-// Mean worth of the standard days of kovacevic-spend, where one answer in fourteen has
-// 90 KB, without downloads / with them: 0.718 / 0.727; the other sites have none.
 func isLarge(j *job) bool {
 	return j.route.Upload || j.route.Download || len(j.in.Body) > largeBody
 }
@@ -187,12 +185,12 @@
 func (t *trail) fields(to logrus.Fields) {
 	to["waited_ms"] = t.waited.Milliseconds()
 	to["expected_ms"] = t.placed.Expected.Milliseconds()
-	to["slots"], to["in_hand"] = t.placed.Slots, t.placed.InHand
+	to["slots"], to["in_flight"] = t.placed.Slots, t.placed.InFlight
 	if len(t.targets) == 0 {
 		return
 	}
 	to["targets"], to["ends"], to["took_ms"], to["region"] = t.targets, t.ends, t.tookMS, t.placed.Region
-	to["heard_ms"] = t.placed.HeardAge.Milliseconds()
+	to["counts_age_ms"] = t.placed.CountsAge.Milliseconds()
 	to["warm"], to["hedged"] = t.placed.Warm, t.hedged
 }
 
@@ -209,10 +207,10 @@
 	}
 	if !j.deadline.IsZero() {
 		fields["left_ms"] = j.deadline.Sub(j.in.Arrived).Milliseconds()
-		fields["aim_ms"] = j.route.Aim.Milliseconds()
+		fields["objective_ms"] = j.route.Objective.Milliseconds()
 	}
-	if j.ask.HasObject {
-		fields["object"] = strconv.FormatUint(j.ask.Object, 36)
+	if j.ask.HasKey {
+		fields["affinity_key"] = strconv.FormatUint(j.ask.Key, 36)
 	}
 	j.log.fields(fields)
 	if end.answer != nil {
--- a/edge/logs/account/account.go
+++ b/edge/logs/account/account.go
@@ -16,16 +16,16 @@
 
 // Counts are requests by how they ended.
 type Counts struct {
-	InAim   int           `json:"in_aim"`
-	Late    int           `json:"late"`
-	Refused int           `json:"refused"`
-	Failed  int           `json:"failed"`
-	Left    int           `json:"caller_left"`
-	Causes  map[Cause]int `json:"causes,omitempty"`
+	InObjective int           `json:"in_objective"`
+	Late        int           `json:"late"`
+	Refused     int           `json:"refused"`
+	Failed      int           `json:"failed"`
+	Left        int           `json:"caller_left"`
+	Causes      map[Cause]int `json:"causes,omitempty"`
 }
 
 // Total returns all requests.
-func (c *Counts) Total() int { return c.InAim + c.Late + c.Refused + c.Failed + c.Left }
+func (c *Counts) Total() int { return c.InObjective + c.Late + c.Refused + c.Failed + c.Left }
 
 func (c *Counts) add(cause Cause) {
 	if c.Causes == nil {
@@ -176,19 +176,19 @@
 	case e.Result != "ok" || e.Status >= 500:
 		c.Failed++
 		c.add(causeOfFailure(e))
-	case r.inAim(e):
-		c.InAim++
+	case r.inObjective(e):
+		c.InObjective++
 	default:
 		c.Late++
 		c.add(r.causeOfLate(e, slow))
 	}
 }
 
-func (r *reader) inAim(e *entry) bool {
-	return e.AimMS == 0 || time.Duration(e.MS)*time.Millisecond+r.options.Network <= time.Duration(e.AimMS)*time.Millisecond
+func (r *reader) inObjective(e *entry) bool {
+	return e.ObjectiveMS == 0 || time.Duration(e.MS)*time.Millisecond+r.options.Network <= time.Duration(e.ObjectiveMS)*time.Millisecond
 }
 
-// waitedShare of the aim in the line makes the line the cause.
+// waitedShare of the objective in the queue makes the line the cause.
 const waitedShare = 0.33
 
 func (r *reader) causeOfLate(e *entry, slow Cause) Cause {
@@ -197,7 +197,7 @@
 		return Repeated
 	case slow != "":
 		return slow
-	case float64(e.WaitedMS) > waitedShare*float64(e.AimMS):
+	case float64(e.WaitedMS) > waitedShare*float64(e.ObjectiveMS):
 		return Waited
 	case r.isFar(e):
 		return Far
@@ -218,28 +218,28 @@
 		return ""
 	}
 	took := time.Duration(e.TookMS[last]) * time.Millisecond
-	key := class{e.Route, e.Service, r.isFar(e)}
-	u := r.usual[key]
+	kind := class{e.Route, e.Service, r.isFar(e)}
+	u := r.usual[kind]
 	if u == nil {
 		u = &usual{}
-		r.usual[key] = u
+		r.usual[kind] = u
 	}
 	ratio := u.ratio(took)
 	u.note(took)
-	if e.Object == "" {
+	if e.Key == "" {
 		return ""
 	}
-	object := e.Service + " " + e.Object
+	key := e.Service + " " + e.Key
 	at := r.memory.target(e.Targets[last], e.at)
-	_, known := at.lastEnd(object)
+	_, known := at.lastEnd(key)
 	cause := Cause("")
 	if ratio > slowFrom {
-		cause = r.memory.causeOfSlow(at, object, e.at-took)
+		cause = r.memory.causeOfSlow(at, key, e.at-took)
 	}
 	if known {
 		at.pace += slowRate * (min(ratio, maxRatio) - at.pace)
 	}
-	r.memory.note(at, object, e.at)
+	r.memory.note(at, key, e.at)
 	return cause
 }
 
--- a/edge/logs/account/account_test.go
+++ b/edge/logs/account/account_test.go
@@ -17,13 +17,13 @@
 // request writes the line of a request that ended gap ms after the one before.
 func (l *log) request(gap int, fields string) {
 	l.at += gap
-	fmt.Fprintf(l, `{"msg":"gateway: request ended","time":"10:00:%02d.%03d","route":"r","service":"s","aim_ms":300,%s}`+"\n",
+	fmt.Fprintf(l, `{"msg":"gateway: request ended","time":"10:00:%02d.%03d","route":"r","service":"s","objective_ms":300,%s}`+"\n",
 		l.at/1000, l.at%1000, fields)
 }
 
-func (l *log) answered(gap int, object, target string, ms int, more string) {
-	l.request(gap, fmt.Sprintf(`"result":"ok","status":200,"sent":1,"object":%q,"targets":[%q],"took_ms":[%d],"ms":%d%s`,
-		object, target, ms, ms, more))
+func (l *log) answered(gap int, key, target string, ms int, more string) {
+	l.request(gap, fmt.Sprintf(`"result":"ok","status":200,"sent":1,"affinity_key":%q,"targets":[%q],"took_ms":[%d],"ms":%d%s`,
+		key, target, ms, ms, more))
 }
 
 func read(t *testing.T, o Options, text string) *Account {
@@ -50,8 +50,8 @@
 	l.answered(500, "o2", "t1", 100, `,"ms":320,"waited_ms":200`)
 	l.answered(500, "o2", "t1", 100, `,"ms":310`)
 	l.answered(500, "o2", "t1", 100, `,"ms":500,"sent":2`)
-	l.request(1, `"result":"queue-full","why":"too late","slots":20,"in_hand":21,"sent":0`)
-	l.request(1, `"result":"queue-full","why":"too late","slots":20,"in_hand":4,"sent":0`)
+	l.request(1, `"result":"queue-full","why":"too late","slots":20,"in_flight":21,"sent":0`)
+	l.request(1, `"result":"queue-full","why":"too late","slots":20,"in_flight":4,"sent":0`)
 	l.request(1, `"result":"no-target","why":"no target","sent":0`)
 	l.request(1, `"result":"node-leaving","sent":0`)
 	l.request(1, `"result":"connection-lost","sent":1,"targets":["t1"],"took_ms":[5]`)
@@ -71,8 +71,8 @@
 	if len(a.All.Causes) != len(want) {
 		t.Errorf("causes %v", a.All.Causes)
 	}
-	if a.All.InAim != 30 || a.All.Left != 1 || a.All.Total() != a.Lines || a.Lines != 45 {
-		t.Errorf("%d in aim, %d left, %d of %d", a.All.InAim, a.All.Left, a.All.Total(), a.Lines)
+	if a.All.InObjective != 30 || a.All.Left != 1 || a.All.Total() != a.Lines || a.Lines != 45 {
+		t.Errorf("%d in objective, %d left, %d of %d", a.All.InObjective, a.All.Left, a.All.Total(), a.Lines)
 	}
 	sum := 0
 	for _, p := range a.BySecond {
@@ -83,7 +83,7 @@
 	}
 }
 
-// A target turns slow. Its known objects take long, which must not be told as forgotten.
+// A target turns slow. Its known keys take long, which must not be told as forgotten.
 func TestSlowTargetIsNotForgetful(t *testing.T) {
 	var l log
 	for i := range 40 {
@@ -125,7 +125,7 @@
 func TestNetworkCountsAgainstTheAim(t *testing.T) {
 	var l log
 	l.answered(10, "o", "t1", 290, "")
-	if a := read(t, Options{}, l.String()); a.All.InAim != 1 {
+	if a := read(t, Options{}, l.String()); a.All.InObjective != 1 {
 		t.Errorf("%+v", a.All)
 	}
 	if a := read(t, Options{Network: 20 * time.Millisecond}, l.String()); a.All.Late != 1 {
@@ -133,7 +133,7 @@
 	}
 }
 
-// A week of logs names more targets and objects than fit in memory. Old ones make room.
+// A week of logs names more targets and keys than fit in memory. Old ones make room.
 func TestMemoryIsBounded(t *testing.T) {
 	m := newMemory()
 	for i := range 5 * maxFollowed / 2 {
@@ -145,14 +145,14 @@
 		m.note(at, fmt.Sprint("o", i), now)
 	}
 	if len(m.targets) > maxFollowed || len(m.first) > maxFollowed || len(m.last) > maxFollowed {
-		t.Errorf("%d targets, %d objects", len(m.targets), len(m.first))
+		t.Errorf("%d targets, %d keys", len(m.targets), len(m.first))
 	}
 	var one target
-	for i := range 2 * maxObjects {
-		one.note(run{object: fmt.Sprint(i)})
+	for i := range 2 * maxKeys {
+		one.note(run{key: fmt.Sprint(i)})
 	}
-	if len(one.runs) != maxObjects {
-		t.Errorf("%d objects of one target", len(one.runs))
+	if len(one.runs) != maxKeys {
+		t.Errorf("%d keys of one target", len(one.runs))
 	}
 }
 
--- a/edge/logs/account/cause.go
+++ b/edge/logs/account/cause.go
@@ -5,18 +5,18 @@
 
 // Causes. Those of late requests are told apart by their last sending.
 const (
-	// FirstRun: no target had run the object before.
-	FirstRun Cause = "late: first run of the object"
-	// BesideFirst: it ran while the target ran the object for the first time.
+	// FirstRun: no target had run the key before.
+	FirstRun Cause = "late: first run of the key"
+	// BesideFirst: it ran while the target ran the key for the first time.
 	BesideFirst Cause = "late: beside the first run"
-	// NewTarget: another target knew the object.
-	NewTarget Cause = "late: known at another target"
-	// Forgotten: the target had run it, and runs other objects as fast as ever.
+	// NewTarget: another target was warm for the key.
+	NewTarget Cause = "late: warm at another target"
+	// Forgotten: the target had run it, and runs other keys as fast as ever.
 	Forgotten Cause = "late: forgotten by the target"
-	// TargetSlow: the target runs all objects slowly.
+	// TargetSlow: the target runs all keys slowly.
 	TargetSlow Cause = "late: target slow"
-	// Waited: more than a third of the aim went in the line.
-	Waited Cause = "late: waited in the line"
+	// Waited: more than a third of the objective went in the queue.
+	Waited Cause = "late: waited in the queue"
 	// Repeated: an earlier sending had failed.
 	Repeated Cause = "late: sent again"
 	// Far: it ran at its usual speed in another region.
@@ -57,7 +57,7 @@
 		return NotServing
 	case e.Result != "queue-full" || e.Slots == 0:
 		return RefusedUntold
-	case float64(e.InHand) < (1-freeShare)*float64(e.Slots):
+	case float64(e.InFlight) < (1-freeShare)*float64(e.Slots):
 		return SlotsFree
 	}
 	return SlotsTaken
--- a/edge/logs/account/line.go
+++ b/edge/logs/account/line.go
@@ -17,27 +17,27 @@
 type line struct {
 	Message string `json:"msg"`
 	Time    string `json:"time"`
-	// VM is set in the line that a VM writes at its start. Region is its own there, and
-	// that of the target in the line of a request.
+	// VM is set in the queue that a VM writes at its start. Region is its own there, and
+	// that of the target in the queue of a request.
 	VM     string `json:"vm"`
 	Region string `json:"region"`
 
-	ID       string   `json:"id"`
-	Route    string   `json:"route"`
-	Service  string   `json:"service"`
-	Result   string   `json:"result"`
-	Why      string   `json:"why"`
-	Object   string   `json:"object"`
-	Status   int      `json:"status"`
-	Sent     int      `json:"sent"`
-	MS       int64    `json:"ms"`
-	WaitedMS int64    `json:"waited_ms"`
-	AimMS    int64    `json:"aim_ms"`
-	Expected int64    `json:"expected_ms"`
-	Targets  []string `json:"targets"`
-	TookMS   []int64  `json:"took_ms"`
-	InHand   int      `json:"in_hand"`
-	Slots    int      `json:"slots"`
+	ID          string   `json:"id"`
+	Route       string   `json:"route"`
+	Service     string   `json:"service"`
+	Result      string   `json:"result"`
+	Why         string   `json:"why"`
+	Key         string   `json:"affinity_key"`
+	Status      int      `json:"status"`
+	Sent        int      `json:"sent"`
+	MS          int64    `json:"ms"`
+	WaitedMS    int64    `json:"waited_ms"`
+	ObjectiveMS int64    `json:"objective_ms"`
+	Expected    int64    `json:"expected_ms"`
+	Targets     []string `json:"targets"`
+	TookMS      []int64  `json:"took_ms"`
+	InFlight    int      `json:"in_flight"`
+	Slots       int      `json:"slots"`
 }
 
 // entry is a line with when and by which VM it was written.
@@ -47,9 +47,9 @@
 	at time.Duration
 }
 
-// parse decodes a line. Words before the JSON object are of whatever gathered the logs;
-// the last of them names the VM. A line without an object is no fault, ok is false for
-// one whose object cannot be read.
+// parse decodes a line. Words before the JSON key are of whatever gathered the logs;
+// the last of them names the VM. A line without a key is no fault, ok is false for
+// one whose key cannot be read.
 func parse(text []byte) (e entry, skip, ok bool) {
 	start := bytes.IndexByte(text, '{')
 	if start < 0 {
--- a/edge/logs/account/memory.go
+++ b/edge/logs/account/memory.go
@@ -6,11 +6,11 @@
 )
 
 const (
-	// maxObjects bounds the objects that are followed for one target, and maxFollowed the
-	// targets, and the objects whose first run is known. Those that ran last are kept.
-	maxObjects  = 256
+	// maxKeys bounds the keys that are followed for one target, and maxFollowed the
+	// targets, and the keys whose first run is known. Those that ran last are kept.
+	maxKeys     = 256
 	maxFollowed = 100_000
-	// idleFor is after how long without a run a target or object is dropped when there
+	// idleFor is after how long without a run a target or key is dropped when there
 	// are too many. If too many are busy all are dropped, and found to be new once more.
 	idleFor = time.Minute
 	// slowRate is the weight of one run in the speed of a target.
@@ -19,35 +19,35 @@
 	slowFrom = 1.8
 )
 
-// run is one run of an object at a target.
+// run is one run of a key at a target.
 type run struct {
-	object string
-	ended  time.Duration
+	key   string
+	ended time.Duration
 }
 
 // target is what is known of one target from the lines so far.
 type target struct {
-	// runs holds the last run of each object, the latest last.
+	// runs holds the last run of each key, the latest last.
 	runs []run
-	// pace is how many times longer than usual known objects take.
+	// pace is how many times longer than usual known keys take.
 	pace float64
 	last time.Duration
 }
 
 // note takes a run in.
 func (t *target) note(r run) {
-	t.runs = slices.DeleteFunc(t.runs, func(other run) bool { return other.object == r.object })
+	t.runs = slices.DeleteFunc(t.runs, func(other run) bool { return other.key == r.key })
 	t.runs = append(t.runs, r)
-	if len(t.runs) > maxObjects {
+	if len(t.runs) > maxKeys {
 		t.runs = t.runs[1:]
 	}
 	t.last = r.ended
 }
 
-// lastEnd returns when an object ran there last.
-func (t *target) lastEnd(object string) (time.Duration, bool) {
+// lastEnd returns when a key ran there last.
+func (t *target) lastEnd(key string) (time.Duration, bool) {
 	for _, r := range t.runs {
-		if r.object == object {
+		if r.key == key {
 			return r.ended, true
 		}
 	}
@@ -57,7 +57,7 @@
 // memory follows what targets have run.
 type memory struct {
 	targets map[string]*target
-	// first is when the first run of an object ended anywhere, last when it ran last.
+	// first is when the first run of a key ended anywhere, last when it ran last.
 	first, last map[string]time.Duration
 }
 
@@ -84,9 +84,9 @@
 	return t
 }
 
-// note takes in a run of an object of a service.
-func (m *memory) note(at *target, object string, ended time.Duration) {
-	at.note(run{object, ended})
+// note takes in a run of a key of a service.
+func (m *memory) note(at *target, key string, ended time.Duration) {
+	at.note(run{key, ended})
 	if len(m.first) >= maxFollowed {
 		for other, last := range m.last {
 			if ended-last > idleFor {
@@ -99,19 +99,19 @@
 			clear(m.last)
 		}
 	}
-	if _, known := m.first[object]; !known {
-		m.first[object] = ended
+	if _, known := m.first[key]; !known {
+		m.first[key] = ended
 	}
-	m.last[object] = ended
+	m.last[key] = ended
 }
 
 // causeOfSlow tells why a run that began at a time took long.
-func (m *memory) causeOfSlow(at *target, object string, began time.Duration) Cause {
-	first, ran := m.first[object]
+func (m *memory) causeOfSlow(at *target, key string, began time.Duration) Cause {
+	first, ran := m.first[key]
 	if !ran {
 		return FirstRun
 	}
-	last, here := at.lastEnd(object)
+	last, here := at.lastEnd(key)
 	switch {
 	case here && last <= began && at.pace > slowFrom:
 		return TargetSlow
--- a/edge/logs/account/table.go
+++ b/edge/logs/account/table.go
@@ -18,7 +18,7 @@
 	for i := range a.BySecond {
 		p := &a.BySecond[i]
 		fmt.Fprintf(w, "%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%.0f\t\n",
-			p.Second, p.Total(), p.InAim, p.Late, p.Refused, p.Failed, p.SlowRuns, p.Expected, p.Seen)
+			p.Second, p.Total(), p.InObjective, p.Late, p.Refused, p.Failed, p.SlowRuns, p.Expected, p.Seen)
 	}
 	return w.Flush()
 }
@@ -35,7 +35,7 @@
 		return causes[i] < causes[j]
 	})
 	fmt.Fprint(w, "requests\tin all, %\tcause\t\n")
-	fmt.Fprintf(w, "%d\t%.1f\tin aim\t\n", c.InAim, percent(c.InAim, c.Total()))
+	fmt.Fprintf(w, "%d\t%.1f\tin aim\t\n", c.InObjective, percent(c.InObjective, c.Total()))
 	for _, cause := range causes {
 		fmt.Fprintf(w, "%d\t%.1f\t%s\t\n", c.Causes[cause], percent(c.Causes[cause], c.Total()), cause)
 	}
@@ -45,7 +45,7 @@
 func writeGroups(w io.Writer, name string, list []Group) {
 	fmt.Fprintf(w, "\n%s\tasked\tin aim\tlate\trefused\tfailed\tmost for\t\n", name)
 	for _, g := range list {
-		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%s\t\n", g.Key, g.Total(), g.InAim, g.Late, g.Refused, g.Failed, mostOf(g.Causes))
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%s\t\n", g.Key, g.Total(), g.InObjective, g.Late, g.Refused, g.Failed, mostOf(g.Causes))
 	}
 }
 
--- a/edge/peers/digests.go
+++ b/edge/peers/digests.go
@@ -18,8 +18,8 @@
 // NewDigests begins to wait now.
 func NewDigests(now time.Time) *Digests { return &Digests{at: now} }
 
-// Expect tells whether this VM should get digests.
-func (d *Digests) Expect(now time.Time, expected bool) {
+// Await tells whether this VM should get digests.
+func (d *Digests) Await(now time.Time, expected bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if expected && !d.expected {
@@ -28,8 +28,8 @@
 	d.expected = expected
 }
 
-// Came notes a digest.
-func (d *Digests) Came(now time.Time) {
+// Received notes a digest.
+func (d *Digests) Received(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.at = now
--- a/edge/peers/digests_test.go
+++ b/edge/peers/digests_test.go
@@ -15,18 +15,18 @@
 			t.Errorf("%s: missing %v", what, got)
 		}
 	}
-	d.Expect(now, true)
+	d.Await(now, true)
 	check("at the start", false)
 	now = now.Add(missingAfter + time.Millisecond)
 	check("none came", true)
-	d.Came(now)
+	d.Received(now)
 	check("one came", false)
-	d.Expect(now, false)
+	d.Await(now, false)
 	now = now.Add(time.Hour)
 	check("a listener", false)
-	d.Expect(now, true)
+	d.Await(now, true)
 	check("a listener no more", false)
 	now = now.Add(missingAfter + time.Millisecond)
-	d.Expect(now, true)
+	d.Await(now, true)
 	check("none came to it", true)
 }
--- a/edge/peers/group.go
+++ b/edge/peers/group.go
@@ -16,12 +16,12 @@
 	listeners = 2
 	// missingAfter is how long a VM without a digest waits before it says so: longer
 	// than a silent listener or relay is replaced in.
-	missingAfter = silence + 500*time.Millisecond
+	missingAfter = suspicionTimeout + 500*time.Millisecond
 	// directFor is how long it gets digests from the listener itself then.
 	directFor = 5 * time.Second
 )
 
-// Group is how the VMs of the own region share what they hear.
+// Group is how the VMs of the own region share their reports.
 type Group struct {
 	// Large tells that only the listeners hear all others.
 	Large bool
@@ -39,35 +39,35 @@
 	Far []site.VM
 }
 
-// Group returns the group at a time. All VMs that hear the same find the same one.
-func (b *Book) Group(now time.Time) Group {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+// Group returns the group at a time. All VMs that have the same reports find the same one.
+func (m *Members) Group(now time.Time) Group {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	var g Group
-	for region, vms := range b.regions {
-		if region != b.own.Region {
+	for region, vms := range m.regions {
+		if region != m.own.Region {
 			g.Far = append(g.Far, first(vms, func(site.VM) bool { return true })...)
 			continue
 		}
 		g.Large = len(vms) > smallRegion
-		g.Listeners = first(vms, func(vm site.VM) bool { return vm.Name == b.own.Name || b.mayListen(vm, now) })
-		b.divide(&g, vms, now)
+		g.Listeners = first(vms, func(vm site.VM) bool { return vm.Name == m.own.Name || m.mayListen(vm, now) })
+		m.divide(&g, vms, now)
 	}
 	return g
 }
 
 // divide finds by whom the VMs of the own region get a digest.
-func (b *Book) divide(g *Group, vms []site.VM, now time.Time) {
-	served := map[string]bool{b.own.Zone: true}
+func (m *Members) divide(g *Group, vms []site.VM, now time.Time) {
+	served := map[string]bool{m.own.Zone: true}
 	for _, vm := range vms {
-		if vm.Name == b.own.Name || slices.ContainsFunc(g.Listeners, func(l site.VM) bool { return l.Name == vm.Name }) {
+		if vm.Name == m.own.Name || slices.ContainsFunc(g.Listeners, func(l site.VM) bool { return l.Name == vm.Name }) {
 			continue
 		}
-		at, without := b.withoutAt[vm.Name]
+		at, without := m.withoutAt[vm.Name]
 		switch {
-		case vm.Zone == b.own.Zone:
+		case vm.Zone == m.own.Zone:
 			g.SameDomain = append(g.SameDomain, vm)
-		case !served[vm.Zone] && b.mayListen(vm, now):
+		case !served[vm.Zone] && m.mayListen(vm, now):
 			served[vm.Zone] = true
 			g.Relays = append(g.Relays, vm)
 		case without && now.Sub(at) < directFor:
@@ -77,13 +77,13 @@
 }
 
 // mayListen reports whether a VM of the own region can be a listener or a relay: it
-// is heard, or this VM is too new to tell.
-func (b *Book) mayListen(vm site.VM, now time.Time) bool {
-	said, ok := b.said[vm.Name]
+// is responsive, or this VM is too new to tell.
+func (m *Members) mayListen(vm site.VM, now time.Time) bool {
+	state, ok := m.states[vm.Name]
 	if !ok {
-		return now.Sub(b.started) < silence
+		return now.Sub(m.started) < suspicionTimeout
 	}
-	return now.Sub(said.At) < silence && !said.Leaving
+	return now.Sub(state.At) < suspicionTimeout && !state.Leaving
 }
 
 // first returns the listeners of a region: all VMs of a small one, the first ones
--- a/edge/peers/peers.go
+++ b/edge/peers/peers.go
@@ -1,5 +1,5 @@
 // Package peers keeps what is known of the other entry VMs: what they registered,
-// and what they said lately. It decides which of them callers are sent to.
+// and what they reported lately. It decides which of them callers are sent to.
 package peers
 
 import (
@@ -10,29 +10,29 @@
 	"github.com/yuccaroute/yuccaroute/edge/site"
 )
 
-// silence is how long a VM of the own region may say nothing before callers are
-// not sent to it: it beats four times a second, and a paused one is back by then
+// suspicionTimeout is how long a VM of the own region may report nothing before callers are
+// not sent to it: its heartbeat comes four times a second, and a paused one is back by then
 // or has lost its callers anyway.
-const silence = 1500 * time.Millisecond
+const suspicionTimeout = 1500 * time.Millisecond
 
-// farSilence is the same for VMs of other regions, which beat twice a second. In
-// large fleets only some of them are heard, and the others are taken to live as
-// long as the store lists them.
-const farSilence = 3 * time.Second
+// farSuspicionTimeout is the same for VMs of other regions, whose heartbeat comes twice a
+// second. In large fleets reports of only some of them arrive, and the others are taken to
+// live as long as the store lists them.
+const farSuspicionTimeout = 3 * time.Second
 
-// Said is what a VM said last.
-type Said struct {
+// State is what a VM reported last.
+type State struct {
 	At      time.Time
 	Serving bool
 	Leaving bool
 	// Linked tells that it watches the store and is answered.
 	Linked bool
-	// NoDigest tells that no digest reached it.
+	// NoDigest tells that no digest reaches it.
 	NoDigest bool
 }
 
-// Book holds the VMs. It is safe for use by several goroutines.
-type Book struct {
+// Members holds the VMs. It is safe for use by several goroutines.
+type Members struct {
 	own site.VM
 	// started is when this VM began to listen.
 	started time.Time
@@ -40,77 +40,76 @@
 	mu         sync.Mutex
 	registered map[string]site.VM
 	// regions are the registered VMs and this one by region, each region's by name.
-	// They are made anew when the registered VMs change: BenchmarkGroup with 552 VMs
-	// takes 15 us in place of 173 when they are made for each call.
+	// They are made anew when the registered VMs change, and not for each call.
 	regions map[string][]site.VM
-	said    map[string]Said
-	// withoutAt is when a VM last said that no digest reached it.
+	states  map[string]State
+	// withoutAt is when a VM last reported that no digest reaches it.
 	withoutAt map[string]time.Time
 }
 
-// New returns a book that knows this VM only.
-func New(own site.VM, now time.Time) *Book {
-	b := &Book{own: own, started: now, registered: make(map[string]site.VM), said: make(map[string]Said),
+// New returns members that hold this VM only.
+func New(own site.VM, now time.Time) *Members {
+	m := &Members{own: own, started: now, registered: make(map[string]site.VM), states: make(map[string]State),
 		withoutAt: make(map[string]time.Time)}
-	b.sortRegions()
-	return b
+	m.sortRegions()
+	return m
 }
 
-// Register replaces the registered VMs. A VM that has said something lately stays
+// Register replaces the registered VMs. A VM that has reported lately stays
 // known without a registration: the store may have lost it in an outage.
-func (b *Book) Register(vms []site.VM, now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+func (m *Members) Register(vms []site.VM, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	next := make(map[string]site.VM, len(vms))
 	for _, vm := range vms {
 		next[vm.Name] = vm
 	}
-	for name, vm := range b.registered {
-		if _, ok := next[name]; !ok && b.isHeard(vm, now) {
+	for name, vm := range m.registered {
+		if _, ok := next[name]; !ok && m.isResponsive(vm, now) {
 			next[name] = vm
 		}
 	}
-	b.registered = next
-	b.sortRegions()
+	m.registered = next
+	m.sortRegions()
 }
 
 // sortRegions is called with the lock held.
-func (b *Book) sortRegions() {
-	b.regions = map[string][]site.VM{b.own.Region: {b.own}}
-	for name, vm := range b.registered {
-		if name != b.own.Name {
-			b.regions[vm.Region] = append(b.regions[vm.Region], vm)
+func (m *Members) sortRegions() {
+	m.regions = map[string][]site.VM{m.own.Region: {m.own}}
+	for name, vm := range m.registered {
+		if name != m.own.Name {
+			m.regions[vm.Region] = append(m.regions[vm.Region], vm)
 		}
 	}
-	for _, vms := range b.regions {
+	for _, vms := range m.regions {
 		sort.Slice(vms, func(i, j int) bool { return vms[i].Name < vms[j].Name })
 	}
 }
 
-// Hear takes in what a VM said. It is known from then on, also if the store has
+// Observe takes in a report of a VM. It is known from then on, also if the store has
 // lost its registration. It reports whether that is news.
-func (b *Book) Hear(vm site.VM, s Said) (news bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.said[vm.Name] = s
+func (m *Members) Observe(vm site.VM, s State) (news bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.states[vm.Name] = s
 	if s.NoDigest {
-		b.withoutAt[vm.Name] = s.At
+		m.withoutAt[vm.Name] = s.At
 	}
-	if known, ok := b.registered[vm.Name]; ok && known.Incarnation >= vm.Incarnation {
+	if known, ok := m.registered[vm.Name]; ok && known.Incarnation >= vm.Incarnation {
 		return false
 	}
-	b.registered[vm.Name] = vm
-	b.sortRegions()
+	m.registered[vm.Name] = vm
+	m.sortRegions()
 	return true
 }
 
 // Others returns the registered VMs but this one, by name.
-func (b *Book) Others() []site.VM {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+func (m *Members) Others() []site.VM {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	var all []site.VM
-	for name, vm := range b.registered {
-		if name != b.own.Name {
+	for name, vm := range m.registered {
+		if name != m.own.Name {
 			all = append(all, vm)
 		}
 	}
@@ -118,65 +117,65 @@
 	return all
 }
 
-// isHeard reports whether a VM lives, by what it said.
-func (b *Book) isHeard(vm site.VM, now time.Time) bool {
-	said, ok := b.said[vm.Name]
-	return ok && now.Sub(said.At) < b.patience(vm)
+// isResponsive reports whether a VM's last report is recent enough.
+func (m *Members) isResponsive(vm site.VM, now time.Time) bool {
+	state, ok := m.states[vm.Name]
+	return ok && now.Sub(state.At) < m.timeoutOf(vm)
 }
 
-func (b *Book) patience(vm site.VM) time.Duration {
-	if vm.Region == b.own.Region {
-		return silence
+func (m *Members) timeoutOf(vm site.VM) time.Duration {
+	if vm.Region == m.own.Region {
+		return suspicionTimeout
 	}
-	return farSilence
+	return farSuspicionTimeout
 }
 
-// live reports whether callers may be sent to a VM. One that has said nothing
+// live reports whether callers may be sent to a VM. One that has not reported
 // yet is given the benefit of the doubt while this VM is new itself, or is distant.
-func (b *Book) live(vm site.VM, now time.Time) bool {
-	said, ok := b.said[vm.Name]
+func (m *Members) live(vm site.VM, now time.Time) bool {
+	state, ok := m.states[vm.Name]
 	if !ok {
-		return vm.Region != b.own.Region || now.Sub(b.started) < silence
+		return vm.Region != m.own.Region || now.Sub(m.started) < suspicionTimeout
 	}
-	return now.Sub(said.At) < b.patience(vm) && said.Serving && !said.Leaving
+	return now.Sub(state.At) < m.timeoutOf(vm) && state.Serving && !state.Leaving
 }
 
-// HearOf takes in what a listener knows of a VM that this one may not hear itself.
-func (b *Book) HearOf(name string, s Said) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if last, ok := b.said[name]; name != b.own.Name && (!ok || s.At.After(last.At)) {
-		b.said[name] = s
+// ObserveFrom takes in what a listener knows of a VM that may not report to this one.
+func (m *Members) ObserveFrom(name string, s State) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if last, ok := m.states[name]; name != m.own.Name && (!ok || s.At.After(last.At)) {
+		m.states[name] = s
 	}
 }
 
-// Seen returns what was said last by the VMs of the own region that are registered.
-func (b *Book) Seen() map[string]Said {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	seen := make(map[string]Said)
-	for name, vm := range b.registered {
-		if said, ok := b.said[name]; ok && vm.Region == b.own.Region {
-			seen[name] = said
+// Seen returns the last reports of the VMs of the own region that are registered.
+func (m *Members) Seen() map[string]State {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	seen := make(map[string]State)
+	for name, vm := range m.registered {
+		if state, ok := m.states[name]; ok && vm.Region == m.own.Region {
+			seen[name] = state
 		}
 	}
 	return seen
 }
 
-// Near returns the names of the live VMs of the own region, this one included.
+// Responsive returns the names of the responsive VMs of the own region, this one included.
 //
-// Guard against VMs that start at once and have heard nobody: each would take itself for
+// Guard against VMs that start at once and have had no report yet: each would take itself for
 // the only one, and all would send to the same cold target. It shows as a target that gets
 // a request from every VM within a moment. The guard holds because a VM that is new itself
-// counts all registered ones until they would have been heard.
-func (b *Book) Near(now time.Time) []string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+// counts all registered ones until their reports should have come.
+func (m *Members) Responsive(now time.Time) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	var names []string
-	for _, vm := range b.regions[b.own.Region] {
-		_, said := b.said[vm.Name]
-		isNew := !said && now.Sub(b.started) < silence
-		if vm.Name == b.own.Name || isNew || b.isHeard(vm, now) {
+	for _, vm := range m.regions[m.own.Region] {
+		_, reported := m.states[vm.Name]
+		isNew := !reported && now.Sub(m.started) < suspicionTimeout
+		if vm.Name == m.own.Name || isNew || m.isResponsive(vm, now) {
 			names = append(names, vm.Name)
 		}
 	}
@@ -184,18 +183,18 @@
 }
 
 // Sharers returns the names of the VMs of the own region among which work is divided,
-// this one included: the live ones, or all that are listed while less than half of them
-// is heard.
+// this one included: the responsive ones, or all that are listed while less than half of
+// them is responsive.
 //
 // Guard against VMs that were cut off from all others: each would take itself for the only
 // one, and all would send to the same cold target. It shows as a target that gets a request
 // from every such VM within a moment. The guard holds because at most two parts of a region
-// hear half of it each, so there are at most two views besides the list's.
-func (b *Book) Sharers(now time.Time) []string {
-	near := b.Near(now)
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	all := b.regions[b.own.Region]
+// have reports of half of it each, so there are at most two views besides the list's.
+func (m *Members) Sharers(now time.Time) []string {
+	near := m.Responsive(now)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	all := m.regions[m.own.Region]
 	if 2*len(near) >= len(all) {
 		return near
 	}
@@ -208,37 +207,36 @@
 
 const (
 	// vmsPerWatch is how many VMs of a region follow one that watches the store,
-	// maxWatches how many watch in one region: one, and one that goes on when it is turned away.
-	// Calls have a price, and the store's rates do not grow with the fleet. With three
-	// in a region a day of 81 VMs took 2,294 calls, 2,077 with two.
+	// maxWatches how many watch in one region: one, and one that goes on when it is turned
+	// away. Calls have a price, and the store's rates do not grow with the fleet.
 	vmsPerWatch = 8
 	maxWatches  = 2
 )
 
 // Watches reports whether this VM watches the store: the first ones of each region
-// do, of those that are answered. One that is not heard, or not answered, is
+// do, of those that are answered. One that is unresponsive, or not answered, is
 // replaced by the next as soon as it is noticed.
-func (b *Book) Watches(now time.Time) bool {
-	return b.isAmongFirst(now, func(s Said) bool { return s.Linked && !s.Leaving })
+func (m *Members) Watches(now time.Time) bool {
+	return m.isAmongFirst(now, func(s State) bool { return s.Linked && !s.Leaving })
 }
 
 // WatchesFirst reports whether this VM is one of those that watch while the store
 // answers all.
-func (b *Book) WatchesFirst(now time.Time) bool {
-	return b.isAmongFirst(now, func(s Said) bool { return !s.Leaving })
+func (m *Members) WatchesFirst(now time.Time) bool {
+	return m.isAmongFirst(now, func(s State) bool { return !s.Leaving })
 }
 
 // isAmongFirst reports whether few enough of the VMs that count come before this one.
-func (b *Book) isAmongFirst(now time.Time, counts func(Said) bool) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+func (m *Members) isAmongFirst(now time.Time, counts func(State) bool) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	near, before := 1, 0
-	for name, vm := range b.registered {
-		if name == b.own.Name || vm.Region != b.own.Region || !b.isHeard(vm, now) {
+	for name, vm := range m.registered {
+		if name == m.own.Name || vm.Region != m.own.Region || !m.isResponsive(vm, now) {
 			continue
 		}
 		near++
-		if name < b.own.Name && counts(b.said[name]) {
+		if name < m.own.Name && counts(m.states[name]) {
 			before++
 		}
 	}
@@ -246,11 +244,11 @@
 }
 
 // Count returns how many VMs are known, this one included.
-func (b *Book) Count() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	n := len(b.registered)
-	if _, ok := b.registered[b.own.Name]; !ok {
+func (m *Members) Count() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := len(m.registered)
+	if _, ok := m.registered[m.own.Name]; !ok {
 		n++
 	}
 	return max(1, n)
@@ -259,9 +257,9 @@
 // Entries returns where callers of a failure domain connect: the live VMs of their
 // domain, else of their region, else all live ones. own tells whether this VM
 // takes callers. The result is empty if no VM does.
-func (b *Book) Entries(zone, region string, own bool, now time.Time) []string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+func (m *Members) Entries(zone, region string, own bool, now time.Time) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	var sameZone, sameRegion, any []string
 	consider := func(vm site.VM) {
 		any = append(any, vm.Entry)
@@ -273,10 +271,10 @@
 		}
 	}
 	if own {
-		consider(b.own)
+		consider(m.own)
 	}
-	for name, vm := range b.registered {
-		if name != b.own.Name && b.live(vm, now) {
+	for name, vm := range m.registered {
+		if name != m.own.Name && m.live(vm, now) {
 			consider(vm)
 		}
 	}
--- a/edge/peers/peers_test.go
+++ b/edge/peers/peers_test.go
@@ -17,9 +17,9 @@
 	return site.VM{Name: name, Region: zone[:1], Zone: zone, Entry: name + ":1", Peer: name + ":2", Incarnation: 1}
 }
 
-func hear(b *Book, at time.Time, vms ...site.VM) {
+func hear(b *Members, at time.Time, vms ...site.VM) {
 	for _, vm := range vms {
-		b.Hear(vm, Said{At: at, Serving: true})
+		b.Observe(vm, State{At: at, Serving: true})
 	}
 }
 
@@ -43,7 +43,7 @@
 	later := start.Add(2 * time.Second)
 	check("silent VMs", "n1", "n", true, later, "own:1")
 	check("a silent region", "s1", "s", true, start.Add(4*time.Second), "own:1")
-	b.Hear(mate, Said{At: later, Serving: true, Leaving: true})
+	b.Observe(mate, State{At: later, Serving: true, Leaving: true})
 	check("a VM that leaves", "n1", "n", true, later, "own:1")
 	check("nobody", "n1", "n", false, start.Add(time.Hour))
 }
@@ -73,15 +73,15 @@
 	if !book.Watches(start) {
 		t.Error("nobody is heard to watch, and this VM does not")
 	}
-	book.Hear(a, Said{At: start, Serving: true, Linked: true})
-	book.Hear(c, Said{At: start, Serving: true, Linked: true})
+	book.Observe(a, State{At: start, Serving: true, Linked: true})
+	book.Observe(c, State{At: start, Serving: true, Linked: true})
 	if book.Watches(start) {
 		t.Error("watches beside the first one")
 	}
-	if !book.Watches(start.Add(silence)) {
+	if !book.Watches(start.Add(suspicionTimeout)) {
 		t.Error("does not watch though the first one is silent")
 	}
-	book.Hear(a, Said{At: start, Serving: true, Linked: false})
+	book.Observe(a, State{At: start, Serving: true, Linked: false})
 	if !book.Watches(start) {
 		t.Error("does not watch though the first one has lost the store")
 	}
@@ -100,7 +100,7 @@
 				book := New(vms[i], start)
 				book.Register(vms, start)
 				for j, vm := range vms {
-					book.Hear(vm, Said{At: start, Serving: true, Linked: linked[j] && j != i})
+					book.Observe(vm, State{At: start, Serving: true, Linked: linked[j] && j != i})
 				}
 				linked[i] = book.Watches(start)
 			}
@@ -188,9 +188,9 @@
 	b := New(vms[5], start)
 	now := start.Add(time.Minute)
 	b.Register(vms, now)
-	b.HearOf("n-020", Said{At: now, Serving: true})
-	b.HearOf("n-020", Said{At: now.Add(-time.Second), Serving: true, Leaving: true})
-	if got := b.Near(now); len(got) != 2 {
+	b.ObserveFrom("n-020", State{At: now, Serving: true})
+	b.ObserveFrom("n-020", State{At: now.Add(-time.Second), Serving: true, Leaving: true})
+	if got := b.Responsive(now); len(got) != 2 {
 		t.Errorf("near %v", got)
 	}
 	if got := b.Entries("n1", "n", false, now); len(got) != 1 || got[0] != "n-020:1" {
@@ -250,8 +250,8 @@
 	if got := b.Group(start).Unreached; len(got) != 0 {
 		t.Errorf("unreached at first: %v", got)
 	}
-	b.Hear(vms[5], Said{At: start, Serving: true, NoDigest: true})
-	b.Hear(vms[5], Said{At: start.Add(time.Second), Serving: true})
+	b.Observe(vms[5], State{At: start, Serving: true, NoDigest: true})
+	b.Observe(vms[5], State{At: start.Add(time.Second), Serving: true})
 	if got := b.Group(start.Add(time.Second)).Unreached; len(got) != 1 || got[0].Name != "vm-005" {
 		t.Errorf("unreached %v", got)
 	}
@@ -267,15 +267,15 @@
 func TestANewVMCountsTheOthersAsLive(t *testing.T) {
 	vms := fleet(27, "n")
 	b := New(vms[5], start)
-	if got := b.Near(start); len(got) != 1 {
+	if got := b.Responsive(start); len(got) != 1 {
 		t.Errorf("near without a list: %v", got)
 	}
 	b.Register(vms, start)
-	if got := b.Near(start); len(got) != len(vms) {
+	if got := b.Responsive(start); len(got) != len(vms) {
 		t.Errorf("%d VMs near, want %d", len(got), len(vms))
 	}
-	b.Hear(vms[6], Said{At: start.Add(silence), Serving: true})
-	if got := b.Near(start.Add(silence)); len(got) != 2 {
+	b.Observe(vms[6], State{At: start.Add(suspicionTimeout), Serving: true})
+	if got := b.Responsive(start.Add(suspicionTimeout)); len(got) != 2 {
 		t.Errorf("near once the others are silent: %v", got)
 	}
 }
--- a/edge/placing/affinity.go
+++ b/edge/placing/affinity.go
@@ -3,41 +3,39 @@
 import "time"
 
 const (
-	// maxHomes bounds the targets of a region that one object may go to. The fourth is
-	// tried when three are full at once.
-	maxHomes = 4
-	// spillBase and spillUse price a run at a target that does not know the object, in
-	// parts of the time that it takes longer than a warm one: what others lose who wait
-	// for the slot, or whose object is forgotten for this one. spillUse counts by the
-	// part of the region's slots in use. Mean worth of the standard days with 0 and 0 /
-	// 0 and 1 / 0.5 and 1: kovacevic-spend 0.681 / 0.701 / 0.702, vliesbuch
-	// 0.553 / 0.567 / 0.574, dphbd-route 0.687 / 0.685 / 0.687.
-	spillBase = 0.5
-	spillUse  = 1.0
+	// maxAffinityTargets bounds the targets of a region that one key may go to. The
+	// fourth is tried when three are full at once.
+	maxAffinityTargets = 4
+	// coldPenalty and coldPenaltyPerUse are the cost of a cold run to other requests,
+	// in parts of the time that it takes longer than a warm one: they wait for its slot,
+	// or run cold because the target dropped their key. coldPenaltyPerUse counts by the
+	// part of the region's slots in use.
+	coldPenalty       = 0.5
+	coldPenaltyPerUse = 1.0
 )
 
 // best returns the open target of a region at which a request is expected to end
 // first, and when; nil if it should wait.
 func (s *service) best(now time.Time, r *Request, region string) (*Target, time.Duration) {
-	if !r.HasObject {
+	if !r.HasKey {
 		return s.leastCost(now, r, region)
 	}
-	t, cost := s.bestHome(now, r, region)
+	t, cost := s.bestAffinity(now, r, region)
 	if t == nil || !t.open(now) {
 		return nil, cost
 	}
 	return t, cost
 }
 
-// leastCost is the open target at which a request about no object ends first.
+// leastCost is the open target at which a request without a key ends first.
 func (s *service) leastCost(now time.Time, r *Request, region string) (best *Target, lowest time.Duration) {
 	var rank uint64
 	for _, t := range s.regions[region] {
 		if !t.open(now) || r.tried(t) {
 			continue
 		}
-		cost := t.cost(now, r.Class, false, s.stay.turn(r.work()))
-		order := draw(r.Object, t.hash)
+		cost := t.cost(now, r.Class, false, s.occupancy.ofBusySlot(r.work()))
+		order := rendezvous(r.Key, t.hash)
 		if best == nil || cost < lowest || (cost == lowest && order > rank) {
 			best, lowest, rank = t, cost, order
 		}
@@ -45,70 +43,70 @@
 	return best, lowest
 }
 
-// bestHome is the target at which a request costs least, full or not, and when it is
-// expected to end there: to wait for a target that knows the object is often shorter than
-// to run cold at a free one. Load pattern: all targets of a region are nearly full; a cold
+// bestAffinity is the affinity target at which a request costs least, full or not, and
+// when it is expected to end there: to wait for a warm target is often shorter than to run
+// cold at a free one. Load pattern: all targets of a region are nearly full; a cold
 // run takes as long as three warm ones, which then run cold elsewhere in turn.
 //
-// An object overflows in the order of its homes, which is the same at all VMs, so that
-// one more target learns it and not one for each VM.
-func (s *service) bestHome(now time.Time, r *Request, region string) (best *Target, expected time.Duration) {
+// A key overflows in the order of its affinity targets, which is the same at all VMs, so
+// that one more target becomes warm for it and not one for each VM.
+func (s *service) bestAffinity(now time.Time, r *Request, region string) (best *Target, expected time.Duration) {
 	lowest := time.Duration(0)
-	price := spillBase + spillUse*s.use(now, region)
-	turn := s.stay.turn(r.work())
+	penalty := coldPenalty + coldPenaltyPerUse*s.use(now, region)
+	occupancy := s.occupancy.ofBusySlot(r.work())
 	longer := float64(r.Class.work(false) - r.Class.work(true))
 	offered := false
-	for i, h := range s.homes(now, r, region) {
-		// All VMs send to the first home, so that it is taken to know the object.
-		known := i == 0 || h.target.knows(r.Object, now)
-		if !known && offered {
+	for i, a := range s.affinityTargets(now, r, region) {
+		// All VMs send to the first affinity target, so that it is taken to be warm.
+		warm := i == 0 || a.target.isWarm(r.Key, now)
+		if !warm && offered {
 			continue
 		}
-		end := h.target.cost(now, r.Class, known, turn)
+		end := a.target.cost(now, r.Class, warm, occupancy)
 		cost := end
-		if !known {
+		if !warm {
 			offered = true
-			cost += time.Duration(price * longer)
+			cost += time.Duration(penalty * longer)
 		}
 		if best == nil || cost < lowest {
-			best, lowest, expected = h.target, cost, end
+			best, lowest, expected = a.target, cost, end
 		}
 	}
 	return best, expected
 }
 
-// homes are the targets of a region that an object goes to, the first one first.
-type homes []home
+// affinityTargets are the targets of a region that a key goes to, the preferred one first.
+type affinityTargets []affinityTarget
 
-type home struct {
+type affinityTarget struct {
 	target *Target
 	order  uint64
 }
 
-// add puts a target in by its order and keeps maxHomes of them.
-func (h homes) add(t *Target, order uint64) homes {
-	i := len(h)
-	for i > 0 && order > h[i-1].order {
+// add puts a target in by its order and keeps maxAffinityTargets of them.
+func (a affinityTargets) add(t *Target, order uint64) affinityTargets {
+	i := len(a)
+	for i > 0 && order > a[i-1].order {
 		i--
 	}
-	if i >= maxHomes {
-		return h
+	if i >= maxAffinityTargets {
+		return a
 	}
-	if len(h) < maxHomes {
-		h = append(h, home{})
+	if len(a) < maxAffinityTargets {
+		a = append(a, affinityTarget{})
 	}
-	copy(h[i+1:], h[i:])
-	h[i] = home{t, order}
-	return h
+	copy(a[i+1:], a[i:])
+	a[i] = affinityTarget{t, order}
+	return a
 }
 
-// homes leaves out targets that cannot get the request soon.
-func (s *service) homes(now time.Time, r *Request, region string) homes {
-	h := make(homes, 0, maxHomes)
+// affinityTargets leaves out targets that cannot get the request soon.
+func (s *service) affinityTargets(now time.Time, r *Request, region string) affinityTargets {
+	a := make(affinityTargets, 0, maxAffinityTargets)
 	for _, t := range s.regions[region] {
 		if t.usable && !t.probing && t.permits(now) && !r.tried(t) {
-			h = h.add(t, draw(r.Object, t.hash))
+			a = a.add(t, rendezvous(r.Key, t.hash))
 		}
 	}
-	return h
+	return a
 }
--- a/edge/placing/affinity_test.go
+++ b/edge/placing/affinity_test.go
@@ -7,7 +7,7 @@
 )
 
 // fourTargets is a board with four targets of two slots in the own region.
-func fourTargets(now time.Time, vm string) *Board {
+func fourTargets(now time.Time, vm string) *Balancer {
 	b := New(Options{
 		VM: vm, Zone: "a1", Region: "a", RegionOf: map[string]string{"a1": "a"},
 		Delay: func(string) time.Duration { return time.Millisecond },
@@ -16,25 +16,25 @@
 	return b
 }
 
-func objectRequest(now time.Time, class *Class, object uint64) *Request {
+func keyRequest(now time.Time, class *Class, key uint64) *Request {
 	r := request(now, class)
-	r.Object, r.HasObject = object, true
+	r.Key, r.HasKey = key, true
 	return r
 }
 
-// The target of an object is full for a moment, the others are free. Requests that went
+// The target of a key is full for a moment, the others are free. Requests that went
 // to the free ones took three times as long there, were late, and kept slots from
 // requests that those targets knew.
-func TestRequestWaitsForTheTargetThatKnowsItsObject(t *testing.T) {
+func TestRequestWaitsForItsWarmTarget(t *testing.T) {
 	now := time.Unix(1000, 0)
 	b, class := fourTargets(now, "vm"), NewClass(time.Second)
-	first, _ := b.Place(now, objectRequest(now, class, 7))
+	first, _ := b.Place(now, keyRequest(now, class, 7))
 	for first.Target.open(now) {
-		if d, _ := b.Place(now, objectRequest(now, class, 7)); d.Target != first.Target {
-			t.Fatalf("%d in hand and the next went to %v", first.Target.inHand(), d.Target)
+		if d, _ := b.Place(now, keyRequest(now, class, 7)); d.Target != first.Target {
+			t.Fatalf("%d in flight and the next went to %v", first.Target.inFlight(), d.Target)
 		}
 	}
-	d, w := b.Place(now, objectRequest(now, class, 7))
+	d, w := b.Place(now, keyRequest(now, class, 7))
 	if w == nil {
 		t.Fatalf("the request does not wait: %+v", d)
 	}
@@ -44,25 +44,25 @@
 	}
 }
 
-// The target of an object stays full. VMs that each took the freest of the others taught
-// the object to all of them; they take the same next one, and none runs the object cold
-// that another VM has taught already.
+// The target of a key stays full. VMs that each took the freest of the others made
+// all of them warm for the key; they take the same next one, and none runs the key cold
+// that another VM has warmed already.
 func TestObjectsOverflowToTheSameTargetFromAllVMs(t *testing.T) {
 	now := time.Unix(1000, 0)
-	for object := range uint64(20) {
+	for key := range uint64(20) {
 		second := make(map[string]bool)
 		for vm := range 3 {
 			b, class := fourTargets(now, fmt.Sprint("vm", vm)), NewClass(time.Second)
-			first, _ := b.Place(now, objectRequest(now, class, object))
-			b.SetPeer(now, "other", &Peer{InHand: map[uint32]int{KeyOf(first.Target.hash): 20}, At: now})
-			next, _ := b.Place(now, objectRequest(now, class, object))
+			first, _ := b.Place(now, keyRequest(now, class, key))
+			b.SetPeer(now, "other", &Peer{InFlight: map[uint32]int{KeyOf(first.Target.hash): 20}, At: now})
+			next, _ := b.Place(now, keyRequest(now, class, key))
 			if next.Target == nil || next.Target == first.Target {
-				t.Fatalf("object %d: decision %+v", object, next)
+				t.Fatalf("key %d: decision %+v", key, next)
 			}
 			second[next.Target.ID] = true
 		}
 		if len(second) != 1 {
-			t.Errorf("object %d overflows to %v", object, second)
+			t.Errorf("key %d overflows to %v", key, second)
 		}
 	}
 }
--- a/edge/placing/balancer.go
+++ b/edge/placing/balancer.go
@@ -6,23 +6,23 @@
 )
 
 const (
-	// coldOwners is how many VMs of a region send to a cold target. Each may
+	// coldSenders is how many VMs of a region send to a cold target. Each may
 	// begin with one request at once, so that their number is part of the sum.
-	coldOwners = 3
-	// largeStays is the part of the own region's slots in use up to which large
+	coldSenders = 3
+	// largeLocalUse is the part of the own region's slots in use up to which large
 	// bodies stay there: bytes between regions are scarce.
-	largeStays = 0.8
-	// lossFor is how long after a loss of capacity shares move quickly.
+	largeLocalUse = 0.8
+	// lossFor is how long after a loss of capacity region weights move quickly.
 	lossFor = 4 * time.Second
-	// minRetryAfter keeps refused callers from coming back within a round trip.
+	// minRetryAfter keeps refused callers from retrying within a round trip.
 	minRetryAfter = 100 * time.Millisecond
 	// maxRetryAfter is about a third of the time that callers have.
 	maxRetryAfter = 700 * time.Millisecond
-	// peerLife is how long another VM's counts hold without news.
-	peerLife = 1200 * time.Millisecond
+	// peerTTL is how long another VM's counts hold without a newer report.
+	peerTTL = 1200 * time.Millisecond
 )
 
-// Options configure a Board.
+// Options configure a Balancer.
 type Options struct {
 	VM, Zone, Region string
 	// RegionOf maps a failure domain to its region.
@@ -31,9 +31,9 @@
 	Delay func(region string) time.Duration
 }
 
-// Board holds targets, lines and counts of one VM. It is safe for use by several
+// Balancer holds targets, wait queues and counts of one VM. It is safe for use by several
 // goroutines; no call blocks.
-type Board struct {
+type Balancer struct {
 	options Options
 	hash    uint64
 
@@ -41,27 +41,27 @@
 	services map[string]*service
 	peers    map[string]*Peer
 	reported report
-	// heard counts the requests of all peers, by KeyOf the target.
-	heard map[uint32]*heard
+	// remote counts the requests of all peers, by KeyOf the target.
+	remote map[uint32]*remoteCount
 	// vms are the names of the VMs of the own region among which work is divided, by hash.
 	vms []uint64
-	// vmNames are the same as they were told.
+	// vmNames are the names behind these hashes.
 	vmNames []string
 	// lossAt is when capacity was last lost without a plan.
 	lossAt time.Time
 }
 
-// New returns an empty board.
-func New(o Options) *Board {
-	return &Board{
+// New returns an empty balancer.
+func New(o Options) *Balancer {
+	return &Balancer{
 		options: o, hash: HashOf(o.VM),
-		services: make(map[string]*service), peers: make(map[string]*Peer), heard: make(map[uint32]*heard),
+		services: make(map[string]*service), peers: make(map[string]*Peer), remote: make(map[uint32]*remoteCount),
 	}
 }
 
 // Place decides on a request. It returns a decision, or a waiter whose decision
 // comes later.
-func (b *Board) Place(now time.Time, r *Request) (Decision, *Waiter) {
+func (b *Balancer) Place(now time.Time, r *Request) (Decision, *Waiter) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.services[r.Service]
@@ -71,65 +71,65 @@
 	s.forgetLoads()
 	if !r.Again {
 		s.demand.add(now, r.work())
-		b.stepShares(now, s)
-		s.shares.accrue(now)
+		b.stepWeights(now, s)
+		s.weights.accrue(now)
 	}
 	region := b.regionFor(now, s, r)
 	if region == "" {
 		return Decision{Reason: NoTarget, RetryAfter: maxRetryAfter}, nil
 	}
 	if !r.Again {
-		s.shares.spend(region)
+		s.weights.charge(region)
 	}
-	if d, ok := b.give(now, s, r, region); ok {
+	if d, ok := b.assign(now, s, r, region); ok {
 		return d, nil
 	}
-	if refusal, late := b.tooLate(now, s, r, region); late {
+	if refusal, late := b.rejectLate(now, s, r, region); late {
 		return refusal, nil
 	}
-	w := &Waiter{request: r, region: region, last: r.lastEnd(), decided: make(chan Decision, 1)}
-	s.line.add(w, now)
+	w := &Waiter{request: r, region: region, last: r.latestEnd(), decided: make(chan Decision, 1)}
+	s.queue.add(w, now)
 	return Decision{}, w
 }
 
-// give counts a request in at the best open target.
-func (b *Board) give(now time.Time, s *service, r *Request, region string) (Decision, bool) {
+// assign counts a request in at the best open target.
+func (b *Balancer) assign(now time.Time, s *service, r *Request, region string) (Decision, bool) {
 	t, cost := s.best(now, r, region)
-	// A full target takes no request that would miss its time there: it stays in line
-	// for a slot that no other one needs.
-	if t == nil || t.full() && now.Add(cost).After(r.lastEnd()) {
+	// A full target takes no request that would miss its time there: it stays in the
+	// queue for a slot that no other one needs.
+	if t == nil || t.full() && now.Add(cost).After(r.latestEnd()) {
 		return Decision{}, false
 	}
-	warm := r.HasObject && t.knows(r.Object, now)
-	s.addOwn(t)
+	warm := r.HasKey && t.isWarm(r.Key, now)
+	s.addLocal(t)
 	if now.Before(t.coldTill) {
 		t.cold.take(now)
 	}
-	if r.HasObject {
-		t.remember(r.Object, now)
+	if r.HasKey {
+		t.markWarm(r.Key, now)
 	}
 	return Decision{
 		Target: t, Region: region, Warm: warm, Expected: cost,
-		InHand: t.inHand() - 1, Slots: t.Slots, HeardAge: b.heardAge(now),
+		InFlight: t.inFlight() - 1, Slots: t.Slots, CountsAge: b.countsAge(now),
 	}, true
 }
 
-// tooLate refuses a request that would end after its lastEnd if it waited in the line.
-func (b *Board) tooLate(now time.Time, s *service, r *Request, region string) (Decision, bool) {
-	wait := time.Duration(float64(s.line.ahead(r, now)) / s.pace(now, region))
+// rejectLate refuses a request that would end after its latestEnd if it waited in the queue.
+func (b *Balancer) rejectLate(now time.Time, s *service, r *Request, region string) (Decision, bool) {
+	wait := time.Duration(float64(s.queue.backlog(r, now)) / s.pace(now, region))
 	end := now.Add(wait + r.work() + b.options.Delay(region))
-	if !end.After(r.lastEnd()) {
+	if !end.After(r.latestEnd()) {
 		return Decision{}, false
 	}
 	return s.refusal(now, region, wait, end.Sub(now)), true
 }
 
-// refusal refuses for want of slots, and tells of the region what a log line needs.
+// refusal refuses for want of slots, with what a log line needs of the region.
 func (s *service) refusal(now time.Time, region string, wait, expected time.Duration) Decision {
 	s.refusedAt = now
 	l := s.loadOf(now, region)
 	return Decision{
-		Reason: TooLate, Region: region, RetryAfter: retryAfter(wait), Expected: expected, Slots: l.slots, InHand: l.inHand,
+		Reason: TooLate, Region: region, RetryAfter: retryAfter(wait), Expected: expected, Slots: l.slots, InFlight: l.inFlight,
 	}
 }
 
@@ -137,24 +137,24 @@
 	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
 
-// Leave takes a waiter out whose caller has gone. If it was decided in the same
+// Cancel takes a waiter out whose caller has gone. If it was decided in the same
 // moment the decision is returned and must be ended by Done.
-func (b *Board) Leave(w *Waiter) (Decision, bool) {
+func (b *Balancer) Cancel(w *Waiter) (Decision, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if s := b.services[w.request.Service]; s != nil && s.line.remove(w) {
+	if s := b.services[w.request.Service]; s != nil && s.queue.remove(w) {
 		return Decision{}, false
 	}
 	return <-w.decided, true
 }
 
 // Waiting returns how many requests wait.
-func (b *Board) Waiting() int {
+func (b *Balancer) Waiting() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	n := 0
 	for _, s := range b.services {
-		n += len(s.line.waiting)
+		n += len(s.queue.waiting)
 	}
 	return n
 }
--- a/edge/placing/balancer_test.go
+++ b/edge/placing/balancer_test.go
@@ -9,8 +9,8 @@
 	"github.com/yuccaroute/yuccaroute/edge/site"
 )
 
-// newBoard has two targets in the own region.
-func newBoard(now time.Time) *Board {
+// newBalancer has two targets in the own region.
+func newBalancer(now time.Time) *Balancer {
 	b := New(Options{
 		VM: "vm", Zone: "a1", Region: "a", RegionOf: map[string]string{"a1": "a"},
 		Delay: func(string) time.Duration { return time.Millisecond },
@@ -28,14 +28,14 @@
 }
 
 func request(now time.Time, class *Class) *Request {
-	return &Request{Service: serviceName, Class: class, Aim: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}
+	return &Request{Service: serviceName, Class: class, Objective: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}
 }
 
 // A target cannot be reached. It gets nothing until one probe, and only one at a time,
 // has found it well; the probes of a dead one become rare.
 func TestEjectedTargetIsProbedOnce(t *testing.T) {
 	now := time.Unix(1000, 0)
-	b, class := newBoard(now), NewClass(time.Second)
+	b, class := newBalancer(now), NewClass(time.Second)
 	d, _ := b.Place(now, request(now, class))
 	b.Done(now, d, class, Unreachable, 0)
 	bad := d.Target
@@ -70,7 +70,7 @@
 // its targets may have become cold.
 func TestEvacuatedTargets(t *testing.T) {
 	now := time.Unix(1000, 0)
-	b, class := newBoard(now), NewClass(time.Second)
+	b, class := newBalancer(now), NewClass(time.Second)
 	list := []Listing{listing("t1"), listing("t2")}
 	b.SetTargets(now, services(5), list, map[string]bool{"a1": true})
 	if d, w := b.Place(now, request(now, class)); w != nil || d.Target != nil || d.Reason != NoTarget {
@@ -87,12 +87,12 @@
 
 // A waiting caller leaves. Its place is free, and a decision that came in the same moment
 // is handed back to be ended.
-func TestLeavingTheLine(t *testing.T) {
+func TestCancelledWaiterLeavesTheQueue(t *testing.T) {
 	now := time.Unix(1000, 0)
-	b, class := newBoard(now), NewClass(100*time.Millisecond)
+	b, class := newBalancer(now), NewClass(100*time.Millisecond)
 	var given []Decision
 	var waiting []*Waiter
-	const fit, wait = 2 * (2 + overfill), 2
+	const fit, wait = 2 * (2 + targetQueue), 2
 	for range fit + wait {
 		d, w := b.Place(now, request(now, class))
 		if w != nil {
@@ -104,22 +104,22 @@
 	if len(given) != fit || len(waiting) != wait {
 		t.Fatalf("%d given, %d wait", len(given), len(waiting))
 	}
-	if _, decided := b.Leave(waiting[0]); decided || b.Waiting() != 1 {
-		t.Fatal("the line kept a caller that left")
+	if _, decided := b.Cancel(waiting[0]); decided || b.Waiting() != 1 {
+		t.Fatal("the queue kept a caller that left")
 	}
 	b.Done(now, given[0], class, Answered, 10*time.Millisecond)
-	if d, decided := b.Leave(waiting[1]); !decided || d.Target == nil {
+	if d, decided := b.Cancel(waiting[1]); !decided || d.Target == nil {
 		t.Fatal("a decision was lost")
 	}
 }
 
 // filledByAnother returns a board whose targets another VM has filled, and a request that
 // waits there.
-func filledByAnother(t *testing.T, now time.Time) (*Board, *Waiter) {
+func filledByAnother(t *testing.T, now time.Time) (*Balancer, *Waiter) {
 	t.Helper()
-	b, class := newBoard(now), NewClass(100*time.Millisecond)
-	full := map[uint32]int{KeyOf(HashOf("t1")): 2 + overfill, KeyOf(HashOf("t2")): 2 + overfill}
-	b.SetPeer(now, "other", &Peer{InHand: full, At: now})
+	b, class := newBalancer(now), NewClass(100*time.Millisecond)
+	full := map[uint32]int{KeyOf(HashOf("t1")): 2 + targetQueue, KeyOf(HashOf("t2")): 2 + targetQueue}
+	b.SetPeer(now, "other", &Peer{InFlight: full, At: now})
 	_, w := b.Place(now, request(now, class))
 	if w == nil {
 		t.Fatal("a full target got a request")
@@ -145,7 +145,7 @@
 func TestOthersCountsAreUsed(t *testing.T) {
 	now := time.Unix(1000, 0)
 	b, w := filledByAnother(t, now)
-	now = now.Add(peerLife)
+	now = now.Add(peerTTL)
 	b.SetPeer(now, "third", &Peer{At: now})
 	mustBeSent(t, w)
 }
@@ -154,21 +154,21 @@
 // would count twice else, and it would take targets for full that it fills itself.
 func TestOwnPartOfASumDoesNotCount(t *testing.T) {
 	now := time.Unix(1000, 0)
-	b, class := newBoard(now), NewClass(100*time.Millisecond)
+	b, class := newBalancer(now), NewClass(100*time.Millisecond)
 	if d, w := b.Place(now, request(now, class)); w != nil || d.Target == nil {
 		t.Fatal("not placed")
 	}
-	inHand, needs := b.Report(now)
-	for key := range inHand {
-		inHand = map[uint32]int{key: inHand[key] + 1, key + 1: 4}
+	inFlight, needs := b.Report(now)
+	for key := range inFlight {
+		inFlight = map[uint32]int{key: inFlight[key] + 1, key + 1: 4}
 	}
 	for service := range needs {
 		needs = map[string]float64{service: needs[service] + 3}
 	}
-	b.SetNear(now, "near", inHand, needs)
+	b.SetRegionSums(now, "near", inFlight, needs)
 	others := b.peers["near"]
 	total := 0
-	for _, n := range others.InHand {
+	for _, n := range others.InFlight {
 		total += n
 	}
 	if total != 1+4 {
@@ -186,7 +186,7 @@
 func TestCountsOfSilentVMsEnd(t *testing.T) {
 	now := time.Unix(1000, 0)
 	b, w := filledByAnother(t, now)
-	b.Tick(now.Add(peerLife))
+	b.Tick(now.Add(peerTTL))
 	mustBeSent(t, w)
 }
 
@@ -195,12 +195,12 @@
 func TestCountsAreTheSumOfTheLastReports(t *testing.T) {
 	r := rand.New(rand.NewPCG(3, 4))
 	now := time.Unix(1000, 0)
-	b := newBoard(now)
+	b := newBalancer(now)
 	for range 2000 {
 		now = now.Add(time.Duration(r.IntN(300)) * time.Millisecond)
-		p := &Peer{InHand: make(map[uint32]int), At: now.Add(-time.Duration(r.IntN(1500)) * time.Millisecond)}
+		p := &Peer{InFlight: make(map[uint32]int), At: now.Add(-time.Duration(r.IntN(1500)) * time.Millisecond)}
 		for range r.IntN(3) {
-			p.InHand[KeyOf(HashOf(fmt.Sprintf("t%d", r.IntN(4))))] = r.IntN(5)
+			p.InFlight[KeyOf(HashOf(fmt.Sprintf("t%d", r.IntN(4))))] = r.IntN(5)
 		}
 		if r.IntN(10) == 0 {
 			p = nil
@@ -214,10 +214,10 @@
 		for _, target := range b.services[serviceName].targets {
 			want := 0
 			for _, p := range b.peers {
-				want += p.InHand[KeyOf(target.hash)]
+				want += p.InFlight[KeyOf(target.hash)]
 			}
-			if target.others.n != want {
-				t.Fatalf("%s: %d requests of others, want %d", target.ID, target.others.n, want)
+			if target.remote.n != want {
+				t.Fatalf("%s: %d requests of others, want %d", target.ID, target.remote.n, want)
 			}
 		}
 	}
@@ -226,7 +226,7 @@
 // The rate that cold targets bear is changed while they are known.
 func TestColdRateChanges(t *testing.T) {
 	now := time.Unix(1000, 0)
-	b := newBoard(now)
+	b := newBalancer(now)
 	b.SetVMs([]string{"vm"})
 	for _, rate := range []float64{2, 6, 0} {
 		b.SetTargets(now, services(rate), []Listing{listing("t1")}, nil)
@@ -237,19 +237,19 @@
 	}
 }
 
-// A target restarts under its id: it knows no objects and is well. Taken for the one
+// A target restarts under its id: it knows no keys and is well. Taken for the one
 // before it would stay ejected, and its callers would wait for cold runs that are
 // expected to be warm.
 func TestRestartedTargetBeginsAnew(t *testing.T) {
 	now := time.Unix(1000, 0)
-	b, class := newBoard(now), NewClass(time.Second)
+	b, class := newBalancer(now), NewClass(time.Second)
 	r := request(now, class)
-	r.Object, r.HasObject = 7, true
+	r.Key, r.HasKey = 7, true
 	before, _ := b.Place(now, r)
 	b.Done(now, before, class, Answered, 10*time.Millisecond)
 	again, _ := b.Place(now, r)
 	if !again.Warm {
-		t.Fatal("the object is not known where it ran")
+		t.Fatal("the key is not known where it ran")
 	}
 	restarted := listing(before.Target.ID)
 	restarted.Born = 5
@@ -259,8 +259,8 @@
 	if w != nil || after.Target == nil || after.Target == before.Target || after.Warm {
 		t.Fatalf("decision %+v, waiter %v", after, w)
 	}
-	if n := after.Target.own; n != 1 {
-		t.Errorf("%d requests in hand at the target that started anew", n)
+	if n := after.Target.local; n != 1 {
+		t.Errorf("%d requests in flight at the target that started anew", n)
 	}
 }
 
@@ -268,7 +268,7 @@
 // the capacity of a region that does not exist and draw a share of all requests.
 func TestTargetsOfUnknownPlacesGetNothing(t *testing.T) {
 	now := time.Unix(1000, 0)
-	b, class := newBoard(now), NewClass(time.Second)
+	b, class := newBalancer(now), NewClass(time.Second)
 	elsewhere, other := listing("t3"), listing("t4")
 	elsewhere.Zone, other.Service = "nowhere", "unheard"
 	b.SetTargets(now, services(0), []Listing{elsewhere, other}, nil)
@@ -278,12 +278,12 @@
 	}
 }
 
-// The callers of one region crowd in and are refused. The shares follow twice as fast as on
-// a calm day, so that the crowd is served elsewhere while it lasts, and still below the cap.
-func TestSharesMoveFasterWhileCallersAreRefused(t *testing.T) {
+// The callers of one region surge and are refused. The weights follow twice as fast as on
+// a calm day, so that the surge is served elsewhere while it lasts, and still below the cap.
+func TestWeightsMoveFasterWhileCallersAreRefused(t *testing.T) {
 	const cap, window = 0.15, 2.0
 	now := time.Unix(1000, 0)
-	b, s := newBoard(now), newService(site.Service{})
+	b, s := newBalancer(now), newService(site.Service{})
 	if got := b.shiftRate(now, s); got != calmRate {
 		t.Errorf("%v a second on a calm day", got)
 	}
@@ -300,7 +300,7 @@
 // they stood empty by turns, and callers were refused for want of slots.
 func TestTargetThatRefusesIsNotEjected(t *testing.T) {
 	now := time.Unix(1000, 0)
-	b, class := newBoard(now), NewClass(time.Second)
+	b, class := newBalancer(now), NewClass(time.Second)
 	for _, end := range []End{Shed, Broken} {
 		for range 10 {
 			d, w := b.Place(now, request(now, class))
--- a/edge/placing/class.go
+++ b/edge/placing/class.go
@@ -5,31 +5,31 @@
 const (
 	// learnRate is the weight of one answer in the estimates of work.
 	learnRate = 0.05
-	// firstWarmShare and firstColdShare of a route's aim are the first estimates
-	// of its work: operators set an aim that a warm target meets easily and a
-	// cold one hardly.
+	// firstWarmShare and firstColdShare of a route's latency objective are the first
+	// estimates of its work: operators set an objective that a warm target meets easily
+	// and a cold one hardly.
 	firstWarmShare = 0.4
 	firstColdShare = 1.1
 )
 
-// Class is what is learnt about the requests of one route. The board's lock
+// Class is what is learnt about the requests of one route. The balancer's lock
 // guards it.
 type Class struct {
 	warm, cold time.Duration
 }
 
-// NewClass returns a class whose work is guessed from the route's aim.
-func NewClass(aim time.Duration) *Class {
-	if aim <= 0 {
-		aim = time.Second
+// NewClass returns a class whose work is guessed from the route's latency objective.
+func NewClass(objective time.Duration) *Class {
+	if objective <= 0 {
+		objective = time.Second
 	}
 	return &Class{
-		warm: time.Duration(firstWarmShare * float64(aim)),
-		cold: time.Duration(firstColdShare * float64(aim)),
+		warm: time.Duration(firstWarmShare * float64(objective)),
+		cold: time.Duration(firstColdShare * float64(objective)),
 	}
 }
 
-// work is the time that a target is expected to need.
+// work is the service time that is expected of a target.
 func (c *Class) work(warm bool) time.Duration {
 	if warm {
 		return c.warm
--- a/edge/placing/cold.go
+++ b/edge/placing/cold.go
@@ -6,9 +6,8 @@
 )
 
 // SetVMs tells among which VMs of the own region work is divided, this one included, in
-// a fixed order. It is called ten times a second: with 3,000 targets and 100 VMs a call takes
-// 0.14 us, and 1,140 us when all parts are found anew (BenchmarkTellVMs).
-func (b *Board) SetVMs(names []string) {
+// a fixed order. It is called often; the parts are found anew only when the names change.
+func (b *Balancer) SetVMs(names []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if slices.Equal(names, b.vmNames) {
@@ -24,7 +23,7 @@
 	}
 }
 
-func (b *Board) setColdRate(s *service, rate float64) {
+func (b *Balancer) setColdRate(s *service, rate float64) {
 	if rate != s.ColdRate {
 		s.ColdRate = rate
 		b.limitColdOf(s)
@@ -34,29 +33,29 @@
 // limitColdOf gives this VM its part of what cold targets bear. Only the VMs that a
 // hash names for a target send to it while it is cold: with all VMs sending their
 // first request at once, a target would get one from each within a moment.
-func (b *Board) limitColdOf(s *service) {
+func (b *Balancer) limitColdOf(s *service) {
 	for _, t := range s.targets {
 		t.cold.rate = b.coldRate(s, t)
 	}
 }
 
-func (b *Board) coldRate(s *service, t *Target) float64 {
+func (b *Balancer) coldRate(s *service, t *Target) float64 {
 	if s.ColdRate <= 0 {
 		return 1e6
 	}
 	if t.Region != b.options.Region {
 		return 0
 	}
-	mine, before := draw(b.hash, t.hash), 0
+	mine, before := rendezvous(b.hash, t.hash), 0
 	for _, vm := range b.vms {
-		if vm != b.hash && draw(vm, t.hash) > mine {
+		if vm != b.hash && rendezvous(vm, t.hash) > mine {
 			before++
 		}
 	}
-	if before >= coldOwners {
+	if before >= coldSenders {
 		return 0
 	}
-	return s.ColdRate / float64(min(coldOwners, max(1, len(b.vms))))
+	return s.ColdRate / float64(min(coldSenders, max(1, len(b.vms))))
 }
 
 // coldBucket limits what this VM sends to a cold target.
--- a/edge/placing/doc.go
+++ b/edge/placing/doc.go
@@ -4,15 +4,15 @@
 //
 // # How targets are chosen
 //
-// A target works about three times faster on an object that it handled lately.
-// Each object therefore has an order of targets in every region, a hash that all
-// VMs compute alike. A request goes to the target at which it is expected to end
-// first: the network's delay, the wait for a slot, and the work, which is longer
-// where the object is not known. Requests in hand are counted over all VMs.
+// A target works faster on an affinity key that it handled lately: it is warm for
+// that key, and cold for all others. Each key therefore has an order of affinity
+// targets in every region, by rendezvous hashing, the same at all VMs. A request goes
+// to the one at which it is expected to end first: the network's delay, the wait for a
+// slot, and the work. Requests in flight are counted over all VMs.
 //
 // # How requests wait
 //
-// They wait here and not at the targets, which keep at most overfill requests
+// They wait here and not at the targets, which get at most targetQueue requests
 // beyond their slots: here the most urgent one goes first, and a caller that
 // leaves frees its place at once.
 package placing
--- a/edge/placing/done.go
+++ b/edge/placing/done.go
@@ -21,17 +21,17 @@
 
 // Done ends a request that was given a target. took is from sending to the
 // answer's end.
-func (b *Board) Done(now time.Time, d Decision, class *Class, end End, took time.Duration) {
+func (b *Balancer) Done(now time.Time, d Decision, class *Class, end End, took time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := d.Target
-	t.own--
+	t.local--
 	s := b.services[t.Service]
 	switch end {
 	case Answered:
 		t.succeeded(now, class, d.Warm, took-t.delay)
 		if s != nil {
-			s.stay.add(min(took-t.delay, maxStay*class.work(false)))
+			s.occupancy.add(min(took-t.delay, maxOccupancy*class.work(false)))
 		}
 	case Broken:
 		t.failed(now, false)
@@ -48,7 +48,7 @@
 	}
 }
 
-func (b *Board) noteLoss(now time.Time, t *Target) {
+func (b *Balancer) noteLoss(now time.Time, t *Target) {
 	if t.probing {
 		b.lossAt = now
 	}
--- a/edge/placing/hash.go
+++ b/edge/placing/hash.go
@@ -9,11 +9,11 @@
 // has the same 24 bits; each of the two then counts as busy with the other's requests too.
 const keyBits = 24
 
-// KeyOf names a target, by the hash of its id, in what VMs tell each other.
+// KeyOf names a target, by the hash of its id, in the reports of VMs.
 func KeyOf(hash uint64) uint32 { return uint32(hash >> (64 - keyBits)) }
 
-// draw orders targets for an object, or VMs for a target: rendezvous hashing.
-func draw(a, b uint64) uint64 {
+// rendezvous orders targets for a key, or VMs for a target, by the highest random weight.
+func rendezvous(a, b uint64) uint64 {
 	x := a ^ (b * 0x9e3779b97f4a7c15)
 	x ^= x >> 32
 	x *= 0xd6e8feb86659fd93
--- a/edge/placing/listing.go
+++ b/edge/placing/listing.go
@@ -14,7 +14,7 @@
 }
 
 // SetTargets puts services and targets in force; evacuated domains get nothing.
-func (b *Board) SetTargets(now time.Time, services map[string]site.Service, list []Listing, evacuated map[string]bool) {
+func (b *Balancer) SetTargets(now time.Time, services map[string]site.Service, list []Listing, evacuated map[string]bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	listed := make(map[string]bool, len(list))
@@ -40,13 +40,13 @@
 
 // serves reports whether a target can get requests: its service and its failure domain
 // are known. Others would count as capacity of a region that does not exist.
-func (b *Board) serves(services map[string]site.Service, l Listing) bool {
+func (b *Balancer) serves(services map[string]site.Service, l Listing) bool {
 	_, service := services[l.Service]
 	_, zone := b.options.RegionOf[l.Zone]
 	return service && zone
 }
 
-func (b *Board) service(services map[string]site.Service, name string) *service {
+func (b *Balancer) service(services map[string]site.Service, name string) *service {
 	s := b.services[name]
 	if s == nil {
 		known := services[name]
@@ -62,11 +62,11 @@
 	return s
 }
 
-func (b *Board) setTarget(now time.Time, s *service, l Listing, evacuated bool) {
+func (b *Balancer) setTarget(now time.Time, s *service, l Listing, evacuated bool) {
 	t := s.targets[l.ID]
 	if t == nil || t.Address != l.Address || t.Zone != l.Zone || t.Born != l.Born {
-		// A target that started again knows no objects, and nothing that was learnt of
-		// the start before holds: requests still in hand there end at the old value.
+		// A target that started again is warm for no key, and nothing that was learnt of
+		// the start before holds: requests still in flight there end at the old value.
 		if t != nil {
 			t.usable = false
 		}
@@ -89,10 +89,10 @@
 	}
 }
 
-func (b *Board) newTarget(l Listing) *Target {
+func (b *Balancer) newTarget(l Listing) *Target {
 	region, hash := b.options.RegionOf[l.Zone], HashOf(l.ID)
 	return &Target{
-		Target: l.Target, Region: region, hash: hash, delay: b.options.Delay(region), others: b.heardAt(KeyOf(hash)),
+		Target: l.Target, Region: region, hash: hash, delay: b.options.Delay(region), remote: b.remoteAt(KeyOf(hash)),
 		warm: make(map[uint64]time.Time), slow: 1,
 	}
 }
--- a/edge/placing/load.go
+++ b/edge/placing/load.go
@@ -2,18 +2,17 @@
 
 import "time"
 
-// load is what a region's targets of a service have in hand.
+// load is what is in flight at a region's targets of a service.
 type load struct {
-	// slots are those of the targets that take part in the capacity, inHand the requests
+	// slots are those of the targets that take part in the capacity, inFlight the requests
 	// there.
-	slots, inHand int
-	// own and all are the requests of this VM and of all VMs at all targets of the region.
-	own, all int
+	slots, inFlight int
+	// local and all are the requests of this VM and of all VMs at all targets of the region.
+	local, all int
 }
 
-// loads are those of the regions, counted once in a decision: with 200 targets and 100
-// requests in line, a placing and its answer take 1,289 us when each request in line
-// counts anew, and 186 us so (BenchmarkPlace).
+// loads are those of the regions, counted once in a decision and not for each request
+// in the queue.
 type loads map[string]load
 
 // forgetLoads is called before the first decision of a moment.
@@ -26,43 +25,43 @@
 	}
 	var l load
 	for _, t := range s.regions[region] {
-		inHand := t.inHand()
-		l.own += t.own
-		l.all += inHand
+		inFlight := t.inFlight()
+		l.local += t.local
+		l.all += inFlight
 		if t.alive(now) {
 			l.slots += t.Slots
-			l.inHand += inHand
+			l.inFlight += inFlight
 		}
 	}
 	s.loads[region] = l
 	return l
 }
 
-// addOwn counts one more request of this VM at a target.
-func (s *service) addOwn(t *Target) {
-	t.own++
+// addLocal counts one more request of this VM at a target.
+func (s *service) addLocal(t *Target) {
+	t.local++
 	l, ok := s.loads[t.Region]
 	if !ok {
 		return
 	}
-	l.own++
+	l.local++
 	l.all++
-	l.inHand++
+	l.inFlight++
 	s.loads[t.Region] = l
 }
 
 // use is the part of a region's slots that is in use.
 func (s *service) use(now time.Time, region string) float64 {
 	l := s.loadOf(now, region)
-	return float64(l.inHand) / float64(max(1, l.slots))
+	return float64(l.inFlight) / float64(max(1, l.slots))
 }
 
 // slots is the capacity of a region.
 func (s *service) slots(now time.Time, region string) int { return s.loadOf(now, region).slots }
 
-// pace is how many slots of a region serve this VM's line: its part of the
-// requests in hand there.
+// pace is how many slots of a region serve this VM's queue: its part of the
+// requests in flight there.
 func (s *service) pace(now time.Time, region string) float64 {
 	l := s.loadOf(now, region)
-	return max(1, float64(l.slots)) * float64(1+l.own) / float64(1+l.all)
+	return max(1, float64(l.slots)) * float64(1+l.local) / float64(1+l.all)
 }
--- a/edge/placing/load_bench_test.go
+++ b/edge/placing/load_bench_test.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// largeBoard is that of a listener: 100 VMs of its region, 3,000 targets.
-func largeBoard(now time.Time) (*Board, []*Peer) {
+// largeBalancer is that of a listener: 100 VMs of its region, 3,000 targets.
+func largeBalancer(now time.Time) (*Balancer, []*Peer) {
 	b := New(Options{
 		VM: "vm", Zone: "a1", Region: "a", RegionOf: map[string]string{"a1": "a"},
 		Delay: func(string) time.Duration { return time.Millisecond },
@@ -19,9 +19,9 @@
 	b.SetTargets(now, services(1), list, nil)
 	var peers []*Peer
 	for i := range 100 {
-		p := &Peer{InHand: make(map[uint32]int), Demand: map[string]map[string]float64{"a": {serviceName: 5}}, At: now}
+		p := &Peer{InFlight: make(map[uint32]int), Demand: map[string]map[string]float64{"a": {serviceName: 5}}, At: now}
 		for j := range 10 {
-			p.InHand[KeyOf(HashOf(list[(i*37+j*113)%len(list)].ID))] = 1
+			p.InFlight[KeyOf(HashOf(list[(i*37+j*113)%len(list)].ID))] = 1
 		}
 		peers = append(peers, p)
 	}
@@ -31,7 +31,7 @@
 // One report of another VM is taken in.
 func BenchmarkHearReport(bench *testing.B) {
 	now := time.Unix(1000, 0)
-	b, peers := largeBoard(now)
+	b, peers := largeBalancer(now)
 	for i, p := range peers {
 		b.SetPeer(now, fmt.Sprint(i), p)
 	}
@@ -44,7 +44,7 @@
 // The live VMs are told ten times a second.
 func BenchmarkTellVMs(bench *testing.B) {
 	now := time.Unix(1000, 0)
-	b, _ := largeBoard(now)
+	b, _ := largeBalancer(now)
 	var names []string
 	for i := range 100 {
 		names = append(names, fmt.Sprintf("vm-%d", i))
--- a/edge/placing/place_bench_test.go
+++ b/edge/placing/place_bench_test.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// One request about an object is placed, and its answer taken in, among 200 targets of a
-// region, with 100 requests in line for full ones. It took 1,289 us while each request in
+// One request about a key is placed, and its answer taken in, among 200 targets of a
+// region, with 100 requests in the queue for full ones. It took 1,289 us while each request in
 // line counted the load of the region anew, and takes 186 us.
 func BenchmarkPlace(bench *testing.B) {
 	now := time.Unix(1000, 0)
@@ -24,16 +24,16 @@
 	b.SetTargets(now, services(0), list, nil)
 	class := NewClass(time.Second)
 	for range 100 {
-		r := objectRequest(now, class, 1)
-		r.Aim, r.Deadline = now.Add(time.Hour), now.Add(time.Hour)
+		r := keyRequest(now, class, 1)
+		r.Objective, r.Deadline = now.Add(time.Hour), now.Add(time.Hour)
 		for w := (*Waiter)(nil); w == nil; {
 			_, w = b.Place(now, r)
 		}
 	}
 	for i := 0; bench.Loop(); i++ {
-		d, w := b.Place(now, objectRequest(now, class, uint64(i%1000)+2))
+		d, w := b.Place(now, keyRequest(now, class, uint64(i%1000)+2))
 		if w != nil {
-			b.Leave(w)
+			b.Cancel(w)
 			continue
 		}
 		b.Done(now, d, class, Answered, 100*time.Millisecond)
--- a/edge/placing/probe.go
+++ b/edge/placing/probe.go
@@ -8,7 +8,7 @@
 
 // Suspects returns the ejected targets that a probe may readmit now. Each is returned
 // once until the outcome of its probe is taken in, or probeEvery has passed.
-func (b *Board) Suspects(now time.Time) []*Target {
+func (b *Balancer) Suspects(now time.Time) []*Target {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var due []*Target
@@ -24,7 +24,7 @@
 }
 
 // Probed takes in the outcome of a probe; coldFor is what the target said.
-func (b *Board) Probed(now time.Time, t *Target, well bool, coldFor time.Duration) {
+func (b *Balancer) Probed(now time.Time, t *Target, well bool, coldFor time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !well {
--- a/edge/placing/queue.go
+++ b/edge/placing/queue.go
@@ -18,37 +18,37 @@
 // Decided is where the outcome comes.
 func (w *Waiter) Decided() <-chan Decision { return w.decided }
 
-// line is the waiting requests of one service at this VM, the next one first.
-type line struct{ waiting []*Waiter }
+// waitQueue is the waiting requests of one service at this VM, the next one first.
+type waitQueue struct{ waiting []*Waiter }
 
-// before is the order of the line: requests that can still meet their aim go
-// before those that cannot, urgent ones before others, then the earliest aim.
-func (w *Waiter) before(other *Waiter, now time.Time) bool {
+// less is the order of the queue: requests that can still meet their latency objective
+// go before those that cannot, urgent ones before others, then the earliest objective.
+func (w *Waiter) less(other *Waiter, now time.Time) bool {
 	a, b := w.request, other.request
-	if late := a.late(now); late != b.late(now) {
+	if late := a.missesObjective(now); late != b.missesObjective(now) {
 		return !late
 	}
 	if a.Priority != b.Priority {
 		return a.Priority < b.Priority
 	}
-	return a.Aim.Before(b.Aim)
+	return a.Objective.Before(b.Objective)
 }
 
-func (l *line) add(w *Waiter, now time.Time) {
-	i := len(l.waiting)
-	for i > 0 && w.before(l.waiting[i-1], now) {
+func (q *waitQueue) add(w *Waiter, now time.Time) {
+	i := len(q.waiting)
+	for i > 0 && w.less(q.waiting[i-1], now) {
 		i--
 	}
-	l.waiting = append(l.waiting, nil)
-	copy(l.waiting[i+1:], l.waiting[i:])
-	l.waiting[i] = w
+	q.waiting = append(q.waiting, nil)
+	copy(q.waiting[i+1:], q.waiting[i:])
+	q.waiting[i] = w
 }
 
-// passLate moves requests that have come to miss their aim behind those that can still
-// meet it. Both keep their order.
-func (l *line) passLate(now time.Time) {
-	slices.SortStableFunc(l.waiting, func(a, b *Waiter) int {
-		aLate, bLate := a.request.late(now), b.request.late(now)
+// demoteLate moves requests that have come to miss their objective behind those that can
+// still meet it. Both keep their order.
+func (q *waitQueue) demoteLate(now time.Time) {
+	slices.SortStableFunc(q.waiting, func(a, b *Waiter) int {
+		aLate, bLate := a.request.missesObjective(now), b.request.missesObjective(now)
 		switch {
 		case aLate == bLate:
 			return 0
@@ -59,22 +59,22 @@
 	})
 }
 
-func (l *line) remove(w *Waiter) bool {
-	for i, other := range l.waiting {
+func (q *waitQueue) remove(w *Waiter) bool {
+	for i, other := range q.waiting {
 		if other == w {
-			l.waiting = append(l.waiting[:i], l.waiting[i+1:]...)
+			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
 			return true
 		}
 	}
 	return false
 }
 
-// ahead is how much work waits before a request of this rank.
-func (l *line) ahead(r *Request, now time.Time) time.Duration {
+// backlog is how much work waits before a request of this rank.
+func (q *waitQueue) backlog(r *Request, now time.Time) time.Duration {
 	w := &Waiter{request: r}
 	sum := time.Duration(0)
-	for _, other := range l.waiting {
-		if !w.before(other, now) {
+	for _, other := range q.waiting {
+		if !w.less(other, now) {
 			sum += other.request.work()
 		}
 	}
--- a/edge/placing/regions.go
+++ b/edge/placing/regions.go
@@ -2,18 +2,18 @@
 
 import "time"
 
-// regionFor returns the region that runs a request: the one whose share is due if
+// regionFor returns the region that runs a request: the one whose weight is due if
 // it can answer in time there, "" if no region has a target.
-func (b *Board) regionFor(now time.Time, s *service, r *Request) string {
-	if own := b.options.Region; r.Large && r.allows(own) && s.slots(now, own) > 0 && s.use(now, own) < largeStays {
+func (b *Balancer) regionFor(now time.Time, s *service, r *Request) string {
+	if own := b.options.Region; r.Large && r.allows(own) && s.slots(now, own) > 0 && s.use(now, own) < largeLocalUse {
 		return own
 	}
 	work := r.work()
-	region, ok := s.shares.pick(r, func(region string) bool {
+	region, ok := s.weights.pick(r, func(region string) bool {
 		if !r.allows(region) || s.slots(now, region) == 0 {
 			return false
 		}
-		return region == b.options.Region || !now.Add(b.options.Delay(region)+work).After(r.Aim)
+		return region == b.options.Region || !now.Add(b.options.Delay(region)+work).After(r.Objective)
 	})
 	if ok {
 		return region
@@ -22,7 +22,7 @@
 }
 
 // nearest is the allowed region with targets and the least delay.
-func (b *Board) nearest(now time.Time, s *service, r *Request) string {
+func (b *Balancer) nearest(now time.Time, s *service, r *Request) string {
 	best := ""
 	for region := range s.regions {
 		if !r.allows(region) || s.slots(now, region) == 0 {
@@ -36,20 +36,20 @@
 	return best
 }
 
-// stepShares moves a service's shares towards what demand and capacity ask for.
-func (b *Board) stepShares(now time.Time, s *service) {
+// stepWeights moves a service's region weights towards what demand and capacity ask for.
+func (b *Balancer) stepWeights(now time.Time, s *service) {
 	capacity := make(map[string]float64)
 	for region := range s.regions {
 		capacity[region] = float64(s.slots(now, region))
 	}
-	if s.shares.part == nil {
-		s.shares.begin(now, b.options.Region, capacity)
+	if s.weights.weight == nil {
+		s.weights.begin(now, b.options.Region, capacity)
 	}
-	s.shares.step(now, plan(b.options.Region, b.demandOf(now, s), capacity), b.shiftRate(now, s))
+	s.weights.step(now, planWeights(b.options.Region, b.demandOf(now, s), capacity), b.shiftRate(now, s))
 }
 
 // shiftRate is how much of the requests may change their region in a second.
-func (b *Board) shiftRate(now time.Time, s *service) float64 {
+func (b *Balancer) shiftRate(now time.Time, s *service) float64 {
 	switch {
 	case !b.lossAt.IsZero() && now.Sub(b.lossAt) < lossFor:
 		return lossRate
@@ -59,11 +59,11 @@
 	return calmRate
 }
 
-func (b *Board) demandOf(now time.Time, s *service) map[string]float64 {
+func (b *Balancer) demandOf(now time.Time, s *service) map[string]float64 {
 	s.demand.decay(now)
 	needs := map[string]float64{b.options.Region: s.demand.slots}
 	for _, p := range b.peers {
-		if now.Sub(p.At) < peerLife {
+		if now.Sub(p.At) < peerTTL {
 			for region, services := range p.Demand {
 				needs[region] += services[s.Name]
 			}
--- a/edge/placing/replay_test.go
+++ b/edge/placing/replay_test.go
@@ -10,8 +10,8 @@
 )
 
 // Load that warm targets do with 40 % of their slots meets targets that know nothing.
-// Callers waited twice their aim all day: each request that found its target full
-// went to one that did not know the object, worked three times as long there, and
+// Callers waited twice their objective all day: each request that found its target full
+// went to one that did not know the key, worked three times as long there, and
 // filled that one for others in turn.
 func TestColdStartDoesNotLast(t *testing.T) {
 	w := newWorld(t, map[string]int{"a": 10, "b": 2, "c": 8}, 3, 4, 480*time.Millisecond, 0)
@@ -20,20 +20,20 @@
 	w.takeShare()
 	w.run(15 * time.Second)
 	if share := w.takeShare(); share < 0.85 {
-		t.Errorf("%.2f of the requests met their aim after the first seconds", share)
+		t.Errorf("%.2f of the requests met their objective after the first seconds", share)
 	}
 }
 
-// Objects are asked for seldom, and one target could carry each of them. With a second
+// Keys are asked for seldom, and one target could carry each of them. With a second
 // target for each, the callers of the first minute met twice as many cold runs, each of
 // them late.
 func TestSeldomObjectsHaveOneTargetOfARegion(t *testing.T) {
-	const objects, regions = 60, 3
+	const keys, regions = 60, 3
 	w := newWorld(t, map[string]int{"a": 6, "b": 6, "c": 6}, 3, 6, 360*time.Millisecond, 0)
-	w.load(40, objects, 20*time.Second)
+	w.load(40, keys, 20*time.Second)
 	w.run(20 * time.Second)
-	if most := objects * regions * 5 / 4; w.result.coldRuns > most {
-		t.Errorf("%d cold runs of %d objects in %d regions, want %d at most", w.result.coldRuns, objects, regions, most)
+	if most := keys * regions * 5 / 4; w.result.coldRuns > most {
+		t.Errorf("%d cold runs of %d keys in %d regions, want %d at most", w.result.coldRuns, keys, regions, most)
 	}
 }
 
@@ -59,7 +59,7 @@
 	for range 10 {
 		w.run(2 * time.Second)
 	}
-	for i, b := range w.boards {
+	for i, b := range w.balancers {
 		if b.options.Region == "a" {
 			_ = i
 			w.loadOn(i, 40, 60, 6*time.Second)
@@ -123,11 +123,11 @@
 		Target:    site.Target{ID: "a-new", Service: serviceName, Zone: "a1", Slots: 4, ColdFor: 3 * time.Second},
 		ColdUntil: w.now.Add(3 * time.Second),
 	}
-	for _, b := range w.boards {
+	for _, b := range w.balancers {
 		b.SetTargets(w.now, service, append(list, cold), nil)
 	}
 	w.run(3 * time.Second)
-	if got := w.mostInASecond("a-new"); got > int(rate)+coldOwners {
+	if got := w.mostInASecond("a-new"); got > int(rate)+coldSenders {
 		t.Errorf("%d requests in one second", got)
 	}
 	if len(w.result.perSecond["a-new"]) == 0 {
@@ -136,7 +136,7 @@
 }
 
 // More comes than all targets can do. Requests that are not served learn it early, and
-// those that are served meet their aim.
+// those that are served meet their objective.
 func TestOverloadRefusesEarly(t *testing.T) {
 	w := newWorld(t, map[string]int{"a": 2, "b": 2, "c": 2}, 2, 3, 480*time.Millisecond, 0)
 	w.load(60, 20, 20*time.Second)
@@ -144,7 +144,7 @@
 	w.takeShare()
 	w.run(10 * time.Second)
 	r := w.result
-	served := r.inAim + r.late
+	served := r.inObjective + r.late
 	if r.refused == 0 || r.failed > r.asked/50 {
 		t.Errorf("refused %d failed %d of %d", r.refused, r.failed, r.asked)
 	}
@@ -155,7 +155,7 @@
 }
 
 // A rush of a quarter of a second brings the work of half a second. Callers have two
-// seconds, yet those whose aim passed while they waited were refused, and came back later
+// seconds, yet those whose objective passed while they waited were refused, and came back later
 // than slots became free. No more than one in twenty may be.
 func TestLateRequestsRunInFreeSlots(t *testing.T) {
 	w := newWorld(t, map[string]int{"a": 3, "b": 3, "c": 3}, 2, 3, 360*time.Millisecond, 0)
@@ -163,7 +163,7 @@
 	w.load(10, 60, 20*time.Second)
 	w.run(10 * time.Second)
 	w.takeShare()
-	for i := range w.boards {
+	for i := range w.balancers {
 		w.loadOn(i, 70, 60, 250*time.Millisecond)
 	}
 	w.run(4 * time.Second)
@@ -185,14 +185,14 @@
 	w.takeShare()
 	w.run(8 * time.Second)
 	if share := w.takeShare(); share < 0.9 {
-		t.Errorf("%.2f met their aim beside a slow target", share)
+		t.Errorf("%.2f met their objective beside a slow target", share)
 	}
 }
 
-// Targets of other deployments have other slots, keep more or fewer objects, work for
+// Targets of other deployments have other slots, keep more or fewer keys, work for
 // milliseconds or seconds, and stand in one region or five. Each time the load is 0.4 of
-// what warm targets do, and the objects fill half of what targets keep. After the first runs
-// no deployment may leave more than 0.15 of its callers without an answer in their aim.
+// what warm targets do, and the keys fill half of what targets keep. After the first runs
+// no deployment may leave more than 0.15 of its callers without an answer within their objective.
 func TestOtherDeploymentsAreServedAsWell(t *testing.T) {
 	serveOthers(t, 4, 16)
 }
@@ -208,7 +208,7 @@
 		for _, cold := range []time.Duration{20 * time.Millisecond, 360 * time.Millisecond, 5 * time.Second} {
 			for _, known := range []int{3, 40} {
 				for _, regions := range []map[string]int{{"a": 6}, {"a": 4, "b": 4, "c": 4, "d": 4, "e": 4}} {
-					name := fmt.Sprintf("cold %v, %d slots, %d objects, %d regions", cold, n, known, len(regions))
+					name := fmt.Sprintf("cold %v, %d slots, %d keys, %d regions", cold, n, known, len(regions))
 					t.Run(name, func(t *testing.T) { serveOther(t, regions, n, known, cold) })
 				}
 			}
@@ -218,20 +218,20 @@
 
 func serveOther(t *testing.T, regions map[string]int, slots, known int, cold time.Duration) {
 	const vms, use = 2, 0.4
-	aim := cold * 5 / 6
+	objective := cold * 5 / 6
 	w := newWorldOf(t, shape{
-		regions: regions, vms: vms, slots: slots, cold: cold, known: known, aim: aim, deadline: 6 * aim,
+		regions: regions, vms: vms, slots: slots, cold: cold, known: known, objective: objective, deadline: 6 * objective,
 	})
 	targets := len(w.targets) / len(regions)
 	perSecond := use * float64(slots*targets) / w.warm.Seconds() / vms
-	objects := known * targets / 2
-	// Each object runs cold once, and is asked for some ten times in each half.
-	half := time.Duration(float64(objects*10)/perSecond/vms*float64(time.Second)) + 3*cold
-	w.load(perSecond, objects, 2*half)
+	keys := known * targets / 2
+	// Each key runs cold once, and is asked for some ten times in each half.
+	half := time.Duration(float64(keys*10)/perSecond/vms*float64(time.Second)) + 3*cold
+	w.load(perSecond, keys, 2*half)
 	w.run(half)
 	w.takeShare()
 	w.run(half)
 	if share := w.takeShare(); share < 0.85 {
-		t.Errorf("%.2f of the requests met their aim", share)
+		t.Errorf("%.2f of the requests met their objective", share)
 	}
 }
--- a/edge/placing/request.go
+++ b/edge/placing/request.go
@@ -8,14 +8,14 @@
 	Class   *Class
 	// Allowed reports whether a region may run it; nil allows all.
 	Allowed func(region string) bool
-	// Object is what the request is about, if HasObject.
-	Object    uint64
-	HasObject bool
+	// Key is the affinity key, a hash of what the request is about, if HasKey.
+	Key    uint64
+	HasKey bool
 	// Large prefers targets in the VM's own failure domain.
 	Large    bool
 	Priority int
-	// Aim is until when the answer has its full worth, Deadline until when any.
-	Aim, Deadline time.Time
+	// Objective is until when the answer has its full worth, Deadline until when any.
+	Objective, Deadline time.Time
 	// Tried are the targets that it must not be sent to again.
 	Tried []*Target
 	// Again tells that it was counted as demand before.
@@ -24,26 +24,26 @@
 
 func (r *Request) allows(region string) bool { return r.Allowed == nil || r.Allowed(region) }
 
-// work is how long a target that knows the object needs.
-func (r *Request) work() time.Duration { return r.Class.work(r.HasObject) }
+// work is how long a target that is warm for the key needs.
+func (r *Request) work() time.Duration { return r.Class.work(r.HasKey) }
 
-// late reports whether the request would miss its aim if it began now.
-func (r *Request) late(now time.Time) bool { return now.Add(r.work()).After(r.Aim) }
+// missesObjective reports whether the request would miss its latency objective if it
+// began now.
+func (r *Request) missesObjective(now time.Time) bool { return now.Add(r.work()).After(r.Objective) }
 
-// lateShare is the part of the time between a request's aim and its deadline in which
-// it is still run if a slot is free. With none, callers are refused though targets have
-// room a moment later; with half, they are held too long when none comes. Mean worth of
-// the standard days with 0 / 0.2 / 0.5: dphbd-route 0.685 / 0.704 / 0.699,
-// kovacevic-spend 0.733 / 0.734 / 0.732, vliesbuch 0.559 / 0.565 / 0.562.
+// lateShare is the part of the time between a request's latency objective and its
+// deadline in which it is still run if a slot is free. With none, callers are refused
+// though targets have room a moment later; with much more, they are held too long when
+// none comes.
 const lateShare = 0.2
 
-// lastEnd is until when an answer is worth waiting for. Requests that can still meet
-// their aim are served first, so that in an overload not all become late.
-func (r *Request) lastEnd() time.Time {
-	if r.Aim.After(r.Deadline) {
+// latestEnd is until when an answer is worth waiting for. Requests that can still meet
+// their objective are served first, so that in an overload not all become late.
+func (r *Request) latestEnd() time.Time {
+	if r.Objective.After(r.Deadline) {
 		return r.Deadline
 	}
-	return r.Aim.Add(time.Duration(lateShare * float64(r.Deadline.Sub(r.Aim))))
+	return r.Objective.Add(time.Duration(lateShare * float64(r.Deadline.Sub(r.Objective))))
 }
 
 func (r *Request) tried(t *Target) bool {
@@ -79,15 +79,15 @@
 	// Target has the request counted in; Done must be called for it.
 	Target *Target
 	Region string
-	// Warm tells that the target is taken to know the object.
+	// Warm tells that the target is taken to be warm for the key.
 	Warm bool
-	// Expected is how long the answer should take, with the network and the line.
+	// Expected is how long the answer should take, with the network and the queue.
 	Expected time.Duration
-	// InHand is what the target had in hand before, of its Slots, by counts of other
-	// VMs that are at most HeardAge old. Of a refusal both are of the whole region.
-	InHand, Slots int
-	HeardAge      time.Duration
-	Reason        Reason
+	// InFlight is how many requests the target had before, of its Slots, by counts of
+	// other VMs that are at most CountsAge old. Of a refusal both are of the whole region.
+	InFlight, Slots int
+	CountsAge       time.Duration
+	Reason          Reason
 	// RetryAfter is when there should be room.
 	RetryAfter time.Duration
 }
--- a/edge/placing/service.go
+++ b/edge/placing/service.go
@@ -6,18 +6,18 @@
 	"github.com/yuccaroute/yuccaroute/edge/site"
 )
 
-// service is the targets and the line of one service.
+// service is the targets and the wait queue of one service.
 type service struct {
 	site.Service
-	targets map[string]*Target
-	regions map[string][]*Target
-	loads   loads
-	line    line
-	demand  demand
-	stay    stay
+	targets   map[string]*Target
+	regions   map[string][]*Target
+	loads     loads
+	queue     waitQueue
+	demand    demand
+	occupancy occupancy
 	// refusedAt is when this VM last refused a request for want of slots.
 	refusedAt time.Time
-	shares    shares
+	weights   regionWeights
 }
 
 func newService(s site.Service) *service {
--- a/edge/placing/target.go
+++ b/edge/placing/target.go
@@ -7,27 +7,25 @@
 )
 
 const (
-	// overfill is how many requests a target may have beyond its slots: they wait there
-	// while answers are on their way back and until all VMs have heard of it, some 30 ms.
-	// Mean worth of the standard days with 1 / 2 / 3: dphbd-route 0.681 / 0.700 / 0.706,
-	// kovacevic-spend 0.727 / 0.731 / 0.729, vliesbuch 0.563 / 0.562 / 0.554.
-	overfill = 2
-	// warmFor is how long a target is taken to know an object it handled.
+	// targetQueue is how many requests a target may have beyond its slots: they keep it
+	// busy while answers are on their way back and until all VMs have the new counts.
+	targetQueue = 2
+	// warmFor is how long a target is taken to be warm for a key that it handled.
 	warmFor = 12 * time.Second
-	// maxWarm bounds the objects remembered for one target. How many a target keeps it
-	// does not tell; those seen ran an object slowly again after some 30 others.
+	// maxWarm bounds the keys that one target is taken to be warm for: it does not tell
+	// how many it keeps.
 	maxWarm = 48
 	// failureRate is the weight of one outcome in a target's share of failures.
 	failureRate = 0.2
 	// failureCost is how much later a target that always fails is taken to
-	// answer: the caller has to come back.
+	// answer: the caller has to retry.
 	failureCost = 800 * time.Millisecond
 	// slowRate is the weight of one answer in a target's slowness.
 	slowRate = 0.3
 	// forgiveAfter is how long a target's slowness and failures last without
 	// news: it gets few requests, and would never show that it is well again.
 	forgiveAfter = 3 * time.Second
-	// slowFrom is the slowness from which on a target teaches nothing about work.
+	// slowFrom is the slowness from which on answers of a target say nothing about work.
 	slowFrom = 1.7
 	// firstEjection and lastEjection bound how long a target gets nothing.
 	firstEjection = 400 * time.Millisecond
@@ -37,7 +35,7 @@
 	coldMargin = 500 * time.Millisecond
 )
 
-// Target is one target as this VM sees it. What names it never changes; the board's
+// Target is one target as this VM sees it. What names it never changes; the balancer's
 // lock guards the rest, the slots included.
 type Target struct {
 	site.Target
@@ -47,9 +45,9 @@
 	delay time.Duration
 	// usable is false for draining targets and those in evacuated domains.
 	usable, evacuated bool
-	// own and others count the requests in hand, of this VM and of all others.
-	own    int
-	others *heard
+	// local and remote count the requests in flight, of this VM and of all others.
+	local  int
+	remote *remoteCount
 	warm   map[uint64]time.Time
 	// failures is the share of failed requests, slow how many times longer than
 	// expected it works; news is when they last changed.
@@ -63,15 +61,15 @@
 	cold     coldBucket
 }
 
-// inHand is the number of requests at the target, of all VMs.
-func (t *Target) inHand() int { return t.own + t.others.n }
+// inFlight is the number of requests at the target, of all VMs.
+func (t *Target) inFlight() int { return t.local + t.remote.n }
 
 // full reports whether one more request would wait at the target.
-func (t *Target) full() bool { return t.inHand() >= t.Slots }
+func (t *Target) full() bool { return t.inFlight() >= t.Slots }
 
 // open reports whether the target may get one more request.
 func (t *Target) open(now time.Time) bool {
-	if !t.usable || t.probing || now.Before(t.ejectedUntil) || t.inHand() >= t.Slots+overfill {
+	if !t.usable || t.probing || now.Before(t.ejectedUntil) || t.inFlight() >= t.Slots+targetQueue {
 		return false
 	}
 	return t.permits(now)
@@ -88,22 +86,23 @@
 	return t.usable && !t.probing && !now.Before(t.ejectedUntil)
 }
 
-// knows reports whether the target is taken to have the object at hand.
-func (t *Target) knows(object uint64, now time.Time) bool {
-	at, ok := t.warm[object]
+// isWarm reports whether the target is taken to be warm for a key.
+func (t *Target) isWarm(key uint64, now time.Time) bool {
+	at, ok := t.warm[key]
 	return ok && now.Sub(at) < warmFor
 }
 
-// remember notes that the target handles an object.
-func (t *Target) remember(object uint64, now time.Time) {
-	t.warm[object] = now
+// markWarm notes that the target handles a key, in place of the oldest one if there are
+// too many.
+func (t *Target) markWarm(key uint64, now time.Time) {
+	t.warm[key] = now
 	if len(t.warm) <= maxWarm {
 		return
 	}
-	oldest, at := object, now
-	for o, when := range t.warm {
+	oldest, at := key, now
+	for k, when := range t.warm {
 		if when.Before(at) {
-			oldest, at = o, when
+			oldest, at = k, when
 		}
 	}
 	delete(t.warm, oldest)
@@ -117,14 +116,14 @@
 // slowness is at least 1.
 func (t *Target) slowness(now time.Time) float64 { return 1 + (t.slow-1)*t.fade(now) }
 
-// cost is when a request is expected to end there, from now on. turn is how long one of
-// the target's slots is taken on average.
-func (t *Target) cost(now time.Time, class *Class, warm bool, turn time.Duration) time.Duration {
+// cost is when a request is expected to end there, from now on. occupancy is how long a
+// busy slot of the target is kept.
+func (t *Target) cost(now time.Time, class *Class, warm bool, occupancy time.Duration) time.Duration {
 	work := float64(class.work(warm)) * t.slowness(now)
-	ahead := max(0, t.inHand()+1-t.Slots)
-	wait := float64(turn) * t.slowness(now) * float64(ahead) / float64(t.Slots)
+	ahead := max(0, t.inFlight()+1-t.Slots)
+	wait := float64(occupancy) * t.slowness(now) * float64(ahead) / float64(t.Slots)
 	// Targets that fill up are a little dearer, so that equal ones share the load.
-	wait += 0.02 * work * float64(t.inHand()) / float64(t.Slots)
+	wait += 0.02 * work * float64(t.inFlight()) / float64(t.Slots)
 	failing := t.failures * t.fade(now) * float64(failureCost)
 	return t.delay + time.Duration(work+wait+failing)
 }
@@ -146,10 +145,8 @@
 //
 // One that answers, though with refusals or failures, is made dearer and goes on getting
 // requests. Load pattern: a third of the targets refuses or loses half of its requests for
-// some seconds. With an ejection after three failures in a row they all stood empty by
-// turns while the others were full. Mean worth of the standard days with that ejection /
-// without: kovacevic-spend 0.741 / 0.748, dphbd-route 0.702 / 0.704, vliesbuch
-// 0.570 / 0.572.
+// some seconds. Ejected after a few failures in a row they would all stand empty by turns
+// while the others are full.
 func (t *Target) failed(now time.Time, unreachable bool) {
 	faded := t.failures * t.fade(now)
 	t.failures = faded + failureRate*(1-faded)
--- a/edge/placing/weights.go
+++ b/edge/placing/weights.go
@@ -9,28 +9,26 @@
 const (
 	// fillShare of a region's slots is planned for its own callers before the
 	// rest goes elsewhere: above it, requests wait for each other, and the delay to
-	// another region is short against what callers hope for.
+	// another region is short against their latency objective.
 	fillShare = 0.5
 	// startUse is the part of all slots that is taken to be asked for until demand
 	// is measured.
 	startUse = 0.6
-	// calmRate is how much of a region's requests may change their region in a second.
-	// Half of what the cap permits between two windows of two seconds at most, the
+	// calmRate is how much of a region's requests may change their region in a second:
+	// half of what the cap permits between two windows of two seconds at most, the
 	// rest is for chance.
 	calmRate = 0.02
 	// refusedRate is the same while callers are refused for want of slots, and for
-	// refusedFor after. Load pattern: the callers of one region after the other crowd in;
-	// with calmRate the shares come too late for each crowd, and callers are refused
-	// though another region has half of its slots free. It leaves a third of the cap
-	// for chance. Always moving so fast teaches more targets on a calm day than it
-	// serves. Mean worth of the standard days with calmRate / this: kovacevic-spend
-	// 0.734 / 0.738, vliesbuch 0.568 / 0.574, dphbd-route 0.699 / 0.700.
+	// refusedFor after. Load pattern: a surge goes round the regions; with calmRate the
+	// weights come too late for each one, and callers are refused though another region
+	// has half of its slots free. It leaves a third of the cap for chance. To move so fast
+	// always would cost more cold runs on a calm day than it serves.
 	refusedRate = 0.05
 	refusedFor  = time.Second
 	// lossRate is the same while a region loses capacity: callers would be refused.
 	lossRate = 0.5
-	// creditTime is the time constant with which credit fades.
-	creditTime = 2 * time.Second
+	// deficitTime is the time constant with which deficits fade.
+	deficitTime = 2 * time.Second
 	// demandTime is the time constant of the measured demand.
 	demandTime = 1500 * time.Millisecond
 )
@@ -62,10 +60,10 @@
 	return total
 }
 
-// plan returns, for callers of one region, the share of their requests that each
+// planWeights returns, for callers of one region, the part of their requests that each
 // region runs. Demand and capacity are in slots, by region. Regions are filled
 // evenly, above fillShare: when all are short, callers everywhere wait alike.
-func plan(own string, demand, capacity map[string]float64) map[string]float64 {
+func planWeights(own string, demand, capacity map[string]float64) map[string]float64 {
 	excess := make(map[string]float64)
 	spare, spareSum, excessSum := make(map[string]float64), 0.0, 0.0
 	fill := max(fillShare, sum(demand)/max(1, sum(capacity)))
@@ -94,47 +92,49 @@
 	return out
 }
 
-// shares divide the requests of this VM's callers between regions. They move
-// slowly: a crowd that changes its region at once meets cold targets.
-type shares struct {
-	part   map[string]float64
-	credit map[string]float64
-	at     time.Time
-	// accrued is when credit faded last.
+// regionWeights divide the requests of this VM's callers between regions, by deficit
+// round robin. They move slowly: a surge that changes its region at once meets cold targets.
+type regionWeights struct {
+	// weight is the part of the requests that each region should run.
+	weight map[string]float64
+	// deficit is how many requests each region is behind its weight.
+	deficit map[string]float64
+	at      time.Time
+	// accrued is when the deficits faded last.
 	accrued time.Time
 }
 
 // begin keeps requests in their region as far as its targets can carry an equal part
 // of all callers: nothing is known of the demand yet.
-func (s *shares) begin(now time.Time, own string, capacity map[string]float64) {
-	s.credit, s.at = make(map[string]float64), now
+func (w *regionWeights) begin(now time.Time, own string, capacity map[string]float64) {
+	w.deficit, w.at = make(map[string]float64), now
 	needs := make(map[string]float64)
 	for region := range capacity {
 		needs[region] = startUse * sum(capacity) / float64(len(capacity))
 	}
-	s.part = plan(own, needs, capacity)
+	w.weight = planWeights(own, needs, capacity)
 }
 
-// step moves the shares towards the wanted ones by at most rate a second.
-func (s *shares) step(now time.Time, wanted map[string]float64, rate float64) {
-	most := rate * min(now.Sub(s.at).Seconds(), 1)
-	s.at = now
+// step moves the weights towards the wanted ones by at most rate a second.
+func (w *regionWeights) step(now time.Time, wanted map[string]float64, rate float64) {
+	most := rate * min(now.Sub(w.at).Seconds(), 1)
+	w.at = now
 	distance := 0.0
-	for _, region := range regionsOf(s.part, wanted) {
-		distance += math.Abs(wanted[region]-s.part[region]) / 2
+	for _, region := range regionsOf(w.weight, wanted) {
+		distance += math.Abs(wanted[region]-w.weight[region]) / 2
 	}
 	if distance == 0 {
 		return
 	}
 	move := min(1, most/distance)
 	next := make(map[string]float64)
-	for _, region := range regionsOf(s.part, wanted) {
-		part := s.part[region] + move*(wanted[region]-s.part[region])
+	for _, region := range regionsOf(w.weight, wanted) {
+		part := w.weight[region] + move*(wanted[region]-w.weight[region])
 		if part > 1e-6 {
 			next[region] = part
 		}
 	}
-	s.part = next
+	w.weight = next
 }
 
 func regionsOf(maps ...map[string]float64) []string {
@@ -152,46 +152,46 @@
 	return all
 }
 
-// accrue gives each region its part of one more request. Credit fades: objects divide
-// unevenly between regions, and to make that good would send some of them by turns to
-// targets that do not know them. Only quick changes are held back.
-func (s *shares) accrue(now time.Time) {
-	left := math.Exp(-now.Sub(s.accrued).Seconds() / creditTime.Seconds())
-	s.accrued = now
-	for region := range s.credit {
-		s.credit[region] *= left
+// accrue gives each region its part of one more request. Deficits fade: keys divide
+// unevenly between regions, and to make that good would send some of them to cold targets
+// by turns. Only quick changes are held back.
+func (w *regionWeights) accrue(now time.Time) {
+	left := math.Exp(-now.Sub(w.accrued).Seconds() / deficitTime.Seconds())
+	w.accrued = now
+	for region := range w.deficit {
+		w.deficit[region] *= left
 	}
-	for region, part := range s.part {
-		s.credit[region] += part
+	for region, part := range w.weight {
+		w.deficit[region] += part
 	}
 }
 
-// pick returns the region of one request. An object has its region as long as the
-// shares permit: weighted rendezvous hashing moves as few objects as possible when
-// shares change, and callers of all regions that have equal shares meet at the same
-// warm target. A region that is behind its share by slack is served first, so that
-// the shares hold in every few requests and not only on average.
-func (s *shares) pick(r *Request, permitted func(region string) bool) (string, bool) {
-	if r.HasObject {
-		region, ok := s.favourite(r.Object, permitted)
-		if ok && s.credit[region] > -slack {
+// pick returns the region of one request. A key has its region as long as the
+// weights permit: weighted rendezvous hashing moves as few keys as possible when
+// weights change, and callers of all regions that have equal weights meet at the same
+// warm target. Once a region is ahead of its weight by tolerance the one with the greatest
+// deficit is served, so that the weights hold in every few requests and not only on average.
+func (w *regionWeights) pick(r *Request, permitted func(region string) bool) (string, bool) {
+	if r.HasKey {
+		region, ok := w.preferredRegion(r.Key, permitted)
+		if ok && w.deficit[region] > -tolerance {
 			return region, true
 		}
 	}
-	return s.next(permitted)
+	return w.next(permitted)
 }
 
-// slack is how many requests a region may be ahead of its share.
-const slack = 4
+// tolerance is how many requests a region may be ahead of its weight.
+const tolerance = 4
 
-// favourite is the region of an object.
-func (s *shares) favourite(object uint64, permitted func(region string) bool) (string, bool) {
+// preferredRegion is the region of a key.
+func (w *regionWeights) preferredRegion(key uint64, permitted func(region string) bool) (string, bool) {
 	best, lowest := "", math.Inf(1)
-	for region, part := range s.part {
+	for region, part := range w.weight {
 		if !permitted(region) {
 			continue
 		}
-		u := (float64(draw(object, HashOf(region))>>11) + 0.5) / (1 << 53)
+		u := (float64(rendezvous(key, HashOf(region))>>11) + 0.5) / (1 << 53)
 		if score := -math.Log(u) / part; score < lowest || (score == lowest && region < best) {
 			best, lowest = region, score
 		}
@@ -199,27 +199,27 @@
 	return best, best != ""
 }
 
-// next returns the permitted region with the most credit.
-func (s *shares) next(permitted func(region string) bool) (string, bool) {
+// next returns the permitted region with the greatest deficit.
+func (w *regionWeights) next(permitted func(region string) bool) (string, bool) {
 	best, found := "", false
-	for region := range s.part {
+	for region := range w.weight {
 		if !permitted(region) {
 			continue
 		}
-		if !found || s.credit[region] > s.credit[best] || (s.credit[region] == s.credit[best] && region < best) {
+		if !found || w.deficit[region] > w.deficit[best] || (w.deficit[region] == w.deficit[best] && region < best) {
 			best, found = region, true
 		}
 	}
 	return best, found
 }
 
-// maxCredit bounds what a region that could not be used saves up.
-const maxCredit = 8
+// maxDeficit bounds what a region that could not be used saves up.
+const maxDeficit = 8
 
-// spend counts a request that a region runs.
-func (s *shares) spend(region string) {
-	s.credit[region]--
-	for r, c := range s.credit {
-		s.credit[r] = min(max(c, -maxCredit), maxCredit)
+// charge counts a request that a region runs.
+func (w *regionWeights) charge(region string) {
+	w.deficit[region]--
+	for r, c := range w.deficit {
+		w.deficit[r] = min(max(c, -maxDeficit), maxDeficit)
 	}
 }
--- a/edge/placing/world_test.go
+++ b/edge/placing/world_test.go
@@ -12,31 +12,31 @@
 	"github.com/yuccaroute/yuccaroute/edge/site"
 )
 
-// world replays a load on several VMs' boards and simulated targets, with virtual
-// time. Targets have slots and a queue, and keep the objects they handled last.
+// world replays a load on several VMs' balancers and simulated targets, with virtual
+// time. Targets have slots and a queue, and keep the keys they handled last.
 type world struct {
-	t       *testing.T
-	now     time.Time
-	events  events
-	seq     int
-	random  *rand.Rand
-	boards  []*Board
-	targets map[string]*simTarget
-	classes []*Class
-	// aim and deadline of every request, cold and warm its work.
-	aim, deadline, cold, warm time.Duration
-	turn                      time.Duration
-	result                    worldResult
+	t         *testing.T
+	now       time.Time
+	events    events
+	seq       int
+	random    *rand.Rand
+	balancers []*Balancer
+	targets   map[string]*simTarget
+	classes   []*Class
+	// objective and deadline of every request, cold and warm its work.
+	objective, deadline, cold, warm time.Duration
+	turn                            time.Duration
+	result                          worldResult
 }
 
 type worldResult struct {
-	asked, inAim, late, refused, failed int
+	asked, inObjective, late, refused, failed int
 	// perSecond counts the arrivals at each target in each second.
 	perSecond map[string]map[int]int
 	// regions counts where the requests of each region's callers ran, in windows
 	// of two seconds.
 	regions map[int]map[string]float64
-	// coldRuns counts the runs of objects that their target did not have at hand.
+	// coldRuns counts the runs of keys that their target did not have at hand.
 	coldRuns int
 }
 
@@ -47,21 +47,21 @@
 	queue      []func()
 	known      []uint64
 	slow       float64
-	// most is how many objects it keeps.
+	// most is how many keys it keeps.
 	most int
 }
 
-// maxKnown is how many objects a simulated target keeps at hand.
+// maxKnown is how many keys a simulated target keeps at hand.
 const maxKnown = 40
 
-func (s *simTarget) knows(object uint64) bool {
+func (s *simTarget) isWarm(key uint64) bool {
 	for i, o := range s.known {
-		if o == object {
-			s.known = append(append(s.known[:i:i], s.known[i+1:]...), object)
+		if o == key {
+			s.known = append(append(s.known[:i:i], s.known[i+1:]...), key)
 			return true
 		}
 	}
-	s.known = append(s.known, object)
+	s.known = append(s.known, key)
 	if len(s.known) > s.most {
 		s.known = s.known[1:]
 	}
@@ -99,27 +99,27 @@
 	// regions has the targets of each region by its name; vms is for each region.
 	regions    map[string]int
 	vms, slots int
-	// cold is the work on an object that a target does not know, a warm run takes 0.3 of it.
+	// cold is the work on a key that a target does not know, a warm run takes 0.3 of it.
 	cold time.Duration
 	// coldRate is what a target bears after its start, 0 without a bound.
 	coldRate float64
-	// known is how many objects a target keeps at hand.
-	known         int
-	aim, deadline time.Duration
+	// known is how many keys a target keeps at hand.
+	known               int
+	objective, deadline time.Duration
 }
 
 // newWorld has vms VMs and targets targets in each of the regions.
 func newWorld(t *testing.T, regions map[string]int, vms, slots int, cold time.Duration, coldRate float64) *world {
 	return newWorldOf(t, shape{
 		regions: regions, vms: vms, slots: slots, cold: cold, coldRate: coldRate, known: maxKnown,
-		aim: 300 * time.Millisecond, deadline: time.Second,
+		objective: 300 * time.Millisecond, deadline: time.Second,
 	})
 }
 
 func newWorldOf(t *testing.T, o shape) *world {
 	w := &world{
 		t: t, now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(7, 7)),
-		targets: make(map[string]*simTarget), aim: o.aim, deadline: o.deadline,
+		targets: make(map[string]*simTarget), objective: o.objective, deadline: o.deadline,
 		cold: o.cold, warm: o.cold * 3 / 10, turn: max(leastTurn, o.cold/50),
 		result: worldResult{perSecond: make(map[string]map[int]int), regions: make(map[int]map[string]float64)},
 	}
@@ -159,8 +159,8 @@
 		})
 		b.SetVMs(names)
 		b.SetTargets(w.now, service, list, nil)
-		w.boards = append(w.boards, b)
-		w.classes = append(w.classes, NewClass(w.aim))
+		w.balancers = append(w.balancers, b)
+		w.classes = append(w.classes, NewClass(w.objective))
 	}
 }
 
@@ -169,11 +169,11 @@
 	heap.Push(&w.events, event{w.now.Add(d), w.seq, run})
 }
 
-// leastTurn is how often the boards tell each other; they do so less often where work
+// leastTurn is how often the balancers tell each other; they do so less often where work
 // takes seconds.
 const leastTurn = 20 * time.Millisecond
 
-// run plays for a time; the boards tell each other every turn.
+// run plays for a time; the balancers tell each other every turn.
 func (w *world) run(d time.Duration) {
 	end := w.now.Add(d)
 	w.exchange(end)
@@ -186,17 +186,17 @@
 }
 
 func (w *world) exchange(end time.Time) {
-	for i, from := range w.boards {
-		inHand, needs := from.Report(w.now)
-		for j, to := range w.boards {
+	for i, from := range w.balancers {
+		inFlight, needs := from.Report(w.now)
+		for j, to := range w.balancers {
 			if i != j {
 				to.SetPeer(w.now, from.options.VM, &Peer{
-					InHand: inHand, Demand: map[string]map[string]float64{from.options.Region: needs}, At: w.now,
+					InFlight: inFlight, Demand: map[string]map[string]float64{from.options.Region: needs}, At: w.now,
 				})
 			}
 		}
 	}
-	for _, b := range w.boards {
+	for _, b := range w.balancers {
 		b.Tick(w.now)
 	}
 	if w.now.Before(end) {
@@ -204,10 +204,10 @@
 	}
 }
 
-// load sends perSecond requests a second through each VM, about things objects,
+// load sends perSecond requests a second through each VM, about things keys,
 // for a time.
 func (w *world) load(perSecond float64, things int, d time.Duration) {
-	for i := range w.boards {
+	for i := range w.balancers {
 		var next func()
 		end := w.now.Add(d)
 		next = func() {
@@ -221,13 +221,13 @@
 	}
 }
 
-func (w *world) ask(vm int, object uint64) {
+func (w *world) ask(vm int, key uint64) {
 	w.result.asked++
-	b := w.boards[vm]
+	b := w.balancers[vm]
 	arrived := w.now
 	r := &Request{
-		Service: serviceName, Class: w.classes[vm], Object: object, HasObject: true,
-		Aim: arrived.Add(w.aim), Deadline: arrived.Add(w.deadline),
+		Service: serviceName, Class: w.classes[vm], Key: key, HasKey: true,
+		Objective: arrived.Add(w.objective), Deadline: arrived.Add(w.deadline),
 	}
 	d, waiter := b.Place(w.now, r)
 	if waiter == nil {
@@ -257,10 +257,10 @@
 	s := w.targets[d.Target.ID]
 	w.count(vm, s)
 	sent := w.now
-	delay := w.boards[vm].options.Delay(s.region)
+	delay := w.balancers[vm].options.Delay(s.region)
 	start := func() {
 		work := w.cold
-		if s.knows(r.Object) {
+		if s.isWarm(r.Key) {
 			work = w.warm
 		} else {
 			w.result.coldRuns++
@@ -279,12 +279,12 @@
 				if w.now.After(r.Deadline) {
 					end = Cancelled
 					w.result.failed++
-				} else if w.now.After(r.Aim) {
+				} else if w.now.After(r.Objective) {
 					w.result.late++
 				} else {
-					w.result.inAim++
+					w.result.inObjective++
 				}
-				w.boards[vm].Done(w.now, d, w.classes[vm], end, w.now.Sub(sent))
+				w.balancers[vm].Done(w.now, d, w.classes[vm], end, w.now.Sub(sent))
 			})
 		})
 	}
@@ -307,16 +307,16 @@
 	if w.result.regions[window] == nil {
 		w.result.regions[window] = make(map[string]float64)
 	}
-	w.result.regions[window][w.boards[vm].options.Region+">"+s.region]++
+	w.result.regions[window][w.balancers[vm].options.Region+">"+s.region]++
 }
 
-// share of the requests that met their aim, over those since the last call.
+// share of the requests that met their objective, over those since the last call.
 func (w *world) takeShare() float64 {
 	r := w.result
-	share := float64(r.inAim) / float64(max(1, r.asked))
-	w.t.Logf("asked %d in aim %d late %d refused %d failed %d, %d cold runs",
-		r.asked, r.inAim, r.late, r.refused, r.failed, r.coldRuns)
-	w.result.asked, w.result.inAim, w.result.late, w.result.refused, w.result.failed = 0, 0, 0, 0, 0
+	share := float64(r.inObjective) / float64(max(1, r.asked))
+	w.t.Logf("asked %d in objective %d late %d refused %d failed %d, %d cold runs",
+		r.asked, r.inObjective, r.late, r.refused, r.failed, r.coldRuns)
+	w.result.asked, w.result.inObjective, w.result.late, w.result.refused, w.result.failed = 0, 0, 0, 0, 0
 	w.result.coldRuns = 0
 	return share
 }
--- a/edge/replica/check.go
+++ b/edge/replica/check.go
@@ -1,4 +1,4 @@
-package mirror
+package replica
 
 import (
 	"context"
@@ -17,16 +17,16 @@
 	noKey = "-/none/"
 )
 
-func (m *Mirror) setDoubt(doubt bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.doubt = doubt
+func (r *Replica) setDoubt(doubt bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.doubt = doubt
 }
 
-func (m *Mirror) inDoubt() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.doubt
+func (r *Replica) inDoubt() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.doubt
 }
 
 // check finds out whether changes after a revision were missed, and reads them.
@@ -35,24 +35,24 @@
 // even changes that were made before they began, and end only with their wait. It shows as
 // a configuration that comes into force seconds after the store answers again. The guard
 // holds because the store's revision tells that there is something to read.
-func (m *Mirror) check(ctx context.Context, at store.Revision) (found, error) {
-	m.countCall()
-	list, err := m.options.KV.List(ctx, noKey)
+func (r *Replica) check(ctx context.Context, at store.Revision) (found, error) {
+	r.countCall()
+	list, err := r.options.KV.List(ctx, noKey)
 	if err != nil {
 		return foundNothing, err
 	}
-	m.setDoubt(false)
+	r.setDoubt(false)
 	if list.At <= at {
 		return foundNothing, nil
 	}
 	quick, cancel := context.WithTimeout(ctx, quickWatch)
 	defer cancel()
-	batch, err := m.watch(quick, at)
+	batch, err := r.watch(quick, at)
 	if err == nil && len(batch.Events) > 0 {
-		m.apply(batch)
+		r.apply(batch)
 		return foundChanges, nil
 	}
-	m.options.Logger.WithError(err).WithFields(logrus.Fields{"revision": at, "store_at": list.At}).
-		Warn("mirror: the store does not tell what changed, reading all")
-	return foundChanges, m.list(ctx)
+	r.options.Logger.WithError(err).WithFields(logrus.Fields{"revision": at, "store_at": list.At}).
+		Warn("replica: the store does not tell what changed, reading all")
+	return foundChanges, r.list(ctx)
 }
--- a/edge/replica/check_test.go
+++ b/edge/replica/check_test.go
@@ -1,4 +1,4 @@
-package mirror
+package replica
 
 import (
 	"context"
--- a/edge/replica/replica.go
+++ b/edge/replica/replica.go
@@ -1,7 +1,7 @@
 // Package mirror keeps a copy of the store's items on an entry VM. The copy
 // follows the store by a watch, or another VM's copy when the store does not
 // serve this VM. It is ordered by the store's revision and never goes back.
-package mirror
+package replica
 
 import (
 	"context"
@@ -18,17 +18,16 @@
 const (
 	// gather is the pause between a change and the next watch. Changes that come
 	// together are then one call: a call has a price, and a change has seconds
-	// to come into force. With 200 ms a day of 81 VMs took 2,573 calls, 2,294 with 400.
+	// to come into force.
 	gather = 400 * time.Millisecond
 	// firstRetry and lastRetry bound the pause after a failed call; it doubles.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = time.Second
 	// spareRetry is the longest pause, and the only one, of VMs that watch in place
-	// of others that are not answered: in an outage all of a region do. With a pause of
-	// at most 1 s they made 846 calls in an outage of 8 s on 81 VMs.
+	// of others that are not answered: in an outage all of a region do.
 	spareRetry = 3 * time.Second
 	// settle is the pause between the first listing and the first watch. Which VMs
-	// watch is known once they were heard; before, all would.
+	// watch is known once their reports came; before, all would.
 	settle = 500 * time.Millisecond
 	// behindFor is how long a copy that watches, or hears of a distant VM, may be
 	// behind before it is brought up to date from there: its own watch, or a VM
@@ -50,7 +49,7 @@
 	Listed bool
 }
 
-// Options configure a Mirror.
+// Options configure a Replica.
 type Options struct {
 	KV     store.KV
 	Logger *logrus.Entry
@@ -60,7 +59,7 @@
 	// a time.
 	Changed func([]Change)
 	// FetchFrom reads what another VM's copy has after a revision.
-	FetchFrom func(ctx context.Context, peer string, after store.Revision) (Copy, error)
+	FetchFrom func(ctx context.Context, peer string, after store.Revision) (Snapshot, error)
 	// Watches reports whether this VM is one of those that watch the store; the
 	// others follow them.
 	Watches func() bool
@@ -69,8 +68,8 @@
 	First func() bool
 }
 
-// Mirror is the copy. It is safe for use by several goroutines.
-type Mirror struct {
+// Replica is the copy. It is safe for use by several goroutines.
+type Replica struct {
 	options Options
 
 	mu     sync.Mutex
@@ -95,46 +94,46 @@
 }
 
 // New returns an empty mirror.
-func New(o Options) *Mirror {
-	return &Mirror{options: o, items: make(map[string]store.Entry)}
+func New(o Options) *Replica {
+	return &Replica{options: o, items: make(map[string]store.Entry)}
 }
 
 // At returns the copy's revision, and false before the first copy.
-func (m *Mirror) At() (store.Revision, bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.at, m.loaded
+func (r *Replica) At() (store.Revision, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.at, r.loaded
 }
 
 // Calls returns how many calls were made to the store.
-func (m *Mirror) Calls() uint64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.calls
+func (r *Replica) Calls() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.calls
 }
 
 // Linked reports whether the copy follows the store itself and is answered.
-func (m *Mirror) Linked() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.connected && m.watching
+func (r *Replica) Linked() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.connected && r.watching
 }
 
 // Run follows the store until the context ends.
-func (m *Mirror) Run(ctx context.Context) {
+func (r *Replica) Run(ctx context.Context) {
 	pause := firstRetry
 	for ctx.Err() == nil {
-		if !m.setWatching(m.options.Watches()) {
+		if !r.setWatching(r.options.Watches()) {
 			wait.For(ctx, idleLook)
 			continue
 		}
-		found, err := m.followOnce(ctx)
-		if m.setConnected(err == nil) {
-			m.logConnection(err)
+		found, err := r.followOnce(ctx)
+		if r.setConnected(err == nil) {
+			r.logConnection(err)
 		}
 		if err != nil {
-			m.setDoubt(true)
-			pause = m.retryPause(pause)
+			r.setDoubt(true)
+			pause = r.retryPause(pause)
 			wait.For(ctx, pause/2+rand.N(pause/2))
 			pause = min(2*pause, lastRetry)
 			continue
@@ -145,35 +144,35 @@
 }
 
 // followOnce is follow, which Unanswered can end.
-func (m *Mirror) followOnce(ctx context.Context) (found, error) {
+func (r *Replica) followOnce(ctx context.Context) (found, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	m.mu.Lock()
-	m.endCall = cancel
-	m.mu.Unlock()
-	return m.follow(ctx)
+	r.mu.Lock()
+	r.endCall = cancel
+	r.mu.Unlock()
+	return r.follow(ctx)
 }
 
 // Watching reports whether this VM watches the store.
-func (m *Mirror) Watching() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.watching
+func (r *Replica) Watching() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.watching
 }
 
 // Unanswered tells that the store did not answer another call of this VM. A watch that
 // hangs is ended, so that others learn at once that this VM does not follow the store.
-func (m *Mirror) Unanswered() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.watching && m.endCall != nil {
-		m.endCall()
+func (r *Replica) Unanswered() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.watching && r.endCall != nil {
+		r.endCall()
 	}
 }
 
 // retryPause is the pause after a failed call, when the next one in turn is given.
-func (m *Mirror) retryPause(next time.Duration) time.Duration {
-	if _, loaded := m.At(); loaded && !m.options.First() {
+func (r *Replica) retryPause(next time.Duration) time.Duration {
+	if _, loaded := r.At(); loaded && !r.options.First() {
 		return spareRetry
 	}
 	return next
@@ -185,125 +184,125 @@
 const (
 	foundNothing found = iota
 	foundChanges
-	foundFirstCopy
+	foundFirstSnapshot
 )
 
 // pauses are those before the next call.
-var pauses = map[found]time.Duration{foundChanges: gather, foundFirstCopy: settle}
+var pauses = map[found]time.Duration{foundChanges: gather, foundFirstSnapshot: settle}
 
 // setWatching reports whether the store is to be asked: by a VM that watches, and
 // by any that has no copy yet.
-func (m *Mirror) setWatching(watches bool) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.watching != watches {
-		m.doubt = watches
-		m.options.Logger.WithFields(logrus.Fields{"watches": watches, "revision": m.at}).Info("mirror: duty changed")
+func (r *Replica) setWatching(watches bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.watching != watches {
+		r.doubt = watches
+		r.options.Logger.WithFields(logrus.Fields{"watches": watches, "revision": r.at}).Info("replica: role changed")
 	}
-	m.watching = watches
-	return watches || !m.loaded
+	r.watching = watches
+	return watches || !r.loaded
 }
 
 // setConnected reports whether that is news.
-func (m *Mirror) setConnected(now bool) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	news := m.connected != now
-	m.connected = now
+func (r *Replica) setConnected(now bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	news := r.connected != now
+	r.connected = now
 	return news
 }
 
-func (m *Mirror) logConnection(err error) {
-	at, _ := m.At()
-	log := m.options.Logger.WithField("revision", at)
+func (r *Replica) logConnection(err error) {
+	at, _ := r.At()
+	log := r.options.Logger.WithField("revision", at)
 	if err != nil {
-		log.WithError(err).Warn("mirror: store lost")
+		log.WithError(err).Warn("replica: store lost")
 		return
 	}
-	log.Info("mirror: store reached")
+	log.Info("replica: store reached")
 }
 
 // follow makes one call: a listing for the first copy, a watch afterwards.
-func (m *Mirror) follow(ctx context.Context) (found, error) {
-	at, loaded := m.At()
+func (r *Replica) follow(ctx context.Context) (found, error) {
+	at, loaded := r.At()
 	if !loaded {
-		return foundFirstCopy, m.list(ctx)
+		return foundFirstSnapshot, r.list(ctx)
 	}
-	if m.inDoubt() {
-		return m.check(ctx, at)
+	if r.inDoubt() {
+		return r.check(ctx, at)
 	}
-	batch, err := m.watch(ctx, at)
+	batch, err := r.watch(ctx, at)
 	if err != nil {
 		return foundNothing, err
 	}
 	if batch.Reset {
-		m.options.Logger.WithField("revision", at).Warn("mirror: the store's history is gone, reading all")
-		return foundChanges, m.list(ctx)
+		r.options.Logger.WithField("revision", at).Warn("replica: the store's history is gone, reading all")
+		return foundChanges, r.list(ctx)
 	}
-	if len(batch.Events) == 0 && batch.At > at && m.options.Prefix == "" {
+	if len(batch.Events) == 0 && batch.At > at && r.options.Prefix == "" {
 		// There is a change, and a watch of all keys did not bring it.
-		m.setDoubt(true)
+		r.setDoubt(true)
 		return foundNothing, nil
 	}
-	m.apply(batch)
+	r.apply(batch)
 	if len(batch.Events) == 0 {
 		return foundNothing, nil
 	}
 	return foundChanges, nil
 }
 
-func (m *Mirror) watch(ctx context.Context, at store.Revision) (store.Batch, error) {
-	m.countCall()
-	return m.options.KV.Watch(ctx, m.options.Prefix, at)
+func (r *Replica) watch(ctx context.Context, at store.Revision) (store.Batch, error) {
+	r.countCall()
+	return r.options.KV.Watch(ctx, r.options.Prefix, at)
 }
 
-func (m *Mirror) countCall() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.calls++
+func (r *Replica) countCall() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.calls++
 }
 
-func (m *Mirror) list(ctx context.Context) error {
-	m.countCall()
-	list, err := m.options.KV.List(ctx, m.options.Prefix)
+func (r *Replica) list(ctx context.Context) error {
+	r.countCall()
+	list, err := r.options.KV.List(ctx, r.options.Prefix)
 	if err != nil {
 		return err
 	}
-	m.Adopt(Copy{At: list.At, Items: list.Entries})
+	r.Adopt(Snapshot{At: list.At, Items: list.Entries})
 	return nil
 }
 
-func (m *Mirror) apply(batch store.Batch) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.applyEvents(batch)
+func (r *Replica) apply(batch store.Batch) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.applyEvents(batch)
 }
 
 // applyEvents is called with the lock held.
-func (m *Mirror) applyEvents(batch store.Batch) {
+func (r *Replica) applyEvents(batch store.Batch) {
 	var changes []Change
 	for _, event := range batch.Events {
-		if event.Entry.Revision <= m.items[event.Entry.Key].Revision {
+		if event.Entry.Revision <= r.items[event.Entry.Key].Revision {
 			continue
 		}
 		if event.Deleted {
-			delete(m.items, event.Entry.Key)
+			delete(r.items, event.Entry.Key)
 		} else {
-			m.items[event.Entry.Key] = event.Entry
+			r.items[event.Entry.Key] = event.Entry
 		}
 		changes = append(changes, Change{Entry: event.Entry, Removed: event.Deleted})
 	}
-	if batch.At > m.at {
-		m.at = batch.At
-		m.behindSince = time.Time{}
+	if batch.At > r.at {
+		r.at = batch.At
+		r.behindSince = time.Time{}
 	}
-	m.remember(changes)
-	m.tell(changes)
+	r.remember(changes)
+	r.tell(changes)
 }
 
 // tell is called with the lock held, so that changes are told in order.
-func (m *Mirror) tell(changes []Change) {
+func (r *Replica) tell(changes []Change) {
 	if len(changes) > 0 {
-		m.options.Changed(changes)
+		r.options.Changed(changes)
 	}
 }
