--- a/edge/replica/replica_test.go
+++ b/edge/replica/replica_test.go
@@ -1,4 +1,4 @@
-package mirror
+package replica
 
 import (
 	"context"
@@ -20,7 +20,7 @@
 
 // vm is one copy of a store with what it was told.
 type vm struct {
-	*Mirror
+	*Replica
 	mu      sync.Mutex
 	changes []Change
 	watches atomic.Bool
@@ -34,17 +34,17 @@
 	return logrus.NewEntry(l)
 }
 
-func newVM(kv store.KV, watches bool, fetch func(after store.Revision) (Copy, error)) *vm {
+func newVM(kv store.KV, watches bool, fetch func(after store.Revision) (Snapshot, error)) *vm {
 	v := &vm{}
 	v.watches.Store(watches)
-	v.Mirror = New(Options{
+	v.Replica = New(Options{
 		KV: kv, Logger: quiet(),
 		Changed: func(changes []Change) {
 			v.mu.Lock()
 			defer v.mu.Unlock()
 			v.changes = append(v.changes, changes...)
 		},
-		FetchFrom: func(_ context.Context, _ string, after store.Revision) (Copy, error) { return fetch(after) },
+		FetchFrom: func(_ context.Context, _ string, after store.Revision) (Snapshot, error) { return fetch(after) },
 		Watches:   func() bool { return v.watches.Load() },
 		First:     func() bool { return !v.spare },
 	})
@@ -52,12 +52,12 @@
 }
 
 func (v *vm) value(key string) string {
-	v.Mirror.mu.Lock()
-	defer v.Mirror.mu.Unlock()
+	v.Replica.mu.Lock()
+	defer v.Replica.mu.Unlock()
 	return string(v.items[key].Value)
 }
 
-func noFetch(store.Revision) (Copy, error) { return Copy{}, errors.New("no peer") }
+func noFetch(store.Revision) (Snapshot, error) { return Snapshot{}, errors.New("no peer") }
 
 func put(t *testing.T, kv store.KV, key, value string) {
 	t.Helper()
@@ -111,12 +111,12 @@
 // made it begin its wait anew; requests went to a target that had left.
 func TestFollowerCatchesUpBesideAnotherThatIsBehind(t *testing.T) {
 	bubble(t, func(t *testing.T, ctx context.Context) {
-		ahead := Copy{At: 9, Items: []store.Entry{{Key: "a", Value: []byte("new"), Revision: 9}}}
-		v := newVM(nil, true, func(store.Revision) (Copy, error) { return ahead, nil })
-		v.Adopt(Copy{At: 5, Items: []store.Entry{{Key: "a", Value: []byte("old"), Revision: 5}}})
+		ahead := Snapshot{At: 9, Items: []store.Entry{{Key: "a", Value: []byte("new"), Revision: 9}}}
+		v := newVM(nil, true, func(store.Revision) (Snapshot, error) { return ahead, nil })
+		v.Adopt(Snapshot{At: 5, Items: []store.Entry{{Key: "a", Value: []byte("old"), Revision: 5}}})
 		for range 10 {
-			v.SawPeer(ctx, "ahead", false, 9, time.Now())
-			v.SawPeer(ctx, "behind", true, 5, time.Now())
+			v.ObservePeer(ctx, "ahead", false, 9, time.Now())
+			v.ObservePeer(ctx, "behind", true, 5, time.Now())
 			time.Sleep(100 * time.Millisecond)
 		}
 		synctest.Wait()
@@ -134,8 +134,8 @@
 		put(t, kv, "a", "1")
 		watcher := newVM(kv, true, noFetch)
 		partial := 0
-		follower := newVM(kv, false, func(after store.Revision) (Copy, error) {
-			c := watcher.CopyAfter(after)
+		follower := newVM(kv, false, func(after store.Revision) (Snapshot, error) {
+			c := watcher.SnapshotAfter(after)
 			if c.Partial {
 				partial++
 			}
@@ -148,7 +148,7 @@
 			put(t, kv, "a", fmt.Sprint(i))
 			time.Sleep(2 * gather)
 			at, _ := watcher.At()
-			follower.SawPeer(ctx, "watcher", true, at, time.Now())
+			follower.ObservePeer(ctx, "watcher", true, at, time.Now())
 			synctest.Wait()
 			if got := follower.value("a"); got != fmt.Sprint(i) {
 				t.Fatalf("change %d: %q", i, got)
@@ -166,14 +166,14 @@
 // Copies overtake each other on the way. An older one must not bring old values back.
 func TestOlderCopyChangesNothing(t *testing.T) {
 	v := newVM(nil, true, noFetch)
-	v.Adopt(Copy{At: 8, Items: []store.Entry{{Key: "a", Value: []byte("new"), Revision: 8}}})
-	v.Adopt(Copy{At: 6, Items: []store.Entry{{Key: "a", Value: []byte("old"), Revision: 6}, {Key: "b", Revision: 3}}})
-	v.Adopt(Copy{At: 9, Partial: true, After: 8, Items: []store.Entry{{Key: "a", Value: []byte("old"), Revision: 6}}})
+	v.Adopt(Snapshot{At: 8, Items: []store.Entry{{Key: "a", Value: []byte("new"), Revision: 8}}})
+	v.Adopt(Snapshot{At: 6, Items: []store.Entry{{Key: "a", Value: []byte("old"), Revision: 6}, {Key: "b", Revision: 3}}})
+	v.Adopt(Snapshot{At: 9, Partial: true, After: 8, Items: []store.Entry{{Key: "a", Value: []byte("old"), Revision: 6}}})
 	if v.value("a") != "new" {
 		t.Errorf("a went back to %q", v.value("a"))
 	}
 	// What changed between 9 and 11 is not known here.
-	v.Adopt(Copy{At: 12, Partial: true, After: 11})
+	v.Adopt(Snapshot{At: 12, Partial: true, After: 11})
 	if at, _ := v.At(); at != 9 {
 		t.Errorf("revision %d after a copy with a gap", at)
 	}
@@ -183,9 +183,9 @@
 // missing is told apart from what was removed.
 func TestListedRemovalIsMarked(t *testing.T) {
 	v := newVM(nil, true, noFetch)
-	v.Adopt(Copy{At: 5, Items: []store.Entry{{Key: "a", Revision: 4}, {Key: "b", Revision: 5}}})
+	v.Adopt(Snapshot{At: 5, Items: []store.Entry{{Key: "a", Revision: 4}, {Key: "b", Revision: 5}}})
 	v.changes = nil
-	v.Adopt(Copy{At: 7, Items: []store.Entry{{Key: "a", Revision: 4}}})
+	v.Adopt(Snapshot{At: 7, Items: []store.Entry{{Key: "a", Revision: 4}}})
 	if len(v.changes) != 1 || !v.changes[0].Removed || !v.changes[0].Listed || v.changes[0].Entry.Key != "b" {
 		t.Errorf("changes %+v", v.changes)
 	}
@@ -198,16 +198,16 @@
 // More changes come than are remembered. A VM that is far behind gets the whole copy.
 func TestDistantCopyIsWhole(t *testing.T) {
 	v := newVM(nil, true, noFetch)
-	v.Adopt(Copy{At: 1, Items: []store.Entry{{Key: "a", Revision: 1}}})
+	v.Adopt(Snapshot{At: 1, Items: []store.Entry{{Key: "a", Revision: 1}}})
 	for i := range 2 * kept {
 		at := store.Revision(2 + i)
 		v.apply(store.Batch{At: at, Events: []store.Event{{Entry: store.Entry{Key: "a", Revision: at}}}})
 	}
-	if c := v.CopyAfter(5); c.Partial || len(c.Items) != 1 {
+	if c := v.SnapshotAfter(5); c.Partial || len(c.Items) != 1 {
 		t.Errorf("copy %+v", c)
 	}
 	at, _ := v.At()
-	if c := v.CopyAfter(at - 3); !c.Partial || len(c.Items) != 3 {
+	if c := v.SnapshotAfter(at - 3); !c.Partial || len(c.Items) != 3 {
 		t.Errorf("copy %+v", c)
 	}
 }
@@ -228,8 +228,8 @@
 // takes its first copy from another VM.
 func TestFirstCopyFromAPeer(t *testing.T) {
 	bubble(t, func(t *testing.T, ctx context.Context) {
-		v := newVM(downKV{}, true, func(store.Revision) (Copy, error) {
-			return Copy{At: 3, Items: []store.Entry{{Key: "a", Value: []byte("1"), Revision: 2}}}, nil
+		v := newVM(downKV{}, true, func(store.Revision) (Snapshot, error) {
+			return Snapshot{At: 3, Items: []store.Entry{{Key: "a", Value: []byte("1"), Revision: 2}}}, nil
 		})
 		go v.Run(ctx)
 		time.Sleep(10 * time.Second)
@@ -237,7 +237,7 @@
 			t.Errorf("%d calls in 10 s to a store that is away", v.Calls())
 		}
 		for range 5 {
-			v.SawPeer(ctx, "peer", true, 3, time.Now())
+			v.ObservePeer(ctx, "peer", true, 3, time.Now())
 			time.Sleep(behindFor / 2)
 		}
 		if v.value("a") != "1" || v.Linked() {
--- a/edge/replica/snapshot.go
+++ b/edge/replica/snapshot.go
@@ -1,4 +1,4 @@
-package mirror
+package replica
 
 import (
 	"cmp"
@@ -9,8 +9,8 @@
 	"github.com/yuccaroute/yuccaroute/store"
 )
 
-// Copy is items at a revision: all of them, or those that changed after another one.
-type Copy struct {
+// Snapshot is items at a revision: all of them, or those that changed after another one.
+type Snapshot struct {
 	At    store.Revision `msgpack:"t"`
 	Items []store.Entry  `msgpack:"i"`
 	// Partial tells that items and removals bring a copy from After to At.
@@ -19,35 +19,35 @@
 	Removed []store.Entry  `msgpack:"r,omitempty"`
 }
 
-// CopyAfter returns what changed after a revision, or all items if that is not
+// SnapshotAfter returns what changed after a revision, or all items if that is not
 // remembered.
-func (m *Mirror) CopyAfter(after store.Revision) Copy {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.remembers(after) {
-		return m.partial(after)
+func (r *Replica) SnapshotAfter(after store.Revision) Snapshot {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.remembers(after) {
+		return r.partial(after)
 	}
-	c := Copy{At: m.at, Items: make([]store.Entry, 0, len(m.items))}
-	for _, entry := range m.items {
+	c := Snapshot{At: r.at, Items: make([]store.Entry, 0, len(r.items))}
+	for _, entry := range r.items {
 		c.Items = append(c.Items, entry)
 	}
 	return c
 }
 
 // Remembers reports whether what changed after a revision is remembered.
-func (m *Mirror) Remembers(after store.Revision) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.remembers(after)
+func (r *Replica) Remembers(after store.Revision) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.remembers(after)
 }
 
 // remembers is called with the lock held.
-func (m *Mirror) remembers(after store.Revision) bool { return after > 0 && after >= m.recentAfter }
+func (r *Replica) remembers(after store.Revision) bool { return after > 0 && after >= r.recentAfter }
 
 // partial is called with the lock held.
-func (m *Mirror) partial(after store.Revision) Copy {
-	c := Copy{At: m.at, Partial: true, After: after}
-	for _, change := range m.recent {
+func (r *Replica) partial(after store.Revision) Snapshot {
+	c := Snapshot{At: r.at, Partial: true, After: after}
+	for _, change := range r.recent {
 		switch {
 		case change.Entry.Revision <= after:
 		case change.Removed:
@@ -62,26 +62,26 @@
 }
 
 // remember keeps the last changes for other VMs.
-func (m *Mirror) remember(changes []Change) {
-	m.recent = append(m.recent, changes...)
-	if over := len(m.recent) - kept; over > 0 {
-		m.recentAfter = m.recent[over-1].Entry.Revision
-		m.recent = append(m.recent[:0], m.recent[over:]...)
+func (r *Replica) remember(changes []Change) {
+	r.recent = append(r.recent, changes...)
+	if over := len(r.recent) - kept; over > 0 {
+		r.recentAfter = r.recent[over-1].Entry.Revision
+		r.recent = append(r.recent[:0], r.recent[over:]...)
 	}
 }
 
 // Adopt takes a copy if it is newer.
-func (m *Mirror) Adopt(c Copy) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.loaded && c.At <= m.at {
+func (r *Replica) Adopt(c Snapshot) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.loaded && c.At <= r.at {
 		return
 	}
 	if !c.Partial {
-		m.replace(c)
+		r.replace(c)
 		return
 	}
-	if !m.loaded || c.After > m.at {
+	if !r.loaded || c.After > r.at {
 		return
 	}
 	batch := store.Batch{At: c.At}
@@ -94,33 +94,33 @@
 	slices.SortStableFunc(batch.Events, func(a, b store.Event) int {
 		return cmp.Compare(a.Entry.Revision, b.Entry.Revision)
 	})
-	m.applyEvents(batch)
+	r.applyEvents(batch)
 }
 
 // replace is called with the lock held.
-func (m *Mirror) replace(c Copy) {
+func (r *Replica) replace(c Snapshot) {
 	var changes []Change
 	present := make(map[string]bool, len(c.Items))
 	for _, entry := range c.Items {
-		if !strings.HasPrefix(entry.Key, m.options.Prefix) {
+		if !strings.HasPrefix(entry.Key, r.options.Prefix) {
 			continue
 		}
 		present[entry.Key] = true
-		if entry.Revision > m.items[entry.Key].Revision {
-			m.items[entry.Key] = entry
+		if entry.Revision > r.items[entry.Key].Revision {
+			r.items[entry.Key] = entry
 			changes = append(changes, Change{Entry: entry, Listed: true})
 		}
 	}
-	for key, entry := range m.items {
+	for key, entry := range r.items {
 		if !present[key] && entry.Revision <= c.At {
-			delete(m.items, key)
+			delete(r.items, key)
 			changes = append(changes, Change{Entry: entry, Removed: true, Listed: true})
 		}
 	}
-	m.at = c.At
-	m.loaded = true
-	m.behindSince = time.Time{}
+	r.at = c.At
+	r.loaded = true
+	r.behindSince = time.Time{}
 	// What was removed, and when, is not known of a listing.
-	m.recent, m.recentAfter = nil, c.At
-	m.tell(changes)
+	r.recent, r.recentAfter = nil, c.At
+	r.tell(changes)
 }
--- a/edge/route/table.go
+++ b/edge/route/table.go
@@ -37,7 +37,7 @@
 		for _, part := range r.Parts {
 			e.classes[part.Service] = old.class(part.Service)
 			if e.classes[part.Service] == nil {
-				e.classes[part.Service] = placing.NewClass(r.Aim)
+				e.classes[part.Service] = placing.NewClass(r.Objective)
 			}
 		}
 		t.hosts[r.Host] = append(t.hosts[r.Host], e)
--- a/edge/site/site.go
+++ b/edge/site/site.go
@@ -28,13 +28,13 @@
 	UnknownKind string
 	// Timeout is the longest time a request is kept waiting.
 	Timeout time.Duration
-	// Aim is the latency that callers hope for.
-	Aim time.Duration
+	// Objective is the latency within which an answer has its full worth.
+	Objective time.Duration
 	// Priority is the rank of the route, 0 the highest.
 	Priority int
 	// MaxAttempts bounds the targets that one request is sent to.
 	MaxAttempts int
-	// Sticky tells that targets answer faster for objects handled lately.
+	// Sticky tells that targets answer faster for affinity keys that they handled lately.
 	Sticky bool
 	// Regions may run the requests; empty means all.
 	Regions []string
