--- a/edge/catalog/catalog.go
+++ b/edge/catalog/catalog.go
@@ -70,26 +70,29 @@
 	evacuated map[string]bool
 	targets   map[string]Entry
 	vms       map[string]site.VM
-	// births and foreign outlive the entries.
-	births  births
-	foreign noted
+	// incarnations and foreign outlive the entries.
+	incarnations incarnations
+	foreign      recentKeys
 	// unknownKinds are the kinds of routes that were logged.
-	unknownKinds noted
-	// read counts the new targets of the whole copy that is being taken in.
-	read int
+	unknownKinds recentKeys
+	// newest is the highest revision of an item taken in.
+	newest store.Revision
+	// news is what the changes that are being taken in say of targets.
+	news targetNews
 }
 
 // New returns an empty catalog.
 func New(o Options) *Catalog {
 	c := &Catalog{
-		options:   o,
-		evacuated: make(map[string]bool),
-		targets:   make(map[string]Entry),
-		vms:       make(map[string]site.VM),
-		births:    make(births),
-		foreign:   make(noted),
-
-		unknownKinds: make(noted),
+		options:      o,
+		evacuated:    make(map[string]bool),
+		targets:      make(map[string]Entry),
+		vms:          make(map[string]site.VM),
+		incarnations: make(incarnations),
+		foreign:      make(recentKeys),
+
+		unknownKinds: make(recentKeys),
+		news:         make(targetNews),
 	}
 	c.view.Store(&View{})
 	return c
@@ -102,20 +105,15 @@
 func (c *Catalog) Apply(changes []replica.Change) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.read = 0
-	newest := store.Revision(0)
 	for _, change := range changes {
-		newest = max(newest, change.Entry.Revision)
+		c.newest = max(c.newest, change.Entry.Revision)
 		if err := c.applyOne(change); err != nil {
 			c.options.Logger.WithError(err).WithFields(logrus.Fields{
 				"key": change.Entry.Key, "revision": change.Entry.Revision,
 			}).Error("catalog: item not understood, the last one stays in force")
 		}
 	}
-	if c.read > 0 {
-		c.options.Logger.WithFields(logrus.Fields{"new": c.read, "targets": len(c.targets), "revision": newest}).
-			Info("catalog: targets read")
-	}
+	c.news.log(c.options.Logger, len(c.targets), c.newest)
 	c.publish()
 }
 
@@ -128,11 +126,11 @@
 		if !t.MissingSince.IsZero() && now.Sub(t.MissingSince) >= missingFor {
 			delete(c.targets, id)
 			gone++
-			c.options.Logger.WithFields(logrus.Fields{"target": id, "missing": now.Sub(t.MissingSince)}).
-				Info("catalog: target gone, its registration did not come back")
+			c.news.add(newsNotBack, t.ID)
 		}
 	}
 	if gone > 0 {
+		c.news.log(c.options.Logger, len(c.targets), c.newest)
 		c.publish()
 	}
 }
--- a/edge/catalog/catalog_test.go
+++ b/edge/catalog/catalog_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/sirupsen/logrus"
 	"github.com/sirupsen/logrus/hooks/test"
 
@@ -31,12 +32,13 @@
 	}
 	changes[7].Entry.Value = []byte("draining")
 	f.Apply(changes)
-	if n := len(hook.AllEntries()); n != 2 {
-		t.Fatalf("%d lines, want one of the target that leaves and one of the others", n)
+	if n := len(hook.AllEntries()); n != 1 {
+		t.Fatalf("%d lines, want one", n)
 	}
+	want := logrus.Fields{"new_count": 299, "draining": []string{"7"}, "targets": 300, "revision": store.Revision(300)}
 	last := hook.LastEntry()
-	if last.Message != "catalog: targets read" || last.Data["new"] != 299 || last.Data["revision"] != store.Revision(300) {
-		t.Errorf("line %q with %v", last.Message, last.Data)
+	if diff := cmp.Diff(want, last.Data); diff != "" || last.Message != "catalog: targets changed" {
+		t.Errorf("line %q: %s", last.Message, diff)
 	}
 	if n := len(f.targets()); n != 300 {
 		t.Errorf("%d targets, want 300", n)
--- a/edge/catalog/target.go
+++ b/edge/catalog/target.go
@@ -5,34 +5,33 @@
 
 	"github.com/yuccaroute/yuccaroute/edge/replica"
 	"github.com/yuccaroute/yuccaroute/edge/site"
-	"github.com/yuccaroute/yuccaroute/store"
 )
 
 // maxNoted bounds the keys that are remembered after their entries are gone.
 const maxNoted = 4096
 
-// births are the newest known starts of targets, by key. They outlive the entries: the
+// incarnations are the newest known starts of targets, by key. They outlive the entries: the
 // registration of an earlier start may be written after the later one has left.
-type births map[string]int64
+type incarnations map[string]int64
 
 // isOld reports whether a registration is of an earlier start than the newest known.
-func (b births) isOld(key string, t site.Target) bool { return t.Born > 0 && t.Born < b[key] }
+func (i incarnations) isOld(key string, t site.Target) bool { return t.Born > 0 && t.Born < i[key] }
 
-// lacks reports whether a registration says no start though an earlier one did.
-func (b births) lacks(key string, t site.Target) bool { return t.Born == 0 && b[key] > 0 }
+// missing reports whether a registration says no start though an earlier one did.
+func (i incarnations) missing(key string, t site.Target) bool { return t.Born == 0 && i[key] > 0 }
 
-func (b births) note(key string, born int64) {
-	if _, known := b[key]; born > 0 && (known || len(b) < maxNoted) {
-		b[key] = born
+func (i incarnations) note(key string, born int64) {
+	if _, known := i[key]; born > 0 && (known || len(i) < maxNoted) {
+		i[key] = born
 	}
 }
 
-// noted are names that were logged.
-type noted map[string]struct{}
+// recentKeys are names that were logged.
+type recentKeys map[string]struct{}
 
 // note reports whether a name is to be logged now. It returns false for the names beyond
 // maxNoted: what others write must not fill the log.
-func (n noted) note(name string) bool {
+func (n recentKeys) note(name string) bool {
 	if _, known := n[name]; known || len(n) >= maxNoted {
 		return false
 	}
@@ -47,28 +46,27 @@
 	}
 	key := change.Entry.Key
 	t, err := c.options.Codec.Target(key, change.Entry.Value)
-	if err != nil || c.births.lacks(key, t) {
+	if err != nil || c.incarnations.missing(key, t) {
 		c.applyForeign(change, err)
 		return
 	}
-	if c.births.isOld(key, t) {
-		c.logTarget(t.ID, t.Service, change.Entry.Revision, "old_start", t.Born)
+	if c.incarnations.isOld(key, t) {
+		c.news.add(newsOldStart, t.ID)
 		return
 	}
 	delete(c.foreign, key)
 	old, known := c.targets[key]
 	c.targets[key] = Entry{Target: t, LearntAt: c.options.Now()}
-	c.births.note(key, t.Born)
-	if !known && change.Listed && !t.Draining {
-		// One line tells of all of them: a first copy has hundreds.
-		c.read++
-		return
-	}
-	if known && old.Born != t.Born {
-		c.logTarget(t.ID, t.Service, change.Entry.Revision, "restarted", t.Born)
-	}
-	if !known || old.Draining != t.Draining {
-		c.logTarget(t.ID, t.Service, change.Entry.Revision, "draining", t.Draining)
+	c.incarnations.note(key, t.Born)
+	switch {
+	case !known && !t.Draining:
+		c.news.add(newsNew, t.ID)
+	case known && old.Born != t.Born:
+		c.news.add(newsRestarted, t.ID)
+	case t.Draining && !old.Draining:
+		c.news.add(newsDraining, t.ID)
+	case old.Draining && !t.Draining:
+		c.news.add(newsReady, t.ID)
 	}
 }
 
@@ -97,15 +95,10 @@
 	}
 	if !change.Listed || t.Draining {
 		delete(c.targets, change.Entry.Key)
-		c.logTarget(t.ID, t.Service, change.Entry.Revision, "gone", true)
+		c.news.add(newsGone, t.ID)
 		return
 	}
 	t.MissingSince = c.options.Now()
 	c.targets[change.Entry.Key] = t
-	c.logTarget(t.ID, t.Service, change.Entry.Revision, "missing", true)
-}
-
-func (c *Catalog) logTarget(id, service string, revision store.Revision, what string, value any) {
-	c.options.Logger.WithFields(logrus.Fields{"target": id, "service": service, "revision": revision, what: value}).
-		Info("catalog: target changed")
+	c.news.add(newsMissing, t.ID)
 }
