owners, gateway: keys are divided among the VMs of a failure domain

Four requests in five opened a connection, 82 % of runs were taken to be cold, and counts of other VMs were wrong by 1.5 requests of 3 slots; 'ran at a new target' and 'ran at a full one' were most of the avoidable late answers (an account of the logs by target, key and time). Ruled out: learning by digests, as a target with 2.5 requests a second has news for its VMs once in a minute.

Change: a VM passes a request on to the owner of its key, one VM of its failure domain by rendezvous hash, which places and sends it. Only an owner at the same version of the configuration takes it. One that cannot be reached, dies or is unresponsive is passed by: what may run twice is sent again, of other requests the outcome is told as unknown. Large bodies, requests without a key and failure domains of fewer than four VMs are as before. As an owner decides on few keys, regions may be ahead of their weights by the root of the number of owners.

--- a/edge/entry/counts.go
+++ b/edge/entry/counts.go
@@ -74,3 +74,8 @@
 	c.mu.Unlock()
 	counter.Inc(1)
 }
+
+// Delegated implements gateway.Metrics.
+func (c *counts) Delegated(end string) {
+	c.scope.Tagged(map[string]string{"end": end}).Counter("delegations").Inc(1)
+}
--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -11,11 +11,13 @@
 	"github.com/yuccaroute/yuccaroute/edge/catalog"
 	"github.com/yuccaroute/yuccaroute/edge/exchange"
 	"github.com/yuccaroute/yuccaroute/edge/gateway"
+	"github.com/yuccaroute/yuccaroute/edge/owners"
 	"github.com/yuccaroute/yuccaroute/edge/peers"
 	"github.com/yuccaroute/yuccaroute/edge/placing"
 	"github.com/yuccaroute/yuccaroute/edge/registry"
 	"github.com/yuccaroute/yuccaroute/edge/replica"
 	"github.com/yuccaroute/yuccaroute/edge/serve"
+	"github.com/yuccaroute/yuccaroute/edge/site"
 	"github.com/yuccaroute/yuccaroute/httpserver/scrape"
 	"github.com/yuccaroute/yuccaroute/proxy/buffer"
 )
@@ -42,19 +44,22 @@
 
 // Entry is a running VM.
 type Entry struct {
-	options     Options
-	log         *logrus.Logger
-	delays      *delays
-	members     *peers.Members
-	balancer    *placing.Balancer
-	gateway     *gateway.Gateway
-	replica     *replica.Replica
-	snapshots   *snapshots
-	catalog     *catalog.Catalog
-	talk        *exchange.Exchange
-	metrics     *scrape.Metrics
-	counts      *counts
+	options   Options
+	log       *logrus.Logger
+	delays    *delays
+	members   *peers.Members
+	balancer  *placing.Balancer
+	gateway   *gateway.Gateway
+	replica   *replica.Replica
+	snapshots *snapshots
+	catalog   *catalog.Catalog
+	talk      *exchange.Exchange
+	metrics   *scrape.Metrics
+	counts    *counts
+	owners    *owners.Table
+	// front serves callers, peer other VMs.
 	front       *serve.Server
+	peer        *serve.Server
 	servers     []*serve.Server
 	leaving     atomic.Bool
 	digests     *peers.Digests
@@ -76,13 +81,14 @@
 	e.members = peers.New(o.VM, now)
 	e.metrics = scrape.New(o.VM.Name, metricsEvery)
 	e.counts = newCounts(e.metrics.Scope)
+	e.owners = owners.New(o.VM.Name)
 	e.balancer = placing.New(placing.Options{
 		VM: o.VM.Name, Zone: o.VM.Zone, Region: o.VM.Region, RegionOf: o.RegionOf, Delay: e.delays.get,
 	})
 	e.gateway = gateway.New(gateway.Options{
 		Fields: o.Names.Fields, Balancer: e.balancer, Logger: e.part("gateway"), Metrics: e.counts,
 		RetryRatio: o.RetryRatio, RetryExtra: o.RetryExtra, VMs: e.members.Count, Delay: e.delays.get,
-		Changed: e.changed, MaxAnswerBytes: answerBytes,
+		Changed: e.changed, Owners: e.owners, MaxAnswerBytes: answerBytes,
 	})
 	e.catalog = catalog.New(catalog.Options{Codec: o.Codec, Logger: e.part("catalog"), Changed: e.setView, Now: time.Now})
 	e.replica = replica.New(replica.Options{
@@ -128,18 +134,19 @@
 	listeners := []struct {
 		address string
 		handler serve.Handler
+		limits  func() serve.Limits
 	}{
-		{e.options.EntryAddress, e.gateway.Handle},
-		{e.options.ReadyAddress, e.handleReady},
-		{e.options.DirectoryAddress, e.handleResolve},
-		{e.options.PeerAddress, e.handlePeer},
+		{e.options.EntryAddress, e.gateway.Handle, e.limits},
+		{e.options.ReadyAddress, e.handleReady, e.limits},
+		{e.options.DirectoryAddress, e.handleResolve, e.limits},
+		{e.options.PeerAddress, e.handlePeer, e.peerLimits},
 	}
 	for _, l := range listeners {
 		if l.address == "" {
 			continue
 		}
 		s, err := serve.Start(serve.Options{
-			Address: l.address, Handler: l.handler, Limits: e.limits, Memory: memory,
+			Address: l.address, Handler: l.handler, Limits: l.limits, Memory: memory,
 			Logger: e.part("serve"), MaxConnections: e.options.MaxConnections,
 		})
 		if err != nil {
@@ -148,6 +155,9 @@
 		if e.front == nil {
 			e.front = s
 		}
+		if l.address == e.options.PeerAddress {
+			e.peer = s
+		}
 		e.servers = append(e.servers, s)
 	}
 	return nil
@@ -216,8 +226,13 @@
 	names := e.members.Sharers(now)
 	e.regionState.setSharers(names)
 	e.balancer.SetVMs(names)
+	e.owners.Set(e.members.DomainLive(now), func(vm site.VM) bool { return e.members.IsResponsive(vm, now) })
+	e.balancer.SetKeyDivision(e.owners.Divided())
 }
 
+// busy returns the requests of callers and other VMs whose answers are not wholly given.
+func (e *Entry) busy() int { return e.front.Busy() + e.peer.Busy() }
+
 // serving reports whether callers may be sent here.
 func (e *Entry) serving() bool { return e.gateway.Ready() && !e.leaving.Load() }
 
@@ -256,7 +271,7 @@
 func (e *Entry) Leave() {
 	began := time.Now()
 	e.leaving.Store(true)
-	e.part("entry").WithField("busy", e.front.Busy()).Info("entry: leaving")
+	e.part("entry").WithField("busy", e.busy()).Info("entry: leaving")
 	e.talk.Flush()
 	e.unlist()
 	e.front.Part()
@@ -265,12 +280,12 @@
 	e.front.StopListening()
 	e.front.CloseIdle()
 	until := began.Add(e.options.Grace - exitMargin)
-	for e.front.Busy() > 0 && time.Now().Before(until) {
+	for e.busy() > 0 && time.Now().Before(until) {
 		time.Sleep(stopPoll)
 	}
 	// Answers that were just given are still on their way.
 	time.Sleep(min(exitMargin, max(0, time.Until(until))))
-	e.part("entry").WithFields(logrus.Fields{"busy": e.front.Busy(), "ms": time.Since(began).Milliseconds()}).Info("entry: stopped")
+	e.part("entry").WithFields(logrus.Fields{"busy": e.busy(), "ms": time.Since(began).Milliseconds()}).Info("entry: stopped")
 	e.Close()
 }
 
--- a/edge/entry/handlers.go
+++ b/edge/entry/handlers.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/yuccaroute/yuccaroute/edge/gateway"
 	"github.com/yuccaroute/yuccaroute/edge/serve"
 	"github.com/yuccaroute/yuccaroute/store"
 )
@@ -22,6 +23,10 @@
 	firstBodyBytes   = 1 << 20
 	firstHeaderTime  = 3 * time.Second
 	firstIdleTime    = 15 * time.Second
+	// peerHeaderBytes is what other VMs add to a caller's fields, at most.
+	peerHeaderBytes = 1 << 10
+	// peerIdleTime is longer than other VMs keep an idle connection.
+	peerIdleTime = time.Minute
 )
 
 // limits are those of the configuration in force.
@@ -36,6 +41,15 @@
 	return serve.Limits(c.Limits)
 }
 
+// peerLimits are those of other VMs: they add fields of their own, and keep connections for
+// longer than callers may.
+func (e *Entry) peerLimits() serve.Limits {
+	l := e.limits()
+	l.HeaderBytes += peerHeaderBytes
+	l.IdleTime = peerIdleTime
+	return l
+}
+
 func (e *Entry) handleReady(context.Context, *serve.Request) *serve.Answer {
 	if e.serving() {
 		return serve.Plain(http.StatusOK, "ready\n")
@@ -55,7 +69,10 @@
 	return e.options.Names.Resolved(entries, min(directoryTTL, e.options.MaxTTL))
 }
 
-func (e *Entry) handlePeer(_ context.Context, r *serve.Request) *serve.Answer {
+func (e *Entry) handlePeer(ctx context.Context, r *serve.Request) *serve.Answer {
+	if gateway.IsDelegated(r) {
+		return e.gateway.HandleDelegated(ctx, r)
+	}
 	switch r.Path {
 	case snapshotPath:
 		after, err := strconv.ParseUint(r.Query.Get("after"), 10, 64)
--- a/edge/gateway/fixture_test.go
+++ b/edge/gateway/fixture_test.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/yuccaroute/yuccaroute/edge/catalog"
+	"github.com/yuccaroute/yuccaroute/edge/owners"
 	"github.com/yuccaroute/yuccaroute/edge/placing"
 	"github.com/yuccaroute/yuccaroute/edge/serve"
 	"github.com/yuccaroute/yuccaroute/edge/site"
@@ -115,6 +116,7 @@
 
 func (noMetrics) Ended(string, string, int, time.Duration) {}
 func (noMetrics) Sent(string, string)                      {}
+func (noMetrics) Delegated(string)                         {}
 
 // fixture is a gateway before targets.
 type fixture struct {
@@ -153,7 +155,7 @@
 	f.Gateway = New(Options{
 		Fields: fields, Balancer: board, Logger: logrus.NewEntry(l), Metrics: noMetrics{}, RetryRatio: 0.2, RetryExtra: 50,
 		VMs: func() int { return 1 }, Delay: delay, Changed: func() {}, MaxAnswerBytes: 1 << 20,
-		Dial: dial,
+		Dial: dial, Owners: owners.New("vm"),
 	})
 	if len(targets) == 0 {
 		return f
@@ -165,7 +167,7 @@
 	for name, kind := range map[string]site.Kind{"safe": site.Idempotent, "once": site.AtMostOnce} {
 		v.Config.Routes = append(v.Config.Routes, site.Route{
 			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Timeout: 2 * time.Second, Objective: time.Second,
-			MaxAttempts: 2, Parts: []site.Part{{Service: "s", Weight: 1}},
+			MaxAttempts: 2, Sticky: true, Parts: []site.Part{{Service: "s", Weight: 1}},
 		})
 	}
 	for _, s := range targets {
--- a/edge/gateway/gateway.go
+++ b/edge/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"github.com/yuccaroute/yuccaroute/api/retrybudget"
 	"github.com/yuccaroute/yuccaroute/edge/catalog"
+	"github.com/yuccaroute/yuccaroute/edge/owners"
 	"github.com/yuccaroute/yuccaroute/edge/placing"
 	"github.com/yuccaroute/yuccaroute/edge/route"
 	"github.com/yuccaroute/yuccaroute/edge/site"
@@ -39,6 +40,8 @@
 	Ended(route, service string, code int, took time.Duration)
 	// Sent counts one sending to a target.
 	Sent(service, end string)
+	// Delegated counts one request that was passed on to the owner of its key.
+	Delegated(end string)
 }
 
 // Options configure a Gateway.
@@ -56,6 +59,8 @@
 	Delay func(region string) time.Duration
 	// Changed is told when the requests in flight changed. It must not block.
 	Changed func()
+	// Owners names the VM that decides on a key; nil if this one decides on all.
+	Owners *owners.Table
 	// MaxAnswerBytes bounds one answer.
 	MaxAnswerBytes int64
 	// Dial returns how connections to targets at a network delay, there and back, are
@@ -73,8 +78,10 @@
 
 	mu sync.Mutex
 	// pools are by poolKey.
-	pools   map[string]*pool.Pool
-	budgets map[string]*retrybudget.Budget
+	pools map[string]*pool.Pool
+	// ownerPools are by the address of the owner.
+	ownerPools map[string]*pool.Pool
+	budgets    map[string]*retrybudget.Budget
 }
 
 // New returns a gateway without a configuration: it refuses every request as not
@@ -84,7 +91,8 @@
 		o.Dial = dialer
 	}
 	return &Gateway{
-		options: o, pools: make(map[string]*pool.Pool), budgets: make(map[string]*retrybudget.Budget),
+		options: o, pools: make(map[string]*pool.Pool), ownerPools: make(map[string]*pool.Pool),
+		budgets: make(map[string]*retrybudget.Budget),
 	}
 }
 
--- a/edge/gateway/serve.go
+++ b/edge/gateway/serve.go
@@ -44,7 +44,9 @@
 	mayHaveRun bool
 	// last is the last failure that a target answered itself.
 	last *forward.Answer
-	log  trail
+	// forOther tells that another VM has passed the request on to this one.
+	forOther bool
+	log      trail
 }
 
 // outcome is how a request ended.
@@ -59,13 +61,13 @@
 // Handle implements serve.Handler.
 func (g *Gateway) Handle(ctx context.Context, in *serve.Request) *serve.Answer {
 	j := &job{in: in, id: in.Header.Get(g.options.Fields.RequestID)}
-	end := g.handle(ctx, j)
+	end := g.handle(ctx, j, g.table.Load())
 	g.record(j, end)
 	return g.answer(end)
 }
 
-func (g *Gateway) handle(ctx context.Context, j *job) outcome {
-	table := g.table.Load()
+// handle works on a request by a table of routes, nil for none yet.
+func (g *Gateway) handle(ctx context.Context, j *job, table *route.Table) outcome {
 	if table == nil {
 		return outcome{code: result.NoPlan, retryAfter: configRetryAfter, why: "no configuration yet"}
 	}
@@ -82,6 +84,11 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
+	if owner := g.ownerOf(j); owner != nil {
+		if end, done := g.delegate(ctx, j, owner); done {
+			return end
+		}
+	}
 	return g.run(ctx, j)
 }
 
@@ -179,6 +186,10 @@
 	// tookMS is how long each sending took, with the network, in milliseconds.
 	tookMS []int64
 	hedged bool
+	// owner is the VM that decided on the request, if another one did, ownerTook how long
+	// that took with the network.
+	owner     string
+	ownerTook time.Duration
 }
 
 // fields adds the trail to a log line.
@@ -194,17 +205,27 @@
 	to["warm"], to["hedged"] = t.placed.Warm, t.hedged
 }
 
+// record counts a request and writes its line. The VM that decided on the request writes
+// the inputs of the decision; the one that its caller asked counts it.
 func (g *Gateway) record(j *job, end outcome) {
 	took := time.Since(j.in.Arrived)
 	name := ""
 	if j.route != nil {
 		name = j.route.Name
 	}
-	g.options.Metrics.Ended(name, j.service, int(end.code), took)
+	if !j.forOther {
+		g.options.Metrics.Ended(name, j.service, int(end.code), took)
+	}
 	fields := logrus.Fields{
 		"id": j.id, "route": name, "service": j.service, "version": j.version, "result": end.code.String(),
-		"ms": took.Milliseconds(), "sent": j.sent,
+		"ms": took.Milliseconds(),
+	}
+	if j.log.owner != "" {
+		fields["owner"], fields["owner_ms"] = j.log.owner, j.log.ownerTook.Milliseconds()
+		g.options.Logger.WithFields(fields).Info("gateway: request delegated")
+		return
 	}
+	fields["sent"] = j.sent
 	if !j.deadline.IsZero() {
 		fields["left_ms"] = j.deadline.Sub(j.in.Arrived).Milliseconds()
 		fields["objective_ms"] = j.route.Objective.Milliseconds()
--- a/edge/peers/peers.go
+++ b/edge/peers/peers.go
@@ -140,6 +140,28 @@
 	return now.Sub(state.At) < m.timeoutOf(vm) && state.Serving && !state.Leaving
 }
 
+// DomainLive returns the other VMs of the own failure domain that report that they take
+// callers, by name.
+func (m *Members) DomainLive(now time.Time) []site.VM {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var live []site.VM
+	for _, vm := range m.regions[m.own.Region] {
+		_, reported := m.states[vm.Name]
+		if vm.Zone == m.own.Zone && vm.Name != m.own.Name && reported && m.live(vm, now) {
+			live = append(live, vm)
+		}
+	}
+	return live
+}
+
+// IsResponsive reports whether a VM has reported lately.
+func (m *Members) IsResponsive(vm site.VM, now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.isResponsive(vm, now)
+}
+
 // ObserveFrom takes in what a listener knows of a VM that may not report to this one.
 func (m *Members) ObserveFrom(name string, s State) {
 	m.mu.Lock()
--- a/edge/placing/affinity.go
+++ b/edge/placing/affinity.go
@@ -35,7 +35,7 @@
 			continue
 		}
 		cost := t.cost(now, r.Class, false, s.occupancy.ofBusySlot(r.work()))
-		order := rendezvous(r.Key, t.hash)
+		order := Rendezvous(r.Key, t.hash)
 		if best == nil || cost < lowest || (cost == lowest && order > rank) {
 			best, lowest, rank = t, cost, order
 		}
@@ -105,7 +105,7 @@
 	a := make(affinityTargets, 0, maxAffinityTargets)
 	for _, t := range s.regions[region] {
 		if t.usable && !t.probing && t.permits(now) && !r.tried(t) {
-			a = a.add(t, rendezvous(r.Key, t.hash))
+			a = a.add(t, Rendezvous(r.Key, t.hash))
 		}
 	}
 	return a
--- a/edge/placing/balancer.go
+++ b/edge/placing/balancer.go
@@ -47,6 +47,8 @@
 	vms []uint64
 	// vmNames are the names behind these hashes.
 	vmNames []string
+	// tolerance is how many requests a region may be ahead of its weight.
+	tolerance float64
 	// lossAt is when capacity was last lost without a plan.
 	lossAt time.Time
 }
@@ -56,6 +58,7 @@
 	return &Balancer{
 		options: o, hash: HashOf(o.VM),
 		services: make(map[string]*service), peers: make(map[string]*Peer), remote: make(map[uint32]*remoteCount),
+		tolerance: baseTolerance,
 	}
 }
 
@@ -79,7 +82,7 @@
 		return Decision{Reason: NoTarget, RetryAfter: maxRetryAfter}, nil
 	}
 	if !r.Again {
-		s.weights.charge(region)
+		s.weights.charge(region, b.tolerance)
 	}
 	if d, ok := b.assign(now, s, r, region); ok {
 		return d, nil
--- a/edge/placing/cold.go
+++ b/edge/placing/cold.go
@@ -46,9 +46,9 @@
 	if t.Region != b.options.Region {
 		return 0
 	}
-	mine, before := rendezvous(b.hash, t.hash), 0
+	mine, before := Rendezvous(b.hash, t.hash), 0
 	for _, vm := range b.vms {
-		if vm != b.hash && rendezvous(vm, t.hash) > mine {
+		if vm != b.hash && Rendezvous(vm, t.hash) > mine {
 			before++
 		}
 	}
--- a/edge/placing/hash.go
+++ b/edge/placing/hash.go
@@ -12,8 +12,8 @@
 // KeyOf names a target, by the hash of its id, in the reports of VMs.
 func KeyOf(hash uint64) uint32 { return uint32(hash >> (64 - keyBits)) }
 
-// rendezvous orders targets for a key, or VMs for a target, by the highest random weight.
-func rendezvous(a, b uint64) uint64 {
+// Rendezvous orders targets for a key, or VMs for a target, by the highest random weight.
+func Rendezvous(a, b uint64) uint64 {
 	x := a ^ (b * 0x9e3779b97f4a7c15)
 	x ^= x >> 32
 	x *= 0xd6e8feb86659fd93
--- a/edge/placing/regions.go
+++ b/edge/placing/regions.go
@@ -9,7 +9,7 @@
 		return own
 	}
 	work := r.work()
-	region, ok := s.weights.pick(r, func(region string) bool {
+	region, ok := s.weights.pick(r, b.tolerance, func(region string) bool {
 		if !r.allows(region) || s.slots(now, region) == 0 {
 			return false
 		}
--- a/edge/placing/weights.go
+++ b/edge/placing/weights.go
@@ -171,7 +171,7 @@
 // weights change, and callers of all regions that have equal weights meet at the same
 // warm target. Once a region is ahead of its weight by tolerance the one with the greatest
 // deficit is served, so that the weights hold in every few requests and not only on average.
-func (w *regionWeights) pick(r *Request, permitted func(region string) bool) (string, bool) {
+func (w *regionWeights) pick(r *Request, tolerance float64, permitted func(region string) bool) (string, bool) {
 	if r.HasKey {
 		region, ok := w.preferredRegion(r.Key, permitted)
 		if ok && w.deficit[region] > -tolerance {
@@ -181,8 +181,20 @@
 	return w.next(permitted)
 }
 
-// tolerance is how many requests a region may be ahead of its weight.
-const tolerance = 4
+// baseTolerance is how many requests a region may be ahead of its weight at one VM.
+const baseTolerance = 4
+
+// SetKeyDivision tells among how many VMs of the own failure domain keys are divided.
+//
+// A VM that decides on few keys cannot keep the weights with them: some are asked for far
+// more often than others, and they would change their region by turns, each time to a cold
+// target. What a region is ahead at one VM it is behind at another, so that the tolerance
+// of each may grow with the root of their number while that of all together stays.
+func (b *Balancer) SetKeyDivision(vms int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tolerance = baseTolerance * math.Sqrt(float64(max(1, vms)))
+}
 
 // preferredRegion is the region of a key.
 func (w *regionWeights) preferredRegion(key uint64, permitted func(region string) bool) (string, bool) {
@@ -191,7 +203,7 @@
 		if !permitted(region) {
 			continue
 		}
-		u := (float64(rendezvous(key, HashOf(region))>>11) + 0.5) / (1 << 53)
+		u := (float64(Rendezvous(key, HashOf(region))>>11) + 0.5) / (1 << 53)
 		if score := -math.Log(u) / part; score < lowest || (score == lowest && region < best) {
 			best, lowest = region, score
 		}
@@ -213,13 +225,13 @@
 	return best, found
 }
 
-// maxDeficit bounds what a region that could not be used saves up.
-const maxDeficit = 8
+// maxDeficit bounds, in tolerances, what a region that could not be used saves up.
+const maxDeficit = 2
 
 // charge counts a request that a region runs.
-func (w *regionWeights) charge(region string) {
+func (w *regionWeights) charge(region string, tolerance float64) {
 	w.deficit[region]--
 	for r, c := range w.deficit {
-		w.deficit[r] = min(max(c, -maxDeficit), maxDeficit)
+		w.deficit[r] = min(max(c, -maxDeficit*tolerance), maxDeficit*tolerance)
 	}
 }
--- a/edge/placing/world_test.go
+++ b/edge/placing/world_test.go
@@ -26,7 +26,9 @@
 	// objective and deadline of every request, cold and warm its work.
 	objective, deadline, cold, warm time.Duration
 	turn                            time.Duration
-	result                          worldResult
+	// owned has the owner of a key among the VMs of a region decide on its requests.
+	owned  bool
+	result worldResult
 }
 
 type worldResult struct {
@@ -223,6 +225,9 @@
 
 func (w *world) ask(vm int, key uint64) {
 	w.result.asked++
+	if w.owned {
+		vm = w.ownerOf(vm, key)
+	}
 	b := w.balancers[vm]
 	arrived := w.now
 	r := &Request{
@@ -249,6 +254,20 @@
 	poll()
 }
 
+// ownerOf is the VM of the same region that decides on a key.
+func (w *world) ownerOf(vm int, key uint64) int {
+	best, highest := vm, uint64(0)
+	for i, b := range w.balancers {
+		if b.options.Region != w.balancers[vm].options.Region {
+			continue
+		}
+		if rank := Rendezvous(key, b.hash); rank > highest {
+			best, highest = i, rank
+		}
+	}
+	return best
+}
+
 func (w *world) decided(vm int, r *Request, d Decision, arrived time.Time) {
 	if d.Target == nil {
 		w.result.refused++
