owners: keys are divided by the links of the VMs, and slow owners are avoided

Answers of owners arrived 39 ms after they were given in the middle, 169 ms for one in ten: VMs have links of 10 Mbit/s there, or of 200, and each answer crosses the owner's link once more. Change: a VM registers its link; keys are divided in proportion. An owner whose answers come 25 ms later than it gave them, on average, gets nothing for 2 s. A connection's own deadline that ends a delegation just before the context's is told as such and not as a lost owner (TestUnresponsiveOwnerEndsTheWait failed once in four).

--- a/cmd/yuccaentry/main.go
+++ b/cmd/yuccaentry/main.go
@@ -126,7 +126,7 @@
 	return entry.Options{
 		VM: site.VM{
 			Name: s.Node.Name, Region: s.Node.Region, Zone: s.Node.Zone, Entry: s.Listen.Entry, Peer: peer,
-			Incarnation: uint64(time.Now().UnixMicro()),
+			Incarnation: uint64(time.Now().UnixMicro()), LinkMbps: s.Limits.LinkMbps,
 		},
 		EntryAddress: s.Listen.Entry, ReadyAddress: s.Listen.Ready, DirectoryAddress: s.Listen.Directory,
 		PeerAddress: peer, MetricsAddress: metrics, RegionOf: s.Zones,
--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -81,7 +81,7 @@
 	e.members = peers.New(o.VM, now)
 	e.metrics = scrape.New(o.VM.Name, metricsEvery)
 	e.counts = newCounts(e.metrics.Scope)
-	e.owners = owners.New(o.VM.Name)
+	e.owners = owners.New(o.VM)
 	e.balancer = placing.New(placing.Options{
 		VM: o.VM.Name, Zone: o.VM.Zone, Region: o.VM.Region, RegionOf: o.RegionOf, Delay: e.delays.get,
 	})
--- a/edge/gateway/delegate.go
+++ b/edge/gateway/delegate.go
@@ -21,6 +21,8 @@
 	// fieldVersion is on a delegated request: the version of the configuration by which
 	// the sender matched it.
 	fieldVersion = "Yucca-Delegated-Version"
+	// fieldTook is on an owner's answer: the milliseconds that it took itself.
+	fieldTook = "Yucca-Delegated-Took-Ms"
 	// fieldDeclined is on the answer of an owner that did not take the request.
 	fieldDeclined = "Yucca-Declined"
 )
@@ -55,6 +57,7 @@
 	a := g.answer(end)
 	if a != nil {
 		a.Header[result.HeaderResult] = []string{strconv.Itoa(int(end.code))}
+		a.Header[fieldTook] = []string{strconv.FormatInt(time.Since(in.Arrived).Milliseconds(), 10)}
 	}
 	return a
 }
@@ -89,6 +92,9 @@
 	}
 	if err == nil {
 		j.log.owner, j.log.ownerTook = o.Name, time.Since(began)
+		if own, ok := ownTime(answer); ok {
+			o.Took(j.log.ownerTook-own, time.Now())
+		}
 		return delegatedOutcome(answer), true
 	}
 	g.options.Logger.WithError(err).WithField("id", j.id).WithField("owner", o.Name).
@@ -96,10 +102,15 @@
 	var failed *forward.Error
 	notSent := !errors.As(err, &failed) || failed.NotRun()
 	j.mayHaveRun = !notSent
-	if ctx.Err() != nil {
+	now := time.Now()
+	switch {
+	case ctx.Err() != nil:
 		return g.givenUp(ctx, j), true
+	case !now.Before(j.deadline):
+		// The connection's own deadline may end the wait just before the context does.
+		return timeOver(j), true
 	}
-	o.Avoid(time.Now())
+	o.Avoid(now)
 	if notSent {
 		return outcome{}, false
 	}
@@ -150,9 +161,16 @@
 		code = result.Code(number)
 	}
 	a.Header.Del(result.HeaderResult)
+	a.Header.Del(fieldTook)
 	return outcome{code: code, answer: a}
 }
 
+// ownTime is how long an owner took itself for its answer, if it says so.
+func ownTime(a *forward.Answer) (time.Duration, bool) {
+	millis, err := strconv.ParseInt(a.Header.Get(fieldTook), 10, 64)
+	return time.Duration(millis) * time.Millisecond, err == nil
+}
+
 // endOfDelegation names how a delegation ended, for the counters.
 func endOfDelegation(a *forward.Answer, err error) string {
 	switch {
--- a/edge/gateway/delegate_test.go
+++ b/edge/gateway/delegate_test.go
@@ -197,6 +197,8 @@
 	asked.ownedByOthers(peerOf(t, func(c net.Conn) {
 		_, _ = http.ReadRequest(bufio.NewReader(c))
 		arrived <- struct{}{}
+		// The connection stays open until the other side closes it.
+		_, _ = io.Copy(io.Discard, c)
 	}))
 	key := asked.otherKey(t)
 	answers := make(chan *serve.Answer, 1)
@@ -211,6 +213,8 @@
 	asked.ownedByOthers(peerOf(t, func(c net.Conn) {
 		_, _ = http.ReadRequest(bufio.NewReader(c))
 		arrived <- struct{}{}
+		// The connection stays open until the other side closes it.
+		_, _ = io.Copy(io.Discard, c)
 	}))
 	go func() {
 		answers <- asked.Handle(context.Background(), asked.keyed("POST", "/once/x", "8", asked.otherKey(t), 300*time.Millisecond, ""))
--- a/edge/gateway/fixture_test.go
+++ b/edge/gateway/fixture_test.go
@@ -155,7 +155,7 @@
 	f.Gateway = New(Options{
 		Fields: fields, Balancer: board, Logger: logrus.NewEntry(l), Metrics: noMetrics{}, RetryRatio: 0.2, RetryExtra: 50,
 		VMs: func() int { return 1 }, Delay: delay, Changed: func() {}, MaxAnswerBytes: 1 << 20,
-		Dial: dial, Owners: owners.New("vm"),
+		Dial: dial, Owners: owners.New(site.VM{Name: "vm"}),
 	})
 	if len(targets) == 0 {
 		return f
--- a/edge/gateway/run.go
+++ b/edge/gateway/run.go
@@ -106,6 +106,11 @@
 	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return outcome{code: result.CallerGone, why: "caller left"}
 	}
+	return timeOver(j)
+}
+
+// timeOver is the outcome when the time ended.
+func timeOver(j *job) outcome {
 	if j.mayHaveRun {
 		return outcome{code: result.DeadlineAfterSend, why: "no answer in time"}
 	}
--- a/edge/owners/owners.go
+++ b/edge/owners/owners.go
@@ -7,11 +7,16 @@
 // it refuses) is of no use to the VM that gets the next request. With one owner for each
 // key of a failure domain a target gets its requests from a few VMs, which keep their
 // connections open and see what happens there.
+//
+// A request and its answer cross the owner's link once more. Keys are therefore divided by
+// the links of the VMs, and an owner that answers with a delay of its own is avoided.
 package owners
 
 import (
 	"context"
+	"math"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,16 +32,29 @@
 	// avoidFor is how long an owner gets nothing after it could not be reached. By then
 	// it is reachable again, or unresponsive.
 	avoidFor = 2 * time.Second
+	// maxOverhead is how much longer than the owner itself an answer may take on average.
+	// Within a failure domain it takes a few milliseconds; above this a link is full.
+	maxOverhead = 25 * time.Millisecond
+	// overheadRate is the weight of one answer in the mean overhead.
+	overheadRate = 0.1
+	// unknownLink is the link of a VM that does not say, in Mbit/s.
+	unknownLink = 1
 )
 
 // Owner is another VM that decides on some keys.
 type Owner struct {
 	site.VM
 	hash uint64
-	lost context.Context
-	lose context.CancelFunc
+	// share is the part of the keys that it owns in proportion to others.
+	share float64
+	lost  context.Context
+	lose  context.CancelFunc
 	// avoidUntil is in Unix nanoseconds.
 	avoidUntil atomic.Int64
+
+	mu sync.Mutex
+	// overhead is the mean time that answers take beyond the owner's own.
+	overhead time.Duration
 }
 
 // Lost ends when the VM has become unresponsive.
@@ -45,16 +63,32 @@
 // Avoid keeps this VM from using the owner for a while: it could not be reached.
 func (o *Owner) Avoid(now time.Time) { o.avoidUntil.Store(now.Add(avoidFor).UnixNano()) }
 
+// Took takes in by how much longer than the owner itself an answer took.
+//
+// Guard against full links: with a tenth of the link of others, VMs that own keys made
+// callers wait for a fifth of a second. It shows as answers that come later than the owner
+// gave them. The guard holds because such an owner gets nothing for a while, and each VM
+// judges by the answers that it waited for.
+func (o *Owner) Took(overhead time.Duration, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.overhead += time.Duration(overheadRate * float64(overhead-o.overhead))
+	if o.overhead > maxOverhead {
+		o.overhead = 0
+		o.Avoid(now)
+	}
+}
+
 // Table knows the owners. Of and Divided may be called while Set runs; Set itself is
 // called by one goroutine at a time.
 type Table struct {
-	hash   uint64
+	own    *Owner
 	others atomic.Pointer[[]*Owner]
 }
 
-// New returns a table in which the VM with this name owns all keys.
-func New(name string) *Table {
-	t := &Table{hash: placing.HashOf(name)}
+// New returns a table in which this VM owns all keys.
+func New(own site.VM) *Table {
+	t := &Table{own: newOwner(own)}
 	t.others.Store(&[]*Owner{})
 	return t
 }
@@ -63,17 +97,31 @@
 // find the same owner.
 func (t *Table) Of(key uint64, now time.Time) *Owner {
 	var best *Owner
-	highest := placing.Rendezvous(key, t.hash)
+	lowest := t.own.rank(key)
 	for _, o := range *t.others.Load() {
-		if rank := placing.Rendezvous(key, o.hash); rank > highest && o.avoidUntil.Load() <= now.UnixNano() {
-			best, highest = o, rank
+		if rank := o.rank(key); rank < lowest && o.avoidUntil.Load() <= now.UnixNano() {
+			best, lowest = o, rank
 		}
 	}
 	return best
 }
 
-// Divided returns among how many VMs keys are divided, this one included.
-func (t *Table) Divided() int { return 1 + len(*t.others.Load()) }
+// rank orders owners for a key, the lowest first: weighted rendezvous hashing.
+func (o *Owner) rank(key uint64) float64 {
+	u := (float64(placing.Rendezvous(key, o.hash)>>11) + 0.5) / (1 << 53)
+	return -math.Log(u) / o.share
+}
+
+// Divided returns among how many VMs with equal links keys would be divided as finely as
+// they are, this VM included.
+func (t *Table) Divided() float64 {
+	sum, squares := t.own.share, t.own.share*t.own.share
+	for _, o := range *t.others.Load() {
+		sum += o.share
+		squares += o.share * o.share
+	}
+	return sum * sum / squares
+}
 
 // Set tells which other VMs of the failure domain take requests now. isResponsive
 // reports of one that no longer does whether it still answers.
@@ -104,6 +152,12 @@
 			return o
 		}
 	}
+	return newOwner(vm)
+}
+
+func newOwner(vm site.VM) *Owner {
 	lost, lose := context.WithCancel(context.Background())
-	return &Owner{VM: vm, hash: placing.HashOf(vm.Name), lost: lost, lose: lose}
+	return &Owner{
+		VM: vm, hash: placing.HashOf(vm.Name), share: max(unknownLink, vm.LinkMbps), lost: lost, lose: lose,
+	}
 }
--- a/edge/owners/owners_test.go
+++ b/edge/owners/owners_test.go
@@ -20,7 +20,7 @@
 
 // tableOf is the table of one VM among others.
 func tableOf(own string, all ...string) *Table {
-	t := New(own)
+	t := New(site.VM{Name: own})
 	var others []string
 	for _, name := range all {
 		if name != own {
@@ -82,7 +82,7 @@
 		}
 	}
 	if n := table.Divided(); n != 1 {
-		t.Errorf("keys are divided among %d VMs", n)
+		t.Errorf("keys are divided among %v VMs", n)
 	}
 }
 
@@ -127,6 +127,60 @@
 	}
 }
 
+// Two VMs of a failure domain have wide links, the others narrow ones. Divided evenly, the
+// keys of callers with large answers filled the narrow links, and all of them waited.
+func TestKeysAreDividedByLinks(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := New(site.VM{Name: "a", LinkMbps: 10})
+	list := vms("b", "c", "d", "e", "f")
+	for i := range list {
+		list[i].LinkMbps = 10
+	}
+	list[0].LinkMbps, list[1].LinkMbps = 200, 200
+	table.Set(list, responsive)
+	owned := make(map[string]int)
+	for key := range uint64(2000) {
+		owned[nameOf("a", table, key, now)]++
+	}
+	for name, n := range owned {
+		wide := name == "b" || name == "c"
+		if wide && n < 700 || !wide && n > 100 {
+			t.Errorf("%s owns %d of 2000 keys", name, n)
+		}
+	}
+	if n := table.Divided(); n < 2 || n > 2.5 {
+		t.Errorf("divided as among %.1f equal VMs", n)
+	}
+}
+
+// The link of an owner is full, and its answers arrive long after it gave them. It gets
+// nothing for a while; one slow answer among quick ones changes nothing.
+func TestOwnerWithAFullLinkIsAvoided(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := tableOf("a", "a", "b", "c", "d")
+	o := (*table.others.Load())[0]
+	key := uint64(0)
+	for table.Of(key, now) != o {
+		key++
+	}
+	for range 20 {
+		o.Took(2*time.Millisecond, now)
+	}
+	o.Took(100*time.Millisecond, now)
+	if table.Of(key, now) != o {
+		t.Error("avoided for one slow answer")
+	}
+	for range 5 {
+		o.Took(100*time.Millisecond, now)
+	}
+	if table.Of(key, now) == o {
+		t.Error("still used")
+	}
+	if table.Of(key, now.Add(avoidFor)) != o {
+		t.Error("not used again")
+	}
+}
+
 func BenchmarkOf(b *testing.B) {
 	var names []string
 	for i := range 33 {
--- a/edge/placing/weights.go
+++ b/edge/placing/weights.go
@@ -190,10 +190,10 @@
 // more often than others, and they would change their region by turns, each time to a cold
 // target. What a region is ahead at one VM it is behind at another, so that the tolerance
 // of each may grow with the root of their number while that of all together stays.
-func (b *Balancer) SetKeyDivision(vms int) {
+func (b *Balancer) SetKeyDivision(vms float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tolerance = baseTolerance * math.Sqrt(float64(max(1, vms)))
+	b.tolerance = baseTolerance * math.Sqrt(max(1, vms))
 }
 
 // preferredRegion is the region of a key.
--- a/edge/site/site.go
+++ b/edge/site/site.go
@@ -115,6 +115,8 @@
 	Peer  string `json:"peer" msgpack:"p"`
 	// Incarnation tells the starts of one VM apart.
 	Incarnation uint64 `json:"incarnation" msgpack:"i"`
+	// LinkMbps is its link in Mbit/s, 0 if it does not say.
+	LinkMbps float64 `json:"link_mbps" msgpack:"b"`
 }
 
 // FieldNames are the header fields of the protocol between callers, entry VMs
