placing, gateway: a refused request stays at its target while refusals are everywhere

A refused request went to a second target, which refused as often and ran it cold. Change: the share of failures of a service is followed; above a quarter a refused request may be sent to the same target, and a target is dearer only for what it fails beyond its service.

--- a/edge/gateway/run.go
+++ b/edge/gateway/run.go
@@ -190,7 +190,9 @@
 // note takes a sending into the request's account.
 func (g *Gateway) note(j *job, t try) {
 	j.sent++
-	j.ask.Tried = append(j.ask.Tried, t.decision.Target)
+	if t.code != result.TargetShed || !t.decision.FailuresAreWidespread {
+		j.ask.Tried = append(j.ask.Tried, t.decision.Target)
+	}
 	j.mayHaveRun = j.mayHaveRun || !t.notRun
 	j.log.targets = append(j.log.targets, t.decision.Target.ID)
 	end := "answered"
--- a/edge/placing/affinity.go
+++ b/edge/placing/affinity.go
@@ -30,11 +30,12 @@
 // leastCost is the open target at which a request without a key ends first.
 func (s *service) leastCost(now time.Time, r *Request, region string) (best *Target, lowest time.Duration) {
 	var rank uint64
+	usual := s.usualFor(r)
 	for _, t := range s.regions[region] {
 		if !t.open(now) || r.tried(t) {
 			continue
 		}
-		cost := t.cost(now, r.Class, false, s.occupancy.ofBusySlot(r.work()))
+		cost := t.cost(now, r.Class, false, usual)
 		order := Rendezvous(r.Key, t.hash)
 		if best == nil || cost < lowest || (cost == lowest && order > rank) {
 			best, lowest, rank = t, cost, order
@@ -53,7 +54,7 @@
 func (s *service) bestAffinity(now time.Time, r *Request, region string) (best *Target, expected time.Duration) {
 	lowest := time.Duration(0)
 	penalty := coldPenalty + coldPenaltyPerUse*s.use(now, region)
-	occupancy := s.occupancy.ofBusySlot(r.work())
+	usual := s.usualFor(r)
 	longer := float64(r.Class.work(false) - r.Class.work(true))
 	offered := false
 	for i, a := range s.affinityTargets(now, r, region) {
@@ -62,7 +63,7 @@
 		if !warm && offered {
 			continue
 		}
-		end := a.target.cost(now, r.Class, warm, occupancy)
+		end := a.target.cost(now, r.Class, warm, usual)
 		cost := end
 		if !warm {
 			offered = true
--- a/edge/placing/balancer.go
+++ b/edge/placing/balancer.go
@@ -114,6 +114,7 @@
 	return Decision{
 		Target: t, Region: region, Warm: warm, Expected: cost,
 		InFlight: t.inFlight() - 1, Slots: t.Slots, CountsAge: b.countsAge(now),
+		FailuresAreWidespread: s.failures.areWidespread(),
 	}, true
 }
 
--- a/edge/placing/done.go
+++ b/edge/placing/done.go
@@ -27,6 +27,9 @@
 	t := d.Target
 	t.local--
 	s := b.services[t.Service]
+	if s != nil && end != Cancelled {
+		s.failures.note(end != Answered)
+	}
 	switch end {
 	case Answered:
 		t.succeeded(now, class, d.Warm, took-t.delay)
--- a/edge/placing/request.go
+++ b/edge/placing/request.go
@@ -88,6 +88,9 @@
 	InFlight, Slots int
 	CountsAge       time.Duration
 	Reason          Reason
+	// FailuresAreWidespread tells that the targets of the service fail so often that a
+	// refused request may be sent to the same one again.
+	FailuresAreWidespread bool
 	// RetryAfter is when there should be room.
 	RetryAfter time.Duration
 }
--- a/edge/placing/target.go
+++ b/edge/placing/target.go
@@ -116,15 +116,14 @@
 // slowness is at least 1.
 func (t *Target) slowness(now time.Time) float64 { return 1 + (t.slow-1)*t.fade(now) }
 
-// cost is when a request is expected to end there, from now on. occupancy is how long a
-// busy slot of the target is kept.
-func (t *Target) cost(now time.Time, class *Class, warm bool, occupancy time.Duration) time.Duration {
+// cost is when a request is expected to end there, from now on.
+func (t *Target) cost(now time.Time, class *Class, warm bool, u usual) time.Duration {
 	work := float64(class.work(warm)) * t.slowness(now)
 	ahead := max(0, t.inFlight()+1-t.Slots)
-	wait := float64(occupancy) * t.slowness(now) * float64(ahead) / float64(t.Slots)
+	wait := float64(u.occupancy) * t.slowness(now) * float64(ahead) / float64(t.Slots)
 	// Targets that fill up are a little dearer, so that equal ones share the load.
 	wait += 0.02 * work * float64(t.inFlight()) / float64(t.Slots)
-	failing := t.failures * t.fade(now) * float64(failureCost)
+	failing := u.failures.beyond(t.failures*t.fade(now)) * float64(failureCost)
 	return t.delay + time.Duration(work+wait+failing)
 }
 
