placing: a request that is given up shows that its target is slow

Change: a request that ends without an answer has taken at least as long as it was waited for (TestTargetThatNobodyWaitsForIsAvoided).

--- a/edge/placing/balancer_test.go
+++ b/edge/placing/balancer_test.go
@@ -314,3 +314,32 @@
 		t.Errorf("%d targets are to be probed", len(suspects))
 	}
 }
+
+// A target becomes so slow that its callers time out. No answer ever showed that it is
+// slow, and all requests for its keys timed out until it was well again. A caller that
+// leaves at once shows nothing.
+func TestTargetThatNobodyWaitsForIsAvoided(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b, class := fourTargets(now, "vm"), NewClass(800*time.Millisecond)
+	first, _ := b.Place(now, keyRequest(now, class, 7))
+	b.Done(now, first, class, Answered, 320*time.Millisecond)
+	cancelled := func(after time.Duration) *Target {
+		d, _ := b.Place(now, keyRequest(now, class, 7))
+		now = now.Add(after)
+		b.Done(now, d, class, Cancelled, after)
+		return d.Target
+	}
+	for range 20 {
+		if cancelled(10*time.Millisecond) != first.Target {
+			t.Fatal("avoided as callers left early")
+		}
+	}
+	const most = 3
+	timeouts := 0
+	for timeouts <= most && cancelled(2*time.Second) == first.Target {
+		timeouts++
+	}
+	if timeouts > most {
+		t.Errorf("still used though %d callers in a row timed out there", timeouts)
+	}
+}
--- a/edge/placing/done.go
+++ b/edge/placing/done.go
@@ -15,7 +15,8 @@
 	Broken
 	// Unreachable: no connection could be had.
 	Unreachable
-	// Cancelled: the caller or the system gave up; it says nothing of the target.
+	// Cancelled: the caller or the system gave up. It says of the target only that it has
+	// not answered so far.
 	Cancelled
 )
 
@@ -45,6 +46,7 @@
 		t.failed(now, true)
 		b.noteLoss(now, t)
 	case Cancelled:
+		t.outlasted(now, class, d.Warm, took-t.delay)
 	}
 	if s != nil {
 		s.serve(now, b)
--- a/edge/placing/target.go
+++ b/edge/placing/target.go
@@ -22,6 +22,9 @@
 	failureCost = 800 * time.Millisecond
 	// slowRate is the weight of one answer in a target's slowness.
 	slowRate = 0.3
+	// outlastedRate is the weight of a request that was given up: it would have taken
+	// longer still.
+	outlastedRate = 0.5
 	// forgiveAfter is how long a target's slowness and failures last without
 	// news: it gets few requests, and would never show that it is well again.
 	forgiveAfter = 3 * time.Second
@@ -139,6 +142,22 @@
 	}
 }
 
+// outlasted takes in that a target had not answered after a time.
+//
+// Guard against targets that have become so slow that no caller waits for their answers: it
+// shows as callers that time out for as long as the target is slow, as slowness was learnt
+// from answers only. The guard holds because a request that is given up has taken at least
+// as long as it was waited for.
+func (t *Target) outlasted(now time.Time, class *Class, warm bool, waited time.Duration) {
+	ratio := float64(waited) / float64(max(class.work(warm), time.Millisecond))
+	if ratio <= max(slowFrom, t.slowness(now)) {
+		return
+	}
+	t.slow = t.slowness(now) + outlastedRate*(ratio-t.slowness(now))
+	t.failures *= t.fade(now)
+	t.news = now
+}
+
 // failed takes in a failure; unreachable tells that no connection could be had, which
 // ejects the target.
 //
