--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -267,7 +267,7 @@
 	return "/"
 }
 
-// Leave is a planned stop: callers are sent elsewhere, the work in hand is ended,
+// Leave is a planned stop: callers are sent elsewhere, the requests in flight end,
 // and the VM is off the list. It returns when the process may exit.
 func (e *Entry) Leave() {
 	began := time.Now()
--- a/edge/entry/talk.go
+++ b/edge/entry/talk.go
@@ -112,7 +112,7 @@
 	}
 }
 
-// takeCounts takes in requests in hand and demand: of the VM, of its region, or of
+// takeCounts takes in requests in flight and demand: of the VM, of its region, or of
 // all VMs.
 func (e *Entry) takeCounts(now time.Time, s exchange.State) {
 	if s.Digest != nil {
--- a/edge/exchange/order.go
+++ b/edge/exchange/order.go
@@ -19,7 +19,7 @@
 // isNews reports whether a state is newer than the last one of its VM.
 //
 // Guard against a VM whose time of day went back between two starts: its incarnation is
-// lower than the last one, and nobody would hear it until its clock has caught up. It
+// lower than the last one, and its reports would be dropped until its clock has caught up. It
 // shows as a VM that serves but gets no callers. The guard holds because the old process
 // has ended, so that no datagram of it comes any more.
 func (o order) isNews(s State, now time.Time) bool {
--- a/edge/logs/account/account.go
+++ b/edge/logs/account/account.go
@@ -135,8 +135,8 @@
 	if slow != "" {
 		p.SlowRuns++
 	}
-	home := r.regions[e.vm]
-	for _, c := range []*Counts{&r.account.All, countsOf(r.routes, e.Route), countsOf(r.places, home), &p.Counts} {
+	own := r.regions[e.vm]
+	for _, c := range []*Counts{&r.account.All, countsOf(r.routes, e.Route), countsOf(r.places, own), &p.Counts} {
 		r.count(c, &e, slow)
 	}
 	if e.Result == "ok" && len(e.TookMS) > 0 {
@@ -191,7 +191,7 @@
 	return e.ObjectiveMS == 0 || time.Duration(e.MS)*time.Millisecond+r.options.Network <= time.Duration(e.ObjectiveMS)*time.Millisecond
 }
 
-// waitedShare of the objective in the queue makes the line the cause.
+// waitedShare of the objective in the queue makes the queue the cause.
 const waitedShare = 0.33
 
 func (r *reader) causeOfLate(e *entry, slow Cause) Cause {
@@ -209,8 +209,8 @@
 }
 
 func (r *reader) isFar(e *entry) bool {
-	home := r.regions[e.vm]
-	return home != "" && e.Region != "" && e.Region != home
+	own := r.regions[e.vm]
+	return own != "" && e.Region != "" && e.Region != own
 }
 
 // causeOfRun takes in the last run of a request and tells why it took long, "" if it
--- a/edge/peers/digests.go
+++ b/edge/peers/digests.go
@@ -5,11 +5,11 @@
 	"time"
 )
 
-// Digests tells whether a VM that hears the others by digests gets them. It is safe for
+// Digests tells whether a VM that gets the others' reports by digests gets them. It is safe for
 // use by several goroutines.
 type Digests struct {
 	mu sync.Mutex
-	// expected is false while this VM hears the others itself.
+	// expected is false while this VM gets the others' reports itself.
 	expected bool
 	// at is when the last one came, or when the wait for one began.
 	at time.Time
--- a/edge/peers/group.go
+++ b/edge/peers/group.go
@@ -11,7 +11,7 @@
 	// smallRegion is up to how many VMs all report to each other. Above it a VM
 	// would spend more on datagrams than on requests.
 	smallRegion = 8
-	// listeners is how many VMs of a large region hear all others: one that works
+	// listeners is how many VMs of a large region get the reports of all others: one that works
 	// and one that takes over.
 	listeners = 2
 	// missingAfter is how long a VM without a digest waits before it says so: longer
@@ -23,7 +23,7 @@
 
 // Group is how the VMs of the own region share their reports.
 type Group struct {
-	// Large tells that only the listeners hear all others.
+	// Large tells that only the listeners get all reports.
 	Large bool
 	// Listeners of the own region, the first one first; this VM may be one.
 	Listeners []site.VM
--- a/edge/replica/replica.go
+++ b/edge/replica/replica.go
@@ -33,7 +33,7 @@
 	// settle is the pause between the first listing and the first watch. Which VMs
 	// watch is known once their reports came; before, all would.
 	settle = 500 * time.Millisecond
-	// behindFor is how long a copy that watches, or hears of a distant VM, may be
+	// behindFor is how long a copy that watches, or gets reports of a distant VM, may be
 	// behind before it is brought up to date from there: its own watch, or a VM
 	// nearby, mostly is as quick.
 	behindFor = 300 * time.Millisecond
--- a/edge/serve/conn.go
+++ b/edge/serve/conn.go
@@ -29,8 +29,8 @@
 	once   sync.Once
 
 	mu sync.Mutex
-	// inHand counts requests taken whose answers are not wholly given.
-	inHand int
+	// inFlight counts requests taken whose answers are not wholly given.
+	inFlight int
 	// closing tells that no further request is taken.
 	closing bool
 }
@@ -43,26 +43,26 @@
 	if c.closing {
 		return false
 	}
-	c.inHand++
+	c.inFlight++
 	return true
 }
 
 func (c *conn) give() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.inHand--
+	c.inFlight--
 }
 
 func (c *conn) hasWork() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.inHand > 0
+	return c.inFlight > 0
 }
 
 // closeIfIdle closes the connection unless a request is in hand.
 func (c *conn) closeIfIdle() {
 	c.mu.Lock()
-	idle := c.inHand == 0
+	idle := c.inFlight == 0
 	c.closing = c.closing || idle
 	c.mu.Unlock()
 	if idle {
@@ -75,14 +75,14 @@
 func (c *conn) isLast(in *incoming) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !in.last && (!c.server.parting.Load() || c.inHand > 1) {
+	if !in.last && (!c.server.parting.Load() || c.inFlight > 1) {
 		return false
 	}
 	c.closing = true
 	return true
 }
 
-// shut closes the connection; the requests in hand learn it by their context.
+// shut closes the connection; the requests in flight learn it by their context.
 func (c *conn) shut() {
 	c.once.Do(func() {
 		c.cancel()
--- a/edge/serve/server.go
+++ b/edge/serve/server.go
@@ -96,7 +96,7 @@
 // StopListening takes no more connections.
 func (s *Server) StopListening() { _ = s.listener.Close() }
 
-// CloseIdle closes the connections that have no request in hand.
+// CloseIdle closes the connections that have no request in flight.
 func (s *Server) CloseIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/edge/site/site.go
+++ b/edge/site/site.go
@@ -47,8 +47,8 @@
 	if len(r.Regions) == 0 {
 		return true
 	}
-	for _, home := range r.Regions {
-		if home == region {
+	for _, allowed := range r.Regions {
+		if allowed == region {
 			return true
 		}
 	}
