owners, gateway: the table may be set from two goroutines; the delegation in two functions

Table.Set was called by the goroutine of the catalog and by that of the tick at once, and two objects could stand for one owner; it takes a lock now, requests still wait for nothing (TestTableIsSetFromTwoSides, with the race detector). Counters of delegations are kept by their tags. Decisions are the same.

--- a/edge/entry/counts.go
+++ b/edge/entry/counts.go
@@ -23,6 +23,8 @@
 	mu       sync.Mutex
 	requests map[requestTags]requestMetrics
 	sendings map[sendingTags]tally.Counter
+	// delegations are by how they ended.
+	delegations map[string]tally.Counter
 }
 
 type requestTags struct {
@@ -38,7 +40,8 @@
 type sendingTags struct{ service, end string }
 
 func newCounts(scope tally.Scope) *counts {
-	return &counts{scope: scope, requests: make(map[requestTags]requestMetrics), sendings: make(map[sendingTags]tally.Counter)}
+	return &counts{scope: scope, requests: make(map[requestTags]requestMetrics), sendings: make(map[sendingTags]tally.Counter),
+		delegations: make(map[string]tally.Counter)}
 }
 
 // Ended implements gateway.Metrics.
@@ -77,5 +80,12 @@
 
 // Delegated implements gateway.Metrics.
 func (c *counts) Delegated(end string) {
-	c.scope.Tagged(map[string]string{"end": end}).Counter("delegations").Inc(1)
+	c.mu.Lock()
+	counter, ok := c.delegations[end]
+	if !ok {
+		counter = c.scope.Tagged(map[string]string{"end": end}).Counter("delegations")
+		c.delegations[end] = counter
+	}
+	c.mu.Unlock()
+	counter.Inc(1)
 }
--- a/edge/gateway/delegate.go
+++ b/edge/gateway/delegate.go
@@ -86,19 +86,25 @@
 func (g *Gateway) delegate(ctx context.Context, j *job, o *owners.Owner) (outcome, bool) {
 	began := time.Now()
 	answer, err := g.askOwner(ctx, j, o)
+	took := time.Since(began)
 	g.options.Metrics.Delegated(endOfDelegation(answer, err))
-	if err == nil && answer.Header.Get(fieldDeclined) != "" {
+	if err != nil {
+		g.options.Logger.WithError(err).WithField("id", j.id).WithField("owner", o.Name).
+			WithField("ms", took.Milliseconds()).Warn("gateway: owner did not answer")
+		return g.ownerFailed(ctx, j, o, err)
+	}
+	if answer.Header.Get(fieldDeclined) != "" {
 		return outcome{}, false
 	}
-	if err == nil {
-		j.log.owner, j.log.ownerTook = o.Name, time.Since(began)
-		if own, ok := ownTime(answer); ok {
-			o.Took(j.log.ownerTook-own, time.Now())
-		}
-		return delegatedOutcome(answer), true
+	j.log.owner, j.log.ownerTook = o.Name, took
+	if own, ok := ownTime(answer); ok {
+		o.Took(took-own, time.Now())
 	}
-	g.options.Logger.WithError(err).WithField("id", j.id).WithField("owner", o.Name).
-		WithField("ms", time.Since(began).Milliseconds()).Warn("gateway: owner did not answer")
+	return delegatedOutcome(answer), true
+}
+
+// ownerFailed decides what comes of a request whose owner did not answer, as delegate does.
+func (g *Gateway) ownerFailed(ctx context.Context, j *job, o *owners.Owner, err error) (outcome, bool) {
 	var failed *forward.Error
 	notSent := !errors.As(err, &failed) || failed.NotRun()
 	j.mayHaveRun = !notSent
--- a/edge/owners/owners.go
+++ b/edge/owners/owners.go
@@ -79,11 +79,13 @@
 	}
 }
 
-// Table knows the owners. Of and Divided may be called while Set runs; Set itself is
-// called by one goroutine at a time.
+// Table knows the owners. It is safe for use by several goroutines; Of and Divided wait for
+// nothing.
 type Table struct {
 	own    *Owner
 	others atomic.Pointer[[]*Owner]
+	// setting is held while the others are replaced.
+	setting sync.Mutex
 }
 
 // New returns a table in which this VM owns all keys.
@@ -126,6 +128,8 @@
 // Set tells which other VMs of the failure domain take requests now. isResponsive
 // reports of one that no longer does whether it still answers.
 func (t *Table) Set(vms []site.VM, isResponsive func(site.VM) bool) {
+	t.setting.Lock()
+	defer t.setting.Unlock()
 	if 1+len(vms) < minVMs {
 		vms = nil
 	}
--- a/edge/owners/owners_test.go
+++ b/edge/owners/owners_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -127,6 +128,25 @@
 	}
 }
 
+// The list of VMs and the clock both tell the table who lives, from two goroutines, while
+// requests ask it. The race detector watches.
+func TestTableIsSetFromTwoSides(t *testing.T) {
+	table := tableOf("a", "a", "b", "c", "d")
+	var sides sync.WaitGroup
+	for _, list := range [][]site.VM{vms("b", "c", "d"), vms("b", "c", "d", "e")} {
+		sides.Go(func() {
+			for key := range uint64(200) {
+				table.Set(list, responsive)
+				table.Of(key, time.Now())
+			}
+		})
+	}
+	sides.Wait()
+	if n := len(*table.others.Load()); n != 3 && n != 4 {
+		t.Errorf("%d others", n)
+	}
+}
+
 // Two VMs of a failure domain have wide links, the others narrow ones. Divided evenly, the
 // keys of callers with large answers filled the narrow links, and all of them waited.
 func TestKeysAreDividedByLinks(t *testing.T) {
