peers, entry: a VM that gets no reports does not give up its owners

The VM that stops gets no digests any more, so that from 1.3 s on all others were unresponsive to it one by one ('entry: VMs of the region changed'), it took their keys' requests for lost, and the repeats had no budget: 502 at 1.96 s after SIGTERM. Ruled out: the owners, which worked on and were ended by the closed connections. Change: a VM that has had no report of its region for 0.7 s leaves its owners as they are, as does one that is stopping (TestVMWithoutReportsDoesNotJudgeOthers fails before; TestPlannedStopWaitsForOwners is the planned stop beside slow requests of ten VMs).

--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -227,7 +227,9 @@
 	names := e.members.Sharers(now)
 	e.regionState.setSharers(names)
 	e.balancer.SetVMs(names)
-	e.owners.Set(e.members.DomainLive(now), func(vm site.VM) bool { return e.members.IsResponsive(vm, now) })
+	if live, known := e.members.DomainLive(now); known && !e.leaving.Load() {
+		e.owners.Set(live, func(vm site.VM) bool { return e.members.IsResponsive(vm, now) })
+	}
 	e.balancer.SetKeyDivision(e.owners.Divided())
 }
 
--- a/edge/entry/entry_test.go
+++ b/edge/entry/entry_test.go
@@ -53,6 +53,8 @@
 	mu   sync.Mutex
 	// served counts the requests that reached the target.
 	served int
+	// work is how long the target takes.
+	work time.Duration
 }
 
 func (f *fleet) put(key string, value any) {
@@ -90,7 +92,9 @@
 func (f *fleet) answer(w http.ResponseWriter, r *http.Request) {
 	f.mu.Lock()
 	f.served++
+	work := f.work
 	f.mu.Unlock()
+	time.Sleep(work)
 	w.Header().Set("X-Id", r.Header.Get("X-Id"))
 	w.Header().Set("X-Stamp", "s")
 	fmt.Fprint(w, "done")
@@ -100,7 +104,7 @@
 	f.put("config", site.Config{
 		Version: version, Services: map[string]site.Service{"s": {Name: "s", HealthPath: "/health"}},
 		Routes: []site.Route{{
-			Name: "r", Host: "h", Prefix: prefix, Timeout: 5 * time.Second, Objective: time.Second, MaxAttempts: 2,
+			Name: "r", Host: "h", Prefix: prefix, Timeout: 5 * time.Second, Objective: time.Second, MaxAttempts: 2, Sticky: true,
 			Parts: []site.Part{{Service: "s", Weight: 1}},
 		}},
 		Limits: site.Limits{HeaderBytes: 8192, BodyBytes: 1 << 20, HeaderTime: time.Second, IdleTime: time.Minute},
@@ -141,13 +145,16 @@
 }
 
 // get asks a VM once and returns status 0 if it cannot be reached.
-func get(address, path string) (int, string) {
+func get(address, path string) (int, string) { return getKey(address, path, "") }
+
+// getKey asks about an affinity key.
+func getKey(address, path, key string) (int, string) {
 	c, err := net.Dial("tcp", address)
 	if err != nil {
 		return 0, ""
 	}
 	defer c.Close()
-	fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Deadline: 3000\r\n\r\n", path)
+	fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Object: %s\r\nX-Deadline: 5000\r\n\r\n", path, key)
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
 		return 0, ""
@@ -257,3 +264,43 @@
 		t.Errorf("still listed: %v", err)
 	}
 }
+
+// A VM of a large region stops as planned while other VMs work on requests of its callers.
+// It gets no digests from then on, so that all others seemed to be unresponsive after 1.5 s,
+// and it gave up the requests that they had. Their callers get the answers.
+func TestPlannedStopWaitsForOwners(t *testing.T) {
+	const vms, requests, work = 10, 12, 2400 * time.Millisecond
+	f := newFleet(t)
+	f.configure(1, "/p/")
+	var all []*vm
+	for i := range vms {
+		all = append(all, f.start(fmt.Sprint("vm-", i), "n1", f.kv))
+	}
+	leaver := all[vms-1]
+	until(t, "the directory never named all VMs", func() bool {
+		_, body := get(leaver.options.DirectoryAddress, "/resolve?zone=n1&region=n")
+		return strings.Count(body, ",") == vms-1
+	})
+	f.mu.Lock()
+	f.work, f.served = work, 0
+	f.mu.Unlock()
+	statuses := make(chan int, requests)
+	for i := range requests {
+		go func() {
+			status, _ := getKey(leaver.options.EntryAddress, "/p/x", fmt.Sprint("key-", i))
+			statuses <- status
+		}()
+	}
+	until(t, "the target never got a request", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.served > 0
+	})
+	go leaver.Leave()
+	for range requests {
+		// Some are refused, as the only target is full; none may be lost.
+		if status := <-statuses; status != http.StatusOK && status != http.StatusServiceUnavailable {
+			t.Errorf("status %d", status)
+		}
+	}
+}
--- a/edge/peers/peers.go
+++ b/edge/peers/peers.go
@@ -140,19 +140,37 @@
 	return now.Sub(state.At) < m.timeoutOf(vm) && state.Serving && !state.Leaving
 }
 
+// isolatedAfter is how long no VM of the own region may be heard of before this VM takes
+// itself to be the one that gets no reports. It is longer than full digests are apart, and
+// shorter by more than their age than a VM may be silent.
+const isolatedAfter = 700 * time.Millisecond
+
 // DomainLive returns the other VMs of the own failure domain that report that they take
-// callers, by name.
-func (m *Members) DomainLive(now time.Time) []site.VM {
+// callers, by name. It returns false if that is not known, as no report comes at all.
+//
+// Guard against a VM that gets no reports, as it stops or is cut off from datagrams: all
+// others would seem to be unresponsive to it one after the other, and it would give up the
+// requests that they work on. It shows as requests of a VM's callers that are lost 1.5 s
+// after its planned stop began. The guard holds because all reports end at once, long
+// before the first VM is taken to be unresponsive.
+func (m *Members) DomainLive(now time.Time) ([]site.VM, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var live []site.VM
+	newest := m.started
 	for _, vm := range m.regions[m.own.Region] {
-		_, reported := m.states[vm.Name]
-		if vm.Zone == m.own.Zone && vm.Name != m.own.Name && reported && m.live(vm, now) {
+		state, reported := m.states[vm.Name]
+		if !reported || vm.Name == m.own.Name {
+			continue
+		}
+		if state.At.After(newest) {
+			newest = state.At
+		}
+		if vm.Zone == m.own.Zone && m.live(vm, now) {
 			live = append(live, vm)
 		}
 	}
-	return live
+	return live, now.Sub(newest) < isolatedAfter
 }
 
 // IsResponsive reports whether a VM has reported lately.
--- a/edge/peers/peers_test.go
+++ b/edge/peers/peers_test.go
@@ -306,3 +306,32 @@
 		t.Errorf("%d VMs near, want the 3 that the store still lists", len(got))
 	}
 }
+
+// A VM stops as planned and gets no reports from then on. All others seemed to be
+// unresponsive to it after 1.5 s, and it gave up the requests that they worked on for its
+// callers. It knows from the end of all reports that it is cut off itself; one VM that falls
+// silent while others report is another matter.
+func TestVMWithoutReportsDoesNotJudgeOthers(t *testing.T) {
+	own, mate, other := vmOf("own", "n1"), vmOf("mate", "n1"), vmOf("other", "n2")
+	m := New(own, start)
+	m.Register([]site.VM{own, mate, other}, start)
+	now := start
+	for range 10 {
+		now = now.Add(100 * time.Millisecond)
+		hear(m, now, mate, other)
+	}
+	last := now
+	for ; now.Sub(last) < 2*suspicionTimeout; now = now.Add(100 * time.Millisecond) {
+		live, known := m.DomainLive(now)
+		if known && len(live) != 1 {
+			t.Fatalf("%v after the last report the VM takes its mate to be gone", now.Sub(last))
+		}
+	}
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		hear(m, now, other)
+	}
+	if live, known := m.DomainLive(now); !known || len(live) != 0 {
+		t.Errorf("live %v, known %v while only the mate is silent", live, known)
+	}
+}
