--- a/edge/owners/owners.go
+++ b/edge/owners/owners.go
@@ -14,7 +14,6 @@
 
 import (
 	"context"
-	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -108,11 +107,8 @@
 	return best
 }
 
-// rank orders owners for a key, the lowest first: weighted rendezvous hashing.
-func (o *Owner) rank(key uint64) float64 {
-	u := (float64(placing.Rendezvous(key, o.hash)>>11) + 0.5) / (1 << 53)
-	return -math.Log(u) / o.share
-}
+// rank orders owners for a key, the lowest first.
+func (o *Owner) rank(key uint64) float64 { return placing.WeightedRank(key, o.hash, o.share) }
 
 // Divided returns among how many VMs with equal links keys would be divided as finely as
 // they are, this VM included.
--- a/edge/placing/hash.go
+++ b/edge/placing/hash.go
@@ -1,6 +1,10 @@
 package placing
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // HashOf is the same on all VMs.
 func HashOf(text string) uint64 { return xxhash.Sum64String(text) }
@@ -21,3 +25,11 @@
 	x *= 0xd6e8feb86659fd93
 	return x ^ x>>32
 }
+
+// WeightedRank orders a and other things for a key, the lowest first, so that each is first
+// for a part of all keys in proportion to its weight: weighted rendezvous hashing. When a
+// weight changes as few keys as possible get another first one.
+func WeightedRank(key, a uint64, weight float64) float64 {
+	u := (float64(Rendezvous(key, a)>>11) + 0.5) / (1 << 53)
+	return -math.Log(u) / weight
+}
--- a/edge/placing/weights.go
+++ b/edge/placing/weights.go
@@ -203,9 +203,8 @@
 		if !permitted(region) {
 			continue
 		}
-		u := (float64(Rendezvous(key, HashOf(region))>>11) + 0.5) / (1 << 53)
-		if score := -math.Log(u) / part; score < lowest || (score == lowest && region < best) {
-			best, lowest = region, score
+		if rank := WeightedRank(key, HashOf(region), part); rank < lowest || (rank == lowest && region < best) {
+			best, lowest = region, rank
 		}
 	}
 	return best, best != ""
