gateway, quarantine: logs and metrics name requests by content, and tell targets that ended

A request that lost a sending is now named by a fingerprint of its content, which is the same at each VM, in its line and in a new one, 'requests lost at a target', that says whether the target refuses connections since (it ended), whether that was planned, and which requests it had. target_ends counts them. No decision reads any of it.

The content is method, host, path, query, client account, credentials and body. A look costs one connection to a target that lost a request, and none where an idle one is open.

--- a/edge/entry/counts.go
+++ b/edge/entry/counts.go
@@ -23,8 +23,9 @@
 	mu       sync.Mutex
 	requests map[requestTags]requestMetrics
 	sendings map[sendingTags]tally.Counter
-	// delegations are by how they ended.
+	// delegations are by how they ended, ends of targets by their service.
 	delegations map[string]tally.Counter
+	ends        map[string]tally.Counter
 }
 
 type requestTags struct {
@@ -41,7 +42,7 @@
 
 func newCounts(scope tally.Scope) *counts {
 	return &counts{scope: scope, requests: make(map[requestTags]requestMetrics), sendings: make(map[sendingTags]tally.Counter),
-		delegations: make(map[string]tally.Counter)}
+		delegations: make(map[string]tally.Counter), ends: make(map[string]tally.Counter)}
 }
 
 // Ended implements gateway.Metrics.
@@ -79,13 +80,21 @@
 }
 
 // Delegated implements gateway.Metrics.
-func (c *counts) Delegated(end string) {
+func (c *counts) Delegated(end string) { c.tagged(c.delegations, "delegations", "end", end).Inc(1) }
+
+// TargetEnded implements gateway.Metrics.
+func (c *counts) TargetEnded(service string) {
+	c.tagged(c.ends, "target_ends", "service", service).Inc(1)
+}
+
+// tagged returns the counter with one value of a tag, of those that are kept.
+func (c *counts) tagged(kept map[string]tally.Counter, name, tag, value string) tally.Counter {
 	c.mu.Lock()
-	counter, ok := c.delegations[end]
+	defer c.mu.Unlock()
+	counter, ok := kept[value]
 	if !ok {
-		counter = c.scope.Tagged(map[string]string{"end": end}).Counter("delegations")
-		c.delegations[end] = counter
+		counter = c.scope.Tagged(map[string]string{tag: value}).Counter(name)
+		kept[value] = counter
 	}
-	c.mu.Unlock()
-	counter.Inc(1)
+	return counter
 }
--- /dev/null
+++ b/edge/gateway/ended_test.go
@@ -0,0 +1,47 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// until waits for a condition.
+func until(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for began := time.Now(); !holds(); time.Sleep(time.Millisecond) {
+		if time.Since(began) > time.Minute {
+			t.Fatal(what)
+		}
+	}
+}
+
+// Guards against a log that does not tell a target that ended from a connection that broke.
+func TestLogTellsEndedTargetsFromLostConnections(t *testing.T) {
+	for name, ends := range map[string]bool{"target ends": true, "connection breaks": false} {
+		t.Run(name, func(t *testing.T) {
+			var s *target
+			s = startTarget(t, "a", func(*bufio.Writer, *http.Request, string) bool {
+				if ends {
+					s.listener.Close()
+				}
+				return false
+			})
+			f := newGateway(t, s)
+			f.ask(context.Background(), "POST", "/once/x", "7", time.Second, "order")
+			until(t, "no line on the lost request", func() bool {
+				return strings.Contains(f.written(), "gateway: requests lost at a target")
+			})
+			want := `"ended":false`
+			if ends {
+				want = `"ended":true`
+			}
+			if log := f.written(); !strings.Contains(log, want) || strings.Count(log, `"fingerprint`) != 2 {
+				t.Errorf("want %s and the fingerprint twice: %s", want, log)
+			}
+		})
+	}
+}
--- a/edge/gateway/fixture_test.go
+++ b/edge/gateway/fixture_test.go
@@ -117,6 +117,7 @@
 func (noMetrics) Ended(string, string, int, time.Duration) {}
 func (noMetrics) Sent(string, string)                      {}
 func (noMetrics) Delegated(string)                         {}
+func (noMetrics) TargetEnded(string)                       {}
 
 // fixture is a gateway before targets.
 type fixture struct {
--- a/edge/gateway/gateway.go
+++ b/edge/gateway/gateway.go
@@ -42,6 +42,8 @@
 	Sent(service, end string)
 	// Delegated counts one request that was passed on to the owner of its key.
 	Delegated(end string)
+	// TargetEnded counts one target that ended without a plan while requests ran there.
+	TargetEnded(service string)
 }
 
 // Options configure a Gateway.
@@ -82,6 +84,8 @@
 	// ownerPools are by the address of the owner.
 	ownerPools map[string]*pool.Pool
 	budgets    map[string]*retrybudget.Budget
+	// lost are the requests whose connections broke a moment ago, by poolKey of their target.
+	lost map[string][]lostRequest
 }
 
 // New returns a gateway without a configuration: it refuses every request as not
@@ -92,7 +96,7 @@
 	}
 	return &Gateway{
 		options: o, pools: make(map[string]*pool.Pool), ownerPools: make(map[string]*pool.Pool),
-		budgets: make(map[string]*retrybudget.Budget),
+		budgets: make(map[string]*retrybudget.Budget), lost: make(map[string][]lostRequest),
 	}
 }
 
--- a/edge/gateway/run.go
+++ b/edge/gateway/run.go
@@ -204,6 +204,9 @@
 	j.log.ends = append(j.log.ends, end)
 	j.log.tookMS = append(j.log.tookMS, t.took.Milliseconds())
 	g.options.Metrics.Sent(j.service, t.code.String())
+	if isLost(t) {
+		g.checkEnd(t.decision.Target, lostRequest{j.id, g.fingerprint(j)})
+	}
 }
 
 // exchangeOnce sends a request once and ends it at the board.
--- a/edge/gateway/serve.go
+++ b/edge/gateway/serve.go
@@ -10,6 +10,7 @@
 
 	"github.com/yuccaroute/yuccaroute/api/result"
 	"github.com/yuccaroute/yuccaroute/edge/placing"
+	"github.com/yuccaroute/yuccaroute/edge/quarantine"
 	"github.com/yuccaroute/yuccaroute/edge/route"
 	"github.com/yuccaroute/yuccaroute/edge/serve"
 	"github.com/yuccaroute/yuccaroute/proxy/forward"
@@ -46,7 +47,9 @@
 	last *forward.Answer
 	// forOther tells that another VM has passed the request on to this one.
 	forOther bool
-	log      trail
+	// fingerprint is nil until it is needed, see Gateway.fingerprint.
+	fingerprint *quarantine.Fingerprint
+	log         trail
 }
 
 // outcome is how a request ended.
@@ -233,6 +236,9 @@
 	if j.ask.HasKey {
 		fields["affinity_key"] = strconv.FormatUint(j.ask.Key, 36)
 	}
+	if j.fingerprint != nil {
+		fields["fingerprint"] = j.fingerprint.String()
+	}
 	j.log.fields(fields)
 	if end.answer != nil {
 		fields["status"] = end.answer.Status
--- a/edge/placing/listing.go
+++ b/edge/placing/listing.go
@@ -28,7 +28,7 @@
 	for _, s := range b.services {
 		for id, t := range s.targets {
 			if !listed[id] {
-				t.usable = false
+				t.usable, t.leaving = false, true
 				delete(s.targets, id)
 			}
 		}
@@ -68,7 +68,7 @@
 		// A target that started again is warm for no key, and nothing that was learnt of
 		// the start before holds: requests still in flight there end at the old value.
 		if t != nil {
-			t.usable = false
+			t.usable, t.leaving = false, true
 		}
 		t = b.newTarget(l)
 		s.targets[l.ID] = t
@@ -79,7 +79,7 @@
 		// Its domain is taken back: it may have become cold meanwhile.
 		t.coldTill = now.Add(s.ColdTime)
 	}
-	t.usable, t.evacuated = usable, evacuated
+	t.usable, t.evacuated, t.leaving = usable, evacuated, l.Draining
 	// The fields that name the target stay as they are: the request path reads
 	// them without the lock.
 	t.Slots = l.Slots
@@ -97,6 +97,13 @@
 	}
 }
 
+// IsLeaving reports whether a target drains or is listed no more, so that its end is planned.
+func (b *Balancer) IsLeaving(t *Target) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return t.leaving
+}
+
 func (s *service) sortRegions() {
 	s.regions = make(map[string][]*Target)
 	for _, t := range s.targets {
--- a/edge/placing/target.go
+++ b/edge/placing/target.go
@@ -48,6 +48,8 @@
 	delay time.Duration
 	// usable is false for draining targets and those in evacuated domains.
 	usable, evacuated bool
+	// leaving is true for draining targets and those that are listed no more.
+	leaving bool
 	// local and remote count the requests in flight, of this VM and of all others.
 	local  int
 	remote *remoteCount
--- a/edge/site/site.go
+++ b/edge/site/site.go
@@ -123,4 +123,6 @@
 // and targets.
 type FieldNames struct {
 	RequestID, Deadline, Affinity, ExpectTarget, Stamp, NotRun, TargetID, Load, ColdMillis string
+	// Account names the client account of a request, where requests say it.
+	Account string
 }
