--- a/edge/entry/entry_test.go
+++ b/edge/entry/entry_test.go
@@ -111,6 +111,9 @@
 	})
 }
 
+// regions of the failure domains.
+var regions = map[string]string{"n1": "n", "n2": "n", "s1": "s"}
+
 // vm is one running VM.
 type vm struct {
 	*entry.Entry
@@ -124,7 +127,7 @@
 	peer := f.host.Address()
 	o := entry.Options{
 		EntryAddress: f.host.Address(), ReadyAddress: f.host.Address(), DirectoryAddress: f.host.Address(), PeerAddress: peer,
-		RegionOf: map[string]string{"n1": "n", "n2": "n"}, Codec: codec{}, KV: kv, Logger: log,
+		RegionOf: regions, Codec: codec{}, KV: kv, Logger: log,
 		MemoryBytes: 100 << 20, MaxConnections: 100, Grace: 6 * time.Second, MaxTTL: 5 * time.Second,
 		RetryRatio: 0.2, RetryExtra: 50, MetricsAddress: f.host.Address(),
 		Names: entry.Names{
@@ -135,7 +138,7 @@
 			},
 		},
 	}
-	o.VM = site.VM{Name: name, Region: "n", Zone: zone, Entry: o.EntryAddress, Peer: peer, Incarnation: uint64(time.Now().UnixMicro())}
+	o.VM = site.VM{Name: name, Region: regions[zone], Zone: zone, Entry: o.EntryAddress, Peer: peer, Incarnation: uint64(time.Now().UnixMicro())}
 	e, err := entry.Start(o)
 	if err != nil {
 		f.t.Fatal(err)
@@ -155,6 +158,11 @@
 	}
 	defer c.Close()
 	fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Object: %s\r\nX-Deadline: 5000\r\n\r\n", path, key)
+	return answerOn(c)
+}
+
+// answerOn reads one answer.
+func answerOn(c net.Conn) (int, string) {
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
 		return 0, ""
