gateway: the name of a target's start is read without its slots (data race)

poolKey took the whole target by value, so the request path read the slots while a new listing of the target set them. It takes a pointer and reads what never changes.

--- a/edge/gateway/ended.go
+++ b/edge/gateway/ended.go
@@ -51,7 +51,7 @@
 // checkEnd finds out whether a target has ended, once for all requests that were lost there
 // at the same time.
 func (g *Gateway) checkEnd(t *placing.Target, lost lostRequest) {
-	key := poolKey(t.Target)
+	key := poolKey(&t.Target)
 	g.mu.Lock()
 	waiting := g.lost[key]
 	if len(waiting) < maxLost {
--- a/edge/gateway/gateway.go
+++ b/edge/gateway/gateway.go
@@ -118,7 +118,7 @@
 	listed := make(map[string]bool, len(v.Targets))
 	for _, t := range v.Targets {
 		list = append(list, placing.Listing{Target: t.Target, ColdUntil: t.LearntAt.Add(t.ColdFor)})
-		listed[poolKey(t.Target)] = true
+		listed[poolKey(&t.Target)] = true
 	}
 	g.options.Balancer.SetTargets(now, v.Config.Services, list, v.Evacuated)
 	g.closePools(listed)
@@ -154,8 +154,9 @@
 	}
 }
 
-// poolKey names one start of a target: connections to an earlier one are dead.
-func poolKey(t site.Target) string {
+// poolKey names one start of a target: connections to an earlier one are dead. It reads only
+// what never changes of a listed target, as the balancer sets the rest meanwhile.
+func poolKey(t *site.Target) string {
 	return t.ID + " " + t.Address + " " + strconv.FormatInt(t.Born, 36)
 }
 
@@ -168,7 +169,7 @@
 	limit := max(minPool, int(poolMargin*float64(connections))/max(1, g.options.VMs()))
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	key := poolKey(t.Target)
+	key := poolKey(&t.Target)
 	p := g.pools[key]
 	if p == nil {
 		p = pool.New(t.Address, g.options.Dial(g.options.Delay(t.Region)), limit)
