soak: requests that end each target that runs them, at seeds from 2000 on

Three such requests come again under new ids at any VM while processes are killed, paused and stopped, paths cut and the store fails; a target that ended refuses connections for 0.4 s. From 4 s after the last fault each may reach targets three times more.

--- a/integration/soak/caller_test.go
+++ b/integration/soak/caller_test.go
@@ -57,6 +57,8 @@
 	conn    net.Conn
 	reader  *bufio.Reader
 	sent    int
+	// path is the last part of all its paths, "" for the ID of each request.
+	path string
 }
 
 func (c *caller) run(ctx context.Context) {
@@ -122,9 +124,13 @@
 	if !c.connect() {
 		return o
 	}
-	method, path := http.MethodGet, "/look/"+id
+	last := c.path
+	if last == "" {
+		last = id
+	}
+	method, path := http.MethodGet, "/look/"+last
 	if order {
-		method, path = http.MethodPost, "/order/"+id
+		method, path = http.MethodPost, "/order/"+last
 	}
 	_ = c.conn.SetDeadline(time.Now().Add(callTime + dialTime))
 	if _, err := io.WriteString(c.conn, platformtest.Request(host, method, path, id, callTime)); err != nil {
--- a/integration/soak/proxy_test.go
+++ b/integration/soak/proxy_test.go
@@ -30,10 +30,13 @@
 
 // proxy stands on the path to one server.
 type proxy struct {
-	listener net.Listener
 	upstream string
-	mode     atomic.Int32
-	mu       sync.Mutex
+	// near is the address that it listens on.
+	near string
+	mode atomic.Int32
+	mu   sync.Mutex
+	// listener is nil while the server behind it is down.
+	listener net.Listener
 	open     map[net.Conn]bool
 }
 
@@ -42,18 +45,46 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, upstream: upstream, open: make(map[net.Conn]bool)}
-	go p.accept()
+	p := &proxy{listener: l, near: l.Addr().String(), upstream: upstream, open: make(map[net.Conn]bool)}
+	go p.accept(l)
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+// down ends all connections and refuses new ones, as the port of a server that has ended does.
+func (p *proxy) down() {
+	p.mu.Lock()
+	l := p.listener
+	p.listener = nil
+	p.mu.Unlock()
+	if l != nil {
+		_ = l.Close()
+	}
+	p.resetAll()
+}
+
+// up listens again.
+func (p *proxy) up() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		return nil
+	}
+	l, err := net.Listen("tcp", p.near)
+	if err != nil {
+		return err
+	}
+	p.listener = l
+	go p.accept(l)
+	return nil
+}
+
+func (p *proxy) address() string { return p.near }
 func (p *proxy) set(m mode)      { p.mode.Store(int32(m)) }
 func (p *proxy) is(m mode) bool  { return mode(p.mode.Load()) == m }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(l net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -136,7 +167,4 @@
 	}
 }
 
-func (p *proxy) close() {
-	_ = p.listener.Close()
-	p.resetAll()
-}
+func (p *proxy) close() { p.down() }
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -33,6 +33,8 @@
 	work              = 20 * time.Millisecond
 	// laterHarms are drawn by seeds from here on: what earlier seeds do stays as it was.
 	laterHarms = 1000
+	// crashingRequests come with seeds from here on.
+	crashingRequests = 2000
 	// healTime is how long a VM may take to serve after all faults have ended.
 	healTime = 30 * time.Second
 )
@@ -54,6 +56,11 @@
 	soak(t, buildEntry(t), laterHarms)
 }
 
+// The same with requests that end each target that runs them and come again at any VM.
+func TestSoakOfRequestsThatEndTargets(t *testing.T) {
+	soak(t, buildEntry(t), crashingRequests)
+}
+
 // world is the processes and stand-ins of one run.
 type world struct {
 	t        *testing.T
@@ -62,8 +69,10 @@
 	kv       *memkv.Store
 	store    *platformtest.Store
 	operator platformtest.Operator
-	ledger   *platformtest.Ledger
-	targets  []*platformtest.Target
+	// registering is held while a target is registered: some start again by themselves.
+	registering sync.Mutex
+	ledger      *platformtest.Ledger
+	targets     []*platformtest.Target
 	// paths stand before targets, storePaths before the store, one for each VM.
 	paths, storePaths []*proxy
 	processes         []*process
@@ -84,6 +93,7 @@
 		all.Go(func() { c.run(ctx) })
 	}
 	w.waitServing("before any fault")
+	bad := w.startRepeats(ctx, &all)
 	end := time.Now().Add(time.Duration(*seconds) * time.Second)
 	for time.Now().Before(end) {
 		w.harm()
@@ -91,6 +101,7 @@
 	}
 	w.heal()
 	w.waitServing("after all faults")
+	bad.check()
 	stop()
 	all.Wait()
 	w.check(seen)
@@ -239,15 +250,26 @@
 
 func (w *world) drain() {
 	i := w.random.IntN(len(w.targets))
-	w.must(w.operator.Register(w.targets[i], w.paths[i].address(), w.random.IntN(2) == 0))
+	w.register(i, w.random.IntN(2) == 0)
+}
+
+// register writes the entry of a target.
+func (w *world) register(i int, draining bool) {
+	w.registering.Lock()
+	defer w.registering.Unlock()
+	if err := w.operator.Register(w.targets[i], w.paths[i].address(), draining); err != nil {
+		w.t.Errorf("target %d not registered: %v", i, err)
+	}
 }
 
 // restart begins a new start of a target. Its entry, or one of the start before, may come.
 func (w *world) restart() {
 	i := w.random.IntN(len(w.targets))
 	before := w.targets[i].Restart()
-	w.must(w.operator.Register(w.targets[i], w.paths[i].address(), false))
+	w.register(i, false)
 	if w.random.IntN(2) == 0 {
+		w.registering.Lock()
+		defer w.registering.Unlock()
 		w.must(w.operator.RegisterStart(w.targets[i], "127.0.0.1:1", false, before))
 	}
 }
@@ -255,6 +277,8 @@
 // forge writes what no target writes under the key of one.
 func (w *world) forge() {
 	values := []any{"?", nil, []int{1}, map[string]any{"state": "ready"}, map[string]any{"service": 7, "address": "here"}}
+	w.registering.Lock()
+	defer w.registering.Unlock()
 	w.must(w.operator.Forge(w.targets[w.random.IntN(len(w.targets))], values[w.random.IntN(len(values))]))
 }
 
@@ -266,7 +290,7 @@
 	}
 	for i, target := range w.targets {
 		target.LoseAnswers(0)
-		w.must(w.operator.Register(target, w.paths[i].address(), false))
+		w.register(i, false)
 	}
 }
 
