gateway: a request that its caller abandons is blamed if the target ends under it

Cause: only lost connections told of an end. It costs no call: the next request finds the target gone. The test waits for ever without it.

--- a/edge/gateway/gateway.go
+++ b/edge/gateway/gateway.go
@@ -80,6 +80,7 @@
 	// connections bounds those to one target, by service.
 	connections atomic.Pointer[map[string]int]
 	leaving     atomic.Bool
+	losses      *losses
 
 	mu sync.Mutex
 	// pools are by poolKey.
@@ -87,8 +88,6 @@
 	// ownerPools are by the address of the owner.
 	ownerPools map[string]*pool.Pool
 	budgets    map[string]*retrybudget.Budget
-	// lost are the requests whose connections broke a moment ago, by poolKey of their target.
-	lost map[string][]lostRequest
 }
 
 // New returns a gateway without a configuration: it refuses every request as not
@@ -99,7 +98,7 @@
 	}
 	return &Gateway{
 		options: o, pools: make(map[string]*pool.Pool), ownerPools: make(map[string]*pool.Pool),
-		budgets: make(map[string]*retrybudget.Budget), lost: make(map[string][]lostRequest),
+		budgets: make(map[string]*retrybudget.Budget), losses: newLosses(),
 	}
 }
 
@@ -125,6 +124,7 @@
 	}
 	g.options.Balancer.SetTargets(now, v.Config.Services, list, v.Evacuated)
 	g.closePools(listed)
+	g.losses.forget(listed)
 }
 
 // Ready reports whether a configuration is known.
--- a/edge/gateway/quarantine_test.go
+++ b/edge/gateway/quarantine_test.go
@@ -180,3 +180,32 @@
 		})
 	}
 }
+
+// Guards against a request whose caller leaves before it ends its target: nobody waits for that
+// connection, and the next request finds the target gone.
+func TestAbandonedRequestIsBlamedForTheEnd(t *testing.T) {
+	began, over := make(chan struct{}), make(chan struct{})
+	t.Cleanup(func() { close(over) })
+	s := startTarget(t, "a", func(w *bufio.Writer, r *http.Request, body string) bool {
+		if r.URL.Path != "/once/bad" {
+			return ok(w, r, body)
+		}
+		close(began)
+		<-over
+		return false
+	})
+	f := newGateway(t, s)
+	q := f.withQuarantine()
+	ctx, leave := context.WithCancel(context.Background())
+	go func() {
+		<-began
+		leave()
+	}()
+	f.ask(ctx, "POST", "/once/bad", "1", time.Second, "")
+	s.listener.Close()
+	f.ask(context.Background(), "POST", "/once/x", "2", time.Second, "")
+	until(t, "the end was not taken in", func() bool { suspected, _ := q.Counts(); return suspected == 1 })
+	if v := q.Verdict(time.Now(), fingerprintOf("POST", "/once/bad", "")); v.Targets != 1 {
+		t.Errorf("%+v", v)
+	}
+}
--- a/edge/gateway/run.go
+++ b/edge/gateway/run.go
@@ -210,9 +210,7 @@
 	j.log.tookMS = append(j.log.tookMS, t.took.Milliseconds())
 	g.options.Metrics.Sent(j.service, t.code.String())
 	g.noteAnswer(j, t)
-	if isLost(t) {
-		g.checkEnd(t.decision.Target, lostRequest{j.id, g.fingerprint(j)})
-	}
+	g.noteUnanswered(j, t)
 }
 
 // exchangeOnce sends a request once and ends it at the board.
