--- a/edge/gateway/run.go
+++ b/edge/gateway/run.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/yuccaroute/yuccaroute/api/result"
 	"github.com/yuccaroute/yuccaroute/edge/placing"
@@ -229,17 +231,32 @@
 	if err != nil {
 		return try{decision: d, notRun: true, code: result.ConnectFailed, err: err}
 	}
-	out := j.out
-	out.Header = j.out.Header.Clone()
-	out.Header.Set(g.options.Fields.ExpectTarget, d.Target.ID)
-	answer, err := conn.Exchange(ctx, &out)
+	defer p.Put(conn)
+	answer, err := g.exchangeBy(ctx, j, d, conn)
 	if answer != nil {
 		setIdle(p, answer.Header)
 	}
-	p.Put(conn)
 	return g.classify(d, answer, err)
 }
 
+var errPanic = errors.New("gateway: exchange panicked")
+
+// exchangeBy is one exchange. One that panics, in a goroutine of its own, fails like one whose
+// connection is lost: otherwise its request would end one VM after the other.
+func (g *Gateway) exchangeBy(ctx context.Context, j *job, d placing.Decision, conn *forward.Conn) (answer *forward.Answer, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			g.options.Logger.WithFields(logrus.Fields{"id": j.id, "panic": cause, "stack": string(debug.Stack())}).
+				Error("gateway: exchange panicked")
+			answer, err = nil, errPanic
+		}
+	}()
+	out := j.out
+	out.Header = j.out.Header.Clone()
+	out.Header.Set(g.options.Fields.ExpectTarget, d.Target.ID)
+	return conn.Exchange(ctx, &out)
+}
+
 // setIdle keeps idle connections for less time than the target says it does.
 func setIdle(p *pool.Pool, h http.Header) {
 	if limit, ok := keepAlive(h); ok {
--- a/edge/serve/conn.go
+++ b/edge/serve/conn.go
@@ -7,10 +7,15 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime/debug"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/yuccaroute/yuccaroute/api/result"
 )
 
 var (
@@ -258,7 +263,7 @@
 		c.give()
 		c.server.busy.Add(-1)
 	}()
-	answer := c.server.options.Handler(ctx, in.Request)
+	answer := c.handle(ctx, in.Request)
 	<-before
 	if answer == nil {
 		c.shut()
@@ -274,6 +279,21 @@
 	}
 }
 
+// handle has the handler answer. A handler that panics fails its request only: the callers of
+// such a request repeat it, and it would end one VM after the other.
+func (c *conn) handle(ctx context.Context, r *Request) (answer *Answer) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			c.server.options.Logger.WithFields(logrus.Fields{"panic": cause, "stack": string(debug.Stack())}).
+				Error("serve: handler panicked")
+			info := result.InfoOf(result.Internal)
+			answer = Plain(info.HTTP, info.Name+"\n")
+			answer.Header[result.HeaderResult] = []string{strconv.Itoa(int(info.Code))}
+		}
+	}()
+	return c.server.options.Handler(ctx, r)
+}
+
 // finish lets the caller read the last answer before the connection closes.
 func (c *conn) finish() {
 	if tcp, ok := c.nc.(*net.TCPConn); ok {
--- a/edge/serve/server_test.go
+++ b/edge/serve/server_test.go
@@ -242,3 +242,22 @@
 		t.Errorf("%q", text)
 	}
 }
+
+// Guards against a request that ends each VM that works on it, one after the other: a fault in
+// the code that handles it must not end the process.
+func TestHandlerThatPanicsEndsOnlyItsRequest(t *testing.T) {
+	s := start(t, func(_ context.Context, r *Request) *Answer {
+		if r.Path == "/bad" {
+			panic("no such thing")
+		}
+		return Plain(http.StatusOK, "fine")
+	})
+	c := dial(t, s)
+	c.say(get("/bad") + get("/good"))
+	if status, body, _ := c.hear(); status != http.StatusInternalServerError || body != "internal\n" {
+		t.Errorf("%d %q for the request that panics", status, body)
+	}
+	if status, body, _ := c.hear(); status != http.StatusOK || body != "fine" {
+		t.Errorf("%d %q for the request behind it", status, body)
+	}
+}
