--- a/edge/logs/account/account_test.go
+++ b/edge/logs/account/account_test.go
@@ -54,6 +54,7 @@
 	l.request(1, `"result":"queue-full","why":"too late","slots":20,"in_flight":4,"sent":0`)
 	l.request(1, `"result":"no-target","why":"no target","sent":0`)
 	l.request(1, `"result":"node-leaving","sent":0`)
+	l.request(1, `"result":"quarantined","sent":0,"targets_ended":3`)
 	l.request(1, `"result":"connection-lost","sent":1,"targets":["t1"],"took_ms":[5]`)
 	l.request(1, `"result":"deadline-after-send","sent":1,"targets":["t1"],"took_ms":[500]`)
 	l.request(1, `"result":"ok","status":500,"sent":1,"targets":["t1"],"took_ms":[5]`)
@@ -65,7 +66,7 @@
 	a := read(t, Options{}, l.String())
 	want := map[Cause]int{
 		FirstRun: 1, BesideFirst: 1, NewTarget: 1, Forgotten: 1, Waited: 1, LateUntold: 1, Repeated: 1,
-		TargetRefused: 2, Unreachable: 1, OwnerLost: 1, SlotsTaken: 1, SlotsFree: 1, NoTarget: 1, NotServing: 1, AnswerLost: 1, NoAnswer: 1, TargetFailed: 1,
+		TargetRefused: 2, Unreachable: 1, OwnerLost: 1, SlotsTaken: 1, SlotsFree: 1, NoTarget: 1, NotServing: 1, Quarantined: 1, AnswerLost: 1, NoAnswer: 1, TargetFailed: 1,
 	}
 	for cause, n := range want {
 		if a.All.Causes[cause] != n {
@@ -75,7 +76,7 @@
 	if len(a.All.Causes) != len(want) {
 		t.Errorf("causes %v", a.All.Causes)
 	}
-	if a.All.InObjective != 30 || a.All.Left != 1 || a.All.Total() != a.Lines || a.Lines != 49 {
+	if a.All.InObjective != 30 || a.All.Left != 1 || a.All.Total() != a.Lines || a.Lines != 50 {
 		t.Errorf("%d in objective, %d left, %d of %d", a.All.InObjective, a.All.Left, a.All.Total(), a.Lines)
 	}
 	sum := 0
--- a/edge/logs/account/cause.go
+++ b/edge/logs/account/cause.go
@@ -32,6 +32,8 @@
 	NoTarget Cause = "refused: no target"
 	// NotServing: the VM was stopping, or had no configuration yet.
 	NotServing Cause = "refused: VM not serving"
+	// Quarantined: targets ended when they ran it.
+	Quarantined Cause = "refused: ends targets"
 	// RefusedUntold: none of these.
 	RefusedUntold Cause = "refused: could not be told"
 
@@ -66,6 +68,8 @@
 		return NoTarget
 	case e.Result == "node-leaving" || e.Result == "no-plan":
 		return NotServing
+	case e.Result == "quarantined":
+		return Quarantined
 	case e.Result != "queue-full" || e.Slots == 0:
 		return RefusedUntold
 	case float64(e.InFlight) < (1-freeShare)*float64(e.Slots):
