quarantine: requests whose record the store never took are forgotten; origin of an event named

A request that was quarantined while the store took no record (an outage, or as many records as are kept) was refused for as long as the VM ran: its trial needs a record. A record says how many targets ended also when written by a VM that read that itself.

--- a/edge/entry/crash_test.go
+++ b/edge/entry/crash_test.go
@@ -9,10 +9,12 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/yuccaroute/yuccaroute/edge/site"
+	"github.com/yuccaroute/yuccaroute/store"
 )
 
 const (
@@ -218,3 +220,58 @@
 		}
 	}
 }
+
+// cuttable is the path of one VM to the store.
+type cuttable struct {
+	store.KV
+	cut atomic.Bool
+}
+
+func (c *cuttable) Watch(ctx context.Context, prefix string, after store.Revision) (store.Batch, error) {
+	if c.cut.Load() {
+		return store.Batch{}, store.ErrUnavailable
+	}
+	return c.KV.Watch(ctx, prefix, after)
+}
+
+func (c *cuttable) KeepAlive(ctx context.Context, lease store.LeaseID) error {
+	if c.cut.Load() {
+		return store.ErrUnavailable
+	}
+	return c.KV.KeepAlive(ctx, lease)
+}
+
+func (c *cuttable) Swap(ctx context.Context, key string, value []byte, expected store.Revision, lease store.LeaseID) (store.Revision, error) {
+	if c.cut.Load() {
+		return 0, store.ErrUnavailable
+	}
+	return c.KV.Swap(ctx, key, value, expected, lease)
+}
+
+// The same in a region whose VMs learn of each other by digests, with requests that other VMs
+// decide on, and a VM that is cut off from the store.
+func TestRequestsThatEndTargetsInALargeRegion(t *testing.T) {
+	f := newFleet(t)
+	c := newCrashes(f, 12)
+	f.configure(1, "/p/")
+	var vms []*vm
+	for i := range 10 {
+		vms = append(vms, f.start(fmt.Sprint("vm-", i), "n1", f.kv))
+	}
+	path := &cuttable{KV: f.kv}
+	vms = append(vms, f.start("far", "s1", f.kv), f.start("cut", "s1", path))
+	for _, v := range vms {
+		until(t, v.options.VM.Name+" never served", is(v.options.EntryAddress, "/p/x", http.StatusOK))
+	}
+	path.cut.Store(true)
+	const bad = "/p/" + crashMark
+	c.repeat(vms, map[string]func(string){bad: func(address string) { getKey(address, bad, "key") }})
+	if n, known := c.later(bad); n > maxLater || !known {
+		t.Errorf("it reached targets %d times when all VMs should have known of it, %d allowed", n, maxLater)
+	}
+	for _, v := range vms {
+		if status, body := getKey(v.options.EntryAddress, bad, "key"); status != http.StatusServiceUnavailable || !strings.Contains(body, "quarantined") {
+			t.Errorf("%s answers %d %q", v.options.VM.Name, status, body)
+		}
+	}
+}
--- a/edge/entry/talk.go
+++ b/edge/entry/talk.go
@@ -7,6 +7,7 @@
 	"github.com/yuccaroute/yuccaroute/edge/exchange"
 	"github.com/yuccaroute/yuccaroute/edge/peers"
 	"github.com/yuccaroute/yuccaroute/edge/placing"
+	"github.com/yuccaroute/yuccaroute/edge/quarantine"
 	"github.com/yuccaroute/yuccaroute/edge/site"
 	"github.com/yuccaroute/yuccaroute/store"
 )
@@ -118,9 +119,14 @@
 // takeEvents takes in what another VM saw of requests that end targets. A listener of a large
 // region tells the others of it, and other regions what its own saw.
 func (e *Entry) takeEvents(now time.Time, s *exchange.State) {
-	relayed := s.VM.Region != e.options.VM.Region
+	if len(s.Events) == 0 {
+		return
+	}
+	from := quarantine.Origin{
+		VM: s.VM.Name, Relay: e.regionState.listens(), OtherRegion: s.VM.Region != e.options.VM.Region,
+	}
 	for _, event := range s.Events {
-		e.quarantine.Received(now, event, s.VM.Name, e.regionState.listens(), relayed)
+		e.quarantine.Received(now, event, from)
 	}
 }
 
--- a/edge/quarantine/journal.go
+++ b/edge/quarantine/journal.go
@@ -32,18 +32,18 @@
 	events []told
 }
 
-// told is an event with when it was noted; relayed tells that it came from another region, and
-// heard that others tell of it, so that this VM need not.
+// told is an event with when it was noted; otherRegion tells that it came from another region,
+// and heard that others tell of it, so that this VM need not.
 type told struct {
 	Event
-	at             time.Time
-	relayed, heard bool
+	at                 time.Time
+	otherRegion, heard bool
 }
 
 // Add notes an event to tell of, and reports whether it is not told of already. What it makes
 // void is told no more, or a VM would go on telling of an end after the request was answered.
-func (j *Journal) Add(now time.Time, e Event, relayed bool) bool {
-	return j.add(now, told{Event: e, at: now, relayed: relayed})
+func (j *Journal) Add(now time.Time, e Event, otherRegion bool) bool {
+	return j.add(now, told{Event: e, at: now, otherRegion: otherRegion})
 }
 
 // Heard notes that others tell that a request was answered.
@@ -75,13 +75,13 @@
 
 // Recent returns the events to tell now, without those of other regions unless they are asked
 // for.
-func (j *Journal) Recent(now time.Time, relayed bool) []Event {
+func (j *Journal) Recent(now time.Time, otherRegions bool) []Event {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.forgetOld(now)
 	var list []Event
 	for _, e := range j.events {
-		if !e.heard && (relayed || !e.relayed) {
+		if !e.heard && (otherRegions || !e.otherRegion) {
 			list = append(list, e.Event)
 		}
 	}
--- /dev/null
+++ b/edge/quarantine/journal_test.go
@@ -0,0 +1,48 @@
+package quarantine
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// Guards against VMs that go on telling of an end after the request was answered, for which the
+// others would suspect it anew.
+func TestAnswerMakesEndsVoid(t *testing.T) {
+	var j Journal
+	f, other := requestNamed("f"), requestNamed("other")
+	j.Add(start, Event{Request: f, Target: 1}, false)
+	j.Add(start, Event{Request: f, Target: 2}, true)
+	j.Add(start, Event{Request: other, Target: 1}, false)
+	if j.Add(start, Event{Request: f, Target: 1}, false) {
+		t.Error("the same end is told twice")
+	}
+	want := []Event{{f, 1}, {f, 2}, {other, 1}}
+	if diff := cmp.Diff(want, j.Recent(start, true)); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff([]Event{{f, 1}, {other, 1}}, j.Recent(start, false)); diff != "" {
+		t.Error("to other regions: " + diff)
+	}
+	j.Heard(start, f)
+	if diff := cmp.Diff([]Event{{other, 1}}, j.Recent(start, true)); diff != "" {
+		t.Error("after others told of an answer: " + diff)
+	}
+	if j.Add(start, Event{Request: f}, false) {
+		t.Error("told though others tell it")
+	}
+}
+
+// Guards against reports that grow with the ends, or that carry old ones.
+func TestJournalIsBounded(t *testing.T) {
+	var j Journal
+	for target := range uint64(10 * maxTold) {
+		j.Add(start, Event{Request: requestNamed("f"), Target: target + 1}, false)
+	}
+	if n := len(j.Recent(start, true)); n != maxTold {
+		t.Errorf("%d events in one report", n)
+	}
+	if n := len(j.Recent(start.Add(tellFor+1), true)); n != 0 {
+		t.Errorf("%d old events", n)
+	}
+}
--- a/edge/quarantine/quarantine.go
+++ b/edge/quarantine/quarantine.go
@@ -64,53 +64,68 @@
 			Info("quarantine: a target ended while it ran the request, which was answered just before")
 		return
 	}
-	q.take(now, Event{Request: f, Target: target}, "", false, false)
+	q.take(now, Event{Request: f, Target: target}, Origin{})
 }
 
 // Answered takes in that a target answered a request of this VM.
 func (q *Quarantine) Answered(now time.Time, f Fingerprint) {
 	q.answers.add(now, f)
 	if !q.table.IsEmpty() {
-		q.take(now, Event{Request: f}, "", false, false)
+		q.take(now, Event{Request: f}, Origin{})
 	}
 }
 
-// Received takes in an event that another VM told of. relay tells that this VM tells the
-// others of its region, relayed that the event came from another region.
-func (q *Quarantine) Received(now time.Time, e Event, from string, relay, relayed bool) {
-	switch {
-	case e.Answered():
-		q.answers.add(now, e.Request)
-		if relay && q.journal.Add(now, e, relayed) {
-			q.options.Told()
-		} else if !relay {
-			q.journal.Heard(now, e.Request)
-		}
-	case q.answers.has(now, e.Request):
-		q.deny(now, e.Request)
+// Origin is from where an event came.
+type Origin struct {
+	// VM told of it, "" if this VM saw it.
+	VM string
+	// Relay tells that this VM passes it on to the others of its region, and OtherRegion that VM
+	// is of another one.
+	Relay, OtherRegion bool
+}
+
+// isOwn reports whether this VM saw the event itself.
+func (o Origin) isOwn() bool { return o.VM == "" }
+
+// Received takes in an event that another VM told of. An end under a request that was answered
+// just before is denied.
+func (q *Quarantine) Received(now time.Time, e Event, from Origin) {
+	if e.Answered() {
+		q.receiveAnswer(now, e, from)
+	} else if q.answers.has(now, e.Request) {
+		q.tell(now, Event{Request: e.Request}, false)
+		return
+	}
+	q.take(now, e, from)
+}
+
+// receiveAnswer remembers an answer that another VM told of. It is passed on whether or not this
+// VM suspects the request: others may.
+func (q *Quarantine) receiveAnswer(now time.Time, e Event, from Origin) {
+	q.answers.add(now, e.Request)
+	if from.Relay {
+		q.tell(now, e, from.OtherRegion)
 		return
 	}
-	q.take(now, e, from, relay, relayed)
+	q.journal.Heard(now, e.Request)
 }
 
-// deny tells others, unless one of them did, that a request was answered lately, so that its
-// ends have another cause.
-func (q *Quarantine) deny(now time.Time, f Fingerprint) {
-	if q.journal.Add(now, Event{Request: f}, false) {
+// tell has other VMs learn of an event soon, unless they are told already.
+func (q *Quarantine) tell(now time.Time, e Event, otherRegion bool) {
+	if q.journal.Add(now, e, otherRegion) {
 		q.options.Told()
 	}
 }
 
 // take takes in an event of this VM, or from another one.
-func (q *Quarantine) take(now time.Time, e Event, from string, relay, relayed bool) {
-	own := from == ""
+func (q *Quarantine) take(now time.Time, e Event, from Origin) {
 	before := q.table.Verdict(now, e.Request)
-	if !q.note(now, e, own) {
+	if !q.note(now, e, from.isOwn()) {
 		return
 	}
-	q.logEvent(now, e, from, before, q.table.Verdict(now, e.Request))
-	if (own || relay) && q.journal.Add(now, e, relayed) {
-		q.options.Told()
+	q.logEvent(e, from, before, q.table.Verdict(now, e.Request))
+	if from.isOwn() || from.Relay {
+		q.tell(now, e, from.OtherRegion)
 	}
 }
 
@@ -124,13 +139,13 @@
 
 // logEvent tells of an event of this VM, and of another one's if it changes what this VM does
 // with the request: each VM would tell of each end in the fleet otherwise.
-func (q *Quarantine) logEvent(now time.Time, e Event, from string, before, after Verdict) {
-	if from != "" && before.Status == after.Status {
+func (q *Quarantine) logEvent(e Event, from Origin, before, after Verdict) {
+	if !from.isOwn() && before.Status == after.Status {
 		return
 	}
 	log := q.options.Logger.WithFields(logrus.Fields{"fingerprint": e.Request.String(), "targets_ended": after.Targets})
-	if from != "" {
-		log = log.WithField("from", from)
+	if !from.isOwn() {
+		log = log.WithField("from", from.VM)
 	}
 	switch {
 	case e.Answered():
@@ -144,8 +159,8 @@
 
 // Recent returns the events to tell other VMs now, those of other regions if they are asked
 // for.
-func (q *Quarantine) Recent(now time.Time, relayed bool) []Event {
-	return q.journal.Recent(now, relayed)
+func (q *Quarantine) Recent(now time.Time, otherRegions bool) []Event {
+	return q.journal.Recent(now, otherRegions)
 }
 
 // Claim asks the store for the one trial of a quarantined request that is due, for all VMs. It
@@ -245,7 +260,7 @@
 	isNew := q.table.SetRecord(now, f, r, c.Entry.Revision)
 	if q.answers.has(now, f) {
 		q.table.Answered(now, f, false)
-		q.deny(now, f)
+		q.tell(now, Event{Request: f}, false)
 		log.Info("quarantine: record of a request that was answered just before")
 		return nil
 	}
--- a/edge/quarantine/record.go
+++ b/edge/quarantine/record.go
@@ -9,7 +9,7 @@
 const (
 	// ownWriteAfter is how long after a quarantine its record is written by a VM that saw one of
 	// the targets end: other VMs may still tell that the request was answered.
-	ownWriteAfter = time.Second
+	ownWriteAfter = 500 * time.Millisecond
 	// unseenWriteAfter is how long after a quarantine its record is written by a VM that saw
 	// none of the targets end: those that did write it before, but may be gone.
 	unseenWriteAfter = 3 * time.Second
@@ -98,7 +98,7 @@
 		if s.writing || now.Before(s.writeAfter) {
 			continue
 		}
-		w := Write{Request: f, Record: Record{Targets: len(s.targets)}, Revision: s.revision, Remove: s.revision != 0}
+		w := Write{Request: f, Record: Record{Targets: s.ended()}, Revision: s.revision, Remove: s.revision != 0}
 		switch {
 		case w.Remove && !s.removesAt(now, first):
 			continue
@@ -162,5 +162,5 @@
 		return Record{}, 0, false
 	}
 	s.claimAfter = now.Add(retryTrialAfter)
-	return Record{Targets: len(s.targets), Trials: s.trials + 1}, s.revision, true
+	return Record{Targets: s.ended(), Trials: s.trials + 1}, s.revision, true
 }
--- a/edge/quarantine/table.go
+++ b/edge/quarantine/table.go
@@ -87,6 +87,9 @@
 
 func (s *suspect) isQuarantined() bool { return !s.since.IsZero() }
 
+// ended is how many targets ended under it, as far as this VM knows.
+func (s *suspect) ended() int { return max(s.counted, len(s.targets)) }
+
 // isRecorded reports whether the store has a record of it, or may have one soon.
 func (s *suspect) isRecorded() bool { return s.revision != 0 || s.writing }
 
@@ -119,7 +122,7 @@
 	if s == nil {
 		return Verdict{}
 	}
-	v := Verdict{Targets: max(s.counted, len(s.targets)), Age: now.Sub(s.heard)}
+	v := Verdict{Targets: s.ended(), Age: now.Sub(s.heard)}
 	switch {
 	case s.isQuarantined():
 		v.Status, v.RetryAfter = s.quarantine(now)
@@ -223,7 +226,8 @@
 	t.size.Store(int32(len(t.suspects)))
 }
 
-// Expire forgets requests under which no target ended for evidenceFor.
+// Expire forgets requests under which no target ended for evidenceFor, also quarantined ones if
+// the store did not take their record: no trial would ever be due.
 func (t *Table) Expire(now time.Time) {
 	if t.IsEmpty() {
 		return
@@ -231,7 +235,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for f, s := range t.suspects {
-		if !s.isQuarantined() && !s.isRecorded() && now.Sub(s.heard) > evidenceFor {
+		if !s.isRecorded() && now.Sub(s.heard) > evidenceFor {
 			t.remove(f)
 		}
 	}
