quarantine: the store joins what VMs saw that do not hear each other

What callers would see: the network between VMs is cut in parts, all of which reach the store, and a request that ends targets comes to each part by turns: each part lets it end three, as ends were only told in reports. Cause: the store learnt of a request when one VM knew of three ends. The record now holds the targets that ended, from two on, and VMs add what it lacks.

--- a/edge/quarantine/quarantine.go
+++ b/edge/quarantine/quarantine.go
@@ -205,12 +205,12 @@
 }
 
 func (q *Quarantine) perform(ctx context.Context, w Write) {
-	log := q.options.Logger.WithFields(logrus.Fields{"fingerprint": w.Request.String(), "targets_ended": w.Record.Targets, "removed": w.Remove})
+	log := q.options.Logger.WithFields(logrus.Fields{"fingerprint": w.Request.String(), "targets_ended": len(w.Record.Targets), "removed": w.Remove})
 	var err error
 	if w.Remove {
 		err = q.removeRecord(ctx, w)
 	} else {
-		_, err = q.write(ctx, w.Request, w.Record, 0)
+		_, err = q.write(ctx, w.Request, w.Record, w.Revision)
 	}
 	if err != nil && !store.IsConflict(err) {
 		log.WithError(err).Warn("quarantine: record not written, it is tried again")
@@ -265,7 +265,7 @@
 		return nil
 	}
 	if isNew {
-		log.WithFields(logrus.Fields{"targets_ended": r.Targets, "from": r.VM}).Warn("quarantine: request is kept from targets, by its record")
+		log.WithFields(logrus.Fields{"targets_ended": len(r.Targets), "from": r.VM}).Warn("quarantine: request is kept from targets, by its record")
 	}
 	return nil
 }
--- a/edge/quarantine/record.go
+++ b/edge/quarantine/record.go
@@ -1,17 +1,18 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/yuccaroute/yuccaroute/store"
 )
 
 const (
-	// ownWriteAfter is how long after a quarantine its record is written by a VM that saw one of
+	// ownWriteAfter is how long after the last end a record is written by a VM that saw one of
 	// the targets end: other VMs may still tell that the request was answered.
 	ownWriteAfter = 500 * time.Millisecond
-	// unseenWriteAfter is how long after a quarantine its record is written by a VM that saw
-	// none of the targets end: those that did write it before, but may be gone.
+	// unseenWriteAfter is how long after it a record is written by a VM that saw none of the
+	// targets end: those that did write it before, but may be gone.
 	unseenWriteAfter = 3 * time.Second
 	// retryWriteAfter is the pause between two calls to the store about one request.
 	retryWriteAfter = time.Second
@@ -20,12 +21,14 @@
 	recordFor = time.Hour
 )
 
-// Record is what the store keeps of a quarantined request, so that VMs know of it that start
-// later or were cut off. Records outlast outages of the store: no lease ends them.
+// Record is what the store keeps of a request that is suspected or quarantined, so that VMs know
+// of it that start later, were cut off, or do not hear each other. Records outlast outages of the
+// store: no lease ends them.
 type Record struct {
-	// Targets is how many targets ended, Trials how often the request was sent since.
-	Targets int `json:"targets"`
-	Trials  int `json:"trials"`
+	// Targets are the starts of targets that ended, Trials is how often the request was sent
+	// since there are enough of them.
+	Targets []uint64 `json:"targets"`
+	Trials  int      `json:"trials"`
 	// VM wrote the record.
 	VM string `json:"vm"`
 }
@@ -45,16 +48,18 @@
 	if at <= s.revision {
 		return false
 	}
-	s.revision, s.recorded = at, now
+	s.revision, s.recorded, s.inRecord = at, now, min(len(r.Targets), quarantineAfter)
 	if s.removing {
 		return false
 	}
-	quarantined = !s.isQuarantined()
-	if quarantined || r.Trials > s.trials {
-		s.since = now
+	before := s.isQuarantined()
+	for _, target := range r.Targets {
+		s.add(now, target)
 	}
-	s.counted, s.trials = r.Targets, max(s.trials, r.Trials)
-	return quarantined
+	if r.Trials > s.trials {
+		s.since, s.trials = now, r.Trials
+	}
+	return !before && s.isQuarantined()
 }
 
 // RemoveRecord takes in that a record is gone: the request was answered, or it did not come
@@ -68,7 +73,7 @@
 	}
 	if s.removing && len(s.targets) > 0 {
 		// Targets have ended since it was answered.
-		s.revision, s.removing = 0, false
+		s.revision, s.inRecord, s.removing = 0, 0, false
 		return false
 	}
 	t.remove(f)
@@ -93,20 +98,20 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var due []Write
-	room := maxQuarantined - t.records()
+	room := maxRecords - t.records()
 	for f, s := range t.suspects {
 		if s.writing || now.Before(s.writeAfter) {
 			continue
 		}
-		w := Write{Request: f, Record: Record{Targets: s.ended()}, Revision: s.revision, Remove: s.revision != 0}
+		w := Write{Request: f, Record: Record{Targets: slices.Clone(s.targets), Trials: s.trials}, Revision: s.revision}
 		switch {
-		case w.Remove && !s.removesAt(now, first):
-			continue
-		case !w.Remove && (room <= 0 || !s.writesAt(now, first)):
-			continue
-		case !w.Remove:
-			room--
+		case s.removesAt(now, first):
+			w.Remove = true
+		case s.writesAt(now, first) && (s.revision != 0 || room > 0):
 			s.removing = false
+			room--
+		default:
+			continue
 		}
 		s.writing = true
 		due = append(due, w)
@@ -114,18 +119,28 @@
 	return due
 }
 
-// writesAt reports whether this VM has to write the record of a request that has none.
+// writesAt reports whether this VM has to write the record of a request: the store lacks targets
+// that this VM knows of.
 func (s *suspect) writesAt(now time.Time, first bool) bool {
-	known := now.Sub(s.since)
-	return s.isQuarantined() && (s.own && known >= ownWriteAfter || first && known >= unseenWriteAfter)
+	if len(s.targets) < suspectAfter || len(s.targets) <= s.inRecord || s.revision != 0 && s.removing {
+		return false
+	}
+	known := now.Sub(s.heard)
+	return s.own && known >= ownWriteAfter || first && known >= unseenWriteAfter
 }
 
 // removesAt reports whether this VM has to remove the record of a request.
 func (s *suspect) removesAt(now time.Time, first bool) bool {
-	if s.removing {
+	age := now.Sub(s.recorded)
+	switch {
+	case s.revision == 0:
+		return false
+	case s.removing:
 		return s.own || first && now.Sub(s.heard) >= unseenWriteAfter
+	case s.isQuarantined():
+		return first && age > recordFor
 	}
-	return first && now.Sub(s.recorded) > recordFor
+	return first && age > evidenceFor
 }
 
 // records counts the records in the store. It is called with the lock held.
@@ -162,5 +177,5 @@
 		return Record{}, 0, false
 	}
 	s.claimAfter = now.Add(retryTrialAfter)
-	return Record{Targets: s.ended(), Trials: s.trials + 1}, s.revision, true
+	return Record{Targets: slices.Clone(s.targets), Trials: s.trials + 1}, s.revision, true
 }
--- a/edge/quarantine/replay_test.go
+++ b/edge/quarantine/replay_test.go
@@ -58,8 +58,10 @@
 	name    string
 	region  int
 	listens bool
-	// cut VMs get no reports, send none and do not reach the store.
-	cut bool
+	// cut VMs get no reports, send none and do not reach the store. VMs get reports of their own
+	// part of the network only.
+	cut  bool
+	part int
 	// reported is when it reported last, reporting tells that it will soon.
 	reported  time.Time
 	reporting bool
@@ -176,7 +178,7 @@
 	nearBytes, farBytes := f.bytesOf(near), f.bytesOf(far)
 	for _, to := range f.vms {
 		switch {
-		case to == v || to.cut || f.random.Float64() < simLoss:
+		case to == v || to.cut || to.part != v.part || f.random.Float64() < simLoss:
 		case to.region == v.region && (v.listens || to.listens):
 			f.deliver(v, to, near, nearBytes, sameRegion)
 		case to.region != v.region && v.listens && to.listens && len(far) > 0:
@@ -408,3 +410,28 @@
 	}
 	f.checkCost(t)
 }
+
+// Load: a request comes once in five seconds, and each VM that gets it sends it to two targets.
+// The network between VMs is in three parts, and all of them reach the store.
+func TestPartsOfANetworkCountTogether(t *testing.T) {
+	f := newSimFleet(1)
+	for i, v := range f.vms {
+		v.part = i % 3
+	}
+	bad, target := &sent{f: requestNamed("bad")}, uint64(0)
+	for arrival := range 24 {
+		v := f.vms[arrival]
+		for range 2 {
+			target++
+			bad.ask(f.now, v, target)
+			if v.Verdict(f.now, bad.f).Status != Clear {
+				break
+			}
+		}
+		f.advance(5 * time.Second)
+	}
+	t.Logf("%d targets ended, %d late", bad.ends, bad.laterEnds)
+	if bad.laterEnds > simLater {
+		t.Errorf("it ended %d targets when all VMs should have known of it, %d allowed", bad.laterEnds, simLater)
+	}
+}
--- a/edge/quarantine/table.go
+++ b/edge/quarantine/table.go
@@ -25,9 +25,9 @@
 	// retryTrialAfter is how long this VM waits after a trial that it could not claim.
 	retryTrialAfter = 5 * time.Second
 	// maxSuspects bounds the requests of which ends are known, quarantined ones included, and
-	// maxQuarantined those among them.
-	maxSuspects    = 4096
-	maxQuarantined = 1024
+	// maxRecords those of them that the store keeps.
+	maxSuspects = 4096
+	maxRecords  = 1024
 )
 
 // Status is what a request may do.
@@ -58,10 +58,8 @@
 
 // suspect is what is known of one request.
 type suspect struct {
-	// targets are the starts of targets that ended under it, quarantineAfter at most, and
-	// counted how many its record tells of.
+	// targets are the starts of targets that ended under it, quarantineAfter at most.
 	targets []uint64
-	counted int
 	// own tells that this VM saw one of them end, or saw a target answer while the record is to
 	// be removed.
 	own bool
@@ -73,10 +71,11 @@
 	trials int
 	// claimAfter is when this VM may next try to claim a trial.
 	claimAfter time.Time
-	// revision is that of its record in the store, 0 while none is known, and recorded when it
-	// was learnt.
+	// revision is that of its record in the store, 0 while none is known; recorded is when it was
+	// learnt, and inRecord how many of the targets it has.
 	revision store.Revision
 	recorded time.Time
+	inRecord int
 	// removing tells that the record is of no use any more: a target has answered.
 	removing bool
 	// writing is true while a call to the store about it is under way, and writeAfter when the
@@ -87,9 +86,6 @@
 
 func (s *suspect) isQuarantined() bool { return !s.since.IsZero() }
 
-// ended is how many targets ended under it, as far as this VM knows.
-func (s *suspect) ended() int { return max(s.counted, len(s.targets)) }
-
 // isRecorded reports whether the store has a record of it, or may have one soon.
 func (s *suspect) isRecorded() bool { return s.revision != 0 || s.writing }
 
@@ -122,7 +118,7 @@
 	if s == nil {
 		return Verdict{}
 	}
-	v := Verdict{Targets: s.ended(), Age: now.Sub(s.heard)}
+	v := Verdict{Targets: len(s.targets), Age: now.Sub(s.heard)}
 	switch {
 	case s.isQuarantined():
 		v.Status, v.RetryAfter = s.quarantine(now)
@@ -164,6 +160,11 @@
 		}
 	}
 	s.own = s.own || own
+	return s.add(now, target)
+}
+
+// add counts the end of a target and reports whether it was not counted before.
+func (s *suspect) add(now time.Time, target uint64) bool {
 	if slices.Contains(s.targets, target) || len(s.targets) >= quarantineAfter {
 		return false
 	}
@@ -187,7 +188,7 @@
 		t.remove(f)
 		return true
 	}
-	s.targets, s.counted, s.since, s.trials = nil, 0, time.Time{}, 0
+	s.targets, s.since, s.trials = nil, time.Time{}, 0
 	s.own, s.heard, s.removing = s.own || own, now, true
 	return true
 }
--- a/edge/quarantine/table_test.go
+++ b/edge/quarantine/table_test.go
@@ -8,7 +8,10 @@
 	"github.com/google/go-cmp/cmp"
 )
 
-var start = time.Unix(1000, 0)
+var (
+	start = time.Unix(1000, 0)
+	three = []uint64{1, 2, 3}
+)
 
 func requestNamed(name string) Fingerprint { return FingerprintOf(Content{Target: name}) }
 
@@ -44,7 +47,7 @@
 			table, f := NewTable(), requestNamed("f")
 			ended(table, start, f, 1, 2, 3)
 			if recorded {
-				table.SetRecord(start, f, Record{Targets: 3}, 7)
+				table.SetRecord(start, f, Record{Targets: three}, 7)
 			}
 			if !table.Answered(start, f, true) || table.Answered(start, f, true) {
 				t.Error("the first answer is news, the second is not")
@@ -79,7 +82,7 @@
 	table.Answered(start, f, true)
 	now := start.Add(retryWriteAfter)
 	table.Written(start, f)
-	if table.SetRecord(now, f, Record{Targets: 3}, 7) || status(table, now, f) != Clear {
+	if table.SetRecord(now, f, Record{Targets: three}, 7) || status(table, now, f) != Clear {
 		t.Error("quarantined by its own late record")
 	}
 	if due := table.Due(now, false); len(due) != 1 || !due[0].Remove {
@@ -105,10 +108,10 @@
 	if due := other.Due(now, false); len(due) != 0 {
 		t.Errorf("%v due at a VM that saw nothing", due)
 	}
-	if due := watching.Due(now, true); len(due) != 1 || due[0].Record.Targets != 3 {
+	if due := watching.Due(now, true); len(due) != 1 || len(due[0].Record.Targets) != 3 {
 		t.Errorf("%v due at the VM that writes what no other one did", due)
 	}
-	if !joined.SetRecord(now, f, Record{Targets: 3}, 7) || status(joined, now, f) != Quarantined {
+	if !joined.SetRecord(now, f, Record{Targets: three}, 7) || status(joined, now, f) != Quarantined {
 		t.Error("not quarantined by the record")
 	}
 	if v := joined.Verdict(now, f); v.Targets != 3 || v.RetryAfter != firstTrialAfter {
@@ -119,6 +122,35 @@
 	}
 }
 
+// Guards against VMs that do not hear each other, each of which has seen fewer targets end than
+// it takes: the record holds what all of them saw.
+func TestRecordJoinsWhatVMsSaw(t *testing.T) {
+	f := requestNamed("f")
+	a, b := NewTable(), NewTable()
+	ended(a, start, f, 1, 2)
+	ended(b, start, f, 3)
+	now := start.Add(ownWriteAfter)
+	due := a.Due(now, false)
+	if len(due) != 1 || len(due[0].Record.Targets) != 2 || len(b.Due(now, true)) != 0 {
+		t.Fatalf("%v is due where two targets were seen to end", due)
+	}
+	if !b.SetRecord(now, f, due[0].Record, 7) || status(b, now, f) != Quarantined {
+		t.Error("not quarantined by the record and what the VM saw itself")
+	}
+	due = b.Due(now.Add(ownWriteAfter), false)
+	if len(due) != 1 || len(due[0].Record.Targets) != 3 || due[0].Revision != 7 {
+		t.Fatalf("%v is due where the record lacks a target", due)
+	}
+	a.Written(now, f)
+	a.SetRecord(now, f, Record{Targets: []uint64{1, 2}}, 7)
+	if !a.SetRecord(now, f, due[0].Record, 8) || status(a, now, f) != Quarantined {
+		t.Error("not quarantined by what the other VM added")
+	}
+	if due := a.Due(now.Add(time.Minute), true); len(due) != 0 {
+		t.Errorf("%v is due though the record has all", due)
+	}
+}
+
 // Guards against a request that is refused for ever, and against one that ends a target at
 // each VM when its trial comes: the store gives one trial to all of them.
 func TestTrialsAreRareAndClaimed(t *testing.T) {
@@ -128,7 +160,7 @@
 	if status(table, now, f) != Quarantined {
 		t.Error("a trial without a record that the VMs share")
 	}
-	table.SetRecord(start, f, Record{Targets: 3}, 7)
+	table.SetRecord(start, f, Record{Targets: three}, 7)
 	if status(table, now.Add(-1), f) != Quarantined || status(table, now, f) != TrialDue {
 		t.Error("the first trial is not due at its time")
 	}
@@ -166,13 +198,13 @@
 	if !table.IsEmpty() {
 		t.Error("something is kept after all ends are old")
 	}
-	for i := range maxQuarantined + 200 {
+	for i := range maxRecords + 200 {
 		ended(table, start, requestNamed(fmt.Sprint(i)), 1, 2, 3)
 	}
-	if due := table.Due(start.Add(time.Second), true); len(due) != maxQuarantined {
-		t.Errorf("%d records are written, want %d", len(due), maxQuarantined)
+	if due := table.Due(start.Add(time.Second), true); len(due) != maxRecords {
+		t.Errorf("%d records are written, want %d", len(due), maxRecords)
 	}
-	for i := range maxQuarantined + 200 {
+	for i := range maxRecords + 200 {
 		table.Written(start, requestNamed(fmt.Sprint(i)))
 	}
 	table.Written(start, bad)
@@ -185,7 +217,7 @@
 // Guards against records that stay in the store for ever.
 func TestRecordThatNobodyChangesIsRemoved(t *testing.T) {
 	table, f := NewTable(), requestNamed("f")
-	table.SetRecord(start, f, Record{Targets: 3}, 7)
+	table.SetRecord(start, f, Record{Targets: three}, 7)
 	if due := table.Due(start.Add(recordFor), true); len(due) != 0 {
 		t.Errorf("%v due too early", due)
 	}
