--- a/cmd/yuccaentry/main.go
+++ b/cmd/yuccaentry/main.go
@@ -137,7 +137,7 @@
 			Fields: platform.Fields, ResolvePath: platform.PathResolve, ReadyPath: platform.PathReady,
 			VMKey: items.VMKey(s.Node.Name), Caller: platform.Caller, Resolved: platform.Resolved,
 		},
-		Codec: items, Quarantine: items, KV: client, Logger: logger,
+		Codec: items, QuarantineKeys: items, KV: client, Logger: logger,
 		MemoryBytes: memory, MaxConnections: max(64, s.Limits.MaxFiles-filesForTargets),
 		Grace: platform.Duration(s.Bounds.Grace), MaxTTL: platform.Duration(s.Bounds.MaxTTL),
 		RetryRatio: s.Bounds.RetryRatio, RetryExtra: s.Bounds.RetryExtra,
--- a/edge/entry/entry_test.go
+++ b/edge/entry/entry_test.go
@@ -131,7 +131,7 @@
 	peer := f.host.Address()
 	o := entry.Options{
 		EntryAddress: f.host.Address(), ReadyAddress: f.host.Address(), DirectoryAddress: f.host.Address(), PeerAddress: peer,
-		RegionOf: regions, Codec: codec{}, Quarantine: codec{}, KV: kv, Logger: log,
+		RegionOf: regions, Codec: codec{}, QuarantineKeys: codec{}, KV: kv, Logger: log,
 		MemoryBytes: 100 << 20, MaxConnections: 100, Grace: 6 * time.Second, MaxTTL: 5 * time.Second,
 		RetryRatio: 0.2, RetryExtra: 50, MetricsAddress: f.host.Address(),
 		Names: entry.Names{
--- a/edge/entry/options.go
+++ b/edge/entry/options.go
@@ -41,10 +41,10 @@
 	RegionOf map[string]string
 	Names    Names
 	Codec    catalog.Codec
-	// Quarantine tells the keys of the records of quarantined requests.
-	Quarantine quarantine.Keys
-	KV         store.KV
-	Logger     *logrus.Logger
+	// QuarantineKeys tells the keys of the records of quarantined requests.
+	QuarantineKeys quarantine.Keys
+	KV             store.KV
+	Logger         *logrus.Logger
 	// MemoryBytes is what the process may take.
 	MemoryBytes int64
 	// MaxConnections bounds callers' connections.
--- a/edge/gateway/ended.go
+++ b/edge/gateway/ended.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"slices"
-	"sync"
 	"syscall"
 	"time"
 
@@ -17,89 +15,9 @@
 	"github.com/yuccaroute/yuccaroute/proxy/pool"
 )
 
-const (
-	// endCheckAfter is how long after a lost connection its target is looked at: a process
-	// that ends closes its connections one after the other, and its listener among them.
-	endCheckAfter = 20 * time.Millisecond
-	// maxLost bounds the requests that are remembered of one target.
-	maxLost = 64
-	// abandonedFor is how long a request is remembered that a target was still working on when
-	// its caller left or its time was over: it may end the target all the same.
-	abandonedFor = 3 * time.Second
-)
-
-// lostRequest is a request that a target began and whose answer did not come.
-type lostRequest struct {
-	id          string
-	fingerprint quarantine.Fingerprint
-	at          time.Time
-}
-
-// losses are the requests that targets began and did not answer, by poolKey of the target.
-type losses struct {
-	mu sync.Mutex
-	// lost are those whose connections broke a moment ago, abandoned those that were given up.
-	lost, abandoned map[string][]lostRequest
-}
-
-func newLosses() *losses {
-	return &losses{lost: make(map[string][]lostRequest), abandoned: make(map[string][]lostRequest)}
-}
-
-// addLost reports whether the request is the first one of those to look for.
-func (l *losses) addLost(key string, r lostRequest) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	before := l.lost[key]
-	if len(before) < maxLost {
-		l.lost[key] = append(before, r)
-	}
-	return len(before) == 0
-}
-
-func (l *losses) addAbandoned(key string, r lostRequest) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	list := recent(l.abandoned[key], r.at)
-	if len(list) < maxLost {
-		list = append(list, r)
-	}
-	l.abandoned[key] = list
-}
-
-// takeLost returns the requests whose connections broke.
-func (l *losses) takeLost(key string) []lostRequest {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	list := l.lost[key]
-	delete(l.lost, key)
-	return list
-}
-
-// takeAbandoned returns the requests that were given up lately.
-func (l *losses) takeAbandoned(key string, now time.Time) []lostRequest {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	list := recent(l.abandoned[key], now)
-	delete(l.abandoned, key)
-	return list
-}
-
-// forget drops what is remembered of targets that are not listed.
-func (l *losses) forget(listed map[string]bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for key := range l.abandoned {
-		if !listed[key] {
-			delete(l.abandoned, key)
-		}
-	}
-}
-
-// recent returns the requests that were given up within abandonedFor.
-func recent(list []lostRequest, now time.Time) []lostRequest {
-	return slices.DeleteFunc(list, func(r lostRequest) bool { return now.Sub(r.at) > abandonedFor })
-}
+// endCheckAfter is how long after a lost connection its target is looked at: a process that ends
+// closes its connections one after the other, and its listener among them.
+const endCheckAfter = 20 * time.Millisecond
 
 // fingerprint is what the request is known by when it is repeated.
 func (g *Gateway) fingerprint(j *job) quarantine.Fingerprint {
@@ -133,7 +51,9 @@
 	}
 }
 
+// lostRequest is a request that a target did not answer, which its log line tells too.
 func (g *Gateway) lostRequest(j *job) lostRequest {
+	j.log.unanswered = true
 	return lostRequest{id: j.id, fingerprint: g.fingerprint(j), at: time.Now()}
 }
 
--- a/edge/gateway/serve.go
+++ b/edge/gateway/serve.go
@@ -200,8 +200,10 @@
 	// that took with the network.
 	owner     string
 	ownerTook time.Duration
-	// verdict is the last one on whether the request may be sent.
-	verdict quarantine.Verdict
+	// unanswered tells that a target may have begun the request and did not answer, verdict is
+	// the last one on whether it may be sent.
+	unanswered bool
+	verdict    quarantine.Verdict
 }
 
 // fields adds the trail to a log line.
@@ -248,8 +250,8 @@
 	if j.ask.HasKey {
 		fields["affinity_key"] = strconv.FormatUint(j.ask.Key, 36)
 	}
-	if j.fingerprint != nil {
-		fields["fingerprint"] = j.fingerprint.String()
+	if j.log.unanswered || j.log.verdict.Status != quarantine.Clear {
+		fields["fingerprint"] = g.fingerprint(j).String()
 	}
 	j.log.fields(fields)
 	if end.answer != nil {
