--- a/edge/site/site.go
+++ b/edge/site/site.go
@@ -3,7 +3,10 @@
 // published.
 package site
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Kind says whether a request may run more than once.
 type Kind int
@@ -36,6 +39,8 @@
 	MaxAttempts int
 	// Sticky enables key affinity: targets answer faster for keys that they handled recently.
 	Sticky bool
+	// Public routes serve requests without an account.
+	Public bool
 	// Regions lists the regions that may run the requests; empty means all.
 	Regions []string
 	// Services is the traffic split; it has at least one entry.
@@ -43,16 +48,11 @@
 }
 
 // Allows reports whether the route's requests may run in a region.
-func (r *Route) Allows(region string) bool {
-	if len(r.Regions) == 0 {
-		return true
-	}
-	for _, allowed := range r.Regions {
-		if allowed == region {
-			return true
-		}
-	}
-	return false
+func (r *Route) Allows(region string) bool { return allows(r.Regions, region) }
+
+// allows reports whether a region is in a list; an empty list allows all.
+func allows(regions []string, region string) bool {
+	return len(regions) == 0 || slices.Contains(regions, region)
 }
 
 // WeightedService is the weight of one service in a traffic split.
@@ -87,6 +87,10 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Accounts are the client accounts. HasAccounts is set if requests must name one by its
+	// key, also if there are none.
+	Accounts    []Account
+	HasAccounts bool
 }
 
 // Target is one registered target.
@@ -123,6 +127,7 @@
 // targets.
 type FieldNames struct {
 	RequestID, Deadline, Affinity, ExpectTarget, Stamp, NotRun, TargetID, Load, ColdMillis string
-	// Account is the field with the client account of a request, empty if there is none.
-	Account string
+	// Account is the field with the client account of a request to a target, APIKey the field
+	// with the key that a caller sends.
+	Account, APIKey string
 }
