accounts, gateway: requests are of the client account that holds their key

Change: edge/accounts, an immutable index by a digest of the key that is swapped with the configuration. 401 without exactly one known key, but on public routes; 503 if this VM may lack the newest configuration; checked again before each sending. The account's field is set whatever the caller sent, and fields named by Connection can no longer drop the system's own. Owners get account and digest from the VM that the caller is connected to. Regions: by route and account both; a body goes to an owner in an allowed region only. The account's priority precedes the route's in the queue. Quota is an interface for now.

--- a/api/result/result.go
+++ b/api/result/result.go
@@ -52,6 +52,8 @@
 	UnknownService      Code = 102
 	RequestTooLarge     Code = 103
 	BadDeadline         Code = 104
+	UnknownKey          Code = 105
+	KeyRemoved          Code = 106
 	NoCapacity          Code = 110
 	MoveHeld            Code = 111
 	QueueFull           Code = 112
@@ -68,6 +70,8 @@
 	AnswerTooLarge      Code = 123
 	CallerGone          Code = 124
 	Quarantined         Code = 125
+	OverQuota           Code = 126
+	ConfigStale         Code = 127
 	DuplicateKey        Code = 130
 	KeyRecordFailed     Code = 131
 	KeyOutcomeUnknown   Code = 132
@@ -100,6 +104,8 @@
 	{UnknownService, "unknown-service", 404, NotRun, "The client account has no such service.", false},
 	{RequestTooLarge, "request-too-large", 413, NotRun, "The request body is over the service's limit.", false},
 	{BadDeadline, "bad-deadline", 400, NotRun, "The deadline header is not a positive number of milliseconds.", false},
+	{UnknownKey, "unknown-key", 401, NotRun, "The request needs the key of a client account and has none, or one that no account holds.", false},
+	{KeyRemoved, "key-removed", 401, NotRun, "The key of the request was taken away from its client account.", false},
 	{NoCapacity, "no-capacity", 503, NotRun, "The node's grant for the chosen place is used up.", true},
 	{MoveHeld, "move-held", 503, NotRun, "The move cap holds this traffic back.", true},
 	{QueueFull, "queue-full", 503, NotRun, "The request could not have met its deadline in the queue.", true},
@@ -116,6 +122,8 @@
 	{AnswerTooLarge, "answer-too-large", 502, Unknown, "The target's answer is over the service's limit.", false},
 	{CallerGone, "caller-gone", 499, Unknown, "The caller went away before the answer.", false},
 	{Quarantined, "quarantined", 503, NotRun, "Targets ended while they ran this request before; it is not sent to another one for now.", true},
+	{OverQuota, "over-quota", 429, NotRun, "The client account has used up its quota.", true},
+	{ConfigStale, "config-stale", 503, NotRun, "The entry VM cannot tell whether the key is valid, as its configuration may be out of date.", true},
 	{DuplicateKey, "duplicate-key", 409, Unknown, "A request with this idempotency key was accepted before and is not run again.", false},
 	{KeyRecordFailed, "key-record-failed", 503, NotRun, "The idempotency key could not be recorded.", true},
 	{KeyOutcomeUnknown, "key-outcome-unknown", 503, NotRun, "It is not known whether the idempotency key was recorded; the request was not sent.", true},
--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -91,7 +91,7 @@
 		VM: o.VM.Name, KV: o.KV, Keys: o.QuarantineKeys, Logger: e.component("quarantine"), EventAdded: e.reportUrgent,
 	})
 	e.gateway = gateway.New(gateway.Options{
-		Fields: o.Names.Fields, Balancer: e.balancer, Logger: e.component("gateway"), Metrics: e.gatewayMetrics,
+		Fields: o.Names.Fields, Region: o.VM.Region, Balancer: e.balancer, Logger: e.component("gateway"), Metrics: e.gatewayMetrics,
 		RetryRatio: o.RetryRatio, RetryExtra: o.RetryExtra, VMCount: e.members.Count, RTT: e.roundTrips.get,
 		InFlightChanged: e.reportSoon, Owners: e.owners, Quarantine: e.quarantine, MaxAnswerBytes: maxResponseBytes,
 	})
--- /dev/null
+++ b/edge/gateway/account.go
@@ -0,0 +1,135 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"net/textproto"
+	"strings"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/result"
+	"github.com/yuccaroute/yuccaroute/edge/accounts"
+	"github.com/yuccaroute/yuccaroute/edge/site"
+)
+
+// Quota limits the requests of client accounts.
+type Quota interface {
+	// Take admits one request of an account, or returns when the next one may be admitted. It may
+	// wait for a short time, until the context ends at the latest.
+	Take(ctx context.Context, a *site.Account) (ok bool, retryAfter time.Duration)
+	// TakeNow is Take without waiting.
+	TakeNow(a *site.Account) bool
+	// Return restores the admission of a request that did not run.
+	Return(a *site.Account)
+}
+
+// unlimited is the Quota of a gateway without one.
+type unlimited struct{}
+
+func (unlimited) Take(context.Context, *site.Account) (bool, time.Duration) { return true, 0 }
+func (unlimited) TakeNow(*site.Account) bool                                { return true }
+func (unlimited) Return(*site.Account)                                      {}
+
+// staleRetryAfter is the Retry-After of a VM that cannot tell whether a key is valid.
+const staleRetryAfter = 300 * time.Millisecond
+
+// identify sets the account of a request. It returns the refusal of a request that needs a key and
+// has no valid one.
+func (g *Gateway) identify(r *request) (outcome, bool) {
+	if r.fromPeer {
+		// The VM that the caller is connected to has identified it.
+		return outcome{}, true
+	}
+	index := g.accounts.Load()
+	r.accounts = index
+	if !index.Required() {
+		return outcome{}, true
+	}
+	id, status := index.Identify(r.in.Header[g.options.Fields.APIKey])
+	r.identity = id
+	switch {
+	case r.route.Public:
+		return outcome{}, true
+	case status == accounts.Known && !g.options.AccountsExpired():
+		return outcome{}, true
+	case status == accounts.Removed:
+		return outcome{code: result.KeyRemoved, reason: "key taken away"}, false
+	case status == accounts.Unknown && g.options.ConfigCurrent():
+		return outcome{code: result.UnknownKey, reason: "no key or an unknown one"}, false
+	}
+	// The key may be in a newer configuration, or no longer be valid.
+	return outcome{code: result.ConfigStale, retryAfter: staleRetryAfter, reason: "configuration may be out of date"}, false
+}
+
+// keyWithdrawn reports whether the request's key was removed since the request was identified.
+func (g *Gateway) keyWithdrawn(r *request) bool {
+	index := g.accounts.Load()
+	return index != r.accounts && r.identity.Account != nil && !r.route.Public && !index.Holds(r.identity)
+}
+
+func keyWithdrawnOutcome() outcome {
+	return outcome{code: result.KeyRemoved, reason: "key taken away while the request waited"}
+}
+
+// admitByQuota takes one request from the quota of the account. It returns false and the refusal
+// if the account is over its limit.
+func (g *Gateway) admitByQuota(ctx context.Context, r *request) (outcome, bool) {
+	if r.fromPeer || r.identity.Account == nil || r.route.Public {
+		return outcome{}, true
+	}
+	began := time.Now()
+	ok, retryAfter := g.options.Quota.Take(ctx, r.identity.Account)
+	r.log.quotaWait = time.Since(began)
+	if !ok {
+		return outcome{code: result.OverQuota, retryAfter: retryAfter, reason: "account over its limit"}, false
+	}
+	r.admitted = true
+	return outcome{}, true
+}
+
+// mayRepeat reports whether the account's quota allows another attempt of a request that may
+// already have run. The VM that the caller is connected to decides on the first one.
+func (g *Gateway) mayRepeat(r *request) bool {
+	return r.identity.Account == nil || r.route.Public || g.options.Quota.TakeNow(r.identity.Account)
+}
+
+// returnQuota restores the quota of a request that certainly did not run.
+func (g *Gateway) returnQuota(r *request, end outcome) {
+	if r.admitted && result.InfoOf(end.code).Outcome == result.NotRun {
+		g.options.Quota.Return(r.identity.Account)
+	}
+}
+
+// allowed returns which regions may run a request by its route and its account, nil if all may.
+func (r *request) allowed() func(region string) bool {
+	a := r.identity.Account
+	switch {
+	case a == nil || len(a.Regions) == 0:
+		if len(r.route.Regions) == 0 {
+			return nil
+		}
+		return r.route.Allows
+	case len(r.route.Regions) == 0:
+		return a.Allows
+	}
+	return func(region string) bool { return a.Allows(region) && r.route.Allows(region) }
+}
+
+// setAccountFields replaces what the caller sent in the fields that the system sets. Fields named
+// by Connection are dropped here, so that a caller cannot have the system's own fields dropped.
+func (g *Gateway) setAccountFields(r *request, h http.Header) {
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			h.Del(textproto.TrimString(name))
+		}
+	}
+	h.Del("Connection")
+	for _, name := range []string{g.options.Fields.APIKey, g.options.Fields.Account, fieldVersion, fieldAccount, fieldKeyDigest} {
+		if name != "" {
+			h.Del(name)
+		}
+	}
+	if r.identity.Account != nil {
+		h.Set(g.options.Fields.Account, r.identity.Account.Name)
+	}
+}
--- a/edge/gateway/delegate.go
+++ b/edge/gateway/delegate.go
@@ -21,6 +21,10 @@
 	// fieldVersion carries, on a delegated request, the version of the configuration that
 	// the sender matched it with.
 	fieldVersion = "Yucca-Delegated-Version"
+	// fieldAccount and fieldKeyDigest carry, on a delegated request, the account that the sender
+	// has established and the digest of its key.
+	fieldAccount   = "Yucca-Delegated-Account"
+	fieldKeyDigest = "Yucca-Delegated-Key-Digest"
 	// fieldOwnerMillis carries, on an owner's answer, the owner's processing time.
 	fieldOwnerMillis = "Yucca-Delegated-Took-Ms"
 	// fieldDeclined is set on the answer of an owner that declines the request.
@@ -47,8 +51,11 @@
 	if err != nil || table == nil || table.Version != version || g.leaving.Load() {
 		return declinedResponse()
 	}
+	r := &request{in: in, id: in.Header.Get(g.options.Fields.RequestID), fromPeer: true, accounts: g.accounts.Load()}
+	if !g.resolveIdentity(r) {
+		return declinedResponse()
+	}
 	in.Header.Del(fieldVersion)
-	r := &request{in: in, id: in.Header.Get(g.options.Fields.RequestID), fromPeer: true}
 	end := g.handle(ctx, r, table)
 	g.record(r, end)
 	a := g.response(end)
@@ -59,6 +66,18 @@
 	return a
 }
 
+// resolveIdentity sets the account that the sender of a delegated request has established. It
+// returns false if that account does not hold the key here: the sender then decides.
+func (g *Gateway) resolveIdentity(r *request) bool {
+	name := r.in.Header.Get(fieldAccount)
+	if name == "" {
+		return true
+	}
+	var ok bool
+	r.identity, ok = r.accounts.Resolve(name, r.in.Header.Get(fieldKeyDigest))
+	return ok
+}
+
 func declinedResponse() *serve.Response {
 	a := serve.PlainText(http.StatusServiceUnavailable, "")
 	a.Header[fieldDeclined] = []string{"1"}
@@ -68,6 +87,10 @@
 // ownerOf returns the VM that places a request, nil for this one. Large requests are not
 // delegated, to save the bandwidth of the VMs.
 func (g *Gateway) ownerOf(r *request) *owners.Owner {
+	if len(r.in.Body) > 0 && r.placement.Allowed != nil && !r.placement.Allowed(g.options.Region) {
+		// The body may only go to regions that may run the request.
+		return nil
+	}
 	if r.fromPeer || r.onTrial || !r.placement.HasKey || r.placement.Large || g.options.Owners == nil {
 		return nil
 	}
@@ -115,7 +138,7 @@
 	if notSent {
 		return outcome{}, false
 	}
-	if r.route.Kind != site.Idempotent || !g.budgetOf(r.service).Take() {
+	if r.route.Kind != site.Idempotent || !g.mayRepeat(r) || !g.budgetOf(r.service).Take() {
 		return outcome{code: result.ConnectionLost, reason: "connection to owner lost"}, true
 	}
 	// The owner may have sent it to a target, so allow one more attempt.
@@ -139,6 +162,10 @@
 	out := r.out
 	out.Header = r.out.Header.Clone()
 	out.Header.Set(fieldVersion, strconv.FormatUint(r.version, 10))
+	if r.identity.Account != nil {
+		out.Header.Set(fieldAccount, r.identity.Account.Name)
+		out.Header.Set(fieldKeyDigest, r.identity.Digest.String())
+	}
 	return conn.Exchange(ctx, &out)
 }
 
--- a/edge/gateway/fixture_test.go
+++ b/edge/gateway/fixture_test.go
@@ -25,6 +25,7 @@
 var fields = site.FieldNames{
 	RequestID: "X-Id", Deadline: "X-Deadline", Affinity: "X-Object", ExpectTarget: "X-Expect", Stamp: "X-Stamp",
 	NotRun: "X-Not-Run", TargetID: "X-Target", Load: "X-Load", ColdMillis: "X-Cold",
+	Account: "X-Account", APIKey: "X-Api-Key",
 }
 
 // script answers one request and returns false to close the connection.
@@ -123,6 +124,8 @@
 type fixture struct {
 	*Gateway
 	logs *bytes.Buffer
+	// edit changes each view before it is applied.
+	edit func(*catalog.View)
 	mu   sync.Mutex
 }
 
@@ -147,7 +150,7 @@
 // newGatewayOn returns a gateway that connects to targets by dial; nil means TCP.
 func newGatewayOn(t *testing.T, dial func(time.Duration) pool.Dial, targets ...*target) *fixture {
 	t.Helper()
-	f := &fixture{logs: &bytes.Buffer{}}
+	f := &fixture{logs: &bytes.Buffer{}, edit: func(*catalog.View) {}}
 	l := logrus.New()
 	l.SetOutput(f)
 	l.SetFormatter(&logrus.JSONFormatter{})
@@ -156,7 +159,7 @@
 	f.Gateway = New(Options{
 		Fields: fields, Balancer: balancer, Logger: logrus.NewEntry(l), Metrics: noMetrics{}, RetryRatio: 0.2, RetryExtra: 50,
 		VMCount: func() int { return 1 }, RTT: delay, InFlightChanged: func() {}, MaxAnswerBytes: 1 << 20,
-		Dial: dial, Owners: owners.New(site.VM{Name: "vm"}),
+		Region: "r", Dial: dial, Owners: owners.New(site.VM{Name: "vm"}),
 	})
 	if len(targets) == 0 {
 		return f
@@ -182,6 +185,7 @@
 			ID: s.id, Service: "s", Address: s.address(), Zone: "z", Slots: 4, Draining: draining,
 		}})
 	}
+	f.edit(v)
 	f.SetView(v, time.Now())
 }
 
--- a/edge/gateway/gateway.go
+++ b/edge/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/yuccaroute/yuccaroute/api/retrybudget"
+	"github.com/yuccaroute/yuccaroute/edge/accounts"
 	"github.com/yuccaroute/yuccaroute/edge/catalog"
 	"github.com/yuccaroute/yuccaroute/edge/owners"
 	"github.com/yuccaroute/yuccaroute/edge/placing"
@@ -48,7 +49,9 @@
 
 // Options configure a Gateway.
 type Options struct {
-	Fields   site.FieldNames
+	Fields site.FieldNames
+	// Region is the region of this VM.
+	Region   string
 	Balancer *placing.Balancer
 	Logger   *logrus.Entry
 	Metrics  Metrics
@@ -62,6 +65,12 @@
 	InFlightChanged func()
 	// Owners maps keys to the VMs that place their requests; nil if this VM places all.
 	Owners *owners.Table
+	// Quota limits the requests of client accounts; nil means no limit.
+	Quota Quota
+	// ConfigCurrent reports whether this VM knows that it has the newest configuration;
+	// AccountsExpired whether it must not rely on its list of keys any more. nil means true and
+	// false.
+	ConfigCurrent, AccountsExpired func() bool
 	// Quarantine holds the requests that crash targets; nil disables the check.
 	Quarantine *quarantine.Quarantine
 	// MaxAnswerBytes bounds one answer.
@@ -75,6 +84,8 @@
 type Gateway struct {
 	options Options
 	table   atomic.Pointer[route.Table]
+	// accounts belongs to the same configuration as table.
+	accounts atomic.Pointer[accounts.Index]
 	// maxConnections is the limit of connections to one target, by service.
 	maxConnections atomic.Pointer[map[string]int]
 	leaving        atomic.Bool
@@ -94,6 +105,15 @@
 	if o.Dial == nil {
 		o.Dial = dialer
 	}
+	if o.Quota == nil {
+		o.Quota = unlimited{}
+	}
+	if o.ConfigCurrent == nil {
+		o.ConfigCurrent = func() bool { return true }
+	}
+	if o.AccountsExpired == nil {
+		o.AccountsExpired = func() bool { return false }
+	}
 	return &Gateway{
 		options: o, pools: make(map[string]*pool.Pool), ownerPools: make(map[string]*pool.Pool),
 		budgets: make(map[string]*retrybudget.Budget), losses: newLosses(),
@@ -107,6 +127,8 @@
 	}
 	last := g.table.Load()
 	if last == nil || last.Version != v.Config.Version {
+		// Before the table: a request that matches a new route must find that route's accounts.
+		g.accounts.Store(accounts.NewIndex(v.Config, g.accounts.Load()))
 		g.table.Store(route.NewTable(v.Config, last))
 	}
 	connections := make(map[string]int, len(v.Config.Services))
--- a/edge/gateway/run.go
+++ b/edge/gateway/run.go
@@ -54,6 +54,10 @@
 			g.options.Balancer.Done(time.Now(), d, r.class, placing.Cancelled, 0)
 			return g.finalOutcome(r, quarantinedOutcome(v))
 		}
+		if g.keyWithdrawn(r) {
+			g.options.Balancer.Done(time.Now(), d, r.class, placing.Cancelled, 0)
+			return g.finalOutcome(r, keyWithdrawnOutcome())
+		}
 		a := g.send(ctx, r, d)
 		end, done := g.resolveAttempt(ctx, r, a)
 		if done {
@@ -168,7 +172,7 @@
 
 // hedge returns a second target if one is free now and the retry budget allows it.
 func (g *Gateway) hedge(r *request, first placing.Decision) (placing.Decision, bool) {
-	if g.limitedToOneAttempt(r) || g.options.Balancer.Waiting() > 0 || !g.budgetOf(r.service).Take() {
+	if g.limitedToOneAttempt(r) || g.keyWithdrawn(r) || g.options.Balancer.Waiting() > 0 || !g.budgetOf(r.service).Take() {
 		return placing.Decision{}, false
 	}
 	r.placement.Tried = append(r.placement.Tried, first.Target)
@@ -178,6 +182,10 @@
 			d = late
 		}
 	}
+	if d.Target != nil && !g.mayRepeat(r) {
+		g.options.Balancer.Done(time.Now(), d, r.class, placing.Cancelled, 0)
+		d.Target = nil
+	}
 	if d.Target == nil {
 		g.budgetOf(r.service).Refund()
 		return d, false
@@ -328,6 +336,9 @@
 	if g.limitedToOneAttempt(r) && (r.onTrial || !a.notRun) {
 		return end, true
 	}
+	if !a.notRun && !g.mayRepeat(r) {
+		return end, true
+	}
 	if a.code != result.ConnectFailed && !g.budgetOf(r.service).Take() {
 		return end, true
 	}
--- a/edge/gateway/serve.go
+++ b/edge/gateway/serve.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/yuccaroute/yuccaroute/api/result"
+	"github.com/yuccaroute/yuccaroute/edge/accounts"
 	"github.com/yuccaroute/yuccaroute/edge/placing"
 	"github.com/yuccaroute/yuccaroute/edge/quarantine"
 	"github.com/yuccaroute/yuccaroute/edge/route"
@@ -44,6 +45,12 @@
 	mayHaveRun bool
 	// lastFailure is the last error response that a target returned.
 	lastFailure *forward.Response
+	// identity is the account of the request, by the index accounts. The account is nil if the
+	// configuration has none, or the route is public and the caller sent no known key.
+	identity accounts.Identity
+	accounts *accounts.Index
+	// admitted is set if the request was taken from the account's quota at this VM.
+	admitted bool
 	// fromPeer is set if another VM delegated the request to this one.
 	fromPeer bool
 	// fingerprint is computed on first use by Gateway.fingerprint.
@@ -66,6 +73,7 @@
 func (g *Gateway) Handle(ctx context.Context, in *serve.Request) *serve.Response {
 	r := &request{in: in, id: in.Header.Get(g.options.Fields.RequestID)}
 	end := g.handle(ctx, r, g.table.Load())
+	g.returnQuota(r, end)
 	g.record(r, end)
 	return g.response(end)
 }
@@ -83,6 +91,9 @@
 	if r.route == nil {
 		return outcome{code: result.UnknownService, reason: "no route"}
 	}
+	if refused, ok := g.identify(r); !ok {
+		return refused
+	}
 	if refused := g.prepare(r); refused.code != result.OK {
 		return refused
 	}
@@ -91,6 +102,9 @@
 	if refused, ok := g.admit(ctx, r); !ok {
 		return refused
 	}
+	if refused, ok := g.admitByQuota(ctx, r); !ok {
+		return refused
+	}
 	if owner := g.ownerOf(r); owner != nil {
 		if end, done := g.delegate(ctx, r, owner); done {
 			return end
@@ -119,8 +133,9 @@
 		Large: isLarge(r), Priority: r.route.Priority,
 		Objective: r.in.Arrived.Add(r.route.Objective), Deadline: r.deadline,
 	}
-	if len(r.route.Regions) > 0 {
-		r.placement.Allowed = r.route.Allows
+	r.placement.Allowed = r.allowed()
+	if r.identity.Account != nil {
+		r.placement.AccountPriority = r.identity.Account.Priority
 	}
 	r.out = forward.Request{
 		Method: r.in.Method, URI: r.in.Target, Host: r.in.Host, Header: r.in.Header.Clone(),
@@ -130,6 +145,7 @@
 			CloseDelimited: true,
 		},
 	}
+	g.setAccountFields(r, r.out.Header)
 	if len(r.in.Body) > 0 {
 		r.out.Body = [][]byte{r.in.Body}
 	}
@@ -173,14 +189,14 @@
 	}
 	info := result.InfoOf(end.code)
 	status := info.HTTP
-	if info.Outcome == result.NotRun && info.Retry {
+	if info.Outcome == result.NotRun && info.Retry && status != http.StatusTooManyRequests {
 		// A 503 states that the request has not run, so callers retry any request after it.
 		status = http.StatusServiceUnavailable
 	}
 	a := serve.PlainText(status, info.Name+"\n")
 	a.Header[result.HeaderResult] = []string{strconv.Itoa(int(end.code))}
 	a.Header[result.HeaderOutcome] = []string{info.Outcome.String()}
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		a.Header["Retry-After"] = []string{strconv.FormatFloat(end.retryAfter.Seconds(), 'f', 3, 64)}
 	}
 	return a
@@ -189,10 +205,12 @@
 // requestLog collects the log fields of a request: its last placement decision and the
 // result of each attempt.
 type requestLog struct {
-	waited   time.Duration
-	decision placing.Decision
-	targets  []string
-	results  []string
+	waited time.Duration
+	// quotaWait is how long the request waited for its account's quota.
+	quotaWait time.Duration
+	decision  placing.Decision
+	targets   []string
+	results   []string
 	// durationsMS holds the duration of each attempt, network included.
 	durationsMS []int64
 	hedged      bool
@@ -243,6 +261,9 @@
 		return
 	}
 	fields["sent"] = r.attempts
+	if a := r.identity.Account; a != nil {
+		fields["account"], fields["quota_wait_ms"] = a.Name, r.log.quotaWait.Milliseconds()
+	}
 	if !r.deadline.IsZero() {
 		fields["left_ms"] = r.deadline.Sub(r.in.Arrived).Milliseconds()
 		fields["objective_ms"] = r.route.Objective.Milliseconds()
--- a/edge/placing/queue.go
+++ b/edge/placing/queue.go
@@ -22,12 +22,15 @@
 type waitQueue struct{ waiting []*Waiter }
 
 // less orders the queue: first requests that can still meet their latency objective, then
-// by priority, then by earliest objective.
+// by priority of the account and of the route, then by earliest objective.
 func (w *Waiter) less(other *Waiter, now time.Time) bool {
 	a, b := w.request, other.request
 	if late := a.missesObjective(now); late != b.missesObjective(now) {
 		return !late
 	}
+	if a.AccountPriority != b.AccountPriority {
+		return a.AccountPriority < b.AccountPriority
+	}
 	if a.Priority != b.Priority {
 		return a.Priority < b.Priority
 	}
--- a/edge/placing/request.go
+++ b/edge/placing/request.go
@@ -13,8 +13,9 @@
 	HasKey bool
 	// Large marks a large body, for which the VM's own region is preferred.
 	Large bool
-	// Priority is the rank in the queue, 0 the highest.
-	Priority int
+	// AccountPriority and Priority are the ranks of the account and of the route in the queue, 0
+	// the highest. The account's rank precedes the route's.
+	AccountPriority, Priority int
 	// Objective is when the response is due, Deadline when the request times out.
 	Objective, Deadline time.Time
 	// Tried are the targets that must not get the request again.
