quota: limits of client accounts at all VMs together, by tokens that entitlements pay for

Cause: the quotas of accounts were not read. Change: edge/quota. Each VM sends its equal part of all rates, as time, to a coordinator, chosen by rendezvous hashing, which grants tokens. Nothing else makes tokens, so that cuts, pauses, lost messages, restarts and two coordinators cannot exceed a quota. Datagrams of the exchange carry the messages. 429 with the time of the next token, 503 if no coordinator answers; a token is given back if the request did not run. A VM's contact to the store or to VMs that have it decides whether an unknown key is answered 401 or 503.

--- a/api/result/result.go
+++ b/api/result/result.go
@@ -72,6 +72,7 @@
 	Quarantined         Code = 125
 	OverQuota           Code = 126
 	ConfigStale         Code = 127
+	QuotaUnknown        Code = 128
 	DuplicateKey        Code = 130
 	KeyRecordFailed     Code = 131
 	KeyOutcomeUnknown   Code = 132
@@ -124,6 +125,7 @@
 	{Quarantined, "quarantined", 503, NotRun, "Targets ended while they ran this request before; it is not sent to another one for now.", true},
 	{OverQuota, "over-quota", 429, NotRun, "The client account has used up its quota.", true},
 	{ConfigStale, "config-stale", 503, NotRun, "The entry VM cannot tell whether the key is valid, as its configuration may be out of date.", true},
+	{QuotaUnknown, "quota-unknown", 503, NotRun, "The entry VM cannot learn whether the client account is within its quota.", true},
 	{DuplicateKey, "duplicate-key", 409, Unknown, "A request with this idempotency key was accepted before and is not run again.", false},
 	{KeyRecordFailed, "key-record-failed", 503, NotRun, "The idempotency key could not be recorded.", true},
 	{KeyOutcomeUnknown, "key-outcome-unknown", 503, NotRun, "It is not known whether the idempotency key was recorded; the request was not sent.", true},
--- a/cmd/yuccaentry/main.go
+++ b/cmd/yuccaentry/main.go
@@ -18,6 +18,7 @@
 	"github.com/yuccaroute/yuccaroute/cmd/internal/program"
 	"github.com/yuccaroute/yuccaroute/edge/entry"
 	"github.com/yuccaroute/yuccaroute/edge/logs"
+	"github.com/yuccaroute/yuccaroute/edge/quota"
 	"github.com/yuccaroute/yuccaroute/edge/site"
 	"github.com/yuccaroute/yuccaroute/platform"
 	"github.com/yuccaroute/yuccaroute/platform/kvclient"
@@ -117,6 +118,14 @@
 	log.Info("entry: settings read again")
 }
 
+// revokeTime returns how long keys are accepted without contact, 0 for without end.
+func revokeTime(s *platform.Settings) time.Duration {
+	if !s.Bounds.RevokeOffline {
+		return 0
+	}
+	return platform.Duration(s.Bounds.Revoke)
+}
+
 func newOptions(s *platform.Settings, client store.KV, memory int64, metricsPort int, logger *logrus.Logger) entry.Options {
 	items := platform.Codec{}
 	peer := fmt.Sprintf("%s:%d", s.Node.IP, s.Ports.First)
@@ -139,5 +148,9 @@
 		MemoryBytes: memory, MaxConnections: max(64, s.Limits.MaxFiles-targetFiles),
 		Grace: platform.Duration(s.Bounds.Grace), MaxTTL: platform.Duration(s.Bounds.MaxTTL),
 		RetryRatio: s.Bounds.RetryRatio, RetryExtra: s.Bounds.RetryExtra,
+		Quotas: quota.Bounds{
+			Window: platform.Duration(s.Bounds.QuotaWindow), Overshoot: s.Bounds.QuotaOvershoot, Slack: s.Bounds.QuotaSlack,
+		},
+		FleetSizeKey: items.FleetSizeKey(), RevokeTime: revokeTime(s),
 	}
 }
--- a/edge/accounts/accounts.go
+++ b/edge/accounts/accounts.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/yuccaroute/yuccaroute/edge/quota"
 	"github.com/yuccaroute/yuccaroute/edge/site"
 )
 
@@ -65,21 +66,24 @@
 // Index maps keys to accounts. A nil *Index requires no keys.
 type Index struct {
 	accounts map[Digest]*site.Account
-	byName   map[string]*site.Account
+	byID     map[uint32]*site.Account
 	removed  map[Digest]bool
 	required bool
+	// limited is set if an account has a quota.
+	limited bool
 }
 
 // NewIndex returns the index of a configuration. last, which may be nil, is that of the previous
 // one.
 func NewIndex(c *site.Config, last *Index) *Index {
 	x := &Index{
-		accounts: make(map[Digest]*site.Account, 2*len(c.Accounts)), byName: make(map[string]*site.Account, len(c.Accounts)),
+		accounts: make(map[Digest]*site.Account, 2*len(c.Accounts)), byID: make(map[uint32]*site.Account, len(c.Accounts)),
 		removed: make(map[Digest]bool), required: c.HasAccounts,
 	}
 	for i := range c.Accounts {
 		a := &c.Accounts[i]
-		x.byName[a.Name] = a
+		x.byID[quota.IDOf(a.Name)] = a
+		x.limited = x.limited || a.Rate > 0
 		for _, key := range a.Keys {
 			x.accounts[digestOf(key)] = a
 		}
@@ -143,10 +147,13 @@
 	return Identity{Account: a, Digest: d}, a != nil && a.Name == name
 }
 
-// Account returns an account by its name, nil if there is none.
-func (x *Index) Account(name string) *site.Account {
+// ByID returns the account with an ID of package quota, nil if there is none.
+func (x *Index) ByID(id uint32) *site.Account {
 	if x == nil {
 		return nil
 	}
-	return x.byName[name]
+	return x.byID[id]
 }
+
+// HasQuotas reports whether an account has a quota.
+func (x *Index) HasQuotas() bool { return x != nil && x.limited }
--- a/edge/catalog/catalog.go
+++ b/edge/catalog/catalog.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"sort"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,6 +31,8 @@
 	IsTarget(key string) bool
 	Target(key string, value []byte) (site.Target, error)
 	IsVM(key string) bool
+	// FleetSizeKey is the key that holds the number of entry VMs.
+	FleetSizeKey() string
 }
 
 // Target is a registered target with the times of its registration.
@@ -49,6 +52,9 @@
 	// Targets are sorted by ID, VMs by name.
 	Targets []Target
 	VMs     []site.VM
+	// FleetSize is the stored number of entry VMs, 0 for none, at FleetSizeRevision.
+	FleetSize         int
+	FleetSizeRevision store.Revision
 }
 
 // Options configure a Catalog.
@@ -70,6 +76,7 @@
 	evacuated map[string]bool
 	targets   map[string]Target
 	vms       map[string]site.VM
+	fleetSize fleetSize
 	// incarnations and invalidKeys outlive the registrations.
 	incarnations incarnations
 	invalidKeys  loggedNames
@@ -149,6 +156,8 @@
 		return nil
 	case codec.IsVM(key):
 		return c.applyVM(change)
+	case key == codec.FleetSizeKey():
+		return c.applyFleetSize(change)
 	}
 	return nil
 }
@@ -204,9 +213,31 @@
 	return nil
 }
 
+// fleetSize is the stored number of entry VMs.
+type fleetSize struct {
+	vms      int
+	revision store.Revision
+}
+
+func (c *Catalog) applyFleetSize(change replica.Change) error {
+	if change.Removed {
+		c.fleetSize = fleetSize{}
+		return nil
+	}
+	vms, err := strconv.Atoi(string(change.Entry.Value))
+	if err != nil || vms < 0 {
+		return errors.Wrap(errInvalidFleetSize, change.Entry.Key)
+	}
+	c.fleetSize = fleetSize{vms, change.Entry.Revision}
+	return nil
+}
+
+var errInvalidFleetSize = errors.New("catalog: the number of entry VMs is not a number")
+
 // publish must be called with the lock held.
 func (c *Catalog) publish() {
-	v := &View{Config: c.config, Evacuated: make(map[string]bool, len(c.evacuated))}
+	v := &View{Config: c.config, Evacuated: make(map[string]bool, len(c.evacuated)),
+		FleetSize: c.fleetSize.vms, FleetSizeRevision: c.fleetSize.revision}
 	for zone := range c.evacuated {
 		v.Evacuated[zone] = true
 	}
--- a/edge/catalog/catalog_test.go
+++ b/edge/catalog/catalog_test.go
@@ -73,6 +73,7 @@
 	return t, err
 }
 func (codec) IsVM(key string) bool { return strings.HasPrefix(key, "vm/") }
+func (codec) FleetSizeKey() string { return "fleet" }
 
 type fixture struct {
 	*Catalog
--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/yuccaroute/yuccaroute/edge/peers"
 	"github.com/yuccaroute/yuccaroute/edge/placing"
 	"github.com/yuccaroute/yuccaroute/edge/quarantine"
+	"github.com/yuccaroute/yuccaroute/edge/quota"
 	"github.com/yuccaroute/yuccaroute/edge/registry"
 	"github.com/yuccaroute/yuccaroute/edge/replica"
 	"github.com/yuccaroute/yuccaroute/edge/serve"
@@ -59,6 +60,9 @@
 	gatewayMetrics *gatewayMetrics
 	owners         *owners.Table
 	quarantine     *quarantine.Quarantine
+	quota          *quota.Quota
+	fleet          *fleet
+	contact        *contact
 	// callerServer accepts requests of callers, peerServer those of other VMs.
 	callerServer *serve.Server
 	peerServer   *serve.Server
@@ -90,10 +94,14 @@
 	e.quarantine = quarantine.New(quarantine.Options{
 		VM: o.VM.Name, KV: o.KV, Keys: o.QuarantineKeys, Logger: e.component("quarantine"), EventAdded: e.reportUrgent,
 	})
+	e.contact = newContact(o.RevokeTime)
+	e.fleet = newFleet(o.FleetSizeKey, o.KV, e.contact.clock, e.component("fleet"))
+	e.quota = e.newQuota()
 	e.gateway = gateway.New(gateway.Options{
 		Fields: o.Names.Fields, Region: o.VM.Region, Balancer: e.balancer, Logger: e.component("gateway"), Metrics: e.gatewayMetrics,
 		RetryRatio: o.RetryRatio, RetryExtra: o.RetryExtra, VMCount: e.members.Count, RTT: e.roundTrips.get,
-		InFlightChanged: e.reportSoon, Owners: e.owners, Quarantine: e.quarantine, MaxAnswerBytes: maxResponseBytes,
+		InFlightChanged: e.reportSoon, Owners: e.owners, Quarantine: e.quarantine,
+		Quota: e.quota, ConfigCurrent: e.contact.isCurrent, AccountsExpired: e.contact.isExpired, MaxAnswerBytes: maxResponseBytes,
 	})
 	e.catalog = catalog.New(catalog.Options{Codec: o.Codec, Logger: e.component("catalog"), Changed: e.setView, Now: time.Now})
 	e.replica = replica.New(replica.Options{
@@ -145,6 +153,7 @@
 	ex, err := exchange.Start(ctx, exchange.Options{
 		Address: e.options.PeerAddress, Logger: e.component("exchange"), State: e.state, Digest: e.digest,
 		Recipients: e.recipients, RelayTo: e.relayTo, Received: e.received(ctx),
+		Handlers: e.quotaHandlers(),
 	})
 	if err != nil {
 		return err
@@ -233,6 +242,7 @@
 func (e *Entry) setView(v *catalog.View) {
 	now := time.Now()
 	e.members.Register(v.VMs, now)
+	e.fleet.apply(v)
 	// Must precede SetView: this VM's share of requests to cold targets depends on the peers.
 	e.updateSharers(now)
 	e.gateway.SetView(v, now)
@@ -277,6 +287,7 @@
 		last = now
 		e.catalog.Expire(now)
 		e.updateSharers(now)
+		e.maintainQuota(ctx, now)
 		e.quarantine.Tick(ctx, now, e.members.IsWatchLeader(now))
 		e.gatewayMetrics.setQuarantine(e.quarantine.Counts())
 		e.gateway.Probe(ctx, e.healthPath)
--- a/edge/entry/entry_test.go
+++ b/edge/entry/entry_test.go
@@ -44,6 +44,7 @@
 	return t, json.Unmarshal(value, &t)
 }
 func (codec) IsVM(key string) bool { return strings.HasPrefix(key, "vm/") }
+func (codec) FleetSizeKey() string { return "fleet" }
 
 func (codec) QuarantineKey(fingerprint string) string { return "quarantine/" + fingerprint }
 func (codec) ParseQuarantineKey(key string) (string, bool) {
--- a/edge/entry/exchange.go
+++ b/edge/entry/exchange.go
@@ -104,6 +104,9 @@
 		if e.members.Observe(s.VM, peers.State{At: now, Serving: s.Serving, Leaving: s.Leaving, StoreConnected: s.StoreConnected, NoDigest: s.NoDigest}) {
 			e.roundTrips.measure(s.VM.Region, s.VM.PeerAddress)
 		}
+		if at, loaded := e.replica.Revision(); loaded && s.StoreConnected && s.Revision <= uint64(at) {
+			e.contact.confirm()
+		}
 		e.applyCounts(now, s)
 		e.applyEvents(now, &s)
 		if s.Relay != nil {
--- a/edge/entry/options.go
+++ b/edge/entry/options.go
@@ -10,6 +10,7 @@
 
 	"github.com/yuccaroute/yuccaroute/edge/catalog"
 	"github.com/yuccaroute/yuccaroute/edge/quarantine"
+	"github.com/yuccaroute/yuccaroute/edge/quota"
 	"github.com/yuccaroute/yuccaroute/edge/serve"
 	"github.com/yuccaroute/yuccaroute/edge/site"
 	"github.com/yuccaroute/yuccaroute/store"
@@ -55,6 +56,13 @@
 	Grace time.Duration
 	// MaxTTL is the upper bound for the TTL of directory responses.
 	MaxTTL time.Duration
+	// Quotas bound the requests of client accounts beyond their quotas.
+	Quotas quota.Bounds
+	// FleetSizeKey is the store key of the number of entry VMs.
+	FleetSizeKey string
+	// RevokeTime is how long requests with keys are served after this VM can no longer learn of
+	// removed keys; 0 means without end.
+	RevokeTime time.Duration
 	// RetryRatio and RetryExtra limit the retries of all VMs together.
 	RetryRatio, RetryExtra float64
 }
--- a/edge/exchange/exchange.go
+++ b/edge/exchange/exchange.go
@@ -77,6 +77,8 @@
 	RelayTo func() ([]Peer, Relay)
 	// Received is called with each state of another VM that is newer than the last one.
 	Received func(State)
+	// Handlers receive the datagrams that were sent by Send, by their kind.
+	Handlers map[Kind]Handler
 }
 
 // Exchange sends and receives reports and digests. It is safe for concurrent use.
@@ -188,19 +190,37 @@
 	for _, p := range to.Digests {
 		e.write(datagram, p)
 	}
-	datagram[0] = kindRelay
+	datagram[0] = byte(kindRelay)
 	for _, p := range to.Relays {
 		e.write(datagram, p)
 	}
 }
 
-// Kinds of datagrams, sent as the first byte. The receiver forwards one of kindRelay to its
-// failure domain.
+// Handler receives a datagram from the address of a VM. It must not keep the payload.
+type Handler func(e *Exchange, from string, payload []byte)
+
+// Kind is the kind of a datagram, sent as the first byte.
+type Kind byte
+
+// Kinds of datagrams. The receiver forwards one of kindRelay to its failure domain.
 const (
-	kindDirect = 0
-	kindRelay  = 1
+	kindDirect Kind = iota
+	kindRelay
+	// QuotaRequest and QuotaReply carry messages of package quota.
+	QuotaRequest
+	QuotaReply
 )
 
+// Send sends a datagram to the Handlers of the VM at an address. It never blocks, and the datagram
+// may be lost.
+func (e *Exchange) Send(address string, kind Kind, payload []byte) {
+	if len(payload) >= maxDatagram {
+		e.options.Logger.WithFields(logrus.Fields{"bytes": len(payload), "kind": kind}).Error("exchange: datagram too large")
+		return
+	}
+	e.write(append([]byte{byte(kind)}, payload...), Peer{Name: address, Address: address})
+}
+
 // encode assigns the next sequence number and returns the datagram, or nil if that fails.
 func (e *Exchange) encode(state *State) []byte {
 	e.mu.Lock()
@@ -212,7 +232,7 @@
 		e.options.Logger.WithError(err).WithField("bytes", len(body)).Error("exchange: cannot send state: encoding failed or datagram too large")
 		return nil
 	}
-	return append([]byte{kindDirect}, body...)
+	return append([]byte{byte(kindDirect)}, body...)
 }
 
 func (e *Exchange) write(datagram []byte, to Peer) {
@@ -244,20 +264,32 @@
 func (e *Exchange) receive() {
 	buffer := make([]byte, maxDatagram)
 	for {
-		n, _, err := e.conn.ReadFromUDPAddrPort(buffer)
+		n, from, err := e.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
 			continue
 		}
+		if handle := e.handlerOf(buffer[:n]); handle != nil {
+			handle(e, from.String(), buffer[1:n])
+			continue
+		}
 		e.handleDatagram(buffer[:n])
 	}
 }
 
+// handlerOf returns the handler of a datagram that was sent by Send, nil for another one.
+func (e *Exchange) handlerOf(datagram []byte) Handler {
+	if len(datagram) == 0 {
+		return nil
+	}
+	return e.options.Handlers[Kind(datagram[0])]
+}
+
 // handleDatagram decodes a datagram, forwards it if it is to be relayed, and delivers its state.
 func (e *Exchange) handleDatagram(datagram []byte) {
-	if len(datagram) == 0 || datagram[0] > kindRelay {
+	if len(datagram) == 0 || Kind(datagram[0]) > kindRelay {
 		e.options.Logger.WithField("bytes", len(datagram)).Warn("exchange: unknown datagram kind")
 		return
 	}
@@ -272,7 +304,7 @@
 	if !isNew {
 		return
 	}
-	if datagram[0] == kindRelay {
+	if Kind(datagram[0]) == kindRelay {
 		e.relay(datagram)
 	}
 	e.options.Received(s)
@@ -286,7 +318,7 @@
 		e.options.Logger.WithError(err).Error("exchange: cannot relay digest")
 		return
 	}
-	datagram[0] = kindDirect
+	datagram[0] = byte(kindDirect)
 	datagram = append(datagram, trailer...)
 	for _, p := range to {
 		e.write(datagram, p)
--- a/edge/gateway/account.go
+++ b/edge/gateway/account.go
@@ -9,14 +9,15 @@
 
 	"github.com/yuccaroute/yuccaroute/api/result"
 	"github.com/yuccaroute/yuccaroute/edge/accounts"
+	"github.com/yuccaroute/yuccaroute/edge/quota"
 	"github.com/yuccaroute/yuccaroute/edge/site"
 )
 
 // Quota limits the requests of client accounts.
 type Quota interface {
-	// Take admits one request of an account, or returns when the next one may be admitted. It may
-	// wait for a short time, until the context ends at the latest.
-	Take(ctx context.Context, a *site.Account) (ok bool, retryAfter time.Duration)
+	// Take decides on one request of an account and returns when to try again if it is not
+	// admitted. It may wait for a short time, until the context ends at the latest.
+	Take(ctx context.Context, a *site.Account) (v quota.Verdict, retryAfter time.Duration)
 	// TakeNow is Take without waiting.
 	TakeNow(a *site.Account) bool
 	// Return restores the admission of a request that did not run.
@@ -26,9 +27,11 @@
 // unlimited is the Quota of a gateway without one.
 type unlimited struct{}
 
-func (unlimited) Take(context.Context, *site.Account) (bool, time.Duration) { return true, 0 }
-func (unlimited) TakeNow(*site.Account) bool                                { return true }
-func (unlimited) Return(*site.Account)                                      {}
+func (unlimited) Take(context.Context, *site.Account) (quota.Verdict, time.Duration) {
+	return quota.Admitted, 0
+}
+func (unlimited) TakeNow(*site.Account) bool { return true }
+func (unlimited) Return(*site.Account)       {}
 
 // staleRetryAfter is the Retry-After of a VM that cannot tell whether a key is valid.
 const staleRetryAfter = 300 * time.Millisecond
@@ -78,13 +81,16 @@
 		return outcome{}, true
 	}
 	began := time.Now()
-	ok, retryAfter := g.options.Quota.Take(ctx, r.identity.Account)
+	verdict, retryAfter := g.options.Quota.Take(ctx, r.identity.Account)
 	r.log.quotaWait = time.Since(began)
-	if !ok {
+	switch verdict {
+	case quota.Admitted:
+		r.admitted = true
+		return outcome{}, true
+	case quota.Exceeded:
 		return outcome{code: result.OverQuota, retryAfter: retryAfter, reason: "account over its limit"}, false
 	}
-	r.admitted = true
-	return outcome{}, true
+	return outcome{code: result.QuotaUnknown, retryAfter: retryAfter, reason: "no coordinator of the quota answers"}, false
 }
 
 // mayRepeat reports whether the account's quota allows another attempt of a request that may
@@ -133,3 +139,10 @@
 		h.Set(g.options.Fields.Account, r.identity.Account.Name)
 	}
 }
+
+// AccountByID returns the account of the current configuration with an ID of package quota, nil if
+// there is none.
+func (g *Gateway) AccountByID(id uint32) *site.Account { return g.accounts.Load().ByID(id) }
+
+// HasQuotas reports whether an account of the current configuration has a quota.
+func (g *Gateway) HasQuotas() bool { return g.accounts.Load().HasQuotas() }
--- a/edge/gateway/account_test.go
+++ b/edge/gateway/account_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/yuccaroute/yuccaroute/api/result"
 	"github.com/yuccaroute/yuccaroute/edge/catalog"
+	"github.com/yuccaroute/yuccaroute/edge/quota"
 	"github.com/yuccaroute/yuccaroute/edge/serve"
 	"github.com/yuccaroute/yuccaroute/edge/site"
 )
@@ -172,16 +173,16 @@
 func TestKeyTakenAwayWhileWaiting(t *testing.T) {
 	s := startTarget(t, "a", ok)
 	g := newGateway(t)
-	quota := &scriptedQuota{left: 1, taken: make(chan struct{})}
-	g.options.Quota = quota
+	limited := &scriptedQuota{left: 1, taken: make(chan struct{})}
+	g.options.Quota = limited
 	g.setAccounts(4, oneAccount(secretKey), s)
 	status := make(chan int)
 	go func() { status <- g.askWith("/safe/x", http.Header{"X-Api-Key": {secretKey}}).Status }()
-	quota.taken <- struct{}{}
+	limited.taken <- struct{}{}
 	g.setAccounts(5, oneAccount("other"), s)
-	quota.taken <- struct{}{}
-	if got := <-status; got != http.StatusUnauthorized || s.count() != 0 || quota.returned != 1 {
-		t.Errorf("status %d, %d requests at the target, %d returned", got, s.count(), quota.returned)
+	limited.taken <- struct{}{}
+	if got := <-status; got != http.StatusUnauthorized || s.count() != 0 || limited.returned != 1 {
+		t.Errorf("status %d, %d requests at the target, %d returned", got, s.count(), limited.returned)
 	}
 }
 
@@ -264,12 +265,15 @@
 	taken          chan struct{}
 }
 
-func (q *scriptedQuota) Take(context.Context, *site.Account) (bool, time.Duration) {
+func (q *scriptedQuota) Take(context.Context, *site.Account) (quota.Verdict, time.Duration) {
 	if q.taken != nil {
 		<-q.taken
 		<-q.taken
 	}
-	return q.TakeNow(nil), 250 * time.Millisecond
+	if !q.TakeNow(nil) {
+		return quota.Exceeded, 250 * time.Millisecond
+	}
+	return quota.Admitted, 0
 }
 func (q *scriptedQuota) TakeNow(*site.Account) bool { q.left--; return q.left >= 0 }
 func (q *scriptedQuota) Return(*site.Account)       { q.returned++ }
@@ -279,12 +283,12 @@
 func TestQuota(t *testing.T) {
 	s := startTarget(t, "a", ok)
 	g := newGateway(t)
-	quota := &scriptedQuota{left: 1}
-	g.options.Quota = quota
+	limited := &scriptedQuota{left: 1}
+	g.options.Quota = limited
 	g.setAccounts(4, oneAccount(secretKey), s)
 	header := http.Header{"X-Api-Key": {secretKey}}
-	if a := g.askWith("/safe/x", header); a.Status != http.StatusOK || quota.returned != 0 {
-		t.Fatalf("%d, %d returned", a.Status, quota.returned)
+	if a := g.askWith("/safe/x", header); a.Status != http.StatusOK || limited.returned != 0 {
+		t.Fatalf("%d, %d returned", a.Status, limited.returned)
 	}
 	if a := g.askWith("/safe/x", header); a.Status != http.StatusTooManyRequests || a.Header.Get("Retry-After") != "0.250" {
 		t.Errorf("%d %v", a.Status, a.Header)
@@ -292,10 +296,10 @@
 	if a := g.askWith("/public/x", header); a.Status != http.StatusOK {
 		t.Errorf("public route: %d", a.Status)
 	}
-	quota.left = 1
+	limited.left = 1
 	g.setTargets(true, s)
-	if a := g.askWith("/safe/x", header); a.Status != http.StatusServiceUnavailable || quota.returned != 1 {
-		t.Errorf("%d, %d returned", a.Status, quota.returned)
+	if a := g.askWith("/safe/x", header); a.Status != http.StatusServiceUnavailable || limited.returned != 1 {
+		t.Errorf("%d, %d returned", a.Status, limited.returned)
 	}
 }
 
--- a/edge/peers/peers.go
+++ b/edge/peers/peers.go
@@ -274,6 +274,22 @@
 	return before < min(limit, max(1, responsive/vmsPerWatcher))
 }
 
+// Live returns the live VMs of all regions, with this one if own is true.
+func (m *Members) Live(own bool, now time.Time) []site.VM {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var live []site.VM
+	if own {
+		live = append(live, m.own)
+	}
+	for name, vm := range m.registered {
+		if name != m.own.Name && m.isLive(vm, now) {
+			live = append(live, vm)
+		}
+	}
+	return live
+}
+
 // Count returns the number of known VMs, including this one.
 func (m *Members) Count() int {
 	m.mu.Lock()
--- /dev/null
+++ b/edge/quota/pool.go
@@ -0,0 +1,245 @@
+package quota
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// lease is how long a VM may use the tokens that it holds after the last report that the
+	// coordinator has answered.
+	lease = 2 * time.Second
+	// pledgeTimeout is how long after its last report a VM counts as one that sends its
+	// entitlement to this coordinator.
+	pledgeTimeout = 3 * reportInterval
+	// advanceShare is the part of the stored tokens that VMs may hold in advance. The rest serves
+	// requests that wait.
+	advanceShare = 0.6
+	// sweepInterval is the time between two searches for VMs whose lease has ended.
+	sweepInterval = 100 * time.Millisecond
+	// minWait and maxWait bound the time after which a VM asks for an exhausted account again.
+	minWait = 50 * time.Millisecond
+	maxWait = 700 * time.Millisecond
+)
+
+// Pool is the coordinator's side: it collects the entitlements of VMs and grants tokens for them.
+// It does no I/O and is safe for concurrent use.
+//
+// Invariant: for each account, the tokens in the pool and those held by VMs are at most
+// allowance.stored, and no token is granted that an entitlement has not paid for.
+type Pool struct {
+	bounds Bounds
+	// limit returns the quota of an account.
+	limit func(id uint32) (Limit, bool)
+	// fleet returns the number of VMs among which the rates are divided.
+	fleet func() int
+
+	mu sync.Mutex
+	// minted is the sum of all entitlements received, in seconds.
+	minted   float64
+	accounts map[uint32]*pooled
+	vms      map[uint64]*holderRecord
+	sweptAt  time.Time
+}
+
+// pooled is the state of one account.
+type pooled struct {
+	tokens float64
+	// mintedAt is the value of Pool.minted up to which tokens includes entitlements.
+	mintedAt float64
+	// outstanding is the number of tokens that VMs hold in advance, or may hold. Those for
+	// requests that wait are used as they arrive.
+	outstanding int
+	// denied counts the VMs that got fewer tokens than they wanted since deniedAt.
+	denied   int
+	deniedAt time.Time
+}
+
+// holderRecord is what the coordinator knows of one VM.
+type holderRecord struct {
+	incarnation, sequence uint64
+	reportedAt            time.Time
+	held                  map[uint32]int
+	// unacknowledged are grants in advance that the VM may not have received, by sequence number.
+	unacknowledged []sentGrants
+}
+
+type sentGrants struct {
+	sequence uint64
+	tokens   map[uint32]int
+}
+
+// NewPool returns an empty pool.
+func NewPool(b Bounds, limit func(id uint32) (Limit, bool), fleet func() int) *Pool {
+	return &Pool{bounds: b, limit: limit, fleet: fleet, accounts: make(map[uint32]*pooled), vms: make(map[uint64]*holderRecord)}
+}
+
+// handle processes a report and returns the reply, nil for one that is older than another.
+func (p *Pool) handle(now time.Time, m *request) *reply {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sweep(now)
+	vm := p.vms[m.vm]
+	if vm != nil && vm.incarnation == m.incarnation && m.sequence <= vm.sequence || vm != nil && m.incarnation < vm.incarnation {
+		return nil
+	}
+	if vm == nil || vm.incarnation != m.incarnation {
+		// A VM that has restarted has lost what it held.
+		p.drop(vm)
+		vm = &holderRecord{incarnation: m.incarnation, held: make(map[uint32]int)}
+		p.vms[m.vm] = vm
+	}
+	vm.sequence, vm.reportedAt = m.sequence, now
+	p.minted += min(max(0, m.entitlement), maxUnsent.Seconds())
+	p.acknowledge(vm, m.received)
+	p.replaceHeld(vm, m.accounts)
+	return p.grantAll(now, vm, m)
+}
+
+// acknowledge forgets grants up to a sequence number: the VM has received them, and reports them
+// as held, or will not use them.
+func (p *Pool) acknowledge(vm *holderRecord, received uint64) {
+	kept := vm.unacknowledged[:0]
+	for _, sent := range vm.unacknowledged {
+		if sent.sequence > received {
+			kept = append(kept, sent)
+			continue
+		}
+		p.addOutstanding(sent.tokens, -1)
+	}
+	clear(vm.unacknowledged[len(kept):])
+	vm.unacknowledged = kept
+}
+
+func (p *Pool) replaceHeld(vm *holderRecord, reports []accountReport) {
+	p.addOutstanding(vm.held, -1)
+	clear(vm.held)
+	for _, a := range reports {
+		if a.held > 0 {
+			vm.held[a.id] = a.held
+		}
+	}
+	p.addOutstanding(vm.held, 1)
+	for _, a := range reports {
+		if a.returned > 0 {
+			p.account(a.id).tokens += float64(a.returned)
+		}
+	}
+}
+
+func (p *Pool) addOutstanding(tokens map[uint32]int, sign int) {
+	for id, n := range tokens {
+		p.account(id).outstanding += sign * n
+	}
+}
+
+func (p *Pool) account(id uint32) *pooled {
+	a := p.accounts[id]
+	if a == nil {
+		a = &pooled{mintedAt: p.minted}
+		p.accounts[id] = a
+	}
+	return a
+}
+
+func (p *Pool) grantAll(now time.Time, vm *holderRecord, m *request) *reply {
+	r := &reply{incarnation: m.incarnation, group: m.group, groups: m.groups, sequence: m.sequence}
+	sent := sentGrants{sequence: m.sequence, tokens: make(map[uint32]int)}
+	pledged := p.pledgedShare(now)
+	for _, report := range m.accounts {
+		limit, known := p.limit(report.id)
+		if !known {
+			r.grants = append(r.grants, grant{id: report.id, unknown: true})
+			continue
+		}
+		a := p.account(report.id)
+		allowed := p.bounds.allowanceFor(limit)
+		p.mint(a, allowed, pledged)
+		if report.needed+report.wanted == 0 {
+			continue
+		}
+		needed := min(report.needed, int(a.tokens))
+		room := int(advanceShare*allowed.stored*pledged) - a.outstanding
+		advance := max(0, min(report.wanted, int(a.tokens)-needed, room))
+		a.tokens -= float64(needed + advance)
+		g := grant{id: report.id, tokens: needed + advance}
+		if a.tokens < 1 && (needed < report.needed || advance < report.wanted) {
+			g.wait = a.deny(now, allowed.rate*pledged)
+		}
+		if advance > 0 {
+			sent.tokens[report.id] = advance
+		}
+		r.grants = append(r.grants, g)
+	}
+	if len(sent.tokens) > 0 {
+		p.addOutstanding(sent.tokens, 1)
+		vm.unacknowledged = append(vm.unacknowledged, sent)
+	}
+	return r
+}
+
+// mint adds the entitlements received since the last call. The storage shrinks with the part of
+// the fleet that sends its entitlements here: other coordinators have the rest.
+func (p *Pool) mint(a *pooled, allowed allowance, pledged float64) {
+	a.tokens += allowed.rate * (p.minted - a.mintedAt)
+	a.mintedAt = p.minted
+	a.tokens = min(a.tokens, max(0, allowed.stored*pledged-float64(a.outstanding)))
+}
+
+// deny returns when the VM should ask again: when there is a token for each VM that was denied one
+// lately.
+func (a *pooled) deny(now time.Time, rate float64) time.Duration {
+	if now.Sub(a.deniedAt) >= reportInterval {
+		a.denied, a.deniedAt = 0, now
+	}
+	a.denied++
+	if rate <= 0 {
+		return maxWait
+	}
+	seconds := (float64(a.denied) - a.tokens) / rate
+	return min(max(time.Duration(seconds*float64(time.Second)), minWait), maxWait)
+}
+
+// pledgedShare returns the part of the fleet that sends its entitlements to this pool.
+func (p *Pool) pledgedShare(now time.Time) float64 {
+	n := 0
+	for _, vm := range p.vms {
+		if now.Sub(vm.reportedAt) < pledgeTimeout {
+			n++
+		}
+	}
+	return math.Min(1, float64(n)/float64(max(1, p.fleet())))
+}
+
+// sweep forgets VMs whose lease has ended.
+func (p *Pool) sweep(now time.Time) {
+	if now.Sub(p.sweptAt) < sweepInterval {
+		return
+	}
+	p.sweptAt = now
+	for name, vm := range p.vms {
+		if now.Sub(vm.reportedAt) >= lease {
+			p.drop(vm)
+			delete(p.vms, name)
+		}
+	}
+}
+
+func (p *Pool) drop(vm *holderRecord) {
+	if vm == nil {
+		return
+	}
+	p.addOutstanding(vm.held, -1)
+	for _, sent := range vm.unacknowledged {
+		p.addOutstanding(sent.tokens, -1)
+	}
+}
+
+// isIdle reports whether no VM reports to the pool.
+func (p *Pool) isIdle(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sweep(now)
+	return len(p.vms) == 0
+}
--- /dev/null
+++ b/edge/quota/quota.go
@@ -0,0 +1,265 @@
+// Package quota limits the requests of each client account at all entry VMs together.
+//
+// Each VM is entitled to an equal part of every account's rate. It does not use that part itself
+// but sends it, as time, to a coordinator, which turns the entitlements of all VMs into tokens and
+// grants these to the VMs whose callers need them. A token admits one request. Nothing else
+// creates tokens, so the limit holds whatever is lost, cut off, paused or restarted, and whoever is
+// taken for the coordinator: with two of them, each has the entitlements of the VMs that report to
+// it. VMs without a coordinator use their own part.
+//
+// What the VMs must agree on is their number. It never shrinks before a VM that was cut off has
+// stopped using its part; see Fleet.
+//
+// The accounts are divided into groups, each with a coordinator of its own. Messages are datagrams.
+package quota
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/yuccaroute/yuccaroute/edge/site"
+)
+
+const (
+	// vmsPerGroup is the number of VMs for each group of accounts.
+	vmsPerGroup = 128
+	// takeTimeout is how long a request waits for a coordinator. It covers a round trip between
+	// regions.
+	takeTimeout = 400 * time.Millisecond
+	// minReportGap is the shortest time between two reports to a coordinator.
+	minReportGap = 20 * time.Millisecond
+	// coordinatorTimeout is how long a report may stay unanswered, besides the round trip, before
+	// another coordinator is used, and avoidDuration how long the first one is then avoided.
+	coordinatorTimeout = 300 * time.Millisecond
+	avoidDuration      = 3 * time.Second
+)
+
+// Coordinator is a VM that may coordinate a group.
+type Coordinator struct {
+	Name    string
+	Address string
+	RTT     time.Duration
+}
+
+// Options configure a Quota.
+type Options struct {
+	VM          string
+	Incarnation uint64
+	Bounds      Bounds
+	Logger      *logrus.Entry
+	// Account returns the account with an ID in the current configuration, nil if there is none.
+	Account func(id uint32) *site.Account
+	// Fleet returns the number of VMs among which the rates are divided, 0 while it is unknown.
+	Fleet func() int
+	// Coordinator returns the VM that coordinates a group, without those to avoid.
+	Coordinator func(group int, avoid func(name string) bool) Coordinator
+	// SendRequest sends a report to the address of a VM, whose HandleRequest gets it. It must not
+	// block.
+	SendRequest func(address string, payload []byte)
+	// Leaving reports whether this VM is stopping.
+	Leaving func() bool
+	// Now is a clock that advances while the VM is suspended.
+	Now func() time.Time
+}
+
+// Quota is safe for concurrent use.
+type Quota struct {
+	options Options
+	holder  *Holder
+
+	mu     sync.Mutex
+	pools  map[poolKey]*Pool
+	groups []groupState
+	avoid  map[string]time.Time
+}
+
+// poolKey distinguishes the pools of VMs that divide the accounts differently.
+type poolKey struct{ group, groups int }
+
+// groupState is the state of the reports to one coordinator.
+type groupState struct {
+	coordinator Coordinator
+	reportedAt  time.Time
+}
+
+// New returns a Quota without tokens.
+func New(o Options) *Quota {
+	q := &Quota{options: o, pools: make(map[poolKey]*Pool), avoid: make(map[string]time.Time), groups: make([]groupState, 1)}
+	q.holder = NewHolder(o.Bounds, xxhash.Sum64String(o.VM), o.Incarnation, 1, o.Fleet, o.Now())
+	return q
+}
+
+// IDOf returns the ID of an account in messages.
+func IDOf(account string) uint32 { return uint32(xxhash.Sum64String(account)) }
+
+func limitOf(a *site.Account) Limit { return Limit{ID: IDOf(a.Name), Rate: a.Rate, Burst: a.Burst} }
+
+// Take decides on one request of an account. It may wait for a coordinator. For a request that is
+// not admitted it returns when to try again.
+func (q *Quota) Take(ctx context.Context, a *site.Account) (Verdict, time.Duration) {
+	if a.Rate <= 0 {
+		return Admitted, 0
+	}
+	limit := limitOf(a)
+	verdict, retryAfter, w := q.holder.take(q.options.Now(), limit)
+	if verdict != pending {
+		return verdict, retryAfter
+	}
+	q.reportIfDue(int(limit.ID)%q.holder.groups(), minReportGap)
+	timer := time.NewTimer(takeTimeout)
+	defer timer.Stop()
+	select {
+	case d := <-w.decided:
+		return d.verdict, d.retryAfter
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	q.holder.cancel(limit.ID, w)
+	return Undecided, unknownRetryAfter
+}
+
+// TakeNow is Take without waiting.
+func (q *Quota) TakeNow(a *site.Account) bool {
+	return a.Rate <= 0 || q.holder.takeNow(q.options.Now(), limitOf(a))
+}
+
+// Return restores the token of a request that did not run.
+func (q *Quota) Return(a *site.Account) {
+	if a.Rate > 0 {
+		q.holder.giveBack(q.options.Now(), IDOf(a.Name))
+	}
+}
+
+// Tick sends the reports that are due. It must be called several times in a reportInterval.
+func (q *Quota) Tick() {
+	now := q.options.Now()
+	groups := 1 + q.options.Fleet()/vmsPerGroup
+	q.holder.setGroups(now, groups)
+	q.mu.Lock()
+	if len(q.groups) != groups {
+		q.groups = make([]groupState, groups)
+	}
+	for key, p := range q.pools {
+		if p.isIdle(now) {
+			delete(q.pools, key)
+		}
+	}
+	q.mu.Unlock()
+	for group := range groups {
+		interval := reportInterval
+		if q.holder.hasWaiters(group) {
+			interval = minReportGap
+		}
+		q.reportIfDue(group, interval)
+	}
+}
+
+// reportIfDue sends a report to the coordinator of a group if the last one is old enough.
+func (q *Quota) reportIfDue(group int, interval time.Duration) {
+	now := q.options.Now()
+	q.mu.Lock()
+	if group >= len(q.groups) || now.Sub(q.groups[group].reportedAt) < interval {
+		q.mu.Unlock()
+		return
+	}
+	q.groups[group].reportedAt = now
+	to := q.coordinator(now, group)
+	q.mu.Unlock()
+	m := q.holder.report(now, group)
+	if to.Name == q.options.VM {
+		q.holder.apply(now, group, q.handle(now, m))
+		return
+	}
+	q.options.SendRequest(to.Address, m.encode())
+}
+
+// coordinator returns the coordinator of a group and replaces one that does not answer. It
+// requires the lock.
+func (q *Quota) coordinator(now time.Time, group int) Coordinator {
+	last := q.groups[group].coordinator
+	if since, waits := q.holder.unansweredSince(group); waits && last.Name != "" && now.Sub(since) >= coordinatorTimeout+last.RTT {
+		q.avoid[last.Name] = now.Add(avoidDuration)
+		q.options.Logger.WithFields(logrus.Fields{"vm": last.Name, "group": group, "ms": now.Sub(since).Milliseconds()}).
+			Warn("quota: coordinator does not answer")
+	}
+	next := q.options.Coordinator(group, func(name string) bool { return now.Before(q.avoid[name]) })
+	if next.Name != last.Name {
+		q.holder.forgetReports(group)
+		q.options.Logger.WithFields(logrus.Fields{"vm": next.Name, "group": group, "before": last.Name}).Info("quota: coordinator changed")
+	}
+	q.groups[group].coordinator = next
+	return next
+}
+
+// HandleRequest processes a report of another VM and returns the reply, nil for none.
+func (q *Quota) HandleRequest(from string, payload []byte) []byte {
+	m, err := decodeRequest(payload)
+	if err != nil {
+		q.options.Logger.WithError(err).WithField("from", from).Warn("quota: invalid report")
+		return nil
+	}
+	r := q.handle(q.options.Now(), m)
+	if r == nil {
+		return nil
+	}
+	return r.encode()
+}
+
+func (q *Quota) handle(now time.Time, m *request) *reply {
+	r := q.pool(poolKey{m.group, m.groups}).handle(now, m)
+	if r != nil {
+		r.leaving = q.options.Leaving()
+	}
+	return r
+}
+
+func (q *Quota) pool(key poolKey) *Pool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	p := q.pools[key]
+	if p == nil {
+		p = NewPool(q.options.Bounds, q.limit, q.options.Fleet)
+		q.pools[key] = p
+	}
+	return p
+}
+
+func (q *Quota) limit(id uint32) (Limit, bool) {
+	a := q.options.Account(id)
+	if a == nil {
+		return Limit{}, false
+	}
+	return limitOf(a), true
+}
+
+// HandleReply applies the answer to a report.
+func (q *Quota) HandleReply(from string, payload []byte) {
+	r, err := decodeReply(payload)
+	if err != nil {
+		q.options.Logger.WithError(err).WithField("from", from).Warn("quota: invalid reply")
+		return
+	}
+	if r.groups != q.holder.groups() || r.group >= r.groups {
+		return
+	}
+	now := q.options.Now()
+	q.holder.apply(now, r.group, r)
+	if r.leaving {
+		q.avoidLeaving(now, from, r.group)
+	}
+	if q.holder.hasWaiters(r.group) {
+		q.reportIfDue(r.group, minReportGap)
+	}
+}
+
+func (q *Quota) avoidLeaving(now time.Time, from string, group int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if group < len(q.groups) && q.groups[group].coordinator.Address == from {
+		q.avoid[q.groups[group].coordinator.Name] = now.Add(avoidDuration)
+	}
+}
