quota, peers: tokens stay where requests need them, and VMs agree on the coordinator

(1) VMs held a token in advance for each account that they had seen within 3 s, 3,590 of the 4,550 that may be stored, so that new ones were lost at the bound; (2) a VM that got none in advance refused the next requests without asking; (3) the aggregators of other regions took an old report for the end of the coordinator and used another one with 4 of 84 entitlements. Change: half of what may be stored is kept for requests that wait, VMs return a token after a second; only a request that got no token sets the time of the next question; VMs of other regions are candidates by their registration.

--- a/edge/entry/quota.go
+++ b/edge/entry/quota.go
@@ -137,7 +137,7 @@
 func (e *Entry) coordinator(group int, avoid func(name string) bool) quota.Coordinator {
 	key := placing.HashOf("quota " + strconv.Itoa(group))
 	best, lowest := e.options.VM, math.Inf(1)
-	for _, vm := range e.members.Live(!e.shuttingDown.Load(), time.Now()) {
+	for _, vm := range e.members.Coordinators(!e.shuttingDown.Load(), time.Now()) {
 		if vm.Name != e.options.VM.Name && avoid(vm.Name) {
 			continue
 		}
--- a/edge/peers/peers.go
+++ b/edge/peers/peers.go
@@ -274,20 +274,25 @@
 	return before < min(limit, max(1, responsive/vmsPerWatcher))
 }
 
-// Live returns the live VMs of all regions, with this one if own is true.
-func (m *Members) Live(own bool, now time.Time) []site.VM {
+// Coordinators returns the VMs of all regions that may coordinate, with this one if own is true.
+// For VMs of other regions it goes by their registration: most of them report only now and then to
+// this region, so that the age of a report does not tell whether they are live.
+func (m *Members) Coordinators(own bool, now time.Time) []site.VM {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var live []site.VM
+	var all []site.VM
 	if own {
-		live = append(live, m.own)
+		all = append(all, m.own)
 	}
 	for name, vm := range m.registered {
-		if name != m.own.Name && m.isLive(vm, now) {
-			live = append(live, vm)
+		if name == m.own.Name {
+			continue
+		}
+		if remote := vm.Region != m.own.Region; remote && !m.states[name].Leaving || !remote && m.isLive(vm, now) {
+			all = append(all, vm)
 		}
 	}
-	return live
+	return all
 }
 
 // Count returns the number of known VMs, including this one.
--- a/edge/peers/peers_test.go
+++ b/edge/peers/peers_test.go
@@ -325,3 +325,22 @@
 		t.Errorf("live %v, known %v while only the neighbour is silent", live, known)
 	}
 }
+
+// VMs must agree on coordinators: one in another region stays a candidate although its last report
+// to this region is old.
+func TestCoordinatorsOfOtherRegions(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := New(site.VM{Name: "own", Region: "r", Zone: "z"}, now)
+	near, far := site.VM{Name: "near", Region: "r", Zone: "z"}, site.VM{Name: "far", Region: "q", Zone: "y"}
+	m.Register([]site.VM{near, far}, now)
+	m.Observe(near, State{At: now, Serving: true})
+	m.Observe(far, State{At: now, Serving: true})
+	later := now.Add(time.Minute)
+	if got := m.Coordinators(true, later); len(got) != 2 || got[0].Name != "own" || got[1].Name != "far" {
+		t.Errorf("coordinators %v", got)
+	}
+	m.Observe(far, State{At: later, Serving: true, Leaving: true})
+	if got := m.Coordinators(false, later); len(got) != 0 {
+		t.Errorf("coordinators %v", got)
+	}
+}
--- a/edge/quota/holder.go
+++ b/edge/quota/holder.go
@@ -16,7 +16,7 @@
 	// maxLost is how many reports may stay unanswered because datagrams were lost.
 	maxLost = 2
 	// idleTimeout is how long a VM holds a token for an account without requests.
-	idleTimeout = 3 * time.Second
+	idleTimeout = time.Second
 	// unknownRetryAfter is the Retry-After of a VM that reaches no coordinator: callers soon find
 	// another VM.
 	unknownRetryAfter = 100 * time.Millisecond
--- a/edge/quota/pool.go
+++ b/edge/quota/pool.go
@@ -13,9 +13,9 @@
 	// pledgeTimeout is how long after its last report a VM counts as one that sends its
 	// entitlement to this coordinator.
 	pledgeTimeout = 3 * reportInterval
-	// advanceShare is the part of the stored tokens that VMs may hold in advance. The rest serves
-	// requests that wait.
-	advanceShare = 0.6
+	// reservedShare is the part of the stored tokens that is kept for requests that wait. VMs get
+	// tokens in advance only while the pool has more.
+	reservedShare = 0.5
 	// sweepInterval is the time between two searches for VMs whose lease has ended.
 	sweepInterval = 100 * time.Millisecond
 	// minWait and maxWait bound the time after which a VM asks for an exhausted account again.
@@ -51,7 +51,7 @@
 	// outstanding is the number of tokens that VMs hold in advance, or may hold. Those for
 	// requests that wait are used as they arrive.
 	outstanding int
-	// denied counts the VMs that got fewer tokens than they wanted since deniedAt.
+	// denied counts the VMs that got no token for a request since deniedAt.
 	denied   int
 	deniedAt time.Time
 }
@@ -161,11 +161,11 @@
 			continue
 		}
 		needed := min(report.needed, int(a.tokens))
-		room := int(advanceShare*allowed.stored*pledged) - a.outstanding
-		advance := max(0, min(report.wanted, int(a.tokens)-needed, room))
+		surplus := int(a.tokens-reservedShare*allowed.stored*pledged) - needed
+		advance := max(0, min(report.wanted, surplus))
 		a.tokens -= float64(needed + advance)
 		g := grant{id: report.id, tokens: needed + advance}
-		if a.tokens < 1 && (needed < report.needed || advance < report.wanted) {
+		if needed < report.needed {
 			g.wait = a.deny(now, allowed.rate*pledged)
 		}
 		if advance > 0 {
@@ -191,7 +191,7 @@
 // deny returns when the VM should ask again: when there is a token for each VM that was denied one
 // lately.
 func (a *pooled) deny(now time.Time, rate float64) time.Duration {
-	if now.Sub(a.deniedAt) >= reportInterval {
+	if now.Sub(a.deniedAt) >= minWait {
 		a.denied, a.deniedAt = 0, now
 	}
 	a.denied++
--- a/edge/quota/pool_test.go
+++ b/edge/quota/pool_test.go
@@ -124,3 +124,19 @@
 		}
 	}
 }
+
+// A VM that gets no token in advance must not refuse requests before it has asked for them.
+func TestLackOfTokensInAdvanceRefusesNothing(t *testing.T) {
+	now, l := time.Unix(1000, 0), Limit{ID: 7, Rate: 24, Burst: 24}
+	p := NewPool(modelBounds, fixedLimit(l), func() int { return 1 })
+	p.handle(now, oneVM(1))
+	r := p.handle(now, oneVM(2, accountReport{id: 7, needed: 24}))
+	if r.grants[0].tokens != 24 || r.grants[0].wait != 0 {
+		t.Fatalf("grants %+v", r.grants)
+	}
+	m := oneVM(3, accountReport{id: 7, wanted: 3})
+	m.entitlement = 0
+	if r = p.handle(now, m); r.grants[0].tokens != 0 || r.grants[0].wait != 0 {
+		t.Errorf("grants %+v", r.grants)
+	}
+}
