quota: a coordinator in each region, which gives tokens to those that run short

Change: VMs report to a coordinator of their own region. One that has less than half of what it may store asks those of the other regions, which give what they have beyond their half. What is on its way counts at the giver for half a second, so that the bound of stored tokens holds.

--- a/edge/entry/quota.go
+++ b/edge/entry/quota.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -114,7 +115,7 @@
 		VM: e.options.VM.Name, Incarnation: e.options.VM.Incarnation, Bounds: bounds, Logger: e.component("quota"),
 		Account:     func(id uint32) *site.Account { return e.gateway.AccountByID(id) },
 		Fleet:       func() int { return e.fleet.size.Size(e.contact.clock.Now()) },
-		Coordinator: e.coordinator,
+		Coordinator: e.coordinator, OtherCoordinators: e.otherCoordinators,
 		SendRequest: func(address string, payload []byte) { e.exchange.Send(address, exchange.QuotaRequest, payload) },
 		Leaving:     e.shuttingDown.Load,
 		Now:         e.contact.clock.Now,
@@ -133,14 +134,31 @@
 	}
 }
 
-// coordinator selects the coordinator of a group by rendezvous hashing, weighted by link bandwidth.
+// coordinator selects the coordinator of a group in this region.
 func (e *Entry) coordinator(group int, avoid func(name string) bool) quota.Coordinator {
-	key := placing.HashOf("quota " + strconv.Itoa(group))
-	best, lowest := e.options.VM, math.Inf(1)
-	for _, vm := range e.members.Coordinators(!e.shuttingDown.Load(), time.Now()) {
-		if vm.Name != e.options.VM.Name && avoid(vm.Name) {
-			continue
+	own := e.options.VM
+	candidates := e.members.Coordinators(!e.shuttingDown.Load(), time.Now())[own.Region]
+	candidates = slices.DeleteFunc(candidates, func(vm site.VM) bool { return vm.Name != own.Name && avoid(vm.Name) })
+	if len(candidates) == 0 {
+		candidates = []site.VM{own}
+	}
+	return e.selectCoordinator(group, candidates)
+}
+
+func (e *Entry) otherCoordinators(group int) (others []quota.Coordinator) {
+	for region, candidates := range e.members.Coordinators(false, time.Now()) {
+		if region != e.options.VM.Region {
+			others = append(others, e.selectCoordinator(group, candidates))
 		}
+	}
+	return others
+}
+
+// selectCoordinator selects one of several VMs by rendezvous hashing, weighted by link bandwidth.
+func (e *Entry) selectCoordinator(group int, candidates []site.VM) quota.Coordinator {
+	key := placing.HashOf("quota " + strconv.Itoa(group))
+	best, lowest := candidates[0], math.Inf(1)
+	for _, vm := range candidates {
 		if rank := placing.WeightedRank(key, placing.HashOf(vm.Name), max(1, vm.LinkMbps)); rank < lowest || rank == lowest && vm.Name < best.Name {
 			best, lowest = vm, rank
 		}
--- a/edge/peers/peers.go
+++ b/edge/peers/peers.go
@@ -274,22 +274,22 @@
 	return before < min(limit, max(1, responsive/vmsPerWatcher))
 }
 
-// Coordinators returns the VMs of all regions that may coordinate, with this one if own is true.
+// Coordinators returns the VMs that may coordinate by region, with this one if own is true.
 // For VMs of other regions it goes by their registration: most of them report only now and then to
 // this region, so that the age of a report does not tell whether they are live.
-func (m *Members) Coordinators(own bool, now time.Time) []site.VM {
+func (m *Members) Coordinators(own bool, now time.Time) map[string][]site.VM {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var all []site.VM
+	all := make(map[string][]site.VM)
 	if own {
-		all = append(all, m.own)
+		all[m.own.Region] = append(all[m.own.Region], m.own)
 	}
 	for name, vm := range m.registered {
 		if name == m.own.Name {
 			continue
 		}
 		if remote := vm.Region != m.own.Region; remote && !m.states[name].Leaving || !remote && m.isLive(vm, now) {
-			all = append(all, vm)
+			all[vm.Region] = append(all[vm.Region], vm)
 		}
 	}
 	return all
--- a/edge/quota/message.go
+++ b/edge/quota/message.go
@@ -14,6 +14,9 @@
 	vm, incarnation, sequence uint64
 	// group is the group of the accounts, among so many groups.
 	group, groups int
+	// transfer is set if the sender is a coordinator that asks for tokens of another region. It
+	// has no entitlement, and each accountReport only says how many tokens are needed.
+	transfer bool
 	// received is the sequence number of the newest reply that the sender has received.
 	received uint64
 	// entitlement is the sender's share of all rates since its last report, in seconds.
@@ -33,6 +36,8 @@
 type reply struct {
 	incarnation, sequence uint64
 	group, groups         int
+	// transfer is that of the request.
+	transfer bool
 	// leaving is set if the coordinator stops and VMs should use another one.
 	leaving bool
 	grants  []grant
@@ -55,8 +60,9 @@
 	// entitlementUnit is the resolution of entitlements, in seconds.
 	entitlementUnit = 1e-7
 
-	flagLeaving = 1
-	flagUnknown = 1
+	flagLeaving  = 1
+	flagTransfer = 2
+	flagUnknown  = 1
 )
 
 var errMalformed = errors.New("quota: malformed message")
@@ -69,6 +75,7 @@
 	b = binary.AppendUvarint(b, uint64(m.groups))
 	b = binary.AppendUvarint(b, m.sequence)
 	b = binary.AppendUvarint(b, m.received)
+	b = append(b, flag(m.transfer, flagTransfer))
 	b = binary.AppendUvarint(b, uint64(m.entitlement/entitlementUnit))
 	for _, a := range m.accounts {
 		b = binary.BigEndian.AppendUint32(b, a.id)
@@ -83,6 +90,7 @@
 	d := decoder{data: data}
 	m := &request{
 		vm: d.uint64(), incarnation: d.uint64(), group: d.count(), groups: d.count(), sequence: d.uvarint(), received: d.uvarint(),
+		transfer: d.byte()&flagTransfer != 0,
 	}
 	m.entitlement = float64(d.uvarint()) * entitlementUnit
 	for !d.done() && len(m.accounts) < maxAccountReports {
@@ -97,7 +105,7 @@
 	b = binary.AppendUvarint(b, uint64(m.group))
 	b = binary.AppendUvarint(b, uint64(m.groups))
 	b = binary.AppendUvarint(b, m.sequence)
-	b = append(b, flag(m.leaving, flagLeaving))
+	b = append(b, flag(m.leaving, flagLeaving)|flag(m.transfer, flagTransfer))
 	for _, g := range m.grants {
 		b = binary.BigEndian.AppendUint32(b, g.id)
 		b = binary.AppendUvarint(b, uint64(min(max(0, g.tokens), maxCount)))
@@ -109,7 +117,9 @@
 
 func decodeReply(data []byte) (*reply, error) {
 	d := decoder{data: data}
-	m := &reply{incarnation: d.uint64(), group: d.count(), groups: d.count(), sequence: d.uvarint(), leaving: d.byte()&flagLeaving != 0}
+	m := &reply{incarnation: d.uint64(), group: d.count(), groups: d.count(), sequence: d.uvarint()}
+	flags := d.byte()
+	m.leaving, m.transfer = flags&flagLeaving != 0, flags&flagTransfer != 0
 	for !d.done() && len(m.grants) < maxAccountReports {
 		m.grants = append(m.grants, grant{
 			id: d.uint32(), tokens: d.count(), wait: time.Duration(d.count()) * time.Millisecond, unknown: d.byte()&flagUnknown != 0,
--- a/edge/quota/pool.go
+++ b/edge/quota/pool.go
@@ -41,6 +41,7 @@
 	accounts map[uint32]*pooled
 	vms      map[uint64]*holderRecord
 	sweptAt  time.Time
+	transfers
 }
 
 // pooled is the state of one account.
@@ -54,6 +55,8 @@
 	// denied counts the VMs that got no token for a request since deniedAt.
 	denied   int
 	deniedAt time.Time
+	// askedAt is when a VM last reported the account.
+	askedAt time.Time
 }
 
 // holderRecord is what the coordinator knows of one VM.
@@ -72,7 +75,7 @@
 
 // NewPool returns an empty pool.
 func NewPool(b Bounds, limit func(id uint32) (Limit, bool), fleet func() int) *Pool {
-	return &Pool{bounds: b, limit: limit, fleet: fleet, accounts: make(map[uint32]*pooled), vms: make(map[uint64]*holderRecord)}
+	return &Pool{bounds: b, limit: limit, fleet: fleet, accounts: make(map[uint32]*pooled), vms: make(map[uint64]*holderRecord), transfers: transfers{asked: make(map[uint64]time.Time)}}
 }
 
 // handle processes a report and returns the reply, nil for one that is older than another.
@@ -155,6 +158,7 @@
 			continue
 		}
 		a := p.account(report.id)
+		a.askedAt = now
 		allowed := p.bounds.allowanceFor(limit)
 		p.mint(a, allowed, pledged)
 		if report.needed+report.wanted == 0 {
@@ -219,6 +223,7 @@
 		return
 	}
 	p.sweptAt = now
+	p.endTransfers(now)
 	for name, vm := range p.vms {
 		if now.Sub(vm.reportedAt) >= lease {
 			p.drop(vm)
--- a/edge/quota/quota.go
+++ b/edge/quota/quota.go
@@ -2,7 +2,8 @@
 //
 // Each VM is entitled to an equal part of every account's rate. It does not use that part itself
 // but sends it, as time, to a coordinator, which turns the entitlements of all VMs into tokens and
-// grants these to the VMs whose callers need them. A token admits one request. Nothing else
+// grants these to the VMs whose callers need them. Each region has one; see transfer.go. A token
+// admits one request. Nothing else
 // creates tokens, so the limit holds whatever is lost, cut off, paused or restarted, and whoever is
 // taken for the coordinator: with two of them, each has the entitlements of the VMs that report to
 // it. VMs without a coordinator use their own part.
@@ -55,8 +56,10 @@
 	Account func(id uint32) *site.Account
 	// Fleet returns the number of VMs among which the rates are divided, 0 while it is unknown.
 	Fleet func() int
-	// Coordinator returns the VM that coordinates a group, without those to avoid.
-	Coordinator func(group int, avoid func(name string) bool) Coordinator
+	// Coordinator returns the VM that coordinates a group in this region, without those to avoid,
+	// and OtherCoordinators those of the other regions.
+	Coordinator       func(group int, avoid func(name string) bool) Coordinator
+	OtherCoordinators func(group int) []Coordinator
 	// SendRequest sends a report to the address of a VM, whose HandleRequest gets it. It must not
 	// block.
 	SendRequest func(address string, payload []byte)
@@ -143,12 +146,18 @@
 	if len(q.groups) != groups {
 		q.groups = make([]groupState, groups)
 	}
+	pools := make(map[poolKey]*Pool, len(q.pools))
 	for key, p := range q.pools {
 		if p.isIdle(now) {
 			delete(q.pools, key)
+		} else {
+			pools[key] = p
 		}
 	}
 	q.mu.Unlock()
+	for key, p := range pools {
+		q.askOtherRegions(now, key, p)
+	}
 	for group := range groups {
 		interval := reportInterval
 		if q.holder.hasWaiters(group) {
@@ -158,6 +167,14 @@
 	}
 }
 
+// askOtherRegions asks the coordinators of the other regions for tokens if a pool runs short.
+func (q *Quota) askOtherRegions(now time.Time, key poolKey, p *Pool) {
+	others := q.options.OtherCoordinators(key.group)
+	for i, m := range p.ask(now, q.holder.vm, q.holder.incarnation, key, len(others)) {
+		q.options.SendRequest(others[i].Address, m.encode())
+	}
+}
+
 // reportIfDue sends a report to the coordinator of a group if the last one is old enough.
 func (q *Quota) reportIfDue(group int, interval time.Duration) {
 	now := q.options.Now()
@@ -210,7 +227,11 @@
 }
 
 func (q *Quota) handle(now time.Time, m *request) *reply {
-	r := q.pool(poolKey{m.group, m.groups}).handle(now, m)
+	p := q.pool(poolKey{m.group, m.groups})
+	if m.transfer {
+		return p.give(now, m)
+	}
+	r := p.handle(now, m)
 	if r != nil {
 		r.leaving = q.options.Leaving()
 	}
@@ -243,10 +264,16 @@
 		q.options.Logger.WithError(err).WithField("from", from).Warn("quota: invalid reply")
 		return
 	}
+	now := q.options.Now()
+	if r.transfer {
+		if r.incarnation == q.holder.incarnation {
+			q.pool(poolKey{r.group, r.groups}).take(now, r)
+		}
+		return
+	}
 	if r.groups != q.holder.groups() || r.group >= r.groups {
 		return
 	}
-	now := q.options.Now()
 	q.holder.apply(now, r.group, r)
 	if r.leaving {
 		q.avoidLeaving(now, from, r.group)
