logs, metrics: refusals by key and by quota, and figures of each client account

Cause: a 401 or 429 could not be told from overload in the analysis of logs, and nothing told how one account fares. Change: causes for over-quota, quota-unknown, unknown-key, key-removed and config-stale; a table by account; counters and a latency histogram for up to 256 accounts, the others together. A delegated request logs its account and how long it waited for the quota where that happened: the lines of owners showed 0, which hid the waits between regions.

--- a/edge/entry/gatewaymetrics.go
+++ b/edge/entry/gatewaymetrics.go
@@ -22,6 +22,7 @@
 
 	mu       sync.Mutex
 	requests map[requestTags]requestMetrics
+	accounts map[string]accountMetrics
 	attempts map[attemptTags]tally.Counter
 	// delegations are keyed by outcome, targetCrashes by service.
 	delegations   map[string]tally.Counter
@@ -38,18 +39,59 @@
 	latency tally.Histogram
 }
 
+// maxAccountMetrics bounds the client accounts that have metrics of their own. The others share
+// those of otherAccounts.
+const (
+	maxAccountMetrics = 256
+	otherAccounts     = "(others)"
+)
+
+// accountMetrics are the metrics of one client account: its requests by result code, and their
+// latency.
+type accountMetrics struct {
+	scope   tally.Scope
+	ended   map[int]tally.Counter
+	latency tally.Histogram
+}
+
 type attemptTags struct{ service, outcome string }
 
 func newGatewayMetrics(scope tally.Scope) *gatewayMetrics {
-	return &gatewayMetrics{scope: scope, requests: make(map[requestTags]requestMetrics), attempts: make(map[attemptTags]tally.Counter),
+	return &gatewayMetrics{scope: scope, requests: make(map[requestTags]requestMetrics), accounts: make(map[string]accountMetrics), attempts: make(map[attemptTags]tally.Counter),
 		delegations: make(map[string]tally.Counter), targetCrashes: make(map[string]tally.Counter)}
 }
 
 // RequestEnded implements gateway.Metrics.
-func (c *gatewayMetrics) RequestEnded(route, service string, code int, took time.Duration) {
+func (c *gatewayMetrics) RequestEnded(route, service, account string, code int, took time.Duration) {
 	m := c.request(requestTags{route, service, code})
 	m.ended.Inc(1)
 	m.latency.RecordDuration(took)
+	if account != "" {
+		ended, latency := c.account(account, code)
+		ended.Inc(1)
+		latency.RecordDuration(took)
+	}
+}
+
+func (c *gatewayMetrics) account(name string, code int) (tally.Counter, tally.Histogram) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m, ok := c.accounts[name]
+	if !ok && len(c.accounts) >= maxAccountMetrics {
+		name = otherAccounts
+		m, ok = c.accounts[name]
+	}
+	if !ok {
+		scope := c.scope.Tagged(map[string]string{"account": name})
+		m = accountMetrics{scope: scope, ended: make(map[int]tally.Counter), latency: scope.Histogram("account_latency", latencyBuckets)}
+		c.accounts[name] = m
+	}
+	ended, ok := m.ended[code]
+	if !ok {
+		ended = m.scope.Tagged(map[string]string{"result": strconv.Itoa(code)}).Counter("account_requests")
+		m.ended[code] = ended
+	}
+	return ended, m.latency
 }
 
 func (c *gatewayMetrics) request(tags requestTags) requestMetrics {
--- a/edge/gateway/account.go
+++ b/edge/gateway/account.go
@@ -106,6 +106,14 @@
 	}
 }
 
+// accountName returns the client account of the request, "" if there is none.
+func (r *request) accountName() string {
+	if r.identity.Account == nil {
+		return ""
+	}
+	return r.identity.Account.Name
+}
+
 // allowed returns which regions may run a request by its route and its account, nil if all may.
 func (r *request) allowed() func(region string) bool {
 	a := r.identity.Account
--- a/edge/gateway/ended.go
+++ b/edge/gateway/ended.go
@@ -22,13 +22,9 @@
 // fingerprint identifies the request across retries by its content.
 func (g *Gateway) fingerprint(r *request) quarantine.Fingerprint {
 	if r.fingerprint == nil {
-		account := ""
-		if r.identity.Account != nil {
-			account = r.identity.Account.Name
-		}
 		f := quarantine.FingerprintOf(quarantine.Content{
 			Method: r.in.Method, Host: r.in.Host, Target: r.in.Target,
-			Account:       account,
+			Account:       r.accountName(),
 			Authorization: r.in.Header.Get("Authorization"),
 			Body:          r.in.Body,
 		})
--- a/edge/gateway/fixture_test.go
+++ b/edge/gateway/fixture_test.go
@@ -115,10 +115,10 @@
 
 type noMetrics struct{}
 
-func (noMetrics) RequestEnded(string, string, int, time.Duration) {}
-func (noMetrics) AttemptEnded(string, string)                     {}
-func (noMetrics) RequestDelegated(string)                         {}
-func (noMetrics) TargetCrashed(string)                            {}
+func (noMetrics) RequestEnded(string, string, string, int, time.Duration) {}
+func (noMetrics) AttemptEnded(string, string)                             {}
+func (noMetrics) RequestDelegated(string)                                 {}
+func (noMetrics) TargetCrashed(string)                                    {}
 
 // fixture is a gateway that captures its log.
 type fixture struct {
--- a/edge/gateway/gateway.go
+++ b/edge/gateway/gateway.go
@@ -37,8 +37,8 @@
 
 // Metrics counts requests, attempts and target crashes.
 type Metrics interface {
-	// RequestEnded counts a request by its result code.
-	RequestEnded(route, service string, code int, took time.Duration)
+	// RequestEnded counts a request by its result code; account is "" if it has none.
+	RequestEnded(route, service, account string, code int, took time.Duration)
 	// AttemptEnded counts one attempt at a target.
 	AttemptEnded(service, end string)
 	// RequestDelegated counts one request that was delegated to the owner of its key.
--- a/edge/gateway/serve.go
+++ b/edge/gateway/serve.go
@@ -249,21 +249,24 @@
 		name = r.route.Name
 	}
 	if !r.fromPeer {
-		g.options.Metrics.RequestEnded(name, r.service, int(end.code), took)
+		g.options.Metrics.RequestEnded(name, r.service, r.accountName(), int(end.code), took)
 	}
 	fields := logrus.Fields{
 		"id": r.id, "route": name, "service": r.service, "version": r.version, "result": end.code.String(),
 		"ms": took.Milliseconds(),
 	}
+	if a := r.accountName(); a != "" {
+		fields["account"] = a
+	}
+	if !r.fromPeer && r.log.quotaWait > 0 {
+		fields["quota_wait_ms"] = r.log.quotaWait.Milliseconds()
+	}
 	if r.log.owner != "" {
 		fields["owner"], fields["owner_ms"] = r.log.owner, r.log.ownerDuration.Milliseconds()
 		g.options.Logger.WithFields(fields).Info("gateway: request delegated")
 		return
 	}
 	fields["sent"] = r.attempts
-	if a := r.identity.Account; a != nil {
-		fields["account"], fields["quota_wait_ms"] = a.Name, r.log.quotaWait.Milliseconds()
-	}
 	if !r.deadline.IsZero() {
 		fields["left_ms"] = r.deadline.Sub(r.in.Arrived).Milliseconds()
 		fields["objective_ms"] = r.route.Objective.Milliseconds()
--- a/edge/logs/account/account.go
+++ b/edge/logs/account/account.go
@@ -46,11 +46,12 @@
 	Requests int `json:"requests"`
 	BadLines int `json:"bad_lines"`
 	All      Counts
-	// ByRoute, ByRegion (region of the entry VM) and BySecond (since the first line) are
+	// ByRoute, ByAccount (client account), ByRegion (region of the entry VM) and BySecond (since the first line) are
 	// sorted by key.
-	ByRoute  []Group `json:"by_route"`
-	ByRegion []Group `json:"by_region"`
-	BySecond []Point `json:"by_second"`
+	ByRoute   []Group `json:"by_route"`
+	ByAccount []Group `json:"by_account,omitempty"`
+	ByRegion  []Group `json:"by_region"`
+	BySecond  []Point `json:"by_second"`
 }
 
 // Point holds the counts of requests that ended in one second.
@@ -70,14 +71,14 @@
 func Read(o Options, sources ...Source) (*Report, error) {
 	r := &reader{
 		options: o, history: newHistory(), latencies: make(map[class]*latencyHistogram), regions: make(map[string]string),
-		routes: make(map[string]*Counts), vmRegions: make(map[string]*Counts), seconds: make(map[int]*Point), began: -1,
+		routes: make(map[string]*Counts), accounts: make(map[string]*Counts), vmRegions: make(map[string]*Counts), seconds: make(map[int]*Point), began: -1,
 	}
 	bad, err := merge(sources, r.add)
 	if err != nil {
 		return nil, err
 	}
 	r.report.BadLines = bad
-	r.report.ByRoute, r.report.ByRegion = groups(r.routes), groups(r.vmRegions)
+	r.report.ByRoute, r.report.ByAccount, r.report.ByRegion = groups(r.routes), groups(r.accounts), groups(r.vmRegions)
 	for _, p := range r.seconds {
 		if p.responses > 0 {
 			p.Expected /= float64(p.responses)
@@ -106,6 +107,7 @@
 	// regions maps VM names to regions.
 	regions   map[string]string
 	routes    map[string]*Counts
+	accounts  map[string]*Counts
 	vmRegions map[string]*Counts
 	seconds   map[int]*Point
 	// began is the time of the first request, negative before it.
@@ -136,7 +138,11 @@
 		p.SlowRuns++
 	}
 	own := r.regions[e.vm]
-	for _, c := range []*Counts{&r.report.All, countsOf(r.routes, e.Route), countsOf(r.vmRegions, own), &p.Counts} {
+	counts := []*Counts{&r.report.All, countsOf(r.routes, e.Route), countsOf(r.vmRegions, own), &p.Counts}
+	if e.Account != "" {
+		counts = append(counts, countsOf(r.accounts, e.Account))
+	}
+	for _, c := range counts {
 		r.count(c, &e, slow)
 	}
 	if e.Result == "ok" && len(e.TookMS) > 0 {
--- a/edge/logs/account/cause.go
+++ b/edge/logs/account/cause.go
@@ -34,6 +34,15 @@
 	NotServing Cause = "refused: VM not serving"
 	// Quarantined: the request had crashed targets.
 	Quarantined Cause = "refused: ends targets"
+	// OverQuota: the client account was over its limit, QuotaUnknown: no coordinator of the quota
+	// answered.
+	OverQuota    Cause = "refused: account over its quota"
+	QuotaUnknown Cause = "refused: quota not known"
+	// UnknownKey: no client account holds the key, RemovedKey: it was taken away, StaleConfig: the
+	// VM may have lacked the newest configuration.
+	UnknownKey  Cause = "refused: unknown key"
+	RemovedKey  Cause = "refused: key taken away"
+	StaleConfig Cause = "refused: configuration out of date"
 	// RefusedUnexplained: none of the above.
 	RefusedUnexplained Cause = "refused: could not be told"
 
@@ -61,14 +70,19 @@
 	return e.Result == "connection-lost" || e.Result == "deadline-after-send"
 }
 
+// refusals are the causes that follow from the result alone.
+var refusals = map[string]Cause{
+	"over-quota": OverQuota, "quota-unknown": QuotaUnknown, "unknown-key": UnknownKey, "key-removed": RemovedKey,
+	"config-stale": StaleConfig, "quarantined": Quarantined, "node-leaving": NotServing, "no-plan": NotServing,
+}
+
 func causeOfRefusal(e *entry) Cause {
+	if cause, ok := refusals[e.Result]; ok {
+		return cause
+	}
 	switch {
 	case e.Why == "no target" || e.Result == "no-target":
 		return NoTarget
-	case e.Result == "node-leaving" || e.Result == "no-plan":
-		return NotServing
-	case e.Result == "quarantined":
-		return Quarantined
 	case e.Result != "queue-full" || e.Slots == 0:
 		return RefusedUnexplained
 	case float64(e.InFlight) < (1-freeSlotShare)*float64(e.Slots):
--- a/edge/logs/account/line.go
+++ b/edge/logs/account/line.go
@@ -25,6 +25,7 @@
 	ID          string   `json:"id"`
 	Route       string   `json:"route"`
 	Service     string   `json:"service"`
+	Account     string   `json:"account"`
 	Result      string   `json:"result"`
 	Why         string   `json:"why"`
 	Key         string   `json:"affinity_key"`
--- a/edge/logs/account/table.go
+++ b/edge/logs/account/table.go
@@ -13,6 +13,9 @@
 	fmt.Fprintf(w, "%d requests, %d lines not understood\n\n", a.Requests, a.BadLines)
 	writeCauses(w, &a.All)
 	writeGroups(w, "route", a.ByRoute)
+	if len(a.ByAccount) > 0 {
+		writeGroups(w, "account", a.ByAccount)
+	}
 	writeGroups(w, "region", a.ByRegion)
 	fmt.Fprint(w, "\nsecond\tasked\tin objective\tlate\trefused\tfailed\tslow runs\texpected ms\tseen ms\t\n")
 	for i := range a.BySecond {
