route: routes are found by their prefix, not by a search through all of a host

Change: a map by prefix, asked at each slash of the path from its end; prefixes that do not end with a slash stay in a list.

--- a/edge/quota/fleet_test.go
+++ b/edge/quota/fleet_test.go
@@ -9,8 +9,8 @@
 func TestFleetShrinksLate(t *testing.T) {
 	now := time.Unix(1000, 0)
 	f := NewFleet(now)
-	observe := func(vms int, for_ time.Duration) {
-		for end := now.Add(for_); now.Before(end); now = now.Add(time.Second) {
+	observe := func(vms int, length time.Duration) {
+		for end := now.Add(length); now.Before(end); now = now.Add(time.Second) {
 			f.Contact(now)
 			f.Observe(now, vms)
 		}
--- a/edge/quota/holder.go
+++ b/edge/quota/holder.go
@@ -312,14 +312,6 @@
 	return int(math.Ceil(a.demand * advance.Seconds()))
 }
 
-// isAlone reports whether no coordinator of a group answers.
-func (h *Holder) isAlone(now time.Time, group int) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.checkLink(now, h.links[group])
-	return h.links[group].alone
-}
-
 // report returns the next report to the coordinator of a group.
 func (h *Holder) report(now time.Time, group int) *request {
 	h.mu.Lock()
--- a/edge/quota/model_test.go
+++ b/edge/quota/model_test.go
@@ -50,7 +50,6 @@
 	side        int
 	frozenUntil time.Time
 	down        bool
-	reachableBy time.Time
 }
 
 type datagram struct {
--- a/edge/route/table.go
+++ b/edge/route/table.go
@@ -14,8 +14,38 @@
 // Table matches requests to routes. Its set of routes is immutable.
 type Table struct {
 	Version uint64
-	// hosts holds the entries of each host, longest prefix first.
-	hosts map[string][]*Entry
+	hosts   map[string]*hostEntries
+}
+
+// hostEntries are the entries of one host.
+type hostEntries struct {
+	// byPrefix holds the entries whose prefix ends with a slash.
+	byPrefix map[string]*Entry
+	// others are the remaining entries, longest prefix first.
+	others []*Entry
+}
+
+// add adds an entry. Of several with the same prefix the first one counts.
+func (h *hostEntries) add(e *Entry) {
+	if !strings.HasSuffix(e.Prefix, "/") {
+		h.others = append(h.others, e)
+	} else if h.byPrefix[e.Prefix] == nil {
+		h.byPrefix[e.Prefix] = e
+	}
+}
+
+// match returns the entry with the longest prefix of a path, nil if there is none.
+func (h *hostEntries) match(path string) *Entry {
+	var best *Entry
+	for end := len(path); end > 0 && best == nil; end = strings.LastIndexByte(path[:end-1], '/') + 1 {
+		best = h.byPrefix[path[:end]]
+	}
+	for _, e := range h.others {
+		if strings.HasPrefix(path, e.Prefix) && (best == nil || len(e.Prefix) > len(best.Prefix)) {
+			return e
+		}
+	}
+	return best
 }
 
 // Entry is one route with the state of its traffic split.
@@ -30,7 +60,7 @@
 // NewTable builds the table of a configuration. Routes that exist in the last table, which
 // may be nil, keep their latency estimates.
 func NewTable(c *site.Config, last *Table) *Table {
-	t := &Table{Version: c.Version, hosts: make(map[string][]*Entry)}
+	t := &Table{Version: c.Version, hosts: make(map[string]*hostEntries)}
 	for _, r := range c.Routes {
 		e := &Entry{Route: r, classes: make(map[string]*placing.Class), currentWeight: make([]float64, len(r.Services))}
 		old := last.find(r.Host, r.Prefix)
@@ -40,20 +70,27 @@
 				e.classes[weighted.Service] = placing.NewClass(r.Objective)
 			}
 		}
-		t.hosts[r.Host] = append(t.hosts[r.Host], e)
+		if t.hosts[r.Host] == nil {
+			t.hosts[r.Host] = &hostEntries{byPrefix: make(map[string]*Entry)}
+		}
+		t.hosts[r.Host].add(e)
 	}
-	for _, entries := range t.hosts {
-		sort.SliceStable(entries, func(i, j int) bool { return len(entries[i].Prefix) > len(entries[j].Prefix) })
+	for _, h := range t.hosts {
+		sort.SliceStable(h.others, func(i, j int) bool { return len(h.others[i].Prefix) > len(h.others[j].Prefix) })
 	}
 	return t
 }
 
 // find returns the entry with exactly this host and prefix, nil if there is none.
 func (t *Table) find(host, prefix string) *Entry {
-	if t == nil {
+	if t == nil || t.hosts[host] == nil {
 		return nil
 	}
-	for _, e := range t.hosts[host] {
+	h := t.hosts[host]
+	if e := h.byPrefix[prefix]; e != nil {
+		return e
+	}
+	for _, e := range h.others {
 		if e.Prefix == prefix {
 			return e
 		}
@@ -73,10 +110,8 @@
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
 	}
-	for _, e := range t.hosts[host] {
-		if strings.HasPrefix(path, e.Prefix) {
-			return e
-		}
+	if h := t.hosts[host]; h != nil {
+		return h.match(path)
 	}
 	return nil
 }
--- a/edge/route/table_test.go
+++ b/edge/route/table_test.go
@@ -65,3 +65,18 @@
 		t.Error("no estimates for the new service")
 	}
 }
+
+// Prefixes without a slash at the end match parts of a segment, and compete by length with the
+// others.
+func TestPrefixesWithoutSlash(t *testing.T) {
+	table := NewTable(config(1, routeTo("slash", "/a/", "s"), routeTo("part", "/a/bc", "s"), routeTo("short", "/a", "s"), routeTo("deep", "/a/bcd/", "s"), routeTo("again", "/a/", "s")), nil)
+	for path, want := range map[string]string{"/a/x": "slash", "/a/bcx": "part", "/a/bcd/x": "deep", "/ax": "short", "/a/bcd": "part", "/": "", "": ""} {
+		got := ""
+		if e := table.Match("h", path); e != nil {
+			got = e.Name
+		}
+		if got != want {
+			t.Errorf("%q: %q, want %q", path, got, want)
+		}
+	}
+}
