soak: client accounts, keys that move and a quota that callers exceed

Change: the stand-in's configuration has accounts, its targets record the account and whether a key came. Seeds from 6000 on play four kinds of callers: no key may reach a target, each run names the key's account, a key that nobody holds runs nothing, the limited account stays within rate x 5 s + burst without any overshoot, and a removed key is refused by every VM in the end. Earlier seeds do what they did.

--- a/integration/soak/caller_test.go
+++ b/integration/soak/caller_test.go
@@ -18,17 +18,19 @@
 	host = "shop.example"
 	// callTime is the callers' deadline.
 	callTime = 2 * time.Second
+	// refusedPause is how long a caller waits after 401 and 429.
+	refusedPause = 20 * time.Millisecond
 	// dialTime bounds connecting to a VM.
 	dialTime = 500 * time.Millisecond
 )
 
 // outcome is what a caller saw of one request.
 type outcome struct {
-	id     string
-	order  bool
-	status int // 0: no answer
-	own    bool
-	body   string
+	id, key string
+	order   bool
+	status  int // 0: no answer
+	own     bool
+	body    string
 	// at is the time of the answer since the start of the run, took that since the
 	// request.
 	at, took time.Duration
@@ -57,6 +59,8 @@
 	conn    net.Conn
 	reader  *bufio.Reader
 	sent    int
+	// key is the key of its client account, "" for none.
+	key string
 	// path is the last part of all its paths, "" for the ID of each request.
 	path string
 }
@@ -69,6 +73,9 @@
 		o := c.ask(fmt.Sprintf("%s-%d", c.name, c.sent), order)
 		o.took = time.Since(asked)
 		c.journal.add(o)
+		if o.status == http.StatusUnauthorized || o.status == http.StatusTooManyRequests {
+			time.Sleep(refusedPause)
+		}
 	}
 	c.drop()
 }
@@ -120,7 +127,7 @@
 
 // ask sends one request and returns what was seen of it.
 func (c *caller) ask(id string, order bool) outcome {
-	o := outcome{id: id, order: order}
+	o := outcome{id: id, key: c.key, order: order}
 	if !c.connect() {
 		return o
 	}
@@ -133,7 +140,7 @@
 		method, path = http.MethodPost, "/order/"+last
 	}
 	_ = c.conn.SetDeadline(time.Now().Add(callTime + dialTime))
-	if _, err := io.WriteString(c.conn, platformtest.Request(host, method, path, id, callTime)); err != nil {
+	if _, err := io.WriteString(c.conn, platformtest.Request(host, method, path, id, c.key, callTime)); err != nil {
 		c.drop()
 		return o
 	}
--- a/integration/soak/repeats_test.go
+++ b/integration/soak/repeats_test.go
@@ -45,6 +45,7 @@
 		c := &caller{
 			name: fmt.Sprintf("%s-%d", endMark, n), vms: w.processes, journal: &journal{},
 			random: rand.New(rand.NewPCG(w.seed, uint64(callers+n))), path: fmt.Sprintf("%s-%d", endMark, n),
+			key: w.keyOf(0),
 		}
 		all.Go(func() {
 			for ctx.Err() == nil {
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -35,6 +35,8 @@
 	laterHarms = 1000
 	// crashingRequests come with seeds from here on.
 	crashingRequests = 2000
+	// accounts come with seeds from here on.
+	accountSeeds = 6000
 	// healTime is how long a VM may take to serve after all faults have ended.
 	healTime = 30 * time.Second
 )
@@ -61,6 +63,12 @@
 	soak(t, buildEntry(t), crashingRequests)
 }
 
+// The same with client accounts: keys that are taken away and come back, one that nobody holds, and
+// a quota that callers exceed.
+func TestSoakOfAccounts(t *testing.T) {
+	soak(t, buildEntry(t), accountSeeds)
+}
+
 // world is the processes and stand-ins of one run.
 type world struct {
 	t        *testing.T
@@ -79,6 +87,8 @@
 	version           int
 	faults            map[string]int
 	timeline          *timeline
+	// keyGone is set while the configuration lacks movingKey.
+	keyGone bool
 	// checked counts promises: what the answer to one request may say.
 	checked int
 }
@@ -89,7 +99,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	var all sync.WaitGroup
 	for i := range callers {
-		c := &caller{name: fmt.Sprintf("c%d-%d", seed, i), random: rand.New(rand.NewPCG(seed, uint64(i))), vms: w.processes, journal: seen}
+		c := &caller{name: fmt.Sprintf("c%d-%d", seed, i), random: rand.New(rand.NewPCG(seed, uint64(i))), vms: w.processes, journal: seen, key: w.keyOf(i)}
 		all.Go(func() { c.run(ctx) })
 	}
 	w.waitServing("before any fault")
@@ -105,6 +115,7 @@
 	stop()
 	all.Wait()
 	w.check(seen)
+	w.checkAccounts(seen)
 	if *plotTo != "" {
 		w.must(w.timeline.write(seen.all, filepath.Join(*plotTo, fmt.Sprintf("seed-%d.png", seed))))
 	}
@@ -172,7 +183,11 @@
 		{Name: "look", Host: host, Prefix: "/look/", Kind: platformtest.Safe, Service: fmt.Sprintf("s%d", w.version%2)},
 		{Name: "order", Host: host, Prefix: "/order/", Kind: platformtest.NonIdempotent, Service: "s0"},
 	}
-	w.must(w.operator.Configure(w.version, routes, "s0", "s1"))
+	if w.seed < accountSeeds {
+		w.must(w.operator.Configure(w.version, routes, "s0", "s1"))
+		return
+	}
+	w.must(w.operator.ConfigureAccounts(w.version, w.accounts(), routes, "s0", "s1"))
 }
 
 // harm is a fault, or the end of one.
@@ -200,6 +215,9 @@
 	if w.seed >= laterHarms {
 		harms = append(harms, harm{"target starts again under its ID", w.restart}, harm{"foreign entry", w.forge})
 	}
+	if w.seed >= accountSeeds {
+		harms = append(harms, harm{"key moved", func() { w.keyGone = !w.keyGone; w.configure() }})
+	}
 	h := harms[w.random.IntN(len(harms))]
 	w.faults[h.name]++
 	w.timeline.mark()
@@ -299,7 +317,7 @@
 	w.t.Helper()
 	seen := &journal{}
 	for i, p := range w.processes {
-		c := &caller{name: fmt.Sprintf("%s %d", when[:5], i), random: w.random, vms: w.processes[i : i+1], journal: seen}
+		c := &caller{name: fmt.Sprintf("%s %d", when[:5], i), random: w.random, vms: w.processes[i : i+1], journal: seen, key: w.keyOf(0)}
 		for began := time.Now(); ; {
 			c.sent++
 			c.drop()
