quota, entry: no token without a lease, and nothing confirmed at the start

Cause, found by reading: a request that stopped waiting just as it was admitted left its token at the VM also when the lease had ended, and a VM that had just started took its first, perhaps old copy of the store for current for 1.5 s, in which it answered 401 for keys of a newer configuration. Change: a token comes back only under a lease; a VM is not current before that is confirmed.

--- a/edge/entry/quota.go
+++ b/edge/entry/quota.go
@@ -46,6 +46,8 @@
 func newContact(revokeTime time.Duration) *contact {
 	c := &contact{clock: clock.New(), revokeTime: revokeTime}
 	c.started = c.clock.Now()
+	// The first copy of the store may be old, so that nothing is confirmed yet.
+	c.confirmedAt.Store(int64(-max(currentTimeout, revokeTime)))
 	return c
 }
 
--- a/edge/quota/holder.go
+++ b/edge/quota/holder.go
@@ -257,13 +257,14 @@
 }
 
 // cancel removes a waiter. If it was admitted meanwhile, its token is restored.
-func (h *Holder) cancel(id uint32, w *waiter) {
+func (h *Holder) cancel(now time.Time, id uint32, w *waiter) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	a := h.holdings[id]
 	if a == nil {
 		return
 	}
+	h.checkLink(now, h.links[h.groupOf(id)])
 	for i, other := range a.waiters {
 		if other == w {
 			a.waiters = append(a.waiters[:i], a.waiters[i+1:]...)
@@ -271,7 +272,7 @@
 		}
 	}
 	if d := <-w.decided; d.verdict == Admitted {
-		a.tokens++
+		h.restore(a, id)
 	}
 }
 
@@ -283,10 +284,13 @@
 	if a == nil {
 		return
 	}
-	l := h.links[h.groupOf(id)]
-	h.checkLink(now, l)
-	// Without a lease the token is lost.
-	if l.leased {
+	h.checkLink(now, h.links[h.groupOf(id)])
+	h.restore(a, id)
+}
+
+// restore returns a token to an account. Without a lease the token is lost.
+func (h *Holder) restore(a *holding, id uint32) {
+	if h.links[h.groupOf(id)].leased {
 		a.tokens++
 	}
 }
--- a/edge/quota/model_test.go
+++ b/edge/quota/model_test.go
@@ -297,7 +297,7 @@
 			kept = append(kept, r)
 			continue
 		}
-		p.quota.holder.cancel(r.id, r.w)
+		p.quota.holder.cancel(p.m.now, r.id, r.w)
 	}
 	p.waiting = kept
 }
--- a/edge/quota/quota.go
+++ b/edge/quota/quota.go
@@ -121,7 +121,7 @@
 	case <-ctx.Done():
 	case <-timer.C:
 	}
-	q.holder.cancel(limit.ID, w)
+	q.holder.cancel(q.options.Now(), limit.ID, w)
 	return Undecided, unknownRetryAfter
 }
 
