quota: a group that is gone is ignored, which ended the VM before

Cause, found by reading: the number of groups follows the size of the fleet; a report or reply of a group that is gone by then indexed past the end, and that panic is in the goroutine that receives datagrams. Change: such groups are ignored. The test fails before (index out of range).

--- a/edge/quota/holder.go
+++ b/edge/quota/holder.go
@@ -131,6 +131,9 @@
 func (h *Holder) unansweredSince(group int) (oldest time.Time, found bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if group >= len(h.links) {
+		return oldest, false
+	}
 	reported := h.links[group].reported
 	for _, at := range reported {
 		if oldest.IsZero() || at.Before(oldest) {
@@ -144,7 +147,9 @@
 func (h *Holder) forgetReports(group int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	clear(h.links[group].reported)
+	if group < len(h.links) {
+		clear(h.links[group].reported)
+	}
 }
 
 // hasWaiters reports whether requests wait for a reply.
@@ -152,6 +157,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	found := false
+	if group >= len(h.links) {
+		return false
+	}
 	h.forEach(h.links[group], func(a *holding) { found = found || len(a.waiters) > 0 })
 	return found
 }
@@ -316,10 +324,14 @@
 	return int(math.Ceil(a.demand * advance.Seconds()))
 }
 
-// report returns the next report to the coordinator of a group.
+// report returns the next report to the coordinator of a group, nil if the number of groups has
+// become smaller.
 func (h *Holder) report(now time.Time, group int) *request {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if group >= len(h.links) {
+		return nil
+	}
 	l := h.links[group]
 	h.checkLink(now, l)
 	l.sequence++
@@ -366,6 +378,9 @@
 func (h *Holder) apply(now time.Time, group int, m *reply) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if group >= len(h.links) {
+		return
+	}
 	l := h.links[group]
 	sentAt, ok := l.reported[m.sequence]
 	if m.incarnation != h.incarnation || m.sequence <= l.received || !ok {
--- a/edge/quota/holder_test.go
+++ b/edge/quota/holder_test.go
@@ -63,3 +63,16 @@
 		t.Error("an old reply was applied")
 	}
 }
+
+// The fleet may shrink between a report and its reply: a group that is gone must be ignored.
+func TestGroupsThatAreGoneAreIgnored(t *testing.T) {
+	now := time.Unix(1000, 0)
+	h := NewHolder(modelBounds, 1, 1, 3, func() int { return 300 }, now)
+	m := h.report(now, 2)
+	h.setGroups(now, 1)
+	h.apply(now, 2, &reply{incarnation: 1, group: 2, groups: 3, sequence: m.sequence})
+	h.forgetReports(2)
+	if _, waits := h.unansweredSince(2); waits || h.hasWaiters(2) || h.report(now, 2) != nil {
+		t.Error("a group that is gone has reports or waiters")
+	}
+}
--- a/edge/quota/quota.go
+++ b/edge/quota/quota.go
@@ -187,8 +187,13 @@
 	to := q.coordinator(now, group)
 	q.mu.Unlock()
 	m := q.holder.report(now, group)
+	if m == nil {
+		return
+	}
 	if to.Name == q.options.VM {
-		q.holder.apply(now, group, q.handle(now, m))
+		if r := q.handle(now, m); r != nil {
+			q.holder.apply(now, group, r)
+		}
 		return
 	}
 	q.options.SendRequest(to.Address, m.encode())
