--- a/edge/gateway/account_test.go
+++ b/edge/gateway/account_test.go
@@ -85,10 +85,10 @@
 		{"X-Account": {"other", "third"}},
 		{"Connection": {"X-Account"}},
 		{"Connection": {"close, x-account", "X-Expect"}, "X-Account": {"other"}},
-		{"Connection": {"X-Api-Key, X-Deadline, X-Id"}},
+		{"Connection": {"X-Key, X-Deadline, X-Id"}},
 		{fieldAccount: {"other"}, fieldKeyDigest: {"00"}, fieldVersion: {"4"}},
 	} {
-		header["X-Api-Key"] = []string{secretKey}
+		header["X-Key"] = []string{secretKey}
 		if a := g.askWith("/safe/x", header); a.Status != http.StatusOK {
 			t.Fatalf("%v: %d", header, a.Status)
 		}
@@ -115,7 +115,7 @@
 	g := newGateway(t)
 	g.setAccounts(4, oneAccount(secretKey), s)
 	for _, values := range [][]string{nil, {""}, {"wrong"}, {secretKey, secretKey}, {secretKey + " more"}, {strings.Repeat("k", site.MaxKeyBytes+1)}} {
-		header := http.Header{"X-Api-Key": values, "X-Account": {"acme"}}
+		header := http.Header{"X-Key": values, "X-Account": {"acme"}}
 		if a := g.askWith("/safe/x", header); a.Status != http.StatusUnauthorized || s.count() != 0 {
 			t.Errorf("%q: status %d, %d requests at the target", values, a.Status, s.count())
 		}
@@ -128,8 +128,8 @@
 		if len(values) == 1 && values[0] == secretKey {
 			want = "acme"
 		}
-		a := g.askWith("/public/x", http.Header{"X-Api-Key": values, "X-Account": {"other"}})
-		if got := seen.last(); a.Status != http.StatusOK || got.Get("X-Account") != want || got.Get("X-Api-Key") != "" {
+		a := g.askWith("/public/x", http.Header{"X-Key": values, "X-Account": {"other"}})
+		if got := seen.last(); a.Status != http.StatusOK || got.Get("X-Account") != want || got.Get("X-Key") != "" {
 			t.Errorf("%q on a public route: %d, target received %v", values, a.Status, got)
 		}
 	}
@@ -145,7 +145,7 @@
 	g.setAccounts(4, oneAccount(secretKey, "kept"), s)
 	g.setAccounts(5, oneAccount("kept"), s)
 	ask := func(key string) int {
-		a := g.askWith("/safe/x", http.Header{"X-Api-Key": {key}})
+		a := g.askWith("/safe/x", http.Header{"X-Key": {key}})
 		var code int
 		fmt.Sscan(a.Header.Get(result.HeaderResult), &code)
 		return code
@@ -177,7 +177,7 @@
 	g.options.Quota = limited
 	g.setAccounts(4, oneAccount(secretKey), s)
 	status := make(chan int)
-	go func() { status <- g.askWith("/safe/x", http.Header{"X-Api-Key": {secretKey}}).Status }()
+	go func() { status <- g.askWith("/safe/x", http.Header{"X-Key": {secretKey}}).Status }()
 	limited.taken <- struct{}{}
 	g.setAccounts(5, oneAccount("other"), s)
 	limited.taken <- struct{}{}
@@ -206,7 +206,7 @@
 			}
 		}
 		g.setTargets(false, s)
-		if a := g.askWith("/safe/x", http.Header{"X-Api-Key": {secretKey}}); a.Status != c.want {
+		if a := g.askWith("/safe/x", http.Header{"X-Key": {secretKey}}); a.Status != c.want {
 			t.Errorf("route %v, account %v: %d", c.route, c.account, a.Status)
 		}
 	}
@@ -223,7 +223,7 @@
 	entry.setOwners(owner.servePeers(t))
 	key := entry.peerKey(t)
 	ask := func() int {
-		return entry.askWith("/safe/x", http.Header{"X-Api-Key": {secretKey}, "X-Object": {key}}).Status
+		return entry.askWith("/safe/x", http.Header{"X-Key": {secretKey}, "X-Object": {key}}).Status
 	}
 	if status := ask(); status != http.StatusOK || seen.last().Get("X-Account") != "acme" {
 		t.Fatalf("%d, target received %v", status, seen.last())
@@ -286,7 +286,7 @@
 	limited := &scriptedQuota{left: 1}
 	g.options.Quota = limited
 	g.setAccounts(4, oneAccount(secretKey), s)
-	header := http.Header{"X-Api-Key": {secretKey}}
+	header := http.Header{"X-Key": {secretKey}}
 	if a := g.askWith("/safe/x", header); a.Status != http.StatusOK || limited.returned != 0 {
 		t.Fatalf("%d, %d returned", a.Status, limited.returned)
 	}
@@ -318,7 +318,7 @@
 }
 
 func checkCallerFields(t *testing.T, lines string) {
-	raw := "GET /safe/x HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\nX-Api-Key: " + secretKey + "\r\n" + lines + "\r\n"
+	raw := "GET /safe/x HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\nX-Key: " + secretKey + "\r\n" + lines + "\r\n"
 	in, err := http.ReadRequest(bufio.NewReader(strings.NewReader(raw)))
 	if err != nil {
 		return
@@ -334,7 +334,7 @@
 	if got == nil {
 		return
 	}
-	if values := got["X-Account"]; len(values) != 1 || values[0] != "acme" || len(got["X-Api-Key"]) != 0 {
+	if values := got["X-Account"]; len(values) != 1 || values[0] != "acme" || len(got["X-Key"]) != 0 {
 		t.Errorf("%q: target received %v", lines, got)
 	}
 }
--- a/edge/gateway/fixture_test.go
+++ b/edge/gateway/fixture_test.go
@@ -25,7 +25,7 @@
 var fields = site.FieldNames{
 	RequestID: "X-Id", Deadline: "X-Deadline", Affinity: "X-Object", ExpectTarget: "X-Expect", Stamp: "X-Stamp",
 	NotRun: "X-Not-Run", TargetID: "X-Target", Load: "X-Load", ColdMillis: "X-Cold",
-	Account: "X-Account", APIKey: "X-Api-Key",
+	Account: "X-Account", APIKey: "X-Key",
 }
 
 // script answers one request and returns false to close the connection.
