replica: partial copies have the changes that a listing had already

What callers could see: a VM that copies changes from one that has just started never learns of one of them, such as a target that drains, until the next change of that key.

Cause: a listing can hold items that are newer than its revision. The watch from that revision returns them again; as they were known they were neither reported, which is right, nor recorded for partial copies, so that a neighbour at a revision in between skipped them.

TestPartialSnapshotHasItemsNewerThanTheListing failed before (target is ready at revision 8, want draining at 8).

--- a/edge/replica/replica.go
+++ b/edge/replica/replica.go
@@ -306,9 +306,15 @@
 
 // applyEvents requires the lock.
 func (r *Replica) applyEvents(batch store.Batch) {
-	var changes []Change
+	var changes, recorded []Change
 	for _, event := range batch.Events {
-		if event.Entry.Revision <= r.items[event.Entry.Key].Revision {
+		change := Change{Entry: event.Entry, Removed: event.Deleted}
+		known := event.Entry.Revision <= r.items[event.Entry.Key].Revision
+		// A listing may have had the item although it is newer than the listing's revision.
+		if !known || event.Entry.Revision > r.revision {
+			recorded = append(recorded, change)
+		}
+		if known {
 			continue
 		}
 		if event.Deleted {
@@ -316,13 +322,13 @@
 		} else {
 			r.items[event.Entry.Key] = event.Entry
 		}
-		changes = append(changes, Change{Entry: event.Entry, Removed: event.Deleted})
+		changes = append(changes, change)
 	}
 	if batch.At > r.revision {
 		r.revision = batch.At
 		r.behindSince = time.Time{}
 	}
-	r.recordChanges(changes)
+	r.recordChanges(recorded)
 	r.notify(changes)
 }
 
--- a/edge/replica/replica_test.go
+++ b/edge/replica/replica_test.go
@@ -196,6 +196,31 @@
 	}
 }
 
+// A listing may hold items that are newer than its revision. A VM that copies their changes
+// from here must get them, or it would never learn of a target that drains.
+func TestPartialSnapshotHasItemsNewerThanTheListing(t *testing.T) {
+	v := newTestVM(nil, true, noFetch)
+	ready := store.Entry{Key: "a", Value: []byte("ready"), Revision: 4}
+	draining := store.Entry{Key: "a", Value: []byte("draining"), Revision: 7}
+	v.ApplySnapshot(Snapshot{At: 5, Items: []store.Entry{draining}})
+	v.apply(store.Batch{At: 8, Events: []store.Event{{Entry: draining}, {Entry: store.Entry{Key: "b", Revision: 8}}}})
+	if len(v.changes) != 2 {
+		t.Errorf("%d changes reported, want each of 2 items once", len(v.changes))
+	}
+
+	follower := newTestVM(nil, false, noFetch)
+	follower.ApplySnapshot(Snapshot{At: 6, Items: []store.Entry{ready}})
+	follower.ApplySnapshot(v.SnapshotAfter(6))
+	if at, _ := follower.Revision(); at != 8 || follower.value("a") != "draining" {
+		t.Errorf("target is %q at revision %d, want draining at 8", follower.value("a"), at)
+	}
+	// Copies of what is known already are not recorded again.
+	v.ApplySnapshot(Snapshot{At: 9, Partial: true, After: 5, Items: []store.Entry{draining, {Key: "c", Revision: 9}}})
+	if s := v.SnapshotAfter(5); len(s.Items) != 3 {
+		t.Errorf("%d items after 5, want 3", len(s.Items))
+	}
+}
+
 // A VM that is behind by more changes than are kept gets a full snapshot.
 func TestFullSnapshotForDistantRevision(t *testing.T) {
 	v := newTestVM(nil, true, noFetch)
