catalog: live targets stay in use after an outage however the store tells of the lapses

What callers see: after an outage in which registrations lapse, all targets of the fleet are dropped for half a second to a second, until they register again.

How a removal was learnt stood for why it happened: the store reports lapses as events, and a removal by an event was final.

Change: the tracker of outages alone decides.

--- a/edge/catalog/target.go
+++ b/edge/catalog/target.go
@@ -95,7 +95,7 @@
 		return
 	}
 	graceEnd, mayBeLive := c.options.Outages.GraceEnd(c.options.Now())
-	if !change.FromSnapshot || !mayBeLive || t.Draining {
+	if !mayBeLive || t.Draining {
 		delete(c.targets, change.Entry.Key)
 		c.changes.add(changeRemoved, t.ID)
 		return
--- a/edge/replica/replica.go
+++ b/edge/replica/replica.go
@@ -46,9 +46,6 @@
 type Change struct {
 	Entry   store.Entry
 	Removed bool
-	// FromSnapshot is set for a change that was found by comparing full snapshots. Such a
-	// removal can be the result of an outage of the store.
-	FromSnapshot bool
 }
 
 // Options configure a Replica.
--- a/edge/replica/snapshot.go
+++ b/edge/replica/snapshot.go
@@ -111,13 +111,13 @@
 		present[entry.Key] = true
 		if entry.Revision > r.items[entry.Key].Revision {
 			r.items[entry.Key] = entry
-			changes = append(changes, Change{Entry: entry, FromSnapshot: true})
+			changes = append(changes, Change{Entry: entry})
 		}
 	}
 	for key, entry := range r.items {
 		if !present[key] && entry.Revision <= snapshot.At {
 			delete(r.items, key)
-			changes = append(changes, Change{Entry: entry, Removed: true, FromSnapshot: true})
+			changes = append(changes, Change{Entry: entry, Removed: true})
 		}
 	}
 	r.revision = snapshot.At
