platform, gateway, ratelimit: read and log the limits that targets state

Nothing showed that a target limits the requests of all VMs together, nor when a VM came to know of it. The field is decoded in platform/; the newest observation of each target is kept, a change of it is logged, and a gauge counts the targets with a limit. No decision uses it yet.

--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/yuccaroute/yuccaroute/edge/placing"
 	"github.com/yuccaroute/yuccaroute/edge/quarantine"
 	"github.com/yuccaroute/yuccaroute/edge/quota"
+	"github.com/yuccaroute/yuccaroute/edge/ratelimit"
 	"github.com/yuccaroute/yuccaroute/edge/registry"
 	"github.com/yuccaroute/yuccaroute/edge/replica"
 	"github.com/yuccaroute/yuccaroute/edge/serve"
@@ -62,6 +63,7 @@
 	owners         *owners.Table
 	quarantine     *quarantine.Quarantine
 	quota          *quota.Quota
+	rateLimits     *ratelimit.Table
 	fleet          *fleet
 	contact        *contact
 	// callerServer accepts requests of callers, peerServer those of other VMs.
@@ -98,10 +100,12 @@
 	e.contact = newContact(o.RevokeTime)
 	e.fleet = newFleet(o.FleetSizeKey, o.KV, e.contact.clock, e.component("fleet"))
 	e.quota = e.newQuota()
+	e.rateLimits = ratelimit.New(e.setLimits)
 	e.gateway = gateway.New(gateway.Options{
 		Fields: o.Names.Fields, Region: o.VM.Region, Balancer: e.balancer, Logger: e.component("gateway"), Metrics: e.gatewayMetrics,
 		RetryRatio: o.RetryRatio, RetryExtra: o.RetryExtra, VMCount: e.members.Count, RTT: e.roundTrips.get,
 		InFlightChanged: e.reportSoon, Owners: e.owners, Quarantine: e.quarantine,
+		TargetLimits: e.targetLimits(), StatedLimit: o.Names.StatedLimit,
 		Quota: e.quota, ConfigCurrent: e.contact.isCurrent, AccountsExpired: e.contact.isExpired, MaxAnswerBytes: maxResponseBytes,
 	})
 	e.outages = catalog.NewOutages(now)
@@ -295,6 +299,7 @@
 		e.catalog.Expire(now)
 		e.updateSharers(now)
 		e.maintainQuota(ctx, now)
+		e.rateLimits.Expire(now)
 		e.quarantine.Tick(ctx, now, e.members.IsWatchLeader(now))
 		e.gatewayMetrics.setQuarantine(e.quarantine.Counts())
 		e.gateway.Probe(ctx, e.healthPath)
--- a/edge/entry/gatewaymetrics.go
+++ b/edge/entry/gatewaymetrics.go
@@ -137,6 +137,11 @@
 	c.scope.Gauge("requests_quarantined").Update(float64(quarantined))
 }
 
+// setTargetLimits updates the gauge of targets that limit the requests of all VMs.
+func (c *gatewayMetrics) setTargetLimits(targets int) {
+	c.scope.Gauge("targets_limited").Update(float64(targets))
+}
+
 // taggedCounter returns the cached counter for a tag value, creating it if needed.
 func (c *gatewayMetrics) taggedCounter(counters map[string]tally.Counter, name, tag, value string) tally.Counter {
 	c.mu.Lock()
--- a/edge/entry/options.go
+++ b/edge/entry/options.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/yuccaroute/yuccaroute/edge/catalog"
+	"github.com/yuccaroute/yuccaroute/edge/gateway"
 	"github.com/yuccaroute/yuccaroute/edge/quarantine"
 	"github.com/yuccaroute/yuccaroute/edge/quota"
 	"github.com/yuccaroute/yuccaroute/edge/serve"
@@ -29,6 +30,8 @@
 	// EncodeAddresses encodes the directory's response.
 	ParseCaller     func(query url.Values) (zone, region string)
 	EncodeAddresses func(addresses []string, ttl time.Duration) *serve.Response
+	// StatedLimit reads the limit that a target states in an answer; nil ignores such limits.
+	StatedLimit gateway.StatedLimit
 }
 
 // Options configure a VM.
--- a/edge/gateway/run.go
+++ b/edge/gateway/run.go
@@ -237,9 +237,11 @@
 		return attempt{decision: d, notRun: true, code: result.ConnectFailed, err: err}
 	}
 	defer p.Put(conn)
+	sentAt := time.Now()
 	answer, err := g.sendOverConn(ctx, r, d, conn)
 	if answer != nil {
 		updateIdleTimeout(p, answer.Header)
+		g.observeLimit(d.Target, answer, sentAt)
 	}
 	return g.classify(d, answer, err)
 }
--- /dev/null
+++ b/edge/gateway/targetlimit.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/yuccaroute/yuccaroute/edge/placing"
+	"github.com/yuccaroute/yuccaroute/edge/quota"
+	"github.com/yuccaroute/yuccaroute/edge/ratelimit"
+	"github.com/yuccaroute/yuccaroute/proxy/forward"
+)
+
+// TargetLimits records the limits that targets state in their answers.
+type TargetLimits interface {
+	// Observe records what a target stated in the answer to a request that was sent at sentAt. It
+	// reports whether that changes the target's limit.
+	Observe(o ratelimit.Observation, sentAt time.Time) (changed bool)
+}
+
+// StatedLimit returns the limit that a target states in an answer, in requests per second of all
+// VMs together, and false if it states none.
+type StatedLimit func(h http.Header) (rate float64, stated bool)
+
+// observeLimit records whether an answer states a limit of its target. Only an answer that the
+// target has stamped shows that it has withdrawn one.
+func (g *Gateway) observeLimit(t *placing.Target, answer *forward.Response, sentAt time.Time) {
+	if g.options.TargetLimits == nil {
+		return
+	}
+	rate, stated := g.options.StatedLimit(answer.Header)
+	if !stated && answer.Header.Get(g.options.Fields.Stamp) == "" {
+		return
+	}
+	o := ratelimit.Observation{Target: quota.IDOf(t.ID), Limited: stated, Rate: rate, At: time.Now()}
+	if g.options.TargetLimits.Observe(o, sentAt) {
+		g.options.Logger.WithFields(logrus.Fields{"target": t.ID, "service": t.Service, "limited": stated, "rate": rate}).
+			Info("gateway: target changed its limit")
+	}
+}
--- /dev/null
+++ b/edge/ratelimit/ratelimit.go
@@ -0,0 +1,150 @@
+// Package ratelimit holds which targets have limited the requests that they take from all entry
+// VMs together. A target states its limit in its answers for as long as it applies. VMs tell each
+// other what they observed, and the newest observation of a target counts. The package does no I/O.
+package ratelimit
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// observationTTL is how long an observation counts: targets that keep a limit state it in
+	// each answer, and those that get no requests need none.
+	observationTTL = 30 * time.Second
+	// maxAnnounced bounds the observations of one announcement.
+	maxAnnounced = 16
+	// announceInterval is the time between two announcements; each has the next observations.
+	announceInterval = time.Second
+)
+
+// Observation is what a target stated in its newest answer.
+type Observation struct {
+	// Target is the ID of the target in messages, by IDOf of package quota.
+	Target uint32
+	// Limited is false if the target has withdrawn its limit. Rate is in requests per second.
+	Limited bool
+	Rate    float64
+	// At is when the answer came.
+	At time.Time
+}
+
+// Table holds the newest observation of each target that has stated a limit lately. It is safe for
+// concurrent use.
+type Table struct {
+	// changed is called with the current limits when a target gets, changes or loses one.
+	changed func(limits map[uint32]float64)
+	// known is the number of observations.
+	known atomic.Int32
+
+	mu      sync.Mutex
+	targets map[uint32]Observation
+}
+
+// New returns an empty table. changed must not call methods of the table.
+func New(changed func(limits map[uint32]float64)) *Table {
+	return &Table{changed: changed, targets: make(map[uint32]Observation)}
+}
+
+// Observe records what a target stated in the answer to a request that was sent at sentAt. It
+// reports whether that changes the target's limit.
+func (t *Table) Observe(o Observation, sentAt time.Time) (changed bool) {
+	if !o.Limited && t.known.Load() == 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	last, known := t.targets[o.Target]
+	// An answer without a limit may be older than one that has it, and have taken longer.
+	if !o.Limited && (!known || sentAt.Before(last.At)) {
+		return false
+	}
+	return t.set(o)
+}
+
+// Merge records the observations of another VM.
+func (t *Table) Merge(observations []Observation) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, o := range observations {
+		t.set(o)
+	}
+}
+
+// set requires the lock.
+func (t *Table) set(o Observation) (changed bool) {
+	last, known := t.targets[o.Target]
+	if known && !o.At.After(last.At) {
+		return false
+	}
+	t.targets[o.Target] = o
+	t.known.Store(int32(len(t.targets)))
+	if last.Limited == o.Limited && last.Rate == o.Rate {
+		return false
+	}
+	t.changed(t.limits())
+	return true
+}
+
+// limits requires the lock.
+func (t *Table) limits() map[uint32]float64 {
+	limits := make(map[uint32]float64)
+	for target, o := range t.targets {
+		if o.Limited {
+			limits[target] = o.Rate
+		}
+	}
+	return limits
+}
+
+// Limit returns the limit of a target, and false if it has none.
+func (t *Table) Limit(target uint32) (rate float64, limited bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	o, known := t.targets[target]
+	return o.Rate, known && o.Limited
+}
+
+// Expire drops observations that have become too old.
+func (t *Table) Expire(now time.Time) {
+	if t.known.Load() == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	dropped := false
+	for target, o := range t.targets {
+		if now.Sub(o.At) >= observationTTL {
+			delete(t.targets, target)
+			dropped = dropped || o.Limited
+		}
+	}
+	t.known.Store(int32(len(t.targets)))
+	if dropped {
+		t.changed(t.limits())
+	}
+}
+
+// Announcement returns observations for other VMs: at most maxAnnounced, others each
+// announceInterval.
+func (t *Table) Announcement(now time.Time) []Observation {
+	if t.known.Load() == 0 {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all := make([]Observation, 0, len(t.targets))
+	for _, o := range t.targets {
+		all = append(all, o)
+	}
+	slices.SortFunc(all, func(a, b Observation) int { return cmp.Compare(a.Target, b.Target) })
+	if len(all) <= maxAnnounced {
+		return all
+	}
+	first := int(now.UnixMilli()/announceInterval.Milliseconds()) * maxAnnounced % len(all)
+	rotated := append(slices.Clone(all[first:]), all[:first]...)
+	return rotated[:maxAnnounced]
+}
