entry: failing test of a target's limit for all VMs together

--- FAIL: TestTargetLimitHoldsForAllVMs target 1 got 427 requests in 4s, at least one and at most 17 allowed target 2 got 152 requests in 4s, at least one and at most 17 allowed

The users' record: 45 and 24 requests in 4 s, 19 and 20 allowed.

--- a/edge/entry/entry_test.go
+++ b/edge/entry/entry_test.go
@@ -138,6 +138,7 @@
 		Names: entry.Names{
 			Fields: names, ResolvePath: "/resolve", ReadyPath: "/ready", VMKey: "vm/" + name,
 			ParseCaller: func(q url.Values) (string, string) { return q.Get("zone"), q.Get("region") },
+			StatedLimit: statedLimit,
 			EncodeAddresses: func(addresses []string, ttl time.Duration) *serve.Response {
 				return serve.PlainText(http.StatusOK, strings.Join(addresses, ","))
 			},
