quota, placing: a target's limit holds for the requests of all VMs together

What targets saw: a target that states a limit of 2.3 requests a second gets 45 in 4 s, from VMs that it has told, where 19 are allowed.

Cause: no VM read the limit; nothing on the way of a request bounded the rate of a target, but for targets that start cold. Class of fault: a limit of a shared resource that each client would have to keep together with the others.

Change: the targets of each region have a quota of package quota, whose tokens VMs of that region are entitled to and all VMs may get. Placing a request takes a token of its target, or another target gets it; so repeats, second sends, waiting requests and those handed to an owner are bound as first ones are. VMs tell each other the newest limits in the reports that they exchange.

--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -16,7 +16,6 @@
 	"github.com/yuccaroute/yuccaroute/edge/placing"
 	"github.com/yuccaroute/yuccaroute/edge/quarantine"
 	"github.com/yuccaroute/yuccaroute/edge/quota"
-	"github.com/yuccaroute/yuccaroute/edge/ratelimit"
 	"github.com/yuccaroute/yuccaroute/edge/registry"
 	"github.com/yuccaroute/yuccaroute/edge/replica"
 	"github.com/yuccaroute/yuccaroute/edge/serve"
@@ -63,7 +62,7 @@
 	owners         *owners.Table
 	quarantine     *quarantine.Quarantine
 	quota          *quota.Quota
-	rateLimits     *ratelimit.Table
+	targetLimits   *targetLimits
 	fleet          *fleet
 	contact        *contact
 	// callerServer accepts requests of callers, peerServer those of other VMs.
@@ -100,12 +99,12 @@
 	e.contact = newContact(o.RevokeTime)
 	e.fleet = newFleet(o.FleetSizeKey, o.KV, e.contact.clock, e.component("fleet"))
 	e.quota = e.newQuota()
-	e.rateLimits = ratelimit.New(e.setLimits)
+	e.targetLimits = newTargetLimits(e)
 	e.gateway = gateway.New(gateway.Options{
 		Fields: o.Names.Fields, Region: o.VM.Region, Balancer: e.balancer, Logger: e.component("gateway"), Metrics: e.gatewayMetrics,
 		RetryRatio: o.RetryRatio, RetryExtra: o.RetryExtra, VMCount: e.members.Count, RTT: e.roundTrips.get,
 		InFlightChanged: e.reportSoon, Owners: e.owners, Quarantine: e.quarantine,
-		TargetLimits: e.targetLimits(), StatedLimit: o.Names.StatedLimit,
+		TargetLimits: e.targetLimits.table, StatedLimit: o.Names.StatedLimit,
 		Quota: e.quota, ConfigCurrent: e.contact.isCurrent, AccountsExpired: e.contact.isExpired, MaxAnswerBytes: maxResponseBytes,
 	})
 	e.outages = catalog.NewOutages(now)
@@ -161,7 +160,7 @@
 	ex, err := exchange.Start(ctx, exchange.Options{
 		Address: e.options.PeerAddress, Logger: e.component("exchange"), State: e.state, Digest: e.digest,
 		Recipients: e.recipients, RelayTo: e.relayTo, Received: e.received(ctx),
-		Handlers: e.quotaHandlers(),
+		Handlers: e.datagramHandlers(),
 	})
 	if err != nil {
 		return err
@@ -299,7 +298,7 @@
 		e.catalog.Expire(now)
 		e.updateSharers(now)
 		e.maintainQuota(ctx, now)
-		e.rateLimits.Expire(now)
+		e.targetLimits.maintain(now)
 		e.quarantine.Tick(ctx, now, e.members.IsWatchLeader(now))
 		e.gatewayMetrics.setQuarantine(e.quarantine.Counts())
 		e.gateway.Probe(ctx, e.healthPath)
--- a/edge/entry/exchange.go
+++ b/edge/entry/exchange.go
@@ -70,6 +70,7 @@
 		// Aggregated reports go to other regions, which already know their own events.
 		Events: e.quarantine.PendingEvents(now, !sum),
 	}
+	s.Limits = e.targetLimits.announcement(now, sum)
 	if !sum {
 		s.InFlight, s.Demand = e.balancer.Report(now)
 		return s
@@ -88,7 +89,7 @@
 		return d
 	}
 	inFlight, far := e.balancer.OtherRegionSums(now)
-	d.Details = &exchange.DigestDetails{InFlight: inFlight, Demand: far}
+	d.Details = &exchange.DigestDetails{InFlight: inFlight, Demand: far, Limits: e.targetLimits.table.Announcement(now)}
 	for name, state := range e.members.RegionStates() {
 		d.Details.VMs = append(d.Details.VMs, exchange.VMStatus{
 			Name: name, Age: now.Sub(state.At), Leaving: state.Leaving, Serving: state.Serving, StoreConnected: state.StoreConnected,
@@ -112,6 +113,7 @@
 		}
 		e.applyCounts(now, s)
 		e.applyEvents(now, &s)
+		e.targetLimits.table.Merge(now, s.Limits)
 		if s.Relay != nil {
 			e.replica.ObservePeer(ctx, s.Relay.Peer, true, store.Revision(s.Relay.Revision), now)
 		}
@@ -159,6 +161,7 @@
 		return
 	}
 	e.balancer.SetPeerReport(now, otherRegionSums, &placing.PeerReport{InFlight: d.Details.InFlight, Demand: d.Details.Demand, Aggregated: true, At: now})
+	e.targetLimits.table.Merge(now, d.Details.Limits)
 	for _, seen := range d.Details.VMs {
 		if seen.StoreConnected {
 			e.outages.StoreReached(now.Add(-seen.Age))
--- a/edge/entry/quota.go
+++ b/edge/entry/quota.go
@@ -115,7 +115,7 @@
 	}
 	return quota.New(quota.Options{
 		VM: e.options.VM.Name, Incarnation: e.options.VM.Incarnation, Bounds: bounds, Logger: e.component("quota"),
-		Account:     func(id uint32) *site.Account { return e.gateway.AccountByID(id) },
+		Limit:       e.accountLimit,
 		Fleet:       func() int { return e.fleet.size.Size(e.contact.clock.Now()) },
 		Coordinator: e.coordinator, OtherCoordinators: e.otherCoordinators,
 		SendRequest: func(address string, payload []byte) { e.exchange.Send(address, exchange.QuotaRequest, payload) },
@@ -124,44 +124,63 @@
 	})
 }
 
-// quotaHandlers returns the handlers of the datagrams of quotas.
-func (e *Entry) quotaHandlers() map[exchange.Kind]exchange.Handler {
+// accountLimit returns the limit of the account with an ID.
+func (e *Entry) accountLimit(id uint32) (quota.Limit, bool) {
+	a := e.gateway.AccountByID(id)
+	if a == nil {
+		return quota.Limit{}, false
+	}
+	return quota.AccountLimit(a), true
+}
+
+// datagramHandlers returns the handlers of the datagrams of quotas.
+func (e *Entry) datagramHandlers() map[exchange.Kind]exchange.Handler {
 	return map[exchange.Kind]exchange.Handler{
 		exchange.QuotaRequest: func(ex *exchange.Exchange, from string, payload []byte) {
 			if reply := e.quota.HandleRequest(from, payload); reply != nil {
 				ex.Send(from, exchange.QuotaReply, reply)
 			}
 		},
-		exchange.QuotaReply: func(_ *exchange.Exchange, from string, payload []byte) { e.quota.HandleReply(from, payload) },
+		exchange.QuotaReply:         func(_ *exchange.Exchange, from string, payload []byte) { e.quota.HandleReply(from, payload) },
+		exchange.TargetQuotaRequest: e.targetLimits.handleRequest,
+		exchange.TargetQuotaReply:   e.targetLimits.handleReply,
 	}
 }
 
-// coordinator selects the coordinator of a group in this region.
+// coordinator selects the coordinator of a group of accounts in this region.
 func (e *Entry) coordinator(group int, avoid func(name string) bool) quota.Coordinator {
+	return e.coordinatorIn(e.options.VM.Region, groupKey(group), avoid)
+}
+
+// groupKey identifies a group of accounts when its coordinator is selected.
+func groupKey(group int) string { return "quota " + strconv.Itoa(group) }
+
+// coordinatorIn selects a coordinator in a region, which is this VM if it knows no other one.
+func (e *Entry) coordinatorIn(region, key string, avoid func(name string) bool) quota.Coordinator {
 	own := e.options.VM
-	candidates := e.members.Coordinators(!e.shuttingDown.Load(), time.Now())[own.Region]
+	candidates := e.members.Coordinators(!e.shuttingDown.Load(), time.Now())[region]
 	candidates = slices.DeleteFunc(candidates, func(vm site.VM) bool { return vm.Name != own.Name && avoid(vm.Name) })
 	if len(candidates) == 0 {
 		candidates = []site.VM{own}
 	}
-	return e.selectCoordinator(group, candidates)
+	return e.selectCoordinator(key, candidates)
 }
 
 func (e *Entry) otherCoordinators(group int) (others []quota.Coordinator) {
 	for region, candidates := range e.members.Coordinators(false, time.Now()) {
 		if region != e.options.VM.Region {
-			others = append(others, e.selectCoordinator(group, candidates))
+			others = append(others, e.selectCoordinator(groupKey(group), candidates))
 		}
 	}
 	return others
 }
 
 // selectCoordinator selects one of several VMs by rendezvous hashing, weighted by link bandwidth.
-func (e *Entry) selectCoordinator(group int, candidates []site.VM) quota.Coordinator {
-	key := placing.HashOf("quota " + strconv.Itoa(group))
+func (e *Entry) selectCoordinator(key string, candidates []site.VM) quota.Coordinator {
+	hash := placing.HashOf(key)
 	best, lowest := candidates[0], math.Inf(1)
 	for _, vm := range candidates {
-		if rank := placing.WeightedRank(key, placing.HashOf(vm.Name), max(1, vm.LinkMbps)); rank < lowest || rank == lowest && vm.Name < best.Name {
+		if rank := placing.WeightedRank(hash, placing.HashOf(vm.Name), max(1, vm.LinkMbps)); rank < lowest || rank == lowest && vm.Name < best.Name {
 			best, lowest = vm, rank
 		}
 	}
--- a/edge/entry/targetlimits.go
+++ b/edge/entry/targetlimits.go
@@ -1,16 +1,190 @@
 package entry
 
-import "github.com/yuccaroute/yuccaroute/edge/gateway"
+import (
+	"slices"
+	"sync/atomic"
+	"time"
 
-// targetLimits returns the limits of targets for the gateway, nil if the platform has none.
-func (e *Entry) targetLimits() gateway.TargetLimits {
-	if e.options.Names.StatedLimit == nil {
+	"github.com/yuccaroute/yuccaroute/edge/exchange"
+	"github.com/yuccaroute/yuccaroute/edge/placing"
+	"github.com/yuccaroute/yuccaroute/edge/quota"
+	"github.com/yuccaroute/yuccaroute/edge/ratelimit"
+)
+
+const (
+	// wantInterval is the shortest time between two requests without a token that count as demand
+	// for a target: a request in the queue tries again and again.
+	wantInterval = 100 * time.Millisecond
+	// targetQuotaIdle is how long after its last use a VM reports to another region's coordinator.
+	targetQuotaIdle = 3 * time.Second
+)
+
+// targetLimitBounds bound the requests to a target beyond the limit that it states. They are the
+// same on all deployments.
+var targetLimitBounds = quota.Bounds{Window: 4 * time.Second, Overshoot: 0.5, Slack: 5}
+
+// targetLimits keeps the limits that targets state. The targets of each region have a quota of
+// their own: the VMs of that region are entitled to equal parts of it, and those of all regions
+// get tokens.
+type targetLimits struct {
+	entry *Entry
+	table *ratelimit.Table
+	// fleet is the number of VMs of this VM's region.
+	fleet *quota.Fleet
+	// regions are all regions, sorted. Their index identifies them in messages.
+	regions []string
+	quotas  []*regionQuota
+	// limited is the number of targets with a limit.
+	limited atomic.Int32
+	// reportAt and sumAt are when observations are next part of a report, and of one with the sums
+	// of the region. Only the exchange's sending goroutine and a shutdown use them.
+	reportAt, sumAt atomic.Int64
+}
+
+// regionQuota is the quota of the targets of one region.
+type regionQuota struct {
+	*quota.Quota
+	local bool
+	// usedAt is when this VM last had a request for one of the targets, in Unix milliseconds.
+	usedAt atomic.Int64
+}
+
+func newTargetLimits(e *Entry) *targetLimits {
+	l := &targetLimits{entry: e, fleet: quota.NewFleet(e.contact.clock.Now())}
+	l.table = ratelimit.New(l.apply)
+	for _, region := range e.options.RegionOf {
+		if !slices.Contains(l.regions, region) {
+			l.regions = append(l.regions, region)
+		}
+	}
+	slices.Sort(l.regions)
+	for i, region := range l.regions {
+		l.quotas = append(l.quotas, l.newQuota(byte(i), region))
+	}
+	return l
+}
+
+func (l *targetLimits) newQuota(index byte, region string) *regionQuota {
+	e := l.entry
+	local := region == e.options.VM.Region
+	return &regionQuota{local: local, Quota: quota.New(quota.Options{
+		VM: e.options.VM.Name, Incarnation: e.options.VM.Incarnation, Bounds: targetLimitBounds, Immediate: true,
+		Logger: e.component("targetlimits").WithField("region", region),
+		Limit: func(id uint32) (quota.Limit, bool) {
+			rate, limited := l.table.Limit(id)
+			return quota.Limit{ID: id, Rate: rate}, limited
+		},
+		Fleet: func() int {
+			if !local {
+				return 0
+			}
+			return l.fleet.Size(e.contact.clock.Now())
+		},
+		Groups: func() int { return 1 },
+		Coordinator: func(_ int, avoid func(name string) bool) quota.Coordinator {
+			return e.coordinatorIn(region, "targets "+region, avoid)
+		},
+		OtherCoordinators: func(int) []quota.Coordinator { return nil },
+		SendRequest: func(address string, payload []byte) {
+			e.exchange.Send(address, exchange.TargetQuotaRequest, append([]byte{index}, payload...))
+		},
+		Leaving: e.shuttingDown.Load, Now: e.contact.clock.Now,
+	})}
+}
+
+// apply passes the current limits of targets, by ID, to the balancer.
+func (l *targetLimits) apply(limits map[uint32]float64) {
+	l.limited.Store(int32(len(limits)))
+	l.entry.gatewayMetrics.setTargetLimits(len(limits))
+	l.entry.balancer.SetRateLimits(time.Now(), func(t *placing.Target) placing.RateLimit {
+		id := quota.IDOf(t.ID)
+		rate, limited := limits[id]
+		region, known := slices.BinarySearch(l.regions, t.Region)
+		if !limited || !known {
+			return nil
+		}
+		return &targetLimit{quota: l.quotas[region], limit: quota.Limit{ID: id, Rate: rate}}
+	})
+}
+
+// maintain runs the periodic work.
+func (l *targetLimits) maintain(now time.Time) {
+	l.table.Expire(now)
+	at := l.entry.contact.clock.Now()
+	l.fleet.Observe(at, l.entry.members.RegionCount())
+	if l.entry.contact.isCurrent() {
+		l.fleet.Contact(at)
+	}
+	if l.limited.Load() == 0 {
+		return
+	}
+	for _, q := range l.quotas {
+		if q.local || now.UnixMilli()-q.usedAt.Load() < targetQuotaIdle.Milliseconds() {
+			q.Tick()
+		}
+	}
+}
+
+// announcement returns observations for a report if some are due.
+func (l *targetLimits) announcement(now time.Time, sum bool) []ratelimit.Announced {
+	due := &l.reportAt
+	if sum {
+		due = &l.sumAt
+	}
+	if now.UnixMilli() < due.Load() {
 		return nil
 	}
-	return e.rateLimits
+	due.Store(now.Add(ratelimit.AnnounceInterval).UnixMilli())
+	return l.table.Announcement(now)
+}
+
+// quotaOf returns the quota that a datagram is for, and the rest of the datagram.
+func (l *targetLimits) quotaOf(payload []byte) (*regionQuota, []byte, bool) {
+	if len(payload) == 0 || int(payload[0]) >= len(l.quotas) {
+		return nil, nil, false
+	}
+	return l.quotas[payload[0]], payload[1:], true
 }
 
-// setLimits applies the current limits of targets, by the target's ID in messages.
-func (e *Entry) setLimits(limits map[uint32]float64) {
-	e.gatewayMetrics.setTargetLimits(len(limits))
+func (l *targetLimits) handleRequest(ex *exchange.Exchange, from string, payload []byte) {
+	q, message, ok := l.quotaOf(payload)
+	if !ok {
+		return
+	}
+	if reply := q.HandleRequest(from, message); reply != nil {
+		ex.Send(from, exchange.TargetQuotaReply, append([]byte{payload[0]}, reply...))
+	}
+}
+
+func (l *targetLimits) handleReply(_ *exchange.Exchange, from string, payload []byte) {
+	if q, message, ok := l.quotaOf(payload); ok {
+		q.HandleReply(from, message)
+	}
+}
+
+// targetLimit implements placing.RateLimit for one target.
+type targetLimit struct {
+	quota *regionQuota
+	limit quota.Limit
+	// wantedAt is when demand was last recorded, in Unix milliseconds.
+	wantedAt atomic.Int64
+}
+
+func (t *targetLimit) Rate() float64 { return t.limit.Rate }
+
+func (t *targetLimit) Ready() bool { return t.quota.Ready(t.limit) }
+
+func (t *targetLimit) Use() bool {
+	t.quota.usedAt.Store(time.Now().UnixMilli())
+	return t.quota.Use(t.limit)
+}
+
+func (t *targetLimit) Want() {
+	now := time.Now().UnixMilli()
+	last := t.wantedAt.Load()
+	if now-last < wantInterval.Milliseconds() || !t.wantedAt.CompareAndSwap(last, now) {
+		return
+	}
+	t.quota.usedAt.Store(now)
+	t.quota.Want(t.limit)
 }
--- a/edge/exchange/exchange.go
+++ b/edge/exchange/exchange.go
@@ -209,6 +209,9 @@
 	// QuotaRequest and QuotaReply carry messages of package quota.
 	QuotaRequest
 	QuotaReply
+	// TargetQuotaRequest and TargetQuotaReply carry those for the limits of targets.
+	TargetQuotaRequest
+	TargetQuotaReply
 )
 
 // Send sends a datagram to the Handlers of the VM at an address. It never blocks, and the datagram
--- a/edge/exchange/state.go
+++ b/edge/exchange/state.go
@@ -9,6 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/yuccaroute/yuccaroute/edge/quarantine"
+	"github.com/yuccaroute/yuccaroute/edge/ratelimit"
 	"github.com/yuccaroute/yuccaroute/edge/site"
 )
 
@@ -33,6 +34,9 @@
 	// Events are recent quarantine events: those of the VM itself, and those that it forwards as
 	// an aggregator.
 	Events []quarantine.Event `msgpack:"e,omitempty"`
+	// Limits are some of the newest observations of limits that targets have stated. They are in
+	// few reports.
+	Limits []ratelimit.Announced `msgpack:"q,omitempty"`
 	// NoDigest is true if the VM expects digests and receives none.
 	NoDigest bool `msgpack:"f,omitempty"`
 	// Digest is set if an aggregator sends to VMs that are not aggregators.
@@ -63,6 +67,8 @@
 	Demand   map[string]map[string]float64 `msgpack:"d"`
 	// VMs are the VMs of the aggregator's region.
 	VMs []VMStatus `msgpack:"s"`
+	// Limits are as those of State.
+	Limits []ratelimit.Announced `msgpack:"q,omitempty"`
 }
 
 // VMStatus is an aggregator's view of one VM. Age is the time since its last report.
--- a/edge/gateway/gateway.go
+++ b/edge/gateway/gateway.go
@@ -71,8 +71,8 @@
 	// AccountsExpired whether it must not rely on its list of keys any more. nil means true and
 	// false.
 	ConfigCurrent, AccountsExpired func() bool
-	// TargetLimits records the limits that targets state, as StatedLimit reads them; nil ignores
-	// them.
+	// TargetLimits records the limits that targets state, as StatedLimit reads them; a nil
+	// StatedLimit ignores them.
 	TargetLimits TargetLimits
 	StatedLimit  StatedLimit
 	// Quarantine holds the requests that crash targets; nil disables the check.
--- a/edge/gateway/targetlimit.go
+++ b/edge/gateway/targetlimit.go
@@ -26,7 +26,7 @@
 // observeLimit records whether an answer states a limit of its target. Only an answer that the
 // target has stamped shows that it has withdrawn one.
 func (g *Gateway) observeLimit(t *placing.Target, answer *forward.Response, sentAt time.Time) {
-	if g.options.TargetLimits == nil {
+	if g.options.StatedLimit == nil {
 		return
 	}
 	rate, stated := g.options.StatedLimit(answer.Header)
--- a/edge/peers/peers.go
+++ b/edge/peers/peers.go
@@ -306,6 +306,13 @@
 	return max(1, n)
 }
 
+// RegionCount returns the number of known VMs of this region, including this one.
+func (m *Members) RegionCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.regions[m.own.Region])
+}
+
 // EntryAddresses returns the addresses that callers of a failure domain connect to: those of the
 // live VMs of the domain, else of the region, else of all live VMs. own is true if this VM
 // accepts callers. The result is empty if no VM does.
--- a/edge/placing/affinity.go
+++ b/edge/placing/affinity.go
@@ -32,6 +32,9 @@
 	averages := s.averagesFor(r)
 	for _, t := range s.regions[region] {
 		if !t.canAccept(now) || r.tried(t) {
+			if t.usable && t.isRateLimited() {
+				t.limit.Want()
+			}
 			continue
 		}
 		cost := t.cost(now, r.Class, false, averages)
@@ -103,10 +106,20 @@
 // get the request even once a slot is free.
 func (s *service) affinityTargets(now time.Time, r *Request, region string) affinityTargets {
 	a := make(affinityTargets, 0, maxAffinityTargets)
+	var limited affinityTarget
 	for _, t := range s.regions[region] {
-		if t.usable && !t.needsProbe && t.admits(now) && !r.tried(t) {
-			a = a.add(t, Rendezvous(r.Key, t.hash))
+		if !t.usable || t.needsProbe || r.tried(t) {
+			continue
+		}
+		score := Rendezvous(r.Key, t.hash)
+		if t.admits(now) {
+			a = a.add(t, score)
+		} else if t.isRateLimited() && score > limited.score {
+			limited = affinityTarget{t, score}
 		}
 	}
+	if limited.target != nil && (len(a) == 0 || limited.score > a[0].score) {
+		limited.target.limit.Want()
+	}
 	return a
 }
--- a/edge/placing/balancer.go
+++ b/edge/placing/balancer.go
@@ -48,6 +48,8 @@
 	vmNames  []string
 	// tolerance is how many requests a region may be ahead of its weight.
 	tolerance float64
+	// limitOf returns the limit that a target has stated.
+	limitOf func(t *Target) RateLimit
 	// lossAt is when capacity was last lost unexpectedly.
 	lossAt time.Time
 }
@@ -57,7 +59,7 @@
 	return &Balancer{
 		options: o, hash: HashOf(o.VM),
 		services: make(map[string]*service), peers: make(map[string]*PeerReport), remote: make(map[uint32]*remoteCount),
-		tolerance: baseTolerance,
+		tolerance: baseTolerance, limitOf: func(*Target) RateLimit { return nil },
 	}
 }
 
@@ -102,6 +104,9 @@
 	if t == nil || t.full() && now.Add(cost).After(r.latestEnd()) {
 		return Decision{}, false
 	}
+	if t.limit != nil && !t.limit.Use() {
+		return Decision{}, false
+	}
 	warm := r.HasKey && t.isWarm(r.Key, now)
 	s.addLocal(t)
 	if now.Before(t.coldUntil) {
--- a/edge/placing/load.go
+++ b/edge/placing/load.go
@@ -27,7 +27,7 @@
 		l.local += t.local
 		l.total += inFlight
 		if t.available(now) {
-			l.slots += t.Slots
+			l.slots += t.usableSlots(s.occupancy.mean)
 			l.inFlight += inFlight
 		}
 	}
--- /dev/null
+++ b/edge/placing/ratelimit_test.go
@@ -0,0 +1,100 @@
+package placing
+
+import (
+	"testing"
+	"time"
+)
+
+// fakeLimit permits a number of requests.
+type fakeLimit struct {
+	rate   float64
+	tokens int
+	wanted int
+}
+
+func (l *fakeLimit) Rate() float64 { return l.rate }
+func (l *fakeLimit) Ready() bool   { return l.tokens > 0 }
+func (l *fakeLimit) Want()         { l.wanted++ }
+func (l *fakeLimit) Use() bool {
+	if l.tokens == 0 {
+		return false
+	}
+	l.tokens--
+	return true
+}
+
+// limitTarget gives one target a limit.
+func limitTarget(b *Balancer, now time.Time, id string, l *fakeLimit) {
+	b.SetRateLimits(now, func(t *Target) RateLimit {
+		if t.ID == id {
+			return l
+		}
+		return nil
+	})
+}
+
+// A target must get no more requests than its limit permits, with and without affinity keys, in
+// the queue and after it has registered again; the others serve the rest.
+func TestRateLimitedTargetGetsOnlyWhatItsLimitPermits(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b, class := newFourTargetBalancer(now, "vm"), NewClass(time.Second)
+	limit := &fakeLimit{rate: 2, tokens: 3}
+	limitTarget(b, now, "t1", limit)
+	limited := 0
+	for i := range 200 {
+		r := request(now, class)
+		if i%2 == 0 {
+			r = keyRequest(now, class, uint64(i%30)*0x9e3779b97f4a7c15)
+		}
+		d, w := b.Place(now, r)
+		if w != nil || d.Target == nil {
+			t.Fatalf("request %d is not placed: %+v", i, d)
+		}
+		if d.Target.ID == "t1" {
+			limited++
+		}
+		b.Done(now, d, class, Answered, 20*time.Millisecond)
+		if i == 100 {
+			restarted := listing("t1")
+			restarted.StartedMillis = 5
+			b.SetTargets(now, services(0), []TargetSpec{restarted, listing("t2"), listing("t3"), listing("t4")}, nil)
+		}
+	}
+	if limited != 3 || limit.wanted == 0 {
+		t.Errorf("target got %d requests and was wanted %d times, want 3 and more than 0", limited, limit.wanted)
+	}
+}
+
+// A request that waits must get a target whose limit permits a request again.
+func TestQueueIsServedWhenLimitPermits(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b, class := newBalancer(now), NewClass(time.Second)
+	limit := &fakeLimit{rate: 2}
+	b.SetRateLimits(now, func(*Target) RateLimit { return limit })
+	_, w := b.Place(now, request(now, class))
+	if w == nil {
+		t.Fatal("a request was placed that no limit permits")
+	}
+	b.Tick(now)
+	limit.tokens = 1
+	b.Tick(now.Add(10 * time.Millisecond))
+	select {
+	case d := <-w.Decided():
+		if d.Target == nil {
+			t.Errorf("decision %+v", d)
+		}
+	default:
+		t.Error("the request still waits")
+	}
+}
+
+// The slots that a limit leaves idle are no capacity: requests would wait for them in vain.
+func TestLimitedTargetCountsForTheSlotsThatItsRateKeepsBusy(t *testing.T) {
+	target := &Target{limit: &fakeLimit{rate: 4}}
+	target.Slots = 6
+	for occupancy, want := range map[float64]int{0: 6, 0.1: 1, 0.5: 2, 10: 6} {
+		if got := target.usableSlots(occupancy); got != want {
+			t.Errorf("%d usable slots at %v s a request, want %d", got, occupancy, want)
+		}
+	}
+}
--- a/edge/placing/target.go
+++ b/edge/placing/target.go
@@ -64,6 +64,8 @@
 	needsProbe bool
 	coldUntil  time.Time
 	cold       coldLimiter
+	// limit is nil if the target has stated no limit.
+	limit RateLimit
 }
 
 // inFlight returns the number of requests of all VMs at the target.
@@ -80,11 +82,15 @@
 	return t.admits(now)
 }
 
-// admits reports whether the cold rate limit, if any, permits one more request of this VM.
+// admits reports whether the rates that limit the target, if any, permit one more request of this
+// VM.
 func (t *Target) admits(now time.Time) bool {
-	return !now.Before(t.coldUntil) || t.cold.allows(now)
+	return (!now.Before(t.coldUntil) || t.cold.allows(now)) && !t.isRateLimited()
 }
 
+// isRateLimited reports whether the limit that the target has stated forbids a request now.
+func (t *Target) isRateLimited() bool { return t.limit != nil && !t.limit.Ready() }
+
 // available reports whether the target counts towards the region's capacity.
 func (t *Target) available(now time.Time) bool {
 	return t.usable && !t.needsProbe && !now.Before(t.ejectedUntil)
--- a/edge/placing/targetspec.go
+++ b/edge/placing/targetspec.go
@@ -91,10 +91,12 @@
 
 func (b *Balancer) newTarget(l TargetSpec) *Target {
 	region, hash := b.options.RegionOf[l.Zone], HashOf(l.ID)
-	return &Target{
+	t := &Target{
 		Target: l.Target, Region: region, hash: hash, rtt: b.options.RTT(region), remote: b.remoteCountOf(TargetKey(hash)),
 		warm: make(map[uint64]time.Time), slowdown: 1,
 	}
+	t.limit = b.limitOf(t)
+	return t
 }
 
 // IsLeaving reports whether a target is draining or no longer registered, so that its
--- a/edge/quota/holder.go
+++ b/edge/quota/holder.go
@@ -84,6 +84,8 @@
 	demandAt time.Time
 	// exhaustedUntil is when to ask the coordinator again.
 	exhaustedUntil time.Time
+	// short is set if a request that did not wait has found no token since the last report.
+	short bool
 	// own are the tokens of this VM's own entitlement while it is alone, up to ownAt.
 	own     float64
 	ownAt   time.Time
@@ -193,6 +195,37 @@
 	return h.takeToken(now, a, l)
 }
 
+// ready reports whether takeNow would take a token.
+func (h *Holder) ready(now time.Time, limit Limit) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a, l := h.holding(now, limit)
+	if l.alone {
+		h.accrueOwn(now, a)
+	}
+	return a.tokens > 0 || l.alone && a.own >= 1
+}
+
+// want counts one request under a limit as demand.
+func (h *Holder) want(now time.Time, limit Limit) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a, _ := h.holding(now, limit)
+	a.addDemand(now)
+	a.short = a.tokens == 0
+}
+
+// isShort reports whether requests that do not wait have found no token since the last report.
+func (h *Holder) isShort(group int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	found := false
+	if group < len(h.links) {
+		h.forEach(h.links[group], func(a *holding) { found = found || a.short })
+	}
+	return found
+}
+
 func (h *Holder) holding(now time.Time, limit Limit) (*holding, *link) {
 	a := h.holdings[limit.ID]
 	if a == nil {
@@ -370,6 +403,7 @@
 	target := a.target(now)
 	r := accountReport{id: id, needed: len(a.waiters), returned: max(0, a.tokens-2*target)}
 	a.tokens -= r.returned
+	a.short = false
 	r.held, r.wanted = a.tokens, max(0, target-a.tokens)
 	return r, r.held+r.needed+r.wanted+r.returned > 0 || a.own > 0
 }
--- a/edge/quota/model_test.go
+++ b/edge/quota/model_test.go
@@ -19,8 +19,12 @@
 
 // model is a fleet of VMs in virtual time, with the requests of some accounts.
 type model struct {
-	random   *rand.Rand
-	now      time.Time
+	random *rand.Rand
+	now    time.Time
+	bounds Bounds
+	// entitled is the number of VMs among which the limits are divided and that may coordinate,
+	// the first ones. 0 means all, with a coordinator in each region.
+	entitled int
 	accounts []*site.Account
 	vms      []*modelVM
 	network  []datagram
@@ -80,12 +84,12 @@
 
 func newModel(seed uint64, vms int, makeScheme func(*model, *modelVM) scheme, accounts ...*site.Account) *model {
 	m := &model{
-		random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), accounts: accounts, makeScheme: makeScheme,
+		random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), bounds: modelBounds, accounts: accounts, makeScheme: makeScheme,
 		results: make(map[string]*modelResult), changes: make(map[string][]limitChange),
 	}
 	for _, a := range accounts {
 		m.results[a.Name] = &modelResult{}
-		m.changes[a.Name] = []limitChange{{m.now, limitOf(a)}}
+		m.changes[a.Name] = []limitChange{{m.now, AccountLimit(a)}}
 	}
 	for i := range vms {
 		m.vms = append(m.vms, &modelVM{index: i})
@@ -101,13 +105,13 @@
 	vm.scheme = m.makeScheme(m, vm)
 }
 
-func (m *model) account(id uint32) *site.Account {
+func (m *model) limit(id uint32) (Limit, bool) {
 	for _, a := range m.accounts {
 		if IDOf(a.Name) == id {
-			return a
+			return AccountLimit(a), true
 		}
 	}
-	return nil
+	return Limit{}, false
 }
 
 // send delivers a datagram after a delay, unless it is lost.
@@ -125,7 +129,31 @@
 }
 
 // regionOf returns the region of a VM.
-func (m *model) regionOf(vm int) int { return vm % 3 }
+func (m *model) regionOf(vm int) int {
+	if m.entitled > 0 {
+		return min(1, vm/m.entitled)
+	}
+	return vm % 3
+}
+
+// partsOf returns the number of VMs among which the limits are divided, 0 for a VM that has none.
+func (m *model) partsOf(vm int) int {
+	switch {
+	case m.entitled == 0:
+		return len(m.vms)
+	case vm < m.entitled:
+		return m.entitled
+	}
+	return 0
+}
+
+// mayCoordinate reports whether a VM coordinates for another one.
+func (m *model) mayCoordinate(i, vm int) bool {
+	if m.entitled > 0 {
+		return i < m.entitled
+	}
+	return m.regionOf(i) == m.regionOf(vm)
+}
 
 // run advances the model.
 func (m *model) run(length time.Duration) {
@@ -193,7 +221,7 @@
 // setLimit changes the limit of an account.
 func (m *model) setLimit(a *site.Account, rate, burst float64) {
 	a.Rate, a.Burst = rate, burst
-	m.changes[a.Name] = append(m.changes[a.Name], limitChange{m.now, limitOf(a)})
+	m.changes[a.Name] = append(m.changes[a.Name], limitChange{m.now, AccountLimit(a)})
 }
 
 // overrun returns by how many requests the worst window exceeds its bound, 0 if none does. A lower
@@ -201,7 +229,7 @@
 func (m *model) overrun(a *site.Account) int {
 	runs, worst, first := m.results[a.Name].runs, 0, 0
 	for i, at := range runs {
-		for at.Sub(runs[first]) >= modelBounds.Window {
+		for at.Sub(runs[first]) >= m.bounds.Window {
 			first++
 		}
 		worst = max(worst, i-first+1-m.bound(a, at))
@@ -212,11 +240,11 @@
 func (m *model) bound(a *site.Account, at time.Time) int {
 	highest, list := 0.0, m.changes[a.Name]
 	for i, c := range list {
-		if c.at.After(at) || i+1 < len(list) && at.Sub(list[i+1].at) > 2*modelBounds.Window {
+		if c.at.After(at) || i+1 < len(list) && at.Sub(list[i+1].at) > 2*m.bounds.Window {
 			continue
 		}
 		l := c.limit
-		highest = max(highest, (l.Rate*modelBounds.Window.Seconds()+l.Burst)*(1+modelBounds.Overshoot)+modelBounds.Slack)
+		highest = max(highest, (l.Rate*m.bounds.Window.Seconds()+l.Burst)*(1+m.bounds.Overshoot)+m.bounds.Slack)
 	}
 	return int(highest)
 }
@@ -241,11 +269,11 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	p.quota = New(Options{
-		VM: fmt.Sprint(vm.index), Incarnation: vm.incarnation, Bounds: modelBounds, Logger: logrus.NewEntry(log),
-		Account: m.account, Fleet: func() int { return len(m.vms) }, Leaving: func() bool { return false },
+		VM: fmt.Sprint(vm.index), Incarnation: vm.incarnation, Bounds: m.bounds, Logger: logrus.NewEntry(log),
+		Limit: m.limit, Fleet: func() int { return m.partsOf(vm.index) }, Groups: func() int { return 1 }, Leaving: func() bool { return false },
 		Coordinator: func(_ int, avoid func(string) bool) Coordinator {
 			for i := range m.vms {
-				if name := fmt.Sprint(i); !avoid(name) && m.regionOf(i) == m.regionOf(vm.index) {
+				if name := fmt.Sprint(i); !avoid(name) && m.mayCoordinate(i, vm.index) {
 					return Coordinator{Name: name, Address: name, RTT: 10 * time.Millisecond}
 				}
 			}
@@ -253,7 +281,7 @@
 		},
 		OtherCoordinators: func(int) (others []Coordinator) {
 			for i := range min(3, len(m.vms)) {
-				if m.regionOf(i) != m.regionOf(vm.index) {
+				if m.entitled == 0 && m.regionOf(i) != m.regionOf(vm.index) {
 					others = append(others, Coordinator{Name: fmt.Sprint(i), Address: fmt.Sprint(i)})
 				}
 			}
@@ -272,7 +300,7 @@
 }
 
 func (p *pooledScheme) take(a *site.Account, decide func(bool)) (admitted, decided bool) {
-	limit := limitOf(a)
+	limit := AccountLimit(a)
 	verdict, _, w := p.quota.holder.take(p.m.now, limit)
 	if verdict != pending {
 		return verdict == Admitted, true
@@ -340,7 +368,7 @@
 		f.buckets[a.Name] = b
 	}
 	n := float64(len(f.m.vms))
-	stored := max(1, (a.Burst+modelBounds.Slack/2)/n)
+	stored := max(1, (a.Burst+f.m.bounds.Slack/2)/n)
 	b.tokens = min(stored, b.tokens+a.Rate/n*f.m.now.Sub(b.at).Seconds())
 	b.at = f.m.now
 	if b.tokens < 1 {
@@ -369,7 +397,7 @@
 
 func (c *countedScheme) recent(name string) int {
 	runs := c.own[name]
-	for len(runs) > 0 && c.m.now.Sub(runs[0]) >= modelBounds.Window {
+	for len(runs) > 0 && c.m.now.Sub(runs[0]) >= c.m.bounds.Window {
 		runs = runs[1:]
 	}
 	c.own[name] = runs
@@ -385,7 +413,7 @@
 		}
 		total += c.others[i][a.Name]
 	}
-	limit := a.Rate*modelBounds.Window.Seconds() + a.Burst
+	limit := a.Rate*c.m.bounds.Window.Seconds() + a.Burst
 	limit *= float64(len(c.m.vms)-silent) / float64(len(c.m.vms))
 	if float64(total) >= limit {
 		return false, true
--- a/edge/quota/pool.go
+++ b/edge/quota/pool.go
@@ -13,8 +13,8 @@
 	// pledgeTimeout is how long after its last report a VM counts as one that sends its
 	// entitlement to this coordinator.
 	pledgeTimeout = 3 * reportInterval
-	// reservedShare is the part of the stored tokens that is kept for requests that wait. VMs get
-	// tokens in advance only while the pool has more.
+	// reservedShare is the part of the stored tokens that is kept for requests that wait, if any
+	// do. VMs get tokens in advance only while the pool has more.
 	reservedShare = 0.5
 	// sweepInterval is the time between two searches for VMs whose lease has ended.
 	sweepInterval = 100 * time.Millisecond
@@ -34,6 +34,8 @@
 	limit func(id uint32) (Limit, bool)
 	// fleet returns the number of VMs among which the rates are divided.
 	fleet func() int
+	// reserved is the share of the stored tokens that is kept for requests that wait.
+	reserved float64
 
 	mu sync.Mutex
 	// minted is the sum of all entitlements received, in seconds.
@@ -63,7 +65,9 @@
 type holderRecord struct {
 	incarnation, sequence uint64
 	reportedAt            time.Time
-	held                  map[uint32]int
+	// entitled is set if the last report had an entitlement.
+	entitled bool
+	held     map[uint32]int
 	// unacknowledged are grants in advance that the VM may not have received, by sequence number.
 	unacknowledged []sentGrants
 }
@@ -75,7 +79,10 @@
 
 // NewPool returns an empty pool.
 func NewPool(b Bounds, limit func(id uint32) (Limit, bool), fleet func() int) *Pool {
-	return &Pool{bounds: b, limit: limit, fleet: fleet, accounts: make(map[uint32]*pooled), vms: make(map[uint64]*holderRecord), transfers: transfers{asked: make(map[uint64]time.Time)}}
+	return &Pool{
+		bounds: b, limit: limit, fleet: fleet, reserved: reservedShare, accounts: make(map[uint32]*pooled),
+		vms: make(map[uint64]*holderRecord), transfers: transfers{asked: make(map[uint64]time.Time)},
+	}
 }
 
 // handle processes a report and returns the reply, nil for one that is older than another.
@@ -93,7 +100,7 @@
 		vm = &holderRecord{incarnation: m.incarnation, held: make(map[uint32]int)}
 		p.vms[m.vm] = vm
 	}
-	vm.sequence, vm.reportedAt = m.sequence, now
+	vm.sequence, vm.reportedAt, vm.entitled = m.sequence, now, m.entitlement > 0
 	p.minted += min(max(0, m.entitlement), maxUnsent.Seconds())
 	p.acknowledge(vm, m.received)
 	p.replaceHeld(vm, m.accounts)
@@ -165,7 +172,7 @@
 			continue
 		}
 		needed := min(report.needed, int(a.tokens))
-		surplus := int(a.tokens-reservedShare*allowed.stored*pledged) - needed
+		surplus := int(a.tokens-p.reserved*allowed.stored*pledged) - needed
 		advance := max(0, min(report.wanted, surplus))
 		a.tokens -= float64(needed + advance)
 		g := grant{id: report.id, tokens: needed + advance}
@@ -210,7 +217,7 @@
 func (p *Pool) pledgedShare(now time.Time) float64 {
 	n := 0
 	for _, vm := range p.vms {
-		if now.Sub(vm.reportedAt) < pledgeTimeout {
+		if vm.entitled && now.Sub(vm.reportedAt) < pledgeTimeout {
 			n++
 		}
 	}
--- a/edge/quota/quota.go
+++ b/edge/quota/quota.go
@@ -1,6 +1,7 @@
-// Package quota limits the requests of each client account at all entry VMs together.
+// Package quota limits rates of requests at all entry VMs together: those of client accounts, and
+// those to targets that have stated a limit.
 //
-// Each VM is entitled to an equal part of every account's rate. It does not use that part itself
+// Each VM is entitled to an equal part of every rate. It does not use that part itself
 // but sends it, as time, to a coordinator, which turns the entitlements of all VMs into tokens and
 // grants these to the VMs whose callers need them. Each region has one; see transfer.go. A token
 // admits one request. Nothing else
@@ -31,6 +32,9 @@
 	// takeTimeout is how long a request waits for a coordinator. It covers a round trip between
 	// regions.
 	takeTimeout = 400 * time.Millisecond
+	// shortageReportInterval replaces reportInterval while requests find no token and do not wait
+	// for one.
+	shortageReportInterval = 200 * time.Millisecond
 	// minReportGap is the shortest time between two reports to a coordinator.
 	minReportGap = 20 * time.Millisecond
 	// coordinatorTimeout is how long a report may stay unanswered, besides the round trip, before
@@ -52,10 +56,15 @@
 	Incarnation uint64
 	Bounds      Bounds
 	Logger      *logrus.Entry
-	// Account returns the account with an ID in the current configuration, nil if there is none.
-	Account func(id uint32) *site.Account
-	// Fleet returns the number of VMs among which the rates are divided, 0 while it is unknown.
+	// Limit returns the current limit with an ID, and false if there is none.
+	Limit func(id uint32) (Limit, bool)
+	// Fleet returns the number of VMs among which the rates are divided. It is 0 while that is
+	// unknown, and at VMs that are entitled to no part.
 	Fleet func() int
+	// Immediate is set if requests do not wait for tokens: then none are kept for those that do.
+	Immediate bool
+	// Groups returns the number of groups; nil means one for each vmsPerGroup VMs of the fleet.
+	Groups func() int
 	// Coordinator returns the VM that coordinates a group in this region, without those to avoid,
 	// and OtherCoordinators those of the other regions.
 	Coordinator       func(group int, avoid func(name string) bool) Coordinator
@@ -91,15 +100,21 @@
 
 // New returns a Quota without tokens.
 func New(o Options) *Quota {
+	if o.Groups == nil {
+		o.Groups = func() int { return 1 + o.Fleet()/vmsPerGroup }
+	}
 	q := &Quota{options: o, pools: make(map[poolKey]*Pool), avoid: make(map[string]time.Time), groups: make([]groupState, 1)}
 	q.holder = NewHolder(o.Bounds, xxhash.Sum64String(o.VM), o.Incarnation, 1, o.Fleet, o.Now())
 	return q
 }
 
-// IDOf returns the ID of an account in messages.
-func IDOf(account string) uint32 { return uint32(xxhash.Sum64String(account)) }
+// IDOf returns the ID of an account or a target in messages.
+func IDOf(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
 
-func limitOf(a *site.Account) Limit { return Limit{ID: IDOf(a.Name), Rate: a.Rate, Burst: a.Burst} }
+// AccountLimit returns the limit of an account.
+func AccountLimit(a *site.Account) Limit {
+	return Limit{ID: IDOf(a.Name), Rate: a.Rate, Burst: a.Burst}
+}
 
 // Take decides on one request of an account. It may wait for a coordinator. For a request that is
 // not admitted it returns when to try again.
@@ -107,7 +122,7 @@
 	if a.Rate <= 0 {
 		return Admitted, 0
 	}
-	limit := limitOf(a)
+	limit := AccountLimit(a)
 	verdict, retryAfter, w := q.holder.take(q.options.Now(), limit)
 	if verdict != pending {
 		return verdict, retryAfter
@@ -127,9 +142,22 @@
 
 // TakeNow is Take without waiting.
 func (q *Quota) TakeNow(a *site.Account) bool {
-	return a.Rate <= 0 || q.holder.takeNow(q.options.Now(), limitOf(a))
+	return a.Rate <= 0 || q.holder.takeNow(q.options.Now(), AccountLimit(a))
+}
+
+// Ready reports whether there is a token for a request under a limit.
+func (q *Quota) Ready(l Limit) bool { return q.holder.ready(q.options.Now(), l) }
+
+// Use takes a token for a request under a limit, without waiting. It returns false if there is
+// none.
+func (q *Quota) Use(l Limit) bool {
+	q.Want(l)
+	return q.holder.takeNow(q.options.Now(), l)
 }
 
+// Want records that there is a request under a limit, so that tokens are asked for.
+func (q *Quota) Want(l Limit) { q.holder.want(q.options.Now(), l) }
+
 // Return restores the token of a request that did not run.
 func (q *Quota) Return(a *site.Account) {
 	if a.Rate > 0 {
@@ -140,7 +168,7 @@
 // Tick sends the reports that are due. It must be called several times in a reportInterval.
 func (q *Quota) Tick() {
 	now := q.options.Now()
-	groups := 1 + q.options.Fleet()/vmsPerGroup
+	groups := q.options.Groups()
 	q.holder.setGroups(now, groups)
 	q.mu.Lock()
 	if len(q.groups) != groups {
@@ -160,8 +188,11 @@
 	}
 	for group := range groups {
 		interval := reportInterval
-		if q.holder.hasWaiters(group) {
+		switch {
+		case q.holder.hasWaiters(group):
 			interval = minReportGap
+		case q.holder.isShort(group):
+			interval = shortageReportInterval
 		}
 		q.reportIfDue(group, interval)
 	}
@@ -248,20 +279,15 @@
 	defer q.mu.Unlock()
 	p := q.pools[key]
 	if p == nil {
-		p = NewPool(q.options.Bounds, q.limit, q.options.Fleet)
+		p = NewPool(q.options.Bounds, q.options.Limit, q.options.Fleet)
+		if q.options.Immediate {
+			p.reserved = 0
+		}
 		q.pools[key] = p
 	}
 	return p
 }
 
-func (q *Quota) limit(id uint32) (Limit, bool) {
-	a := q.options.Account(id)
-	if a == nil {
-		return Limit{}, false
-	}
-	return limitOf(a), true
-}
-
 // HandleReply applies the answer to a report.
 func (q *Quota) HandleReply(from string, payload []byte) {
 	r, err := decodeReply(payload)
--- a/edge/quota/transfer.go
+++ b/edge/quota/transfer.go
@@ -50,7 +50,7 @@
 		a := p.account(report.id)
 		allowed := p.bounds.allowanceFor(limit)
 		p.mint(a, allowed, pledged)
-		if n := min(report.needed, int(a.tokens-reservedShare*allowed.stored*pledged)); n > 0 {
+		if n := min(report.needed, int(a.tokens-p.reserved*allowed.stored*pledged)); n > 0 {
 			a.tokens -= float64(n)
 			given[report.id] = n
 			r.grants = append(r.grants, grant{id: report.id, tokens: n})
@@ -113,7 +113,7 @@
 		}
 		allowed := p.bounds.allowanceFor(limit)
 		p.mint(a, allowed, pledged)
-		kept := reservedShare * allowed.stored * pledged
+		kept := p.reserved * allowed.stored * pledged
 		if missing := allowed.stored*pledged - float64(a.outstanding) - a.tokens; a.tokens < kept && missing >= 1 {
 			short = append(short, accountReport{id: id, needed: int(math.Floor(missing))})
 		}
--- a/edge/ratelimit/ratelimit.go
+++ b/edge/ratelimit/ratelimit.go
@@ -15,10 +15,13 @@
 	// observationTTL is how long an observation counts: targets that keep a limit state it in
 	// each answer, and those that get no requests need none.
 	observationTTL = 30 * time.Second
+	// maxTransit bounds the time that an announcement is on its way. Received observations count as
+	// that much older, so that none seems newer than what led to it.
+	maxTransit = 300 * time.Millisecond
 	// maxAnnounced bounds the observations of one announcement.
 	maxAnnounced = 16
-	// announceInterval is the time between two announcements; each has the next observations.
-	announceInterval = time.Second
+	// AnnounceInterval is the time between two announcements; each has the next observations.
+	AnnounceInterval = time.Second
 )
 
 // Observation is what a target stated in its newest answer.
@@ -32,6 +35,17 @@
 	At time.Time
 }
 
+// Announced is an Observation in a message to other VMs.
+type Announced struct {
+	//lint:ignore U1000 the msgpack library reads its tag: an array, without field names
+	_msgpack struct{} `msgpack:",as_array"`
+	Target   uint32
+	Limited  bool
+	Rate     float64
+	// AgeMillis is the time since the observation.
+	AgeMillis uint32
+}
+
 // Table holds the newest observation of each target that has stated a limit lately. It is safe for
 // concurrent use.
 type Table struct {
@@ -65,12 +79,18 @@
 	return t.set(o)
 }
 
-// Merge records the observations of another VM.
-func (t *Table) Merge(observations []Observation) {
+// Merge records the observations that another VM has announced.
+func (t *Table) Merge(now time.Time, announced []Announced) {
+	if len(announced) == 0 {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, o := range observations {
-		t.set(o)
+	for _, a := range announced {
+		age := time.Duration(a.AgeMillis)*time.Millisecond + maxTransit
+		if age < observationTTL {
+			t.set(Observation{Target: a.Target, Limited: a.Limited, Rate: a.Rate, At: now.Add(-age)})
+		}
 	}
 }
 
@@ -129,22 +149,22 @@
 }
 
 // Announcement returns observations for other VMs: at most maxAnnounced, others each
-// announceInterval.
-func (t *Table) Announcement(now time.Time) []Observation {
+// AnnounceInterval.
+func (t *Table) Announcement(now time.Time) []Announced {
 	if t.known.Load() == 0 {
 		return nil
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	all := make([]Observation, 0, len(t.targets))
+	all := make([]Announced, 0, len(t.targets))
 	for _, o := range t.targets {
-		all = append(all, o)
+		all = append(all, Announced{Target: o.Target, Limited: o.Limited, Rate: o.Rate, AgeMillis: uint32(now.Sub(o.At).Milliseconds())})
 	}
-	slices.SortFunc(all, func(a, b Observation) int { return cmp.Compare(a.Target, b.Target) })
+	slices.SortFunc(all, func(a, b Announced) int { return cmp.Compare(a.Target, b.Target) })
 	if len(all) <= maxAnnounced {
 		return all
 	}
-	first := int(now.UnixMilli()/announceInterval.Milliseconds()) * maxAnnounced % len(all)
+	first := int(now.UnixMilli()/AnnounceInterval.Milliseconds()) * maxAnnounced % len(all)
 	rotated := append(slices.Clone(all[first:]), all[:first]...)
 	return rotated[:maxAnnounced]
 }
--- a/edge/ratelimit/ratelimit_test.go
+++ b/edge/ratelimit/ratelimit_test.go
@@ -35,9 +35,10 @@
 // A VM must take over what another one observed last, whatever order reports arrive in.
 func TestNewestObservationCounts(t *testing.T) {
 	table, limits := newTable()
-	table.Merge([]Observation{
-		{Target: 1, Limited: true, Rate: 3, At: start.Add(2 * time.Second)}, {Target: 1, Limited: true, Rate: 5, At: start},
-		{Target: 2, Limited: true, Rate: 1, At: start}, {Target: 2, At: start.Add(time.Second)},
+	now := start.Add(2*time.Second + maxTransit)
+	table.Merge(now, []Announced{
+		{Target: 1, Limited: true, Rate: 3}, {Target: 1, Limited: true, Rate: 5, AgeMillis: 2000},
+		{Target: 2, Limited: true, Rate: 1, AgeMillis: 2000}, {Target: 2, AgeMillis: 1000},
 	})
 	if len(*limits) != 1 || (*limits)[1] != 3 {
 		t.Errorf("limits %v, want 3 for target 1 only", *limits)
@@ -51,6 +52,19 @@
 	}
 }
 
+// What this VM observed last must not be replaced by its own older announcement that comes back.
+func TestEchoIsNotNewer(t *testing.T) {
+	table, limits := newTable()
+	other, _ := newTable()
+	table.Observe(Observation{Target: 1, Limited: true, Rate: 3, At: start}, start)
+	other.Merge(start.Add(maxTransit), table.Announcement(start))
+	table.Observe(Observation{Target: 1, At: start.Add(time.Millisecond)}, start)
+	table.Merge(start.Add(2*maxTransit), other.Announcement(start.Add(maxTransit)))
+	if len(*limits) != 0 {
+		t.Errorf("limits %v after the withdrawal", *limits)
+	}
+}
+
 // Each observation must be announced within a bounded time, however many there are.
 func TestAllObservationsAreAnnounced(t *testing.T) {
 	table, _ := newTable()
@@ -60,7 +74,7 @@
 	}
 	announced := make(map[uint32]bool)
 	for round := range targets/maxAnnounced + 2 {
-		list := table.Announcement(start.Add(time.Duration(round) * announceInterval))
+		list := table.Announcement(start.Add(time.Duration(round) * AnnounceInterval))
 		if len(list) > maxAnnounced {
 			t.Fatalf("%d observations in one announcement", len(list))
 		}
