standin, soak: a target that limits the requests of all VMs together

Seeds from 7000 on have one; the limit is stated and withdrawn among the other faults. After them callers go on, and the limit must hold in each 4 s, be used, and its end be noticed.

--- /dev/null
+++ b/integration/soak/limits_test.go
@@ -0,0 +1,74 @@
+package soak
+
+import "time"
+
+const (
+	// limitedTarget is the index of the target that states a limit, targetRate the limit in requests
+	// per second.
+	limitedTarget = 0
+	targetRate    = 10
+	// targetWindow, targetFactor and targetSlack bound its requests: in no window more than
+	// targetFactor times what the limit allows, and targetSlack.
+	targetWindow = 4 * time.Second
+	targetFactor = 1.5
+	targetSlack  = 5
+)
+
+// limitTarget lets the target state its limit, if the seed has one.
+func (w *world) limitTarget() {
+	if w.seed >= limitSeeds {
+		w.limitStated = true
+		w.targets[limitedTarget].SetLimit(targetRate)
+	}
+}
+
+// toggleLimit withdraws the limit, or states it again.
+func (w *world) toggleLimit() {
+	w.limitStated = !w.limitStated
+	rate := 0.0
+	if w.limitStated {
+		rate = targetRate
+	}
+	w.targets[limitedTarget].SetLimit(rate)
+}
+
+// checkTargetLimit lets callers go on after all faults have ended, and checks that the limit holds
+// for all VMs together and is used, and that its end is noticed.
+func (w *world) checkTargetLimit() {
+	if w.seed < limitSeeds {
+		return
+	}
+	target := w.targets[limitedTarget]
+	w.limitTarget()
+	time.Sleep(contactTime)
+	from := time.Now()
+	time.Sleep(2 * targetWindow)
+	const allowed = targetFactor*targetRate*4 + targetSlack
+	if most := mostSince(target.Arrivals(), from); most > allowed || most == 0 {
+		w.t.Errorf("the limited target got %d requests in %s, at least 1 and at most %v allowed", most, targetWindow, allowed)
+	} else {
+		w.t.Logf("the limited target got at most %d requests in %s, %v allowed", most, targetWindow, allowed)
+	}
+	target.SetLimit(0)
+	for ended := time.Now(); mostSince(target.Arrivals(), ended) <= allowed; time.Sleep(50 * time.Millisecond) {
+		if time.Since(ended) > healTime {
+			w.t.Fatalf("the target gets no more requests than before %s after it has withdrawn its limit", healTime)
+		}
+	}
+}
+
+// mostSince returns the highest number of arrivals in a window after a time.
+func mostSince(arrivals []time.Time, from time.Time) int {
+	most, first := 0, 0
+	for i, at := range arrivals {
+		if at.Before(from) {
+			first = i + 1
+			continue
+		}
+		for at.Sub(arrivals[first]) >= targetWindow {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -37,6 +37,8 @@
 	crashingRequests = 2000
 	// accounts come with seeds from here on.
 	accountSeeds = 6000
+	// limitSeeds are those from which on a target limits the requests of all VMs.
+	limitSeeds = 7000
 	// healTime is how long a VM may take to serve after all faults have ended.
 	healTime = 30 * time.Second
 )
@@ -69,6 +71,11 @@
 	soak(t, buildEntry(t), accountSeeds)
 }
 
+// The same with a target that limits the requests of all VMs together.
+func TestSoakOfLimitedTarget(t *testing.T) {
+	soak(t, buildEntry(t), limitSeeds)
+}
+
 // world is the processes and stand-ins of one run.
 type world struct {
 	t        *testing.T
@@ -89,6 +96,8 @@
 	timeline          *timeline
 	// keyGone is set while the configuration lacks movingKey.
 	keyGone bool
+	// limitStated is set while limitedTarget states its limit.
+	limitStated bool
 	// checked counts promises: what the answer to one request may say.
 	checked int
 }
@@ -104,6 +113,7 @@
 	}
 	w.waitServing("before any fault")
 	bad := w.startRepeats(ctx, &all)
+	w.limitTarget()
 	end := time.Now().Add(time.Duration(*seconds) * time.Second)
 	for time.Now().Before(end) {
 		w.harm()
@@ -112,6 +122,7 @@
 	w.heal()
 	w.waitServing("after all faults")
 	bad.check()
+	w.checkTargetLimit()
 	stop()
 	all.Wait()
 	w.check(seen)
@@ -215,6 +226,9 @@
 	if w.seed >= laterHarms {
 		harms = append(harms, harm{"target starts again under its ID", w.restart}, harm{"foreign entry", w.forge})
 	}
+	if w.seed >= limitSeeds {
+		harms = append(harms, harm{"limit withdrawn or stated", w.toggleLimit})
+	}
 	if w.seed >= accountSeeds {
 		harms = append(harms, harm{"key moved", func() { w.keyGone = !w.keyGone; w.configure() }})
 	}
