--- a/edge/entry/snapshots.go
+++ b/edge/entry/snapshots.go
@@ -28,7 +28,7 @@
 	// compressThreshold is the size from which snapshots are compressed. For smaller
 	// ones the compressor needs more memory than it saves.
 	compressThreshold = 4 << 10
-	// maxSnapshotBytes limits the size of a decoded snapshot.
+	// maxSnapshotBytes limits the size of a decoded snapshot: 330,000 targets of 200 bytes.
 	maxSnapshotBytes = 64 << 20
 	gzipEncoding     = "gzip"
 )
--- a/edge/exchange/counts.go
+++ b/edge/exchange/counts.go
@@ -10,7 +10,7 @@
 
 // Counts are requests in flight by the key of their target, see placing.TargetKey. They are encoded
 // compactly, as an aggregator sends those of all targets: the sorted keys as differences, each
-// with its count, as unsigned varints.
+// with its count, as unsigned varints, which takes a third of a map.
 type Counts map[uint32]int
 
 var errMalformedCounts = errors.New("exchange: malformed counts")
--- a/edge/gateway/dial.go
+++ b/edge/gateway/dial.go
@@ -13,10 +13,12 @@
 
 const (
 	// connectMargin is added to the round trips for the connect timeout. It covers a busy
-	// target, not the retransmission of a lost SYN.
+	// target, which takes a millisecond, and not the retransmission of a lost SYN, which takes
+	// a second.
 	connectMargin = 250 * time.Millisecond
 	// unackedTimeout is how long sent data may stay unacknowledged, besides the round trips.
-	// It detects a target without power, and tolerates a few lost packets in a row.
+	// It detects a target without power, and tolerates three lost packets in a row, which take
+	// 600 ms.
 	unackedTimeout = 900 * time.Millisecond
 )
 
--- a/edge/owners/owners.go
+++ b/edge/owners/owners.go
@@ -31,7 +31,7 @@
 	// reachable again, or known to be unresponsive.
 	avoidDuration = 2 * time.Second
 	// maxOverhead bounds the mean time that answers take beyond the owner's processing time.
-	// Within a failure domain, more than this means a saturated link.
+	// Within a failure domain it is a few milliseconds; more than this means a saturated link.
 	maxOverhead = 25 * time.Millisecond
 	// overheadWeight is the weight of one answer in the moving average of the overhead.
 	overheadWeight = 0.1
--- a/edge/peers/peers.go
+++ b/edge/peers/peers.go
@@ -12,7 +12,8 @@
 )
 
 // suspicionTimeout is how long a VM of this region may be silent before it is no longer offered
-// to callers. Heartbeats arrive four times a second.
+// to callers. Heartbeats arrive four times a second. A paused VM is back by then, or has lost its
+// callers anyway.
 const suspicionTimeout = 1500 * time.Millisecond
 
 // remoteSuspicionTimeout is the same for VMs of other regions, whose heartbeats arrive twice a
@@ -146,7 +147,8 @@
 
 // LiveInDomain returns the other VMs of this failure domain that accept callers, sorted by name.
 // It returns false if this VM receives no reports at all: it is isolated or stopping, and must
-// not conclude that the other VMs have failed and abandon the requests they work on.
+// not conclude that the other VMs have failed and abandon the requests they work on, as a VM would
+// suspicionTimeout after its planned stop began.
 func (m *Members) LiveInDomain(now time.Time) ([]site.VM, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -216,7 +218,8 @@
 
 // WorkSharers returns the names of the VMs of this region among which work is divided, including
 // this one: the responsive VMs, or all registered VMs if less than half are responsive. The
-// quorum prevents isolated VMs from each using the full rate of a cold target.
+// quorum prevents isolated VMs from each using the full rate of a cold target: at most two parts of
+// a region can each hear half of it.
 func (m *Members) WorkSharers(now time.Time) []string {
 	responsive := m.Responsive(now)
 	m.mu.Lock()
--- a/edge/peers/topology.go
+++ b/edge/peers/topology.go
@@ -9,7 +9,8 @@
 
 const (
 	// fullMeshLimit is the largest region in which all VMs report to each other. The number of
-	// datagrams grows with the square of the region's size.
+	// datagrams grows with the square of the region's size; above this limit a VM would spend
+	// more on datagrams than on requests.
 	fullMeshLimit = 8
 	// aggregatorCount is the number of VMs of a large region that receive all reports: a
 	// primary and a standby.
--- a/edge/placing/affinity.go
+++ b/edge/placing/affinity.go
@@ -3,7 +3,8 @@
 import "time"
 
 const (
-	// maxAffinityTargets bounds the targets of a region that serve one key.
+	// maxAffinityTargets bounds the targets of a region that serve one key. The fourth is used
+	// when three are full at once.
 	maxAffinityTargets = 4
 	// coldPenalty and coldPenaltyPerUtilization are the cost of a cold run to other requests,
 	// as a fraction of its extra service time: they wait for its slot, or run cold because
@@ -48,10 +49,11 @@
 
 // bestAffinity returns the affinity target with the lowest cost and the expected completion
 // time there. Full targets are included, because waiting for a warm target is often faster
-// than a cold run on a free one.
+// than a cold run on a free one. When all targets are nearly full, a cold run also takes a slot
+// for as long as three warm ones, and these run cold elsewhere in turn.
 //
 // Only the highest ranked cold target is considered, so that all VMs overflow a key to the
-// same additional target.
+// same additional target, and one more target becomes warm for it and not one for each VM.
 func (s *service) bestAffinity(now time.Time, r *Request, region string) (best *Target, expected time.Duration) {
 	lowest := time.Duration(0)
 	penalty := coldPenalty + coldPenaltyPerUtilization*s.utilization(now, region)
--- a/edge/placing/failures.go
+++ b/edge/placing/failures.go
@@ -1,16 +1,17 @@
 package placing
 
 const (
-	// serviceFailureSmoothing is the weight of one outcome in a service's failure ratio.
+	// serviceFailureSmoothing is the weight of one outcome in a service's failure ratio, which
+	// covers about the last twenty requests.
 	serviceFailureSmoothing = 0.05
 	// widespreadFailures is the failure ratio of a service above which a refusal is not
 	// attributed to the target.
 	widespreadFailures = 0.25
 )
 
-// serviceFailures measures the failure ratio of a service. While all targets fail alike,
-// moving a request to another target only adds cold runs, so a target is penalized only for
-// failures above this ratio.
+// serviceFailures measures the failure ratio of a service. While all targets fail alike, for
+// example when all refuse half of their requests, another target refuses a request as often and
+// runs it cold if it does not. A target is therefore penalized only for failures above this ratio.
 type serviceFailures struct{ ratio float64 }
 
 func (f *serviceFailures) record(failed bool) {
--- a/edge/placing/occupancy.go
+++ b/edge/placing/occupancy.go
@@ -3,7 +3,8 @@
 import "time"
 
 const (
-	// occupancySmoothing is the weight of one sample in the moving averages.
+	// occupancySmoothing is the weight of one sample in the moving averages, which cover about
+	// the last fifty responses.
 	occupancySmoothing = 0.02
 	// maxOccupancy bounds one sample, as a multiple of the route's cold service time, so
 	// that a hanging target does not distort the averages.
@@ -12,7 +13,9 @@
 
 // occupancy measures how long requests of all routes hold a slot of a service. The expected
 // wait for a slot depends on it, and not on the service time of the request that waits,
-// when short and long requests share targets.
+// when short and long requests share targets: with their own service time as the wait, short
+// requests go to full targets and are late, and long ones are rejected although the short ones
+// before them are soon done.
 type occupancy struct {
 	// mean is in seconds, meanSquare in seconds squared.
 	mean, meanSquare float64
--- a/edge/placing/request.go
+++ b/edge/placing/request.go
@@ -39,7 +39,8 @@
 // larger one keeps callers waiting too long before a rejection.
 const lateShare = 0.2
 
-// latestEnd returns the latest completion time for which the request is still accepted.
+// latestEnd returns the latest completion time for which the request is still accepted. Requests
+// that can still meet their objective are served first, so that not all become late in an overload.
 func (r *Request) latestEnd() time.Time {
 	if r.Objective.After(r.Deadline) {
 		return r.Deadline
--- a/edge/placing/weights.go
+++ b/edge/placing/weights.go
@@ -13,11 +13,14 @@
 	// initialUtilization is the utilization that is assumed until demand is measured.
 	initialUtilization = 0.6
 	// baseShiftRate is the fraction of a region's requests that may change region per
-	// second. It stays well below the permitted shift to leave room for random variation.
+	// second. It is about half of what is permitted between two windows of two seconds, to
+	// leave room for random variation.
 	baseShiftRate = 0.02
 	// rejectionShiftRate applies for rejectionWindow after a request is rejected for lack of
-	// capacity, so that a surge can use free slots of other regions while it lasts. It is
-	// not the default because faster shifts cause more cold runs.
+	// capacity, so that a surge can use free slots of other regions while it lasts: at
+	// baseShiftRate the weights follow too late, and requests are rejected while half of
+	// another region's slots are free. It leaves a third of the permitted shift for random
+	// variation, and is not the default because faster shifts cause more cold runs.
 	rejectionShiftRate = 0.05
 	rejectionWindow    = time.Second
 	// lossShiftRate applies for lossWindow after an unexpected loss of capacity.
--- a/edge/quarantine/table.go
+++ b/edge/quarantine/table.go
@@ -17,7 +17,8 @@
 	// evidenceTTL is how long the crashes count against a request that does not cause another one.
 	evidenceTTL = 10 * time.Minute
 	// firstTrialDelay is the time from the quarantine of a request to its first trial. By then,
-	// targets that crashed for other reasons have restarted. trialInterval is the time between
+	// targets that crashed for other reasons have restarted, also those that it shared with a
+	// request that did crash them. trialInterval is the time between
 	// later trials.
 	firstTrialDelay = 30 * time.Second
 	trialInterval   = 10 * time.Minute
--- a/edge/registry/registry.go
+++ b/edge/registry/registry.go
@@ -91,7 +91,8 @@
 
 // renewOrRegister renews the lease, or registers again if it is gone. A VM that watches renews
 // with a short timeout: if it loses the store, its watch hangs until it times out, and until
-// then the other VMs of the region would rely on it.
+// then the other VMs of the region would rely on it and send to targets that have left. With both
+// bounds they know within 1.1 s and watch the store themselves.
 func (r *Registry) renewOrRegister(ctx context.Context, watching bool) error {
 	if r.lease != 0 && !r.missing.Load() {
 		err := r.renew(ctx, watching)
--- a/edge/replica/replica.go
+++ b/edge/replica/replica.go
@@ -18,7 +18,7 @@
 
 const (
 	// batchDelay is the pause between a change and the next watch. Changes within it are
-	// read by a single call.
+	// read by a single call: calls have a price, and a change has seconds to come into force.
 	batchDelay = 400 * time.Millisecond
 	// standbyBatchDelay is the same for standby watchers, which copy changes from the watch
 	// leader meanwhile. It stays below the time in which a removed target must no longer
@@ -38,7 +38,8 @@
 	catchUpDelay = 300 * time.Millisecond
 	// roleCheckInterval is how often a replica that does not watch checks whether it should.
 	roleCheckInterval = 200 * time.Millisecond
-	// maxRecentChanges limits the changes kept for partial snapshots.
+	// maxRecentChanges limits the changes kept for partial snapshots, some minutes' worth on an
+	// ordinary day.
 	maxRecentChanges = 512
 )
 
