soak: requests with all affinity keys while the limit of a target is checked

The check now has callers with all keys, so that it neither fails nor passes for want of requests; bounds are as before.

--- a/integration/soak/limits_test.go
+++ b/integration/soak/limits_test.go
@@ -1,6 +1,13 @@
 package soak
 
-import "time"
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+)
 
 const (
 	// limitedTarget is the index of the target that states a limit, targetRate the limit in requests
@@ -12,6 +19,8 @@
 	targetWindow = 4 * time.Second
 	targetFactor = 1.5
 	targetSlack  = 5
+	// affinityKeys is how many affinity keys there are: they follow from the length of an ID.
+	affinityKeys = 7
 )
 
 // limitTarget lets the target state its limit, if the seed has one.
@@ -38,6 +47,11 @@
 	if w.seed < limitSeeds {
 		return
 	}
+	ctx, stop := context.WithCancel(context.Background())
+	var all sync.WaitGroup
+	defer all.Wait()
+	defer stop()
+	w.askWithAllKeys(ctx, &all)
 	target := w.targets[limitedTarget]
 	w.limitTarget()
 	time.Sleep(contactTime)
@@ -57,6 +71,24 @@
 	}
 }
 
+// askWithAllKeys sends requests with all affinity keys, as those of other callers may belong to other
+// targets.
+func (w *world) askWithAllKeys(ctx context.Context, all *sync.WaitGroup) {
+	for n := range affinityKeys {
+		c := &caller{
+			name: fmt.Sprintf("keys-%d", n), vms: w.processes, journal: &journal{}, key: w.keyOf(0),
+			random: rand.New(rand.NewPCG(w.seed, uint64(2*callers+n))),
+		}
+		all.Go(func() {
+			for ctx.Err() == nil {
+				c.sent++
+				c.ask(fmt.Sprintf("%s-%d-%d%s", c.name, w.seed, c.sent, strings.Repeat("-", c.sent%affinityKeys)), c.sent%2 == 0)
+			}
+			c.drop()
+		})
+	}
+}
+
 // mostSince returns the highest number of arrivals in a window after a time.
 func mostSince(arrivals []time.Time, from time.Time) int {
 	most, first := 0, 0
