exchange, entry: limits of targets reach the VMs of other regions

Cause: observations were part of one report a second, whichever came first, and that to the own region always does. VMs of other regions learnt of a limit only from an answer of their own. Found by reading the diff; TestTargetLimitIsKnownInOtherRegions failed before (the VM of the other region does not know of the limit, after a minute).

Change: the exchange asks for them for each kind of recipients, and each has its own interval.

--- a/edge/entry/exchange.go
+++ b/edge/entry/exchange.go
@@ -70,7 +70,6 @@
 		// Aggregated reports go to other regions, which already know their own events.
 		Events: e.quarantine.PendingEvents(now, !sum),
 	}
-	s.Limits = e.targetLimits.announcement(now, sum)
 	if !sum {
 		s.InFlight, s.Demand = e.balancer.Report(now)
 		return s
--- a/edge/entry/targetlimits.go
+++ b/edge/entry/targetlimits.go
@@ -36,9 +36,9 @@
 	quotas  []*regionQuota
 	// limited is the number of targets with a limit.
 	limited atomic.Int32
-	// reportAt and sumAt are when observations are next part of a report, and of one with the sums
-	// of the region. Only the exchange's sending goroutine and a shutdown use them.
-	reportAt, sumAt atomic.Int64
+	// sameRegionAt and otherRegionsAt are when observations are next part of a report to this
+	// region, and to other regions, in Unix milliseconds.
+	sameRegionAt, otherRegionsAt atomic.Int64
 }
 
 // regionQuota is the quota of the targets of one region.
@@ -126,10 +126,11 @@
 }
 
 // announcement returns observations for a report if some are due.
-func (l *targetLimits) announcement(now time.Time, sum bool) []ratelimit.Announced {
-	due := &l.reportAt
-	if sum {
-		due = &l.sumAt
+func (l *targetLimits) announcement(otherRegions bool) []ratelimit.Announced {
+	now := time.Now()
+	due := &l.sameRegionAt
+	if otherRegions {
+		due = &l.otherRegionsAt
 	}
 	if now.UnixMilli() < due.Load() {
 		return nil
--- a/edge/entry/targetlimits_test.go
+++ b/edge/entry/targetlimits_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -113,6 +114,25 @@
 	return func() { close(done); all.Wait() }
 }
 
+// A VM of another region must know of a limit before it sends to the target itself.
+func TestTargetLimitIsKnownInOtherRegions(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1, "/p/")
+	limited := f.startLimitedTarget("limited", "n1")
+	f.startLimitedTarget("other", "s1")
+	limited.setLimited(true)
+	vms := []*vm{f.start("a", "n1", f.kv), f.start("b", "n2", f.kv), f.start("d", "s1", f.kv)}
+	for _, v := range vms {
+		waitFor(t, "never served", respondsWith(v.options.EntryAddress, "/p/x", http.StatusOK))
+	}
+	stop := sendSteadily(vms[:2])
+	defer stop()
+	waitFor(t, "the VM of the other region does not know of the limit", func() bool {
+		_, page := get(vms[2].options.MetricsAddress, "/metrics")
+		return strings.Contains(page, `targets_limited{vm="d"} 1`)
+	})
+}
+
 // A target's limit must hold for the requests of all VMs together, of both regions and of one
 // that starts later, must be used, and must end when the target withdraws it.
 func TestTargetLimitHoldsForAllVMs(t *testing.T) {
--- a/edge/exchange/exchange.go
+++ b/edge/exchange/exchange.go
@@ -22,6 +22,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/yuccaroute/yuccaroute/api/wait"
+	"github.com/yuccaroute/yuccaroute/edge/ratelimit"
 )
 
 const (
@@ -69,6 +70,9 @@
 	Logger  *logrus.Entry
 	// State returns the state to report, with the sums of the region if sum is true.
 	State func(sum bool) State
+	// Limits returns observations of targets' limits for a report to this region, or to other
+	// regions; nil means none.
+	Limits func(otherRegions bool) []ratelimit.Announced
 	// Digest returns the digest of the region.
 	Digest func(detailed bool) *Digest
 	// Recipients returns the current recipients of reports and digests.
@@ -131,8 +135,8 @@
 // Flush sends reports to all recipients immediately.
 func (e *Exchange) Flush() {
 	to := e.options.Recipients()
-	e.sendReport(to.SameRegion, false)
-	e.sendReport(to.OtherRegions, to.Large)
+	e.sendReport(to.SameRegion, false, false)
+	e.sendReport(to.OtherRegions, true, to.Large)
 }
 
 func (e *Exchange) sendLoop(ctx context.Context) {
@@ -147,10 +151,10 @@
 		case <-e.changed:
 		}
 		to := e.options.Recipients()
-		e.sendReport(to.SameRegion, false)
+		e.sendReport(to.SameRegion, false, false)
 		if e.urgent.Swap(false) || time.Since(remoteAt) >= remoteHeartbeatInterval {
 			remoteAt = time.Now()
-			e.sendReport(to.OtherRegions, to.Large)
+			e.sendReport(to.OtherRegions, true, to.Large)
 		}
 		e.sendDigest(to, round%detailedDigestEvery == 0)
 		pause := minReportInterval
@@ -164,12 +168,15 @@
 }
 
 // sendReport sends the state of this VM, with the sums of its region if sum is true.
-func (e *Exchange) sendReport(to []Peer, sum bool) {
+func (e *Exchange) sendReport(to []Peer, otherRegions, sum bool) {
 	if len(to) == 0 {
 		return
 	}
 	state := e.options.State(sum)
 	state.Sum = sum
+	if e.options.Limits != nil {
+		state.Limits = e.options.Limits(otherRegions)
+	}
 	datagram := e.encode(&state)
 	for _, p := range to {
 		e.write(datagram, p)
