--- a/edge/gateway/run.go
+++ b/edge/gateway/run.go
@@ -21,7 +21,8 @@
 	maxAttempts = 4
 	// hedgeLatencyFactor times the expected latency is the hedge delay: an idempotent request
 	// without an answer by then is also sent to a second target. It exceeds the ratio of a
-	// cold run to a warm one, which is about three, as the second target would run the request cold too.
+	// cold run to a warm one, which is about three, as the second target would run the request
+	// cold too.
 	hedgeLatencyFactor = 4.0
 	// minHedgeDelay is the lower bound of the hedge delay.
 	minHedgeDelay = 300 * time.Millisecond
