config, node: heads of tests name the failure in a line or two

Twenty-eight tests and benchmarks began with a story of three to six lines. Comments only; the stories are in the history.

--- a/config/callersets_test.go
+++ b/config/callersets_test.go
@@ -92,9 +92,8 @@
 	}
 }
 
-// Story: nodes of the release before receive an account without its blocks,
-// take it for one that has none and refuse all its callers. They must fail to
-// read it, and so keep the state in force.
+// Nodes of the release before must fail to read an account without its blocks, and so keep the
+// state in force, rather than refuse all its callers.
 func TestReleaseBeforeRefusesDividedAccounts(t *testing.T) {
 	body, _, _ := divide(t, accountOf(manyBlocks))
 	if text, err := io.ReadAll(flate.NewReader(bytes.NewReader(body))); err == nil {
--- a/config/changelog/bench_test.go
+++ b/config/changelog/bench_test.go
@@ -45,9 +45,8 @@
 	return kv
 }
 
-// TestCallsPerChange bounds what a change costs the store: read the head, look
-// for the identifier, write the document, write the last change's audit
-// record, swap the head.
+// A change must cost the store no more than five calls: head, identifier, document, audit record
+// and swap of the head.
 func TestCallsPerChange(t *testing.T) {
 	kv := faultkv.New(filled(t, 100), nil)
 	log := changelog.New(kv, changelog.Options{})
--- a/config/changelog/changelog_test.go
+++ b/config/changelog/changelog_test.go
@@ -95,9 +95,8 @@
 	}
 }
 
-// TestRaceOfTemplateAndAccount: one operator shortens the longest drain in the
-// template while another plans a longer one in an account. Each is valid with
-// what both of them read. Whichever comes second must be refused.
+// Of two changes that are each valid with what both operators read, but not together, the second
+// must be refused.
 func TestRaceOfTemplateAndAccount(t *testing.T) {
 	log := changelog.New(memkv.New(memkv.Options{}), changelog.Options{})
 	seed(t, log)
@@ -124,9 +123,8 @@
 	}
 }
 
-// TestLostAnswer: the store makes a change and its answer is lost. The
-// operator must be told that the change is in force, and a repeat under the
-// same identifier must not make it again.
+// A change whose answer is lost must be reported as in force, and a repeat under the same
+// identifier must not make it again.
 func TestLostAnswer(t *testing.T) {
 	kv := faultkv.New(memkv.New(memkv.Options{}), nil)
 	log := changelog.New(kv, changelog.Options{})
@@ -147,9 +145,7 @@
 	}
 }
 
-// TestLateWriteCannotUndo: a swap is delayed for a minute. Meanwhile the
-// operator repeats the change, and another one changes the account again. When
-// the late swap arrives it must change nothing.
+// A delayed swap that arrives after the change was repeated and overtaken must change nothing.
 func TestLateWriteCannotUndo(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		kv := faultkv.New(memkv.New(memkv.Options{}), nil)
@@ -169,9 +165,8 @@
 	})
 }
 
-// TestUnknownIsSaid: the store loses a swap and then goes out. Nobody can tell
-// whether the change is in force, so the answer is "unknown" with its
-// identifier; after the outage the identifier tells.
+// A change whose swap is lost in an outage must be reported as unknown, with the identifier that
+// tells its outcome afterwards.
 func TestUnknownIsSaid(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		kv := faultkv.New(memkv.New(memkv.Options{}), nil)
@@ -214,9 +209,8 @@
 	}
 }
 
-// TestRepeatLongAfter: an operator's tool repeats a change a day later, when
-// the head no longer lists it. It must be found among the audit records and
-// not undo what came after.
+// A change repeated after the head no longer lists it must be found among the audit records and
+// not undo later changes.
 func TestRepeatLongAfter(t *testing.T) {
 	log := changelog.New(memkv.New(memkv.Options{}), changelog.Options{})
 	seed(t, log)
@@ -276,10 +270,8 @@
 	}
 }
 
-// TestLostThenOvertaken: a swap is lost on its way, and before the operator's
-// node reads the head again somebody else changes the account. The lost swap
-// can never take effect then, so the operator must be told "not made, and this
-// is who was first", not "unknown".
+// A lost swap that another change has overtaken can never take effect: it must be reported as not
+// made, and not as unknown.
 func TestLostThenOvertaken(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		inner := memkv.New(memkv.Options{})
@@ -302,9 +294,8 @@
 	})
 }
 
-// TestRepair: the store is restored from a copy that lacks the last two
-// changes, their documents and a new account. A node that remembers them puts
-// them back; nothing accepted is lost, and the new state is newer than both.
+// A node must put back the changes that a store restored from an older copy lacks, as a state newer
+// than both.
 func TestRepair(t *testing.T) {
 	kv := &replaceable{memkv.New(memkv.Options{})}
 	log := changelog.New(kv, changelog.Options{})
@@ -342,9 +333,8 @@
 	mustApply(t, fresh, accountChange("change-06", withWeight("0.6"), 3))
 }
 
-// TestDocumentLostByARestore: the store is restored and lacks a document that
-// this node has read before. A change that brings the document back must write
-// it, or no other node could read the account.
+// A change that brings back a document which a restored store lacks must write it, or no other node
+// could read the account.
 func TestDocumentLostByARestore(t *testing.T) {
 	kv := &replaceable{memkv.New(memkv.Options{})}
 	log := changelog.New(kv, changelog.Options{})
@@ -368,9 +358,7 @@
 // replaceable is a store whose content can be replaced, as by a restore.
 type replaceable struct{ store.KV }
 
-// TestForkIsNotRepaired: after a restore a process that had seen nothing of
-// the newer state made a change. To put the newer state back would lose that
-// accepted change, so an operator has to decide.
+// A newer state must not be put back over a change made after a restore: an operator has to decide.
 func TestForkIsNotRepaired(t *testing.T) {
 	kv := &replaceable{memkv.New(memkv.Options{})}
 	log := changelog.New(kv, changelog.Options{})
--- a/config/changelog/race_test.go
+++ b/config/changelog/race_test.go
@@ -60,11 +60,8 @@
 	}
 }
 
-// TestRacingOperators: sixteen operators, each through a node of its own,
-// change one template and its accounts at once. The store refuses calls, loses
-// answers, drops writes and applies others late. Some change the template so
-// that it no longer fits drains that others plan. Every operator must be told
-// the truth, and no cut that anybody reads may be invalid.
+// Operators who race through a failing store must all be told the truth, and nobody may read an
+// invalid cut.
 func TestRacingOperators(t *testing.T) {
 	for seed := range uint64(4) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
--- a/config/codec_heap_test.go
+++ b/config/codec_heap_test.go
@@ -14,9 +14,8 @@
 // of model.CallerBlock, rounded up by the allocator's size classes.
 const bytesPerBlockMax = 56
 
-// Story: a node with 330,000 caller blocks needs more memory than its VM gives.
-// A third of the decoded lists is spare room that nothing uses, and each block
-// holds its own copy of its region's name.
+// Decoded caller blocks must hold neither spare capacity nor copies of the names of regions, which
+// exceed the memory of a VM at 330,000 blocks.
 func TestDecodedBlocksHoldNoSpareRoom(t *testing.T) {
 	const blocks = 50_000
 	account := &model.Account{Name: "large", Regions: []model.Region{{Name: "kr-seoul"}}}
--- a/config/problems_test.go
+++ b/config/problems_test.go
@@ -46,9 +46,8 @@
 	}
 }
 
-// TestMergedAccountIsChecked: one operator narrows the template while another
-// raises a parameter of an account. Each document is right alone; together
-// they are not, and the check must be of the result.
+// The check must be of the merged result: a template and an account that are each valid may not be
+// so together.
 func TestMergedAccountIsChecked(t *testing.T) {
 	narrowed := strings.Replace(string(examples.Text("dealer")), "[excess]", "[drains]\nlongest_seconds = 600\n\n[excess]", 1)
 	drained := string(examples.Text("daehan")) + `
--- a/config/settings/settings_test.go
+++ b/config/settings/settings_test.go
@@ -46,9 +46,8 @@
 	}
 }
 
-// Nothing changes, and every 30 s each watcher takes two seconds of processor
-// time. The service answers a watch without changes after 30 s; a node that
-// gives up at that moment takes it for an outage and reads all accounts again.
+// A node must not take the end of a watch without changes, which the service ends after 30 s, for an
+// outage and read all accounts again.
 func TestWatchOutlastsService(t *testing.T) {
 	s := settings.Defaults(settings.Node{}, settings.Listen{}, netip.AddrPort{}, netip.AddrPort{})
 	if got, waits := s.Platform.WatchTimeout, memkv.DefaultWatchWait; got < waits+s.Platform.CallTimeout {
--- a/config/source/cost_test.go
+++ b/config/source/cost_test.go
@@ -90,9 +90,8 @@
 	}
 }
 
-// BenchmarkTemplateChangeAsDocument is the same change as the source emits it in
-// documents: the template and the cut. The node merges it with the accounts'
-// documents, which it holds compressed.
+// BenchmarkTemplateChangeAsDocument is the same change as emitted in documents, the template and the
+// cut, which the node merges with the compressed documents of the accounts.
 func BenchmarkTemplateChangeAsDocument(b *testing.B) {
 	for _, accounts := range sizes {
 		b.Run(fmt.Sprint(accounts), func(b *testing.B) {
--- a/config/source/restore_test.go
+++ b/config/source/restore_test.go
@@ -25,11 +25,8 @@
 
 const restoreAccounts = 4
 
-// TestRestoredStoreRevertsNothing: twenty changes are made, and then the store
-// is restored from a copy that has only half of them. No node may take the
-// older state, a node that has just started may not change it, and soon the
-// store must hold again what was accepted. Three watching nodes read through
-// a store that fails one read in ten.
+// After a restore of the store from an older copy no node may take the older state or change it, and
+// the store must hold again what was accepted.
 func TestRestoredStoreRevertsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		kv := &replaceable{kv: memkv.New(memkv.Options{})}
--- a/config/source/synced_test.go
+++ b/config/source/synced_test.go
@@ -11,9 +11,8 @@
 	"github.com/yuccaroute/yuccaroute/store/memkv"
 )
 
-// Story: a new system has no accounts yet, and its nodes refuse callers as not
-// ready for ever: nothing was emitted, so nobody knew that all had been read.
-// Later the store is out, and an operator is told that what he sees is fresh.
+// A system without accounts must become ready, and what is read in an outage must not be reported as
+// fresh.
 func TestSourceTellsWhatItRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		kv := faultkv.New(memkv.New(memkv.Options{}), nil)
--- a/node/content_test.go
+++ b/node/content_test.go
@@ -25,11 +25,8 @@
 	return strings.Replace(accountText, "127.0.0.0/8", "127.0.0.0/8"+list.String(), 1)
 }
 
-// Callers of a large account are looked up by blocks that reach the nodes apart
-// from the account. An operator changes the blocks, then takes the change back;
-// then the store goes out and a VM is replaced. Each node must have the blocks of
-// the state it shows, the new one all that its peers have, and the API must show
-// the blocks as operators wrote them.
+// Blocks that reach nodes apart from their account must match the state that a node shows, through a
+// change taken back, an outage and a replaced VM.
 func TestBlocksApartFromTheAccount(t *testing.T) {
 	s := newSystem(t)
 	kv := faultkv.New(s.platform.KV(), nil)
--- a/node/inforce_test.go
+++ b/node/inforce_test.go
@@ -12,11 +12,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 )
 
-// During an upgrade a watcher of the newer release sends an account that this
-// node cannot read. The node goes on with the state before, but had received the
-// newer one: the operator was told that the change is in force everywhere, while
-// callers were still served by the old limits. The same showed for a moment with
-// each change, between its arrival and its use.
+// A node that has received an account which it cannot use must not report it as in force.
 func TestReceivedIsNotInForce(t *testing.T) {
 	s := newSystem(t)
 	n := s.add("entry-0", places[0])
--- a/node/leave_test.go
+++ b/node/leave_test.go
@@ -51,12 +51,8 @@
 	return g
 }
 
-// An entry VM is to be replaced. Callers still hold look-up answers that name
-// it, one has a form under way, and the other nodes need its share. It must
-// leave the answers first and still serve, then refuse as not run, end the
-// form whole, and hand back its grants before it exits. A node that refused at
-// once would fail callers with a cached answer; one that kept its grants would
-// keep capacity from the others until it is removed from the list.
+// A node that stops as planned must leave look-up answers first and still serve, then refuse as not
+// run, end requests in progress, and hand back its grants before it exits.
 func TestPlannedStopOfANode(t *testing.T) {
 	s := newSystem(t)
 	noticeOver := make(chan time.Time)
@@ -116,9 +112,8 @@
 	}
 }
 
-// An entry VM is to be replaced, and callers still hold look-up answers that
-// name it. They come again after seconds in which the other nodes were busy. A
-// node that gives its grants away as soon as it leaves refuses them.
+// A node that leaves must keep its grants while callers may still hold look-up answers that name it,
+// or it refuses them.
 func TestLeavingNodeKeepsItsGrantsThroughoutTheNotice(t *testing.T) {
 	const rounds = 450
 	s := newSystem(t)
--- a/node/merge/merge_test.go
+++ b/node/merge/merge_test.go
@@ -206,11 +206,8 @@
 	}
 }
 
-// Story: operators change a template and its accounts, one after the other. A node
-// gets the documents in another order, some twice, some only when a peer repairs
-// it. A caller is served by an account that nobody accepted, a new template with
-// the account before the change that it was checked with, or by a limit that was
-// taken back. The store goes back on the way and is changed before anybody knows.
+// Documents that arrive in any order, twice, late or after a restore must never merge into an account
+// that nobody accepted or a state that was taken back.
 func TestAnyOrderOfDocuments(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		h := newHistory(t)
--- a/node/overtaken_test.go
+++ b/node/overtaken_test.go
@@ -10,10 +10,8 @@
 	"github.com/yuccaroute/yuccaroute/spread/item"
 )
 
-// An upgrade ended weeks ago, and nodes still pass on accounts that arrived merged
-// then. A VM that starts gets one of them before it has merged the documents, and
-// shows a state that was changed long since. While watchers of the release before
-// run, what they read first must be taken nevertheless.
+// An account that was merged before an upgrade must not replace a newer state of documents, but must
+// be used while watchers of the release before still run.
 func TestOvertakenByDocuments(t *testing.T) {
 	cut := func(sequence uint64, merged bool) item.Item {
 		return item.New(source.CutKey("dealer"), 2, sequence, source.Cut{Merged: merged}.Encode())
--- a/node/restore_test.go
+++ b/node/restore_test.go
@@ -12,12 +12,8 @@
 	"github.com/yuccaroute/yuccaroute/store/faultkv"
 )
 
-// A change is in force when the store fails and is restored from a copy made
-// before it. An entry VM that starts afterwards reads the older state, while
-// the others cannot reach the store to put the newer one back. No node may
-// take the older state, and the new one may not change it either: the change
-// would be made to a history that the others have left behind. Cause: only the
-// running nodes know what was accepted; the new one learns it from them.
+// A node that starts after the store was restored from an older copy must learn the accepted state
+// from its peers, and neither take nor change the older one.
 func TestRestoredStore(t *testing.T) {
 	s := newSystem(t)
 	var own *faultkv.Store
--- a/node/start_test.go
+++ b/node/start_test.go
@@ -12,11 +12,8 @@
 	"github.com/yuccaroute/yuccaroute/store/faultkv"
 )
 
-// The store is out and an entry VM is replaced at that time. Callers are sent
-// to the new one. It can read neither the account nor a plan from the store,
-// and no decider can write a grant for it. It must learn both from its peers,
-// borrow a part of their floors and serve; otherwise every VM that is replaced
-// during a long outage is one less to serve.
+// A node that starts while the store is out must learn account and plan from its peers, borrow a part
+// of their floors and serve.
 func TestStartWhileTheStoreIsOut(t *testing.T) {
 	s := newSystem(t)
 	// The VM list is another service of the platform and goes on.
@@ -47,9 +44,8 @@
 	})
 }
 
-// The VM list is out and an entry VM is replaced at that time. It knows no other
-// node but the deciders that the store names. It must learn the list from them,
-// with its age, and serve.
+// A node that starts while the VM list is out must learn the list and its age from the deciders that
+// the store names, and serve.
 func TestStartWhileTheListIsOut(t *testing.T) {
 	s := newSystem(t)
 	s.addThree()
--- a/node/tls_test.go
+++ b/node/tls_test.go
@@ -21,11 +21,8 @@
 	"github.com/yuccaroute/yuccaroute/spread/transport"
 )
 
-// A company runs its nodes with keys from files. A stranger in its network who
-// has no certificate must not read or change what nodes tell each other, and
-// operators must reach the API only over TLS. Then the certificates are
-// renewed while the nodes run, and a node is replaced: it has only the new
-// certificate, and changes must still reach all nodes.
+// Nodes with certificates must refuse peers and operators without one, and changes must still reach
+// all nodes when certificates are renewed and a node is replaced.
 func TestKeysFromFiles(t *testing.T) {
 	s := newSystem(t)
 	signer := newAuthority(t)
