--- a/admin/api_test.go
+++ b/admin/api_test.go
@@ -132,9 +132,8 @@
 	wantCode(t, err, result.BadRequest)
 }
 
-// TestOutage: the store goes out. Reads answer from memory with their age,
-// changes are refused as not run, and what is in force on the node is shown
-// without any call to the store.
+// While the store is out, reads must answer from memory with their age, changes be refused as not
+// run, and what is in force on the node be shown.
 func TestOutage(t *testing.T) {
 	live := liveAccounts{{Account: &model.Account{Name: "daehan"}, Epoch: 1, Sequence: 2, AgeMS: 70}}
 	f := newFixture(t, func(o *admin.Options) { o.Live = live })
@@ -160,9 +159,8 @@
 
 func (l liveAccounts) Live() []wire.LiveAccount { return l }
 
-// TestUnknownOutcome: the store makes a change, its answer is lost and it goes
-// out. The operator is told "unknown" with the identifier; later the
-// identifier answers, and the repeat is recognised.
+// A change whose answer is lost in an outage must be reported as unknown with its identifier, which
+// later tells the outcome, and a repeat must be recognised.
 func TestUnknownOutcome(t *testing.T) {
 	f := newFixture(t, func(o *admin.Options) { o.Timeout = 300 * time.Millisecond })
 	f.seed(t)
--- a/admin/client/client_test.go
+++ b/admin/client/client_test.go
@@ -22,10 +22,7 @@
 	return client.New(server.URL, "", nil)
 }
 
-// An answer of a middle box comes in place of the node's. The change reached
-// the node or not: an operator who is told "in force" relies on a change that
-// was never made, and one who is told "not sent" makes it again under another
-// identifier.
+// An answer that is not the node's says nothing of a change: its outcome must be reported as unknown.
 func TestForeignAnswerToChangeIsUnknown(t *testing.T) {
 	cases := []struct {
 		name   string
--- a/admin/identity/identity_test.go
+++ b/admin/identity/identity_test.go
@@ -44,9 +44,8 @@
 	}
 }
 
-// TestKeeperOutlastsAnOutage: the document of identities cannot be read for an
-// hour. Operators go on with the identities last read; afterwards a token that
-// was revoked meanwhile loses its rights within the maximum age.
+// Identities must stay usable while they cannot be read, and a token revoked meanwhile must lose its
+// rights within the maximum age afterwards.
 func TestKeeperOutlastsAnOutage(t *testing.T) {
 	token, hash := identity.NewToken()
 	text, out := []byte(section("ana", hash, "operator")), false
--- a/admin/tlsfiles/tlsfiles_test.go
+++ b/admin/tlsfiles/tlsfiles_test.go
@@ -80,9 +80,8 @@
 	return conn.ConnectionState().PeerCertificates[0].Subject.CommonName, nil
 }
 
-// TestRenewedWithoutRestart: the certificate is replaced while the node runs.
-// New connections get the new one; while certificate and key do not belong
-// together, the old ones stay in use.
+// A certificate replaced while the node runs must be used by new connections, once it and its key
+// belong together.
 func TestRenewedWithoutRestart(t *testing.T) {
 	now := time.Now()
 	clock := func() time.Time { return now }
--- a/bench/load/load_test.go
+++ b/bench/load/load_test.go
@@ -7,9 +7,7 @@
 	"time"
 )
 
-// A server stalls for one second while calls are due every 10 ms. A load tool
-// that waits for each answer before it counts the next call sees one slow call;
-// the callers saw about a hundred.
+// A stall must count against each call that was due during it, not only against the one that waited.
 func TestStallIsChargedToEveryCallItHeldBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		start := time.Now()
--- a/bench/scenario/fleet_network_test.go
+++ b/bench/scenario/fleet_network_test.go
@@ -10,10 +10,8 @@
 	"github.com/yuccaroute/yuccaroute/store"
 )
 
-// TestCutRegionReachesNothing: a measurement of a region's return would show
-// quiet figures if the region had never been away. During a cut a connection
-// that crosses is closed, none is opened in either direction, and the store and
-// the VM list refuse; connections within a region stay.
+// While a region is cut off, no connection may cross its border and neither store nor VM list may
+// answer it, or the return of a region is measured that never was away.
 func TestCutRegionReachesNothing(t *testing.T) {
 	w := newFleetWorld()
 	n := newRegionNetwork(w, regionName(0))
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -86,9 +86,8 @@
 	return newClient(options, f)
 }
 
-// An entry VM fails while a dealer's request is on its way. The dealer must
-// hear what is known and no more, and an order must not reach a second entry
-// VM when the first may have let it run.
+// A caller whose entry VM fails must be told what is known and no more, and an order that may have run
+// must not reach a second entry VM.
 func TestFailover(t *testing.T) {
 	type reply struct {
 		code result.Code
@@ -251,9 +250,7 @@
 	})
 }
 
-// One entry VM has no room for what all its callers send while its neighbour
-// is idle. Callers hear "not run" for what their retry budget does not cover,
-// unless they go to the neighbour first for a while.
+// Callers must prefer another entry VM for a while after one had no capacity for them.
 func TestShortEntryVMIsPassedOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeVMs{lookup: threeVMs, serve: func(address string, _ int) (*http.Response, error) {
--- a/client/levels_test.go
+++ b/client/levels_test.go
@@ -13,10 +13,8 @@
 	"github.com/yuccaroute/yuccaroute/api/result"
 )
 
-// A place fails. Each entry VM sends a look-up to other targets as far as its
-// retry budget permits and then answers "unknown". Callers that send the
-// look-up to the next entry VM make it spend its budget on the same request:
-// the failing place gets the retries of both levels, multiplied.
+// A request that an entry VM has retried in vain must not be sent to the next one: the retries of both
+// levels would multiply.
 func TestUnknownAnswerIsNotRepeated(t *testing.T) {
 	codes := []result.Code{result.ConnectionLost, result.DeadlineAfterSend, result.AnswerTruncated, result.AnswerTooLarge, result.Internal}
 	f := &fakeVMs{lookup: threeVMs, serve: func(_ string, n int) (*http.Response, error) {
@@ -35,9 +33,8 @@
 	}
 }
 
-// An entry VM dies under its answer, or something else answers at its address.
-// No entry VM has said how the look-up ended, so another one is asked; for an
-// answer that is too large that would be of no use.
+// A look-up whose answer is lost or not an entry VM's must be sent to another entry VM, unless the
+// answer was too large.
 func TestLostAnswerIsAskedForAgain(t *testing.T) {
 	cases := []struct {
 		name  string
@@ -72,9 +69,8 @@
 	}
 }
 
-// An entry VM stands still with a farmer's availability check. Another one is
-// asked while there is time; the first was told the whole time, since one that
-// is well may let its callers wait for room.
+// Another entry VM must be asked in time when the first one does not answer, which must still be told
+// the whole time that is left.
 func TestSilentEntryVMLeavesTimeForAnother(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var told []string
--- a/client/once_test.go
+++ b/client/once_test.go
@@ -82,10 +82,8 @@
 	return d.seen[token]
 }
 
-// A dealer places an order over a connection that is kept open. The entry VM
-// reads the order, lets a target run it and dies before the answer. An HTTP
-// library that takes this for a worn-out connection sends the order again by
-// itself, and the dealer gets two shipments.
+// The HTTP library must not send an order again by itself when a kept connection ends before the
+// answer.
 func TestOrderIsSentOnceWhenConnectionEnds(t *testing.T) {
 	cases := []struct {
 		name string
--- a/cmd/internal/operator/change_test.go
+++ b/cmd/internal/operator/change_test.go
@@ -24,10 +24,8 @@
 	return err
 }
 
-// An operator applies a change while nodes fail. A node takes it and its
-// connection breaks, or refuses what an earlier try already did. The operator
-// must never be told "not run" of a change that is in force or may come into
-// force, nor may the change be made under two identifiers.
+// A change that is in force or may come into force must never be reported as not run, nor be made under
+// two identifiers, when nodes fail.
 func TestChangeThroughFailingNodes(t *testing.T) {
 	lost := reaction{lose: true}
 	taken := reaction{accept: true, lose: true}
--- a/cmd/internal/operator/identities_test.go
+++ b/cmd/internal/operator/identities_test.go
@@ -13,9 +13,7 @@
 	"github.com/yuccaroute/yuccaroute/cmd/internal/program"
 )
 
-// An owner replaces the identities, the node takes them and the answer is lost.
-// Reading them back settles it only when they are the ones that were sent: with
-// others in force, ours may still come or may have been replaced since.
+// Reading identities back settles a lost answer only if they are those that were sent.
 func TestIdentitiesAnswerLost(t *testing.T) {
 	for _, test := range []struct {
 		name, inForce string
--- a/cmd/yuccaroute/bench_test.go
+++ b/cmd/yuccaroute/bench_test.go
@@ -17,9 +17,7 @@
 allocs_per_op_max = 0
 `
 
-// CI pipes a benchmark run into the tool. A bound that is exceeded fails, and
-// so does one whose benchmark was renamed or left out, which would otherwise
-// pass unseen for good.
+// A bound that is exceeded must fail, and so must one whose benchmark did not run.
 func TestBenchCheck(t *testing.T) {
 	root := t.TempDir()
 	if err := os.Mkdir(filepath.Join(root, "m"), 0o755); err != nil {
--- a/cmd/yuccaroute/identity_test.go
+++ b/cmd/yuccaroute/identity_test.go
@@ -62,9 +62,8 @@
 	return strings.Join(lines, "") + "accounts = " + accounts + "\ntemplates = " + templates + "\n\n"
 }
 
-// Two tenants share the nodes. An operator of one tries to read and to change
-// the other's account, a reader tries to change, and somebody has no token or
-// a wrong one. Each must be refused with its number, and nothing may change.
+// An operator of another account, a reader, and callers without a valid token must each be refused with
+// the right result code, and nothing may change.
 func TestIdentitiesOfARealNode(t *testing.T) {
 	ownerToken, owner := newIdentityFor(t, "olga", "owner", "*", "*")
 	benToken, ben := newIdentityFor(t, "ben", "operator", "daehan", "")
--- a/cmd/yuccaroute/operate_test.go
+++ b/cmd/yuccaroute/operate_test.go
@@ -16,10 +16,8 @@
 	usualLink = "link_in_rps = 1800"
 )
 
-// An operator lowers a limit of a running account, sees it in force on all
-// nodes, asks why traffic goes where it goes, and puts the old state back. A
-// colleague who edits the state from before is told who changed what, and
-// nothing of theirs is lost. Then a place is drained and undrained.
+// An operator must be able to change, explain and roll back an account and drain a place, and a
+// colleague with an old state must be told who changed what.
 func TestOperateAccount(t *testing.T) {
 	nodes := startSystem(t)
 	o := toolFor(t, nodes...)
--- a/cmd/yuccaroute/unknown_test.go
+++ b/cmd/yuccaroute/unknown_test.go
@@ -44,9 +44,8 @@
 	return server.URL, func() { inForce.Store(true) }
 }
 
-// An operator applies an account while the node loses every answer. The tool
-// says that the outcome is not known and how to ask. The operator copies that
-// line, is told not seen, and later, when the change arrived, in force.
+// If all answers are lost, the tool must report the outcome as unknown and print a command that tells it
+// later.
 func TestUnknownOutcome(t *testing.T) {
 	address, arrive := losingNode(t)
 	o := toolFor(t, address)
--- a/demo/delay_test.go
+++ b/demo/delay_test.go
@@ -9,9 +9,8 @@
 	"github.com/Shopify/toxiproxy/v2/toxics"
 )
 
-// A node asks a target of the other failure domain of its region. With the
-// library's delay of whole milliseconds the request took 1 ms and the answer
-// none: a report on the way there was older than it should be.
+// Delays below a millisecond must apply in both directions, not all to the request and none to the
+// answer.
 func TestDelayBelowMillisecond(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		in, out := make(chan *stream.StreamChunk, 2), make(chan *stream.StreamChunk)
--- a/integration/config_keys_test.go
+++ b/integration/config_keys_test.go
@@ -34,13 +34,8 @@
 	keyDeadline = 20 * time.Second
 )
 
-// TestAuthorityReplaced: the authority's key is to be replaced while the nodes
-// run. Old and new authority overlap in the files, then the nodes' certificates
-// are renewed, certificate before key, then the old authority goes. No farmer
-// and no operator loses a request, each change on the way is in force on all
-// nodes, a node that restarts joins, and in the end a peer with a certificate of
-// the old authority is refused by every node, also one that connected before and
-// kept its connection: the key may be replaced because it was stolen.
+// A certificate authority must be replaceable while nodes run without a lost request or change, and no
+// peer with a certificate of the old one may stay connected.
 func TestAuthorityReplaced(t *testing.T) {
 	k := newKeyCluster(t)
 	thieves := k.connections(k.old)
--- a/integration/config_race_test.go
+++ b/integration/config_race_test.go
@@ -58,13 +58,8 @@
 
 var raceFaults = platform.Fault{Refuse: 0.01, Drop: 0.03, LoseAnswer: 0.08, ApplyLate: 0.04, MaxDelayMillis: 20}
 
-// TestConfigurationRace: sixteen operators, over eight nodes, change one template
-// and its accounts at once. Some changes do not fit each other. The store
-// refuses calls, loses answers, drops writes and makes others late; one node is
-// paused with changes in hand and goes on later, one is killed and comes back,
-// and the store is out for a while. An operator who is told "in force" must find
-// the change everywhere and for good, one who is told "refused" nowhere, and no
-// node may go back.
+// Operators who race through nodes that pause and die and a store that fails must each be told the truth:
+// in force everywhere and for good, or refused and nowhere.
 func TestConfigurationRace(t *testing.T) {
 	changes, seed := raceChanges, uint64(1)
 	if n, err := strconv.Atoi(os.Getenv(raceChangesVariable)); err == nil && n > 0 {
--- a/integration/path_test.go
+++ b/integration/path_test.go
@@ -19,9 +19,7 @@
 	shortDeadline       = usualDeadline / 4
 )
 
-// TestRequestPathUnderFaults breaks the paths of the request, one way a case.
-// The stories are the farmers': each case tells what they would see if the
-// request path got it wrong.
+// Breaks the paths of a request, one way a case; each case names what callers would see.
 func TestRequestPathUnderFaults(t *testing.T) {
 	cases := []struct {
 		name  string
--- a/standin/platform/history_test.go
+++ b/standin/platform/history_test.go
@@ -8,9 +8,8 @@
 	"github.com/yuccaroute/yuccaroute/store/storetest"
 )
 
-// Story: four operators write the same keys over HTTP while the platform
-// closes connections without an answer, loses writes or applies them late.
-// Whatever each of them was told must fit into one order of the writes.
+// What operators are told through lost, late and unanswered writes must fit into one order of the
+// writes.
 func TestRandomHistoryOverHTTP(t *testing.T) {
 	for seed := range uint64(4) {
 		s := start(t, platform.Options{})
--- a/standin/platform/list_test.go
+++ b/standin/platform/list_test.go
@@ -83,9 +83,7 @@
 	mustList(t, l)
 }
 
-// Story: something between a node and the platform answers the VM list with an
-// empty object. Taken for a list, it would be the first one of a node that
-// starts, and after five of them every VM would have ended.
+// An empty object must not be taken for a VM list, by which every VM would have ended.
 func TestEmptyObjectIsNoList(t *testing.T) {
 	between := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write([]byte("{}"))
--- a/standin/platform/restart_test.go
+++ b/standin/platform/restart_test.go
@@ -9,10 +9,8 @@
 	"github.com/yuccaroute/yuccaroute/store"
 )
 
-// Story: the service's process ends and another one takes its place at the
-// same address, as after an upgrade. A node that waits in a watch and then
-// writes must be told of the end, that its write was not sent while nobody
-// listened, and must go on by itself afterwards.
+// A client must be told that the service ended during its watch, that a write was not sent while nobody
+// listened, and must go on by itself with the next process.
 func TestServiceRestarts(t *testing.T) {
 	s := start(t, platform.Options{})
 	c := connect(t, s)
--- a/standin/target/target_test.go
+++ b/standin/target/target_test.go
@@ -102,10 +102,7 @@
 	}
 }
 
-// TestSilentTargetNeverAnswers: a caller is told that a request ran and sees an
-// empty page. The target had said nothing until the deadline that came with the
-// request, and then its library wrote an empty answer for the handler that
-// returned; the sender took it in the moment in which it gave up.
+// A target that stays silent until the deadline must not send an empty answer in the end.
 func TestSilentTargetNeverAnswers(t *testing.T) {
 	target := start(t, Options{})
 	target.SetFaults(Faults{Silent: true})
