quota: tests of accounts and of targets draw the faults of VMs by the same code

The two property tests had the same five cases. What is drawn is the same; the order in which VM and kind of fault are drawn is not, so that a seed plays another history.

--- a/edge/quota/property_test.go
+++ b/edge/quota/property_test.go
@@ -9,6 +9,32 @@
 	"github.com/yuccaroute/yuccaroute/edge/site"
 )
 
+// vmFaults is the number of faults of VMs and of the network between them.
+const vmFaults = 5
+
+// drawVMFault injects a fault of a drawn VM or of the network, or ends those of the network.
+func drawVMFault(t *rapid.T, m *model, fault int) {
+	vm := m.vms[rapid.IntRange(0, len(m.vms)-1).Draw(t, "vm")]
+	switch fault {
+	case 0:
+		for _, vm := range m.vms {
+			vm.side = rapid.IntRange(0, 2).Draw(t, "side")
+		}
+	case 1:
+		for _, vm := range m.vms {
+			vm.side = 0
+		}
+	case 2:
+		m.start(vm)
+	case 3:
+		for _, vm := range m.vms {
+			m.start(vm)
+		}
+	case 4:
+		vm.frozenUntil = m.now.Add(time.Duration(rapid.IntRange(100, 8000).Draw(t, "pause ms")) * time.Millisecond)
+	}
+}
+
 // drawHistory plays a fleet with random loads and faults, and returns by how many requests the
 // worst window of any account exceeds its bound.
 func drawHistory(t *rapid.T, makeScheme func(*model, *modelVM) scheme) int {
@@ -25,28 +51,13 @@
 	}
 	for range rapid.IntRange(1, 8).Draw(t, "faults") {
 		m.run(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
-		vm := m.vms[rapid.IntRange(0, n-1).Draw(t, "vm")]
-		switch rapid.IntRange(0, 6).Draw(t, "fault") {
-		case 0:
-			for _, vm := range m.vms {
-				vm.side = rapid.IntRange(0, 2).Draw(t, "side")
-			}
-		case 1:
-			for _, vm := range m.vms {
-				vm.side = 0
-			}
-		case 2:
-			m.start(vm)
-		case 3:
-			for _, vm := range m.vms {
-				m.start(vm)
-			}
-		case 4:
-			vm.frozenUntil = m.now.Add(time.Duration(rapid.IntRange(100, 8000).Draw(t, "pause ms")) * time.Millisecond)
-		case 5:
+		switch fault := rapid.IntRange(0, vmFaults+1).Draw(t, "fault"); fault {
+		default:
+			drawVMFault(t, m, fault)
+		case vmFaults:
 			a := accounts[rapid.IntRange(0, 1).Draw(t, "account")]
 			m.setLimit(a, a.Rate*rapid.Float64Range(0.2, 1.5).Draw(t, "rate"), a.Burst)
-		case 6:
+		case vmFaults + 1:
 			i := rapid.IntRange(0, 1).Draw(t, "account")
 			m.loads[i].perS *= rapid.Float64Range(0.2, 5).Draw(t, "load")
 		}
--- a/edge/quota/targets_test.go
+++ b/edge/quota/targets_test.go
@@ -74,25 +74,9 @@
 	m.loads = []modelLoad{{target, (target.Rate + 2) * rapid.Float64Range(0.5, 20).Draw(t, "load"), at}}
 	for range rapid.IntRange(1, 8).Draw(t, "faults") {
 		m.run(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
-		vm := m.vms[rapid.IntRange(0, n-1).Draw(t, "vm")]
-		switch rapid.IntRange(0, 5).Draw(t, "fault") {
-		case 0:
-			for _, vm := range m.vms {
-				vm.side = rapid.IntRange(0, 2).Draw(t, "side")
-			}
-		case 1:
-			for _, vm := range m.vms {
-				vm.side = 0
-			}
-		case 2:
-			m.start(vm)
-		case 3:
-			for _, vm := range m.vms {
-				m.start(vm)
-			}
-		case 4:
-			vm.frozenUntil = m.now.Add(time.Duration(rapid.IntRange(100, 8000).Draw(t, "pause ms")) * time.Millisecond)
-		case 5:
+		if fault := rapid.IntRange(0, vmFaults).Draw(t, "fault"); fault < vmFaults {
+			drawVMFault(t, m, fault)
+		} else {
 			m.setLimit(target, target.Rate*rapid.Float64Range(0.2, 3).Draw(t, "rate"), 0)
 		}
 	}
