entry, owners, ratelimit: setting the clock no longer delays limits of targets

What callers' targets saw: nothing yet; found by reading. After the clock of a VM was set back by an hour it announced no limit, asked for no tokens and avoided an owner for an hour.

Cause: when a VM announces limits, records demand for a limited target, reports to another region's coordinator and avoids an owner was kept in Unix time.

--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -158,7 +158,7 @@
 
 func (e *Entry) listen(ctx context.Context) error {
 	ex, err := exchange.Start(ctx, exchange.Options{
-		Address: e.options.PeerAddress, Logger: e.component("exchange"), State: e.state, Digest: e.digest, Limits: e.targetLimits.announcement,
+		Address: e.options.PeerAddress, Logger: e.component("exchange"), State: e.state, Digest: e.digest, Limits: e.limitsToAnnounce,
 		Recipients: e.recipients, RelayTo: e.relayTo, Received: e.received(ctx),
 		Handlers: e.datagramHandlers(),
 	})
--- a/edge/entry/exchange.go
+++ b/edge/entry/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/yuccaroute/yuccaroute/edge/peers"
 	"github.com/yuccaroute/yuccaroute/edge/placing"
 	"github.com/yuccaroute/yuccaroute/edge/quarantine"
+	"github.com/yuccaroute/yuccaroute/edge/ratelimit"
 	"github.com/yuccaroute/yuccaroute/edge/site"
 	"github.com/yuccaroute/yuccaroute/store"
 )
@@ -79,6 +80,11 @@
 	return s
 }
 
+// limitsToAnnounce returns the limits of targets for a report, nil if none are due.
+func (e *Entry) limitsToAnnounce(otherRegions bool) []ratelimit.Announced {
+	return e.targetLimits.announcement(time.Now(), otherRegions)
+}
+
 // digest returns the digest for the VMs of the region.
 func (e *Entry) digest(full bool) *exchange.Digest {
 	now := time.Now()
--- a/edge/entry/targetlimits.go
+++ b/edge/entry/targetlimits.go
@@ -36,22 +36,32 @@
 	quotas  []*regionQuota
 	// limited is the number of targets with a limit.
 	limited atomic.Int32
+	// started is the origin of the times that are kept as durations.
+	started time.Time
 	// sameRegionAt and otherRegionsAt are when observations are next part of a report to this
-	// region, and to other regions, in Unix milliseconds.
+	// region, and to other regions, in nanoseconds since started.
 	sameRegionAt, otherRegionsAt atomic.Int64
 }
 
 // regionQuota is the quota of the targets of one region.
 type regionQuota struct {
 	*quota.Quota
-	local bool
-	// usedAt is when this VM last had a request for one of the targets, in Unix milliseconds.
+	limits *targetLimits
+	local  bool
+	// usedAt is when this VM last had a request for one of the targets, in nanoseconds since
+	// targetLimits.started.
 	usedAt atomic.Int64
 }
 
+// isIdle reports whether this VM has had no request for one of the targets lately.
+func (q *regionQuota) isIdle(now time.Time) bool {
+	return q.limits.sinceStart(now)-q.usedAt.Load() >= int64(targetQuotaIdle)
+}
+
 func newTargetLimits(e *Entry) *targetLimits {
-	l := &targetLimits{entry: e, fleet: quota.NewFleet(e.contact.clock.Now())}
-	l.table = ratelimit.New(l.apply)
+	now := e.contact.clock.Now()
+	l := &targetLimits{entry: e, fleet: quota.NewFleet(now), started: now}
+	l.table = ratelimit.New(now, l.apply)
 	for _, region := range e.options.RegionOf {
 		if !slices.Contains(l.regions, region) {
 			l.regions = append(l.regions, region)
@@ -67,7 +77,7 @@
 func (l *targetLimits) newQuota(index byte, region string) *regionQuota {
 	e := l.entry
 	local := region == e.options.VM.Region
-	return &regionQuota{local: local, Quota: quota.New(quota.Options{
+	return &regionQuota{limits: l, local: local, Quota: quota.New(quota.Options{
 		VM: e.options.VM.Name, Incarnation: e.options.VM.Incarnation, Bounds: targetLimitBounds, Immediate: true,
 		Logger: e.component("targetlimits").WithField("region", region),
 		Limit: func(id uint32) (quota.Limit, bool) {
@@ -78,7 +88,7 @@
 			if !local {
 				return 0
 			}
-			return l.fleet.Size(e.contact.clock.Now())
+			return l.fleet.Size(l.now())
 		},
 		Groups: func() int { return 1 },
 		Coordinator: func(_ int, avoid func(name string) bool) quota.Coordinator {
@@ -92,6 +102,12 @@
 	})}
 }
 
+// now returns the time by the clock that counts suspensions.
+func (l *targetLimits) now() time.Time { return l.entry.contact.clock.Now() }
+
+// sinceStart returns a time in nanoseconds since started, which setting the clock does not change.
+func (l *targetLimits) sinceStart(now time.Time) int64 { return int64(now.Sub(l.started)) }
+
 // apply passes the current limits of targets, by ID, to the balancer.
 func (l *targetLimits) apply(limits map[uint32]float64) {
 	l.limited.Store(int32(len(limits)))
@@ -110,7 +126,7 @@
 // maintain runs the periodic work.
 func (l *targetLimits) maintain(now time.Time) {
 	l.table.Expire(now)
-	at := l.entry.contact.clock.Now()
+	at := l.now()
 	l.fleet.Observe(at, l.entry.members.RegionCount())
 	if l.entry.contact.isCurrent() {
 		l.fleet.Contact(at)
@@ -119,23 +135,22 @@
 		return
 	}
 	for _, q := range l.quotas {
-		if q.local || now.UnixMilli()-q.usedAt.Load() < targetQuotaIdle.Milliseconds() {
+		if q.local || !q.isIdle(at) {
 			q.Tick()
 		}
 	}
 }
 
 // announcement returns observations for a report if some are due.
-func (l *targetLimits) announcement(otherRegions bool) []ratelimit.Announced {
-	now := time.Now()
+func (l *targetLimits) announcement(now time.Time, otherRegions bool) []ratelimit.Announced {
 	due := &l.sameRegionAt
 	if otherRegions {
 		due = &l.otherRegionsAt
 	}
-	if now.UnixMilli() < due.Load() {
+	if l.sinceStart(now) < due.Load() {
 		return nil
 	}
-	due.Store(now.Add(ratelimit.AnnounceInterval).UnixMilli())
+	due.Store(l.sinceStart(now.Add(ratelimit.AnnounceInterval)))
 	return l.table.Announcement(now)
 }
 
@@ -167,8 +182,9 @@
 type targetLimit struct {
 	quota *regionQuota
 	limit quota.Limit
-	// wantedAt is when demand was last recorded, in Unix milliseconds.
-	wantedAt atomic.Int64
+	// wantedUntil is up to when further requests count as the same demand, in nanoseconds since
+	// targetLimits.started.
+	wantedUntil atomic.Int64
 }
 
 func (t *targetLimit) Rate() float64 { return t.limit.Rate }
@@ -176,16 +192,23 @@
 func (t *targetLimit) Ready() bool { return t.quota.Ready(t.limit) }
 
 func (t *targetLimit) Use() bool {
-	t.quota.usedAt.Store(time.Now().UnixMilli())
+	t.quota.usedAt.Store(t.quota.limits.sinceStart(t.quota.limits.now()))
 	return t.quota.Use(t.limit)
 }
 
 func (t *targetLimit) Want() {
-	now := time.Now().UnixMilli()
-	last := t.wantedAt.Load()
-	if now-last < wantInterval.Milliseconds() || !t.wantedAt.CompareAndSwap(last, now) {
-		return
+	if t.wantIsDue(t.quota.limits.now()) {
+		t.quota.Want(t.limit)
+	}
+}
+
+// wantIsDue reports whether a request counts as demand, at most once in a wantInterval.
+func (t *targetLimit) wantIsDue(now time.Time) bool {
+	at := t.quota.limits.sinceStart(now)
+	until := t.wantedUntil.Load()
+	if at < until || !t.wantedUntil.CompareAndSwap(until, at+int64(wantInterval)) {
+		return false
 	}
-	t.quota.usedAt.Store(now)
-	t.quota.Want(t.limit)
+	t.quota.usedAt.Store(at)
+	return true
 }
--- a/edge/owners/owners.go
+++ b/edge/owners/owners.go
@@ -47,8 +47,8 @@
 	share  float64
 	ctx    context.Context
 	cancel context.CancelFunc
-	// avoidUntil is a time in Unix nanoseconds.
-	avoidUntil atomic.Int64
+	// avoidUntil is nil if the owner was never avoided.
+	avoidUntil atomic.Pointer[time.Time]
 
 	mu sync.Mutex
 	// overhead is the moving average of the time that answers take beyond the owner's
@@ -60,7 +60,15 @@
 func (o *Owner) Context() context.Context { return o.ctx }
 
 // Avoid makes Lookup skip the owner for avoidDuration.
-func (o *Owner) Avoid(now time.Time) { o.avoidUntil.Store(now.Add(avoidDuration).UnixNano()) }
+func (o *Owner) Avoid(now time.Time) {
+	until := now.Add(avoidDuration)
+	o.avoidUntil.Store(&until)
+}
+
+func (o *Owner) isAvoided(now time.Time) bool {
+	until := o.avoidUntil.Load()
+	return until != nil && now.Before(*until)
+}
 
 // RecordOverhead records how much longer than the owner's processing time an answer took. An
 // owner with a high mean overhead is avoided for a while: its link is probably saturated.
@@ -96,7 +104,7 @@
 	var best *Owner
 	lowest := t.own.rank(key)
 	for _, o := range *t.others.Load() {
-		if rank := o.rank(key); rank < lowest && o.avoidUntil.Load() <= now.UnixNano() {
+		if rank := o.rank(key); rank < lowest && !o.isAvoided(now) {
 			best, lowest = o, rank
 		}
 	}
--- a/edge/ratelimit/ratelimit.go
+++ b/edge/ratelimit/ratelimit.go
@@ -51,6 +51,7 @@
 type Table struct {
 	// changed is called with the current limits when a target gets, changes or loses one.
 	changed func(limits map[uint32]float64)
+	started time.Time
 	// known is the number of observations.
 	known atomic.Int32
 
@@ -59,8 +60,8 @@
 }
 
 // New returns an empty table. changed must not call methods of the table.
-func New(changed func(limits map[uint32]float64)) *Table {
-	return &Table{changed: changed, targets: make(map[uint32]Observation)}
+func New(now time.Time, changed func(limits map[uint32]float64)) *Table {
+	return &Table{changed: changed, started: now, targets: make(map[uint32]Observation)}
 }
 
 // Observe records what a target stated in the answer to a request that was sent at sentAt. It
@@ -164,7 +165,7 @@
 	if len(all) <= maxAnnounced {
 		return all
 	}
-	first := int(now.UnixMilli()/AnnounceInterval.Milliseconds()) * maxAnnounced % len(all)
+	first := int(now.Sub(t.started)/AnnounceInterval) * maxAnnounced % len(all)
 	rotated := append(slices.Clone(all[first:]), all[:first]...)
 	return rotated[:maxAnnounced]
 }
--- a/edge/ratelimit/ratelimit_test.go
+++ b/edge/ratelimit/ratelimit_test.go
@@ -9,7 +9,7 @@
 
 func newTable() (*Table, *map[uint32]float64) {
 	var limits map[uint32]float64
-	return New(func(l map[uint32]float64) { limits = l }), &limits
+	return New(start, func(l map[uint32]float64) { limits = l }), &limits
 }
 
 func TestLimitIsKeptUntilWithdrawn(t *testing.T) {
