entry: log who told a target's limit and how old it was

A VM that learns a limit from another one left no trace, so the record of an incident could not tell a limit that was told late from one that was told with a wrong age. The line 'targetlimits: limit learned' has the target, the rate, the VM and the age; there is one for each change. No behaviour changes.

--- a/edge/entry/exchange.go
+++ b/edge/entry/exchange.go
@@ -118,7 +118,7 @@
 		}
 		e.applyCounts(now, s)
 		e.applyEvents(now, &s)
-		e.targetLimits.table.Merge(now, s.Limits)
+		e.targetLimits.merge(now, s.VM.Name, s.Limits)
 		if s.Relay != nil {
 			e.replica.ObservePeer(ctx, s.Relay.Peer, true, store.Revision(s.Relay.Revision), now)
 		}
@@ -147,7 +147,7 @@
 // all VMs.
 func (e *Entry) applyCounts(now time.Time, s exchange.State) {
 	if s.Digest != nil {
-		e.applyDigest(now, s.Digest)
+		e.applyDigest(now, s.VM.Name, s.Digest)
 		return
 	}
 	name := s.VM.Name
@@ -159,14 +159,14 @@
 	})
 }
 
-func (e *Entry) applyDigest(now time.Time, d *exchange.Digest) {
+func (e *Entry) applyDigest(now time.Time, from string, d *exchange.Digest) {
 	e.digests.Received(now)
 	e.balancer.SetRegionSums(now, regionSums, d.InFlight, d.Demand)
 	if d.Details == nil {
 		return
 	}
 	e.balancer.SetPeerReport(now, otherRegionSums, &placing.PeerReport{InFlight: d.Details.InFlight, Demand: d.Details.Demand, Aggregated: true, At: now})
-	e.targetLimits.table.Merge(now, d.Details.Limits)
+	e.targetLimits.merge(now, from, d.Details.Limits)
 	for _, seen := range d.Details.VMs {
 		if seen.StoreConnected {
 			e.outages.StoreReached(now.Add(-seen.Age))
--- a/edge/entry/targetlimits.go
+++ b/edge/entry/targetlimits.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/yuccaroute/yuccaroute/edge/exchange"
 	"github.com/yuccaroute/yuccaroute/edge/placing"
 	"github.com/yuccaroute/yuccaroute/edge/quota"
@@ -28,6 +30,7 @@
 // get tokens.
 type targetLimits struct {
 	entry *Entry
+	log   *logrus.Entry
 	table *ratelimit.Table
 	// fleet is the number of VMs of this VM's region.
 	fleet *quota.Fleet
@@ -60,7 +63,7 @@
 
 func newTargetLimits(e *Entry) *targetLimits {
 	now := e.contact.clock.Now()
-	l := &targetLimits{entry: e, fleet: quota.NewFleet(now), started: now}
+	l := &targetLimits{entry: e, log: e.component("targetlimits"), fleet: quota.NewFleet(now), started: now}
 	l.table = ratelimit.New(now, l.apply)
 	for _, region := range e.options.RegionOf {
 		if !slices.Contains(l.regions, region) {
@@ -79,7 +82,7 @@
 	local := region == e.options.VM.Region
 	return &regionQuota{limits: l, local: local, Quota: quota.New(quota.Options{
 		VM: e.options.VM.Name, Incarnation: e.options.VM.Incarnation, Bounds: targetLimitBounds, Immediate: true,
-		Logger: e.component("targetlimits").WithField("region", region),
+		Logger: l.log.WithField("region", region),
 		Limit: func(id uint32) (quota.Limit, bool) {
 			rate, limited := l.table.Limit(id)
 			return quota.Limit{ID: id, Rate: rate}, limited
@@ -154,6 +157,15 @@
 	return l.table.Announcement(now)
 }
 
+// merge takes over the observations that another VM has announced.
+func (l *targetLimits) merge(now time.Time, from string, announced []ratelimit.Announced) {
+	for _, o := range l.table.Merge(now, announced) {
+		l.log.WithFields(logrus.Fields{
+			"target_id": o.Target, "limited": o.Limited, "rate": o.Rate, "from": from, "age_ms": now.Sub(o.At).Milliseconds(),
+		}).Info("targetlimits: limit learned")
+	}
+}
+
 // quotaOf returns the quota that a datagram is for, and the rest of the datagram.
 func (l *targetLimits) quotaOf(payload []byte) (*regionQuota, []byte, bool) {
 	if len(payload) == 0 || int(payload[0]) >= len(l.quotas) {
--- a/edge/gateway/targetlimit.go
+++ b/edge/gateway/targetlimit.go
@@ -35,7 +35,9 @@
 	}
 	o := ratelimit.Observation{Target: quota.IDOf(t.ID), Limited: stated, Rate: rate, At: time.Now()}
 	if g.options.TargetLimits.Observe(o, sentAt) {
-		g.options.Logger.WithFields(logrus.Fields{"target": t.ID, "service": t.Service, "limited": stated, "rate": rate}).
+		g.options.Logger.WithFields(logrus.Fields{
+			"target": t.ID, "target_id": o.Target, "service": t.Service, "limited": stated, "rate": rate,
+		}).
 			Info("gateway: target changed its limit")
 	}
 }
--- a/edge/ratelimit/ratelimit.go
+++ b/edge/ratelimit/ratelimit.go
@@ -80,19 +80,25 @@
 	return t.set(o)
 }
 
-// Merge records the observations that another VM has announced.
-func (t *Table) Merge(now time.Time, announced []Announced) {
+// Merge records the observations that another VM has announced, and returns those that change the
+// limit of a target.
+func (t *Table) Merge(now time.Time, announced []Announced) (changes []Observation) {
 	if len(announced) == 0 {
-		return
+		return nil
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, a := range announced {
 		age := time.Duration(a.AgeMillis)*time.Millisecond + maxTransit
-		if age < observationTTL {
-			t.set(Observation{Target: a.Target, Limited: a.Limited, Rate: a.Rate, At: now.Add(-age)})
+		if age >= observationTTL {
+			continue
+		}
+		o := Observation{Target: a.Target, Limited: a.Limited, Rate: a.Rate, At: now.Add(-age)}
+		if t.set(o) {
+			changes = append(changes, o)
 		}
 	}
+	return changes
 }
 
 // set requires the lock.
