entry: a suspended VM tells the true age of targets' limits

What a target saw: nothing reported; found by reading. A VM that had observed a limit of 40 a second and was suspended for 10 s announced it as new, and VMs that had observed 4 a second since then used 40.

Cause: observations were dated by time.Now, whose monotonic reading stops during a suspension, so the age in an announcement left it out.

Change: answers are dated by the clock that counts suspensions, which the VM has for quotas; the gateway asks the table's owner for it.

--- a/api/clock/clock.go
+++ b/api/clock/clock.go
@@ -21,11 +21,12 @@
 
 // New returns the clock of this machine. On systems that do not report suspensions it
 // behaves like time.Now.
-func New() *Clock { return newClock(time.Now, sinceBoot) }
+func New() *Clock { return NewFrom(time.Now, sinceBoot) }
 
-// newClock reads the boot clock last and Now reads it first, so that a delay between
-// the two readings is never mistaken for a suspension.
-func newClock(monotonic func() time.Time, boot func() time.Duration) *Clock {
+// NewFrom returns a clock that reads the time, which need not include suspensions, and
+// the time since boot, which does. It reads the boot clock last and Now reads it first,
+// so that a delay between the two readings is never mistaken for a suspension.
+func NewFrom(monotonic func() time.Time, boot func() time.Duration) *Clock {
 	c := &Clock{monotonic: monotonic, boot: boot, started: monotonic()}
 	c.bootStarted = boot()
 	return c
--- a/api/clock/clock_test.go
+++ b/api/clock/clock_test.go
@@ -27,7 +27,7 @@
 // after the machine resumes.
 func TestSuspensionIsCounted(t *testing.T) {
 	m := &fakeMachine{start: time.Now()}
-	c := newClock(m.monotonic, m.boot)
+	c := NewFrom(m.monotonic, m.boot)
 	expires := c.Now().Add(15 * time.Second)
 	m.running += time.Second
 	if !c.Now().Before(expires) {
@@ -46,7 +46,7 @@
 // make the clock run fast, and the clock must never go back.
 func TestDelayBetweenReadingsIsNoSuspension(t *testing.T) {
 	m := &fakeMachine{start: time.Now(), readDelay: 40 * time.Millisecond}
-	c := newClock(m.monotonic, m.boot)
+	c := NewFrom(m.monotonic, m.boot)
 	last := c.Now()
 	for i := range 100 {
 		m.readDelay = time.Duration(i%7) * 10 * time.Millisecond
--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/yuccaroute/yuccaroute/api/clock"
 	"github.com/yuccaroute/yuccaroute/api/wait"
 	"github.com/yuccaroute/yuccaroute/edge/catalog"
 	"github.com/yuccaroute/yuccaroute/edge/exchange"
@@ -96,7 +97,7 @@
 	e.quarantine = quarantine.New(quarantine.Options{
 		VM: o.VM.Name, KV: o.KV, Keys: o.QuarantineKeys, Logger: e.component("quarantine"), EventAdded: e.reportUrgent,
 	})
-	e.contact = newContact(o.RevokeTime)
+	e.contact = newContact(clock.New(), o.RevokeTime)
 	e.fleet = newFleet(o.FleetSizeKey, o.KV, e.contact.clock, e.component("fleet"))
 	e.quota = e.newQuota()
 	e.targetLimits = newTargetLimits(e)
@@ -104,7 +105,7 @@
 		Fields: o.Names.Fields, Region: o.VM.Region, Balancer: e.balancer, Logger: e.component("gateway"), Metrics: e.gatewayMetrics,
 		RetryRatio: o.RetryRatio, RetryExtra: o.RetryExtra, VMCount: e.members.Count, RTT: e.roundTrips.get,
 		InFlightChanged: e.reportSoon, Owners: e.owners, Quarantine: e.quarantine,
-		TargetLimits: e.targetLimits.table, StatedLimit: o.Names.StatedLimit,
+		TargetLimits: e.targetLimits, StatedLimit: o.Names.StatedLimit,
 		Quota: e.quota, ConfigCurrent: e.contact.isCurrent, AccountsExpired: e.contact.isExpired, MaxAnswerBytes: maxResponseBytes,
 	})
 	e.outages = catalog.NewOutages(now)
@@ -269,6 +270,10 @@
 	e.balancer.SetKeyOwnerCount(e.owners.EffectiveVMs())
 }
 
+// now returns the time by the clock that counts suspensions. Whatever other VMs learn the age of
+// is kept by it.
+func (e *Entry) now() time.Time { return e.contact.clock.Now() }
+
 // inFlight returns the number of requests of callers and other VMs without a complete response.
 func (e *Entry) inFlight() int { return e.callerServer.InFlight() + e.peerServer.InFlight() }
 
@@ -298,7 +303,7 @@
 		e.catalog.Expire(now)
 		e.updateSharers(now)
 		e.maintainQuota(ctx, now)
-		e.targetLimits.maintain(now)
+		e.targetLimits.maintain()
 		e.quarantine.Tick(ctx, now, e.members.IsWatchLeader(now))
 		e.gatewayMetrics.setQuarantine(e.quarantine.Counts())
 		e.gateway.Probe(ctx, e.healthPath)
--- a/edge/entry/exchange.go
+++ b/edge/entry/exchange.go
@@ -82,7 +82,7 @@
 
 // limitsToAnnounce returns the limits of targets for a report, nil if none are due.
 func (e *Entry) limitsToAnnounce(otherRegions bool) []ratelimit.Announced {
-	return e.targetLimits.announcement(time.Now(), otherRegions)
+	return e.targetLimits.announcement(e.now(), otherRegions)
 }
 
 // digest returns the digest for the VMs of the region.
@@ -94,7 +94,7 @@
 		return d
 	}
 	inFlight, far := e.balancer.OtherRegionSums(now)
-	d.Details = &exchange.DigestDetails{InFlight: inFlight, Demand: far, Limits: e.targetLimits.table.Announcement(now)}
+	d.Details = &exchange.DigestDetails{InFlight: inFlight, Demand: far, Limits: e.targetLimits.table.Announcement(e.now())}
 	for name, state := range e.members.RegionStates() {
 		d.Details.VMs = append(d.Details.VMs, exchange.VMStatus{
 			Name: name, Age: now.Sub(state.At), Leaving: state.Leaving, Serving: state.Serving, StoreConnected: state.StoreConnected,
@@ -118,7 +118,7 @@
 		}
 		e.applyCounts(now, s)
 		e.applyEvents(now, &s)
-		e.targetLimits.merge(now, s.VM.Name, s.Limits)
+		e.targetLimits.merge(e.now(), s.VM.Name, s.Limits)
 		if s.Relay != nil {
 			e.replica.ObservePeer(ctx, s.Relay.Peer, true, store.Revision(s.Relay.Revision), now)
 		}
@@ -166,7 +166,7 @@
 		return
 	}
 	e.balancer.SetPeerReport(now, otherRegionSums, &placing.PeerReport{InFlight: d.Details.InFlight, Demand: d.Details.Demand, Aggregated: true, At: now})
-	e.targetLimits.merge(now, from, d.Details.Limits)
+	e.targetLimits.merge(e.now(), from, d.Details.Limits)
 	for _, seen := range d.Details.VMs {
 		if seen.StoreConnected {
 			e.outages.StoreReached(now.Add(-seen.Age))
--- a/edge/entry/quota.go
+++ b/edge/entry/quota.go
@@ -43,8 +43,8 @@
 	confirmedAt atomic.Int64
 }
 
-func newContact(revokeTime time.Duration) *contact {
-	c := &contact{clock: clock.New(), revokeTime: revokeTime}
+func newContact(timer *clock.Clock, revokeTime time.Duration) *contact {
+	c := &contact{clock: timer, revokeTime: revokeTime}
 	c.started = c.clock.Now()
 	// The first copy of the store may be old, so that nothing is confirmed yet.
 	c.confirmedAt.Store(int64(-max(currentTimeout, revokeTime)))
--- a/edge/entry/targetlimits.go
+++ b/edge/entry/targetlimits.go
@@ -91,7 +91,7 @@
 			if !local {
 				return 0
 			}
-			return l.fleet.Size(l.now())
+			return l.fleet.Size(l.Now())
 		},
 		Groups: func() int { return 1 },
 		Coordinator: func(_ int, avoid func(name string) bool) quota.Coordinator {
@@ -105,8 +105,14 @@
 	})}
 }
 
-// now returns the time by the clock that counts suspensions.
-func (l *targetLimits) now() time.Time { return l.entry.contact.clock.Now() }
+// Now implements gateway.TargetLimits. It counts suspensions, so that other VMs learn the true age
+// of an observation.
+func (l *targetLimits) Now() time.Time { return l.entry.now() }
+
+// Observe implements gateway.TargetLimits.
+func (l *targetLimits) Observe(o ratelimit.Observation, sentAt time.Time) (changed bool) {
+	return l.table.Observe(o, sentAt)
+}
 
 // sinceStart returns a time in nanoseconds since started, which setting the clock does not change.
 func (l *targetLimits) sinceStart(now time.Time) int64 { return int64(now.Sub(l.started)) }
@@ -127,18 +133,18 @@
 }
 
 // maintain runs the periodic work.
-func (l *targetLimits) maintain(now time.Time) {
+func (l *targetLimits) maintain() {
+	now := l.Now()
 	l.table.Expire(now)
-	at := l.now()
-	l.fleet.Observe(at, l.entry.members.RegionCount())
+	l.fleet.Observe(now, l.entry.members.RegionCount())
 	if l.entry.contact.isCurrent() {
-		l.fleet.Contact(at)
+		l.fleet.Contact(now)
 	}
 	if l.limited.Load() == 0 {
 		return
 	}
 	for _, q := range l.quotas {
-		if q.local || !q.isIdle(at) {
+		if q.local || !q.isIdle(now) {
 			q.Tick()
 		}
 	}
@@ -204,12 +210,12 @@
 func (t *targetLimit) Ready() bool { return t.quota.Ready(t.limit) }
 
 func (t *targetLimit) Use() bool {
-	t.quota.usedAt.Store(t.quota.limits.sinceStart(t.quota.limits.now()))
+	t.quota.usedAt.Store(t.quota.limits.sinceStart(t.quota.limits.Now()))
 	return t.quota.Use(t.limit)
 }
 
 func (t *targetLimit) Want() {
-	if t.wantIsDue(t.quota.limits.now()) {
+	if t.wantIsDue(t.quota.limits.Now()) {
 		t.quota.Want(t.limit)
 	}
 }
--- a/edge/gateway/run.go
+++ b/edge/gateway/run.go
@@ -238,7 +238,7 @@
 		return attempt{decision: d, notRun: true, code: result.ConnectFailed, err: err}
 	}
 	defer p.Put(conn)
-	sentAt := time.Now()
+	sentAt := g.limitTime()
 	answer, err := g.sendOverConn(ctx, r, d, conn)
 	if answer != nil {
 		updateIdleTimeout(p, answer.Header)
--- a/edge/gateway/targetlimit.go
+++ b/edge/gateway/targetlimit.go
@@ -14,6 +14,8 @@
 
 // TargetLimits records the limits that targets state in their answers.
 type TargetLimits interface {
+	// Now returns the time by which observations are ordered.
+	Now() time.Time
 	// Observe records what a target stated in the answer to a request that was sent at sentAt. It
 	// reports whether that changes the target's limit.
 	Observe(o ratelimit.Observation, sentAt time.Time) (changed bool)
@@ -23,6 +25,14 @@
 // VMs together, and false if it states none.
 type StatedLimit func(h http.Header) (rate float64, stated bool)
 
+// limitTime returns the time by which answers are ordered that may state limits.
+func (g *Gateway) limitTime() time.Time {
+	if g.options.StatedLimit == nil {
+		return time.Time{}
+	}
+	return g.options.TargetLimits.Now()
+}
+
 // observeLimit records whether an answer states a limit of its target. Only an answer that the
 // target has stamped shows that it has withdrawn one.
 func (g *Gateway) observeLimit(t *placing.Target, answer *forward.Response, sentAt time.Time) {
@@ -33,7 +43,7 @@
 	if !stated && answer.Header.Get(g.options.Fields.Stamp) == "" {
 		return
 	}
-	o := ratelimit.Observation{Target: quota.IDOf(t.ID), Limited: stated, Rate: rate, At: time.Now()}
+	o := ratelimit.Observation{Target: quota.IDOf(t.ID), Limited: stated, Rate: rate, At: g.options.TargetLimits.Now()}
 	if g.options.TargetLimits.Observe(o, sentAt) {
 		g.options.Logger.WithFields(logrus.Fields{
 			"target": t.ID, "target_id": o.Target, "service": t.Service, "limited": stated, "rate": rate,
