entry: an aggregator that was suspended tells the true age of reports

An aggregator that was suspended told its region that VMs had reported a moment ago which it had last heard before, so VMs that had stopped meanwhile counted as live.

Evidence: TestSuspendedVMTellsTrueAgeOfReports with Entry.now as time.Now, as before: 'Age:5.251us ... reported before a suspension of 10s'. It passes now.

Change: all times of members and digests are by the clock that counts suspensions. The balancer keeps time.Now: what it compares is never told to others. These two are all ages in messages of yuccaentry; of yuccarouted, spread's read records have one (AgeMs), open.

--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -83,11 +83,11 @@
 func Start(o Options) (*Entry, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Entry{options: o, log: o.Logger, stop: cancel}
-	now := time.Now()
-	e.digests = peers.NewDigestMonitor(now)
+	e.contact = newContact(clock.New(), o.RevokeTime)
+	e.digests = peers.NewDigestMonitor(e.now())
 	e.regionState = &regionState{log: e.component("entry")}
 	e.roundTrips = newRoundTrips(o.VM.Region)
-	e.members = peers.New(o.VM, now)
+	e.members = peers.New(o.VM, e.now())
 	e.metrics = scrape.New(o.VM.Name, metricsInterval)
 	e.gatewayMetrics = newGatewayMetrics(e.metrics.Scope)
 	e.owners = owners.New(o.VM)
@@ -97,7 +97,6 @@
 	e.quarantine = quarantine.New(quarantine.Options{
 		VM: o.VM.Name, KV: o.KV, Keys: o.QuarantineKeys, Logger: e.component("quarantine"), EventAdded: e.reportUrgent,
 	})
-	e.contact = newContact(clock.New(), o.RevokeTime)
 	e.fleet = newFleet(o.FleetSizeKey, o.KV, e.contact.clock, e.component("fleet"))
 	e.quota = e.newQuota()
 	e.targetLimits = newTargetLimits(e)
@@ -108,15 +107,15 @@
 		TargetLimits: e.targetLimits, StatedLimit: o.Names.StatedLimit,
 		Quota: e.quota, ConfigCurrent: e.contact.isCurrent, AccountsExpired: e.contact.isExpired, MaxAnswerBytes: maxResponseBytes,
 	})
-	e.outages = catalog.NewOutages(now)
+	e.outages = catalog.NewOutages(time.Now())
 	e.catalog = catalog.New(catalog.Options{
 		Codec: o.Codec, Logger: e.component("catalog"), Changed: e.setView, Outages: e.outages, Now: time.Now,
 	})
 	e.replica = replica.New(replica.Options{
 		KV: o.KV, Logger: e.component("replica"), Prefix: o.Names.WatchPrefix, Changed: e.applyChanges, FetchSnapshot: fetchSnapshot,
-		ShouldWatch:      func() bool { return e.members.ShouldWatch(time.Now()) },
-		IsWatchLeader:    func() bool { return e.members.IsWatchLeader(time.Now()) },
-		IsDefaultWatcher: func() bool { return e.members.IsDefaultWatcher(time.Now()) },
+		ShouldWatch:      func() bool { return e.members.ShouldWatch(e.now()) },
+		IsWatchLeader:    func() bool { return e.members.IsWatchLeader(e.now()) },
+		IsDefaultWatcher: func() bool { return e.members.IsDefaultWatcher(e.now()) },
 	})
 	e.snapshots = &snapshots{replica: e.replica, log: e.component("replica")}
 	if err := e.listen(ctx); err != nil {
@@ -249,10 +248,10 @@
 // setView applies a new view of the store to peers, gateway and round-trip times.
 func (e *Entry) setView(v *catalog.View) {
 	now := time.Now()
-	e.members.Register(v.VMs, now)
+	e.members.Register(v.VMs, e.now())
 	e.fleet.apply(v)
 	// Must precede SetView: this VM's share of requests to cold targets depends on the peers.
-	e.updateSharers(now)
+	e.updateSharers()
 	e.gateway.SetView(v, now)
 	for _, vm := range e.members.Others() {
 		e.roundTrips.measure(vm.Region, vm.PeerAddress)
@@ -260,7 +259,8 @@
 }
 
 // updateSharers updates the set of VMs that share the region's work and its affinity keys.
-func (e *Entry) updateSharers(now time.Time) {
+func (e *Entry) updateSharers() {
+	now := e.now()
 	names := e.members.WorkSharers(now)
 	e.regionState.setSharers(names)
 	e.balancer.SetVMs(names)
@@ -301,10 +301,10 @@
 			e.outages.StoreReached(now)
 		}
 		e.catalog.Expire(now)
-		e.updateSharers(now)
+		e.updateSharers()
 		e.maintainQuota(ctx, now)
 		e.targetLimits.maintain()
-		e.quarantine.Tick(ctx, now, e.members.IsWatchLeader(now))
+		e.quarantine.Tick(ctx, now, e.members.IsWatchLeader(e.now()))
 		e.gatewayMetrics.setQuarantine(e.quarantine.Counts())
 		e.gateway.Probe(ctx, e.healthPath)
 	}
--- a/edge/entry/exchange.go
+++ b/edge/entry/exchange.go
@@ -25,7 +25,7 @@
 
 // recipients returns the VMs that get this VM's reports and digests.
 func (e *Entry) recipients() exchange.Recipients {
-	now := time.Now()
+	now := e.now()
 	g := e.members.Topology(now)
 	own := e.options.VM.Name
 	to := exchange.Recipients{Large: g.Large, SameRegion: peersOf(g.Aggregators, own)}
@@ -48,7 +48,7 @@
 func (e *Entry) relayTo() ([]exchange.Peer, exchange.Relay) {
 	at, _ := e.replica.Revision()
 	via := exchange.Relay{Peer: e.options.VM.PeerAddress, Revision: uint64(at)}
-	return peersOf(e.members.Topology(time.Now()).SameDomain, e.options.VM.Name), via
+	return peersOf(e.members.Topology(e.now()).SameDomain, e.options.VM.Name), via
 }
 
 func peersOf(vms []site.VM, except string) []exchange.Peer {
@@ -67,7 +67,7 @@
 	at, _ := e.replica.Revision()
 	s := exchange.State{
 		VM: e.options.VM, Leaving: e.shuttingDown.Load(), Serving: e.gateway.Ready(), StoreConnected: e.replica.Connected(),
-		Revision: uint64(at), NoDigest: e.digests.Missing(now),
+		Revision: uint64(at), NoDigest: e.digests.Missing(e.now()),
 		// Aggregated reports go to other regions, which already know their own events.
 		Events: e.quarantine.PendingEvents(now, !sum),
 	}
@@ -97,7 +97,7 @@
 	d.Details = &exchange.DigestDetails{InFlight: inFlight, Demand: far, Limits: e.targetLimits.table.Announcement(e.now())}
 	for name, state := range e.members.RegionStates() {
 		d.Details.VMs = append(d.Details.VMs, exchange.VMStatus{
-			Name: name, Age: now.Sub(state.At), Leaving: state.Leaving, Serving: state.Serving, StoreConnected: state.StoreConnected,
+			Name: name, Age: e.now().Sub(state.At), Leaving: state.Leaving, Serving: state.Serving, StoreConnected: state.StoreConnected,
 		})
 	}
 	return d
@@ -107,7 +107,7 @@
 func (e *Entry) received(ctx context.Context) func(exchange.State) {
 	return func(s exchange.State) {
 		now := time.Now()
-		if e.members.Observe(s.VM, peers.State{At: now, Serving: s.Serving, Leaving: s.Leaving, StoreConnected: s.StoreConnected, NoDigest: s.NoDigest}) {
+		if e.members.Observe(s.VM, peers.State{At: e.now(), Serving: s.Serving, Leaving: s.Leaving, StoreConnected: s.StoreConnected, NoDigest: s.NoDigest}) {
 			e.roundTrips.measure(s.VM.Region, s.VM.PeerAddress)
 		}
 		if s.StoreConnected {
@@ -160,7 +160,7 @@
 }
 
 func (e *Entry) applyDigest(now time.Time, from string, d *exchange.Digest) {
-	e.digests.Received(now)
+	e.digests.Received(e.now())
 	e.balancer.SetRegionSums(now, regionSums, d.InFlight, d.Demand)
 	if d.Details == nil {
 		return
@@ -172,7 +172,7 @@
 			e.outages.StoreReached(now.Add(-seen.Age))
 		}
 		e.members.ObserveIndirect(seen.Name, peers.State{
-			At: now.Add(-seen.Age), Serving: seen.Serving, Leaving: seen.Leaving, StoreConnected: seen.StoreConnected,
+			At: e.now().Add(-seen.Age), Serving: seen.Serving, Leaving: seen.Leaving, StoreConnected: seen.StoreConnected,
 		})
 	}
 }
--- a/edge/entry/handlers.go
+++ b/edge/entry/handlers.go
@@ -60,7 +60,7 @@
 		return serve.PlainText(http.StatusNotFound, "")
 	}
 	zone, region := e.options.Names.ParseCaller(r.Query)
-	entries := e.members.EntryAddresses(zone, region, e.serving(), time.Now())
+	entries := e.members.EntryAddresses(zone, region, e.serving(), e.now())
 	if len(entries) == 0 {
 		return serve.PlainText(http.StatusServiceUnavailable, "no entry VM\n")
 	}
--- a/edge/entry/quota.go
+++ b/edge/entry/quota.go
@@ -158,7 +158,7 @@
 // coordinatorIn selects a coordinator in a region, which is this VM if it knows no other one.
 func (e *Entry) coordinatorIn(region, key string, avoid func(name string) bool) quota.Coordinator {
 	own := e.options.VM
-	candidates := e.members.Coordinators(!e.shuttingDown.Load(), time.Now())[region]
+	candidates := e.members.Coordinators(!e.shuttingDown.Load(), e.now())[region]
 	candidates = slices.DeleteFunc(candidates, func(vm site.VM) bool { return vm.Name != own.Name && avoid(vm.Name) })
 	if len(candidates) == 0 {
 		candidates = []site.VM{own}
@@ -167,7 +167,7 @@
 }
 
 func (e *Entry) otherCoordinators(group int) (others []quota.Coordinator) {
-	for region, candidates := range e.members.Coordinators(false, time.Now()) {
+	for region, candidates := range e.members.Coordinators(false, e.now()) {
 		if region != e.options.VM.Region {
 			others = append(others, e.selectCoordinator(groupKey(group), candidates))
 		}
@@ -200,7 +200,7 @@
 	if !e.gateway.HasQuotas() {
 		return
 	}
-	if e.members.IsWatchLeader(now) {
+	if e.members.IsWatchLeader(at) {
 		e.fleet.write(ctx, at)
 	}
 	e.quota.Tick()
--- a/edge/entry/suspension_test.go
+++ b/edge/entry/suspension_test.go
@@ -8,7 +8,11 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/yuccaroute/yuccaroute/api/clock"
+	"github.com/yuccaroute/yuccaroute/edge/exchange"
+	"github.com/yuccaroute/yuccaroute/edge/peers"
+	"github.com/yuccaroute/yuccaroute/edge/placing"
 	"github.com/yuccaroute/yuccaroute/edge/ratelimit"
+	"github.com/yuccaroute/yuccaroute/edge/site"
 )
 
 // machine is a machine that can be suspended.
@@ -28,6 +32,9 @@
 	e := &Entry{log: logrus.New()}
 	e.options.VM.Name = name
 	e.contact = newContact(clock.NewFrom(time.Now, m.boot), 0)
+	e.members = peers.New(e.options.VM, e.now())
+	e.digests = peers.NewDigestMonitor(e.now())
+	e.balancer = placing.New(placing.Options{VM: name})
 	e.targetLimits = &targetLimits{
 		entry: e, log: e.component("targetlimits"), started: e.now(), table: ratelimit.New(e.now(), func(map[uint32]float64) {}),
 	}
@@ -49,3 +56,18 @@
 		t.Errorf("limit of %v a second, 4 was observed later", rate)
 	}
 }
+
+// An aggregator that was suspended must not tell its region that VMs have just reported.
+func TestSuspendedVMTellsTrueAgeOfReports(t *testing.T) {
+	const suspension = 10 * time.Second
+	m := &machine{started: time.Now()}
+	e := m.newVM("a")
+	e.members.Register([]site.VM{{Name: "b"}}, e.now())
+	reported := exchange.VMStatus{Name: "b", Serving: true}
+	e.applyDigest(time.Now(), "b", &exchange.Digest{Details: &exchange.DigestDetails{VMs: []exchange.VMStatus{reported}}})
+	m.suspend(suspension)
+	vms := e.digest(true).Details.VMs
+	if len(vms) != 1 || vms[0].Age < suspension {
+		t.Errorf("statuses %+v, the VM has reported before a suspension of %s", vms, suspension)
+	}
+}
