placing, quota: waits and Retry-After under a limit follow the tokens

What callers saw: with the only target of a service limited to 2 a second, most requests were refused after 0.65 to 1 s, told to come back in 0.1 to 0.27 s, where tokens were taken by whoever came.

Cause: the wait was estimated from service time and slots (a limited target counted for one slot at least), the coordinator told a VM nothing of when it has a token, and Retry-After ended at 0.7 s. Class: a wait that is estimated without the limit that causes it.

Change: the coordinator promises tokens to VMs one after the other, and keeps them for 0.5 s; a VM asks at that time, and not before. It measures the interval between its tokens. A request that would wait longer for one than it has time, with a margin of 2, is refused at once; callers are told to come back one for each token, and a place is kept for those. Targets that are cold count in the same way where all targets of a region are limited or cold. A reply serves the queue at once. Limited targets count for the fraction of a slot that their rate keeps busy.

--- a/edge/entry/targetlimits.go
+++ b/edge/entry/targetlimits.go
@@ -191,8 +191,14 @@
 }
 
 func (l *targetLimits) handleReply(_ *exchange.Exchange, from string, payload []byte) {
-	if q, message, ok := l.quotaOf(payload); ok {
-		q.HandleReply(from, message)
+	q, message, ok := l.quotaOf(payload)
+	if !ok {
+		return
+	}
+	q.HandleReply(from, message)
+	// Requests wait for what the reply tells.
+	if l.entry.balancer.Waiting() > 0 {
+		l.entry.balancer.Tick(time.Now())
 	}
 }
 
@@ -214,10 +220,15 @@
 	return t.quota.Use(t.limit)
 }
 
+func (t *targetLimit) Expect() (wait, interval time.Duration, ok bool) {
+	return t.quota.Expect(t.limit)
+}
+
 func (t *targetLimit) Want() {
 	if t.wantIsDue(t.quota.limits.Now()) {
 		t.quota.Want(t.limit)
 	}
+	t.quota.Ask(t.limit)
 }
 
 // wantIsDue reports whether a request counts as demand, at most once in a wantInterval.
--- a/edge/placing/balancer.go
+++ b/edge/placing/balancer.go
@@ -122,22 +122,45 @@
 	}, true
 }
 
-// rejectLate rejects a request that would end after its latestEnd if it were queued.
+// rejectLate rejects a request that would end too late if it were queued.
 func (b *Balancer) rejectLate(now time.Time, s *service, r *Request, region string) (Decision, bool) {
-	wait := time.Duration(float64(s.queue.backlog(r, now)) / s.slotShare(now, region))
-	end := now.Add(wait + r.serviceTime() + b.options.RTT(region))
-	if !end.After(r.latestEnd()) {
+	before := s.queue.backlog(r, region, now)
+	if p, limited := s.permitsOf(now, region, r); limited {
+		wait := time.Duration(permitMargin * float64(p.wait(before.requests)))
+		if claimed, pending := s.returnsTo(region).claim(now); pending && !claimed {
+			wait = maxPermitWait
+		}
+		return b.rejectWithoutPermit(now, s, r, region, p, before, wait, r.latestPermittedEnd(now))
+	}
+	return b.rejectIfLate(now, s, r, region, before, r.latestEnd())
+}
+
+// rejectIfLate rejects a request that would end too late behind others.
+func (b *Balancer) rejectIfLate(now time.Time, s *service, r *Request, region string, before backlog, latestEnd time.Time) (Decision, bool) {
+	wait := time.Duration(float64(before.work) / s.slotShare(now, region))
+	expected := wait + r.serviceTime() + b.options.RTT(region)
+	if !now.Add(expected).After(latestEnd) {
+		return Decision{}, false
+	}
+	return s.rejection(now, region, retryAfter(wait), expected), true
+}
+
+// rejectWithoutPermit rejects a request that would wait too long for a permit, and tells when there
+// is one for it.
+func (b *Balancer) rejectWithoutPermit(now time.Time, s *service, r *Request, region string, p permits, before backlog, wait time.Duration, latestEnd time.Time) (Decision, bool) {
+	expected := wait + r.serviceTime() + b.options.RTT(region)
+	if !now.Add(expected).After(latestEnd) {
 		return Decision{}, false
 	}
-	return s.rejection(now, region, wait, end.Sub(now)), true
+	return s.rejection(now, region, s.returnsTo(region).next(now, p, before.requests, r.Deadline), expected), true
 }
 
 // rejection returns a rejection for lack of capacity, with the region's load for the log.
-func (s *service) rejection(now time.Time, region string, wait, expected time.Duration) Decision {
+func (s *service) rejection(now time.Time, region string, retryAfter, expected time.Duration) Decision {
 	s.rejectedAt = now
 	l := s.loadOf(now, region)
 	return Decision{
-		Reason: TooLate, Region: region, RetryAfter: retryAfter(wait), Expected: expected, Slots: l.slots, InFlight: l.inFlight,
+		Reason: TooLate, Region: region, RetryAfter: retryAfter, Expected: expected, Slots: int(l.slots), InFlight: l.inFlight,
 	}
 }
 
--- a/edge/placing/load.go
+++ b/edge/placing/load.go
@@ -5,7 +5,8 @@
 // load is the capacity of one region for a service and the requests in flight there.
 type load struct {
 	// slots and inFlight cover the available targets.
-	slots, inFlight int
+	slots    float64
+	inFlight int
 	// local and total are the in-flight requests of this VM and of all VMs, at all targets.
 	local, total int
 }
@@ -51,14 +52,14 @@
 // utilization returns the requests in flight per slot of a region.
 func (s *service) utilization(now time.Time, region string) float64 {
 	l := s.loadOf(now, region)
-	return float64(l.inFlight) / float64(max(1, l.slots))
+	return float64(l.inFlight) / max(1, l.slots)
 }
 
-func (s *service) slots(now time.Time, region string) int { return s.loadOf(now, region).slots }
+func (s *service) slots(now time.Time, region string) float64 { return s.loadOf(now, region).slots }
 
 // slotShare estimates how many slots of a region serve this VM's queue, by its share of the
 // requests in flight there.
 func (s *service) slotShare(now time.Time, region string) float64 {
 	l := s.loadOf(now, region)
-	return max(1, float64(l.slots)) * float64(1+l.local) / float64(1+l.total)
+	return max(1, l.slots) * float64(1+l.local) / float64(1+l.total)
 }
--- /dev/null
+++ b/edge/placing/permits.go
@@ -0,0 +1,108 @@
+package placing
+
+import "time"
+
+const (
+	// maxPermitWait bounds the estimated wait for a target whose rate is limited.
+	maxPermitWait = 30 * time.Second
+	// permitMargin is how much longer than estimated the wait of a request may be that enters the
+	// queue: permits come in bursts.
+	permitMargin = 2
+	// maxReturnDelay is how long after the time that it was told a caller may come back.
+	maxReturnDelay = 100 * time.Millisecond
+	// maxReturns bounds the callers of a region that have been told to come back.
+	maxReturns = 1024
+)
+
+// permits estimates when this VM may send requests to the targets of a region if the rates of all of
+// them are limited, because they have stated limits or are cold.
+type permits struct {
+	// first is the time until the first request, perSecond the rate of further ones.
+	first     time.Duration
+	perSecond float64
+}
+
+// wait returns the time until a request may be sent if others are sent before it.
+func (p permits) wait(before int) time.Duration {
+	if p.perSecond <= 0 {
+		return maxPermitWait
+	}
+	wait := float64(p.first) + float64(before)/p.perSecond*float64(time.Second)
+	return time.Duration(min(wait, float64(maxPermitWait)))
+}
+
+// permitsOf returns the permits of a region for a request, and false if it has a target without a
+// limited rate or none at all.
+func (s *service) permitsOf(now time.Time, region string, r *Request) (p permits, limited bool) {
+	p.first = maxPermitWait
+	for _, t := range s.regions[region] {
+		if !t.available(now) || r.tried(t) {
+			continue
+		}
+		wait, interval, ok := t.expectPermit(now)
+		switch {
+		case ok && interval == 0:
+			return p, false
+		case ok:
+			p.first = min(p.first, wait)
+			p.perSecond += 1 / interval.Seconds()
+		}
+		limited = true
+	}
+	return p, limited
+}
+
+// expectPermit returns the time until the rates of a target permit a request of this VM, and the time
+// between further ones, 0 if no rate limits it; ok is false if they permit none.
+func (t *Target) expectPermit(now time.Time) (wait, interval time.Duration, ok bool) {
+	if now.Before(t.coldUntil) {
+		if wait, interval, ok = t.cold.expect(now); !ok {
+			return 0, 0, false
+		}
+	}
+	if t.limit == nil {
+		return wait, interval, true
+	}
+	limitWait, limitInterval, ok := t.limit.Expect()
+	return max(wait, limitWait), max(interval, limitInterval), ok
+}
+
+// expect returns the time until the next request, and the time between further ones; ok is false if
+// this VM may send none.
+func (l *coldLimiter) expect(now time.Time) (wait, interval time.Duration, ok bool) {
+	if l.rate <= 0 {
+		return 0, 0, false
+	}
+	return max(0, l.next.Sub(now)), time.Duration(float64(time.Second) / l.rate), true
+}
+
+// returns holds the times at which rejected callers have been told to come back to a region whose
+// rates are limited, one for each permit, in ascending order.
+type returns struct{ due []time.Time }
+
+// claim takes the place of a caller that is due now. pending is true if callers are due later.
+func (n *returns) claim(now time.Time) (claimed, pending bool) {
+	for len(n.due) > 0 && now.Sub(n.due[0]) > maxReturnDelay {
+		n.due = n.due[1:]
+	}
+	if len(n.due) > 0 && !n.due[0].After(now) {
+		n.due = n.due[1:]
+		return true, len(n.due) > 0
+	}
+	return false, len(n.due) > 0
+}
+
+// next returns the time after which one more caller should come back. A caller that will not, as its
+// deadline is before that, gets the time but takes no place.
+func (n *returns) next(now time.Time, p permits, before int, deadline time.Time) time.Duration {
+	wait := p.wait(before)
+	if len(n.due) > 0 && p.perSecond > 0 {
+		last := n.due[len(n.due)-1]
+		wait = max(wait, last.Sub(now)+time.Duration(float64(time.Second)/p.perSecond))
+	}
+	wait = min(max(wait, minRetryAfter), maxPermitWait)
+	if at := now.Add(wait); p.perSecond > 0 && at.Before(deadline) && len(n.due) < maxReturns {
+		n.due = append(n.due, at)
+	}
+	return wait
+}
--- a/edge/placing/queue.go
+++ b/edge/placing/queue.go
@@ -72,14 +72,30 @@
 	return false
 }
 
-// backlog returns the total service time of the requests that would be served before r.
-func (q *waitQueue) backlog(r *Request, now time.Time) time.Duration {
+// backlog is what waits before a request.
+type backlog struct {
+	requests int
+	// work is the total service time of the requests.
+	work time.Duration
+}
+
+func (b *backlog) add(r *Request) {
+	b.requests++
+	b.work += r.serviceTime()
+}
+
+// backlog returns the requests of a region that would be served before r, and the work of all
+// regions.
+func (q *waitQueue) backlog(r *Request, region string, now time.Time) (before backlog) {
 	w := &Waiter{request: r}
-	sum := time.Duration(0)
 	for _, other := range q.waiting {
-		if !w.less(other, now) {
-			sum += other.request.serviceTime()
+		if w.less(other, now) {
+			continue
+		}
+		before.work += other.request.serviceTime()
+		if other.region == region {
+			before.requests++
 		}
 	}
-	return sum
+	return before
 }
--- a/edge/placing/ratelimit.go
+++ b/edge/placing/ratelimit.go
@@ -1,9 +1,6 @@
 package placing
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // RateLimit limits the requests of all VMs to one target. Its methods must not block and must not
 // call the Balancer.
@@ -16,6 +13,9 @@
 	Use() bool
 	// Want tells that this VM has a request for the target but may not send it.
 	Want()
+	// Expect returns the time until this VM may send a request, and the time between further ones;
+	// ok is false if it may send none.
+	Expect() (wait, interval time.Duration, ok bool)
 }
 
 // SetRateLimits replaces the limits of targets. limitOf returns that of a target, nil for none.
@@ -31,10 +31,10 @@
 	b.serveAll(now)
 }
 
-// usableSlots returns how many slots of a target its limit lets be busy.
-func (t *Target) usableSlots(occupancy float64) int {
+// usableSlots returns how many slots of a target its limit lets be busy on average.
+func (t *Target) usableSlots(occupancy float64) float64 {
 	if t.limit == nil || occupancy <= 0 {
-		return t.Slots
+		return float64(t.Slots)
 	}
-	return min(t.Slots, max(1, int(math.Round(t.limit.Rate()*occupancy))))
+	return min(float64(t.Slots), t.limit.Rate()*occupancy)
 }
--- a/edge/placing/regions.go
+++ b/edge/placing/regions.go
@@ -41,7 +41,7 @@
 func (b *Balancer) stepWeights(now time.Time, s *service) {
 	capacity := make(map[string]float64)
 	for region := range s.regions {
-		capacity[region] = float64(s.slots(now, region))
+		capacity[region] = s.slots(now, region)
 	}
 	if s.weights.weight == nil {
 		s.weights.initialize(now, b.options.Region, capacity)
--- a/edge/placing/request.go
+++ b/edge/placing/request.go
@@ -48,6 +48,16 @@
 	return r.Objective.Add(time.Duration(lateShare * float64(r.Deadline.Sub(r.Objective))))
 }
 
+// latestPermittedEnd returns the latest completion time for which the request may start to wait for a
+// permit. Those that can meet their objective must: once they cannot, others overtake them, and they
+// would wait in vain.
+func (r *Request) latestPermittedEnd(now time.Time) time.Time {
+	if r.missesObjective(now) {
+		return r.latestEnd()
+	}
+	return r.Objective
+}
+
 func (r *Request) tried(t *Target) bool {
 	for _, other := range r.Tried {
 		if other == t {
--- a/edge/placing/serve.go
+++ b/edge/placing/serve.go
@@ -27,11 +27,13 @@
 	s.resetLoads()
 	s.queue.demoteLate(now)
 	kept := s.queue.waiting[:0]
-	ahead := make(map[string]time.Duration)
+	ahead := make(map[string]backlog)
 	for _, w := range s.queue.waiting {
 		d, ok := b.decide(now, s, w, ahead[w.region])
 		if !ok {
-			ahead[w.region] += w.request.serviceTime()
+			before := ahead[w.region]
+			before.add(w.request)
+			ahead[w.region] = before
 			kept = append(kept, w)
 			continue
 		}
@@ -41,9 +43,9 @@
 	s.queue.waiting = kept
 }
 
-// decide assigns or rejects a queued request; ahead is the service time of the requests
-// before it in the same region. It returns false if the request stays in the queue.
-func (b *Balancer) decide(now time.Time, s *service, w *Waiter, ahead time.Duration) (Decision, bool) {
+// decide assigns or rejects a queued request; ahead are the requests before it in the same region.
+// It returns false if the request stays in the queue.
+func (b *Balancer) decide(now time.Time, s *service, w *Waiter, ahead backlog) (Decision, bool) {
 	if s.slots(now, w.region) == 0 {
 		if region := b.nearest(now, s, w.request); region != "" {
 			w.region = region
@@ -52,10 +54,8 @@
 	if d, ok := b.assign(now, s, w.request, w.region); ok {
 		return d, true
 	}
-	wait := time.Duration(float64(ahead) / s.slotShare(now, w.region))
-	need := wait + w.request.serviceTime() + b.options.RTT(w.region)
-	if now.Add(need).After(w.latestEnd) {
-		return s.rejection(now, w.region, wait, need), true
+	if p, limited := s.permitsOf(now, w.region, w.request); limited {
+		return b.rejectWithoutPermit(now, s, w.request, w.region, p, ahead, p.wait(ahead.requests), w.latestEnd)
 	}
-	return Decision{}, false
+	return b.rejectIfLate(now, s, w.request, w.region, ahead, w.latestEnd)
 }
--- a/edge/placing/service.go
+++ b/edge/placing/service.go
@@ -19,11 +19,13 @@
 	// rejectedAt is when this VM last rejected a request for lack of capacity.
 	rejectedAt time.Time
 	weights    regionWeights
+	// returns holds those of each region.
+	returns map[string]*returns
 }
 
 func newService(s site.Service) *service {
 	return &service{
-		Service: s, targets: make(map[string]*Target), regions: make(map[string][]*Target), loads: make(loads),
+		Service: s, targets: make(map[string]*Target), regions: make(map[string][]*Target), loads: make(loads), returns: make(map[string]*returns),
 	}
 }
 
@@ -37,3 +39,12 @@
 func (s *service) averagesFor(r *Request) serviceAverages {
 	return serviceAverages{occupancy: s.occupancy.lengthBiasedMean(r.serviceTime()), failures: &s.failures}
 }
+
+func (s *service) returnsTo(region string) *returns {
+	n := s.returns[region]
+	if n == nil {
+		n = &returns{}
+		s.returns[region] = n
+	}
+	return n
+}
--- a/edge/quota/holder.go
+++ b/edge/quota/holder.go
@@ -17,6 +17,10 @@
 	maxLost = 2
 	// idleTimeout is how long a VM holds a token for an account without requests.
 	idleTimeout = time.Second
+	// intervalWeight is the weight of one measured interval between tokens, and grantWeight that of a
+	// token that came at once, in the expected interval.
+	intervalWeight = 0.2
+	grantWeight    = 0.05
 	// unknownRetryAfter is the Retry-After of a VM that reaches no coordinator: callers soon find
 	// another VM.
 	unknownRetryAfter = 100 * time.Millisecond
@@ -84,6 +88,11 @@
 	demandAt time.Time
 	// exhaustedUntil is when to ask the coordinator again.
 	exhaustedUntil time.Time
+	// interval is the expected time between two tokens of this VM, 0 while none was denied. grantedAt
+	// is when the last ones came, denied whether the coordinator has had none since.
+	interval  time.Duration
+	grantedAt time.Time
+	denied    bool
 	// short is set if a request that did not wait has found no token since the last report.
 	short bool
 	// own are the tokens of this VM's own entitlement while it is alone, up to ownAt.
@@ -226,6 +235,47 @@
 	return found
 }
 
+// mayAsk reports whether the VM has no token and the coordinator may have one now.
+func (h *Holder) mayAsk(now time.Time, limit Limit) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a, l := h.holding(now, limit)
+	return !l.alone && a.tokens == 0 && !now.Before(a.exhaustedUntil)
+}
+
+// expect returns the time until this VM has a token, and the time between further ones; ok is false
+// if the limit permits none.
+func (h *Holder) expect(now time.Time, limit Limit) (wait, interval time.Duration, ok bool) {
+	if limit.Rate <= 0 {
+		return 0, 0, false
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a, l := h.holding(now, limit)
+	if l.alone {
+		return h.expectOwn(now, a)
+	}
+	interval = max(a.interval, perToken(limit.Rate))
+	if a.tokens > 0 {
+		return 0, interval, true
+	}
+	return max(0, a.exhaustedUntil.Sub(now)), interval, true
+}
+
+// expectOwn is expect for a VM that uses its own entitlement.
+func (h *Holder) expectOwn(now time.Time, a *holding) (wait, interval time.Duration, ok bool) {
+	h.accrueOwn(now, a)
+	rate := h.bounds.allowanceFor(a.limit).rate / float64(max(1, h.fleet()))
+	if rate <= 0 {
+		return 0, 0, false
+	}
+	interval = perToken(rate)
+	return time.Duration(max(0, 1-a.own) * float64(interval)), interval, true
+}
+
+// perToken returns the time between two tokens at a rate in tokens per second.
+func perToken(rate float64) time.Duration { return time.Duration(float64(time.Second) / rate) }
+
 func (h *Holder) holding(now time.Time, limit Limit) (*holding, *link) {
 	a := h.holdings[limit.ID]
 	if a == nil {
@@ -455,7 +505,22 @@
 	case g.unknown:
 		a.decideAll(decision{Undecided, unknownRetryAfter})
 	case g.wait > 0 && a.tokens == 0:
-		a.exhaustedUntil = now.Add(g.wait)
+		a.exhaustedUntil, a.denied = now.Add(g.wait), true
 		a.decideAll(decision{Exceeded, g.wait})
+	case g.tokens > 0:
+		a.measureInterval(now, g.tokens)
+	}
+}
+
+// measureInterval updates the expected time between tokens when some have come.
+func (a *holding) measureInterval(now time.Time, tokens int) {
+	since := now.Sub(a.grantedAt) / time.Duration(tokens)
+	switch {
+	case !a.denied:
+		// The coordinator had tokens at once, so there may be more.
+		a.interval -= time.Duration(grantWeight * float64(a.interval))
+	case !a.grantedAt.IsZero():
+		a.interval += time.Duration(intervalWeight * float64(min(since, maxPromise)-a.interval))
 	}
+	a.grantedAt, a.denied = now, false
 }
--- a/edge/quota/pool.go
+++ b/edge/quota/pool.go
@@ -21,6 +21,14 @@
 	// minWait and maxWait bound the time after which a VM asks for an exhausted account again.
 	minWait = 50 * time.Millisecond
 	maxWait = 700 * time.Millisecond
+	// minPromise and maxPromise bound the time after which a VM asks again that holds no token.
+	minPromise = 10 * time.Millisecond
+	maxPromise = 30 * time.Second
+	// minPledged is the least share of the fleet that promises assume: a new coordinator has not heard
+	// of all VMs yet.
+	minPledged = 0.5
+	// claimTimeout is how long a token is kept for a VM after the time that it was promised for.
+	claimTimeout = 500 * time.Millisecond
 )
 
 // Pool is the coordinator's side: it collects the entitlements of VMs and grants tokens for them.
@@ -36,6 +44,8 @@
 	fleet func() int
 	// reserved is the share of the stored tokens that is kept for requests that wait.
 	reserved float64
+	// promises is set if VMs that get no token in advance are told when to ask for the next one.
+	promises bool
 
 	mu sync.Mutex
 	// minted is the sum of all entitlements received, in seconds.
@@ -57,6 +67,8 @@
 	// denied counts the VMs that got no token for a request since deniedAt.
 	denied   int
 	deniedAt time.Time
+	// promisedUntil is when the first token is due that is promised to no VM.
+	promisedUntil time.Time
 	// askedAt is when a VM last reported the account.
 	askedAt time.Time
 }
@@ -68,6 +80,8 @@
 	// entitled is set if the last report had an entitlement.
 	entitled bool
 	held     map[uint32]int
+	// promised is when the VM may ask again for a token.
+	promised map[uint32]time.Time
 	// unacknowledged are grants in advance that the VM may not have received, by sequence number.
 	unacknowledged []sentGrants
 }
@@ -97,7 +111,7 @@
 	if vm == nil || vm.incarnation != m.incarnation {
 		// A VM that has restarted has lost what it held.
 		p.drop(vm)
-		vm = &holderRecord{incarnation: m.incarnation, held: make(map[uint32]int)}
+		vm = &holderRecord{incarnation: m.incarnation, held: make(map[uint32]int), promised: make(map[uint32]time.Time)}
 		p.vms[m.vm] = vm
 	}
 	vm.sequence, vm.reportedAt, vm.entitled = m.sequence, now, m.entitlement > 0
@@ -173,13 +187,17 @@
 		}
 		needed := min(report.needed, int(a.tokens))
 		surplus := int(a.tokens-p.reserved*allowed.stored*pledged) - needed
-		advance := max(0, min(report.wanted, surplus))
+		advance := max(0, min(report.wanted, surplus-p.promisedBefore(now, vm, report.id)))
 		a.tokens -= float64(needed + advance)
 		g := grant{id: report.id, tokens: needed + advance}
 		if needed < report.needed {
 			g.wait = a.deny(now, allowed.rate*pledged)
 		}
+		if p.promises && report.held+needed+advance == 0 {
+			g.wait = p.promise(now, vm, a, report.id, allowed.rate*max(pledged, minPledged))
+		}
 		if advance > 0 {
+			delete(vm.promised, report.id)
 			sent.tokens[report.id] = advance
 		}
 		r.grants = append(r.grants, g)
@@ -213,6 +231,47 @@
 	return min(max(time.Duration(seconds*float64(time.Second)), minWait), maxWait)
 }
 
+// promise returns the time until a VM that holds no token should ask again. VMs are promised one
+// token after the other, so that each asks when there is one.
+func (p *Pool) promise(now time.Time, vm *holderRecord, a *pooled, id uint32, rate float64) time.Duration {
+	if at, promised := vm.promised[id]; promised && now.Sub(at) < claimTimeout {
+		return max(at.Sub(now), minPromise)
+	}
+	if rate <= 0 {
+		return maxPromise
+	}
+	// Entitlements come up to a report interval after their time.
+	at := now.Add(time.Duration(max(0, 1-a.tokens)*float64(perToken(rate))) + min(reportInterval, perToken(rate))/2)
+	if a.promisedUntil.After(at) {
+		at = a.promisedUntil
+	}
+	if latest := now.Add(maxPromise); at.After(latest) {
+		at = latest
+	}
+	a.promisedUntil = at.Add(perToken(rate))
+	vm.promised[id] = at
+	return max(at.Sub(now), minPromise)
+}
+
+// promisedBefore returns how many tokens are kept for other VMs: those that were promised to them
+// before this VM's, or that are due, and that they have not asked for yet.
+func (p *Pool) promisedBefore(now time.Time, vm *holderRecord, id uint32) (kept int) {
+	if !p.promises {
+		return 0
+	}
+	until, promised := vm.promised[id]
+	if !promised {
+		until = now
+	}
+	for _, other := range p.vms {
+		at, ok := other.promised[id]
+		if ok && other != vm && at.Before(until) && now.Sub(at) < claimTimeout {
+			kept++
+		}
+	}
+	return kept
+}
+
 // pledgedShare returns the part of the fleet that sends its entitlements to this pool.
 func (p *Pool) pledgedShare(now time.Time) float64 {
 	n := 0
--- a/edge/quota/quota.go
+++ b/edge/quota/quota.go
@@ -37,6 +37,8 @@
 	shortageReportInterval = 200 * time.Millisecond
 	// minReportGap is the shortest time between two reports to a coordinator.
 	minReportGap = 20 * time.Millisecond
+	// minAskGap replaces minReportGap for a request that is refused unless a token comes soon.
+	minAskGap = 5 * time.Millisecond
 	// coordinatorTimeout is how long a report may stay unanswered, besides the round trip, before
 	// another coordinator is used, and avoidDuration how long the first one is then avoided.
 	coordinatorTimeout = 300 * time.Millisecond
@@ -158,6 +160,19 @@
 // Want records that there is a request under a limit, so that tokens are asked for.
 func (q *Quota) Want(l Limit) { q.holder.want(q.options.Now(), l) }
 
+// Ask asks for a token at once if the VM has none and the coordinator may have one.
+func (q *Quota) Ask(l Limit) {
+	if q.holder.mayAsk(q.options.Now(), l) {
+		q.reportIfDue(int(l.ID)%q.holder.groups(), minAskGap)
+	}
+}
+
+// Expect returns the time until this VM is expected to have a token under a limit, and the time
+// between further ones; ok is false if the limit permits none.
+func (q *Quota) Expect(l Limit) (wait, interval time.Duration, ok bool) {
+	return q.holder.expect(q.options.Now(), l)
+}
+
 // Return restores the token of a request that did not run.
 func (q *Quota) Return(a *site.Account) {
 	if a.Rate > 0 {
@@ -281,7 +296,7 @@
 	if p == nil {
 		p = NewPool(q.options.Bounds, q.options.Limit, q.options.Fleet)
 		if q.options.Immediate {
-			p.reserved = 0
+			p.reserved, p.promises = 0, true
 		}
 		q.pools[key] = p
 	}
