placing: a request without a permit uses a free target of another region

What callers saw: with an idle target without a limit in the same service, some requests got 503, most after 0.4 to 0.7 s.

Cause, by reading and the test: the region of a request is chosen by weight and key before its targets are looked at. If all targets of that region are limited, the request waited there for a permit, and was refused, whatever was free in other regions that it may use.

Change: without a permit, at once and while it waits, a request goes to the nearest region that it may use and that has a target with a free slot.

Evidence: TestRequestUsesFreeTargetOfOtherRegionWithoutPermit failed before, 'want the idle target' (the request waited), and passes now.

--- a/edge/placing/balancer.go
+++ b/edge/placing/balancer.go
@@ -88,6 +88,11 @@
 	if d, ok := b.assign(now, s, r, region); ok {
 		return d, nil
 	}
+	if _, limited := s.permitsOf(now, region, r); limited {
+		if d, ok := b.elsewhere(now, s, r, region); ok {
+			return d, nil
+		}
+	}
 	if rejection, late := b.rejectLate(now, s, r, region); late {
 		return rejection, nil
 	}
--- a/edge/placing/permits.go
+++ b/edge/placing/permits.go
@@ -1,6 +1,9 @@
 package placing
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// maxPermitWait bounds the estimated wait for a target whose rate is limited.
@@ -106,3 +109,31 @@
 	}
 	return wait
 }
+
+// elsewhere assigns a request to a target with a free slot in another region, the nearest first. A
+// request must not wait for a permit while there is one.
+func (b *Balancer) elsewhere(now time.Time, s *service, r *Request, region string) (Decision, bool) {
+	best, nearest := "", time.Duration(math.MaxInt64)
+	for other := range s.regions {
+		if other == region || !r.allows(other) || !s.hasFreeTarget(now, other, r) {
+			continue
+		}
+		if rtt := b.options.RTT(other); rtt < nearest || rtt == nearest && other < best {
+			best, nearest = other, rtt
+		}
+	}
+	if best == "" {
+		return Decision{}, false
+	}
+	return b.assign(now, s, r, best)
+}
+
+// hasFreeTarget reports whether a target of a region accepts a request without a wait.
+func (s *service) hasFreeTarget(now time.Time, region string, r *Request) bool {
+	for _, t := range s.regions[region] {
+		if !r.tried(t) && !t.full() && t.canAccept(now) {
+			return true
+		}
+	}
+	return false
+}
--- a/edge/placing/ratelimit_test.go
+++ b/edge/placing/ratelimit_test.go
@@ -108,3 +108,39 @@
 		}
 	}
 }
+
+// A request must not wait for a permit of its region's only target while one of another region is
+// idle, nor when that becomes free later.
+func TestRequestUsesFreeTargetOfOtherRegionWithoutPermit(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := New(Options{
+		VM: "vm", Zone: "a1", Region: "a", RegionOf: map[string]string{"a1": "a", "b1": "b"},
+		RTT: func(string) time.Duration { return time.Millisecond },
+	})
+	idle := listing("t2")
+	idle.Zone, idle.Slots = "b1", 1
+	b.SetTargets(now, services(0), []TargetSpec{listing("t1"), idle}, nil)
+	limitTarget(b, now, "t1", &fakeLimit{rate: 100})
+	class := NewClass(100 * time.Millisecond)
+	for i := range 20 {
+		d, w := b.Place(now, keyRequest(now, class, uint64(i)*0x9e3779b97f4a7c15))
+		if w != nil || d.Target == nil || d.Target.ID != "t2" {
+			t.Fatalf("request %d: %+v, want the idle target", i, d)
+		}
+		b.Done(now, d, class, Answered, 10*time.Millisecond)
+	}
+	running, _ := b.Place(now, request(now, class))
+	_, w := b.Place(now, request(now, class))
+	if w == nil {
+		t.Fatal("a request does not wait though it has neither a permit nor a free target")
+	}
+	b.Done(now.Add(10*time.Millisecond), running, class, Answered, 10*time.Millisecond)
+	select {
+	case d := <-w.Decided():
+		if d.Target == nil || d.Target.ID != "t2" {
+			t.Errorf("%+v, want the target that became free", d)
+		}
+	default:
+		t.Error("the request still waits beside a free target")
+	}
+}
--- a/edge/placing/serve.go
+++ b/edge/placing/serve.go
@@ -55,6 +55,9 @@
 		return d, true
 	}
 	if p, limited := s.permitsOf(now, w.region, w.request); limited {
+		if d, ok := b.elsewhere(now, s, w.request, w.region); ok {
+			return d, true
+		}
 		return b.rejectWithoutPermit(now, s, w.request, w.region, p, ahead, p.wait(ahead.requests), w.latestEnd)
 	}
 	return b.rejectIfLate(now, s, w.request, w.region, ahead, w.latestEnd)
