platform, gateway: a malformed limit does not withdraw the one in force

Found by reading: a field of a target's answer that held no number counted as no limit, and an answer without a limit withdraws it, so one malformed answer let all VMs send as they like.

Change: the decoder returns an error, which is logged once a second at most.

--- a/edge/entry/targetlimits_test.go
+++ b/edge/entry/targetlimits_test.go
@@ -26,9 +26,12 @@
 )
 
 // statedLimit reads the limit of the tests' targets.
-func statedLimit(h http.Header) (float64, bool) {
-	rate, err := strconv.ParseFloat(h.Get("X-Limit"), 64)
-	return rate, err == nil
+func statedLimit(h http.Header) (rate float64, stated bool, err error) {
+	if h["X-Limit"] == nil {
+		return 0, false, nil
+	}
+	rate, err = strconv.ParseFloat(h.Get("X-Limit"), 64)
+	return rate, err == nil, err
 }
 
 // limitedTarget is a target that may state a limit and records when requests arrive.
--- a/edge/gateway/gateway.go
+++ b/edge/gateway/gateway.go
@@ -94,6 +94,8 @@
 	maxConnections atomic.Pointer[map[string]int]
 	leaving        atomic.Bool
 	losses         *losses
+	// malformedLimitAt is when a malformed limit was last logged.
+	malformedLimitAt atomic.Pointer[time.Time]
 
 	mu sync.Mutex
 	// pools is keyed by poolKey.
--- a/edge/gateway/targetlimit.go
+++ b/edge/gateway/targetlimit.go
@@ -22,8 +22,11 @@
 }
 
 // StatedLimit returns the limit that a target states in an answer, in requests per second of all
-// VMs together, and false if it states none.
-type StatedLimit func(h http.Header) (rate float64, stated bool)
+// VMs together, and false if it states none. It returns an error if what it states is no limit.
+type StatedLimit func(h http.Header) (rate float64, stated bool, err error)
+
+// malformedLogInterval is the shortest time between two log lines on malformed limits.
+const malformedLogInterval = time.Second
 
 // limitTime returns the time by which answers are ordered that may state limits.
 func (g *Gateway) limitTime() time.Time {
@@ -39,7 +42,11 @@
 	if g.options.StatedLimit == nil {
 		return
 	}
-	rate, stated := g.options.StatedLimit(answer.Header)
+	rate, stated, err := g.options.StatedLimit(answer.Header)
+	if err != nil {
+		g.logMalformedLimit(t, err)
+		return
+	}
 	if !stated && answer.Header.Get(g.options.Fields.Stamp) == "" {
 		return
 	}
@@ -47,7 +54,17 @@
 	if g.options.TargetLimits.Observe(o, sentAt) {
 		g.options.Logger.WithFields(logrus.Fields{
 			"target": t.ID, "target_id": o.Target, "service": t.Service, "limited": stated, "rate": rate,
-		}).
-			Info("gateway: target changed its limit")
+		}).Info("gateway: target changed its limit")
+	}
+}
+
+// logMalformedLimit logs that an answer states a limit that is none. The last limit stays in force.
+func (g *Gateway) logMalformedLimit(t *placing.Target, err error) {
+	now := g.limitTime()
+	last := g.malformedLimitAt.Load()
+	if last != nil && now.Sub(*last) < malformedLogInterval || !g.malformedLimitAt.CompareAndSwap(last, &now) {
+		return
 	}
+	g.options.Logger.WithError(err).WithFields(logrus.Fields{"target": t.ID, "service": t.Service}).
+		Warn("gateway: target states a malformed limit")
 }
