placing: probes of a limited target take a token

The limit of a target holds for all requests, and a probe is one. An ejected target was probed without a token by each VM.

Evidence: TestProbeTakesPermit failed before ('1 probes without a permit') and passes.

--- a/edge/placing/probe.go
+++ b/edge/placing/probe.go
@@ -14,7 +14,7 @@
 	var due []*Target
 	for _, s := range b.services {
 		for _, t := range s.targets {
-			if t.usable && t.needsProbe && !now.Before(t.ejectedUntil) {
+			if t.usable && t.needsProbe && !now.Before(t.ejectedUntil) && t.takePermit() {
 				t.ejectedUntil = now.Add(probeInterval)
 				due = append(due, t)
 			}
@@ -23,6 +23,18 @@
 	return due
 }
 
+// takePermit takes one request from the limit that the target has stated, if any.
+func (t *Target) takePermit() bool {
+	if t.limit == nil {
+		return true
+	}
+	if !t.limit.Ready() {
+		t.limit.Want()
+		return false
+	}
+	return t.limit.Use()
+}
+
 // RecordProbe records the result of a probe and readmits the target if it is healthy.
 // coldFor is the remaining cold period that the target reported.
 func (b *Balancer) RecordProbe(now time.Time, t *Target, healthy bool, coldFor time.Duration) {
--- a/edge/placing/ratelimit_test.go
+++ b/edge/placing/ratelimit_test.go
@@ -144,3 +144,24 @@
 		t.Error("the request still waits beside a free target")
 	}
 }
+
+// A probe of an ejected target is a request of its limit too.
+func TestProbeTakesPermit(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b, class := newFourTargetBalancer(now, "vm"), NewClass(time.Second)
+	limit := &fakeLimit{rate: 2, tokens: 1}
+	limitTarget(b, now, "t1", limit)
+	d, _ := b.Place(now, request(now, class))
+	for d.Target.ID != "t1" {
+		d, _ = b.Place(now, request(now, class))
+	}
+	b.Done(now, d, class, Unreachable, 0)
+	later := now.Add(maxEjection)
+	if due := b.DueProbes(later); len(due) != 0 || limit.wanted == 0 {
+		t.Errorf("%d probes without a permit, wanted %d times", len(due), limit.wanted)
+	}
+	limit.tokens = 1
+	if due := b.DueProbes(later); len(due) != 1 || limit.tokens != 0 {
+		t.Errorf("%d probes with a permit, %d permits left", len(due), limit.tokens)
+	}
+}
