entry, placing, account: metrics and causes of limits of targets

On call could not tell a request that was refused for want of a token from one that found all slots taken, nor see rate, age, tokens and requests of a limited target.

No decision changes.

--- a/edge/entry/limitload_test.go
+++ b/edge/entry/limitload_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/yuccaroute/yuccaroute/api/clock"
 	"github.com/yuccaroute/yuccaroute/edge/placing"
@@ -82,7 +83,7 @@
 	vm.balancer = e.balancer
 	target := site.Target{ID: "t", Service: "s", Address: "t:1", Zone: "z", Slots: loadSlots}
 	vm.balancer.SetTargets(started, map[string]site.Service{"s": {Name: "s"}}, []placing.TargetSpec{{Target: target}}, nil)
-	limit := &targetLimit{quota: vm.quota, limit: quota.Limit{ID: quota.IDOf("t"), Rate: l.rate}}
+	limit := &targetLimit{quota: vm.quota, limit: quota.Limit{ID: quota.IDOf("t"), Rate: l.rate}, metrics: newLimitMetrics(tally.NoopScope).of("t")}
 	vm.balancer.SetRateLimits(started, func(*placing.Target) placing.RateLimit { return limit })
 	return vm
 }
--- a/edge/entry/targetlimits.go
+++ b/edge/entry/targetlimits.go
@@ -37,6 +37,9 @@
 	// regions are all regions, sorted. Their index identifies them in messages.
 	regions []string
 	quotas  []*regionQuota
+	metrics *limitMetrics
+	// current are the limits in force that have metrics.
+	current atomic.Pointer[[]*targetLimit]
 	// limited is the number of targets with a limit.
 	limited atomic.Int32
 	// started is the origin of the times that are kept as durations.
@@ -63,7 +66,7 @@
 
 func newTargetLimits(e *Entry) *targetLimits {
 	now := e.contact.clock.Now()
-	l := &targetLimits{entry: e, log: e.component("targetlimits"), fleet: quota.NewFleet(now), started: now}
+	l := &targetLimits{entry: e, log: e.component("targetlimits"), fleet: quota.NewFleet(now), started: now, metrics: newLimitMetrics(e.metrics.Scope)}
 	l.table = ratelimit.New(now, l.apply)
 	for _, region := range e.options.RegionOf {
 		if !slices.Contains(l.regions, region) {
@@ -121,6 +124,8 @@
 func (l *targetLimits) apply(limits map[uint32]float64) {
 	l.limited.Store(int32(len(limits)))
 	l.entry.gatewayMetrics.setTargetLimits(len(limits))
+	l.metrics.clear()
+	var current []*targetLimit
 	l.entry.balancer.SetRateLimits(time.Now(), func(t *placing.Target) placing.RateLimit {
 		id := quota.IDOf(t.ID)
 		rate, limited := limits[id]
@@ -128,8 +133,29 @@
 		if !limited || !known {
 			return nil
 		}
-		return &targetLimit{quota: l.quotas[region], limit: quota.Limit{ID: id, Rate: rate}}
+		limit := &targetLimit{quota: l.quotas[region], limit: quota.Limit{ID: id, Rate: rate}, metrics: l.metrics.of(t.ID)}
+		limit.metrics.rate.Update(rate)
+		current = append(current, limit)
+		return limit
 	})
+	// The balancer calls the function above for later targets too.
+	current = slices.Clip(current)
+	inForce := current
+	l.current.Store(&inForce)
+}
+
+// updateMetrics updates the gauges of the limits in force.
+func (l *targetLimits) updateMetrics(now time.Time) {
+	current := l.current.Load()
+	if current == nil {
+		return
+	}
+	for _, limit := range *current {
+		limit.metrics.tokens.Update(float64(limit.quota.Held(limit.limit)))
+		if at, known := l.table.ObservedAt(limit.limit.ID); known {
+			limit.metrics.age.Update(now.Sub(at).Seconds())
+		}
+	}
 }
 
 // maintain runs the periodic work.
@@ -143,6 +169,7 @@
 	if l.limited.Load() == 0 {
 		return
 	}
+	l.updateMetrics(now)
 	for _, q := range l.quotas {
 		if q.local || !q.isIdle(now) {
 			q.Tick()
@@ -204,8 +231,9 @@
 
 // targetLimit implements placing.RateLimit for one target.
 type targetLimit struct {
-	quota *regionQuota
-	limit quota.Limit
+	quota   *regionQuota
+	limit   quota.Limit
+	metrics *targetLimitMetrics
 	// wantedUntil is up to when further requests count as the same demand, in nanoseconds since
 	// targetLimits.started.
 	wantedUntil atomic.Int64
@@ -217,7 +245,11 @@
 
 func (t *targetLimit) Use() bool {
 	t.quota.usedAt.Store(t.quota.limits.sinceStart(t.quota.limits.Now()))
-	return t.quota.Use(t.limit)
+	used := t.quota.Use(t.limit)
+	if used {
+		t.metrics.sent.Inc(1)
+	}
+	return used
 }
 
 func (t *targetLimit) Expect() (wait, interval time.Duration, ok bool) {
@@ -227,6 +259,7 @@
 func (t *targetLimit) Want() {
 	if t.wantIsDue(t.quota.limits.Now()) {
 		t.quota.Want(t.limit)
+		t.metrics.short.Inc(1)
 	}
 	t.quota.Ask(t.limit)
 }
--- a/edge/logs/account/cause.go
+++ b/edge/logs/account/cause.go
@@ -28,6 +28,8 @@
 	SlotsFree Cause = "refused: slots were free"
 	// SlotsTaken: nearly all slots were taken.
 	SlotsTaken Cause = "refused: slots were taken"
+	// TargetsLimited: limits that targets state permitted no request in time.
+	TargetsLimited Cause = "refused: limits of targets"
 	// NoTarget: no target was eligible.
 	NoTarget Cause = "refused: no target"
 	// NotServing: the VM was shutting down or had no configuration yet.
@@ -83,6 +85,8 @@
 	switch {
 	case e.Why == "no target" || e.Result == "no-target":
 		return NoTarget
+	case e.Why == "no permit":
+		return TargetsLimited
 	case e.Result != "queue-full" || e.Slots == 0:
 		return RefusedUnexplained
 	case float64(e.InFlight) < (1-freeSlotShare)*float64(e.Slots):
--- a/edge/placing/balancer.go
+++ b/edge/placing/balancer.go
@@ -147,7 +147,7 @@
 	if !now.Add(expected).After(latestEnd) {
 		return Decision{}, false
 	}
-	return s.rejection(now, region, retryAfter(wait), expected), true
+	return s.rejection(now, TooLate, region, retryAfter(wait), expected), true
 }
 
 // rejectWithoutPermit rejects a request that would wait too long for a permit, and tells when there
@@ -157,15 +157,15 @@
 	if !now.Add(expected).After(latestEnd) {
 		return Decision{}, false
 	}
-	return s.rejection(now, region, s.returnsTo(region).next(now, p, before.requests, r.Deadline), expected), true
+	return s.rejection(now, NoPermit, region, s.returnsTo(region).next(now, p, before.requests, r.Deadline), expected), true
 }
 
 // rejection returns a rejection for lack of capacity, with the region's load for the log.
-func (s *service) rejection(now time.Time, region string, retryAfter, expected time.Duration) Decision {
+func (s *service) rejection(now time.Time, reason Reason, region string, retryAfter, expected time.Duration) Decision {
 	s.rejectedAt = now
 	l := s.loadOf(now, region)
 	return Decision{
-		Reason: TooLate, Region: region, RetryAfter: retryAfter, Expected: expected, Slots: int(l.slots), InFlight: l.inFlight,
+		Reason: reason, Region: region, RetryAfter: retryAfter, Expected: expected, Slots: int(l.slots), InFlight: l.inFlight,
 	}
 }
 
--- a/edge/placing/request.go
+++ b/edge/placing/request.go
@@ -76,12 +76,17 @@
 	NoTarget Reason = iota + 1
 	// TooLate: the request would end too late.
 	TooLate
+	// NoPermit: it would end too late, as limits of targets permit no request in time.
+	NoPermit
 )
 
 // String implements fmt.Stringer.
 func (r Reason) String() string {
-	if r == NoTarget {
+	switch r {
+	case NoTarget:
 		return "no target"
+	case NoPermit:
+		return "no permit"
 	}
 	return "too late"
 }
--- a/edge/quota/holder.go
+++ b/edge/quota/holder.go
@@ -243,6 +243,14 @@
 	return !l.alone && a.tokens == 0 && !now.Before(a.exhaustedUntil)
 }
 
+// held returns the number of tokens under a limit.
+func (h *Holder) held(now time.Time, limit Limit) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a, _ := h.holding(now, limit)
+	return a.tokens
+}
+
 // expect returns the time until this VM has a token, and the time between further ones; ok is false
 // if the limit permits none.
 func (h *Holder) expect(now time.Time, limit Limit) (wait, interval time.Duration, ok bool) {
--- a/edge/quota/quota.go
+++ b/edge/quota/quota.go
@@ -167,6 +167,9 @@
 	}
 }
 
+// Held returns the number of tokens that this VM holds under a limit.
+func (q *Quota) Held(l Limit) int { return q.holder.held(q.options.Now(), l) }
+
 // Expect returns the time until this VM is expected to have a token under a limit, and the time
 // between further ones; ok is false if the limit permits none.
 func (q *Quota) Expect(l Limit) (wait, interval time.Duration, ok bool) {
--- a/edge/ratelimit/ratelimit.go
+++ b/edge/ratelimit/ratelimit.go
@@ -135,6 +135,14 @@
 	return o.Rate, known && o.Limited
 }
 
+// ObservedAt returns when the answer came that the observation of a target is from.
+func (t *Table) ObservedAt(target uint32) (at time.Time, known bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	o, known := t.targets[target]
+	return o.At, known
+}
+
 // Expire drops observations that have become too old.
 func (t *Table) Expire(now time.Time) {
 	if t.known.Load() == 0 {
