placing: callers of cold targets are soon sent to another VM

Change: only limits that targets state make callers return in turn; a VM that may not send to a cold target expects a permit when it is warm.

--- a/edge/placing/balancer.go
+++ b/edge/placing/balancer.go
@@ -132,7 +132,7 @@
 	before := s.queue.backlog(r, region, now)
 	if p, limited := s.permitsOf(now, region, r); limited {
 		wait := time.Duration(permitMargin * float64(p.wait(before.requests)))
-		if claimed, pending := s.returnsTo(region).claim(now); pending && !claimed {
+		if claimed, pending := s.returnsTo(region).claim(now); p.stated && pending && !claimed {
 			wait = maxPermitWait
 		}
 		return b.rejectWithoutPermit(now, s, r, region, p, before, wait, r.latestPermittedEnd(now))
@@ -157,7 +157,11 @@
 	if !now.Add(expected).After(latestEnd) {
 		return Decision{}, false
 	}
-	return s.rejection(now, NoPermit, region, s.returnsTo(region).next(now, p, before.requests, r.Deadline), expected), true
+	back := retryAfter(wait)
+	if p.stated {
+		back = s.returnsTo(region).next(now, p, before.requests, r.Deadline)
+	}
+	return s.rejection(now, NoPermit, region, back, expected), true
 }
 
 // rejection returns a rejection for lack of capacity, with the region's load for the log.
--- a/edge/placing/permits.go
+++ b/edge/placing/permits.go
@@ -23,6 +23,9 @@
 	// first is the time until the first request, perSecond the rate of further ones.
 	first     time.Duration
 	perSecond float64
+	// stated is set if a target has stated a limit. Otherwise other VMs may have permits: each cold
+	// target is left to a few.
+	stated bool
 }
 
 // wait returns the time until a request may be sent if others are sent before it.
@@ -51,6 +54,7 @@
 			p.perSecond += 1 / interval.Seconds()
 		}
 		limited = true
+		p.stated = p.stated || t.limit != nil
 	}
 	return p, limited
 }
@@ -59,9 +63,7 @@
 // between further ones, 0 if no rate limits it; ok is false if they permit none.
 func (t *Target) expectPermit(now time.Time) (wait, interval time.Duration, ok bool) {
 	if now.Before(t.coldUntil) {
-		if wait, interval, ok = t.cold.expect(now); !ok {
-			return 0, 0, false
-		}
+		wait, interval = t.cold.expect(now, t.coldUntil)
 	}
 	if t.limit == nil {
 		return wait, interval, true
@@ -70,13 +72,14 @@
 	return max(wait, limitWait), max(interval, limitInterval), ok
 }
 
-// expect returns the time until the next request, and the time between further ones; ok is false if
-// this VM may send none.
-func (l *coldLimiter) expect(now time.Time) (wait, interval time.Duration, ok bool) {
+// expect returns the time until the next request, and the time between further ones. A VM that may
+// send none waits until the target is no longer cold.
+func (l *coldLimiter) expect(now, coldUntil time.Time) (wait, interval time.Duration) {
 	if l.rate <= 0 {
-		return 0, 0, false
+		left := coldUntil.Sub(now)
+		return left, left
 	}
-	return max(0, l.next.Sub(now)), time.Duration(float64(time.Second) / l.rate), true
+	return max(0, l.next.Sub(now)), time.Duration(float64(time.Second) / l.rate)
 }
 
 // returns holds the times at which rejected callers have been told to come back to a region whose
--- a/edge/placing/ratelimit_test.go
+++ b/edge/placing/ratelimit_test.go
@@ -165,3 +165,19 @@
 		t.Errorf("%d probes with a permit, %d permits left", len(due), limit.tokens)
 	}
 }
+
+// A caller that finds only cold targets which this VM leaves to others must be refused at once and soon
+// try another VM.
+func TestCallerOfColdTargetSoonTriesAnotherVM(t *testing.T) {
+	const coldFor = 3 * time.Second
+	now := time.Unix(1000, 0)
+	b, class := newBalancer(now), NewClass(time.Second)
+	cold := listing("t3")
+	cold.ColdUntil, cold.ColdRemaining = now.Add(coldFor), coldFor
+	b.SetTargets(now, services(10), []TargetSpec{cold}, nil)
+	b.services[serviceName].targets["t3"].cold.rate = 0
+	d, w := b.Place(now, request(now, class))
+	if w != nil || d.Target != nil || d.RetryAfter > maxRetryAfter {
+		t.Errorf("%+v, queued %v; want a refusal that tells to return within %s", d, w != nil, maxRetryAfter)
+	}
+}
