soak: limits that shrink, grow, are malformed or are stated by a whole service

After the faults all targets of the service state 10 a second, then 1 while requests wait, then a malformed limit; each gets at most 11 in 4 s and at least one. Counted at the targets.

Not drawn: suspensions and steps of the clock, which need privileges; targets at the address of one that is gone.

--- a/integration/soak/limits_test.go
+++ b/integration/soak/limits_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/yuccaroute/yuccaroute/platform/platformtest"
 )
 
 const (
@@ -53,6 +55,9 @@
 	defer stop()
 	w.askWithAllKeys(ctx, &all)
 	target := w.targets[limitedTarget]
+	for _, other := range w.targets {
+		other.SetLimit(0)
+	}
 	w.limitTarget()
 	time.Sleep(contactTime)
 	from := time.Now()
@@ -71,6 +76,62 @@
 	}
 }
 
+// limitedService returns the targets of the limited target's service.
+func (w *world) limitedService() (targets []*platformtest.Target) {
+	for _, target := range w.targets {
+		if target.Service == w.targets[limitedTarget].Service {
+			targets = append(targets, target)
+		}
+	}
+	return targets
+}
+
+// changeLimits changes the limit of one target, or of all targets of its service.
+func (w *world) changeLimits() {
+	targets := w.limitedService()
+	if w.random.IntN(2) == 0 {
+		targets = targets[:1]
+	}
+	text := []string{"", "0.5", "1", "10", "100", "many"}[w.random.IntN(6)]
+	w.faults["limit "+text]++
+	for _, target := range targets {
+		target.SetLimitText(text)
+	}
+}
+
+// checkChangedLimits lets all targets of a service state a limit and then a tenth of it while
+// requests wait, and then a malformed one, and checks that the lowest holds until it is withdrawn.
+func (w *world) checkChangedLimits() {
+	if w.seed < changingLimitSeeds {
+		return
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	var all sync.WaitGroup
+	defer all.Wait()
+	defer stop()
+	w.askWithAllKeys(ctx, &all)
+	targets := w.limitedService()
+	state := func(text string, lasts time.Duration) {
+		for _, target := range targets {
+			target.SetLimitText(text)
+		}
+		time.Sleep(lasts)
+	}
+	state(fmt.Sprint(targetRate), contactTime)
+	const shrunkRate = targetRate / 10
+	state(fmt.Sprint(shrunkRate), contactTime+targetWindow)
+	from := time.Now()
+	time.Sleep(2 * targetWindow)
+	state("many", targetWindow)
+	const allowed = targetFactor*shrunkRate*4 + targetSlack
+	for i, target := range targets {
+		if most := mostSince(target.Arrivals(), from); float64(most) > allowed || most == 0 {
+			w.t.Errorf("target %d got %d requests in %s, at least 1 and at most %v allowed", i, most, targetWindow, float64(allowed))
+		}
+	}
+	state("", 0)
+}
+
 // askWithAllKeys sends requests with all affinity keys, as those of other callers may belong to other
 // targets.
 func (w *world) askWithAllKeys(ctx context.Context, all *sync.WaitGroup) {
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -39,6 +39,8 @@
 	accountSeeds = 6000
 	// limitSeeds are those from which on a target limits the requests of all VMs.
 	limitSeeds = 7000
+	// changingLimitSeeds are those from which on several targets change their limits.
+	changingLimitSeeds = 8000
 	// healTime is how long a VM may take to serve after all faults have ended.
 	healTime = 30 * time.Second
 )
@@ -76,6 +78,11 @@
 	soak(t, buildEntry(t), limitSeeds)
 }
 
+// The same with limits that shrink, grow, are malformed or are stated by all targets of a service.
+func TestSoakOfChangingLimits(t *testing.T) {
+	soak(t, buildEntry(t), changingLimitSeeds)
+}
+
 // world is the processes and stand-ins of one run.
 type world struct {
 	t        *testing.T
@@ -123,6 +130,7 @@
 	w.waitServing("after all faults")
 	bad.check()
 	w.checkTargetLimit()
+	w.checkChangedLimits()
 	stop()
 	all.Wait()
 	w.check(seen)
@@ -229,6 +237,9 @@
 	if w.seed >= limitSeeds {
 		harms = append(harms, harm{"limit withdrawn or stated", w.toggleLimit})
 	}
+	if w.seed >= changingLimitSeeds {
+		harms = append(harms, harm{"limits changed", w.changeLimits})
+	}
 	if w.seed >= accountSeeds {
 		harms = append(harms, harm{"key moved", func() { w.keyGone = !w.keyGone; w.configure() }})
 	}
