placing: a high limit does not hide that all slots are taken

With a limit above what the slots take, or cold targets of a service without a rate for them, requests waited in vain.

Change: the wait is the longer one of that for a slot and that for a permit, from one function for new and queued requests.

--- a/edge/placing/balancer.go
+++ b/edge/placing/balancer.go
@@ -129,47 +129,38 @@
 
 // rejectLate rejects a request that would end too late if it were queued.
 func (b *Balancer) rejectLate(now time.Time, s *service, r *Request, region string) (Decision, bool) {
-	before := s.queue.backlog(r, region, now)
-	if p, limited := s.permitsOf(now, region, r); limited {
-		wait := time.Duration(permitMargin * float64(p.wait(before.requests)))
-		if claimed, pending := s.returnsTo(region).claim(now); p.stated && pending && !claimed {
-			wait = maxPermitWait
-		}
-		return b.rejectWithoutPermit(now, s, r, region, p, before, wait, r.latestPermittedEnd(now))
+	w := s.estimateWait(now, r, region, s.queue.backlog(r, region, now), permitMargin)
+	if !w.limited {
+		return b.rejectAfter(now, s, r, w, r.latestEnd())
 	}
-	return b.rejectIfLate(now, s, r, region, before, r.latestEnd())
-}
-
-// rejectIfLate rejects a request that would end too late behind others.
-func (b *Balancer) rejectIfLate(now time.Time, s *service, r *Request, region string, before backlog, latestEnd time.Time) (Decision, bool) {
-	wait := time.Duration(float64(before.work) / s.slotShare(now, region))
-	expected := wait + r.serviceTime() + b.options.RTT(region)
-	if !now.Add(expected).After(latestEnd) {
-		return Decision{}, false
+	if claimed, pending := s.returnsTo(region).claim(now); w.permits.stated && pending && !claimed {
+		w.wait = maxPermitWait
 	}
-	return s.rejection(now, TooLate, region, retryAfter(wait), expected), true
+	return b.rejectAfter(now, s, r, w, r.latestPermittedEnd(now))
 }
 
-// rejectWithoutPermit rejects a request that would wait too long for a permit, and tells when there
-// is one for it.
-func (b *Balancer) rejectWithoutPermit(now time.Time, s *service, r *Request, region string, p permits, before backlog, wait time.Duration, latestEnd time.Time) (Decision, bool) {
-	expected := wait + r.serviceTime() + b.options.RTT(region)
+// rejectAfter rejects a request that would end too late after a wait.
+func (b *Balancer) rejectAfter(now time.Time, s *service, r *Request, w queueWait, latestEnd time.Time) (Decision, bool) {
+	expected := w.wait + r.serviceTime() + b.options.RTT(w.region)
 	if !now.Add(expected).After(latestEnd) {
 		return Decision{}, false
 	}
-	back := retryAfter(wait)
-	if p.stated {
-		back = s.returnsTo(region).next(now, p, before.requests, r.Deadline)
+	d := s.rejection(now, w.region, retryAfter(w.wait), expected)
+	if w.limited {
+		d.Reason = NoPermit
+	}
+	if w.permits.stated {
+		d.RetryAfter = s.returnsTo(w.region).next(now, w.permits, w.before.requests, r.Deadline)
 	}
-	return s.rejection(now, NoPermit, region, back, expected), true
+	return d, true
 }
 
 // rejection returns a rejection for lack of capacity, with the region's load for the log.
-func (s *service) rejection(now time.Time, reason Reason, region string, retryAfter, expected time.Duration) Decision {
+func (s *service) rejection(now time.Time, region string, retryAfter, expected time.Duration) Decision {
 	s.rejectedAt = now
 	l := s.loadOf(now, region)
 	return Decision{
-		Reason: reason, Region: region, RetryAfter: retryAfter, Expected: expected, Slots: int(l.slots), InFlight: l.inFlight,
+		Reason: TooLate, Region: region, RetryAfter: retryAfter, Expected: expected, Slots: int(l.slots), InFlight: l.inFlight,
 	}
 }
 
--- a/edge/placing/balancer_test.go
+++ b/edge/placing/balancer_test.go
@@ -279,7 +279,7 @@
 	if got := b.shiftRate(now, s); got != baseShiftRate {
 		t.Errorf("shift rate %v per second without rejections", got)
 	}
-	s.rejection(now, TooLate, "a", 0, 0)
+	s.rejection(now, "a", 0, 0)
 	if got := b.shiftRate(now, s); got != rejectionShiftRate || got*window >= maxShift {
 		t.Errorf("shift rate %v per second after a rejection", got)
 	}
--- a/edge/placing/cold.go
+++ b/edge/placing/cold.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// unlimitedColdRate is the rate of cold targets of a service that states none, in requests per second.
+const unlimitedColdRate = 1e6
+
 // SetVMs sets the live VMs of the local region, including this one, in a fixed order. Rates
 // of cold targets are recomputed only if the names changed.
 func (b *Balancer) SetVMs(names []string) {
@@ -42,7 +45,7 @@
 // request from each of them at once.
 func (b *Balancer) coldRate(s *service, t *Target) float64 {
 	if s.ColdRate <= 0 {
-		return 1e6
+		return unlimitedColdRate
 	}
 	if t.Region != b.options.Region {
 		return 0
--- a/edge/placing/permits.go
+++ b/edge/placing/permits.go
@@ -28,6 +28,29 @@
 	stated bool
 }
 
+// queueWait is the estimated wait of a request in the queue.
+type queueWait struct {
+	region string
+	// before is what is served before the request.
+	before backlog
+	wait   time.Duration
+	// limited is set if the wait is for a permit too.
+	limited bool
+	permits permits
+}
+
+// estimateWait estimates the wait for a slot of a region, and for a permit if all its targets need
+// one. margin is how much longer than expected the latter may be.
+func (s *service) estimateWait(now time.Time, r *Request, region string, before backlog, margin float64) queueWait {
+	w := queueWait{region: region, before: before}
+	w.wait = time.Duration(float64(before.work) / s.slotShare(now, region))
+	if p, limited := s.permitsOf(now, region, r); limited {
+		w.limited, w.permits = true, p
+		w.wait = max(w.wait, time.Duration(margin*float64(p.wait(before.requests))))
+	}
+	return w
+}
+
 // wait returns the time until a request may be sent if others are sent before it.
 func (p permits) wait(before int) time.Duration {
 	if p.perSecond <= 0 {
@@ -62,7 +85,7 @@
 // expectPermit returns the time until the rates of a target permit a request of this VM, and the time
 // between further ones, 0 if no rate limits it; ok is false if they permit none.
 func (t *Target) expectPermit(now time.Time) (wait, interval time.Duration, ok bool) {
-	if now.Before(t.coldUntil) {
+	if now.Before(t.coldUntil) && t.cold.rate < unlimitedColdRate {
 		wait, interval = t.cold.expect(now, t.coldUntil)
 	}
 	if t.limit == nil {
--- a/edge/placing/ratelimit_test.go
+++ b/edge/placing/ratelimit_test.go
@@ -181,3 +181,20 @@
 		t.Errorf("%+v, queued %v; want a refusal that tells to return within %s", d, w != nil, maxRetryAfter)
 	}
 }
+
+// A high limit must not hide that all slots are taken: requests would wait in vain.
+func TestHighLimitDoesNotHideTakenSlots(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b, class := newBalancer(now), NewClass(time.Second)
+	b.SetRateLimits(now, func(*Target) RateLimit { return &fakeLimit{rate: 1000, tokens: 1000} })
+	queued := 0
+	for range 100 {
+		if _, w := b.Place(now, request(now, class)); w != nil {
+			queued++
+		}
+	}
+	// Four slots take a request each 0.4 s at best, and latestEnd is at 1.2 s.
+	if queued > 12 {
+		t.Errorf("%d requests wait for four slots", queued)
+	}
+}
--- a/edge/placing/serve.go
+++ b/edge/placing/serve.go
@@ -54,11 +54,11 @@
 	if d, ok := b.assign(now, s, w.request, w.region); ok {
 		return d, true
 	}
-	if p, limited := s.permitsOf(now, w.region, w.request); limited {
+	wait := s.estimateWait(now, w.request, w.region, ahead, 1)
+	if wait.limited {
 		if d, ok := b.elsewhere(now, s, w.request, w.region); ok {
 			return d, true
 		}
-		return b.rejectWithoutPermit(now, s, w.request, w.region, p, ahead, p.wait(ahead.requests), w.latestEnd)
 	}
-	return b.rejectIfLate(now, s, w.request, w.region, ahead, w.latestEnd)
+	return b.rejectAfter(now, s, w.request, wait, w.latestEnd)
 }
