entry, quota: a limit that changes while requests wait does not stop its coordinator

Cause: a request without a token asked for one at once, from within the balancer, whose lock is held; on the coordinator itself the answer looks up the limit in the table, whose lock is held while a changed limit is passed to the balancer. Class: a call back under a lock into what led to it.

Evidence: TestLimitChangesWhileRequestsWait hung ('the VM hangs') with the call in place, and passes now.

Change: the balancer only hands the limit to a goroutine that asks, and serves the queue if the answer is there at once. The load test learns its limit from the table that the coordinator uses, so that it has the same locks; all its cases pass.

--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -129,6 +129,7 @@
 	}
 	go e.replica.Run(ctx)
 	go e.maintain(ctx)
+	go e.targetLimits.answerAsks(ctx.Done())
 	e.component("entry").WithFields(logrus.Fields{"vm": o.VM.Name, "zone": o.VM.Zone, "region": o.VM.Region}).Info("entry: started")
 	return e, nil
 }
--- a/edge/entry/limitload_test.go
+++ b/edge/entry/limitload_test.go
@@ -38,9 +38,11 @@
 	deadline  time.Duration
 	callers   int
 
-	vms  []*limitLoadVM
-	stop chan struct{}
-	all  sync.WaitGroup
+	// machine is what all VMs run on.
+	machine *machine
+	vms     []*limitLoadVM
+	stop    chan struct{}
+	all     sync.WaitGroup
 
 	mu     sync.Mutex
 	counts limitLoadCounts
@@ -64,12 +66,16 @@
 	logger := logrus.New()
 	logger.SetLevel(logrus.PanicLevel)
 	e := &Entry{log: logger}
-	e.contact = newContact(clock.NewFrom(time.Now, func() time.Duration { return time.Since(started) }), 0)
-	e.targetLimits = &targetLimits{entry: e, started: e.now(), table: ratelimit.New(e.now(), func(map[uint32]float64) {})}
-	vm := &limitLoadVM{limits: e.targetLimits, class: placing.NewClass(l.work)}
+	e.contact = newContact(clock.NewFrom(time.Now, l.machine.boot), 0)
+	vm := &limitLoadVM{class: placing.NewClass(l.work)}
+	vm.limits = &targetLimits{entry: e, started: e.now(), table: ratelimit.New(e.now(), vm.apply), asks: make(chan *targetLimit, maxAsks)}
+	e.targetLimits = vm.limits
 	vm.quota = &regionQuota{limits: e.targetLimits, local: true, Quota: quota.New(quota.Options{
 		VM: name, Incarnation: 1, Bounds: targetLimitBounds, Immediate: true, Logger: e.component("targetlimits"),
-		Limit: func(id uint32) (quota.Limit, bool) { return quota.Limit{ID: id, Rate: l.rate}, true },
+		Limit: func(id uint32) (quota.Limit, bool) {
+			rate, limited := vm.limits.table.Limit(id)
+			return quota.Limit{ID: id, Rate: rate}, limited
+		},
 		Fleet: func() int { return loadVMs }, Groups: func() int { return 1 },
 		Coordinator:       func(int, func(string) bool) quota.Coordinator { return quota.Coordinator{Name: "vm0", Address: "vm0"} },
 		OtherCoordinators: func(int) []quota.Coordinator { return nil },
@@ -83,11 +89,24 @@
 	vm.balancer = e.balancer
 	target := site.Target{ID: "t", Service: "s", Address: "t:1", Zone: "z", Slots: loadSlots}
 	vm.balancer.SetTargets(started, map[string]site.Service{"s": {Name: "s"}}, []placing.TargetSpec{{Target: target}}, nil)
-	limit := &targetLimit{quota: vm.quota, limit: quota.Limit{ID: quota.IDOf("t"), Rate: l.rate}, metrics: newLimitMetrics(tally.NoopScope).of("t")}
-	vm.balancer.SetRateLimits(started, func(*placing.Target) placing.RateLimit { return limit })
+	vm.state(l.rate)
 	return vm
 }
 
+// apply passes the limit to the balancer.
+func (vm *limitLoadVM) apply(limits map[uint32]float64) {
+	vm.balancer.SetRateLimits(time.Now(), func(t *placing.Target) placing.RateLimit {
+		limit := quota.Limit{ID: quota.IDOf(t.ID), Rate: limits[quota.IDOf(t.ID)]}
+		return &targetLimit{quota: vm.quota, limit: limit, metrics: newLimitMetrics(tally.NoopScope).of(t.ID)}
+	})
+}
+
+// state lets the VM learn the limit of the target.
+func (vm *limitLoadVM) state(rate float64) {
+	now := vm.limits.Now()
+	vm.limits.Observe(ratelimit.Observation{Target: quota.IDOf("t"), Limited: true, Rate: rate, At: now}, now)
+}
+
 // send carries a report to the coordinator, which is the first VM, and its reply back.
 func (l *limitLoad) send(from *limitLoadVM, payload []byte) {
 	time.AfterFunc(loadDelay, func() {
@@ -99,6 +118,7 @@
 
 func (l *limitLoad) maintain(vm *limitLoadVM) {
 	for l.sleep(queueInterval) {
+		vm.state(l.rate)
 		vm.balancer.Tick(time.Now())
 		vm.quota.Tick()
 	}
@@ -177,12 +197,13 @@
 
 // run plays the load and returns what was counted after the warm-up.
 func (l *limitLoad) run() limitLoadCounts {
-	l.stop = make(chan struct{})
+	l.stop, l.machine = make(chan struct{}), &machine{started: time.Now()}
 	for i := range loadVMs {
 		l.vms = append(l.vms, l.newVM(fmt.Sprint("vm", i)))
 	}
 	for _, vm := range l.vms {
 		l.all.Go(func() { l.maintain(vm) })
+		l.all.Go(func() { vm.limits.answerAsks(l.stop) })
 	}
 	for i := range l.callers {
 		l.all.Go(func() {
@@ -204,6 +225,33 @@
 	return counts
 }
 
+// A limit that changes while requests wait for its tokens must not stop the VM that coordinates it.
+func TestLimitChangesWhileRequestsWait(t *testing.T) {
+	l := &limitLoad{rate: 2, work: time.Millisecond, stop: make(chan struct{}), machine: &machine{started: time.Now()}}
+	defer close(l.stop)
+	vm := l.newVM("vm0")
+	l.vms = append(l.vms, vm)
+	go vm.limits.answerAsks(l.stop)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := range 200 {
+			now := time.Now()
+			r := &placing.Request{Service: "s", Class: vm.class, Objective: now.Add(time.Minute), Deadline: now.Add(time.Hour)}
+			vm.balancer.Place(now, r)
+			l.machine.suspend(300 * time.Millisecond)
+			vm.quota.Tick()
+			l.machine.suspend(100 * time.Millisecond)
+			vm.state(2 + float64(i%2))
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the VM hangs")
+	}
+}
+
 // Callers of a limited target must not wait in vain, nor be told to return before there is a token
 // for them; the target must get what it takes.
 func TestCallersOfLimitedTargetAreRefusedAtOnceAndReturnInTurn(t *testing.T) {
--- a/edge/entry/targetlimits.go
+++ b/edge/entry/targetlimits.go
@@ -17,6 +17,8 @@
 	// wantInterval is the shortest time between two requests without a token that count as demand
 	// for a target: a request in the queue tries again and again.
 	wantInterval = 100 * time.Millisecond
+	// maxAsks bounds the limits that wait for a token to be asked for.
+	maxAsks = 64
 	// targetQuotaIdle is how long after its last use a VM reports to another region's coordinator.
 	targetQuotaIdle = 3 * time.Second
 )
@@ -38,6 +40,8 @@
 	regions []string
 	quotas  []*regionQuota
 	metrics *limitMetrics
+	// asks are the limits that a token is to be asked for.
+	asks chan *targetLimit
 	// current are the limits in force that have metrics.
 	current atomic.Pointer[[]*targetLimit]
 	// limited is the number of targets with a limit.
@@ -66,7 +70,7 @@
 
 func newTargetLimits(e *Entry) *targetLimits {
 	now := e.contact.clock.Now()
-	l := &targetLimits{entry: e, log: e.component("targetlimits"), fleet: quota.NewFleet(now), started: now, metrics: newLimitMetrics(e.metrics.Scope)}
+	l := &targetLimits{entry: e, log: e.component("targetlimits"), fleet: quota.NewFleet(now), started: now, metrics: newLimitMetrics(e.metrics.Scope), asks: make(chan *targetLimit, maxAsks)}
 	l.table = ratelimit.New(now, l.apply)
 	for _, region := range e.options.RegionOf {
 		if !slices.Contains(l.regions, region) {
@@ -223,12 +227,31 @@
 		return
 	}
 	q.HandleReply(from, message)
-	// Requests wait for what the reply tells.
+	l.serveQueues()
+}
+
+// serveQueues serves the requests that wait for what a coordinator has told.
+func (l *targetLimits) serveQueues() {
 	if l.entry.balancer.Waiting() > 0 {
 		l.entry.balancer.Tick(time.Now())
 	}
 }
 
+// answerAsks asks for tokens until stop. The balancer and the table of limits call Want with their
+// locks, and a VM that is the coordinator needs these.
+func (l *targetLimits) answerAsks(stop <-chan struct{}) {
+	for {
+		select {
+		case t := <-l.asks:
+			if t.quota.Ask(t.limit) {
+				l.serveQueues()
+			}
+		case <-stop:
+			return
+		}
+	}
+}
+
 // targetLimit implements placing.RateLimit for one target.
 type targetLimit struct {
 	quota   *regionQuota
@@ -261,7 +284,14 @@
 		t.quota.Want(t.limit)
 		t.metrics.short.Inc(1)
 	}
-	t.quota.Ask(t.limit)
+	if !t.quota.MayAsk(t.limit) {
+		return
+	}
+	select {
+	case t.quota.limits.asks <- t:
+	default:
+		// It is asked for with the next report.
+	}
 }
 
 // wantIsDue reports whether a request counts as demand, at most once in a wantInterval.
--- a/edge/quota/quota.go
+++ b/edge/quota/quota.go
@@ -160,11 +160,13 @@
 // Want records that there is a request under a limit, so that tokens are asked for.
 func (q *Quota) Want(l Limit) { q.holder.want(q.options.Now(), l) }
 
-// Ask asks for a token at once if the VM has none and the coordinator may have one.
-func (q *Quota) Ask(l Limit) {
-	if q.holder.mayAsk(q.options.Now(), l) {
-		q.reportIfDue(int(l.ID)%q.holder.groups(), minAskGap)
-	}
+// MayAsk reports whether this VM has no token under a limit and the coordinator may have one.
+func (q *Quota) MayAsk(l Limit) bool { return q.holder.mayAsk(q.options.Now(), l) }
+
+// Ask asks the coordinator at once if MayAsk. It reports whether that has answered, which another VM
+// does later.
+func (q *Quota) Ask(l Limit) (answered bool) {
+	return q.MayAsk(l) && q.reportIfDue(int(l.ID)%q.holder.groups(), minAskGap)
 }
 
 // Held returns the number of tokens that this VM holds under a limit.
@@ -224,28 +226,30 @@
 	}
 }
 
-// reportIfDue sends a report to the coordinator of a group if the last one is old enough.
-func (q *Quota) reportIfDue(group int, interval time.Duration) {
+// reportIfDue sends a report to the coordinator of a group if the last one is old enough. It reports
+// whether that has answered, as it is this VM.
+func (q *Quota) reportIfDue(group int, interval time.Duration) (answered bool) {
 	now := q.options.Now()
 	q.mu.Lock()
 	if group >= len(q.groups) || now.Sub(q.groups[group].reportedAt) < interval {
 		q.mu.Unlock()
-		return
+		return false
 	}
 	q.groups[group].reportedAt = now
 	to := q.coordinator(now, group)
 	q.mu.Unlock()
 	m := q.holder.report(now, group)
 	if m == nil {
-		return
+		return false
 	}
 	if to.Name == q.options.VM {
 		if r := q.handle(now, m); r != nil {
 			q.holder.apply(now, group, r)
 		}
-		return
+		return true
 	}
 	q.options.SendRequest(to.Address, m.encode())
+	return false
 }
 
 // coordinator returns the coordinator of a group and replaces one that does not answer. It
