quota, placing: a raised limit is used at once

Change: a new rate voids promises, times to ask and places; a token that came voids the time to ask, as there may be more.

--- a/edge/entry/limitload_test.go
+++ b/edge/entry/limitload_test.go
@@ -118,12 +118,18 @@
 
 func (l *limitLoad) maintain(vm *limitLoadVM) {
 	for l.sleep(queueInterval) {
-		vm.state(l.rate)
+		vm.state(l.currentRate())
 		vm.balancer.Tick(time.Now())
 		vm.quota.Tick()
 	}
 }
 
+func (l *limitLoad) currentRate() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rate
+}
+
 // sleep returns false if the load has ended.
 func (l *limitLoad) sleep(d time.Duration) bool {
 	select {
@@ -195,8 +201,8 @@
 	}
 }
 
-// run plays the load and returns what was counted after the warm-up.
-func (l *limitLoad) run() limitLoadCounts {
+// start starts the VMs.
+func (l *limitLoad) start() {
 	l.stop, l.machine = make(chan struct{}), &machine{started: time.Now()}
 	for i := range loadVMs {
 		l.vms = append(l.vms, l.newVM(fmt.Sprint("vm", i)))
@@ -205,24 +211,62 @@
 		l.all.Go(func() { l.maintain(vm) })
 		l.all.Go(func() { vm.limits.answerAsks(l.stop) })
 	}
-	for i := range l.callers {
+}
+
+// startCallers starts callers, spread over all VMs.
+func (l *limitLoad) startCallers(callers int) {
+	for i := range callers {
 		l.all.Go(func() {
 			if l.sleep(time.Duration(i) * time.Millisecond) {
 				l.caller(l.vms[i%loadVMs])
 			}
 		})
 	}
-	time.Sleep(loadWarmUp)
+}
+
+// countFor returns what is counted in a time.
+func (l *limitLoad) countFor(d time.Duration) limitLoadCounts {
 	l.mu.Lock()
 	l.counts = limitLoadCounts{}
 	l.mu.Unlock()
-	time.Sleep(loadTime)
+	time.Sleep(d)
 	l.mu.Lock()
-	counts := l.counts
-	l.mu.Unlock()
+	defer l.mu.Unlock()
+	return l.counts
+}
+
+func (l *limitLoad) end() {
 	close(l.stop)
 	l.all.Wait()
-	return counts
+}
+
+// run plays the load and returns what was counted after the warm-up.
+func (l *limitLoad) run() limitLoadCounts {
+	l.start()
+	defer l.end()
+	l.startCallers(l.callers)
+	time.Sleep(loadWarmUp)
+	return l.countFor(loadTime)
+}
+
+// A target that raises its limit must get what it takes, from callers that come then.
+func TestRaisedLimitIsUsedAtOnce(t *testing.T) {
+	const before, after, settle, lasts, used = 0.2, 20.0, time.Second, 10 * time.Second, 0.9
+	synctest.Test(t, func(t *testing.T) {
+		l := &limitLoad{rate: before, work: 5 * time.Millisecond, objective: 400 * time.Millisecond, deadline: 2 * time.Second}
+		l.start()
+		defer l.end()
+		l.startCallers(40)
+		time.Sleep(20 * time.Second)
+		l.mu.Lock()
+		l.rate = after
+		l.mu.Unlock()
+		l.startCallers(80)
+		time.Sleep(settle)
+		if c := l.countFor(lasts); float64(c.served) < used*after*lasts.Seconds() {
+			t.Errorf("%+v, %v allowed", c, after*lasts.Seconds())
+		}
+	})
 }
 
 // A limit that changes while requests wait for its tokens must not stop the VM that coordinates it.
--- a/edge/placing/ratelimit.go
+++ b/edge/placing/ratelimit.go
@@ -24,6 +24,7 @@
 	defer b.mu.Unlock()
 	b.limitOf = limitOf
 	for _, s := range b.services {
+		clear(s.returns)
 		for _, t := range s.targets {
 			t.limit = limitOf(t)
 		}
--- a/edge/quota/holder.go
+++ b/edge/quota/holder.go
@@ -290,6 +290,10 @@
 		a = &holding{demandAt: now, ownAt: now}
 		h.holdings[limit.ID] = a
 	}
+	if a.limit.Rate != limit.Rate {
+		// What was learnt of the old rate does not hold.
+		a.exhaustedUntil, a.interval, a.denied = time.Time{}, 0, false
+	}
 	a.limit = limit
 	l := h.links[h.groupOf(limit.ID)]
 	h.checkLink(now, l)
@@ -520,7 +524,8 @@
 	}
 }
 
-// measureInterval updates the expected time between tokens when some have come.
+// measureInterval updates the expected time between tokens when some have come. The VM may ask for
+// more then.
 func (a *holding) measureInterval(now time.Time, tokens int) {
 	since := now.Sub(a.grantedAt) / time.Duration(tokens)
 	switch {
@@ -530,5 +535,5 @@
 	case !a.grantedAt.IsZero():
 		a.interval += time.Duration(intervalWeight * float64(min(since, maxPromise)-a.interval))
 	}
-	a.grantedAt, a.denied = now, false
+	a.grantedAt, a.denied, a.exhaustedUntil = now, false, time.Time{}
 }
--- a/edge/quota/pool.go
+++ b/edge/quota/pool.go
@@ -67,8 +67,10 @@
 	// denied counts the VMs that got no token for a request since deniedAt.
 	denied   int
 	deniedAt time.Time
-	// promisedUntil is when the first token is due that is promised to no VM.
+	// promisedUntil is when the first token is due that is promised to no VM, promisedRate the rate
+	// that the promises are for.
 	promisedUntil time.Time
+	promisedRate  float64
 	// askedAt is when a VM last reported the account.
 	askedAt time.Time
 }
@@ -185,6 +187,9 @@
 		if report.needed+report.wanted == 0 {
 			continue
 		}
+		if a.promisedRate != limit.Rate {
+			p.dropPromises(a, report.id, limit.Rate)
+		}
 		needed := min(report.needed, int(a.tokens))
 		surplus := int(a.tokens-p.reserved*allowed.stored*pledged) - needed
 		advance := max(0, min(report.wanted, surplus-p.promisedBefore(now, vm, report.id)))
@@ -253,6 +258,14 @@
 	return max(at.Sub(now), minPromise)
 }
 
+// dropPromises forgets the promises for another rate.
+func (p *Pool) dropPromises(a *pooled, id uint32, rate float64) {
+	a.promisedUntil, a.promisedRate = time.Time{}, rate
+	for _, vm := range p.vms {
+		delete(vm.promised, id)
+	}
+}
+
 // promisedBefore returns how many tokens are kept for other VMs: those that were promised to them
 // before this VM's, or that are due, and that they have not asked for yet.
 func (p *Pool) promisedBefore(now time.Time, vm *holderRecord, id uint32) (kept int) {
