--- a/edge/entry/targetlimits.go
+++ b/edge/entry/targetlimits.go
@@ -42,7 +42,7 @@
 	metrics *limitMetrics
 	// asks are the limits that a token is to be asked for.
 	asks chan *targetLimit
-	// current are the limits in force that have metrics.
+	// current are the limits in force, whose gauges are updated.
 	current atomic.Pointer[[]*targetLimit]
 	// limited is the number of targets with a limit.
 	limited atomic.Int32
@@ -70,7 +70,10 @@
 
 func newTargetLimits(e *Entry) *targetLimits {
 	now := e.contact.clock.Now()
-	l := &targetLimits{entry: e, log: e.component("targetlimits"), fleet: quota.NewFleet(now), started: now, metrics: newLimitMetrics(e.metrics.Scope), asks: make(chan *targetLimit, maxAsks)}
+	l := &targetLimits{
+		entry: e, log: e.component("targetlimits"), fleet: quota.NewFleet(now), started: now,
+		metrics: newLimitMetrics(e.metrics.Scope), asks: make(chan *targetLimit, maxAsks),
+	}
 	l.table = ratelimit.New(now, l.apply)
 	for _, region := range e.options.RegionOf {
 		if !slices.Contains(l.regions, region) {
@@ -142,9 +145,8 @@
 		current = append(current, limit)
 		return limit
 	})
-	// The balancer calls the function above for later targets too.
-	current = slices.Clip(current)
-	inForce := current
+	// A copy, as the balancer calls the function above for later targets too.
+	inForce := slices.Clone(current)
 	l.current.Store(&inForce)
 }
 
