platform, gateway: what targets state is one decoded value; leaving and rests are logged

Decisions do not change here.

- platform.TargetStatement decodes limit, leaving and rest into site.Statement, once.
It replaces TargetLimit.
- The header of an answer is read when it comes (forward.Request.HeaderReceived), so that answers whose body breaks off count, and those of probes, which limits missed as well.
An answer with 421 is of another target and counts for none; its limit did so far.
- placing keeps statements by incarnation, for registrations lapse and come back; nothing uses them yet.
Log: 'gateway: target leaves by its answer', 'gateway: target asks for a rest', each once a change.
Metrics: targets_leaving, targets_resting.

--- a/cmd/yuccaentry/main.go
+++ b/cmd/yuccaentry/main.go
@@ -143,7 +143,7 @@
 		Names: entry.Names{
 			Fields: platform.HeaderNames, ResolvePath: platform.PathResolve, ReadyPath: platform.PathReady,
 			VMKey: items.VMKey(s.Node.Name), ParseCaller: platform.ParseCaller, EncodeAddresses: platform.EncodeAddresses,
-			StatedLimit: platform.TargetLimit,
+			ReadStatement: platform.TargetStatement,
 		},
 		Codec: items, QuarantineKeys: items, KV: client, Logger: logger,
 		MemoryBytes: memory, MaxConnections: max(64, s.Limits.MaxFiles-targetFiles),
--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -104,7 +104,7 @@
 		Fields: o.Names.Fields, Region: o.VM.Region, Balancer: e.balancer, Logger: e.component("gateway"), Metrics: e.gatewayMetrics,
 		RetryRatio: o.RetryRatio, RetryExtra: o.RetryExtra, VMCount: e.members.Count, RTT: e.roundTrips.get,
 		InFlightChanged: e.reportSoon, Owners: e.owners, Quarantine: e.quarantine,
-		TargetLimits: e.targetLimits, StatedLimit: o.Names.StatedLimit,
+		TargetLimits: e.targetLimits, ReadStatement: o.Names.ReadStatement,
 		Quota: e.quota, ConfigCurrent: e.contact.isCurrent, AccountsExpired: e.contact.isExpired, MaxAnswerBytes: maxResponseBytes,
 	})
 	e.outages = catalog.NewOutages(time.Now())
@@ -307,6 +307,7 @@
 		e.targetLimits.maintain()
 		e.quarantine.Tick(ctx, now, e.members.IsWatchLeader(e.now()))
 		e.gatewayMetrics.setQuarantine(e.quarantine.Counts())
+		e.gatewayMetrics.setStatements(e.balancer.Statements(now))
 		e.gateway.Probe(ctx, e.healthPath)
 	}
 }
--- a/edge/entry/entry_test.go
+++ b/edge/entry/entry_test.go
@@ -137,8 +137,8 @@
 		RetryRatio: 0.2, RetryExtra: 50, MetricsAddress: f.host.Address(),
 		Names: entry.Names{
 			Fields: names, ResolvePath: "/resolve", ReadyPath: "/ready", VMKey: "vm/" + name,
-			ParseCaller: func(q url.Values) (string, string) { return q.Get("zone"), q.Get("region") },
-			StatedLimit: statedLimit,
+			ParseCaller:   func(q url.Values) (string, string) { return q.Get("zone"), q.Get("region") },
+			ReadStatement: readStatement,
 			EncodeAddresses: func(addresses []string, ttl time.Duration) *serve.Response {
 				return serve.PlainText(http.StatusOK, strings.Join(addresses, ","))
 			},
--- a/edge/entry/gatewaymetrics.go
+++ b/edge/entry/gatewaymetrics.go
@@ -142,6 +142,12 @@
 	c.scope.Gauge("targets_limited").Update(float64(targets))
 }
 
+// setStatements updates the gauges of targets that have stated that they leave, and of those at rest.
+func (c *gatewayMetrics) setStatements(leaving, resting int) {
+	c.scope.Gauge("targets_leaving").Update(float64(leaving))
+	c.scope.Gauge("targets_resting").Update(float64(resting))
+}
+
 // taggedCounter returns the cached counter for a tag value, creating it if needed.
 func (c *gatewayMetrics) taggedCounter(counters map[string]tally.Counter, name, tag, value string) tally.Counter {
 	c.mu.Lock()
--- a/edge/entry/options.go
+++ b/edge/entry/options.go
@@ -30,8 +30,8 @@
 	// EncodeAddresses encodes the directory's response.
 	ParseCaller     func(query url.Values) (zone, region string)
 	EncodeAddresses func(addresses []string, ttl time.Duration) *serve.Response
-	// StatedLimit reads the limit that a target states in an answer; nil ignores such limits.
-	StatedLimit gateway.StatedLimit
+	// ReadStatement reads what a target states in an answer; nil ignores it.
+	ReadStatement gateway.ReadStatement
 }
 
 // Options configure a VM.
--- a/edge/entry/targetlimits_test.go
+++ b/edge/entry/targetlimits_test.go
@@ -25,13 +25,17 @@
 	limitGrace = 4 * time.Second
 )
 
-// statedLimit reads the limit of the tests' targets.
-func statedLimit(h http.Header) (rate float64, stated bool, err error) {
-	if h["X-Limit"] == nil {
-		return 0, false, nil
+// readStatement reads what the tests' targets state.
+func readStatement(_ int, h http.Header) (s site.Statement) {
+	if h["X-Limit"] != nil {
+		s.Rate, s.Malformed = strconv.ParseFloat(h.Get("X-Limit"), 64)
+		s.Limited = s.Malformed == nil
 	}
-	rate, err = strconv.ParseFloat(h.Get("X-Limit"), 64)
-	return rate, err == nil, err
+	if seconds, err := strconv.ParseFloat(h.Get("X-Rest"), 64); err == nil {
+		s.Rest = time.Duration(seconds * float64(time.Second))
+	}
+	s.Leaving = h.Get("X-Leaving") != ""
+	return s
 }
 
 // limitedTarget is a target that may state a limit and records when requests arrive.
--- a/edge/gateway/gateway.go
+++ b/edge/gateway/gateway.go
@@ -71,10 +71,10 @@
 	// AccountsExpired whether it must not rely on its list of keys any more. nil means true and
 	// false.
 	ConfigCurrent, AccountsExpired func() bool
-	// TargetLimits records the limits that targets state, as StatedLimit reads them; a nil
-	// StatedLimit ignores them.
-	TargetLimits TargetLimits
-	StatedLimit  StatedLimit
+	// TargetLimits records the limits that targets state, as ReadStatement reads them; a nil
+	// ReadStatement ignores all that targets state.
+	TargetLimits  TargetLimits
+	ReadStatement ReadStatement
 	// Quarantine holds the requests that crash targets; nil disables the check.
 	Quarantine *quarantine.Quarantine
 	// MaxAnswerBytes bounds one answer.
@@ -94,8 +94,8 @@
 	maxConnections atomic.Pointer[map[string]int]
 	leaving        atomic.Bool
 	losses         *losses
-	// malformedLimitAt is when a malformed limit was last logged.
-	malformedLimitAt atomic.Pointer[time.Time]
+	// malformedAt is when a malformed statement was last logged.
+	malformedAt atomic.Pointer[time.Time]
 
 	mu sync.Mutex
 	// pools is keyed by poolKey.
--- a/edge/gateway/probe.go
+++ b/edge/gateway/probe.go
@@ -37,10 +37,16 @@
 	if err != nil {
 		return false, 0, err
 	}
+	sent := g.newSending(t, "probe")
 	answer, err := conn.Exchange(ctx, &forward.Request{
 		Method: http.MethodGet, URI: path, Host: t.Address, Header: http.Header{},
 		Deadline: time.Now().Add(limit), MaxResponseBytes: maxProbeBytes,
 		Dialect: &forward.Dialect{DeadlineField: g.options.Fields.Deadline, IDField: g.options.Fields.RequestID, ID: "probe", CloseDelimited: true},
+		HeaderReceived: func(status int, h http.Header) {
+			if h.Get(g.options.Fields.TargetID) == t.ID {
+				g.observe(sent, status, h)
+			}
+		},
 	})
 	p.Put(conn)
 	if err != nil {
--- a/edge/gateway/run.go
+++ b/edge/gateway/run.go
@@ -238,11 +238,9 @@
 		return attempt{decision: d, notRun: true, code: result.ConnectFailed, err: err}
 	}
 	defer p.Put(conn)
-	sentAt := g.limitTime()
 	answer, err := g.sendOverConn(ctx, r, d, conn)
 	if answer != nil {
 		updateIdleTimeout(p, answer.Header)
-		g.observeLimit(d.Target, answer, sentAt)
 	}
 	return g.classify(d, answer, err)
 }
@@ -262,6 +260,8 @@
 	out := r.out
 	out.Header = r.out.Header.Clone()
 	out.Header.Set(g.options.Fields.ExpectTarget, d.Target.ID)
+	sent := g.newSending(d.Target, r.id)
+	out.HeaderReceived = func(status int, h http.Header) { g.observe(sent, status, h) }
 	return conn.Exchange(ctx, &out)
 }
 
--- /dev/null
+++ b/edge/gateway/statement.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/yuccaroute/yuccaroute/edge/placing"
+	"github.com/yuccaroute/yuccaroute/edge/quota"
+	"github.com/yuccaroute/yuccaroute/edge/ratelimit"
+	"github.com/yuccaroute/yuccaroute/edge/site"
+)
+
+// TargetLimits records the limits that targets state in their answers.
+type TargetLimits interface {
+	// Now returns the time by which observations are ordered.
+	Now() time.Time
+	// Observe records what a target stated in the answer to a request that was sent at sentAt. It
+	// reports whether that changes the target's limit.
+	Observe(o ratelimit.Observation, sentAt time.Time) (changed bool)
+}
+
+// ReadStatement returns what a target states in an answer with the given status and header.
+type ReadStatement func(status int, h http.Header) site.Statement
+
+// malformedLogInterval is the shortest time between two log lines on malformed statements.
+const malformedLogInterval = time.Second
+
+// sending is a request on its way to a target, whose answer may state something.
+type sending struct {
+	target *placing.Target
+	// id is that of the request.
+	id string
+	// sentAt is by the clock of TargetLimits.
+	sentAt time.Time
+}
+
+// newSending returns the sending of a request that is sent now.
+func (g *Gateway) newSending(t *placing.Target, id string) sending {
+	s := sending{target: t, id: id}
+	if g.options.ReadStatement != nil {
+		s.sentAt = g.options.TargetLimits.Now()
+	}
+	return s
+}
+
+// observe records what a target states in the header of an answer.
+func (g *Gateway) observe(s sending, status int, h http.Header) {
+	// An answer with this status is of another target at the same address.
+	if g.options.ReadStatement == nil || status == http.StatusMisdirectedRequest {
+		return
+	}
+	stated := g.options.ReadStatement(status, h)
+	if stated.Malformed != nil {
+		g.logMalformedStatement(s.target, stated.Malformed)
+	}
+	g.observeLimit(s, stated, h)
+	now := time.Now()
+	log := g.options.Logger.WithFields(logrus.Fields{
+		"target": s.target.ID, "service": s.target.Service, "started_ms": s.target.StartedMillis, "status": status, "id": s.id,
+	})
+	if stated.Leaving && g.options.Balancer.TargetLeaves(now, s.target.Incarnation) {
+		log.Info("gateway: target leaves by its answer")
+	}
+	if stated.Rest > 0 && g.options.Balancer.TargetRests(now, s.target.Incarnation, stated.Rest) {
+		log.WithField("rest_ms", stated.Rest.Milliseconds()).Info("gateway: target asks for a rest")
+	}
+}
+
+// observeLimit records whether an answer states a limit of its target. Only an answer that the
+// target has stamped shows that it has withdrawn one.
+func (g *Gateway) observeLimit(s sending, stated site.Statement, h http.Header) {
+	if !stated.Limited && (stated.Malformed != nil || h.Get(g.options.Fields.Stamp) == "") {
+		return
+	}
+	o := ratelimit.Observation{
+		Target: quota.IDOf(s.target.ID), Limited: stated.Limited, Rate: stated.Rate, At: g.options.TargetLimits.Now(),
+	}
+	if g.options.TargetLimits.Observe(o, s.sentAt) {
+		g.options.Logger.WithFields(logrus.Fields{
+			"target": s.target.ID, "target_id": o.Target, "service": s.target.Service, "limited": o.Limited, "rate": o.Rate,
+		}).Info("gateway: target changed its limit")
+	}
+}
+
+// logMalformedStatement logs that an answer has fields that state nothing.
+func (g *Gateway) logMalformedStatement(t *placing.Target, err error) {
+	now := time.Now()
+	last := g.malformedAt.Load()
+	if last != nil && now.Sub(*last) < malformedLogInterval || !g.malformedAt.CompareAndSwap(last, &now) {
+		return
+	}
+	g.options.Logger.WithError(err).WithFields(logrus.Fields{"target": t.ID, "service": t.Service}).
+		Warn("gateway: target states something malformed")
+}
--- a/edge/gateway/targetlimit_test.go
+++ b/edge/gateway/statement_test.go
@@ -12,7 +12,6 @@
 	"github.com/yuccaroute/yuccaroute/edge/placing"
 	"github.com/yuccaroute/yuccaroute/edge/ratelimit"
 	"github.com/yuccaroute/yuccaroute/edge/site"
-	"github.com/yuccaroute/yuccaroute/proxy/forward"
 )
 
 // lastLimit records the last observation.
@@ -35,19 +34,19 @@
 	logger.SetOutput(&out)
 	g := &Gateway{options: Options{
 		Fields: site.FieldNames{Stamp: "X-Stamp"}, Logger: logrus.NewEntry(logger), TargetLimits: last,
-		StatedLimit: func(h http.Header) (float64, bool, error) {
+		ReadStatement: func(_ int, h http.Header) site.Statement {
 			rate, err := strconv.ParseFloat(h.Get("X-Limit"), 64)
-			return rate, err == nil, err
+			return site.Statement{Limited: err == nil, Rate: rate, Malformed: err}
 		},
 	}}
 	for _, text := range []string{"2", "many", "", "many"} {
-		answer := &forward.Response{Header: http.Header{"X-Stamp": {"s"}, "X-Limit": {text}}}
-		g.observeLimit(&placing.Target{}, answer, time.Now())
+		h := http.Header{"X-Stamp": {"s"}, "X-Limit": {text}}
+		g.observe(g.newSending(&placing.Target{}, "1"), http.StatusOK, h)
 	}
 	if last.observed != 1 || !last.Limited || last.Rate != 2 {
 		t.Errorf("%d observations, the last one %+v, want only the limit of 2", last.observed, last.Observation)
 	}
-	if lines := strings.Count(out.String(), "malformed limit"); lines != 1 {
-		t.Errorf("%d lines on malformed limits, want 1: %s", lines, out.String())
+	if lines := strings.Count(out.String(), "something malformed"); lines != 1 {
+		t.Errorf("%d lines on malformed statements, want 1: %s", lines, out.String())
 	}
 }
--- a/edge/placing/balancer.go
+++ b/edge/placing/balancer.go
@@ -49,7 +49,8 @@
 	// tolerance is how many requests a region may be ahead of its weight.
 	tolerance float64
 	// limitOf returns the limit that a target has stated.
-	limitOf func(t *Target) RateLimit
+	limitOf    func(t *Target) RateLimit
+	statements statements
 	// lossAt is when capacity was last lost unexpectedly.
 	lossAt time.Time
 }
@@ -60,6 +61,7 @@
 		options: o, hash: HashOf(o.VM),
 		services: make(map[string]*service), peers: make(map[string]*PeerReport), remote: make(map[uint32]*remoteCount),
 		tolerance: baseTolerance, limitOf: func(*Target) RateLimit { return nil },
+		statements: statements{byIncarnation: make(map[uint64]*statement)},
 	}
 }
 
--- /dev/null
+++ b/edge/placing/statement.go
@@ -0,0 +1,102 @@
+package placing
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/edge/site"
+)
+
+const (
+	// maxStatements bounds the incarnations whose statements are kept. They outlive the
+	// registrations, which may lapse while their targets live.
+	maxStatements = 4096
+	// maxRest bounds a rest, so that one that is stated by mistake ends.
+	maxRest = time.Hour
+)
+
+// statement is what a target has stated about itself since its start.
+type statement struct {
+	leaving bool
+	// restUntil is when the last rest ends that the target has asked this VM for.
+	restUntil time.Time
+}
+
+// isResting is false for nil.
+func (s *statement) isResting(now time.Time) bool { return s != nil && now.Before(s.restUntil) }
+
+// statements holds the statements of targets by incarnation.
+type statements struct {
+	byIncarnation map[uint64]*statement
+	// order lists the incarnations in the order of their first statement.
+	order []uint64
+}
+
+// of returns the statement of an incarnation, a new one for the first. The oldest ones are dropped.
+func (s *statements) of(incarnation uint64) *statement {
+	known := s.byIncarnation[incarnation]
+	if known != nil {
+		return known
+	}
+	if len(s.order) >= maxStatements {
+		delete(s.byIncarnation, s.order[0])
+		s.order = s.order[1:]
+	}
+	made := &statement{}
+	s.byIncarnation[incarnation] = made
+	s.order = append(s.order, incarnation)
+	return made
+}
+
+// incarnationOf identifies one start of a target, identically on all VMs.
+func incarnationOf(t *site.Target) uint64 {
+	return HashOf(t.ID + " " + strconv.FormatInt(t.StartedMillis, 36))
+}
+
+// TargetLeaves records that a target has stated that it leaves. It returns false if that is known.
+func (b *Balancer) TargetLeaves(now time.Time, incarnation uint64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.statements.of(incarnation)
+	if s.leaving {
+		return false
+	}
+	s.leaving = true
+	return true
+}
+
+// TargetRests records that a target has refused a request and asked this VM for a rest. It returns
+// false if a rest that it has asked for before lasts as long.
+func (b *Balancer) TargetRests(now time.Time, incarnation uint64, rest time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.statements.of(incarnation)
+	until := now.Add(min(rest, maxRest))
+	if !until.After(s.restUntil) {
+		return false
+	}
+	s.restUntil = until
+	return true
+}
+
+// Statements returns how many registered targets have stated that they leave, and how many are at
+// rest.
+func (b *Balancer) Statements(now time.Time) (leaving, resting int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.statements.order) == 0 {
+		return 0, 0
+	}
+	for _, s := range b.services {
+		for _, t := range s.targets {
+			known := b.statements.byIncarnation[t.Incarnation]
+			if known != nil && known.leaving {
+				leaving++
+			}
+			if known.isResting(now) {
+				resting++
+			}
+		}
+	}
+	return leaving, resting
+}
--- a/edge/placing/target.go
+++ b/edge/placing/target.go
@@ -42,7 +42,9 @@
 type Target struct {
 	site.Target
 	Region string
-	hash   uint64
+	// Incarnation identifies this start of the target, identically on all VMs.
+	Incarnation uint64
+	hash        uint64
 	// rtt is the network round-trip time.
 	rtt time.Duration
 	// usable is false for draining targets and those in evacuated domains.
--- a/edge/placing/targetspec.go
+++ b/edge/placing/targetspec.go
@@ -92,7 +92,7 @@
 func (b *Balancer) newTarget(l TargetSpec) *Target {
 	region, hash := b.options.RegionOf[l.Zone], HashOf(l.ID)
 	t := &Target{
-		Target: l.Target, Region: region, hash: hash, rtt: b.options.RTT(region), remote: b.remoteCountOf(TargetKey(hash)),
+		Target: l.Target, Region: region, Incarnation: incarnationOf(&l.Target), hash: hash, rtt: b.options.RTT(region), remote: b.remoteCountOf(TargetKey(hash)),
 		warm: make(map[uint64]time.Time), slowdown: 1,
 	}
 	t.limit = b.limitOf(t)
--- a/proxy/forward/receive.go
+++ b/proxy/forward/receive.go
@@ -42,6 +42,9 @@
 	if err := validateHeader(resp, r, exchangeID); err != nil {
 		return nil, newError(result.AnswerTruncated, err)
 	}
+	if r.HeaderReceived != nil {
+		r.HeaderReceived(resp.StatusCode, resp.Header)
+	}
 	body, reserved, err := readBody(resp, r)
 	if err != nil {
 		return nil, newError(bodyReadCode(ctx, err), err)
--- a/proxy/forward/request.go
+++ b/proxy/forward/request.go
@@ -26,6 +26,9 @@
 	MaxResponseBytes int64
 	// Memory bounds the total size of buffered responses; nil means no bound.
 	Memory Memory
+	// HeaderReceived is called with the status and header of the response before its body is read,
+	// which may fail; nil is allowed. It must not keep or change the header.
+	HeaderReceived func(status int, h http.Header)
 	// Dialect replaces this package's own header fields; nil selects the
 	// Yucca-* fields.
 	Dialect *Dialect
