broadcast: the queue of events in reports serves other events than crashes

Targets that leave are to be told to other VMs as crashes of targets are, so the queue moves out of edge/quarantine into a package of its own, for any kind of event; what contradicts an event is given by its user. No behaviour changes; the test of its bounds moves along.

--- a/edge/quarantine/quarantine.go
+++ b/edge/quarantine/quarantine.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/yuccaroute/yuccaroute/edge/broadcast"
 	"github.com/yuccaroute/yuccaroute/edge/replica"
 	"github.com/yuccaroute/yuccaroute/store"
 )
@@ -40,12 +41,12 @@
 type Quarantine struct {
 	options Options
 	table   *Table
-	journal BroadcastQueue
+	journal *broadcast.Queue[Event]
 	answers answers
 }
 
 // New returns an empty quarantine.
-func New(o Options) *Quarantine { return &Quarantine{options: o, table: NewTable()} }
+func New(o Options) *Quarantine { return &Quarantine{options: o, table: NewTable(), journal: newJournal()} }
 
 // IsEmpty reports whether every request is clear, without taking a lock.
 func (q *Quarantine) IsEmpty() bool { return q.table.IsEmpty() }
@@ -106,7 +107,7 @@
 		q.broadcast(now, e, from.OtherRegion)
 		return
 	}
-	q.journal.Suppress(now, e.Request)
+	q.journal.Suppress(now, Event{Request: e.Request})
 }
 
 // broadcast queues an event for other VMs, unless it is queued already.
