placing, gateway, entry: a target that states that it leaves gets no more requests

Callers saw nothing; the target did: requests 2.4 s after its answer had said that it leaves, where 2 s are allowed, and for 13 s while the store could not tell.

The first answer that says so takes the target out at that VM at once, as the store's draining does. Other VMs are told as they are of crashes, in urgent reports that a listener relays; an owner's answer names the target to the VM of the caller, whose reports may be cut. The next start puts the target back, or a registration that had told of the drain and withdraws it. Requests in the queue are refused when the last target leaves; they waited for their deadlines.

--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -9,6 +9,7 @@
 
 	"github.com/yuccaroute/yuccaroute/api/clock"
 	"github.com/yuccaroute/yuccaroute/api/wait"
+	"github.com/yuccaroute/yuccaroute/edge/broadcast"
 	"github.com/yuccaroute/yuccaroute/edge/catalog"
 	"github.com/yuccaroute/yuccaroute/edge/exchange"
 	"github.com/yuccaroute/yuccaroute/edge/gateway"
@@ -64,6 +65,8 @@
 	quarantine     *quarantine.Quarantine
 	quota          *quota.Quota
 	targetLimits   *targetLimits
+	// leavingTargets are the incarnations of targets that leave, to be told to other VMs.
+	leavingTargets broadcast.Queue[uint64]
 	fleet          *fleet
 	contact        *contact
 	// callerServer accepts requests of callers, peerServer those of other VMs.
@@ -105,7 +108,8 @@
 		RetryRatio: o.RetryRatio, RetryExtra: o.RetryExtra, VMCount: e.members.Count, RTT: e.roundTrips.get,
 		InFlightChanged: e.reportSoon, Owners: e.owners, Quarantine: e.quarantine,
 		TargetLimits: e.targetLimits, ReadStatement: o.Names.ReadStatement,
-		Quota: e.quota, ConfigCurrent: e.contact.isCurrent, AccountsExpired: e.contact.isExpired, MaxAnswerBytes: maxResponseBytes,
+		TargetLeaves: func(incarnation uint64) { e.tellLeavingTarget(incarnation, false) },
+		Quota:        e.quota, ConfigCurrent: e.contact.isCurrent, AccountsExpired: e.contact.isExpired, MaxAnswerBytes: maxResponseBytes,
 	})
 	e.outages = catalog.NewOutages(time.Now())
 	e.catalog = catalog.New(catalog.Options{
--- a/edge/entry/exchange.go
+++ b/edge/entry/exchange.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/yuccaroute/yuccaroute/edge/exchange"
 	"github.com/yuccaroute/yuccaroute/edge/peers"
 	"github.com/yuccaroute/yuccaroute/edge/placing"
@@ -69,7 +71,7 @@
 		VM: e.options.VM, Leaving: e.shuttingDown.Load(), Serving: e.gateway.Ready(), StoreConnected: e.replica.Connected(),
 		Revision: uint64(at), NoDigest: e.digests.Missing(e.now()),
 		// Aggregated reports go to other regions, which already know their own events.
-		Events: e.quarantine.PendingEvents(now, !sum),
+		Events: e.quarantine.PendingEvents(now, !sum), LeavingTargets: e.leavingTargets.Pending(now, !sum),
 	}
 	if !sum {
 		s.InFlight, s.Demand = e.balancer.Report(now)
@@ -118,6 +120,7 @@
 		}
 		e.applyCounts(now, s)
 		e.applyEvents(now, &s)
+		e.applyLeavingTargets(now, &s)
 		e.targetLimits.merge(e.now(), s.VM.Name, s.Limits)
 		if s.Relay != nil {
 			e.replica.ObservePeer(ctx, s.Relay.Peer, true, store.Revision(s.Relay.Revision), now)
@@ -143,6 +146,28 @@
 	}
 }
 
+// tellLeavingTarget tells other VMs that a target has stated in an answer that it leaves.
+func (e *Entry) tellLeavingTarget(incarnation uint64, otherRegion bool) {
+	if e.leavingTargets.Add(time.Now(), incarnation, otherRegion) {
+		e.reportUrgent()
+	}
+}
+
+// applyLeavingTargets takes targets that leave, as another VM was told, out of use. A listener of a
+// large region relays what is new to it as it does crashes.
+func (e *Entry) applyLeavingTargets(now time.Time, s *exchange.State) {
+	for _, incarnation := range s.LeavingTargets {
+		if !e.balancer.TargetLeaves(now, incarnation) {
+			continue
+		}
+		e.component("entry").WithFields(logrus.Fields{"incarnation": incarnation, "from": s.VM.Name}).
+			Info("entry: target leaves by the answer that another VM got")
+		if e.regionState.listens() {
+			e.tellLeavingTarget(incarnation, s.VM.Region != e.options.VM.Region)
+		}
+	}
+}
+
 // applyCounts updates in-flight requests and demand of a VM, of its region, or of
 // all VMs.
 func (e *Entry) applyCounts(now time.Time, s exchange.State) {
--- a/edge/exchange/state.go
+++ b/edge/exchange/state.go
@@ -34,6 +34,8 @@
 	// Events are recent quarantine events: those of the VM itself, and those that it forwards as
 	// an aggregator.
 	Events []quarantine.Event `msgpack:"e,omitempty"`
+	// LeavingTargets are the incarnations of targets that have lately stated that they leave.
+	LeavingTargets []uint64 `msgpack:"t,omitempty"`
 	// Limits are some of the newest observations of limits that targets have stated. They are in
 	// few reports.
 	Limits []ratelimit.Announced `msgpack:"q,omitempty"`
--- a/edge/gateway/delegate.go
+++ b/edge/gateway/delegate.go
@@ -27,6 +27,9 @@
 	fieldKeyDigest = "Yucca-Delegated-Key-Digest"
 	// fieldOwnerMillis carries, on an owner's answer, the owner's processing time.
 	fieldOwnerMillis = "Yucca-Delegated-Took-Ms"
+	// fieldLeavingTarget carries, on an owner's answer, the incarnation of the target that has given it
+	// and has stated that it leaves.
+	fieldLeavingTarget = "Yucca-Delegated-Leaving-Target"
 	// fieldDeclined is set on the answer of an owner that declines the request.
 	fieldDeclined = "Yucca-Declined"
 )
@@ -62,6 +65,9 @@
 	if a != nil {
 		a.Header[result.HeaderResult] = []string{strconv.Itoa(int(end.code))}
 		a.Header[fieldOwnerMillis] = []string{strconv.FormatInt(time.Since(in.Arrived).Milliseconds(), 10)}
+		if end.target != nil && g.options.Balancer.HasStatedToLeave(end.target) {
+			a.Header[fieldLeavingTarget] = []string{strconv.FormatUint(end.target.Incarnation, incarnationBase)}
+		}
 	}
 	return a
 }
@@ -113,6 +119,7 @@
 	if answer.Header.Get(fieldDeclined) != "" {
 		return outcome{}, false
 	}
+	g.observeOwner(o, answer)
 	r.log.owner, r.log.ownerDuration = o.Name, took
 	if own, ok := ownerTime(answer); ok {
 		o.RecordOverhead(took-own, time.Now())
@@ -192,9 +199,22 @@
 		a.Header.Del(result.HeaderResult)
 	}
 	a.Header.Del(fieldOwnerMillis)
+	a.Header.Del(fieldLeavingTarget)
 	return outcome{code: code, answer: a}
 }
 
+// observeOwner records that an owner's answer is of a target that leaves. Reports of the owner tell it
+// too, but may be lost.
+func (g *Gateway) observeOwner(o *owners.Owner, answer *forward.Response) {
+	incarnation, err := strconv.ParseUint(answer.Header.Get(fieldLeavingTarget), incarnationBase, 64)
+	if err == nil && g.options.Balancer.TargetLeaves(time.Now(), incarnation) {
+		g.options.Logger.WithField("incarnation", incarnation).WithField("from", o.Name).Info("gateway: target leaves by an owner's answer")
+	}
+}
+
+// incarnationBase is the base of incarnations in header fields.
+const incarnationBase = 36
+
 // ownerTime returns the owner's processing time, if the answer states it.
 func ownerTime(a *forward.Response) (time.Duration, bool) {
 	millis, err := strconv.ParseInt(a.Header.Get(fieldOwnerMillis), 10, 64)
--- a/edge/gateway/gateway.go
+++ b/edge/gateway/gateway.go
@@ -75,6 +75,9 @@
 	// ReadStatement ignores all that targets state.
 	TargetLimits  TargetLimits
 	ReadStatement ReadStatement
+	// TargetLeaves is called with the incarnation of a target when its answer first states that it
+	// leaves. It must not block.
+	TargetLeaves func(incarnation uint64)
 	// Quarantine holds the requests that crash targets; nil disables the check.
 	Quarantine *quarantine.Quarantine
 	// MaxAnswerBytes bounds one answer.
@@ -114,6 +117,9 @@
 	if o.Quota == nil {
 		o.Quota = unlimited{}
 	}
+	if o.TargetLeaves == nil {
+		o.TargetLeaves = func(uint64) {}
+	}
 	if o.ConfigCurrent == nil {
 		o.ConfigCurrent = func() bool { return true }
 	}
--- a/edge/gateway/run.go
+++ b/edge/gateway/run.go
@@ -73,8 +73,8 @@
 	if end.answer != nil || end.code == result.CallerGone {
 		return end
 	}
-	if r.lastFailure != nil {
-		return outcome{code: result.OK, answer: r.lastFailure}
+	if r.lastFailure.answer != nil {
+		return r.lastFailure
 	}
 	if r.mayHaveRun && result.InfoOf(end.code).Outcome == result.NotRun {
 		return outcome{code: result.ConnectionLost, reason: end.reason}
@@ -102,7 +102,7 @@
 	r.log.decision = d
 	if d.Target == nil {
 		code := result.QueueFull
-		if d.Reason == placing.NoTarget {
+		if d.Reason == placing.NoTarget || d.Reason == placing.AllLeaving {
 			code = result.NoTarget
 		}
 		return d, outcome{code: code, retryAfter: d.RetryAfter, reason: d.Reason.String()}
@@ -315,18 +315,19 @@
 // request may be retried.
 func (g *Gateway) resolveAttempt(ctx context.Context, r *request, a attempt) (outcome, bool) {
 	repeatable := r.route.Kind == site.Idempotent
+	answered := outcome{code: result.OK, answer: a.answer, target: a.decision.Target}
 	if a.answer != nil {
 		if !isServerError(a.answer) || !repeatable {
-			return outcome{code: result.OK, answer: a.answer}, true
+			return answered, true
 		}
-		r.lastFailure = a.answer
+		r.lastFailure = answered
 	}
 	if ctx.Err() != nil {
 		return g.contextOutcome(ctx, r), true
 	}
 	end := outcome{code: a.code, reason: "attempt failed"}
 	if a.answer != nil {
-		end = outcome{code: result.OK, answer: a.answer}
+		end = answered
 	} else if a.notRun {
 		end.retryAfter = shedRetryAfter
 	}
--- a/edge/gateway/serve.go
+++ b/edge/gateway/serve.go
@@ -43,8 +43,8 @@
 	// attempts counts the attempts at targets, mayHaveRun reports whether one may have run.
 	attempts   int
 	mayHaveRun bool
-	// lastFailure is the last error response that a target returned.
-	lastFailure *forward.Response
+	// lastFailure has the last error response that a target returned, if any.
+	lastFailure outcome
 	// identity is the account of the request, by the index accounts. The account is nil if the
 	// configuration has none, or the route is public and the caller sent no known key.
 	identity accounts.Identity
@@ -64,6 +64,8 @@
 type outcome struct {
 	code   result.Code
 	answer *forward.Response
+	// target has given the answer; nil if another VM passed it on.
+	target *placing.Target
 	// retryAfter is the time after which a refused request is worth retrying.
 	retryAfter time.Duration
 	reason     string
--- a/edge/gateway/statement.go
+++ b/edge/gateway/statement.go
@@ -61,7 +61,8 @@
 		"target": s.target.ID, "service": s.target.Service, "started_ms": s.target.StartedMillis, "status": status, "id": s.id,
 	})
 	if stated.Leaving && g.options.Balancer.TargetLeaves(now, s.target.Incarnation) {
-		log.Info("gateway: target leaves by its answer")
+		log.WithField("incarnation", s.target.Incarnation).Info("gateway: target leaves by its answer")
+		g.options.TargetLeaves(s.target.Incarnation)
 	}
 	if stated.Rest > 0 && g.options.Balancer.TargetRests(now, s.target.Incarnation, stated.Rest) {
 		log.WithField("rest_ms", stated.Rest.Milliseconds()).Info("gateway: target asks for a rest")
--- a/edge/logs/account/cause.go
+++ b/edge/logs/account/cause.go
@@ -32,6 +32,8 @@
 	TargetsLimited Cause = "refused: limits of targets"
 	// NoTarget: no target was eligible.
 	NoTarget Cause = "refused: no target"
+	// TargetsLeaving: all targets were leaving.
+	TargetsLeaving Cause = "refused: all targets leave"
 	// NotServing: the VM was shutting down or had no configuration yet.
 	NotServing Cause = "refused: VM not serving"
 	// Quarantined: the request had crashed targets.
@@ -83,6 +85,8 @@
 		return cause
 	}
 	switch {
+	case e.Why == "all targets leave":
+		return TargetsLeaving
 	case e.Why == "no target" || e.Result == "no-target":
 		return NoTarget
 	case e.Why == "no permit":
--- a/edge/placing/balancer.go
+++ b/edge/placing/balancer.go
@@ -82,7 +82,7 @@
 	}
 	region := b.regionFor(now, s, r)
 	if region == "" {
-		return Decision{Reason: NoTarget, RetryAfter: maxRetryAfter}, nil
+		return s.rejectWithoutTarget(r), nil
 	}
 	if !r.AlreadyCounted {
 		s.weights.charge(region, b.tolerance)
--- a/edge/placing/request.go
+++ b/edge/placing/request.go
@@ -74,6 +74,8 @@
 const (
 	// NoTarget: no region has a target that may serve the request.
 	NoTarget Reason = iota + 1
+	// AllLeaving: as NoTarget, since all targets leave.
+	AllLeaving
 	// TooLate: the request would end too late.
 	TooLate
 	// NoPermit: it would end too late, as limits of targets permit no request in time.
@@ -85,6 +87,8 @@
 	switch r {
 	case NoTarget:
 		return "no target"
+	case AllLeaving:
+		return "all targets leave"
 	case NoPermit:
 		return "no permit"
 	}
--- a/edge/placing/serve.go
+++ b/edge/placing/serve.go
@@ -47,7 +47,11 @@
 // It returns false if the request stays in the queue.
 func (b *Balancer) decide(now time.Time, s *service, w *Waiter, ahead backlog) (Decision, bool) {
 	if s.slots(now, w.region) == 0 {
-		if region := b.nearest(now, s, w.request); region != "" {
+		region := b.nearest(now, s, w.request)
+		if region == "" && !s.hasUsableTarget(w.request) {
+			return s.rejectWithoutTarget(w.request), true
+		}
+		if region != "" {
 			w.region = region
 		}
 	}
--- a/edge/placing/service.go
+++ b/edge/placing/service.go
@@ -1,6 +1,7 @@
 package placing
 
 import (
+	"slices"
 	"time"
 
 	"github.com/yuccaroute/yuccaroute/edge/site"
@@ -40,6 +41,32 @@
 	return serviceAverages{occupancy: s.occupancy.lengthBiasedMean(r.serviceTime()), failures: &s.failures}
 }
 
+// hasUsableTarget reports whether a region that a request may use has a target that neither leaves nor
+// is in an evacuated domain. It may be unreachable now.
+func (s *service) hasUsableTarget(r *Request) bool {
+	for region, targets := range s.regions {
+		if r.allows(region) && slices.ContainsFunc(targets, func(t *Target) bool { return t.usable }) {
+			return true
+		}
+	}
+	return false
+}
+
+// rejectWithoutTarget rejects a request for which no region has a target.
+func (s *service) rejectWithoutTarget(r *Request) Decision {
+	d := Decision{Reason: NoTarget, RetryAfter: maxRetryAfter}
+	for region, targets := range s.regions {
+		if !r.allows(region) || len(targets) == 0 {
+			continue
+		}
+		if slices.ContainsFunc(targets, func(t *Target) bool { return !t.leaving }) {
+			return Decision{Reason: NoTarget, RetryAfter: maxRetryAfter}
+		}
+		d.Reason = AllLeaving
+	}
+	return d
+}
+
 func (s *service) returnsTo(region string) *returns {
 	n := s.returns[region]
 	if n == nil {
--- a/edge/placing/statement.go
+++ b/edge/placing/statement.go
@@ -22,6 +22,9 @@
 	restUntil time.Time
 }
 
+// isLeaving is false for nil.
+func (s *statement) isLeaving() bool { return s != nil && s.leaving }
+
 // isResting is false for nil.
 func (s *statement) isResting(now time.Time) bool { return s != nil && now.Before(s.restUntil) }
 
@@ -53,7 +56,8 @@
 	return HashOf(t.ID + " " + strconv.FormatInt(t.StartedMillis, 36))
 }
 
-// TargetLeaves records that a target has stated that it leaves. It returns false if that is known.
+// TargetLeaves records that a target has stated that it leaves: it gets no more requests. It returns
+// false if that is known.
 func (b *Balancer) TargetLeaves(now time.Time, incarnation uint64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -62,9 +66,33 @@
 		return false
 	}
 	s.leaving = true
+	if t := b.targetOf(incarnation); t != nil {
+		t.stated = s
+		t.usable, t.leaving = false, true
+		b.serveAll(now)
+	}
 	return true
 }
 
+// targetOf returns the registered target of an incarnation, nil if there is none.
+func (b *Balancer) targetOf(incarnation uint64) *Target {
+	for _, s := range b.services {
+		for _, t := range s.targets {
+			if t.Incarnation == incarnation {
+				return t
+			}
+		}
+	}
+	return nil
+}
+
+// HasStatedToLeave reports whether a target has stated that it leaves.
+func (b *Balancer) HasStatedToLeave(t *Target) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return t.stated.isLeaving()
+}
+
 // TargetRests records that a target has refused a request and asked this VM for a rest. It returns
 // false if a rest that it has asked for before lasts as long.
 func (b *Balancer) TargetRests(now time.Time, incarnation uint64, rest time.Duration) bool {
@@ -76,6 +104,9 @@
 		return false
 	}
 	s.restUntil = until
+	if t := b.targetOf(incarnation); t != nil {
+		t.stated = s
+	}
 	return true
 }
 
@@ -84,16 +115,12 @@
 func (b *Balancer) Statements(now time.Time) (leaving, resting int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(b.statements.order) == 0 {
-		return 0, 0
-	}
 	for _, s := range b.services {
 		for _, t := range s.targets {
-			known := b.statements.byIncarnation[t.Incarnation]
-			if known != nil && known.leaving {
+			if t.stated.isLeaving() {
 				leaving++
 			}
-			if known.isResting(now) {
+			if t.stated.isResting(now) {
 				resting++
 			}
 		}
--- /dev/null
+++ b/edge/placing/statement_test.go
@@ -0,0 +1,138 @@
+package placing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// firstStart returns the incarnation of listing(id).
+func firstStart(id string) uint64 {
+	l := listing(id)
+	return incarnationOf(&l.Target)
+}
+
+func TestLeavingTargetGetsNoRequests(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b, class := newBalancer(now), NewClass(time.Second)
+	leaving := firstStart("t1")
+	if !b.TargetLeaves(now, leaving) || b.TargetLeaves(now, leaving) {
+		t.Error("the first statement is not told from later ones")
+	}
+	for i := range 20 {
+		d, w := b.Place(now, keyRequest(now, class, uint64(i)*0x9e3779b97f4a7c15))
+		if w != nil || d.Target.ID != "t2" {
+			t.Fatalf("request %d: %+v", i, d)
+		}
+		b.Done(now, d, class, Answered, 20*time.Millisecond)
+	}
+}
+
+// A target that has stated that it leaves must not be used again because its registration lapsed and
+// came back, nor because other targets changed; only its next start, or a registration that is newer than
+// one which told of the drain, puts it back.
+func TestLeavingIsKeptUntilTheNextStart(t *testing.T) {
+	now := time.Unix(1000, 0)
+	restarted, draining := listing("t1"), listing("t1")
+	restarted.StartedMillis, draining.Draining = 5, true
+	for name, c := range map[string]struct {
+		lists  [][]TargetSpec
+		usable bool
+	}{
+		"other targets change":           {[][]TargetSpec{{listing("t1"), listing("t2"), listing("t3")}}, false},
+		"registration lapses":            {[][]TargetSpec{{listing("t2")}, {listing("t1"), listing("t2")}}, false},
+		"registration tells drain":       {[][]TargetSpec{{draining, listing("t2")}}, false},
+		"drain is told and withdrawn":    {[][]TargetSpec{{draining, listing("t2")}, {listing("t1"), listing("t2")}}, true},
+		"next start":                     {[][]TargetSpec{{restarted, listing("t2")}}, true},
+		"next start after a lapse":       {[][]TargetSpec{{listing("t2")}, {restarted, listing("t2")}}, true},
+		"statement before registration":  {[][]TargetSpec{{listing("t1")}}, false},
+		"evacuation begins and is ended": {[][]TargetSpec{{listing("t1"), listing("t2")}}, false},
+	} {
+		b := newBalancer(now)
+		if name == "statement before registration" {
+			b.SetTargets(now, services(0), nil, nil)
+		}
+		b.TargetLeaves(now, firstStart("t1"))
+		if name == "evacuation begins and is ended" {
+			b.SetTargets(now, services(0), c.lists[0], map[string]bool{"a1": true})
+		}
+		for _, list := range c.lists {
+			b.SetTargets(now, services(0), list, nil)
+		}
+		if got := b.services[serviceName].targets["t1"].usable; got != c.usable {
+			t.Errorf("%s: usable %v", name, got)
+		}
+	}
+}
+
+// A statement of an earlier start that arrives late must not concern the target that runs now.
+func TestStatementOfAnEarlierStartIsVoid(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b, restarted := newBalancer(now), listing("t1")
+	restarted.StartedMillis = 5
+	b.SetTargets(now, services(0), []TargetSpec{restarted, listing("t2")}, nil)
+	b.TargetLeaves(now, firstStart("t1"))
+	b.TargetRests(now, firstStart("t1"), time.Second)
+	if leaving, resting := b.Statements(now); leaving+resting != 0 {
+		t.Errorf("%d targets leave, %d rest", leaving, resting)
+	}
+}
+
+// Requests in the queue must be refused at once when the last target leaves, not at their deadline.
+func TestQueuedRequestsAreRefusedWhenAllTargetsLeave(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b, class := newBalancer(now), NewClass(100*time.Millisecond)
+	var queued []*Waiter
+	for range 2*(2+targetQueue) + 3 {
+		if _, w := b.Place(now, request(now, class)); w != nil {
+			queued = append(queued, w)
+		}
+	}
+	for _, id := range []string{"t1", "t2"} {
+		b.TargetLeaves(now, firstStart(id))
+	}
+	if len(queued) != 3 || b.Waiting() != 0 {
+		t.Fatalf("%d requests were queued, %d still wait", len(queued), b.Waiting())
+	}
+	for _, w := range queued {
+		if d := <-w.Decided(); d.Target != nil || d.Reason != AllLeaving || d.RetryAfter <= 0 {
+			t.Errorf("%+v", d)
+		}
+	}
+	if d, w := b.Place(now, request(now, class)); w != nil || d.Reason != AllLeaving {
+		t.Errorf("new request: %+v", d)
+	}
+}
+
+// What is kept of targets must not grow with the number of their starts.
+func TestStatementsAreBounded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := newBalancer(now)
+	for incarnation := range uint64(3 * maxStatements) {
+		b.TargetLeaves(now, incarnation)
+		b.TargetRests(now, incarnation, time.Second)
+	}
+	if n := len(b.statements.byIncarnation); n != maxStatements || len(b.statements.order) != n {
+		t.Errorf("%d statements, %d in order", n, len(b.statements.order))
+	}
+}
+
+// BenchmarkPlaceBesideLeavingTarget places requests while a quarter of the targets have stated that they leave.
+func BenchmarkPlaceBesideLeavingTarget(bench *testing.B) {
+	now := time.Unix(1000, 0)
+	b, class := newBalancer(now), NewClass(time.Second)
+	var list []TargetSpec
+	for i := range 16 {
+		list = append(list, listing(fmt.Sprint("t", i)))
+	}
+	b.SetTargets(now, services(0), list, nil)
+	for i := range 4 {
+		b.TargetLeaves(now, incarnationOf(&list[i].Target))
+	}
+	r := request(now, class)
+	bench.ReportAllocs()
+	for bench.Loop() {
+		d, _ := b.Place(now, r)
+		b.Done(now, d, class, Answered, time.Millisecond)
+	}
+}
--- a/edge/placing/target.go
+++ b/edge/placing/target.go
@@ -47,10 +47,13 @@
 	hash        uint64
 	// rtt is the network round-trip time.
 	rtt time.Duration
-	// usable is false for draining targets and those in evacuated domains.
+	// usable is false for leaving targets and those in evacuated domains.
 	usable, evacuated bool
-	// leaving is true for draining targets and those no longer registered.
+	// leaving is true for targets that are draining, by their registration or by what they have
+	// stated, and for those no longer registered.
 	leaving bool
+	// stated is nil if the target has stated nothing.
+	stated *statement
 	// local and remote count the requests in flight from this VM and from all others.
 	local  int
 	remote *remoteCount
--- a/edge/placing/targetspec.go
+++ b/edge/placing/targetspec.go
@@ -75,12 +75,18 @@
 		s.targets[l.ID] = t
 		t.cold.rate = b.coldRate(s, t)
 	}
-	usable := !l.Draining && !evacuated
+	if t.Draining && !l.Draining && t.stated != nil {
+		// The registration had told of the drain, so it is newer than the target's statement.
+		t.stated.leaving = false
+	}
+	t.Draining = l.Draining
+	leaving := l.Draining || t.stated.isLeaving()
+	usable := !leaving && !evacuated
 	if usable && t.evacuated {
 		// The target may have become cold during the evacuation.
 		t.coldUntil = now.Add(s.ColdTime)
 	}
-	t.usable, t.evacuated, t.leaving = usable, evacuated, l.Draining
+	t.usable, t.evacuated, t.leaving = usable, evacuated, leaving
 	// The identifying fields are not updated: the request path reads them without the lock.
 	t.Slots = l.Slots
 	t.rtt = b.options.RTT(t.Region)
@@ -96,6 +102,7 @@
 		warm: make(map[uint64]time.Time), slowdown: 1,
 	}
 	t.limit = b.limitOf(t)
+	t.stated = b.statements.byIncarnation[t.Incarnation]
 	return t
 }
 
--- a/edge/quarantine/quarantine.go
+++ b/edge/quarantine/quarantine.go
@@ -46,7 +46,9 @@
 }
 
 // New returns an empty quarantine.
-func New(o Options) *Quarantine { return &Quarantine{options: o, table: NewTable(), journal: newJournal()} }
+func New(o Options) *Quarantine {
+	return &Quarantine{options: o, table: NewTable(), journal: newJournal()}
+}
 
 // IsEmpty reports whether every request is clear, without taking a lock.
 func (q *Quarantine) IsEmpty() bool { return q.table.IsEmpty() }
