placing: a target that refuses requests and asks for a rest gets none until its end

A target at rest is unavailable to the VM that it has refused, for placing, repeats, second sends and probes, until the end of its longest rest; that is kept by incarnation, as leaving is. Other targets and regions serve. If all rest, a request waits for the first one only if it can still end in time; otherwise it is refused at once with the end of the first rest, callers one after the other as under a limit (placing.permits), and so is one that was in the queue already. Reason in log lines and 'logs account': targets at rest.

--- a/edge/gateway/run.go
+++ b/edge/gateway/run.go
@@ -349,5 +349,5 @@
 	return outcome{}, false
 }
 
-// shedRetryAfter is the Retry-After of a request that targets refused.
+// shedRetryAfter is the least Retry-After of a request that targets refused.
 const shedRetryAfter = 200 * time.Millisecond
--- a/edge/logs/account/cause.go
+++ b/edge/logs/account/cause.go
@@ -30,6 +30,8 @@
 	SlotsTaken Cause = "refused: slots were taken"
 	// TargetsLimited: limits that targets state permitted no request in time.
 	TargetsLimited Cause = "refused: limits of targets"
+	// TargetsAtRest: targets had refused requests and asked for a rest.
+	TargetsAtRest Cause = "refused: targets at rest"
 	// NoTarget: no target was eligible.
 	NoTarget Cause = "refused: no target"
 	// TargetsLeaving: all targets were leaving.
@@ -91,6 +93,8 @@
 		return NoTarget
 	case e.Why == "no permit":
 		return TargetsLimited
+	case e.Why == "targets at rest":
+		return TargetsAtRest
 	case e.Result != "queue-full" || e.Slots == 0:
 		return RefusedUnexplained
 	case float64(e.InFlight) < (1-freeSlotShare)*float64(e.Slots):
--- a/edge/placing/balancer.go
+++ b/edge/placing/balancer.go
@@ -81,6 +81,9 @@
 		s.weights.accrue(now)
 	}
 	region := b.regionFor(now, s, r)
+	if region == "" {
+		region = b.firstRested(now, s, r)
+	}
 	if region == "" {
 		return s.rejectWithoutTarget(r), nil
 	}
@@ -90,7 +93,7 @@
 	if d, ok := b.assign(now, s, r, region); ok {
 		return d, nil
 	}
-	if _, limited := s.permitsOf(now, region, r); limited {
+	if _, limited := b.permitsOf(now, s, region, r); limited {
 		if d, ok := b.elsewhere(now, s, r, region); ok {
 			return d, nil
 		}
@@ -131,7 +134,7 @@
 
 // rejectLate rejects a request that would end too late if it were queued.
 func (b *Balancer) rejectLate(now time.Time, s *service, r *Request, region string) (Decision, bool) {
-	w := s.estimateWait(now, r, region, s.queue.backlog(r, region, now), permitMargin)
+	w := b.estimateWait(now, s, r, region, s.queue.backlog(r, region, now), permitMargin)
 	if !w.limited {
 		return b.rejectAfter(now, s, r, w, r.latestEnd())
 	}
@@ -148,7 +151,10 @@
 		return Decision{}, false
 	}
 	d := s.rejection(now, w.region, retryAfter(w.wait), expected)
-	if w.limited {
+	switch {
+	case w.permits.resting:
+		d.Reason = AtRest
+	case w.limited:
 		d.Reason = NoPermit
 	}
 	if w.permits.stated {
--- a/edge/placing/permits.go
+++ b/edge/placing/permits.go
@@ -11,21 +11,26 @@
 	// permitMargin is how much longer than estimated the wait of a request may be that enters the
 	// queue: permits come in bursts.
 	permitMargin = 2
+	// restSpread is how much later than the first the rest of a target may end whose slots count for
+	// callers that are told to come back then.
+	restSpread = 500 * time.Millisecond
 	// maxReturnDelay is how long after the time that it was told a caller may come back.
 	maxReturnDelay = 100 * time.Millisecond
 	// maxReturns bounds the callers of a region that have been told to come back.
 	maxReturns = 1024
 )
 
-// permits estimates when this VM may send requests to the targets of a region if the rates of all of
-// them are limited, because they have stated limits or are cold.
+// permits estimates when this VM may send requests to the targets of a region if none may get one
+// freely, because they have stated limits, rest or are cold.
 type permits struct {
 	// first is the time until the first request, perSecond the rate of further ones.
 	first     time.Duration
 	perSecond float64
-	// stated is set if a target has stated a limit. Otherwise other VMs may have permits: each cold
-	// target is left to a few.
+	// stated is set if a target has stated a limit or rests. Otherwise other VMs may have permits: each
+	// cold target is left to a few.
 	stated bool
+	// resting is set if a target rests.
+	resting bool
 }
 
 // queueWait is the estimated wait of a request in the queue.
@@ -41,10 +46,10 @@
 
 // estimateWait estimates the wait for a slot of a region, and for a permit if all its targets need
 // one. margin is how much longer than expected the latter may be.
-func (s *service) estimateWait(now time.Time, r *Request, region string, before backlog, margin float64) queueWait {
+func (b *Balancer) estimateWait(now time.Time, s *service, r *Request, region string, before backlog, margin float64) queueWait {
 	w := queueWait{region: region, before: before}
 	w.wait = time.Duration(float64(before.work) / s.slotShare(now, region))
-	if p, limited := s.permitsOf(now, region, r); limited {
+	if p, limited := b.permitsOf(now, s, region, r); limited {
 		w.limited, w.permits = true, p
 		w.wait = max(w.wait, time.Duration(margin*float64(p.wait(before.requests))))
 	}
@@ -62,14 +67,17 @@
 
 // permitsOf returns the permits of a region for a request, and false if it has a target without a
 // limited rate or none at all.
-func (s *service) permitsOf(now time.Time, region string, r *Request) (p permits, limited bool) {
+func (b *Balancer) permitsOf(now time.Time, s *service, region string, r *Request) (p permits, limited bool) {
 	p.first = maxPermitWait
 	for _, t := range s.regions[region] {
-		if !t.available(now) || r.tried(t) {
+		if !t.isReachable(now) || r.tried(t) {
 			continue
 		}
 		wait, interval, ok := t.expectPermit(now)
+		rest := t.stated.restLeft(now)
 		switch {
+		case ok && rest > 0:
+			p.addRest(max(wait, rest), max(interval, b.slotInterval(s, t, r)))
 		case ok && interval == 0:
 			return p, false
 		case ok:
@@ -77,11 +85,24 @@
 			p.perSecond += 1 / interval.Seconds()
 		}
 		limited = true
-		p.stated = p.stated || t.limit != nil
+		p.stated = p.stated || t.limit != nil || p.resting
 	}
 	return p, limited
 }
 
+// addRest counts a target that rests, unless others permit requests much earlier.
+func (p *permits) addRest(wait, interval time.Duration) {
+	p.resting = true
+	if p.perSecond > 0 && wait > p.first+restSpread {
+		return
+	}
+	if wait < p.first-restSpread {
+		p.perSecond = 0
+	}
+	p.first = min(p.first, wait)
+	p.perSecond += 1 / interval.Seconds()
+}
+
 // expectPermit returns the time until the rates of a target permit a request of this VM, and the time
 // between further ones, 0 if no rate limits it; ok is false if they permit none.
 func (t *Target) expectPermit(now time.Time) (wait, interval time.Duration, ok bool) {
--- a/edge/placing/request.go
+++ b/edge/placing/request.go
@@ -80,6 +80,8 @@
 	TooLate
 	// NoPermit: it would end too late, as limits of targets permit no request in time.
 	NoPermit
+	// AtRest: it would end too late, as targets have asked for a rest.
+	AtRest
 )
 
 // String implements fmt.Stringer.
@@ -91,6 +93,8 @@
 		return "all targets leave"
 	case NoPermit:
 		return "no permit"
+	case AtRest:
+		return "targets at rest"
 	}
 	return "too late"
 }
--- a/edge/placing/serve.go
+++ b/edge/placing/serve.go
@@ -58,7 +58,7 @@
 	if d, ok := b.assign(now, s, w.request, w.region); ok {
 		return d, true
 	}
-	wait := s.estimateWait(now, w.request, w.region, ahead, 1)
+	wait := b.estimateWait(now, s, w.request, w.region, ahead, 1)
 	if wait.limited {
 		if d, ok := b.elsewhere(now, s, w.request, w.region); ok {
 			return d, true
--- a/edge/placing/statement.go
+++ b/edge/placing/statement.go
@@ -1,6 +1,7 @@
 package placing
 
 import (
+	"math"
 	"strconv"
 	"time"
 
@@ -26,7 +27,15 @@
 func (s *statement) isLeaving() bool { return s != nil && s.leaving }
 
 // isResting is false for nil.
-func (s *statement) isResting(now time.Time) bool { return s != nil && now.Before(s.restUntil) }
+func (s *statement) isResting(now time.Time) bool { return s.restLeft(now) > 0 }
+
+// restLeft returns how long the target still rests, 0 or less if it does not.
+func (s *statement) restLeft(now time.Time) time.Duration {
+	if s == nil {
+		return 0
+	}
+	return s.restUntil.Sub(now)
+}
 
 // statements holds the statements of targets by incarnation.
 type statements struct {
@@ -93,8 +102,8 @@
 	return t.stated.isLeaving()
 }
 
-// TargetRests records that a target has refused a request and asked this VM for a rest. It returns
-// false if a rest that it has asked for before lasts as long.
+// TargetRests records that a target has refused a request and asked this VM for a rest: it gets no
+// requests of this VM meanwhile. It returns false if a rest that it has asked for before lasts as long.
 func (b *Balancer) TargetRests(now time.Time, incarnation uint64, rest time.Duration) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -106,6 +115,7 @@
 	s.restUntil = until
 	if t := b.targetOf(incarnation); t != nil {
 		t.stated = s
+		b.serveAll(now)
 	}
 	return true
 }
@@ -127,3 +137,26 @@
 	}
 	return leaving, resting
 }
+
+// firstRested returns the region whose first target has rested, of those that a request may use, or "" if
+// none rests.
+func (b *Balancer) firstRested(now time.Time, s *service, r *Request) string {
+	best, first := "", time.Duration(math.MaxInt64)
+	for region := range s.regions {
+		if !r.allows(region) {
+			continue
+		}
+		p, _ := b.permitsOf(now, s, region, r)
+		if wait := p.first + b.options.RTT(region); p.resting && (wait < first || wait == first && region < best) {
+			best, first = region, wait
+		}
+	}
+	return best
+}
+
+// slotInterval returns the time between two requests of this VM that a target has slots for, if the VMs
+// of the region share them equally.
+func (b *Balancer) slotInterval(s *service, t *Target, r *Request) time.Duration {
+	occupancy := s.averagesFor(r).occupancy
+	return time.Duration(float64(occupancy) / float64(t.Slots) * float64(max(1, len(b.vmHashes))))
+}
--- a/edge/placing/target.go
+++ b/edge/placing/target.go
@@ -81,10 +81,7 @@
 
 // canAccept reports whether the target may get one more request.
 func (t *Target) canAccept(now time.Time) bool {
-	if !t.usable || t.needsProbe || now.Before(t.ejectedUntil) || t.inFlight() >= t.Slots+targetQueue {
-		return false
-	}
-	return t.admits(now)
+	return t.available(now) && t.inFlight() < t.Slots+targetQueue && t.admits(now)
 }
 
 // admits reports whether the rates that limit the target, if any, permit one more request of this
@@ -98,6 +95,11 @@
 
 // available reports whether the target counts towards the region's capacity.
 func (t *Target) available(now time.Time) bool {
+	return t.isReachable(now) && !t.stated.isResting(now)
+}
+
+// isReachable reports whether the target may get requests unless it has asked for a rest.
+func (t *Target) isReachable(now time.Time) bool {
 	return t.usable && !t.needsProbe && !now.Before(t.ejectedUntil)
 }
 
