soak, platformtest: targets that leave and rest by their answers

Targets tell VMs apart by a field that callers set; only VMs that are alone in their failure domain are judged, since an owner sends the requests of others. A VM that was stopped, paused or cut off in between is excused. After the faults a target leaves while the store is away, and all targets of a service rest.

--- a/integration/soak/caller_test.go
+++ b/integration/soak/caller_test.go
@@ -36,11 +36,25 @@
 	at, took time.Duration
 }
 
+// leaving is a response that a VM has passed on, of a target that says that it leaves.
+type leaving struct {
+	vm, target    string
+	startedMillis int64
+	at            time.Time
+}
+
 // journal collects what all callers saw.
 type journal struct {
-	began time.Time
-	mu    sync.Mutex
-	all   []outcome
+	began    time.Time
+	mu       sync.Mutex
+	all      []outcome
+	leavings []leaving
+}
+
+func (j *journal) addLeaving(l leaving) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.leavings = append(j.leavings, l)
 }
 
 func (j *journal) add(o outcome) {
@@ -58,7 +72,9 @@
 	journal *journal
 	conn    net.Conn
 	reader  *bufio.Reader
-	sent    int
+	// vm is the name of the VM that conn is to.
+	vm   string
+	sent int
 	// key is the key of its client account, "" for none.
 	key string
 	// path is the last part of all its paths, "" for the ID of each request.
@@ -96,7 +112,12 @@
 		time.Sleep(10 * time.Millisecond)
 		return false
 	}
-	c.conn, c.reader = conn, bufio.NewReader(conn)
+	c.conn, c.reader, c.vm = conn, bufio.NewReader(conn), ""
+	for _, p := range c.vms {
+		if p.vm.Entry == entry {
+			c.vm = p.vm.Name
+		}
+	}
 	return true
 }
 
@@ -140,7 +161,7 @@
 		method, path = http.MethodPost, "/order/"+last
 	}
 	_ = c.conn.SetDeadline(time.Now().Add(callTime + dialTime))
-	if _, err := io.WriteString(c.conn, platformtest.Request(host, method, path, id, c.key, callTime)); err != nil {
+	if _, err := io.WriteString(c.conn, platformtest.Request(c.vm, host, method, path, id, c.key, callTime)); err != nil {
 		c.drop()
 		return o
 	}
@@ -154,6 +175,9 @@
 		c.drop()
 		return o
 	}
+	if target, started := platformtest.LeavingTarget(resp.Header); target != "" {
+		c.journal.addLeaving(leaving{vm: c.vm, target: target, startedMillis: started, at: time.Now()})
+	}
 	o.status, o.body, o.own = resp.StatusCode, string(body), platformtest.HasStamp(resp.Header, id)
 	if resp.Close {
 		c.drop()
--- a/integration/soak/limits_test.go
+++ b/integration/soak/limits_test.go
@@ -151,14 +151,14 @@
 }
 
 // mostSince returns the highest number of arrivals in a window after a time.
-func mostSince(arrivals []time.Time, from time.Time) int {
+func mostSince(arrivals []platformtest.Arrival, from time.Time) int {
 	most, first := 0, 0
-	for i, at := range arrivals {
-		if at.Before(from) {
+	for i, a := range arrivals {
+		if a.At.Before(from) {
 			first = i + 1
 			continue
 		}
-		for at.Sub(arrivals[first]) >= targetWindow {
+		for a.At.Sub(arrivals[first].At) >= targetWindow {
 			first++
 		}
 		most = max(most, i-first+1)
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -41,6 +41,8 @@
 	limitSeeds = 7000
 	// changingLimitSeeds are those from which on several targets change their limits.
 	changingLimitSeeds = 8000
+	// statementSeeds are those from which on targets state that they leave, or ask for a rest.
+	statementSeeds = 9000
 	// healTime is how long a VM may take to serve after all faults have ended.
 	healTime = 30 * time.Second
 )
@@ -83,6 +85,12 @@
 	soak(t, buildEntry(t), changingLimitSeeds)
 }
 
+// The same with targets that say in their answers that they leave, or refuse requests and ask for a rest,
+// one of them or all of a service.
+func TestSoakOfLeavingAndRestingTargets(t *testing.T) {
+	soak(t, buildEntry(t), statementSeeds)
+}
+
 // world is the processes and stand-ins of one run.
 type world struct {
 	t        *testing.T
@@ -105,6 +113,8 @@
 	keyGone bool
 	// limitStated is set while limitedTarget states its limit.
 	limitStated bool
+	// disturbed lists when VMs were stopped, paused or cut off.
+	disturbed disturbances
 	// checked counts promises: what the answer to one request may say.
 	checked int
 }
@@ -131,10 +141,12 @@
 	bad.check()
 	w.checkTargetLimit()
 	w.checkChangedLimits()
+	w.checkLeavingAndRest()
 	stop()
 	all.Wait()
 	w.check(seen)
 	w.checkAccounts(seen)
+	w.checkStatements(seen)
 	if *plotTo != "" {
 		w.must(w.timeline.write(seen.all, filepath.Join(*plotTo, fmt.Sprintf("seed-%d.png", seed))))
 	}
@@ -220,8 +232,8 @@
 	harms := []harm{
 		{"path to a target", func() { w.pathFault(w.paths) }},
 		{"path to the store", func() { w.pathFault(w.storePaths) }},
-		{"connections reset", func() { w.paths[w.random.IntN(len(w.paths))].resetAll() }},
-		{"process killed", func() { p := w.anyProcess(); p.kill(); p.start() }},
+		{"connections reset", func() { w.disturbed.all(); w.paths[w.random.IntN(len(w.paths))].resetAll() }},
+		{"process killed", func() { p := w.anyProcess(); p.kill(); p.start(); w.disturbed.vm(p.vm.Name) }},
 		{"process paused", w.pause},
 		{"process stopped as planned", w.planned},
 		{"settings signal", func() { w.anyProcess().signal(syscall.SIGHUP) }},
@@ -240,6 +252,9 @@
 	if w.seed >= changingLimitSeeds {
 		harms = append(harms, harm{"limits changed", w.changeLimits})
 	}
+	if w.seed >= statementSeeds {
+		harms = append(harms, harm{"target leaves by its answers", w.leave}, harm{"targets rest", w.rest}, harm{"rests end", w.endRests})
+	}
 	if w.seed >= accountSeeds {
 		harms = append(harms, harm{"key moved", func() { w.keyGone = !w.keyGone; w.configure() }})
 	}
@@ -254,6 +269,7 @@
 func (w *world) pathFault(paths []*proxy) {
 	m := mode(w.random.IntN(int(modes)))
 	w.faults["mode "+m.String()]++
+	w.disturbed.all()
 	paths[w.random.IntN(len(paths))].set(m)
 }
 
@@ -262,6 +278,7 @@
 	p.signal(syscall.SIGSTOP)
 	time.Sleep(time.Duration(w.random.IntN(1500)) * time.Millisecond)
 	p.signal(syscall.SIGCONT)
+	w.disturbed.vm(p.vm.Name)
 }
 
 // planned stops a process while callers go on using their connections to it.
@@ -274,6 +291,7 @@
 		p.kill()
 	}
 	p.start()
+	w.disturbed.vm(p.vm.Name)
 }
 
 func (w *world) failStore() {
@@ -333,6 +351,9 @@
 	}
 	for i, target := range w.targets {
 		target.SetResponseLossRate(0)
+		if w.seed >= statementSeeds {
+			target.Restart()
+		}
 		w.register(i, false)
 	}
 }
