gateway, placing: callers of refusing targets are told when the first is back

Change: the balancer estimates the wait for it as for a request that it rejects itself; 0.2 s is the least. Failed before: TestCallerOfRestingTargetsIsToldWhenTheyAreBack, request 0: Retry-After 0.200, now 3 s and more.

--- a/edge/gateway/answerkinds_test.go
+++ b/edge/gateway/answerkinds_test.go
@@ -234,3 +234,25 @@
 		}
 	}
 }
+
+// A caller whose request targets refused must be told when the first of them is back, also if the request
+// is not sent again because the budget for that is used up.
+func TestCallerOfRestingTargetsIsToldWhenTheyAreBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		refuse := answering(503, "X-Not-Run: 1\r\nX-Rest: 3\r\n", whole, false)
+		first, second := &target{id: "first"}, &target{id: "second"}
+		f := newStatingGateway(t, map[*target]script{first: refuse, second: refuse}, first, second)
+		f.options.RetryRatio, f.options.RetryExtra = 0, 0
+		for i := range 3 {
+			a := f.ask(context.Background(), "POST", "/once/x", fmt.Sprint(i), time.Second, "")
+			after, err := strconv.ParseFloat(a.Header.Get("Retry-After"), 64)
+			if a.Status != http.StatusServiceUnavailable || err != nil || after < 2.9 || after > 9 {
+				t.Errorf("request %d: %d, Retry-After %q", i, a.Status, a.Header.Get("Retry-After"))
+			}
+		}
+		if first.count()+second.count() != 2 {
+			t.Errorf("%d requests at the targets", first.count()+second.count())
+		}
+		f.finish()
+	})
+}
--- a/edge/gateway/run.go
+++ b/edge/gateway/run.go
@@ -329,7 +329,7 @@
 	if a.answer != nil {
 		end = answered
 	} else if a.notRun {
-		end.retryAfter = shedRetryAfter
+		end.retryAfter = max(shedRetryAfter, g.options.Balancer.RetryAfter(time.Now(), &r.placement))
 	}
 	if !a.notRun && !repeatable {
 		return end, true
--- a/edge/placing/balancer.go
+++ b/edge/placing/balancer.go
@@ -150,16 +150,13 @@
 	if !now.Add(expected).After(latestEnd) {
 		return Decision{}, false
 	}
-	d := s.rejection(now, w.region, retryAfter(w.wait), expected)
+	d := s.rejection(now, w.region, s.retryAfterWait(now, w, r), expected)
 	switch {
 	case w.permits.resting:
 		d.Reason = AtRest
 	case w.limited:
 		d.Reason = NoPermit
 	}
-	if w.permits.stated {
-		d.RetryAfter = s.returnsTo(w.region).next(now, w.permits, w.before.requests, r.Deadline)
-	}
 	return d, true
 }
 
@@ -172,6 +169,36 @@
 	}
 }
 
+// RetryAfter returns when a request is worth sending again that targets have refused.
+func (b *Balancer) RetryAfter(now time.Time, r *Request) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.services[r.Service]
+	if s == nil {
+		return maxRetryAfter
+	}
+	s.resetLoads()
+	again := *r
+	again.Tried = nil
+	region := b.regionFor(now, s, &again)
+	if region == "" {
+		region = b.firstRested(now, s, &again)
+	}
+	if region == "" {
+		return maxRetryAfter
+	}
+	w := b.estimateWait(now, s, &again, region, s.queue.backlog(&again, region, now), 1)
+	return s.retryAfterWait(now, w, &again)
+}
+
+// retryAfterWait returns the Retry-After of a request that would wait too long.
+func (s *service) retryAfterWait(now time.Time, w queueWait, r *Request) time.Duration {
+	if w.permits.stated {
+		return s.returnsTo(w.region).next(now, w.permits, w.before.requests, r.Deadline)
+	}
+	return retryAfter(w.wait)
+}
+
 func retryAfter(wait time.Duration) time.Duration {
 	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
