--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -96,6 +96,11 @@
 	permission.place.counts.attempts.Add(1)
 	q.out.Host = permission.target.host
 	q.out.Deadline = deadline
+	q.out.HeaderReceived = func(_ int, h http.Header) {
+		if h.Get(result.HeaderLeaving) != "" {
+			permission.target.state.MarkLeaving()
+		}
+	}
 	sent := time.Now()
 	answer, err := conn.Exchange(ctx, &q.out)
 	permission.target.pool.Put(conn)
@@ -171,9 +176,6 @@
 func (p *Proxy) recordAnswer(permission permission, answer *forward.Response, took time.Duration) {
 	state := permission.target.state
 	now := p.now()
-	if answer.Draining {
-		state.MarkLeaving()
-	}
 	if answer.Shed {
 		state.RecordShed(now)
 		return
--- a/proxy/forward/receive.go
+++ b/proxy/forward/receive.go
@@ -57,7 +57,6 @@
 		ReservedBytes: reserved,
 		NoBody:        !hasBody(resp, r),
 		Shed:          resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(result.HeaderShed) != "",
-		Draining:      resp.Header.Get(result.HeaderLeaving) != "",
 	}, nil
 }
 
--- a/proxy/forward/response.go
+++ b/proxy/forward/response.go
@@ -21,8 +21,6 @@
 	NoBody bool
 	// Shed is set if the target rejected the request before running it.
 	Shed bool
-	// Draining is set if the target accepts no new requests.
-	Draining bool
 }
 
 // ContentLengthHeader returns the Content-Length values to forward, nil for
--- a/proxy/retry_test.go
+++ b/proxy/retry_test.go
@@ -162,6 +162,19 @@
 	}
 }
 
+// A target whose answer breaks off after the header said that it leaves must get no new work.
+func TestBrokenAnswerOfLeavingTargetCounts(t *testing.T) {
+	leaving := newScriptedTarget(t, func(c *scriptedConn) {
+		if c.next() != nil {
+			c.respond("HTTP/1.1 200 OK\r\nYucca-Leaving: 1\r\nContent-Length: 20\r\n\r\nok")
+		}
+	})
+	p := newTestProxy(t, nil, leaving.address())
+	wantResult(t, call(p, http.MethodPost, "/orders", "x"), result.AnswerTruncated)
+	wantResult(t, call(p, http.MethodPost, "/orders", "x"), result.NoTarget)
+	leaving.wantRequests(t, 1)
+}
+
 func TestListedAsLeavingGetsNoNewWork(t *testing.T) {
 	a := newScriptedTarget(t, respondAlways(okAnswer))
 	b := newScriptedTarget(t, respondAlways(okAnswer))
