--- a/edge/gateway/delegate.go
+++ b/edge/gateway/delegate.go
@@ -65,6 +65,7 @@
 	if a != nil {
 		a.Header[result.HeaderResult] = []string{strconv.Itoa(int(end.code))}
 		a.Header[fieldOwnerMillis] = []string{strconv.FormatInt(time.Since(in.Arrived).Milliseconds(), 10)}
+		a.Header.Del(fieldLeavingTarget)
 		if end.target != nil && g.options.Balancer.HasStatedToLeave(end.target) {
 			a.Header[fieldLeavingTarget] = []string{strconv.FormatUint(end.target.Incarnation, incarnationBase)}
 		}
