gateway: no log fields are built for answers that state nothing

Found by reading the change: the fields of a line were built for each answer, on the path of each request, before it was known whether there is anything to log. No decision changes.

--- a/edge/gateway/statement.go
+++ b/edge/gateway/statement.go
@@ -56,19 +56,23 @@
 		g.logMalformedStatement(s.target, stated.Malformed)
 	}
 	g.observeLimit(s, stated, h)
-	now := time.Now()
-	log := g.options.Logger.WithFields(logrus.Fields{
-		"target": s.target.ID, "service": s.target.Service, "started_ms": s.target.StartedMillis, "status": status, "id": s.id,
-	})
-	if stated.Leaving && g.options.Balancer.TargetLeaves(now, s.target.Incarnation) {
-		log.WithField("incarnation", s.target.Incarnation).Info("gateway: target leaves by its answer")
+	if stated.Leaving && g.options.Balancer.TargetLeaves(time.Now(), s.target.Incarnation) {
+		g.logStatement(s, status).Info("gateway: target leaves by its answer")
 		g.options.TargetLeaves(s.target.Incarnation)
 	}
-	if stated.Rest > 0 && g.options.Balancer.TargetRests(now, s.target.Incarnation, stated.Rest) {
-		log.WithField("rest_ms", stated.Rest.Milliseconds()).Info("gateway: target asks for a rest")
+	if stated.Rest > 0 && g.options.Balancer.TargetRests(time.Now(), s.target.Incarnation, stated.Rest) {
+		g.logStatement(s, status).WithField("rest_ms", stated.Rest.Milliseconds()).Info("gateway: target asks for a rest")
 	}
 }
 
+// logStatement returns a log line's fields on the answer to a request that was sent.
+func (g *Gateway) logStatement(s sending, status int) *logrus.Entry {
+	return g.options.Logger.WithFields(logrus.Fields{
+		"target": s.target.ID, "service": s.target.Service, "started_ms": s.target.StartedMillis,
+		"incarnation": s.target.Incarnation, "status": status, "id": s.id,
+	})
+}
+
 // observeLimit records whether an answer states a limit of its target. Only an answer that the
 // target has stamped shows that it has withdrawn one.
 func (g *Gateway) observeLimit(s sending, stated site.Statement, h http.Header) {
--- a/edge/placing/service.go
+++ b/edge/placing/service.go
@@ -54,14 +54,20 @@
 
 // rejectWithoutTarget rejects a request for which no region has a target.
 func (s *service) rejectWithoutTarget(r *Request) Decision {
-	d := Decision{Reason: NoTarget, RetryAfter: maxRetryAfter}
+	leaving, all := 0, 0
 	for region, targets := range s.regions {
-		if !r.allows(region) || len(targets) == 0 {
+		if !r.allows(region) {
 			continue
 		}
-		if slices.ContainsFunc(targets, func(t *Target) bool { return !t.leaving }) {
-			return Decision{Reason: NoTarget, RetryAfter: maxRetryAfter}
+		for _, t := range targets {
+			all++
+			if t.leaving {
+				leaving++
+			}
 		}
+	}
+	d := Decision{Reason: NoTarget, RetryAfter: maxRetryAfter}
+	if all > 0 && leaving == all {
 		d.Reason = AllLeaving
 	}
 	return d
