--- a/edge/entry/limitload_test.go
+++ b/edge/entry/limitload_test.go
@@ -302,7 +302,7 @@
 	for _, rate := range []float64{0, 0.2, 2, 20} {
 		for _, work := range []time.Duration{5 * time.Millisecond, 800 * time.Millisecond} {
 			for _, callers := range []int{3, 20, 200} {
-				t.Run(fmt.Sprintf("rate=%v,work=%s,callers=%d", rate, work, callers), func(t *testing.T) {
+				t.Run(fmt.Sprintf("rate=%v_work=%s_callers=%d", rate, work, callers), func(t *testing.T) {
 					synctest.Test(t, func(t *testing.T) {
 						l := &limitLoad{rate: rate, work: work, objective: 400 * time.Millisecond, deadline: 2 * time.Second, callers: callers}
 						if work > l.objective {
