--- a/edge/placing/statement_test.go
+++ b/edge/placing/statement_test.go
@@ -78,9 +78,8 @@
 	}
 }
 
-// Requests in the queue must be refused at once when the last target leaves, not at their deadline.
-func TestQueuedRequestsAreRefusedWhenAllTargetsLeave(t *testing.T) {
-	now := time.Unix(1000, 0)
+// balancerWithQueue returns a balancer whose targets are full and whose queue has three requests.
+func balancerWithQueue(now time.Time) (*Balancer, *Class, []*Waiter) {
 	b, class := newBalancer(now), NewClass(100*time.Millisecond)
 	var queued []*Waiter
 	for range 2*(2+targetQueue) + 3 {
@@ -88,6 +87,13 @@
 			queued = append(queued, w)
 		}
 	}
+	return b, class, queued
+}
+
+// Requests in the queue must be refused at once when the last target leaves, not at their deadline.
+func TestQueuedRequestsAreRefusedWhenAllTargetsLeave(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b, class, queued := balancerWithQueue(now)
 	for _, id := range []string{"t1", "t2"} {
 		b.TargetLeaves(now, firstStart(id))
 	}
@@ -241,13 +247,7 @@
 // Requests that wait must be refused at once when a rest begins that is longer than they may wait.
 func TestQueuedRequestsAreRefusedWhenAllTargetsRest(t *testing.T) {
 	now := time.Unix(1000, 0)
-	b, class := newBalancer(now), NewClass(100*time.Millisecond)
-	var queued []*Waiter
-	for range 2*(2+targetQueue) + 3 {
-		if _, w := b.Place(now, request(now, class)); w != nil {
-			queued = append(queued, w)
-		}
-	}
+	b, _, queued := balancerWithQueue(now)
 	for _, id := range []string{"t1", "t2"} {
 		b.TargetRests(now, firstStart(id), 5*time.Second)
 	}
--- a/integration/soak/limits_test.go
+++ b/integration/soak/limits_test.go
@@ -49,11 +49,7 @@
 	if w.seed < limitSeeds {
 		return
 	}
-	ctx, stop := context.WithCancel(context.Background())
-	var all sync.WaitGroup
-	defer all.Wait()
-	defer stop()
-	w.askWithAllKeys(ctx, &all)
+	defer w.askWithAllKeys()()
 	target := w.targets[limitedTarget]
 	for _, other := range w.targets {
 		other.SetLimit(0)
@@ -105,11 +101,7 @@
 	if w.seed < changingLimitSeeds {
 		return
 	}
-	ctx, stop := context.WithCancel(context.Background())
-	var all sync.WaitGroup
-	defer all.Wait()
-	defer stop()
-	w.askWithAllKeys(ctx, &all)
+	defer w.askWithAllKeys()()
 	targets := w.limitedService()
 	state := func(text string, lasts time.Duration) {
 		for _, target := range targets {
@@ -133,8 +125,10 @@
 }
 
 // askWithAllKeys sends requests with all affinity keys, as those of other callers may belong to other
-// targets.
-func (w *world) askWithAllKeys(ctx context.Context, all *sync.WaitGroup) {
+// targets, until it is stopped.
+func (w *world) askWithAllKeys() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var all sync.WaitGroup
 	for n := range affinityKeys {
 		c := &caller{
 			name: fmt.Sprintf("keys-%d", n), vms: w.processes, journal: &journal{}, key: w.keyOf(0),
@@ -148,6 +142,7 @@
 			c.drop()
 		})
 	}
+	return func() { cancel(); all.Wait() }
 }
 
 // mostSince returns the highest number of arrivals in a window after a time.
--- a/integration/soak/statements_test.go
+++ b/integration/soak/statements_test.go
@@ -1,10 +1,8 @@
 package soak
 
 import (
-	"context"
 	"fmt"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/yuccaroute/yuccaroute/platform/platformtest"
@@ -176,11 +174,7 @@
 	if w.seed < statementSeeds {
 		return
 	}
-	ctx, stop := context.WithCancel(context.Background())
-	var all sync.WaitGroup
-	defer all.Wait()
-	defer stop()
-	w.askWithAllKeys(ctx, &all)
+	defer w.askWithAllKeys()()
 	time.Sleep(contactTime)
 	w.checkLeavingWithoutStore()
 	w.checkRestOfService()
