proxy/ingress: a client that is not served right after a start says how its connection ended

Cause: the test counted failures and dropped the client's error, so one failure in 2,400 clients could not tell a reset from an end of file or a wrong response. Change: each failure is logged with its step, the client's address and the time since its dial. The check is the same: no client may fail.

--- a/proxy/ingress/handover_test.go
+++ b/proxy/ingress/handover_test.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 )
 
 // With one connection per request, no connection may be closed in place of an
@@ -73,7 +75,8 @@
 	var all sync.WaitGroup
 	for range clients {
 		all.Go(func() {
-			if !isServed(s.Address()) {
+			if err := callEcho(s.Address()); err != nil {
+				t.Logf("client of %s: %v", s.Address(), err)
 				failed.Add(1)
 			}
 		})
@@ -82,18 +85,31 @@
 	return failed.Load()
 }
 
-// isServed reports whether a request on a new connection is answered.
-func isServed(address string) bool {
+// callEcho sends a request on a new connection and returns an error, with the step
+// and the time since the connection was established, unless it is answered.
+func callEcho(address string) error {
 	c, err := net.Dial("tcp", address)
 	if err != nil {
-		return false
+		return err
 	}
 	defer c.Close()
-	_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nbody")
+	connected := time.Now()
+	failure := func(step string, err error) error {
+		return fmt.Errorf("%s from %s after %v: %w", step, c.LocalAddr(), time.Since(connected), err)
+	}
+	if _, err := io.WriteString(c, "POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nbody"); err != nil {
+		return failure("send request", err)
+	}
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
-		return false
+		return failure("read response header", err)
 	}
 	body, err := io.ReadAll(resp.Body)
-	return err == nil && string(body) == "body"
+	if err != nil {
+		return failure("read response body", err)
+	}
+	if string(body) != "body" {
+		return failure("compare response body", fmt.Errorf("status %d, body %q", resp.StatusCode, body))
+	}
+	return nil
 }
