handover: an engine's stop ends no poller before all are woken

What callers saw: one of some 2,400 connections right after a start got a response that begins with eight foreign bytes (malformed HTTP), so none it could read; any connection that a process opens while one of its servers stops could get them. Cause: nbio's Engine.Stop marks a poller as stopped and then writes its wake-up to the poller's event descriptor. A poller that is awake between the two ends and closes the descriptor, and the write reaches whatever connection got the number. Ruled out: the stale events of probes that the test was written for (the connection was open and answered). Change: Acceptor.StopEngine holds all pollers in a callback of their probes until the engine's stop has returned; they are out of the engine's wait group meanwhile. Both servers use it. Looked for elsewhere: only these two servers use nbio engines. grpc-go and net/http close descriptors through the runtime, which orders uses and closes.

--- a/httpserver/handover/acceptor.go
+++ b/httpserver/handover/acceptor.go
@@ -4,6 +4,10 @@
 // A poller fetches events in batches and looks up connections by descriptor. If
 // another goroutine closes a connection, an event already fetched for it can close
 // a new connection that reuses the descriptor before its request is read.
+//
+// It also stops the engine: nbio wakes each poller by a write to a descriptor that the
+// poller closes when it ends, and a poller that ends first lets that write reach
+// whatever connection reuses the descriptor.
 package handover
 
 import (
@@ -25,12 +29,13 @@
 
 // Acceptor accepts connections from a listener until Stop is called.
 type Acceptor struct {
+	engine   *nbio.Engine
 	listener net.Listener
 	onAccept func(*nbio.Conn)
 	barriers []*barrier
 	// deliverLoops has one goroutine per poller.
 	acceptLoop, deliverLoops sync.WaitGroup
-	stopOnce                 sync.Once
+	stopOnce, stopEngineOnce sync.Once
 }
 
 // Start accepts connections and calls onAccept for each, from several goroutines;
@@ -45,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &Acceptor{listener: l, onAccept: onAccept, barriers: barriers}
+	a := &Acceptor{engine: engine, listener: l, onAccept: onAccept, barriers: barriers}
 	for _, b := range barriers {
 		b.wait()
 		a.deliverLoops.Go(func() { a.deliver(b) })
@@ -54,8 +59,8 @@
 	return a, nil
 }
 
-// Stop closes the listener and returns once onAccept is no longer called. Call it
-// before stopping the engine. Further calls have no effect.
+// Stop closes the listener and returns once onAccept is no longer called. Further
+// calls have no effect.
 func (a *Acceptor) Stop() { a.stopOnce.Do(a.stop) }
 
 func (a *Acceptor) stop() {
@@ -65,6 +70,26 @@
 		close(b.pending)
 	}
 	a.deliverLoops.Wait()
+}
+
+// StopEngine stops the engine by stop, which must be its Stop method or that of the
+// nbhttp engine around it. Call it after Stop and in place of those methods. Further
+// calls have no effect.
+func (a *Acceptor) StopEngine(stop func()) { a.stopEngineOnce.Do(func() { a.stopEngine(stop) }) }
+
+// stopEngine holds all pollers until stop has written the wake-up of each. The engine
+// waits for its pollers as a sync.WaitGroup: while they are held, they do not count.
+func (a *Acceptor) stopEngine(stop func()) {
+	for _, b := range a.barriers {
+		b.hold()
+	}
+	a.engine.Add(-len(a.barriers))
+	stop()
+	a.engine.Add(len(a.barriers))
+	for _, b := range a.barriers {
+		b.release()
+	}
+	a.engine.Wait()
 	closeBarriers(a.barriers)
 }
 
--- a/httpserver/handover/acceptor_test.go
+++ b/httpserver/handover/acceptor_test.go
@@ -42,6 +42,6 @@
 		}
 		a.Stop()
 		stopped.Store(true)
-		engine.Stop()
+		a.StopEngine(engine.Stop)
 	}
 }
--- a/httpserver/handover/barrier.go
+++ b/httpserver/handover/barrier.go
@@ -15,13 +15,22 @@
 // relation in the Go memory model.
 var handoverSync atomic.Uint64
 
-// barrier waits until a poller has processed the events it has already fetched. Its
-// probe is a socket pair whose read end is registered with the poller.
+// Messages of a barrier to its poller.
+const (
+	messageConfirm byte = iota
+	messageHold
+)
+
+// barrier waits until a poller has processed the events it has already fetched, and
+// holds the poller while the engine stops. Its probe is a socket pair whose read end is
+// registered with the poller.
 type barrier struct {
 	writeEnd net.Conn
-	// processed receives a value for each byte that the poller reads.
+	// processed receives a value for each message that the poller reads.
 	processed chan struct{}
-	pending   chan *nbio.Conn
+	// released is closed when a held poller may go on.
+	released chan struct{}
+	pending  chan *nbio.Conn
 }
 
 // newBarriers returns one barrier for each poller of the engine. The engine assigns
@@ -63,14 +72,22 @@
 }
 
 func newBarrier(writeEnd net.Conn) *barrier {
-	return &barrier{writeEnd: writeEnd, processed: make(chan struct{}, 1), pending: make(chan *nbio.Conn, maxBatch)}
+	return &barrier{
+		writeEnd:  writeEnd,
+		processed: make(chan struct{}, 1),
+		released:  make(chan struct{}),
+		pending:   make(chan *nbio.Conn, maxBatch),
+	}
 }
 
 // register adds the probe's read end to its poller.
 func (b *barrier) register(engine *nbio.Engine, readEnd *nbio.Conn) error {
-	readEnd.OnData(func(*nbio.Conn, []byte) {
+	readEnd.OnData(func(_ *nbio.Conn, data []byte) {
 		handoverSync.Load()
 		b.processed <- struct{}{}
+		if data[0] == messageHold {
+			<-b.released
+		}
 	})
 	handoverSync.Add(1)
 	_, err := engine.AddConn(readEnd)
@@ -78,15 +95,28 @@
 }
 
 // wait returns when the poller has processed all events that it fetched before the
-// call. It writes two bytes, one after the other: the poller may read the first one
+// call. It sends two messages, one after the other: the poller may read the first one
 // within the current batch, but reads the second one in a later batch.
 func (b *barrier) wait() {
 	for range 2 {
-		if _, err := b.writeEnd.Write([]byte{0}); err != nil {
-			return
-		}
-		<-b.processed
+		b.send(messageConfirm)
+	}
+}
+
+// hold returns when the poller waits for release. The poller processes no events
+// meanwhile.
+func (b *barrier) hold() { b.send(messageHold) }
+
+// release lets a held poller go on.
+func (b *barrier) release() { close(b.released) }
+
+// send returns when the poller has read the message. One message is under way at a
+// time.
+func (b *barrier) send(message byte) {
+	if _, err := b.writeEnd.Write([]byte{message}); err != nil {
+		return
 	}
+	<-b.processed
 }
 
 // collectBatch returns first and the connections pending after it, up to maxBatch.
@@ -106,7 +136,7 @@
 	return batch
 }
 
-// close closes the write end; the poller then closes the read end.
+// close closes the write end; the poller or the engine's stop closes the read end.
 func (b *barrier) close() { _ = b.writeEnd.Close() }
 
 // newProbePair returns a connected socket pair whose read end can be added to an
--- a/httpserver/handover/pollers_test.go
+++ b/httpserver/handover/pollers_test.go
@@ -57,7 +57,7 @@
 		t.Errorf("got %d barriers, want one for each of %d pollers", len(a.barriers), pollers)
 	}
 	a.Stop()
-	engine.Stop()
+	a.StopEngine(engine.Stop)
 }
 
 func newEngine(pollers int) *nbio.Engine {
--- a/httpserver/server.go
+++ b/httpserver/server.go
@@ -106,8 +106,19 @@
 func (s *Server) Address() string { return s.address.String() }
 
 // Stop closes the listener and all connections. Responses to requests still in
-// progress are lost, so drain them first.
+// progress are lost, so drain them first. If the context ends first, the engine stops
+// in the background.
 func (s *Server) Stop(ctx context.Context) error {
 	s.acceptor.Stop()
-	return s.engine.Shutdown(ctx)
+	stopped := make(chan struct{})
+	go func() {
+		s.acceptor.StopEngine(s.engine.Stop)
+		close(stopped)
+	}()
+	select {
+	case <-stopped:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
--- a/proxy/ingress/server.go
+++ b/proxy/ingress/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -35,7 +34,6 @@
 	// engine's goroutines. The engine passes connections through the kernel,
 	// which the Go memory model does not cover.
 	connectionFence atomic.Int64
-	stop            sync.Once
 }
 
 // Start listens on Options.Address and serves until Stop.
@@ -84,7 +82,7 @@
 func (s *Server) Stop(ctx context.Context) error {
 	s.acceptor.Stop()
 	err := waitZero(ctx, &s.activeRequests)
-	s.stop.Do(s.engine.Stop)
+	s.acceptor.StopEngine(s.engine.Stop)
 	if err != nil {
 		return err
 	}
