ledger: what is free goes to all raises alike, not to the first key

What callers saw: 503 no-capacity from a node in its first seconds, though it and others had grants; listed as TestPlannedStopOfANode, whose leaving node had no part in it. Cause: headroom was given to raises in the order of nodes and keys. A node that joins while others hold the capacity of its region finds only the part that is reserved for new nodes, and its first key took all of it: 150 requests/s for one place, none for three others, until its next report a second later. Ruled out: loans, pauses, a first set that had not come. Change: where raises do not all fit, each node gets the same part of each; the rest of a limit goes on in order. Looked for elsewhere: quotas and limits of edge/quota divide by a queue of promised tokens, not by order of a list; proxy/admission has no shared limit.

--- a/control/ledger/node.go
+++ b/control/ledger/node.go
@@ -91,6 +91,16 @@
 	return latest.max(older)
 }
 
+// wantedNow returns the amounts wanted for key k. A node that no VM list has contained
+// gets no floor, because the list could never show that it ended.
+func (h *nodeGrants) wantedNow(k int) Amounts {
+	wanted := h.wanted[k]
+	if h.node.ListSequence == 0 {
+		wanted.Floor = 0
+	}
+	return wanted
+}
+
 // supersedeLatest merges the latest amounts into older, before new ones are
 // issued.
 func (h *nodeGrants) supersedeLatest(now time.Time) {
--- a/control/ledger/propose.go
+++ b/control/ledger/propose.go
@@ -40,8 +40,8 @@
 	room := l.headroom(now, removed)
 	covered := true
 	lower := len(removed) > 0
+	l.computeNext(removed, room, now)
 	for _, h := range l.order {
-		l.computeNext(h, removed[h.node.ID], room, now)
 		for k, n := range h.next {
 			covered = covered && n.within(h.reserved[k])
 			lower = lower || n != h.reserved[k]
--- a/node/leave_test.go
+++ b/node/leave_test.go
@@ -108,6 +108,7 @@
 	for _, other := range s.nodes[1:] {
 		if got := s.ask(other); !got.served() {
 			t.Errorf("another node answered %+v", got)
+			s.logControl()
 		}
 	}
 }
@@ -149,6 +150,16 @@
 	}
 }
 
+// logControl logs what each node knows of its grants.
+func (s *system) logControl() {
+	s.t.Helper()
+	for _, n := range s.nodes {
+		for _, account := range n.Status().Control {
+			s.t.Logf("%s: %+v, set %+v", n.VM().ID, account, account.Holder.Set)
+		}
+	}
+}
+
 func (s *system) holdsGrants(n *node.Node) bool { return s.granted(n) > 0 }
 
 // granted returns the sum of a node's grants in the account's ledger in the
