loopback, integration: an address is bound again although a forked process holds its old listener

Seen: TestRegionsUnderFaults/group_of_targets_flaps once failed with 'bind: address already in use' when a fault proxy listened again after a cut. Cause: the test process starts programs. A forked process has a copy of the closed listener until it runs its program, and the address stays in use that long. It is a fault of the test's proxy; the product starts no processes, and nothing of it listens again on an address. Change: loopback.Rebind tries again while the address is in use; the fault proxies of integration and of the soak use it. Test: TestRebindWaitsForTheCopyOfAListener holds such a copy for three attempts.

--- a/integration/faultproxy_test.go
+++ b/integration/faultproxy_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/Shopify/toxiproxy/v2"
+
+	"github.com/yuccaroute/yuccaroute/standin/loopback"
 )
 
 // toxic is one fault on a path, in the form the fault proxy's library reads.
@@ -115,7 +117,7 @@
 // restore ends a cut.
 func (f *faultProxy) restore() {
 	f.t.Helper()
-	if err := f.proxy.Start(); err != nil {
+	if err := loopback.Rebind(f.proxy.Start); err != nil {
 		f.t.Fatal(err)
 	}
 }
--- a/integration/soak/proxy_test.go
+++ b/integration/soak/proxy_test.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/yuccaroute/yuccaroute/standin/loopback"
 )
 
 // mode is what a proxy does to the bytes of its connections.
@@ -69,7 +71,11 @@
 	if p.listener != nil {
 		return nil
 	}
-	l, err := net.Listen("tcp", p.near)
+	var l net.Listener
+	err := loopback.Rebind(func() (err error) {
+		l, err = net.Listen("tcp", p.near)
+		return err
+	})
 	if err != nil {
 		return err
 	}
--- a/standin/loopback/loopback.go
+++ b/standin/loopback/loopback.go
@@ -8,11 +8,14 @@
 package loopback
 
 import (
+	"errors"
 	"net"
 	"net/netip"
 	"os"
 	"strconv"
 	"sync/atomic"
+	"syscall"
+	"time"
 )
 
 // firstPort is the first port of a host, below those that the system gives to
@@ -50,3 +53,22 @@
 
 // Address returns ip:port with a port that was not given out before.
 func (h *Host) Address() string { return net.JoinHostPort(h.ip, strconv.Itoa(h.Port())) }
+
+// Bounds of Rebind.
+const (
+	rebindAttempts = 5_000
+	rebindInterval = time.Millisecond
+)
+
+// Rebind calls listen, which binds an address whose last listener was just closed, until
+// it does not fail because the address is in use. A process that this one has just forked
+// keeps a copy of the closed listener until it runs its program.
+func Rebind(listen func() error) error {
+	for attempt := 1; ; attempt++ {
+		err := listen()
+		if !errors.Is(err, syscall.EADDRINUSE) || attempt == rebindAttempts {
+			return err
+		}
+		time.Sleep(rebindInterval)
+	}
+}
--- a/standin/loopback/loopback_test.go
+++ b/standin/loopback/loopback_test.go
@@ -41,3 +41,36 @@
 		defer u.Close()
 	}
 }
+
+// An address must be bound again although a forked process still holds a copy of the
+// listener that was closed.
+func TestRebindWaitsForTheCopyOfAListener(t *testing.T) {
+	const failures = 3
+	address := NewHost().Address()
+	first, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	copied, err := first.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := first.Close(); err != nil {
+		t.Fatal(err)
+	}
+	attempts := 0
+	err = Rebind(func() error {
+		attempts++
+		if attempts > failures {
+			_ = copied.Close()
+		}
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			_ = l.Close()
+		}
+		return err
+	})
+	if err != nil || attempts != failures+1 {
+		t.Errorf("bound after %d attempts: %v", attempts, err)
+	}
+}
