kvclient, standin/platform: the store's contract is checked without a bound on the time of a call

Cause: the machine, not a hang. A swap of 1 MiB takes some 0.34 s of a core with the race detector (base64 and JSON on both sides); the client gives a call 1 s. Evidence: on one core shared with three busy processes each failed in 3 of 3 plays, and a profile of such a play has 340 ms of samples in 2.82 s, all of them in encoding and copying. The contract of store.KV says what a call does, not how long it takes, and all its checks stay; the client's timeouts have tests of their own. A call that hangs still fails.

--- a/standin/platform/contract_test.go
+++ b/standin/platform/contract_test.go
@@ -26,7 +26,12 @@
 
 func connect(t *testing.T, s *platform.Server) *kvclient.Client {
 	t.Helper()
-	c, err := kvclient.New(kvclient.Options{Address: s.Addr()})
+	return connectWithTimeout(t, s, kvclient.DefaultTimeout)
+}
+
+func connectWithTimeout(t *testing.T, s *platform.Server, timeout time.Duration) *kvclient.Client {
+	t.Helper()
+	c, err := kvclient.New(kvclient.Options{Address: s.Addr(), Timeout: timeout})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -34,12 +39,13 @@
 	return c
 }
 
+// The contract does not bound the time of a call.
 func TestContractOverHTTP(t *testing.T) {
 	storetest.Run(t, func(t *testing.T) store.KV {
 		s := start(t, platform.Options{Store: memkv.Options{
 			WatchWait:     50 * time.Millisecond,
 			HistoryEvents: storetest.HistoryEvents,
 		}})
-		return connect(t, s)
+		return connectWithTimeout(t, s, time.Minute)
 	})
 }
