edge/reach, gateway: a log line and a gauge tell which targets a VM reaches, since when

A group of targets, those of a service in a region, is suspected when several fail and none answers, and unreached when no probe on a new connection is answered. Nothing acts on it yet but the probes: three targets when suspected, two each half second while unreached.

--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -313,6 +313,8 @@
 		e.gatewayMetrics.setQuarantine(e.quarantine.Counts())
 		e.gatewayMetrics.setStatements(e.balancer.Statements(now))
 		e.gateway.Probe(ctx, e.healthPath)
+		e.gateway.CheckReach(ctx, e.healthPath)
+		e.gatewayMetrics.setReach(e.gateway.Reach(now))
 	}
 }
 
--- a/edge/entry/gatewaymetrics.go
+++ b/edge/entry/gatewaymetrics.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"github.com/yuccaroute/yuccaroute/edge/reach"
 )
 
 // latencyBuckets are the buckets of the request latency histogram.
@@ -27,6 +29,7 @@
 	// delegations are keyed by outcome, targetCrashes by service.
 	delegations   map[string]tally.Counter
 	targetCrashes map[string]tally.Counter
+	reach         map[reach.Group]tally.Gauge
 }
 
 type requestTags struct {
@@ -58,7 +61,7 @@
 
 func newGatewayMetrics(scope tally.Scope) *gatewayMetrics {
 	return &gatewayMetrics{scope: scope, requests: make(map[requestTags]requestMetrics), accounts: make(map[string]accountMetrics), attempts: make(map[attemptTags]tally.Counter),
-		delegations: make(map[string]tally.Counter), targetCrashes: make(map[string]tally.Counter)}
+		delegations: make(map[string]tally.Counter), targetCrashes: make(map[string]tally.Counter), reach: make(map[reach.Group]tally.Gauge)}
 }
 
 // RequestEnded implements gateway.Metrics.
@@ -148,6 +151,23 @@
 	c.scope.Gauge("targets_resting").Update(float64(resting))
 }
 
+// setReach updates the gauges that tell for how many seconds this VM has not reached a service's targets
+// in a region; 0 means that it reaches them. Only one goroutine may call it.
+func (c *gatewayMetrics) setReach(statuses []reach.Status) {
+	for _, s := range statuses {
+		gauge, ok := c.reach[s.Group]
+		if !ok {
+			gauge = c.scope.Tagged(map[string]string{"service": s.Group.Service, "region": s.Group.Region}).Gauge("unreached_seconds")
+			c.reach[s.Group] = gauge
+		}
+		seconds := 0.0
+		if s.Phase == reach.Unreached {
+			seconds = s.For.Seconds()
+		}
+		gauge.Update(seconds)
+	}
+}
+
 // taggedCounter returns the cached counter for a tag value, creating it if needed.
 func (c *gatewayMetrics) taggedCounter(counters map[string]tally.Counter, name, tag, value string) tally.Counter {
 	c.mu.Lock()
--- a/edge/gateway/gateway.go
+++ b/edge/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/yuccaroute/yuccaroute/edge/owners"
 	"github.com/yuccaroute/yuccaroute/edge/placing"
 	"github.com/yuccaroute/yuccaroute/edge/quarantine"
+	"github.com/yuccaroute/yuccaroute/edge/reach"
 	"github.com/yuccaroute/yuccaroute/edge/route"
 	"github.com/yuccaroute/yuccaroute/edge/site"
 	"github.com/yuccaroute/yuccaroute/proxy/pool"
@@ -97,6 +98,7 @@
 	maxConnections atomic.Pointer[map[string]int]
 	leaving        atomic.Bool
 	losses         *losses
+	reach          *reach.Tracker
 	// malformedAt is when a malformed statement was last logged.
 	malformedAt atomic.Pointer[time.Time]
 
@@ -128,7 +130,7 @@
 	}
 	return &Gateway{
 		options: o, pools: make(map[string]*pool.Pool), ownerPools: make(map[string]*pool.Pool),
-		budgets: make(map[string]*retrybudget.Budget), losses: newLosses(),
+		budgets: make(map[string]*retrybudget.Budget), losses: newLosses(), reach: reach.New(),
 	}
 }
 
@@ -155,6 +157,7 @@
 		listed[poolKey(&t.Target)] = true
 	}
 	g.options.Balancer.SetTargets(now, v.Config.Services, list, v.Evacuated)
+	g.updateGroups(now)
 	g.closePools(listed)
 	g.losses.removeUnlisted(listed)
 }
@@ -207,7 +210,7 @@
 	key := poolKey(&t.Target)
 	p := g.pools[key]
 	if p == nil {
-		p = pool.New(t.Address, g.options.Dial(g.options.RTT(t.Region)), limit)
+		p = pool.New(t.Address, g.dialTarget(t), limit)
 		p.SetMaxIdle(defaultIdleTimeout)
 		g.pools[key] = p
 	}
--- a/edge/gateway/probe.go
+++ b/edge/gateway/probe.go
@@ -37,8 +37,22 @@
 	if err != nil {
 		return false, 0, err
 	}
+	defer p.Put(conn)
+	answer, err := g.exchangeProbe(ctx, t, path, conn, limit)
+	if err != nil {
+		return false, 0, err
+	}
+	healthy = answer.Status == http.StatusOK && answer.Header.Get(g.options.Fields.TargetID) == t.ID
+	if millis, err := strconv.ParseFloat(answer.Header.Get(g.options.Fields.ColdMillis), 64); err == nil {
+		coldRemaining = time.Duration(millis * float64(time.Millisecond))
+	}
+	return healthy, coldRemaining, nil
+}
+
+// exchangeProbe sends a health probe over a connection and records what the target states.
+func (g *Gateway) exchangeProbe(ctx context.Context, t *placing.Target, path string, conn *forward.Conn, limit time.Duration) (*forward.Response, error) {
 	sent := g.newSending(t, "probe")
-	answer, err := conn.Exchange(ctx, &forward.Request{
+	return conn.Exchange(ctx, &forward.Request{
 		Method: http.MethodGet, URI: path, Host: t.Address, Header: http.Header{},
 		Deadline: time.Now().Add(limit), MaxResponseBytes: maxProbeBytes,
 		Dialect: &forward.Dialect{DeadlineField: g.options.Fields.Deadline, IDField: g.options.Fields.RequestID, ID: "probe", CloseDelimited: true},
@@ -48,15 +62,6 @@
 			}
 		},
 	})
-	p.Put(conn)
-	if err != nil {
-		return false, 0, err
-	}
-	healthy = answer.Status == http.StatusOK && answer.Header.Get(g.options.Fields.TargetID) == t.ID
-	if millis, err := strconv.ParseFloat(answer.Header.Get(g.options.Fields.ColdMillis), 64); err == nil {
-		coldRemaining = time.Duration(millis * float64(time.Millisecond))
-	}
-	return healthy, coldRemaining, nil
 }
 
 // maxProbeBytes bounds the answer to a probe.
--- a/edge/gateway/run.go
+++ b/edge/gateway/run.go
@@ -11,6 +11,7 @@
 
 	"github.com/yuccaroute/yuccaroute/api/result"
 	"github.com/yuccaroute/yuccaroute/edge/placing"
+	"github.com/yuccaroute/yuccaroute/edge/reach"
 	"github.com/yuccaroute/yuccaroute/edge/site"
 	"github.com/yuccaroute/yuccaroute/proxy/forward"
 	"github.com/yuccaroute/yuccaroute/proxy/pool"
@@ -224,21 +225,23 @@
 // sendOnce makes one attempt and reports its end to the balancer.
 func (g *Gateway) sendOnce(ctx context.Context, r *request, d placing.Decision) attempt {
 	began := time.Now()
-	a := g.sendToTarget(ctx, r, d)
+	tracked := g.reach.Begin(began, groupOf(d.Target), d.Target.Incarnation, d.Expected)
+	a := g.sendToTarget(ctx, r, d, tracked)
 	a.took = time.Since(began)
+	g.reach.End(time.Now(), tracked, reachEnd(ctx, a))
 	g.options.Balancer.Done(time.Now(), d, r.class, g.placingOutcome(ctx, a), a.took)
 	g.options.InFlightChanged()
 	return a
 }
 
-func (g *Gateway) sendToTarget(ctx context.Context, r *request, d placing.Decision) attempt {
+func (g *Gateway) sendToTarget(ctx context.Context, r *request, d placing.Decision, tracked *reach.Attempt) attempt {
 	p := g.poolOf(d.Target)
 	conn, err := p.Get(ctx)
 	if err != nil {
 		return attempt{decision: d, notRun: true, code: result.ConnectFailed, err: err}
 	}
 	defer p.Put(conn)
-	answer, err := g.sendOverConn(ctx, r, d, conn)
+	answer, err := g.sendOverConn(ctx, r, d, conn, tracked)
 	if answer != nil {
 		updateIdleTimeout(p, answer.Header)
 	}
@@ -249,7 +252,7 @@
 
 // sendOverConn exchanges the request for an answer. It turns a panic into a failed attempt, so
 // that a request that triggers one cannot crash one VM after another through retries.
-func (g *Gateway) sendOverConn(ctx context.Context, r *request, d placing.Decision, conn *forward.Conn) (answer *forward.Response, err error) {
+func (g *Gateway) sendOverConn(ctx context.Context, r *request, d placing.Decision, conn *forward.Conn, tracked *reach.Attempt) (answer *forward.Response, err error) {
 	defer func() {
 		if cause := recover(); cause != nil {
 			g.options.Logger.WithFields(logrus.Fields{"id": r.id, "panic": cause, "stack": string(debug.Stack())}).
@@ -261,7 +264,10 @@
 	out.Header = r.out.Header.Clone()
 	out.Header.Set(g.options.Fields.ExpectTarget, d.Target.ID)
 	sent := g.newSending(d.Target, r.id)
-	out.HeaderReceived = func(status int, h http.Header) { g.observe(sent, status, h) }
+	out.HeaderReceived = func(status int, h http.Header) {
+		g.reach.Heard(time.Now(), tracked)
+		g.observe(sent, status, h)
+	}
 	return conn.Exchange(ctx, &out)
 }
 
--- /dev/null
+++ b/edge/reach/reach.go
@@ -0,0 +1,356 @@
+// Package reach tracks whether this VM reaches the targets of each service in each region. It does no
+// I/O.
+//
+// A VM from which all targets are cut off fails every request, although other VMs serve theirs. The
+// failures of single targets do not show it: a connection that hangs or breaks may be the fault of a
+// target. A group of targets is therefore suspected when several of them fail and none answers, and
+// found unreached when none of a few targets answers a probe on a new connection. Whether the targets or
+// their path have failed makes no difference: this VM does not use them, and other VMs do not ask it to.
+package reach
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/edge/placing"
+)
+
+const (
+	// minTargets is how many targets must fail before their group is suspected.
+	minTargets = 2
+	// settleTime is how long they must have failed: connections may break together.
+	settleTime = 150 * time.Millisecond
+	// minSilence and silenceFactor, times the expected duration, are how long nothing may be heard of a
+	// group until a request to it is overdue.
+	minSilence    = 400 * time.Millisecond
+	silenceFactor = 2
+	// suspicionInterval is how long a group is not suspected again after a suspicion that was wrong.
+	suspicionInterval = time.Second
+	// probeInterval is the time between two rounds of probes of an unreached group.
+	probeInterval = 500 * time.Millisecond
+	// suspectProbes and returnProbes are the targets that a round probes. Of an unreached group all of
+	// them must answer.
+	suspectProbes = 3
+	returnProbes  = 2
+	// rampTime is how long it takes until this VM sends all requests itself to a service that it did not
+	// reach: all its connections are new.
+	rampTime = 1500 * time.Millisecond
+)
+
+// Group is the targets of one service in one region.
+type Group struct{ Service, Region string }
+
+// ID identifies the group in reports, identically on all VMs.
+func (g Group) ID() uint32 { return placing.TargetKey(placing.HashOf(g.Service + "\x00" + g.Region)) }
+
+// Phase is what this VM believes of a group.
+type Phase int
+
+// Phases of a group.
+const (
+	// Reached: its targets answer, or nothing shows that they do not.
+	Reached Phase = iota
+	// Suspected: several targets fail and none answers; probes are under way.
+	Suspected
+	// Unreached: no target answers.
+	Unreached
+)
+
+// String implements fmt.Stringer.
+func (p Phase) String() string { return [...]string{"reached", "suspected", "unreached"}[p] }
+
+// Change is a new phase of a group, and what it was decided on.
+type Change struct {
+	Group    Group
+	Phase    Phase
+	Previous Phase
+	// Lasted is how long the previous phase lasted, HeardAge the time since the last answer, 0 if there
+	// was none.
+	Lasted, HeardAge time.Duration
+	// Lost, Overdue and Refused count the targets that lost requests, that are late with an answer, and
+	// that could not be connected to.
+	Lost, Overdue, Refused int
+	Probes                 Probes
+}
+
+// Probes is the result of a round of probes on new connections.
+type Probes struct{ Asked, Connected, Answered int }
+
+// Round is a round of probes that is due.
+type Round struct {
+	Group Group
+	// Targets is how many targets to probe, Number the number of the round.
+	Targets, Number int
+}
+
+// End is how an attempt at a target ended.
+type End int
+
+// Ends of an attempt.
+const (
+	// Answered: the target returned a response, also one that refuses the request.
+	Answered End = iota
+	// Lost: the connection broke.
+	Lost
+	// Abandoned: the caller left, the deadline passed, or the request was not sent.
+	Abandoned
+)
+
+// Attempt is a request on its way to a target.
+type Attempt struct {
+	group  *group
+	target uint64
+	sentAt time.Time
+	// limit is how long nothing may be heard until the attempt is overdue.
+	limit time.Duration
+	// Cut is canceled when the group is found unreached.
+	Cut context.Context
+}
+
+// Tracker is safe for concurrent use.
+type Tracker struct {
+	mu       sync.Mutex
+	groups   map[Group]*group
+	services map[string]*service
+	// relaying mirrors isRelaying for the request path.
+	relaying atomic.Bool
+}
+
+// service is what the groups of a service have in common.
+type service struct {
+	groups []*group
+	// returnedAt is when the first group of a service without any was reached again.
+	returnedAt time.Time
+}
+
+// New returns a tracker without groups.
+func New() *Tracker {
+	return &Tracker{groups: make(map[Group]*group), services: make(map[string]*service)}
+}
+
+// SetGroups sets the groups and how many targets each has.
+func (t *Tracker) SetGroups(now time.Time, targets map[Group]int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id := range t.groups {
+		if targets[id] == 0 {
+			delete(t.groups, id)
+		}
+	}
+	for id, n := range targets {
+		if t.groups[id] == nil {
+			t.groups[id] = newGroup(id, now)
+		}
+		t.groups[id].targets = n
+	}
+	t.groupByService()
+}
+
+func (t *Tracker) groupByService() {
+	old := t.services
+	t.services = make(map[string]*service)
+	for id, g := range t.groups {
+		s := t.services[id.Service]
+		if s == nil {
+			s = &service{}
+			if known := old[id.Service]; known != nil {
+				s.returnedAt = known.returnedAt
+			}
+			t.services[id.Service] = s
+		}
+		s.groups = append(s.groups, g)
+	}
+}
+
+// Begin records that a request is sent to a target; expected is how long it should take.
+func (t *Tracker) Begin(now time.Time, id Group, target uint64, expected time.Duration) *Attempt {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	g := t.groups[id]
+	if g == nil {
+		return &Attempt{Cut: context.Background()}
+	}
+	a := &Attempt{group: g, target: target, sentAt: now, limit: max(minSilence, silenceFactor*expected), Cut: g.cut}
+	g.inFlight[a] = struct{}{}
+	return a
+}
+
+// Heard records that the target has begun to answer.
+func (t *Tracker) Heard(now time.Time, a *Attempt) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a.group.heard(now)
+}
+
+// End records how an attempt ended.
+func (t *Tracker) End(now time.Time, a *Attempt, end End) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	g := a.group
+	if g == nil {
+		return
+	}
+	delete(g.inFlight, a)
+	switch {
+	case end == Answered:
+		g.heard(now)
+	case end == Lost || g.isOverdue(now, a):
+		g.lost.add(now, a.target)
+	}
+}
+
+// Connected records that a new connection to a target was opened.
+func (t *Tracker) Connected(id Group) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if g := t.groups[id]; g != nil {
+		g.refused.clear()
+	}
+}
+
+// NotConnected records that no connection to a target could be opened.
+func (t *Tracker) NotConnected(now time.Time, id Group, target uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if g := t.groups[id]; g != nil {
+		g.refused.add(now, target)
+	}
+}
+
+// Tick returns the groups that have become suspected, and the rounds of probes that are due.
+func (t *Tracker) Tick(now time.Time) (changes []Change, rounds []Round) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, g := range t.groups {
+		switch {
+		case g.phase == Reached && g.isFailing(now):
+			changes = append(changes, g.enter(now, Suspected, Probes{}))
+			rounds = append(rounds, g.nextRound(suspectProbes))
+		case g.phase == Unreached && !g.probing && !now.Before(g.probeAt):
+			rounds = append(rounds, g.nextRound(returnProbes))
+		}
+	}
+	t.relaying.Store(t.isRelaying(now))
+	return changes, rounds
+}
+
+// Probed records the result of a round of probes.
+func (t *Tracker) Probed(now time.Time, id Group, p Probes) (changes []Change) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	g := t.groups[id]
+	if g == nil || !g.probing {
+		return nil
+	}
+	g.probing, g.probeAt = false, now.Add(probeInterval)
+	switch {
+	case g.phase == Suspected && g.isConfirmedBy(p):
+		changes = append(changes, g.enter(now, Unreached, p))
+		t.doubtOthers(now)
+	case g.phase == Suspected, g.phase == Unreached && p.Answered == p.Asked:
+		t.noteReturn(now, g)
+		changes = append(changes, g.enter(now, Reached, p))
+	}
+	t.relaying.Store(t.isRelaying(now))
+	return changes
+}
+
+// doubtOthers lets the groups of which nothing was heard lately be probed too: a VM often loses all
+// targets at once, and those of services with long requests would show it late.
+func (t *Tracker) doubtOthers(now time.Time) {
+	for _, g := range t.groups {
+		g.doubted = g.doubted || g.phase == Reached && now.Sub(g.heardAt) > minSilence
+	}
+}
+
+// noteReturn records the return of a service of which no group was reached.
+func (t *Tracker) noteReturn(now time.Time, g *group) {
+	s := t.services[g.id.Service]
+	for _, other := range s.groups {
+		if other.phase != Unreached {
+			return
+		}
+	}
+	s.returnedAt = now
+}
+
+func (t *Tracker) isRelaying(now time.Time) bool {
+	for _, g := range t.groups {
+		if g.phase != Reached {
+			return true
+		}
+	}
+	for _, s := range t.services {
+		if s.isReturning(now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *service) isReturning(now time.Time) bool {
+	return !s.returnedAt.IsZero() && now.Sub(s.returnedAt) < rampTime
+}
+
+// IsRelaying reports whether another VM may have to place requests for this one. It does not block.
+func (t *Tracker) IsRelaying() bool { return t.relaying.Load() }
+
+// RelaysFirst reports whether another VM, if one reaches the service, should place a request: no region
+// that allows the request is known to be reached, or this VM reaches them again and still leaves a part
+// of the keys to others. nil allows all regions.
+func (t *Tracker) RelaysFirst(now time.Time, name string, allowed func(region string) bool, key uint64) bool {
+	if !t.relaying.Load() {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.services[name]
+	if s == nil {
+		return false
+	}
+	known, reached := false, false
+	for _, g := range s.groups {
+		if allowed == nil || allowed(g.id.Region) {
+			known, reached = true, reached || g.phase == Reached
+		}
+	}
+	if known && !reached {
+		return true
+	}
+	return s.isReturning(now) && fraction(key) >= float64(now.Sub(s.returnedAt))/float64(rampTime)
+}
+
+// fraction maps a key to [0, 1).
+func fraction(key uint64) float64 { return float64(key>>11) / (1 << 53) }
+
+// Unreached returns the IDs of the unreached groups, and whether all groups are.
+func (t *Tracker) Unreached() (ids []uint32, all bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, g := range t.groups {
+		if g.phase == Unreached {
+			ids = append(ids, id.ID())
+		}
+	}
+	return ids, len(ids) > 0 && len(ids) == len(t.groups)
+}
+
+// Status is the phase of a group and how long it has lasted.
+type Status struct {
+	Group Group
+	Phase Phase
+	For   time.Duration
+}
+
+// Statuses returns the status of each group, in no particular order.
+func (t *Tracker) Statuses(now time.Time) []Status {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := make([]Status, 0, len(t.groups))
+	for id, g := range t.groups {
+		list = append(list, Status{Group: id, Phase: g.phase, For: now.Sub(g.since)})
+	}
+	return list
+}
