soak: failing test of VMs that are cut from all targets

Four real entry processes in three failure domains, three targets of each of two services, three callers a VM. Proxies before the targets tell the VMs apart by the process that holds the other end of a connection. VMs lose all targets silently, by resets, or for new connections only, while callers, the store and other VMs reach them.

--- a/integration/soak/proxy_test.go
+++ b/integration/soak/proxy_test.go
@@ -24,9 +24,13 @@
 	// refuse closes new connections at once.
 	refuse
 	modes
+	// severed resets the connections that are open, and new ones after they were accepted.
+	severed
 )
 
-func (m mode) String() string { return [...]string{"pass", "slow", "silent", "one way", "refuse"}[m] }
+func (m mode) String() string {
+	return [...]string{"pass", "slow", "silent", "one way", "refuse", "", "severed"}[m]
+}
 
 const slowBy = 60 * time.Millisecond
 
@@ -36,10 +40,15 @@
 	// near is the address that it listens on.
 	near string
 	mode atomic.Int32
+	// vmOf returns the VM that has opened a connection; nil if no VM is told from another.
+	vmOf func(net.Conn) string
 	mu   sync.Mutex
 	// listener is nil while the server behind it is down.
 	listener net.Listener
-	open     map[net.Conn]bool
+	// open holds the connections, both ends, with the VM that has opened them.
+	open map[net.Conn]string
+	// cuts are the modes for single VMs.
+	cuts map[string]mode
 }
 
 func startProxy(upstream string) (*proxy, error) {
@@ -47,7 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, near: l.Addr().String(), upstream: upstream, open: make(map[net.Conn]bool)}
+	p := &proxy{listener: l, near: l.Addr().String(), upstream: upstream, open: make(map[net.Conn]string), cuts: make(map[string]mode)}
 	go p.accept(l)
 	return p, nil
 }
@@ -88,16 +97,40 @@
 func (p *proxy) set(m mode)      { p.mode.Store(int32(m)) }
 func (p *proxy) is(m mode) bool  { return mode(p.mode.Load()) == m }
 
+// isFor reports whether a mode holds for a VM.
+func (p *proxy) isFor(vm string, m mode) bool {
+	if p.is(m) {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	cut, ok := p.cuts[vm]
+	return ok && cut == m
+}
+
+// cut sets the mode for one VM, pass ends it.
+func (p *proxy) cut(vm string, m mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.cuts, vm)
+	if m == pass {
+		return
+	}
+	p.cuts[vm] = m
+	for c, owner := range p.open {
+		if m == severed && owner == vm {
+			reset(c)
+			delete(p.open, c)
+		}
+	}
+}
+
 func (p *proxy) accept(l net.Listener) {
 	for {
 		c, err := l.Accept()
 		if err != nil {
 			return
 		}
-		if p.is(refuse) {
-			reset(c)
-			continue
-		}
 		go p.carry(c)
 	}
 }
@@ -110,26 +143,34 @@
 }
 
 func (p *proxy) carry(near net.Conn) {
+	vm := ""
+	if p.vmOf != nil {
+		vm = p.vmOf(near)
+	}
+	if p.isFor(vm, refuse) || p.isFor(vm, severed) {
+		reset(near)
+		return
+	}
 	far, err := net.Dial("tcp", p.upstream)
 	if err != nil {
 		reset(near)
 		return
 	}
-	p.note(near, far)
-	go p.copy(far, near, false)
-	p.copy(near, far, true)
+	p.note(vm, near, far)
+	go p.copy(vm, far, near, false)
+	p.copy(vm, near, far, true)
 }
 
-func (p *proxy) note(conns ...net.Conn) {
+func (p *proxy) note(vm string, conns ...net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range conns {
-		p.open[c] = true
+		p.open[c] = vm
 	}
 }
 
 // copy passes bytes on until one end closes; what a mode swallows is gone.
-func (p *proxy) copy(to, from net.Conn, answers bool) {
+func (p *proxy) copy(vm string, to, from net.Conn, answers bool) {
 	defer p.end(to, from)
 	buffer := make([]byte, 16<<10)
 	for {
@@ -137,7 +178,7 @@
 		if p.is(slow) {
 			time.Sleep(slowBy)
 		}
-		swallowed := p.is(silent) || (answers && p.is(oneWay))
+		swallowed := p.isFor(vm, silent) || (answers && p.is(oneWay))
 		if n > 0 && !swallowed {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
@@ -154,6 +195,18 @@
 	}
 }
 
+// openOf counts the connections that a VM has open, both ends of each.
+func (p *proxy) openOf(vm string) (n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, owner := range p.open {
+		if owner == vm {
+			n++
+		}
+	}
+	return n
+}
+
 func (p *proxy) end(conns ...net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -168,6 +168,7 @@
 		target := platformtest.NewTarget(fmt.Sprintf("i-%d", i), fmt.Sprintf("s%d", i%2), names[i%3], work, w.ledger)
 		t.Cleanup(target.Close)
 		path := w.path(target.Address())
+		path.vmOf = w.vmOf
 		w.targets, w.paths = append(w.targets, target), append(w.paths, path)
 		w.must(w.operator.Register(target, path.address(), false))
 	}
