--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -35,6 +35,8 @@
 	maintainInterval = 100 * time.Millisecond
 	// queueInterval replaces maintainInterval while requests are queued.
 	queueInterval = 10 * time.Millisecond
+	// busyDelay is how late the periodic work is if the processor is busy.
+	busyDelay = 150 * time.Millisecond
 	// metricsInterval is the refresh period of the metrics page.
 	metricsInterval = 2 * time.Second
 	// drainPeriod is how long new requests are still accepted after a shutdown began.
@@ -104,9 +106,9 @@
 	e.quota = e.newQuota()
 	e.targetLimits = newTargetLimits(e)
 	e.gateway = gateway.New(gateway.Options{
-		Fields: o.Names.Fields, Region: o.VM.Region, Balancer: e.balancer, Logger: e.component("gateway"), Metrics: e.gatewayMetrics,
+		Fields: o.Names.Fields, Name: o.VM.Name, Region: o.VM.Region, Balancer: e.balancer, Logger: e.component("gateway"), Metrics: e.gatewayMetrics,
 		RetryRatio: o.RetryRatio, RetryExtra: o.RetryExtra, VMCount: e.members.Count, RTT: e.roundTrips.get,
-		InFlightChanged: e.reportSoon, Owners: e.owners, Quarantine: e.quarantine,
+		InFlightChanged: e.reportSoon, ReachChanged: e.reachChanged, Owners: e.owners, Quarantine: e.quarantine,
 		TargetLimits: e.targetLimits, ReadStatement: o.Names.ReadStatement,
 		TargetLeaves: func(incarnation uint64) { e.tellLeavingTarget(incarnation, false) },
 		Quota:        e.quota, ConfigCurrent: e.contact.isCurrent, AccountsExpired: e.contact.isExpired, MaxAnswerBytes: maxResponseBytes,
@@ -171,7 +173,9 @@
 		return err
 	}
 	e.exchange = ex
-	memory := buffer.NewBudget(int64(bodyMemoryShare * float64(e.options.MemoryBytes))).NewShare()
+	// Requests of other VMs must not take the memory for those of callers.
+	memory := buffer.NewBudget(int64(bodyMemoryShare * float64(e.options.MemoryBytes)))
+	ofCallers, ofPeers := memory.NewShare(), memory.NewShare()
 	listeners := []struct {
 		address string
 		handler serve.Handler
@@ -186,8 +190,12 @@
 		if l.address == "" {
 			continue
 		}
+		share := ofCallers
+		if l.address == e.options.PeerAddress {
+			share = ofPeers
+		}
 		s, err := serve.Start(serve.Options{
-			Address: l.address, Handler: l.handler, Limits: l.limits, Memory: memory,
+			Address: l.address, Handler: l.handler, Limits: l.limits, Memory: share,
 			Logger: e.component("serve"), MaxConnections: e.options.MaxConnections,
 		})
 		if err != nil {
@@ -273,6 +281,26 @@
 		e.owners.SetVMs(live, func(vm site.VM) bool { return e.members.IsResponsive(vm, now) })
 	}
 	e.balancer.SetKeyOwnerCount(e.owners.EffectiveVMs())
+	e.updateRelays(now)
+}
+
+// updateRelays updates the VMs that may place requests for this one, while it may not reach targets.
+func (e *Entry) updateRelays(now time.Time) {
+	var relays []owners.Relay
+	if e.gateway.IsRelaying() {
+		for _, vm := range e.members.LiveReach(now) {
+			relays = append(relays, owners.Relay(vm))
+		}
+	}
+	e.owners.SetRelays(relays, func(vm site.VM) bool { return e.members.IsResponsive(vm, now) })
+}
+
+// reachChanged tells other VMs what this one reaches.
+func (e *Entry) reachChanged() {
+	_, cutOff := e.gateway.Unreached()
+	e.members.SetCutOff(cutOff)
+	e.updateRelays(e.now())
+	e.reportUrgent()
 }
 
 // now returns the time by the clock that counts suspensions. Whatever other VMs learn the age of
@@ -293,10 +321,14 @@
 		if e.balancer.Waiting() > 0 {
 			pause = queueInterval
 		}
+		due := time.Now().Add(pause)
 		if !wait.For(ctx, pause) {
 			return
 		}
 		now := time.Now()
+		if now.Sub(due) > busyDelay {
+			e.gateway.Busy(now)
+		}
 		e.balancer.Tick(now)
 		if now.Sub(last) < maintainInterval {
 			continue
--- a/edge/entry/exchange.go
+++ b/edge/entry/exchange.go
@@ -73,6 +73,7 @@
 		// Aggregated reports go to other regions, which already know their own events.
 		Events: e.quarantine.PendingEvents(now, !sum), LeavingTargets: e.leavingTargets.Pending(now, !sum),
 	}
+	s.Unreached, s.CutOff = e.gateway.Unreached()
 	if !sum {
 		s.InFlight, s.Demand = e.balancer.Report(now)
 		return s
@@ -101,6 +102,9 @@
 		d.Details.VMs = append(d.Details.VMs, exchange.VMStatus{
 			Name: name, Age: e.now().Sub(state.At), Leaving: state.Leaving, Serving: state.Serving, StoreConnected: state.StoreConnected,
 		})
+		if len(state.Unreached) > 0 {
+			d.Details.Cut = append(d.Details.Cut, exchange.VMReach{Name: name, Unreached: state.Unreached, CutOff: state.CutOff})
+		}
 	}
 	return d
 }
@@ -109,7 +113,10 @@
 func (e *Entry) received(ctx context.Context) func(exchange.State) {
 	return func(s exchange.State) {
 		now := time.Now()
-		if e.members.Observe(s.VM, peers.State{At: e.now(), Serving: s.Serving, Leaving: s.Leaving, StoreConnected: s.StoreConnected, NoDigest: s.NoDigest}) {
+		if e.members.Observe(s.VM, peers.State{
+			At: e.now(), Serving: s.Serving, Leaving: s.Leaving, StoreConnected: s.StoreConnected, NoDigest: s.NoDigest,
+			Unreached: s.Unreached, CutOff: s.CutOff,
+		}) {
 			e.roundTrips.measure(s.VM.Region, s.VM.PeerAddress)
 		}
 		if s.StoreConnected {
@@ -192,12 +199,17 @@
 	}
 	e.balancer.SetPeerReport(now, otherRegionSums, &placing.PeerReport{InFlight: d.Details.InFlight, Demand: d.Details.Demand, Aggregated: true, At: now})
 	e.targetLimits.merge(e.now(), from, d.Details.Limits)
+	cut := make(map[string]exchange.VMReach, len(d.Details.Cut))
+	for _, vm := range d.Details.Cut {
+		cut[vm.Name] = vm
+	}
 	for _, seen := range d.Details.VMs {
 		if seen.StoreConnected {
 			e.outages.StoreReached(now.Add(-seen.Age))
 		}
 		e.members.ObserveIndirect(seen.Name, peers.State{
 			At: e.now().Add(-seen.Age), Serving: seen.Serving, Leaving: seen.Leaving, StoreConnected: seen.StoreConnected,
+			Unreached: cut[seen.Name].Unreached, CutOff: cut[seen.Name].CutOff,
 		})
 	}
 }
--- a/edge/entry/gatewaymetrics.go
+++ b/edge/entry/gatewaymetrics.go
@@ -22,12 +22,12 @@
 type gatewayMetrics struct {
 	scope tally.Scope
 
-	mu       sync.Mutex
-	requests map[requestTags]requestMetrics
-	accounts map[string]accountMetrics
-	attempts map[attemptTags]tally.Counter
-	// delegations are keyed by outcome, targetCrashes by service.
-	delegations   map[string]tally.Counter
+	mu          sync.Mutex
+	requests    map[requestTags]requestMetrics
+	accounts    map[string]accountMetrics
+	attempts    map[attemptTags]tally.Counter
+	delegations map[delegationTags]tally.Counter
+	// targetCrashes are keyed by service.
 	targetCrashes map[string]tally.Counter
 	reach         map[reach.Group]tally.Gauge
 }
@@ -59,9 +59,11 @@
 
 type attemptTags struct{ service, outcome string }
 
+type delegationTags struct{ reason, outcome string }
+
 func newGatewayMetrics(scope tally.Scope) *gatewayMetrics {
 	return &gatewayMetrics{scope: scope, requests: make(map[requestTags]requestMetrics), accounts: make(map[string]accountMetrics), attempts: make(map[attemptTags]tally.Counter),
-		delegations: make(map[string]tally.Counter), targetCrashes: make(map[string]tally.Counter), reach: make(map[reach.Group]tally.Gauge)}
+		delegations: make(map[delegationTags]tally.Counter), targetCrashes: make(map[string]tally.Counter), reach: make(map[reach.Group]tally.Gauge)}
 }
 
 // RequestEnded implements gateway.Metrics.
@@ -125,8 +127,16 @@
 }
 
 // RequestDelegated implements gateway.Metrics.
-func (c *gatewayMetrics) RequestDelegated(outcome string) {
-	c.taggedCounter(c.delegations, "delegations", "end", outcome).Inc(1)
+func (c *gatewayMetrics) RequestDelegated(reason, outcome string) {
+	c.mu.Lock()
+	tags := delegationTags{reason, outcome}
+	counter, ok := c.delegations[tags]
+	if !ok {
+		counter = c.scope.Tagged(map[string]string{"reason": reason, "end": outcome}).Counter("delegations")
+		c.delegations[tags] = counter
+	}
+	c.mu.Unlock()
+	counter.Inc(1)
 }
 
 // TargetCrashed implements gateway.Metrics.
--- a/edge/exchange/state.go
+++ b/edge/exchange/state.go
@@ -36,6 +36,9 @@
 	Events []quarantine.Event `msgpack:"e,omitempty"`
 	// LeavingTargets are the incarnations of targets that have lately stated that they leave.
 	LeavingTargets []uint64 `msgpack:"t,omitempty"`
+	// Unreached are the groups of targets that the VM does not reach; CutOff is true if these are all.
+	Unreached []uint32 `msgpack:"u,omitempty"`
+	CutOff    bool     `msgpack:"c,omitempty"`
 	// Limits are some of the newest observations of limits that targets have stated. They are in
 	// few reports.
 	Limits []ratelimit.Announced `msgpack:"q,omitempty"`
@@ -69,6 +72,8 @@
 	Demand   map[string]map[string]float64 `msgpack:"d"`
 	// VMs are the VMs of the aggregator's region.
 	VMs []VMStatus `msgpack:"s"`
+	// Cut are the VMs of the region that do not reach all groups of targets.
+	Cut []VMReach `msgpack:"u,omitempty"`
 	// Limits are as those of State.
 	Limits []ratelimit.Announced `msgpack:"q,omitempty"`
 }
@@ -84,6 +89,15 @@
 	StoreConnected bool
 }
 
+// VMReach tells which groups of targets a VM does not reach, as its State does.
+type VMReach struct {
+	//lint:ignore U1000 the msgpack library reads its tag: an array, without field names
+	_msgpack  struct{} `msgpack:",as_array"`
+	Name      string
+	Unreached []uint32
+	CutOff    bool
+}
+
 // decode decodes a state and the relay that may follow it.
 func decode(data []byte) (State, error) {
 	var s State
--- a/edge/gateway/account.go
+++ b/edge/gateway/account.go
@@ -138,7 +138,7 @@
 		}
 	}
 	h.Del("Connection")
-	for _, name := range []string{g.options.Fields.APIKey, g.options.Fields.Account, fieldVersion, fieldAccount, fieldKeyDigest} {
+	for _, name := range append([]string{g.options.Fields.APIKey, g.options.Fields.Account}, delegatedFields...) {
 		if name != "" {
 			h.Del(name)
 		}
--- a/edge/gateway/delegate.go
+++ b/edge/gateway/delegate.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/yuccaroute/yuccaroute/api/result"
 	"github.com/yuccaroute/yuccaroute/edge/owners"
@@ -25,19 +26,44 @@
 	// has established and the digest of its key.
 	fieldAccount   = "Yucca-Delegated-Account"
 	fieldKeyDigest = "Yucca-Delegated-Key-Digest"
+	// fieldReason carries, on a delegated request, why it was delegated, and fieldFrom the name of the
+	// sender. A request that was delegated is not delegated again.
+	fieldReason = "Yucca-Delegated-Reason"
+	fieldFrom   = "Yucca-Delegated-From"
+	// fieldAttempts and fieldElapsed carry, on a delegated request, how many targets the sender has sent
+	// it to, and how many milliseconds it has had the request.
+	fieldAttempts = "Yucca-Delegated-Attempts"
+	fieldElapsed  = "Yucca-Delegated-Elapsed-Ms"
 	// fieldOwnerMillis carries, on an owner's answer, the owner's processing time.
 	fieldOwnerMillis = "Yucca-Delegated-Took-Ms"
 	// fieldLeavingTarget carries, on an owner's answer, the incarnation of the target that has given it
 	// and has stated that it leaves.
 	fieldLeavingTarget = "Yucca-Delegated-Leaving-Target"
-	// fieldDeclined is set on the answer of an owner that declines the request.
+	// fieldDeclined carries, on the answer of a VM that declines the request, why.
 	fieldDeclined = "Yucca-Declined"
 )
 
+// delegatedFields are those of a delegated request.
+var delegatedFields = []string{fieldVersion, fieldAccount, fieldKeyDigest, fieldReason, fieldFrom, fieldAttempts, fieldElapsed}
+
+// Reasons to decline a delegated request.
+const (
+	// otherVersion: it was matched with another version of the configuration.
+	otherVersion = "version"
+	// otherAccount: the account does not hold the key here.
+	otherAccount = "account"
+	vmLeaving    = "leaving"
+	vmBusy       = "busy"
+	// notReached: this VM reaches none of the targets either.
+	notReached = "unreached"
+	// notRead: the request was refused before it was read, for example for lack of memory.
+	notRead = "not-read"
+)
+
 const (
 	// ownerConnections bounds the connections to one owner.
 	ownerConnections = 64
-	// ownerRTT is the round-trip time within a failure domain.
+	// ownerRTT is the round-trip time within a region.
 	ownerRTT = 2 * time.Millisecond
 )
 
@@ -51,20 +77,30 @@
 func (g *Gateway) HandleDelegated(ctx context.Context, in *serve.Request) *serve.Response {
 	version, err := strconv.ParseUint(in.Header.Get(fieldVersion), 10, 64)
 	table := g.table.Load()
-	if err != nil || table == nil || table.Version != version || g.leaving.Load() {
-		return declinedResponse()
+	switch {
+	case err != nil || table == nil || table.Version != version:
+		return declinedResponse(otherVersion)
+	case g.leaving.Load():
+		return declinedResponse(vmLeaving)
+	case reason(in.Header.Get(fieldReason)) == byReach && g.isBusy(time.Now()):
+		return declinedResponse(vmBusy)
 	}
 	r := &request{in: in, id: in.Header.Get(g.options.Fields.RequestID), fromPeer: true, accounts: g.accounts.Load()}
 	if !g.resolveIdentity(r) {
-		return declinedResponse()
+		return declinedResponse(otherAccount)
 	}
+	r.readHistory()
 	in.Header.Del(fieldVersion)
 	end := g.handle(ctx, r, table)
 	g.record(r, end)
+	if end.unreached && !r.mayHaveRun {
+		return declinedResponse(notReached)
+	}
 	a := g.response(end)
 	if a != nil {
 		a.Header[result.HeaderResult] = []string{strconv.Itoa(int(end.code))}
 		a.Header[fieldOwnerMillis] = []string{strconv.FormatInt(time.Since(in.Arrived).Milliseconds(), 10)}
+		a.Header.Del(fieldDeclined)
 		a.Header.Del(fieldLeavingTarget)
 		if end.target != nil && g.options.Balancer.HasStatedToLeave(end.target) {
 			a.Header[fieldLeavingTarget] = []string{strconv.FormatUint(end.target.Incarnation, incarnationBase)}
@@ -73,6 +109,17 @@
 	return a
 }
 
+// readHistory reads what the sender of a delegated request tells of it.
+func (r *request) readHistory() {
+	if n, err := strconv.Atoi(r.in.Header.Get(fieldAttempts)); err == nil && n > 0 {
+		r.attempts, r.deposited = n, true
+	}
+	if millis, err := strconv.ParseInt(r.in.Header.Get(fieldElapsed), 10, 64); err == nil && millis > 0 {
+		r.elapsed = time.Duration(millis) * time.Millisecond
+	}
+	r.log.from = r.in.Header.Get(fieldFrom)
+}
+
 // resolveIdentity sets the account that the sender of a delegated request has established. It
 // returns false if that account does not hold the key here: the sender then decides.
 func (g *Gateway) resolveIdentity(r *request) bool {
@@ -85,45 +132,58 @@
 	return ok
 }
 
-func declinedResponse() *serve.Response {
+func declinedResponse(why string) *serve.Response {
 	a := serve.PlainText(http.StatusServiceUnavailable, "")
-	a.Header[fieldDeclined] = []string{"1"}
+	a.Header[fieldDeclined] = []string{why}
 	return a
 }
 
+// declinedFor returns why a VM has declined a request, "" if it has not.
+func declinedFor(a *forward.Response) string {
+	if why := a.Header.Get(fieldDeclined); why != "" {
+		return why
+	}
+	if _, handled := ownerTime(a); !handled && a.Status != http.StatusInternalServerError {
+		return notRead
+	}
+	return ""
+}
+
 // ownerOf returns the VM that places a request, nil for this one. Large requests are not
 // delegated, to save the bandwidth of the VMs.
 func (g *Gateway) ownerOf(r *request) *owners.Owner {
-	if len(r.in.Body) > 0 && r.placement.Allowed != nil && !r.placement.Allowed(g.options.Region) {
-		// The body may only go to regions that may run the request.
-		return nil
-	}
-	if r.fromPeer || r.onTrial || !r.placement.HasKey || r.placement.Large || g.options.Owners == nil {
+	if !r.bodyMayGoTo(site.VM{Region: g.options.Region}) || r.fromPeer || r.onTrial || !r.placement.HasKey || r.placement.Large || g.options.Owners == nil {
 		return nil
 	}
 	return g.options.Owners.Lookup(r.placement.Key, r.in.Arrived)
 }
 
-// delegate sends a request to the owner of its key. It returns false if this VM should place
-// the request itself: the request has not run, or may run again. Waiting for an owner that
-// becomes unresponsive ends early for idempotent requests only.
-func (g *Gateway) delegate(ctx context.Context, r *request, o *owners.Owner) (outcome, bool) {
+// delegate sends a request to the owner of its key, or to a relay. It returns false if that VM has not
+// placed the request, or the request may run again. Waiting for a VM that becomes unresponsive ends early
+// for idempotent requests only.
+func (g *Gateway) delegate(ctx context.Context, r *request, o *owners.Owner, why reason) (outcome, bool) {
 	began := time.Now()
-	answer, err := g.sendToOwner(ctx, r, o)
+	answer, err := g.sendToOwner(ctx, r, o, why)
 	took := time.Since(began)
-	g.options.Metrics.RequestDelegated(delegationResult(answer, err))
+	g.options.Metrics.RequestDelegated(string(why), delegationResult(answer, err))
+	r.declinedFor = ""
 	if err != nil {
 		g.options.Logger.WithError(err).WithField("id", r.id).WithField("owner", o.Name).
 			WithField("ms", took.Milliseconds()).Warn("gateway: owner did not answer")
 		return g.handleOwnerFailure(ctx, r, o, err)
 	}
-	if answer.Header.Get(fieldDeclined) != "" {
+	if r.declinedFor = declinedFor(answer); r.declinedFor != "" {
+		g.options.Logger.WithFields(logrus.Fields{"id": r.id, "owner": o.Name, "reason": why, "why": r.declinedFor}).
+			Info("gateway: delegated request declined")
+		if r.declinedFor == notReached || r.declinedFor == vmBusy {
+			o.Avoid(time.Now())
+		}
 		return outcome{}, false
 	}
 	g.observeOwner(o, answer)
-	r.log.owner, r.log.ownerDuration = o.Name, took
+	r.log.owner, r.log.ownerDuration, r.log.reason = o.Name, took, why
 	if own, ok := ownerTime(answer); ok {
-		o.RecordOverhead(took-own, time.Now())
+		o.RecordOverhead(took-own-g.ownerRTT(o), time.Now())
 	}
 	return delegatedOutcome(answer), true
 }
@@ -133,7 +193,7 @@
 func (g *Gateway) handleOwnerFailure(ctx context.Context, r *request, o *owners.Owner, err error) (outcome, bool) {
 	var failed *forward.Error
 	notSent := !errors.As(err, &failed) || failed.NotRun()
-	r.mayHaveRun = !notSent
+	r.mayHaveRun = r.mayHaveRun || !notSent
 	now := time.Now()
 	switch {
 	case ctx.Err() != nil:
@@ -154,7 +214,7 @@
 	return outcome{}, false
 }
 
-func (g *Gateway) sendToOwner(ctx context.Context, r *request, o *owners.Owner) (*forward.Response, error) {
+func (g *Gateway) sendToOwner(ctx context.Context, r *request, o *owners.Owner, why reason) (*forward.Response, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if r.route.Kind == site.Idempotent {
@@ -170,6 +230,12 @@
 	out := r.out
 	out.Header = r.out.Header.Clone()
 	out.Header.Set(fieldVersion, strconv.FormatUint(r.version, 10))
+	out.Header.Set(fieldReason, string(why))
+	out.Header.Set(fieldFrom, g.options.Name)
+	out.Header.Set(fieldElapsed, strconv.FormatInt(time.Since(r.in.Arrived).Milliseconds(), 10))
+	if r.attempts > 0 {
+		out.Header.Set(fieldAttempts, strconv.Itoa(r.attempts))
+	}
 	if r.identity.Account != nil {
 		out.Header.Set(fieldAccount, r.identity.Account.Name)
 		out.Header.Set(fieldKeyDigest, r.identity.Digest.String())
@@ -183,12 +249,20 @@
 	defer g.mu.Unlock()
 	p := g.ownerPools[o.PeerAddress]
 	if p == nil {
-		p = pool.New(o.PeerAddress, g.options.Dial(ownerRTT), ownerConnections)
+		p = pool.New(o.PeerAddress, g.options.Dial(g.ownerRTT(o)), ownerConnections)
 		g.ownerPools[o.PeerAddress] = p
 	}
 	return p
 }
 
+// ownerRTT returns the round-trip time to another VM.
+func (g *Gateway) ownerRTT(o *owners.Owner) time.Duration {
+	if o.Region == "" || o.Region == g.options.Region {
+		return ownerRTT
+	}
+	return g.options.RTT(o.Region)
+}
+
 // delegatedOutcome converts an owner's answer to an outcome.
 func delegatedOutcome(a *forward.Response) outcome {
 	code := result.OK
@@ -227,7 +301,7 @@
 	switch {
 	case err != nil:
 		return "failed"
-	case a.Header.Get(fieldDeclined) != "":
+	case declinedFor(a) != "":
 		return "declined"
 	}
 	return "answered"
--- a/edge/gateway/fixture_test.go
+++ b/edge/gateway/fixture_test.go
@@ -117,7 +117,7 @@
 
 func (noMetrics) RequestEnded(string, string, string, int, time.Duration) {}
 func (noMetrics) AttemptEnded(string, string)                             {}
-func (noMetrics) RequestDelegated(string)                                 {}
+func (noMetrics) RequestDelegated(string, string)                         {}
 func (noMetrics) TargetCrashed(string)                                    {}
 
 // fixture is a gateway that captures its log.
--- a/edge/gateway/gateway.go
+++ b/edge/gateway/gateway.go
@@ -42,8 +42,8 @@
 	RequestEnded(route, service, account string, code int, took time.Duration)
 	// AttemptEnded counts one attempt at a target.
 	AttemptEnded(service, end string)
-	// RequestDelegated counts one request that was delegated to the owner of its key.
-	RequestDelegated(end string)
+	// RequestDelegated counts one request that was delegated to another VM, by the reason for it.
+	RequestDelegated(reason, end string)
 	// TargetCrashed counts a target that stopped unplanned while it had requests.
 	TargetCrashed(service string)
 }
@@ -51,7 +51,8 @@
 // Options configure a Gateway.
 type Options struct {
 	Fields site.FieldNames
-	// Region is the region of this VM.
+	// Name and Region are those of this VM.
+	Name     string
 	Region   string
 	Balancer *placing.Balancer
 	Logger   *logrus.Entry
@@ -64,7 +65,7 @@
 	RTT func(region string) time.Duration
 	// InFlightChanged is called when the requests in flight change. It must not block.
 	InFlightChanged func()
-	// Owners maps keys to the VMs that place their requests; nil if this VM places all.
+	// Owners selects the VMs that place requests for this one; nil if this VM places all.
 	Owners *owners.Table
 	// Quota limits the requests of client accounts; nil means no limit.
 	Quota Quota
@@ -76,6 +77,8 @@
 	// ReadStatement ignores all that targets state.
 	TargetLimits  TargetLimits
 	ReadStatement ReadStatement
+	// ReachChanged is called when this VM reaches other targets than before. It must not block.
+	ReachChanged func()
 	// TargetLeaves is called with the incarnation of a target when its answer first states that it
 	// leaves. It must not block.
 	TargetLeaves func(incarnation uint64)
@@ -99,6 +102,8 @@
 	leaving        atomic.Bool
 	losses         *losses
 	reach          *reach.Tracker
+	// busyUntil is until when this VM takes no requests that others cannot place; nil if it always did.
+	busyUntil atomic.Pointer[time.Time]
 	// malformedAt is when a malformed statement was last logged.
 	malformedAt atomic.Pointer[time.Time]
 
@@ -119,6 +124,9 @@
 	if o.Quota == nil {
 		o.Quota = unlimited{}
 	}
+	if o.ReachChanged == nil {
+		o.ReachChanged = func() {}
+	}
 	if o.TargetLeaves == nil {
 		o.TargetLeaves = func(uint64) {}
 	}
--- a/edge/gateway/reach.go
+++ b/edge/gateway/reach.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"net"
+	"os"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/yuccaroute/yuccaroute/api/result"
@@ -14,9 +16,12 @@
 	"github.com/yuccaroute/yuccaroute/proxy/pool"
 )
 
-// reachProbeTimeout bounds a probe that shows whether targets are reached, besides the round-trip time. It
-// is long, as busy targets answer late too.
-const reachProbeTimeout = 1200 * time.Millisecond
+// reachProbeTimeout bounds a probe that shows whether targets are reached, besides the round-trip time, and
+// patientProbeTimeout one that follows another that was silent: busy targets answer late.
+const (
+	reachProbeTimeout   = 1200 * time.Millisecond
+	patientProbeTimeout = 2 * time.Second
+)
 
 // groupOf returns the group of a target.
 func groupOf(t *placing.Target) reach.Group { return reach.Group{Service: t.Service, Region: t.Region} }
@@ -32,16 +37,13 @@
 	g.reach.SetGroups(now, targets)
 }
 
-// dialTarget returns a dial function that records whether connections can be opened.
+// dialTarget returns a dial function that records when no connection can be opened.
 func (g *Gateway) dialTarget(t *placing.Target) pool.Dial {
 	dial := g.options.Dial(g.options.RTT(t.Region))
 	group, target := groupOf(t), t.Incarnation
 	return func(ctx context.Context, address string) (net.Conn, error) {
 		conn, err := dial(ctx, address)
-		switch {
-		case err == nil:
-			g.reach.Connected(group)
-		case ctx.Err() == nil:
+		if err != nil && ctx.Err() == nil {
 			g.reach.NotConnected(time.Now(), group, target)
 		}
 		return conn, err
@@ -75,22 +77,26 @@
 // probeGroup runs one round of probes.
 func (g *Gateway) probeGroup(ctx context.Context, round reach.Round, path string) {
 	targets := g.options.Balancer.TargetsToProbe(time.Now(), round.Group.Service, round.Group.Region, round.Targets, round.Number)
+	limit := reachProbeTimeout
+	if round.Patient {
+		limit = patientProbeTimeout
+	}
 	results := make(chan reach.Probes, len(targets))
 	for _, t := range targets {
-		go func() { results <- g.probeOnNewConnection(ctx, t, path) }()
+		go func() { results <- g.probeOnNewConnection(ctx, t, path, limit+g.options.RTT(t.Region)) }()
 	}
 	sum := reach.Probes{Asked: len(targets)}
 	for range targets {
 		p := <-results
 		sum.Connected += p.Connected
 		sum.Answered += p.Answered
+		sum.Silent += p.Silent
 	}
 	g.reachChanged(g.reach.Probed(time.Now(), round.Group, sum))
 }
 
 // probeOnNewConnection probes a target. Any answer counts, also that of a target that is not healthy.
-func (g *Gateway) probeOnNewConnection(ctx context.Context, t *placing.Target, path string) (p reach.Probes) {
-	limit := reachProbeTimeout + g.options.RTT(t.Region)
+func (g *Gateway) probeOnNewConnection(ctx context.Context, t *placing.Target, path string, limit time.Duration) (p reach.Probes) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	raw, err := g.dialTarget(t)(ctx, t.Address)
@@ -100,13 +106,17 @@
 	p.Connected = 1
 	conn := forward.NewConn(raw)
 	defer conn.Close()
-	if _, err := g.exchangeProbe(ctx, t, path, conn, limit); err == nil {
+	_, err = g.exchangeProbe(ctx, t, path, conn, limit)
+	switch {
+	case err == nil:
 		p.Answered = 1
+	case ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded):
+		p.Silent = 1
 	}
 	return p
 }
 
-// reachChanged logs changes of what this VM reaches.
+// reachChanged applies and logs changes of what this VM reaches.
 func (g *Gateway) reachChanged(changes []reach.Change) {
 	for _, c := range changes {
 		g.options.Logger.WithFields(logrus.Fields{
@@ -114,7 +124,12 @@
 			"lasted_ms": c.Lasted.Milliseconds(), "heard_age_ms": c.HeardAge.Milliseconds(),
 			"lost": c.Lost, "overdue": c.Overdue, "refused": c.Refused,
 			"probes": c.Probes.Asked, "probes_connected": c.Probes.Connected, "probes_answered": c.Probes.Answered,
+			"probes_silent": c.Probes.Silent,
 		}).Info("gateway: reach of targets changed")
+		g.options.Balancer.SetReached(time.Now(), c.Group.Service, c.Group.Region, c.Phase != reach.Unreached)
+	}
+	if len(changes) > 0 {
+		g.options.ReachChanged()
 	}
 }
 
--- a/edge/gateway/run.go
+++ b/edge/gateway/run.go
@@ -41,16 +41,31 @@
 	code   result.Code
 	err    error
 	took   time.Duration
+	// fresh is set if the request was the first one on its connection.
+	fresh bool
 }
 
 // run places and sends a request until it succeeds or may not be retried.
 func (g *Gateway) run(ctx context.Context, r *request) outcome {
-	g.budgetOf(r.service).Deposit(budgetFraction * g.options.RetryRatio)
+	if r.fromPeer && !g.reach.Reaches(r.service, r.placement.Allowed) {
+		return unreachedOutcome()
+	}
 	for {
+		if g.relaysFirst(r) {
+			if end, done := g.relay(ctx, r); done {
+				return g.finalOutcome(r, end)
+			}
+		}
 		d, end := g.place(ctx, r)
+		if d.Reason == placing.Unreached {
+			if relayed, done := g.relay(ctx, r); done {
+				end = relayed
+			}
+		}
 		if d.Target == nil {
 			return g.finalOutcome(r, end)
 		}
+		g.deposit(r)
 		// The request may have been quarantined while it waited.
 		if v := g.verdict(r); isBlocked(v) && !r.onTrial {
 			g.options.Balancer.Done(time.Now(), d, r.class, placing.Cancelled, 0)
@@ -68,16 +83,29 @@
 	}
 }
 
+// deposit counts a request in the retry budget, once at all VMs.
+func (g *Gateway) deposit(r *request) {
+	if !r.deposited {
+		r.deposited = true
+		g.budgetOf(r.service).Deposit(budgetFraction * g.options.RetryRatio)
+	}
+}
+
+func unreachedOutcome() outcome {
+	return outcome{code: result.NoTarget, reason: placing.Unreached.String(), unreached: true}
+}
+
 // finalOutcome takes earlier attempts into account: an error response of a target is
 // returned rather than replaced, and a request that may have run is not reported as not run.
 func (g *Gateway) finalOutcome(r *request, end outcome) outcome {
-	if end.answer != nil || end.code == result.CallerGone {
+	refused := result.InfoOf(end.code).Outcome == result.NotRun
+	if end.answer != nil && !(r.mayHaveRun && refused) || end.code == result.CallerGone {
 		return end
 	}
 	if r.lastFailure.answer != nil {
 		return r.lastFailure
 	}
-	if r.mayHaveRun && result.InfoOf(end.code).Outcome == result.NotRun {
+	if r.mayHaveRun && refused {
 		return outcome{code: result.ConnectionLost, reason: end.reason}
 	}
 	return end
@@ -87,7 +115,6 @@
 func (g *Gateway) place(ctx context.Context, r *request) (placing.Decision, outcome) {
 	began := time.Now()
 	d, w := g.options.Balancer.Place(began, &r.placement)
-	r.placement.AlreadyCounted = true
 	if w != nil {
 		g.options.InFlightChanged()
 		select {
@@ -101,6 +128,12 @@
 		r.log.waited += time.Since(began)
 	}
 	r.log.decision = d
+	if d.Reason == placing.Unreached {
+		end := unreachedOutcome()
+		end.retryAfter = d.RetryAfter
+		return d, end
+	}
+	r.placement.AlreadyCounted = true
 	if d.Target == nil {
 		code := result.QueueFull
 		if d.Reason == placing.NoTarget || d.Reason == placing.AllLeaving {
@@ -228,7 +261,7 @@
 	tracked := g.reach.Begin(began, groupOf(d.Target), d.Target.Incarnation, d.Expected)
 	a := g.sendToTarget(ctx, r, d, tracked)
 	a.took = time.Since(began)
-	g.reach.End(time.Now(), tracked, reachEnd(ctx, a))
+	g.reach.End(time.Now(), tracked, reachEnd(ctx, a), a.fresh)
 	g.options.Balancer.Done(time.Now(), d, r.class, g.placingOutcome(ctx, a), a.took)
 	g.options.InFlightChanged()
 	return a
@@ -241,11 +274,14 @@
 		return attempt{decision: d, notRun: true, code: result.ConnectFailed, err: err}
 	}
 	defer p.Put(conn)
+	fresh := !conn.Used()
 	answer, err := g.sendOverConn(ctx, r, d, conn, tracked)
 	if answer != nil {
 		updateIdleTimeout(p, answer.Header)
 	}
-	return g.classify(d, answer, err)
+	a := g.classify(d, answer, err)
+	a.fresh = fresh
+	return a
 }
 
 var errPanic = errors.New("gateway: exchange panicked")
--- a/edge/gateway/serve.go
+++ b/edge/gateway/serve.go
@@ -10,6 +10,7 @@
 
 	"github.com/yuccaroute/yuccaroute/api/result"
 	"github.com/yuccaroute/yuccaroute/edge/accounts"
+	"github.com/yuccaroute/yuccaroute/edge/owners"
 	"github.com/yuccaroute/yuccaroute/edge/placing"
 	"github.com/yuccaroute/yuccaroute/edge/quarantine"
 	"github.com/yuccaroute/yuccaroute/edge/route"
@@ -55,6 +56,15 @@
 	fromPeer bool
 	// fingerprint is computed on first use by Gateway.fingerprint.
 	fingerprint *quarantine.Fingerprint
+	// asked are the VMs that were asked in vain to place the request, relays counts the tries.
+	// declinedFor is why the last one has declined, "" if it has not.
+	asked       []*owners.Owner
+	relays      int
+	declinedFor string
+	// elapsed is how long another VM had the request before this one.
+	elapsed time.Duration
+	// deposited is set if the request was counted in the retry budget.
+	deposited bool
 	// onTrial is set if this VM claimed the request's quarantine trial: it is sent once.
 	onTrial bool
 	log     requestLog
@@ -69,6 +79,8 @@
 	// retryAfter is the time after which a refused request is worth retrying.
 	retryAfter time.Duration
 	reason     string
+	// unreached is set if this VM reaches none of the targets.
+	unreached bool
 }
 
 // Handle implements serve.Handler.
@@ -108,7 +120,7 @@
 		return refused
 	}
 	if owner := g.ownerOf(r); owner != nil {
-		if end, done := g.delegate(ctx, r, owner); done {
+		if end, done := g.delegate(ctx, r, owner, byAffinity); done {
 			return end
 		}
 	}
@@ -133,7 +145,7 @@
 		Service: r.service, Class: r.class,
 		Key: placing.HashOf(r.route.Prefix + key), HasKey: hasKey,
 		Large: isLarge(r), Priority: r.route.Priority,
-		Objective: r.in.Arrived.Add(r.route.Objective), Deadline: r.deadline,
+		Objective: r.in.Arrived.Add(r.route.Objective - r.elapsed), Deadline: r.deadline,
 	}
 	r.placement.Allowed = r.allowed()
 	if r.identity.Account != nil {
@@ -172,7 +184,7 @@
 		left = time.Duration(millis*float64(time.Millisecond)) - deadlineMargin
 	}
 	if r.route.Timeout > 0 {
-		left = min(left, r.route.Timeout)
+		left = min(left, r.route.Timeout-r.elapsed)
 	}
 	return left, true
 }
@@ -217,9 +229,11 @@
 	durationsMS []int64
 	hedged      bool
 	// owner is the VM that the request was delegated to, if any, ownerDuration how long it
-	// took, network included.
+	// took, network included, reason why. from is the VM that has delegated it to this one.
 	owner         string
 	ownerDuration time.Duration
+	reason        reason
+	from          string
 	// unanswered is set if a target may have started the request and did not answer; verdict
 	// is the last quarantine verdict.
 	unanswered bool
@@ -265,10 +279,14 @@
 	}
 	if r.log.owner != "" {
 		fields["owner"], fields["owner_ms"] = r.log.owner, r.log.ownerDuration.Milliseconds()
+		fields["reason"], fields["declined"], fields["sent"] = r.log.reason, r.relays, r.attempts
 		g.options.Logger.WithFields(fields).Info("gateway: request delegated")
 		return
 	}
 	fields["sent"] = r.attempts
+	if r.log.from != "" {
+		fields["from"] = r.log.from
+	}
 	if !r.deadline.IsZero() {
 		fields["left_ms"] = r.deadline.Sub(r.in.Arrived).Milliseconds()
 		fields["objective_ms"] = r.route.Objective.Milliseconds()
--- a/edge/owners/owners.go
+++ b/edge/owners/owners.go
@@ -1,5 +1,5 @@
-// Package owners maps each affinity key to the VM of a failure domain that places its
-// requests. It does no I/O.
+// Package owners selects the VM that places a request for this one: the owner of its affinity key in this
+// failure domain, or a relay, one that reaches targets which this VM does not. It does no I/O.
 //
 // With many VMs and many targets, each VM rarely sends to the same target twice in a row:
 // it needs a new connection for nearly every request, and what it has learned of a target
@@ -87,7 +87,8 @@
 type Table struct {
 	own    *Owner
 	others atomic.Pointer[[]*Owner]
-	// updateMu serializes SetVMs.
+	relays atomic.Pointer[[]relay]
+	// updateMu serializes SetVMs and SetRelays.
 	updateMu sync.Mutex
 }
 
@@ -95,6 +96,7 @@
 func New(own site.VM) *Table {
 	t := &Table{own: newOwner(own)}
 	t.others.Store(&[]*Owner{})
+	t.relays.Store(&[]relay{})
 	return t
 }
 
@@ -137,22 +139,19 @@
 	if slices.EqualFunc(old, vms, func(o *Owner, vm site.VM) bool { return o.VM == vm }) {
 		return
 	}
+	known := t.known()
 	next := make([]*Owner, 0, len(vms))
 	for _, vm := range vms {
-		next = append(next, reuseOwner(old, vm))
+		next = append(next, reuseOwner(known, vm))
 	}
 	t.others.Store(&next)
-	for _, o := range old {
-		if !slices.Contains(next, o) && !isResponsive(o.VM) {
-			o.cancel()
-		}
-	}
+	t.cancelUnresponsive(old, isResponsive)
 }
 
 // reuseOwner returns the known owner for a VM, so that it keeps its state, or a new one.
 func reuseOwner(known []*Owner, vm site.VM) *Owner {
 	for _, o := range known {
-		if o.VM == vm {
+		if o.VM == vm && o.ctx.Err() == nil {
 			return o
 		}
 	}
--- a/edge/peers/peers.go
+++ b/edge/peers/peers.go
@@ -30,6 +30,9 @@
 	StoreConnected bool
 	// NoDigest is true if it expects digests and receives none.
 	NoDigest bool
+	// Unreached are the groups of targets that it does not reach, CutOff is true if these are all.
+	Unreached []uint32
+	CutOff    bool
 }
 
 // Members is the membership view of this VM. It is safe for concurrent use.
@@ -38,7 +41,9 @@
 	// started is when this VM began to receive reports.
 	started time.Time
 
-	mu         sync.Mutex
+	mu sync.Mutex
+	// ownCutOff is true if this VM reaches no group of targets.
+	ownCutOff  bool
 	registered map[string]site.VM
 	// regions caches the registered VMs and this one by region, sorted by name.
 	regions map[string][]site.VM
@@ -145,7 +150,8 @@
 // suspicionTimeout by more than the age of their content.
 const isolationTimeout = 700 * time.Millisecond
 
-// LiveInDomain returns the other VMs of this failure domain that accept callers, sorted by name.
+// LiveInDomain returns the other VMs of this failure domain that accept callers and reach targets, sorted
+// by name.
 // It returns false if this VM receives no reports at all: it is isolated or stopping, and must
 // not conclude that the other VMs have failed and abandon the requests they work on, as a VM would
 // suspicionTimeout after its planned stop began.
@@ -162,13 +168,38 @@
 		if state.At.After(newest) {
 			newest = state.At
 		}
-		if vm.Zone == m.own.Zone && m.isLive(vm, now) {
+		if vm.Zone == m.own.Zone && m.isLive(vm, now) && !state.CutOff {
 			live = append(live, vm)
 		}
 	}
 	return live, now.Sub(newest) < isolationTimeout
 }
 
+// SetCutOff sets whether this VM reaches no group of targets.
+func (m *Members) SetCutOff(cutOff bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.ownCutOff = cutOff
+}
+
+// VMReach is another VM that accepts callers, and the groups of targets that it does not reach.
+type VMReach struct {
+	VM        site.VM
+	Unreached []uint32
+}
+
+// LiveReach returns the other VMs that accept callers with what they reach, in no particular order.
+func (m *Members) LiveReach(now time.Time) (list []VMReach) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name, vm := range m.registered {
+		if name != m.own.Name && m.isLive(vm, now) {
+			list = append(list, VMReach{VM: vm, Unreached: m.states[name].Unreached})
+		}
+	}
+	return list
+}
+
 // IsResponsive reports whether a VM's latest report is within its suspicion timeout.
 func (m *Members) IsResponsive(vm site.VM, now time.Time) bool {
 	m.mu.Lock()
@@ -316,31 +347,32 @@
 	return len(m.regions[m.own.Region])
 }
 
-// EntryAddresses returns the addresses that callers of a failure domain connect to: those of the
-// live VMs of the domain, else of the region, else of all live VMs. own is true if this VM
-// accepts callers. The result is empty if no VM does.
+// EntryAddresses returns the addresses that callers of a failure domain connect to: those of the live VMs
+// of the domain, else of the region, else of all live VMs. VMs that reach no target are named if more than
+// half of the region are such: they pass requests on, and the others would get too many callers. own is
+// true if this VM accepts callers. The result is empty if no VM does.
 func (m *Members) EntryAddresses(zone, region string, own bool, now time.Time) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var sameZone, sameRegion, any []string
-	consider := func(vm site.VM) {
-		any = append(any, vm.EntryAddress)
+	var sameZone, sameRegion, any entryList
+	consider := func(vm site.VM, cutOff bool) {
+		any.add(vm, cutOff)
 		if vm.Region == region {
-			sameRegion = append(sameRegion, vm.EntryAddress)
+			sameRegion.add(vm, cutOff)
 		}
 		if vm.Zone == zone {
-			sameZone = append(sameZone, vm.EntryAddress)
+			sameZone.add(vm, cutOff)
 		}
 	}
 	if own {
-		consider(m.own)
+		consider(m.own, m.ownCutOff)
 	}
 	for name, vm := range m.registered {
 		if name != m.own.Name && m.isLive(vm, now) {
-			consider(vm)
+			consider(vm, m.states[name].CutOff)
 		}
 	}
-	for _, list := range [][]string{sameZone, sameRegion, any} {
+	for _, list := range [][]string{sameZone.mostlyReaching(), sameRegion.mostlyReaching(), sameZone.all, sameRegion.all, any.all} {
 		if len(list) > 0 {
 			sort.Strings(list)
 			return list
@@ -348,3 +380,24 @@
 	}
 	return nil
 }
+
+// entryList holds the entry addresses of a part of the fleet.
+type entryList struct {
+	// reaching are those of VMs that reach targets.
+	all, reaching []string
+}
+
+func (l *entryList) add(vm site.VM, cutOff bool) {
+	l.all = append(l.all, vm.EntryAddress)
+	if !cutOff {
+		l.reaching = append(l.reaching, vm.EntryAddress)
+	}
+}
+
+// mostlyReaching returns the VMs that reach targets if they are half of all or more.
+func (l *entryList) mostlyReaching() []string {
+	if 2*len(l.reaching) < len(l.all) {
+		return nil
+	}
+	return l.reaching
+}
--- a/edge/peers/peers_test.go
+++ b/edge/peers/peers_test.go
@@ -344,3 +344,37 @@
 		t.Errorf("coordinators %v", got)
 	}
 }
+
+// Guards against callers that are sent to a VM which reaches no target, to the few that do, or to another region:
+// a VM that is cut off passes requests on.
+func TestCallersOfVMsThatAreCutOff(t *testing.T) {
+	vms := []site.VM{vmOf("own", "n1"), vmOf("mate", "n1"), vmOf("near1", "n2"), vmOf("near2", "n2"), vmOf("far1", "s1"), vmOf("far2", "s1")}
+	for _, c := range []struct {
+		cut  []string
+		want []string
+	}{
+		{nil, []string{"mate:1", "own:1"}},
+		{[]string{"mate"}, []string{"own:1"}},
+		{[]string{"own"}, []string{"mate:1"}},
+		{[]string{"own", "mate"}, []string{"near1:1", "near2:1"}},
+		{[]string{"own", "mate", "near1"}, []string{"mate:1", "own:1"}},
+		{[]string{"own", "mate", "near1", "near2"}, []string{"mate:1", "own:1"}},
+	} {
+		m := New(vms[0], start)
+		m.Register(vms, start)
+		for _, vm := range vms[1:] {
+			m.Observe(vm, State{At: start, Serving: true, CutOff: slices.Contains(c.cut, vm.Name), Unreached: []uint32{7}})
+		}
+		m.SetCutOff(slices.Contains(c.cut, "own"))
+		if diff := cmp.Diff(c.want, m.EntryAddresses("n1", "n", true, start)); diff != "" {
+			t.Errorf("cut off %v: %s", c.cut, diff)
+		}
+		live, _ := m.LiveInDomain(start)
+		if len(live) == 1 == slices.Contains(c.cut, "mate") {
+			t.Errorf("cut off %v: owners of keys %v", c.cut, live)
+		}
+		if reach := m.LiveReach(start); len(reach) != len(vms)-1 || len(reach[0].Unreached) != 1 {
+			t.Errorf("%v", reach)
+		}
+	}
+}
--- a/edge/placing/affinity.go
+++ b/edge/placing/affinity.go
@@ -110,7 +110,7 @@
 	a := make(affinityTargets, 0, maxAffinityTargets)
 	var limited affinityTarget
 	for _, t := range s.regions[region] {
-		if !t.usable || t.needsProbe || t.stated.isResting(now) || r.tried(t) {
+		if !t.usable || t.unreached || t.needsProbe || t.stated.isResting(now) || r.tried(t) {
 			continue
 		}
 		score := Rendezvous(r.Key, t.hash)
--- a/edge/placing/balancer.go
+++ b/edge/placing/balancer.go
@@ -75,6 +75,9 @@
 		return Decision{Reason: NoTarget, RetryAfter: maxRetryAfter}, nil
 	}
 	s.resetLoads()
+	if s.isCutOff(r) {
+		return Decision{Reason: Unreached, RetryAfter: maxRetryAfter}, nil
+	}
 	if !r.AlreadyCounted {
 		s.demand.add(now, r.serviceTime())
 		b.stepWeights(now, s)
--- a/edge/placing/peers.go
+++ b/edge/placing/peers.go
@@ -93,7 +93,8 @@
 		s.demand.decay(now)
 		demand[name] = s.demand.slots
 		for _, t := range s.targets {
-			if t.local > 0 {
+			// A target that is not reached does not get what is on its way to it.
+			if t.local > 0 && !t.unreached {
 				inFlight[TargetKey(t.hash)] += t.local
 			}
 		}
--- a/edge/placing/probe.go
+++ b/edge/placing/probe.go
@@ -14,7 +14,7 @@
 	var due []*Target
 	for _, s := range b.services {
 		for _, t := range s.targets {
-			if t.usable && t.needsProbe && !now.Before(t.ejectedUntil) && !t.stated.isResting(now) && t.takePermit() {
+			if t.usable && !t.unreached && t.needsProbe && !now.Before(t.ejectedUntil) && !t.stated.isResting(now) && t.takePermit() {
 				t.ejectedUntil = now.Add(probeInterval)
 				due = append(due, t)
 			}
--- a/edge/placing/request.go
+++ b/edge/placing/request.go
@@ -82,6 +82,8 @@
 	NoPermit
 	// AtRest: it would end too late, as targets have asked for a rest.
 	AtRest
+	// Unreached: this VM reaches none of the targets that may serve the request. Other VMs may.
+	Unreached
 )
 
 // String implements fmt.Stringer.
@@ -95,6 +97,8 @@
 		return "no permit"
 	case AtRest:
 		return "targets at rest"
+	case Unreached:
+		return "targets not reached"
 	}
 	return "too late"
 }
--- a/edge/placing/serve.go
+++ b/edge/placing/serve.go
@@ -48,6 +48,9 @@
 func (b *Balancer) decide(now time.Time, s *service, w *Waiter, ahead backlog) (Decision, bool) {
 	if s.slots(now, w.region) == 0 {
 		region := b.nearest(now, s, w.request)
+		if region == "" && s.isCutOff(w.request) {
+			return Decision{Reason: Unreached, RetryAfter: maxRetryAfter}, true
+		}
 		if region == "" && !s.hasUsableTarget(w.request) {
 			return s.rejectWithoutTarget(w.request), true
 		}
--- a/edge/placing/service.go
+++ b/edge/placing/service.go
@@ -22,11 +22,14 @@
 	weights    regionWeights
 	// returns holds those of each region.
 	returns map[string]*returns
+	// unreached holds the regions whose targets this VM does not reach.
+	unreached map[string]bool
 }
 
 func newService(s site.Service) *service {
 	return &service{
 		Service: s, targets: make(map[string]*Target), regions: make(map[string][]*Target), loads: make(loads), returns: make(map[string]*returns),
+		unreached: make(map[string]bool),
 	}
 }
 
--- a/edge/placing/target.go
+++ b/edge/placing/target.go
@@ -52,6 +52,8 @@
 	rtt time.Duration
 	// usable is false for leaving targets and those in evacuated domains.
 	usable, evacuated bool
+	// unreached is set while this VM reaches no target of the service in the region.
+	unreached bool
 	// leaving is true for targets that are draining, by their registration or by what they have
 	// stated, and for those no longer registered.
 	leaving bool
@@ -115,7 +117,7 @@
 
 // isReachable reports whether the target may get requests unless it has asked for a rest.
 func (t *Target) isReachable(now time.Time) bool {
-	return t.usable && !t.needsProbe && !now.Before(t.ejectedUntil)
+	return t.usable && !t.unreached && !t.needsProbe && !now.Before(t.ejectedUntil)
 }
 
 func (t *Target) isWarm(key uint64, now time.Time) bool {
--- a/edge/placing/targetspec.go
+++ b/edge/placing/targetspec.go
@@ -72,6 +72,7 @@
 			t.usable, t.leaving = false, true
 		}
 		t = b.newTarget(l)
+		t.unreached = s.unreached[t.Region]
 		s.targets[l.ID] = t
 		t.cold.rate = b.coldRate(s, t)
 	}
--- a/edge/reach/group.go
+++ b/edge/reach/group.go
@@ -1,9 +1,6 @@
 package reach
 
-import (
-	"context"
-	"time"
-)
+import "time"
 
 // group is the state of a Group. The tracker's lock guards it.
 type group struct {
@@ -14,8 +11,8 @@
 	since   time.Time
 	// heardAt is when a target last answered; zero if none did.
 	heardAt time.Time
-	// lost holds the targets that have failed since the last answer, refused those that could not be
-	// connected to since the last new connection.
+	// lost holds the targets that have failed since the last answer, refused those to which no new
+	// connection could be opened, or used, since one last was.
 	lost, refused evidence
 	inFlight      map[*Attempt]struct{}
 	// doubted is set if the group is to be probed without evidence of its own.
@@ -26,15 +23,12 @@
 	probing bool
 	probeAt time.Time
 	rounds  int
-	// cut is canceled when the group becomes unreached.
-	cut    context.Context
-	cancel context.CancelFunc
+	// silent is set if probed targets were silent in the last round.
+	silent bool
 }
 
 func newGroup(id Group, now time.Time) *group {
-	g := &group{id: id, since: now, inFlight: make(map[*Attempt]struct{})}
-	g.cut, g.cancel = context.WithCancel(context.Background())
-	return g
+	return &group{id: id, since: now, inFlight: make(map[*Attempt]struct{})}
 }
 
 // evidence is the set of targets that have failed, and the time of the first failure.
@@ -58,13 +52,14 @@
 
 // heard records an answer. It does nothing for nil.
 func (g *group) heard(now time.Time) {
-	if g != nil {
-		g.heardAt = now
-		g.lost.clear()
+	if g == nil {
+		return
 	}
+	g.heardAt, g.probeAt = now, now
+	g.lost.clear()
 }
 
-// need is how many targets must fail.
+// need is how many targets must fail, or requests be overdue.
 func (g *group) need() int { return min(minTargets, g.targets) }
 
 // isFailing reports whether the group is to be suspected.
@@ -76,10 +71,7 @@
 		return true
 	}
 	overdue := g.overdue(now)
-	for target := range g.lost.targets {
-		overdue[target] = struct{}{}
-	}
-	return len(overdue) >= g.need() && len(overdue) > len(g.lost.targets)
+	return overdue > 0 && overdue+len(g.lost.targets) >= g.need()
 }
 
 // isOverdue reports whether nothing was heard of the group for too long since an attempt began.
@@ -91,41 +83,37 @@
 	return now.Sub(from) > a.limit
 }
 
-// overdue returns the targets with an attempt that is overdue.
-func (g *group) overdue(now time.Time) map[uint64]struct{} {
-	late := make(map[uint64]struct{})
+// overdue returns how many attempts are overdue.
+func (g *group) overdue(now time.Time) (n int) {
 	for a := range g.inFlight {
 		if g.isOverdue(now, a) {
-			late[a.target] = struct{}{}
+			n++
 		}
 	}
-	return late
+	return n
 }
 
-// isConfirmedBy reports whether probes show that a suspected group is unreached. Busy targets may not
-// answer a probe in time; requests that were answered meanwhile then count, unless only connections
-// that are already open still work.
-func (g *group) isConfirmedBy(p Probes) bool {
+// isRefutedBy reports whether probes show that a suspected group is reached. Busy targets may not answer
+// a probe in time; requests that were answered meanwhile then count, unless only connections that are
+// already open still work.
+func (g *group) isRefutedBy(p Probes) bool {
 	if p.Asked == 0 || p.Answered > 0 {
-		return false
-	}
-	if heard := g.heardAt.After(g.since); heard && (p.Connected > 0 || len(g.refused.targets) == 0) {
-		return false
+		return true
 	}
-	return true
+	return g.heardAt.After(g.since) && (p.Silent > 0 || len(g.refused.targets) == 0)
 }
 
 func (g *group) nextRound(targets int) Round {
 	g.probing = true
 	g.rounds++
-	return Round{Group: g.id, Targets: targets, Number: g.rounds}
+	return Round{Group: g.id, Targets: targets, Number: g.rounds, Patient: g.silent}
 }
 
 // enter changes the phase and returns the change.
 func (g *group) enter(now time.Time, p Phase, probes Probes) Change {
 	c := Change{
 		Group: g.id, Phase: p, Previous: g.phase, Lasted: now.Sub(g.since),
-		Lost: len(g.lost.targets), Overdue: len(g.overdue(now)), Refused: len(g.refused.targets), Probes: probes,
+		Lost: len(g.lost.targets), Overdue: g.overdue(now), Refused: len(g.refused.targets), Probes: probes,
 	}
 	if !g.heardAt.IsZero() {
 		c.HeardAge = now.Sub(g.heardAt)
@@ -133,20 +121,16 @@
 	if g.phase == Suspected {
 		g.trustedUntil = now.Add(suspicionInterval)
 	}
-	g.phase, g.since, g.doubted = p, now, false
+	g.phase, g.since, g.doubted, g.silent = p, now, false, false
 	switch p {
 	case Unreached:
 		g.trustedUntil = time.Time{}
-		g.cancel()
 	case Reached:
 		if probes.Answered > 0 {
 			g.heardAt = now
 		}
 		g.lost.clear()
 		g.refused.clear()
-		if g.cut.Err() != nil {
-			g.cut, g.cancel = context.WithCancel(context.Background())
-		}
 	}
 	return c
 }
--- a/edge/reach/reach.go
+++ b/edge/reach/reach.go
@@ -4,12 +4,12 @@
 // A VM from which all targets are cut off fails every request, although other VMs serve theirs. The
 // failures of single targets do not show it: a connection that hangs or breaks may be the fault of a
 // target. A group of targets is therefore suspected when several of them fail and none answers, and
-// found unreached when none of a few targets answers a probe on a new connection. Whether the targets or
+// found unreached when none of a few targets answers a probe on a new connection; if they are silent, as
+// busy ones may be, in two rounds. Whether the targets or
 // their path have failed makes no difference: this VM does not use them, and other VMs do not ask it to.
 package reach
 
 import (
-	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,7 +18,7 @@
 )
 
 const (
-	// minTargets is how many targets must fail before their group is suspected.
+	// minTargets is how many targets must fail, or requests be overdue, before their group is suspected.
 	minTargets = 2
 	// settleTime is how long they must have failed: connections may break together.
 	settleTime = 150 * time.Millisecond
@@ -30,8 +30,7 @@
 	suspicionInterval = time.Second
 	// probeInterval is the time between two rounds of probes of an unreached group.
 	probeInterval = 500 * time.Millisecond
-	// suspectProbes and returnProbes are the targets that a round probes. Of an unreached group all of
-	// them must answer.
+	// suspectProbes and returnProbes are the targets that a round probes.
 	suspectProbes = 3
 	returnProbes  = 2
 	// rampTime is how long it takes until this VM sends all requests itself to a service that it did not
@@ -69,20 +68,23 @@
 	// Lasted is how long the previous phase lasted, HeardAge the time since the last answer, 0 if there
 	// was none.
 	Lasted, HeardAge time.Duration
-	// Lost, Overdue and Refused count the targets that lost requests, that are late with an answer, and
-	// that could not be connected to.
+	// Lost and Refused count the targets that lost requests, and whose new connections failed; Overdue
+	// counts the requests whose answers are late.
 	Lost, Overdue, Refused int
 	Probes                 Probes
 }
 
-// Probes is the result of a round of probes on new connections.
-type Probes struct{ Asked, Connected, Answered int }
+// Probes is the result of a round of probes on new connections. Silent counts those that were connected
+// and got neither an answer nor an error in time.
+type Probes struct{ Asked, Connected, Answered, Silent int }
 
 // Round is a round of probes that is due.
 type Round struct {
 	Group Group
 	// Targets is how many targets to probe, Number the number of the round.
 	Targets, Number int
+	// Patient is set if the targets were silent in the last round: they may be busy.
+	Patient bool
 }
 
 // End is how an attempt at a target ended.
@@ -105,8 +107,6 @@
 	sentAt time.Time
 	// limit is how long nothing may be heard until the attempt is overdue.
 	limit time.Duration
-	// Cut is canceled when the group is found unreached.
-	Cut context.Context
 }
 
 // Tracker is safe for concurrent use.
@@ -170,9 +170,9 @@
 	defer t.mu.Unlock()
 	g := t.groups[id]
 	if g == nil {
-		return &Attempt{Cut: context.Background()}
+		return &Attempt{}
 	}
-	a := &Attempt{group: g, target: target, sentAt: now, limit: max(minSilence, silenceFactor*expected), Cut: g.cut}
+	a := &Attempt{group: g, target: target, sentAt: now, limit: max(minSilence, silenceFactor*expected)}
 	g.inFlight[a] = struct{}{}
 	return a
 }
@@ -184,8 +184,8 @@
 	a.group.heard(now)
 }
 
-// End records how an attempt ended.
-func (t *Tracker) End(now time.Time, a *Attempt, end End) {
+// End records how an attempt ended; fresh is set if it was the first one on its connection.
+func (t *Tracker) End(now time.Time, a *Attempt, end End, fresh bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	g := a.group
@@ -196,17 +196,14 @@
 	switch {
 	case end == Answered:
 		g.heard(now)
+		if fresh {
+			g.refused.clear()
+		}
 	case end == Lost || g.isOverdue(now, a):
 		g.lost.add(now, a.target)
-	}
-}
-
-// Connected records that a new connection to a target was opened.
-func (t *Tracker) Connected(id Group) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if g := t.groups[id]; g != nil {
-		g.refused.clear()
+		if fresh && end == Lost {
+			g.refused.add(now, a.target)
+		}
 	}
 }
 
@@ -228,6 +225,9 @@
 		case g.phase == Reached && g.isFailing(now):
 			changes = append(changes, g.enter(now, Suspected, Probes{}))
 			rounds = append(rounds, g.nextRound(suspectProbes))
+			doubtOthers(now, t.services[g.id.Service].groups)
+		case g.phase == Suspected && !g.probing:
+			rounds = append(rounds, g.nextRound(suspectProbes))
 		case g.phase == Unreached && !g.probing && !now.Before(g.probeAt):
 			rounds = append(rounds, g.nextRound(returnProbes))
 		}
@@ -246,27 +246,40 @@
 	}
 	g.probing, g.probeAt = false, now.Add(probeInterval)
 	switch {
-	case g.phase == Suspected && g.isConfirmedBy(p):
-		changes = append(changes, g.enter(now, Unreached, p))
-		t.doubtOthers(now)
-	case g.phase == Suspected, g.phase == Unreached && p.Answered == p.Asked:
+	case g.phase == Suspected && g.isRefutedBy(p), g.phase == Unreached && p.showReturn():
 		t.noteReturn(now, g)
 		changes = append(changes, g.enter(now, Reached, p))
+	case g.phase == Suspected && p.Silent > 0 && !g.silent:
+		g.silent = true
+	case g.phase == Suspected:
+		changes = append(changes, g.enter(now, Unreached, p))
+		for _, s := range t.services {
+			doubtOthers(now, s.groups)
+		}
 	}
 	t.relaying.Store(t.isRelaying(now))
 	return changes
 }
 
+// showReturn reports whether probes show that an unreached group is reached again. Some may be silent, as
+// the targets are busy.
+func (p Probes) showReturn() bool {
+	return p.Asked == 0 || p.Answered > 0 && p.Answered+p.Silent == p.Asked
+}
+
 // doubtOthers lets the groups of which nothing was heard lately be probed too: a VM often loses all
-// targets at once, and those of services with long requests would show it late.
-func (t *Tracker) doubtOthers(now time.Time) {
-	for _, g := range t.groups {
+// targets at once, and those that get few requests or long ones would show it late.
+func doubtOthers(now time.Time, groups []*group) {
+	for _, g := range groups {
 		g.doubted = g.doubted || g.phase == Reached && now.Sub(g.heardAt) > minSilence
 	}
 }
 
 // noteReturn records the return of a service of which no group was reached.
 func (t *Tracker) noteReturn(now time.Time, g *group) {
+	if g.phase != Unreached {
+		return
+	}
 	s := t.services[g.id.Service]
 	for _, other := range s.groups {
 		if other.phase != Unreached {
@@ -297,9 +310,34 @@
 // IsRelaying reports whether another VM may have to place requests for this one. It does not block.
 func (t *Tracker) IsRelaying() bool { return t.relaying.Load() }
 
-// RelaysFirst reports whether another VM, if one reaches the service, should place a request: no region
-// that allows the request is known to be reached, or this VM reaches them again and still leaves a part
-// of the keys to others. nil allows all regions.
+// Reaches reports whether this VM reaches targets of a service in an allowed region, or knows of none; nil
+// allows all regions.
+func (t *Tracker) Reaches(name string, allowed func(region string) bool) bool {
+	if !t.relaying.Load() {
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.services[name]
+	return s == nil || s.isReached(allowed)
+}
+
+func (s *service) isReached(allowed func(region string) bool) bool {
+	known := false
+	for _, g := range s.groups {
+		if allowed != nil && !allowed(g.id.Region) {
+			continue
+		}
+		if g.phase == Reached {
+			return true
+		}
+		known = true
+	}
+	return !known
+}
+
+// RelaysFirst reports whether another VM, if one reaches the service, should place a request: this VM
+// does not reach targets for it, or reaches them again and still leaves a part of the keys to others.
 func (t *Tracker) RelaysFirst(now time.Time, name string, allowed func(region string) bool, key uint64) bool {
 	if !t.relaying.Load() {
 		return false
@@ -310,13 +348,7 @@
 	if s == nil {
 		return false
 	}
-	known, reached := false, false
-	for _, g := range s.groups {
-		if allowed == nil || allowed(g.id.Region) {
-			known, reached = true, reached || g.phase == Reached
-		}
-	}
-	if known && !reached {
+	if !s.isReached(allowed) {
 		return true
 	}
 	return s.isReturning(now) && fraction(key) >= float64(now.Sub(s.returnedAt))/float64(rampTime)
--- a/proxy/forward/conn.go
+++ b/proxy/forward/conn.go
@@ -31,6 +31,8 @@
 	limited  *limitedReader
 	reader   *bufio.Reader
 	reusable bool
+	// used is set once a response was received.
+	used bool
 	// pendingRequest gives the response parser the request method.
 	pendingRequest http.Request
 	// probe is nil if the connection has no file descriptor to inspect.
@@ -59,6 +61,9 @@
 // response was complete, no data followed it and neither side asked to close.
 func (c *Conn) Reusable() bool { return c.reusable }
 
+// Used reports whether a response was received over the connection.
+func (c *Conn) Used() bool { return c.used }
+
 // Exchange sends one request and returns the complete response. Every error is
 // an *Error. The caller must check Reusable before the next exchange.
 func (c *Conn) Exchange(ctx context.Context, r *Request) (*Response, error) {
@@ -78,6 +83,7 @@
 	// target's slot freed without waiting for the deadline.
 	stop := context.AfterFunc(ctx, c.abort)
 	resp, err := c.exchange(ctx, r, timeout)
+	c.used = c.used || err == nil
 	if !stop() || !c.reusable {
 		// Cancellation may have overwritten the deadline.
 		c.reusable = false
