gateway: a VM that no target accepts connections from reports no crashes

A refused connection was read as the end of the target's process. A VM whose connections to all targets are refused would have reported each request that it lost as one that ends targets, and after three of them all VMs refuse the request.

--- a/edge/gateway/ended.go
+++ b/edge/gateway/ended.go
@@ -47,7 +47,7 @@
 	case a.code == result.DeadlineAfterSend || a.code == result.CallerGone:
 		g.losses.addAbandoned(key, g.lostRequest(r))
 	case errors.Is(a.err, syscall.ECONNREFUSED):
-		g.recordTargetCheck(target, key, nil, a.err)
+		go g.recordTargetCheck(target, key, nil, a.err)
 	}
 }
 
@@ -71,10 +71,28 @@
 	g.recordTargetCheck(t, key, lost, err)
 }
 
+// reachesAnother reports whether a connection to another target can be opened, or there is none. If not, it
+// is this VM that is cut off, and a refused connection does not show that a target has ended.
+func (g *Gateway) reachesAnother(t *placing.Target) bool {
+	others := g.options.Balancer.OtherTargets(t, otherTargetsTried)
+	for _, other := range others {
+		conn, err := g.dialTarget(other)(context.Background(), other.Address)
+		if err == nil {
+			_ = conn.Close()
+			return true
+		}
+	}
+	return len(others) == 0
+}
+
+// otherTargetsTried is how many targets are tried before a VM takes itself for cut off.
+const otherTargetsTried = 3
+
 // recordTargetCheck logs the requests that a target lost, and reports them to the quarantine if
 // the target ended unplanned. err is the error of connecting to the target.
 func (g *Gateway) recordTargetCheck(t *placing.Target, key string, lost []lostRequest, err error) {
-	ended := errors.Is(err, syscall.ECONNREFUSED)
+	refused := errors.Is(err, syscall.ECONNREFUSED)
+	ended := refused && g.reachesAnother(t)
 	if ended {
 		lost = append(lost, g.losses.takeAbandoned(key, time.Now())...)
 	}
@@ -82,7 +100,7 @@
 		return
 	}
 	planned := g.options.Balancer.IsLeaving(t)
-	g.logLostRequests(t, lost, err, ended, planned)
+	g.logLostRequests(t, lost, err, ended, planned, refused && !ended)
 	if ended && !planned {
 		g.options.Metrics.TargetCrashed(t.Service)
 		g.reportCrash(key, lost)
@@ -101,13 +119,13 @@
 	}
 }
 
-func (g *Gateway) logLostRequests(t *placing.Target, lost []lostRequest, err error, ended, planned bool) {
+func (g *Gateway) logLostRequests(t *placing.Target, lost []lostRequest, err error, ended, planned, cutOff bool) {
 	ids, fingerprints := make([]string, len(lost)), make([]string, len(lost))
 	for i, l := range lost {
 		ids[i], fingerprints[i] = l.id, l.fingerprint.String()
 	}
 	log := g.options.Logger.WithFields(logrus.Fields{
-		"target": t.ID, "service": t.Service, "ended": ended, "planned": planned, "ids": ids, "fingerprints": fingerprints,
+		"target": t.ID, "service": t.Service, "ended": ended, "planned": planned, "cut_off": cutOff, "ids": ids, "fingerprints": fingerprints,
 	})
 	if err != nil && !errors.Is(err, pool.ErrClosed) {
 		log = log.WithError(err)
