--- a/edge/gateway/relay_test.go
+++ b/edge/gateway/relay_test.go
@@ -275,3 +275,14 @@
 		t.Errorf("%d attempts, deposited %v, objective after %s", r.attempts, r.deposited, r.placement.Objective.Sub(in.Arrived))
 	}
 }
+
+// Guards against a VM that never uses targets again which were unreached when their registrations lapsed.
+func TestTargetsThatLapsedWhileUnreachedAreUsedAgain(t *testing.T) {
+	f, s := newCutGateway(t)
+	f.drain(s)
+	f.setTargets(false, s)
+	waitFor(t, "never served", func() bool {
+		f.CheckReach(context.Background(), func(string) string { return "/health" })
+		return f.ask(context.Background(), "POST", "/once/x", "7", time.Second, "").Status == http.StatusOK
+	})
+}
--- a/edge/logs/account/cause.go
+++ b/edge/logs/account/cause.go
@@ -34,6 +34,8 @@
 	TargetsAtRest Cause = "refused: targets at rest"
 	// NoTarget: no target was eligible.
 	NoTarget Cause = "refused: no target"
+	// TargetsUnreached: neither the VM nor one that it asked reached a target.
+	TargetsUnreached Cause = "refused: targets not reached"
 	// TargetsLeaving: all targets were leaving.
 	TargetsLeaving Cause = "refused: all targets leave"
 	// NotServing: the VM was shutting down or had no configuration yet.
@@ -89,6 +91,8 @@
 	switch {
 	case e.Why == "all targets leave":
 		return TargetsLeaving
+	case e.Why == "targets not reached":
+		return TargetsUnreached
 	case e.Why == "no target" || e.Result == "no-target":
 		return NoTarget
 	case e.Why == "no permit":
--- a/edge/reach/group.go
+++ b/edge/reach/group.go
@@ -64,7 +64,7 @@
 
 // isFailing reports whether the group is to be suspected.
 func (g *group) isFailing(now time.Time) bool {
-	if now.Before(g.trustedUntil) {
+	if g.targets == 0 || now.Before(g.trustedUntil) {
 		return false
 	}
 	if g.doubted || g.refused.suffices(now, g.need()) || g.lost.suffices(now, g.need()) {
--- a/edge/reach/reach.go
+++ b/edge/reach/reach.go
@@ -130,12 +130,14 @@
 	return &Tracker{groups: make(map[Group]*group), services: make(map[string]*service)}
 }
 
-// SetGroups sets the groups and how many targets each has.
+// SetGroups sets the groups and how many targets each has. One that was not reached is kept without
+// targets until its next probe, so that its return is told.
 func (t *Tracker) SetGroups(now time.Time, targets map[Group]int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for id := range t.groups {
-		if targets[id] == 0 {
+	for id, g := range t.groups {
+		g.targets = targets[id]
+		if g.targets == 0 && g.phase == Reached {
 			delete(t.groups, id)
 		}
 	}
