soak: VMs that lose all targets, one, a domain or all, from seed 10000 on

Silent, severed or refused anew, among the other faults, and in a counted part at the end of each seed beside a store that is away, a target that drains, a VM that is killed or stopped, or nothing: first tries at the VMs that are cut against those at others. Looking up the VM of each connection took so long that programs starved: it is done only while a VM is cut.

--- a/integration/soak/cut_test.go
+++ b/integration/soak/cut_test.go
@@ -40,7 +40,9 @@
 	method string
 	path   string
 	body   string
-	keyed  bool
+	// keyed is set if requests have affinity keys; key is that of their client account.
+	keyed bool
+	key   string
 }
 
 // Guards against VMs that refuse or fail requests since they reach no target, although other VMs do.
@@ -284,7 +286,7 @@
 		affinity = strconv.Itoa(i % 20)
 	}
 	call := platformtest.Call{
-		VM: name, Host: host, Method: l.c.method, Path: l.c.path + one.id, ID: one.id, Affinity: affinity, Body: l.c.body, Timeout: callTime,
+		VM: name, Host: host, Method: l.c.method, Path: l.c.path + one.id, ID: one.id, Key: l.c.key, Affinity: affinity, Body: l.c.body, Timeout: callTime,
 	}
 	_ = conn.SetDeadline(time.Now().Add(callTime + dialTime))
 	if _, err := io.WriteString(conn, call.Text()); err != nil {
--- a/integration/soak/origin_test.go
+++ b/integration/soak/origin_test.go
@@ -24,23 +24,24 @@
 }
 
 // originAttempts is how often a socket is looked for: the kernel's list may lack some while it changes.
-const originAttempts = 20
+const originAttempts = 5
 
-// holderOf returns the VM whose process has a socket.
-func (w *world) holderOf(socket string) string {
-	for _, p := range w.processes {
-		folder := fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid)
+// holderOf returns the VM whose process has a socket, "" if there is none.
+func (w *world) holderOf(socket string) (name string) {
+	w.pids.Range(func(vm, pid any) bool {
+		folder := fmt.Sprintf("/proc/%d/fd", pid)
 		files, err := os.ReadDir(folder)
 		if err != nil {
-			continue
+			return true
 		}
 		for _, f := range files {
 			if to, err := os.Readlink(filepath.Join(folder, f.Name())); err == nil && to == socket {
-				return p.vm.Name
+				name = vm.(string)
 			}
 		}
-	}
-	return ""
+		return name == ""
+	})
+	return name
 }
 
 // Columns of a line of /proc/net/tcp.
--- a/integration/soak/process_test.go
+++ b/integration/soak/process_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"testing"
 
@@ -32,15 +33,17 @@
 	log      *os.File
 	cmd      *exec.Cmd
 	gone     chan struct{}
+	// pids has the process ID of each VM by its name.
+	pids *sync.Map
 }
 
-func newProcess(t *testing.T, program, dir string, vm platformtest.VMSettings) *process {
+func newProcess(t *testing.T, program, dir string, vm platformtest.VMSettings, pids *sync.Map) *process {
 	t.Helper()
 	host := loopback.NewHost()
 	vm.IP, vm.Entry, vm.Ready, vm.Directory = host.IP(), host.Address(), host.Address(), host.Address()
 	vm.FirstPort = host.Port()
 	vm.LastPort = vm.FirstPort
-	p := &process{t: t, program: program, settings: filepath.Join(dir, vm.Name+".ini"), vm: vm}
+	p := &process{t: t, program: program, settings: filepath.Join(dir, vm.Name+".ini"), vm: vm, pids: pids}
 	if err := os.WriteFile(p.settings, []byte(platformtest.Settings(vm)), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -61,6 +64,7 @@
 	if err := p.cmd.Start(); err != nil {
 		p.t.Fatal(err)
 	}
+	p.pids.Store(p.vm.Name, p.cmd.Process.Pid)
 	p.gone = make(chan struct{})
 	go func(cmd *exec.Cmd, gone chan struct{}) {
 		// How it ended is the test's own doing, by signals.
--- a/integration/soak/proxy_test.go
+++ b/integration/soak/proxy_test.go
@@ -45,18 +45,25 @@
 	mu   sync.Mutex
 	// listener is nil while the server behind it is down.
 	listener net.Listener
-	// open holds the connections, both ends, with the VM that has opened them.
-	open map[net.Conn]string
+	// links are the connections that are open.
+	links map[*link]bool
 	// cuts are the modes for single VMs.
 	cuts map[string]mode
 }
 
+// link is a connection and its continuation to the server. vm is the VM that has opened it, "" if it was
+// not looked up; the lock of the proxy guards it.
+type link struct {
+	near, far net.Conn
+	vm        string
+}
+
 func startProxy(upstream string) (*proxy, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, near: l.Addr().String(), upstream: upstream, open: make(map[net.Conn]string), cuts: make(map[string]mode)}
+	p := &proxy{listener: l, near: l.Addr().String(), upstream: upstream, links: make(map[*link]bool), cuts: make(map[string]mode)}
 	go p.accept(l)
 	return p, nil
 }
@@ -97,14 +104,17 @@
 func (p *proxy) set(m mode)      { p.mode.Store(int32(m)) }
 func (p *proxy) is(m mode) bool  { return mode(p.mode.Load()) == m }
 
-// isFor reports whether a mode holds for a VM.
-func (p *proxy) isFor(vm string, m mode) bool {
+// isFor reports whether a mode holds for a connection.
+func (p *proxy) isFor(l *link, m mode) bool {
 	if p.is(m) {
 		return true
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	cut, ok := p.cuts[vm]
+	if len(p.cuts) == 0 {
+		return false
+	}
+	cut, ok := p.cuts[l.vm]
 	return ok && cut == m
 }
 
@@ -117,14 +127,32 @@
 		return
 	}
 	p.cuts[vm] = m
-	for c, owner := range p.open {
-		if m == severed && owner == vm {
-			reset(c)
-			delete(p.open, c)
+	p.lookUp()
+	for l := range p.links {
+		if m == severed && l.vm == vm {
+			reset(l.near)
+			reset(l.far)
+			delete(p.links, l)
 		}
 	}
 }
 
+// lookUp finds the VMs of all connections. It is slow, so that it is not done while no VM is cut.
+func (p *proxy) lookUp() {
+	for l := range p.links {
+		if l.vm == "" {
+			l.vm = p.vmOf(l.near)
+		}
+	}
+}
+
+// hasCuts reports whether connections must be told apart.
+func (p *proxy) hasCuts() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.cuts) > 0
+}
+
 func (p *proxy) accept(l net.Listener) {
 	for {
 		c, err := l.Accept()
@@ -143,11 +171,11 @@
 }
 
 func (p *proxy) carry(near net.Conn) {
-	vm := ""
-	if p.vmOf != nil {
-		vm = p.vmOf(near)
+	l := &link{near: near}
+	if p.hasCuts() {
+		l.vm = p.vmOf(near)
 	}
-	if p.isFor(vm, refuse) || p.isFor(vm, severed) {
+	if p.isFor(l, refuse) || p.isFor(l, severed) {
 		reset(near)
 		return
 	}
@@ -156,29 +184,24 @@
 		reset(near)
 		return
 	}
-	p.note(vm, near, far)
-	go p.copy(vm, far, near, false)
-	p.copy(vm, near, far, true)
-}
-
-func (p *proxy) note(vm string, conns ...net.Conn) {
+	l.far = far
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range conns {
-		p.open[c] = vm
-	}
+	p.links[l] = true
+	p.mu.Unlock()
+	go p.copy(l, far, near, false)
+	p.copy(l, near, far, true)
 }
 
 // copy passes bytes on until one end closes; what a mode swallows is gone.
-func (p *proxy) copy(vm string, to, from net.Conn, answers bool) {
-	defer p.end(to, from)
+func (p *proxy) copy(l *link, to, from net.Conn, answers bool) {
+	defer p.end(l)
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
 		if p.is(slow) {
 			time.Sleep(slowBy)
 		}
-		swallowed := p.isFor(vm, silent) || (answers && p.is(oneWay))
+		swallowed := p.isFor(l, silent) || (answers && p.is(oneWay))
 		if n > 0 && !swallowed {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
@@ -195,34 +218,35 @@
 	}
 }
 
-// openOf counts the connections that a VM has open, both ends of each.
+// openOf counts the connections that a VM has open.
 func (p *proxy) openOf(vm string) (n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, owner := range p.open {
-		if owner == vm {
+	p.lookUp()
+	for l := range p.links {
+		if l.vm == vm {
 			n++
 		}
 	}
 	return n
 }
 
-func (p *proxy) end(conns ...net.Conn) {
+func (p *proxy) end(l *link) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, c := range conns {
-		delete(p.open, c)
-		_ = c.Close()
-	}
+	delete(p.links, l)
+	_ = l.near.Close()
+	_ = l.far.Close()
 }
 
 // resetAll resets the connections that are open.
 func (p *proxy) resetAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for c := range p.open {
-		reset(c)
-		delete(p.open, c)
+	for l := range p.links {
+		reset(l.near)
+		reset(l.far)
+		delete(p.links, l)
 	}
 }
 
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -43,6 +43,8 @@
 	changingLimitSeeds = 8000
 	// statementSeeds are those from which on targets state that they leave, or ask for a rest.
 	statementSeeds = 9000
+	// cutSeeds are those from which on VMs are cut from all targets.
+	cutSeeds = 10000
 	// healTime is how long a VM may take to serve after all faults have ended.
 	healTime = 30 * time.Second
 )
@@ -91,6 +93,11 @@
 	soak(t, buildEntry(t), statementSeeds)
 }
 
+// The same with VMs that lose all targets, one, a failure domain or all.
+func TestSoakOfVMsCutFromTargets(t *testing.T) {
+	soak(t, buildEntry(t), cutSeeds)
+}
+
 // world is the processes and stand-ins of one run.
 type world struct {
 	t        *testing.T
@@ -106,9 +113,11 @@
 	// paths stand before targets, storePaths before the store, one for each VM.
 	paths, storePaths []*proxy
 	processes         []*process
-	version           int
-	faults            map[string]int
-	timeline          *timeline
+	// pids has the process ID of each VM by its name.
+	pids     sync.Map
+	version  int
+	faults   map[string]int
+	timeline *timeline
 	// keyGone is set while the configuration lacks movingKey.
 	keyGone bool
 	// limitStated is set while limitedTarget states its limit.
@@ -142,6 +151,7 @@
 	w.checkTargetLimit()
 	w.checkChangedLimits()
 	w.checkLeavingAndRest()
+	w.checkCut()
 	stop()
 	all.Wait()
 	w.check(seen)
@@ -185,7 +195,7 @@
 		zone := names[i%3]
 		p := newProcess(t, program, dir, platformtest.VMSettings{
 			Name: fmt.Sprintf("vm-%d", i), Zone: zone, Region: zones[zone], Store: path.address(), Grace: 6, Zones: zones,
-		})
+		}, &w.pids)
 		t.Cleanup(p.stop)
 		w.processes = append(w.processes, p)
 	}
@@ -256,6 +266,9 @@
 	if w.seed >= statementSeeds {
 		harms = append(harms, harm{"target leaves by its answers", w.leave}, harm{"targets rest", w.rest}, harm{"rests end", w.endRests})
 	}
+	if w.seed >= cutSeeds {
+		harms = append(harms, harm{"VMs cut from all targets", w.cutVMs})
+	}
 	if w.seed >= accountSeeds {
 		harms = append(harms, harm{"key moved", func() { w.keyGone = !w.keyGone; w.configure() }})
 	}
@@ -346,6 +359,9 @@
 
 func (w *world) heal() {
 	w.store.SetFaults(nil)
+	if w.seed >= cutSeeds {
+		w.healCuts()
+	}
 	for _, p := range append(append([]*proxy(nil), w.paths...), w.storePaths...) {
 		p.set(pass)
 		p.resetAll()
