soak, memkv, platformtest: failing test of a store that is restored from an older copy

A copy may now have leases too. store.Revision combines era and number, so that the in-memory store orders states across restores; the watch of its contract is reset for a revision of another era.

--- /dev/null
+++ b/integration/soak/restored_test.go
@@ -0,0 +1,252 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/store/memkv"
+)
+
+const (
+	// copyAge is how much older than the store its copy is, awayTime how long the store is away.
+	copyAge  = 3500 * time.Millisecond
+	awayTime = 700 * time.Millisecond
+	// applyTime is how long after its acknowledgement a change may not be in force everywhere.
+	applyTime = 2500 * time.Millisecond
+	// nextChange is when the operator goes on after the last return, drillPause the time between two.
+	nextChange = 500 * time.Millisecond
+	drillPause = 1500 * time.Millisecond
+	// lostWrites are changes of another key that the store loses.
+	lostWrites = 20
+	// restoredCounted is how long requests are counted after the last return.
+	restoredCounted = 8 * time.Second
+)
+
+// restoreCase is a store that is restored from an older copy of itself while VMs serve.
+type restoreCase struct {
+	name string
+	// rewriteAfter is when after the return the operator and targets write again what they wrote.
+	rewriteAfter time.Duration
+	drills       int
+	// killed and frozen are set if the first VM, which leads the watch, is killed and started, or frozen
+	// while the store is away.
+	killed, frozen bool
+	// configurations and writes of another key come after the return and before any VM calls. With writes,
+	// the operator goes on before them.
+	configurations, writes int
+	// cutFor is how much later than the others the last VM reaches the store.
+	cutFor time.Duration
+}
+
+// Guards against VMs that ignore a store that was restored from an older copy: they follow old
+// configurations and send requests to targets that have left.
+func TestRestoredStoreIsFollowed(t *testing.T) {
+	program := buildEntry(t)
+	for _, c := range []restoreCase{
+		{name: "plain", drills: 1},
+		{name: "written again late", drills: 1, rewriteAfter: time.Second},
+		{name: "two drills", drills: 2},
+		{name: "first VM killed", drills: 1, killed: true},
+		{name: "first VM frozen", drills: 1, frozen: true},
+		{name: "writes pass the old revision", drills: 1, writes: 120},
+		{name: "configurations pass the old revision", drills: 1, configurations: 60},
+		{name: "a VM reaches the store later", drills: 1, configurations: 60, cutFor: 3 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			p := &restorePlay{restoreCase: c, world: newWorld(t, program, 1), leftAt: make(map[int]time.Time)}
+			p.run()
+		})
+	}
+}
+
+// restorePlay is one play of a case.
+type restorePlay struct {
+	restoreCase
+	*world
+	// sent are the acknowledged configurations, oldest first; leftAt are the acknowledged ends of targets by
+	// their index.
+	sent   []sentVersion
+	leftAt map[int]time.Time
+}
+
+// sentVersion is a configuration by the service that it sends look-ups to.
+type sentVersion struct {
+	service string
+	at      time.Time
+}
+
+func (p *restorePlay) run() {
+	p.sendVersion()
+	p.waitServing("before the copy")
+	load := cutCase{method: http.MethodGet, path: "/look/", mixed: true}.startLoad(p.world)
+	time.Sleep(time.Second)
+	copied := p.kv.SnapshotWithLeases()
+	p.goOn(0)
+	p.writeOther(lostWrites)
+	time.Sleep(copyAge - awayTime)
+	for range p.drills {
+		p.drillStore(copied)
+		time.Sleep(drillPause)
+	}
+	if p.writes == 0 {
+		p.goOn(1)
+	}
+	time.Sleep(restoredCounted)
+	load.stop()
+	p.checkLooks(load.all)
+	p.checkLeaving()
+	p.checkServed(load.all)
+}
+
+// goOn sends look-ups to the other service and lets a target leave.
+func (p *restorePlay) goOn(target int) {
+	p.sendVersion()
+	p.register(target, true)
+	p.leftAt[target] = time.Now()
+}
+
+func (p *restorePlay) sendVersion() {
+	p.configure()
+	p.sent = append(p.sent, sentVersion{service: fmt.Sprintf("s%d", p.version%2), at: time.Now()})
+}
+
+func (p *restorePlay) writeOther(times int) {
+	ctx := context.Background()
+	for range times {
+		e, err := p.kv.Get(ctx, "other")
+		if err != nil {
+			e.Revision = 0
+		}
+		_, err = p.kv.Swap(ctx, "other", nil, e.Revision, 0)
+		p.must(err)
+	}
+}
+
+// drillStore lets the store be away and come back from a copy.
+func (p *restorePlay) drillStore(copied memkv.Snapshot) {
+	for _, path := range p.storePaths {
+		path.down()
+	}
+	first := p.processes[0]
+	if p.killed {
+		first.kill()
+	}
+	if p.frozen {
+		first.signal(syscall.SIGSTOP)
+	}
+	time.Sleep(awayTime)
+	p.kv.Restore(copied)
+	if p.rewriteAfter == 0 {
+		p.writeAgain()
+		p.writeMore()
+	}
+	last := len(p.storePaths) - 1
+	for _, path := range p.storePaths[:last] {
+		p.must(path.up())
+	}
+	if p.killed {
+		first.start()
+	}
+	time.Sleep(p.rewriteAfter)
+	if p.rewriteAfter > 0 {
+		p.writeAgain()
+	}
+	time.Sleep(p.cutFor)
+	p.must(p.storePaths[last].up())
+	time.Sleep(nextChange)
+	first.signal(syscall.SIGCONT)
+}
+
+// writeMore writes what comes before any VM calls.
+func (p *restorePlay) writeMore() {
+	for range p.configurations {
+		p.sendVersion()
+	}
+	if p.writes > 0 {
+		p.goOn(1)
+		p.writeOther(p.writes)
+	}
+}
+
+// writeAgain writes the newest state of the configuration and of all targets.
+func (p *restorePlay) writeAgain() {
+	p.version--
+	p.configure()
+	for i := range p.targets {
+		_, left := p.leftAt[i]
+		p.register(i, left)
+	}
+}
+
+// checkLooks checks that each look-up ran where a configuration sent it that was in force then.
+func (p *restorePlay) checkLooks(tries []try) {
+	p.t.Helper()
+	old, looks := 0, 0
+	for _, one := range tries {
+		for _, run := range p.ledger.Executions(one.id) {
+			if !strings.HasPrefix(run.Path, "/look/") {
+				continue
+			}
+			looks++
+			if !p.mayRunIn(run.Service, one.at) {
+				old++
+			}
+		}
+	}
+	if old > 0 {
+		p.t.Errorf("%d of %d look-ups were sent by a configuration older than one acknowledged %s before", old, looks, applyTime)
+	}
+}
+
+// mayRunIn reports whether a configuration that may be in force at a time sends look-ups to a service.
+func (p *restorePlay) mayRunIn(service string, at time.Time) bool {
+	for i := len(p.sent) - 1; i >= 0; i-- {
+		if p.sent[i].service == service {
+			return true
+		}
+		if at.Sub(p.sent[i].at) > applyTime {
+			return false
+		}
+	}
+	return false
+}
+
+func (p *restorePlay) checkLeaving() {
+	p.t.Helper()
+	for i, left := range p.leftAt {
+		late := 0
+		for _, a := range p.targets[i].Arrivals() {
+			if a.SentAt.Sub(left) > applyTime {
+				late++
+			}
+		}
+		if late > 0 {
+			p.t.Errorf("%d requests were sent to target %d later than %s after it had said that it leaves", late, i, applyTime)
+		}
+	}
+}
+
+// checkServed checks that all requests were served, but for those at a VM that was killed or frozen.
+func (p *restorePlay) checkServed(tries []try) {
+	p.t.Helper()
+	failed, counted := 0, 0
+	for _, one := range tries {
+		if one.vm == 0 && (p.killed || p.frozen) {
+			continue
+		}
+		counted++
+		if one.status != http.StatusOK {
+			failed++
+		}
+	}
+	p.t.Logf("%d of %d requests failed", failed, counted)
+	if failed > 0 {
+		p.t.Errorf("%d of %d requests failed", failed, counted)
+	}
+}
--- a/standin/platform/kv.go
+++ b/standin/platform/kv.go
@@ -14,7 +14,7 @@
 // serveKV is the key-value service: the platform's protocol, with rates. Its calls end
 // with ctx, which is done when the server stops.
 func (s *Server) serveKV(ctx context.Context) http.Handler {
-	protocol := platformtest.NewHandler(&countedWatches{KV: s.faults, waiting: &s.waiting}, platformtest.DefaultPageLimit)
+	protocol := platformtest.NewHandler(&countedWatches{KV: s.faults, era: s.kv.Era, waiting: &s.waiting}, platformtest.DefaultPageLimit)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !s.rates.allow(r.Method != http.MethodGet) {
 			w.WriteHeader(http.StatusTooManyRequests)
@@ -27,9 +27,13 @@
 // countedWatches counts the watches that wait.
 type countedWatches struct {
 	store.KV
+	era     func() uint64
 	waiting *gauge
 }
 
+// Era implements platformtest.KV.
+func (c *countedWatches) Era() uint64 { return c.era() }
+
 // Watch implements store.KV.
 func (c *countedWatches) Watch(ctx context.Context, prefix string, after store.Revision) (store.Batch, error) {
 	c.waiting.enter()
--- a/store/memkv/lease.go
+++ b/store/memkv/lease.go
@@ -29,13 +29,17 @@
 	defer s.mu.Unlock()
 	s.lastLease++
 	id := s.lastLease
+	s.addLease(id, ttl)
+	return id, nil
+}
+
+func (s *Store) addLease(id store.LeaseID, ttl time.Duration) {
 	s.leases[id] = &lease{
 		ttl:      ttl,
 		deadline: time.Now().Add(ttl),
 		timer:    time.AfterFunc(ttl, func() { s.onLeaseTimer(id) }),
 		keys:     map[string]struct{}{},
 	}
-	return id, nil
 }
 
 // KeepAlive implements store.KV.
--- a/store/memkv/store.go
+++ b/store/memkv/store.go
@@ -17,7 +17,9 @@
 type Store struct {
 	options Options
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// era is that of revision.
+	era       uint64
 	revision  store.Revision
 	entries   map[string]store.Entry
 	leases    map[store.LeaseID]*lease
@@ -43,6 +45,13 @@
 	}
 }
 
+// Era returns how often the store was restored.
+func (s *Store) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // Get implements store.KV.
 func (s *Store) Get(ctx context.Context, key string) (store.Entry, error) {
 	if ctx.Err() != nil {
--- a/store/memkv/watch.go
+++ b/store/memkv/watch.go
@@ -44,9 +44,9 @@
 func (s *Store) changesOrWaiter(prefix string, after store.Revision) (store.Batch, *waiter) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	// A revision above the current one is from before a restore; the watcher must
-	// list again.
-	if after > s.revision {
+	// A revision of another era stands for another state, and one above the current one does not exist;
+	// the watcher must list again. Revision 0 is before all others.
+	if after > s.revision || after != 0 && after.Era() != s.era {
 		return store.Batch{At: s.revision, Reset: true}, nil
 	}
 	events, ok := s.history.since(prefix, after)
--- a/store/store.go
+++ b/store/store.go
@@ -11,9 +11,6 @@
 	"github.com/pkg/errors"
 )
 
-// Revision orders all writes of the service; each write increases it.
-type Revision uint64
-
 // LeaseID identifies a lease; 0 means none.
 type LeaseID uint64
 
