--- a/cmd/yuccaentry/main.go
+++ b/cmd/yuccaentry/main.go
@@ -88,7 +88,7 @@
 	logger := logs.New(os.Stdout)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	client, err := kvclient.New(kvclient.Options{Address: s.Store.Address, WatchWait: watchTimeout})
+	client, err := kvclient.New(kvclient.Options{Address: s.Store.Address, WatchWait: watchTimeout, Restored: logRestored(logger)})
 	if err != nil {
 		return program.Exit(program.ExitUsage, err)
 	}
@@ -107,6 +107,14 @@
 	return nil
 }
 
+// logRestored returns a function that logs that the store was restored from a copy.
+func logRestored(logger *logrus.Logger) func(from, to uint64) {
+	return func(from, to uint64) {
+		logger.WithFields(logrus.Fields{"part": "store", "from_era": from, "era": to}).
+			Warn("store: restored from a copy, it may lack changes that it had acknowledged")
+	}
+}
+
 // reload checks the settings. The ones a running VM uses, its addresses and its failure
 // domain, only change with a restart.
 func reload(file string, logger *logrus.Logger) {
--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -347,6 +347,8 @@
 		e.gateway.Probe(ctx, e.healthPath)
 		e.gateway.CheckReach(ctx, e.healthPath)
 		e.gatewayMetrics.setReach(e.gateway.Reach(now))
+		at, _ := e.replica.Revision()
+		e.gatewayMetrics.setReplica(at)
 	}
 }
 
--- a/edge/entry/gatewaymetrics.go
+++ b/edge/entry/gatewaymetrics.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/yuccaroute/yuccaroute/edge/reach"
+	"github.com/yuccaroute/yuccaroute/store"
 )
 
 // latencyBuckets are the buckets of the request latency histogram.
@@ -161,6 +162,12 @@
 	c.scope.Gauge("targets_resting").Update(float64(resting))
 }
 
+// setReplica updates the gauges of the store's state that this VM holds: the era and revision number.
+func (c *gatewayMetrics) setReplica(at store.Revision) {
+	c.scope.Gauge("replica_era").Update(float64(at.Era()))
+	c.scope.Gauge("replica_revision").Update(float64(at.Number()))
+}
+
 // setReach updates the gauges that tell for how many seconds this VM has not reached a service's targets
 // in a region; 0 means that it reaches them. Only one goroutine may call it.
 func (c *gatewayMetrics) setReach(statuses []reach.Status) {
