kvclient: a stale listing of an earlier era is read again

A VM that starts while stale reads are still of the era before would be refused its first listing for as long as the stale state lags, seconds.

--- a/store/stale.go
+++ b/store/stale.go
@@ -11,7 +11,12 @@
 	return context.WithValue(ctx, staleKey{}, true)
 }
 
-// IsStaleAllowed reports whether the context was made by AllowStale.
+// ForbidStale returns a context that takes back AllowStale.
+func ForbidStale(ctx context.Context) context.Context {
+	return context.WithValue(ctx, staleKey{}, false)
+}
+
+// IsStaleAllowed reports whether AllowStale holds.
 func IsStaleAllowed(ctx context.Context) bool {
 	marked, _ := ctx.Value(staleKey{}).(bool)
 	return marked
