--- a/edge/quarantine/table_test.go
+++ b/edge/quarantine/table_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/yuccaroute/yuccaroute/store"
 )
 
 var (
@@ -227,3 +229,39 @@
 		t.Errorf("%v due, want the removal", due)
 	}
 }
+
+// Guards against requests that crash targets and are sent again, as a restored store lacks the record of
+// their quarantine: the record is written again, once by those that saw the crashes or else by the leader.
+func TestRecordLostByTheStoreIsWrittenAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := requestNamed("lost")
+	for _, leader := range []bool{false, true} {
+		table := NewTable()
+		table.SetRecord(now, f, Record{Targets: []uint64{1, 2, 3}, Trials: 2}, store.NewRevision(1, 50))
+		table.LoseRecord(f)
+		if got := statusOf(table, now, f); got != Quarantined {
+			t.Fatalf("status %v after the loss, want quarantined", got)
+		}
+		due := table.DueWrites(now.Add(fallbackWriteDelay), leader)
+		if !leader && len(due) > 0 {
+			t.Errorf("a VM that saw no crash writes %+v", due)
+		}
+		if leader && (len(due) != 1 || due[0].Revision != 0 || due[0].Record.Trials != 2 || len(due[0].Record.Targets) != 3) {
+			t.Errorf("writes of the leader: %+v", due)
+		}
+	}
+}
+
+// Guards against a trial too many: a restored store has a record with fewer trials than were made.
+func TestRecordWithFewerTrialsIsWrittenAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := requestNamed("older")
+	table := NewTable()
+	table.SetRecord(now, f, Record{Targets: []uint64{1, 2, 3}, Trials: 2}, store.NewRevision(1, 50))
+	older := store.NewRevision(2, 40)
+	table.SetRecord(now, f, Record{Targets: []uint64{1, 2, 3}, Trials: 1}, older)
+	due := table.DueWrites(now.Add(fallbackWriteDelay), true)
+	if len(due) != 1 || due[0].Revision != older || due[0].Record.Trials != 2 {
+		t.Errorf("writes %+v, want the record with two trials in place of revision %d", due, older)
+	}
+}
--- a/edge/quota/fleet_test.go
+++ b/edge/quota/fleet_test.go
@@ -61,3 +61,19 @@
 		t.Error("a VM without contact keeps its part")
 	}
 }
+
+// Guards against VMs that take too much of a rate: a restored store lacks the size, which stays in force
+// and is written again.
+func TestFleetSizeLostByTheStoreIsWrittenAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := NewFleet(now)
+	f.SetStored(84, false)
+	f.SetStored(84, true)
+	f.Observe(now, 84)
+	if f.Size(now) != 84 {
+		t.Errorf("size %d after the loss, want 84", f.Size(now))
+	}
+	if vms, changed := f.ToStore(now.Add(firstStartDelay)); vms != 84 || !changed {
+		t.Errorf("%d to store, %v, want 84 written again", vms, changed)
+	}
+}
--- a/edge/registry/registry_test.go
+++ b/edge/registry/registry_test.go
@@ -197,3 +197,49 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a VM whose stop takes another VM out of the directory: a restored store has given the ID
+// of its lease out again.
+func TestStopDoesNotEndLeaseOfAnotherVM(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := memkv.New(memkv.Options{})
+		copied := kv.SnapshotWithLeases()
+		ctx, stop := context.WithCancel(context.Background())
+		r := newRegistry(t, kv)
+		go r.Run(ctx)
+		synctest.Wait()
+		kv.Restore(copied)
+		other, err := kv.Grant(ctx, time.Minute)
+		if err != nil || other != r.lease {
+			t.Fatalf("lease %d, error %v, want %d given out again", other, err, r.lease)
+		}
+		if _, err := kv.Swap(ctx, "vm/b", nil, 0, other); err != nil {
+			t.Fatal(err)
+		}
+		stop()
+		synctest.Wait()
+		if _, err := kv.Get(context.Background(), "vm/b"); err != nil {
+			t.Errorf("the other VM's registration: %v", err)
+		}
+	})
+}
+
+// A restored store lacks the VM and its lease; the watch may hang since before that.
+func TestRegistersAgainAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := memkv.New(memkv.Options{})
+		copied := kv.SnapshotWithLeases()
+		ctx, stop := context.WithCancel(context.Background())
+		r := newRegistry(t, kv)
+		go r.Run(ctx)
+		synctest.Wait()
+		kv.Restore(copied)
+		time.Sleep(renewInterval)
+		synctest.Wait()
+		if !registered(kv) || r.watcher.(*fakeWatcher).cancels.Load() == 0 {
+			t.Error("not registered, or the watch was not cancelled")
+		}
+		stop()
+		synctest.Wait()
+	})
+}
