--- a/integration/soak/restored_test.go
+++ b/integration/soak/restored_test.go
@@ -86,7 +86,13 @@
 func (p *restorePlay) run() {
 	p.sendVersion()
 	p.waitServing("before the copy")
-	load := cutCase{method: http.MethodGet, path: "/look/", mixed: true, callers: restoredCallers}.startLoad(p.world)
+	p.checkServed(p.play())
+}
+
+// play returns all requests, after it has checked where they ran.
+func (p *restorePlay) play() []try {
+	p.t.Helper()
+	load := cutCase{method: http.MethodGet, path: "/look/", mixed: true, callers: restoredCallers, key: p.keyOf(0)}.startLoad(p.world)
 	time.Sleep(time.Second)
 	copied := p.kv.SnapshotWithLeases()
 	p.goOn(0)
@@ -103,7 +109,7 @@
 	load.stop()
 	p.checkLooks(load.all)
 	p.checkLeaving()
-	p.checkServed(load.all)
+	return load.all
 }
 
 // goOn sends look-ups to the other service and lets a target leave.
@@ -176,16 +182,6 @@
 	}
 }
 
-// writeAgain writes the newest state of the configuration and of all targets.
-func (p *restorePlay) writeAgain() {
-	p.version--
-	p.configure()
-	for i := range p.targets {
-		_, left := p.leftAt[i]
-		p.register(i, left)
-	}
-}
-
 // checkLooks checks that each look-up ran where a configuration sent it that was in force then.
 func (p *restorePlay) checkLooks(tries []try) {
 	p.t.Helper()
@@ -252,3 +248,59 @@
 		p.t.Errorf("%d of %d requests failed", failed, counted)
 	}
 }
+
+// copyStore takes the copy that the store is restored from next.
+func (w *world) copyStore() {
+	copied := w.kv.SnapshotWithLeases()
+	w.copied = &copied
+}
+
+// restoreStore lets the store be away and come back from its last copy. Operator and targets write again
+// what they wrote, at once or a little later.
+func (w *world) restoreStore() {
+	if w.copied == nil {
+		return
+	}
+	w.disturbed.all()
+	for _, path := range w.storePaths {
+		path.down()
+	}
+	time.Sleep(time.Duration(w.random.Int64N(int64(awayTime))))
+	w.kv.Restore(*w.copied)
+	for _, path := range w.storePaths {
+		w.must(path.up())
+	}
+	if w.random.IntN(2) == 0 {
+		time.Sleep(time.Duration(w.random.Int64N(int64(time.Second))))
+	}
+	w.writeAgain()
+}
+
+// writeAgain writes the newest state of the configuration and of all targets.
+func (w *world) writeAgain() {
+	w.version--
+	w.configure()
+	for i := range w.targets {
+		w.register(i, w.draining[i])
+	}
+}
+
+// checkRestore checks after all faults that VMs follow a store that is restored, in a drawn manner.
+func (w *world) checkRestore() {
+	if w.seed < restoreSeeds {
+		return
+	}
+	w.t.Helper()
+	c := restoreCase{
+		drills: 1 + w.random.IntN(2), configurations: w.random.IntN(2) * w.random.IntN(60), frozen: w.random.IntN(4) == 0,
+		cutFor: time.Duration(w.random.IntN(2)) * time.Second,
+	}
+	if c.configurations == 0 {
+		c.rewriteAfter = time.Duration(w.random.IntN(2)) * time.Second
+	}
+	w.t.Logf("restore: %+v", c)
+	p := &restorePlay{restoreCase: c, world: w, leftAt: make(map[int]time.Time)}
+	p.sendVersion()
+	time.Sleep(applyTime)
+	p.play()
+}
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -45,6 +45,8 @@
 	statementSeeds = 9000
 	// cutSeeds are those from which on VMs are cut from all targets.
 	cutSeeds = 10000
+	// restoreSeeds are those from which on the store is restored from copies.
+	restoreSeeds = 11000
 	// healTime is how long a VM may take to serve after all faults have ended.
 	healTime = 30 * time.Second
 )
@@ -98,6 +100,11 @@
 	soak(t, buildEntry(t), cutSeeds)
 }
 
+// The same with a store that is restored from older copies of itself.
+func TestSoakOfRestoredStore(t *testing.T) {
+	soak(t, buildEntry(t), restoreSeeds)
+}
+
 // world is the processes and stand-ins of one run.
 type world struct {
 	t        *testing.T
@@ -118,6 +125,9 @@
 	version  int
 	faults   map[string]int
 	timeline *timeline
+	// draining has the registered state of each target, copied is the last copy of the store.
+	draining []bool
+	copied   *memkv.Snapshot
 	// keyGone is set while the configuration lacks movingKey.
 	keyGone bool
 	// limitStated is set while limitedTarget states its limit.
@@ -152,6 +162,7 @@
 	w.checkChangedLimits()
 	w.checkLeavingAndRest()
 	w.checkCut()
+	w.checkRestore()
 	stop()
 	all.Wait()
 	w.check(seen)
@@ -166,7 +177,7 @@
 	t.Helper()
 	w := &world{
 		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 0)), kv: memkv.New(memkv.Options{}), ledger: platformtest.NewExecutionLog(),
-		faults: make(map[string]int), timeline: &timeline{began: time.Now()},
+		faults: make(map[string]int), timeline: &timeline{began: time.Now()}, draining: make([]bool, 2*targetsPerService),
 	}
 	w.operator = platformtest.Operator{KV: w.kv}
 	w.store = platformtest.NewStore(w.kv)
@@ -269,6 +280,9 @@
 	if w.seed >= cutSeeds {
 		harms = append(harms, harm{"VMs cut from all targets", w.cutVMs})
 	}
+	if w.seed >= restoreSeeds {
+		harms = append(harms, harm{"store copied", w.copyStore}, harm{"store restored", w.restoreStore})
+	}
 	if w.seed >= accountSeeds {
 		harms = append(harms, harm{"key moved", func() { w.keyGone = !w.keyGone; w.configure() }})
 	}
@@ -332,6 +346,7 @@
 func (w *world) register(i int, draining bool) {
 	w.registering.Lock()
 	defer w.registering.Unlock()
+	w.draining[i] = draining
 	if err := w.operator.Register(w.targets[i], w.paths[i].address(), draining); err != nil {
 		w.t.Errorf("target %d not registered: %v", i, err)
 	}
