--- a/integration/soak/cut_test.go
+++ b/integration/soak/cut_test.go
@@ -43,8 +43,9 @@
 	body   string
 	// mixed is set if every second request is an order.
 	mixed bool
-	// callers are those of each VM, cutCallers if 0.
+	// callers are those of each VM, cutCallers if 0. prefix begins the IDs of requests, "cut" if empty.
 	callers int
+	prefix  string
 	// keyed is set if requests have affinity keys; key is that of their client account.
 	keyed bool
 	key   string
@@ -273,7 +274,7 @@
 			}
 			reader = bufio.NewReader(conn)
 		}
-		one := try{vm: vm, id: fmt.Sprintf("cut-%d-%d-%d", vm, n, i), at: time.Now()}
+		one := try{vm: vm, id: fmt.Sprintf("%s-%d-%d-%d", cmp.Or(l.c.prefix, "cut"), vm, n, i), at: time.Now()}
 		if !l.ask(conn, reader, settings.Name, &one, i) {
 			_ = conn.Close()
 			conn = nil
--- a/integration/soak/restored_test.go
+++ b/integration/soak/restored_test.go
@@ -92,7 +92,7 @@
 // play returns all requests, after it has checked where they ran.
 func (p *restorePlay) play() []try {
 	p.t.Helper()
-	load := cutCase{method: http.MethodGet, path: "/look/", mixed: true, callers: restoredCallers, key: p.keyOf(0)}.startLoad(p.world)
+	load := cutCase{method: http.MethodGet, path: "/look/", mixed: true, callers: restoredCallers, prefix: "restored", key: p.keyOf(0)}.startLoad(p.world)
 	time.Sleep(time.Second)
 	copied := p.kv.SnapshotWithLeases()
 	p.goOn(0)
