--- a/cmd/yuccaentry/main.go
+++ b/cmd/yuccaentry/main.go
@@ -18,6 +18,7 @@
 	"github.com/yuccaroute/yuccaroute/cmd/internal/program"
 	"github.com/yuccaroute/yuccaroute/edge/entry"
 	"github.com/yuccaroute/yuccaroute/edge/logs"
+	"github.com/yuccaroute/yuccaroute/edge/placing"
 	"github.com/yuccaroute/yuccaroute/edge/quota"
 	"github.com/yuccaroute/yuccaroute/edge/site"
 	"github.com/yuccaroute/yuccaroute/platform"
@@ -160,6 +161,16 @@
 		Quotas: quota.Bounds{
 			Window: platform.Duration(s.Bounds.QuotaWindow), Overshoot: s.Bounds.QuotaOvershoot, Slack: s.Bounds.QuotaSlack,
 		},
-		FleetSizeKey: items.FleetSizeKey(), RevokeTime: revokeTime(s),
+		FleetSizeKey: items.FleetSizeKey(), RevokeTime: revokeTime(s), Policy: policyOf(s),
+	}
+}
+
+// policyOf returns the optional decisions that the settings select.
+func policyOf(s *platform.Settings) placing.Policy {
+	p := &s.Policy
+	return placing.Policy{
+		RegionPlan: platform.IsOn(p.RegionPlan), StatedLoad: platform.IsOn(p.StatedLoad),
+		WorkingSet: platform.IsOn(p.WorkingSet), RotationPeriod: platform.Duration(p.RotationSeconds),
+		Returns: platform.IsOn(p.Returns), PromisedShare: p.PromisedShare, FairShares: platform.IsOn(p.FairShares),
 	}
 }
--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -98,6 +98,7 @@
 	e.owners = owners.New(o.VM)
 	e.balancer = placing.New(placing.Options{
 		VM: o.VM.Name, Zone: o.VM.Zone, Region: o.VM.Region, RegionOf: o.RegionOf, RTT: e.roundTrips.get,
+		Policy: o.Policy,
 	})
 	e.quarantine = quarantine.New(quarantine.Options{
 		VM: o.VM.Name, KV: o.KV, Keys: o.QuarantineKeys, Logger: e.component("quarantine"), EventAdded: e.reportUrgent,
--- a/edge/entry/options.go
+++ b/edge/entry/options.go
@@ -10,6 +10,7 @@
 
 	"github.com/yuccaroute/yuccaroute/edge/catalog"
 	"github.com/yuccaroute/yuccaroute/edge/gateway"
+	"github.com/yuccaroute/yuccaroute/edge/placing"
 	"github.com/yuccaroute/yuccaroute/edge/quarantine"
 	"github.com/yuccaroute/yuccaroute/edge/quota"
 	"github.com/yuccaroute/yuccaroute/edge/serve"
@@ -66,6 +67,8 @@
 	// RevokeTime is how long requests with keys are served after this VM can no longer learn of
 	// removed keys; 0 means without end.
 	RevokeTime time.Duration
+	// Policy selects the optional decisions under load.
+	Policy placing.Policy
 	// RetryRatio and RetryExtra limit the retries of all VMs together.
 	RetryRatio, RetryExtra float64
 }
--- a/edge/gateway/serve.go
+++ b/edge/gateway/serve.go
@@ -149,6 +149,7 @@
 	}
 	r.placement.Allowed = r.allowed()
 	if r.identity.Account != nil {
+		r.placement.Account = r.identity.Account.Name
 		r.placement.AccountPriority = r.identity.Account.Priority
 	}
 	r.out = forward.Request{
--- a/edge/placing/balancer.go
+++ b/edge/placing/balancer.go
@@ -29,6 +29,8 @@
 	RegionOf map[string]string
 	// RTT returns the network round-trip time to a region.
 	RTT func(region string) time.Duration
+	// Policy selects the optional decisions; the zero value has none.
+	Policy Policy
 }
 
 // Balancer holds the targets, wait queues and in-flight counts of one VM. It is safe for
--- a/edge/placing/request.go
+++ b/edge/placing/request.go
@@ -6,6 +6,8 @@
 type Request struct {
 	Service string
 	Class   *Class
+	// Account is the name of the client account, "" for none.
+	Account string
 	// Allowed reports whether the request may run in a region; nil allows all.
 	Allowed func(region string) bool
 	// Key is the hash of the affinity key, if HasKey.
