serve: responses that callers have not read are bounded

Cause: the bodies of responses that wait for callers who read slowly had no bound, so that such callers could fill the memory of a VM of 136 MB, which is then killed with all its requests. Change: while unread bodies take more than a fifth of the VM's memory, new requests are refused with 503 as not run, on a connection that closes; responses that are ready are still delivered.

--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -29,6 +29,9 @@
 const (
 	// bodyMemoryShare is the fraction of the memory limit that request bodies may use.
 	bodyMemoryShare = 0.25
+	// unreadMemoryShare is the fraction of the memory limit that responses may use which callers
+	// have not read yet.
+	unreadMemoryShare = 0.2
 	// maxResponseBytes limits the size of one target response.
 	maxResponseBytes = 16 << 20
 	// maintainInterval is the period of expiry, peer checks and health probes.
@@ -197,7 +200,8 @@
 		}
 		s, err := serve.Start(serve.Options{
 			Address: l.address, Handler: l.handler, Limits: l.limits, Memory: share,
-			Logger: e.component("serve"), MaxConnections: e.options.MaxConnections,
+			MaxUnreadBytes: int64(unreadMemoryShare * float64(e.options.MemoryBytes)),
+			Logger:         e.component("serve"), MaxConnections: e.options.MaxConnections,
 		})
 		if err != nil {
 			return err
--- a/edge/serve/conn.go
+++ b/edge/serve/conn.go
@@ -22,6 +22,7 @@
 	errHeaderTooLong = errors.New("serve: header exceeds the limit")
 	errBodyTooLong   = errors.New("serve: body exceeds the limit")
 	errNoMemory      = errors.New("serve: out of memory for request bodies")
+	errUnread        = errors.New("serve: callers read responses too slowly")
 	errExpectation   = errors.New("serve: unsupported expectation")
 )
 
@@ -186,6 +187,9 @@
 	if err := c.awaitRequest(limits.IdleTime); err != nil {
 		return nil, err
 	}
+	if c.server.hasTooManyUnread() {
+		return nil, errUnread
+	}
 	began := time.Now()
 	_ = c.nc.SetReadDeadline(began.Add(limits.HeaderTime))
 	r, err := c.readHead(limits)
@@ -260,11 +264,15 @@
 		c.server.inFlight.Add(-1)
 	}()
 	response := c.handle(ctx, in.Request)
-	<-previousDone
 	if response == nil {
+		<-previousDone
 		c.close()
 		return
 	}
+	held := int64(len(response.Body))
+	c.server.unread.Add(held)
+	defer c.server.unread.Add(-held)
+	<-previousDone
 	last := c.isLast(in)
 	switch err := c.write(response, last); {
 	case err != nil:
--- a/edge/serve/refuse.go
+++ b/edge/serve/refuse.go
@@ -54,7 +54,7 @@
 		return http.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, errBodyTooLong):
 		return http.StatusRequestEntityTooLarge
-	case errors.Is(err, errNoMemory):
+	case errors.Is(err, errNoMemory), errors.Is(err, errUnread):
 		return http.StatusServiceUnavailable
 	case errors.Is(err, errExpectation):
 		return http.StatusExpectationFailed
--- a/edge/serve/server.go
+++ b/edge/serve/server.go
@@ -47,7 +47,10 @@
 	Limits func() Limits
 	// Memory limits the total size of buffered request bodies; nil means no limit.
 	Memory Memory
-	Logger *logrus.Entry
+	// MaxUnreadBytes limits the bodies of responses that callers have not read yet, in bytes. While
+	// there are more, new requests are refused as not run; 0 means no limit.
+	MaxUnreadBytes int64
+	Logger         *logrus.Entry
 	// MaxConnections limits the open connections; 0 means no limit.
 	MaxConnections int
 }
@@ -65,6 +68,8 @@
 	closing  atomic.Bool
 	inFlight atomic.Int64
 	open     atomic.Int64
+	// unread is the size of the bodies of responses that are not written yet, in bytes.
+	unread atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -88,6 +93,11 @@
 // InFlight returns the number of requests without a complete response.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
+// hasTooManyUnread reports whether callers that read slowly hold too much memory.
+func (s *Server) hasTooManyUnread() bool {
+	return s.options.MaxUnreadBytes > 0 && s.unread.Load() > s.options.MaxUnreadBytes
+}
+
 // DisableKeepAlives closes each connection after its requests in flight.
 func (s *Server) DisableKeepAlives() { s.closing.Store(true) }
 
