placing: use the load and the pace that targets state in their answers

Cause: decisions use counts of other VMs that are 100 to 480 ms old, and a target whose machine is slow for 0.6 s, or that ran one long request, counts as slow for 3 s.

Change: platform decodes Yuccaroute-Server-Load once per answer. Package edge/targetload holds a target's statements and learns for each service how long a pace holds. With placing.Policy.StatedLoad, expected times follow the pace, own times are converted to the mean pace, stated counts replace older reports for 0.4 s at most, and the stated number of slots is used. VMs of a region tell each other slow targets (tag tl, 5 bytes each). Log fields pace and load_age_ms; counters load_statements and load_malformed; histogram expected_error_seconds.

--- a/edge/entry/exchange.go
+++ b/edge/entry/exchange.go
@@ -80,6 +80,7 @@
 	s.Unreached, s.CutOff = e.gateway.Unreached()
 	if !sum {
 		s.InFlight, s.Demand = e.balancer.Report(now)
+		s.SlowTargets = e.balancer.SlowTargets(now, false)
 		return s
 	}
 	inFlight, demand := e.balancer.RegionSums(now)
@@ -96,7 +97,7 @@
 func (e *Entry) digest(full bool) *exchange.Digest {
 	now := time.Now()
 	inFlight, demand := e.balancer.RegionSums(now)
-	d := &exchange.Digest{InFlight: inFlight, Demand: demand}
+	d := &exchange.Digest{InFlight: inFlight, Demand: demand, SlowTargets: e.balancer.SlowTargets(now, true)}
 	if !full {
 		return d
 	}
@@ -130,6 +131,7 @@
 			e.contact.confirm()
 		}
 		e.applyCounts(now, s)
+		e.applySlowTargets(now, &s)
 		e.applyEvents(now, &s)
 		e.applyLeavingTargets(now, &s)
 		e.targetLimits.merge(e.now(), s.VM.Name, s.Limits)
@@ -198,6 +200,17 @@
 	})
 }
 
+// applySlowTargets passes on which targets other VMs of the region have found to be slow.
+func (e *Entry) applySlowTargets(now time.Time, s *exchange.State) {
+	if s.VM.Region != e.options.VM.Region {
+		return
+	}
+	e.balancer.SetSlowTargets(now, s.SlowTargets)
+	if s.Digest != nil {
+		e.balancer.SetSlowTargets(now, s.Digest.SlowTargets)
+	}
+}
+
 func (e *Entry) applyDigest(now time.Time, from string, d *exchange.Digest) {
 	e.digests.Received(e.now())
 	e.balancer.SetRegionSums(now, regionSums, d.InFlight, d.Demand)
--- a/edge/entry/gatewaymetrics.go
+++ b/edge/entry/gatewaymetrics.go
@@ -28,9 +28,10 @@
 	accounts    map[string]accountMetrics
 	attempts    map[attemptTags]tally.Counter
 	delegations map[delegationTags]tally.Counter
-	// targetCrashes are keyed by service.
-	targetCrashes map[string]tally.Counter
-	reach         map[reach.Group]tally.Gauge
+	// targetCrashes, loadStatements, malformedLoads and expectedErrors are keyed by service.
+	targetCrashes, loadStatements, malformedLoads map[string]tally.Counter
+	expectedErrors                                map[string]tally.Histogram
+	reach                                         map[reach.Group]tally.Gauge
 }
 
 type requestTags struct {
@@ -64,7 +65,8 @@
 
 func newGatewayMetrics(scope tally.Scope) *gatewayMetrics {
 	return &gatewayMetrics{scope: scope, requests: make(map[requestTags]requestMetrics), accounts: make(map[string]accountMetrics), attempts: make(map[attemptTags]tally.Counter),
-		delegations: make(map[delegationTags]tally.Counter), targetCrashes: make(map[string]tally.Counter), reach: make(map[reach.Group]tally.Gauge)}
+		delegations: make(map[delegationTags]tally.Counter), targetCrashes: make(map[string]tally.Counter), loadStatements: make(map[string]tally.Counter),
+		malformedLoads: make(map[string]tally.Counter), expectedErrors: make(map[string]tally.Histogram), reach: make(map[reach.Group]tally.Gauge)}
 }
 
 // RequestEnded implements gateway.Metrics.
--- a/edge/exchange/state.go
+++ b/edge/exchange/state.go
@@ -37,6 +37,9 @@
 	Events []quarantine.Event `msgpack:"e,omitempty"`
 	// LeavingTargets are the incarnations of targets that have lately stated that they leave.
 	LeavingTargets []uint64 `msgpack:"t,omitempty"`
+	// SlowTargets are targets that have lately stated a slow pace to the VM. Only reports and digests to
+	// VMs of the region have them.
+	SlowTargets SlowTargets `msgpack:"tl,omitempty"`
 	// Unreached are the groups of targets that the VM does not reach; CutOff is true if these are all.
 	Unreached []uint32 `msgpack:"u,omitempty"`
 	CutOff    bool     `msgpack:"c,omitempty"`
@@ -64,6 +67,8 @@
 type Digest struct {
 	InFlight Counts             `msgpack:"h"`
 	Demand   map[string]float64 `msgpack:"d"`
+	// SlowTargets are those that the VMs of the region know of, as in State.
+	SlowTargets SlowTargets `msgpack:"tl,omitempty"`
 	// Details is set in every detailedDigestEvery-th digest.
 	Details *DigestDetails `msgpack:"r,omitempty"`
 }
--- a/edge/gateway/fixture_test.go
+++ b/edge/gateway/fixture_test.go
@@ -118,6 +118,8 @@
 func (noMetrics) RequestEnded(string, string, string, int, time.Duration) {}
 func (noMetrics) AttemptEnded(string, string)                             {}
 func (noMetrics) RequestDelegated(string, string)                         {}
+func (noMetrics) LoadStated(string, bool)                                 {}
+func (noMetrics) ExpectedError(string, time.Duration)                     {}
 func (noMetrics) TargetCrashed(string)                                    {}
 
 // fixture is a gateway that captures its log.
--- a/edge/gateway/gateway.go
+++ b/edge/gateway/gateway.go
@@ -46,6 +46,11 @@
 	RequestDelegated(reason, end string)
 	// TargetCrashed counts a target that stopped unplanned while it had requests.
 	TargetCrashed(service string)
+	// LoadStated counts one statement of a target's load.
+	LoadStated(service string, malformed bool)
+	// ExpectedError records by how much a request that ran warm at a target with a free slot took longer
+	// than expected; it is negative if it took less.
+	ExpectedError(service string, by time.Duration)
 }
 
 // Options configure a Gateway.
--- a/edge/gateway/probe.go
+++ b/edge/gateway/probe.go
@@ -52,6 +52,7 @@
 // exchangeProbe sends a health probe over a connection and records what the target states.
 func (g *Gateway) exchangeProbe(ctx context.Context, t *placing.Target, path string, conn *forward.Conn, limit time.Duration) (*forward.Response, error) {
 	sent := g.newSending(t, "probe")
+	sent.probe = true
 	return conn.Exchange(ctx, &forward.Request{
 		Method: http.MethodGet, URI: path, Host: t.Address, Header: http.Header{},
 		Deadline: time.Now().Add(limit), MaxResponseBytes: maxProbeBytes,
--- a/edge/gateway/run.go
+++ b/edge/gateway/run.go
@@ -251,6 +251,7 @@
 	r.log.results = append(r.log.results, end)
 	r.log.durationsMS = append(r.log.durationsMS, a.took.Milliseconds())
 	g.options.Metrics.AttemptEnded(r.service, a.code.String())
+	g.recordExpectedError(r, a)
 	g.recordAnswered(r, a)
 	g.recordUnanswered(r, a)
 }
--- a/edge/gateway/serve.go
+++ b/edge/gateway/serve.go
@@ -254,6 +254,9 @@
 	}
 	line["targets"], line["ends"], line["took_ms"], line["region"] = t.targets, t.results, t.durationsMS, t.decision.Region
 	line["counts_age_ms"] = t.decision.CountsAge.Milliseconds()
+	if t.decision.Pace > 0 {
+		line["pace"], line["load_age_ms"] = t.decision.Pace, t.decision.LoadAge.Milliseconds()
+	}
 	line["warm"], line["hedged"] = t.decision.Warm, t.hedged
 }
 
--- a/edge/gateway/statement.go
+++ b/edge/gateway/statement.go
@@ -34,6 +34,8 @@
 	id string
 	// sentAt is by the clock of TargetLimits.
 	sentAt time.Time
+	// probe is set if it is a health probe, which does not count as in flight.
+	probe bool
 }
 
 // newSending returns the sending of a request that is sent now.
@@ -55,6 +57,7 @@
 	if stated.Malformed != nil {
 		g.logMalformedStatement(s.target, stated.Malformed)
 	}
+	g.observeLoad(s, stated.Load)
 	g.observeLimit(s, stated, h)
 	if stated.Leaving && g.options.Balancer.TargetLeaves(time.Now(), s.target.Incarnation) {
 		g.logStatement(s, status).Info("gateway: target leaves by its answer")
--- a/edge/placing/balancer.go
+++ b/edge/placing/balancer.go
@@ -53,6 +53,8 @@
 	// limitOf returns the limit that a target has stated.
 	limitOf    func(t *Target) RateLimit
 	statements statements
+	// held are the targets whose stated counts are newer than the reports of other VMs.
+	held []*Target
 	// lossAt is when capacity was last lost unexpectedly.
 	lossAt time.Time
 }
@@ -130,8 +132,9 @@
 	if r.HasKey {
 		t.markWarm(r.Key, now)
 	}
+	pace, loadAge := t.load.lastPace(now)
 	return Decision{
-		Target: t, Region: region, Warm: warm, Expected: cost,
+		Target: t, Region: region, Warm: warm, Expected: t.expected(now, cost), Pace: pace, LoadAge: loadAge,
 		InFlight: t.inFlight() - 1, Slots: t.Slots, CountsAge: b.countsAge(now),
 		FailuresAreWidespread: s.failures.areWidespread(),
 	}, true
--- a/edge/placing/peers.go
+++ b/edge/placing/peers.go
@@ -20,6 +20,7 @@
 	defer b.mu.Unlock()
 	b.expirePeers(now)
 	b.replacePeer(name, p)
+	b.releaseHeld(now)
 	b.serveAll(now)
 }
 
--- a/edge/placing/request.go
+++ b/edge/placing/request.go
@@ -118,7 +118,10 @@
 	// that are at most CountsAge old. For a rejection InFlight and Slots cover the region.
 	InFlight, Slots int
 	CountsAge       time.Duration
-	Reason          Reason
+	// Pace is the last pace that the target has stated, and LoadAge its age; 0 if it states none.
+	Pace    float64
+	LoadAge time.Duration
+	Reason  Reason
 	// FailuresAreWidespread is set if so many targets of the service fail that a refused
 	// request may be retried on the same one.
 	FailuresAreWidespread bool
--- a/edge/placing/service.go
+++ b/edge/placing/service.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/yuccaroute/yuccaroute/edge/site"
+	"github.com/yuccaroute/yuccaroute/edge/targetload"
 )
 
 // service holds the targets, the wait queue and the statistics of one service.
@@ -24,6 +25,8 @@
 	returns map[string]*returns
 	// unreached holds the regions whose targets this VM does not reach.
 	unreached map[string]bool
+	// paces is nil until a target states its load with its pace.
+	paces *targetload.Persistence
 }
 
 func newService(s site.Service) *service {
--- a/edge/placing/simulation_test.go
+++ b/edge/placing/simulation_test.go
@@ -32,7 +32,9 @@
 	pollInterval time.Duration
 	// overload, if set, lets full targets refuse requests.
 	overload *overload
-	result   simulationResult
+	// moments, if set, makes machines slow for moments.
+	moments *moments
+	result  simulationResult
 }
 
 type simulationResult struct {
@@ -204,6 +206,7 @@
 			}
 		}
 	}
+	sim.moments.exchange(sim)
 	for _, b := range sim.balancers {
 		b.Tick(sim.now)
 	}
@@ -295,6 +298,7 @@
 			sim.result.coldRuns++
 		}
 		work = time.Duration(float64(work) * s.slowdown * (0.85 + 0.3*sim.random.Float64()))
+		work, unexpected := sim.moments.run(sim, s, work)
 		sim.schedule(work, func() {
 			s.running--
 			if len(s.queue) > 0 {
@@ -303,6 +307,7 @@
 				s.running++
 				next()
 			}
+			sim.moments.state(sim, s, vm, d, delay/2)
 			sim.schedule(delay/2, func() {
 				end := Answered
 				if sim.now.After(r.Deadline) {
@@ -314,6 +319,7 @@
 					sim.result.inObjective++
 				}
 				sim.result.endedIn[sim.now.Unix()]++
+				sim.moments.answered(sim, vm, d, unexpected, sim.now.Sub(sent))
 				sim.balancers[vm].Done(sim.now, d, sim.classes[vm], end, sim.now.Sub(sent))
 			})
 		})
--- a/edge/placing/target.go
+++ b/edge/placing/target.go
@@ -78,10 +78,12 @@
 	cautiousUntil time.Time
 	// limit is nil if the target has stated no limit.
 	limit RateLimit
+	// load is nil if the target has not stated its load with its pace.
+	load *targetLoad
 }
 
 // inFlight returns the number of requests of all VMs at the target.
-func (t *Target) inFlight() int { return t.local + t.remote.n }
+func (t *Target) inFlight() int { return t.local + t.load.others(t.remote.n) }
 
 // full reports whether one more request would wait at the target.
 func (t *Target) full() bool { return t.inFlight() >= t.Slots }
@@ -152,9 +154,10 @@
 // cost returns the expected completion time of a request, including the round trip and the
 // expected cost of failures.
 func (t *Target) cost(now time.Time, class *Class, warm bool, averages serviceAverages) time.Duration {
-	work := float64(class.serviceTime(warm)) * t.currentSlowdown(now)
+	slowdown := t.currentSlowdown(now) * t.paceFactor(now, class.serviceTime(warm))
+	work := float64(class.serviceTime(warm)) * slowdown
 	waiting := max(0, t.inFlight()+1-t.Slots)
-	wait := float64(averages.occupancy) * t.currentSlowdown(now) * float64(waiting) / float64(t.Slots)
+	wait := float64(averages.occupancy) * slowdown * float64(waiting) / float64(t.Slots)
 	// Prefers the less loaded of otherwise equal targets.
 	wait += 0.02 * work * float64(t.inFlight()) / float64(t.Slots)
 	failures := averages.failures.excess(t.failures*t.freshness(now)) * float64(failurePenalty)
@@ -163,7 +166,10 @@
 
 // recordSuccess records a response; took excludes the network round trip.
 func (t *Target) recordSuccess(now time.Time, class *Class, warm bool, took time.Duration) {
+	sentAt := now.Add(-took - t.rtt)
+	took = t.atMeanPace(now, took)
 	ratio := max(1, float64(took)/float64(max(class.serviceTime(warm), time.Millisecond)))
+	t.load.recordRatio(now, sentAt, ratio, slowdownSmoothing)
 	t.slowdown = t.currentSlowdown(now) + slowdownSmoothing*(ratio-t.currentSlowdown(now))
 	t.failures = (1 - failureSmoothing) * t.failures * t.freshness(now)
 	t.observedAt = now
@@ -177,10 +183,12 @@
 // a lower bound of the service time, so a target that is too slow to answer in time is
 // noticed too.
 func (t *Target) recordTimeout(now time.Time, class *Class, warm bool, waited time.Duration) {
-	ratio := float64(waited) / float64(max(class.serviceTime(warm), time.Millisecond))
+	expected := float64(max(class.serviceTime(warm), time.Millisecond))
+	ratio := float64(t.atMeanPace(now, waited)) / expected
 	if ratio <= max(slowThreshold, t.currentSlowdown(now)) {
 		return
 	}
+	t.load.recordRatio(now, now.Add(-waited-t.rtt), ratio, timeoutSmoothing)
 	t.slowdown = t.currentSlowdown(now) + timeoutSmoothing*(ratio-t.currentSlowdown(now))
 	t.failures *= t.freshness(now)
 	t.observedAt = now
--- a/edge/placing/targetspec.go
+++ b/edge/placing/targetspec.go
@@ -89,7 +89,7 @@
 	}
 	t.usable, t.evacuated, t.leaving = usable, evacuated, leaving
 	// The identifying fields are not updated: the request path reads them without the lock.
-	t.Slots = l.Slots
+	t.Slots = t.load.slotsOf(l.Slots)
 	t.rtt = b.options.RTT(t.Region)
 	if l.ColdRemaining > 0 && l.ColdUntil.Add(coldMargin).After(t.coldUntil) {
 		t.coldUntil = l.ColdUntil.Add(coldMargin)
--- a/edge/site/statement.go
+++ b/edge/site/statement.go
@@ -11,6 +11,8 @@
 	Leaving bool
 	// Rest is how long the target wants no requests of the VM that it refused one; 0 for none.
 	Rest time.Duration
+	// Load is the load of the target when it answered.
+	Load Load
 	// Malformed is set if fields of the answer could not be read. They state nothing, and withdraw
 	// nothing that earlier answers stated.
 	Malformed error
