regionplan: regions planned by where requests may run

Cause: an account that may run in one region only was refused there while requests that could run elsewhere used its slots: its demand counted in the regions of its callers, so no plan left that region to it. Change: edge/regionplan computes the fractions of each source (callers' region, allowed regions) so that utilization is even and regions that only some sources can use are left to these. placing.Policy.RegionPlan turns it on: restricted demand is measured by set, reported (tag rd) and summed; the plan is computed at most every 50 ms a service, and only while a source is restricted. Log line, gauges region_demand and region_plan_weight.

--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -78,6 +78,7 @@
 	shuttingDown atomic.Bool
 	digests      *peers.DigestMonitor
 	regionState  *regionState
+	regionPlans  *regionPlans
 	stop         context.CancelFunc
 	// deregister cancels the registration of this VM in the store.
 	deregister context.CancelFunc
@@ -95,6 +96,7 @@
 	e.members = peers.New(o.VM, e.now())
 	e.metrics = scrape.New(o.VM.Name, metricsInterval)
 	e.gatewayMetrics = newGatewayMetrics(e.metrics.Scope)
+	e.regionPlans = newRegionPlans(e.component("placing"), e.metrics.Scope)
 	e.owners = owners.New(o.VM)
 	e.balancer = placing.New(placing.Options{
 		VM: o.VM.Name, Zone: o.VM.Zone, Region: o.VM.Region, RegionOf: o.RegionOf, RTT: e.roundTrips.get,
@@ -348,6 +350,7 @@
 		e.gateway.Probe(ctx, e.healthPath)
 		e.gateway.CheckReach(ctx, e.healthPath)
 		e.gatewayMetrics.setReach(e.gateway.Reach(now))
+		e.regionPlans.tick(now, e.balancer)
 		at, _ := e.replica.Revision()
 		e.gatewayMetrics.setReplica(at)
 	}
--- a/edge/entry/exchange.go
+++ b/edge/entry/exchange.go
@@ -80,10 +80,11 @@
 	s.Unreached, s.CutOff = e.gateway.Unreached()
 	if !sum {
 		s.InFlight, s.Demand = e.balancer.Report(now)
+		s.Restricted = e.balancer.ReportRestricted(now)
 		return s
 	}
 	inFlight, demand := e.balancer.RegionSums(now)
-	s.InFlight, s.Demand = inFlight, demand
+	s.InFlight, s.Demand, s.Restricted = inFlight, demand, e.balancer.RestrictedRegionSums(now)
 	return s
 }
 
@@ -96,12 +97,18 @@
 func (e *Entry) digest(full bool) *exchange.Digest {
 	now := time.Now()
 	inFlight, demand := e.balancer.RegionSums(now)
-	d := &exchange.Digest{InFlight: inFlight, Demand: demand}
+	d := &exchange.Digest{InFlight: inFlight, Demand: demand, Restricted: e.balancer.RestrictedRegionSums(now)}
 	if !full {
 		return d
 	}
 	inFlight, far := e.balancer.OtherRegionSums(now)
 	d.Details = &exchange.DigestDetails{InFlight: inFlight, Demand: far, Limits: e.targetLimits.table.Announcement(e.now())}
+	for region, restricted := range e.balancer.RestrictedOtherRegionSums(now) {
+		if d.Details.Restricted == nil {
+			d.Details.Restricted = make(map[string]exchange.Restricted)
+		}
+		d.Details.Restricted[region] = restricted
+	}
 	for name, state := range e.members.RegionStates() {
 		d.Details.VMs = append(d.Details.VMs, exchange.VMStatus{
 			Name: name, Age: e.now().Sub(state.At), Leaving: state.Leaving, Serving: state.Serving, StoreConnected: state.StoreConnected,
@@ -195,16 +202,23 @@
 	}
 	e.balancer.SetPeerReport(now, name, &placing.PeerReport{
 		InFlight: s.InFlight, Demand: map[string]map[string]float64{s.VM.Region: s.Demand}, Aggregated: s.Sum, At: now,
+		Restricted: map[string]placing.RestrictedDemand{s.VM.Region: s.Restricted},
 	})
 }
 
 func (e *Entry) applyDigest(now time.Time, from string, d *exchange.Digest) {
 	e.digests.Received(e.now())
-	e.balancer.SetRegionSums(now, regionSums, d.InFlight, d.Demand)
+	e.balancer.SetRegionSums(now, regionSums, d.InFlight, d.Demand, d.Restricted)
 	if d.Details == nil {
 		return
 	}
-	e.balancer.SetPeerReport(now, otherRegionSums, &placing.PeerReport{InFlight: d.Details.InFlight, Demand: d.Details.Demand, Aggregated: true, At: now})
+	restricted := make(map[string]placing.RestrictedDemand, len(d.Details.Restricted))
+	for region, sets := range d.Details.Restricted {
+		restricted[region] = sets
+	}
+	e.balancer.SetPeerReport(now, otherRegionSums, &placing.PeerReport{
+		InFlight: d.Details.InFlight, Demand: d.Details.Demand, Restricted: restricted, Aggregated: true, At: now,
+	})
 	e.targetLimits.merge(e.now(), from, d.Details.Limits)
 	cut := make(map[string]exchange.VMReach, len(d.Details.Cut))
 	for _, vm := range d.Details.Cut {
--- a/edge/exchange/state.go
+++ b/edge/exchange/state.go
@@ -32,6 +32,9 @@
 	// InFlight counts requests by target, Demand is the number of slots needed by service.
 	InFlight Counts             `msgpack:"h"`
 	Demand   map[string]float64 `msgpack:"d"`
+	// Restricted is the part of Demand that may run in some regions only, by service and by set of
+	// regions, in slots. A VM of an earlier version sends none.
+	Restricted Restricted `msgpack:"rd,omitempty"`
 	// Events are recent quarantine events: those of the VM itself, and those that it forwards as
 	// an aggregator.
 	Events []quarantine.Event `msgpack:"e,omitempty"`
@@ -64,6 +67,8 @@
 type Digest struct {
 	InFlight Counts             `msgpack:"h"`
 	Demand   map[string]float64 `msgpack:"d"`
+	// Restricted is as that of State.
+	Restricted Restricted `msgpack:"rd,omitempty"`
 	// Details is set in every detailedDigestEvery-th digest.
 	Details *DigestDetails `msgpack:"r,omitempty"`
 }
@@ -73,6 +78,8 @@
 	// InFlight counts requests of other regions, Demand is by region and service.
 	InFlight Counts                        `msgpack:"h"`
 	Demand   map[string]map[string]float64 `msgpack:"d"`
+	// Restricted is as that of State, by region.
+	Restricted map[string]Restricted `msgpack:"rd,omitempty"`
 	// VMs are the VMs of the aggregator's region.
 	VMs []VMStatus `msgpack:"s"`
 	// Cut are the VMs of the region that do not reach all groups of targets.
--- a/edge/placing/balancer.go
+++ b/edge/placing/balancer.go
@@ -38,6 +38,7 @@
 type Balancer struct {
 	options Options
 	hash    uint64
+	names   regionNames
 
 	mu         sync.Mutex
 	services   map[string]*service
@@ -60,7 +61,7 @@
 // New returns an empty balancer.
 func New(o Options) *Balancer {
 	return &Balancer{
-		options: o, hash: HashOf(o.VM),
+		options: o, hash: HashOf(o.VM), names: namesOf(o),
 		services: make(map[string]*service), peers: make(map[string]*PeerReport), remote: make(map[uint32]*remoteCount),
 		tolerance: baseTolerance, limitOf: func(*Target) RateLimit { return nil },
 		statements: statements{byIncarnation: make(map[uint64]*statement)},
@@ -82,8 +83,9 @@
 	}
 	if !r.AlreadyCounted {
 		s.demand.add(now, r.serviceTime())
+		b.countRestricted(now, s, r)
 		b.stepWeights(now, s)
-		s.weights.accrue(now)
+		b.weightsFor(s, r).accrue(now)
 	}
 	region := b.regionFor(now, s, r)
 	if region == "" {
@@ -93,7 +95,7 @@
 		return s.rejectWithoutTarget(r), nil
 	}
 	if !r.AlreadyCounted {
-		s.weights.charge(region, b.tolerance)
+		b.weightsFor(s, r).charge(region, b.tolerance)
 	}
 	if d, ok := b.assign(now, s, r, region); ok {
 		return d, nil
--- a/edge/placing/peers.go
+++ b/edge/placing/peers.go
@@ -8,6 +8,8 @@
 	InFlight map[uint32]int
 	// Demand is the offered load in slots, by region and service.
 	Demand map[string]map[string]float64
+	// Restricted is the part of Demand that may run in some regions only, by region of the callers.
+	Restricted map[string]RestrictedDemand
 	// Aggregated is set if the values are sums over several VMs.
 	Aggregated bool
 	At         time.Time
@@ -85,6 +87,8 @@
 type report struct {
 	inFlight map[uint32]int
 	demand   map[string]float64
+	// restricted is that of ReportRestricted.
+	restricted RestrictedDemand
 }
 
 func (b *Balancer) localCounts(now time.Time) (inFlight map[uint32]int, demand map[string]float64) {
@@ -104,7 +108,7 @@
 
 // SetRegionSums stores the sums over all VMs of the local region as a peer report. It
 // subtracts this VM's last report, so that its own requests do not count twice.
-func (b *Balancer) SetRegionSums(now time.Time, name string, inFlight map[uint32]int, demand map[string]float64) {
+func (b *Balancer) SetRegionSums(now time.Time, name string, inFlight map[uint32]int, demand map[string]float64, restricted RestrictedDemand) {
 	b.mu.Lock()
 	own := b.lastReport
 	b.mu.Unlock()
@@ -119,6 +123,7 @@
 		remaining[service] = max(0, slots-own.demand[service])
 	}
 	others.Demand = map[string]map[string]float64{b.options.Region: remaining}
+	others.Restricted = map[string]RestrictedDemand{b.options.Region: own.withoutOwn(restricted)}
 	b.SetPeerReport(now, name, others)
 }
 
--- /dev/null
+++ b/edge/placing/planstatus.go
@@ -0,0 +1,59 @@
+package placing
+
+import (
+	"maps"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/edge/regionplan"
+)
+
+// PlanStatus is this VM's view of the regions in which requests of a service should run that may use
+// the same regions.
+type PlanStatus struct {
+	Service string
+	// Regions are the regions that the requests may use; Restricted is false if these are all.
+	Regions    []string
+	Restricted bool
+	// Weights are the fractions of the requests of this VM's callers by region, Planned what the
+	// weights move to, nil if no demand is restricted.
+	Weights, Planned map[string]float64
+	// Demand of each region's callers for the service that may use the same regions, and Capacity of
+	// each region, in slots.
+	Demand, Capacity map[string]float64
+	// ReportAge is the age of the oldest valid report of another VM.
+	ReportAge time.Duration
+}
+
+// RegionPlans returns the region plans of all services, none if the region plan is off. Weights are
+// unknown before the first request.
+func (b *Balancer) RegionPlans(now time.Time) []PlanStatus {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.names.names) == 0 {
+		return nil
+	}
+	var list []PlanStatus
+	for _, s := range b.services {
+		s.resetLoads()
+		s.demand.decay(now)
+		demand := b.sourcesOf(now, s)
+		list = append(list, b.planStatus(now, s, b.names.all(), demand, &s.weights, s.plan.planned))
+		for set, source := range s.plan.restricted {
+			list = append(list, b.planStatus(now, s, set, demand, &source.weights, source.planned))
+		}
+	}
+	return list
+}
+
+func (b *Balancer) planStatus(now time.Time, s *service, set regionplan.Set, demand map[regionplan.Source]float64, w *regionWeights, planned map[string]float64) PlanStatus {
+	p := PlanStatus{
+		Service: s.Name, Regions: b.names.namesIn(set), Restricted: set != b.names.all(),
+		Weights: maps.Clone(w.weight), Planned: maps.Clone(planned),
+		Demand: make(map[string]float64), Capacity: make(map[string]float64), ReportAge: b.countsAge(now),
+	}
+	for i, name := range b.names.names {
+		p.Demand[name] = demand[regionplan.Source{Region: i, Allowed: set}]
+		p.Capacity[name] = s.slots(now, name)
+	}
+	return p
+}
--- /dev/null
+++ b/edge/placing/regionplan.go
@@ -0,0 +1,260 @@
+package placing
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/edge/regionplan"
+)
+
+const (
+	// regionPlanInterval is the shortest time between two computations of a service's region plan.
+	regionPlanInterval = 50 * time.Millisecond
+	// minRestrictedDemand is the demand in slots from which a source counts as restricted. Measured
+	// demand decays and never reaches 0.
+	minRestrictedDemand = 0.01
+	// restrictedTTL is how long the weights of a set of regions are kept without requests.
+	restrictedTTL = 10 * time.Second
+)
+
+// regionNames are the sorted names of all regions, identical on all VMs. The index of a name is its bit
+// in a regionplan.Set.
+type regionNames struct {
+	names []string
+	// own is the index of the local region.
+	own int
+}
+
+// namesOf returns no names, which turns the region plan off, if it is off by policy, if there are more
+// regions than a set holds, or if the local one is unknown.
+func namesOf(o Options) regionNames {
+	if !o.Policy.RegionPlan {
+		return regionNames{}
+	}
+	names := slices.Sorted(maps.Values(o.RegionOf))
+	names = slices.Compact(names)
+	own := slices.Index(names, o.Region)
+	if own < 0 || len(names) > regionplan.MaxRegions {
+		return regionNames{}
+	}
+	return regionNames{names: names, own: own}
+}
+
+// all returns the set of an unrestricted source.
+func (n *regionNames) all() regionplan.Set { return regionplan.All(len(n.names)) }
+
+// setOf returns the set of regions that a request may use, or that of all regions if it is not
+// restricted, may use no region, or the region plan is off.
+func (n *regionNames) setOf(r *Request) regionplan.Set {
+	if r.Allowed == nil {
+		return n.all()
+	}
+	set := regionplan.Set(0)
+	for i, name := range n.names {
+		if r.Allowed(name) {
+			set |= 1 << i
+		}
+	}
+	if set == 0 {
+		return n.all()
+	}
+	return set
+}
+
+// isRestricted reports whether a set from another VM names some regions, but not all.
+func (n *regionNames) isRestricted(set regionplan.Set) bool {
+	return set&n.all() != 0 && set&n.all() != n.all()
+}
+
+// namesIn returns the names of the regions of a set.
+func (n *regionNames) namesIn(set regionplan.Set) (in []string) {
+	for i, name := range n.names {
+		if set.Has(i) {
+			in = append(in, name)
+		}
+	}
+	return in
+}
+
+// byName returns the fractions of a plan above 0 by region.
+func (n *regionNames) byName(fractions []float64) map[string]float64 {
+	weights := make(map[string]float64, len(fractions))
+	for i, fraction := range fractions {
+		if fraction > 0 {
+			weights[n.names[i]] = fraction
+		}
+	}
+	return weights
+}
+
+// restrictedSource holds what this VM's callers request of a service that may run in a set of regions.
+type restrictedSource struct {
+	demand  demand
+	weights regionWeights
+	// planned are the weights of the newest region plan.
+	planned map[string]float64
+	usedAt  time.Time
+}
+
+// servicePlan is the region plan of a service. It is active while this VM or a valid report has
+// restricted demand.
+type servicePlan struct {
+	active bool
+	at     time.Time
+	// planned are the weights of this VM's unrestricted callers.
+	planned map[string]float64
+	// restricted holds this VM's restricted sources by their set.
+	restricted map[regionplan.Set]*restrictedSource
+}
+
+// countRestricted counts a request by the regions that it may use. It does nothing for an unrestricted
+// one.
+func (b *Balancer) countRestricted(now time.Time, s *service, r *Request) {
+	if r.Allowed == nil {
+		return
+	}
+	set := b.names.setOf(r)
+	if set == b.names.all() {
+		return
+	}
+	source := s.plan.restricted[set]
+	if source == nil {
+		source = &restrictedSource{weights: regionWeights{deficit: make(map[string]float64), at: now}}
+		if s.plan.restricted == nil {
+			s.plan.restricted = make(map[regionplan.Set]*restrictedSource)
+		}
+		s.plan.restricted[set] = source
+	}
+	source.usedAt = now
+	source.demand.add(now, r.serviceTime())
+	if source.planned == nil {
+		// The next request of this set needs weights.
+		s.plan.at = time.Time{}
+	}
+}
+
+// weightsFor returns the weights of the requests that may use the same regions as r.
+func (b *Balancer) weightsFor(s *service, r *Request) *regionWeights {
+	if len(s.plan.restricted) == 0 || r.Allowed == nil {
+		return &s.weights
+	}
+	if source := s.plan.restricted[b.names.setOf(r)]; source != nil && source.weights.weight != nil {
+		return &source.weights
+	}
+	return &s.weights
+}
+
+// stepPlan updates the region plan if it is due, and moves the weights of the restricted sources
+// towards it. It returns the weights planned for unrestricted callers, or false if no demand is
+// restricted.
+func (b *Balancer) stepPlan(now time.Time, s *service, capacity map[string]float64, rate float64) (map[string]float64, bool) {
+	if len(b.names.names) == 0 {
+		return nil, false
+	}
+	if s.plan.at.IsZero() || now.Sub(s.plan.at) >= regionPlanInterval {
+		s.plan.at = now
+		b.updatePlan(now, s, capacity)
+	}
+	if !s.plan.active {
+		return nil, false
+	}
+	for _, source := range s.plan.restricted {
+		if source.weights.weight == nil {
+			source.weights.weight = source.planned
+		}
+		source.weights.step(now, source.planned, rate)
+	}
+	return s.plan.planned, true
+}
+
+// updatePlan computes the region plan from the current demand and capacity.
+func (b *Balancer) updatePlan(now time.Time, s *service, capacity map[string]float64) {
+	s.plan.dropUnused(now)
+	demand := b.sourcesOf(now, s)
+	unrestricted := regionplan.Source{Region: b.names.own, Allowed: b.names.all()}
+	s.plan.active = len(s.plan.restricted) > 0
+	for source := range demand {
+		s.plan.active = s.plan.active || source.Allowed != unrestricted.Allowed
+	}
+	if !s.plan.active {
+		s.plan.planned = nil
+		return
+	}
+	slots := make([]float64, len(b.names.names))
+	for i, name := range b.names.names {
+		slots[i] = capacity[name]
+	}
+	plan := regionplan.Compute(slots, demand)
+	s.plan.planned = b.names.byName(plan[unrestricted])
+	for set, source := range s.plan.restricted {
+		source.planned = b.names.byName(plan[regionplan.Source{Region: b.names.own, Allowed: set}])
+	}
+}
+
+func (p *servicePlan) dropUnused(now time.Time) {
+	for set, source := range p.restricted {
+		if now.Sub(source.usedAt) >= restrictedTTL {
+			delete(p.restricted, set)
+		}
+	}
+}
+
+// sourcesOf returns the demand for a service by source, in slots: that of this VM's callers and of all
+// valid reports. It contains all sources of this VM.
+func (b *Balancer) sourcesOf(now time.Time, s *service) map[regionplan.Source]float64 {
+	demand := make(map[regionplan.Source]float64)
+	b.addSources(demand, b.names.own, s.demand.slots, s.plan.slots(now))
+	for _, p := range b.peers {
+		if now.Sub(p.At) >= peerTTL {
+			continue
+		}
+		for i, name := range b.names.names {
+			if services, ok := p.Demand[name]; ok {
+				b.addSources(demand, i, services[s.Name], p.Restricted[name][s.Name])
+			}
+		}
+	}
+	for set := range s.plan.restricted {
+		demand[regionplan.Source{Region: b.names.own, Allowed: set}] += 0
+	}
+	demand[regionplan.Source{Region: b.names.own, Allowed: b.names.all()}] += 0
+	return demand
+}
+
+// addSources adds the demand of one VM or of several in one region; total contains restricted.
+// Restricted demand beyond the total, and values that are no numbers, are ignored.
+func (b *Balancer) addSources(demand map[regionplan.Source]float64, region int, total float64, restricted map[uint32]float64) {
+	if !isDemand(total) {
+		return
+	}
+	for set, slots := range restricted {
+		if set := regionplan.Set(set) & b.names.all(); b.names.isRestricted(set) && isDemand(slots) && slots >= minRestrictedDemand {
+			slots = min(slots, total)
+			demand[regionplan.Source{Region: region, Allowed: set}] += slots
+			total -= slots
+		}
+	}
+	if total > 0 {
+		demand[regionplan.Source{Region: region, Allowed: b.names.all()}] += total
+	}
+}
+
+func isDemand(slots float64) bool { return slots > 0 && !math.IsInf(slots, 1) }
+
+// slots returns the restricted demand of this VM's callers by set, in slots, nil for none.
+func (p *servicePlan) slots(now time.Time) map[uint32]float64 {
+	var slots map[uint32]float64
+	for set, source := range p.restricted {
+		source.demand.decay(now)
+		if source.demand.slots < minRestrictedDemand {
+			continue
+		}
+		if slots == nil {
+			slots = make(map[uint32]float64, len(p.restricted))
+		}
+		slots[uint32(set)] = source.demand.slots
+	}
+	return slots
+}
--- a/edge/placing/regions.go
+++ b/edge/placing/regions.go
@@ -9,7 +9,7 @@
 		return own
 	}
 	work := r.serviceTime()
-	region, ok := s.weights.pick(r, b.tolerance, func(region string) bool {
+	region, ok := b.weightsFor(s, r).pick(r, b.tolerance, func(region string) bool {
 		if !r.allows(region) || s.slots(now, region) == 0 {
 			return false
 		}
@@ -46,7 +46,12 @@
 	if s.weights.weight == nil {
 		s.weights.initialize(now, b.options.Region, capacity)
 	}
-	s.weights.step(now, planWeights(b.options.Region, b.demandOf(now, s), capacity), b.shiftRate(now, s))
+	rate := b.shiftRate(now, s)
+	wanted, planned := b.stepPlan(now, s, capacity, rate)
+	if !planned {
+		wanted = planWeights(b.options.Region, b.demandOf(now, s), capacity)
+	}
+	s.weights.step(now, wanted, rate)
 }
 
 // shiftRate returns the largest fraction of the requests that may change region per second.
--- a/edge/placing/service.go
+++ b/edge/placing/service.go
@@ -20,6 +20,7 @@
 	// rejectedAt is when this VM last rejected a request for lack of capacity.
 	rejectedAt time.Time
 	weights    regionWeights
+	plan       servicePlan
 	// returns holds those of each region.
 	returns map[string]*returns
 	// unreached holds the regions whose targets this VM does not reach.
--- a/edge/placing/weights.go
+++ b/edge/placing/weights.go
@@ -4,12 +4,14 @@
 	"math"
 	"sort"
 	"time"
+
+	"github.com/yuccaroute/yuccaroute/edge/regionplan"
 )
 
 const (
 	// plannedUtilization is the utilization of a region above which its callers' requests
-	// are sent to other regions, since requests would queue and a round trip is short.
-	plannedUtilization = 0.5
+	// are sent to other regions.
+	plannedUtilization = regionplan.PlannedUtilization
 	// initialUtilization is the utilization that is assumed until demand is measured.
 	initialUtilization = 0.6
 	// baseShiftRate is the fraction of a region's requests that may change region per
