--- a/edge/placing/balancer.go
+++ b/edge/placing/balancer.go
@@ -82,8 +82,7 @@
 		return Decision{Reason: Unreached, RetryAfter: maxRetryAfter}, nil
 	}
 	if !r.AlreadyCounted {
-		s.demand.add(now, r.serviceTime())
-		b.countRestricted(now, s, r)
+		s.demand.add(now, b.countRestricted(now, s, r))
 		b.stepWeights(now, s)
 		b.weightsFor(s, r).accrue(now)
 	}
@@ -125,6 +124,7 @@
 		return Decision{}, false
 	}
 	warm := r.HasKey && t.isWarm(r.Key, now)
+	b.countRun(s, r, warm)
 	s.addLocal(t)
 	if now.Before(t.coldUntil) {
 		t.cold.take(now)
--- a/edge/placing/regionplan.go
+++ b/edge/placing/regionplan.go
@@ -17,6 +17,8 @@
 	minRestrictedDemand = 0.01
 	// restrictedTTL is how long the weights of a set of regions are kept without requests.
 	restrictedTTL = 10 * time.Second
+	// coldRunSmoothing is the weight of one run in the fraction of cold runs of a source.
+	coldRunSmoothing = 0.02
 )
 
 // regionNames are the sorted names of all regions, identical on all VMs. The index of a name is its bit
@@ -93,6 +95,9 @@
 type restrictedSource struct {
 	demand  demand
 	weights regionWeights
+	// cold is the fraction of the runs that are cold. If the source requests more keys than the targets
+	// of its regions keep, it needs up to three times the slots that its warm runs would take.
+	cold float64
 	// planned are the weights of the newest region plan.
 	planned map[string]float64
 	usedAt  time.Time
@@ -109,15 +114,16 @@
 	restricted map[regionplan.Set]*restrictedSource
 }
 
-// countRestricted counts a request by the regions that it may use. It does nothing for an unrestricted
-// one.
-func (b *Balancer) countRestricted(now time.Time, s *service, r *Request) {
+// countRestricted counts a restricted request by the regions that it may use. It returns the expected
+// service time of any request, by which its demand counts.
+func (b *Balancer) countRestricted(now time.Time, s *service, r *Request) time.Duration {
+	work := r.serviceTime()
 	if r.Allowed == nil {
-		return
+		return work
 	}
 	set := b.names.setOf(r)
 	if set == b.names.all() {
-		return
+		return work
 	}
 	source := s.plan.restricted[set]
 	if source == nil {
@@ -127,12 +133,30 @@
 		}
 		s.plan.restricted[set] = source
 	}
-	source.usedAt = now
-	source.demand.add(now, r.serviceTime())
 	if source.planned == nil {
 		// The next request of this set needs weights.
 		s.plan.at = time.Time{}
 	}
+	work += time.Duration(source.cold * float64(r.Class.serviceTime(false)-work))
+	source.usedAt = now
+	source.demand.add(now, work)
+	return work
+}
+
+// countRun counts whether a request that was assigned to a target runs warm there.
+func (b *Balancer) countRun(s *service, r *Request, warm bool) {
+	if r.Allowed == nil || len(s.plan.restricted) == 0 {
+		return
+	}
+	source := s.plan.restricted[b.names.setOf(r)]
+	if source == nil {
+		return
+	}
+	cold := 1.0
+	if warm {
+		cold = 0
+	}
+	source.cold += coldRunSmoothing * (cold - source.cold)
 }
 
 // weightsFor returns the weights of the requests that may use the same regions as r.
