--- a/edge/placing/balancer.go
+++ b/edge/placing/balancer.go
@@ -38,6 +38,7 @@
 type Balancer struct {
 	options Options
 	hash    uint64
+	names   regionNames
 
 	mu         sync.Mutex
 	services   map[string]*service
@@ -62,7 +63,7 @@
 // New returns an empty balancer.
 func New(o Options) *Balancer {
 	return &Balancer{
-		options: o, hash: HashOf(o.VM),
+		options: o, hash: HashOf(o.VM), names: namesOf(o),
 		services: make(map[string]*service), peers: make(map[string]*PeerReport), remote: make(map[uint32]*remoteCount),
 		tolerance: baseTolerance, limitOf: func(*Target) RateLimit { return nil },
 		statements: statements{byIncarnation: make(map[uint64]*statement)},
@@ -83,9 +84,9 @@
 		return Decision{Reason: Unreached, RetryAfter: maxRetryAfter}, nil
 	}
 	if !r.AlreadyCounted {
-		s.demand.add(now, r.serviceTime())
+		s.demand.add(now, b.countRestricted(now, s, r))
 		b.stepWeights(now, s)
-		s.weights.accrue(now)
+		b.weightsFor(s, r).accrue(now)
 	}
 	region := b.regionFor(now, s, r)
 	if region == "" {
@@ -95,7 +96,7 @@
 		return s.rejectWithoutTarget(r), nil
 	}
 	if !r.AlreadyCounted {
-		s.weights.charge(region, b.tolerance)
+		b.weightsFor(s, r).charge(region, b.tolerance)
 	}
 	if d, ok := b.assign(now, s, r, region); ok {
 		return d, nil
@@ -125,6 +126,7 @@
 		return Decision{}, false
 	}
 	warm := r.HasKey && t.isWarm(r.Key, now)
+	b.countRun(s, r, warm)
 	s.addLocal(t)
 	if now.Before(t.coldUntil) {
 		t.cold.take(now)
