--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -67,6 +67,7 @@
 	quarantine     *quarantine.Quarantine
 	quota          *quota.Quota
 	targetLimits   *targetLimits
+	workingSets    *workingSets
 	// leavingTargets are the incarnations of targets that leave, to be told to other VMs.
 	leavingTargets broadcast.Queue[uint64]
 	fleet          *fleet
@@ -106,6 +107,7 @@
 	e.fleet = newFleet(o.FleetSizeKey, o.KV, e.contact.clock, e.component("fleet"))
 	e.quota = e.newQuota()
 	e.targetLimits = newTargetLimits(e)
+	e.workingSets = newWorkingSets(e)
 	e.gateway = gateway.New(gateway.Options{
 		Fields: o.Names.Fields, Name: o.VM.Name, Region: o.VM.Region, Balancer: e.balancer, Logger: e.component("gateway"), Metrics: e.gatewayMetrics,
 		RetryRatio: o.RetryRatio, RetryExtra: o.RetryExtra, VMCount: e.members.Count, RTT: e.roundTrips.get,
@@ -167,7 +169,8 @@
 func (e *Entry) listen(ctx context.Context) error {
 	ex, err := exchange.Start(ctx, exchange.Options{
 		Address: e.options.PeerAddress, Logger: e.component("exchange"), State: e.state, Digest: e.digest, Limits: e.limitsToAnnounce,
-		Recipients: e.recipients, RelayTo: e.relayTo, Received: e.received(ctx),
+		AddWorkingSets: e.workingSets.addTo,
+		Recipients:     e.recipients, RelayTo: e.relayTo, Received: e.received(ctx),
 		Handlers: e.datagramHandlers(),
 	})
 	if err != nil {
@@ -342,6 +345,7 @@
 		e.updateSharers()
 		e.maintainQuota(ctx, now)
 		e.targetLimits.maintain()
+		e.workingSets.maintain(now)
 		e.quarantine.Tick(ctx, now, e.members.IsWatchLeader(e.now()))
 		e.gatewayMetrics.setQuarantine(e.quarantine.Counts())
 		e.gatewayMetrics.setStatements(e.balancer.Statements(now))
--- a/edge/entry/exchange.go
+++ b/edge/entry/exchange.go
@@ -100,6 +100,7 @@
 	if !full {
 		return d
 	}
+	d.Arcs = e.workingSets.digestArcs(now)
 	inFlight, far := e.balancer.OtherRegionSums(now)
 	d.Details = &exchange.DigestDetails{InFlight: inFlight, Demand: far, Limits: e.targetLimits.table.Announcement(e.now())}
 	for name, state := range e.members.RegionStates() {
@@ -132,6 +133,7 @@
 		e.applyCounts(now, s)
 		e.applyEvents(now, &s)
 		e.applyLeavingTargets(now, &s)
+		e.workingSets.apply(now, &s)
 		e.targetLimits.merge(e.now(), s.VM.Name, s.Limits)
 		if s.Relay != nil {
 			e.replica.ObservePeer(ctx, s.Relay.Peer, true, store.Revision(s.Relay.Revision), now)
--- a/edge/exchange/exchange.go
+++ b/edge/exchange/exchange.go
@@ -73,6 +73,9 @@
 	// Limits returns observations of targets' limits for a report to this region, or to other
 	// regions; nil means none.
 	Limits func(otherRegions bool) []ratelimit.Announced
+	// AddWorkingSets adds what the VM tells of working sets to a report to this region, or to other
+	// regions; nil adds nothing.
+	AddWorkingSets func(s *State, otherRegions bool)
 	// Digest returns the digest of the region.
 	Digest func(detailed bool) *Digest
 	// Recipients returns the current recipients of reports and digests.
@@ -177,6 +180,9 @@
 	if e.options.Limits != nil {
 		state.Limits = e.options.Limits(otherRegions)
 	}
+	if e.options.AddWorkingSets != nil {
+		e.options.AddWorkingSets(&state, otherRegions)
+	}
 	datagram := e.encode(&state)
 	for _, p := range to {
 		e.write(datagram, p)
--- a/edge/exchange/state.go
+++ b/edge/exchange/state.go
@@ -45,6 +45,10 @@
 	// Limits are some of the newest observations of limits that targets have stated. They are in
 	// few reports.
 	Limits []ratelimit.Announced `msgpack:"q,omitempty"`
+	// WorkingLoad is the load of the working sets, of the VM or of its region if Sum is true, and Arcs are
+	// the arcs of its region, both as package workingset encodes them. They are in few reports.
+	WorkingLoad []byte   `msgpack:"wl,omitempty"`
+	Arcs        [][]byte `msgpack:"ws,omitempty"`
 	// NoDigest is true if the VM expects digests and receives none.
 	NoDigest bool `msgpack:"f,omitempty"`
 	// Digest is set if an aggregator sends to VMs that are not aggregators.
@@ -64,6 +68,8 @@
 type Digest struct {
 	InFlight Counts             `msgpack:"h"`
 	Demand   map[string]float64 `msgpack:"d"`
+	// Arcs are those of all regions, in digests with details.
+	Arcs [][]byte `msgpack:"ws,omitempty"`
 	// Details is set in every detailedDigestEvery-th digest.
 	Details *DigestDetails `msgpack:"r,omitempty"`
 }
--- a/edge/logs/account/cause.go
+++ b/edge/logs/account/cause.go
@@ -32,6 +32,8 @@
 	TargetsLimited Cause = "refused: limits of targets"
 	// TargetsAtRest: targets had refused requests and asked for a rest.
 	TargetsAtRest Cause = "refused: targets at rest"
+	// NotInWorkingSet: the region served other keys, as its targets cannot carry all.
+	NotInWorkingSet Cause = "refused: not in the working set"
 	// NoTarget: no target was eligible.
 	NoTarget Cause = "refused: no target"
 	// TargetsUnreached: neither the VM nor one that it asked reached a target.
@@ -99,6 +101,8 @@
 		return TargetsLimited
 	case e.Why == "targets at rest":
 		return TargetsAtRest
+	case e.Why == "not in the working set":
+		return NotInWorkingSet
 	case e.Result != "queue-full" || e.Slots == 0:
 		return RefusedUnexplained
 	case float64(e.InFlight) < (1-freeSlotShare)*float64(e.Slots):
--- a/edge/peers/topology.go
+++ b/edge/peers/topology.go
@@ -87,6 +87,31 @@
 	return now.Sub(state.At) < suspicionTimeout && !state.Leaving
 }
 
+// minHeardShare is the share of the region's VMs that a VM must hear, itself included, to decide for the
+// region. One that hears nobody, but is heard, would decide without the load of the others. After the loss
+// of a failure domain about half are heard.
+const minHeardShare = 0.25
+
+// DecidingOrder returns how many VMs of this region come before this one among those that may decide for
+// it. The first is the primary aggregator of a large region. ok is false if this VM hears too few others.
+func (m *Members) DecidingOrder(now time.Time) (order int, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	vms, heard := m.regions[m.own.Region], 1
+	for _, vm := range vms {
+		if vm.Name == m.own.Name {
+			continue
+		}
+		if m.isEligible(vm, now) {
+			heard++
+			if vm.Name < m.own.Name {
+				order++
+			}
+		}
+	}
+	return order, float64(heard) >= minHeardShare*float64(len(vms))
+}
+
 // selectAggregators returns all VMs of a small region, or the first eligible ones of a large
 // region.
 func selectAggregators(vms []site.VM, eligible func(site.VM) bool) []site.VM {
--- a/edge/placing/balancer.go
+++ b/edge/placing/balancer.go
@@ -53,6 +53,7 @@
 	// limitOf returns the limit that a target has stated.
 	limitOf    func(t *Target) RateLimit
 	statements statements
+	sets       workingSets
 	// lossAt is when capacity was last lost unexpectedly.
 	lossAt time.Time
 }
@@ -63,7 +64,7 @@
 		options: o, hash: HashOf(o.VM),
 		services: make(map[string]*service), peers: make(map[string]*PeerReport), remote: make(map[uint32]*remoteCount),
 		tolerance: baseTolerance, limitOf: func(*Target) RateLimit { return nil },
-		statements: statements{byIncarnation: make(map[uint64]*statement)},
+		statements: statements{byIncarnation: make(map[uint64]*statement)}, sets: newWorkingSets(),
 	}
 }
 
@@ -80,6 +81,9 @@
 	if s.isCutOff(r) {
 		return Decision{Reason: Unreached, RetryAfter: maxRetryAfter}, nil
 	}
+	if refusal, refused := b.admitToWorkingSet(now, s, r); refused {
+		return refusal, nil
+	}
 	if !r.AlreadyCounted {
 		s.demand.add(now, r.serviceTime())
 		b.stepWeights(now, s)
@@ -130,11 +134,13 @@
 	if r.HasKey {
 		t.markWarm(r.Key, now)
 	}
-	return Decision{
+	d := Decision{
 		Target: t, Region: region, Warm: warm, Expected: cost,
 		InFlight: t.inFlight() - 1, Slots: t.Slots, CountsAge: b.countsAge(now),
 		FailuresAreWidespread: s.failures.areWidespread(),
-	}, true
+	}
+	d.startInWorkingSet(b.scopeOf(now, s, r), r)
+	return d, true
 }
 
 // rejectLate rejects a request that would end too late if it were queued.
--- a/edge/placing/done.go
+++ b/edge/placing/done.go
@@ -26,6 +26,7 @@
 	defer b.mu.Unlock()
 	t := d.Target
 	t.local--
+	d.endInWorkingSet(now, outcome, took-t.rtt)
 	s := b.services[t.Service]
 	if s != nil && outcome != Cancelled {
 		s.failures.record(outcome != Answered)
--- a/edge/placing/request.go
+++ b/edge/placing/request.go
@@ -84,6 +84,8 @@
 	NoPermit
 	// AtRest: it would end too late, as targets have asked for a rest.
 	AtRest
+	// NotInWorkingSet: the key of the request is not among those that its region serves now.
+	NotInWorkingSet
 	// Unreached: this VM reaches none of the targets that may serve the request. Other VMs may.
 	Unreached
 )
@@ -99,6 +101,8 @@
 		return "no permit"
 	case AtRest:
 		return "targets at rest"
+	case NotInWorkingSet:
+		return "not in the working set"
 	case Unreached:
 		return "targets not reached"
 	}
@@ -124,4 +128,7 @@
 	FailuresAreWidespread bool
 	// RetryAfter is when the caller should retry a rejected request.
 	RetryAfter time.Duration
+	// scope and rank are those of the working set that the request counts in; scope is nil for none.
+	scope *scope
+	rank  int
 }
--- a/edge/placing/serve.go
+++ b/edge/placing/serve.go
@@ -14,6 +14,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.expirePeers(now)
+	b.tickWorkingSets(now)
 	b.serveAll(now)
 }
 
@@ -58,6 +59,9 @@
 			w.region = region
 		}
 	}
+	if refusal, refused := b.leftWorkingSet(now, s, w.request); refused {
+		return refusal, true
+	}
 	if d, ok := b.assign(now, s, w.request, w.region); ok {
 		return d, true
 	}
--- a/edge/placing/service.go
+++ b/edge/placing/service.go
@@ -22,6 +22,8 @@
 	weights    regionWeights
 	// returns holds those of each region.
 	returns map[string]*returns
+	// scopes holds those of the regions in which working sets apply.
+	scopes map[string]*scope
 	// unreached holds the regions whose targets this VM does not reach.
 	unreached map[string]bool
 }
--- a/edge/placing/simulation_test.go
+++ b/edge/placing/simulation_test.go
@@ -32,6 +32,13 @@
 	pollInterval time.Duration
 	// overload, if set, lets full targets refuse requests.
 	overload *overload
+	// policy is that of all VMs.
+	policy Policy
+	// refused, if set, is told of each refusal, exchanged of each exchange of reports.
+	refused   func(vm int, r *Request, d Decision)
+	exchanged func()
+	// answered, if set, is told of each answer that comes before the deadline.
+	answered func(r *Request)
 	result   simulationResult
 }
 
@@ -114,6 +121,7 @@
 	// warmKeys is the size of a target's key cache.
 	warmKeys            int
 	objective, deadline time.Duration
+	policy              Policy
 }
 
 // newSimulation returns a simulation with default key cache, objective and deadline.
@@ -127,6 +135,7 @@
 func newSimulationFrom(t *testing.T, o simulationConfig) *simulation {
 	sim := &simulation{
 		t: t, now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(7, 7)),
+		policy:  o.policy,
 		targets: make(map[string]*simTarget), objective: o.objective, deadline: o.deadline,
 		cold: o.cold, warm: o.cold * 3 / 10, pollInterval: time.Millisecond, reportInterval: max(minReportInterval, o.cold/50),
 		result: simulationResult{endedIn: make(map[int64]int), perSecond: make(map[string]map[int]int), regions: make(map[int]map[string]float64)},
@@ -157,7 +166,7 @@
 	}
 	for _, name := range names {
 		b := New(Options{
-			VM: name, Zone: region + "1", Region: region, RegionOf: regionOf,
+			VM: name, Zone: region + "1", Region: region, RegionOf: regionOf, Policy: sim.policy,
 			RTT: func(to string) time.Duration {
 				if to == region {
 					return time.Millisecond
@@ -204,6 +213,9 @@
 			}
 		}
 	}
+	if sim.exchanged != nil {
+		sim.exchanged()
+	}
 	for _, b := range sim.balancers {
 		b.Tick(sim.now)
 	}
@@ -281,6 +293,9 @@
 	if d.Target == nil {
 		sim.result.rejected++
 		sim.returnCaller(vm, r, d.RetryAfter)
+		if sim.refused != nil {
+			sim.refused(vm, r, d)
+		}
 		return
 	}
 	s := sim.targets[d.Target.ID]
@@ -313,6 +328,9 @@
 				} else {
 					sim.result.inObjective++
 				}
+				if sim.answered != nil && end == Answered {
+					sim.answered(r)
+				}
 				sim.result.endedIn[sim.now.Unix()]++
 				sim.balancers[vm].Done(sim.now, d, sim.classes[vm], end, sim.now.Sub(sent))
 			})
--- /dev/null
+++ b/edge/placing/workingset_decide.go
@@ -0,0 +1,134 @@
+package placing
+
+import (
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/edge/workingset"
+)
+
+// SetWorkingSetRole sets this VM's part in the decisions on its region.
+func (b *Balancer) SetWorkingSetRole(role WorkingSetRole) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sets.role = role
+}
+
+// tickWorkingSets decides on the working sets of this region if that is this VM's task, and lets the
+// fractions of regions grow whose VMs are not heard.
+func (b *Balancer) tickWorkingSets(now time.Time) {
+	if !b.options.Policy.WorkingSet {
+		return
+	}
+	if b.sets.firstTick.IsZero() {
+		b.sets.firstTick = now
+	}
+	if now.Sub(b.sets.steppedAt) < workingset.StepInterval {
+		return
+	}
+	b.sets.steppedAt = now
+	for name, p := range b.sets.loads {
+		if now.Sub(p.at) >= workingSetLoadTTL {
+			delete(b.sets.loads, name)
+		}
+	}
+	if b.decidesWorkingSets(now) {
+		b.decideWorkingSets(now)
+	}
+	for _, ring := range b.sets.rings {
+		ring.Tick(now)
+	}
+}
+
+// decidesWorkingSets reports whether this VM decides now. A standby that has begun to decide goes on until
+// it hears from the VM whose task it is.
+func (b *Balancer) decidesWorkingSets(now time.Time) bool {
+	switch b.sets.role {
+	case WorkingSetDecider:
+		return now.Sub(b.sets.firstTick) >= workingSetListening
+	case WorkingSetStandby:
+		ring := b.ring(now, b.options.Region)
+		decider, _ := ring.Decider()
+		return ring.Limits() && (decider == b.options.VM || ring.IsSilent(now))
+	}
+	return false
+}
+
+// decideWorkingSets makes one step for all services of this region that have had requests which may run
+// here only.
+func (b *Balancer) decideWorkingSets(now time.Time) {
+	region := b.options.Region
+	ring := b.ring(now, region)
+	measured := b.measuredScopes(now)
+	scopes := make(map[workingset.ScopeID]workingset.Fractions)
+	for _, s := range b.services {
+		c := b.scopeIn(now, s, region)
+		f := ring.Fractions(c.id)
+		m := measured[c.id]
+		if m == nil && !f.Limits() {
+			c.controller = nil
+			continue
+		}
+		if m == nil {
+			m = &workingset.Measured{}
+		}
+		b.measureRegion(now, s, c, m)
+		if c.controller == nil {
+			c.controller = workingset.NewController(f)
+		}
+		scopes[c.id], c.decided = c.controller.Step(f, m)
+	}
+	if len(scopes) > 0 {
+		ring.Decide(now, b.options.VM, scopes)
+	}
+}
+
+// measureRegion adds the slots of a region and those that requests outside the scope hold.
+func (b *Balancer) measureRegion(now time.Time, s *service, c *scope, m *workingset.Measured) {
+	s.resetLoads()
+	l := s.loadOf(now, b.options.Region)
+	others := max(0, float64(l.inFlight-m.Total().InFlight))
+	c.others += othersSmoothing * (others - c.others)
+	m.Slots, m.Others = l.slots, c.others
+}
+
+// measuredScopes returns the load of all VMs by scope.
+func (b *Balancer) measuredScopes(now time.Time) map[workingset.ScopeID]*workingset.Measured {
+	sums := make(map[workingset.ScopeID]*workingset.Measured)
+	add := func(loads []workingset.RankLoad) {
+		for _, l := range loads {
+			if sums[l.Scope] == nil {
+				sums[l.Scope] = &workingset.Measured{}
+			}
+			sums[l.Scope].Add(l.Rank, l.Load)
+		}
+	}
+	add(b.ownLoads(now))
+	for _, p := range b.sets.loads {
+		if now.Sub(p.at) < workingSetLoadTTL {
+			add(p.loads)
+		}
+	}
+	return sums
+}
+
+// ownLoads returns what this VM has measured.
+func (b *Balancer) ownLoads(now time.Time) (loads []workingset.RankLoad) {
+	for _, s := range b.services {
+		for _, c := range s.scopes {
+			for rank := range c.meters {
+				l := c.meters[rank].Load(now)
+				if l.Arrivals >= minReportedRate || l.Busy >= minReportedBusy || l.InFlight > 0 {
+					loads = append(loads, workingset.RankLoad{Scope: c.id, Rank: rank, Load: l})
+				}
+			}
+		}
+	}
+	return loads
+}
+
+const (
+	// minReportedRate (requests a second) and minReportedBusy (per second) are the least rates that are
+	// reported: a scope without requests is left out ten seconds after its last one.
+	minReportedRate = 0.01
+	minReportedBusy = 5 * time.Millisecond
+)
