--- a/edge/entry/workingsets.go
+++ b/edge/entry/workingsets.go
@@ -28,6 +28,7 @@
 type workingSets struct {
 	entry *Entry
 	log   *logrus.Entry
+	scope tally.Scope
 	on    bool
 
 	mu sync.Mutex
@@ -51,7 +52,8 @@
 
 func newWorkingSets(e *Entry) *workingSets {
 	return &workingSets{
-		entry: e, log: e.component("workingsets"), on: e.options.Policy.WorkingSet, known: make(map[workingSetTags]*knownWorkingSet),
+		entry: e, log: e.component("workingsets"), scope: e.metrics.Scope, on: e.options.Policy.WorkingSet,
+		known: make(map[workingSetTags]*knownWorkingSet),
 	}
 }
 
@@ -114,7 +116,7 @@
 		return
 	}
 	w.entry.balancer.SetWorkingSetRole(w.role())
-	for _, set := range w.entry.balancer.WorkingSets() {
+	for _, set := range w.entry.balancer.WorkingSets(now) {
 		w.observe(&set)
 	}
 }
@@ -138,7 +140,7 @@
 	tags := workingSetTags{set.Service, set.Region}
 	known := w.known[tags]
 	if known == nil {
-		scope := w.entry.metrics.Scope.Tagged(map[string]string{"service": set.Service, "region": set.Region})
+		scope := w.scope.Tagged(map[string]string{"service": set.Service, "region": set.Region})
 		known = &knownWorkingSet{
 			logged: workingset.AllAdmitted(), fraction: scope.Gauge("working_set_fraction"), refusals: scope.Counter("working_set_refused"),
 		}
--- a/edge/placing/workingset_messages.go
+++ b/edge/placing/workingset_messages.go
@@ -112,23 +112,21 @@
 	Decided workingset.Decided
 }
 
-// WorkingSets returns the view of this VM of all scopes that are limited or have had requests here.
-func (b *Balancer) WorkingSets() (sets []WorkingSet) {
+// WorkingSets returns the view of this VM of all scopes that have been limited or have had requests here.
+func (b *Balancer) WorkingSets(now time.Time) (sets []WorkingSet) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for region, ring := range b.sets.rings {
 		for _, s := range b.services {
-			c := s.scopes[region]
 			f := ring.Fractions(workingset.ScopeOf(s.Name, region))
-			if c == nil && !f.Limits() {
+			if s.scopes[region] == nil && !f.Limits() {
 				continue
 			}
-			w := WorkingSet{Service: s.Name, Region: region, Fractions: f}
+			// Keeps a scope that was limited once, so that its end is seen too.
+			c := b.scopeIn(now, s, region)
+			w := WorkingSet{Service: s.Name, Region: region, Fractions: f, Refused: c.refused}
 			w.Decider, _ = ring.Decider()
-			if c != nil {
-				w.Refused = c.refused
-			}
-			if c != nil && w.Decider == b.options.VM {
+			if w.Decider == b.options.VM {
 				w.Decided = c.decided
 			}
 			sets = append(sets, w)
