--- a/edge/exchange/state.go
+++ b/edge/exchange/state.go
@@ -51,6 +51,10 @@
 	// Limits are some of the newest observations of limits that targets have stated. They are in
 	// few reports.
 	Limits []ratelimit.Announced `msgpack:"q,omitempty"`
+	// WorkingLoad is the load of the working sets, of the VM or of its region if Sum is true, and Arcs are
+	// the arcs of its region, both as package workingset encodes them. They are in few reports.
+	WorkingLoad []byte   `msgpack:"wl,omitempty"`
+	Arcs        [][]byte `msgpack:"ws,omitempty"`
 	// NoDigest is true if the VM expects digests and receives none.
 	NoDigest bool `msgpack:"f,omitempty"`
 	// Digest is set if an aggregator sends to VMs that are not aggregators.
@@ -74,6 +78,8 @@
 	SlowTargets SlowTargets `msgpack:"tl,omitempty"`
 	// Restricted is as that of State.
 	Restricted Restricted `msgpack:"rd,omitempty"`
+	// Arcs are those of all regions, in digests with details.
+	Arcs [][]byte `msgpack:"ws,omitempty"`
 	// Details is set in every detailedDigestEvery-th digest.
 	Details *DigestDetails `msgpack:"r,omitempty"`
 }
--- a/edge/placing/balancer.go
+++ b/edge/placing/balancer.go
@@ -56,6 +56,7 @@
 	statements statements
 	// held are the targets whose stated counts are newer than the reports of other VMs.
 	held []*Target
+	sets workingSets
 	// lossAt is when capacity was last lost unexpectedly.
 	lossAt time.Time
 }
@@ -66,7 +67,7 @@
 		options: o, hash: HashOf(o.VM), names: namesOf(o),
 		services: make(map[string]*service), peers: make(map[string]*PeerReport), remote: make(map[uint32]*remoteCount),
 		tolerance: baseTolerance, limitOf: func(*Target) RateLimit { return nil },
-		statements: statements{byIncarnation: make(map[uint64]*statement)},
+		statements: statements{byIncarnation: make(map[uint64]*statement)}, sets: newWorkingSets(),
 	}
 }
 
@@ -83,6 +84,9 @@
 	if s.isCutOff(r) {
 		return Decision{Reason: Unreached, RetryAfter: maxRetryAfter}, nil
 	}
+	if refusal, refused := b.admitToWorkingSet(now, s, r); refused {
+		return refusal, nil
+	}
 	if !r.AlreadyCounted {
 		s.demand.add(now, b.countRestricted(now, s, r))
 		b.stepWeights(now, s)
@@ -135,11 +139,13 @@
 		t.markWarm(r.Key, now)
 	}
 	pace, loadAge := t.load.lastPace(now)
-	return Decision{
+	d := Decision{
 		Target: t, Region: region, Warm: warm, Expected: t.expected(now, cost), Pace: pace, LoadAge: loadAge,
 		InFlight: t.inFlight() - 1, Slots: t.Slots, CountsAge: b.countsAge(now),
 		FailuresAreWidespread: s.failures.areWidespread(),
-	}, true
+	}
+	d.startInWorkingSet(b.scopeOf(now, s, r), r)
+	return d, true
 }
 
 // rejectLate rejects a request that would end too late if it were queued.
--- a/edge/placing/serve.go
+++ b/edge/placing/serve.go
@@ -15,6 +15,7 @@
 	defer b.mu.Unlock()
 	b.expirePeers(now)
 	b.releaseHeld(now)
+	b.tickWorkingSets(now)
 	b.serveAll(now)
 }
 
@@ -59,6 +60,9 @@
 			w.region = region
 		}
 	}
+	if refusal, refused := b.leftWorkingSet(now, s, w.request); refused {
+		return refusal, true
+	}
 	if d, ok := b.assign(now, s, w.request, w.region); ok {
 		return d, true
 	}
--- a/edge/placing/simulation_test.go
+++ b/edge/placing/simulation_test.go
@@ -35,8 +35,15 @@
 	// moments, if set, makes machines slow for moments.
 	moments *moments
 	// ended, if set, is called at the end of each request, and if it is rejected.
-	ended  func(r *Request, inObjective bool)
-	result simulationResult
+	ended func(r *Request, inObjective bool)
+	// policy is that of all VMs.
+	policy Policy
+	// refused, if set, is told of each refusal, exchanged of each exchange of reports.
+	refused   func(vm int, r *Request, d Decision)
+	exchanged func()
+	// answered, if set, is told of each answer that comes before the deadline.
+	answered func(r *Request)
+	result   simulationResult
 }
 
 type simulationResult struct {
@@ -119,6 +126,7 @@
 	// warmKeys is the size of a target's key cache.
 	warmKeys            int
 	objective, deadline time.Duration
+	policy              Policy
 }
 
 // newSimulation returns a simulation with default key cache, objective and deadline.
@@ -132,6 +140,7 @@
 func newSimulationFrom(t *testing.T, o simulationConfig) *simulation {
 	sim := &simulation{
 		t: t, now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(7, 7)),
+		policy:  o.policy,
 		targets: make(map[string]*simTarget), objective: o.objective, deadline: o.deadline,
 		cold: o.cold, warm: o.cold * 3 / 10, pollInterval: time.Millisecond, reportInterval: max(minReportInterval, o.cold/50),
 		result: simulationResult{endedIn: make(map[int64]int), perSecond: make(map[string]map[int]int), regions: make(map[int]map[string]float64)},
@@ -162,7 +171,7 @@
 	}
 	for _, name := range names {
 		b := New(Options{
-			VM: name, Zone: region + "1", Region: region, RegionOf: regionOf,
+			VM: name, Zone: region + "1", Region: region, RegionOf: regionOf, Policy: sim.policy,
 			RTT: func(to string) time.Duration {
 				if to == region {
 					return time.Millisecond
@@ -211,6 +220,9 @@
 		}
 	}
 	sim.moments.exchange(sim)
+	if sim.exchanged != nil {
+		sim.exchanged()
+	}
 	for _, b := range sim.balancers {
 		b.Tick(sim.now)
 	}
@@ -289,6 +301,9 @@
 		sim.result.rejected++
 		sim.countEnd(r, false)
 		sim.returnCaller(vm, r, d.RetryAfter)
+		if sim.refused != nil {
+			sim.refused(vm, r, d)
+		}
 		return
 	}
 	s := sim.targets[d.Target.ID]
@@ -323,6 +338,9 @@
 				} else {
 					sim.result.inObjective++
 				}
+				if sim.answered != nil && end == Answered {
+					sim.answered(r)
+				}
 				sim.result.endedIn[sim.now.Unix()]++
 				sim.moments.answered(sim, vm, d, unexpected, sim.now.Sub(sent))
 				sim.countEnd(r, !sim.now.After(r.Objective))
