returns: refused callers get a time at which they are served

Cause: requests that one region only may run were refused with a Retry-After of at most 0.7 s while no capacity became free for seconds. Each caller came back and was refused again, and callers that came back at once were served more often than the others. Change: package edge/returns, a ledger of promises for each service and region. placing.Policy.Returns (off in the settings still) lets placing promise places at PromisedShare of this VM's part of the region, put returned requests before others of their rank, refuse early ones with the same time, count promises for new requests, and leave the last place in the queue of each target to returned requests. The caller's own deadline is passed to the owner of the key, as it identifies the tries of one caller. Log fields promised_ms and promise, counters returns_promised, returns_kept and returns_lapsed. The mean occupancy that promises use has no bias after few samples.

--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -345,6 +345,7 @@
 		e.quarantine.Tick(ctx, now, e.members.IsWatchLeader(e.now()))
 		e.gatewayMetrics.setQuarantine(e.quarantine.Counts())
 		e.gatewayMetrics.setStatements(e.balancer.Statements(now))
+		e.gatewayMetrics.countReturns(e.balancer.ReturnTotals())
 		e.gateway.Probe(ctx, e.healthPath)
 		e.gateway.CheckReach(ctx, e.healthPath)
 		e.gatewayMetrics.setReach(e.gateway.Reach(now))
--- a/edge/entry/gatewaymetrics.go
+++ b/edge/entry/gatewaymetrics.go
@@ -31,6 +31,8 @@
 	// targetCrashes are keyed by service.
 	targetCrashes map[string]tally.Counter
 	reach         map[reach.Group]tally.Gauge
+	// returnTotals are those that the counters have.
+	returnTotals returnTotals
 }
 
 type requestTags struct {
@@ -162,6 +164,18 @@
 	c.scope.Gauge("targets_resting").Update(float64(resting))
 }
 
+// returnTotals are the promises to refused callers since the start of this VM.
+type returnTotals struct{ promised, kept, lapsed int64 }
+
+// countReturns updates the counters of promises to their totals. Only one goroutine may call it.
+func (c *gatewayMetrics) countReturns(promised, kept, lapsed int64) {
+	old := c.returnTotals
+	c.scope.Counter("returns_promised").Inc(promised - old.promised)
+	c.scope.Counter("returns_kept").Inc(kept - old.kept)
+	c.scope.Counter("returns_lapsed").Inc(lapsed - old.lapsed)
+	c.returnTotals = returnTotals{promised, kept, lapsed}
+}
+
 // setReplica updates the gauges of the store's state that this VM holds: the era and revision number.
 func (c *gatewayMetrics) setReplica(at store.Revision) {
 	c.scope.Gauge("replica_era").Update(float64(at.Era()))
--- a/edge/gateway/delegate.go
+++ b/edge/gateway/delegate.go
@@ -34,6 +34,9 @@
 	// it to, and how many milliseconds it has had the request.
 	fieldAttempts = "Yucca-Delegated-Attempts"
 	fieldElapsed  = "Yucca-Delegated-Elapsed-Ms"
+	// fieldGivesUp carries, on a delegated request, in how many milliseconds the caller stops waiting, if
+	// it has stated that. The request's own deadline may be earlier.
+	fieldGivesUp = "Yucca-Delegated-Gives-Up-Ms"
 	// fieldOwnerMillis carries, on an owner's answer, the owner's processing time.
 	fieldOwnerMillis = "Yucca-Delegated-Took-Ms"
 	// fieldLeavingTarget carries, on an owner's answer, the incarnation of the target that has given it
@@ -44,7 +47,7 @@
 )
 
 // delegatedFields are those of a delegated request.
-var delegatedFields = []string{fieldVersion, fieldAccount, fieldKeyDigest, fieldReason, fieldFrom, fieldAttempts, fieldElapsed}
+var delegatedFields = []string{fieldVersion, fieldAccount, fieldKeyDigest, fieldReason, fieldFrom, fieldAttempts, fieldElapsed, fieldGivesUp}
 
 // Reasons to decline a delegated request.
 const (
@@ -117,6 +120,9 @@
 	if millis, err := strconv.ParseInt(r.in.Header.Get(fieldElapsed), 10, 64); err == nil && millis > 0 {
 		r.elapsed = time.Duration(millis) * time.Millisecond
 	}
+	if millis, err := strconv.ParseInt(r.in.Header.Get(fieldGivesUp), 10, 64); err == nil {
+		r.givesUp = r.in.Arrived.Add(time.Duration(millis) * time.Millisecond)
+	}
 	r.log.from = r.in.Header.Get(fieldFrom)
 }
 
@@ -236,6 +242,9 @@
 	if r.attempts > 0 {
 		out.Header.Set(fieldAttempts, strconv.Itoa(r.attempts))
 	}
+	if !r.givesUp.IsZero() {
+		out.Header.Set(fieldGivesUp, strconv.FormatInt(time.Until(r.givesUp).Milliseconds(), 10))
+	}
 	if r.identity.Account != nil {
 		out.Header.Set(fieldAccount, r.identity.Account.Name)
 		out.Header.Set(fieldKeyDigest, r.identity.Digest.String())
--- a/edge/gateway/serve.go
+++ b/edge/gateway/serve.go
@@ -13,6 +13,7 @@
 	"github.com/yuccaroute/yuccaroute/edge/owners"
 	"github.com/yuccaroute/yuccaroute/edge/placing"
 	"github.com/yuccaroute/yuccaroute/edge/quarantine"
+	"github.com/yuccaroute/yuccaroute/edge/returns"
 	"github.com/yuccaroute/yuccaroute/edge/route"
 	"github.com/yuccaroute/yuccaroute/edge/serve"
 	"github.com/yuccaroute/yuccaroute/proxy/forward"
@@ -40,7 +41,9 @@
 	placement placing.Request
 	// deadline is the earlier of the caller's deadline and the route's timeout.
 	deadline time.Time
-	out      forward.Request
+	// givesUp is the caller's deadline; zero if it has stated none.
+	givesUp time.Time
+	out     forward.Request
 	// attempts counts the attempts at targets, mayHaveRun reports whether one may have run.
 	attempts   int
 	mayHaveRun bool
@@ -145,7 +148,7 @@
 		Service: r.service, Class: r.class,
 		Key: placing.HashOf(r.route.Prefix + key), HasKey: hasKey,
 		Large: isLarge(r), Priority: r.route.Priority,
-		Objective: r.in.Arrived.Add(r.route.Objective - r.elapsed), Deadline: r.deadline,
+		Objective: r.in.Arrived.Add(r.route.Objective - r.elapsed), Deadline: r.deadline, GivesUp: r.givesUp,
 	}
 	r.placement.Allowed = r.allowed()
 	if r.identity.Account != nil {
@@ -183,6 +186,9 @@
 			return 0, false
 		}
 		left = time.Duration(millis*float64(time.Millisecond)) - deadlineMargin
+		if !r.fromPeer {
+			r.givesUp = r.in.Arrived.Add(left)
+		}
 	}
 	if r.route.Timeout > 0 {
 		left = min(left, r.route.Timeout-r.elapsed)
@@ -249,6 +255,12 @@
 	if t.verdict.Status != quarantine.Clear {
 		line["targets_ended"], line["evidence_age_ms"] = t.verdict.Targets, t.verdict.Age.Milliseconds()
 	}
+	if t.decision.Promised > 0 {
+		line["promised_ms"] = t.decision.Promised.Milliseconds()
+	}
+	if t.decision.Return != returns.New {
+		line["promise"] = t.decision.Return.String()
+	}
 	if len(t.targets) == 0 {
 		return
 	}
--- a/edge/placing/balancer.go
+++ b/edge/placing/balancer.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/yuccaroute/yuccaroute/edge/returns"
 )
 
 const (
@@ -53,6 +55,8 @@
 	// limitOf returns the limit that a target has stated.
 	limitOf    func(t *Target) RateLimit
 	statements statements
+	// returnTotals bounds and counts the promises to refused callers.
+	returnTotals returns.Totals
 	// lossAt is when capacity was last lost unexpectedly.
 	lossAt time.Time
 }
@@ -80,6 +84,9 @@
 	if s.isCutOff(r) {
 		return Decision{Reason: Unreached, RetryAfter: maxRetryAfter}, nil
 	}
+	if d, early := b.admitReturn(now, s, r); early {
+		return d, nil
+	}
 	if !r.AlreadyCounted {
 		s.demand.add(now, r.serviceTime())
 		b.stepWeights(now, s)
@@ -116,7 +123,7 @@
 	t, cost := s.best(now, r, region)
 	// A request that would end too late at a full target stays in the queue, where it may
 	// still get a slot that becomes free earlier.
-	if t == nil || t.full() && now.Add(cost).After(r.latestEnd()) {
+	if t == nil || t.full() && (now.Add(cost).After(r.latestEnd()) || s.isPromised(now, t, r)) {
 		return Decision{}, false
 	}
 	if t.limit != nil && !t.limit.Use() {
@@ -133,7 +140,7 @@
 	return Decision{
 		Target: t, Region: region, Warm: warm, Expected: cost,
 		InFlight: t.inFlight() - 1, Slots: t.Slots, CountsAge: b.countsAge(now),
-		FailuresAreWidespread: s.failures.areWidespread(),
+		FailuresAreWidespread: s.failures.areWidespread(), Return: r.returned,
 	}, true
 }
 
@@ -141,6 +148,7 @@
 func (b *Balancer) rejectLate(now time.Time, s *service, r *Request, region string) (Decision, bool) {
 	w := b.estimateWait(now, s, r, region, s.queue.backlog(r, region, now), permitMargin)
 	if !w.limited {
+		w.promised = b.promisedWait(now, s, r, w)
 		return b.rejectAfter(now, s, r, w, r.latestEnd())
 	}
 	if claimed, pending := s.returnsTo(region).claim(now); w.permits.stated && pending && !claimed {
@@ -151,7 +159,7 @@
 
 // rejectAfter rejects a request that would end too late after a wait.
 func (b *Balancer) rejectAfter(now time.Time, s *service, r *Request, w queueWait, latestEnd time.Time) (Decision, bool) {
-	expected := w.wait + r.serviceTime() + b.options.RTT(w.region)
+	expected := w.wait + w.promised + r.serviceTime() + b.options.RTT(w.region)
 	if !now.Add(expected).After(latestEnd) {
 		return Decision{}, false
 	}
@@ -161,6 +169,8 @@
 		d.Reason = AtRest
 	case w.limited:
 		d.Reason = NoPermit
+	default:
+		b.promiseReturn(now, s, r, w, &d)
 	}
 	return d, true
 }
--- a/edge/placing/occupancy.go
+++ b/edge/placing/occupancy.go
@@ -19,14 +19,26 @@
 type occupancy struct {
 	// mean is in seconds, meanSquare in seconds squared.
 	mean, meanSquare float64
+	// weight is the total weight of the samples in the averages, which begin at 0; it approaches 1.
+	weight float64
 }
 
 func (o *occupancy) add(took time.Duration) {
 	seconds := took.Seconds()
 	o.mean += occupancySmoothing * (seconds - o.mean)
+	o.weight += occupancySmoothing * (1 - o.weight)
 	o.meanSquare += occupancySmoothing * (seconds*seconds - o.meanSquare)
 }
 
+// unbiasedMean returns the mean without the bias that mean has after few samples, and fallback before
+// the first one.
+func (o *occupancy) unbiasedMean(fallback time.Duration) time.Duration {
+	if o.weight <= 0 {
+		return fallback
+	}
+	return time.Duration(o.mean / o.weight * float64(time.Second))
+}
+
 // lengthBiasedMean returns the expected total time that a busy slot is held. It exceeds the
 // mean, because long requests hold slots for a greater part of the time. It returns fallback
 // before the first sample.
--- a/edge/placing/permits.go
+++ b/edge/placing/permits.go
@@ -39,6 +39,8 @@
 	// before is what is served before the request.
 	before backlog
 	wait   time.Duration
+	// promised is how much longer the wait is if promised callers come back.
+	promised time.Duration
 	// limited is set if the wait is for a permit too.
 	limited bool
 	permits permits
@@ -126,12 +128,12 @@
 	return max(0, l.next.Sub(now)), time.Duration(float64(time.Second) / l.rate)
 }
 
-// returns holds the times at which rejected callers have been told to come back to a region whose
+// permitReturns holds the times at which rejected callers have been told to come back to a region whose
 // rates are limited, one for each permit, in ascending order.
-type returns struct{ due []time.Time }
+type permitReturns struct{ due []time.Time }
 
 // claim takes the place of a caller that is due now. pending is true if callers are due later.
-func (n *returns) claim(now time.Time) (claimed, pending bool) {
+func (n *permitReturns) claim(now time.Time) (claimed, pending bool) {
 	for len(n.due) > 0 && now.Sub(n.due[0]) > maxReturnDelay {
 		n.due = n.due[1:]
 	}
@@ -144,7 +146,7 @@
 
 // next returns the time after which one more caller should come back. A caller that will not, as its
 // deadline is before that, gets the time but takes no place.
-func (n *returns) next(now time.Time, p permits, before int, deadline time.Time) time.Duration {
+func (n *permitReturns) next(now time.Time, p permits, before int, deadline time.Time) time.Duration {
 	wait := p.wait(before)
 	if len(n.due) > 0 && p.perSecond > 0 {
 		last := n.due[len(n.due)-1]
--- a/edge/placing/queue.go
+++ b/edge/placing/queue.go
@@ -22,7 +22,8 @@
 type waitQueue struct{ waiting []*Waiter }
 
 // less orders the queue: first requests that can still meet their latency objective, then
-// by priority of the account and of the route, then by earliest objective.
+// by priority of the account and of the route, then those that have come back as promised, then by
+// earliest objective.
 func (w *Waiter) less(other *Waiter, now time.Time) bool {
 	a, b := w.request, other.request
 	if late := a.missesObjective(now); late != b.missesObjective(now) {
@@ -34,6 +35,9 @@
 	if a.Priority != b.Priority {
 		return a.Priority < b.Priority
 	}
+	if kept := a.keepsPromise(); kept != b.keepsPromise() {
+		return kept
+	}
 	return a.Objective.Before(b.Objective)
 }
 
--- a/edge/placing/request.go
+++ b/edge/placing/request.go
@@ -1,6 +1,10 @@
 package placing
 
-import "time"
+import (
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/edge/returns"
+)
 
 // Request holds the properties of a request that decide its placement.
 type Request struct {
@@ -20,10 +24,15 @@
 	AccountPriority, Priority int
 	// Objective is when the response is due, Deadline when the request times out.
 	Objective, Deadline time.Time
+	// GivesUp is when the caller stops waiting and repeating the request, as it has stated; zero if it
+	// has not. It may be later than Deadline.
+	GivesUp time.Time
 	// Tried are the targets that must not get the request again.
 	Tried []*Target
 	// AlreadyCounted is set for retries and hedges, which do not count as new demand.
 	AlreadyCounted bool
+	// returned is what is known of the request from earlier refusals.
+	returned returns.Status
 }
 
 func (r *Request) allows(region string) bool { return r.Allowed == nil || r.Allowed(region) }
@@ -122,6 +131,9 @@
 	// FailuresAreWidespread is set if so many targets of the service fail that a refused
 	// request may be retried on the same one.
 	FailuresAreWidespread bool
-	// RetryAfter is when the caller should retry a rejected request.
-	RetryAfter time.Duration
+	// RetryAfter is when the caller should retry a rejected request. Promised equals it if a place is
+	// reserved for the caller then, and is 0 otherwise.
+	RetryAfter, Promised time.Duration
+	// Return is what is known of the request from earlier refusals.
+	Return returns.Status
 }
--- a/edge/placing/serve.go
+++ b/edge/placing/serve.go
@@ -14,6 +14,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.expirePeers(now)
+	b.expirePromises(now)
 	b.serveAll(now)
 }
 
--- a/edge/placing/service.go
+++ b/edge/placing/service.go
@@ -21,15 +21,17 @@
 	rejectedAt time.Time
 	weights    regionWeights
 	// returns holds those of each region.
-	returns map[string]*returns
+	returns map[string]*permitReturns
+	// promises holds the promises to refused callers by region, for Policy.Returns.
+	promises map[string]*promises
 	// unreached holds the regions whose targets this VM does not reach.
 	unreached map[string]bool
 }
 
 func newService(s site.Service) *service {
 	return &service{
-		Service: s, targets: make(map[string]*Target), regions: make(map[string][]*Target), loads: make(loads), returns: make(map[string]*returns),
-		unreached: make(map[string]bool),
+		Service: s, targets: make(map[string]*Target), regions: make(map[string][]*Target), loads: make(loads), returns: make(map[string]*permitReturns),
+		promises: make(map[string]*promises), unreached: make(map[string]bool),
 	}
 }
 
@@ -76,10 +78,10 @@
 	return d
 }
 
-func (s *service) returnsTo(region string) *returns {
+func (s *service) returnsTo(region string) *permitReturns {
 	n := s.returns[region]
 	if n == nil {
-		n = &returns{}
+		n = &permitReturns{}
 		s.returns[region] = n
 	}
 	return n
--- a/edge/placing/simulation_test.go
+++ b/edge/placing/simulation_test.go
@@ -30,6 +30,8 @@
 	routeByOwner bool
 	// pollInterval is how often a queued request looks for its decision.
 	pollInterval time.Duration
+	// decided, if set, is called with each decision.
+	decided func(vm int, r *Request, d Decision)
 	// overload, if set, lets full targets refuse requests.
 	overload *overload
 	result   simulationResult
@@ -278,6 +280,9 @@
 }
 
 func (sim *simulation) handleDecision(vm int, r *Request, d Decision) {
+	if sim.decided != nil {
+		sim.decided(vm, r, d)
+	}
 	if d.Target == nil {
 		sim.result.rejected++
 		sim.returnCaller(vm, r, d.RetryAfter)
