--- a/edge/entry/gatewaymetrics_test.go
+++ b/edge/entry/gatewaymetrics_test.go
@@ -25,3 +25,18 @@
 		t.Errorf("counter of the others: %v", c)
 	}
 }
+
+// The totals of promises must not be counted again at each update.
+func TestReturnsAreCountedOnce(t *testing.T) {
+	scope := tally.NewTestScope("", nil)
+	m := newGatewayMetrics(scope)
+	for range 2 {
+		m.countReturns(5, 3, 1)
+	}
+	counters := scope.Snapshot().Counters()
+	for name, want := range map[string]int64{"returns_promised+": 5, "returns_kept+": 3, "returns_lapsed+": 1} {
+		if c := counters[name]; c == nil || c.Value() != want {
+			t.Errorf("%s %v, want %d", name, c, want)
+		}
+	}
+}
--- a/edge/returns/ledger_test.go
+++ b/edge/returns/ledger_test.go
@@ -142,6 +142,17 @@
 	}
 }
 
+// A caller that comes back at once and starts its deadline anew looks like many callers of its key; it must
+// not get the places of other keys.
+func TestKeyGetsAtMostAPartOfThePlaces(t *testing.T) {
+	l := NewLedger(&Totals{})
+	for i := range time.Duration(10) {
+		if _, reserved := l.Promise(start, caller(1, start.Add(i*time.Second)), Offer{Latest: start.Add(time.Second)}); reserved != (i < minPerKey) {
+			t.Errorf("try %d: reserved %v", i, reserved)
+		}
+	}
+}
+
 // Any sequence of refusals and returns leaves nothing once all promises have lapsed. Each promise is kept or lapses once.
 func TestLedgersForgetWhatHasLapsed(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
