placing: time between two promises stays finite beside a target without usable slots

Cause: a target whose slots are 0, or whose limit is 0, would give an infinite time between promises. Change: the usable slots in that ratio have a lower bound, as those of the VM have.

--- a/edge/placing/returns.go
+++ b/edge/placing/returns.go
@@ -88,7 +88,7 @@
 	}
 	if t := s.preferredTarget(now, r, w.region); t != nil {
 		offer.Target = t.hash
-		offer.TargetInterval = time.Duration(float64(offer.Interval) * max(1, s.slots(now, w.region)/t.usableSlots(s.occupancy.mean)))
+		offer.TargetInterval = time.Duration(float64(offer.Interval) * max(1, s.slots(now, w.region)/max(t.usableSlots(s.occupancy.mean), minPromisedSlots)))
 	}
 	wait, reserved := ledger.Promise(now, r.caller(), offer)
 	d.RetryAfter = wait
@@ -124,8 +124,8 @@
 }
 
 // isPromised reports whether the last place in the queue of a full target is kept for callers that are
-// to come back and are no less urgent than a request. Otherwise all VMs fill the queues of the targets, and a caller
-// that comes back waits for a slot that this VM gets at its own target.
+// to come back and are no less urgent than a request. Otherwise all VMs fill the queues of the targets,
+// and a caller that comes back waits for a slot that this VM gets at its own target.
 func (s *service) isPromised(now time.Time, t *Target, r *Request) bool {
 	ledger := s.promises[t.Region]
 	if ledger == nil || r.keepsPromise() || t.inFlight()+promisedQueue < t.Slots+t.queueLength(now) {
