--- a/edge/placing/balancer.go
+++ b/edge/placing/balancer.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/yuccaroute/yuccaroute/edge/returns"
 )
 
 const (
@@ -57,6 +59,8 @@
 	// held are the targets whose stated counts are newer than the reports of other VMs.
 	held []*Target
 	sets workingSets
+	// returnTotals bounds and counts the promises to refused callers.
+	returnTotals returns.Totals
 	// lossAt is when capacity was last lost unexpectedly.
 	lossAt time.Time
 }
@@ -87,6 +91,9 @@
 	if refusal, refused := b.admitToWorkingSet(now, s, r); refused {
 		return refusal, nil
 	}
+	if d, early := b.admitReturn(now, s, r); early {
+		return d, nil
+	}
 	if !r.AlreadyCounted {
 		s.demand.add(now, b.countRestricted(now, s, r))
 		b.stepWeights(now, s)
@@ -123,7 +130,7 @@
 	t, cost := s.best(now, r, region)
 	// A request that would end too late at a full target stays in the queue, where it may
 	// still get a slot that becomes free earlier.
-	if t == nil || t.full() && now.Add(cost).After(r.latestEnd()) {
+	if t == nil || t.full() && (now.Add(cost).After(r.latestEnd()) || s.isPromised(now, t, r)) {
 		return Decision{}, false
 	}
 	if t.limit != nil && !t.limit.Use() {
@@ -142,7 +149,7 @@
 	d := Decision{
 		Target: t, Region: region, Warm: warm, Expected: t.expected(now, cost), Pace: pace, LoadAge: loadAge,
 		InFlight: t.inFlight() - 1, Slots: t.Slots, CountsAge: b.countsAge(now),
-		FailuresAreWidespread: s.failures.areWidespread(),
+		FailuresAreWidespread: s.failures.areWidespread(), Return: r.returned,
 	}
 	d.startInWorkingSet(b.scopeOf(now, s, r), r)
 	return d, true
@@ -152,6 +159,7 @@
 func (b *Balancer) rejectLate(now time.Time, s *service, r *Request, region string) (Decision, bool) {
 	w := b.estimateWait(now, s, r, region, s.queue.backlog(r, region, now), permitMargin)
 	if !w.limited {
+		w.promised = b.promisedWait(now, s, r, w)
 		return b.rejectAfter(now, s, r, w, r.latestEnd())
 	}
 	if claimed, pending := s.returnsTo(region).claim(now); w.permits.stated && pending && !claimed {
@@ -162,7 +170,7 @@
 
 // rejectAfter rejects a request that would end too late after a wait.
 func (b *Balancer) rejectAfter(now time.Time, s *service, r *Request, w queueWait, latestEnd time.Time) (Decision, bool) {
-	expected := w.wait + r.serviceTime() + b.options.RTT(w.region)
+	expected := w.wait + w.promised + r.serviceTime() + b.options.RTT(w.region)
 	if !now.Add(expected).After(latestEnd) {
 		return Decision{}, false
 	}
@@ -172,6 +180,8 @@
 		d.Reason = AtRest
 	case w.limited:
 		d.Reason = NoPermit
+	default:
+		b.promiseReturn(now, s, r, w, &d)
 	}
 	return d, true
 }
--- a/edge/placing/serve.go
+++ b/edge/placing/serve.go
@@ -16,6 +16,7 @@
 	b.expirePeers(now)
 	b.releaseHeld(now)
 	b.tickWorkingSets(now)
+	b.expirePromises(now)
 	b.serveAll(now)
 }
 
--- a/edge/placing/service.go
+++ b/edge/placing/service.go
@@ -22,10 +22,12 @@
 	rejectedAt time.Time
 	weights    regionWeights
 	plan       servicePlan
-	// returns holds those of each region.
-	returns map[string]*returns
 	// scopes holds those of the regions in which working sets apply.
 	scopes map[string]*scope
+	// returns holds those of each region.
+	returns map[string]*permitReturns
+	// promises holds the promises to refused callers by region, for Policy.Returns.
+	promises map[string]*promises
 	// unreached holds the regions whose targets this VM does not reach.
 	unreached map[string]bool
 	// paces is nil until a target states its load with its pace.
@@ -34,8 +36,8 @@
 
 func newService(s site.Service) *service {
 	return &service{
-		Service: s, targets: make(map[string]*Target), regions: make(map[string][]*Target), loads: make(loads), returns: make(map[string]*returns),
-		unreached: make(map[string]bool),
+		Service: s, targets: make(map[string]*Target), regions: make(map[string][]*Target), loads: make(loads), returns: make(map[string]*permitReturns),
+		promises: make(map[string]*promises), unreached: make(map[string]bool),
 	}
 }
 
@@ -82,11 +84,27 @@
 	return d
 }
 
-func (s *service) returnsTo(region string) *returns {
+func (s *service) returnsTo(region string) *permitReturns {
 	n := s.returns[region]
 	if n == nil {
-		n = &returns{}
+		n = &permitReturns{}
 		s.returns[region] = n
 	}
 	return n
 }
+
+// onlyRegion returns the region that may run a request if there is only one with usable targets, else
+// "".
+func (s *service) onlyRegion(r *Request) string {
+	only := ""
+	for region, targets := range s.regions {
+		if !r.allows(region) || !slices.ContainsFunc(targets, func(t *Target) bool { return t.usable }) {
+			continue
+		}
+		if only != "" {
+			return ""
+		}
+		only = region
+	}
+	return only
+}
--- a/edge/placing/workingset.go
+++ b/edge/placing/workingset.go
@@ -1,7 +1,6 @@
 package placing
 
 import (
-	"slices"
 	"time"
 
 	"github.com/yuccaroute/yuccaroute/edge/workingset"
@@ -93,32 +92,15 @@
 	if !b.options.Policy.WorkingSet || r.Allowed == nil || !r.HasKey {
 		return nil
 	}
-	region, only := s.onlyRegion(r)
-	if !only {
+	region := s.onlyRegion(r)
+	if region == "" {
 		return nil
 	}
 	return b.scopeIn(now, s, region)
 }
 
-// onlyRegion returns the region with usable targets that a request may use, and false unless there is
-// exactly one.
-func (s *service) onlyRegion(r *Request) (only string, ok bool) {
-	for region, targets := range s.regions {
-		if !r.Allowed(region) || !slices.ContainsFunc(targets, isUsable) {
-			continue
-		}
-		if ok {
-			return "", false
-		}
-		only, ok = region, true
-	}
-	return only, ok
-}
-
-func isUsable(t *Target) bool { return t.usable }
-
-// rank returns the rank of a request among those of its scope.
-func (r *Request) rank() int { return workingset.RankOf(r.AccountPriority, r.Priority) }
+// workingSetRank returns the rank of a request among those of its scope.
+func (r *Request) workingSetRank() int { return workingset.RankOf(r.AccountPriority, r.Priority) }
 
 // admitToWorkingSet counts a new request whose key is admitted, and refuses one whose key is not.
 func (b *Balancer) admitToWorkingSet(now time.Time, s *service, r *Request) (refusal Decision, refused bool) {
@@ -134,7 +116,7 @@
 		return d, true
 	}
 	if !r.AlreadyCounted {
-		c.meters[r.rank()].Arrived(now)
+		c.meters[r.workingSetRank()].Arrived(now)
 	}
 	return Decision{}, false
 }
@@ -150,12 +132,12 @@
 
 // refuseOutside refuses a request whose key is not admitted, and states the turn of the key.
 func (b *Balancer) refuseOutside(now time.Time, s *service, c *scope, r *Request) (refusal Decision, refused bool) {
-	arc := c.ring.Arc(now, c.id, r.rank())
+	arc := c.ring.Arc(now, c.id, r.workingSetRank())
 	if arc.Admits(r.Key) {
 		return Decision{}, false
 	}
 	c.refused++
-	region, _ := s.onlyRegion(r)
+	region := s.onlyRegion(r)
 	l := s.loadOf(now, region)
 	return Decision{
 		Reason: NotInWorkingSet, Region: region, Slots: int(l.slots), InFlight: l.inFlight,
@@ -168,7 +150,7 @@
 	if c == nil {
 		return
 	}
-	d.scope, d.rank = c, r.rank()
+	d.scope, d.rank = c, r.workingSetRank()
 	c.meters[d.rank].Started()
 }
 
