placing: region plans list sets that only other VMs use

Cause: the gauge region_demand lacked demand by sets of regions that this VM's own callers do not use. Change: Balancer.RegionPlans lists each set with demand in a valid report, without weights. Result: TestRegionPlansListSetsOfOtherVMs passes, and fails without the change.

--- a/edge/placing/planstatus.go
+++ b/edge/placing/planstatus.go
@@ -15,7 +15,8 @@
 	Regions    []string
 	Restricted bool
 	// Weights are the fractions of the requests of this VM's callers by region, Planned what the
-	// weights move to, nil if no demand is restricted.
+	// weights move to, nil if no demand is restricted. Both are nil for a restricted set that only
+	// other VMs report.
 	Weights, Planned map[string]float64
 	// Demand of each region's callers for the service that may use the same regions, and Capacity of
 	// each region, in slots.
@@ -24,8 +25,9 @@
 	ReportAge time.Duration
 }
 
-// RegionPlans returns the region plans of all services, none if the region plan is off. Weights are
-// unknown before the first request.
+// RegionPlans returns the region plans of all services, none if the region plan is off. Each set of
+// regions with demand of this VM or of a valid report is listed. Weights are unknown before the first
+// request.
 func (b *Balancer) RegionPlans(now time.Time) []PlanStatus {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -41,10 +43,24 @@
 		for set, source := range s.plan.restricted {
 			list = append(list, b.planStatus(now, s, set, demand, &source.weights, source.planned))
 		}
+		for set := range s.plan.setsOfOthers(demand, b.names.all()) {
+			list = append(list, b.planStatus(now, s, set, demand, &regionWeights{}, nil))
+		}
 	}
 	return list
 }
 
+// setsOfOthers returns the restricted sets that have demand, but none from this VM's callers.
+func (p *servicePlan) setsOfOthers(demand map[regionplan.Source]float64, all regionplan.Set) map[regionplan.Set]bool {
+	sets := make(map[regionplan.Set]bool)
+	for source := range demand {
+		if source.Allowed != all && p.restricted[source.Allowed] == nil {
+			sets[source.Allowed] = true
+		}
+	}
+	return sets
+}
+
 func (b *Balancer) planStatus(now time.Time, s *service, set regionplan.Set, demand map[regionplan.Source]float64, w *regionWeights, planned map[string]float64) PlanStatus {
 	p := PlanStatus{
 		Service: s.Name, Regions: b.names.namesIn(set), Restricted: set != b.names.all(),
--- a/edge/placing/regionplan_test.go
+++ b/edge/placing/regionplan_test.go
@@ -344,3 +344,29 @@
 		t.Errorf("demand %v, own %v", got, own)
 	}
 }
+
+// Guards against a status, and so a gauge of demand, that lacks demand by sets which only other VMs use.
+func TestRegionPlansListSetsOfOtherVMs(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := planBalancer(now, "a")
+	b.SetPeerReport(now, "peers", peerDemand(now, "b", 5, map[uint32]float64{onlyB: 2}))
+	total, listed := 0.0, 0
+	for _, p := range b.RegionPlans(now) {
+		total += p.Demand["b"]
+		if !p.Restricted {
+			continue
+		}
+		listed++
+		if len(p.Regions) != 1 || p.Regions[0] != "b" || p.Demand["b"] != 2 || p.Weights != nil || p.Planned != nil {
+			t.Errorf("%+v", p)
+		}
+	}
+	if listed != 1 || total != 5 {
+		t.Errorf("%d restricted sets, demand %v in all", listed, total)
+	}
+	for _, p := range b.RegionPlans(now.Add(peerTTL)) {
+		if p.Restricted {
+			t.Errorf("after the report expired: %+v", p)
+		}
+	}
+}
