regionplan: test of fractions fails for NaN and draws extreme demand and capacity

Cause: a comparison with NaN is false, so TestFractionsRespectSets passed if all fractions were NaN. Change: the conditions are negated; demand of 1e-12 and 1e7 slots and capacity below 1 are drawn. Comments that called demand pretended, or named a region that is an argument, are corrected.

--- a/edge/placing/regionplan_test.go
+++ b/edge/placing/regionplan_test.go
@@ -164,7 +164,7 @@
 	return b
 }
 
-// peerDemand returns a report of region a's other VMs.
+// peerDemand returns a report that sums demand over several VMs of a region.
 func peerDemand(now time.Time, region string, total float64, restricted map[uint32]float64) *PeerReport {
 	return &PeerReport{
 		Demand:     map[string]map[string]float64{region: {serviceName: total}},
--- a/edge/regionplan/regionplan_test.go
+++ b/edge/regionplan/regionplan_test.go
@@ -64,20 +64,28 @@
 	return loads
 }
 
-// Guards against plans that lose requests, or send them where they may not run.
+// Guards against plans that lose requests, or send them where they may not run, also with demand and
+// capacity far from the usual.
 func TestFractionsRespectSets(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		d := drawDeployment(t)
+		for i := range d.capacity {
+			d.capacity[i] *= rapid.SampledFrom([]float64{1, 1e-3, 1e-9}).Draw(t, fmt.Sprint("scale", i))
+		}
+		for _, source := range slices.SortedFunc(maps.Keys(d.demand), bySource) {
+			d.demand[source] = rapid.SampledFrom([]float64{d.demand[source], 1e-12, 1e7}).Draw(t, "demand")
+		}
 		plan := Compute(d.capacity, d.demand)
 		for source := range d.demand {
 			sum := 0.0
 			for region, fraction := range plan[source] {
-				if fraction < 0 || fraction > 0 && !source.Allowed.Has(region) {
+				if !(fraction >= 0) || fraction > 0 && !source.Allowed.Has(region) {
 					t.Fatalf("%v: fraction %v in region %d", source, fraction, region)
 				}
 				sum += fraction
 			}
-			if math.Abs(sum-1) > 1e-9 {
+			// Written so that NaN fails, which compares false with everything.
+			if !(math.Abs(sum-1) <= 1e-9) {
 				t.Fatalf("%v: fractions %v sum to %v", source, plan[source], sum)
 			}
 		}
@@ -113,19 +121,19 @@
 }
 
 // Guards against sources that can use a single region and lose it to sources that can use others,
-// however much demand refused callers pretend.
+// however much refused callers overstate their demand.
 func TestSingleRegionSourceGetsItsRegion(t *testing.T) {
-	for _, pretended := range []float64{16, 160} {
+	for _, overstated := range []float64{16, 160} {
 		plan := Compute([]float64{72, 16, 70}, map[Source]float64{
-			{1, 0b010}: pretended, {0, 0b111}: 40, {1, 0b111}: 50, {2, 0b111}: 30, {1, 0b011}: 5,
+			{1, 0b010}: overstated, {0, 0b111}: 40, {1, 0b111}: 50, {2, 0b111}: 30, {1, 0b011}: 5,
 		})
 		for source, fractions := range plan {
 			if source.Allowed != 0b010 && fractions[1] > 0.01 {
-				t.Errorf("demand %v: %v sends %v to the full region", pretended, source, fractions)
+				t.Errorf("demand %v: %v sends %v to the full region", overstated, source, fractions)
 			}
 		}
 		if moved := plan[Source{1, 0b111}]; math.Abs(moved[0]+moved[2]-1) > 0.02 {
-			t.Errorf("demand %v: %v", pretended, moved)
+			t.Errorf("demand %v: %v", overstated, moved)
 		}
 	}
 }
