placing: cold runs count for first keyed requests only

Cause: requests without a key count with their cold time already, and retries add no demand; both raised the fraction of cold runs of their source. Change: countRun ignores them. Result: TestRegionPlanCountsColdRunsOfFirstKeyedRequests passes, and fails without the change.

--- a/edge/placing/regionplan.go
+++ b/edge/placing/regionplan.go
@@ -143,9 +143,10 @@
 	return work
 }
 
-// countRun counts whether a request that was assigned to a target runs warm there.
+// countRun counts whether a request that was assigned to a target runs warm there. Requests without a
+// key are always cold and already count with that time; retries are not new demand.
 func (b *Balancer) countRun(s *service, r *Request, warm bool) {
-	if r.Allowed == nil || len(s.plan.restricted) == 0 {
+	if r.Allowed == nil || !r.HasKey || r.AlreadyCounted || len(s.plan.restricted) == 0 {
 		return
 	}
 	source := s.plan.restricted[b.names.setOf(r)]
--- a/edge/placing/regionplan_test.go
+++ b/edge/placing/regionplan_test.go
@@ -370,3 +370,24 @@
 		}
 	}
 }
+
+// Guards against demand of a source that seems larger because of requests without a key, which count with
+// their cold time anyway, or because of retries.
+func TestRegionPlanCountsColdRunsOfFirstKeyedRequests(t *testing.T) {
+	for _, c := range []struct{ keyed, retry, counted bool }{{true, false, true}, {false, false, false}, {true, true, false}} {
+		now := time.Unix(1000, 0)
+		b := planBalancer(now, "a")
+		r := request(now, NewClass(time.Second))
+		r.Allowed = func(region string) bool { return region == "b" }
+		b.Place(now, r)
+		source := b.services[serviceName].plan.restricted[regionplan.Set(onlyB)]
+		r.Key, r.HasKey, r.AlreadyCounted = 7, c.keyed, c.retry
+		before := source.cold
+		if d, _ := b.Place(now, r); d.Target == nil {
+			t.Fatalf("%+v: not placed", c)
+		}
+		if counted := source.cold != before; counted != c.counted {
+			t.Errorf("%+v: cold fraction from %v to %v", c, before, source.cold)
+		}
+	}
+}
