placing: restricted demand beyond the total is scaled, not cut

Cause: sets were cut in the order of a map if restricted demand exceeded the total, so that the result differed between calls and VMs. Change: all sets are scaled by the total over their sum, added in a fixed order. Result: TestRegionPlanScalesRestrictedDemandToTheTotal passes, and fails without the change.

--- a/edge/placing/regionplan.go
+++ b/edge/placing/regionplan.go
@@ -249,20 +249,27 @@
 }
 
 // addSources adds the demand of one VM or of several in one region; total contains restricted.
-// Restricted demand beyond the total, and values that are no numbers, are ignored.
+// Restricted demand is scaled to the total if it exceeds it. Values that are no numbers are ignored.
 func (b *Balancer) addSources(demand map[regionplan.Source]float64, region int, total float64, restricted map[uint32]float64) {
 	if !isDemand(total) {
 		return
 	}
-	for set, slots := range restricted {
-		if set := regionplan.Set(set) & b.names.all(); b.names.isRestricted(set) && isDemand(slots) && slots >= minRestrictedDemand {
-			slots = min(slots, total)
-			demand[regionplan.Source{Region: region, Allowed: set}] += slots
-			total -= slots
+	valid := make(map[regionplan.Set]float64, len(restricted))
+	wanted := 0.0
+	// The order of additions decides the last digits, which must not differ between calls.
+	for _, key := range slices.Sorted(maps.Keys(restricted)) {
+		set, slots := regionplan.Set(key)&b.names.all(), restricted[key]
+		if b.names.isRestricted(set) && isDemand(slots) && slots >= minRestrictedDemand {
+			valid[set] += slots
+			wanted += slots
 		}
 	}
-	if total > 0 {
-		demand[regionplan.Source{Region: region, Allowed: b.names.all()}] += total
+	scale := min(1, total/wanted)
+	for set, slots := range valid {
+		demand[regionplan.Source{Region: region, Allowed: set}] += scale * slots
+	}
+	if total > wanted {
+		demand[regionplan.Source{Region: region, Allowed: b.names.all()}] += total - wanted
 	}
 }
 
--- a/edge/placing/regionplan_test.go
+++ b/edge/placing/regionplan_test.go
@@ -391,3 +391,22 @@
 		}
 	}
 }
+
+// Guards against a plan that depends on the order of a map, so that VMs with equal reports plan
+// differently, when the restricted demand exceeds the total.
+func TestRegionPlanScalesRestrictedDemandToTheTotal(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := planBalancer(now, "b")
+	b.SetPeerReport(now, "peers", peerDemand(now, "b", 3, map[uint32]float64{onlyB: 2, 0b011: 4, 0b110: 6}))
+	first := b.sourcesOf(now, b.services[serviceName])
+	for set, want := range map[regionplan.Set]float64{0b010: 0.5, 0b011: 1, 0b110: 1.5, 0b111: 0} {
+		if got := first[regionplan.Source{Region: 1, Allowed: set}]; math.Abs(got-want) > 1e-9 {
+			t.Errorf("set %b: %v, want %v", set, got, want)
+		}
+	}
+	for range 100 {
+		if again := b.sourcesOf(now, b.services[serviceName]); !maps.Equal(first, again) {
+			t.Fatalf("%v, then %v", first, again)
+		}
+	}
+}
