placing: a request steps the weights of its own set only

Cause: each request stepped the weights of all sets of its service, and asked up to four times which regions it may use. Place finds the set of regions once. Result: TestRegionPlanStepsOnlyTheRequestedSet passes, and fails if all sets are stepped.

--- a/edge/placing/balancer.go
+++ b/edge/placing/balancer.go
@@ -81,9 +81,10 @@
 	if s.isCutOff(r) {
 		return Decision{Reason: Unreached, RetryAfter: maxRetryAfter}, nil
 	}
+	r.regions = b.names.setOf(r)
 	if !r.AlreadyCounted {
 		s.demand.add(now, b.countRestricted(now, s, r))
-		b.stepWeights(now, s)
+		b.stepWeights(now, s, r.regions)
 		b.weightsFor(s, r).accrue(now)
 	}
 	region := b.regionFor(now, s, r)
@@ -186,7 +187,7 @@
 	}
 	s.resetLoads()
 	again := *r
-	again.Tried = nil
+	again.Tried, again.regions = nil, b.names.setOf(r)
 	region := b.regionFor(now, s, &again)
 	if region == "" {
 		region = b.firstRested(now, s, &again)
--- a/edge/placing/regionplan.go
+++ b/edge/placing/regionplan.go
@@ -118,10 +118,7 @@
 // service time of any request, by which its demand counts.
 func (b *Balancer) countRestricted(now time.Time, s *service, r *Request) time.Duration {
 	work := r.serviceTime()
-	if r.Allowed == nil {
-		return work
-	}
-	set := b.names.setOf(r)
+	set := r.regions
 	if set == b.names.all() {
 		return work
 	}
@@ -146,10 +143,10 @@
 // countRun counts whether a request that was assigned to a target runs warm there. Requests without a
 // key are always cold and already count with that time; retries are not new demand.
 func (b *Balancer) countRun(s *service, r *Request, warm bool) {
-	if r.Allowed == nil || !r.HasKey || r.AlreadyCounted || len(s.plan.restricted) == 0 {
+	if !r.HasKey || r.AlreadyCounted {
 		return
 	}
-	source := s.plan.restricted[b.names.setOf(r)]
+	source := s.plan.restricted[r.regions]
 	if source == nil {
 		return
 	}
@@ -162,19 +159,16 @@
 
 // weightsFor returns the weights of the requests that may use the same regions as r.
 func (b *Balancer) weightsFor(s *service, r *Request) *regionWeights {
-	if len(s.plan.restricted) == 0 || r.Allowed == nil {
-		return &s.weights
-	}
-	if source := s.plan.restricted[b.names.setOf(r)]; source != nil && source.weights.weight != nil {
+	if source := s.plan.restricted[r.regions]; source != nil && source.weights.weight != nil {
 		return &source.weights
 	}
 	return &s.weights
 }
 
-// stepPlan updates the region plan if it is due, and moves the weights of the restricted sources
-// towards it. It returns the weights planned for unrestricted callers, or false if no demand is
-// restricted.
-func (b *Balancer) stepPlan(now time.Time, s *service, capacity map[string]float64, rate float64) (map[string]float64, bool) {
+// stepPlan updates the region plan if it is due, and moves the weights of the source of a request
+// towards it if that is restricted. The weights of other sources are not read before their next
+// request. It returns the weights planned for unrestricted callers, or false if no demand is restricted.
+func (b *Balancer) stepPlan(now time.Time, s *service, set regionplan.Set, capacity map[string]float64, rate float64) (map[string]float64, bool) {
 	if len(b.names.names) == 0 {
 		return nil, false
 	}
@@ -185,7 +179,7 @@
 	if !s.plan.active {
 		return nil, false
 	}
-	for _, source := range s.plan.restricted {
+	if source := s.plan.restricted[set]; source != nil {
 		if source.weights.weight == nil {
 			source.weights.weight = source.planned
 		}
--- a/edge/placing/regionplan_test.go
+++ b/edge/placing/regionplan_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -181,7 +182,7 @@
 		capacity[region] = s.slots(now, region)
 	}
 	s.demand.decay(now)
-	if planned, ok := b.stepPlan(now, s, capacity, baseShiftRate); ok {
+	if planned, ok := b.stepPlan(now, s, b.names.all(), capacity, baseShiftRate); ok {
 		return planned
 	}
 	return planWeights(b.options.Region, b.demandOf(now, s), capacity)
@@ -410,3 +411,31 @@
 		}
 	}
 }
+
+// Guards against work for each request that grows with the number of sets, and against weights that jump
+// at the first request of a set after a pause.
+func TestRegionPlanStepsOnlyTheRequestedSet(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := planBalancer(now, "a")
+	place := func(regions ...string) {
+		r := request(now, NewClass(time.Second))
+		r.Allowed = func(region string) bool { return slices.Contains(regions, region) }
+		b.Place(now, r)
+	}
+	place("a", "b")
+	place("b", "c")
+	restricted := b.services[serviceName].plan.restricted
+	paused, used := restricted[0b011], restricted[0b110]
+	before := maps.Clone(paused.weights.weight)
+	// The plan moves the paused set to region b.
+	b.SetReached(now, serviceName, "a", false)
+	now = now.Add(5 * time.Second)
+	place("b", "c")
+	if used.weights.at != now || paused.weights.at == now || !maps.Equal(paused.weights.weight, before) {
+		t.Errorf("weights of the paused set moved from %v to %v", before, paused.weights.weight)
+	}
+	place("a", "b")
+	if moved := distance(before, paused.weights.weight); moved <= 0 || moved > lossShiftRate {
+		t.Errorf("moved %v after a pause of 5 s", moved)
+	}
+}
--- a/edge/placing/regions.go
+++ b/edge/placing/regions.go
@@ -1,6 +1,10 @@
 package placing
 
-import "time"
+import (
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/edge/regionplan"
+)
 
 // regionFor selects the region for a request: by weight among the regions that can meet
 // its objective, else the nearest one, or "" if no allowed region has capacity.
@@ -36,9 +40,9 @@
 	return best
 }
 
-// stepWeights moves a service's region weights towards those planned from the current
-// demand and capacity.
-func (b *Balancer) stepWeights(now time.Time, s *service) {
+// stepWeights moves a service's region weights, and those of requests that may use a set of regions,
+// towards the weights planned from the current demand and capacity.
+func (b *Balancer) stepWeights(now time.Time, s *service, set regionplan.Set) {
 	capacity := make(map[string]float64)
 	for region := range s.regions {
 		capacity[region] = s.slots(now, region)
@@ -47,7 +51,7 @@
 		s.weights.initialize(now, b.options.Region, capacity)
 	}
 	rate := b.shiftRate(now, s)
-	wanted, planned := b.stepPlan(now, s, capacity, rate)
+	wanted, planned := b.stepPlan(now, s, set, capacity, rate)
 	if !planned {
 		wanted = planWeights(b.options.Region, b.demandOf(now, s), capacity)
 	}
--- a/edge/placing/request.go
+++ b/edge/placing/request.go
@@ -1,6 +1,10 @@
 package placing
 
-import "time"
+import (
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/edge/regionplan"
+)
 
 // Request holds the properties of a request that decide its placement.
 type Request struct {
@@ -24,6 +28,8 @@
 	Tried []*Target
 	// AlreadyCounted is set for retries and hedges, which do not count as new demand.
 	AlreadyCounted bool
+	// regions is the set that Allowed allows, see regionNames.setOf. Place sets it.
+	regions regionplan.Set
 }
 
 func (r *Request) allows(region string) bool { return r.Allowed == nil || r.Allowed(region) }
