workingset: follow a decider that has started anew while nothing was limited

The others kept its last number and ignored all lower ones of the same VM, so that its arcs had no effect for as long as it took to count up again.

--- a/edge/placing/workingset_decider_test.go
+++ b/edge/placing/workingset_decider_test.go
@@ -20,6 +20,8 @@
 	// heard is when a VM last heard another one.
 	heard [][]time.Time
 	steps int
+	// load is that of all keys in slots.
+	load float64
 }
 
 const (
@@ -33,7 +35,7 @@
 var deciderScope = workingset.ScopeOf(serviceName, "a")
 
 func newDeciders() *deciders {
-	d := &deciders{now: time.Unix(1000, 0), frozen: make(map[int]bool)}
+	d := &deciders{now: time.Unix(1000, 0), frozen: make(map[int]bool), load: fullLoad}
 	for vm := range deciderVMs {
 		d.vms = append(d.vms, d.newVM(vm))
 		d.heard = append(d.heard, make([]time.Time, deciderVMs))
@@ -94,7 +96,7 @@
 			continue
 		}
 		// All load comes in at a VM of another region, and what is admitted follows the arc of vm-3.
-		load := workingset.Load{Arrivals: fullLoad * d.fraction(deciderVMs-1), Answered: 10, Busy: 10 * time.Second, Shortest: 300 * time.Millisecond}
+		load := workingset.Load{Arrivals: d.load * d.fraction(deciderVMs-1), Answered: 10, Busy: 10 * time.Second, Shortest: 300 * time.Millisecond}
 		_ = b.SetWorkingSetReport(d.now, WorkingSetReport{
 			From: "load", Region: "b", Loads: workingset.EncodeLoads([]workingset.RankLoad{{Scope: deciderScope, Load: load}}),
 		})
@@ -178,6 +180,22 @@
 	d.check(t, "vm-0", 0, 1, 2, 3)
 }
 
+// The VM that decides starts anew after no key was refused for a while, so that no VM tells it the last
+// number: the others must follow its low numbers.
+func TestDeciderStartsWhileNothingIsLimited(t *testing.T) {
+	d := newDeciders()
+	d.load = 10
+	d.run(30 * time.Second)
+	if f := d.fraction(3); f < 1 {
+		t.Fatalf("admits %.2f of the keys though the work fits", f)
+	}
+	d.vms[0] = d.newVM(0)
+	d.run(3 * time.Second)
+	d.load = fullLoad
+	d.run(8 * time.Second)
+	d.check(t, "vm-0", 0, 1, 2, 3)
+}
+
 // A VM that starts admits all keys until it receives an arc, at most half a second after its first
 // report.
 func TestStartingVMReceivesArc(t *testing.T) {
--- a/edge/workingset/ring.go
+++ b/edge/workingset/ring.go
@@ -103,7 +103,9 @@
 	case r.decider == "" || m.Number > r.number+numberSlack:
 		return true
 	case m.Decider == r.decider:
-		return m.Number > r.number
+		// A lower number after a silence is that of a decider that has started anew. The same number would be
+		// an old copy, which must not undo the growth by Tick.
+		return m.Number > r.number || m.Number < r.number && now.Sub(r.heardAt) > unguidedAfter
 	case m.Number < r.number:
 		return now.Sub(r.heardAt) > unguidedAfter
 	case m.Number == r.number || m.Decider < r.decider:
