placing: decide on working sets only with targets in reach

A deciding VM that reached no target left the fractions as they were for all VMs, and one that had ejected a part of the targets shrank them. The first now leaves the decision to the standby, as does one that knows of no slots; the slots are those of all usable targets that do not rest.

--- a/edge/placing/workingset_decide.go
+++ b/edge/placing/workingset_decide.go
@@ -54,12 +54,14 @@
 }
 
 // decideWorkingSets makes one step for all services of this region that have had requests which may run
-// here only.
+// here only. It decides nothing if this VM does not reach the targets of one of them, as it does not know
+// their load, or if there are no slots: the standby takes over when decisions are overdue.
 func (b *Balancer) decideWorkingSets(now time.Time) {
 	region := b.options.Region
 	ring := b.ring(now, region)
 	measured := b.measuredScopes(now)
 	scopes := make(map[workingset.ScopeID]workingset.Fractions)
+	slots := 0.0
 	for _, s := range b.services {
 		c := b.scopeIn(now, s, region)
 		f := ring.Fractions(c.id)
@@ -68,27 +70,37 @@
 			c.controller = nil
 			continue
 		}
+		if s.unreached[region] {
+			return
+		}
 		if m == nil {
 			m = &workingset.Measured{}
 		}
-		b.measureRegion(now, s, c, m)
+		s.measureRegion(now, region, c, m)
+		slots += m.Slots
 		if c.controller == nil {
 			c.controller = workingset.NewController(f)
 		}
 		scopes[c.id], c.decided = c.controller.Step(f, m)
 	}
-	if len(scopes) > 0 {
+	if slots > 0 {
 		ring.Decide(now, b.options.VM, scopes)
 	}
 }
 
-// measureRegion adds the slots of a region and those that requests outside the scope hold.
-func (b *Balancer) measureRegion(now time.Time, s *service, c *scope, m *workingset.Measured) {
-	s.resetLoads()
-	l := s.loadOf(now, b.options.Region)
-	others := max(0, float64(l.inFlight-m.Total().InFlight))
+// measureRegion adds the slots of a region and those that requests outside the scope hold. Targets that
+// only this VM does not use, such as ejected ones, count: it decides for all VMs.
+func (s *service) measureRegion(now time.Time, region string, c *scope, m *workingset.Measured) {
+	inFlight := 0
+	for _, t := range s.regions[region] {
+		if t.usable && !t.stated.isResting(now) {
+			m.Slots += t.usableSlots(s.occupancy.mean)
+			inFlight += t.inFlight()
+		}
+	}
+	others := max(0, float64(inFlight-m.Total().InFlight))
 	c.others += othersSmoothing * (others - c.others)
-	m.Slots, m.Others = l.slots, c.others
+	m.Others = c.others
 }
 
 // measuredScopes returns the load of all VMs by scope.
--- a/edge/placing/workingset_decider_test.go
+++ b/edge/placing/workingset_decider_test.go
@@ -196,6 +196,65 @@
 	d.check(t, "vm-0", 0, 1, 2, 3)
 }
 
+// The VM that decides does not reach the targets: it must not decide on the others' requests by slots that
+// only it does not see. The standby does instead, and it does not if it reaches no target either.
+func TestDeciderReachesNoTarget(t *testing.T) {
+	d := newDeciders()
+	d.vms[0].SetReached(d.now, serviceName, "a", false)
+	for range 12 {
+		d.run(time.Second)
+		if f := d.fraction(3); f < carried-0.15 || f > carried+0.15 {
+			t.Errorf("admits %.2f of the keys", f)
+		}
+	}
+	d.check(t, "vm-1", 0, 1, 2, 3)
+	d.vms[1].SetReached(d.now, serviceName, "a", false)
+	_, before := d.vms[3].ring(d.now, "a").Decider()
+	d.run(2 * time.Second)
+	if _, number := d.vms[3].ring(d.now, "a").Decider(); number > before+1 {
+		t.Errorf("the standby made %d decisions without reaching a target", number-before)
+	}
+	d.vms[0].SetReached(d.now, serviceName, "a", true)
+	d.run(3 * time.Second)
+	d.check(t, "vm-0", 0, 1, 2, 3)
+}
+
+// All targets rest: neither the decider nor the standby may decide without slots, and the arcs must be as
+// before when the targets are back.
+func TestDecidersWithoutSlots(t *testing.T) {
+	d := newDeciders()
+	for _, b := range d.vms {
+		target := b.services[serviceName].targets["t"]
+		target.stated = &statement{restUntil: d.now.Add(4 * time.Second)}
+	}
+	_, before := d.vms[3].ring(d.now, "a").Decider()
+	d.run(3900 * time.Millisecond)
+	if _, number := d.vms[3].ring(d.now, "a").Decider(); number > before+1 {
+		t.Errorf("%d decisions without slots", number-before)
+	}
+	d.run(3 * time.Second)
+	d.check(t, "vm-0", 0, 1, 2, 3)
+}
+
+// The VM that decides has ejected a part of the targets and the other VMs have not: it decides by the
+// slots of all.
+func TestDeciderHasEjectedTargets(t *testing.T) {
+	d := newDeciders()
+	for _, b := range d.vms {
+		var specs []TargetSpec
+		for i := range 5 {
+			specs = append(specs, TargetSpec{Target: site.Target{ID: fmt.Sprint("t-", i), Service: serviceName, Zone: "a1", Slots: 20}})
+		}
+		b.SetTargets(d.now, map[string]site.Service{serviceName: {Name: serviceName}}, specs, nil)
+	}
+	for i := range 4 {
+		target := d.vms[0].services[serviceName].targets[fmt.Sprint("t-", i)]
+		target.needsProbe, target.ejectedUntil = true, d.now.Add(time.Hour)
+	}
+	d.run(12 * time.Second)
+	d.check(t, "vm-0", 0, 1, 2, 3)
+}
+
 // A VM that starts admits all keys until it receives an arc, at most half a second after its first
 // report.
 func TestStartingVMReceivesArc(t *testing.T) {
