--- a/edge/placing/workingset.go
+++ b/edge/placing/workingset.go
@@ -109,10 +109,8 @@
 		return Decision{}, false
 	}
 	if d, refused := b.refuseOutside(now, s, c, r); refused {
-		if !r.AlreadyCounted {
-			// The work that callers ask for stays the same, whether it is admitted or not.
-			s.demand.add(now, b.countRestricted(now, s, r))
-		}
+		// The work that callers ask for stays the same, whether it is admitted or not.
+		s.demand.add(now, b.countRestricted(now, s, r))
 		return d, true
 	}
 	if !r.AlreadyCounted {
@@ -130,8 +128,12 @@
 	return b.refuseOutside(now, s, c, r)
 }
 
-// refuseOutside refuses a request whose key is not admitted, and states the turn of the key.
+// refuseOutside refuses a request whose key is not admitted, and states the turn of the key. Retries and
+// hedges pass: their request was admitted, and its work has been done in part.
 func (b *Balancer) refuseOutside(now time.Time, s *service, c *scope, r *Request) (refusal Decision, refused bool) {
+	if r.AlreadyCounted {
+		return Decision{}, false
+	}
 	arc := c.ring.Arc(now, c.id, r.workingSetRank())
 	if arc.Admits(r.Key) {
 		return Decision{}, false
--- a/edge/placing/workingset_test.go
+++ b/edge/placing/workingset_test.go
@@ -325,3 +325,47 @@
 		}
 	}
 }
+
+// Retries and hedges of an admitted request must not be refused when its key has left meanwhile, at once or
+// in the queue. Refused requests count once, when they are new.
+func TestRetriesPassWhenTheirKeyHasLeft(t *testing.T) {
+	l := newRestrictedLoad(t, workingSetPolicy)
+	b := l.balancers[2]
+	limited := workingset.AllAdmitted()
+	limited[0] = 0.1
+	id := workingset.ScopeOf(serviceName, "a")
+	b.ring(l.now, "a").Decide(l.now, "vm", map[workingset.ScopeID]workingset.Fractions{id: limited})
+	request := func(counted bool) *Request {
+		return &Request{
+			Service: serviceName, Class: l.classes[2], Key: 1 << 63, HasKey: true, Allowed: func(region string) bool { return region == "a" },
+			Objective: l.now.Add(time.Hour), Deadline: l.now.Add(time.Hour), AlreadyCounted: counted,
+		}
+	}
+	if d, _ := b.Place(l.now, request(false)); d.Reason != NotInWorkingSet {
+		t.Errorf("a new request: %q", d.Reason)
+	}
+	var queued *Waiter
+	for range 1000 {
+		d, w := b.Place(l.now, request(true))
+		if w == nil && d.Target == nil {
+			t.Fatalf("a retry was refused: %q", d.Reason)
+		}
+		if queued = w; w != nil {
+			break
+		}
+	}
+	if queued == nil {
+		t.Fatal("no retry was queued")
+	}
+	b.Tick(l.now)
+	select {
+	case d := <-queued.Decided():
+		if d.Target == nil {
+			t.Errorf("a queued retry was refused: %q", d.Reason)
+		}
+	default:
+	}
+	if n := b.services[serviceName].scopes["a"].refused; n != 1 {
+		t.Errorf("%d refusals counted, want 1", n)
+	}
+}
