--- a/edge/placing/workingset_decide.go
+++ b/edge/placing/workingset_decide.go
@@ -63,11 +63,13 @@
 	scopes := make(map[workingset.ScopeID]workingset.Fractions)
 	slots := 0.0
 	for _, s := range b.services {
-		c := b.scopeIn(now, s, region)
-		f := ring.Fractions(c.id)
-		m := measured[c.id]
+		id := workingset.ScopeOf(s.Name, region)
+		f := ring.Fractions(id)
+		m := measured[id]
 		if m == nil && !f.Limits() {
-			c.controller = nil
+			if c := s.scopes[region]; c != nil {
+				c.controller = nil
+			}
 			continue
 		}
 		if s.unreached[region] {
@@ -76,12 +78,13 @@
 		if m == nil {
 			m = &workingset.Measured{}
 		}
+		c := b.scopeIn(now, s, region)
 		s.measureRegion(now, region, c, m)
 		slots += m.Slots
 		if c.controller == nil {
 			c.controller = workingset.NewController(f)
 		}
-		scopes[c.id], c.decided = c.controller.Step(f, m)
+		scopes[id], c.decided = c.controller.Step(f, m)
 	}
 	if slots > 0 {
 		ring.Decide(now, b.options.VM, scopes)
--- a/edge/placing/workingset_decider_test.go
+++ b/edge/placing/workingset_decider_test.go
@@ -339,3 +339,19 @@
 	}
 	d.check(t, "vm-0", 0, 1, 2, 3)
 }
+
+// A service without requests that may run in one region only must not appear in the views of VMs, as each
+// one there has metrics of its own.
+func TestDeciderKeepsNoScopeWithoutLoad(t *testing.T) {
+	d := newDeciders()
+	target := func(service string) TargetSpec {
+		return TargetSpec{Target: site.Target{ID: "t-" + service, Service: service, Zone: "a1", Slots: 100}}
+	}
+	services := map[string]site.Service{serviceName: {Name: serviceName}, "other": {Name: "other"}}
+	d.vms[0].SetTargets(d.now, services, []TargetSpec{target(serviceName), target("other")}, nil)
+	d.run(time.Second)
+	if sets := d.vms[0].WorkingSets(d.now); len(sets) != 1 || sets[0].Service != serviceName {
+		t.Errorf("views %+v", sets)
+	}
+	d.check(t, "vm-0", 0, 1, 2, 3)
+}
