placing: check that each key is served in one rotation

The replay of the working set counted the answers of each key and checked nothing about them. Fields that were filled and never read are removed.

--- a/edge/placing/workingset_test.go
+++ b/edge/placing/workingset_test.go
@@ -19,13 +19,12 @@
 	// served, late and refused count tries by second since the start.
 	begin                 time.Time
 	served, late, refused map[int]int
-	// reported tells whether reports of a VM reach another one; nil means that all do.
-	reported func(from, to int) bool
 	// runs counts the answers by key that were in time.
 	runs     map[uint64]int
-	reasons  map[Reason]int
 	returned map[*Request]bool
-	told     []time.Duration
+	// persistent are requests whose callers come back at each stated time until an answer is in time.
+	persistent map[*Request]bool
+	told       []time.Duration
 }
 
 const (
@@ -41,7 +40,7 @@
 			objective: time.Second, deadline: 8 * time.Second, policy: policy,
 		}),
 		keys: restrictedKeys, served: make(map[int]int), late: make(map[int]int), refused: make(map[int]int),
-		runs: make(map[uint64]int), reasons: make(map[Reason]int), returned: make(map[*Request]bool),
+		runs: make(map[uint64]int), returned: make(map[*Request]bool), persistent: make(map[*Request]bool),
 	}
 	l.begin = l.now
 	l.pollInterval = 10 * time.Millisecond
@@ -65,6 +64,9 @@
 func (l *restrictedLoad) countAnswer(r *Request) {
 	if l.now.After(r.Objective) {
 		l.late[l.second()]++
+		if l.persistent[r] {
+			l.sendUntilServed(r.Key)
+		}
 		return
 	}
 	l.served[l.second()]++
@@ -74,11 +76,14 @@
 func (l *restrictedLoad) countRefusal(vm int, r *Request, d Decision) {
 	l.simulation.result.rejected++
 	l.refused[l.second()]++
-	l.reasons[d.Reason]++
 	if d.Reason == NotInWorkingSet {
 		l.told = append(l.told, d.RetryAfter)
 	}
 	after := d.RetryAfter
+	if l.persistent[r] {
+		l.schedule(after+6*time.Millisecond, func() { l.sendUntilServed(r.Key) })
+		return
+	}
 	if l.random.IntN(2) == 0 {
 		after = 0
 	}
@@ -91,14 +96,25 @@
 }
 
 // send sends one request with a random key.
-func (l *restrictedLoad) send() {
-	key := HashOf(fmt.Sprint("object-", l.random.IntN(l.keys)))
-	vm := l.ownerOf(l.random.IntN(restrictedVMs), key)
-	l.place(vm, &Request{
+func (l *restrictedLoad) send() { l.place(l.request(l.key(l.random.IntN(l.keys)))) }
+
+// sendUntilServed sends a request for a key, and again when it is refused or late.
+func (l *restrictedLoad) sendUntilServed(key uint64) {
+	vm, r := l.request(key)
+	l.persistent[r] = true
+	l.place(vm, r)
+}
+
+func (l *restrictedLoad) key(i int) uint64 { return HashOf(fmt.Sprint("object-", i)) }
+
+// request returns a request for a key and the VM that gets it.
+func (l *restrictedLoad) request(key uint64) (vm int, r *Request) {
+	vm = l.ownerOf(l.random.IntN(restrictedVMs), key)
+	return vm, &Request{
 		Service: serviceName, Class: l.classes[vm], Key: key, HasKey: true,
 		Allowed:   func(region string) bool { return region == "a" },
 		Objective: l.now.Add(l.objective), Deadline: l.now.Add(l.deadline),
-	})
+	}
 }
 
 // play sends requests at a rate for a time.
@@ -123,7 +139,7 @@
 			Loads: from.WorkingSetLoads(l.now, false), Arcs: from.WorkingSetArcs(l.now, false),
 		}
 		for j, to := range l.balancers {
-			if i == j || l.reported != nil && !l.reported(i, j) {
+			if i == j {
 				continue
 			}
 			if err := to.SetWorkingSetReport(l.now, report); err != nil {
@@ -175,6 +191,25 @@
 	}
 }
 
+// Guards against keys whose turn never comes: in one rotation, each key must be served in time to a caller
+// who comes back when told, while other callers ask for more than the region carries.
+func TestWorkingSetServesEachKeyInOneRotation(t *testing.T) {
+	l := newRestrictedLoad(t, workingSetPolicy)
+	l.play(restrictedPerSecond, 15*time.Second)
+	clear(l.runs)
+	for i := range l.keys {
+		l.schedule(time.Duration(i)*10*time.Millisecond, func() { l.sendUntilServed(l.key(i)) })
+	}
+	l.play(restrictedPerSecond, workingSetPolicy.RotationPeriod)
+	l.log("one rotation", 15, 75)
+	if f := l.fraction(3); f > 0.8 {
+		t.Errorf("admits %.2f of the keys, too many to show a rotation", f)
+	}
+	if len(l.runs) != l.keys {
+		t.Errorf("%d of %d keys were served", len(l.runs), l.keys)
+	}
+}
+
 // Keys that the targets keep must be served as without the part, in a surge too.
 func TestWorkingSetLeavesWarmRegionAlone(t *testing.T) {
 	inTime := func(policy Policy) int {
