placing: let the standby begin to limit when the decider does not

No decisions are sent while nothing is limited, so that a decider that reaches no target left all keys admitted when the load came. The standby begins if it would have limited them for 3 s. A VM that stops deciding drops its controllers, whose memory of admitted fractions would be out of date.

--- a/edge/placing/workingset.go
+++ b/edge/placing/workingset.go
@@ -21,7 +21,7 @@
 // WorkingSetRole is this VM's part in the decisions on the working sets of its region.
 type WorkingSetRole int
 
-// Roles. A standby decides if no decisions are heard although keys are being refused.
+// Roles. A standby decides if no decisions are heard although keys are, or should be, refused.
 const (
 	NoWorkingSetRole WorkingSetRole = iota
 	WorkingSetStandby
@@ -37,6 +37,8 @@
 	role  WorkingSetRole
 	// firstTick is when this VM began to listen, steppedAt when it last decided or could have.
 	firstTick, steppedAt time.Time
+	// unlimitedAt is when this VM last did not see a need to begin to decide as the standby.
+	unlimitedAt time.Time
 }
 
 type peerLoads struct {
--- a/edge/placing/workingset_decide.go
+++ b/edge/placing/workingset_decide.go
@@ -31,34 +31,65 @@
 			delete(b.sets.loads, name)
 		}
 	}
-	if b.decidesWorkingSets(now) {
-		b.decideWorkingSets(now)
-	}
+	b.decideWorkingSets(now)
 	for _, ring := range b.sets.rings {
 		ring.Tick(now)
 	}
 }
 
-// decidesWorkingSets reports whether this VM decides now. A standby that has begun to decide goes on until
-// it hears from the VM whose task it is.
-func (b *Balancer) decidesWorkingSets(now time.Time) bool {
-	switch b.sets.role {
-	case WorkingSetDecider:
-		return now.Sub(b.sets.firstTick) >= workingSetListening
-	case WorkingSetStandby:
-		ring := b.ring(now, b.options.Region)
-		decider, _ := ring.Decider()
-		return ring.Limits() && (decider == b.options.VM || ring.IsSilent(now))
+// decideWorkingSets decides on this region if that is this VM's task. A standby that has begun to decide
+// goes on until it hears from the VM whose task it is. While nothing is limited no decisions are sent, so
+// that a standby begins if it would have limited a scope for as long as a deciding VM may be silent.
+func (b *Balancer) decideWorkingSets(now time.Time) {
+	ring := b.ring(now, b.options.Region)
+	decider, _ := ring.Decider()
+	isStandby := b.sets.role == WorkingSetStandby
+	switch {
+	case b.sets.role == NoWorkingSetRole, now.Sub(b.sets.firstTick) < workingSetListening,
+		isStandby && decider != b.options.VM && !ring.IsSilent(now):
+		b.stopDeciding(now)
+		return
+	}
+	scopes, ok := b.nextFractions(now, ring)
+	if !ok {
+		b.stopDeciding(now)
+		return
+	}
+	begins := isStandby && !ring.Limits()
+	if !begins || !limitsAny(scopes) {
+		b.sets.unlimitedAt = now
+	}
+	if begins && now.Sub(b.sets.unlimitedAt) <= workingset.SilentAfter {
+		return
+	}
+	ring.Decide(now, b.options.VM, scopes)
+}
+
+// stopDeciding drops what only a VM that decides keeps up to date: a controller that has missed decisions
+// would misjudge the measured arrivals.
+func (b *Balancer) stopDeciding(now time.Time) {
+	b.sets.unlimitedAt = now
+	for _, s := range b.services {
+		if c := s.scopes[b.options.Region]; c != nil {
+			c.controller = nil
+		}
+	}
+}
+
+func limitsAny(scopes map[workingset.ScopeID]workingset.Fractions) bool {
+	for _, f := range scopes {
+		if f.Limits() {
+			return true
+		}
 	}
 	return false
 }
 
-// decideWorkingSets makes one step for all services of this region that have had requests which may run
-// here only. It decides nothing if this VM does not reach the targets of one of them, as it does not know
-// their load, or if there are no slots: the standby takes over when decisions are overdue.
-func (b *Balancer) decideWorkingSets(now time.Time) {
+// nextFractions makes one step for all services of this region that have had requests which may run here
+// only. It returns false if this VM does not reach the targets of one of them, as it does not know their
+// load, or if there are no slots: the standby takes over when decisions are overdue.
+func (b *Balancer) nextFractions(now time.Time, ring *workingset.Ring) (map[workingset.ScopeID]workingset.Fractions, bool) {
 	region := b.options.Region
-	ring := b.ring(now, region)
 	measured := b.measuredScopes(now)
 	scopes := make(map[workingset.ScopeID]workingset.Fractions)
 	slots := 0.0
@@ -73,7 +104,7 @@
 			continue
 		}
 		if s.unreached[region] {
-			return
+			return nil, false
 		}
 		if m == nil {
 			m = &workingset.Measured{}
@@ -86,9 +117,7 @@
 		}
 		scopes[id], c.decided = c.controller.Step(f, m)
 	}
-	if slots > 0 {
-		ring.Decide(now, b.options.VM, scopes)
-	}
+	return scopes, slots > 0
 }
 
 // measureRegion adds the slots of a region and those that requests outside the scope hold. Targets that
--- a/edge/placing/workingset_decider_test.go
+++ b/edge/placing/workingset_decider_test.go
@@ -228,6 +228,36 @@
 	d.check(t, "vm-0", 0, 1, 2, 3)
 }
 
+// The VM that decides does not reach the targets while nothing is limited, so that no VM expects a decision:
+// the standby must decide when the load comes, and the decider again when it reaches them.
+func TestDeciderReachesNoTargetBeforeTheLoad(t *testing.T) {
+	d := newDeciders()
+	d.load = 10
+	d.run(30 * time.Second)
+	d.vms[0].SetReached(d.now, serviceName, "a", false)
+	d.run(3 * time.Second)
+	d.load = fullLoad
+	d.run(11 * time.Second)
+	d.check(t, "vm-1", 0, 1, 2, 3)
+	d.vms[0].SetReached(d.now, serviceName, "a", true)
+	d.run(3 * time.Second)
+	d.check(t, "vm-0", 0, 1, 2, 3)
+}
+
+// The load comes while the decider is able to decide: the standby must not decide as well.
+func TestStandbyLeavesTheBeginToTheDecider(t *testing.T) {
+	d := newDeciders()
+	d.load = 10
+	d.run(30 * time.Second)
+	d.load = fullLoad
+	for range 80 {
+		d.run(100 * time.Millisecond)
+		if decider, _ := d.vms[1].ring(d.now, "a").Decider(); decider != "vm-0" {
+			t.Fatalf("%s decides", decider)
+		}
+	}
+}
+
 // All targets rest: neither the decider nor the standby may decide without slots, and the arcs must be as
 // before when the targets are back.
 func TestDecidersWithoutSlots(t *testing.T) {
--- a/edge/workingset/ring.go
+++ b/edge/workingset/ring.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	// silentAfter is how long the deciding VM may be silent before another one is followed. It decides
+	// SilentAfter is how long the deciding VM may be silent before another one is followed. It decides
 	// every StepInterval, so that one lost message is tolerated.
-	silentAfter = 3 * time.Second
+	SilentAfter = 3 * time.Second
 	// unguidedAfter is how long a VM keeps the fractions if it receives none.
 	unguidedAfter = 5 * time.Second
 	// numberSlack is how many decisions a VM may be behind another one and still count as having decided
@@ -74,7 +74,7 @@
 func (r *Ring) Decider() (vm string, number uint64) { return r.decider, r.number }
 
 // IsSilent reports whether decisions are overdue.
-func (r *Ring) IsSilent(now time.Time) bool { return now.Sub(r.heardAt) > silentAfter }
+func (r *Ring) IsSilent(now time.Time) bool { return now.Sub(r.heardAt) > SilentAfter }
 
 func (r *Ring) startNow(now time.Time) float64 {
 	return ahead(0, r.start+now.Sub(r.startAt).Seconds()/r.period.Seconds())
