--- a/edge/placing/workingset.go
+++ b/edge/placing/workingset.go
@@ -21,7 +21,7 @@
 // WorkingSetRole is this VM's part in the decisions on the working sets of its region.
 type WorkingSetRole int
 
-// Roles. A standby decides if no decisions are heard although keys are being refused.
+// Roles. A standby decides if no decisions are heard although keys are, or should be, refused.
 const (
 	NoWorkingSetRole WorkingSetRole = iota
 	WorkingSetStandby
@@ -37,6 +37,8 @@
 	role  WorkingSetRole
 	// firstTick is when this VM began to listen, steppedAt when it last decided or could have.
 	firstTick, steppedAt time.Time
+	// unlimitedAt is when this VM last did not see a need to begin to decide as the standby.
+	unlimitedAt time.Time
 }
 
 type peerLoads struct {
@@ -109,10 +111,8 @@
 		return Decision{}, false
 	}
 	if d, refused := b.refuseOutside(now, s, c, r); refused {
-		if !r.AlreadyCounted {
-			// The work that callers ask for stays the same, whether it is admitted or not.
-			s.demand.add(now, b.countRestricted(now, s, r))
-		}
+		// The work that callers ask for stays the same, whether it is admitted or not.
+		s.demand.add(now, b.countRestricted(now, s, r))
 		return d, true
 	}
 	if !r.AlreadyCounted {
@@ -130,8 +130,12 @@
 	return b.refuseOutside(now, s, c, r)
 }
 
-// refuseOutside refuses a request whose key is not admitted, and states the turn of the key.
+// refuseOutside refuses a request whose key is not admitted, and states the turn of the key. Retries and
+// hedges pass: their request was admitted, and its work has been done in part.
 func (b *Balancer) refuseOutside(now time.Time, s *service, c *scope, r *Request) (refusal Decision, refused bool) {
+	if r.AlreadyCounted {
+		return Decision{}, false
+	}
 	arc := c.ring.Arc(now, c.id, r.workingSetRank())
 	if arc.Admits(r.Key) {
 		return Decision{}, false
