--- a/edge/placing/workingset_decider_test.go
+++ b/edge/placing/workingset_decider_test.go
@@ -346,6 +346,20 @@
 	d.check(t, "vm-0", 0, 1, 2, 3)
 }
 
+// The half with the higher name has made more decisions when the halves reach each other again: the lower
+// name must go on from its number, or it would never be followed.
+func TestHalfWithMoreDecisions(t *testing.T) {
+	d := newDeciders()
+	d.reaches = func(from, to int) bool { return from/2 == to/2 }
+	d.run(10 * time.Second)
+	d.frozen[0], d.frozen[1] = true, true
+	d.run(10 * time.Second)
+	d.frozen[0], d.frozen[1] = false, false
+	d.reaches = nil
+	d.run(3 * time.Second)
+	d.check(t, "vm-0", 0, 1, 2, 3)
+}
+
 // A VM that hears nobody for 5 s lets the fraction grow until it admits all keys.
 func TestVMWithoutReportsAdmitsMore(t *testing.T) {
 	d := newDeciders()
