--- a/edge/workingset/controller.go
+++ b/edge/workingset/controller.go
@@ -14,12 +14,12 @@
 	// warmUsableShare is the same while hardly any run is cold. A smaller set would then not be served
 	// faster, and would use the targets less evenly, so that most of the excess is left to the queue: with
 	// usableShare, a surge of keys that the targets keep lost 7 % of the answers in time.
-	warmUsableShare = 1
+	warmUsableShare = 2
 	// warmRatio and coldRatio are the ratios of the mean run to the shortest ones between which the usable
 	// share changes. Service times and waits vary by less than the first; at the second about a third of
 	// the runs are cold.
-	warmRatio = 1.5
-	coldRatio = 2.0
+	warmRatio = 1.2
+	coldRatio = 1.5
 	// maxShrink bounds the change of a fraction in a step, to one half per second.
 	maxShrink = 0.7
 	// maxGrowthOfRing is the part of the ring by which a fraction may always grow in a step.
