--- a/cmd/yuccaroute/main.go
+++ b/cmd/yuccaroute/main.go
@@ -48,7 +48,7 @@
 		&cobra.Group{ID: groupMeasure, Title: "Demonstrate and measure:"},
 	)
 	addAll(root, groupOperate, newApply(c), newDiff(c), newExport(c), newTemplate(c), newAccount(c), newOutcome(c), newIdentity(c))
-	addAll(root, groupObserve, newWhoami(c), newLive(c), newLogs())
+	addAll(root, groupObserve, newWhoami(c), newLive(c), newLogs(), newLoad(c))
 	addAll(root, groupMeasure, newDemo(), newReport(), newBench(), newStandin(), newCheckConfig())
 	tellUsage(root)
 	return root
--- a/edge/entry/gatewaymetrics.go
+++ b/edge/entry/gatewaymetrics.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/yuccaroute/yuccaroute/edge/reach"
+	"github.com/yuccaroute/yuccaroute/edge/refusals"
 	"github.com/yuccaroute/yuccaroute/store"
 )
 
@@ -22,6 +23,8 @@
 // tags, because creating a tally scope is much slower than incrementing a counter.
 type gatewayMetrics struct {
 	scope tally.Scope
+	// refusals are those of the last minute, for GET /load.
+	refusals *refusals.Log
 
 	mu          sync.Mutex
 	requests    map[requestTags]requestMetrics
@@ -66,7 +69,7 @@
 type delegationTags struct{ reason, outcome string }
 
 func newGatewayMetrics(scope tally.Scope) *gatewayMetrics {
-	return &gatewayMetrics{scope: scope, requests: make(map[requestTags]requestMetrics), accounts: make(map[string]accountMetrics), attempts: make(map[attemptTags]tally.Counter),
+	return &gatewayMetrics{scope: scope, refusals: refusals.New(time.Now()), requests: make(map[requestTags]requestMetrics), accounts: make(map[string]accountMetrics), attempts: make(map[attemptTags]tally.Counter),
 		delegations: make(map[delegationTags]tally.Counter), targetCrashes: make(map[string]tally.Counter), loadStatements: make(map[string]tally.Counter),
 		malformedLoads: make(map[string]tally.Counter), expectedErrors: make(map[string]tally.Histogram), reach: make(map[reach.Group]tally.Gauge)}
 }
@@ -118,6 +121,11 @@
 	return m
 }
 
+// RequestRefused implements gateway.Metrics.
+func (c *gatewayMetrics) RequestRefused(account, reason string) {
+	c.refusals.Count(time.Now(), account, reason)
+}
+
 // AttemptEnded implements gateway.Metrics.
 func (c *gatewayMetrics) AttemptEnded(service, outcome string) {
 	c.mu.Lock()
--- a/edge/entry/handlers.go
+++ b/edge/entry/handlers.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/yuccaroute/yuccaroute/edge/gateway"
+	"github.com/yuccaroute/yuccaroute/edge/loadview"
 	"github.com/yuccaroute/yuccaroute/edge/serve"
 	"github.com/yuccaroute/yuccaroute/store"
 )
@@ -80,15 +82,35 @@
 		return e.snapshots.respond(store.Revision(after))
 	case metricsPath:
 		return e.metricsPage()
+	case loadview.Path:
+		return e.loadPage()
 	}
 	return serve.PlainText(http.StatusNotFound, "")
 }
 
 func (e *Entry) handleMetrics(_ context.Context, r *serve.Request) *serve.Response {
-	if r.Path != metricsPath {
-		return serve.PlainText(http.StatusNotFound, "")
+	switch r.Path {
+	case metricsPath:
+		return e.metricsPage()
+	case loadview.Path:
+		return e.loadPage()
+	}
+	return serve.PlainText(http.StatusNotFound, "")
+}
+
+// loadPage returns what this VM knows of the load.
+func (e *Entry) loadPage() *serve.Response {
+	now := time.Now()
+	regions, services, reportAge := e.balancer.Load(now)
+	body, err := json.Marshal(&loadview.View{
+		VM: e.options.VM.Name, Region: e.options.VM.Region, Regions: regions, ReportAgeMS: reportAge.Milliseconds(),
+		Services: services, Accounts: e.gatewayMetrics.refusals.LastMinute(now),
+	})
+	if err != nil {
+		e.component("entry").WithError(err).Warn("entry: cannot encode the load")
+		return serve.PlainText(http.StatusInternalServerError, "")
 	}
-	return e.metricsPage()
+	return &serve.Response{Status: http.StatusOK, Header: http.Header{"Content-Type": {"application/json"}}, Body: body}
 }
 
 func (e *Entry) metricsPage() *serve.Response {
--- a/edge/gateway/fixture_test.go
+++ b/edge/gateway/fixture_test.go
@@ -116,6 +116,7 @@
 type noMetrics struct{}
 
 func (noMetrics) RequestEnded(string, string, string, int, time.Duration) {}
+func (noMetrics) RequestRefused(string, string)                           {}
 func (noMetrics) AttemptEnded(string, string)                             {}
 func (noMetrics) RequestDelegated(string, string)                         {}
 func (noMetrics) LoadStated(string, bool)                                 {}
--- a/edge/gateway/gateway.go
+++ b/edge/gateway/gateway.go
@@ -40,6 +40,8 @@
 type Metrics interface {
 	// RequestEnded counts a request by its result code; account is "" if it has none.
 	RequestEnded(route, service, account string, code int, took time.Duration)
+	// RequestRefused counts a request that this VM has refused itself; account is "" if it has none.
+	RequestRefused(account, reason string)
 	// AttemptEnded counts one attempt at a target.
 	AttemptEnded(service, end string)
 	// RequestDelegated counts one request that was delegated to another VM, by the reason for it.
--- /dev/null
+++ b/edge/gateway/refused_test.go
@@ -0,0 +1,39 @@
+package gateway
+
+import (
+	"net/http"
+	"slices"
+	"testing"
+)
+
+// refusalRecorder records the refusals that a gateway counts.
+type refusalRecorder struct {
+	noMetrics
+	refused []string
+}
+
+func (r *refusalRecorder) RequestRefused(account, reason string) {
+	r.refused = append(r.refused, account+": "+reason)
+}
+
+// Guards against served requests and answers of targets that count as refused, and against refusals
+// without the account or the reason that their log line has.
+func TestRefusalsAreCountedByAccount(t *testing.T) {
+	s := startTarget(t, "a", ok)
+	g := newGateway(t)
+	recorded := &refusalRecorder{}
+	g.options.Metrics, g.options.Quota = recorded, &scriptedQuota{left: 2}
+	g.setAccounts(4, oneAccount(secretKey), s)
+	header := http.Header{"X-Key": {secretKey}}
+	if a := g.askWith("/safe/x", header); a.Status != http.StatusOK || len(recorded.refused) > 0 {
+		t.Fatalf("%d, refused %v", a.Status, recorded.refused)
+	}
+	g.setTargets(true, s)
+	g.askWith("/safe/x", header)
+	g.askWith("/safe/x", header)
+	g.askWith("/safe/x", nil)
+	want := []string{"acme: all targets leave", "acme: account over its limit", ": no key or an unknown one"}
+	if !slices.Equal(recorded.refused, want) {
+		t.Errorf("refused %q, want %q", recorded.refused, want)
+	}
+}
--- a/edge/gateway/serve.go
+++ b/edge/gateway/serve.go
@@ -319,6 +319,9 @@
 	} else {
 		fields["why"] = end.reason
 		fields["retry_after_ms"] = end.retryAfter.Milliseconds()
+		if result.InfoOf(end.code).Outcome == result.NotRun {
+			g.options.Metrics.RequestRefused(r.accountName(), end.reason)
+		}
 	}
 	g.options.Logger.WithFields(fields).Info("gateway: request ended")
 }
--- a/edge/returns/claim.go
+++ b/edge/returns/claim.go
@@ -84,6 +84,7 @@
 func (l *Ledger) keep(p *promise, recognized bool) {
 	l.remove(p)
 	l.totals.Kept++
+	l.counts.Kept++
 	l.recognition.record(recognized)
 }
 
--- a/edge/returns/ledger.go
+++ b/edge/returns/ledger.go
@@ -31,6 +31,7 @@
 	places, notes schedule
 	callers       map[identity][]*promise
 	recognition   recognition
+	counts        Counts
 }
 
 // NewLedger returns an empty ledger that counts in the totals.
@@ -69,6 +70,7 @@
 		p.reserved, p.expires = true, p.closes()
 		l.places.insert(p)
 		l.totals.Promised++
+		l.counts.Promised++
 	case l.totals.held < maxWithNotes:
 		if told.After(o.Latest) {
 			p.due = o.Latest
@@ -147,6 +149,7 @@
 func (l *Ledger) Expire(now time.Time) {
 	for p := l.places.popExpired(now); p != nil; p = l.places.popExpired(now) {
 		l.totals.Lapsed++
+		l.counts.Lapsed++
 		l.recognition.record(false)
 		p.reserved, p.lapsed = false, true
 		p.expires = p.expires.Add(lapsedMemory)
--- a/edge/returns/totals.go
+++ b/edge/returns/totals.go
@@ -15,3 +15,18 @@
 	// were not.
 	Promised, Kept, Lapsed int64
 }
+
+// Counts are the promises of one ledger.
+type Counts struct {
+	// Pending is the number of places whose callers have not come back.
+	Pending int
+	// Promised, Kept and Lapsed are as in Totals.
+	Promised, Kept, Lapsed int64
+}
+
+// Counts returns the promises of this ledger up to the last call with a time.
+func (l *Ledger) Counts() Counts {
+	c := l.counts
+	c.Pending = len(l.places.list)
+	return c
+}
