--- a/edge/placing/load_bench_test.go
+++ b/edge/placing/load_bench_test.go
@@ -52,3 +52,15 @@
 		b.SetVMs(names)
 	}
 }
+
+// Measures how long the load page keeps decisions from being made.
+func BenchmarkLoad(bench *testing.B) {
+	now := time.Unix(1000, 0)
+	b, peers := largeBalancer(now)
+	for i, p := range peers {
+		b.SetPeerReport(now, fmt.Sprint(i), p)
+	}
+	for bench.Loop() {
+		b.Load(now)
+	}
+}
