edge: bound how far ahead places are reserved

A place was reserved for up to a third of the time that the caller states, so callers that state hours filled the ledger of the VM and others got no place. Stated deadlines that are not a number are invalid, and infinite ones are cut to 30 days in place of an overflow of time.Duration.

TestLongDeadlinesLeavePlacesToOthers and TestDeadlineOutOfRange fail without the change.

--- a/edge/gateway/returns_test.go
+++ b/edge/gateway/returns_test.go
@@ -44,3 +44,15 @@
 		t.Errorf("%v without a promise", line)
 	}
 }
+
+// A stated deadline that is infinite or not a number must neither overflow nor count as a time.
+func TestDeadlineOutOfRange(t *testing.T) {
+	g := newGateway(t, startTarget(t, "a", ok))
+	for text, want := range map[string]bool{"NaN": false, "-Inf": false, "0": false, "Inf": true, "1e300": true, "1e18": true} {
+		r := &request{in: &serve.Request{Header: http.Header{"X-Deadline": {text}}, Arrived: time.Unix(1000, 0)}, route: &route.Entry{}}
+		left, valid := g.timeLeft(r)
+		if valid != want || valid && left != maxDeadline-deadlineMargin || valid && r.givesUp.Sub(r.in.Arrived) != left {
+			t.Errorf("%s: valid %v, %v left, gives up at %v", text, valid, left, r.givesUp)
+		}
+	}
+}
--- a/edge/gateway/serve.go
+++ b/edge/gateway/serve.go
@@ -22,6 +22,8 @@
 const (
 	// defaultDeadline applies to requests without a deadline header.
 	defaultDeadline = 10 * time.Second
+	// maxDeadline bounds stated deadlines, which may be infinite, to what a time.Duration holds.
+	maxDeadline = 30 * 24 * time.Hour
 	// deadlineMargin leaves time for the answer to reach the caller.
 	deadlineMargin = 10 * time.Millisecond
 	// largeBody is the length above which a body makes its request large, see isLarge.
@@ -182,10 +184,10 @@
 	left := defaultDeadline
 	if text := r.in.Header.Get(g.options.Fields.Deadline); text != "" {
 		millis, err := strconv.ParseFloat(text, 64)
-		if err != nil || millis <= 0 {
+		if err != nil || !(millis > 0) {
 			return 0, false
 		}
-		left = time.Duration(millis*float64(time.Millisecond)) - deadlineMargin
+		left = time.Duration(min(millis*float64(time.Millisecond), float64(maxDeadline))) - deadlineMargin
 		if !r.fromPeer {
 			r.givesUp = r.in.Arrived.Add(left)
 		}
--- a/edge/placing/returns.go
+++ b/edge/placing/returns.go
@@ -11,6 +11,9 @@
 	// honouredShare is the fraction of the time that it has left after which a refused caller comes
 	// back at the latest, whatever it is told.
 	honouredShare = 1.0 / 3
+	// maxPromiseTime is how far ahead places are reserved. Without it, callers that state hours fill the
+	// ledger of the VM for hours.
+	maxPromiseTime = maxPermitWait
 	// promisedQueue is how many of the requests that a target may have beyond its slots are left to
 	// callers that come back as promised.
 	promisedQueue = 1
@@ -83,7 +86,7 @@
 	offer := returns.Offer{
 		Earliest: max(w.wait, minRetryAfter),
 		Interval: time.Duration(float64(s.occupancy.unbiasedMean(r.serviceTime())) / max(ledger.slots*share, minPromisedSlots)),
-		Latest:   now.Add(time.Duration(honouredShare * float64(r.givesUp().Sub(now)))),
+		Latest:   now.Add(min(time.Duration(honouredShare*float64(r.givesUp().Sub(now))), maxPromiseTime)),
 	}
 	if t := s.preferredTarget(now, r, w.region); t != nil {
 		offer.Target = t.hash
--- a/edge/placing/returns_test.go
+++ b/edge/placing/returns_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -273,3 +274,23 @@
 		t.Errorf("off: %+v", d)
 	}
 }
+
+// Callers that state a deadline of an hour or without end must not take the places of others: the bound
+// on the promises of a VM holds for all its regions.
+func TestLongDeadlinesLeavePlacesToOthers(t *testing.T) {
+	for _, left := range []time.Duration{time.Hour, math.MaxInt64} {
+		now := time.Unix(1000, 0)
+		b, class := newReturnBalancer(now), NewClass(500*time.Millisecond)
+		for key := range uint64(returns.MaxPromises + 100) {
+			r := keyRequest(now, class, key)
+			r.Allowed, r.Deadline, r.GivesUp = onlyIn("a"), now.Add(8*time.Second), now.Add(left)
+			b.Place(now, r)
+		}
+		if _, d := refuseOne(t, now, b, class, onlyIn("b")); d.Promised == 0 {
+			t.Errorf("callers that wait %v: no place for another one, %+v", left, d)
+		}
+		if b.services[serviceName].promises["a"].HasPending(now.Add(maxPromiseTime+time.Second), 0) {
+			t.Errorf("callers that wait %v: places later than %v", left, maxPromiseTime)
+		}
+	}
+}
