edge/returns: give an early caller of a crowded key no second place

In a crowded key, callers that come back early are tried as new ones. Promise removed only an old entry without a place, so each of their refusals added another place. It now returns the place that the caller has. The bound on the places of a key holds for accounts without keys too.

TestEarlyCallerOfCrowdedKeyKeepsItsPlace and the account in TestKeyGetsAtMostAPartOfThePlaces fail without the change.

--- a/edge/placing/returns.go
+++ b/edge/placing/returns.go
@@ -93,6 +93,7 @@
 		offer.TargetInterval = time.Duration(float64(offer.Interval) * max(1, s.slots(now, w.region)/max(t.usableSlots(s.occupancy.mean), minPromisedSlots)))
 	}
 	wait, reserved := ledger.Promise(now, r.caller(), offer)
+	wait = max(wait, minRetryAfter)
 	d.RetryAfter = wait
 	if reserved {
 		d.Promised = wait
--- a/edge/returns/ledger.go
+++ b/edge/returns/ledger.go
@@ -15,7 +15,7 @@
 	noteWindow = 10 * time.Millisecond
 	// lapsedMemory is how long after its window a promise is known as lapsed.
 	lapsedMemory = 2 * time.Second
-	// minPerKey and maxKeyShare bound the places of one affinity key: the greater of a number and a
+	// minPerKey and maxKeyShare bound the places of one affinity key or account: the greater of a number and a
 	// fraction of the ledger's. Callers that come back at once and start their deadline anew look
 	// like many callers, and would get all places.
 	minPerKey   = 4
@@ -54,12 +54,16 @@
 }
 
 // Promise returns after what time a refused caller should come back, and whether a place is
-// reserved for it then. There is none if that is later than the caller comes back.
+// reserved for it then. There is none if that is later than the caller comes back. A caller that has a
+// place already keeps it; the wait is 0 if its time has come.
 //
 // Promises of less urgent ranks do not defer those of more urgent ones, which are served first.
 func (l *Ledger) Promise(now time.Time, c Caller, o Offer) (wait time.Duration, reserved bool) {
 	l.Expire(now)
-	if old := recognize(l.callers[c.identity()], c, matchTolerance); old != nil && !old.reserved {
+	if old := recognize(l.callers[c.identity()], c, matchTolerance); old != nil {
+		if old.reserved {
+			return max(0, old.told.Sub(now)), true
+		}
 		l.remove(old)
 	}
 	told := l.firstFree(now, c.Rank, o)
@@ -107,11 +111,8 @@
 	return o.Interval
 }
 
-// hasMany reports whether an affinity key has as many places as it may have.
+// hasMany reports whether an affinity key or account has as many places as it may have.
 func (l *Ledger) hasMany(c Caller) bool {
-	if c.IsAccount {
-		return false
-	}
 	n := 0
 	for _, p := range l.callers[c.identity()] {
 		if p.reserved {
--- a/edge/returns/ledger_test.go
+++ b/edge/returns/ledger_test.go
@@ -142,14 +142,54 @@
 	}
 }
 
-// A caller that comes back at once and starts its deadline anew looks like many callers of its key; it must
-// not get the places of other keys.
+// A caller that comes back at once and starts its deadline anew looks like many callers of its key or account;
+// it must not get the places of others.
 func TestKeyGetsAtMostAPartOfThePlaces(t *testing.T) {
-	l := NewLedger(&Totals{})
-	for i := range time.Duration(10) {
-		if _, reserved := l.Promise(start, caller(1, start.Add(i*time.Second)), Offer{Latest: start.Add(time.Second)}); reserved != (i < minPerKey) {
-			t.Errorf("try %d: reserved %v", i, reserved)
+	for _, isAccount := range []bool{false, true} {
+		l := NewLedger(&Totals{})
+		for i := range time.Duration(10) {
+			who := caller(1, start.Add(i*time.Second))
+			who.IsAccount = isAccount
+			if _, reserved := l.Promise(start, who, Offer{Latest: start.Add(time.Second)}); reserved != (i < minPerKey) {
+				t.Errorf("account %v, try %d: reserved %v", isAccount, i, reserved)
+			}
+		}
+	}
+}
+
+// In a crowded key early callers are tried as new ones. One that is refused again must keep its place and get
+// no second one.
+func TestEarlyCallerOfCrowdedKeyKeepsItsPlace(t *testing.T) {
+	totals := &Totals{}
+	l, now := NewLedger(totals), start
+	// Places of other keys raise the number that one key may have.
+	for i := range uint64(100) {
+		l.Promise(now, caller(1000+i, now), Offer{Earliest: 5 * time.Second, Latest: now.Add(time.Minute)})
+	}
+	long := func(i int) (Caller, Offer) {
+		return Caller{Key: 1, GivesUp: start.Add(time.Minute + time.Duration(i)*time.Second)}, Offer{Earliest: 5 * time.Second, Latest: start.Add(time.Minute)}
+	}
+	for i := range crowdedFrom {
+		who, o := long(i)
+		l.Promise(now, who, o)
+	}
+	before := totals.Promised
+	who, o := long(0)
+	for range 12 {
+		now = now.Add(10 * time.Millisecond)
+		if s, _ := l.Claim(now, who); s != New {
+			t.Fatalf("%v, the key is not crowded", s)
 		}
+		wait, reserved := l.Promise(now, who, o)
+		if want := start.Add(5 * time.Second).Sub(now); wait != want || !reserved {
+			t.Errorf("promised %v, reserved %v, want %v", wait, reserved, want)
+		}
+	}
+	if totals.Promised != before {
+		t.Errorf("%d places for one caller", 1+totals.Promised-before)
+	}
+	if s, _ := l.Claim(start.Add(5*time.Second), who); s != Kept {
+		t.Errorf("%v at the time that the caller was told", s)
 	}
 }
 
