edge/placing: let only requests of one region wait for promises

Every request whose region had a ledger left the last place at a full target to promised callers and counted them before itself. A request that any region may run was therefore queued although another region was idle, also after the part was switched off.

TestOtherRequestsGetNoPromise now compares the placement with and without pending promises; it fails without the change.

--- a/edge/placing/returns.go
+++ b/edge/placing/returns.go
@@ -104,7 +104,7 @@
 // that are promised a place before it. A request that comes back as promised itself waits only for
 // those that are due already.
 func (b *Balancer) promisedWait(now time.Time, s *service, r *Request, w queueWait) time.Duration {
-	ledger := s.promises[w.region]
+	ledger := b.promisesBefore(s, r, w.region)
 	if ledger == nil {
 		return 0
 	}
@@ -126,11 +126,21 @@
 	return promised
 }
 
+// promisesBefore returns the promises for a region that a request may have to wait for, nil if there are
+// none. Requests that other regions may run do not wait for any: those may have free slots.
+func (b *Balancer) promisesBefore(s *service, r *Request, region string) *promises {
+	p := s.promises[region]
+	if p == nil || !b.options.Policy.Returns || s.onlyRegion(r) != region {
+		return nil
+	}
+	return p
+}
+
 // isPromised reports whether the last place in the queue of a full target is kept for callers that are
 // to come back and are no less urgent than a request. Otherwise all VMs fill the queues of the targets,
 // and a caller that comes back waits for a slot that this VM gets at its own target.
-func (s *service) isPromised(now time.Time, t *Target, r *Request) bool {
-	ledger := s.promises[t.Region]
+func (b *Balancer) isPromised(now time.Time, s *service, t *Target, r *Request) bool {
+	ledger := b.promisesBefore(s, r, t.Region)
 	if ledger == nil || r.keepsPromise() || t.inFlight()+promisedQueue < t.Slots+t.queueLength(now) {
 		return false
 	}
--- a/edge/placing/returns_test.go
+++ b/edge/placing/returns_test.go
@@ -194,6 +194,14 @@
 	return nil, Decision{}
 }
 
+// placeOne places a request and describes what happens to it.
+func placeOne(now time.Time, b *Balancer, class *Class, key uint64, allowed func(string) bool) string {
+	r := keyRequest(now, class, key)
+	r.Allowed = allowed
+	d, w := b.Place(now, r)
+	return fmt.Sprintf("region %q, sent %v, queued %v, expected %v, refused as %q after %v", d.Region, d.Target != nil, w != nil, d.Expected, d.Reason, d.RetryAfter)
+}
+
 // A promise is lost with the VM that has made it: at another VM the caller must be a new one, and the VM
 // must count the capacity as free again once the place has lapsed.
 func TestVMThatHoldsPromisesFails(t *testing.T) {
@@ -253,7 +261,7 @@
 }
 
 // Requests that several regions may run, services whose only region loses its targets, and a policy
-// without the part are handled as before.
+// without the part are handled as before: they neither get promises nor wait for those of others.
 func TestOtherRequestsGetNoPromise(t *testing.T) {
 	now := time.Unix(1000, 0)
 	class := NewClass(time.Second)
@@ -261,6 +269,22 @@
 	if _, d := refuseOne(t, now, b, class, onlyIn("a", "b")); d.Promised > 0 || d.RetryAfter > maxRetryAfter {
 		t.Errorf("two regions: %+v", d)
 	}
+	for name, c := range map[string]struct {
+		on      bool
+		allowed func(string) bool
+	}{"any region": {true, nil}, "two regions": {true, onlyIn("a", "b")}, "off": {false, onlyIn("a")}} {
+		with, without := newReturnBalancer(now), newReturnBalancer(now)
+		with.options.Policy.Returns, without.options.Policy.Returns = c.on, c.on
+		ledger := with.promisesOf(now, with.services[serviceName], "a")
+		for i := range uint64(3) {
+			ledger.Promise(now, returns.Caller{Key: i}, returns.Offer{Earliest: time.Duration(i) * 100 * time.Millisecond, Latest: now.Add(time.Second)})
+		}
+		for key := range uint64(30) {
+			if got, want := placeOne(now, with, class, key, c.allowed), placeOne(now, without, class, key, c.allowed); got != want {
+				t.Errorf("%s, request %d: %s with pending promises, %s without", name, key, got, want)
+			}
+		}
+	}
 	b = newReturnBalancer(now)
 	r, _ := refuseOne(t, now, b, class, onlyIn("a"))
 	b.SetTargets(now, services(0), nil, nil)
