edge/placing: let a promise count for the first send only

Retries and hedges use the same Request, so that a second send of one that came back as promised went before others too.

TestReturnedRequestGoesFirst sends the same Request twice; it fails without the change.

--- a/edge/placing/returns.go
+++ b/edge/placing/returns.go
@@ -206,5 +206,6 @@
 	return r.GivesUp
 }
 
-// keepsPromise reports whether the request has come back at the time that its caller was told.
-func (r *Request) keepsPromise() bool { return r.returned == returns.Kept }
+// keepsPromise reports whether the request has come back at the time that its caller was told. Second
+// sends of it do not count: its place is used.
+func (r *Request) keepsPromise() bool { return r.returned == returns.Kept && !r.AlreadyCounted }
--- a/edge/placing/returns_test.go
+++ b/edge/placing/returns_test.go
@@ -240,6 +240,15 @@
 		if first := w != nil && b.services[serviceName].queue.waiting[0] == w; first == counted {
 			t.Errorf("first in the queue: %v, counted already: %v", first, counted)
 		}
+		if counted {
+			continue
+		}
+		// A second send of the request that has used its promise.
+		b.Cancel(w)
+		kept.AlreadyCounted = true
+		if _, w := b.Place(now, &kept); w != nil && b.services[serviceName].queue.waiting[0] == w {
+			t.Error("the second send of a request that used its promise goes first")
+		}
 	}
 }
 
