edge/targetload: do not use a stated count below this VM's own

A target that stated fewer requests than this VM alone had there set the requests of other VMs to 0, whatever those reported, and got more than its queue may hold. Such a count is now no count of the others: their reports count. Slots and pace of the statement are used.

The row {0,3,5,0} of TestAnsweredRequestMayCountAsRunning asserted that fault: 3 own requests, none stated and 5 reported by others gave 0 others. It now asserts 5. TestContradictoryCountLeavesReports fails without the change.

--- a/edge/placing/statedload_test.go
+++ b/edge/placing/statedload_test.go
@@ -68,6 +68,27 @@
 	}
 }
 
+// A target that states fewer requests than this VM alone has there must not hide the requests that other VMs
+// report: it would get more than it may have. The rest of the statement counts.
+func TestContradictoryCountLeavesReports(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b, target := statedBalancer(now)
+	target.local = 3
+	b.SetPeerReport(now, "other", &PeerReport{
+		InFlight: map[uint32]int{TargetKey(target.hash): 6}, Demand: map[string]map[string]float64{"a": {}}, At: now,
+	})
+	for i, l := range []site.Load{stated(9, 0, 2, 1), stated(0, 0, 2, 1)} {
+		b.TargetStatesLoad(now.Add(time.Duration(i)*time.Millisecond), target, l, false)
+		if target.canAccept(now) {
+			t.Errorf("%+v: gets one more with %d in flight", l, target.inFlight())
+		}
+	}
+	b.TargetStatesLoad(now.Add(2*time.Millisecond), target, stated(0, 0, 3, 2.5), false)
+	if pace, _ := target.load.lastPace(now); target.Slots != 3 || pace != 2.5 {
+		t.Errorf("%d slots, pace %v", target.Slots, pace)
+	}
+}
+
 // A target that the store lists again with another start has stated nothing.
 func TestRestartedTargetHasStatedNothing(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/edge/targetload/belief.go
+++ b/edge/targetload/belief.go
@@ -36,13 +36,15 @@
 
 // Observe records a statement made at a time. own is the number of this VM's requests at the target
 // without the one that was answered, which the target may or may not count as running: the requests
-// of other VMs are therefore known to within one. It returns false if a newer statement is known.
+// of other VMs are therefore known to within one. A total below own tells nothing of the others: own
+// requests are still on their way, or the target counts wrongly. Their reports then count. It returns
+// false if a newer statement is known.
 func (b *Belief) Observe(at time.Time, s Stated, own, registered int) bool {
 	if !b.countsAt.IsZero() && at.Before(b.countsAt) {
 		return false
 	}
 	total := s.Running + s.Waiting
-	b.countsAt, b.held = at, true
+	b.countsAt, b.held = at, total >= own
 	b.fewest, b.most = max(0, total-1-own), max(0, total-own)
 	b.slots, b.registered = s.Slots, registered
 	b.ObservePace(at, s.Pace)
--- a/edge/targetload/targetload_test.go
+++ b/edge/targetload/targetload_test.go
@@ -21,10 +21,11 @@
 }
 
 // Whether the target counts the request that it answers is not known: neither may change the number of
-// the others by more than one, nor make it negative.
+// the others by more than one, nor make it negative. Fewer requests than this VM's own are no count of the
+// others at all.
 func TestAnsweredRequestMayCountAsRunning(t *testing.T) {
 	for _, c := range []struct{ running, own, reported, want int }{
-		{3, 1, 0, 1}, {3, 1, 9, 2}, {3, 1, 2, 2}, {0, 3, 5, 0}, {0, 0, 0, 0},
+		{3, 1, 0, 1}, {3, 1, 9, 2}, {3, 1, 2, 2}, {0, 3, 5, 5}, {0, 0, 0, 0},
 	} {
 		var b Belief
 		b.Observe(time.Unix(1000, 0), Stated{Running: c.running, Slots: 4, Pace: 1}, c.own, 4)
