--- a/edge/placing/statedload.go
+++ b/edge/placing/statedload.go
@@ -155,18 +155,19 @@
 }
 
 // atMeanPace converts the time of a run that ended now to what it would have been at the service's mean
-// pace. Service times and slowdown are estimated from it, so that a moment's slowness of the machine is
-// not attributed to the target.
-func (t *Target) atMeanPace(now time.Time, took time.Duration) time.Duration {
+// pace, and returns the factor between them. Service times and slowdown are estimated from it, so that a
+// moment's slowness of the machine is not attributed to the target.
+func (t *Target) atMeanPace(now time.Time, took time.Duration) (converted time.Duration, factor float64) {
 	if t.load == nil {
-		return took
+		return took, 1
 	}
 	pace, at, ok := t.load.Pace()
 	if !ok {
-		return took
+		return took, 1
 	}
 	age := max(0, now.Add(-t.rtt/2).Sub(at))
-	return time.Duration(float64(took) / t.load.paces.Factor(pace, age, took))
+	factor = t.load.paces.Factor(pace, age, took)
+	return time.Duration(float64(took) / factor), factor
 }
 
 // recordRatio records the ratio of actual to expected service time of a request. If the target has stated
--- a/edge/placing/statedload_test.go
+++ b/edge/placing/statedload_test.go
@@ -149,6 +149,26 @@
 	}
 }
 
+// A target whose runs take the usual time while it states a far wrong pace must not change the service times
+// that all targets are expected to have.
+func TestWrongPaceLeavesServiceTimes(t *testing.T) {
+	for _, pace := range []float64{0.1, 10} {
+		now := time.Unix(1000, 0)
+		class := NewClass(time.Second)
+		b, target := statedBalancer(now)
+		usual := class.warm
+		for range 100 {
+			target.local++
+			now = now.Add(usual)
+			b.TargetStatesLoad(now, target, stated(0, 0, 2, pace), true)
+			b.Done(now, Decision{Target: target, Warm: true}, class, Answered, usual+target.rtt)
+		}
+		if class.warm < usual*9/10 || class.warm > usual*11/10 {
+			t.Errorf("pace %v: expected %v, all runs took %v", pace, class.warm, usual)
+		}
+	}
+}
+
 // One request whose work is long by itself must not make a target that states the usual pace look slow;
 // a second one must.
 func TestSingleLongRequestIsNotExpectedAgain(t *testing.T) {
--- a/edge/placing/target.go
+++ b/edge/placing/target.go
@@ -30,8 +30,8 @@
 	// observationTTL is how long a target's slowdown and failures count without new
 	// samples. A slow target gets few requests and could otherwise not show its recovery.
 	observationTTL = 3 * time.Second
-	// slowThreshold is the slowdown from which a target's responses are excluded from the
-	// service time estimates.
+	// slowThreshold is the slowdown, and the factor of the pace either way, from which a target's
+	// responses are excluded from the service time estimates.
 	slowThreshold = 1.7
 	// minEjection and maxEjection bound the backoff between probes of an ejected target.
 	minEjection = 400 * time.Millisecond
@@ -167,14 +167,16 @@
 // recordSuccess records a response; took excludes the network round trip.
 func (t *Target) recordSuccess(now time.Time, class *Class, warm bool, took time.Duration) {
 	sentAt := now.Add(-took - t.rtt)
-	took = t.atMeanPace(now, took)
+	took, paceFactor := t.atMeanPace(now, took)
 	ratio := max(1, float64(took)/float64(max(class.serviceTime(warm), time.Millisecond)))
 	t.load.recordRatio(now, sentAt, ratio, slowdownSmoothing)
 	t.slowdown = t.currentSlowdown(now) + slowdownSmoothing*(ratio-t.currentSlowdown(now))
 	t.failures = (1 - failureSmoothing) * t.failures * t.freshness(now)
 	t.observedAt = now
 	t.ejection = 0
-	if t.slowdown < slowThreshold && now.After(t.coldUntil) {
+	// The conversion by a far pace is uncertain, and wrong if the target states a wrong one.
+	isUsual := paceFactor >= 1/slowThreshold && paceFactor <= slowThreshold
+	if t.slowdown < slowThreshold && isUsual && now.After(t.coldUntil) {
 		class.observe(warm, took)
 	}
 }
@@ -184,7 +186,8 @@
 // noticed too.
 func (t *Target) recordTimeout(now time.Time, class *Class, warm bool, waited time.Duration) {
 	expected := float64(max(class.serviceTime(warm), time.Millisecond))
-	ratio := float64(t.atMeanPace(now, waited)) / expected
+	converted, _ := t.atMeanPace(now, waited)
+	ratio := float64(converted) / expected
 	if ratio <= max(slowThreshold, t.currentSlowdown(now)) {
 		return
 	}
--- a/edge/targetload/persistence.go
+++ b/edge/targetload/persistence.go
@@ -24,6 +24,9 @@
 	// meanSmoothing is the weight of one statement in the mean pace. It is lower than that of a response
 	// in estimates of service times, which therefore follow a lasting change of all targets first.
 	meanSmoothing = 0.01
+	// maxMeanPace bounds what a statement counts for in the mean, so that a few targets that state a far
+	// wrong pace do not make all others look fast or slow.
+	maxMeanPace = 3.0
 )
 
 // Persistence measures, for the targets of one service, how much of a stated pace's deviation from the
@@ -46,7 +49,9 @@
 }
 
 // Observe records that a target of the service states a pace.
-func (p *Persistence) Observe(pace float64) { p.mean += meanSmoothing * (pace - p.mean) }
+func (p *Persistence) Observe(pace float64) {
+	p.mean += meanSmoothing * (min(max(pace, 1/maxMeanPace), maxMeanPace) - p.mean)
+}
 
 // ObservePair records that a target states a pace, and has stated one before a lag earlier. Lags that are
 // too short or too long to measure are ignored.
--- a/edge/targetload/targetload_test.go
+++ b/edge/targetload/targetload_test.go
@@ -83,3 +83,16 @@
 		t.Error("slow targets are told for another time than they are slow")
 	}
 }
+
+// A target that states a far wrong pace must not define the mean: the others would count as fast.
+func TestWrongPaceMovesMeanLittle(t *testing.T) {
+	for _, wrong := range []float64{0.1, 10} {
+		p := NewPersistence()
+		for i := range 4000 {
+			p.Observe([]float64{1, 1, 1, wrong}[i%4])
+		}
+		if mean := p.Mean(); mean < 0.8 || mean > 1.6 {
+			t.Errorf("one target of four states %v, the mean is %.2f", wrong, mean)
+		}
+	}
+}
