edge/placing: find the targets of a message by their keys

SetSlowTargets compared each entry of a message with each target under the lock. The targets are now indexed by TargetKey in SetTargets.

TestSlowTargetsAreFoundByKey checks that the index follows the list of targets.

--- a/edge/placing/balancer.go
+++ b/edge/placing/balancer.go
@@ -48,6 +48,8 @@
 	lastReport report
 	// remote counts the in-flight requests of all peers by TargetKey.
 	remote map[uint32]*remoteCount
+	// byKey holds the listed targets by TargetKey.
+	byKey map[uint32][]*Target
 	// vmHashes and vmNames are the VMs of the local region that share the rate of cold targets.
 	vmHashes []uint64
 	vmNames  []string
@@ -70,6 +72,7 @@
 	return &Balancer{
 		options: o, hash: HashOf(o.VM), names: namesOf(o),
 		services: make(map[string]*service), peers: make(map[string]*PeerReport), remote: make(map[uint32]*remoteCount),
+		byKey:     make(map[uint32][]*Target),
 		tolerance: baseTolerance, limitOf: func(*Target) RateLimit { return nil },
 		statements: statements{byIncarnation: make(map[uint64]*statement)}, sets: newWorkingSets(),
 	}
--- a/edge/placing/slowtargets.go
+++ b/edge/placing/slowtargets.go
@@ -1,6 +1,7 @@
 package placing
 
 import (
+	"maps"
 	"time"
 
 	"github.com/yuccaroute/yuccaroute/edge/targetload"
@@ -36,14 +37,30 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	for _, slow := range list {
+		if !isValid(slow) {
+			continue
+		}
+		for _, t := range b.byKey[slow.Key] {
+			load := t.ensureLoad(b.services[t.Service])
+			load.told = load.ObservePace(now.Add(-slow.Age), slow.Pace) || load.told
+		}
+	}
+}
+
+func isValid(slow targetload.Slow) bool { return slow.Pace > 0 && slow.Age >= 0 }
+
+// indexByKey updates byKey after a change of the targets. It reuses the lists, as most targets stay.
+func (b *Balancer) indexByKey() {
+	for key, list := range b.byKey {
+		clear(list)
+		b.byKey[key] = list[:0]
+	}
 	for _, s := range b.services {
 		for _, t := range s.targets {
-			for _, slow := range list {
-				if slow.Key == TargetKey(t.hash) && slow.Pace > 0 && slow.Age >= 0 {
-					load := t.ensureLoad(s)
-					load.told = load.ObservePace(now.Add(-slow.Age), slow.Pace) || load.told
-				}
-			}
+			key := TargetKey(t.hash)
+			b.byKey[key] = append(b.byKey[key], t)
 		}
 	}
+	maps.DeleteFunc(b.byKey, func(_ uint32, list []*Target) bool { return len(list) == 0 })
 }
--- a/edge/placing/statedload_test.go
+++ b/edge/placing/statedload_test.go
@@ -169,6 +169,27 @@
 	}
 }
 
+// A message must reach exactly the targets that are listed now, all that share a key among them.
+func TestSlowTargetsAreFoundByKey(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b, target := statedBalancer(now)
+	key := TargetKey(target.hash)
+	twin := b.services[serviceName].targets["t2"]
+	b.byKey[key] = append(b.byKey[key], twin)
+	b.SetSlowTargets(now, []targetload.Slow{{Key: key, Pace: 2.5}, {Key: key + 1, Pace: 2.5}, {Key: TargetKey(twin.hash), Pace: -1}})
+	for _, told := range []*Target{target, twin} {
+		if pace, _ := told.load.lastPace(now); pace != 2.5 {
+			t.Errorf("%s: pace %v", told.ID, pace)
+		}
+	}
+	restarted := listing("t1")
+	restarted.StartedMillis = 7
+	b.SetTargets(now, services(0), []TargetSpec{restarted}, nil)
+	if len(b.byKey) != 1 || len(b.byKey[key]) != 1 || b.byKey[key][0] != b.services[serviceName].targets["t1"] {
+		t.Errorf("index %v after a restart and a removal", b.byKey)
+	}
+}
+
 // One request whose work is long by itself must not make a target that states the usual pace look slow;
 // a second one must.
 func TestSingleLongRequestIsNotExpectedAgain(t *testing.T) {
--- a/edge/placing/targetspec.go
+++ b/edge/placing/targetspec.go
@@ -36,6 +36,7 @@
 		s.groupByRegion()
 		b.setColdRate(s, services[s.Name].ColdRate)
 	}
+	b.indexByKey()
 	b.serveAll(now)
 }
 
