edge/gateway: log changed numbers of slots once a second at most

A target that states another number of slots with each answer caused a log line for each. Both kinds of lines on statements use one limit type now.

--- a/edge/gateway/gateway.go
+++ b/edge/gateway/gateway.go
@@ -109,8 +109,9 @@
 	reach          *reach.Tracker
 	// busyUntil is until when this VM takes no requests that others cannot place; nil if it always did.
 	busyUntil atomic.Pointer[time.Time]
-	// malformedAt is when a malformed statement was last logged.
-	malformedAt atomic.Pointer[time.Time]
+	// malformedLogged and slotsLogged limit the log lines on malformed statements and on changed numbers
+	// of slots.
+	malformedLogged, slotsLogged logLimit
 
 	mu sync.Mutex
 	// pools is keyed by poolKey.
--- a/edge/gateway/load.go
+++ b/edge/gateway/load.go
@@ -17,7 +17,9 @@
 	if l.Malformed {
 		return
 	}
-	if g.options.Balancer.TargetStatesLoad(time.Now(), s.target, l, !s.probe) {
+	now := time.Now()
+	// A target may state another number of slots with each answer.
+	if g.options.Balancer.TargetStatesLoad(now, s.target, l, !s.probe) && g.slotsLogged.allow(now) {
 		g.options.Logger.WithFields(logrus.Fields{
 			"target": s.target.ID, "service": s.target.Service, "slots": l.Slots, "id": s.id,
 		}).Info("gateway: target states another number of slots")
--- a/edge/gateway/load_test.go
+++ b/edge/gateway/load_test.go
@@ -55,6 +55,16 @@
 	if counts.stated != 1 || counts.malformed != 1 || strings.Count(out.String(), "another number of slots") != 1 {
 		t.Errorf("%d stated, %d malformed, log %s", counts.stated, counts.malformed, out.String())
 	}
+	// A target whose statements alternate must not fill the log.
+	for i := range 100 {
+		load = site.Load{Known: true, Slots: 3 + i%2, Pace: 2.5}
+		g.observe(g.newSending(d.Target, "1"), http.StatusOK, http.Header{})
+	}
+	if n := strings.Count(out.String(), "another number of slots"); n > 3 {
+		t.Errorf("%d log lines of 100 changes", n)
+	}
+	load = site.Load{Known: true, Running: 1, Slots: 3, Pace: 2.5}
+	g.observe(g.newSending(d.Target, "1"), http.StatusOK, http.Header{})
 	next, _ := b.Place(time.Now(), r)
 	line := logrus.Fields{}
 	(&requestLog{decision: next, targets: []string{"t"}}).addFields(line)
--- a/edge/gateway/statement.go
+++ b/edge/gateway/statement.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -24,8 +25,17 @@
 // ReadStatement returns what a target states in an answer with the given status and header.
 type ReadStatement func(status int, h http.Header) site.Statement
 
-// malformedLogInterval is the shortest time between two log lines on malformed statements.
-const malformedLogInterval = time.Second
+// statementLogInterval is the shortest time between two log lines on statements of one kind.
+const statementLogInterval = time.Second
+
+// logLimit limits log lines to one in a statementLogInterval.
+type logLimit struct{ last atomic.Pointer[time.Time] }
+
+// allow reports whether a line may be logged now, and counts it if so.
+func (l *logLimit) allow(now time.Time) bool {
+	last := l.last.Load()
+	return (last == nil || now.Sub(*last) >= statementLogInterval) && l.last.CompareAndSwap(last, &now)
+}
 
 // sending is a request on its way to a target, whose answer may state something.
 type sending struct {
@@ -94,9 +104,7 @@
 
 // logMalformedStatement logs that an answer has fields that state nothing.
 func (g *Gateway) logMalformedStatement(t *placing.Target, err error) {
-	now := time.Now()
-	last := g.malformedAt.Load()
-	if last != nil && now.Sub(*last) < malformedLogInterval || !g.malformedAt.CompareAndSwap(last, &now) {
+	if !g.malformedLogged.allow(time.Now()) {
 		return
 	}
 	g.options.Logger.WithError(err).WithFields(logrus.Fields{"target": t.ID, "service": t.Service}).
