--- a/edge/placing/returns.go
+++ b/edge/placing/returns.go
@@ -11,6 +11,9 @@
 	// honouredShare is the fraction of the time that it has left after which a refused caller comes
 	// back at the latest, whatever it is told.
 	honouredShare = 1.0 / 3
+	// maxPromiseTime is how far ahead places are reserved. Without it, callers that state hours fill the
+	// ledger of the VM for hours.
+	maxPromiseTime = maxPermitWait
 	// promisedQueue is how many of the requests that a target may have beyond its slots are left to
 	// callers that come back as promised.
 	promisedQueue = 1
@@ -83,13 +86,14 @@
 	offer := returns.Offer{
 		Earliest: max(w.wait, minRetryAfter),
 		Interval: time.Duration(float64(s.occupancy.unbiasedMean(r.serviceTime())) / max(ledger.slots*share, minPromisedSlots)),
-		Latest:   now.Add(time.Duration(honouredShare * float64(r.givesUp().Sub(now)))),
+		Latest:   now.Add(min(time.Duration(honouredShare*float64(r.givesUp().Sub(now))), maxPromiseTime)),
 	}
 	if t := s.preferredTarget(now, r, w.region); t != nil {
 		offer.Target = t.hash
 		offer.TargetInterval = time.Duration(float64(offer.Interval) * max(1, s.slots(now, w.region)/max(t.usableSlots(s.occupancy.mean), minPromisedSlots)))
 	}
 	wait, reserved := ledger.Promise(now, r.caller(), offer)
+	wait = max(wait, minRetryAfter)
 	d.RetryAfter = wait
 	if reserved {
 		d.Promised = wait
@@ -100,7 +104,7 @@
 // that are promised a place before it. A request that comes back as promised itself waits only for
 // those that are due already.
 func (b *Balancer) promisedWait(now time.Time, s *service, r *Request, w queueWait) time.Duration {
-	ledger := s.promises[w.region]
+	ledger := b.promisesBefore(s, r, w.region)
 	if ledger == nil {
 		return 0
 	}
@@ -122,11 +126,21 @@
 	return promised
 }
 
+// promisesBefore returns the promises for a region that a request may have to wait for, nil if there are
+// none. Requests that other regions may run do not wait for any: those may have free slots.
+func (b *Balancer) promisesBefore(s *service, r *Request, region string) *promises {
+	p := s.promises[region]
+	if p == nil || !b.options.Policy.Returns || s.onlyRegion(r) != region {
+		return nil
+	}
+	return p
+}
+
 // isPromised reports whether the last place in the queue of a full target is kept for callers that are
 // to come back and are no less urgent than a request. Otherwise all VMs fill the queues of the targets,
 // and a caller that comes back waits for a slot that this VM gets at its own target.
-func (s *service) isPromised(now time.Time, t *Target, r *Request) bool {
-	ledger := s.promises[t.Region]
+func (b *Balancer) isPromised(now time.Time, s *service, t *Target, r *Request) bool {
+	ledger := b.promisesBefore(s, r, t.Region)
 	if ledger == nil || r.keepsPromise() || t.inFlight()+promisedQueue < t.Slots+t.queueLength(now) {
 		return false
 	}
@@ -192,5 +206,6 @@
 	return r.GivesUp
 }
 
-// keepsPromise reports whether the request has come back at the time that its caller was told.
-func (r *Request) keepsPromise() bool { return r.returned == returns.Kept }
+// keepsPromise reports whether the request has come back at the time that its caller was told. Second
+// sends of it do not count: its place is used.
+func (r *Request) keepsPromise() bool { return r.returned == returns.Kept && !r.AlreadyCounted }
--- a/edge/placing/returns_test.go
+++ b/edge/placing/returns_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -193,6 +194,14 @@
 	return nil, Decision{}
 }
 
+// placeOne places a request and describes what happens to it.
+func placeOne(now time.Time, b *Balancer, class *Class, key uint64, allowed func(string) bool) string {
+	r := keyRequest(now, class, key)
+	r.Allowed = allowed
+	d, w := b.Place(now, r)
+	return fmt.Sprintf("region %q, sent %v, queued %v, expected %v, refused as %q after %v", d.Region, d.Target != nil, w != nil, d.Expected, d.Reason, d.RetryAfter)
+}
+
 // A promise is lost with the VM that has made it: at another VM the caller must be a new one, and the VM
 // must count the capacity as free again once the place has lapsed.
 func TestVMThatHoldsPromisesFails(t *testing.T) {
@@ -231,6 +240,15 @@
 		if first := w != nil && b.services[serviceName].queue.waiting[0] == w; first == counted {
 			t.Errorf("first in the queue: %v, counted already: %v", first, counted)
 		}
+		if counted {
+			continue
+		}
+		// A second send of the request that has used its promise.
+		b.Cancel(w)
+		kept.AlreadyCounted = true
+		if _, w := b.Place(now, &kept); w != nil && b.services[serviceName].queue.waiting[0] == w {
+			t.Error("the second send of a request that used its promise goes first")
+		}
 	}
 }
 
@@ -252,7 +270,7 @@
 }
 
 // Requests that several regions may run, services whose only region loses its targets, and a policy
-// without the part are handled as before.
+// without the part are handled as before: they neither get promises nor wait for those of others.
 func TestOtherRequestsGetNoPromise(t *testing.T) {
 	now := time.Unix(1000, 0)
 	class := NewClass(time.Second)
@@ -260,6 +278,22 @@
 	if _, d := refuseOne(t, now, b, class, onlyIn("a", "b")); d.Promised > 0 || d.RetryAfter > maxRetryAfter {
 		t.Errorf("two regions: %+v", d)
 	}
+	for name, c := range map[string]struct {
+		on      bool
+		allowed func(string) bool
+	}{"any region": {true, nil}, "two regions": {true, onlyIn("a", "b")}, "off": {false, onlyIn("a")}} {
+		with, without := newReturnBalancer(now), newReturnBalancer(now)
+		with.options.Policy.Returns, without.options.Policy.Returns = c.on, c.on
+		ledger := with.promisesOf(now, with.services[serviceName], "a")
+		for i := range uint64(3) {
+			ledger.Promise(now, returns.Caller{Key: i}, returns.Offer{Earliest: time.Duration(i) * 100 * time.Millisecond, Latest: now.Add(time.Second)})
+		}
+		for key := range uint64(30) {
+			if got, want := placeOne(now, with, class, key, c.allowed), placeOne(now, without, class, key, c.allowed); got != want {
+				t.Errorf("%s, request %d: %s with pending promises, %s without", name, key, got, want)
+			}
+		}
+	}
 	b = newReturnBalancer(now)
 	r, _ := refuseOne(t, now, b, class, onlyIn("a"))
 	b.SetTargets(now, services(0), nil, nil)
@@ -273,3 +307,23 @@
 		t.Errorf("off: %+v", d)
 	}
 }
+
+// Callers that state a deadline of an hour or without end must not take the places of others: the bound
+// on the promises of a VM holds for all its regions.
+func TestLongDeadlinesLeavePlacesToOthers(t *testing.T) {
+	for _, left := range []time.Duration{time.Hour, math.MaxInt64} {
+		now := time.Unix(1000, 0)
+		b, class := newReturnBalancer(now), NewClass(500*time.Millisecond)
+		for key := range uint64(returns.MaxPromises + 100) {
+			r := keyRequest(now, class, key)
+			r.Allowed, r.Deadline, r.GivesUp = onlyIn("a"), now.Add(8*time.Second), now.Add(left)
+			b.Place(now, r)
+		}
+		if _, d := refuseOne(t, now, b, class, onlyIn("b")); d.Promised == 0 {
+			t.Errorf("callers that wait %v: no place for another one, %+v", left, d)
+		}
+		if b.services[serviceName].promises["a"].HasPending(now.Add(maxPromiseTime+time.Second), 0) {
+			t.Errorf("callers that wait %v: places later than %v", left, maxPromiseTime)
+		}
+	}
+}
--- a/edge/placing/statedload_test.go
+++ b/edge/placing/statedload_test.go
@@ -68,6 +68,27 @@
 	}
 }
 
+// A target that states fewer requests than this VM alone has there must not hide the requests that other VMs
+// report: it would get more than it may have. The rest of the statement counts.
+func TestContradictoryCountLeavesReports(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b, target := statedBalancer(now)
+	target.local = 3
+	b.SetPeerReport(now, "other", &PeerReport{
+		InFlight: map[uint32]int{TargetKey(target.hash): 6}, Demand: map[string]map[string]float64{"a": {}}, At: now,
+	})
+	for i, l := range []site.Load{stated(9, 0, 2, 1), stated(0, 0, 2, 1)} {
+		b.TargetStatesLoad(now.Add(time.Duration(i)*time.Millisecond), target, l, false)
+		if target.canAccept(now) {
+			t.Errorf("%+v: gets one more with %d in flight", l, target.inFlight())
+		}
+	}
+	b.TargetStatesLoad(now.Add(2*time.Millisecond), target, stated(0, 0, 3, 2.5), false)
+	if pace, _ := target.load.lastPace(now); target.Slots != 3 || pace != 2.5 {
+		t.Errorf("%d slots, pace %v", target.Slots, pace)
+	}
+}
+
 // A target that the store lists again with another start has stated nothing.
 func TestRestartedTargetHasStatedNothing(t *testing.T) {
 	now := time.Unix(1000, 0)
@@ -128,6 +149,47 @@
 	}
 }
 
+// A target whose runs take the usual time while it states a far wrong pace must not change the service times
+// that all targets are expected to have.
+func TestWrongPaceLeavesServiceTimes(t *testing.T) {
+	for _, pace := range []float64{0.1, 10} {
+		now := time.Unix(1000, 0)
+		class := NewClass(time.Second)
+		b, target := statedBalancer(now)
+		usual := class.warm
+		for range 100 {
+			target.local++
+			now = now.Add(usual)
+			b.TargetStatesLoad(now, target, stated(0, 0, 2, pace), true)
+			b.Done(now, Decision{Target: target, Warm: true}, class, Answered, usual+target.rtt)
+		}
+		if class.warm < usual*9/10 || class.warm > usual*11/10 {
+			t.Errorf("pace %v: expected %v, all runs took %v", pace, class.warm, usual)
+		}
+	}
+}
+
+// A message must reach exactly the targets that are listed now, all that share a key among them.
+func TestSlowTargetsAreFoundByKey(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b, target := statedBalancer(now)
+	key := TargetKey(target.hash)
+	twin := b.services[serviceName].targets["t2"]
+	b.byKey[key] = append(b.byKey[key], twin)
+	b.SetSlowTargets(now, []targetload.Slow{{Key: key, Pace: 2.5}, {Key: key + 1, Pace: 2.5}, {Key: TargetKey(twin.hash), Pace: -1}})
+	for _, told := range []*Target{target, twin} {
+		if pace, _ := told.load.lastPace(now); pace != 2.5 {
+			t.Errorf("%s: pace %v", told.ID, pace)
+		}
+	}
+	restarted := listing("t1")
+	restarted.StartedMillis = 7
+	b.SetTargets(now, services(0), []TargetSpec{restarted}, nil)
+	if len(b.byKey) != 1 || len(b.byKey[key]) != 1 || b.byKey[key][0] != b.services[serviceName].targets["t1"] {
+		t.Errorf("index %v after a restart and a removal", b.byKey)
+	}
+}
+
 // One request whose work is long by itself must not make a target that states the usual pace look slow;
 // a second one must.
 func TestSingleLongRequestIsNotExpectedAgain(t *testing.T) {
