--- a/edge/regionplan/fill.go
+++ b/edge/regionplan/fill.go
@@ -12,7 +12,7 @@
 	// maxRounds bounds the iteration of balance, which ends when no region's price changes by more than
 	// priceTolerance. The loads then exceed the limits by that fraction at most. With 100 rounds a
 	// load exceeded its limit by 5 % in one of 4093 draws of TestNoRegionIsOverfullWhileAPlanExists.
-	maxRounds      = 200
+	maxRounds      = 300
 	priceTolerance = 1e-3
 	// minFraction is the smallest fraction that balance plans; smaller ones only cause cold runs.
 	minFraction = 0.005
