soak: targets that state their load, an account of one region

Cause: the soak's targets stated no load and its accounts could run everywhere, so that region plan, stated load, working set and returns were not exercised by real processes under faults.

Change: the settings of all soak processes have these parts on, with a rotation of 4 s. An account may run in the region with a third of the targets. Checked: none of its requests arrives at a target of another region; each 429 and 503, of all callers, has a Retry-After above 0 and has not run; under overload in calm each key of each route is served at least every rotation plus a caller's deadline; pending promises, series of working sets and resident memory of each VM are bounded, and promises lapse after the overload. The new draws have generators of their own; those of the faults are as before. No check that existed has changed.

The bounds of promises and memory were not tried with a fault.

--- a/integration/soak/accounts_test.go
+++ b/integration/soak/accounts_test.go
@@ -33,7 +33,11 @@
 	if w.keyGone {
 		open.Keys = open.Keys[:1]
 	}
-	return []platformtest.Account{open, {Name: limitedAccount, Keys: []string{limitedKey}, Rate: limitRate, Burst: limitBurst}}
+	accounts := []platformtest.Account{open, {Name: limitedAccount, Keys: []string{limitedKey}, Rate: limitRate, Burst: limitBurst}}
+	if w.seed >= unevenSeeds {
+		accounts = append(accounts, platformtest.Account{Name: boundAccount, Keys: []string{boundKey}, Regions: []string{boundRegion}})
+	}
+	return accounts
 }
 
 // checkAccounts checks which account targets were told, that they got no key, and the quota.
@@ -42,7 +46,7 @@
 	if w.seed < accountSeeds {
 		return
 	}
-	owners := map[string]string{openKey: openAccount, movingKey: openAccount, limitedKey: limitedAccount}
+	owners := map[string]string{openKey: openAccount, movingKey: openAccount, limitedKey: limitedAccount, boundKey: boundAccount}
 	var limited []time.Time
 	for _, o := range seen.all {
 		runs := w.ledger.Executions(o.id)
--- a/integration/soak/caller_test.go
+++ b/integration/soak/caller_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -31,6 +33,8 @@
 	status  int // 0: no answer
 	own     bool
 	body    string
+	// retryAfter is in seconds, 0 if the answer has none.
+	retryAfter float64
 	// at is the time of the answer since the start of the run, took that since the
 	// request.
 	at, took time.Duration
@@ -79,8 +83,14 @@
 	key string
 	// path is the last part of all its paths, "" for the ID of each request.
 	path string
+	// affinity is its affinity key, "" for one by the length of each ID, orders the prefix of the paths of
+	// its orders, "/order/" if empty, and timeout its deadline, callTime if 0.
+	affinity, orders string
+	timeout          time.Duration
 }
 
+func (c *caller) deadline() time.Duration { return cmp.Or(c.timeout, callTime) }
+
 func (c *caller) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		c.sent++
@@ -147,7 +157,10 @@
 }
 
 // ask sends one request and returns what was seen of it.
-func (c *caller) ask(id string, order bool) outcome {
+func (c *caller) ask(id string, order bool) outcome { return c.askWithin(id, order, c.deadline()) }
+
+// askWithin sends one request with a deadline.
+func (c *caller) askWithin(id string, order bool, deadline time.Duration) outcome {
 	o := outcome{id: id, key: c.key, order: order}
 	if !c.connect() {
 		return o
@@ -158,10 +171,14 @@
 	}
 	method, path := http.MethodGet, "/look/"+last
 	if order {
-		method, path = http.MethodPost, "/order/"+last
+		method, path = http.MethodPost, cmp.Or(c.orders, "/order/")+last
 	}
 	_ = c.conn.SetDeadline(time.Now().Add(callTime + dialTime))
-	if _, err := io.WriteString(c.conn, platformtest.Request(c.vm, host, method, path, id, c.key, callTime)); err != nil {
+	call := platformtest.Call{
+		VM: c.vm, Host: host, Method: method, Path: path, ID: id, Key: c.key,
+		Affinity: cmp.Or(c.affinity, strconv.Itoa(len(id)%affinityKeys)), Timeout: deadline,
+	}
+	if _, err := io.WriteString(c.conn, call.Text()); err != nil {
 		c.drop()
 		return o
 	}
@@ -179,6 +196,7 @@
 		c.journal.addLeaving(leaving{vm: c.vm, target: target, startedMillis: started, at: time.Now()})
 	}
 	o.status, o.body, o.own = resp.StatusCode, string(body), platformtest.HasStamp(resp.Header, id)
+	o.retryAfter, _ = strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
 	if resp.Close {
 		c.drop()
 	}
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -47,6 +47,8 @@
 	cutSeeds = 10000
 	// restoreSeeds are those from which on the store is restored from copies.
 	restoreSeeds = 11000
+	// unevenSeeds are those from which on targets state their load, and an account may run in one region.
+	unevenSeeds = 12000
 	// healTime is how long a VM may take to serve after all faults have ended.
 	healTime = 30 * time.Second
 )
@@ -148,6 +150,7 @@
 		all.Go(func() { c.run(ctx) })
 	}
 	w.waitServing("before any fault")
+	w.startBound(ctx, &all, seen)
 	bad := w.startRepeats(ctx, &all)
 	w.limitTarget()
 	end := time.Now().Add(time.Duration(*seconds) * time.Second)
@@ -158,6 +161,7 @@
 	w.heal()
 	w.waitServing("after all faults")
 	bad.check()
+	w.checkBound(seen)
 	w.checkTargetLimit()
 	w.checkChangedLimits()
 	w.checkLeavingAndRest()
@@ -168,6 +172,7 @@
 	w.check(seen)
 	w.checkAccounts(seen)
 	w.checkStatements(seen)
+	w.checkUneven(seen)
 	if *plotTo != "" {
 		w.must(w.timeline.write(seen.all, filepath.Join(*plotTo, fmt.Sprintf("seed-%d.png", seed))))
 	}
@@ -183,7 +188,6 @@
 	w.store = platformtest.NewStore(w.kv)
 	t.Cleanup(w.store.Close)
 	w.configure()
-	zones := map[string]string{"n1": "n", "n2": "n", "s1": "s"}
 	names := []string{"n1", "n2", "s1"}
 	for i := range 2 * targetsPerService {
 		target := platformtest.NewTarget(fmt.Sprintf("i-%d", i), fmt.Sprintf("s%d", i%2), names[i%3], work, w.ledger)
@@ -193,6 +197,7 @@
 		w.targets, w.paths = append(w.targets, target), append(w.paths, path)
 		w.must(w.operator.Register(target, path.address(), false))
 	}
+	w.stateLoads()
 	dir := *keepLogs
 	if dir == "" {
 		dir = t.TempDir()
@@ -205,7 +210,8 @@
 		w.storePaths = append(w.storePaths, path)
 		zone := names[i%3]
 		p := newProcess(t, program, dir, platformtest.VMSettings{
-			Name: fmt.Sprintf("vm-%d", i), Zone: zone, Region: zones[zone], Store: path.address(), Grace: 6, Zones: zones,
+			Name: fmt.Sprintf("vm-%d", i), Zone: zone, Region: regions[zone], Store: path.address(), Grace: 6, Zones: regions,
+			Rotation: int(rotation / time.Second),
 		}, &w.pids)
 		t.Cleanup(p.stop)
 		w.processes = append(w.processes, p)
@@ -236,6 +242,11 @@
 		{Name: "look", Host: host, Prefix: "/look/", Kind: platformtest.Safe, Service: fmt.Sprintf("s%d", w.version%2)},
 		{Name: "order", Host: host, Prefix: "/order/", Kind: platformtest.NonIdempotent, Service: "s0"},
 	}
+	if w.seed >= unevenSeeds {
+		routes = append(routes, platformtest.Route{
+			Name: "crowd", Host: host, Prefix: crowdPrefix, Kind: platformtest.NonIdempotent, Service: "s0", Timeout: crowdTime.Seconds(),
+		})
+	}
 	if w.seed < accountSeeds {
 		w.must(w.operator.Configure(w.version, routes, "s0", "s1"))
 		return
