gateway, owners: a request is passed to a busy VM if no other reaches its targets

Cause: a VM whose periodic work is 150 ms late declines what others pass on, and is avoided for 2 s; so is one whose answers are 25 ms late. If it is the only VM that reaches the targets, all requests of the VMs that are cut are refused. Why it works: being slow no longer excludes a VM, it only ranks it behind all others. A busy one takes 16 requests at a time, so that its own callers keep most of its processor.

--- a/edge/gateway/delegate.go
+++ b/edge/gateway/delegate.go
@@ -56,6 +56,8 @@
 	vmBusy       = "busy"
 	// notReached: this VM reaches none of the targets either.
 	notReached = "unreached"
+	// suspected: this VM is about to find out whether it reaches them.
+	suspected = "suspected"
 	// notRead: the request was refused before it was read, for example for lack of memory.
 	notRead = "not-read"
 )
@@ -82,10 +84,14 @@
 		return declinedResponse(otherVersion)
 	case g.leaving.Load():
 		return declinedResponse(vmLeaving)
-	case reason(in.Header.Get(fieldReason)) == byReach && g.isBusy(time.Now()):
+	}
+	why := reason(in.Header.Get(fieldReason))
+	done, ok := g.takeForOthers(why)
+	if !ok {
 		return declinedResponse(vmBusy)
 	}
-	r := &request{in: in, id: in.Header.Get(g.options.Fields.RequestID), fromPeer: true, accounts: g.accounts.Load()}
+	defer done()
+	r := &request{in: in, id: in.Header.Get(g.options.Fields.RequestID), fromPeer: true, lastResort: why == byReachLast, accounts: g.accounts.Load()}
 	if !g.resolveIdentity(r) {
 		return declinedResponse(otherAccount)
 	}
@@ -93,7 +99,10 @@
 	in.Header.Del(fieldVersion)
 	end := g.handle(ctx, r, table)
 	g.record(r, end)
-	if end.unreached && !r.mayHaveRun {
+	switch {
+	case end.unreached && !r.mayHaveRun && g.reach.MayReach(r.service, r.placement.Allowed):
+		return declinedResponse(suspected)
+	case end.unreached && !r.mayHaveRun:
 		return declinedResponse(notReached)
 	}
 	a := g.response(end)
@@ -175,8 +184,11 @@
 	if r.declinedFor = declinedFor(answer); r.declinedFor != "" {
 		g.options.Logger.WithFields(logrus.Fields{"id": r.id, "owner": o.Name, "reason": why, "why": r.declinedFor}).
 			Info("gateway: delegated request declined")
-		if r.declinedFor == notReached || r.declinedFor == vmBusy {
+		switch r.declinedFor {
+		case notReached:
 			o.Avoid(time.Now())
+		case vmBusy, suspected:
+			o.AvoidSlow(time.Now())
 		}
 		return outcome{}, false
 	}
--- a/edge/gateway/gateway.go
+++ b/edge/gateway/gateway.go
@@ -104,6 +104,8 @@
 	reach          *reach.Tracker
 	// busyUntil is until when this VM takes no requests that others cannot place; nil if it always did.
 	busyUntil atomic.Pointer[time.Time]
+	// forOthers counts the requests under way that other VMs delegated as they reach no target.
+	forOthers atomic.Int64
 	// malformedAt is when a malformed statement was last logged.
 	malformedAt atomic.Pointer[time.Time]
 
--- a/edge/gateway/run.go
+++ b/edge/gateway/run.go
@@ -47,7 +47,7 @@
 
 // run places and sends a request until it succeeds or may not be retried.
 func (g *Gateway) run(ctx context.Context, r *request) outcome {
-	if r.fromPeer && !g.reach.Reaches(r.service, r.placement.Allowed) {
+	if r.fromPeer && !r.lastResort && !g.reach.Reaches(r.service, r.placement.Allowed) {
 		return unreachedOutcome()
 	}
 	for {
@@ -60,6 +60,8 @@
 		if d.Reason == placing.Unreached {
 			if relayed, done := g.relay(ctx, r); done {
 				end = relayed
+			} else if relayed, done := g.relayToSlow(ctx, r); done {
+				end = relayed
 			}
 		}
 		if d.Target == nil {
--- a/edge/owners/owners.go
+++ b/edge/owners/owners.go
@@ -47,8 +47,9 @@
 	share  float64
 	ctx    context.Context
 	cancel context.CancelFunc
-	// avoidUntil is nil if the owner was never avoided.
-	avoidUntil atomic.Pointer[time.Time]
+	// failedUntil and slowUntil are until when the owner is avoided as it does not take requests, and as it
+	// is busy or its answers are late; nil if it never was.
+	failedUntil, slowUntil atomic.Pointer[time.Time]
 
 	mu sync.Mutex
 	// overhead is the moving average of the time that answers take beyond the owner's
@@ -59,15 +60,24 @@
 // Context returns a context that is canceled when the VM becomes unresponsive.
 func (o *Owner) Context() context.Context { return o.ctx }
 
-// Avoid makes Lookup skip the owner for avoidDuration.
-func (o *Owner) Avoid(now time.Time) {
-	until := now.Add(avoidDuration)
-	o.avoidUntil.Store(&until)
+// Avoid makes Lookup and Relay skip the owner for avoidDuration.
+func (o *Owner) Avoid(now time.Time) { avoid(&o.failedUntil, now) }
+
+// AvoidSlow is as Avoid for an owner that takes requests but should be spared. SlowRelay may return it.
+func (o *Owner) AvoidSlow(now time.Time) { avoid(&o.slowUntil, now) }
+
+func avoid(until *atomic.Pointer[time.Time], now time.Time) {
+	at := now.Add(avoidDuration)
+	until.Store(&at)
 }
 
-func (o *Owner) isAvoided(now time.Time) bool {
-	until := o.avoidUntil.Load()
-	return until != nil && now.Before(*until)
+func (o *Owner) isAvoided(now time.Time) bool { return o.hasFailed(now) || o.isSlow(now) }
+func (o *Owner) hasFailed(now time.Time) bool { return isBefore(now, &o.failedUntil) }
+func (o *Owner) isSlow(now time.Time) bool    { return isBefore(now, &o.slowUntil) }
+
+func isBefore(now time.Time, until *atomic.Pointer[time.Time]) bool {
+	at := until.Load()
+	return at != nil && now.Before(*at)
 }
 
 // RecordOverhead records how much longer than the owner's processing time an answer took. An
@@ -78,7 +88,7 @@
 	o.overhead += time.Duration(overheadWeight * float64(overhead-o.overhead))
 	if o.overhead > maxOverhead {
 		o.overhead = 0
-		o.Avoid(now)
+		o.AvoidSlow(now)
 	}
 }
 
--- a/edge/owners/relay.go
+++ b/edge/owners/relay.go
@@ -65,6 +65,23 @@
 	perCut   int
 }
 
+// SlowRelay returns the VM that should place a request that Relay finds none for: the first by rendezvous of
+// the key among those that are only avoided as they are slow or busy, nil if there is none. A VM that reaches
+// no target has no other choice than these.
+func (t *Table) SlowRelay(key uint64, now time.Time, groups []uint32, accepts func(o *Owner) bool) *Owner {
+	var best *Owner
+	lowest := 0.0
+	for _, r := range *t.relays.Load() {
+		if !r.isSlow(now) || r.hasFailed(now) || !r.reaches(groups) || !accepts(r.Owner) {
+			continue
+		}
+		if rank := r.rank(key); best == nil || rank < lowest {
+			best, lowest = r.Owner, rank
+		}
+	}
+	return best
+}
+
 // Relay returns the VM that should place a request whose targets this VM does not reach, nil if there is
 // none: one of this failure domain, of the region or of the fleet that reaches a target of one of the
 // groups. accepts may exclude VMs. The requests of a key go to the same VM.
--- a/edge/owners/relay_test.go
+++ b/edge/owners/relay_test.go
@@ -150,3 +150,32 @@
 		t.Error("requests wait for a VM that is unresponsive")
 	}
 }
+
+// Guards against requests that are refused although a VM that reaches their targets is only slow, and against
+// requests that are passed to one that does not answer.
+func TestSlowRelaysAreTheLastResort(t *testing.T) {
+	now := time.Unix(1000, 0)
+	own, list := relays(1, nil)
+	table := New(own)
+	table.SetRelays(list, func(site.VM) bool { return true })
+	if o := table.SlowRelay(7, now, groups, anyVM); o != nil {
+		t.Errorf("%s is not slow", o.Name)
+	}
+	first := table.Relay(7, now, groups, anyVM)
+	for range 100 {
+		first.RecordOverhead(time.Second, now)
+	}
+	if o := table.Relay(7, now, groups, anyVM); o == nil || o == first {
+		t.Errorf("relay %v while another VM is not slow", o)
+	}
+	if o := table.SlowRelay(7, now, groups, anyVM); o != first {
+		t.Errorf("last resort %v, want %s", o, first.Name)
+	}
+	if o := table.SlowRelay(7, now, groups, func(o *Owner) bool { return o != first }); o != nil {
+		t.Errorf("%s is not slow", o.Name)
+	}
+	first.Avoid(now)
+	if o := table.SlowRelay(7, now, groups, anyVM); o != nil {
+		t.Errorf("%s does not take requests", o.Name)
+	}
+}
--- a/edge/reach/reach.go
+++ b/edge/reach/reach.go
@@ -10,6 +10,7 @@
 package reach
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -324,6 +325,19 @@
 	return s == nil || s.isReached(allowed)
 }
 
+// MayReach is as Reaches, but true also if an allowed group is suspected.
+func (t *Tracker) MayReach(name string, allowed func(region string) bool) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.services[name]
+	if s == nil || s.isReached(allowed) {
+		return true
+	}
+	return slices.ContainsFunc(s.groups, func(g *group) bool {
+		return g.phase == Suspected && (allowed == nil || allowed(g.id.Region))
+	})
+}
+
 func (s *service) isReached(allowed func(region string) bool) bool {
 	known := false
 	for _, g := range s.groups {
