gateway: a probe that breaks on a new connection shows that its group may not be reached

Cause: a target that is ejected gets probes only, and a probe whose connection was open and was reset was no evidence for reach.Tracker. If all targets of a group are ejected before the evidence suffices, or an answer of the last one has voided it, the VM goes on taking the group for reached. Seen by callers: 503 'no target' at once, not passed on to VMs that reach targets, until the cut ends. Why it works: the probe counts as a connection that cannot be opened, of which two targets are needed; the group is then suspected and probed as ever.

--- a/edge/gateway/busyrelay_test.go
+++ b/edge/gateway/busyrelay_test.go
@@ -23,18 +23,37 @@
 	vms []*fixture
 	// handlers serve the connections to each address.
 	handlers map[string]func(net.Conn)
+	mu       sync.Mutex
+	paths    map[path]breakage
 }
 
+// path is that of a VM to an address.
+type path struct {
+	vm      int
+	address string
+}
+
+// breakage is what happens to new connections of a path.
+type breakage int
+
+const (
+	intact breakage = iota
+	// refused: they cannot be opened.
+	refused
+	// reset: they are reset before anything is sent.
+	reset
+)
+
 // newFleet returns a fleet of n VMs before the same targets.
 func newFleet(t *testing.T, n int, scripts map[*target]script) *fleet {
-	f := &fleet{handlers: make(map[string]func(net.Conn))}
+	f := &fleet{handlers: make(map[string]func(net.Conn)), paths: make(map[path]breakage)}
 	var targets []*target
 	for s, answer := range scripts {
 		targets = append(targets, s)
 		f.handlers[s.address()] = func(c net.Conn) { s.serve(c, answer) }
 	}
 	for i := range n {
-		vm := newGatewayOn(t, f.dialer, targets...)
+		vm := newGatewayOn(t, f.dialerOf(i), targets...)
 		f.vms = append(f.vms, vm)
 		f.handlers[peerAddress(i)] = func(c net.Conn) { servePipe(c, vm.HandleDelegated) }
 	}
@@ -43,16 +62,37 @@
 
 func peerAddress(i int) string { return fmt.Sprintf("vm-%d:1", i) }
 
-func (f *fleet) dialer(time.Duration) pool.Dial {
-	return func(_ context.Context, address string) (net.Conn, error) {
-		handle := f.handlers[address]
-		if handle == nil {
-			return nil, errors.New("nobody listens")
+// setPaths sets what happens to new connections of a VM to targets, and ends those that are idle.
+func (f *fleet) setPaths(vm int, how breakage, targets ...*target) {
+	f.mu.Lock()
+	for _, s := range targets {
+		f.paths[path{vm, s.address()}] = how
+	}
+	f.mu.Unlock()
+	f.vms[vm].closePools(nil)
+}
+
+func (f *fleet) pathTo(vm int, address string) breakage {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.paths[path{vm, address}]
+}
+
+func (f *fleet) dialerOf(vm int) func(time.Duration) pool.Dial {
+	dial := func(_ context.Context, address string) (net.Conn, error) {
+		how := f.pathTo(vm, address)
+		if how == refused {
+			return nil, errors.New("connection reset while it is opened")
 		}
 		near, far := net.Pipe()
-		go handle(far)
+		if how == reset {
+			far.Close()
+			return near, nil
+		}
+		go f.handlers[address](far)
 		return near, nil
 	}
+	return func(time.Duration) pool.Dial { return dial }
 }
 
 // servePipe passes the requests of a connection to a handler.
@@ -186,3 +226,85 @@
 		f.close()
 	})
 }
+
+// maintain runs the periodic work of a VM until done is closed.
+func (f *fixture) maintain(done <-chan struct{}) {
+	for {
+		select {
+		case <-done:
+			return
+		case <-time.After(100 * time.Millisecond):
+		}
+		f.options.Balancer.Tick(time.Now())
+		health := func(string) string { return "/health" }
+		f.Probe(context.Background(), health)
+		f.CheckReach(context.Background(), health)
+	}
+}
+
+// startMaintained returns a fleet of two VMs, of which the second one's periodic work runs until stop is
+// called, and its targets.
+func startMaintained(t *testing.T) (f *fleet, targets []*target, stop func()) {
+	targets = []*target{{id: "a"}, {id: "b"}, {id: "c"}}
+	f = newFleet(t, 2, map[*target]script{targets[0]: ok, targets[1]: ok, targets[2]: ok})
+	f.vms[1].setRelays(peerAddress(0))
+	done := make(chan struct{})
+	var work sync.WaitGroup
+	work.Go(func() { f.vms[1].maintain(done) })
+	return f, targets, func() {
+		close(done)
+		work.Wait()
+		f.close()
+	}
+}
+
+// askRepeatedly sends orders to a VM, one each 20 ms, and returns how many were served.
+func (f *fixture) askRepeatedly(n int) (served int) {
+	for i := range n {
+		time.Sleep(20 * time.Millisecond)
+		if f.ask(context.Background(), "POST", "/once/x", fmt.Sprint(i), time.Second, "order").Status == http.StatusOK {
+			served++
+		}
+	}
+	return served
+}
+
+// Guards against a VM that refuses requests for want of a target and does not find that it reaches none, since
+// its connections are reset before it has sent anything: each target is then ejected by itself.
+func TestConnectionsResetBeforeARequestShowACut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, targets, stop := startMaintained(t)
+		vm := f.vms[1]
+		vm.askRepeatedly(20)
+		f.setPaths(1, reset, targets...)
+		vm.askRepeatedly(100)
+		if n := vm.askRepeatedly(100); n != 100 {
+			t.Errorf("served %d of 100 requests 2 s after the cut: %s", n, vm.logText())
+		}
+		stop()
+	})
+}
+
+// Guards against the same where the cut takes the targets one after the other: an answer of the last one voids
+// what the others have shown, and they get no requests any more.
+func TestCutOfOneTargetAfterTheOtherIsFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, targets, stop := startMaintained(t)
+		vm, last := f.vms[1], targets[2]
+		f.setPaths(1, refused, targets[:2]...)
+		for range 10 {
+			// The connections to the last target are new ones.
+			f.setPaths(1, intact, last)
+			vm.askRepeatedly(1)
+		}
+		f.setPaths(1, reset, targets[:2]...)
+		f.setPaths(1, refused, last)
+		vm.askRepeatedly(1)
+		f.setPaths(1, reset, last)
+		vm.askRepeatedly(100)
+		if n := vm.askRepeatedly(100); n != 100 {
+			t.Errorf("served %d of 100 requests 2 s after the cut: %s", n, vm.logText())
+		}
+		stop()
+	})
+}
--- a/edge/gateway/probe.go
+++ b/edge/gateway/probe.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/yuccaroute/yuccaroute/edge/placing"
 	"github.com/yuccaroute/yuccaroute/proxy/forward"
 )
@@ -38,8 +41,13 @@
 		return false, 0, err
 	}
 	defer p.Put(conn)
+	fresh := !conn.Used()
 	answer, err := g.exchangeProbe(ctx, t, path, conn, limit)
 	if err != nil {
+		if fresh && ctx.Err() == nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			// Ejected targets get no requests whose loss would show that they are not reached.
+			g.reach.NotConnected(time.Now(), groupOf(t), t.Incarnation)
+		}
 		return false, 0, err
 	}
 	healthy = answer.Status == http.StatusOK && answer.Header.Get(g.options.Fields.TargetID) == t.ID
