reach: a group returns although one of its targets has ended

Cause: an unreached group returned only if none of the two probes of a round failed. In a group of two targets, of which one has ended, one fails in each round. Seen by callers: 503 'targets not reached' until the registration of the target that has ended lapses, at all VMs if the group was lost by all. Why it works: an answer in each of two rounds in a row shows the return as well. Rounds probe different targets, so that a VM that reaches one of ten stays away as before.

--- a/edge/reach/group.go
+++ b/edge/reach/group.go
@@ -23,8 +23,9 @@
 	probing bool
 	probeAt time.Time
 	rounds  int
-	// silent is set if probed targets were silent in the last round.
-	silent bool
+	// silent is set if probed targets were silent in the last round, answered if a target of an unreached
+	// group answered in it.
+	silent, answered bool
 }
 
 func newGroup(id Group, now time.Time) *group {
@@ -121,7 +122,7 @@
 	if g.phase == Suspected {
 		g.trustedUntil = now.Add(suspicionInterval)
 	}
-	g.phase, g.since, g.doubted, g.silent = p, now, false, false
+	g.phase, g.since, g.doubted, g.silent, g.answered = p, now, false, false, false
 	switch p {
 	case Unreached:
 		g.trustedUntil = time.Time{}
--- a/edge/reach/reach.go
+++ b/edge/reach/reach.go
@@ -249,9 +249,11 @@
 	}
 	g.probing, g.probeAt = false, now.Add(probeInterval)
 	switch {
-	case g.phase == Suspected && g.isRefutedBy(p), g.phase == Unreached && p.showReturn():
+	case g.phase == Suspected && g.isRefutedBy(p), g.phase == Unreached && (p.showReturn() || g.answered && p.Answered > 0):
 		t.noteReturn(now, g)
 		changes = append(changes, g.enter(now, Reached, p))
+	case g.phase == Unreached:
+		g.answered = p.Answered > 0
 	case g.phase == Suspected && p.Silent > 0 && !g.silent:
 		g.silent = true
 	case g.phase == Suspected:
@@ -264,8 +266,9 @@
 	return changes
 }
 
-// showReturn reports whether probes show that an unreached group is reached again. Some may be silent, as
-// the targets are busy.
+// showReturn reports whether a single round of probes shows that an unreached group is reached again. Some may
+// be silent, as the targets are busy. If others fail, as targets that have ended do, the next round must have an
+// answer too: it probes other targets, so that two answers in a row show that a good part of them is reached.
 func (p Probes) showReturn() bool {
 	return p.Asked == 0 || p.Answered > 0 && p.Answered+p.Silent == p.Asked
 }
--- a/edge/reach/reach_test.go
+++ b/edge/reach/reach_test.go
@@ -264,3 +264,39 @@
 		t.Error("the other region is not reached")
 	}
 }
+
+// Guards against a VM that stays away from a group for ever, as one of its targets has ended: with few targets it
+// is in each round of probes.
+func TestGroupReturnsBesideATargetThatHasEnded(t *testing.T) {
+	for name, c := range map[string]struct {
+		targets int
+		want    Phase
+	}{
+		"one of two": {2, Reached},
+		"one of ten": {10, Unreached},
+		"none":       {0, Unreached},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := max(2, c.targets)
+			p := newPath(map[Group]int{near: n})
+			p.lose(near, 1, true)
+			p.lose(near, 2, true)
+			p.run(500 * time.Millisecond)
+			// Only the first target answers; a round probes those after that of the round before.
+			p.probe = func(r Round) (sum Probes) {
+				sum.Asked = min(r.Targets, n)
+				for i := range sum.Asked {
+					if c.targets > 1 && (i+r.Number*r.Targets)%n == 0 {
+						sum.Connected++
+						sum.Answered++
+					}
+				}
+				return sum
+			}
+			p.run(5 * time.Second)
+			if got := p.phase(near); got != c.want {
+				t.Errorf("%s 5 s after the end of the cut", got)
+			}
+		})
+	}
+}
