gateway: a busy VM does not take its own delay for a cut

Cause: a probe whose connection is not opened in 0.25 s showed at once that its group is not reached. A VM that gets no processor time for longer sees connections too late that were opened in time, to all targets. If all VMs are busy, each may find that it reaches nothing. Seen by callers: 503 'targets not reached' until a later round of probes. Why it works: while the periodic work is late such a probe counts as silent, and silence needs a second, longer round. A VM that is not busy finds a cut as fast as before. In virtual time only: with real VMs on one machine connections are opened at once, also while VMs are stopped in turn.

--- a/edge/gateway/busyrelay_test.go
+++ b/edge/gateway/busyrelay_test.go
@@ -9,6 +9,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -42,6 +44,8 @@
 	refused
 	// reset: they are reset before anything is sent.
 	reset
+	// timedOut: they are opened too late.
+	timedOut
 )
 
 // newFleet returns a fleet of n VMs before the same targets.
@@ -84,6 +88,10 @@
 		if how == refused {
 			return nil, errors.New("connection reset while it is opened")
 		}
+		if how == timedOut {
+			time.Sleep(connectMargin)
+			return nil, os.ErrDeadlineExceeded
+		}
 		near, far := net.Pipe()
 		if how == reset {
 			far.Close()
@@ -245,8 +253,16 @@
 // startMaintained returns a fleet of two VMs, of which the second one's periodic work runs until stop is
 // called, and its targets.
 func startMaintained(t *testing.T) (f *fleet, targets []*target, stop func()) {
-	targets = []*target{{id: "a"}, {id: "b"}, {id: "c"}}
-	f = newFleet(t, 2, map[*target]script{targets[0]: ok, targets[1]: ok, targets[2]: ok})
+	scripts := make(map[*target]script)
+	for _, id := range []string{"a", "b", "c"} {
+		s := &target{id: id}
+		targets = append(targets, s)
+		scripts[s] = func(w *bufio.Writer, r *http.Request, _ string) bool {
+			fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Stamp: s\r\nX-Target: %s\r\nContent-Length: 4\r\n\r\ndone", r.Header.Get("X-Id"), id)
+			return true
+		}
+	}
+	f = newFleet(t, 2, scripts)
 	f.vms[1].setRelays(peerAddress(0))
 	done := make(chan struct{})
 	var work sync.WaitGroup
@@ -308,3 +324,28 @@
 		stop()
 	})
 }
+
+// Guards against VMs that all refuse requests, as each takes its own delay for a cut: connections that a busy VM
+// sees too late seem not to be opened in time.
+func TestDelayOfABusyVMIsNoCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, targets, stop := startMaintained(t)
+		vm := f.vms[1]
+		vm.askRepeatedly(20)
+		f.setPaths(1, timedOut, targets...)
+		var asked sync.WaitGroup
+		asked.Go(func() { vm.askRepeatedly(1) })
+		for range 7 {
+			vm.Busy(time.Now())
+			time.Sleep(100 * time.Millisecond)
+		}
+		f.setPaths(1, intact, targets...)
+		vm.Busy(time.Now())
+		asked.Wait()
+		time.Sleep(time.Second)
+		if strings.Contains(vm.logText(), `"phase":"unreached"`) {
+			t.Errorf("takes its delay for a cut: %s", vm.logText())
+		}
+		stop()
+	})
+}
--- a/edge/gateway/reach.go
+++ b/edge/gateway/reach.go
@@ -101,6 +101,10 @@
 	defer cancel()
 	raw, err := g.dialTarget(t)(ctx, t.Address)
 	if err != nil {
+		if g.isBusy(time.Now()) && isTimeout(err) {
+			// The connection may have been opened in time, and this VM has seen it too late.
+			p.Silent = 1
+		}
 		return p
 	}
 	p.Connected = 1
@@ -116,6 +120,11 @@
 	return p
 }
 
+func isTimeout(err error) bool {
+	var failed net.Error
+	return errors.As(err, &failed) && failed.Timeout()
+}
+
 // reachChanged applies and logs changes of what this VM reaches.
 func (g *Gateway) reachChanged(changes []reach.Change) {
 	for _, c := range changes {
--- a/edge/reach/reach.go
+++ b/edge/reach/reach.go
@@ -76,7 +76,7 @@
 }
 
 // Probes is the result of a round of probes on new connections. Silent counts those that were connected
-// and got neither an answer nor an error in time.
+// and got neither an answer nor an error in time, and those of a busy VM that were not connected in time.
 type Probes struct{ Asked, Connected, Answered, Silent int }
 
 // Round is a round of probes that is due.
