gateway: targets whose probes show a return get requests at once

Cause: targets that could not be connected to are ejected, and the probes that show the return of their group did not count for them. Until each had been probed once more there was no target. Why it works: a healthy answer to a probe of the group readmits its target, as that to its own probe does.

--- a/edge/gateway/busyrelay_test.go
+++ b/edge/gateway/busyrelay_test.go
@@ -346,6 +346,30 @@
 		if strings.Contains(vm.logText(), `"phase":"unreached"`) {
 			t.Errorf("takes its delay for a cut: %s", vm.logText())
 		}
+		if n := vm.askRepeatedly(50); n != 50 {
+			t.Errorf("served %d of 50 requests", n)
+		}
+		stop()
+	})
+}
+
+// Guards against a VM that refuses requests just after it has found that it reaches targets again, since these
+// are ejected until they have answered once more.
+func TestTargetsThatShowTheReturnGetRequestsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, targets, stop := startMaintained(t)
+		vm := f.vms[1]
+		vm.setRelays()
+		vm.askRepeatedly(20)
+		f.setPaths(1, refused, targets...)
+		vm.askRepeatedly(100)
+		f.setPaths(1, intact, targets...)
+		before := len(vm.logText())
+		vm.askRepeatedly(100)
+		log := vm.logText()[before:]
+		if !strings.Contains(log, `"phase":"reached"`) || strings.Contains(log, `"why":"no target"`) {
+			t.Errorf("after the cut: %s", log)
+		}
 		stop()
 	})
 }
--- a/edge/gateway/probe.go
+++ b/edge/gateway/probe.go
@@ -50,11 +50,17 @@
 		}
 		return false, 0, err
 	}
+	healthy, coldRemaining = g.healthIn(answer, t)
+	return healthy, coldRemaining, nil
+}
+
+// healthIn returns what the answer to a probe says of a target.
+func (g *Gateway) healthIn(answer *forward.Response, t *placing.Target) (healthy bool, coldRemaining time.Duration) {
 	healthy = answer.Status == http.StatusOK && answer.Header.Get(g.options.Fields.TargetID) == t.ID
 	if millis, err := strconv.ParseFloat(answer.Header.Get(g.options.Fields.ColdMillis), 64); err == nil {
 		coldRemaining = time.Duration(millis * float64(time.Millisecond))
 	}
-	return healthy, coldRemaining, nil
+	return healthy, coldRemaining
 }
 
 // exchangeProbe sends a health probe over a connection and records what the target states.
--- a/edge/gateway/reach.go
+++ b/edge/gateway/reach.go
@@ -110,10 +110,14 @@
 	p.Connected = 1
 	conn := forward.NewConn(raw)
 	defer conn.Close()
-	_, err = g.exchangeProbe(ctx, t, path, conn, limit)
+	answer, err := g.exchangeProbe(ctx, t, path, conn, limit)
 	switch {
 	case err == nil:
 		p.Answered = 1
+		if healthy, coldRemaining := g.healthIn(answer, t); healthy {
+			// It may be ejected, and would be probed again before it gets requests.
+			g.options.Balancer.RecordProbe(time.Now(), t, true, coldRemaining)
+		}
 	case ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded):
 		p.Silent = 1
 	}
