gateway: a VM that suspects a cut declines also where no other VM is left

A VM that suspects a cut was asked to send requests of other VMs into it, as the last resort of those that reach nothing: orders would have waited for their deadline where they are refused as not run. It declines them as before, and is asked again as soon as it is sure, not 2 s later. Runs: TestVMThatSuspectsACutIsAskedAgain, 10 plays with -race.

--- a/edge/gateway/busyrelay_test.go
+++ b/edge/gateway/busyrelay_test.go
@@ -16,6 +16,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/yuccaroute/yuccaroute/edge/reach"
 	"github.com/yuccaroute/yuccaroute/edge/serve"
 	"github.com/yuccaroute/yuccaroute/proxy/pool"
 )
@@ -373,3 +374,25 @@
 		stop()
 	})
 }
+
+// Guards against requests that a VM refuses for 2 s as the only other one has suspected a cut for a moment, and
+// against requests that are sent into a cut.
+func TestVMThatSuspectsACutIsAskedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		answers := &target{id: "a"}
+		f := newFleet(t, 2, map[*target]script{answers: ok})
+		f.vms[1].setRelays(peerAddress(0))
+		f.vms[1].cutOff()
+		now, id := time.Now(), reach.Group{Service: "s", Region: "r"}
+		f.vms[0].reach.NotConnected(now, id, 1)
+		f.vms[0].reachChanged(first(f.vms[0].reach.Tick(now.Add(time.Second))))
+		if n := f.vms[1].askRepeatedly(5); n != 0 || answers.count() != 0 {
+			t.Errorf("%d served, %d at the target while it is suspected", n, answers.count())
+		}
+		f.vms[0].reachChanged(f.vms[0].reach.Probed(time.Now(), id, reach.Probes{Asked: 1, Connected: 1, Answered: 1}))
+		if n := f.vms[1].askRepeatedly(5); n != 5 {
+			t.Errorf("%d of 5 served once it is reached: %s", n, f.vms[1].logText())
+		}
+		f.close()
+	})
+}
--- a/edge/gateway/delegate.go
+++ b/edge/gateway/delegate.go
@@ -85,13 +85,12 @@
 	case g.leaving.Load():
 		return declinedResponse(vmLeaving)
 	}
-	why := reason(in.Header.Get(fieldReason))
-	done, ok := g.takeForOthers(why)
+	done, ok := g.takeForOthers(reason(in.Header.Get(fieldReason)))
 	if !ok {
 		return declinedResponse(vmBusy)
 	}
 	defer done()
-	r := &request{in: in, id: in.Header.Get(g.options.Fields.RequestID), fromPeer: true, lastResort: why == byReachLast, accounts: g.accounts.Load()}
+	r := &request{in: in, id: in.Header.Get(g.options.Fields.RequestID), fromPeer: true, accounts: g.accounts.Load()}
 	if !g.resolveIdentity(r) {
 		return declinedResponse(otherAccount)
 	}
--- a/edge/gateway/run.go
+++ b/edge/gateway/run.go
@@ -47,7 +47,7 @@
 
 // run places and sends a request until it succeeds or may not be retried.
 func (g *Gateway) run(ctx context.Context, r *request) outcome {
-	if r.fromPeer && !r.lastResort && !g.reach.Reaches(r.service, r.placement.Allowed) {
+	if r.fromPeer && !g.reach.Reaches(r.service, r.placement.Allowed) {
 		return unreachedOutcome()
 	}
 	for {
--- a/edge/gateway/serve.go
+++ b/edge/gateway/serve.go
@@ -52,9 +52,8 @@
 	accounts *accounts.Index
 	// admitted is set if the request was taken from the account's quota at this VM.
 	admitted bool
-	// fromPeer is set if another VM delegated the request to this one, lastResort if it found no VM for it
-	// that is not busy.
-	fromPeer, lastResort bool
+	// fromPeer is set if another VM delegated the request to this one.
+	fromPeer bool
 	// fingerprint is computed on first use by Gateway.fingerprint.
 	fingerprint *quarantine.Fingerprint
 	// asked are the VMs that were asked in vain to place the request, relays counts the tries.
