placing: a refused request goes to another region if its own has no other target

Cause: the region of a second attempt was chosen by all its slots, also those of targets that have refused the request and must not get it again, so that it was queued where no target could take it. Seen by callers: 503 after 1.17 s, Retry-After 0.1 s, although another region has a free target. Why it works: slots of targets that a request has been to do not count for its region; if no region has others, it waits as before.

--- a/edge/placing/load.go
+++ b/edge/placing/load.go
@@ -57,6 +57,20 @@
 
 func (s *service) slots(now time.Time, region string) float64 { return s.loadOf(now, region).slots }
 
+// untriedSlots is as slots, without the targets that must not get a request again.
+func (s *service) untriedSlots(now time.Time, region string, r *Request) float64 {
+	if len(r.Tried) == 0 {
+		return s.slots(now, region)
+	}
+	slots := 0.0
+	for _, t := range s.regions[region] {
+		if t.available(now) && !r.tried(t) {
+			slots += t.usableSlots(s.occupancy.mean)
+		}
+	}
+	return slots
+}
+
 // slotShare estimates how many slots of a region serve this VM's queue, by its share of the
 // requests in flight there.
 func (s *service) slotShare(now time.Time, region string) float64 {
--- a/edge/placing/regions.go
+++ b/edge/placing/regions.go
@@ -3,14 +3,15 @@
 import "time"
 
 // regionFor selects the region for a request: by weight among the regions that can meet
-// its objective, else the nearest one, or "" if no allowed region has capacity.
+// its objective, else the nearest one, or "" if no allowed region has capacity. Regions in which the
+// request has been to all targets are selected only if all are such.
 func (b *Balancer) regionFor(now time.Time, s *service, r *Request) string {
-	if own := b.options.Region; r.Large && r.allows(own) && s.slots(now, own) > 0 && s.utilization(now, own) < largeLocalUtilization {
+	if own := b.options.Region; r.Large && r.allows(own) && s.untriedSlots(now, own, r) > 0 && s.utilization(now, own) < largeLocalUtilization {
 		return own
 	}
 	work := r.serviceTime()
 	region, ok := s.weights.pick(r, b.tolerance, func(region string) bool {
-		if !r.allows(region) || s.slots(now, region) == 0 {
+		if !r.allows(region) || s.untriedSlots(now, region, r) == 0 {
 			return false
 		}
 		return region == b.options.Region || !now.Add(b.options.RTT(region)+work).After(r.Objective)
@@ -18,14 +19,20 @@
 	if ok {
 		return region
 	}
-	return b.nearest(now, s, r)
+	if region := b.nearest(now, s, r); region != "" || len(r.Tried) == 0 {
+		return region
+	}
+	again := *r
+	again.Tried = nil
+	return b.regionFor(now, s, &again)
 }
 
-// nearest returns the allowed region with capacity and the lowest round-trip time.
+// nearest returns the allowed region with capacity at targets that the request has not been to, and the
+// lowest round-trip time.
 func (b *Balancer) nearest(now time.Time, s *service, r *Request) string {
 	best := ""
 	for region := range s.regions {
-		if !r.allows(region) || s.slots(now, region) == 0 {
+		if !r.allows(region) || s.untriedSlots(now, region, r) == 0 {
 			continue
 		}
 		if best == "" || b.options.RTT(region) < b.options.RTT(best) ||
--- a/edge/placing/serve.go
+++ b/edge/placing/serve.go
@@ -46,12 +46,13 @@
 // decide assigns or rejects a queued request; ahead are the requests before it in the same region.
 // It returns false if the request stays in the queue.
 func (b *Balancer) decide(now time.Time, s *service, w *Waiter, ahead backlog) (Decision, bool) {
-	if s.slots(now, w.region) == 0 {
+	if s.untriedSlots(now, w.region, w.request) == 0 {
 		region := b.nearest(now, s, w.request)
-		if region == "" && s.isCutOff(w.request) {
+		hasSlots := region != "" || s.slots(now, w.region) > 0
+		if !hasSlots && s.isCutOff(w.request) {
 			return Decision{Reason: Unreached, RetryAfter: maxRetryAfter}, true
 		}
-		if region == "" && !s.hasUsableTarget(w.request) {
+		if !hasSlots && !s.hasUsableTarget(w.request) {
 			return s.rejectWithoutTarget(w.request), true
 		}
 		if region != "" {
