gateway, entry: what is reached is applied as it is now, not change by change

Cause: the goroutines of two rounds of probes apply their changes to the balancer after they have left the tracker. If the return is applied before the loss, the balancer keeps the group as unreached while the tracker has it reached, so that nothing is probed, and no VM is listed to pass requests to. The directory's mark of this VM could stay wrong in the same way. Seen by callers: 503 'targets not reached' at once, from this VM, for ever.

--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -285,8 +285,12 @@
 	e.updateRelays(now)
 }
 
-// updateRelays updates the VMs that may place requests for this one, while it may not reach targets.
+// updateRelays updates the VMs that may place requests for this one, while it may not reach targets, and
+// whether the directory is to leave it out. It is called periodically too, as calls after two changes may end in
+// another order.
 func (e *Entry) updateRelays(now time.Time) {
+	_, cutOff := e.gateway.Unreached()
+	e.members.SetCutOff(cutOff)
 	var relays []owners.Relay
 	if e.gateway.IsRelaying() {
 		for _, vm := range e.members.LiveReach(now) {
@@ -298,8 +302,6 @@
 
 // reachChanged tells other VMs what this one reaches.
 func (e *Entry) reachChanged() {
-	_, cutOff := e.gateway.Unreached()
-	e.members.SetCutOff(cutOff)
 	e.updateRelays(e.now())
 	e.reportUrgent()
 }
--- a/edge/gateway/gateway.go
+++ b/edge/gateway/gateway.go
@@ -102,6 +102,8 @@
 	leaving        atomic.Bool
 	losses         *losses
 	reach          *reach.Tracker
+	// reachMu orders what the balancer is told of what is reached.
+	reachMu sync.Mutex
 	// busyUntil is until when this VM takes no requests that others cannot place; nil if it always did.
 	busyUntil atomic.Pointer[time.Time]
 	// forOthers counts the requests under way that other VMs delegated as they reach no target.
--- a/edge/gateway/reach.go
+++ b/edge/gateway/reach.go
@@ -139,12 +139,20 @@
 			"probes": c.Probes.Asked, "probes_connected": c.Probes.Connected, "probes_answered": c.Probes.Answered,
 			"probes_silent": c.Probes.Silent,
 		}).Info("gateway: reach of targets changed")
-		g.options.Balancer.SetReached(time.Now(), c.Group.Service, c.Group.Region, c.Phase != reach.Unreached)
+		g.applyReach(c.Group)
 	}
 	if len(changes) > 0 {
 		g.options.ReachChanged()
 	}
 }
 
+// applyReach tells the balancer whether a group is reached. Changes may be applied in another order than that
+// in which the tracker has found them, so that what holds now is read under the lock.
+func (g *Gateway) applyReach(id reach.Group) {
+	g.reachMu.Lock()
+	defer g.reachMu.Unlock()
+	g.options.Balancer.SetReached(time.Now(), id.Service, id.Region, g.reach.PhaseOf(id) != reach.Unreached)
+}
+
 // Reach returns what this VM believes of each group of targets.
 func (g *Gateway) Reach(now time.Time) []reach.Status { return g.reach.Statuses(now) }
--- a/edge/gateway/relay_test.go
+++ b/edge/gateway/relay_test.go
@@ -286,3 +286,19 @@
 		return f.ask(context.Background(), "POST", "/once/x", "7", time.Second, "").Status == http.StatusOK
 	})
 }
+
+// Guards against a VM that refuses requests for ever since it has applied the return of its targets before their
+// loss: probes end in goroutines of their own.
+func TestReturnThatIsAppliedBeforeTheLossHolds(t *testing.T) {
+	f := newGateway(t, startTarget(t, "a", ok))
+	now, id := time.Now(), reach.Group{Service: "s", Region: "r"}
+	f.reach.NotConnected(now, id, 1)
+	f.reachChanged(first(f.reach.Tick(now.Add(time.Second))))
+	lost := f.reach.Probed(now.Add(time.Second), id, reach.Probes{Asked: 1})
+	f.reach.Tick(now.Add(2 * time.Second))
+	f.reachChanged(f.reach.Probed(now.Add(2*time.Second), id, reach.Probes{Asked: 1, Connected: 1, Answered: 1}))
+	f.reachChanged(lost)
+	if a := f.ask(context.Background(), "POST", "/once/x", "7", time.Second, ""); a.Status != http.StatusOK {
+		t.Errorf("%d: %s", a.Status, f.logText())
+	}
+}
--- a/edge/reach/reach.go
+++ b/edge/reach/reach.go
@@ -388,6 +388,16 @@
 	return ids, len(ids) > 0 && len(ids) == len(t.groups)
 }
 
+// PhaseOf returns the phase of a group, Reached for one that is not known.
+func (t *Tracker) PhaseOf(id Group) Phase {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if g := t.groups[id]; g != nil {
+		return g.phase
+	}
+	return Reached
+}
+
 // Status is the phase of a group and how long it has lasted.
 type Status struct {
 	Group Group
