--- a/edge/gateway/gateway.go
+++ b/edge/gateway/gateway.go
@@ -104,7 +104,7 @@
 	reach          *reach.Tracker
 	// reachMu orders what the balancer is told of what is reached.
 	reachMu sync.Mutex
-	// busyUntil is until when this VM takes no requests that others cannot place; nil if it always did.
+	// busyUntil is until when this VM takes requests of others only as the last resort; nil if it was never busy.
 	busyUntil atomic.Pointer[time.Time]
 	// forOthers counts the requests under way that other VMs delegated as they reach no target.
 	forOthers atomic.Int64
--- a/edge/gateway/relay.go
+++ b/edge/gateway/relay.go
@@ -23,7 +23,7 @@
 	maxForOthers  = 16
 	// versionPause is how long to wait for VMs to agree on a new configuration before they are asked again.
 	versionPause = 50 * time.Millisecond
-	// busyTime is how long a VM whose processor is busy takes no requests that others cannot place.
+	// busyTime is how long a VM whose processor is busy takes requests of other VMs only as the last resort.
 	busyTime = 500 * time.Millisecond
 )
 
@@ -144,7 +144,7 @@
 func (g *Gateway) Busy(now time.Time) {
 	until := now.Add(busyTime)
 	if old := g.busyUntil.Swap(&until); old == nil || now.After(*old) {
-		g.options.Logger.WithFields(logrus.Fields{"for_ms": busyTime.Milliseconds()}).Warn("gateway: processor busy, no requests taken for other VMs")
+		g.options.Logger.WithFields(logrus.Fields{"for_ms": busyTime.Milliseconds()}).Warn("gateway: processor busy, few requests taken for other VMs")
 	}
 }
 
