--- a/edge/gateway/gateway.go
+++ b/edge/gateway/gateway.go
@@ -109,11 +109,15 @@
 	leaving        atomic.Bool
 	losses         *losses
 	reach          *reach.Tracker
-	// busyUntil is until when this VM takes no requests that others cannot place; nil if it always did.
+	// reachMu orders what the balancer is told of what is reached.
+	reachMu sync.Mutex
+	// busyUntil is until when this VM takes requests of others only as the last resort; nil if it was never busy.
 	busyUntil atomic.Pointer[time.Time]
 	// malformedLogged and slotsLogged limit the log lines on malformed statements and on changed numbers
 	// of slots.
 	malformedLogged, slotsLogged logLimit
+	// forOthers counts the requests under way that other VMs delegated as they reach no target.
+	forOthers atomic.Int64
 
 	mu sync.Mutex
 	// pools is keyed by poolKey.
--- a/edge/gateway/reach.go
+++ b/edge/gateway/reach.go
@@ -101,21 +101,34 @@
 	defer cancel()
 	raw, err := g.dialTarget(t)(ctx, t.Address)
 	if err != nil {
+		if g.isBusy(time.Now()) && isTimeout(err) {
+			// The connection may have been opened in time, and this VM has seen it too late.
+			p.Silent = 1
+		}
 		return p
 	}
 	p.Connected = 1
 	conn := forward.NewConn(raw)
 	defer conn.Close()
-	_, err = g.exchangeProbe(ctx, t, path, conn, limit)
+	answer, err := g.exchangeProbe(ctx, t, path, conn, limit)
 	switch {
 	case err == nil:
 		p.Answered = 1
+		if healthy, coldRemaining := g.healthIn(answer, t); healthy {
+			// It may be ejected, and would be probed again before it gets requests.
+			g.options.Balancer.RecordProbe(time.Now(), t, true, coldRemaining)
+		}
 	case ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded):
 		p.Silent = 1
 	}
 	return p
 }
 
+func isTimeout(err error) bool {
+	var failed net.Error
+	return errors.As(err, &failed) && failed.Timeout()
+}
+
 // reachChanged applies and logs changes of what this VM reaches.
 func (g *Gateway) reachChanged(changes []reach.Change) {
 	for _, c := range changes {
@@ -126,12 +139,20 @@
 			"probes": c.Probes.Asked, "probes_connected": c.Probes.Connected, "probes_answered": c.Probes.Answered,
 			"probes_silent": c.Probes.Silent,
 		}).Info("gateway: reach of targets changed")
-		g.options.Balancer.SetReached(time.Now(), c.Group.Service, c.Group.Region, c.Phase != reach.Unreached)
+		g.applyReach(c.Group)
 	}
 	if len(changes) > 0 {
 		g.options.ReachChanged()
 	}
 }
 
+// applyReach tells the balancer whether a group is reached. Changes may be applied in another order than that
+// in which the tracker has found them, so that what holds now is read under the lock.
+func (g *Gateway) applyReach(id reach.Group) {
+	g.reachMu.Lock()
+	defer g.reachMu.Unlock()
+	g.options.Balancer.SetReached(time.Now(), id.Service, id.Region, g.reach.PhaseOf(id) != reach.Unreached)
+}
+
 // Reach returns what this VM believes of each group of targets.
 func (g *Gateway) Reach(now time.Time) []reach.Status { return g.reach.Statuses(now) }
--- a/edge/gateway/run.go
+++ b/edge/gateway/run.go
@@ -60,6 +60,8 @@
 		if d.Reason == placing.Unreached {
 			if relayed, done := g.relay(ctx, r); done {
 				end = relayed
+			} else if relayed, done := g.relayToSlow(ctx, r); done {
+				end = relayed
 			}
 		}
 		if d.Target == nil {
--- a/edge/reach/reach.go
+++ b/edge/reach/reach.go
@@ -10,6 +10,7 @@
 package reach
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -75,7 +76,7 @@
 }
 
 // Probes is the result of a round of probes on new connections. Silent counts those that were connected
-// and got neither an answer nor an error in time.
+// and got neither an answer nor an error in time, and those of a busy VM that were not connected in time.
 type Probes struct{ Asked, Connected, Answered, Silent int }
 
 // Round is a round of probes that is due.
@@ -248,9 +249,11 @@
 	}
 	g.probing, g.probeAt = false, now.Add(probeInterval)
 	switch {
-	case g.phase == Suspected && g.isRefutedBy(p), g.phase == Unreached && p.showReturn():
+	case g.phase == Suspected && g.isRefutedBy(p), g.phase == Unreached && (p.showReturn() || g.answered && p.Answered > 0):
 		t.noteReturn(now, g)
 		changes = append(changes, g.enter(now, Reached, p))
+	case g.phase == Unreached:
+		g.answered = p.Answered > 0
 	case g.phase == Suspected && p.Silent > 0 && !g.silent:
 		g.silent = true
 	case g.phase == Suspected:
@@ -263,8 +266,9 @@
 	return changes
 }
 
-// showReturn reports whether probes show that an unreached group is reached again. Some may be silent, as
-// the targets are busy.
+// showReturn reports whether a single round of probes shows that an unreached group is reached again. Some may
+// be silent, as the targets are busy. If others fail, as targets that have ended do, the next round must have an
+// answer too: it probes other targets, so that two answers in a row show that a good part of them is reached.
 func (p Probes) showReturn() bool {
 	return p.Asked == 0 || p.Answered > 0 && p.Answered+p.Silent == p.Asked
 }
@@ -324,6 +328,19 @@
 	return s == nil || s.isReached(allowed)
 }
 
+// MayReach is as Reaches, but true also if an allowed group is suspected.
+func (t *Tracker) MayReach(name string, allowed func(region string) bool) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.services[name]
+	if s == nil || s.isReached(allowed) {
+		return true
+	}
+	return slices.ContainsFunc(s.groups, func(g *group) bool {
+		return g.phase == Suspected && (allowed == nil || allowed(g.id.Region))
+	})
+}
+
 func (s *service) isReached(allowed func(region string) bool) bool {
 	known := false
 	for _, g := range s.groups {
@@ -371,6 +388,16 @@
 	return ids, len(ids) > 0 && len(ids) == len(t.groups)
 }
 
+// PhaseOf returns the phase of a group, Reached for one that is not known.
+func (t *Tracker) PhaseOf(id Group) Phase {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if g := t.groups[id]; g != nil {
+		return g.phase
+	}
+	return Reached
+}
+
 // Status is the phase of a group and how long it has lasted.
 type Status struct {
 	Group Group
