--- a/edge/workingset/controller.go
+++ b/edge/workingset/controller.go
@@ -12,12 +12,11 @@
 	// runs are cold. The rest covers the variation of arrivals.
 	usableShare = 0.85
 	// warmUsableShare is the same while hardly any run is cold. A smaller set would then not be served
-	// faster, and would use the targets less evenly, so that most of the excess is left to the queue: with
-	// usableShare, a surge of keys that the targets keep lost 7 % of the answers in time.
+	// faster, and would use the targets less evenly, so that much of the excess is left to the queue.
 	warmUsableShare = 2
 	// warmRatio and coldRatio are the ratios of the mean run to the shortest ones between which the usable
-	// share changes. Service times and waits vary by less than the first; at the second about a third of
-	// the runs are cold.
+	// share changes. They are low because the shortest runs are cold too where hardly any key is warm, as
+	// after a start: higher ratios take such a region to be warm.
 	warmRatio = 1.2
 	coldRatio = 1.5
 	// maxShrink bounds the change of a fraction in a step, to one half per second.
@@ -27,8 +26,7 @@
 	// coldFactor is the ratio of a cold run to a warm one. A fraction may grow by more than
 	// maxGrowthOfRing if the work fits even though all requests of the keys that enter run cold.
 	coldFactor = 10.0 / 3
-	// minFraction keeps some keys admitted whatever the load: 13 of the 843 keys of the deployment that
-	// this was designed for.
+	// minFraction keeps some keys admitted whatever the load.
 	minFraction = 1.0 / 64
 	// minCapacityShare is the part of the slots that other requests leave to admitted ones at least.
 	minCapacityShare = 0.05
