--- a/edge/placing/policy.go
+++ b/edge/placing/policy.go
@@ -17,6 +17,4 @@
 	// PromisedShare is the largest fraction of the capacity that is reserved, from 0 to 1.
 	Returns       bool
 	PromisedShare float64
-	// FairShares divides scarce capacity fairly among the client accounts of one rank.
-	FairShares bool
 }
