loadview: the page of a VM's load names regions in its own words

Cause: the JSON field allowed_regions of GET /load is the platform's name, which only platform/ may know. Change: the field is may_run_in in edge/loadview, edge/whatif and the command's test.

--- a/cmd/yuccaroute/load_test.go
+++ b/cmd/yuccaroute/load_test.go
@@ -14,11 +14,11 @@
 )
 
 const loadPage = `{"vm":"vm-1","region":"b","regions":["a","b"],"oldest_report_age_ms":120,"services":[{"service":"s",
-"demand":[{"callers_region":"a","allowed_regions":["a"],"demand_slots":14},{"callers_region":"b","allowed_regions":["a","b"],"demand_slots":12}],
+"demand":[{"callers_region":"a","may_run_in":["a"],"demand_slots":14},{"callers_region":"b","may_run_in":["a","b"],"demand_slots":12}],
 "regions":[{"region":"a","capacity_slots":10,"in_flight":9,"in_flight_of_vm":3,
 "working_set":{"fraction_by_rank":[1,1,0.25,0.25],"deciding_vm":"vm-0","refused":7},"returns":{"pending":2,"promised":40,"kept":30,"lapsed":8}},
 {"region":"b","capacity_slots":40,"in_flight":12,"in_flight_of_vm":5}],
-"weights":[{"allowed_regions":["a","b"],"weights":{"a":0.1,"b":0.9},"planned_weights":{"b":1}}]}],
+"weights":[{"may_run_in":["a","b"],"weights":{"a":0.1,"b":0.9},"planned_weights":{"b":1}}]}],
 "accounts":[{"account":"acme","refused_last_60_s":5,"reasons":[{"reason":"too late","refused_last_60_s":5,"since_s":75.2}]}]}`
 
 // startLoadVM serves a load page as an entry VM does.
--- a/edge/loadview/loadview.go
+++ b/edge/loadview/loadview.go
@@ -31,7 +31,7 @@
 // Demand is that of one region's callers which may run in a set of regions.
 type Demand struct {
 	CallersRegion  string   `json:"callers_region"`
-	AllowedRegions []string `json:"allowed_regions"`
+	AllowedRegions []string `json:"may_run_in"`
 	DemandSlots    float64  `json:"demand_slots"`
 }
 
@@ -69,7 +69,7 @@
 // Weights are the fractions of the requests of this VM's callers, which may run in a set of regions, by
 // the region that runs them.
 type Weights struct {
-	AllowedRegions []string           `json:"allowed_regions"`
+	AllowedRegions []string           `json:"may_run_in"`
 	Weights        map[string]float64 `json:"weights"`
 	// Planned is what the weights move to, absent if no demand is restricted.
 	Planned map[string]float64 `json:"planned_weights,omitempty"`
--- a/edge/whatif/whatif.go
+++ b/edge/whatif/whatif.go
@@ -176,7 +176,7 @@
 type Shortage struct {
 	Service        string   `json:"service"`
 	CallersRegion  string   `json:"callers_region"`
-	AllowedRegions []string `json:"allowed_regions"`
+	AllowedRegions []string `json:"may_run_in"`
 	DemandSlots    float64  `json:"demand_slots"`
 	// BeforeSlots and AfterSlots are the parts of the demand without room.
 	BeforeSlots float64 `json:"without_room_before_slots"`
