--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -179,6 +179,12 @@
 }
 
 func newWorld(t *testing.T, program string, seed uint64) *world {
+	t.Helper()
+	return newWorldOf(t, program, seed, platformtest.VMSettings{})
+}
+
+// newWorldOf starts VMs whose other settings are given.
+func newWorldOf(t *testing.T, program string, seed uint64, settings platformtest.VMSettings) *world {
 	t.Helper()
 	w := &world{
 		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 0)), kv: memkv.New(memkv.Options{}), ledger: platformtest.NewExecutionLog(),
@@ -209,10 +215,10 @@
 		path := w.path(w.store.Address())
 		w.storePaths = append(w.storePaths, path)
 		zone := names[i%3]
-		p := newProcess(t, program, dir, platformtest.VMSettings{
-			Name: fmt.Sprintf("vm-%d", i), Zone: zone, Region: regions[zone], Store: path.address(), Grace: 6, Zones: regions,
-			Rotation: int(rotation / time.Second),
-		}, &w.pids)
+		vm := settings
+		vm.Name, vm.Zone, vm.Region, vm.Zones = fmt.Sprintf("vm-%d", i), zone, regions[zone], regions
+		vm.Store, vm.Grace, vm.Rotation = path.address(), 6, int(rotation/time.Second)
+		p := newProcess(t, program, dir, vm, &w.pids)
 		t.Cleanup(p.stop)
 		w.processes = append(w.processes, p)
 	}
