reach: a group without targets does not count as reached

Cause: a group that lost its last target while it was not reached turned Reached with its next probe and stayed until the next change of targets. The directory then kept a VM listed that reached no target, and Reaches was true for the service. Change: such a group is removed as soon as its end is told.

--- a/edge/reach/reach.go
+++ b/edge/reach/reach.go
@@ -252,6 +252,11 @@
 	case g.phase == Suspected && g.isRefutedBy(p), g.phase == Unreached && (p.showReturn() || g.answered && p.Answered > 0):
 		t.noteReturn(now, g)
 		changes = append(changes, g.enter(now, Reached, p))
+		if g.targets == 0 {
+			// Kept, it would count as reached beside groups that are not.
+			delete(t.groups, id)
+			t.groupByService()
+		}
 	case g.phase == Unreached:
 		g.answered = p.Answered > 0
 	case g.phase == Suspected && p.Silent > 0 && !g.silent:
--- a/edge/reach/reach_test.go
+++ b/edge/reach/reach_test.go
@@ -300,3 +300,34 @@
 		})
 	}
 }
+
+// Guards against a VM that is listed for callers although it reaches no target, as it counts a group that has no
+// targets any more among those that it reaches.
+func TestGroupWithoutTargetsIsNotReached(t *testing.T) {
+	p := newPath(map[Group]int{near: 5, far: 5})
+	for _, id := range []Group{near, far} {
+		p.lose(id, 1, true)
+		p.lose(id, 2, true)
+	}
+	p.run(500 * time.Millisecond)
+	if ids, all := p.Unreached(); len(ids) != 2 || !all {
+		t.Fatalf("unreached %v, all %v", ids, all)
+	}
+	p.SetGroups(p.now, map[Group]int{near: 5})
+	p.probe = func(r Round) Probes {
+		if r.Group == far {
+			return Probes{}
+		}
+		return Probes{Asked: r.Targets}
+	}
+	p.run(time.Second)
+	if ids, all := p.Unreached(); len(ids) != 1 || ids[0] != near.ID() || !all {
+		t.Errorf("unreached %v, all %v", ids, all)
+	}
+	if p.Reaches("s", nil) {
+		t.Error("the service is taken for reached")
+	}
+	if last := p.changes[len(p.changes)-1]; last.Group != far || last.Phase != Reached {
+		t.Errorf("the end of the group is not told: %+v", last)
+	}
+}
