refusals: a reason that ended makes room for a new one

Cause: the reasons of an account were kept as long as the account had any refusal, so that after seven of them a new one was shown as (others) although no other was refused in the last minute. Change: a new reason takes the place of one without refusals in the window; the bound of eight stays. Measured: TestEndedReasonsMakeRoom, before: (others), after: the reason; -race passes.

--- a/edge/refusals/refusals.go
+++ b/edge/refusals/refusals.go
@@ -46,11 +46,15 @@
 // New returns an empty log.
 func New(now time.Time) *Log { return &Log{start: now, accounts: make(map[string]*account)} }
 
+// isEnded reports whether the window that ends at a second is empty.
+func (r *ring) isEnded(second int64) bool { return second-r.newest >= windowSeconds }
+
 // Count counts one refused request of an account, "" for none.
 func (l *Log) Count(now time.Time, name, reason string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.account(now, name).ring(reason).count(now, l.second(now))
+	second := l.second(now)
+	l.account(now, name).ring(reason, second).count(now, second)
 }
 
 // second returns the number of whole seconds since the start.
@@ -80,20 +84,30 @@
 	l.evictedAt = now
 	second := l.second(now)
 	for name, a := range l.accounts {
-		if !slices.ContainsFunc(a.reasons, func(r *ring) bool { return second-r.newest < windowSeconds }) {
+		if !slices.ContainsFunc(a.reasons, func(r *ring) bool { return !r.isEnded(second) }) {
 			delete(l.accounts, name)
 		}
 	}
 }
 
-func (a *account) ring(reason string) *ring {
+// ring returns the ring of a reason. Beyond maxReasons, a reason replaces one without refusals in the window, or
+// counts among the others if there is none.
+func (a *account) ring(reason string, second int64) *ring {
+	var ended *ring
 	for _, r := range a.reasons {
 		if r.reason == reason {
 			return r
 		}
+		if r.reason != Others && r.isEnded(second) {
+			ended = r
+		}
 	}
 	if len(a.reasons) >= maxReasons-1 && reason != Others {
-		return a.ring(Others)
+		if ended == nil {
+			return a.ring(Others, second)
+		}
+		ended.reason = reason
+		return ended
 	}
 	// The window before the start is empty.
 	r := &ring{reason: reason, newest: -windowSeconds}
@@ -103,7 +117,7 @@
 
 func (r *ring) count(now time.Time, second int64) {
 	switch {
-	case second-r.newest >= windowSeconds:
+	case r.isEnded(second):
 		clear(r.counts[:])
 		r.newest, r.since = second, now
 	case second > r.newest:
--- a/edge/refusals/refusals_test.go
+++ b/edge/refusals/refusals_test.go
@@ -86,3 +86,27 @@
 		t.Errorf("%v allocations", n)
 	}
 }
+
+// Guards against a reason that is hidden among the others because of reasons that ended more than a minute ago.
+func TestEndedReasonsMakeRoom(t *testing.T) {
+	start := time.Now()
+	l := New(start)
+	for i := range maxReasons {
+		l.Count(start, "a", fmt.Sprint("r", i))
+	}
+	later := start.Add(2 * time.Minute)
+	l.Count(later, "a", "too late")
+	want := []Account{{Account: "a", Refused: 1, Reasons: []Reason{{"too late", 1, 1}}}}
+	if diff := cmp.Diff(want, l.LastMinute(later.Add(time.Second))); diff != "" {
+		t.Error(diff)
+	}
+	for range 5 {
+		later = later.Add(2 * time.Minute)
+		for i := range 2 * maxReasons {
+			l.Count(later, "a", fmt.Sprint(later, i))
+		}
+		if n := len(l.accounts["a"].reasons); n > maxReasons {
+			t.Fatalf("%d reasons", n)
+		}
+	}
+}
