whatif: slots of one change are bounded

Change: more than a million slots are an error that names the flag, its value and the bound. NaN was an error already and has a test of the command now. Measured: TestInvalidChanges and TestLoadWrongInput failed before and pass after, with -race.

--- a/cmd/yuccaroute/load_test.go
+++ b/cmd/yuccaroute/load_test.go
@@ -88,6 +88,8 @@
 		{program.ExitUsage, address, []string{"--add-targets", "s:a"}, `--add-targets "s:a": want SERVICE:REGION:SLOTS`},
 		{program.ExitUsage, address, []string{"--add-targets", "s:a:ten"}, `--add-targets "s:a:ten": SLOTS is "ten", which is no number`},
 		{program.ExitUsage, address, []string{"--add-targets", "s:a:-3"}, `--add-targets "s:a:-3": -3 slots; it must be a number above 0`},
+		{program.ExitUsage, address, []string{"--add-targets", "s:a:NaN"}, `--add-targets "s:a:NaN": NaN slots; it must be a number above 0`},
+		{program.ExitUsage, address, []string{"--json", "--add-targets", "s:a:1e308", "--add-targets", "s:a:1e308"}, `--add-targets "s:a:1e308": 1e+308 slots; it must be at most 1e+06`},
 		{program.ExitUsage, address, []string{"--add-targets", "t:a:3"}, `--add-targets "t:a:3": unknown service "t"; there are: s`},
 		{program.ExitUsage, address, []string{"-o", "xml"}, `--output is "xml"`},
 		{program.ExitUsage, "https://10.0.0.1:1", nil, `--node "https://10.0.0.1:1"; want http://ADDRESS:PORT`},
--- a/edge/whatif/whatif.go
+++ b/edge/whatif/whatif.go
@@ -17,6 +17,10 @@
 // minSlots is the demand in slots below which it counts as none: measured demand never reaches 0.
 const minSlots = 0.01
 
+// maxAddedSlots bounds the slots of one change: the sum of a few such numbers as 1e308 is infinite, and utilization
+// then no number.
+const maxAddedSlots = 1e6
+
 // State is the demand and capacity of services in regions.
 type State struct {
 	// Regions are sorted; Capacity and sources refer to them by index.
@@ -152,6 +156,9 @@
 	if !(slots > 0) || math.IsInf(slots, 1) {
 		return errors.Errorf("%v slots; it must be a number above 0", slots)
 	}
+	if slots > maxAddedSlots {
+		return errors.Errorf("%v slots; it must be at most %v", slots, maxAddedSlots)
+	}
 	target.Capacity[i] += slots
 	return nil
 }
--- a/edge/whatif/whatif_test.go
+++ b/edge/whatif/whatif_test.go
@@ -85,6 +85,7 @@
 		`unknown region "x"; there are: a, b, c`: func(s *State) error { return s.Drain("x") },
 		`unknown service "x"; there are: s`:      func(s *State) error { return s.AddTargets("x", "a", 1) },
 		`it must be a number above 0`:            func(s *State) error { return s.AddTargets("s", "a", math.NaN()) },
+		`1e+07 slots; it must be at most 1e+06`:  func(s *State) error { return s.AddTargets("s", "a", 1e7) },
 		`TO: no region given`:                    func(s *State) error { return s.SetRegions("s", []string{"a"}, nil) },
 		`FROM: unknown region "x"`:               func(s *State) error { return s.SetRegions("s", []string{"x"}, []string{"a"}) },
 		`no demand for s may run in exactly a,b`: func(s *State) error { return s.SetRegions("s", []string{"a", "b"}, []string{"a"}) },
