gateway: declined requests do not count as refused

Cause: a VM that declines to place another VM's request counted it as refused. GET /load of up to six VMs showed refusals of an account whose caller was served, or refused once. Change: a request that is declined as unreached is logged as before, but not counted. Measured: TestDeclinedRequestsAreNotCountedAsRefused, before: one refusal at the declining VM, after: none and one at the VM of the caller; tests of edge/gateway pass with -race.

--- a/edge/gateway/refused_test.go
+++ b/edge/gateway/refused_test.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"slices"
 	"testing"
+	"time"
 )
 
 // refusalRecorder records the refusals that a gateway counts.
@@ -37,3 +39,24 @@
 		t.Errorf("refused %q, want %q", recorded.refused, want)
 	}
 }
+
+// Guards against a request that counts as refused at each VM that declined to place it for another one, although
+// its caller was served or is refused elsewhere.
+func TestDeclinedRequestsAreNotCountedAsRefused(t *testing.T) {
+	f, _ := newCutGateway(t)
+	recorded := &refusalRecorder{}
+	f.options.Metrics = recorded
+	in := f.keyedRequest("GET", "/safe/x", "7", "", time.Second, "")
+	in.Header.Set(fieldVersion, "3")
+	in.Header.Set(fieldReason, string(byReach))
+	if a := f.HandleDelegated(context.Background(), in); a.Header.Get(fieldDeclined) != notReached {
+		t.Fatalf("%d %v", a.Status, a.Header)
+	}
+	if len(recorded.refused) > 0 {
+		t.Errorf("refused %q", recorded.refused)
+	}
+	f.ask(context.Background(), "GET", "/safe/x", "8", time.Second, "")
+	if want := []string{": targets not reached"}; !slices.Equal(recorded.refused, want) {
+		t.Errorf("refused %q, want %q", recorded.refused, want)
+	}
+}
--- a/edge/gateway/serve.go
+++ b/edge/gateway/serve.go
@@ -321,7 +321,9 @@
 	} else {
 		fields["why"] = end.reason
 		fields["retry_after_ms"] = end.retryAfter.Milliseconds()
-		if result.InfoOf(end.code).Outcome == result.NotRun {
+		// What this VM declines, the sender places elsewhere or refuses itself.
+		declined := r.fromPeer && end.unreached && !r.mayHaveRun
+		if result.InfoOf(end.code).Outcome == result.NotRun && !declined {
 			g.options.Metrics.RequestRefused(r.accountName(), end.reason)
 		}
 	}
