gateway: VMs that are lost with a request count as attempts

Cause: after the loss of a VM that may have sent an idempotent request, its attempts were set to the same number each time, so that a VM that reaches no target passed it to up to four others, and two busy ones, that were lost one after the other. The route permits two attempts. Only the retry budget bounded it. Change: each loss counts as an attempt; requests that may run once are unaffected. Measured: TestRelaysThatAreLostCountAsAttempts, before: sent 4 times, after: 2; tests of edge/gateway pass with -race.

--- a/edge/gateway/delegate.go
+++ b/edge/gateway/delegate.go
@@ -223,11 +223,12 @@
 	if notSent {
 		return outcome{}, false
 	}
-	if r.route.Kind != site.Idempotent || !g.mayRepeat(r) || !g.budgetOf(r.service).Take() {
+	// The owner may have sent it to targets: one more attempt is allowed, also where further owners are lost.
+	attempts := r.attempts + 1
+	if r.route.Kind != site.Idempotent || attempts >= max(2, r.route.MaxAttempts) || !g.mayRepeat(r) || !g.budgetOf(r.service).Take() {
 		return outcome{code: result.ConnectionLost, reason: "connection to owner lost"}, true
 	}
-	// The owner may have sent it to a target, so allow one more attempt.
-	r.attempts = max(1, r.route.MaxAttempts-1)
+	r.attempts = max(attempts, r.route.MaxAttempts-1)
 	return outcome{}, false
 }
 
--- a/edge/gateway/relay_test.go
+++ b/edge/gateway/relay_test.go
@@ -191,6 +191,24 @@
 	}
 }
 
+// Guards against a request that is sent to more targets than its route permits, as each VM that was asked to place
+// it may have sent it and was lost.
+func TestRelaysThatAreLostCountAsAttempts(t *testing.T) {
+	var sent atomic.Int32
+	hangsUp := func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			sent.Add(1)
+		}
+		c.Close()
+	}
+	f, _ := newCutGateway(t, startPeer(t, hangsUp), startPeer(t, hangsUp), startPeer(t, hangsUp), startPeer(t, hangsUp))
+	a := f.ask(context.Background(), "GET", "/safe/x", "7", time.Second, "")
+	// The routes of the fixture permit two attempts.
+	if a.Status != http.StatusBadGateway || sent.Load() != 2 {
+		t.Errorf("%d after %d sends", a.Status, sent.Load())
+	}
+}
+
 // Guards against requests that are declined while VMs take over a new configuration one after the other.
 func TestRelayWithAnotherVersionIsAskedAgain(t *testing.T) {
 	good := startTarget(t, "b", ok)
