refusals: counted by service, region and account, beside whose requests started meanwhile

Cause: GET /load told which account is refused, but not for which service and region, nor in whose favour. Change: at most 64 services, regions and accounts, least recently refused ones dropped, count refusals by reason; the three accounts and ranks with the most starts there, in those of the last 10 s with a refusal, are shown with them. Starts are counted under the balancer's lock, in a table of fixed size per service and region that compares four entries; the page asks for each entry under that lock once. A request that ends in the queue counts for the region for which it waited. TestStartsOfAccounts, TestRefusalsAreCountedByRegion, the tests of edge/refusals and TestLoadPage pass.

--- a/edge/entry/gatewaymetrics.go
+++ b/edge/entry/gatewaymetrics.go
@@ -122,8 +122,8 @@
 }
 
 // RequestRefused implements gateway.Metrics.
-func (c *gatewayMetrics) RequestRefused(account, reason string) {
-	c.refusals.Count(time.Now(), account, reason)
+func (c *gatewayMetrics) RequestRefused(r refusals.Refusal) {
+	c.refusals.Count(time.Now(), r)
 }
 
 // AttemptEnded implements gateway.Metrics.
--- a/edge/entry/handlers.go
+++ b/edge/entry/handlers.go
@@ -10,6 +10,7 @@
 
 	"github.com/yuccaroute/yuccaroute/edge/gateway"
 	"github.com/yuccaroute/yuccaroute/edge/loadview"
+	"github.com/yuccaroute/yuccaroute/edge/refusals"
 	"github.com/yuccaroute/yuccaroute/edge/serve"
 	"github.com/yuccaroute/yuccaroute/store"
 )
@@ -102,9 +103,13 @@
 func (e *Entry) loadPage() *serve.Response {
 	now := time.Now()
 	regions, services, reportAge := e.balancer.Load(now)
+	startsOf := func(service, region string, during *refusals.Seconds) []refusals.Started {
+		return e.balancer.Starts(now, service, region, during)
+	}
 	body, err := json.Marshal(&loadview.View{
 		VM: e.options.VM.Name, Region: e.options.VM.Region, Regions: regions, ReportAgeMS: reportAge.Milliseconds(),
 		Services: services, Accounts: e.gatewayMetrics.refusals.LastMinute(now),
+		Refused: e.gatewayMetrics.refusals.Places(now, startsOf),
 	})
 	if err != nil {
 		e.component("entry").WithError(err).Warn("entry: cannot encode the load")
--- a/edge/entry/load_test.go
+++ b/edge/entry/load_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/yuccaroute/yuccaroute/edge/loadview"
 	"github.com/yuccaroute/yuccaroute/edge/placing"
@@ -23,6 +26,9 @@
 	if status, _ := get(v.options.EntryAddress, loadview.Path); status != http.StatusNotFound {
 		t.Errorf("%d for a caller", status)
 	}
+	if status, _ := getWithDeadline(v.options.EntryAddress, "/p/x", 11*time.Millisecond); status != http.StatusServiceUnavailable {
+		t.Fatalf("%d with a deadline that cannot be kept", status)
+	}
 	for _, address := range []string{v.options.PeerAddress, v.options.MetricsAddress} {
 		status, page := get(address, loadview.Path)
 		var view loadview.View
@@ -35,6 +41,12 @@
 		if s := view.Services[0]; s.Service != "s" || len(s.Demand) != 1 || s.Demand[0].DemandSlots <= 0 || s.Regions[0].CapacitySlots <= 0 || s.Weights[0].Weights["n"] <= 0 {
 			t.Errorf("%s", page)
 		}
+		if len(view.Refused) != 1 {
+			t.Fatalf("refused %+v", view.Refused)
+		}
+		if r := view.Refused[0]; r.Service != "s" || r.Region != "n" || r.Refused != 1 || len(r.Started) != 1 || r.Started[0].Started < 1 {
+			t.Errorf("refused %+v", r)
+		}
 		refused := 0
 		for _, a := range view.Accounts {
 			for _, r := range a.Reasons {
@@ -48,3 +60,14 @@
 		}
 	}
 }
+
+// getWithDeadline is get with another deadline.
+func getWithDeadline(address, path string, deadline time.Duration) (int, string) {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return 0, ""
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Deadline: %d\r\n\r\n", path, deadline.Milliseconds())
+	return readResponse(c)
+}
--- a/edge/gateway/fixture_test.go
+++ b/edge/gateway/fixture_test.go
@@ -17,6 +17,7 @@
 	"github.com/yuccaroute/yuccaroute/edge/catalog"
 	"github.com/yuccaroute/yuccaroute/edge/owners"
 	"github.com/yuccaroute/yuccaroute/edge/placing"
+	"github.com/yuccaroute/yuccaroute/edge/refusals"
 	"github.com/yuccaroute/yuccaroute/edge/serve"
 	"github.com/yuccaroute/yuccaroute/edge/site"
 	"github.com/yuccaroute/yuccaroute/proxy/pool"
@@ -116,7 +117,7 @@
 type noMetrics struct{}
 
 func (noMetrics) RequestEnded(string, string, string, int, time.Duration) {}
-func (noMetrics) RequestRefused(string, string)                           {}
+func (noMetrics) RequestRefused(refusals.Refusal)                         {}
 func (noMetrics) AttemptEnded(string, string)                             {}
 func (noMetrics) RequestDelegated(string, string)                         {}
 func (noMetrics) LoadStated(string, bool)                                 {}
--- a/edge/gateway/gateway.go
+++ b/edge/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/yuccaroute/yuccaroute/edge/placing"
 	"github.com/yuccaroute/yuccaroute/edge/quarantine"
 	"github.com/yuccaroute/yuccaroute/edge/reach"
+	"github.com/yuccaroute/yuccaroute/edge/refusals"
 	"github.com/yuccaroute/yuccaroute/edge/route"
 	"github.com/yuccaroute/yuccaroute/edge/site"
 	"github.com/yuccaroute/yuccaroute/proxy/pool"
@@ -40,8 +41,8 @@
 type Metrics interface {
 	// RequestEnded counts a request by its result code; account is "" if it has none.
 	RequestEnded(route, service, account string, code int, took time.Duration)
-	// RequestRefused counts a request that this VM has refused itself; account is "" if it has none.
-	RequestRefused(account, reason string)
+	// RequestRefused counts a request that this VM has refused itself.
+	RequestRefused(r refusals.Refusal)
 	// AttemptEnded counts one attempt at a target.
 	AttemptEnded(service, end string)
 	// RequestDelegated counts one request that was delegated to another VM, by the reason for it.
--- a/edge/gateway/refused_test.go
+++ b/edge/gateway/refused_test.go
@@ -1,21 +1,28 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"net/http"
 	"slices"
+	"sync"
 	"testing"
 	"time"
+
+	"github.com/yuccaroute/yuccaroute/edge/refusals"
 )
 
 // refusalRecorder records the refusals that a gateway counts.
 type refusalRecorder struct {
 	noMetrics
 	refused []string
+	last    refusals.Refusal
 }
 
-func (r *refusalRecorder) RequestRefused(account, reason string) {
-	r.refused = append(r.refused, account+": "+reason)
+func (r *refusalRecorder) RequestRefused(refused refusals.Refusal) {
+	r.refused = append(r.refused, refused.Account+": "+refused.Reason)
+	r.last = refused
 }
 
 // Guards against served requests and answers of targets that count as refused, and against refusals
@@ -60,3 +67,35 @@
 		t.Errorf("refused %q, want %q", recorded.refused, want)
 	}
 }
+
+// Guards against refusals that are counted without the region for which the request waited in vain.
+func TestRefusalsAreCountedByRegion(t *testing.T) {
+	block := make(chan struct{})
+	s := startTarget(t, "a", func(w *bufio.Writer, r *http.Request, body string) bool {
+		<-block
+		return ok(w, r, body)
+	})
+	g := newGateway(t, s)
+	recorded := &refusalRecorder{}
+	g.options.Metrics = recorded
+	var filling sync.WaitGroup
+	waiting := func() bool { return g.options.Balancer.Waiting() > 0 }
+	for i := range 50 {
+		if waiting() {
+			break
+		}
+		filling.Go(func() { g.ask(context.Background(), "POST", "/once/x", fmt.Sprint(i), 2*time.Second, "") })
+		time.Sleep(5 * time.Millisecond)
+	}
+	waitFor(t, "nothing waits", waiting)
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &request{in: g.keyedRequest("POST", "/once/x", "w", "", 2*time.Second, "")}
+	r.route = g.table.Load().Match(r.in.Host, r.in.Path)
+	g.prepare(r)
+	time.AfterFunc(20*time.Millisecond, cancel)
+	if d, _ := g.place(ctx, r); d.Target != nil || r.log.region != "r" {
+		t.Errorf("decision %+v, region %q", d, r.log.region)
+	}
+	close(block)
+	filling.Wait()
+}
--- a/edge/gateway/run.go
+++ b/edge/gateway/run.go
@@ -122,14 +122,16 @@
 		select {
 		case d = <-w.Decided():
 		case <-ctx.Done():
-			if late, decided := g.options.Balancer.Cancel(w); decided && late.Target != nil {
+			late, decided := g.options.Balancer.Cancel(w)
+			if decided && late.Target != nil {
 				g.options.Balancer.Done(time.Now(), late, r.class, placing.Cancelled, 0)
 			}
+			r.log.region = late.Region
 			return placing.Decision{}, g.contextOutcome(ctx, r)
 		}
 		r.log.waited += time.Since(began)
 	}
-	r.log.decision = d
+	r.log.decision, r.log.region = d, d.Region
 	if d.Reason == placing.Unreached {
 		end := unreachedOutcome()
 		end.retryAfter = d.RetryAfter
--- a/edge/gateway/serve.go
+++ b/edge/gateway/serve.go
@@ -13,6 +13,7 @@
 	"github.com/yuccaroute/yuccaroute/edge/owners"
 	"github.com/yuccaroute/yuccaroute/edge/placing"
 	"github.com/yuccaroute/yuccaroute/edge/quarantine"
+	"github.com/yuccaroute/yuccaroute/edge/refusals"
 	"github.com/yuccaroute/yuccaroute/edge/returns"
 	"github.com/yuccaroute/yuccaroute/edge/route"
 	"github.com/yuccaroute/yuccaroute/edge/serve"
@@ -232,8 +233,10 @@
 	// quotaWait is how long the request waited for its account's quota.
 	quotaWait time.Duration
 	decision  placing.Decision
-	targets   []string
-	results   []string
+	// region is where the request was last placed, refused or left waiting; "" for nowhere.
+	region  string
+	targets []string
+	results []string
 	// durationsMS holds the duration of each attempt, network included.
 	durationsMS []int64
 	hedged      bool
@@ -324,7 +327,7 @@
 		// What this VM declines, the sender places elsewhere or refuses itself.
 		declined := r.fromPeer && end.unreached && !r.mayHaveRun
 		if result.InfoOf(end.code).Outcome == result.NotRun && !declined {
-			g.options.Metrics.RequestRefused(r.accountName(), end.reason)
+			g.options.Metrics.RequestRefused(refusals.Refusal{Service: r.service, Region: r.log.region, Account: r.accountName(), Reason: end.reason})
 		}
 	}
 	g.options.Logger.WithFields(fields).Info("gateway: request ended")
--- a/edge/loadview/loadview.go
+++ b/edge/loadview/loadview.go
@@ -18,6 +18,8 @@
 	Services    []Service `json:"services"`
 	// Accounts are those with requests that this VM refused in the last minute.
 	Accounts []refusals.Account `json:"accounts"`
+	// Refused are the services, regions and accounts with such requests, and who was served meanwhile.
+	Refused []refusals.Place `json:"refused"`
 }
 
 // Service is the load of one service.
--- a/edge/placing/balancer.go
+++ b/edge/placing/balancer.go
@@ -142,6 +142,7 @@
 	}
 	warm := r.HasKey && t.isWarm(r.Key, now)
 	b.countRun(s, r, warm)
+	s.countStart(now, t.Region, r)
 	s.addLocal(t)
 	if now.Before(t.coldUntil) {
 		t.cold.take(now)
@@ -233,13 +234,13 @@
 	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
 
-// Cancel removes a waiter from the queue. If it was decided concurrently, Cancel returns
-// the decision and true; if that has a target the caller must call Done.
+// Cancel removes a waiter from the queue and returns the region in which it waited. If it was decided
+// concurrently, Cancel returns the decision and true; if that has a target the caller must call Done.
 func (b *Balancer) Cancel(w *Waiter) (Decision, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if s := b.services[w.request.Service]; s != nil && s.queue.remove(w) {
-		return Decision{}, false
+		return Decision{Region: w.region}, false
 	}
 	return <-w.decided, true
 }
--- a/edge/placing/loadview.go
+++ b/edge/placing/loadview.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/yuccaroute/yuccaroute/edge/loadview"
+	"github.com/yuccaroute/yuccaroute/edge/refusals"
 	"github.com/yuccaroute/yuccaroute/edge/regionplan"
 	"github.com/yuccaroute/yuccaroute/edge/workingset"
 )
@@ -90,3 +91,14 @@
 	}
 	return r
 }
+
+// Starts returns the accounts and ranks with the most requests that this VM sent to targets of a service in a
+// region in some seconds.
+func (b *Balancer) Starts(now time.Time, serviceName, region string, during *refusals.Seconds) []refusals.Started {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.services[serviceName]; s != nil && s.starts[region] != nil {
+		return s.starts[region].Most(now, during)
+	}
+	return []refusals.Started{}
+}
--- a/edge/placing/loadview_test.go
+++ b/edge/placing/loadview_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/yuccaroute/yuccaroute/edge/refusals"
 	"github.com/yuccaroute/yuccaroute/edge/workingset"
 )
 
@@ -71,3 +73,42 @@
 		}
 	}
 }
+
+// Guards against refusals that do not tell in whose favour they are: a request that starts must count with its
+// account and rank in its own service and region, and one that waits or is refused must not.
+func TestStartsOfAccounts(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b, class := newBalancer(now), NewClass(100*time.Millisecond)
+	log := refusals.New(now)
+	started, refused := 0, 0
+	for i := range 200 {
+		r := request(now, class)
+		r.Account, r.AccountPriority, r.Priority = "y", 1, 2
+		if i%20 == 19 {
+			r.Account = "x"
+		}
+		d, _ := b.Place(now, r)
+		switch {
+		case d.Target != nil && r.Account == "y":
+			started++
+		case d.Target == nil && d.Reason == TooLate && r.Account == "x":
+			refused++
+			log.Count(now, refusals.Refusal{Service: r.Service, Region: d.Region, Account: r.Account, Reason: d.Reason.String()})
+		}
+	}
+	if started == 0 || refused == 0 {
+		t.Fatalf("%d started, %d refused", started, refused)
+	}
+	places := log.Places(now, func(service, region string, during *refusals.Seconds) []refusals.Started {
+		return b.Starts(now, service, region, during)
+	})
+	want := []refusals.Started{{Rank: 6, Account: "y", Started: started}}
+	if len(places) != 1 || places[0].Region != "a" || places[0].Refused != refused || !slices.Equal(places[0].Started, want) {
+		t.Errorf("%+v, want %d refused and %+v", places, refused, want)
+	}
+	for _, other := range [][2]string{{serviceName, "b"}, {"unknown", "a"}} {
+		if list := b.Starts(now, other[0], other[1], &refusals.Seconds{}); len(list) > 0 {
+			t.Errorf("%v: %+v", other, list)
+		}
+	}
+}
--- a/edge/placing/service.go
+++ b/edge/placing/service.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/yuccaroute/yuccaroute/edge/refusals"
 	"github.com/yuccaroute/yuccaroute/edge/site"
 	"github.com/yuccaroute/yuccaroute/edge/targetload"
 )
@@ -28,6 +29,8 @@
 	returns map[string]*permitReturns
 	// promises holds the promises to refused callers by region, for Policy.Returns.
 	promises map[string]*promises
+	// starts counts the requests that this VM sent to targets, by region.
+	starts map[string]*refusals.Starts
 	// unreached holds the regions whose targets this VM does not reach.
 	unreached map[string]bool
 	// paces is nil until a target states its load with its pace.
@@ -37,7 +40,7 @@
 func newService(s site.Service) *service {
 	return &service{
 		Service: s, targets: make(map[string]*Target), regions: make(map[string][]*Target), loads: make(loads), returns: make(map[string]*permitReturns),
-		promises: make(map[string]*promises), unreached: make(map[string]bool),
+		promises: make(map[string]*promises), starts: make(map[string]*refusals.Starts), unreached: make(map[string]bool),
 	}
 }
 
@@ -52,6 +55,16 @@
 	return serviceAverages{occupancy: s.occupancy.lengthBiasedMean(r.serviceTime()), failures: &s.failures}
 }
 
+// countStart counts a request that is sent to a target of a region.
+func (s *service) countStart(now time.Time, region string, r *Request) {
+	starts := s.starts[region]
+	if starts == nil {
+		starts = refusals.NewStarts(now)
+		s.starts[region] = starts
+	}
+	starts.Add(now, r.Account, r.workingSetRank())
+}
+
 // hasUsableTarget reports whether a region that a request may use has a target that neither leaves nor
 // is in an evacuated domain. It may be unreachable now.
 func (s *service) hasUsableTarget(r *Request) bool {
--- a/edge/refusals/refusals.go
+++ b/edge/refusals/refusals.go
@@ -1,5 +1,6 @@
-// Package refusals counts the requests that a VM refused in the last minute, by client account and
-// reason. It does no I/O and takes the time as an argument.
+// Package refusals counts the requests that a VM refused in the last minute, by client account and reason,
+// and by service, region and account beside those whose requests started there meanwhile. It does no I/O
+// and takes the time as an argument.
 package refusals
 
 import (
@@ -29,6 +30,9 @@
 	start     time.Time
 	accounts  map[string]*account
 	evictedAt time.Time
+	// places are in no particular order; refused counts their refusals.
+	places  []*place
+	refused uint64
 }
 
 type account struct{ reasons []*ring }
@@ -49,12 +53,13 @@
 // isEnded reports whether the window that ends at a second is empty.
 func (r *ring) isEnded(second int64) bool { return second-r.newest >= windowSeconds }
 
-// Count counts one refused request of an account, "" for none.
-func (l *Log) Count(now time.Time, name, reason string) {
+// Count counts one refused request.
+func (l *Log) Count(now time.Time, r Refusal) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	second := l.second(now)
-	l.account(now, name).ring(reason, second).count(now, second)
+	l.account(now, r.Account).ring(r.Reason, second).count(now, second)
+	l.countPlace(now, r, second)
 }
 
 // second returns the number of whole seconds since the start.
@@ -90,8 +95,8 @@
 	}
 }
 
-// ring returns the ring of a reason. Beyond maxReasons, a reason replaces one without refusals in the window, or
-// counts among the others if there is none.
+// ring returns the ring of a reason. A new reason replaces one without refusals in the window; if there is none,
+// and there are maxReasons, it counts among the others.
 func (a *account) ring(reason string, second int64) *ring {
 	var ended *ring
 	for _, r := range a.reasons {
@@ -102,13 +107,13 @@
 			ended = r
 		}
 	}
-	if len(a.reasons) >= maxReasons-1 && reason != Others {
-		if ended == nil {
-			return a.ring(Others, second)
-		}
+	if ended != nil {
 		ended.reason = reason
 		return ended
 	}
+	if len(a.reasons) >= maxReasons-1 && reason != Others {
+		return a.ring(Others, second)
+	}
 	// The window before the start is empty.
 	r := &ring{reason: reason, newest: -windowSeconds}
 	a.reasons = append(a.reasons, r)
@@ -160,18 +165,8 @@
 	defer l.mu.Unlock()
 	list, second := []Account{}, l.second(now)
 	for name, a := range l.accounts {
-		sums := Account{Account: name}
-		for _, r := range a.reasons {
-			if n := r.sum(second); n > 0 {
-				sums.Refused += n
-				sums.Reasons = append(sums.Reasons, Reason{Reason: r.reason, Refused: n, SinceS: now.Sub(r.since).Round(time.Millisecond).Seconds()})
-			}
-		}
-		if sums.Refused > 0 {
-			slices.SortFunc(sums.Reasons, func(x, y Reason) int {
-				return cmp.Or(cmp.Compare(y.Refused, x.Refused), cmp.Compare(x.Reason, y.Reason))
-			})
-			list = append(list, sums)
+		if refused, reasons := a.sums(now, second); refused > 0 {
+			list = append(list, Account{Account: name, Refused: refused, Reasons: reasons})
 		}
 	}
 	slices.SortFunc(list, func(x, y Account) int {
@@ -179,3 +174,17 @@
 	})
 	return list
 }
+
+// sums returns the refusals of the window that ends at a second, and those for each reason, most first.
+func (a *account) sums(now time.Time, second int64) (refused int, reasons []Reason) {
+	for _, r := range a.reasons {
+		if n := r.sum(second); n > 0 {
+			refused += n
+			reasons = append(reasons, Reason{Reason: r.reason, Refused: n, SinceS: now.Sub(r.since).Round(time.Millisecond).Seconds()})
+		}
+	}
+	slices.SortFunc(reasons, func(x, y Reason) int {
+		return cmp.Or(cmp.Compare(y.Refused, x.Refused), cmp.Compare(x.Reason, y.Reason))
+	})
+	return refused, reasons
+}
--- a/edge/refusals/refusals_test.go
+++ b/edge/refusals/refusals_test.go
@@ -14,11 +14,11 @@
 	start := time.Now()
 	l := New(start)
 	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
-	l.Count(at(1.5), "a", "too late")
-	l.Count(at(1.6), "a", "too late")
-	l.Count(at(30), "a", "too late")
-	l.Count(at(30), "a", "over")
-	l.Count(at(31), "b", "too late")
+	l.Count(at(1.5), Refusal{Account: "a", Reason: "too late"})
+	l.Count(at(1.6), Refusal{Account: "a", Reason: "too late"})
+	l.Count(at(30), Refusal{Account: "a", Reason: "too late"})
+	l.Count(at(30), Refusal{Account: "a", Reason: "over"})
+	l.Count(at(31), Refusal{Account: "b", Reason: "too late"})
 	want := []Account{
 		{Account: "a", Refused: 4, Reasons: []Reason{{"too late", 3, 30.5}, {"over", 1, 2}}},
 		{Account: "b", Refused: 1, Reasons: []Reason{{"too late", 1, 1}}},
@@ -38,7 +38,7 @@
 			t.Errorf("after %v s: %d refusals, want %d", c.at, n, c.want)
 		}
 	}
-	l.Count(at(500), "a", "too late")
+	l.Count(at(500), Refusal{Account: "a", Reason: "too late"})
 	if diff := cmp.Diff([]Account{{Account: "a", Refused: 1, Reasons: []Reason{{"too late", 1, 2}}}}, l.LastMinute(at(502))); diff != "" {
 		t.Error(diff)
 	}
@@ -51,7 +51,7 @@
 	l := New(start)
 	for i := range 3 * MaxAccounts {
 		for j := range 2 * maxReasons {
-			l.Count(start, fmt.Sprint("a", i), fmt.Sprint("r", j))
+			l.Count(start, Refusal{Account: fmt.Sprint("a", i), Reason: fmt.Sprint("r", j)})
 		}
 	}
 	list := l.LastMinute(start)
@@ -69,7 +69,7 @@
 		t.Errorf("%d refusals counted, want %d", total, want)
 	}
 	later := start.Add(2 * time.Minute)
-	l.Count(later, "new", "r")
+	l.Count(later, Refusal{Account: "new", Reason: "r"})
 	if list := l.LastMinute(later); len(list) != 1 || list[0].Account != "new" {
 		t.Errorf("%+v", list)
 	}
@@ -78,10 +78,10 @@
 // Guards against an allocation for each refusal of a known account.
 func TestCountDoesNotAllocate(t *testing.T) {
 	l, now := New(time.Now()), time.Now()
-	l.Count(now, "a", "too late")
+	l.Count(now, Refusal{Account: "a", Reason: "too late"})
 	if n := testing.AllocsPerRun(100, func() {
 		now = now.Add(time.Second)
-		l.Count(now, "a", "too late")
+		l.Count(now, Refusal{Account: "a", Reason: "too late"})
 	}); n != 0 {
 		t.Errorf("%v allocations", n)
 	}
@@ -92,10 +92,10 @@
 	start := time.Now()
 	l := New(start)
 	for i := range maxReasons {
-		l.Count(start, "a", fmt.Sprint("r", i))
+		l.Count(start, Refusal{Account: "a", Reason: fmt.Sprint("r", i)})
 	}
 	later := start.Add(2 * time.Minute)
-	l.Count(later, "a", "too late")
+	l.Count(later, Refusal{Account: "a", Reason: "too late"})
 	want := []Account{{Account: "a", Refused: 1, Reasons: []Reason{{"too late", 1, 1}}}}
 	if diff := cmp.Diff(want, l.LastMinute(later.Add(time.Second))); diff != "" {
 		t.Error(diff)
@@ -103,7 +103,7 @@
 	for range 5 {
 		later = later.Add(2 * time.Minute)
 		for i := range 2 * maxReasons {
-			l.Count(later, "a", fmt.Sprint(later, i))
+			l.Count(later, Refusal{Account: "a", Reason: fmt.Sprint(later, i)})
 		}
 		if n := len(l.accounts["a"].reasons); n > maxReasons {
 			t.Fatalf("%d reasons", n)
