yuccaroute load: who is served while an account is refused

Cause: the command and OPERATIONS.md could not answer in whose favour an account is refused. Measured: TestLoad passes with the new table; JSON is the VM's as before.

--- a/cmd/internal/render/load.go
+++ b/cmd/internal/render/load.go
@@ -10,6 +10,7 @@
 	"github.com/jedib0t/go-pretty/v6/table"
 
 	"github.com/yuccaroute/yuccaroute/edge/loadview"
+	"github.com/yuccaroute/yuccaroute/edge/refusals"
 	"github.com/yuccaroute/yuccaroute/edge/whatif"
 )
 
@@ -25,6 +26,8 @@
 		p.weights(v)
 		p.linef("\nRequests that this VM refused in the last minute")
 		p.refused(v)
+		p.linef("\nRefusals by service and region, and the most requests that this VM started there meanwhile, in %d s", refusals.StartSeconds)
+		p.refusedPlaces(v)
 	})
 }
 
@@ -69,6 +72,30 @@
 	refused.Render()
 }
 
+func (p *Printer) refusedPlaces(v *loadview.View) {
+	refused := p.table("service", "region", "account", "reason", "refused", "since", "started meanwhile")
+	for _, place := range v.Refused {
+		for i, r := range place.Reasons {
+			started := ""
+			if i == 0 {
+				started = startedText(place.Started)
+			}
+			refused.AppendRow(table.Row{
+				place.Service, orNone(place.Region), orNone(place.Account), r.Reason, r.Refused, (time.Duration(r.SinceS) * time.Second).String(), started,
+			})
+		}
+	}
+	refused.Render()
+}
+
+func startedText(started []refusals.Started) string {
+	var parts []string
+	for _, s := range started {
+		parts = append(parts, fmt.Sprintf("rank %d %s: %d", s.Rank, orNone(s.Account), s.Started))
+	}
+	return strings.Join(parts, ", ")
+}
+
 // WhatIf writes what a change would do.
 func (p *Printer) WhatIf(r *whatif.Result) error {
 	return p.print(r, func() {
--- a/cmd/yuccaroute/load_test.go
+++ b/cmd/yuccaroute/load_test.go
@@ -19,7 +19,11 @@
 "working_set":{"fraction_by_rank":[1,1,0.25,0.25],"deciding_vm":"vm-0","refused":7},"returns":{"pending":2,"promised":40,"kept":30,"lapsed":8}},
 {"region":"b","capacity_slots":40,"in_flight":12,"in_flight_of_vm":5}],
 "weights":[{"may_run_in":["a","b"],"weights":{"a":0.1,"b":0.9},"planned_weights":{"b":1}}]}],
-"accounts":[{"account":"acme","refused_last_60_s":5,"reasons":[{"reason":"too late","refused_last_60_s":5,"since_s":75.2}]}]}`
+"accounts":[{"account":"acme","refused_last_60_s":5,"reasons":[{"reason":"too late","refused_last_60_s":5,"since_s":75.2}]}],
+"refused":[{"service":"s","region":"a","account":"acme","refused_last_60_s":5,"reasons":[{"reason":"too late","refused_last_60_s":4,"since_s":75.2},
+{"reason":"no permit","refused_last_60_s":1,"since_s":3}],
+"started_meanwhile":[{"rank":0,"account":"bolt","started_last_10_s":35},{"rank":4,"account":"","started_last_10_s":2}]},
+{"service":"s","region":"","account":"","refused_last_60_s":1,"reasons":[{"reason":"no target","refused_last_60_s":1,"since_s":1}],"started_meanwhile":[]}]}`
 
 // startLoadVM serves a load page as an entry VM does.
 func startLoadVM(t *testing.T) string {
@@ -47,7 +51,8 @@
 	wantText(t, words(a.out),
 		"VM vm-1 in b; oldest report of another VM: 120 ms", "s a a 14.0", "s b all 12.0",
 		"s a 10.0 9 3 from rank 0: 1.00, from rank 2: 0.25 vm-0 2 40 30 8", "s b 40.0 12 5 all",
-		"s all a 0.10, b 0.90 b 1.00", "acme too late 5 1m15s")
+		"s all a 0.10, b 0.90 b 1.00", "acme too late 5 1m15s",
+		"s a acme too late 4 1m15s rank 0 bolt: 35, rank 4 (none): 2 s a acme no permit 1 3s s (none) (none) no target 1 1s")
 	for _, flags := range [][]string{{"--json"}, {"-o", "json"}} {
 		if a := vm.must(program.ExitOK, append([]string{"load"}, flags...)...); a.out != loadPage+"\n" {
 			t.Errorf("%v: %s", flags, a.out)
