yuccaroute load: no answer about a change from a VM that knows no service

Cause: a VM without a configuration or targets was asked what a drain would do and answered that all demand has room, exit code 0. Change: an error that names the VM, exit code 3, as of a node that does not answer. Measured: TestLoadOfEmptyFleet, before: exit code 0, after: 3; TestLoad* pass with -race.

--- a/cmd/yuccaroute/load.go
+++ b/cmd/yuccaroute/load.go
@@ -86,6 +86,9 @@
 		}
 		return printer.Load(view)
 	}
+	if len(view.Services) == 0 {
+		return program.Exit(program.ExitUnavailable, errors.Errorf("VM %s knows no service yet, so that it cannot tell what a change would do", view.VM))
+	}
 	before, err := stateOf(view)
 	if err != nil {
 		return program.Exit(program.ExitFailed, err)
--- a/cmd/yuccaroute/load_test.go
+++ b/cmd/yuccaroute/load_test.go
@@ -108,3 +108,17 @@
 	t.Setenv(environmentNode, "")
 	wantText(t, (&tool{t: t}).must(program.ExitUsage, "load").err.Error(), "use --node http://ADDRESS:PORT")
 }
+
+// Guards against a VM that knows no service yet, whose answer would be that all demand has room.
+func TestLoadOfEmptyFleet(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"vm":"vm-1","region":"a","regions":["a","b"],"oldest_report_age_ms":0,"services":[],"accounts":[],"refused":[]}`))
+	}))
+	t.Cleanup(s.Close)
+	vm := toolFor(t, s.URL)
+	vm.must(program.ExitOK, "load")
+	for _, change := range [][]string{{"--drain", "a"}, {"--add-targets", "s:a:8"}, {"--set-regions", "s:FROM=a:TO=b"}} {
+		a := vm.must(program.ExitUnavailable, append([]string{"load"}, change...)...)
+		wantText(t, a.err.Error(), "VM vm-1 knows no service")
+	}
+}
