soak: a key that was left out is reported with all tries

Cause: the message of a failed check of turns names the key only, so that it cannot be told whether the VMs refused the key or no caller asked for it.

Change: the message lists the tries of the key and route in the longest pause: time, status, Retry-After, and the result and reason that the VMs logged.

--- a/integration/soak/caller_test.go
+++ b/integration/soak/caller_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -29,10 +30,12 @@
 // outcome is what a caller saw of one request.
 type outcome struct {
 	id, key string
-	order   bool
-	status  int // 0: no answer
-	own     bool
-	body    string
+	// affinity is the caller's affinity key, "" if it has none.
+	affinity string
+	order    bool
+	status   int // 0: no answer
+	own      bool
+	body     string
 	// retryAfter is in seconds, 0 if the answer has none.
 	retryAfter float64
 	// at is the time of the answer since the start of the run, took that since the
@@ -68,6 +71,13 @@
 	j.all = append(j.all, o)
 }
 
+// outcomes returns what callers saw up to now.
+func (j *journal) outcomes() []outcome {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return slices.Clone(j.all)
+}
+
 // caller sends one request after the other, mostly on a connection that it keeps.
 type caller struct {
 	name    string
@@ -161,7 +171,7 @@
 
 // askWithin sends one request with a deadline.
 func (c *caller) askWithin(id string, order bool, deadline time.Duration) outcome {
-	o := outcome{id: id, key: c.key, order: order}
+	o := outcome{id: id, key: c.key, affinity: c.affinity, order: order}
 	if !c.connect() {
 		return o
 	}
--- a/integration/soak/uneven_test.go
+++ b/integration/soak/uneven_test.go
@@ -30,6 +30,7 @@
 	crowd       = 3
 	crowdTime   = 300 * time.Millisecond
 	crowdPrefix = "/crowd/"
+	crowdName   = boundAccount + "-crowd-"
 	// shortestTry is the time below which a caller sends no further try.
 	shortestTry = 20 * time.Millisecond
 
@@ -169,23 +170,26 @@
 	to := time.Now()
 	stop()
 	all.Wait()
-	w.checkTurns(served, from, to)
+	w.checkTurns(seen, served, from, to)
 	time.Sleep(lapseTime)
 	w.checkStates(boundCallers)
 }
 
 // checkTurns checks that each key of each route was served within each rotation. A request that is sent at the turn of
 // its key may take as long as a caller waits.
-func (w *world) checkTurns(served map[string][]time.Time, from, to time.Time) {
+func (w *world) checkTurns(seen *journal, served map[string][]time.Time, from, to time.Time) {
 	w.t.Helper()
+	var logged map[string][]string
 	total, fewest, longest := 0, -1, time.Duration(0)
 	for what, times := range served {
-		last, n, gap := from, 0, time.Duration(0)
+		last, n, gap, gapFrom := from, 0, time.Duration(0), from
 		for _, at := range append(times, to) {
 			if at.Before(from) || at.After(to) {
 				continue
 			}
-			gap = max(gap, at.Sub(last))
+			if at.Sub(last) > gap {
+				gap, gapFrom = at.Sub(last), last
+			}
 			last = at
 			n++
 		}
@@ -196,7 +200,11 @@
 			fewest = n
 		}
 		if gap > rotation+callTime {
-			w.t.Errorf("%s were not served for %s, served %d times in %s", what, gap, n, to.Sub(from))
+			if logged == nil {
+				logged = w.loggedByID()
+			}
+			w.t.Errorf("%s were not served for %s, served %d times in %s; %s", what, gap, n, to.Sub(from),
+				triesBetween(seen, logged, what, gapFrom, gapFrom.Add(gap)))
 		}
 	}
 	if total == 0 {
