placing: queued requests stay when the arc turns past their key

Change: a queued request is refused only if the set has shrunk before its key. If the start of the arc passed the key while the request waited, it stays in the queue until it is served or too late.

--- a/edge/placing/balancer.go
+++ b/edge/placing/balancer.go
@@ -124,7 +124,7 @@
 	if rejection, late := b.rejectLate(now, s, r, region); late {
 		return rejection, nil
 	}
-	w := &Waiter{request: r, region: region, latestEnd: r.latestEnd(), decided: make(chan Decision, 1)}
+	w := &Waiter{request: r, region: region, latestEnd: r.latestEnd(), queuedAt: now, decided: make(chan Decision, 1)}
 	s.queue.add(w, now)
 	return Decision{}, w
 }
--- a/edge/placing/queue.go
+++ b/edge/placing/queue.go
@@ -11,6 +11,7 @@
 	region  string
 	// latestEnd is when the request must end, see Request.latestEnd.
 	latestEnd time.Time
+	queuedAt  time.Time
 	// decided receives exactly one decision, unless the waiter is cancelled.
 	decided chan Decision
 }
--- a/edge/placing/serve.go
+++ b/edge/placing/serve.go
@@ -62,7 +62,7 @@
 			w.region = region
 		}
 	}
-	if refusal, refused := b.leftWorkingSet(now, s, w.request); refused {
+	if refusal, refused := b.leftWorkingSet(now, s, w); refused {
 		return refusal, true
 	}
 	if d, ok := b.assign(now, s, w.request, w.region); ok {
--- a/edge/placing/workingset.go
+++ b/edge/placing/workingset.go
@@ -121,13 +121,19 @@
 	return Decision{}, false
 }
 
-// leftWorkingSet refuses a queued request whose key is no longer admitted.
-func (b *Balancer) leftWorkingSet(now time.Time, s *service, r *Request) (refusal Decision, refused bool) {
-	c := b.scopeOf(now, s, r)
+// leftWorkingSet refuses a queued request whose key is no longer admitted since the set has shrunk. One whose key
+// the arc has passed while it waited stays: it came at its turn, and its key is not admitted again for a
+// rotation.
+func (b *Balancer) leftWorkingSet(now time.Time, s *service, w *Waiter) (refusal Decision, refused bool) {
+	c := b.scopeOf(now, s, w.request)
 	if c == nil {
 		return Decision{}, false
 	}
-	return b.refuseOutside(now, s, c, r)
+	arc := c.ring.Arc(now, c.id, w.request.workingSetRank())
+	if arc.Passed(w.request.Key, now.Sub(w.queuedAt), b.options.Policy.RotationPeriod) {
+		return Decision{}, false
+	}
+	return b.refuseOutside(now, s, c, w.request)
 }
 
 // refuseOutside refuses a request whose key is not admitted, and states the turn of the key. Retries and
--- a/edge/placing/workingset_test.go
+++ b/edge/placing/workingset_test.go
@@ -361,6 +361,64 @@
 	}
 }
 
+// A request in the queue must not be refused when the arc turns past its key: it came at its turn, and would be
+// told to wait for a whole rotation. A new request of the key is refused, and the queued one too once the set
+// shrinks before its key.
+func TestQueuedRequestStaysWhenTheArcTurnsPastItsKey(t *testing.T) {
+	l := newRestrictedLoad(t, workingSetPolicy)
+	b := l.balancers[2]
+	limited := workingset.AllAdmitted()
+	limited[0] = 0.1
+	m := workingset.Message{
+		Region: "a", Decider: "vm", Number: 1, Start: 0.45,
+		Scopes: map[workingset.ScopeID]workingset.Fractions{workingset.ScopeOf(serviceName, "a"): limited},
+	}
+	if !b.ring(l.now, "a").Accept(l.now, "vm-2", m) {
+		t.Fatal("the arcs were not accepted")
+	}
+	request := func(place float64) *Request {
+		return &Request{
+			Service: serviceName, Class: l.classes[2], Key: uint64(place*(1<<53)) << 11, HasKey: true,
+			Allowed:   func(region string) bool { return region == "a" },
+			Objective: l.now.Add(time.Hour), Deadline: l.now.Add(time.Hour),
+		}
+	}
+	var passed, ahead *Waiter
+	for passed == nil {
+		_, passed = b.Place(l.now, request(0.46))
+	}
+	for ahead == nil {
+		_, ahead = b.Place(l.now, request(0.54))
+	}
+	// The arc turns by 0.02 of the ring, past the first key, and shrinks before the second one.
+	l.now = l.now.Add(time.Duration(0.02 * float64(workingSetPolicy.RotationPeriod)))
+	m.Number, m.Start = 2, 0.47
+	limited[0] = 0.05
+	m.Scopes[workingset.ScopeOf(serviceName, "a")] = limited
+	if !b.ring(l.now, "a").Accept(l.now, "vm-2", m) {
+		t.Fatal("the next arcs were not accepted")
+	}
+	b.Tick(l.now)
+	select {
+	case d := <-passed.Decided():
+		if d.Target == nil {
+			t.Errorf("the request whose key was passed was refused with %q, told %v", d.Reason, d.RetryAfter)
+		}
+	default:
+	}
+	select {
+	case d := <-ahead.Decided():
+		if d.Reason != NotInWorkingSet {
+			t.Errorf("the request whose key left the shrinking set: %q", d.Reason)
+		}
+	default:
+		t.Error("the request whose key left the shrinking set is still queued")
+	}
+	if d, w := b.Place(l.now, request(0.46)); w != nil || d.Reason != NotInWorkingSet {
+		t.Errorf("a new request of the key that was passed: %q", d.Reason)
+	}
+}
+
 // Retries and hedges of an admitted request must not be refused when its key has left meanwhile, at once or
 // in the queue. Refused requests count once, when they are new.
 func TestRetriesPassWhenTheirKeyHasLeft(t *testing.T) {
--- a/edge/workingset/arc.go
+++ b/edge/workingset/arc.go
@@ -35,6 +35,12 @@
 	return a.Fraction >= 1 || ahead(a.Start, position(key)) < a.Fraction
 }
 
+// Passed reports whether the start of the arc has passed a key within a time, if the arc turns once in period.
+// Such a key has left at the end of its turn, others leave or stay out because the fraction is too small.
+func (a Arc) Passed(key uint64, within, period time.Duration) bool {
+	return !a.Admits(key) && ahead(position(key), a.Start) <= float64(within)/float64(period)
+}
+
 // Turn returns when a key is next admitted if the arc turns once in period, 0 if it is admitted.
 func (a Arc) Turn(key uint64, period time.Duration) time.Duration {
 	if a.Admits(key) {
--- a/edge/workingset/arc_test.go
+++ b/edge/workingset/arc_test.go
@@ -60,6 +60,27 @@
 	})
 }
 
+// A key that was admitted a while ago and is not any more must count as passed exactly if the start went past
+// it, whatever the fraction was and is.
+func TestPassedKeysWereAdmittedBefore(t *testing.T) {
+	const period = time.Minute
+	// margin keeps the key away from the start, where rounding decides.
+	const margin = 1e-6
+	rapid.Check(t, func(t *rapid.T) {
+		start, elapsed := rapid.Float64Range(0, 1).Draw(t, "start"), rapid.Int64Range(0, int64(period/2)).Draw(t, "elapsed")
+		distance := rapid.Float64Range(margin, 0.4).Draw(t, "distance of the key from the start")
+		key := uint64(ahead(0, start+distance)*(1<<53)) << 11
+		turned := float64(elapsed) / float64(period)
+		if math.Abs(distance-turned) < margin {
+			turned, elapsed = 0, 0
+		}
+		now := Arc{Start: ahead(0, start+turned), Fraction: rapid.Float64Range(minFraction, 0.4).Draw(t, "fraction")}
+		if got, want := now.Passed(key, time.Duration(elapsed), period), distance < turned; got != want {
+			t.Errorf("passed %v, want %v", got, want)
+		}
+	})
+}
+
 // Less urgent priorities share the last rank, and the account's priority counts first.
 func TestRanksAreBounded(t *testing.T) {
 	if RankOf(0, 3) >= RankOf(1, 0) || RankOf(0, 0) != 0 || RankOf(-1, -5) != 0 || RankOf(99, 99) != Ranks-1 || RankOf(0, 99) != RankOf(0, 3) {
