placing: requests that all targets refused are refused at once

Cause: the targets that a request has been to must not get it again. A request that a region's only target had refused was queued nevertheless, and waited until it was too late while others passed it.

Change: a request that has been to all usable targets of the regions that it may use is refused when it is placed, or in the queue when the last other target goes. It is told the wait of a request that was not tried.

--- a/edge/placing/balancer.go
+++ b/edge/placing/balancer.go
@@ -121,6 +121,9 @@
 			return d, nil
 		}
 	}
+	if rejection, tried := b.rejectTried(now, s, r, region); tried {
+		return rejection, nil
+	}
 	if rejection, late := b.rejectLate(now, s, r, region); late {
 		return rejection, nil
 	}
@@ -159,6 +162,18 @@
 	return d, true
 }
 
+// rejectTried rejects a request that has been to all targets that it may use. None of them may get it again, so
+// that it would wait in vain.
+func (b *Balancer) rejectTried(now time.Time, s *service, r *Request, region string) (Decision, bool) {
+	if len(r.Tried) == 0 || s.hasUntriedTarget(r) {
+		return Decision{}, false
+	}
+	again := *r
+	again.Tried = nil
+	w := b.estimateWait(now, s, &again, region, s.queue.backlog(&again, region, now), 1)
+	return s.rejection(now, region, s.retryAfterWait(now, w, &again), w.wait+r.serviceTime()+b.options.RTT(region)), true
+}
+
 // rejectLate rejects a request that would end too late if it were queued.
 func (b *Balancer) rejectLate(now time.Time, s *service, r *Request, region string) (Decision, bool) {
 	w := b.estimateWait(now, s, r, region, s.queue.backlog(r, region, now), permitMargin)
--- a/edge/placing/serve.go
+++ b/edge/placing/serve.go
@@ -60,6 +60,8 @@
 		}
 		if region != "" {
 			w.region = region
+		} else if d, tried := b.rejectTried(now, s, w.request, w.region); tried {
+			return d, true
 		}
 	}
 	if refusal, refused := b.leftWorkingSet(now, s, w); refused {
--- a/edge/placing/service.go
+++ b/edge/placing/service.go
@@ -63,6 +63,16 @@
 	return false
 }
 
+// hasUntriedTarget is as hasUsableTarget, without the targets that must not get the request again.
+func (s *service) hasUntriedTarget(r *Request) bool {
+	for region, targets := range s.regions {
+		if r.allows(region) && slices.ContainsFunc(targets, func(t *Target) bool { return t.usable && !r.tried(t) }) {
+			return true
+		}
+	}
+	return false
+}
+
 // rejectWithoutTarget rejects a request for which no region has a target.
 func (s *service) rejectWithoutTarget(r *Request) Decision {
 	leaving, all := 0, 0
