soak: callers that ask at each turn of a key and route

Cause: checkTurns assumed that a request of each key and route is sent at each turn. The callers draw the route anew for each request and keep to it for up to 2 s.

Change: for each key and route one more caller asks for nothing else, every 0.1 s and every 31 ms near its turn, and pauses for 1 s after it was served. The other callers and the bound of 6 s stay, so the check is stricter.

--- a/integration/soak/uneven_test.go
+++ b/integration/soak/uneven_test.go
@@ -25,10 +25,18 @@
 	rotation = 4 * time.Second
 	// crowd is how many callers each key has in the calm window. Their orders have a route of their own with
 	// the timeout crowdTime, in which the region serves fewer than there are. The first caller of each key
-	// gives up after that time and begins anew, so that one comes at each turn of the key. The others have
-	// callTime and are promised places, which a VM does for times up to a third of what a caller has left.
-	crowd       = 3
-	crowdTime   = 300 * time.Millisecond
+	// gives up after that time and begins anew. The others have callTime and are promised places, which a VM
+	// does for times up to a third of what a caller has left.
+	crowd     = 3
+	crowdTime = 300 * time.Millisecond
+	// servedPause is how long a caller that asks at each turn of one key pauses after a request that was served.
+	// It is less than the time between two turns, and keeps those callers from adding much to the load.
+	servedPause = rotation / 4
+	// askPause is how long those callers pause after a refusal, and turnPause if they are told the least time,
+	// nearTurn. That is longer than the shortest turn, of which turnPause is half.
+	askPause    = crowdTime / 3
+	nearTurn    = 100 * time.Millisecond
+	turnPause   = time.Duration(minFraction * float64(rotation) / 2)
 	crowdPrefix = "/crowd/"
 	crowdName   = boundAccount + "-crowd-"
 	// shortestTry is the time below which a caller sends no further try.
@@ -108,18 +116,54 @@
 		if left < shortestTry {
 			return order, false
 		}
-		c.sent++
-		o := c.askWithin(fmt.Sprintf("%s-%d", c.name, c.sent), order, left)
-		o.took = time.Since(asked)
-		c.journal.add(o)
+		o := c.try(order, left)
 		if !isRefusal(o.status) {
 			return order, o.status == http.StatusOK
 		}
-		time.Sleep(min(time.Duration(o.retryAfter*float64(time.Second)), time.Until(givesUp)/3))
+		time.Sleep(min(o.comeBack(), time.Until(givesUp)/3))
 	}
 	return order, false
 }
 
+// askAtTurns asks for one key of one route only, so often that requests come at each of its turns. It calls served
+// for each request that was served.
+func (c *caller) askAtTurns(ctx context.Context, order bool, served func()) {
+	for ctx.Err() == nil {
+		switch o := c.try(order, c.deadline()); {
+		case o.status == http.StatusOK:
+			served()
+			pause(ctx, servedPause)
+		case isRefusal(o.status):
+			wait := askPause
+			if o.comeBack() <= nearTurn {
+				wait = turnPause
+			}
+			pause(ctx, wait)
+		}
+	}
+}
+
+// try sends a request and records what was seen of it.
+func (c *caller) try(order bool, deadline time.Duration) outcome {
+	c.sent++
+	asked := time.Now()
+	o := c.askWithin(fmt.Sprintf("%s-%d", c.name, c.sent), order, deadline)
+	o.took = time.Since(asked)
+	c.journal.add(o)
+	return o
+}
+
+// comeBack returns after which time the caller of a refused request was told to come back.
+func (o outcome) comeBack() time.Duration { return time.Duration(o.retryAfter * float64(time.Second)) }
+
+// pause waits, or returns earlier when ctx is done.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 func isRefusal(status int) bool {
 	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
 }
@@ -139,6 +183,15 @@
 	for n := range boundKeys {
 		served["look-ups of "+boundAffinity(n)], served["orders of "+boundAffinity(n)] = nil, nil
 	}
+	record := func(order bool, affinity string) {
+		what := "look-ups of " + affinity
+		if order {
+			what = "orders of " + affinity
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		served[what] = append(served[what], time.Now())
+	}
 	for n := range crowd * boundKeys {
 		c := w.boundCaller("crowd", n, seen)
 		c.orders = crowdPrefix
@@ -147,21 +200,23 @@
 		}
 		all.Go(func() {
 			for ctx.Err() == nil {
-				order, ok := c.insist(ctx)
-				if !ok {
-					continue
-				}
-				what := "look-ups of " + c.affinity
-				if order {
-					what = "orders of " + c.affinity
+				if order, ok := c.insist(ctx); ok {
+					record(order, c.affinity)
 				}
-				mu.Lock()
-				served[what] = append(served[what], time.Now())
-				mu.Unlock()
 			}
 			c.drop()
 		})
 	}
+	// The crowd draws the route of each request anew, so that some turns of a key pass without a request.
+	for n := range 2 * boundKeys {
+		c := w.boundCaller("crowd", crowd*boundKeys+n, seen)
+		c.orders = crowdPrefix
+		order := n >= boundKeys
+		all.Go(func() {
+			c.askAtTurns(ctx, order, func() { record(order, c.affinity) })
+			c.drop()
+		})
+	}
 	time.Sleep(rotation)
 	from := time.Now()
 	w.checkStates(maxPromises)
