--- a/edge/placing/serve.go
+++ b/edge/placing/serve.go
@@ -60,9 +60,11 @@
 		}
 		if region != "" {
 			w.region = region
+		} else if d, tried := b.rejectTried(now, s, w.request, w.region); tried {
+			return d, true
 		}
 	}
-	if refusal, refused := b.leftWorkingSet(now, s, w.request); refused {
+	if refusal, refused := b.leftWorkingSet(now, s, w); refused {
 		return refusal, true
 	}
 	if d, ok := b.assign(now, s, w.request, w.region); ok {
