--- a/integration/process_test.go
+++ b/integration/process_test.go
@@ -60,6 +60,12 @@
 	}()
 }
 
+func (p *process) pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.Process.Pid
+}
+
 // signal sends to this process by its id and to nothing else.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
