placing: order of the queue by the work of accounts, [policy] FairShares

Change: the switch in the settings (off if absent) and in placing.Policy. While it is on, waiting requests of one rank are ordered by the work of their account in the region. Each gets a tag when the queue is ordered, so that the queue stays sorted between two orders. Without the switch the order is as before.

--- a/cmd/yuccaentry/main.go
+++ b/cmd/yuccaentry/main.go
@@ -171,6 +171,6 @@
 	return placing.Policy{
 		RegionPlan: platform.IsOn(p.RegionPlan), StatedLoad: platform.IsOn(p.StatedLoad),
 		WorkingSet: platform.IsOn(p.WorkingSet), RotationPeriod: platform.Duration(p.RotationSeconds),
-		Returns: platform.IsOn(p.Returns), PromisedShare: p.PromisedShare,
+		Returns: platform.IsOn(p.Returns), PromisedShare: p.PromisedShare, FairShares: platform.IsOn(p.FairShares),
 	}
 }
--- a/edge/placing/balancer.go
+++ b/edge/placing/balancer.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/yuccaroute/yuccaroute/edge/fairshare"
 	"github.com/yuccaroute/yuccaroute/edge/returns"
 )
 
@@ -63,6 +64,10 @@
 	sets workingSets
 	// returnTotals bounds and counts the promises to refused callers.
 	returnTotals returns.Totals
+	// work is the work of client accounts, and overtaken counts the waiting requests that were refused
+	// since others of accounts with less work went before them.
+	work      *fairshare.Table
+	overtaken int64
 	// lossAt is when capacity was last lost unexpectedly.
 	lossAt time.Time
 }
@@ -75,6 +80,7 @@
 		byKey:     make(map[uint32][]*Target),
 		tolerance: baseTolerance, limitOf: func(*Target) RateLimit { return nil },
 		statements: statements{byIncarnation: make(map[uint64]*statement)}, sets: newWorkingSets(),
+		work: fairshare.NewTable(),
 	}
 }
 
@@ -156,11 +162,13 @@
 		FailuresAreWidespread: s.failures.areWidespread(), Return: r.returned,
 	}
 	d.startInWorkingSet(b.scopeOf(now, s, r), r)
+	s.queue.startWork(now, r, &d, r.Class.serviceTime(warm))
 	return d, true
 }
 
 // rejectLate rejects a request that would end too late if it were queued.
 func (b *Balancer) rejectLate(now time.Time, s *service, r *Request, region string) (Decision, bool) {
+	s.queue.beginWaiting(now, r, region)
 	w := b.estimateWait(now, s, r, region, s.queue.backlog(r, region, now), permitMargin)
 	if !w.limited {
 		w.promised = b.promisedWait(now, s, r, w)
@@ -179,6 +187,7 @@
 		return Decision{}, false
 	}
 	d := s.rejection(now, w.region, s.retryAfterWait(now, w, r), expected)
+	s.queue.recordAccountWork(now, r, w.region, &d)
 	switch {
 	case w.permits.resting:
 		d.Reason = AtRest
--- a/edge/placing/done.go
+++ b/edge/placing/done.go
@@ -31,6 +31,9 @@
 	if s != nil && outcome != Cancelled {
 		s.failures.record(outcome != Answered)
 	}
+	if s != nil {
+		s.queue.endWork(now, &d, outcome, took-t.rtt)
+	}
 	switch outcome {
 	case Answered:
 		t.recordSuccess(now, class, d.Warm, took-t.rtt)
--- a/edge/placing/policy.go
+++ b/edge/placing/policy.go
@@ -17,4 +17,7 @@
 	// PromisedShare is the largest fraction of the capacity that is reserved, from 0 to 1.
 	Returns       bool
 	PromisedShare float64
+	// FairShares gives client accounts of one rank equal shares of the work of a region while its
+	// capacity is short.
+	FairShares bool
 }
--- a/edge/placing/queue.go
+++ b/edge/placing/queue.go
@@ -1,8 +1,11 @@
 package placing
 
 import (
+	"cmp"
 	"slices"
 	"time"
+
+	"github.com/yuccaroute/yuccaroute/edge/fairshare"
 )
 
 // Waiter is a queued request.
@@ -11,6 +14,11 @@
 	region  string
 	// latestEnd is when the request must end, see Request.latestEnd.
 	latestEnd time.Time
+	// key identifies the work of the request's account. late and tag are as of the last order of the
+	// queue: whether the request misses its objective, and its fairshare tag, 0 without fair shares.
+	key  fairshare.Key
+	late bool
+	tag  time.Duration
 	// decided receives exactly one decision, unless the waiter is cancelled.
 	decided chan Decision
 }
@@ -19,29 +27,74 @@
 func (w *Waiter) Decided() <-chan Decision { return w.decided }
 
 // waitQueue holds the queued requests of one service on this VM in serving order.
-type waitQueue struct{ waiting []*Waiter }
+type waitQueue struct {
+	waiting []*Waiter
+	// work is the work of accounts, nil without Policy.FairShares.
+	work accountWork
+}
 
 // less orders the queue: first requests that can still meet their latency objective, then
 // by priority of the account and of the route, then those that have come back as promised, then by
-// earliest objective.
+// the work of the account if Policy.FairShares is on, then by earliest objective.
 func (w *Waiter) less(other *Waiter, now time.Time) bool {
+	w.late, other.late = w.request.missesObjective(now), other.request.missesObjective(now)
+	return w.compare(other) < 0
+}
+
+// compare compares the serving order of two requests as of the last order of the queue.
+func (w *Waiter) compare(other *Waiter) int {
+	if c := w.compareRank(other); c != 0 {
+		return c
+	}
+	if w.tag != other.tag {
+		return cmp.Compare(w.tag, other.tag)
+	}
+	return w.request.Objective.Compare(other.request.Objective)
+}
+
+// compareUrgency is as compare without the work of accounts.
+func (w *Waiter) compareUrgency(other *Waiter) int {
+	if c := w.compareRank(other); c != 0 {
+		return c
+	}
+	return w.request.Objective.Compare(other.request.Objective)
+}
+
+// compareRank compares what precedes the work of accounts in the serving order.
+func (w *Waiter) compareRank(other *Waiter) int {
 	a, b := w.request, other.request
-	if late := a.missesObjective(now); late != b.missesObjective(now) {
-		return !late
+	if w.late != other.late {
+		return first(other.late)
 	}
 	if a.AccountPriority != b.AccountPriority {
-		return a.AccountPriority < b.AccountPriority
+		return cmp.Compare(a.AccountPriority, b.AccountPriority)
 	}
 	if a.Priority != b.Priority {
-		return a.Priority < b.Priority
+		return cmp.Compare(a.Priority, b.Priority)
 	}
 	if kept := a.keepsPromise(); kept != b.keepsPromise() {
-		return kept
+		return first(kept)
+	}
+	return 0
+}
+
+// first returns the result of a comparison that one of two is ahead, the first of them if isFirst is set.
+func first(isFirst bool) int {
+	if isFirst {
+		return -1
 	}
-	return a.Objective.Before(b.Objective)
+	return 1
 }
 
 func (q *waitQueue) add(w *Waiter, now time.Time) {
+	if q.work != nil {
+		w.key = fairKey(w.request, w.region)
+	}
+	if q.isFair(w.request) {
+		q.waiting = append(q.waiting, w)
+		q.order(now)
+		return
+	}
 	i := len(q.waiting)
 	for i > 0 && w.less(q.waiting[i-1], now) {
 		i--
@@ -91,7 +144,11 @@
 // backlog returns the requests of a region that would be served before r, and the work of all
 // regions.
 func (q *waitQueue) backlog(r *Request, region string, now time.Time) (before backlog) {
-	w := &Waiter{request: r}
+	w := &Waiter{request: r, region: region}
+	if q.isFair(r) {
+		w.late = r.missesObjective(now)
+		w.tag = q.tagOf(now, w)
+	}
 	for _, other := range q.waiting {
 		if w.less(other, now) {
 			continue
--- a/edge/placing/request.go
+++ b/edge/placing/request.go
@@ -146,6 +146,14 @@
 	RetryAfter, Promised time.Duration
 	// Return is what is known of the request from earlier refusals.
 	Return returns.Status
+	// AccountWork is the work of the account of a refused request less the least work of the other
+	// waiting accounts, 0 if there are none. HasAccountWork is set if fair shares apply to the request.
+	AccountWork    time.Duration
+	HasAccountWork bool
+	// account and charged are what the work of an account was charged for the request; charged is 0 if
+	// it does not count.
+	account uint32
+	charged time.Duration
 	// scope and rank are those of the working set that the request counts in; scope is nil for none.
 	scope *scope
 	rank  int
--- a/edge/placing/serve.go
+++ b/edge/placing/serve.go
@@ -17,6 +17,7 @@
 	b.releaseHeld(now)
 	b.tickWorkingSets(now)
 	b.expirePromises(now)
+	b.work.Expire(now)
 	b.serveAll(now)
 }
 
@@ -28,7 +29,7 @@
 		return
 	}
 	s.resetLoads()
-	s.queue.demoteLate(now)
+	s.queue.order(now)
 	kept := s.queue.waiting[:0]
 	ahead := make(map[string]backlog)
 	for _, w := range s.queue.waiting {
@@ -40,6 +41,9 @@
 			kept = append(kept, w)
 			continue
 		}
+		if d.HasAccountWork && w.isOvertaken(kept) {
+			b.overtaken++
+		}
 		w.decided <- d
 	}
 	clear(s.queue.waiting[len(kept):])
@@ -59,7 +63,7 @@
 			return s.rejectWithoutTarget(w.request), true
 		}
 		if region != "" {
-			w.region = region
+			w.region, w.key.Region = region, region
 		}
 	}
 	if refusal, refused := b.leftWorkingSet(now, s, w.request); refused {
--- a/edge/placing/targetspec.go
+++ b/edge/placing/targetspec.go
@@ -54,6 +54,9 @@
 		known := services[name]
 		known.Name = name
 		s = newService(known)
+		if b.options.Policy.FairShares {
+			s.queue.work = b.work
+		}
 		b.services[name] = s
 	}
 	if known, ok := services[name]; ok {
