--- a/edge/placing/balancer.go
+++ b/edge/placing/balancer.go
@@ -140,7 +140,7 @@
 	t, cost := s.best(now, r, region)
 	// A request that would end too late at a full target stays in the queue, where it may
 	// still get a slot that becomes free earlier.
-	if t == nil || t.full() && (now.Add(cost).After(r.latestEnd()) || b.isPromised(now, s, t, r)) {
+	if t == nil || t.full() && (now.Add(cost).After(r.latestEnd()) || b.isPromised(now, s, t, r) || s.queue.yieldsPlace(now, r, region)) {
 		return Decision{}, false
 	}
 	if t.limit != nil && !t.limit.Use() {
--- a/edge/placing/fairshares.go
+++ b/edge/placing/fairshares.go
@@ -73,6 +73,19 @@
 	}
 }
 
+// yieldsPlace reports whether a request leaves the queues of full targets to waiting requests of accounts with
+// less work.
+func (q *waitQueue) yieldsPlace(now time.Time, r *Request, region string) bool {
+	if r.Account == "" || !q.hasAccounts() {
+		return false
+	}
+	w := Waiter{request: r, region: region, key: fairKey(r, region), late: r.missesObjective(now)}
+	w.tag = q.work.Work(now, w.key)
+	return slices.ContainsFunc(q.waiting, func(other *Waiter) bool {
+		return other.region == region && other.key != w.key && other.compare(&w) < 0
+	})
+}
+
 // startWork counts a request that is sent to a target while others wait.
 func (q *waitQueue) startWork(now time.Time, r *Request, d *Decision, expected time.Duration) {
 	if len(q.waiting) == 0 || !q.isFair(r) {
