exchange, entry: VMs tell each other the work of client accounts

Cause: each VM knew the work of its own requests only, so that accounts that arrive at many VMs got more than others. Change: field fs of reports and digests, each 0.4 s while a VM has had a queue in the last 10 s; at most 16 accounts of a service, at most 20 in the reports of a VM. Log field account_work_ms, gauge account_work, counter fair_share_overtaken. A test of package fairshare depended on the order of a map and does not any more.

--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -71,6 +71,7 @@
 	quota          *quota.Quota
 	targetLimits   *targetLimits
 	workingSets    *workingSets
+	fairShares     *fairShares
 	// leavingTargets are the incarnations of targets that leave, to be told to other VMs.
 	leavingTargets broadcast.Queue[uint64]
 	fleet          *fleet
@@ -113,6 +114,7 @@
 	e.quota = e.newQuota()
 	e.targetLimits = newTargetLimits(e)
 	e.workingSets = newWorkingSets(e)
+	e.fairShares = newFairShares(e)
 	e.gateway = gateway.New(gateway.Options{
 		Fields: o.Names.Fields, Name: o.VM.Name, Region: o.VM.Region, Balancer: e.balancer, Logger: e.component("gateway"), Metrics: e.gatewayMetrics,
 		RetryRatio: o.RetryRatio, RetryExtra: o.RetryExtra, VMCount: e.members.Count, RTT: e.roundTrips.get,
@@ -174,8 +176,8 @@
 func (e *Entry) listen(ctx context.Context) error {
 	ex, err := exchange.Start(ctx, exchange.Options{
 		Address: e.options.PeerAddress, Logger: e.component("exchange"), State: e.state, Digest: e.digest, Limits: e.limitsToAnnounce,
-		AddWorkingSets: e.workingSets.addTo,
-		Recipients:     e.recipients, RelayTo: e.relayTo, Received: e.received(ctx),
+		AddToFew:   e.addToFew,
+		Recipients: e.recipients, RelayTo: e.relayTo, Received: e.received(ctx),
 		Handlers: e.datagramHandlers(),
 	})
 	if err != nil {
@@ -354,6 +356,7 @@
 		e.maintainQuota(ctx, now)
 		e.targetLimits.maintain()
 		e.workingSets.maintain(now)
+		e.fairShares.maintain(now)
 		e.quarantine.Tick(ctx, now, e.members.IsWatchLeader(e.now()))
 		e.gatewayMetrics.setQuarantine(e.quarantine.Counts())
 		e.gatewayMetrics.setStatements(e.balancer.Statements(now))
--- a/edge/entry/exchange.go
+++ b/edge/entry/exchange.go
@@ -94,6 +94,12 @@
 	return e.targetLimits.announcement(e.now(), otherRegions)
 }
 
+// addToFew adds what only few reports have.
+func (e *Entry) addToFew(s *exchange.State, otherRegions bool) {
+	e.workingSets.addTo(s, otherRegions)
+	e.fairShares.addTo(s, otherRegions)
+}
+
 // digest returns the digest for the VMs of the region.
 func (e *Entry) digest(full bool) *exchange.Digest {
 	now := time.Now()
@@ -101,6 +107,7 @@
 	d := &exchange.Digest{
 		InFlight: inFlight, Demand: demand, SlowTargets: e.balancer.SlowTargets(now, true), Restricted: e.balancer.RestrictedRegionSums(now),
 	}
+	d.AccountWork = e.fairShares.digestWork(now)
 	if !full {
 		return d
 	}
@@ -145,6 +152,7 @@
 		e.applyEvents(now, &s)
 		e.applyLeavingTargets(now, &s)
 		e.workingSets.apply(now, &s)
+		e.fairShares.apply(now, &s)
 		e.targetLimits.merge(e.now(), s.VM.Name, s.Limits)
 		if s.Relay != nil {
 			e.replica.ObservePeer(ctx, s.Relay.Peer, true, store.Revision(s.Relay.Revision), now)
--- a/edge/entry/gatewaymetrics.go
+++ b/edge/entry/gatewaymetrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/yuccaroute/yuccaroute/edge/fairshare"
 	"github.com/yuccaroute/yuccaroute/edge/reach"
 	"github.com/yuccaroute/yuccaroute/edge/refusals"
 	"github.com/yuccaroute/yuccaroute/store"
@@ -37,8 +38,13 @@
 	reach                                         map[reach.Group]tally.Gauge
 	// returnTotals are those that the counters have.
 	returnTotals returnTotals
+	// accountWork holds the gauges of the work of accounts, and overtaken what the counter has.
+	accountWork map[accountWorkTags]tally.Gauge
+	overtaken   int64
 }
 
+type accountWorkTags struct{ service, account string }
+
 type requestTags struct {
 	route, service string
 	code           int
@@ -71,7 +77,8 @@
 func newGatewayMetrics(scope tally.Scope) *gatewayMetrics {
 	return &gatewayMetrics{scope: scope, refusals: refusals.New(time.Now()), requests: make(map[requestTags]requestMetrics), accounts: make(map[string]accountMetrics), attempts: make(map[attemptTags]tally.Counter),
 		delegations: make(map[delegationTags]tally.Counter), targetCrashes: make(map[string]tally.Counter), loadStatements: make(map[string]tally.Counter),
-		malformedLoads: make(map[string]tally.Counter), expectedErrors: make(map[string]tally.Histogram), reach: make(map[reach.Group]tally.Gauge)}
+		malformedLoads: make(map[string]tally.Counter), expectedErrors: make(map[string]tally.Histogram), reach: make(map[reach.Group]tally.Gauge),
+		accountWork: make(map[accountWorkTags]tally.Gauge)}
 }
 
 // RequestEnded implements gateway.Metrics.
@@ -186,6 +193,27 @@
 	c.returnTotals = returnTotals{promised, kept, lapsed}
 }
 
+// setAccountWork updates the gauges of the work of accounts, 0 for those that are not listed, and the counter of
+// overtaken requests to its total. Only one goroutine may call it.
+func (c *gatewayMetrics) setAccountWork(list []fairshare.Named, overtaken int64) {
+	work := make(map[accountWorkTags]float64, len(list))
+	for _, a := range list {
+		tags := accountWorkTags{a.Service, a.Account}
+		if _, ok := c.accountWork[tags]; !ok && len(c.accountWork) >= maxAccountMetrics {
+			tags.account = otherAccounts
+		}
+		work[tags] += a.Work.Seconds()
+		if c.accountWork[tags] == nil {
+			c.accountWork[tags] = c.scope.Tagged(map[string]string{"service": tags.service, "account": tags.account}).Gauge("account_work")
+		}
+	}
+	for tags, gauge := range c.accountWork {
+		gauge.Update(work[tags])
+	}
+	c.scope.Counter("fair_share_overtaken").Inc(overtaken - c.overtaken)
+	c.overtaken = overtaken
+}
+
 // setReplica updates the gauges of the store's state that this VM holds: the era and revision number.
 func (c *gatewayMetrics) setReplica(at store.Revision) {
 	c.scope.Gauge("replica_era").Update(float64(at.Era()))
--- a/edge/entry/suspension_test.go
+++ b/edge/entry/suspension_test.go
@@ -29,7 +29,7 @@
 
 // newVM returns the parts of a VM that tell others how old something is.
 func (m *machine) newVM(name string) *Entry {
-	e := &Entry{log: logrus.New(), workingSets: &workingSets{}}
+	e := &Entry{log: logrus.New(), workingSets: &workingSets{}, fairShares: &fairShares{}}
 	e.options.VM.Name = name
 	e.contact = newContact(clock.NewFrom(time.Now, m.boot), 0)
 	e.members = peers.New(e.options.VM, e.now())
--- a/edge/exchange/exchange.go
+++ b/edge/exchange/exchange.go
@@ -73,9 +73,9 @@
 	// Limits returns observations of targets' limits for a report to this region, or to other
 	// regions; nil means none.
 	Limits func(otherRegions bool) []ratelimit.Announced
-	// AddWorkingSets adds what the VM tells of working sets to a report to this region, or to other
-	// regions; nil adds nothing.
-	AddWorkingSets func(s *State, otherRegions bool)
+	// AddToFew adds what only few reports have, to this region or to other regions: what the VM tells of
+	// working sets and of the work of accounts. nil adds nothing.
+	AddToFew func(s *State, otherRegions bool)
 	// Digest returns the digest of the region.
 	Digest func(detailed bool) *Digest
 	// Recipients returns the current recipients of reports and digests.
@@ -180,8 +180,8 @@
 	if e.options.Limits != nil {
 		state.Limits = e.options.Limits(otherRegions)
 	}
-	if e.options.AddWorkingSets != nil {
-		e.options.AddWorkingSets(&state, otherRegions)
+	if e.options.AddToFew != nil {
+		e.options.AddToFew(&state, otherRegions)
 	}
 	datagram := e.encode(&state)
 	for _, p := range to {
--- a/edge/exchange/state.go
+++ b/edge/exchange/state.go
@@ -55,6 +55,9 @@
 	// the arcs of its region, both as package workingset encodes them. They are in few reports.
 	WorkingLoad []byte   `msgpack:"wl,omitempty"`
 	Arcs        [][]byte `msgpack:"ws,omitempty"`
+	// AccountWork is the work of client accounts, of the VM or of its region if Sum is true, as package
+	// fairshare encodes it. It is in few reports.
+	AccountWork []byte `msgpack:"fs,omitempty"`
 	// NoDigest is true if the VM expects digests and receives none.
 	NoDigest bool `msgpack:"f,omitempty"`
 	// Digest is set if an aggregator sends to VMs that are not aggregators.
@@ -80,6 +83,8 @@
 	Restricted Restricted `msgpack:"rd,omitempty"`
 	// Arcs are those of all regions, in digests with details.
 	Arcs [][]byte `msgpack:"ws,omitempty"`
+	// AccountWork is that of all VMs of all regions, in few digests.
+	AccountWork []byte `msgpack:"fs,omitempty"`
 	// Details is set in every detailedDigestEvery-th digest.
 	Details *DigestDetails `msgpack:"r,omitempty"`
 }
--- a/edge/fairshare/reports.go
+++ b/edge/fairshare/reports.go
@@ -10,6 +10,9 @@
 	// MaxSent is how many accounts of a service are sent, those with the most work. Accounts with less
 	// get what they ask for first, whatever other VMs do for them.
 	MaxSent = 16
+	// MaxReported is how many accounts a VM reports in all. With 64, that is MaxSent of each of four services, its
+	// reports would take 3 KB a second, which is all that its control traffic may take.
+	MaxReported = 20
 	// ReportTTL is how long after its last report the work of a VM counts.
 	ReportTTL = 2 * time.Second
 	// sentAfterQueue is how long after its last waiting request a VM sends its work.
@@ -92,6 +95,11 @@
 // Report returns the work of this VM for a report, nil if no request has waited lately.
 func (t *Table) Report(now time.Time) []Part {
 	parts := t.ownWork(now)
+	if len(parts) > MaxReported {
+		slices.SortFunc(parts, func(a, b Part) int { return cmp.Compare(b.Work, a.Work) })
+		parts = parts[:MaxReported]
+		slices.SortFunc(parts, compareGroups)
+	}
 	t.reported, t.reportedAt = make(map[Key]float64, len(parts)), now
 	for _, p := range parts {
 		t.reported[p.Key] = p.Work.Seconds()
@@ -149,12 +157,15 @@
 			kept = append(kept, p)
 		}
 	}
-	slices.SortStableFunc(kept, func(a, b Part) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Region, b.Region))
-	})
+	slices.SortStableFunc(kept, compareGroups)
 	return kept
 }
 
+// compareGroups orders parts by service and region, as Encode needs them.
+func compareGroups(a, b Part) int {
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Region, b.Region))
+}
+
 // Named is the work of an account by its name.
 type Named struct {
 	Service, Account string
--- a/edge/fairshare/table_test.go
+++ b/edge/fairshare/table_test.go
@@ -62,10 +62,10 @@
 // and against one that is raised although it waits all the time.
 func TestIdleAccountHasNoCredit(t *testing.T) {
 	table := NewTable()
-	for account, work := range map[string]time.Duration{"x": 10 * time.Second, "y": 20 * time.Second} {
-		table.Wait(start, keyOf(account), account, time.Second)
-		table.Start(start, keyOf(account), account, work)
-	}
+	table.Wait(start, keyOf("x"), "x", time.Second)
+	table.Wait(start, keyOf("y"), "y", time.Second)
+	table.Start(start, keyOf("x"), "x", 10*time.Second)
+	table.Start(start, keyOf("y"), "y", 20*time.Second)
 	table.Wait(start, keyOf("idle"), "idle", 2*time.Second)
 	if got := table.Work(start, keyOf("idle")); !isAbout(got, 8*time.Second) {
 		t.Errorf("work %v of an idle account, want 8s", got)
@@ -166,6 +166,15 @@
 	if len(parts) != MaxSent || !isAbout(parts[0].Work, 2*MaxSent*time.Second) {
 		t.Errorf("%d accounts, the first with %v", len(parts), parts[0].Work)
 	}
+	wide := NewTable()
+	wide.Wait(start, keyOf("0"), "0", time.Second)
+	for i := range 4 * MaxSent {
+		name := fmt.Sprint(i)
+		wide.Start(start, Key{Service: fmt.Sprint(i % 4), Region: "a", Account: AccountOf(name)}, name, time.Second)
+	}
+	if n := len(wide.Report(start)); n != MaxReported {
+		t.Errorf("%d accounts of four services are reported", n)
+	}
 	if n := len(table.Largest(start)); n != MaxSent {
 		t.Errorf("%d accounts for metrics", n)
 	}
--- a/edge/gateway/returns_test.go
+++ b/edge/gateway/returns_test.go
@@ -56,3 +56,18 @@
 		}
 	}
 }
+
+// An operator must see how much more work the account of a refused request has than others, also if that is 0.
+func TestAccountWorkIsLogged(t *testing.T) {
+	line := logrus.Fields{}
+	l := requestLog{decision: placing.Decision{HasAccountWork: true}}
+	l.addFields(line)
+	if line["account_work_ms"] != int64(0) {
+		t.Errorf("%v", line)
+	}
+	line, l = logrus.Fields{}, requestLog{}
+	l.addFields(line)
+	if _, found := line["account_work_ms"]; found {
+		t.Errorf("%v without fair shares", line)
+	}
+}
--- a/edge/gateway/serve.go
+++ b/edge/gateway/serve.go
@@ -260,6 +260,9 @@
 	if t.decision.Promised > 0 {
 		line["promised_ms"] = t.decision.Promised.Milliseconds()
 	}
+	if t.decision.HasAccountWork {
+		line["account_work_ms"] = t.decision.AccountWork.Milliseconds()
+	}
 	if t.decision.Return != returns.New {
 		line["promise"] = t.decision.Return.String()
 	}
