placing: clear the tags of requests without an account once no account waits

Cause: such requests kept the tags that they got beside requests of accounts, so that later ones went before them. Change: tags are cleared before a request is compared or added when no request of an account waits. Result: TestOrderAfterAccountsHaveLeft fails without the change; go test -race of the order, report, rank, overtaking and partition tests of edge/placing passes.

--- a/edge/placing/fairshares.go
+++ b/edge/placing/fairshares.go
@@ -36,9 +36,7 @@
 // two orders the tags of the requests stay the same, so that the queue remains sorted by them.
 func (q *waitQueue) order(now time.Time) {
 	if !q.hasAccounts() {
-		for _, w := range q.waiting {
-			w.tag = 0
-		}
+		q.clearTags()
 		q.demoteLate(now)
 		return
 	}
@@ -54,6 +52,17 @@
 	slices.SortStableFunc(q.waiting, (*Waiter).compare)
 }
 
+// clearTags removes the tags of requests that wait without any of a client account. Others that come in would
+// otherwise go before them.
+func (q *waitQueue) clearTags() {
+	if q.work == nil {
+		return
+	}
+	for _, w := range q.waiting {
+		w.tag = 0
+	}
+}
+
 // insert adds a request in the serving order. Requests of its account behind it are served after it, so that
 // all are ordered anew if there are any.
 func (q *waitQueue) insert(w *Waiter, now time.Time) {
--- a/edge/placing/fairshares_test.go
+++ b/edge/placing/fairshares_test.go
@@ -350,6 +350,21 @@
 	}
 }
 
+// Requests without an account that have waited beside those of an account must keep their order when these have
+// left the queue.
+func TestOrderAfterAccountsHaveLeft(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b, class, _ := newFairBalancer(now)
+	queueOf(t, now, b, class, "x", "", "")
+	b.Cancel(b.services[serviceName].queue.waiting[0])
+	r := accountRequest(now, class, "")
+	r.Objective = r.Objective.Add(time.Second)
+	_, w := b.Place(now, r)
+	if waiting := b.services[serviceName].queue.waiting; waiting[len(waiting)-1] != w {
+		t.Error("the latest objective is not last")
+	}
+}
+
 // More urgent ranks must go before accounts with less work.
 func TestRankPrecedesWork(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/edge/placing/queue.go
+++ b/edge/placing/queue.go
@@ -94,6 +94,7 @@
 		q.insert(w, now)
 		return
 	}
+	q.clearTags()
 	i := len(q.waiting)
 	for i > 0 && w.less(q.waiting[i-1], now) {
 		i--
@@ -148,6 +149,8 @@
 	if fair {
 		w.late = r.missesObjective(now)
 		w.tag = q.tagOf(now, w)
+	} else {
+		q.clearTags()
 	}
 	for _, other := range q.waiting {
 		// The queue is sorted by what was late when it was ordered.
