placing: refuse a request when its permit is known to come too late

Cause: a VM without a token queues a request while it asks the coordinator, as the expected wait is 0 then. The answer comes some milliseconds later and may promise a token in 1.5 s. A request is queued only if it can meet its objective, but the decision after the answer compared the wait with latestEnd only, a fifth of the time to the deadline later. The request stayed, could no longer meet its objective, was overtaken by new ones and refused after 1.5 s (traced in the known failing case: at 5.416 s queued, at 5.420 s told of 1,496 ms, at 6.916 s refused).

Change: a request that was queued for a permit stays only while the remaining wait is one that it could have been queued with, see Waiter.latestEndAfter. A token that is some milliseconds late all the time still finds its request. Two tests in edge/placing guard both directions; the first fails on the code before.

--- a/edge/placing/balancer.go
+++ b/edge/placing/balancer.go
@@ -121,10 +121,14 @@
 			return d, nil
 		}
 	}
-	if rejection, late := b.rejectLate(now, s, r, region); late {
+	wait := b.queueWaitOf(now, s, r, region)
+	if rejection, late := b.rejectLate(now, s, r, wait); late {
 		return rejection, nil
 	}
 	w := &Waiter{request: r, region: region, latestEnd: r.latestEnd(), decided: make(chan Decision, 1)}
+	if wait.limited {
+		w.permitted = r.latestPermittedEnd(now).Sub(now)
+	}
 	s.queue.add(w, now)
 	return Decision{}, w
 }
@@ -159,14 +163,18 @@
 	return d, true
 }
 
+// queueWaitOf estimates the wait of a request that is not queued yet.
+func (b *Balancer) queueWaitOf(now time.Time, s *service, r *Request, region string) queueWait {
+	return b.estimateWait(now, s, r, region, s.queue.backlog(r, region, now), permitMargin)
+}
+
 // rejectLate rejects a request that would end too late if it were queued.
-func (b *Balancer) rejectLate(now time.Time, s *service, r *Request, region string) (Decision, bool) {
-	w := b.estimateWait(now, s, r, region, s.queue.backlog(r, region, now), permitMargin)
+func (b *Balancer) rejectLate(now time.Time, s *service, r *Request, w queueWait) (Decision, bool) {
 	if !w.limited {
 		w.promised = b.promisedWait(now, s, r, w)
 		return b.rejectAfter(now, s, r, w, r.latestEnd())
 	}
-	if claimed, pending := s.returnsTo(region).claim(now); w.permits.stated && pending && !claimed {
+	if claimed, pending := s.returnsTo(w.region).claim(now); w.permits.stated && pending && !claimed {
 		w.wait = maxPermitWait
 	}
 	return b.rejectAfter(now, s, r, w, r.latestPermittedEnd(now))
--- a/edge/placing/queue.go
+++ b/edge/placing/queue.go
@@ -11,6 +11,9 @@
 	region  string
 	// latestEnd is when the request must end, see Request.latestEnd.
 	latestEnd time.Time
+	// permitted is the time from now on in which the request must end while it waits for a permit, as when
+	// it was queued; 0 if it was queued for a slot only.
+	permitted time.Duration
 	// decided receives exactly one decision, unless the waiter is cancelled.
 	decided chan Decision
 }
@@ -18,6 +21,15 @@
 // Decided returns the channel that delivers the decision.
 func (w *Waiter) Decided() <-chan Decision { return w.decided }
 
+// latestEndAfter returns when the request must end if it goes on waiting. If the wait for a permit becomes
+// longer than it was let in for, others overtake it, see Request.latestPermittedEnd.
+func (w *Waiter) latestEndAfter(now time.Time, wait queueWait) time.Time {
+	if latest := now.Add(w.permitted); wait.limited && w.permitted > 0 && latest.Before(w.latestEnd) {
+		return latest
+	}
+	return w.latestEnd
+}
+
 // waitQueue holds the queued requests of one service on this VM in serving order.
 type waitQueue struct{ waiting []*Waiter }
 
--- a/edge/placing/ratelimit_test.go
+++ b/edge/placing/ratelimit_test.go
@@ -98,6 +98,73 @@
 	}
 }
 
+// askedLimit is a limit whose coordinator has told how long the next token takes.
+type askedLimit struct {
+	fakeLimit
+	wait time.Duration
+}
+
+func (l *askedLimit) Expect() (wait, interval time.Duration, ok bool) {
+	return l.wait, time.Duration(float64(time.Second) / l.rate), true
+}
+
+// Guards against a request that stays in the queue after a coordinator has told that it gets no permit in
+// time for its objective: others overtake it then, and it is refused seconds later.
+func TestRequestIsRefusedAtOnceWhenThePermitIsToldToComeLate(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b, class := newBalancer(now), NewClass(400*time.Millisecond)
+	limit := &askedLimit{fakeLimit: fakeLimit{rate: 2}}
+	b.SetRateLimits(now, func(*Target) RateLimit { return limit })
+	r := request(now, class)
+	_, w := b.Place(now, r)
+	if w == nil {
+		t.Fatal("a request is not queued while a token is asked for")
+	}
+	now = now.Add(3 * time.Millisecond)
+	// In time for latestEnd, but not for the objective.
+	limit.wait = r.latestEnd().Sub(now) - 450*time.Millisecond
+	if !now.Add(limit.wait + 400*time.Millisecond).After(r.Objective) {
+		t.Fatal("the objective can be met")
+	}
+	b.Tick(now)
+	select {
+	case d := <-w.Decided():
+		if d.Target != nil || d.Reason != NoPermit || d.RetryAfter < limit.wait {
+			t.Errorf("%+v, want a refusal until the permit comes in %s", d, limit.wait)
+		}
+	default:
+		t.Error("the request waits for a permit that comes too late")
+	}
+}
+
+// Guards against refusals of requests whose permit is about to come all the time: a token that is some
+// milliseconds later than told must find a request.
+func TestRequestWaitsOnForAPermitThatIsAboutToCome(t *testing.T) {
+	start := time.Unix(1000, 0)
+	b, class := newBalancer(start), NewClass(400*time.Millisecond)
+	limit := &askedLimit{fakeLimit: fakeLimit{rate: 2}, wait: 10 * time.Millisecond}
+	b.SetRateLimits(start, func(*Target) RateLimit { return limit })
+	r := request(start, class)
+	_, w := b.Place(start, r)
+	if w == nil {
+		t.Fatal("a request is not queued for a permit that comes in 10 ms")
+	}
+	now := start
+	for ; !r.missesObjective(now.Add(-20 * time.Millisecond)); now = now.Add(5 * time.Millisecond) {
+		b.Tick(now)
+	}
+	limit.tokens = 1
+	b.Tick(now)
+	select {
+	case d := <-w.Decided():
+		if d.Target == nil {
+			t.Errorf("%+v after %s", d, now.Sub(start))
+		}
+	default:
+		t.Error("the request still waits")
+	}
+}
+
 // The slots that a limit leaves idle are no capacity: requests would wait for them in vain.
 func TestLimitedTargetCountsForTheSlotsThatItsRateKeepsBusy(t *testing.T) {
 	target := &Target{limit: &fakeLimit{rate: 4}}
--- a/edge/placing/serve.go
+++ b/edge/placing/serve.go
@@ -74,5 +74,5 @@
 			return d, true
 		}
 	}
-	return b.rejectAfter(now, s, w.request, wait, w.latestEnd)
+	return b.rejectAfter(now, s, w.request, wait, w.latestEndAfter(now, wait))
 }
