--- a/edge/placing/fairshares_test.go
+++ b/edge/placing/fairshares_test.go
@@ -192,12 +192,12 @@
 		{name: "round robin of each VM", policy: fair, roundRobin: true, most: 1},
 		{name: "work at each VM", policy: fair, most: 1},
 		{name: "work at all VMs", policy: fair, exchanged: true, least: 0.9, most: 1},
-		{name: "order of arrival, uneven", uneven: true, most: 0.9},
-		{name: "round robin of each VM, uneven", policy: fair, roundRobin: true, uneven: true, most: 1},
-		{name: "work at each VM, uneven", policy: fair, uneven: true, most: 1},
-		{name: "work at all VMs, uneven", policy: fair, exchanged: true, uneven: true, least: 0.9, most: 1},
-		{name: "order of arrival, 30 keys", keys: 30, most: 0.9},
-		{name: "work at all VMs, 30 keys", policy: fair, exchanged: true, keys: 30, least: 0.9, most: 1},
+		{name: "order of arrival with uneven arrivals", uneven: true, most: 0.9},
+		{name: "round robin of each VM with uneven arrivals", policy: fair, roundRobin: true, uneven: true, most: 1},
+		{name: "work at each VM with uneven arrivals", policy: fair, uneven: true, most: 1},
+		{name: "work at all VMs with uneven arrivals", policy: fair, exchanged: true, uneven: true, least: 0.9, most: 1},
+		{name: "order of arrival with 30 keys", keys: 30, most: 0.9},
+		{name: "work at all VMs with 30 keys", policy: fair, exchanged: true, keys: 30, least: 0.9, most: 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			p := newFairReplay(t, c.policy, c.exchanged)
