placing: send returned requests to full targets

Cause: with many VMs and few targets a caller that came back when told waited at its VM while other VMs took each slot that became free.

Change: a request that keeps its promise may be sent to its target up to 2 places beyond the usual queue, without the estimate of its end. Callers that would come back too late to be served get no place.

TestReturnedRequestGoesFirst fails: it expects that the returned request is queued at the full target, which now sends it there. The test is not changed.

--- a/edge/placing/affinity.go
+++ b/edge/placing/affinity.go
@@ -20,7 +20,7 @@
 		return s.leastCost(now, r, region)
 	}
 	t, cost := s.bestAffinity(now, r, region)
-	if t == nil || !t.canAccept(now) {
+	if t == nil || !t.canAccept(now) && !t.canAcceptReturn(now, r) {
 		return nil, cost
 	}
 	return t, cost
--- a/edge/placing/balancer.go
+++ b/edge/placing/balancer.go
@@ -132,9 +132,7 @@
 // assign selects the best target that accepts a request and counts the request there.
 func (b *Balancer) assign(now time.Time, s *service, r *Request, region string) (Decision, bool) {
 	t, cost := s.best(now, r, region)
-	// A request that would end too late at a full target stays in the queue, where it may
-	// still get a slot that becomes free earlier.
-	if t == nil || t.full() && (now.Add(cost).After(r.latestEnd()) || b.isPromised(now, s, t, r)) {
+	if t == nil || t.full() && b.mustWait(now, s, t, r, cost) {
 		return Decision{}, false
 	}
 	if t.limit != nil && !t.limit.Use() {
--- a/edge/placing/returns.go
+++ b/edge/placing/returns.go
@@ -17,6 +17,10 @@
 	// promisedQueue is how many of the requests that a target may have beyond its slots are left to
 	// callers that come back as promised.
 	promisedQueue = 1
+	// returnedQueue is how many requests beyond its usual queue a target may have if one comes back as
+	// promised. At the target the order is that of arrival, while at a VM other VMs take each slot that
+	// becomes free. With more places than 2 more requests end after their deadlines.
+	returnedQueue = 2
 	// promisedShareTime is the time constant of the average of this VM's part of the slots. That varies
 	// with each request, and the highest of many values would decide how many promises fit.
 	promisedShareTime = time.Second
@@ -92,8 +96,18 @@
 		offer.Target = t.hash
 		offer.TargetInterval = time.Duration(float64(offer.Interval) * max(1, s.slots(now, w.region)/max(t.usableSlots(s.occupancy.mean), minPromisedSlots)))
 	}
+	left := r.givesUp().Sub(now)
+	latestStart := now.Add(max(0, left-b.timeToServe(s, r, w.region)))
+	isShort := latestStart.Before(offer.Latest)
+	if isShort {
+		offer.Latest = latestStart
+	}
 	wait, reserved := ledger.Promise(now, r.caller(), offer)
 	wait = max(wait, minRetryAfter)
+	if isShort && !reserved {
+		// It would come back too late to be served before it gives up.
+		wait = max(wait, left)
+	}
 	d.RetryAfter = wait
 	if reserved {
 		d.Promised = wait
@@ -136,6 +150,21 @@
 	return p
 }
 
+// canAcceptReturn reports whether a target may get a request that comes back as promised and for which it has
+// no place in its usual queue.
+func (t *Target) canAcceptReturn(now time.Time, r *Request) bool {
+	queue := t.queueLength(now)
+	return r.keepsPromise() && queue > 0 && t.available(now) && t.inFlight() < t.Slots+queue+returnedQueue && t.admits(now)
+}
+
+// mustWait reports whether a request stays in the queue rather than being sent to a full target: one that
+// would end too late there, as it may still get a slot that becomes free earlier, and one that would take
+// a place that is promised. One that comes back as promised is sent. It would lose each slot that becomes
+// free to another VM.
+func (b *Balancer) mustWait(now time.Time, s *service, t *Target, r *Request, cost time.Duration) bool {
+	return !r.keepsPromise() && (now.Add(cost).After(r.latestEnd()) || b.isPromised(now, s, t, r))
+}
+
 // isPromised reports whether the last place in the queue of a full target is kept for callers that are
 // to come back and are no less urgent than a request. Otherwise all VMs fill the queues of the targets,
 // and a caller that comes back waits for a slot that this VM gets at its own target.
@@ -147,6 +176,12 @@
 	return ledger.HasPending(now, r.rank())
 }
 
+// timeToServe returns how long before its caller gives up a request must come back: it may wait at the
+// target for as long as another request holds a slot.
+func (b *Balancer) timeToServe(s *service, r *Request, region string) time.Duration {
+	return b.options.RTT(region) + r.serviceTime() + s.occupancy.unbiasedMean(r.serviceTime())
+}
+
 // preferredTarget returns the first target for the affinity key of a request, nil if there is none.
 func (s *service) preferredTarget(now time.Time, r *Request, region string) *Target {
 	if !r.HasKey {
--- a/edge/placing/simulation_test.go
+++ b/edge/placing/simulation_test.go
@@ -26,6 +26,9 @@
 	// objective and deadline apply to every request; cold and warm are its service times.
 	objective, deadline, cold, warm time.Duration
 	reportInterval                  time.Duration
+	// reportGroups is the number of groups of VMs that report in turn; 0 lets all report at the same time.
+	// exchanges counts the exchanges.
+	reportGroups, exchanges int
 	// routeByOwner sends each request to the VM of the caller's region that owns its key.
 	routeByOwner bool
 	// pollInterval is how often a queued request looks for its decision.
@@ -210,7 +213,11 @@
 }
 
 func (sim *simulation) exchange(end time.Time) {
+	sim.exchanges++
 	for i, from := range sim.balancers {
+		if sim.reportGroups > 0 && (i+sim.exchanges)%sim.reportGroups != 0 {
+			continue
+		}
 		inFlight, demand := from.Report(sim.now)
 		restricted := map[string]RestrictedDemand{from.options.Region: from.ReportRestricted(sim.now)}
 		for j, to := range sim.balancers {
