placing, fairshare: findings of a review of fair shares and of tried requests

Change: decided waiters are marked; rejectTried has no side effects; totals are not passed on; work of others is updated by the difference; tags are renewed where accounts begin or end to wait; a cleared report is kept for its lifetime; a returned request stays within the usual queue while a more urgent one waits.

Measured: the five new tests fail on the code before and pass.

--- a/edge/fairshare/reports.go
+++ b/edge/fairshare/reports.go
@@ -8,7 +8,7 @@
 
 const (
 	// MaxSent is how many accounts of a service are sent, those with the most work. Accounts with less
-	// get what they ask for first, whatever other VMs do for them.
+	// work are served first anyway, so that theirs need not be known.
 	MaxSent = 16
 	// MaxReported is how many accounts a VM reports in all. With 64, that is MaxSent of each of four services, its
 	// reports would take 3 KB a second, which is all that its control traffic may take.
@@ -30,9 +30,9 @@
 // report is the work that another VM, or a group of VMs, has reported, in seconds as of at.
 type report struct {
 	work map[Key]float64
-	// local is set if the report is that of one VM of this region.
-	local bool
-	at    time.Time
+	// local is set if the report is that of one VM of this region, totals if it is of all VMs.
+	local, totals bool
+	at            time.Time
 }
 
 func (t *Table) reportedByOthers(now time.Time, key Key) float64 {
@@ -54,7 +54,7 @@
 
 // SetTotals replaces the totals over all VMs, which contain the last report of this VM.
 func (t *Table) SetTotals(now time.Time, from string, parts []Part) {
-	r := &report{work: make(map[Key]float64, len(parts)), at: now}
+	r := &report{work: make(map[Key]float64, len(parts)), totals: true, at: now}
 	for _, p := range parts {
 		own := decayed(t.reported[p.Key], now.Sub(t.reportedAt))
 		r.work[p.Key] += max(0, p.Work.Seconds()-own)
@@ -69,16 +69,21 @@
 	if r != nil {
 		t.reports[from] = r
 	}
-	for _, changed := range []*report{old, r} {
-		if changed == nil {
-			continue
-		}
-		for key := range changed.work {
-			if element, ok := t.entries[key]; ok {
-				e := element.Value.(*entry)
-				e.decay(now)
-				e.others = t.reportedByOthers(now, key)
-			}
+	if old != nil {
+		t.addToOthers(now, old, -decayed(1, now.Sub(old.at)))
+	}
+	if r != nil {
+		t.addToOthers(now, r, 1)
+	}
+}
+
+// addToOthers adds a multiple of the work of a report to that of the accounts.
+func (t *Table) addToOthers(now time.Time, r *report, factor float64) {
+	for key, work := range r.work {
+		if element, ok := t.entries[key]; ok {
+			e := element.Value.(*entry)
+			e.decay(now)
+			e.others = max(0, e.others+factor*work)
 		}
 	}
 }
@@ -100,6 +105,10 @@
 		parts = parts[:MaxReported]
 		slices.SortFunc(parts, compareGroups)
 	}
+	if len(parts) == 0 && now.Sub(t.reportedAt) < ReportTTL {
+		// The totals may still contain the last report.
+		return nil
+	}
 	t.reported, t.reportedAt = make(map[Key]float64, len(parts)), now
 	for _, p := range parts {
 		t.reported[p.Key] = p.Work.Seconds()
@@ -121,14 +130,15 @@
 }
 
 // Sums returns the work of all VMs of this region, for other regions. With all set it includes that of the
-// other regions, for the VMs of this one.
+// other regions, for the VMs of this one. Totals from another VM are left out, as the sums of two VMs that send
+// totals to each other would grow without end.
 func (t *Table) Sums(now time.Time, all bool) []Part {
 	sums := make(map[Key]float64)
 	for _, p := range t.ownWork(now) {
 		sums[p.Key] += p.Work.Seconds()
 	}
 	for _, r := range t.reports {
-		if !r.local && !all || now.Sub(r.at) >= ReportTTL {
+		if r.totals || !r.local && !all || now.Sub(r.at) >= ReportTTL {
 			continue
 		}
 		for key, work := range r.work {
--- a/edge/fairshare/table_test.go
+++ b/edge/fairshare/table_test.go
@@ -75,7 +75,7 @@
 	if got := table.Work(start, keyOf("idle")); !isAbout(got, 8*time.Second) {
 		t.Errorf("work %v after another request, want 8s", got)
 	}
-	// Those that have not waited for 5 s are no measure, and neither are other services.
+	// Those that have not waited for 5 s do not count, and neither do other services.
 	later := start.Add(recentTime + time.Second)
 	table.Wait(later, keyOf("other"), "other", time.Second)
 	elsewhere := Key{Service: "t", Region: "a", Account: AccountOf("x")}
@@ -150,6 +150,39 @@
 	}
 }
 
+// Two VMs that send totals to each other must not add each other's: the sums would grow without end.
+func TestTotalsAreNotPassedOn(t *testing.T) {
+	first, second := NewTable(), NewTable()
+	for _, table := range []*Table{first, second} {
+		table.SetReport(start, "vm", []Part{{keyOf("x"), time.Second}}, true)
+	}
+	for range 5 {
+		first.SetTotals(start, "totals", second.Sums(start, true))
+		second.SetTotals(start, "totals", first.Sums(start, true))
+	}
+	if parts := first.Sums(start, true); len(parts) != 1 || !isAbout(parts[0].Work, time.Second) {
+		t.Errorf("%v, want 1s", parts)
+	}
+}
+
+// The last report of a VM whose queue has been empty must not count twice while totals still contain it.
+func TestOwnWorkAfterTheLastReport(t *testing.T) {
+	table, key := NewTable(), keyOf("x")
+	table.Wait(start, key, "x", time.Second)
+	table.Start(start, key, "x", 10*time.Second)
+	last := start.Add(sentAfterQueue)
+	parts := table.Report(last)
+	later := last.Add(time.Second)
+	if len(parts) != 1 || table.Report(later) != nil {
+		t.Fatalf("reported %v, then not nil", parts)
+	}
+	own := table.Work(later, key)
+	table.SetTotals(later, "totals", parts)
+	if got := table.Work(later, key); got > own+parts[0].Work/8 {
+		t.Errorf("work %v, of it own %v", got, own)
+	}
+}
+
 // Reports must hold the accounts with the most work only, none without a queue in the last 10 s, and no
 // raised work; sums for other regions must leave out what those regions have sent.
 func TestReportedWork(t *testing.T) {
--- a/edge/placing/balancer.go
+++ b/edge/placing/balancer.go
@@ -65,7 +65,7 @@
 	// returnTotals bounds and counts the promises to refused callers.
 	returnTotals returns.Totals
 	// work is the work of client accounts, and overtaken counts the waiting requests that were refused
-	// since others of accounts with less work went before them.
+	// because requests of accounts with less work were served first.
 	work      *fairshare.Table
 	overtaken int64
 	// lossAt is when capacity was last lost unexpectedly.
@@ -127,7 +127,7 @@
 			return d, nil
 		}
 	}
-	if rejection, tried := b.rejectTried(now, s, r, region); tried {
+	if rejection, tried := b.rejectTried(now, s, r, region, s.queue.backlog(r, region, now)); tried {
 		return rejection, nil
 	}
 	s.queue.beginWaiting(now, r, region)
@@ -174,15 +174,20 @@
 }
 
 // rejectTried rejects a request that has been to all targets that it may use. None of them may get it again, so
-// that it would wait in vain.
-func (b *Balancer) rejectTried(now time.Time, s *service, r *Request, region string) (Decision, bool) {
+// that it would wait in vain. The request may be a hedge, of which no caller learns: it neither counts as a
+// refusal nor takes a place among the callers that are told to return.
+func (b *Balancer) rejectTried(now time.Time, s *service, r *Request, region string, before backlog) (Decision, bool) {
 	if len(r.Tried) == 0 || s.hasUntriedTarget(r) {
 		return Decision{}, false
 	}
 	again := *r
 	again.Tried = nil
-	w := b.estimateWait(now, s, &again, region, s.queue.backlog(&again, region, now), 1)
-	return s.rejection(now, region, s.retryAfterWait(now, w, &again), w.wait+r.serviceTime()+b.options.RTT(region)), true
+	w := b.estimateWait(now, s, &again, region, before, 1)
+	l := s.loadOf(now, region)
+	return Decision{
+		Reason: TooLate, Region: region, RetryAfter: retryAfter(w.wait), Slots: int(l.slots), InFlight: l.inFlight,
+		Expected: w.wait + r.serviceTime() + b.options.RTT(region),
+	}, true
 }
 
 // queueWaitOf estimates the wait of a request that is not queued yet.
--- a/edge/placing/fairshares.go
+++ b/edge/placing/fairshares.go
@@ -40,11 +40,15 @@
 		q.demoteLate(now)
 		return
 	}
+	q.sortByWork(now)
+}
+
+// sortByWork sorts the queue by new tags. The requests of an account get theirs in the order of their objectives.
+func (q *waitQueue) sortByWork(now time.Time) {
 	for _, w := range q.waiting {
 		w.late = w.request.missesObjective(now)
 	}
-	// Keeps the order of objectives within each account, by which its requests get their tags.
-	slices.SortStableFunc(q.waiting, (*Waiter).compareRank)
+	slices.SortStableFunc(q.waiting, (*Waiter).compareUrgency)
 	q.work.BeginPass()
 	for _, w := range q.waiting {
 		w.tag = q.work.NextTag(now, w.key, w.request.serviceTime())
@@ -52,15 +56,20 @@
 	slices.SortStableFunc(q.waiting, (*Waiter).compare)
 }
 
-// clearTags removes the tags of requests that wait without any of a client account. Others that come in would
-// otherwise go before them.
+// clearTags removes the tags of requests that wait without any of a client account, and sorts them without.
+// Others that come in would otherwise go before them.
 func (q *waitQueue) clearTags() {
 	if q.work == nil {
 		return
 	}
+	tagged := false
 	for _, w := range q.waiting {
+		tagged = tagged || w.tag != 0
 		w.tag = 0
 	}
+	if tagged {
+		slices.SortStableFunc(q.waiting, (*Waiter).compareUrgency)
+	}
 }
 
 // insert adds a request in the serving order. Requests of its account behind it are served after it, so that
@@ -111,7 +120,7 @@
 	w := Waiter{request: r, region: region, key: fairKey(r, region), late: r.missesObjective(now)}
 	w.tag = q.work.Work(now, w.key)
 	return slices.ContainsFunc(q.waiting, func(other *Waiter) bool {
-		return other.region == region && other.key != w.key && other.compare(&w) < 0
+		return !other.isDecided && other.region == region && other.key != w.key && other.compare(&w) < 0
 	})
 }
 
@@ -147,7 +156,7 @@
 	key := fairKey(r, region)
 	least, found := time.Duration(0), false
 	for _, w := range q.waiting {
-		if w.region != region || w.request.Account == "" || w.key == key {
+		if w.isDecided || w.region != region || w.request.Account == "" || w.key == key {
 			continue
 		}
 		if work := q.work.Work(now, w.key); !found || work < least {
@@ -159,8 +168,8 @@
 	}
 }
 
-// isOvertaken reports whether one of the requests that are served before a waiting one would come
-// behind it but for the work of their accounts.
+// isOvertaken reports whether one of the requests before a waiting one is served before it only because its
+// account has less work.
 func (w *Waiter) isOvertaken(before []*Waiter) bool {
 	return slices.ContainsFunc(before, func(other *Waiter) bool { return other.region == w.region && w.compareUrgency(other) < 0 })
 }
--- a/edge/placing/fairshares_test.go
+++ b/edge/placing/fairshares_test.go
@@ -414,3 +414,28 @@
 		t.Error("an overtaken request is still queued")
 	}
 }
+
+// Requests of several accounts must get all free places of a target at once: one must not leave the queue of a
+// full target to requests that have been assigned before it.
+func TestFreePlacesAreTakenTogether(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b, class, _ := newFairBalancer(now)
+	queueOf(t, now, b, class, "v", "w", "x", "y")
+	b.SetTargets(now, services(0), []TargetSpec{listing("t1"), listing("t2"), listing("t3")}, nil)
+	b.Tick(now)
+	if n := b.Waiting(); n > 0 {
+		t.Errorf("%d requests wait beside free places", n)
+	}
+}
+
+// The first request of an account in a queue of requests without one must be compared with their work as an
+// account, and not go behind all of them.
+func TestAccountBesideRequestsWithoutOne(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b, class, _ := newFairBalancer(now)
+	queueOf(t, now, b, class, "", "", "", "", "")
+	b.work.Start(now, fairKey(accountRequest(now, class, "y"), "a"), "y", time.Millisecond)
+	if n := b.services[serviceName].queue.backlog(accountRequest(now, class, "y"), "a", now).requests; n > 1 {
+		t.Errorf("%d of 5 requests go before that of an account with 1 ms of work", n)
+	}
+}
--- a/edge/placing/queue.go
+++ b/edge/placing/queue.go
@@ -15,23 +15,25 @@
 	// latestEnd is when the request must end, see Request.latestEnd.
 	latestEnd time.Time
 	queuedAt  time.Time
-	// key identifies the work of the request's account. late and tag are as of the last order of the
-	// queue: whether the request misses its objective, and its fairshare tag, 0 without fair shares.
+	// key identifies the work of the request's account. late and tag are as of the last time that the
+	// queue was sorted: whether the request misses its objective, and its fairshare tag, 0 without fair shares.
 	key  fairshare.Key
 	late bool
 	tag  time.Duration
-	// permitted is the time from now on in which the request must end while it waits for a permit, as when
-	// it was queued; 0 if it was queued for a slot only.
+	// permitted is the longest time to completion that was accepted when the request was queued for a
+	// permit; 0 if it waits for a slot only.
 	permitted time.Duration
-	// decided receives exactly one decision, unless the waiter is cancelled.
-	decided chan Decision
+	// decided receives exactly one decision, unless the waiter is cancelled. isDecided is set before, as the
+	// queue still holds the waiter until all have been looked at.
+	decided   chan Decision
+	isDecided bool
 }
 
 // Decided returns the channel that delivers the decision.
 func (w *Waiter) Decided() <-chan Decision { return w.decided }
 
 // latestEndAfter returns when the request must end if it goes on waiting. If the wait for a permit becomes
-// longer than it was let in for, others overtake it, see Request.latestPermittedEnd.
+// longer than the one that it was accepted with, others overtake it, see Request.latestPermittedEnd.
 func (w *Waiter) latestEndAfter(now time.Time, wait queueWait) time.Time {
 	if latest := now.Add(w.permitted); wait.limited && w.permitted > 0 && latest.Before(w.latestEnd) {
 		return latest
@@ -54,7 +56,7 @@
 	return w.compare(other) < 0
 }
 
-// compare compares the serving order of two requests as of the last order of the queue.
+// compare compares the serving order of two requests as of the last time that the queue was sorted.
 func (w *Waiter) compare(other *Waiter) int {
 	if c := w.compareRank(other); c != 0 {
 		return c
@@ -132,6 +134,13 @@
 	})
 }
 
+// hasMoreUrgent reports whether a request of a more urgent rank waits for a region.
+func (q *waitQueue) hasMoreUrgent(r *Request, region string) bool {
+	return slices.ContainsFunc(q.waiting, func(w *Waiter) bool {
+		return !w.isDecided && w.region == region && w.request.rank() < r.rank()
+	})
+}
+
 func (q *waitQueue) remove(w *Waiter) bool {
 	for i, other := range q.waiting {
 		if other == w {
@@ -160,6 +169,9 @@
 	w := &Waiter{request: r, region: region}
 	fair := q.isFair(r)
 	if fair {
+		if !q.hasAccounts() {
+			q.sortByWork(now)
+		}
 		w.late = r.missesObjective(now)
 		w.tag = q.tagOf(now, w)
 	} else {
--- a/edge/placing/retry_test.go
+++ b/edge/placing/retry_test.go
@@ -35,6 +35,27 @@
 	}
 }
 
+// A hedge that finds no other target must not count as a refused caller, which would let more requests change
+// their region.
+func TestHedgeWithoutAnotherTargetIsNoRefusal(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b, class := newBalancer(now), NewClass(20*time.Millisecond)
+	r := request(now, class)
+	d, _ := b.Place(now, r)
+	r.Tried, r.AlreadyCounted = []*Target{d.Target}, true
+	for _, t := range b.services[serviceName].targets {
+		if t != d.Target {
+			r.Tried = append(r.Tried, t)
+		}
+	}
+	if hedge, w := b.Place(now, r); w != nil || hedge.Target != nil {
+		t.Fatalf("%+v, queued %v", hedge, w != nil)
+	}
+	if s := b.services[serviceName]; !s.rejectedAt.IsZero() {
+		t.Error("the hedge counts as a refusal")
+	}
+}
+
 // The same for a request in the queue whose last untried target is removed.
 func TestQueuedRequestWithoutUntriedTargetIsRefused(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/edge/placing/returns.go
+++ b/edge/placing/returns.go
@@ -18,8 +18,8 @@
 	// callers that come back as promised.
 	promisedQueue = 1
 	// returnedQueue is how many requests beyond its usual queue a target may have if one comes back as
-	// promised. At the target the order is that of arrival, while at a VM other VMs take each slot that
-	// becomes free. With more places than 2 more requests end after their deadlines.
+	// promised. Targets serve in order of arrival; a request that waits at a VM loses free slots to requests of
+	// other VMs. With more places than 2 more requests end after their deadlines.
 	returnedQueue = 2
 	// promisedShareTime is the time constant of the average of this VM's part of the slots. That varies
 	// with each request, and the highest of many values would decide how many promises fit.
@@ -150,8 +150,8 @@
 	return p
 }
 
-// canAcceptReturn reports whether a target may get a request that comes back as promised and for which it has
-// no place in its usual queue.
+// canAcceptReturn reports whether a target may get a request with an affinity key that comes back as promised and
+// for which it has no place in its usual queue.
 func (t *Target) canAcceptReturn(now time.Time, r *Request) bool {
 	queue := t.queueLength(now)
 	return r.keepsPromise() && queue > 0 && t.available(now) && t.inFlight() < t.Slots+queue+returnedQueue && t.admits(now)
@@ -160,11 +160,12 @@
 // mustWait reports whether a request stays in the queue rather than being sent to a full target: one that
 // would end too late there, as it may still get a slot that becomes free earlier, and one that would take
 // a place that is promised or that an account with less work waits for. One that comes back as promised would
-// lose each slot that becomes free to another VM, so it is sent if it ends there before its deadline.
+// lose each slot that becomes free to another VM, so it is sent if it ends there before its deadline, beyond the
+// usual queue only while no request of a more urgent rank waits.
 func (b *Balancer) mustWait(now time.Time, s *service, t *Target, r *Request, cost time.Duration) bool {
 	end := now.Add(cost)
 	if r.keepsPromise() {
-		return end.After(r.Deadline)
+		return end.After(r.Deadline) || !t.canAccept(now) && s.queue.hasMoreUrgent(r, t.Region)
 	}
 	return end.After(r.latestEnd()) || b.isPromised(now, s, t, r) || s.queue.yieldsPlace(now, r, t.Region)
 }
--- a/edge/placing/serve.go
+++ b/edge/placing/serve.go
@@ -44,6 +44,7 @@
 		if d.HasAccountWork && w.isOvertaken(kept) {
 			b.overtaken++
 		}
+		w.isDecided = true
 		w.decided <- d
 	}
 	clear(s.queue.waiting[len(kept):])
@@ -64,7 +65,7 @@
 		}
 		if region != "" {
 			w.region, w.key.Region = region, region
-		} else if d, tried := b.rejectTried(now, s, w.request, w.region); tried {
+		} else if d, tried := b.rejectTried(now, s, w.request, w.region, ahead); tried {
 			return d, true
 		}
 	}
