workingset: the turn of a key at the front of the arc is not 0

Change: the turn follows from the same distance and is at least 1 ns for a key that is not admitted.

--- a/edge/workingset/arc.go
+++ b/edge/workingset/arc.go
@@ -46,7 +46,8 @@
 	if a.Admits(key) {
 		return 0
 	}
-	return time.Duration(ahead(a.Start+a.Fraction, position(key)) * float64(period))
+	// A key at the very front of the arc is admitted next, and not now.
+	return max(1, time.Duration((ahead(a.Start, position(key))-a.Fraction)*float64(period)))
 }
 
 // position returns the place of a hash on the ring, from 0 to 1.
--- a/edge/workingset/arc_test.go
+++ b/edge/workingset/arc_test.go
@@ -34,6 +34,14 @@
 	})
 }
 
+// A key at the very front of the arc must not count as admitted by its turn and as refused by the arc.
+func TestTurnOfKeyAtTheFrontOfTheArc(t *testing.T) {
+	a := Arc{Start: 1 - minFraction, Fraction: minFraction}
+	if turn := a.Turn(0, time.Minute); a.Admits(0) != (turn == 0) {
+		t.Errorf("admitted %v, turn after %v", a.Admits(0), turn)
+	}
+}
+
 // A key must be admitted at its turn and not much before.
 func TestTurnIsWhenTheKeyEnters(t *testing.T) {
 	const period = time.Minute
