placing: the backlog of a new request is summed up once

Cause: since requests that all targets refused are refused at once, each request without a free target had the requests before it summed up twice on the request path. Change: one sum for both decisions; queueWaitOf is gone.

--- a/edge/placing/balancer.go
+++ b/edge/placing/balancer.go
@@ -127,11 +127,12 @@
 			return d, nil
 		}
 	}
-	if rejection, tried := b.rejectTried(now, s, r, region, s.queue.backlog(r, region, now)); tried {
+	s.queue.beginWaiting(now, r, region)
+	before := s.queue.backlog(r, region, now)
+	if rejection, tried := b.rejectTried(now, s, r, region, before); tried {
 		return rejection, nil
 	}
-	s.queue.beginWaiting(now, r, region)
-	wait := b.queueWaitOf(now, s, r, region)
+	wait := b.estimateWait(now, s, r, region, before, permitMargin)
 	if rejection, late := b.rejectLate(now, s, r, wait); late {
 		return rejection, nil
 	}
@@ -190,11 +191,6 @@
 	}, true
 }
 
-// queueWaitOf estimates the wait of a request that is not queued yet.
-func (b *Balancer) queueWaitOf(now time.Time, s *service, r *Request, region string) queueWait {
-	return b.estimateWait(now, s, r, region, s.queue.backlog(r, region, now), permitMargin)
-}
-
 // rejectLate rejects a request that would end too late if it were queued.
 func (b *Balancer) rejectLate(now time.Time, s *service, r *Request, w queueWait) (Decision, bool) {
 	if !w.limited {
