forward, pool: a connection carries a request ID once

Cause: an answer is recognised by the request ID, which names the request and not the try. While refusals are widespread a refused request goes to the same target again, over the connection used last; the late second copy of the refusal has the ID that the second try waits for. The same held for repeated IDs of callers and other VMs, requests relayed twice to one VM, the try after a refused hedge, and health checks, which all had one ID.

Fix: a connection keeps the hashed IDs of its requests and refuses a second exchange with one of them; the pool hands out another connection, in place of an idle one at the limit.

--- a/edge/gateway/delegate.go
+++ b/edge/gateway/delegate.go
@@ -240,7 +240,7 @@
 		defer stop()
 	}
 	p := g.ownerPool(o)
-	conn, err := p.Get(ctx)
+	conn, err := p.Get(ctx, r.id)
 	if err != nil {
 		return nil, err
 	}
--- a/edge/gateway/ended.go
+++ b/edge/gateway/ended.go
@@ -64,7 +64,7 @@
 	wait.For(ctx, targetCheckDelay)
 	lost := g.losses.takeLost(key)
 	p := g.poolOf(t)
-	conn, err := p.Get(ctx)
+	conn, err := p.Get(ctx, "")
 	if err == nil {
 		p.Put(conn)
 	}
--- a/edge/gateway/gateway.go
+++ b/edge/gateway/gateway.go
@@ -119,6 +119,8 @@
 	malformedLogged, slotsLogged logLimit
 	// forOthers counts the requests under way that other VMs delegated as they reach no target.
 	forOthers atomic.Int64
+	// probes counts the probes sent.
+	probes atomic.Uint64
 
 	mu sync.Mutex
 	// pools is keyed by poolKey.
--- a/edge/gateway/probe.go
+++ b/edge/gateway/probe.go
@@ -36,13 +36,14 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	p := g.poolOf(t)
-	conn, err := p.Get(ctx)
+	id := g.newProbeID()
+	conn, err := p.Get(ctx, id)
 	if err != nil {
 		return false, 0, err
 	}
 	defer p.Put(conn)
 	fresh := !conn.Used()
-	answer, err := g.exchangeProbe(ctx, t, path, conn, limit)
+	answer, err := g.exchangeProbe(ctx, t, path, id, conn, limit)
 	if err != nil {
 		if fresh && ctx.Err() == nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			// Ejected targets get no requests whose loss would show that they are not reached.
@@ -64,13 +65,13 @@
 }
 
 // exchangeProbe sends a health probe over a connection and records what the target states.
-func (g *Gateway) exchangeProbe(ctx context.Context, t *placing.Target, path string, conn *forward.Conn, limit time.Duration) (*forward.Response, error) {
-	sent := g.newSending(t, "probe")
+func (g *Gateway) exchangeProbe(ctx context.Context, t *placing.Target, path, id string, conn *forward.Conn, limit time.Duration) (*forward.Response, error) {
+	sent := g.newSending(t, id)
 	sent.probe = true
 	return conn.Exchange(ctx, &forward.Request{
 		Method: http.MethodGet, URI: path, Host: t.Address, Header: http.Header{},
 		Deadline: time.Now().Add(limit), MaxResponseBytes: maxProbeBytes,
-		Dialect: &forward.Dialect{DeadlineField: g.options.Fields.Deadline, IDField: g.options.Fields.RequestID, ID: "probe", CloseDelimited: true},
+		Dialect: &forward.Dialect{DeadlineField: g.options.Fields.Deadline, IDField: g.options.Fields.RequestID, ID: id, CloseDelimited: true},
 		HeaderReceived: func(status int, h http.Header) {
 			if h.Get(g.options.Fields.TargetID) == t.ID {
 				g.observe(sent, status, h)
@@ -79,5 +80,8 @@
 	})
 }
 
+// newProbeID returns the request ID of a probe, unique in this process: a target may answer a probe twice.
+func (g *Gateway) newProbeID() string { return "probe-" + strconv.FormatUint(g.probes.Add(1), 36) }
+
 // maxProbeBytes bounds the answer to a probe.
 const maxProbeBytes = 4 << 10
--- a/edge/gateway/run.go
+++ b/edge/gateway/run.go
@@ -274,7 +274,7 @@
 
 func (g *Gateway) sendToTarget(ctx context.Context, r *request, d placing.Decision, tracked *reach.Attempt) attempt {
 	p := g.poolOf(d.Target)
-	conn, err := p.Get(ctx)
+	conn, err := p.Get(ctx, r.id)
 	if err != nil {
 		return attempt{decision: d, notRun: true, code: result.ConnectFailed, err: err}
 	}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -81,7 +81,7 @@
 		a.code = result.NodeLeaving
 		return a
 	}
-	conn, err := permission.target.pool.Get(ctx)
+	conn, err := permission.target.pool.Get(ctx, "")
 	if err != nil {
 		permission.cancel()
 		a.code = p.handleConnectError(ctx, permission)
--- a/proxy/forward/conn.go
+++ b/proxy/forward/conn.go
@@ -32,7 +32,8 @@
 	reader   *bufio.Reader
 	reusable bool
 	// used is set once a response was received.
-	used bool
+	used    bool
+	history history
 	// pendingRequest gives the response parser the request method.
 	pendingRequest http.Request
 	// probe is nil if the connection has no file descriptor to inspect.
@@ -58,7 +59,8 @@
 func (c *Conn) Close() { _ = c.conn.Close() }
 
 // Reusable reports whether another exchange may use the connection: the last
-// response was complete, no data followed it and neither side asked to close.
+// response was complete, no data followed it, neither side asked to close and the
+// history of its requests is not full.
 func (c *Conn) Reusable() bool { return c.reusable }
 
 // Used reports whether a response was received over the connection.
@@ -74,6 +76,9 @@
 	if timeout <= 0 || ctx.Err() != nil {
 		return nil, newError(result.DeadlineBeforeSend, ctx.Err())
 	}
+	if !c.recordRequest(r) {
+		return nil, newError(result.ConnectFailed, errRepeatedID)
+	}
 	c.reusable = false
 	c.limited.remaining = maxHeaderBytes + r.MaxResponseBytes
 	if err := c.conn.SetDeadline(r.Deadline); err != nil {
@@ -84,7 +89,7 @@
 	stop := context.AfterFunc(ctx, c.abort)
 	resp, err := c.exchange(ctx, r, timeout)
 	c.used = c.used || err == nil
-	if !stop() || !c.reusable {
+	if !stop() || !c.reusable || c.history.isFull() {
 		// Cancellation may have overwritten the deadline.
 		c.reusable = false
 		return resp, err
--- a/proxy/forward/receive.go
+++ b/proxy/forward/receive.go
@@ -23,6 +23,7 @@
 
 var (
 	errNotReusable          = errors.New("the connection's last exchange did not end cleanly")
+	errRepeatedID           = errors.New("the connection has carried a request with this ID")
 	errExchangeMismatch     = errors.New("the response belongs to another exchange")
 	errTooManyInformational = errors.New("too many informational responses")
 	errProtocolSwitch       = errors.New("the target switched protocols")
--- a/proxy/outcome_test.go
+++ b/proxy/outcome_test.go
@@ -51,3 +51,25 @@
 		})
 	}
 }
+
+// A late second copy of a refusal must not report another order as not run while the target runs it.
+func TestLateCopyOfARefusalIsNotTheAnswerToTheNextOrder(t *testing.T) {
+	refusal := func(r *http.Request) string {
+		return "HTTP/1.1 503 Busy\r\nYucca-Shed: 1\r\n" + result.HeaderExchange + ": " + r.Header.Get(result.HeaderExchange) +
+			"\r\nContent-Length: 0\r\n\r\n"
+	}
+	target := newScriptedTarget(t, func(c *scriptedConn) {
+		first := c.next()
+		if first == nil {
+			return
+		}
+		c.respond(refusal(first))
+		for c.next() != nil {
+			c.respond(refusal(first))
+		}
+	})
+	p := newTestProxy(t, nil, target.address())
+	wantResult(t, call(p, http.MethodPost, "/orders", "two pallets"), result.TargetShed)
+	wantResult(t, call(p, http.MethodPost, "/orders", "two pallets"), result.AnswerTruncated)
+	target.wantRequests(t, 2)
+}
--- a/proxy/pool/pool.go
+++ b/proxy/pool/pool.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -65,12 +66,13 @@
 	p.limit = limit
 }
 
-// Get returns a healthy idle connection or opens a new one. Errors: ErrFull,
+// Get returns a healthy idle connection that has not carried a request with this
+// ID, or opens a new one. An empty ID allows any connection. Errors: ErrFull,
 // ErrClosed, or the dial error.
-func (p *Pool) Get(ctx context.Context) (*forward.Conn, error) {
+func (p *Pool) Get(ctx context.Context, requestID string) (*forward.Conn, error) {
 	p.closeExpired()
 	for {
-		conn, err := p.reserve()
+		conn, err := p.reserve(requestID)
 		if err != nil {
 			return nil, err
 		}
@@ -139,24 +141,30 @@
 	return p.open
 }
 
-// reserve pops the most recently used idle connection. If there is none, it counts
-// a new connection and returns nil.
-func (p *Pool) reserve() (*forward.Conn, error) {
+// reserve removes the most recently used idle connection that may carry the
+// request. If there is none, it counts a new connection and returns nil; at the
+// limit, the new connection replaces an idle one.
+func (p *Pool) reserve(requestID string) (*forward.Conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return nil, ErrClosed
 	}
-	if n := len(p.idle); n > 0 {
-		conn := p.idle[n-1].conn
-		p.idle[n-1] = idleConn{}
-		p.idle = p.idle[:n-1]
-		return conn, nil
+	for n := len(p.idle) - 1; n >= 0; n-- {
+		if conn := p.idle[n].conn; requestID == "" || !conn.Carried(requestID) {
+			p.idle = slices.Delete(p.idle, n, n+1)
+			return conn, nil
+		}
 	}
-	if p.open >= p.limit {
+	switch {
+	case p.open < p.limit:
+		p.open++
+	case p.open == p.limit && len(p.idle) > 0:
+		p.idle[0].conn.Close()
+		p.idle = slices.Delete(p.idle, 0, 1)
+	default:
 		return nil, ErrFull
 	}
-	p.open++
 	return nil, nil
 }
 
--- a/proxy/pool/pool_test.go
+++ b/proxy/pool/pool_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -90,7 +91,7 @@
 
 func get(t *testing.T, p *Pool) *forward.Conn {
 	t.Helper()
-	c, err := p.Get(context.Background())
+	c, err := p.Get(context.Background(), "")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -115,7 +116,7 @@
 	for range 40 {
 		done.Go(func() {
 			for range 20 {
-				c, err := p.Get(context.Background())
+				c, err := p.Get(context.Background(), "")
 				if errors.Is(err, ErrFull) {
 					continue
 				}
@@ -195,7 +196,7 @@
 	p, f := newPool(t, 1)
 	f.fail.Store(true)
 	for range 3 {
-		if _, err := p.Get(context.Background()); !errors.Is(err, errDial) {
+		if _, err := p.Get(context.Background(), ""); !errors.Is(err, errDial) {
 			t.Fatalf("error %v", err)
 		}
 	}
@@ -220,7 +221,74 @@
 	}
 	p.Close()
 	p.Put(held[3])
-	if _, err := p.Get(context.Background()); !errors.Is(err, ErrClosed) || p.OpenCount() != 0 {
+	if _, err := p.Get(context.Background(), ""); !errors.Is(err, ErrClosed) || p.OpenCount() != 0 {
 		t.Fatalf("error %v, %d open", err, p.OpenCount())
 	}
 }
+
+// send sends a request with an ID over a connection of the pool and returns the connection.
+func send(t *testing.T, p *Pool, id string) *forward.Conn {
+	t.Helper()
+	c, err := p.Get(context.Background(), id)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Put(c)
+	_, err = c.Exchange(context.Background(), &forward.Request{
+		Method: http.MethodGet, URI: "/", Host: "target", Deadline: time.Now().Add(time.Minute), MaxResponseBytes: 10,
+		Dialect: &forward.Dialect{DeadlineField: "X-Deadline", IDField: "X-Id", ID: id},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// A request must not be sent twice over one connection: a late second copy of the first answer would pass for
+// the second one.
+func TestRequestIsNotSentTwiceOverAConnection(t *testing.T) {
+	p, f := newPool(t, 3)
+	first := send(t, p, "a")
+	if c := send(t, p, "a"); c == first {
+		t.Error("the second try went over the same connection")
+	}
+	if c := send(t, p, "b"); f.opened.Load() != 2 || !c.Carried("a") {
+		t.Errorf("%d connections opened, want the two of the first request to be used again", f.opened.Load())
+	}
+	_, err := first.Exchange(context.Background(), &forward.Request{
+		Method: http.MethodGet, URI: "/", Host: "target", Deadline: time.Now().Add(time.Minute),
+		Dialect: &forward.Dialect{DeadlineField: "X-Deadline", IDField: "X-Id", ID: "a"},
+	})
+	var failed *forward.Error
+	if !errors.As(err, &failed) || !failed.NotRun() {
+		t.Errorf("exchange of a repeated ID: %v, want an error that says it did not run", err)
+	}
+}
+
+// At the limit a retry must get a connection all the same, in place of an idle one that may not carry it.
+func TestRetryReplacesAnIdleConnectionAtTheLimit(t *testing.T) {
+	p, f := newPool(t, 1)
+	for range 4 {
+		send(t, p, "a")
+	}
+	if f.opened.Load() != 4 || p.OpenCount() != 1 {
+		t.Errorf("%d opened, %d open, want 4 and 1", f.opened.Load(), p.OpenCount())
+	}
+	busy := get(t, p)
+	if _, err := p.Get(context.Background(), "a"); !errors.Is(err, ErrFull) {
+		t.Errorf("error %v beside a connection in use, want %v", err, ErrFull)
+	}
+	p.Put(busy)
+}
+
+// The memory for the IDs of a connection must have a limit, and no ID may be forgotten while it is open.
+func TestConnectionWithALongHistoryIsClosed(t *testing.T) {
+	p, f := newPool(t, 1)
+	const requests = 2000
+	for n := range requests {
+		send(t, p, strconv.Itoa(n))
+	}
+	if n := f.opened.Load(); n < 2 || n > requests/100 {
+		t.Errorf("%d connections for %d requests", n, requests)
+	}
+}
