peerwatch: a target that does not read is not taken for lost

An upload may run once only.

Cause: TCP_USER_TIMEOUT on connections to targets and other VMs. Linux applies it also while the peer's receive window is closed, although the peer answers the probes of its window.

Fix: during an exchange TCP_INFO is read until all is acknowledged; while the window is closed the user timeout is off, and a peer that was silent for two thirds of it is checked by a new connection. Three failed checks in a row end the exchange. yuccarouted has no user timeout and not the fault (tested).

--- a/edge/gateway/dial.go
+++ b/edge/gateway/dial.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"net"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
+	"github.com/yuccaroute/yuccaroute/edge/peerwatch"
 	"github.com/yuccaroute/yuccaroute/proxy/pool"
 )
 
@@ -18,28 +16,21 @@
 	connectMargin = 250 * time.Millisecond
 	// unackedTimeout is how long sent data may stay unacknowledged, besides the round trips.
 	// It detects a target without power, and tolerates three lost packets in a row, which take
-	// 600 ms.
+	// 600 ms. A target that does not read acknowledges what it has room for.
 	unackedTimeout = 900 * time.Millisecond
 )
 
 // dialer returns a TCP dial function for targets at a given round-trip time.
 func dialer(rtt time.Duration) pool.Dial {
-	d := net.Dialer{
-		Timeout:   connectMargin + 2*rtt,
-		KeepAlive: -1,
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var err error
-			controlErr := raw.Control(func(fd uintptr) {
-				millis := int((unackedTimeout + 2*rtt).Milliseconds())
-				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, millis)
-			})
-			if controlErr != nil {
-				return controlErr
-			}
-			return err
-		},
+	o := peerwatch.Options{
+		Dialer:  net.Dialer{Timeout: connectMargin + 2*rtt, KeepAlive: -1},
+		Timeout: unackedTimeout + 2*rtt,
 	}
 	return func(ctx context.Context, address string) (net.Conn, error) {
-		return d.DialContext(ctx, "tcp4", address)
+		c, err := peerwatch.Dial(ctx, address, o)
+		if err != nil {
+			return nil, err
+		}
+		return c, nil
 	}
 }
--- a/proxy/forward/conn.go
+++ b/proxy/forward/conn.go
@@ -40,12 +40,23 @@
 	probe *idleProbe
 	// abort unblocks pending reads and writes.
 	abort func()
+	// watched is nil for a connection that does not watch its peer, lost is set when it reports the peer lost.
+	watched watched
+	lost    atomic.Bool
+}
+
+// watched is a connection that watches its peer during exchanges and calls lost if the peer is lost.
+type watched interface {
+	ExchangeBegins(lost func())
+	ExchangeEnds()
 }
 
 // NewConn returns a Conn that takes ownership of an open connection.
 func NewConn(c net.Conn) *Conn {
 	limited := &limitedReader{conn: c}
+	w, _ := c.(watched)
 	return &Conn{
+		watched:  w,
 		conn:     c,
 		limited:  limited,
 		reader:   bufio.NewReaderSize(limited, readBufferBytes),
@@ -87,7 +98,7 @@
 	// Cancellation unblocks I/O at once, so that the connection is closed and the
 	// target's slot freed without waiting for the deadline.
 	stop := context.AfterFunc(ctx, c.abort)
-	resp, err := c.exchange(ctx, r, timeout)
+	resp, err := c.exchangeWatched(ctx, r, timeout)
 	c.used = c.used || err == nil
 	if !stop() || !c.reusable || c.history.isFull() {
 		// Cancellation may have overwritten the deadline.
@@ -99,6 +110,26 @@
 	return resp, err
 }
 
+// exchangeWatched is exchange with an error of its own for a peer that is lost meanwhile.
+func (c *Conn) exchangeWatched(ctx context.Context, r *Request, timeout time.Duration) (*Response, error) {
+	if c.watched == nil {
+		return c.exchange(ctx, r, timeout)
+	}
+	c.watched.ExchangeBegins(func() {
+		c.lost.Store(true)
+		c.abort()
+	})
+	resp, err := c.exchange(ctx, r, timeout)
+	c.watched.ExchangeEnds()
+	if c.lost.Load() {
+		c.reusable = false
+		if err != nil && ctx.Err() == nil {
+			return nil, newError(result.ConnectionLost, errPeerLost)
+		}
+	}
+	return resp, err
+}
+
 func (c *Conn) exchange(ctx context.Context, r *Request, timeout time.Duration) (*Response, error) {
 	exchangeID := exchangeCounter.Add(1)
 	if r.BodySource != nil || r.Length > maxBufferedBodyBytes {
--- a/proxy/forward/receive.go
+++ b/proxy/forward/receive.go
@@ -23,6 +23,7 @@
 
 var (
 	errNotReusable          = errors.New("the connection's last exchange did not end cleanly")
+	errPeerLost             = errors.New("the target does not acknowledge and cannot be connected to")
 	errRepeatedID           = errors.New("the connection has carried a request with this ID")
 	errExchangeMismatch     = errors.New("the response belongs to another exchange")
 	errTooManyInformational = errors.New("too many informational responses")
--- a/proxy/upload_test.go
+++ b/proxy/upload_test.go
@@ -240,3 +240,16 @@
 		t.Errorf("the next caller got %q", w.Body.String())
 	}
 }
+
+// An upload that a target begins to read only after a second must not be broken off.
+func TestUploadThatATargetReadsLateIsSent(t *testing.T) {
+	target := newScriptedTarget(t, func(c *scriptedConn) {
+		time.Sleep(time.Second)
+		respondChecksum(c)
+	})
+	p := newTestProxy(t, nil, target.address())
+	s := startIngress(t, p)
+	conn, reader := beginUpload(t, s, postUpload, 'u')
+	_, _ = conn.Write(halfBody('u'))
+	wantAnswer(t, reader, result.OK, checksumOf('u'), false)
+}
