serve, ingress: answers are delivered whatever follows their request

Cause: the end of reading closed the connection under the writer. The same with a malformed request, a time-out of the next header or body, a caller that closes its side, and idle connections that are closed by a stop; answers in the kernel's buffer were lost when input was unread or arrived after the close, and at the end of the process. yuccarouted had the fault too, but for the request after a stop, which it handles. Callers that read steadily for longer than the time-out for writing were cut by both.

Fix: reading goes on, discarding input, until the caller closes or the kernel holds nothing any more and the caller had 0.5 s to close. Time-outs for writing count from the last byte taken and last until the caller's deadline. A stop waits for undelivered answers within the grace period. proxy/ingress has its own time-outs for reading, which nbio would close the connection for.

--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -324,6 +324,10 @@
 // inFlight returns the number of requests of callers and other VMs without a complete response.
 func (e *Entry) inFlight() int { return e.callerServer.InFlight() + e.peerServer.InFlight() }
 
+// undelivered returns the number of connections of callers and other VMs with responses that they have not got
+// yet.
+func (e *Entry) undelivered() int { return e.callerServer.Undelivered() + e.peerServer.Undelivered() }
+
 // serving reports whether the directory may send callers to this VM.
 func (e *Entry) serving() bool { return e.gateway.Ready() && !e.shuttingDown.Load() }
 
@@ -391,12 +395,12 @@
 	e.callerServer.StopListening()
 	e.callerServer.CloseIdle()
 	until := began.Add(e.options.Grace - exitMargin)
-	for e.inFlight() > 0 && time.Now().Before(until) {
+	for (e.inFlight() > 0 || e.undelivered() > 0) && time.Now().Before(until) {
 		time.Sleep(drainPollInterval)
 	}
-	// Responses just written may still be in the socket buffers.
+	// Responses just acknowledged may still be unread by callers that send further requests.
 	time.Sleep(min(exitMargin, max(0, time.Until(until))))
-	e.component("entry").WithFields(logrus.Fields{"busy": e.inFlight(), "ms": time.Since(began).Milliseconds()}).Info("entry: stopped")
+	e.component("entry").WithFields(logrus.Fields{"busy": e.inFlight(), "undelivered": e.undelivered(), "ms": time.Since(began).Milliseconds()}).Info("entry: stopped")
 	e.Close()
 }
 
--- a/edge/gateway/delegate.go
+++ b/edge/gateway/delegate.go
@@ -109,6 +109,7 @@
 	}
 	a := g.response(end)
 	if a != nil {
+		a.AwaitedUntil = r.givesUp
 		a.Header[result.HeaderResult] = []string{strconv.Itoa(int(end.code))}
 		a.Header[fieldOwnerMillis] = []string{strconv.FormatInt(time.Since(in.Arrived).Milliseconds(), 10)}
 		a.Header.Del(fieldDeclined)
--- a/edge/gateway/serve.go
+++ b/edge/gateway/serve.go
@@ -95,7 +95,11 @@
 	end := g.handle(ctx, r, g.table.Load())
 	g.returnQuota(r, end)
 	g.record(r, end)
-	return g.response(end)
+	a := g.response(end)
+	if a != nil {
+		a.AwaitedUntil = r.givesUp
+	}
+	return a
 }
 
 // handle processes a request; table is nil before the first configuration.
--- a/edge/serve/body.go
+++ b/edge/serve/body.go
@@ -20,7 +20,7 @@
 		if expects != "100-continue" {
 			return errExpectation
 		}
-		_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+		_ = c.nc.SetWriteDeadline(time.Now().Add(c.server.options.WriteTimeout))
 		if _, err := c.nc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return err
 		}
--- a/edge/serve/conn.go
+++ b/edge/serve/conn.go
@@ -31,7 +31,10 @@
 	nc     net.Conn
 	reader *bufio.Reader
 	cancel context.CancelFunc
-	once   sync.Once
+	// closed is closed with the connection.
+	closed  chan struct{}
+	once    sync.Once
+	lingers sync.Once
 
 	mu sync.Mutex
 	// inFlight is the number of accepted requests without a complete response.
@@ -64,16 +67,26 @@
 	return c.inFlight > 0
 }
 
+// closeIfIdle closes the connection once its responses are delivered, unless requests are in flight.
 func (c *conn) closeIfIdle() {
 	c.mu.Lock()
 	idle := c.inFlight == 0
 	c.closing = c.closing || idle
 	c.mu.Unlock()
 	if idle {
-		c.close()
+		c.linger()
 	}
 }
 
+// stopAccepting makes the connection accept no further requests. It returns false if that was so before.
+func (c *conn) stopAccepting() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before := c.closing
+	c.closing = true
+	return !before
+}
+
 // isLast reports whether a response closes the connection. It does not while pipelined
 // requests follow that were already read.
 func (c *conn) isLast(in *incoming) bool {
@@ -86,10 +99,12 @@
 	return true
 }
 
-// close closes the connection and cancels the contexts of its requests.
+// close closes the connection and cancels the contexts of its requests. Responses that the caller has not got
+// yet may be lost, see linger.
 func (c *conn) close() {
 	c.once.Do(func() {
 		c.cancel()
+		close(c.closed)
 		_ = c.nc.Close()
 	})
 }
@@ -98,28 +113,43 @@
 // handled, so that a disconnect is noticed at once.
 func (c *conn) run(ctx context.Context) {
 	var handlers sync.WaitGroup
-	defer func() {
-		c.close()
-		handlers.Wait()
-	}()
+	previousDone, err := c.accept(ctx, &handlers)
+	if status := statusOf(err); err == nil || status != 0 || isTimeout(err) {
+		// Reading goes on while responses are written: closing with unread bytes resets the connection,
+		// and a disconnect must be noticed.
+		go func() {
+			<-previousDone
+			c.refuse(err, status)
+			c.linger()
+		}()
+		c.discardInput()
+	}
+	// The caller is gone, or sends no more. Responses that are complete are written nevertheless.
+	c.cancel()
+	handlers.Wait()
+	c.close()
+}
+
+// accept reads and handles requests. It returns when no further ones are accepted, with nil, or with the error
+// that prevents it, and the channel that is closed when the last accepted request has its response.
+func (c *conn) accept(ctx context.Context, handlers *sync.WaitGroup) (<-chan struct{}, error) {
 	slots := make(chan struct{}, maxPipelined)
 	previousDone := make(chan struct{})
 	close(previousDone)
 	for {
 		r, err := c.read()
 		if err != nil {
-			c.refuse(ctx, err, previousDone)
-			return
+			return previousDone, err
 		}
 		select {
 		case slots <- struct{}{}:
 		case <-ctx.Done():
 			c.release(r)
-			return
+			return previousDone, ctx.Err()
 		}
 		if !c.beginRequest() {
 			c.release(r)
-			return
+			return previousDone, nil
 		}
 		done := make(chan struct{})
 		c.server.inFlight.Add(1)
@@ -131,47 +161,11 @@
 		})
 		previousDone = done
 		if r.last {
-			c.awaitClose(ctx, previousDone)
-			return
+			return previousDone, nil
 		}
 	}
 }
 
-// awaitClose watches for a disconnect while the last request is handled.
-func (c *conn) awaitClose(ctx context.Context, done <-chan struct{}) {
-	readable := make(chan struct{})
-	go func() {
-		_, _ = c.reader.Peek(1)
-		close(readable)
-	}()
-	select {
-	case <-done:
-		c.linger(readable)
-	case <-readable:
-		if c.reader.Buffered() > 0 {
-			// Bytes after the last request are ignored.
-			<-done
-		}
-	case <-ctx.Done():
-	}
-}
-
-// lingerTimeout is how long the caller has to close after the last response: closing with
-// unread bytes resets the connection and may discard the response.
-const lingerTimeout = 500 * time.Millisecond
-
-func (c *conn) linger(readable <-chan struct{}) {
-	if tcp, ok := c.nc.(*net.TCPConn); ok {
-		_ = tcp.CloseWrite()
-	}
-	timer := time.NewTimer(lingerTimeout)
-	defer timer.Stop()
-	select {
-	case <-readable:
-	case <-timer.C:
-	}
-}
-
 // incoming is a request with the state that its connection keeps for it.
 type incoming struct {
 	*Request
@@ -274,12 +268,10 @@
 	defer c.server.unread.Add(-held)
 	<-previousDone
 	last := c.isLast(in)
-	switch err := c.write(response, last); {
-	case err != nil:
+	if err := c.write(response, last); err != nil {
 		c.close()
-	case last && !in.last:
-		// A caller that asked for the close does so itself, see awaitClose.
-		c.closeGracefully()
+	} else if last {
+		c.linger()
 	}
 }
 
@@ -298,14 +290,6 @@
 	return c.server.options.Handler(ctx, r)
 }
 
-// closeGracefully lets the caller read the last response before the connection closes.
-func (c *conn) closeGracefully() {
-	if tcp, ok := c.nc.(*net.TCPConn); ok {
-		_ = tcp.CloseWrite()
-	}
-	time.AfterFunc(lingerTimeout, c.close)
-}
-
 var writeBuffers = sync.Pool{New: func() any { return bytes.NewBuffer(make([]byte, 0, writeBufferSize)) }}
 
 func (c *conn) write(a *Response, last bool) error {
@@ -313,11 +297,9 @@
 	defer writeBuffers.Put(b)
 	b.Reset()
 	a.encode(b, last)
-	_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
 	buffers := net.Buffers{b.Bytes()}
 	if len(a.Body) > 0 && !a.NoBody {
 		buffers = append(buffers, a.Body)
 	}
-	_, err := buffers.WriteTo(c.nc)
-	return err
+	return c.writeAll(buffers, a.AwaitedUntil)
 }
--- a/edge/serve/message.go
+++ b/edge/serve/message.go
@@ -33,6 +33,8 @@
 	// the value of that field, "" for none.
 	NoBody        bool
 	ContentLength string
+	// AwaitedUntil is the caller's deadline, if it has stated one: until then it may read the response late.
+	AwaitedUntil time.Time
 }
 
 // hopByHop are the response fields that are not forwarded.
--- a/edge/serve/refuse.go
+++ b/edge/serve/refuse.go
@@ -1,11 +1,8 @@
 package serve
 
 import (
-	"context"
-	"io"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/pkg/errors"
 )
@@ -15,35 +12,19 @@
 
 func (e *badRequestError) Error() string { return "serve: malformed request: " + e.cause.Error() }
 
-// refuse writes an error response if the error is one of a request.
-func (c *conn) refuse(ctx context.Context, err error, previousDone <-chan struct{}) {
-	status := statusOf(err)
-	if status == 0 {
+// refuse writes an error response for a request that could not be read; status is 0 for none.
+func (c *conn) refuse(err error, status int) {
+	if !c.stopAccepting() || status == 0 {
 		return
 	}
 	c.server.options.Logger.WithError(err).WithField("status", status).Info("serve: request refused")
-	select {
-	case <-previousDone:
-	case <-ctx.Done():
-		return
-	}
 	a := PlainText(status, "")
 	if status == http.StatusServiceUnavailable {
 		a.Header["Retry-After"] = []string{"0.3"}
 	}
-	if c.write(a, true) == nil {
-		c.drainInput()
-	}
-}
-
-// drainInput reads and discards for a while: closing with unread bytes resets the
-// connection, and the caller might lose the response.
-func (c *conn) drainInput() {
-	if tcp, ok := c.nc.(*net.TCPConn); ok {
-		_ = tcp.CloseWrite()
+	if c.write(a, true) != nil {
+		c.close()
 	}
-	_ = c.nc.SetReadDeadline(time.Now().Add(lingerTimeout))
-	_, _ = io.Copy(io.Discard, c.reader)
 }
 
 // statusOf returns the status for a request that could not be read, 0 for no response.
--- a/edge/serve/server.go
+++ b/edge/serve/server.go
@@ -20,8 +20,6 @@
 	writeBufferSize = 4 << 10
 	// maxPipelined limits the concurrent requests of one connection.
 	maxPipelined = 16
-	// writeTimeout limits how long a caller may take to read a response.
-	writeTimeout = 15 * time.Second
 	// acceptRetryDelay is the pause after a failed accept, usually for lack of file descriptors.
 	acceptRetryDelay = 10 * time.Millisecond
 )
@@ -53,6 +51,9 @@
 	Logger         *logrus.Entry
 	// MaxConnections limits the open connections; 0 means no limit.
 	MaxConnections int
+	// WriteTimeout is how long a caller may read nothing of a response, unless it has a later deadline; 0 means
+	// DefaultWriteTimeout.
+	WriteTimeout time.Duration
 }
 
 // Memory is a limit on buffered bytes.
@@ -82,6 +83,9 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "serve: listen on %s", o.Address)
 	}
+	if o.WriteTimeout == 0 {
+		o.WriteTimeout = DefaultWriteTimeout
+	}
 	s := &Server{options: o, listener: l, conns: make(map[*conn]struct{})}
 	go s.accept()
 	return s, nil
@@ -104,7 +108,7 @@
 // StopListening stops accepting connections.
 func (s *Server) StopListening() { _ = s.listener.Close() }
 
-// CloseIdle closes the connections without requests in flight.
+// CloseIdle closes the connections without requests in flight once their responses are delivered.
 func (s *Server) CloseIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -113,7 +117,7 @@
 	}
 }
 
-// Close closes the listener and all connections.
+// Close closes the listener and all connections at once.
 func (s *Server) Close() {
 	s.StopListening()
 	s.mu.Lock()
@@ -144,7 +148,7 @@
 
 func (s *Server) start(nc net.Conn) {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &conn{server: s, nc: nc, cancel: cancel, reader: bufio.NewReaderSize(nc, readBufferSize)}
+	c := &conn{server: s, nc: nc, cancel: cancel, closed: make(chan struct{}), reader: bufio.NewReaderSize(nc, readBufferSize)}
 	s.open.Add(1)
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
--- a/node/run.go
+++ b/node/run.go
@@ -92,6 +92,9 @@
 	n.pause(ctx, partTime)
 	n.refusing.Store(true)
 	err := n.proxy.Drain(ctx)
+	if left := awaitDelivery(ctx, n.callers.Undelivered); left > 0 {
+		n.log.WithField("connections", left).Warn("node: callers have not got their last answers")
+	}
 	handBack, cancel := context.WithTimeout(context.WithoutCancel(ctx), handBackTime)
 	defer cancel()
 	n.control.Stop(handBack)
@@ -99,6 +102,17 @@
 	return errors.Wrap(err, "node: requests in hand at the end of the planned stop")
 }
 
+// deliveryPoll is how often a node that stops looks whether its callers have got their answers.
+const deliveryPoll = 10 * time.Millisecond
+
+// awaitDelivery waits until all answers are delivered or the context ends, and returns the number of connections
+// with answers that are not.
+func awaitDelivery(ctx context.Context, undelivered func() int) int {
+	for undelivered() > 0 && wait.For(ctx, deliveryPoll) {
+	}
+	return undelivered()
+}
+
 func (n *Node) pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/proxy/ingress/connection.go
+++ b/proxy/ingress/connection.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -21,8 +22,11 @@
 	// cleans up after a close on another.
 	parseMu   sync.Mutex
 	processor *processor
-	// deadlineSet is true while the incoming message has a read deadline.
-	deadlineSet bool
+	// active counts dispatched requests whose responses are not written.
+	active atomic.Int64
+	// readTimer ends the time for the rest of a message or for the next one, see timing.
+	readTimer *time.Timer
+	timing    timing
 
 	mu sync.Mutex
 	// bytesQueued counts response bytes passed to the engine, bytesWritten
@@ -39,10 +43,22 @@
 	incoming *Body
 }
 
+// timing is what the read timer of a connection runs for.
+type timing int
+
+const (
+	// notTimed: requests are served, or the connection is about to close.
+	notTimed timing = iota
+	idleTimed
+	messageTimed
+)
+
 func newConnection(s *Server, nbc *nbio.Conn) *connection {
 	c := &connection{Conn: nbc, server: s}
 	c.processor = &processor{Processor: nbhttp.NewServerProcessor(), conn: c, admissionHeader: make(http.Header)}
 	c.resetParser()
+	c.timing = idleTimed
+	c.readTimer = time.AfterFunc(s.options.IdleTimeout, c.onReadTimeout)
 	return c
 }
 
@@ -68,7 +84,7 @@
 	for len(data) > 0 && !c.processor.rejected {
 		data = c.parseNext(data)
 	}
-	c.updateReadDeadline()
+	c.updateReadTimer()
 }
 
 // parseNext consumes at most the rest of a header or of a collected body, and
@@ -129,24 +145,51 @@
 	c.parser.CloseAndClean(err)
 }
 
-// updateReadDeadline sets a read deadline for an incomplete message.
-func (c *connection) updateReadDeadline() {
+// updateReadTimer starts the time for the rest of an incomplete message, or for
+// the next one. Neither runs while requests are served. The caller holds parseMu.
+func (c *connection) updateReadTimer() {
 	p := c.processor
-	if p.rejected || !p.isReceiving() {
-		c.deadlineSet = false
-		return
+	receiving := p.isReceiving()
+	switch {
+	case p.rejected || c.active.Load() > 0 || p.dispatchedEarly:
+		c.readTimer.Stop()
+		c.timing = notTimed
+	case receiving && c.timing != messageTimed:
+		c.readTimer.Reset(p.readTimeout())
+		c.timing = messageTimed
+	case !receiving:
+		c.readTimer.Reset(c.server.options.IdleTimeout)
+		c.timing = idleTimed
 	}
-	if c.deadlineSet {
+}
+
+// onReadTimeout closes the connection once its responses are delivered.
+func (c *connection) onReadTimeout() {
+	c.parseMu.Lock()
+	defer c.parseMu.Unlock()
+	if c.timing == notTimed || c.processor.rejected || c.active.Load() > 0 {
 		return
 	}
-	c.deadlineSet = true
-	_ = c.SetReadDeadline(time.Now().Add(p.readTimeout()))
+	c.processor.rejected = true
+	c.linger()
+}
+
+// endRequest ends a dispatched request: when its response is written, the
+// time for the message behind it begins.
+func (c *connection) endRequest() {
+	c.Execute(func() {
+		c.active.Add(-1)
+		c.parseMu.Lock()
+		defer c.parseMu.Unlock()
+		c.updateReadTimer()
+	})
 }
 
 // onClose notifies the watchers that the connection was closed.
 func (c *connection) onClose() {
 	c.mu.Lock()
 	c.closed = true
+	c.readTimer.Stop()
 	watchers := c.watchers
 	c.watchers = nil
 	body := c.incoming
@@ -173,12 +216,6 @@
 	}
 }
 
-// closeAfterLinger closes the connection after lingerTimeout, so that bytes in
-// flight do not reset it before the client reads the response.
-func (c *connection) closeAfterLinger() {
-	c.Execute(func() { _ = c.SetReadDeadline(time.Now().Add(lingerTimeout)) })
-}
-
 func (c *connection) isClosed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -224,25 +261,6 @@
 	}
 }
 
-// waitFlushed blocks until the kernel has accepted all response bytes or the
-// connection is closed. A client that does not read is disconnected after
-// WriteTimeout.
-func (c *connection) waitFlushed() {
-	c.mu.Lock()
-	if c.closed || c.bytesWritten >= c.bytesQueued {
-		c.mu.Unlock()
-		return
-	}
-	if c.flushed == nil {
-		c.flushed = make(chan struct{})
-	}
-	flushed := c.flushed
-	c.mu.Unlock()
-	_ = c.SetWriteDeadline(time.Now().Add(c.server.options.WriteTimeout))
-	<-flushed
-	_ = c.SetWriteDeadline(time.Time{})
-}
-
 func (c *connection) pushDispatched(s requestState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/proxy/ingress/processor.go
+++ b/proxy/ingress/processor.go
@@ -12,10 +12,6 @@
 	"github.com/yuccaroute/yuccaroute/api/result"
 )
 
-// lingerTimeout bounds how long the connection stays open after its last
-// response.
-const lingerTimeout = 500 * time.Millisecond
-
 // maxChunkedRatio bounds the wire size of a chunked body relative to its limit.
 const maxChunkedRatio = 2
 
@@ -237,9 +233,7 @@
 }
 
 func (p *processor) dispatch() {
-	// The read deadline must not close the connection while the request is
-	// being served.
-	_ = p.conn.SetReadDeadline(time.Time{})
+	p.conn.active.Add(1)
 	p.conn.pushDispatched(p.current)
 	p.current = requestState{}
 	p.Processor.OnComplete(p.conn.parser)
@@ -271,10 +265,8 @@
 	}
 	p.rejected = true
 	c := p.conn
-	c.Execute(func() {
-		_, _ = c.Write(rejectionResponse(code))
-		_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
-	})
+	c.Execute(func() { _, _ = c.Write(rejectionResponse(code)) })
+	c.linger()
 }
 
 // rejectionResponse formats a response to a request that was not parsed.
--- a/proxy/ingress/server.go
+++ b/proxy/ingress/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -11,13 +12,15 @@
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
 
-	"github.com/yuccaroute/yuccaroute/httpserver"
 	"github.com/yuccaroute/yuccaroute/httpserver/handover"
 )
 
 // stopPollInterval is how often Stop checks for active requests.
 const stopPollInterval = 5 * time.Millisecond
 
+// never is a time-out that does not expire.
+const never = 1000 * time.Hour
+
 // Server is an HTTP server for client connections.
 type Server struct {
 	options         Options
@@ -25,6 +28,8 @@
 	acceptor        *handover.Acceptor
 	address         net.Addr
 	openConnections atomic.Int64
+	// connections has the open connections as keys.
+	connections sync.Map
 	// activeRequests counts dispatched requests without a complete response.
 	activeRequests atomic.Int64
 	// closingConnections counts closed connections whose parsers still hold
@@ -49,8 +54,9 @@
 		Handler:         http.HandlerFunc(s.serve),
 		MaxHTTPBodySize: o.MaxBodyBytes,
 		ReadLimit:       o.MaxBodyBytes + o.MaxHeaderBytes,
-		KeepaliveTime:   o.IdleTimeout,
-		OnRequest:       httpserver.LetClientClose,
+		// The engine would close idle connections whose responses are not delivered.
+		KeepaliveTime: never,
+		OnRequest:     letClientClose,
 		// Avoids a client queue that is not used here.
 		SupportServerOnly: true,
 		// One worker per connection, so that waiting requests of one account
@@ -76,8 +82,8 @@
 // ActiveRequests returns the number of requests without a complete response.
 func (s *Server) ActiveRequests() int { return int(s.activeRequests.Load()) }
 
-// Stop stops accepting, waits until all responses are complete or the context
-// is done, and closes all connections. If it returns nil, the memory of all
+// Stop stops accepting, waits until all responses are written or the context
+// is done, and closes all connections; see Undelivered. If it returns nil, the memory of all
 // bodies is released.
 func (s *Server) Stop(ctx context.Context) error {
 	s.acceptor.Stop()
@@ -111,13 +117,11 @@
 		return
 	}
 	conn := newConnection(s, nbc)
+	s.connections.Store(conn, nil)
 	nbc.SetSession(conn)
 	nbc.OnData(s.onData)
 	s.connectionFence.Add(1)
-	if _, err := s.engine.AddConn(nbc); err != nil {
-		return
-	}
-	_ = nbc.SetReadDeadline(time.Now().Add(s.options.IdleTimeout))
+	_, _ = s.engine.AddConn(nbc)
 }
 
 // onClose is the engine's callback for a closed connection. The handler is
@@ -128,6 +132,7 @@
 		return
 	}
 	s.openConnections.Add(-1)
+	s.connections.Delete(conn)
 	conn.onClose()
 	s.closingConnections.Add(1)
 	c.MustExecute(func() {
@@ -167,7 +172,11 @@
 	}
 	s.activeRequests.Add(1)
 	defer s.activeRequests.Add(-1)
+	defer conn.endRequest()
 	writer := &ResponseWriter{Response: response, conn: conn, startedAt: state.startedAt, body: state.body}
 	s.options.Handler.ServeHTTP(writer, r)
 	writer.abortBody()
+	if closesAfter(w, r) {
+		conn.linger()
+	}
 }
--- a/proxy/ingress/writer.go
+++ b/proxy/ingress/writer.go
@@ -31,7 +31,7 @@
 	}
 	if !w.body.abort() {
 		w.Header().Set("Connection", "close")
-		w.conn.closeAfterLinger()
+		w.conn.linger()
 	}
 	w.body = nil
 }
