forward, gateway: answers without end stay within their memory

What callers would see: a target that sends bytes without end, in a header or a body, until its caller closes. A header could take the limit of a body, 16 MB (the limit was common to both), and bodies of all targets together had no limit at yuccaentry, so that a few such targets could end a VM of 136 MB.

Fix: a header has a limit of its own, 64 KiB with informational responses, a body one for its framing. yuccaentry reserves the buffers of answers while they are read, a fifth of the memory in all, as yuccarouted did; buffers of bodies of unknown length are counted as allocated. Beyond the limits the exchange ends at once with an unknown outcome, and the connection is closed.

Result: with 40 such targets at once and 200 requests, all requests end with 200 or 502, within 4 MB reserved (TestEndlessAnswersOfManyTargets).

--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -32,6 +32,8 @@
 	// unreadMemoryShare is the fraction of the memory limit that responses may use which callers
 	// have not read yet.
 	unreadMemoryShare = 0.2
+	// answerMemoryShare is the fraction of the memory limit that answers may use which are being read.
+	answerMemoryShare = 0.2
 	// maxResponseBytes limits the size of one target response.
 	maxResponseBytes = 16 << 20
 	// maintainInterval is the period of expiry, peer checks and health probes.
@@ -122,6 +124,7 @@
 		TargetLimits: e.targetLimits, ReadStatement: o.Names.ReadStatement,
 		TargetLeaves: func(incarnation uint64) { e.tellLeavingTarget(incarnation, false) },
 		Quota:        e.quota, ConfigCurrent: e.contact.isCurrent, AccountsExpired: e.contact.isExpired, MaxAnswerBytes: maxResponseBytes,
+		AnswerMemory: buffer.NewBudget(int64(answerMemoryShare * float64(e.options.MemoryBytes))).NewShare(),
 	})
 	e.outages = catalog.NewOutages(time.Now())
 	e.catalog = catalog.New(catalog.Options{
--- a/edge/gateway/delegate.go
+++ b/edge/gateway/delegate.go
@@ -262,7 +262,7 @@
 		out.Header.Set(fieldAccount, r.identity.Account.Name)
 		out.Header.Set(fieldKeyDigest, r.identity.Digest.String())
 	}
-	return conn.Exchange(ctx, &out)
+	return g.exchange(ctx, conn, &out)
 }
 
 // ownerPool returns the connection pool of an owner.
--- /dev/null
+++ b/edge/gateway/endless_test.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/yuccaroute/yuccaroute/proxy/buffer"
+)
+
+// endlessly returns a script that answers with start and then more until the gateway closes the connection. It
+// writes until closed is done.
+func endlessly(start func(r *http.Request) string, more string, closed *sync.WaitGroup) script {
+	block := strings.Repeat(more, 1+(8<<10)/len(more))
+	return func(w *bufio.Writer, r *http.Request, _ string) bool {
+		closed.Add(1)
+		defer closed.Done()
+		_, _ = io.WriteString(w, start(r))
+		for {
+			if _, err := io.WriteString(w, block); err != nil {
+				return false
+			}
+		}
+	}
+}
+
+// endlessScripts are answers without end, in a header and in a body.
+func endlessScripts(closed *sync.WaitGroup) map[string]script {
+	return map[string]script{
+		"header": endlessly(func(r *http.Request) string { return answerHead(r, 200, stamp) }, "A: b\r\n", closed),
+		"body": endlessly(func(r *http.Request) string {
+			return answerHead(r, 200, stamp) + "Transfer-Encoding: chunked\r\n\r\n"
+		}, "4\r\nbody\r\n", closed),
+		"refused": endlessly(func(r *http.Request) string {
+			return answerHead(r, 503, "X-Not-Run: 1\r\n") + "Transfer-Encoding: chunked\r\n\r\n"
+		}, "4\r\nbody\r\n", closed),
+	}
+}
+
+// An answer without end must end its request at once and truthfully: idempotent requests are served by another
+// target, others end with an unknown outcome. The connection must be closed.
+func TestEndlessAnswerOfOneTarget(t *testing.T) {
+	var closed sync.WaitGroup
+	for name, bad := range endlessScripts(&closed) {
+		t.Run(name, func(t *testing.T) {
+			first, second := badAndGoodTargets(t, bad)
+			f := newGateway(t, first, second)
+			f.options.RetryExtra = 1000
+			began := time.Now()
+			statuses := make(map[string]int)
+			for i := range 20 {
+				for _, path := range []string{"/safe/x", "/once/x"} {
+					statuses[fmt.Sprint(path, " ", f.ask(context.Background(), "POST", path, fmt.Sprint(path, i), 2*time.Second, "").Status)]++
+				}
+			}
+			if first.count() == 0 {
+				t.Fatal("no request reached the target")
+			}
+			for status, n := range statuses {
+				if status != "/safe/x 200" && status != "/once/x 200" && status != "/once/x 502" {
+					t.Errorf("%s: %d", status, n)
+				}
+			}
+			if ended := f.logText(); strings.Contains(ended, "deadline") {
+				t.Errorf("requests waited for their deadline, %v in all", time.Since(began))
+			}
+			closed.Wait()
+		})
+	}
+}
+
+// Answers without end of many targets at once must not fill the memory, nor fail the requests of other targets.
+func TestEndlessAnswersOfManyTargets(t *testing.T) {
+	const budgetBytes, bad, requests = 4 << 20, 40, 200
+	var closed sync.WaitGroup
+	for name, answer := range endlessScripts(&closed) {
+		t.Run(name, func(t *testing.T) {
+			memory := buffer.NewBudget(budgetBytes)
+			highest := &highestMemory{Share: memory.NewShare()}
+			targets := []*target{startTarget(t, "good", ok)}
+			for i := range bad {
+				targets = append(targets, startTarget(t, fmt.Sprint("bad-", i), answer))
+			}
+			f := newGateway(t, targets...)
+			f.options.AnswerMemory, f.options.RetryExtra = highest, 1000
+			var all sync.WaitGroup
+			var mu sync.Mutex
+			statuses := make(map[int]int)
+			for i := range requests {
+				all.Go(func() {
+					a := f.ask(context.Background(), "POST", "/once/x", fmt.Sprint(i), 2*time.Second, "")
+					mu.Lock()
+					defer mu.Unlock()
+					statuses[a.Status]++
+				})
+			}
+			all.Wait()
+			closed.Wait()
+			if statuses[200] == 0 || statuses[502] == 0 || statuses[504] > 0 {
+				t.Errorf("answers by status: %v", statuses)
+			}
+			if memory.Used() != 0 || highest.most > budgetBytes {
+				t.Errorf("%d bytes still reserved, %d at most", memory.Used(), highest.most)
+			}
+		})
+	}
+}
+
+// highestMemory records the most that was reserved.
+type highestMemory struct {
+	*buffer.Share
+	mu   sync.Mutex
+	most int64
+}
+
+func (m *highestMemory) Take(n int64) bool {
+	if !m.Share.Take(n) {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.most = max(m.most, m.Used())
+	return true
+}
--- a/edge/gateway/gateway.go
+++ b/edge/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/yuccaroute/yuccaroute/edge/refusals"
 	"github.com/yuccaroute/yuccaroute/edge/route"
 	"github.com/yuccaroute/yuccaroute/edge/site"
+	"github.com/yuccaroute/yuccaroute/proxy/forward"
 	"github.com/yuccaroute/yuccaroute/proxy/pool"
 )
 
@@ -94,6 +95,8 @@
 	Quarantine *quarantine.Quarantine
 	// MaxAnswerBytes bounds one answer.
 	MaxAnswerBytes int64
+	// AnswerMemory bounds the bodies of all answers that are being read; nil means no bound.
+	AnswerMemory forward.Memory
 	// Dial returns the function that connects to targets at a given round-trip time;
 	// nil means TCP.
 	Dial func(rtt time.Duration) pool.Dial
--- a/edge/gateway/run.go
+++ b/edge/gateway/run.go
@@ -309,7 +309,16 @@
 		g.reach.Heard(time.Now(), tracked)
 		g.observe(sent, status, h)
 	}
-	return conn.Exchange(ctx, &out)
+	return g.exchange(ctx, conn, &out)
+}
+
+// exchange releases the memory of an answer when it is whole: callers that read it late have a limit of their own.
+func (g *Gateway) exchange(ctx context.Context, conn *forward.Conn, out *forward.Request) (*forward.Response, error) {
+	answer, err := conn.Exchange(ctx, out)
+	if answer != nil && out.Memory != nil {
+		out.Memory.Give(answer.ReservedBytes)
+	}
+	return answer, err
 }
 
 // updateIdleTimeout closes idle connections before the target does, by its Keep-Alive header.
--- a/edge/gateway/serve.go
+++ b/edge/gateway/serve.go
@@ -164,7 +164,8 @@
 	}
 	r.out = forward.Request{
 		Method: r.in.Method, URI: r.in.Target, Host: r.in.Host, Header: r.in.Header.Clone(),
-		Length: int64(len(r.in.Body)), Deadline: r.deadline, MaxResponseBytes: g.options.MaxAnswerBytes,
+		Length: int64(len(r.in.Body)), Deadline: r.deadline,
+		MaxResponseBytes: g.options.MaxAnswerBytes, Memory: g.options.AnswerMemory,
 		Dialect: &forward.Dialect{
 			DeadlineField: g.options.Fields.Deadline, IDField: g.options.Fields.RequestID, ID: r.id,
 			CloseDelimited: true,
--- a/proxy/forward/conn.go
+++ b/proxy/forward/conn.go
@@ -14,7 +14,10 @@
 
 const (
 	readBufferBytes = 8 << 10
-	maxHeaderBytes  = 64 << 10
+	// maxHeaderBytes bounds the header of a response, with informational responses before it.
+	maxHeaderBytes = 64 << 10
+	// maxFramingBytes bounds the bytes of a body beyond its content: chunk sizes and trailers.
+	maxFramingBytes = 64 << 10
 	// maxBufferedBodyBytes is a size that socket buffers accept without blocking.
 	maxBufferedBodyBytes = 32 << 10
 )
@@ -91,7 +94,7 @@
 		return nil, newError(result.ConnectFailed, errRepeatedID)
 	}
 	c.reusable = false
-	c.limited.remaining = maxHeaderBytes + r.MaxResponseBytes
+	c.limited.remaining = maxHeaderBytes
 	if err := c.conn.SetDeadline(r.Deadline); err != nil {
 		return nil, newError(result.ConnectFailed, err)
 	}
--- a/proxy/forward/receive.go
+++ b/proxy/forward/receive.go
@@ -71,8 +71,12 @@
 func (c *Conn) readMatchingHeader(r *Request) (*http.Response, error) {
 	for range maxResponseHeaders {
 		resp, err := c.readFinalHeader(r)
-		if err != nil || !r.Dialect.isMismatch(resp) {
-			return resp, err
+		if err != nil {
+			return nil, err
+		}
+		c.limited.remaining += r.MaxResponseBytes + maxFramingBytes
+		if !r.Dialect.isMismatch(resp) {
+			return resp, nil
 		}
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, errExchangeMismatch
@@ -162,6 +166,7 @@
 	return body, reserved, nil
 }
 
+// readChunked reads a body of unknown length. It reserves the buffer, which may be twice as large as the body so far.
 func readChunked(resp *http.Response, r *Request) ([]byte, int64, error) {
 	var body bytes.Buffer
 	reserved := int64(0)
@@ -173,14 +178,15 @@
 		if errors.Is(err, io.EOF) {
 			return body.Bytes(), reserved, nil
 		}
-		if err == nil && !reserve(r, reserveStepBytes) {
+		more := max(reserveStepBytes, int64(body.Cap())-reserved)
+		if err == nil && !reserve(r, more) {
 			err = errNoMemory
 		}
 		if err != nil {
 			release(r, reserved)
 			return nil, 0, err
 		}
-		reserved += reserveStepBytes
+		reserved += more
 	}
 }
 
