--- a/edge/gateway/latecopy_test.go
+++ b/edge/gateway/latecopy_test.go
@@ -251,3 +251,26 @@
 		f.finish()
 	})
 }
+
+// Late copies of several earlier answers may precede the answer to a request. They must not end it while its
+// target runs it.
+func TestSeveralLateCopiesAreSkipped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const copies = 5
+		s := &target{id: "a"}
+		f := newGatewayOn(t, pipeDialer(map[*target]script{s: func(w *bufio.Writer, r *http.Request, body string) bool {
+			for i := range copies {
+				_, _ = io.WriteString(w, fmt.Sprintf("HTTP/1.1 503 x\r\nX-Id: earlier-%d\r\nX-Not-Run: 1\r\nContent-Length: 4\r\n\r\nbusy", i))
+			}
+			_ = w.Flush()
+			time.Sleep(runTime)
+			return ok(w, r, body)
+		}}), s)
+		for i := range 3 {
+			if a := f.ask(context.Background(), "POST", "/once/x", fmt.Sprint(i), 2*time.Second, ""); a.Status != http.StatusOK {
+				t.Errorf("request %d: %d", i, a.Status)
+			}
+		}
+		f.finish()
+	})
+}
--- a/proxy/forward/receive.go
+++ b/proxy/forward/receive.go
@@ -62,8 +62,9 @@
 	}, nil
 }
 
-// maxResponseHeaders bounds the responses read to find the matching one.
-const maxResponseHeaders = 2
+// maxResponseHeaders bounds the responses read to find the matching one: late duplicates of
+// several earlier ones may precede it.
+const maxResponseHeaders = 9
 
 // readMatchingHeader reads the header of the response to this request. A late
 // duplicate response to an earlier request carries another request ID and is
@@ -84,6 +85,7 @@
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, err
 		}
+		c.limited.remaining = maxHeaderBytes
 	}
 	return nil, errExchangeMismatch
 }
