--- a/proxy/forward/conn.go
+++ b/proxy/forward/conn.go
@@ -37,6 +37,8 @@
 	// used is set once a response was received.
 	used    bool
 	history history
+	// givenUp is set if an exchange ended without a response.
+	givenUp bool
 	// pendingRequest gives the response parser the request method.
 	pendingRequest http.Request
 	// probe is nil if the connection has no file descriptor to inspect.
@@ -69,8 +71,17 @@
 	}
 }
 
-// Close closes the connection.
-func (c *Conn) Close() { _ = c.conn.Close() }
+// Close closes the connection. If its last exchange was given up, it resets the connection: bytes that are still on
+// their way must not reach the target later, when the request counts as ended.
+func (c *Conn) Close() {
+	if l, ok := c.conn.(lingerer); ok && c.givenUp {
+		_ = l.SetLinger(0)
+	}
+	_ = c.conn.Close()
+}
+
+// lingerer is a connection that can be reset, as TCP connections can.
+type lingerer interface{ SetLinger(seconds int) error }
 
 // Reusable reports whether another exchange may use the connection: the last
 // response was complete, no data followed it, neither side asked to close and the
@@ -103,6 +114,7 @@
 	stop := context.AfterFunc(ctx, c.abort)
 	resp, err := c.exchangeWatched(ctx, r, timeout)
 	c.used = c.used || err == nil
+	c.givenUp = err != nil
 	if !stop() || !c.reusable || c.history.isFull() {
 		// Cancellation may have overwritten the deadline.
 		c.reusable = false
