replica: a late answer to a watch does not bring back removed keys

What users would see: an evacuation that was taken back lasts on one VM.

Evidence: TestLateWatchDoesNotBringBackRemovedKeys failed before: b is "1" at revision 9, where it had been removed. Fix: events up to the replica's revision are skipped, as its state has their effect.

--- a/edge/replica/replica.go
+++ b/edge/replica/replica.go
@@ -347,15 +347,17 @@
 func (r *Replica) applyEvents(batch store.Batch) {
 	var changes, recorded []Change
 	for _, event := range batch.Events {
+		if event.Entry.Revision <= r.revision {
+			// A newer snapshot that was copied meanwhile has its effect, also if that is a removed key.
+			continue
+		}
 		change := Change{Entry: event.Entry, Removed: event.Deleted}
 		if change.Removed {
 			change.Entry.Value = r.items[change.Entry.Key].Value
 		}
 		known := event.Entry.Revision <= r.items[event.Entry.Key].Revision
 		// A listing may have had the item although it is newer than the listing's revision.
-		if !known || event.Entry.Revision > r.revision {
-			recorded = append(recorded, change)
-		}
+		recorded = append(recorded, change)
 		if known {
 			continue
 		}
--- a/edge/replica/replica_test.go
+++ b/edge/replica/replica_test.go
@@ -352,3 +352,23 @@
 		}
 	})
 }
+
+// The answer to a watch can arrive after a newer snapshot of another VM. A key that was written and removed in
+// between must not come back with it: an evacuation that was taken back would last on this VM.
+func TestLateWatchDoesNotBringBackRemovedKeys(t *testing.T) {
+	v := newTestVM(nil, true, noFetch)
+	v.ApplySnapshot(Snapshot{At: 5, Items: []store.Entry{{Key: "a", Revision: 4}}})
+	v.ApplySnapshot(Snapshot{At: 9, Items: []store.Entry{{Key: "a", Revision: 4}}})
+	v.changes = nil
+	v.apply(store.Batch{At: 7, Events: []store.Event{{Entry: store.Entry{Key: "b", Value: []byte("1"), Revision: 6}}}})
+	if at, _ := v.Revision(); v.value("b") != "" || len(v.changes) > 0 || at != 9 {
+		t.Errorf("b is %q at revision %d, changes %+v", v.value("b"), at, v.changes)
+	}
+	// Later events of the same answer count.
+	v.apply(store.Batch{At: 10, Events: []store.Event{
+		{Entry: store.Entry{Key: "b", Value: []byte("1"), Revision: 6}}, {Entry: store.Entry{Key: "c", Value: []byte("2"), Revision: 10}},
+	}})
+	if v.value("b") != "" || v.value("c") != "2" {
+		t.Errorf("b is %q, c is %q", v.value("b"), v.value("c"))
+	}
+}
