--- a/edge/serve/delivery.go
+++ b/edge/serve/delivery.go
@@ -54,30 +54,15 @@
 		if tcp, ok := c.nc.(*net.TCPConn); ok {
 			_ = tcp.CloseWrite()
 		}
-		go c.awaitDelivery()
+		go func() {
+			sendqueue.Await(c.closed, c.heldBytes, sendqueue.Limits{
+				Linger: lingerTimeout, Stall: c.server.options.WriteTimeout, Total: maxWriteTime,
+			})
+			c.close()
+		}()
 	})
 }
 
-func (c *conn) awaitDelivery() {
-	defer c.close()
-	began := time.Now()
-	d := sendqueue.Follow(began, c.heldBytes)
-	delivered := d.Update(began)
-	for {
-		timer := time.NewTimer(lingerTimeout)
-		select {
-		case <-c.closed:
-			timer.Stop()
-			return
-		case now := <-timer.C:
-			if delivered || d.StalledFor(now) > c.server.options.WriteTimeout || now.Sub(began) > maxWriteTime {
-				return
-			}
-			delivered = d.Update(now)
-		}
-	}
-}
-
 // discardInput reads until the caller closes or the connection is closed.
 func (c *conn) discardInput() {
 	_ = c.nc.SetReadDeadline(time.Time{})
--- a/proxy/forward/conn_test.go
+++ b/proxy/forward/conn_test.go
@@ -360,6 +360,7 @@
 // connection must be reset. One whose exchange has ended is closed in order.
 func TestGivenUpRequestResetsTheConnection(t *testing.T) {
 	cancelled, cancel := context.WithCancel(background)
+	defer cancel()
 	for name, c := range map[string]struct {
 		ctx     context.Context
 		answers bool
--- a/proxy/ingress/delivery.go
+++ b/proxy/ingress/delivery.go
@@ -50,18 +50,14 @@
 		case <-flushed:
 			return
 		case now := <-tick.C:
-			if d.Update(now); c.isStalled(d, began, now) {
+			d.Update(now)
+			if d.StalledFor(now) >= c.server.options.WriteTimeout || now.Sub(began) > maxWriteTime {
 				c.closeNow()
 			}
 		}
 	}
 }
 
-// isStalled reports whether the client is not waited for any longer.
-func (c *connection) isStalled(d *sendqueue.Delivery, began, now time.Time) bool {
-	return d.StalledFor(now) >= c.server.options.WriteTimeout || now.Sub(began) > maxWriteTime
-}
-
 // closeNow closes the connection through its read deadline, as the engine does.
 func (c *connection) closeNow() { _ = c.SetReadDeadline(time.Now()) }
 
@@ -80,23 +76,10 @@
 	gone := make(chan struct{})
 	stop := c.watchClose(func() { close(gone) })
 	defer stop()
-	began := time.Now()
-	d := sendqueue.Follow(began, c.heldBytes)
-	delivered := d.Update(began)
-	tick := time.NewTicker(lingerTimeout)
-	defer tick.Stop()
-	for {
-		select {
-		case <-gone:
-			return
-		case now := <-tick.C:
-			if delivered || c.isStalled(d, began, now) {
-				c.closeNow()
-				return
-			}
-			delivered = d.Update(now)
-		}
-	}
+	sendqueue.Await(gone, c.heldBytes, sendqueue.Limits{
+		Linger: lingerTimeout, Stall: c.server.options.WriteTimeout, Total: maxWriteTime,
+	})
+	c.closeNow()
 }
 
 // letClientClose is httpserver.LetClientClose for all versions: what closes after
--- a/proxy/ingress/server.go
+++ b/proxy/ingress/server.go
@@ -83,8 +83,8 @@
 func (s *Server) ActiveRequests() int { return int(s.activeRequests.Load()) }
 
 // Stop stops accepting, waits until all responses are written or the context
-// is done, and closes all connections; see Undelivered. If it returns nil, the memory of all
-// bodies is released.
+// is done, and closes all connections; see Undelivered. If it returns nil, the
+// memory of all bodies is released.
 func (s *Server) Stop(ctx context.Context) error {
 	s.acceptor.Stop()
 	err := waitZero(ctx, &s.activeRequests)
--- a/proxy/sendqueue/sendqueue.go
+++ b/proxy/sendqueue/sendqueue.go
@@ -49,3 +49,32 @@
 
 // StalledFor returns how long the peer has taken nothing.
 func (d *Delivery) StalledFor(now time.Time) time.Duration { return now.Sub(d.movedAt) }
+
+// Limits bound the wait for a delivery.
+type Limits struct {
+	// Linger is how long the peer has to close the connection after it has taken all.
+	Linger time.Duration
+	// Stall is how long the peer may take nothing, Total how long the whole wait may last.
+	Stall, Total time.Duration
+}
+
+// Await blocks until the connection may be closed without loss: the peer has taken all of a queue whose length bytes
+// returns, and has had Linger to close. It gives up at the other limits, and returns when closed is closed.
+func Await(closed <-chan struct{}, bytes func() int, limits Limits) {
+	began := time.Now()
+	d := Follow(began, bytes)
+	delivered := d.Update(began)
+	tick := time.NewTicker(limits.Linger)
+	defer tick.Stop()
+	for {
+		select {
+		case <-closed:
+			return
+		case now := <-tick.C:
+			if delivered || d.StalledFor(now) > limits.Stall || now.Sub(began) > limits.Total {
+				return
+			}
+			delivered = d.Update(now)
+		}
+	}
+}
--- a/proxy/sendqueue/sendqueue_test.go
+++ b/proxy/sendqueue/sendqueue_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -62,3 +63,35 @@
 		t.Errorf("%d bytes held of a closed connection", n)
 	}
 }
+
+// The wait must last until the peer has taken all and had time to close, and must end for a peer that takes nothing, for
+// one that takes bytes without end, and with the connection.
+func TestAwaitEndsWithTheDeliveryOrAtItsLimits(t *testing.T) {
+	limits := Limits{Linger: 500 * time.Millisecond, Stall: 5 * time.Second, Total: 20 * time.Second}
+	for name, c := range map[string]struct {
+		held        func(since time.Duration) int
+		close       time.Duration
+		least, most time.Duration
+	}{
+		"nothing held": {held: func(time.Duration) int { return 0 }, least: limits.Linger, most: limits.Linger},
+		"taken after 3 s": {held: func(since time.Duration) int { return max(0, 3000-int(since.Milliseconds())) },
+			least: 3*time.Second + limits.Linger, most: 3*time.Second + 2*limits.Linger},
+		"stalled":     {held: func(time.Duration) int { return 9 }, least: limits.Stall, most: limits.Stall + limits.Linger},
+		"without end": {held: func(since time.Duration) int { return 1e9 - int(since.Milliseconds()) }, least: limits.Total, most: limits.Total + limits.Linger},
+		"closed":      {held: func(time.Duration) int { return 9 }, close: time.Second, least: time.Second, most: time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				began := time.Now()
+				closed := make(chan struct{})
+				if c.close > 0 {
+					time.AfterFunc(c.close, func() { close(closed) })
+				}
+				Await(closed, func() int { return c.held(time.Since(began)) }, limits)
+				if took := time.Since(began); took < c.least || took > c.most {
+					t.Errorf("waited %v, want %v to %v", took, c.least, c.most)
+				}
+			})
+		})
+	}
+}
