placing: initial estimates leave requests of an added route time to wait

Cause: a class without samples is estimated at 1.1 times its objective on a cold target. Where that is near the route's timeout, all requests that would have to wait are refused as too late; none runs, so the estimate never changes.

TestFirstRequestsOfAddedRouteAreQueuedWhileTargetsAreBusy failed: refused, expected after 1.815 s.

Fix: an initial estimate is half of the route's timeout at most.

--- a/edge/placing/class.go
+++ b/edge/placing/class.go
@@ -10,6 +10,9 @@
 	// easily, cold ones to miss it narrowly.
 	initialWarmShare = 0.4
 	initialColdShare = 1.1
+	// maxInitialShare bounds the initial estimates as a fraction of the route's timeout, so that
+	// requests of a class without samples may wait.
+	maxInitialShare = 0.5
 )
 
 // Class holds the estimated service times of a class of requests on warm and on cold
@@ -46,11 +49,15 @@
 	*estimate += time.Duration(serviceTimeSmoothing * float64(took-*estimate))
 }
 
-// NewClassWithin is as NewClass for a route that also has a timeout, 0 for none. Estimates from an objective far above
-// the timeout have all requests refused that would wait, and then do not change, as none of them runs.
+// NewClassWithin is as NewClass for a route that also has a timeout, 0 for none. Estimates near the timeout have all
+// requests refused that would wait, and then do not change, as none of them runs.
 func NewClassWithin(objective, timeout time.Duration) *Class {
 	if timeout > 0 && (objective <= 0 || timeout < objective) {
 		objective = timeout
 	}
-	return NewClass(objective)
+	c := NewClass(objective)
+	if timeout > 0 {
+		c.cold = min(c.cold, time.Duration(maxInitialShare*float64(timeout)))
+	}
+	return c
 }
