--- a/proxy/outcome_test.go
+++ b/proxy/outcome_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"testing"
 
 	"github.com/yuccaroute/yuccaroute/api/result"
@@ -58,14 +59,12 @@
 		return "HTTP/1.1 503 Busy\r\nYucca-Shed: 1\r\n" + result.HeaderExchange + ": " + r.Header.Get(result.HeaderExchange) +
 			"\r\nContent-Length: 0\r\n\r\n"
 	}
+	// The second order may come over another connection that was opened in advance.
+	var first atomic.Pointer[http.Request]
 	target := newScriptedTarget(t, func(c *scriptedConn) {
-		first := c.next()
-		if first == nil {
-			return
-		}
-		c.respond(refusal(first))
-		for c.next() != nil {
-			c.respond(refusal(first))
+		for r := c.next(); r != nil; r = c.next() {
+			first.CompareAndSwap(nil, r)
+			c.respond(refusal(first.Load()))
 		}
 	})
 	p := newTestProxy(t, nil, target.address())
