gateway: log lines tell exchange, match and evidence of each sending

A refused request that ran left no line by which a late copy of a refusal could be told from foreign bytes, from a lost decline between VMs or from a promise of the target's own. Each sending, to a target or to another VM, now has its connection and exchange, how the answer named the request, what was discarded before it, and what showed that the request did not run. No logic changes: package notrun names the evidence as the code infers it today.

--- a/edge/gateway/delegate.go
+++ b/edge/gateway/delegate.go
@@ -10,10 +10,12 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/yuccaroute/yuccaroute/api/result"
+	"github.com/yuccaroute/yuccaroute/edge/logs"
 	"github.com/yuccaroute/yuccaroute/edge/owners"
 	"github.com/yuccaroute/yuccaroute/edge/serve"
 	"github.com/yuccaroute/yuccaroute/edge/site"
 	"github.com/yuccaroute/yuccaroute/proxy/forward"
+	"github.com/yuccaroute/yuccaroute/proxy/notrun"
 	"github.com/yuccaroute/yuccaroute/proxy/pool"
 )
 
@@ -178,18 +180,22 @@
 // for idempotent requests only.
 func (g *Gateway) delegate(ctx context.Context, r *request, o *owners.Owner, why reason) (outcome, bool) {
 	began := time.Now()
-	answer, err := g.sendToOwner(ctx, r, o, why)
+	answer, exchange, err := g.sendToOwner(ctx, r, o, why)
 	took := time.Since(began)
 	g.options.Metrics.RequestDelegated(string(why), delegationResult(answer, err))
 	r.declinedFor = ""
+	evidence := ownerEvidence(answer, err)
+	r.log.delegated.add(exchange, evidence)
+	line := logs.Keep(g.options.Logger.WithFields(logrus.Fields{
+		"id": r.id, "owner": o.Name, "reason": why, "ms": took.Milliseconds(),
+		"exchange": exchange.Exchanged(), "matched": exchange.Match.String(), "not_run": evidence.String(),
+	}))
 	if err != nil {
-		g.options.Logger.WithError(err).WithField("id", r.id).WithField("owner", o.Name).
-			WithField("ms", took.Milliseconds()).Warn("gateway: owner did not answer")
+		line.WithError(err).Warn("gateway: owner did not answer")
 		return g.handleOwnerFailure(ctx, r, o, err)
 	}
 	if r.declinedFor = declinedFor(answer); r.declinedFor != "" {
-		g.options.Logger.WithFields(logrus.Fields{"id": r.id, "owner": o.Name, "reason": why, "why": r.declinedFor}).
-			Info("gateway: delegated request declined")
+		line.WithField("why", r.declinedFor).Info("gateway: delegated request declined")
 		switch r.declinedFor {
 		case notReached:
 			o.Avoid(time.Now())
@@ -206,6 +212,24 @@
 	return delegatedOutcome(answer), true
 }
 
+// ownerEvidence returns what shows that another VM has not sent a request to a target.
+func ownerEvidence(answer *forward.Response, err error) notrun.Evidence {
+	var failed *forward.Error
+	switch {
+	case err != nil && !errors.As(err, &failed):
+		return notrun.UnknownError
+	case err != nil && failed.NotRun():
+		return notrun.NothingWritten
+	case err != nil:
+		return notrun.None
+	case declinedFor(answer) == notRead:
+		return notrun.FieldMissing
+	case declinedFor(answer) != "":
+		return notrun.Stated
+	}
+	return notrun.None
+}
+
 // handleOwnerFailure decides what to do with a request whose owner did not answer; its results
 // are those of delegate.
 func (g *Gateway) handleOwnerFailure(ctx context.Context, r *request, o *owners.Owner, err error) (outcome, bool) {
@@ -233,7 +257,7 @@
 	return outcome{}, false
 }
 
-func (g *Gateway) sendToOwner(ctx context.Context, r *request, o *owners.Owner, why reason) (*forward.Response, error) {
+func (g *Gateway) sendToOwner(ctx context.Context, r *request, o *owners.Owner, why reason) (*forward.Response, forward.Trace, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if r.route.Kind == site.Idempotent {
@@ -243,7 +267,7 @@
 	p := g.ownerPool(o)
 	conn, err := p.Get(ctx, r.id)
 	if err != nil {
-		return nil, err
+		return nil, forward.Trace{}, err
 	}
 	defer p.Put(conn)
 	out := r.out
@@ -262,7 +286,8 @@
 		out.Header.Set(fieldAccount, r.identity.Account.Name)
 		out.Header.Set(fieldKeyDigest, r.identity.Digest.String())
 	}
-	return g.exchange(ctx, conn, &out)
+	answer, err := g.exchange(ctx, conn, &out)
+	return answer, conn.Trace(), err
 }
 
 // ownerPool returns the connection pool of an owner.
--- a/edge/gateway/run.go
+++ b/edge/gateway/run.go
@@ -14,6 +14,7 @@
 	"github.com/yuccaroute/yuccaroute/edge/reach"
 	"github.com/yuccaroute/yuccaroute/edge/site"
 	"github.com/yuccaroute/yuccaroute/proxy/forward"
+	"github.com/yuccaroute/yuccaroute/proxy/notrun"
 	"github.com/yuccaroute/yuccaroute/proxy/pool"
 )
 
@@ -36,11 +37,13 @@
 type attempt struct {
 	decision placing.Decision
 	answer   *forward.Response
-	// notRun is set only if the request certainly did not run.
-	notRun bool
-	code   result.Code
-	err    error
-	took   time.Duration
+	// evidence is what shows that the request did not run, notrun.None if it may have run.
+	evidence notrun.Evidence
+	// exchange is that of the attempt, without a number if there was none.
+	exchange forward.Trace
+	code     result.Code
+	err      error
+	took     time.Duration
 	// fresh is set if the request was the first one on its connection.
 	fresh bool
 }
@@ -191,7 +194,7 @@
 			}
 			// The second target refused the request and the first has not answered: hedge
 			// again, or the request waits until its deadline.
-			if a.notRun && r.attempts < maxAttempts {
+			if a.evidence.Certain() && r.attempts < maxAttempts {
 				hedgeTimer.Reset(minHedgeDelay)
 			}
 		case <-hedgeTimer.C:
@@ -244,16 +247,17 @@
 	if a.code != result.TargetShed || !a.decision.FailuresAreWidespread {
 		r.placement.Tried = append(r.placement.Tried, a.decision.Target)
 	}
-	r.mayHaveRun = r.mayHaveRun || !a.notRun
+	r.mayHaveRun = r.mayHaveRun || !a.evidence.Certain()
 	r.log.targets = append(r.log.targets, a.decision.Target.ID)
 	end := "answered"
 	if a.err != nil {
 		end = a.err.Error()
-	} else if a.notRun {
+	} else if a.evidence.Certain() {
 		end = "not run"
 	}
 	r.log.results = append(r.log.results, end)
 	r.log.durationsMS = append(r.log.durationsMS, a.took.Milliseconds())
+	r.log.exchanges.add(a.exchange, a.evidence)
 	g.options.Metrics.AttemptEnded(r.service, a.code.String())
 	g.recordExpectedError(r, a)
 	g.recordAnswered(r, a)
@@ -276,7 +280,7 @@
 	p := g.poolOf(d.Target)
 	conn, err := p.Get(ctx, r.id)
 	if err != nil {
-		return attempt{decision: d, notRun: true, code: result.ConnectFailed, err: err}
+		return attempt{decision: d, evidence: notrun.NotSent, code: result.ConnectFailed, err: err}
 	}
 	defer p.Put(conn)
 	fresh := !conn.Used()
@@ -285,7 +289,7 @@
 		updateIdleTimeout(p, answer.Header)
 	}
 	a := g.classify(d, answer, err)
-	a.fresh = fresh
+	a.fresh, a.exchange = fresh, conn.Trace()
 	return a
 }
 
@@ -334,11 +338,16 @@
 	var failed *forward.Error
 	switch {
 	case errors.As(err, &failed):
-		a.code, a.err, a.notRun = failed.Code, err, failed.NotRun()
+		a.code, a.err = failed.Code, err
+		if failed.NotRun() {
+			a.evidence = notrun.NothingWritten
+		}
 	case err != nil:
 		a.code, a.err = result.ConnectionLost, err
-	case answer.Header.Get(g.options.Fields.NotRun) != "" || answer.Status == http.StatusMisdirectedRequest:
-		a.code, a.notRun, a.answer = result.TargetShed, true, nil
+	case answer.Header.Get(g.options.Fields.NotRun) != "":
+		a.code, a.evidence, a.answer = result.TargetShed, notrun.Stated, nil
+	case answer.Status == http.StatusMisdirectedRequest:
+		a.code, a.evidence, a.answer = result.TargetShed, notrun.Misdirected, nil
 	case answer.Header.Get(g.options.Fields.Stamp) == "" && answer.Status < http.StatusBadRequest:
 		// Only the stamp proves that a success came from the target.
 		a.code, a.answer, a.err = result.AnswerTruncated, nil, errNoStamp
@@ -384,19 +393,19 @@
 	end := outcome{code: a.code, reason: "attempt failed"}
 	if a.answer != nil {
 		end = answered
-	} else if a.notRun {
+	} else if a.evidence.Certain() {
 		end.retryAfter = max(shedRetryAfter, g.options.Balancer.RetryAfter(time.Now(), &r.placement))
 	}
-	if !a.notRun && !repeatable {
+	if !a.evidence.Certain() && !repeatable {
 		return end, true
 	}
-	if !a.notRun && r.attempts >= r.route.MaxAttempts || r.attempts >= maxAttempts {
+	if !a.evidence.Certain() && r.attempts >= r.route.MaxAttempts || r.attempts >= maxAttempts {
 		return end, true
 	}
-	if g.limitedToOneAttempt(r) && (r.onTrial || !a.notRun) {
+	if g.limitedToOneAttempt(r) && (r.onTrial || !a.evidence.Certain()) {
 		return end, true
 	}
-	if !a.notRun && !g.mayRepeat(r) {
+	if !a.evidence.Certain() && !g.mayRepeat(r) {
 		return end, true
 	}
 	if a.code != result.ConnectFailed && !g.budgetOf(r.service).Take() {
--- a/edge/gateway/serve.go
+++ b/edge/gateway/serve.go
@@ -10,6 +10,7 @@
 
 	"github.com/yuccaroute/yuccaroute/api/result"
 	"github.com/yuccaroute/yuccaroute/edge/accounts"
+	"github.com/yuccaroute/yuccaroute/edge/logs"
 	"github.com/yuccaroute/yuccaroute/edge/owners"
 	"github.com/yuccaroute/yuccaroute/edge/placing"
 	"github.com/yuccaroute/yuccaroute/edge/quarantine"
@@ -244,7 +245,10 @@
 	results []string
 	// durationsMS holds the duration of each attempt, network included.
 	durationsMS []int64
+	exchanges   exchangeLog
 	hedged      bool
+	// delegated are the exchanges with other VMs.
+	delegated exchangeLog
 	// owner is the VM that the request was delegated to, if any, ownerDuration how long it
 	// took, network included, reason why. from is the VM that has delegated it to this one.
 	owner         string
@@ -283,6 +287,7 @@
 		line["pace"], line["load_age_ms"] = t.decision.Pace, t.decision.LoadAge.Milliseconds()
 	}
 	line["warm"], line["hedged"] = t.decision.Warm, t.hedged
+	t.exchanges.addFields(line)
 }
 
 // record counts a request and logs it. Only the VM that the caller connected to counts it;
@@ -309,7 +314,8 @@
 	if r.log.owner != "" {
 		fields["owner"], fields["owner_ms"] = r.log.owner, r.log.ownerDuration.Milliseconds()
 		fields["reason"], fields["declined"], fields["sent"] = r.log.reason, r.relays, r.attempts
-		g.options.Logger.WithFields(fields).Info("gateway: request delegated")
+		r.log.delegated.addFields(fields)
+		g.logEnd(r, end, fields, "gateway: request delegated")
 		return
 	}
 	fields["sent"] = r.attempts
@@ -338,5 +344,15 @@
 			g.options.Metrics.RequestRefused(refusals.Refusal{Service: r.service, Region: r.log.region, Account: r.accountName(), Reason: end.reason})
 		}
 	}
-	g.options.Logger.WithFields(fields).Info("gateway: request ended")
+	g.logEnd(r, end, fields, "gateway: request ended")
+}
+
+// logEnd logs the end of a request. Lines of requests that were refused, failed or were sent more than once are kept
+// when lines are dropped.
+func (g *Gateway) logEnd(r *request, end outcome, fields logrus.Fields, message string) {
+	line := g.options.Logger.WithFields(fields)
+	if end.code != result.OK || r.attempts > 1 || r.relays > 0 || !r.log.exchanges.isPlain() || !r.log.delegated.isPlain() {
+		line = logs.Keep(line)
+	}
+	line.Info(message)
 }
--- a/proxy/forward/conn.go
+++ b/proxy/forward/conn.go
@@ -45,6 +45,8 @@
 	probe *idleProbe
 	// abort unblocks pending reads and writes.
 	abort func()
+	// trace is that of the last exchange.
+	trace Trace
 	// watched is nil for a connection that does not watch its peer, lost is set when it reports the peer lost.
 	watched watched
 	lost    atomic.Bool
@@ -67,6 +69,7 @@
 		reader:   bufio.NewReaderSize(limited, readBufferBytes),
 		reusable: true,
 		probe:    newIdleProbe(c),
+		trace:    Trace{Conn: connCounter.Add(1)},
 		abort:    func() { _ = c.SetDeadline(pastDeadline) },
 	}
 }
@@ -105,6 +108,7 @@
 		return nil, newError(result.ConnectFailed, errRepeatedID)
 	}
 	c.reusable = false
+	c.beginTrace()
 	c.limited.remaining = maxHeaderBytes
 	if err := c.conn.SetDeadline(r.Deadline); err != nil {
 		return nil, newError(result.ConnectFailed, err)
@@ -151,6 +155,7 @@
 		return c.exchangeConcurrently(ctx, r, exchangeID, timeout)
 	}
 	sent := c.send(ctx, r, exchangeID, timeout)
+	c.trace.Written = sent.written
 	writeErr := sent.err
 	if writeErr != nil && sent.written == 0 {
 		// Nothing was written, so the target cannot have received the request.
--- a/proxy/forward/receive.go
+++ b/proxy/forward/receive.go
@@ -35,7 +35,7 @@
 // receive reads the response. The request may have run by now, so every failure
 // has an unknown outcome.
 func (c *Conn) receive(ctx context.Context, r *Request, exchangeID uint64) (*Response, error) {
-	resp, err := c.readMatchingHeader(r)
+	resp, err := c.readMatchingHeader(r, exchangeID)
 	if err != nil {
 		return nil, newError(headerReadCode(ctx, err), err)
 	}
@@ -69,16 +69,18 @@
 // readMatchingHeader reads the header of the response to this request. A late
 // duplicate response to an earlier request carries another request ID and is
 // discarded, so that it does not reach the wrong client.
-func (c *Conn) readMatchingHeader(r *Request) (*http.Response, error) {
+func (c *Conn) readMatchingHeader(r *Request, exchangeID uint64) (*http.Response, error) {
 	for range maxResponseHeaders {
 		resp, err := c.readFinalHeader(r)
 		if err != nil {
 			return nil, err
 		}
 		c.limited.remaining += r.MaxResponseBytes + maxFramingBytes
+		c.match(resp, r, exchangeID)
 		if !r.Dialect.isMismatch(resp) {
 			return resp, nil
 		}
+		c.discarded(resp)
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, errExchangeMismatch
 		}
--- a/proxy/forward/send.go
+++ b/proxy/forward/send.go
@@ -31,6 +31,7 @@
 	}()
 	resp, err := c.receive(ctx, r, exchangeID)
 	res, complete := c.stopSending(done, cancel)
+	c.trace.Written = res.written
 	if res.err != nil && res.written == 0 {
 		return nil, newError(codeBeforeSend(ctx, res.err), res.err)
 	}
