--- a/integration/soak/process_test.go
+++ b/integration/soak/process_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"flag"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -13,9 +14,15 @@
 	"github.com/yuccaroute/yuccaroute/standin/loopback"
 )
 
+// entryProgram replaces the program under test, to count what another revision does.
+var entryProgram = flag.String("program", "", "a built yuccaentry; by default it is built from the sources")
+
 // buildEntry builds the program under test once.
 func buildEntry(t *testing.T) string {
 	t.Helper()
+	if *entryProgram != "" {
+		return *entryProgram
+	}
 	path := filepath.Join(t.TempDir(), "yuccaentry")
 	out, err := exec.Command("go", "build", "-o", path, "github.com/yuccaroute/yuccaroute/cmd/yuccaentry").CombinedOutput()
 	if err != nil {
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -185,18 +185,30 @@
 
 // newWorldOf starts VMs whose other settings are given.
 func newWorldOf(t *testing.T, program string, seed uint64, settings platformtest.VMSettings) *world {
+	t.Helper()
+	return newWorldOfSize(t, program, seed, settings, size{vms: *vms, targets: targetsPerService, work: work})
+}
+
+// size is that of a world: VMs, targets of each service, and the time that they take for a request.
+type size struct {
+	vms, targets int
+	work         time.Duration
+}
+
+// newWorldOfSize starts VMs and targets.
+func newWorldOfSize(t *testing.T, program string, seed uint64, settings platformtest.VMSettings, size size) *world {
 	t.Helper()
 	w := &world{
 		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 0)), kv: memkv.New(memkv.Options{}), ledger: platformtest.NewExecutionLog(),
-		faults: make(map[string]int), timeline: &timeline{began: time.Now()}, draining: make([]bool, 2*targetsPerService),
+		faults: make(map[string]int), timeline: &timeline{began: time.Now()}, draining: make([]bool, 2*size.targets),
 	}
 	w.operator = platformtest.Operator{KV: w.kv}
 	w.store = platformtest.NewStore(w.kv)
 	t.Cleanup(w.store.Close)
 	w.configure()
 	names := []string{"n1", "n2", "s1"}
-	for i := range 2 * targetsPerService {
-		target := platformtest.NewTarget(fmt.Sprintf("i-%d", i), fmt.Sprintf("s%d", i%2), names[i%3], work, w.ledger)
+	for i := range 2 * size.targets {
+		target := platformtest.NewTarget(fmt.Sprintf("i-%d", i), fmt.Sprintf("s%d", i%2), names[i%3], size.work, w.ledger)
 		t.Cleanup(target.Close)
 		path := w.path(target.Address())
 		path.vmOf = w.vmOf
@@ -211,7 +223,7 @@
 		dir = filepath.Join(dir, fmt.Sprint(seed))
 		w.must(os.MkdirAll(dir, 0o755))
 	}
-	for i := range *vms {
+	for i := range size.vms {
 		path := w.path(w.store.Address())
 		w.storePaths = append(w.storePaths, path)
 		zone := names[i%3]
