forward: an answer that names no request is nobody's

Callers of orders were told 503, not run, while a target ran them; orders ran twice; callers got foreign bytes. Targets that send a complete answer of no request before the one that is due: today's code took any answer whose ID field was missing or empty for that of the exchange under way, and of two IDs the first one.

An answer counts only if its ID field names this request and no other. What does not is discarded and the answer that is due is read (yuccarouted, whose targets must repeat Yucca-Exchange and answer once: the exchange ends as unknown, as with an answer of another exchange before). It had the fault too: an answer without the field was accepted, Yucca-Shed included.

A probe has a new connection of its own, on which no other request has a claim to an answer. Requests without an ID are refused with 400, as targets would. Between VMs each answer names its request now, also those of a server that refuses a request unread, which says so in Yucca-Declined.

Evidence: TestAnswerThatNamesNoRequestIsNobodys failed in 6 of 7 cases before, TestProbeHasAConnectionOfItsOwn and TestRequestWithoutIDIsRefused too.

Tests changed: stand-ins of targets name the exchange, which they must; the relay that is out of memory is a real server now, and an unnamed 503 is a case of its own that ends in 502: what it said before is no promise.

--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -208,11 +208,15 @@
 		if l.address == e.options.PeerAddress {
 			share = ofPeers
 		}
-		s, err := serve.Start(serve.Options{
+		options := serve.Options{
 			Address: l.address, Handler: l.handler, Limits: l.limits, Memory: share,
 			MaxUnreadBytes: int64(unreadMemoryShare * float64(e.options.MemoryBytes)),
 			Logger:         e.component("serve"), MaxConnections: e.options.MaxConnections,
-		})
+		}
+		if l.address == e.options.PeerAddress {
+			e.gateway.RefuseUnread(&options)
+		}
+		s, err := serve.Start(options)
 		if err != nil {
 			return err
 		}
--- a/edge/gateway/delegate.go
+++ b/edge/gateway/delegate.go
@@ -74,14 +74,29 @@
 	ownerRTT = 2 * time.Millisecond
 )
 
+// RefuseUnread makes the server for other VMs name the requests that it refuses unread, and tell that it has.
+func (g *Gateway) RefuseUnread(o *serve.Options) {
+	o.IDField, o.RefusedHeader = g.options.Fields.RequestID, http.Header{fieldDeclined: {notRead}}
+}
+
 // IsDelegated reports whether a request on the peer port is a caller's request that another
 // VM delegated.
 func IsDelegated(r *serve.Request) bool { return r.Header.Get(fieldVersion) != "" }
 
-// HandleDelegated implements serve.Handler for requests that other VMs delegate. It declines
-// a request that was matched with another version of the configuration: callers of one VM
-// would otherwise see it alternate between versions, depending on the owner.
+// HandleDelegated implements serve.Handler for requests that other VMs delegate. Each answer names its request.
 func (g *Gateway) HandleDelegated(ctx context.Context, in *serve.Request) *serve.Response {
+	id := in.Header.Get(g.options.Fields.RequestID)
+	a := g.handleDelegated(ctx, in)
+	if a != nil {
+		a.Header.Set(g.options.Fields.RequestID, id)
+	}
+	return a
+}
+
+// handleDelegated is HandleDelegated, whose answers may lack the ID. It declines a request that was
+// matched with another version of the configuration: callers of one VM would otherwise see it alternate between
+// versions, depending on the owner.
+func (g *Gateway) handleDelegated(ctx context.Context, in *serve.Request) *serve.Response {
 	version, err := strconv.ParseUint(in.Header.Get(fieldVersion), 10, 64)
 	table := g.table.Load()
 	switch {
--- a/edge/gateway/delegate_test.go
+++ b/edge/gateway/delegate_test.go
@@ -55,12 +55,14 @@
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	s, err := serve.Start(serve.Options{
-		Address: "127.0.0.1:0", Handler: f.HandleDelegated, Logger: logrus.NewEntry(log),
+	options := serve.Options{
+		Address: "127.0.0.1:0", Handler: f.HandleDelegated, Logger: logrus.NewEntry(log), Memory: f.peerMemory,
 		Limits: func() serve.Limits {
 			return serve.Limits{HeaderBytes: 8192, BodyBytes: 1 << 20, HeaderTime: time.Second, IdleTime: time.Minute}
 		},
-	})
+	}
+	f.RefuseUnread(&options)
+	s, err := serve.Start(options)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/edge/gateway/fixture_test.go
+++ b/edge/gateway/fixture_test.go
@@ -107,7 +107,7 @@
 
 // shed refuses the request without running it.
 func shed(w *bufio.Writer, r *http.Request, _ string) bool {
-	io.WriteString(w, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	fmt.Fprintf(w, "HTTP/1.1 503 Service Unavailable\r\nX-Id: %s\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Id"))
 	return true
 }
 
@@ -130,7 +130,9 @@
 	logs *bytes.Buffer
 	// edit changes each view before it is applied.
 	edit func(*catalog.View)
-	mu   sync.Mutex
+	// peerMemory limits the bodies of delegated requests; nil means no limit.
+	peerMemory serve.Memory
+	mu         sync.Mutex
 }
 
 func (f *fixture) Write(p []byte) (int, error) {
--- a/edge/gateway/probe.go
+++ b/edge/gateway/probe.go
@@ -35,17 +35,15 @@
 	limit := probeTimeout + g.options.RTT(t.Region)
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	p := g.poolOf(t)
-	id := g.newProbeID()
-	conn, err := p.Get(ctx, id)
+	raw, err := g.dialTarget(t)(ctx, t.Address)
 	if err != nil {
 		return false, 0, err
 	}
-	defer p.Put(conn)
-	fresh := !conn.Used()
-	answer, err := g.exchangeProbe(ctx, t, path, id, conn, limit)
+	conn := forward.NewConn(raw)
+	defer conn.Close()
+	answer, err := g.exchangeProbe(ctx, t, path, conn, limit)
 	if err != nil {
-		if fresh && ctx.Err() == nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		if ctx.Err() == nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			// Ejected targets get no requests whose loss would show that they are not reached.
 			g.reach.NotConnected(time.Now(), groupOf(t), t.Incarnation)
 		}
@@ -64,14 +62,19 @@
 	return healthy, coldRemaining
 }
 
-// exchangeProbe sends a health probe over a connection and records what the target states.
-func (g *Gateway) exchangeProbe(ctx context.Context, t *placing.Target, path, id string, conn *forward.Conn, limit time.Duration) (*forward.Response, error) {
+// exchangeProbe sends a health probe over a new connection and records what the target states. Answers to probes need
+// not name them.
+func (g *Gateway) exchangeProbe(ctx context.Context, t *placing.Target, path string, conn *forward.Conn, limit time.Duration) (*forward.Response, error) {
+	id := g.newProbeID()
 	sent := g.newSending(t, id)
 	sent.probe = true
 	return conn.Exchange(ctx, &forward.Request{
 		Method: http.MethodGet, URI: path, Host: t.Address, Header: http.Header{},
 		Deadline: time.Now().Add(limit), MaxResponseBytes: maxProbeBytes,
-		Dialect: &forward.Dialect{DeadlineField: g.options.Fields.Deadline, IDField: g.options.Fields.RequestID, ID: id, CloseDelimited: true},
+		Dialect: &forward.Dialect{
+			DeadlineField: g.options.Fields.Deadline, IDField: g.options.Fields.RequestID, ID: id,
+			CloseDelimited: true, AcceptUnnamed: true,
+		},
 		HeaderReceived: func(status int, h http.Header) {
 			if h.Get(g.options.Fields.TargetID) == t.ID {
 				g.observe(sent, status, h)
--- a/edge/gateway/reach.go
+++ b/edge/gateway/reach.go
@@ -110,7 +110,7 @@
 	p.Connected = 1
 	conn := forward.NewConn(raw)
 	defer conn.Close()
-	answer, err := g.exchangeProbe(ctx, t, path, g.newProbeID(), conn, limit)
+	answer, err := g.exchangeProbe(ctx, t, path, conn, limit)
 	switch {
 	case err == nil:
 		p.Answered = 1
--- a/edge/gateway/relay_test.go
+++ b/edge/gateway/relay_test.go
@@ -109,6 +109,12 @@
 	}
 }
 
+// noMemory has room for no body.
+type noMemory struct{}
+
+func (noMemory) Take(int64) bool { return false }
+func (noMemory) Give(int64)      {}
+
 // forwardTo copies a connection to an address and back.
 func forwardTo(c net.Conn, address string) {
 	defer c.Close()
@@ -158,12 +164,17 @@
 			return l.Addr().String()
 		}, http.StatusOK, 1},
 		{"out of memory", "/once/x", func(t *testing.T) string {
+			f := newGateway(t, startTarget(t, "c", ok))
+			f.peerMemory = noMemory{}
+			return f.servePeers(t)
+		}, http.StatusOK, 1},
+		{"refuses without naming the request", "/once/x", func(t *testing.T) string {
 			return startPeer(t, func(c net.Conn) {
 				fmt.Fprint(c, "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.3\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
 				_, _ = http.ReadRequest(bufio.NewReader(c))
 				c.Close()
 			})
-		}, http.StatusOK, 1},
+		}, http.StatusBadGateway, 0},
 		{"killed with an order", "/once/x", func(t *testing.T) string { return startPeer(t, hangsUp) }, http.StatusBadGateway, 0},
 		{"killed with a look-up", "/safe/x", func(t *testing.T) string { return startPeer(t, hangsUp) }, http.StatusOK, 1},
 	} {
--- a/edge/gateway/serve.go
+++ b/edge/gateway/serve.go
@@ -119,6 +119,10 @@
 	if refused, ok := g.identify(r); !ok {
 		return refused
 	}
+	if r.id == "" {
+		// Its answer could not be told from those to other requests; targets refuse it for the same reason.
+		return outcome{code: result.BadRequest, reason: "no request ID"}
+	}
 	if refused := g.prepare(r); refused.code != result.OK {
 		return refused
 	}
--- a/edge/serve/conn.go
+++ b/edge/serve/conn.go
@@ -35,6 +35,8 @@
 	closed  chan struct{}
 	once    sync.Once
 	lingers sync.Once
+	// head is the header of the request that is being read, nil before it is known.
+	head http.Header
 
 	mu sync.Mutex
 	// inFlight is the number of accepted requests without a complete response.
@@ -178,18 +180,20 @@
 // for a request to refuse, and other errors for the end of the connection.
 func (c *conn) read() (*incoming, error) {
 	limits := c.server.options.Limits()
+	c.head = nil
 	if err := c.awaitRequest(limits.IdleTime); err != nil {
 		return nil, err
 	}
-	if c.server.hasTooManyUnread() {
-		return nil, errUnread
-	}
 	began := time.Now()
 	_ = c.nc.SetReadDeadline(began.Add(limits.HeaderTime))
 	r, err := c.readHead(limits)
 	if err != nil {
 		return nil, err
 	}
+	c.head = r.Header
+	if c.server.hasTooManyUnread() {
+		return nil, errUnread
+	}
 	in := &incoming{last: r.Close || !r.ProtoAtLeast(1, 1), Request: &Request{
 		Method: r.Method, Target: r.RequestURI, Path: r.URL.Path, Query: r.URL.Query(),
 		Host: r.Host, Header: r.Header, Arrived: began,
@@ -283,7 +287,7 @@
 			c.server.options.Logger.WithFields(logrus.Fields{"panic": cause, "stack": string(debug.Stack())}).
 				Error("serve: handler panicked")
 			info := result.InfoOf(result.Internal)
-			response = PlainText(info.HTTP, info.Name+"\n")
+			response = c.ownResponse(info.HTTP, info.Name+"\n", r.Header)
 			response.Header[result.HeaderResult] = []string{strconv.Itoa(int(info.Code))}
 		}
 	}()
--- a/edge/serve/refuse.go
+++ b/edge/serve/refuse.go
@@ -18,7 +18,10 @@
 		return
 	}
 	c.server.options.Logger.WithError(err).WithField("status", status).Info("serve: request refused")
-	a := PlainText(status, "")
+	a := c.ownResponse(status, "", c.head)
+	for name, values := range c.server.options.RefusedHeader {
+		a.Header[name] = values
+	}
 	if status == http.StatusServiceUnavailable {
 		a.Header["Retry-After"] = []string{"0.3"}
 	}
@@ -27,6 +30,16 @@
 	}
 }
 
+// ownResponse returns a response that is not the handler's. It repeats the ID of the request, whose header is h; nil if it
+// was not read.
+func (c *conn) ownResponse(status int, text string, h http.Header) *Response {
+	a := PlainText(status, text)
+	if id := h.Get(c.server.options.IDField); id != "" {
+		a.Header.Set(c.server.options.IDField, id)
+	}
+	return a
+}
+
 // statusOf returns the status for a request that could not be read, 0 for no response.
 func statusOf(err error) int {
 	var bad *badRequestError
--- a/edge/serve/server.go
+++ b/edge/serve/server.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"context"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,7 +49,11 @@
 	// MaxUnreadBytes limits the bodies of responses that callers have not read yet, in bytes. While
 	// there are more, new requests are refused as not run; 0 means no limit.
 	MaxUnreadBytes int64
-	Logger         *logrus.Entry
+	// IDField is the field of a request that responses made by the server itself repeat; "" for none.
+	IDField string
+	// RefusedHeader has more fields of responses to requests that were not passed to the handler.
+	RefusedHeader http.Header
+	Logger        *logrus.Entry
 	// MaxConnections limits the open connections; 0 means no limit.
 	MaxConnections int
 	// WriteTimeout is how long a caller may read nothing of a response, unless it has a later deadline; 0 means
--- a/proxy/forward/codes.go
+++ b/proxy/forward/codes.go
@@ -30,6 +30,9 @@
 	if errors.Is(err, errResponseTooLarge) {
 		return result.AnswerTooLarge
 	}
+	if errors.Is(err, errExchangeMismatch) {
+		return result.AnswerTruncated
+	}
 	return codeAfterSend(ctx, err)
 }
 
--- a/proxy/forward/conn.go
+++ b/proxy/forward/conn.go
@@ -104,8 +104,8 @@
 	if timeout <= 0 || ctx.Err() != nil {
 		return nil, newError(result.DeadlineBeforeSend, ctx.Err())
 	}
-	if !c.recordRequest(r) {
-		return nil, newError(result.ConnectFailed, errRepeatedID)
+	if err := c.recordRequest(r); err != nil {
+		return nil, newError(result.ConnectFailed, err)
 	}
 	c.reusable = false
 	c.beginTrace()
@@ -119,7 +119,7 @@
 	resp, err := c.exchangeWatched(ctx, r, timeout)
 	c.used = c.used || err == nil
 	c.givenUp = err != nil
-	if !stop() || !c.reusable || c.history.isFull() {
+	if !stop() || !c.reusable || c.history.isFull() || r.acceptsUnnamed() {
 		// Cancellation may have overwritten the deadline.
 		c.reusable = false
 		return resp, err
--- a/proxy/forward/conn_test.go
+++ b/proxy/forward/conn_test.go
@@ -192,7 +192,7 @@
 	shed := "HTTP/1.1 503 Busy\r\nYucca-Shed: 1\r\nContent-Length: 0\r\n\r\n"
 	seen := make(chan struct{})
 	c := newTestConn(t, func(p *scriptedTarget) {
-		if _, err := http.ReadRequest(p.reader); err == nil {
+		if _, err := p.readHead(); err == nil {
 			p.write(shed)
 		}
 		<-seen
@@ -336,7 +336,7 @@
 func TestStalledBodyAbortsExchange(t *testing.T) {
 	observed := make(chan error, 1)
 	c := newTestConn(t, func(p *scriptedTarget) {
-		r, err := http.ReadRequest(p.reader)
+		r, err := p.readHead()
 		if err == nil {
 			_, err = io.Copy(io.Discard, r.Body)
 		}
--- a/proxy/forward/fuzz_test.go
+++ b/proxy/forward/fuzz_test.go
@@ -8,36 +8,49 @@
 	"time"
 
 	"github.com/yuccaroute/yuccaroute/api/result"
+	"github.com/yuccaroute/yuccaroute/proxy/forward/forwardtest"
 )
 
 // replayConn reads from a fixed text and discards writes.
+// The answers in the text name the exchange of the first request that is written.
 type replayConn struct {
 	net.Conn
-	text io.Reader
-	read int
+	text []byte
+	from io.Reader
+	// cut bytes are missing at the end of the text.
+	cut, read int
 }
 
 func (r *replayConn) Read(p []byte) (int, error) {
-	n, err := r.text.Read(p)
+	n, err := r.from.Read(p)
 	r.read += n
 	return n, err
 }
-func (*replayConn) Write(p []byte) (int, error)      { return len(p), nil }
+func (r *replayConn) Write(p []byte) (int, error) {
+	if r.from == nil {
+		_, rest, _ := bytes.Cut(p, []byte(result.HeaderExchange+": "))
+		exchange, _, _ := bytes.Cut(rest, []byte("\r\n"))
+		named := forwardtest.Name(string(r.text), string(exchange))
+		r.text = []byte(named[:len(named)-r.cut])
+		r.from = bytes.NewReader(r.text)
+	}
+	return len(p), nil
+}
 func (*replayConn) Close() error                     { return nil }
 func (*replayConn) SetDeadline(time.Time) error      { return nil }
 func (*replayConn) SetReadDeadline(time.Time) error  { return nil }
 func (*replayConn) SetWriteDeadline(time.Time) error { return nil }
 
-// exchangeWith runs an exchange against the given response bytes and returns how
-// many of them were consumed.
-func exchangeWith(method string, text []byte) (resp *Response, used int, err error) {
-	conn := &replayConn{text: bytes.NewReader(text)}
+// exchangeWith runs an exchange against the given response bytes without the last cut ones, and returns how many of them
+// were not consumed.
+func exchangeWith(method string, text []byte, cut int) (resp *Response, left int, err error) {
+	conn := &replayConn{text: text, cut: cut}
 	c := NewConn(conn)
 	r := newGet("/stock")
 	r.Method = method
 	r.MaxResponseBytes = 1 << 10
 	resp, err = c.Exchange(background, r)
-	return resp, conn.read - c.reader.Buffered(), err
+	return resp, len(conn.text) - (conn.read - c.reader.Buffered()), err
 }
 
 // FuzzResponse checks that a response is within its limit, that one without its
@@ -70,7 +83,7 @@
 		if head {
 			method = "HEAD"
 		}
-		resp, used, err := exchangeWith(method, text)
+		resp, left, err := exchangeWith(method, text, 0)
 		if err != nil {
 			if outcome := result.InfoOf(err.(*Error).Code).Outcome; outcome != result.Unknown {
 				t.Fatalf("outcome %s after the request was sent: %v", outcome, err)
@@ -80,8 +93,8 @@
 		if len(resp.Body) > 1<<10 || resp.Status < 200 || resp.Status > 999 {
 			t.Fatalf("status %d with %d bytes", resp.Status, len(resp.Body))
 		}
-		if truncated, _, err := exchangeWith(method, text[:used-1]); err == nil {
-			t.Fatalf("%q accepted as complete without its last byte: %q", text[:used], truncated.Body)
+		if truncated, _, err := exchangeWith(method, text, left+1); err == nil {
+			t.Fatalf("%q accepted as complete without its last %d bytes: %q", text, left+1, truncated.Body)
 		}
 	})
 }
--- a/proxy/forward/history.go
+++ b/proxy/forward/history.go
@@ -26,15 +26,19 @@
 // again: a late second copy of the first answer has the ID of the second exchange too.
 func (c *Conn) Carried(id string) bool { return c.history.has(id) }
 
-// recordRequest adds a request to the history. It returns false if the connection has carried one with
-// the same ID. Exchange IDs, used without a dialect, are unique and need no history.
-func (c *Conn) recordRequest(r *Request) bool {
-	if r.Dialect == nil || r.Dialect.ID == "" {
-		return true
-	}
-	if c.Carried(r.Dialect.ID) {
-		return false
+// recordRequest adds a request to the history. It returns an error if its answer could not be told from that of
+// another one. Exchange IDs, used without a dialect, are unique and need no history.
+func (c *Conn) recordRequest(r *Request) error {
+	switch {
+	case r.Dialect == nil:
+		return nil
+	case r.Dialect.ID == "":
+		return errNoID
+	case c.Carried(r.Dialect.ID):
+		return errRepeatedID
+	case r.Dialect.AcceptUnnamed && len(c.history.ids) > 0:
+		return errNotAlone
 	}
 	c.history.add(r.Dialect.ID)
-	return true
+	return nil
 }
--- a/proxy/forward/receive.go
+++ b/proxy/forward/receive.go
@@ -25,6 +25,8 @@
 	errNotReusable          = errors.New("the connection's last exchange did not end cleanly")
 	errPeerLost             = errors.New("the target does not acknowledge and cannot be connected to")
 	errRepeatedID           = errors.New("the connection has carried a request with this ID")
+	errNotAlone             = errors.New("the connection has carried a request, and answers to this one need not name it")
+	errNoID                 = errors.New("the request has no ID")
 	errExchangeMismatch     = errors.New("the response belongs to another exchange")
 	errTooManyInformational = errors.New("too many informational responses")
 	errProtocolSwitch       = errors.New("the target switched protocols")
@@ -41,7 +43,7 @@
 	}
 	// The body is not closed, since Close would drain it. An unfinished body
 	// leaves the connection not reusable instead.
-	if err := validateHeader(resp, r, exchangeID); err != nil {
+	if err := validateHeader(resp, r); err != nil {
 		return nil, newError(result.AnswerTruncated, err)
 	}
 	if r.HeaderReceived != nil {
@@ -66,9 +68,9 @@
 // several earlier ones may precede it.
 const maxResponseHeaders = 9
 
-// readMatchingHeader reads the header of the response to this request. A late
-// duplicate response to an earlier request carries another request ID and is
-// discarded, so that it does not reach the wrong client.
+// readMatchingHeader reads the header of the response to this request. A response that names another request, or
+// none, belongs to nobody here: a late duplicate, or bytes of a faulty target. With a dialect it is discarded, without
+// one it ends the exchange.
 func (c *Conn) readMatchingHeader(r *Request, exchangeID uint64) (*http.Response, error) {
 	for range maxResponseHeaders {
 		resp, err := c.readFinalHeader(r)
@@ -76,12 +78,11 @@
 			return nil, err
 		}
 		c.limited.remaining += r.MaxResponseBytes + maxFramingBytes
-		c.match(resp, r, exchangeID)
-		if !r.Dialect.isMismatch(resp) {
+		if c.match(resp, r, exchangeID) == OwnID || r.acceptsUnnamed() && c.trace.Match == NoID {
 			return resp, nil
 		}
 		c.discarded(resp)
-		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		if r.Dialect == nil || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, errExchangeMismatch
 		}
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
@@ -92,14 +93,6 @@
 	return nil, errExchangeMismatch
 }
 
-func (d *Dialect) isMismatch(resp *http.Response) bool {
-	if d == nil {
-		return false
-	}
-	got := resp.Header.Get(d.IDField)
-	return got != "" && got != d.ID
-}
-
 func (c *Conn) readFinalHeader(r *Request) (*http.Response, error) {
 	c.pendingRequest.Method = r.Method
 	for range maxInformational {
@@ -117,12 +110,8 @@
 	return nil, errTooManyInformational
 }
 
-// validateHeader rejects a response to another exchange or of unknown length.
-func validateHeader(resp *http.Response, r *Request, exchangeID uint64) error {
-	// A late or duplicate response carries the ID of another exchange.
-	if got := resp.Header.Get(result.HeaderExchange); r.Dialect == nil && got != "" && !isExchangeID(got, exchangeID) {
-		return errExchangeMismatch
-	}
+// validateHeader rejects a response of unknown length.
+func validateHeader(resp *http.Response, r *Request) error {
 	// A truncated close-delimited body cannot be told from a complete one.
 	closeDelimited := r.Dialect != nil && r.Dialect.CloseDelimited
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && hasBody(resp, r) && !closeDelimited {
@@ -131,11 +120,6 @@
 	return nil
 }
 
-func isExchangeID(value string, exchangeID uint64) bool {
-	var digits [16]byte
-	return value == string(appendExchangeID(digits[:0], exchangeID))
-}
-
 func hasBody(resp *http.Response, r *Request) bool {
 	if r.Method == http.MethodHead {
 		return false
--- a/proxy/forward/request.go
+++ b/proxy/forward/request.go
@@ -41,13 +41,18 @@
 	DeadlineField string
 	// IDField carries the request ID, which targets echo in the response.
 	IDField string
-	// ID is the ID of this request.
+	// ID is the ID of this request. It must not be empty.
 	ID string
+	// AcceptUnnamed accepts an answer without an ID, but none with another one. The exchange must be the only one of
+	// its connection, so that no other request has a claim to the answer.
+	AcceptUnnamed bool
 	// CloseDelimited accepts a response without a length that ends with an
 	// orderly close of the connection.
 	CloseDelimited bool
 }
 
+func (r *Request) acceptsUnnamed() bool { return r.Dialect != nil && r.Dialect.AcceptUnnamed }
+
 // BodySource is a body that may still be in transfer.
 type BodySource interface {
 	// At returns the bytes available from an offset, which the caller must not
--- a/proxy/forward/script_test.go
+++ b/proxy/forward/script_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/yuccaroute/yuccaroute/api/result"
+	"github.com/yuccaroute/yuccaroute/proxy/forward/forwardtest"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -22,10 +23,21 @@
 type scriptedTarget struct {
 	net.Conn
 	reader *bufio.Reader
+	// exchange is that of the last request.
+	exchange string
 }
 
-func (p *scriptedTarget) readRequest() *http.Request {
+// readHead reads the head of a request.
+func (p *scriptedTarget) readHead() (*http.Request, error) {
 	r, err := http.ReadRequest(p.reader)
+	if err == nil {
+		p.exchange = r.Header.Get(result.HeaderExchange)
+	}
+	return r, err
+}
+
+func (p *scriptedTarget) readRequest() *http.Request {
+	r, err := p.readHead()
 	if err != nil {
 		return nil
 	}
@@ -33,7 +45,10 @@
 	return r
 }
 
-func (p *scriptedTarget) write(text string) { _, _ = io.WriteString(p.Conn, text) }
+// write names the last request in answers.
+func (p *scriptedTarget) write(text string) {
+	_, _ = io.WriteString(p.Conn, forwardtest.Name(text, p.exchange))
+}
 
 // dialTarget connects to a target that runs the script on one connection.
 func dialTarget(t *testing.T, script func(p *scriptedTarget)) net.Conn {
--- a/proxy/overload_test.go
+++ b/proxy/overload_test.go
@@ -16,6 +16,7 @@
 	"github.com/yuccaroute/yuccaroute/api/grant"
 	"github.com/yuccaroute/yuccaroute/api/model"
 	"github.com/yuccaroute/yuccaroute/api/result"
+	"github.com/yuccaroute/yuccaroute/proxy/forward/forwardtest"
 )
 
 // pipeTarget is a target in simulated time; serve returns the service time of
@@ -48,7 +49,7 @@
 		}
 		_, _ = io.Copy(io.Discard, r.Body)
 		time.Sleep(p.next())
-		if _, err := io.WriteString(c, okAnswer); err != nil {
+		if _, err := io.WriteString(c, forwardtest.Name(okAnswer, r.Header.Get(result.HeaderExchange))); err != nil {
 			return
 		}
 	}
--- a/proxy/pool/pool_test.go
+++ b/proxy/pool/pool_test.go
@@ -15,7 +15,9 @@
 
 	"go.uber.org/goleak"
 
+	"github.com/yuccaroute/yuccaroute/api/result"
 	"github.com/yuccaroute/yuccaroute/proxy/forward"
+	"github.com/yuccaroute/yuccaroute/proxy/forward/forwardtest"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -61,10 +63,12 @@
 	defer c.Close()
 	r := bufio.NewReader(c)
 	for {
-		if _, err := http.ReadRequest(r); err != nil {
+		q, err := http.ReadRequest(r)
+		if err != nil {
 			return
 		}
-		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		answer := "HTTP/1.1 200 OK\r\nX-Id: " + q.Header.Get("X-Id") + "\r\nContent-Length: 0\r\n\r\n"
+		_, _ = io.WriteString(c, forwardtest.Name(answer, q.Header.Get(result.HeaderExchange)))
 	}
 }
 
--- a/proxy/scripted_test.go
+++ b/proxy/scripted_test.go
@@ -8,6 +8,9 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+
+	"github.com/yuccaroute/yuccaroute/api/result"
+	"github.com/yuccaroute/yuccaroute/proxy/forward/forwardtest"
 )
 
 // scriptedTarget is a target on a raw connection; a script controls what it
@@ -26,11 +29,22 @@
 	net.Conn
 	target *scriptedTarget
 	reader *bufio.Reader
+	// exchange is that of the last request.
+	exchange string
+}
+
+// readHead reads the head of a request.
+func (c *scriptedConn) readHead() (*http.Request, error) {
+	r, err := http.ReadRequest(c.reader)
+	if err == nil {
+		c.exchange = r.Header.Get(result.HeaderExchange)
+	}
+	return r, err
 }
 
 // next reads one whole request, or returns nil at the end.
 func (c *scriptedConn) next() *http.Request {
-	r, err := http.ReadRequest(c.reader)
+	r, err := c.readHead()
 	if err != nil {
 		return nil
 	}
@@ -41,7 +55,10 @@
 	return r
 }
 
-func (c *scriptedConn) respond(text string) { _, _ = io.WriteString(c.Conn, text) }
+// respond names the last request in answers.
+func (c *scriptedConn) respond(text string) {
+	_, _ = io.WriteString(c.Conn, forwardtest.Name(text, c.exchange))
+}
 
 // newScriptedTarget starts a target that is stopped at the end of the test.
 func newScriptedTarget(t *testing.T, run script) *scriptedTarget {
--- a/proxy/upload_test.go
+++ b/proxy/upload_test.go
@@ -58,7 +58,7 @@
 
 // readHalf reads a request head and half of its body.
 func (c *scriptedConn) readHalf() *http.Request {
-	r, err := http.ReadRequest(c.reader)
+	r, err := c.readHead()
 	if err != nil {
 		return nil
 	}
@@ -76,7 +76,7 @@
 // respondChecksum answers each request with the checksum of its body.
 func respondChecksum(c *scriptedConn) {
 	for {
-		r, err := http.ReadRequest(c.reader)
+		r, err := c.readHead()
 		if err != nil {
 			return
 		}
@@ -225,7 +225,7 @@
 func TestTargetAnswerDuringUpload(t *testing.T) {
 	closed := make(chan struct{})
 	p, s, _ := serveUploads(t, func(c *scriptedConn) {
-		r, err := http.ReadRequest(c.reader)
+		r, err := c.readHead()
 		if err == nil && r.ContentLength > 0 {
 			c.respond(answerText("413 Content Too Large", "no"))
 			_, _ = io.Copy(io.Discard, c.reader)
