notrun: one place decides that a request did not run; a target's status is no promise

A target's 503, 429 or 408 that does not state that the request was not run went to the caller unchanged, and so did one at an owner: a promise that nobody made. Such an attempt may have run: an order ends with 502 and the new result 129, a request that may be repeated is repeated as after a server error.

Package notrun takes what is known of an exchange and says whether the request certainly did not run: nothing was written, or an answer that names the exchange states it. forward.Error no longer infers it from the result code, attempts of both daemons carry the evidence, and a request sums it up over its attempts; the last check before an answer to a caller or another VM is in one place.

--- a/api/result/result.go
+++ b/api/result/result.go
@@ -73,6 +73,7 @@
 	OverQuota           Code = 126
 	ConfigStale         Code = 127
 	QuotaUnknown        Code = 128
+	UnprovenRefusal     Code = 129
 	DuplicateKey        Code = 130
 	KeyRecordFailed     Code = 131
 	KeyOutcomeUnknown   Code = 132
@@ -126,6 +127,7 @@
 	{OverQuota, "over-quota", 429, NotRun, "The client account has used up its quota.", true},
 	{ConfigStale, "config-stale", 503, NotRun, "The entry VM cannot tell whether the key is valid, as its configuration may be out of date.", true},
 	{QuotaUnknown, "quota-unknown", 503, NotRun, "The entry VM cannot learn whether the client account is within its quota.", true},
+	{UnprovenRefusal, "unproven-refusal", 502, Unknown, "A status that stands for a refusal came without the statement that the request did not run.", false},
 	{DuplicateKey, "duplicate-key", 409, Unknown, "A request with this idempotency key was accepted before and is not run again.", false},
 	{KeyRecordFailed, "key-record-failed", 503, NotRun, "The idempotency key could not be recorded.", true},
 	{KeyOutcomeUnknown, "key-outcome-unknown", 503, NotRun, "It is not known whether the idempotency key was recorded; the request was not sent.", true},
--- a/edge/gateway/delegate.go
+++ b/edge/gateway/delegate.go
@@ -116,12 +116,12 @@
 	}
 	r.readHistory()
 	in.Header.Del(fieldVersion)
-	end := g.handle(ctx, r, table)
+	end := g.finalOutcome(r, g.handle(ctx, r, table))
 	g.record(r, end)
 	switch {
-	case end.unreached && !r.mayHaveRun && g.reach.MayReach(r.service, r.placement.Allowed):
+	case end.unreached && !r.attempted.MayHaveRun() && g.reach.MayReach(r.service, r.placement.Allowed):
 		return declinedResponse(suspected)
-	case end.unreached && !r.mayHaveRun:
+	case end.unreached && !r.attempted.MayHaveRun():
 		return declinedResponse(notReached)
 	}
 	a := g.response(end)
@@ -250,7 +250,9 @@
 func (g *Gateway) handleOwnerFailure(ctx context.Context, r *request, o *owners.Owner, err error) (outcome, bool) {
 	var failed *forward.Error
 	notSent := !errors.As(err, &failed) || failed.NotRun()
-	r.mayHaveRun = r.mayHaveRun || !notSent
+	if !notSent {
+		r.attempted.Add(notrun.None)
+	}
 	now := time.Now()
 	switch {
 	case ctx.Err() != nil:
--- a/edge/gateway/relay_test.go
+++ b/edge/gateway/relay_test.go
@@ -17,6 +17,7 @@
 	"github.com/yuccaroute/yuccaroute/edge/reach"
 	"github.com/yuccaroute/yuccaroute/edge/site"
 	"github.com/yuccaroute/yuccaroute/proxy/forward"
+	"github.com/yuccaroute/yuccaroute/proxy/notrun"
 )
 
 // cutOff lets the gateway find that it does not reach its targets.
@@ -264,7 +265,8 @@
 // refused it.
 func TestRefusalOfARelayDoesNotHideAnEarlierAttempt(t *testing.T) {
 	f := newGateway(t)
-	r := &request{mayHaveRun: true}
+	r := &request{}
+	r.attempted.Add(notrun.None)
 	refused := outcome{code: result.QueueFull, answer: &forward.Response{Status: http.StatusServiceUnavailable}}
 	if end := f.finalOutcome(r, refused); end.code != result.ConnectionLost {
 		t.Errorf("result %d", end.code)
--- a/edge/gateway/run.go
+++ b/edge/gateway/run.go
@@ -56,7 +56,7 @@
 	for {
 		if g.relaysFirst(r) {
 			if end, done := g.relay(ctx, r); done {
-				return g.finalOutcome(r, end)
+				return end
 			}
 		}
 		d, end := g.place(ctx, r)
@@ -68,22 +68,22 @@
 			}
 		}
 		if d.Target == nil {
-			return g.finalOutcome(r, end)
+			return end
 		}
 		g.deposit(r)
 		// The request may have been quarantined while it waited.
 		if v := g.verdict(r); isBlocked(v) && !r.onTrial {
 			g.options.Balancer.Done(time.Now(), d, r.class, placing.Cancelled, 0)
-			return g.finalOutcome(r, quarantinedOutcome(v))
+			return quarantinedOutcome(v)
 		}
 		if g.keyWithdrawn(r) {
 			g.options.Balancer.Done(time.Now(), d, r.class, placing.Cancelled, 0)
-			return g.finalOutcome(r, keyWithdrawnOutcome())
+			return keyWithdrawnOutcome()
 		}
 		a := g.send(ctx, r, d)
 		end, done := g.resolveAttempt(ctx, r, a)
 		if done {
-			return g.finalOutcome(r, end)
+			return end
 		}
 	}
 }
@@ -104,13 +104,13 @@
 // returned rather than replaced, and a request that may have run is not reported as not run.
 func (g *Gateway) finalOutcome(r *request, end outcome) outcome {
 	refused := result.InfoOf(end.code).Outcome == result.NotRun
-	if end.answer != nil && !(r.mayHaveRun && refused) || end.code == result.CallerGone {
+	if end.answer != nil && !(r.attempted.MayHaveRun() && refused) || end.code == result.CallerGone {
 		return end
 	}
 	if r.lastFailure.answer != nil {
 		return r.lastFailure
 	}
-	if r.mayHaveRun && refused {
+	if r.attempted.MayHaveRun() && refused {
 		return outcome{code: result.ConnectionLost, reason: end.reason}
 	}
 	return end
@@ -162,7 +162,7 @@
 
 // deadlineOutcome returns the outcome of a request whose deadline has passed.
 func deadlineOutcome(r *request) outcome {
-	if r.mayHaveRun {
+	if r.attempted.MayHaveRun() {
 		return outcome{code: result.DeadlineAfterSend, reason: "no answer in time"}
 	}
 	return outcome{code: result.QueueFull, retryAfter: deadlineRetryAfter, reason: "no target before the deadline"}
@@ -247,7 +247,7 @@
 	if a.code != result.TargetShed || !a.decision.FailuresAreWidespread {
 		r.placement.Tried = append(r.placement.Tried, a.decision.Target)
 	}
-	r.mayHaveRun = r.mayHaveRun || !a.evidence.Certain()
+	r.attempted.Add(a.evidence)
 	r.log.targets = append(r.log.targets, a.decision.Target.ID)
 	end := "answered"
 	if a.err != nil {
@@ -334,23 +334,27 @@
 
 // classify derives the result of an attempt from the answer or the error.
 func (g *Gateway) classify(d placing.Decision, answer *forward.Response, err error) attempt {
-	a := attempt{decision: d, answer: answer}
+	a := attempt{decision: d}
 	var failed *forward.Error
-	switch {
-	case errors.As(err, &failed):
-		a.code, a.err = failed.Code, err
-		if failed.NotRun() {
-			a.evidence = notrun.NothingWritten
-		}
-	case err != nil:
+	if errors.As(err, &failed) {
+		a.code, a.err, a.evidence = failed.Code, err, failed.Evidence()
+		return a
+	} else if err != nil {
 		a.code, a.err = result.ConnectionLost, err
-	case answer.Header.Get(g.options.Fields.NotRun) != "":
-		a.code, a.evidence, a.answer = result.TargetShed, notrun.Stated, nil
-	case answer.Status == http.StatusMisdirectedRequest:
-		a.code, a.evidence, a.answer = result.TargetShed, notrun.Misdirected, nil
+		return a
+	}
+	a.evidence = answer.Evidence(g.options.Fields.NotRun)
+	switch {
+	case a.evidence.Certain():
+		a.code = result.TargetShed
+	case notrun.IsPromise(answer.Status):
+		// Passed on, its status would promise what the target has not stated.
+		a.code, a.err = result.UnprovenRefusal, errors.Errorf("gateway: status %d without the statement that the request did not run", answer.Status)
 	case answer.Header.Get(g.options.Fields.Stamp) == "" && answer.Status < http.StatusBadRequest:
 		// Only the stamp proves that a success came from the target.
-		a.code, a.answer, a.err = result.AnswerTruncated, nil, errNoStamp
+		a.code, a.err = result.AnswerTruncated, errNoStamp
+	default:
+		a.answer = answer
 	}
 	return a
 }
--- a/edge/gateway/serve.go
+++ b/edge/gateway/serve.go
@@ -19,6 +19,7 @@
 	"github.com/yuccaroute/yuccaroute/edge/route"
 	"github.com/yuccaroute/yuccaroute/edge/serve"
 	"github.com/yuccaroute/yuccaroute/proxy/forward"
+	"github.com/yuccaroute/yuccaroute/proxy/notrun"
 )
 
 const (
@@ -48,9 +49,9 @@
 	// givesUp is the caller's deadline; zero if it has stated none.
 	givesUp time.Time
 	out     forward.Request
-	// attempts counts the attempts at targets, mayHaveRun reports whether one may have run.
-	attempts   int
-	mayHaveRun bool
+	// attempts counts the attempts at targets. attempted sums up those of this VM, at targets and through other VMs.
+	attempts  int
+	attempted notrun.Request
 	// lastFailure has the last error response that a target returned, if any.
 	lastFailure outcome
 	// identity is the account of the request, by the index accounts. The account is nil if the
@@ -93,7 +94,7 @@
 // Handle implements serve.Handler.
 func (g *Gateway) Handle(ctx context.Context, in *serve.Request) *serve.Response {
 	r := &request{in: in, id: in.Header.Get(g.options.Fields.RequestID)}
-	end := g.handle(ctx, r, g.table.Load())
+	end := g.finalOutcome(r, g.handle(ctx, r, g.table.Load()))
 	g.returnQuota(r, end)
 	g.record(r, end)
 	a := g.response(end)
@@ -343,7 +344,7 @@
 		fields["why"] = end.reason
 		fields["retry_after_ms"] = end.retryAfter.Milliseconds()
 		// What this VM declines, the sender places elsewhere or refuses itself.
-		declined := r.fromPeer && end.unreached && !r.mayHaveRun
+		declined := r.fromPeer && end.unreached && !r.attempted.MayHaveRun()
 		if result.InfoOf(end.code).Outcome == result.NotRun && !declined {
 			g.options.Metrics.RequestRefused(refusals.Refusal{Service: r.service, Region: r.log.region, Account: r.accountName(), Reason: end.reason})
 		}
--- a/edge/gateway/unnamed_test.go
+++ b/edge/gateway/unnamed_test.go
@@ -99,3 +99,20 @@
 		}
 	})
 }
+
+// Guards against a target's status that stands for a refusal being passed on as a promise that the target has not made.
+func TestStatusOfATargetIsNoPromise(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &target{id: "a"}
+				f := newGatewayOn(t, pipeDialer(map[*target]script{s: answering(status, stamp, whole, false)}), s)
+				a := f.ask(context.Background(), "POST", "/once/x", "1", time.Second, "")
+				if a.Status != http.StatusBadGateway || a.Header.Get("X-Stamp") != "" || s.count() != 1 {
+					t.Errorf("%d %v, %d requests at the target", a.Status, a.Header, s.count())
+				}
+				f.finish()
+			})
+		})
+	}
+}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/yuccaroute/yuccaroute/api/model"
 	"github.com/yuccaroute/yuccaroute/api/result"
 	"github.com/yuccaroute/yuccaroute/proxy/forward"
+	"github.com/yuccaroute/yuccaroute/proxy/notrun"
 )
 
 // timeoutFailureFactor is how many typical latencies must pass before a timeout
@@ -21,7 +22,9 @@
 	permission permission
 	answer     *forward.Response
 	code       result.Code
-	made       bool
+	// evidence is what shows that the request did not run.
+	evidence notrun.Evidence
+	made     bool
 }
 
 // final reports whether the request must not be sent again.
@@ -34,7 +37,7 @@
 		// Another target would give the same result.
 		return true
 	}
-	return class != model.Idempotent && !isNotRun(a.code)
+	return class != model.Idempotent && !a.evidence.Certain()
 }
 
 // bestAttempt returns the attempt to report to the caller: the latest one with
@@ -50,7 +53,7 @@
 		return later
 	case earlier.answer != nil:
 		return earlier
-	case isNotRun(earlier.code):
+	case earlier.evidence.Certain():
 		return later
 	default:
 		return earlier
@@ -78,19 +81,19 @@
 		// Slots freed by requests that end with the proxy must not be used
 		// again.
 		permission.cancel()
-		a.code = result.NodeLeaving
+		a.code, a.evidence = result.NodeLeaving, notrun.NotSent
 		return a
 	}
 	conn, err := permission.target.pool.Get(ctx, "")
 	if err != nil {
 		permission.cancel()
-		a.code = p.handleConnectError(ctx, permission)
+		a.code, a.evidence = p.handleConnectError(ctx, permission), notrun.NotSent
 		return a
 	}
 	if !permission.stillGranted() {
 		permission.target.pool.Put(conn)
 		permission.release()
-		a.code = result.NoCapacity
+		a.code, a.evidence = result.NoCapacity, notrun.NotSent
 		return a
 	}
 	permission.place.counts.attempts.Add(1)
@@ -107,7 +110,7 @@
 	permission.release()
 	took := q.targetTime(sent)
 	if err != nil {
-		a.code = p.handleExchangeError(ctx, permission, err, took)
+		a.code, a.evidence = p.handleExchangeError(ctx, permission, err, took)
 		return a
 	}
 	p.recordAnswer(permission, answer, took)
@@ -116,7 +119,7 @@
 	}
 	if answer.Shed {
 		q.releaseAnswer(answer)
-		a.code = result.TargetShed
+		a.code, a.evidence = result.TargetShed, answer.Evidence(result.HeaderShed)
 		return a
 	}
 	a.answer = answer
@@ -134,11 +137,11 @@
 	return result.ConnectFailed
 }
 
-func (p *Proxy) handleExchangeError(ctx context.Context, permission permission, err error, took time.Duration) result.Code {
-	code := result.Internal
+func (p *Proxy) handleExchangeError(ctx context.Context, permission permission, err error, took time.Duration) (result.Code, notrun.Evidence) {
+	code, evidence := result.Internal, notrun.None
 	var failure *forward.Error
 	if errors.As(err, &failure) {
-		code = failure.Code
+		code, evidence = failure.Code, failure.Evidence()
 	}
 	if code == result.DeadlineAfterSend {
 		permission.place.tailLatency.observeTimeout(took)
@@ -147,9 +150,9 @@
 		p.recordFailure(permission)
 	}
 	if code == result.DeadlineBeforeSend {
-		return p.contextErrorCode(ctx)
+		code = p.contextErrorCode(ctx)
 	}
-	return code
+	return code, evidence
 }
 
 // isTargetFailure reports whether a failed exchange counts against the target.
--- a/proxy/forward/conn.go
+++ b/proxy/forward/conn.go
@@ -98,20 +98,20 @@
 // an *Error. The caller must check Reusable before the next exchange.
 func (c *Conn) Exchange(ctx context.Context, r *Request) (*Response, error) {
 	if !c.reusable {
-		return nil, newError(result.ConnectFailed, errNotReusable)
+		return nil, newUnsent(result.ConnectFailed, errNotReusable)
 	}
 	timeout := time.Until(r.Deadline)
 	if timeout <= 0 || ctx.Err() != nil {
-		return nil, newError(result.DeadlineBeforeSend, ctx.Err())
+		return nil, newUnsent(result.DeadlineBeforeSend, ctx.Err())
 	}
 	if err := c.recordRequest(r); err != nil {
-		return nil, newError(result.ConnectFailed, err)
+		return nil, newUnsent(result.ConnectFailed, err)
 	}
 	c.reusable = false
 	c.beginTrace()
 	c.limited.remaining = maxHeaderBytes
 	if err := c.conn.SetDeadline(r.Deadline); err != nil {
-		return nil, newError(result.ConnectFailed, err)
+		return nil, newUnsent(result.ConnectFailed, err)
 	}
 	// Cancellation unblocks I/O at once, so that the connection is closed and the
 	// target's slot freed without waiting for the deadline.
@@ -158,8 +158,7 @@
 	c.trace.Written = sent.written
 	writeErr := sent.err
 	if writeErr != nil && sent.written == 0 {
-		// Nothing was written, so the target cannot have received the request.
-		return nil, newError(codeBeforeSend(ctx, writeErr), writeErr)
+		return nil, newUnsent(codeBeforeSend(ctx, writeErr), writeErr)
 	}
 	if writeErr != nil && isTimeout(writeErr) {
 		return nil, newError(codeAfterSend(ctx, writeErr), writeErr)
--- a/proxy/forward/receive.go
+++ b/proxy/forward/receive.go
@@ -9,6 +9,7 @@
 	"net/http"
 
 	"github.com/yuccaroute/yuccaroute/api/result"
+	"github.com/yuccaroute/yuccaroute/proxy/notrun"
 )
 
 const (
@@ -54,14 +55,16 @@
 		return nil, newError(bodyReadCode(ctx, err), err)
 	}
 	c.reusable = !resp.Close && c.reader.Buffered() == 0
-	return &Response{
+	answer := &Response{
 		Status:        resp.StatusCode,
 		Header:        resp.Header,
 		Body:          body,
 		ReservedBytes: reserved,
 		NoBody:        !hasBody(resp, r),
-		Shed:          resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(result.HeaderShed) != "",
-	}, nil
+		Named:         c.trace.Match == OwnID,
+	}
+	answer.Shed = answer.Status == http.StatusServiceUnavailable && answer.Evidence(result.HeaderShed) == notrun.Stated
+	return answer, nil
 }
 
 // maxResponseHeaders bounds the responses read to find the matching one: late duplicates of
--- a/proxy/forward/response.go
+++ b/proxy/forward/response.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/yuccaroute/yuccaroute/proxy/notrun"
 )
 
 // Response is a complete response from a target.
@@ -19,10 +21,17 @@
 	SendDuration time.Duration
 	// NoBody is set for responses without a body (HEAD, 204, 304).
 	NoBody bool
+	// Named is set if the response names the request.
+	Named bool
 	// Shed is set if the target rejected the request before running it.
 	Shed bool
 }
 
+// Evidence returns what shows that the request did not run. Its sender states that in the field.
+func (r *Response) Evidence(field string) notrun.Evidence {
+	return notrun.Answered(notrun.Answer{Named: r.Named, Status: r.Status, States: r.Header.Get(field) != ""})
+}
+
 // ContentLengthHeader returns the Content-Length values to forward, nil for
 // none; the caller must not modify them. The length is that of the body read,
 // except for a response without a body, whose header is forwarded.
--- a/proxy/forward/send.go
+++ b/proxy/forward/send.go
@@ -33,7 +33,7 @@
 	res, complete := c.stopSending(done, cancel)
 	c.trace.Written = res.written
 	if res.err != nil && res.written == 0 {
-		return nil, newError(codeBeforeSend(ctx, res.err), res.err)
+		return nil, newUnsent(codeBeforeSend(ctx, res.err), res.err)
 	}
 	if !complete {
 		c.reusable = false
--- /dev/null
+++ b/proxy/unnamed_test.go
@@ -0,0 +1,26 @@
+package proxy
+
+import (
+	"io"
+	"testing"
+
+	"github.com/yuccaroute/yuccaroute/api/result"
+)
+
+// Guards against a refusal that names no exchange, or two, being taken for a statement that an order did not run.
+func TestRefusalThatNamesNoExchangeIsNoEvidence(t *testing.T) {
+	for name, field := range map[string]string{
+		"none": "", "empty": "Yucca-Exchange:\r\n", "two": "Yucca-Exchange: 0\r\nYucca-Exchange: 1\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			target := newScriptedTarget(t, func(c *scriptedConn) {
+				if c.next() != nil {
+					_, _ = io.WriteString(c.Conn, "HTTP/1.1 503 Busy\r\n"+field+"Yucca-Shed: 1\r\nContent-Length: 0\r\n\r\n")
+				}
+			})
+			p := newTestProxy(t, nil, target.address())
+			wantResult(t, callWithinGrant(p, "POST", "/orders", "x"), result.AnswerTruncated)
+			target.wantRequests(t, 1)
+		})
+	}
+}
