gateway: another VM's promise needs the field for it

An order could run twice, or be refused though it ran, when the answer of the VM that placed it lacked a field: an answer without the processing time counted as "not read", and any error of unknown type as "not sent". Neither says so.

A VM that asked another one takes as evidence only that nothing was sent or written, that the answer names the request and has Yucca-Declined, or that it has the outcome not-run with a result of that kind. The rest may have run: an order ends with 502 (result 129 where the status stands for a refusal), and is not placed again. A success of another VM needs the stamp of a target, as that of a target does.

Evidence: four cases of TestRelayThatCannotPlaceTheRequest ran the order here after another VM's answer that says nothing; before, each was served with 200 after a 503, or a 200, that nobody could take for a decline.

Not seen between VMs of one version, which always set the fields. A rolling update from a version before this one passes through it: answers of older VMs to delegated requests that they refuse name no request and are discarded.

--- a/edge/gateway/delegate.go
+++ b/edge/gateway/delegate.go
@@ -131,6 +131,10 @@
 		a.Header[fieldOwnerMillis] = []string{strconv.FormatInt(time.Since(in.Arrived).Milliseconds(), 10)}
 		a.Header.Del(fieldDeclined)
 		a.Header.Del(fieldLeavingTarget)
+		if end.answer != nil {
+			// A target's own field must not pass for this VM's.
+			a.Header.Del(result.HeaderOutcome)
+		}
 		if end.target != nil && g.options.Balancer.HasStatedToLeave(end.target) {
 			a.Header[fieldLeavingTarget] = []string{strconv.FormatUint(end.target.Incarnation, incarnationBase)}
 		}
@@ -170,15 +174,12 @@
 	return a
 }
 
-// declinedFor returns why a VM has declined a request, "" if it has not.
+// declinedFor returns why a VM has declined a request, "" if it has not. Only the field for it tells.
 func declinedFor(a *forward.Response) string {
-	if why := a.Header.Get(fieldDeclined); why != "" {
-		return why
-	}
-	if _, handled := ownerTime(a); !handled && a.Status != http.StatusInternalServerError {
-		return notRead
+	if !a.Evidence(fieldDeclined).Certain() {
+		return ""
 	}
-	return ""
+	return a.Header.Get(fieldDeclined)
 }
 
 // ownerOf returns the VM that places a request, nil for this one. Large requests are not
@@ -195,19 +196,19 @@
 // for idempotent requests only.
 func (g *Gateway) delegate(ctx context.Context, r *request, o *owners.Owner, why reason) (outcome, bool) {
 	began := time.Now()
-	answer, exchange, err := g.sendToOwner(ctx, r, o, why)
+	answer, exchange, evidence, err := g.sendToOwner(ctx, r, o, why)
 	took := time.Since(began)
 	g.options.Metrics.RequestDelegated(string(why), delegationResult(answer, err))
 	r.declinedFor = ""
-	evidence := ownerEvidence(answer, err)
 	r.log.delegated.add(exchange, evidence)
+	r.attempted.Add(evidence)
 	line := logs.Keep(g.options.Logger.WithFields(logrus.Fields{
 		"id": r.id, "owner": o.Name, "reason": why, "ms": took.Milliseconds(),
 		"exchange": exchange.Exchanged(), "matched": exchange.Match.String(), "not_run": evidence.String(),
 	}))
 	if err != nil {
 		line.WithError(err).Warn("gateway: owner did not answer")
-		return g.handleOwnerFailure(ctx, r, o, err)
+		return g.handleOwnerFailure(ctx, r, o, evidence)
 	}
 	if r.declinedFor = declinedFor(answer); r.declinedFor != "" {
 		line.WithField("why", r.declinedFor).Info("gateway: delegated request declined")
@@ -224,35 +225,12 @@
 	if own, ok := ownerTime(answer); ok {
 		o.RecordOverhead(took-own-g.ownerRTT(o), time.Now())
 	}
-	return delegatedOutcome(answer), true
-}
-
-// ownerEvidence returns what shows that another VM has not sent a request to a target.
-func ownerEvidence(answer *forward.Response, err error) notrun.Evidence {
-	var failed *forward.Error
-	switch {
-	case err != nil && !errors.As(err, &failed):
-		return notrun.UnknownError
-	case err != nil && failed.NotRun():
-		return notrun.NothingWritten
-	case err != nil:
-		return notrun.None
-	case declinedFor(answer) == notRead:
-		return notrun.FieldMissing
-	case declinedFor(answer) != "":
-		return notrun.Stated
-	}
-	return notrun.None
+	return g.delegatedOutcome(answer, evidence), true
 }
 
 // handleOwnerFailure decides what to do with a request whose owner did not answer; its results
 // are those of delegate.
-func (g *Gateway) handleOwnerFailure(ctx context.Context, r *request, o *owners.Owner, err error) (outcome, bool) {
-	var failed *forward.Error
-	notSent := !errors.As(err, &failed) || failed.NotRun()
-	if !notSent {
-		r.attempted.Add(notrun.None)
-	}
+func (g *Gateway) handleOwnerFailure(ctx context.Context, r *request, o *owners.Owner, evidence notrun.Evidence) (outcome, bool) {
 	now := time.Now()
 	switch {
 	case ctx.Err() != nil:
@@ -262,7 +240,7 @@
 		return deadlineOutcome(r), true
 	}
 	o.Avoid(now)
-	if notSent {
+	if evidence.Certain() {
 		return outcome{}, false
 	}
 	// The owner may have sent it to targets: one more attempt is allowed, also where further owners are lost.
@@ -274,7 +252,8 @@
 	return outcome{}, false
 }
 
-func (g *Gateway) sendToOwner(ctx context.Context, r *request, o *owners.Owner, why reason) (*forward.Response, forward.Trace, error) {
+// sendToOwner sends a request to another VM. The evidence is what shows that no target ran it there.
+func (g *Gateway) sendToOwner(ctx context.Context, r *request, o *owners.Owner, why reason) (answer *forward.Response, exchange forward.Trace, evidence notrun.Evidence, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if r.route.Kind == site.Idempotent {
@@ -284,7 +263,7 @@
 	p := g.ownerPool(o)
 	conn, err := p.Get(ctx, r.id)
 	if err != nil {
-		return nil, forward.Trace{}, err
+		return nil, forward.Trace{}, notrun.NotSent, err
 	}
 	defer p.Put(conn)
 	out := r.out
@@ -303,8 +282,31 @@
 		out.Header.Set(fieldAccount, r.identity.Account.Name)
 		out.Header.Set(fieldKeyDigest, r.identity.Digest.String())
 	}
-	answer, err := g.exchange(ctx, conn, &out)
-	return answer, conn.Trace(), err
+	answer, err = g.exchange(ctx, conn, &out)
+	return answer, conn.Trace(), ownerEvidence(answer, err), err
+}
+
+// ownerEvidence returns what shows that no target ran a request that was sent to another VM: that VM has declined it, or
+// states in its outcome that it did not run.
+func ownerEvidence(answer *forward.Response, err error) notrun.Evidence {
+	var failed *forward.Error
+	switch {
+	case errors.As(err, &failed):
+		return failed.Evidence()
+	case err != nil:
+		return notrun.None
+	case answer.Header.Get(result.HeaderOutcome) == result.NotRun.String() && result.InfoOf(ownerResult(answer)).Outcome == result.NotRun:
+		return answer.Evidence(result.HeaderOutcome)
+	}
+	return answer.Evidence(fieldDeclined)
+}
+
+// ownerResult returns the result of an owner's answer, result.OK for the answer of a target.
+func ownerResult(a *forward.Response) result.Code {
+	if number, err := strconv.ParseUint(a.Header.Get(result.HeaderResult), 10, 16); err == nil {
+		return result.Code(number)
+	}
+	return result.OK
 }
 
 // ownerPool returns the connection pool of an owner.
@@ -327,12 +329,16 @@
 	return g.options.RTT(o.Region)
 }
 
-// delegatedOutcome converts an owner's answer to an outcome.
-func delegatedOutcome(a *forward.Response) outcome {
-	code := result.OK
-	if number, err := strconv.Atoi(a.Header.Get(result.HeaderResult)); err == nil {
-		code = result.Code(number)
+// delegatedOutcome converts an owner's answer to an outcome. A status that stands for a refusal needs evidence, and a
+// success the stamp of a target.
+func (g *Gateway) delegatedOutcome(a *forward.Response, evidence notrun.Evidence) outcome {
+	switch {
+	case notrun.IsPromise(a.Status) && !evidence.Certain():
+		return outcome{code: result.UnprovenRefusal, reason: "refusal of another VM without its outcome"}
+	case a.Status < http.StatusBadRequest && a.Header.Get(g.options.Fields.Stamp) == "":
+		return outcome{code: result.AnswerTruncated, reason: errNoStamp.Error()}
 	}
+	code := ownerResult(a)
 	if code == result.OK {
 		// The answer of a target is passed on without the fields of the VMs.
 		a.Header.Del(result.HeaderResult)
--- a/edge/gateway/relay_test.go
+++ b/edge/gateway/relay_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -110,6 +111,17 @@
 	}
 }
 
+// answersWith returns a peer that answers one request; the text has a place for its ID.
+func answersWith(text string) func(c net.Conn) {
+	return func(c net.Conn) {
+		if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.Copy(io.Discard, r.Body)
+			fmt.Fprintf(c, text, r.Header.Get("X-Id"))
+		}
+		c.Close()
+	}
+}
+
 // noMemory has room for no body.
 type noMemory struct{}
 
@@ -176,6 +188,18 @@
 				c.Close()
 			})
 		}, http.StatusBadGateway, 0},
+		{"answers without the field that declines", "/once/x", func(t *testing.T) string {
+			return startPeer(t, answersWith("HTTP/1.1 503 x\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n"))
+		}, http.StatusBadGateway, 0},
+		{"answers with a malformed result", "/once/x", func(t *testing.T) string {
+			return startPeer(t, answersWith("HTTP/1.1 503 x\r\nX-Id: %s\r\nYucca-Result: shed\r\nYucca-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"))
+		}, http.StatusBadGateway, 0},
+		{"answers with a result and no outcome", "/once/x", func(t *testing.T) string {
+			return startPeer(t, answersWith("HTTP/1.1 503 x\r\nX-Id: %s\r\nYucca-Result: 112\r\nContent-Length: 0\r\n\r\n"))
+		}, http.StatusBadGateway, 0},
+		{"declines a success", "/once/x", func(t *testing.T) string {
+			return startPeer(t, answersWith("HTTP/1.1 200 x\r\nX-Id: %s\r\nYucca-Declined: busy\r\nContent-Length: 0\r\n\r\n"))
+		}, http.StatusBadGateway, 0},
 		{"killed with an order", "/once/x", func(t *testing.T) string { return startPeer(t, hangsUp) }, http.StatusBadGateway, 0},
 		{"killed with a look-up", "/safe/x", func(t *testing.T) string { return startPeer(t, hangsUp) }, http.StatusOK, 1},
 	} {
--- a/proxy/notrun/notrun.go
+++ b/proxy/notrun/notrun.go
@@ -22,10 +22,6 @@
 	Stated
 	// Misdirected: an answer that names the exchange is of another target than the one that the request is for.
 	Misdirected
-	// FieldMissing: an answer of another VM lacks a field.
-	FieldMissing
-	// UnknownError: the exchange with another VM ended with an error of unknown type.
-	UnknownError
 )
 
 // Certain reports whether the request certainly did not run.
@@ -33,7 +29,7 @@
 
 // String returns the word used in logs.
 func (e Evidence) String() string {
-	return [...]string{"none", "not-sent", "nothing-written", "stated", "misdirected", "field-missing", "unknown-error"}[e]
+	return [...]string{"none", "not-sent", "nothing-written", "stated", "misdirected"}[e]
 }
 
 // Unanswered returns the evidence of an exchange that ended without an answer after bytes of the request were written.
