gateway: an answer of another VM that names no request ends the exchange at once

VMs answer each request once, so that nothing follows such an answer: one of an older version, in a rolling update. Its sender waited until the deadline and then answered 504; now the request ends, or is repeated if it may be, at once.

--- a/edge/gateway/delegate.go
+++ b/edge/gateway/delegate.go
@@ -267,6 +267,9 @@
 	}
 	defer p.Put(conn)
 	out := r.out
+	dialect := *r.out.Dialect
+	dialect.AnswersOnce = true
+	out.Dialect = &dialect
 	out.Header = r.out.Header.Clone()
 	out.Header.Set(fieldVersion, strconv.FormatUint(r.version, 10))
 	out.Header.Set(fieldReason, string(why))
--- a/proxy/forward/receive.go
+++ b/proxy/forward/receive.go
@@ -72,8 +72,8 @@
 const maxResponseHeaders = 9
 
 // readMatchingHeader reads the header of the response to this request. A response that names another request, or
-// none, belongs to nobody here: a late duplicate, or bytes of a faulty target. With a dialect it is discarded, without
-// one it ends the exchange.
+// none, belongs to nobody here: a late duplicate, or bytes of a faulty target. It is discarded, or ends the exchange if
+// its sender answers each request once.
 func (c *Conn) readMatchingHeader(r *Request, exchangeID uint64) (*http.Response, error) {
 	for range maxResponseHeaders {
 		resp, err := c.readFinalHeader(r)
@@ -85,7 +85,7 @@
 			return resp, nil
 		}
 		c.discarded(resp)
-		if r.Dialect == nil || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		if r.answersOnce() || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, errExchangeMismatch
 		}
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
--- a/proxy/forward/request.go
+++ b/proxy/forward/request.go
@@ -46,11 +46,17 @@
 	// AcceptUnnamed accepts an answer without an ID, but none with another one. The exchange must be the only one of
 	// its connection, so that no other request has a claim to the answer.
 	AcceptUnnamed bool
+	// AnswersOnce ends the exchange at an answer that does not name the request, rather than to read on: the sender
+	// answers each request once.
+	AnswersOnce bool
 	// CloseDelimited accepts a response without a length that ends with an
 	// orderly close of the connection.
 	CloseDelimited bool
 }
 
+// answersOnce reports whether no other answer can follow one that does not name the request.
+func (r *Request) answersOnce() bool { return r.Dialect == nil || r.Dialect.AnswersOnce }
+
 func (r *Request) acceptsUnnamed() bool { return r.Dialect != nil && r.Dialect.AcceptUnnamed }
 
 // BodySource is a body that may still be in transfer.
