--- a/edge/logs/account/cause.go
+++ b/edge/logs/account/cause.go
@@ -77,7 +77,11 @@
 
 // mayHaveRun reports whether the request may have run at a target.
 func (e *entry) mayHaveRun() bool {
-	return e.Result == "connection-lost" || e.Result == "deadline-after-send"
+	switch e.Result {
+	case "connection-lost", "deadline-after-send", "unproven-refusal":
+		return true
+	}
+	return false
 }
 
 // refusals are the causes that follow from the result alone.
@@ -113,7 +117,7 @@
 
 func causeOfFailure(e *entry) Cause {
 	switch e.Result {
-	case "connection-lost", "answer-truncated":
+	case "connection-lost", "answer-truncated", "unproven-refusal":
 		return ResponseLost
 	case "deadline-after-send", "deadline-before-send":
 		return ResponseTimeout
