--- a/proxy/unnamed_test.go
+++ b/proxy/unnamed_test.go
@@ -9,13 +9,16 @@
 
 // Guards against a refusal that names no exchange, or two, being taken for a statement that an order did not run.
 func TestRefusalThatNamesNoExchangeIsNoEvidence(t *testing.T) {
-	for name, field := range map[string]string{
-		"none": "", "empty": "Yucca-Exchange:\r\n", "two": "Yucca-Exchange: 0\r\nYucca-Exchange: 1\r\n",
+	for name, fields := range map[string]func(own string) string{
+		"none":           func(string) string { return "" },
+		"empty":          func(string) string { return "Yucca-Exchange:\r\n" },
+		"two, own first": func(own string) string { return "Yucca-Exchange: " + own + "\r\nYucca-Exchange: 0\r\n" },
+		"two, own last":  func(own string) string { return "Yucca-Exchange: 0\r\nYucca-Exchange: " + own + "\r\n" },
 	} {
 		t.Run(name, func(t *testing.T) {
 			target := newScriptedTarget(t, func(c *scriptedConn) {
 				if c.next() != nil {
-					_, _ = io.WriteString(c.Conn, "HTTP/1.1 503 Busy\r\n"+field+"Yucca-Shed: 1\r\nContent-Length: 0\r\n\r\n")
+					_, _ = io.WriteString(c.Conn, "HTTP/1.1 503 Busy\r\n"+fields(c.exchange)+"Yucca-Shed: 1\r\nContent-Length: 0\r\n\r\n")
 				}
 			})
 			p := newTestProxy(t, nil, target.address())
