--- a/integration/soak/doc.go
+++ b/integration/soak/doc.go
@@ -5,5 +5,8 @@
 //
 //	go test ./integration/soak -run TestSoak -seeds 50 -seconds 20 -v
 //
+// TestSoakOfPromises has flags for its size, so that it runs at the rates of a deployment; -program runs
+// another build than that of the sources.
+//
 // With -plot FOLDER each seed also leaves a plot of its answers and faults over time.
 package soak
