--- a/edge/gateway/matrix_test.go
+++ b/edge/gateway/matrix_test.go
@@ -141,7 +141,6 @@
 	tries  map[string]int
 	runs   map[string]int
 	dials  int
-	closed chan struct{}
 }
 
 // answer is the script of a target.
