forward: a reset is not the end of a response without a length

Callers saw: a target answered a long upload at once, without a length, sent a part of its body and reset the connection; the caller got that part as a complete answer. Cause: a socket reports its error once. The goroutine that writes the upload took the reset, and the one that reads then got a plain end of stream, which ends a response without a length. Fix: such a response is whole only if the peer is shown to have ended its stream: the socket is in CLOSE_WAIT, or was reset later, which Linux reports as EPIPE and not as ECONNRESET, to the write or pending. If the error was taken elsewhere, or a timeout closed the socket, it is not whole. The check is made after the upload has stopped, where all requests end, and only for responses without a length: other responses cost nothing more.

--- a/proxy/forward/conn.go
+++ b/proxy/forward/conn.go
@@ -169,7 +169,10 @@
 	if writeErr != nil {
 		c.reusable = false
 	}
-	return resp, err
+	if err != nil {
+		return nil, err
+	}
+	return c.verifyEnd(r, resp, sent)
 }
 
 // send writes the request line, header and body.
@@ -183,12 +186,12 @@
 	}
 	if len(r.Body) == 0 {
 		n, err := c.conn.Write(header.Bytes())
-		return sendResult{written: int64(n), err: err}
+		return sendResult{written: int64(n), err: err, failure: socketError(err)}
 	}
 	buffers := make(net.Buffers, 0, 1+len(r.Body))
 	buffers = append(buffers, header.Bytes())
 	buffers = append(buffers, r.Body...)
 	start := time.Now()
 	n, err := buffers.WriteTo(c.conn)
-	return sendResult{written: n, duration: time.Since(start), err: err}
+	return sendResult{written: n, duration: time.Since(start), err: err, failure: socketError(err)}
 }
--- a/proxy/forward/receive.go
+++ b/proxy/forward/receive.go
@@ -32,6 +32,7 @@
 	errTooManyInformational = errors.New("too many informational responses")
 	errProtocolSwitch       = errors.New("the target switched protocols")
 	errUnknownLength        = errors.New("the response has neither a length nor chunked encoding")
+	errNoEnd                = errors.New("the connection ended, but not in order, during a response without a length")
 	errNoMemory             = errors.New("no memory left for the response")
 )
 
@@ -61,6 +62,7 @@
 		Body:          body,
 		ReservedBytes: reserved,
 		NoBody:        !hasBody(resp, r),
+		endedWithConn: endsWithConn(resp) && hasBody(resp, r),
 		Named:         c.trace.Match == OwnID,
 	}
 	answer.Shed = answer.Status == http.StatusServiceUnavailable && answer.Evidence(result.HeaderShed) == notrun.Stated
@@ -85,7 +87,7 @@
 			return resp, nil
 		}
 		c.discarded(resp)
-		if r.answersOnce() || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		if r.answersOnce() || endsWithConn(resp) {
 			return nil, errExchangeMismatch
 		}
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
@@ -117,12 +119,17 @@
 func validateHeader(resp *http.Response, r *Request) error {
 	// A truncated close-delimited body cannot be told from a complete one.
 	closeDelimited := r.Dialect != nil && r.Dialect.CloseDelimited
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && hasBody(resp, r) && !closeDelimited {
+	if endsWithConn(resp) && hasBody(resp, r) && !closeDelimited {
 		return errUnknownLength
 	}
 	return nil
 }
 
+// endsWithConn reports whether a body has neither a length nor chunks, so that the end of the connection ends it.
+func endsWithConn(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 func hasBody(resp *http.Response, r *Request) bool {
 	if r.Method == http.MethodHead {
 		return false
--- a/proxy/forward/response.go
+++ b/proxy/forward/response.go
@@ -25,6 +25,8 @@
 	Named bool
 	// Shed is set if the target rejected the request before running it.
 	Shed bool
+	// endedWithConn is set if the end of the connection ended the body.
+	endedWithConn bool
 }
 
 // Evidence returns what shows that the request did not run. Its sender states that in the field.
--- a/proxy/forward/send.go
+++ b/proxy/forward/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"syscall"
 	"time"
 )
 
@@ -12,6 +13,8 @@
 	// duration is the time spent in writes.
 	duration time.Duration
 	err      error
+	// failure is the error that the socket reported to a write, 0 if none.
+	failure syscall.Errno
 }
 
 // exchangeConcurrently sends the body while reading the response: a target that
@@ -37,12 +40,14 @@
 	}
 	if !complete {
 		c.reusable = false
-		return resp, err
 	}
-	if resp != nil {
+	if err != nil {
+		return nil, err
+	}
+	if complete {
 		resp.SendDuration = res.duration
 	}
-	return resp, err
+	return c.verifyEnd(r, resp, res)
 }
 
 // stopSending aborts an unfinished write and reports whether the whole request
@@ -84,5 +89,5 @@
 	n, err := w.Write(data)
 	s.written += int64(n)
 	s.duration += time.Since(start)
-	s.err = err
+	s.err, s.failure = err, socketError(err)
 }
