forward: an answer with a malformed field line is no answer

Callers saw: a target in trouble named a field with a blank in it; callers got that line passed on, or a body that was not the target's: "Content-Length : 3" and "Transfer-Encoding : chunked" frame nothing, so the body ran to the end of the connection. Cause: http.ReadResponse takes names with blanks, appends a folded line (a name that begins with a blank or tab) to the value before it, and ignores a transfer coding in HTTP/1.0. Fix: one check of the head in forward, before its first use; api/responsehead has it, so that clients of net/http can use it. RFC 9112, 5.1, 5.2, 6.1: such a head is malformed. The connection ends, the request may have run, and the target counts as reached.

--- a/edge/gateway/brokenanswers_test.go
+++ b/edge/gateway/brokenanswers_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/yuccaroute/yuccaroute/edge/catalog"
@@ -90,3 +91,86 @@
 		}
 	}
 }
+
+// malformedHeads are heads of answers with field lines that HTTP does not allow; the body that follows is "done".
+var malformedHeads = map[string]string{
+	"blank in a name":            "X Odd: a\r\nContent-Length: 4\r\n",
+	"blank before a name":        " X-Odd: a\r\nContent-Length: 4\r\n",
+	"tab before a name":          "\tX-Odd: a\r\nContent-Length: 4\r\n",
+	"blank in the length's name": "Content-Length : 4\r\n",
+	"blank in the coding's name": "Transfer-Encoding : chunked\r\n",
+	"tab in a name":              "X\tOdd: a\r\nContent-Length: 4\r\n",
+	"NUL in a name":              "X\x00Odd: a\r\nContent-Length: 4\r\n",
+	"control byte in a name":     "X\x01Odd: a\r\nContent-Length: 4\r\n",
+	"DEL in a name":              "X\x7fOdd: a\r\nContent-Length: 4\r\n",
+	"0x80 in a name":             "X\x80Odd: a\r\nContent-Length: 4\r\n",
+}
+
+// answeringMalformed returns a script of answers with the given status line and field lines.
+func answeringMalformed(line, fields string) script {
+	return func(w *bufio.Writer, r *http.Request, _ string) bool {
+		_, _ = fmt.Fprintf(w, "%s\r\nX-Id: %s\r\n%s%s\r\ndone", line, r.Header.Get("X-Id"), stamp, fields)
+		_ = w.Flush()
+		return false
+	}
+}
+
+// Guards against answers with a malformed head that reach a caller from any VM that sends to targets, or count as a
+// refusal, upon which the order runs twice.
+func TestMalformedHeadIsNoAnswer(t *testing.T) {
+	for _, h := range []hop{callersVM, owner, relay} {
+		for name, fields := range malformedHeads {
+			for _, line := range []string{"HTTP/1.1 200 OK", "HTTP/1.1 500 Failed", "HTTP/1.1 503 Busy\r\nX-Not-Run: 1"} {
+				t.Run(fmt.Sprintf("%s, %s, %q", h, name, line), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) { checkOrdersFail(t, h, answeringMalformed(line, fields)) })
+				})
+			}
+		}
+	}
+}
+
+// checkOrdersFail checks that orders, one after the other, run once each and end with an unknown outcome.
+func checkOrdersFail(t *testing.T, h hop, answer script) {
+	m := &matrixWorld{script: answer, tries: make(map[string]int), runs: make(map[string]int)}
+	f, all := m.gatewayAt(t, h)
+	key := ""
+	if h == owner {
+		key = f.peerKey(t)
+	}
+	for _, id := range []string{"first", "second"} {
+		got := f.Handle(context.Background(), f.keyedRequest("POST", "/once/x", id, key, 2*time.Second, "order"))
+		if got.Status != http.StatusBadGateway || got.Header.Get("X-Stamp") != "" || m.runs[id] != 1 {
+			t.Errorf("order %s: %d %v %q, ran %d times", id, got.Status, got.Header, got.Body, m.runs[id])
+		}
+		time.Sleep(2 * runTime)
+	}
+	for _, vm := range all {
+		for _, p := range vm.ownerPools {
+			p.Close()
+		}
+		vm.finish()
+	}
+}
+
+// Guards against a target that is left, or rested, by what an answer with a malformed head states, to a request or to
+// a health probe.
+func TestMalformedHeadStatesNothing(t *testing.T) {
+	for name, fields := range malformedHeads {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &target{id: "a"}
+				answer := answeringMalformed("HTTP/1.1 200 OK\r\nX-Target: a\r\nX-Leaving: 1\r\nX-Rest: 3", fields)
+				f := newStatingGateway(t, map[*target]script{s: answer}, s)
+				probed := f.options.Balancer.TargetsToProbe(time.Now(), "s", "r", 1, 0)
+				f.askSome(1, "POST", "/once/x")
+				if healthy, _, err := f.checkHealth(context.Background(), probed[0], "/health"); err == nil || healthy {
+					t.Errorf("healthy %v, %v", healthy, err)
+				}
+				if leaving, resting := f.options.Balancer.Statements(time.Now()); leaving+resting != 0 || s.count() != 2 {
+					t.Errorf("%d targets leave, %d rest, %d requests", leaving, resting, s.count())
+				}
+				f.finish()
+			})
+		})
+	}
+}
--- a/edge/gateway/matrix_test.go
+++ b/edge/gateway/matrix_test.go
@@ -141,6 +141,8 @@
 	tries  map[string]int
 	runs   map[string]int
 	dials  int
+	// script replaces the answer of the row, unless it is nil.
+	script script
 }
 
 // answer is the script of a target.
@@ -151,10 +153,13 @@
 	first := m.tries[id] == 1
 	due := m.row.when == early || m.row.when == late
 	refuses := m.reason == refused1 && first
-	if !refuses && (m.row.kind.ran || due) {
+	if !refuses && (m.row.kind.ran || due || m.script != nil) {
 		m.runs[id]++
 	}
 	m.mu.Unlock()
+	if m.script != nil {
+		return m.script(w, r, body)
+	}
 	if refuses {
 		_, _ = io.WriteString(w, refusal(r))
 		return true
--- a/proxy/forward/codes.go
+++ b/proxy/forward/codes.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 
+	"github.com/yuccaroute/yuccaroute/api/responsehead"
 	"github.com/yuccaroute/yuccaroute/api/result"
 )
 
@@ -30,7 +31,7 @@
 	if errors.Is(err, errResponseTooLarge) {
 		return result.AnswerTooLarge
 	}
-	if errors.Is(err, errExchangeMismatch) {
+	if errors.Is(err, errExchangeMismatch) || errors.Is(err, responsehead.ErrMalformed) {
 		return result.AnswerTruncated
 	}
 	return codeAfterSend(ctx, err)
--- a/proxy/forward/limited_reader.go
+++ b/proxy/forward/limited_reader.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bytes"
 	"errors"
 	"net"
 )
@@ -12,6 +13,8 @@
 type limitedReader struct {
 	conn      net.Conn
 	remaining int64
+	// copyTo gets a copy of what is read, unless it is nil.
+	copyTo *bytes.Buffer
 }
 
 // Read implements io.Reader.
@@ -24,5 +27,8 @@
 	}
 	n, err := l.conn.Read(p)
 	l.remaining -= int64(n)
+	if l.copyTo != nil {
+		l.copyTo.Write(p[:n])
+	}
 	return n, err
 }
--- a/proxy/unnamed_test.go
+++ b/proxy/unnamed_test.go
@@ -27,3 +27,22 @@
 		})
 	}
 }
+
+// Guards against an answer with a malformed head being passed on, or counting as a refusal.
+func TestMalformedHeadIsNoAnswer(t *testing.T) {
+	for name, head := range map[string]string{
+		"success": "HTTP/1.1 200 OK\r\nX Odd: a\r\n", "refusal": "HTTP/1.1 503 Busy\r\nYucca-Shed: 1\r\nX Odd: a\r\n",
+		"length": "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n", "folded": "HTTP/1.1 200 OK\r\nX-A: a\r\n X-Odd: a\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			target := newScriptedTarget(t, func(c *scriptedConn) {
+				for c.next() != nil {
+					c.respond(head + "Content-Length: 2\r\n\r\nok")
+				}
+			})
+			p := newTestProxy(t, nil, target.address())
+			wantResult(t, callWithinGrant(p, "POST", "/orders", "x"), result.AnswerTruncated)
+			target.wantRequests(t, 1)
+		})
+	}
+}
