responsehead: an answer with a malformed status line is no answer

Callers saw (reported of other systems): a target in trouble answered with status 000 and the caller got that as an answer. Cause: http.ReadResponse takes any three-digit status and any version; forward skipped each status below 200 as an informational response, 000 as well. Fix: the check of the head covers the status line. RFC 9110, 15: statuses are 100 to 599, others count as 5xx, and callers get 502; 2.5: another major version is another protocol; RFC 9112, 4: a reason has no control bytes. HTTP/1.9 and HTTP/1.0 stay valid.

--- a/api/responsehead/head.go
+++ b/api/responsehead/head.go
@@ -14,8 +14,25 @@
 // ErrMalformed is the cause of all errors of this package.
 var ErrMalformed = errors.New("malformed response head")
 
-// Check returns an error if a response that net/http has read over a connection of HTTP/1 has an invalid field name.
+const (
+	// lowestStatus and highestStatus bound the valid statuses. Source: RFC 9110, section 15.
+	lowestStatus  = 100
+	highestStatus = 599
+	// majorVersion is that of HTTP/1. Source: RFC 9110, section 2.5.
+	majorVersion = 1
+)
+
+// Check returns an error if a response that net/http has read over a connection of HTTP/1 has another major version,
+// an invalid status, a control byte in its reason phrase or an invalid field name.
 func Check(resp *http.Response) error {
+	switch {
+	case resp.ProtoMajor != majorVersion:
+		return malformed("version", resp.Proto)
+	case resp.StatusCode < lowestStatus || resp.StatusCode > highestStatus:
+		return malformed("status", resp.Status)
+	case !httpguts.ValidHeaderFieldValue(resp.Status):
+		return malformed("reason phrase", resp.Status)
+	}
 	for name := range resp.Header {
 		if !httpguts.ValidHeaderFieldName(name) {
 			return malformed("field name", name)
--- a/api/responsehead/head_test.go
+++ b/api/responsehead/head_test.go
@@ -42,6 +42,19 @@
 		"0x80 in a name":                 okay + "X\x80Odd: a\r\n",
 		"empty name":                     okay + ": a\r\n",
 		"NUL in a value":                 okay + "X-Odd: a\x00\r\n",
+		"status 000":                     "HTTP/1.1 000 x\r\n",
+		"status 099":                     "HTTP/1.1 099 x\r\n",
+		"status 600":                     "HTTP/1.1 600 x\r\n",
+		"status 999":                     "HTTP/1.1 999 x\r\n",
+		"status +20":                     "HTTP/1.1 +20 x\r\n",
+		"status -01":                     "HTTP/1.1 -01 x\r\n",
+		"status 20":                      "HTTP/1.1 20 x\r\n",
+		"HTTP/9.9":                       "HTTP/9.9 200 x\r\n",
+		"HTTP/2.0":                       "HTTP/2.0 200 x\r\n",
+		"HTTP/0.0":                       "HTTP/0.0 200 x\r\n",
+		"control byte in the reason":     "HTTP/1.1 200 \x01\r\n",
+		"NUL in the reason":              "HTTP/1.1 200 a\x00b\r\n",
+		"carriage return in the reason":  "HTTP/1.1 200 a\rb\r\n",
 		"coding in HTTP/1.0":             "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
 	} {
 		if err := read(head); err == nil {
@@ -88,7 +101,7 @@
 // Guards against a malformed response that counts for a client of net/http, or whose connection stays open.
 func TestTransportRefusesMalformedHeads(t *testing.T) {
 	for head, want := range map[string]bool{
-		"HTTP/1.1 200 OK\r\nX-A: a\r\n": true, "HTTP/1.1 200 OK\r\nX Odd: a\r\n": false,
+		"HTTP/1.1 200 OK\r\nX-A: a\r\n": true, "HTTP/1.1 200 OK\r\nX Odd: a\r\n": false, "HTTP/1.1 000 x\r\n": false,
 	} {
 		base := &fixedResponse{head: head}
 		client := http.Client{Transport: Transport{Base: base}}
--- a/edge/gateway/brokenanswers_test.go
+++ b/edge/gateway/brokenanswers_test.go
@@ -129,6 +129,34 @@
 	}
 }
 
+// Guards against bytes that are no answer reaching a caller as one, alone or with a sound answer behind them.
+func TestMalformedStatusLineIsNoAnswer(t *testing.T) {
+	for _, h := range []hop{callersVM, owner, relay} {
+		for _, line := range []string{
+			"HTTP/1.1 000 x", "HTTP/1.1 099 x", "HTTP/1.1 +20 x", "HTTP/1.1 600 x", "HTTP/1.1 999 x", "HTTP/9.9 200 x", "HTTP/2.0 200 x",
+			"HTTP/0.0 200 x", "HTTP/1.1 200 a\x01", "HTTP/1.1 200 a\x00b",
+		} {
+			for behind, answer := range map[string]script{
+				"nothing":         answeringMalformed(line, "Content-Length: 4\r\n"),
+				"a sound answer":  answeringBehind(line+"\r\n\r\n", ok),
+				"a sound refusal": answeringBehind(line+"\r\n\r\n", shed),
+			} {
+				t.Run(fmt.Sprintf("%s, %q, %s behind", h, line, behind), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) { checkOrdersFail(t, h, answer) })
+				})
+			}
+		}
+	}
+}
+
+// answeringBehind returns a script that answers with a text and then follows another script.
+func answeringBehind(text string, then script) script {
+	return func(w *bufio.Writer, r *http.Request, body string) bool {
+		_, _ = w.WriteString(text)
+		return then(w, r, body)
+	}
+}
+
 // checkOrdersFail checks that orders, one after the other, run once each and end with an unknown outcome.
 func checkOrdersFail(t *testing.T, h hop, answer script) {
 	m := &matrixWorld{script: answer, tries: make(map[string]int), runs: make(map[string]int)}
--- a/proxy/forward/fuzz_test.go
+++ b/proxy/forward/fuzz_test.go
@@ -73,6 +73,9 @@
 		"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n",
 		"HTTP/9.9 999 \r\n\r\n",
+		"HTTP/1.1 000 \r\n\r\n" + okResponse("one"),
+		"HTTP/1.1 200 OK\r\nContent-Length : 3\r\n\r\nabc",
+		"HTTP/1.1 200 OK\r\nX-A: a\r\n X-B: b\r\nContent-Length: 3\r\n\r\nabc",
 		"",
 	} {
 		f.Add([]byte(text), false)
@@ -90,7 +93,7 @@
 			}
 			return
 		}
-		if len(resp.Body) > 1<<10 || resp.Status < 200 || resp.Status > 999 {
+		if len(resp.Body) > 1<<10 || resp.Status < 200 || resp.Status > 599 {
 			t.Fatalf("status %d with %d bytes", resp.Status, len(resp.Body))
 		}
 		if truncated, _, err := exchangeWith(method, text, left+1); err == nil {
--- a/proxy/forward/head_test.go
+++ b/proxy/forward/head_test.go
@@ -35,6 +35,24 @@
 	}
 }
 
+// malformedStatusLines are status lines that HTTP/1 does not allow.
+var malformedStatusLines = []string{
+	"HTTP/1.1 000 x", "HTTP/1.1 099 x", "HTTP/1.1 +20 x", "HTTP/1.1 -01 x", "HTTP/1.1 20 x", "HTTP/1.1 600 x", "HTTP/1.1 999 x",
+	"HTTP/9.9 200 x", "HTTP/2.0 200 x", "HTTP/0.0 200 x", "HTTP/1.1 200 a\x01b", "HTTP/1.1 200 a\x00b", "HTTP/1.1 200 a\rb",
+	"HTTP/1.1 200 \x7f",
+}
+
+// Guards against bytes that are no answer being passed on as one, or skipped as an informational one.
+func TestMalformedStatusLineIsNoResponse(t *testing.T) {
+	const sound = "HTTP/1.1 200 OK\r\nX-Id: this\r\nContent-Length: 3\r\n"
+	for _, line := range malformedStatusLines {
+		t.Run(line, func(t *testing.T) {
+			checkMalformedHead(t, line+"\r\nContent-Length: 3\r\n")
+			checkMalformedHead(t, line+"\r\n\r\n"+sound)
+		})
+	}
+}
+
 // checkMalformedHead sends a request, with and without a dialect, to a target that answers with the head.
 func checkMalformedHead(t *testing.T, head string) {
 	for _, dialect := range []*Dialect{nil, {DeadlineField: "X-Deadline", IDField: "X-Id", ID: "this", CloseDelimited: true}} {
--- a/proxy/unnamed_test.go
+++ b/proxy/unnamed_test.go
@@ -32,7 +32,8 @@
 func TestMalformedHeadIsNoAnswer(t *testing.T) {
 	for name, head := range map[string]string{
 		"success": "HTTP/1.1 200 OK\r\nX Odd: a\r\n", "refusal": "HTTP/1.1 503 Busy\r\nYucca-Shed: 1\r\nX Odd: a\r\n",
-		"length": "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n", "folded": "HTTP/1.1 200 OK\r\nX-A: a\r\n X-Odd: a\r\n",
+		"length": "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n", "status": "HTTP/1.1 600 x\r\n",
+		"status 000": "HTTP/1.1 000 x\r\n\r\nHTTP/1.1 200 OK\r\n", "folded": "HTTP/1.1 200 OK\r\nX-A: a\r\n X-Odd: a\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			target := newScriptedTarget(t, func(c *scriptedConn) {
