--- a/client/client.go
+++ b/client/client.go
@@ -65,7 +65,7 @@
 	c.closeOnce.Do(func() {
 		c.stop()
 		c.entries.close()
-		if t, ok := c.transport.(*http.Transport); ok {
+		if t, ok := c.transport.(interface{ CloseIdleConnections() }); ok {
 			t.CloseIdleConnections()
 		}
 	})
--- a/client/transport.go
+++ b/client/transport.go
@@ -7,25 +7,28 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/yuccaroute/yuccaroute/api/responsehead"
 )
 
 // idleConnectionTime is shorter than the idle time of an entry VM, so that the
 // client closes an idle connection first.
 const idleConnectionTime = 20 * time.Second
 
-func newTransport(options Options) *http.Transport {
+// newTransport returns a transport on which nothing of a response with a malformed head counts.
+func newTransport(options Options) http.RoundTripper {
 	dialer := &net.Dialer{Timeout: options.ConnectTimeout}
 	if options.LocalAddr.IsValid() {
 		dialer.LocalAddr = &net.TCPAddr{IP: options.LocalAddr.AsSlice()}
 	}
-	return &http.Transport{
+	return responsehead.Transport{Base: &http.Transport{
 		DialContext:         dialContext(dialer, options.Opened),
 		Proxy:               nil,
 		DisableCompression:  true,
 		MaxConnsPerHost:     options.MaxConnections,
 		MaxIdleConnsPerHost: options.MaxConnections,
 		IdleConnTimeout:     idleConnectionTime,
-	}
+	}}
 }
 
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
--- a/membership/httplist/lister.go
+++ b/membership/httplist/lister.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/yuccaroute/yuccaroute/api/option"
+	"github.com/yuccaroute/yuccaroute/api/responsehead"
 	"github.com/yuccaroute/yuccaroute/membership"
 	"github.com/yuccaroute/yuccaroute/membership/wire"
 	"github.com/yuccaroute/yuccaroute/store"
@@ -56,7 +57,7 @@
 	return &Lister{
 		url:     "http://" + options.Address + options.Path,
 		timeout: options.Timeout,
-		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		http:    &http.Client{Transport: responsehead.Transport{Base: &http.Transport{MaxIdleConnsPerHost: 1}}},
 	}
 }
 
