--- a/proxy/forward/end.go
+++ b/proxy/forward/end.go
@@ -64,6 +64,9 @@
 
 // socketError returns the error that the kernel reported, 0 if err is of another kind.
 func socketError(err error) syscall.Errno {
+	if err == nil {
+		return 0
+	}
 	var errno syscall.Errno
 	errors.As(err, &errno)
 	return errno
