--- a/edge/gateway/endless_test.go
+++ b/edge/gateway/endless_test.go
@@ -6,11 +6,14 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/yuccaroute/yuccaroute/proxy/buffer"
 )
 
@@ -131,3 +134,43 @@
 	m.most = max(m.most, m.Used())
 	return true
 }
+
+// An answer without end to a health probe must end the probe at once, and the target is not healthy.
+func TestEndlessAnswerToProbe(t *testing.T) {
+	var closed sync.WaitGroup
+	for name, bad := range endlessScripts(&closed) {
+		t.Run(name, func(t *testing.T) {
+			f := newGateway(t, startTarget(t, "a", bad))
+			probed := f.options.Balancer.TargetsToProbe(time.Now(), "s", "r", 1, 0)
+			healthy, _, err := f.checkHealth(context.Background(), probed[0], "/health")
+			if err == nil || healthy || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) {
+				t.Errorf("healthy %v, %v", healthy, err)
+			}
+			closed.Wait()
+		})
+	}
+}
+
+// An answer without end of another VM must end its exchange at once: an order has an unknown outcome, others are served.
+func TestEndlessAnswerOfAnotherVM(t *testing.T) {
+	var closed sync.WaitGroup
+	for name, bad := range endlessScripts(&closed) {
+		t.Run(name, func(t *testing.T) {
+			vm, good := startTarget(t, "vm", bad), startTarget(t, "good", ok)
+			f := newGateway(t)
+			f.edit = allowLongRequests
+			f.setTargets(false, good)
+			f.setOwners(vm.address())
+			key := f.peerKey(t)
+			for path, want := range map[string]int{"/safe/x": http.StatusOK, "/once/x": http.StatusBadGateway} {
+				f.setOwners(vm.address())
+				before := vm.count()
+				a := f.Handle(context.Background(), f.keyedRequest("POST", path, path, key, time.Minute, ""))
+				if a.Status != want || vm.count() != before+1 {
+					t.Errorf("%s: %d, %d requests at the other VM", path, a.Status, vm.count()-before)
+				}
+			}
+			closed.Wait()
+		})
+	}
+}
--- a/proxy/forward/endless_test.go
+++ b/proxy/forward/endless_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -108,3 +109,36 @@
 	c.read += int64(n)
 	return n, err
 }
+
+// manyFields returns header fields with names of their own, size bytes in all.
+func manyFields(size int) string {
+	var b strings.Builder
+	for i := 0; b.Len() < size; i++ {
+		fmt.Fprintf(&b, "%x:\r\n", i)
+	}
+	return b.String()
+}
+
+// Guards against heads of many short fields that fill the memory of a VM, though each is within its size: parsed, a
+// field takes many times its bytes. The target stops in the head, which would be held until the deadline.
+func TestHeadOfManyFieldsIsRefused(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	c := newTestConn(t, func(p *scriptedTarget) {
+		p.readRequest()
+		p.write("HTTP/1.1 200 OK\r\n" + manyFields(maxHeaderBytes-readBufferBytes))
+		<-release
+	})
+	_, err := c.Exchange(background, newGet("/stock"))
+	wantError(t, err, result.AnswerTooLarge)
+}
+
+// A head with as many fields as servers send must be read.
+func TestHeadOfSomeFieldsIsRead(t *testing.T) {
+	fields := manyFields(1 << 10)
+	c := newTestConn(t, respondWith("HTTP/1.1 200 OK\r\n"+fields+"Content-Length: 3\r\n\r\nabc"))
+	resp, err := c.Exchange(background, newGet("/stock"))
+	if want := strings.Count(fields, "\n") + 2; err != nil || len(resp.Header) != want {
+		t.Fatalf("%v, want %d fields", err, want)
+	}
+}
--- a/proxy/forward/header.go
+++ b/proxy/forward/header.go
@@ -30,16 +30,6 @@
 
 var headerBuffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
-// maxPooledHeaderBytes bounds the buffers that are kept: few headers are longer.
-const maxPooledHeaderBytes = 16 << 10
-
-// putHeader returns a buffer to headerBuffers.
-func putHeader(b *bytes.Buffer) {
-	if b.Cap() <= maxPooledHeaderBytes {
-		headerBuffers.Put(b)
-	}
-}
-
 // writeRequestHeader writes the request line and the header section.
 func writeRequestHeader(b *bytes.Buffer, r *Request, exchangeID uint64, timeout time.Duration) {
 	b.WriteString(r.Method)
--- a/proxy/forward/limited_reader.go
+++ b/proxy/forward/limited_reader.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bytes"
 	"errors"
 	"net"
 )
@@ -13,8 +12,8 @@
 type limitedReader struct {
 	conn      net.Conn
 	remaining int64
-	// copyTo gets a copy of what is read, unless it is nil.
-	copyTo *bytes.Buffer
+	// head copies what is read while a head is read, nil otherwise.
+	head *headCopy
 }
 
 // Read implements io.Reader.
@@ -27,8 +26,8 @@
 	}
 	n, err := l.conn.Read(p)
 	l.remaining -= int64(n)
-	if l.copyTo != nil {
-		l.copyTo.Write(p[:n])
+	if l.head != nil && !l.head.add(p[:n]) {
+		return 0, errResponseTooLarge
 	}
 	return n, err
 }
--- a/proxy/forward/receive.go
+++ b/proxy/forward/receive.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 
-	"github.com/yuccaroute/yuccaroute/api/responsehead"
 	"github.com/yuccaroute/yuccaroute/api/result"
 	"github.com/yuccaroute/yuccaroute/proxy/notrun"
 )
@@ -116,27 +115,6 @@
 	return nil, errTooManyInformational
 }
 
-// readHead reads the head of the next response and checks it. Nothing of a malformed one counts, since a line that HTTP
-// does not allow may have been meant to frame the body, and its sender is in trouble.
-func (c *Conn) readHead() (*http.Response, error) {
-	head := headerBuffers.Get().(*bytes.Buffer)
-	defer putHeader(head)
-	head.Reset()
-	buffered, _ := c.reader.Peek(c.reader.Buffered())
-	head.Write(buffered)
-	c.limited.copyTo = head
-	resp, err := http.ReadResponse(c.reader, &c.pendingRequest)
-	c.limited.copyTo = nil
-	if err != nil {
-		return nil, err
-	}
-	if err := responsehead.Check(resp); err != nil {
-		return nil, err
-	}
-	head.Truncate(head.Len() - c.reader.Buffered())
-	return resp, responsehead.CheckLines(resp, head.Bytes())
-}
-
 // validateHeader rejects a response of unknown length.
 func validateHeader(resp *http.Response, r *Request) error {
 	// A truncated close-delimited body cannot be told from a complete one.
