responsehead: clients of net/http read 64 KB of a head, not 10 MB

Callers saw (reported of other systems): bytes without end in a head filled the memory of the process that had called, and other callers' requests ended with it. Targets' answers were bounded already. Fix: their transports are made by one function, which bounds heads to 64 KB. Result: at most 128 KB are read.

--- a/api/responsehead/head_test.go
+++ b/api/responsehead/head_test.go
@@ -3,9 +3,12 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/pkg/errors"
@@ -126,3 +129,59 @@
 		}
 	}
 }
+
+// Guards against heads without end that fill the memory: they must end soon after the bound, and the connection with them.
+func TestEndlessHeads(t *testing.T) {
+	const mostRead = 2 * maxHeadBytes
+	for name, c := range map[string]struct{ start, more string }{
+		"fields": {"HTTP/1.1 200 OK\r\n", "A: b\r\n"}, "informational responses": {"", "HTTP/1.1 103 x\r\nA: b\r\n\r\n"}, "zeros": {"", "\x00"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				_, _ = io.WriteString(conn, c.start)
+				for block := strings.Repeat(c.more, 1<<10); err == nil; {
+					_, err = io.WriteString(conn, block)
+				}
+			}()
+			read := new(atomic.Int64)
+			dialer := new(net.Dialer)
+			client := http.Client{Transport: NewTransport(&http.Transport{
+				DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+					conn, err := dialer.DialContext(ctx, network, address)
+					return &countedConn{Conn: conn, read: read}, err
+				},
+			})}
+			if resp, err := client.Get("http://" + l.Addr().String() + "/"); err == nil {
+				t.Errorf("%+v", resp)
+			}
+			<-ended
+			if read.Load() > mostRead {
+				t.Errorf("%d bytes were read, want at most %d", read.Load(), mostRead)
+			}
+		})
+	}
+}
+
+// countedConn counts the bytes that are read.
+type countedConn struct {
+	net.Conn
+	read *atomic.Int64
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
+}
--- a/api/responsehead/transport.go
+++ b/api/responsehead/transport.go
@@ -6,6 +6,16 @@
 // nothing counts: its request may have been executed, as one whose response was lost.
 type Transport struct{ Base http.RoundTripper }
 
+// maxHeadBytes bounds the heads that are read for one response. The default of net/http, 10 MB, takes many times that in
+// memory once it is parsed.
+const maxHeadBytes = 64 << 10
+
+// NewTransport returns a Transport on base, and bounds the heads that base reads.
+func NewTransport(base *http.Transport) Transport {
+	base.MaxResponseHeaderBytes = maxHeadBytes
+	return Transport{Base: base}
+}
+
 // RoundTrip implements http.RoundTripper. Errors: ErrMalformed, and those of Base.
 func (t Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	resp, err := t.Base.RoundTrip(r)
--- a/client/transport.go
+++ b/client/transport.go
@@ -21,14 +21,14 @@
 	if options.LocalAddr.IsValid() {
 		dialer.LocalAddr = &net.TCPAddr{IP: options.LocalAddr.AsSlice()}
 	}
-	return responsehead.Transport{Base: &http.Transport{
+	return responsehead.NewTransport(&http.Transport{
 		DialContext:         dialContext(dialer, options.Opened),
 		Proxy:               nil,
 		DisableCompression:  true,
 		MaxConnsPerHost:     options.MaxConnections,
 		MaxIdleConnsPerHost: options.MaxConnections,
 		IdleConnTimeout:     idleConnectionTime,
-	}}
+	})
 }
 
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
--- a/edge/entry/snapshots.go
+++ b/edge/entry/snapshots.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/yuccaroute/yuccaroute/api/responsehead"
 	"github.com/yuccaroute/yuccaroute/edge/replica"
 	"github.com/yuccaroute/yuccaroute/edge/serve"
 	"github.com/yuccaroute/yuccaroute/store"
@@ -118,7 +119,10 @@
 	return c, errors.Wrap(msgpack.NewDecoder(from).Decode(&c), "entry: decode snapshot")
 }
 
-var snapshotClient = &http.Client{Timeout: snapshotTimeout, Transport: &http.Transport{IdleConnTimeout: snapshotIdle, DisableCompression: true}}
+var snapshotClient = &http.Client{
+	Timeout:   snapshotTimeout,
+	Transport: responsehead.NewTransport(&http.Transport{IdleConnTimeout: snapshotIdle, DisableCompression: true}),
+}
 
 // fetchSnapshot requests the changes after a revision from another VM.
 func fetchSnapshot(ctx context.Context, peer string, after store.Revision) (replica.Snapshot, error) {
--- a/membership/httplist/lister.go
+++ b/membership/httplist/lister.go
@@ -57,7 +57,7 @@
 	return &Lister{
 		url:     "http://" + options.Address + options.Path,
 		timeout: options.Timeout,
-		http:    &http.Client{Transport: responsehead.Transport{Base: &http.Transport{MaxIdleConnsPerHost: 1}}},
+		http:    &http.Client{Transport: responsehead.NewTransport(&http.Transport{MaxIdleConnsPerHost: 1})},
 	}
 }
 
