gateway: a cold time in a health answer that cannot be is none

Callers saw nothing of this; found by reading what else reads numbers of targets: a cold time of 1e300, NaN, Inf or 292 years in a health answer became one of -2562047 h here, and on arm64, where the conversion saturates, one that does not end: the target would stay at its cold rate. Evidence: six of twelve cases of TestColdTimeOfHealthAnswer failed before. The effect on arm64 is from the language's rules, not from a run. Fix: only a positive time that a Duration holds counts. Result: passes.

--- a/edge/gateway/brokenanswers_test.go
+++ b/edge/gateway/brokenanswers_test.go
@@ -13,6 +13,9 @@
 	"time"
 
 	"github.com/yuccaroute/yuccaroute/edge/catalog"
+	"github.com/yuccaroute/yuccaroute/edge/placing"
+	"github.com/yuccaroute/yuccaroute/edge/site"
+	"github.com/yuccaroute/yuccaroute/proxy/forward"
 )
 
 // startUnreadTarget starts a target that reads the head of each request and not its body.
@@ -202,3 +205,19 @@
 		})
 	}
 }
+
+// Guards against a cold time in a health answer that overflows: it would be negative or last for centuries, by the
+// processor.
+func TestColdTimeOfHealthAnswer(t *testing.T) {
+	f := newGateway(t)
+	for text, want := range map[string]time.Duration{
+		"1500": 1500 * time.Millisecond, "0.5": 500 * time.Microsecond, "0": 0, "-1": 0, "1e300": 0, "1e400": 0, "NaN": 0, "Inf": 0, "-Inf": 0, "soon": 0, "": 0,
+		"9300000000000": 0,
+	} {
+		answer := &forward.Response{Status: http.StatusOK, Header: http.Header{"X-Target": {"a"}, "X-Cold": {text}}}
+		healthy, cold := f.healthIn(answer, &placing.Target{Target: site.Target{ID: "a"}})
+		if !healthy || cold != want {
+			t.Errorf("%q: healthy %v, cold for %v, want %v", text, healthy, cold, want)
+		}
+	}
+}
--- a/edge/gateway/probe.go
+++ b/edge/gateway/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"os"
 	"strconv"
@@ -53,10 +54,14 @@
 	return healthy, coldRemaining, nil
 }
 
+// maxColdMillis is what a time.Duration holds, in whole milliseconds.
+const maxColdMillis = float64(math.MaxInt64 / int64(time.Millisecond))
+
 // healthIn returns what the answer to a probe says of a target.
 func (g *Gateway) healthIn(answer *forward.Response, t *placing.Target) (healthy bool, coldRemaining time.Duration) {
 	healthy = answer.Status == http.StatusOK && answer.Header.Get(g.options.Fields.TargetID) == t.ID
-	if millis, err := strconv.ParseFloat(answer.Header.Get(g.options.Fields.ColdMillis), 64); err == nil {
+	millis, err := strconv.ParseFloat(answer.Header.Get(g.options.Fields.ColdMillis), 64)
+	if err == nil && millis > 0 && millis <= maxColdMillis {
 		coldRemaining = time.Duration(millis * float64(time.Millisecond))
 	}
 	return healthy, coldRemaining
