entry, gateway: requests that wait as the grace period ends are refused

Callers saw (reported of other systems): in a planned stop requests were passed on late in the grace period and cut at its end without an answer, among them such that may not be repeated. Cause here: requests that come after 3 s are refused unsent, but those from before that still waited for a target, or were sent a second time, went on until the process ended: their connections closed without an answer, though no target had got them, or just then. Fix: one second before the exit no further requests are sent, to targets or other VMs: what no target has run is refused with 503, which is true; what is under way may end.

--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -49,6 +49,9 @@
 	drainPeriod = 3 * time.Second
 	// exitMargin is how long before the end of the grace period the process exits.
 	exitMargin = 300 * time.Millisecond
+	// answerMargin is how long before that requests are sent last: callers of those that still wait are told so,
+	// and those that were sent may be answered.
+	answerMargin = time.Second
 	// drainPollInterval is how often a shutdown checks for requests in flight.
 	drainPollInterval = 20 * time.Millisecond
 )
@@ -389,7 +392,8 @@
 }
 
 // Shutdown stops the VM gracefully: it leaves the directory, accepts requests for
-// drainPeriod and waits for those in flight, all within the grace period.
+// drainPeriod and waits for those in flight, all within the grace period. Requests that still wait for a
+// target answerMargin before its end are refused as not run.
 func (e *Entry) Shutdown() {
 	began := time.Now()
 	e.shuttingDown.Store(true)
@@ -402,6 +406,8 @@
 	e.callerServer.StopListening()
 	e.callerServer.CloseIdle()
 	until := began.Add(e.options.Grace - exitMargin)
+	endSends := time.AfterFunc(time.Until(until.Add(-answerMargin)), e.gateway.EndSends)
+	defer endSends.Stop()
 	for (e.inFlight() > 0 || e.undelivered() > 0) && time.Now().Before(until) {
 		time.Sleep(drainPollInterval)
 	}
--- a/edge/gateway/gateway.go
+++ b/edge/gateway/gateway.go
@@ -111,8 +111,11 @@
 	// maxConnections is the limit of connections to one target, by service.
 	maxConnections atomic.Pointer[map[string]int]
 	leaving        atomic.Bool
-	losses         *losses
-	reach          *reach.Tracker
+	// sendsEnded is closed when no further requests are sent.
+	sendsEnded chan struct{}
+	endSends   sync.Once
+	losses     *losses
+	reach      *reach.Tracker
 	// reachMu orders what the balancer is told of what is reached.
 	reachMu sync.Mutex
 	// busyUntil is until when this VM takes requests of others only as the last resort; nil if it was never busy.
@@ -157,6 +160,7 @@
 	return &Gateway{
 		options: o, pools: make(map[string]*pool.Pool), ownerPools: make(map[string]*pool.Pool),
 		budgets: make(map[string]*retrybudget.Budget), losses: newLosses(), reach: reach.New(),
+		sendsEnded: make(chan struct{}),
 	}
 }
 
@@ -202,6 +206,19 @@
 // Leave makes the gateway refuse new requests as not run.
 func (g *Gateway) Leave() { g.leaving.Store(true) }
 
+// EndSends makes the gateway send no further requests to targets and other VMs. Those that wait for a target are refused
+// as not run: when the process ends, their connections would end without an answer.
+func (g *Gateway) EndSends() { g.endSends.Do(func() { close(g.sendsEnded) }) }
+
+func (g *Gateway) hasEndedSends() bool {
+	select {
+	case <-g.sendsEnded:
+		return true
+	default:
+		return false
+	}
+}
+
 // closePools closes the connections to targets that are no longer listed.
 func (g *Gateway) closePools(listed map[string]bool) {
 	g.mu.Lock()
--- a/edge/gateway/run.go
+++ b/edge/gateway/run.go
@@ -54,6 +54,9 @@
 		return unreachedOutcome()
 	}
 	for {
+		if g.hasEndedSends() {
+			return leavingOutcome()
+		}
 		if g.relaysFirst(r) {
 			if end, done := g.relay(ctx, r); done {
 				return end
@@ -96,6 +99,8 @@
 	}
 }
 
+func leavingOutcome() outcome { return outcome{code: result.NodeLeaving, reason: "leaving"} }
+
 func unreachedOutcome() outcome {
 	return outcome{code: result.NoTarget, reason: placing.Unreached.String(), unreached: true}
 }
@@ -125,12 +130,11 @@
 		select {
 		case d = <-w.Decided():
 		case <-ctx.Done():
-			late, decided := g.options.Balancer.Cancel(w)
-			if decided && late.Target != nil {
-				g.options.Balancer.Done(time.Now(), late, r.class, placing.Cancelled, 0)
-			}
-			r.log.region = late.Region
+			g.cancelPlacement(r, w)
 			return placing.Decision{}, g.contextOutcome(ctx, r)
+		case <-g.sendsEnded:
+			g.cancelPlacement(r, w)
+			return placing.Decision{}, leavingOutcome()
 		}
 		r.log.waited += time.Since(began)
 	}
@@ -152,6 +156,15 @@
 	return d, outcome{}
 }
 
+// cancelPlacement takes a request out of the queue.
+func (g *Gateway) cancelPlacement(r *request, w *placing.Waiter) {
+	late, decided := g.options.Balancer.Cancel(w)
+	if decided && late.Target != nil {
+		g.options.Balancer.Done(time.Now(), late, r.class, placing.Cancelled, 0)
+	}
+	r.log.region = late.Region
+}
+
 // contextOutcome returns the outcome of a request whose context has ended.
 func (g *Gateway) contextOutcome(ctx context.Context, r *request) outcome {
 	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -214,7 +227,7 @@
 
 // hedge returns a second target if one is free now and the retry budget allows it.
 func (g *Gateway) hedge(r *request, first placing.Decision) (placing.Decision, bool) {
-	if g.limitedToOneAttempt(r) || g.keyWithdrawn(r) || g.options.Balancer.Waiting() > 0 || !g.budgetOf(r.service).Take() {
+	if g.hasEndedSends() || g.limitedToOneAttempt(r) || g.keyWithdrawn(r) || g.options.Balancer.Waiting() > 0 || !g.budgetOf(r.service).Take() {
 		return placing.Decision{}, false
 	}
 	r.placement.Tried = append(r.placement.Tried, first.Target)
--- a/edge/gateway/serve.go
+++ b/edge/gateway/serve.go
@@ -110,7 +110,7 @@
 		return outcome{code: result.NoPlan, retryAfter: configRetryAfter, reason: "no configuration yet"}
 	}
 	if g.leaving.Load() {
-		return outcome{code: result.NodeLeaving, reason: "leaving"}
+		return leavingOutcome()
 	}
 	r.version = table.Version
 	r.route = table.Match(r.in.Host, r.in.Path)
