gateway: an answer of another VM has a length

Callers saw nothing of this; found while checking what else reads answers: the exchange with another VM copied CloseDelimited from that with targets, so that a success without a length, "do" of "done", was passed on as whole. VMs always send a length; a foreign process at a reused address need not. Evidence: two of the eight new cases of TestMatrixOfAnswersOfVMs failed before; malformed names and a status 000 before a refusal were handled by the check of heads. Fix: answers between VMs may not end with their connection.

--- a/edge/gateway/delegate.go
+++ b/edge/gateway/delegate.go
@@ -268,7 +268,8 @@
 	defer p.Put(conn)
 	out := r.out
 	dialect := *r.out.Dialect
-	dialect.AnswersOnce = true
+	// VMs answer each request once, and with a length.
+	dialect.AnswersOnce, dialect.CloseDelimited = true, false
 	out.Dialect = &dialect
 	out.Header = r.out.Header.Clone()
 	out.Header.Set(fieldVersion, strconv.FormatUint(r.version, 10))
