--- a/api/result/result.go
+++ b/api/result/result.go
@@ -120,7 +120,7 @@
 	{NoPlan, "no-plan", 503, NotRun, "The node has no steering plan for the account yet.", true},
 	{DeadlineAfterSend, "deadline-after-send", 504, Unknown, "The deadline passed after the request was sent.", false},
 	{ConnectionLost, "connection-lost", 502, Unknown, "The connection to the target broke before its answer.", false},
-	{AnswerTruncated, "answer-truncated", 502, Unknown, "The target's answer ended before it was whole.", false},
+	{AnswerTruncated, "answer-truncated", 502, Unknown, "The target's answer ended before it was whole, or was malformed.", false},
 	{AnswerTooLarge, "answer-too-large", 502, Unknown, "The target's answer is over the service's limit.", false},
 	{CallerGone, "caller-gone", 499, Unknown, "The caller went away before the answer.", false},
 	{Quarantined, "quarantined", 503, NotRun, "Targets ended while they ran this request before; it is not sent to another one for now.", true},
