--- a/edge/entry/entry.go
+++ b/edge/entry/entry.go
@@ -49,8 +49,8 @@
 	drainPeriod = 3 * time.Second
 	// exitMargin is how long before the end of the grace period the process exits.
 	exitMargin = 300 * time.Millisecond
-	// answerMargin is how long before that requests are sent last: callers of those that still wait are told so,
-	// and those that were sent may be answered.
+	// answerMargin is how long before the process exits the last requests are sent: those that still wait are
+	// refused, and those that were sent have time to be answered.
 	answerMargin = time.Second
 	// drainPollInterval is how often a shutdown checks for requests in flight.
 	drainPollInterval = 20 * time.Millisecond
@@ -393,7 +393,7 @@
 
 // Shutdown stops the VM gracefully: it leaves the directory, accepts requests for
 // drainPeriod and waits for those in flight, all within the grace period. Requests that still wait for a
-// target answerMargin before its end are refused as not run.
+// target answerMargin before the exit are refused as not run.
 func (e *Entry) Shutdown() {
 	began := time.Now()
 	e.shuttingDown.Store(true)
--- a/edge/gateway/brokenanswers_test.go
+++ b/edge/gateway/brokenanswers_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,29 +20,12 @@
 // startUnreadTarget starts a target that reads the head of each request and not its body.
 func startUnreadTarget(t *testing.T, id string, answer func(c *net.TCPConn, r *http.Request)) *target {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := &target{id: id, listener: l}
-	var all sync.WaitGroup
-	all.Go(func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { c.Close() })
-			go func() {
-				defer c.Close()
-				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					answer(c.(*net.TCPConn), r)
-				}
-			}()
+	return startTargetWith(t, id, func(_ *target, c net.Conn) {
+		defer c.Close()
+		if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			answer(c.(*net.TCPConn), r)
 		}
 	})
-	t.Cleanup(func() { l.Close(); all.Wait() })
-	return s
 }
 
 // allowUploads makes the routes accept uploads that take long.
--- a/edge/gateway/fixture_test.go
+++ b/edge/gateway/fixture_test.go
@@ -42,6 +42,12 @@
 }
 
 func startTarget(t *testing.T, id string, answer script) *target {
+	t.Helper()
+	return startTargetWith(t, id, func(s *target, c net.Conn) { s.serve(c, answer) })
+}
+
+// startTargetWith starts a target that handles each connection with serve.
+func startTargetWith(t *testing.T, id string, serve func(s *target, c net.Conn)) *target {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -56,7 +62,7 @@
 				return
 			}
 			t.Cleanup(func() { c.Close() })
-			go s.serve(c, answer)
+			go serve(s, c)
 		}
 	})
 	t.Cleanup(func() { l.Close(); all.Wait() })
--- a/proxy/forward/end.go
+++ b/proxy/forward/end.go
@@ -46,15 +46,15 @@
 // verifyEnd returns the response, or an error if it ended with its connection and that was not in order. The
 // request has been sent as far as it will be.
 func (c *Conn) verifyEnd(r *Request, resp *Response, sent sendResult) (*Response, error) {
-	if !resp.endedWithConn || c.streamEnd(sent.failure).inOrder() {
+	if !resp.endedWithConn || c.endOfStream(sent.failure).inOrder() {
 		return resp, nil
 	}
 	release(r, resp.ReservedBytes)
 	return nil, newError(result.AnswerTruncated, errNoEnd)
 }
 
-// streamEnd reads the state of the connection. failure is the error of a write, 0 if none failed.
-func (c *Conn) streamEnd(failure syscall.Errno) streamEnd {
+// endOfStream reads how the connection ended. failure is the error of a write, 0 if none failed.
+func (c *Conn) endOfStream(failure syscall.Errno) streamEnd {
 	state, pending := socketState(c.conn)
 	if failure == 0 {
 		failure = pending
--- a/proxy/forward/head.go
+++ b/proxy/forward/head.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// maxHeadLines bounds the lines of a head. Once parsed, a short field takes twenty times its bytes.
+	// maxHeadLines bounds the lines of a head. Once parsed, a short field takes many times its bytes.
 	maxHeadLines = 512
 	// maxPooledHeadBytes bounds the copies that are kept for other heads.
 	maxPooledHeadBytes = 16 << 10
--- a/proxy/forward/receive.go
+++ b/proxy/forward/receive.go
@@ -117,7 +117,7 @@
 
 // validateHeader rejects a response of unknown length.
 func validateHeader(resp *http.Response, r *Request) error {
-	// A truncated close-delimited body cannot be told from a complete one.
+	// Without a length, only the end of the connection tells whether a body is whole, see verifyEnd.
 	closeDelimited := r.Dialect != nil && r.Dialect.CloseDelimited
 	if endsWithConn(resp) && hasBody(resp, r) && !closeDelimited {
 		return errUnknownLength
