--- a/review/second/proxy.go
+++ b/review/second/proxy.go
@@ -15,14 +15,12 @@
 
 	mu    sync.Mutex
 	links map[*link]bool
-	// refuse is set while the listener closes new connections at once.
-	refuse bool
 }
 
 type link struct {
 	from, to net.Conn
 	silent   bool
-	// watches is closed when a watch was passed on, until it was answered.
+	// watchedAt is when the last watch was passed on.
 	watchedAt time.Time
 }
 
@@ -98,16 +96,15 @@
 	}
 }
 
-// silenceWatch makes the connection silent over which a watch was passed on since a time. It returns false if
-// there is none.
-func (p *proxy) silenceWatch(after time.Time) bool {
+// silenceWatches makes the connections silent over which a watch was passed on since a time, and returns how many.
+func (p *proxy) silenceWatches(since time.Time) (n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for l := range p.links {
-		if l.watchedAt.After(after) && !l.silent {
+		if l.watchedAt.After(since) && !l.silent {
 			l.silent = true
-			return true
+			n++
 		}
 	}
-	return false
+	return n
 }
--- a/review/second/watch.go
+++ b/review/second/watch.go
@@ -13,25 +13,28 @@
 	configApplyTime = 2 * time.Second
 	// judgeMargin is left out behind each bound.
 	judgeMargin = 50 * time.Millisecond
+	// silenceAfter is the time from the added server to the disruption.
+	silenceAfter = 500 * time.Millisecond
 	// probePause is the pause of a client between two requests.
 	probePause = 15 * time.Millisecond
 )
 
-// silentWatch: CONFIG. One open connection between a VM and the store goes silent for good, while new ones work.
-// Shortly after, a configuration moves a route to another service. A request that is sent later than config_apply_s
+// silentWatch: CONFIG. Open connections to the store over which VMs wait for changes go silent for good, while new ones
+// work. Shortly after, a configuration moves a route to another service. A request that is sent later than config_apply_s
 // after its acknowledgement, by machines in touch, must not be run by the old service.
 func silentWatch(w *world) (bool, error) {
-	w.fleet.zones = map[string]string{"tirol-inn": "tirol", "tirol-lech": "tirol"}
-	var first *proxy
-	for i, zone := range []string{"tirol-inn", "tirol-inn", "tirol-lech", "tirol-lech"} {
+	w.fleet.zones = map[string]string{
+		"tirol-inn": "tirol", "tirol-lech": "tirol", "stmk-mur": "steiermark", "stmk-enns": "steiermark",
+		"sbg-pinz": "salzburg", "sbg-pong": "salzburg",
+	}
+	var proxies []*proxy
+	for _, zone := range []string{"tirol-inn", "stmk-mur", "sbg-pinz", "tirol-lech", "stmk-enns", "sbg-pong"} {
 		p, err := startProxy("127.0.78.2:0", w.store.address)
 		if err != nil {
 			return false, err
 		}
 		defer p.close()
-		if i == 0 {
-			first = p
-		}
+		proxies = append(proxies, p)
 		w.fleet.add(zone, p.address)
 	}
 	work := func(string) (time.Duration, int) { return 20 * time.Millisecond, 400 }
@@ -71,15 +74,21 @@
 		})
 	}
 	time.Sleep(4 * time.Second)
+	changed := time.Now()
+	if err := w.addTargets("herdenakte", "stmk-mur", 1, 4, work); err != nil {
+		return false, err
+	}
+	w.note("a server is added: acknowledged")
+	time.Sleep(silenceAfter)
 	silentAt := since()
 	if w.trouble {
-		for begin := time.Now(); !first.silenceWatch(begin); {
-			time.Sleep(time.Millisecond)
+		n := 0
+		for _, p := range proxies {
+			n += p.silenceWatches(changed)
 		}
-		silentAt = since()
-		w.note("an open connection between %s and the store goes silent", w.fleet.vms[0].name)
+		w.note("%d open connections to the store go silent", n)
 	}
-	time.Sleep(500 * time.Millisecond)
+	time.Sleep(200 * time.Millisecond)
 	leaving := w.targets[0]
 	leaving.drain(w.store)
 	w.store.put("op/config", version(12, "herdenakte"))
