--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,8 +1,8 @@
 #!/bin/sh
-# Plays the case silent-watch. Exit: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0: without the disruption.
+# Plays the case tenant-name. Exit: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0: without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 if [ ! -x target/yuccaentry ] || [ ! -x target/review-second/case ]; then
 	echo "build first: the build line of deploy/system.toml, then review/build-2.sh" >&2
 	exit 2
 fi
-exec target/review-second/case silent-watch review/7/record.txt
+exec target/review-second/case tenant-name review/7/record.txt
--- a/review/second/memory.go
+++ b/review/second/memory.go
@@ -106,7 +106,7 @@
 	for {
 		select {
 		case <-stop:
-			w.note("the process held at most %d MB of its %d MB", peak>>20, limit>>20)
+			w.note("%s held at most %d MB of its %d MB", v.name, peak>>20, limit>>20)
 			return
 		case <-time.After(20 * time.Millisecond):
 		}
@@ -116,7 +116,7 @@
 		}
 		peak = max(peak, held)
 		if held > limit && exceeded.CompareAndSwap(0, held) {
-			w.note("the process holds %d MB, its limit is %d MB: the platform kills it", held>>20, limit>>20)
+			w.note("%s holds %d MB, its limit is %d MB: the platform kills it", v.name, held>>20, limit>>20)
 			v.signal(syscall.SIGKILL)
 		}
 	}
