--- a/review/second/fleet.go
+++ b/review/second/fleet.go
@@ -75,7 +75,7 @@
 
 func (f *fleet) add(zone, storeAt string) *vm {
 	i := len(f.vms)
-	v := &vm{name: fmt.Sprintf("front-%s-%d", zone, i+1), ip: fmt.Sprintf("127.0.77.%d", i+1), zone: zone, storeAt: storeAt}
+	v := &vm{name: fmt.Sprintf("front-%s-%d", zone, i+1), ip: vmAddress(i), zone: zone, storeAt: storeAt}
 	v.front, v.ready, v.directory = fmt.Sprintf("%s:%d", v.ip, f.port), fmt.Sprintf("%s:%d", v.ip, f.port+1), fmt.Sprintf("%s:%d", v.ip, f.port+2)
 	f.vms = append(f.vms, v)
 	return v
@@ -161,12 +161,27 @@
 	}
 }
 
-// freePort returns the first of 30 ports that are free.
+const (
+	// maxVMs is the largest number of VMs of a case, portsPerVM how many ports each of them has.
+	maxVMs     = 7
+	portsPerVM = 30
+)
+
+// killAll ends all processes without waiting for them.
+func (f *fleet) killAll() {
+	for _, v := range f.vms {
+		if v.process != nil && v.process.Process != nil {
+			v.signal(syscall.SIGKILL)
+		}
+	}
+}
+
+// freePort returns the first of portsPerVM ports that are free on the addresses of all VMs.
 func freePort() (int, error) {
 next:
 	for port := 21000; port < 32000; port += 50 {
-		for i := range 30 {
-			l, err := net.Listen("tcp", fmt.Sprintf(":%d", port+i))
+		for i := range maxVMs * portsPerVM {
+			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", vmAddress(i/portsPerVM), port+i%portsPerVM))
 			if err != nil {
 				continue next
 			}
@@ -176,3 +191,6 @@
 	}
 	return 0, fmt.Errorf("no free ports")
 }
+
+// vmAddress returns the loopback address of the i-th VM.
+func vmAddress(i int) string { return fmt.Sprintf("127.0.77.%d", i+1) }
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -7,9 +7,11 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sort"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -95,6 +97,7 @@
 	}
 	defer w.store.close()
 	defer w.fleet.stopAll()
+	go w.endEarly()
 	broken, err := cases[os.Args[1]](w)
 	w.dump()
 	switch {
@@ -109,6 +112,21 @@
 	return exitHeld, nil
 }
 
+// maxTime is how long a case may take.
+const maxTime = 118 * time.Second
+
+// endEarly ends all processes if the case is told to stop or takes too long.
+func (w *world) endEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	select {
+	case <-signals:
+	case <-time.After(maxTime - since()):
+	}
+	w.fleet.killAll()
+	os.Exit(exitNotRun)
+}
+
 // dump writes what was sent, answered and run.
 func (w *world) dump() {
 	w.noteMu.Lock()
