--- a/review/second/target.go
+++ b/review/second/target.go
@@ -98,6 +98,7 @@
 	w.Header().Set("Yuccaroute-Server-Load", fmt.Sprintf("%d,%d,%d", len(t.slot), max(0, len(t.queue)-len(t.slot)), t.slots))
 	if t.draining.Load() {
 		w.Header().Set("Connection", "close")
+		w.Header().Set("Server-Leaving", "1")
 	}
 	if r.URL.Path == "/health" {
 		w.Header().Set("Yuccaroute-Instance-Id", t.id)
